--- /dev/null
+++ b/src/bronzetrack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Blackboard, registries, failures and other foundations."""
--- /dev/null
+++ b/src/bronzetrack/core/controllers.py
@@ -0,0 +1,85 @@
+"""Registry and base class of the controllers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import ClassVar
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from bronzetrack.core import registry
+
+if TYPE_CHECKING:
+    from bronzetrack import board as boards
+    from bronzetrack.core import clock
+    from bronzetrack.endpoints import client as endpoint_client
+    from bronzetrack.peer import hub as peer_hub
+    from bronzetrack.platform import logservice
+    from bronzetrack.platform import vmlist
+
+
+@attrs.frozen
+class Ports:
+    """The edges that controllers carry out effects through."""
+
+    log: logservice.LogClient
+    vms: vmlist.VmListClient
+    peers: peer_hub.PeerHub
+    endpoints: endpoint_client.EndpointClient
+
+
+class Controller:
+    """Reads sections of the blackboard and writes its own.
+
+    :param board: the state of this process
+    :param ports: the edges
+    :param read_clock: reads the present time
+    """
+
+    name: ClassVar[str]
+
+    def __init__(
+        self,
+        board: boards.Blackboard,
+        ports: Ports,
+        read_clock: Callable[[], clock.Instant],
+    ) -> None:
+        self.board = board
+        self.ports = ports
+        self.read_clock = read_clock
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        raise NotImplementedError
+
+    def write(self, section: Any, value: Any) -> None:
+        """Write a section as this controller."""
+        section.write(self.name, value)
+
+
+CONTROLLERS: registry.Registry[type[Controller]] = registry.Registry(
+    "controllers"
+)
+
+
+async def wait_first(
+    *waits: Callable[[], Any], timeout_ms: int | None = None
+) -> None:
+    """Wait until the first of several waits returns or a time has passed.
+
+    :param waits: functions that return an awaitable each
+    :param timeout_ms: the longest wait
+    """
+    delay = None if timeout_ms is None else max(0, timeout_ms) / 1000
+    with anyio.move_on_after(delay):
+        async with anyio.create_task_group() as group:
+
+            async def wait_one(wait: Callable[[], Any]) -> None:
+                await wait()
+                group.cancel_scope.cancel()
+
+            for wait in waits:
+                group.start_soon(wait_one, wait)
--- /dev/null
+++ b/src/bronzetrack/core/failures.py
@@ -0,0 +1,84 @@
+"""Typed failures that decisions return in place of a value."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Reason(enum.Enum):
+    """Why something was refused or went wrong."""
+
+    # A caller's request.
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_ADAPTER = "unknown_adapter"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_SERVICE = "unknown_service"
+    BODY_TOO_LARGE = "body_too_large"
+    # Idempotency keys.
+    KEY_INVALID = "key_invalid"
+    KEY_ISSUE_TIME_MISSING = "key_issue_time_missing"
+    KEY_EXPIRED = "key_expired"
+    KEY_IN_FUTURE = "key_in_future"
+    KEY_REQUIRED = "key_required"
+    KEY_VOID = "key_void"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_REUSED = "key_reused"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    # Admission and limits.
+    NO_CONFIGURATION = "no_configuration"
+    NO_ENDPOINT = "no_endpoint"
+    NO_OWNER = "no_owner"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TIMEOUT = "queue_timeout"
+    SHARE_EXCEEDED = "share_exceeded"
+    WARM_QUOTA = "warm_quota"
+    ADAPTER_SLOTS_FULL = "adapter_slots_full"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
+    RETRY_BUDGET = "retry_budget"
+    DRAINING = "draining"
+    CANCELLED = "cancelled"
+    # Endpoints.
+    ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_CRASHED = "endpoint_crashed"
+    ENDPOINT_PROTOCOL = "endpoint_protocol"
+    WRONG_ADAPTER = "wrong_adapter"
+    LOAD_FAILED = "load_failed"
+    ANSWER_INCOMPLETE = "answer_incomplete"
+    # Platform and peers.
+    LOG_UNAVAILABLE = "log_unavailable"
+    LOG_RATE_LIMITED = "log_rate_limited"
+    LOG_TRUNCATED = "log_truncated"
+    APPEND_UNCERTAIN = "append_uncertain"
+    STORE_UNAVAILABLE = "store_unavailable"
+    VM_LIST_UNAVAILABLE = "vm_list_unavailable"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_PROTOCOL = "peer_protocol"
+    FRAME_TOO_LARGE = "frame_too_large"
+    LEASE_LAPSED = "lease_lapsed"
+    FENCED = "fenced"
+    # Configuration and settings.
+    CONFIGURATION_CONFLICT = "configuration_conflict"
+    CONFIGURATION_INVALID = "configuration_invalid"
+    SETTING_INVALID = "setting_invalid"
+    SETTING_UNKNOWN = "setting_unknown"
+
+
+@attrs.frozen
+class Failure:
+    """A typed failure.
+
+    :param reason: what went wrong
+    :param detail: the specific cause, for a person
+    :param retry_after_ms: how long to wait before another try, if one helps
+    :param limit: the name of the voted or configured limit that was met
+    """
+
+    reason: Reason
+    detail: str = ""
+    retry_after_ms: int | None = None
+    limit: str | None = None
--- /dev/null
+++ b/src/bronzetrack/core/records.py
@@ -0,0 +1,7 @@
+"""Registry of the records that the system keeps in the platform's log."""
+
+from __future__ import annotations
+
+from bronzetrack.core import registry
+
+RECORDS: registry.Registry[type] = registry.Registry("log records")
