Add decisions: configuration, ownership, keys, dispatch, routing

Cause: a request needs a configuration, an owner, an endpoint and, when it must not repeat, a claim of its key. Change: pure functions over attrs state with the time as an argument, and the conversion to msgpack and JSON next to them. Conclusion: first version of each decision, to be refined by measurement.

--- /dev/null
+++ b/src/bronzetrack/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators publish: inventory and rules."""
--- /dev/null
+++ b/src/bronzetrack/configuration/resolver.py
@@ -0,0 +1,83 @@
+"""Resolution of the names that requests use."""
+
+from __future__ import annotations
+
+import attrs
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.configuration import state
+from bronzetrack.core import failures
+
+
+@attrs.frozen
+class ResolvedModel:
+    """An adapter version and the endpoints that could run it.
+
+    :param adapter: `name@version`
+    :param member: the member that owns the adapter
+    """
+
+    adapter: str
+    member: str
+    endpoints: tuple[str, ...]
+
+
+@attrs.frozen
+class ResolvedService:
+    """A plain service and the path at its endpoints."""
+
+    service: inventories.Service
+    path: str
+
+
+def resolve_model(
+    configuration: state.Configuration, model: str
+) -> ResolvedModel | failures.Failure:
+    """Return the adapter version that a request names.
+
+    :param model: `adapter@version`, or `adapter` for its current version
+    """
+    if configuration.offset == state.NO_OFFSET:
+        return failures.Failure(
+            failures.Reason.NO_CONFIGURATION,
+            "no configuration is in force",
+            retry_after_ms=1_000,
+        )
+    adapter_name, separator, version = model.partition("@")
+    adapter = configuration.inventory.adapters.get(adapter_name)
+    if adapter is None:
+        return failures.Failure(
+            failures.Reason.UNKNOWN_ADAPTER,
+            f"unknown adapter {adapter_name!r}",
+        )
+    if not separator:
+        version = adapter.current
+    if version not in adapter.versions:
+        return failures.Failure(
+            failures.Reason.UNKNOWN_VERSION,
+            f"adapter {adapter_name!r} has no version {version!r}",
+        )
+    endpoints = tuple(
+        name
+        for name, endpoint in configuration.inventory.endpoints.items()
+        if endpoint.base_model == adapter.base_model
+        and endpoint.kind is inventories.EndpointKind.ENGINE
+    )
+    return ResolvedModel(f"{adapter_name}@{version}", adapter.owner, endpoints)
+
+
+def resolve_service(
+    configuration: state.Configuration, path: str
+) -> ResolvedService | failures.Failure:
+    """Return the service with the longest prefix of a path."""
+    matching = [
+        service
+        for service in configuration.inventory.services.values()
+        if path == service.prefix or path.startswith(service.prefix + "/")
+    ]
+    if not matching:
+        return failures.Failure(
+            failures.Reason.UNKNOWN_SERVICE, f"no service at {path}"
+        )
+    service = max(matching, key=lambda item: len(item.prefix))
+    return ResolvedService(service, path.removeprefix(service.prefix) or "/")
--- /dev/null
+++ b/src/bronzetrack/configuration/validation.py
@@ -0,0 +1,116 @@
+"""Checks between the entries of a configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import ipaddress
+import itertools
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.configuration import rules as rule_sets
+
+
+def list_mistakes(
+    inventory: inventories.Inventory, rules: rule_sets.Rules
+) -> tuple[str, ...]:
+    """Return every mistake, one line each."""
+    return (
+        *list_inventory_mistakes(inventory),
+        *list_rule_mistakes(rules),
+        *_check_members(inventory, rules),
+    )
+
+
+def list_inventory_mistakes(
+    inventory: inventories.Inventory,
+) -> tuple[str, ...]:
+    """Return the mistakes that an inventory alone shows."""
+    return tuple(
+        itertools.chain(
+            _check_adapters(inventory),
+            _check_endpoints(inventory),
+            _check_services(inventory),
+        )
+    )
+
+
+def list_rule_mistakes(rules: rule_sets.Rules) -> tuple[str, ...]:
+    """Return the mistakes that a rule set alone shows."""
+    return tuple(_check_rules(rules))
+
+
+def _check_adapters(inventory: inventories.Inventory) -> Iterator[str]:
+    members = set(inventory.members)
+    models = set(inventory.base_models)
+    for name, adapter in inventory.adapters.items():
+        place = f"adapters.{name}"
+        if not name or "@" in name:
+            yield f"{place}: a name is not empty and has no '@'"
+        if adapter.owner not in members:
+            yield f"{place}.owner: unknown member {adapter.owner!r}"
+        if adapter.base_model not in models:
+            yield f"{place}.base_model: unknown {adapter.base_model!r}"
+        if adapter.current not in adapter.versions:
+            yield f"{place}.current: {adapter.current!r} is not in versions"
+
+
+def _check_endpoints(inventory: inventories.Inventory) -> Iterator[str]:
+    for name, endpoint in inventory.endpoints.items():
+        place = f"endpoints.{name}"
+        if not _is_ip(endpoint.host):
+            yield f"{place}.host: {endpoint.host!r} is not an IP address"
+        if not 0 < endpoint.port < 65_536:
+            yield f"{place}.port: {endpoint.port} is not a port"
+        if endpoint.slots < 1:
+            yield f"{place}.slots: at least 1"
+        if endpoint.kind is not inventories.EndpointKind.ENGINE:
+            continue
+        if endpoint.base_model not in inventory.base_models:
+            yield f"{place}.base_model: unknown {endpoint.base_model!r}"
+        if endpoint.adapter_slots < 1:
+            yield f"{place}.adapter_slots: at least 1"
+
+
+def _check_services(inventory: inventories.Inventory) -> Iterator[str]:
+    for name, service in inventory.services.items():
+        place = f"services.{name}"
+        if service.owner not in inventory.members:
+            yield f"{place}.owner: unknown member {service.owner!r}"
+        if not service.prefix.startswith("/services/"):
+            yield f"{place}.prefix: must start with /services/"
+        for endpoint in service.endpoints:
+            if endpoint not in inventory.endpoints:
+                yield f"{place}.endpoints: unknown endpoint {endpoint!r}"
+
+
+def _check_members(
+    inventory: inventories.Inventory, rules: rule_sets.Rules
+) -> Iterator[str]:
+    # An inventory may be published before the rules that name its members,
+    # but a rule may not outlive its member.
+    for name in rules.members:
+        if name not in inventory.members:
+            yield f"members.{name}: unknown member"
+
+
+def _check_rules(rules: rule_sets.Rules) -> Iterator[str]:
+    if rules.default_class not in rules.classes:
+        yield f"default_class: unknown class {rules.default_class!r}"
+    for name, member in rules.members.items():
+        if not member.weight > 0:
+            yield f"members.{name}.weight: more than 0"
+        if member.warm_adapters < 0:
+            yield f"members.{name}.warm_adapters: 0 or more"
+    for name, rule in rules.classes.items():
+        if not 0 < rule.slot_share <= 1:
+            yield f"classes.{name}.slot_share: more than 0, at most 1"
+        if rule.queue_timeout_ms <= 0:
+            yield f"classes.{name}.queue_timeout_ms: more than 0"
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/src/bronzetrack/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Queues and loaded adapters of owned endpoints."""
--- /dev/null
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -0,0 +1,188 @@
+"""How the queue of an endpoint changes."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import attrs
+
+from bronzetrack.dispatch import events
+from bronzetrack.dispatch import state as states
+from bronzetrack.endpoints import reports
+from bronzetrack.streaming import messages
+
+LOAD_RETRY_MS = 1_000
+
+
+def enqueue(
+    queue: states.EndpointQueue, item: states.Waiting
+) -> states.EndpointQueue:
+    """Return the queue with one more item."""
+    return attrs.evolve(queue, waiting=(*queue.waiting, item))
+
+
+def remove_waiting(
+    queue: states.EndpointQueue, attempts: Collection[str]
+) -> states.EndpointQueue:
+    """Return the queue without some attempts."""
+    kept = tuple(
+        item for item in queue.waiting if item.work.attempt not in attempts
+    )
+    return attrs.evolve(queue, waiting=kept)
+
+
+def start(
+    queue: states.EndpointQueue, attempt: str, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue with a waiting attempt moved to a slot."""
+    item = next(item for item in queue.waiting if item.work.attempt == attempt)
+    return hold_slot(
+        remove_waiting(queue, {attempt}), item.work, item.sender, now_ms
+    )
+
+
+def hold_slot(
+    queue: states.EndpointQueue,
+    work: messages.SubmitWork,
+    sender: str,
+    now_ms: int,
+) -> states.EndpointQueue:
+    """Return the queue with work in a slot and its adapter marked as used."""
+    running = states.Running(work, sender, now_ms)
+    return attrs.evolve(
+        _touch(queue, work.adapter, now_ms),
+        running={**queue.running, work.attempt: running},
+    )
+
+
+def finish(
+    queue: states.EndpointQueue, attempt: str, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue with the slot of an attempt free again."""
+    item = queue.running.get(attempt)
+    if item is None:
+        return queue
+    running = {
+        name: other for name, other in queue.running.items() if name != attempt
+    }
+    return attrs.evolve(
+        _touch(queue, item.work.adapter, now_ms), running=running
+    )
+
+
+def _touch(
+    queue: states.EndpointQueue, adapter: str, now_ms: int
+) -> states.EndpointQueue:
+    resident = queue.residents.get(adapter)
+    if resident is None:
+        return queue
+    used = attrs.evolve(resident, used_ms=now_ms)
+    return attrs.evolve(queue, residents={**queue.residents, adapter: used})
+
+
+def set_resident(
+    queue: states.EndpointQueue,
+    adapter: str,
+    phase: states.ResidentPhase,
+    now_ms: int,
+) -> states.EndpointQueue:
+    """Return the queue with an adapter in a phase."""
+    resident = states.Resident(phase, now_ms)
+    return attrs.evolve(
+        queue, residents={**queue.residents, adapter: resident}
+    )
+
+
+def drop_resident(
+    queue: states.EndpointQueue, adapter: str
+) -> states.EndpointQueue:
+    """Return the queue without an adapter."""
+    kept = {
+        name: resident
+        for name, resident in queue.residents.items()
+        if name != adapter
+    }
+    return attrs.evolve(queue, residents=kept)
+
+
+def delay_load(
+    queue: states.EndpointQueue, adapter: str, until_ms: int
+) -> states.EndpointQueue:
+    """Return the queue after a load failed."""
+    delays = {**queue.load_retry_ms, adapter: until_ms}
+    return attrs.evolve(drop_resident(queue, adapter), load_retry_ms=delays)
+
+
+def adopt_residents(
+    queue: states.EndpointQueue, adapters: Collection[str], now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue of a new owner with what the endpoint has loaded."""
+    inherited = {
+        adapter: states.Resident(
+            states.ResidentPhase.READY, now_ms, inherited=True
+        )
+        for adapter in adapters
+        if adapter not in queue.residents
+    }
+    return attrs.evolve(queue, residents={**queue.residents, **inherited})
+
+
+def clear_inherited(
+    queue: states.EndpointQueue, in_use: Collection[str]
+) -> states.EndpointQueue:
+    """Return the queue after a report that names the adapters in use."""
+    residents = {
+        adapter: (
+            attrs.evolve(resident, inherited=False)
+            if adapter not in in_use
+            else resident
+        )
+        for adapter, resident in queue.residents.items()
+    }
+    return attrs.evolve(queue, residents=residents)
+
+
+def end_load(
+    queue: states.EndpointQueue, event: events.LoadEnded, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue after an order to load ended."""
+    if event.failure is not None:
+        return delay_load(queue, event.adapter, now_ms + LOAD_RETRY_MS)
+    return set_resident(
+        queue, event.adapter, states.ResidentPhase.READY, now_ms
+    )
+
+
+def end_unload(
+    queue: states.EndpointQueue, event: events.UnloadEnded, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue after an order to unload ended.
+
+    After a failure the adapter may or may not be loaded. It is taken as
+    loaded, so that its slot is not filled twice; a load report corrects it.
+    """
+    if event.failure is None:
+        return drop_resident(queue, event.adapter)
+    return set_resident(
+        queue, event.adapter, states.ResidentPhase.READY, now_ms
+    )
+
+
+def apply_report(
+    queue: states.EndpointQueue,
+    report: reports.LoadReport,
+    claimed_wall_ms: int,
+    now_ms: int,
+) -> states.EndpointQueue:
+    """Return the queue after a load report.
+
+    :param claimed_wall_ms: Unix time at which this VM read its claim
+    """
+    queue = attrs.evolve(queue, leaving=report.leaving)
+    if report.boot != queue.boot:
+        fresh = attrs.evolve(queue, boot=report.boot, residents={})
+        return adopt_residents(fresh, report.loaded, now_ms)
+    if report.produced_ms <= claimed_wall_ms:
+        return queue
+    in_use = [name for name, count in report.running.items() if count]
+    return clear_inherited(queue, in_use)
--- /dev/null
+++ b/src/bronzetrack/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run of each idempotency key."""
--- /dev/null
+++ b/src/bronzetrack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Voted limits and limits of the weight store."""
--- /dev/null
+++ b/src/bronzetrack/limits/tokens.py
@@ -0,0 +1,28 @@
+"""Token bucket for the loads that a VM may ask of the weight store."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class TokenBucket:
+    """Loads that this VM may start.
+
+    :param tokens: loads that may start now
+    :param updated_ms: monotonic time of the last refill
+    """
+
+    tokens: float = 0.0
+    updated_ms: int = 0
+
+    def refill(
+        self, rate_per_s: float, capacity: float, now_ms: int
+    ) -> TokenBucket:
+        """Return the bucket with the tokens that time has brought."""
+        gained = rate_per_s * max(0, now_ms - self.updated_ms) / 1000
+        return TokenBucket(min(capacity, self.tokens + gained), now_ms)
+
+    def take(self, count: float) -> TokenBucket:
+        """Return the bucket with fewer tokens."""
+        return attrs.evolve(self, tokens=self.tokens - count)
--- /dev/null
+++ b/src/bronzetrack/limits/usage.py
@@ -0,0 +1,42 @@
+"""Recent cost by member, which decays with time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bronzetrack.membership import view
+
+HALF_LIFE_MS = 10_000
+NEGLIGIBLE_COST = 0.01
+
+
+def decay(usage: Mapping[str, float], passed_ms: int) -> dict[str, float]:
+    """Return the usage after some time."""
+    factor = 0.5 ** (max(0, passed_ms) / HALF_LIFE_MS)
+    return {
+        member: cost * factor
+        for member, cost in usage.items()
+        if cost * factor > NEGLIGIBLE_COST
+    }
+
+
+def charge(
+    usage: Mapping[str, float], member: str, cost: float
+) -> dict[str, float]:
+    """Return the usage after work was started for a member."""
+    return {**usage, member: usage.get(member, 0.0) + cost}
+
+
+def add_remote(
+    usage: Mapping[str, float], vms: Iterable[view.VmState]
+) -> dict[str, float]:
+    """Return the usage over this VM and others."""
+    total = dict(usage)
+    remote = itertools.chain.from_iterable(vm.usage.items() for vm in vms)
+    for member, cost in remote:
+        total[member] = total.get(member, 0.0) + cost
+    return total
--- /dev/null
+++ b/src/bronzetrack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs live and which are leaving."""
--- /dev/null
+++ b/src/bronzetrack/membership/messages.py
@@ -0,0 +1,85 @@
+"""Peer messages about VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+from typing import ClassVar
+
+import attrs
+
+from bronzetrack.core import messages
+
+PROTOCOL_VERSION = 1
+
+
+class VmStatus(enum.Enum):
+    """The state of life of a daemon."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@messages.MESSAGES.register("hello")
+@attrs.frozen
+class Hello:
+    """Opens a session.
+
+    :param incarnation: random value of this run of the daemon
+    """
+
+    mailbox: ClassVar[str] = "membership"
+
+    version: int
+    vm: str
+    incarnation: str
+    availability_zone: str
+    peer_address: str
+    caller_address: str
+
+
+@attrs.frozen
+class EndpointSummary:
+    """What an owner tells the others about one endpoint.
+
+    :param free_slots: slots neither running nor reserved
+    :param queued: requests that wait there
+    :param warm: adapter versions that are loaded, `name@version`
+    :param slow: whether the endpoint answers slower than its peers
+    """
+
+    free_slots: int = 0
+    queued: int = 0
+    warm: tuple[str, ...] = ()
+    slow: bool = False
+    leaving: bool = False
+
+
+@messages.MESSAGES.register("heartbeat")
+@attrs.frozen
+class Heartbeat:
+    """The state of a VM, sent to every peer at an interval.
+
+    :param endpoints: summaries of the endpoints that the VM owns
+    :param usage: recent cost by member, decayed, of the work it dispatched
+    """
+
+    mailbox: ClassVar[str] = "membership"
+
+    vm: str
+    incarnation: str
+    status: VmStatus
+    configuration_offset: int
+    endpoints: Mapping[str, EndpointSummary] = attrs.field(factory=dict)
+    usage: Mapping[str, float] = attrs.field(factory=dict)
+
+
+@messages.MESSAGES.register("session_closed")
+@attrs.frozen
+class SessionClosed:
+    """Posted locally when the session with a peer ended."""
+
+    mailbox: ClassVar[str] = "membership"
+
+    vm: str
--- /dev/null
+++ b/src/bronzetrack/membership/view.py
@@ -0,0 +1,128 @@
+"""What this VM knows of the others, and decisions about it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from bronzetrack.membership import messages
+
+HEARTBEAT_INTERVAL_MS = 1_000
+SUSPECT_AFTER_MS = 3_000
+GONE_AFTER_MS = 10_000
+
+
+@attrs.frozen
+class VmState:
+    """The last that was heard of a VM.
+
+    :param heard_ms: monotonic time of the last message
+    :param connected: whether a session with it is open
+    """
+
+    vm: str
+    incarnation: str
+    availability_zone: str
+    peer_address: str
+    caller_address: str
+    status: messages.VmStatus
+    heard_ms: int
+    configuration_offset: int = -1
+    endpoints: Mapping[str, messages.EndpointSummary] = attrs.field(
+        factory=dict
+    )
+    usage: Mapping[str, float] = attrs.field(factory=dict)
+    connected: bool = True
+
+
+@attrs.frozen
+class MembershipView:
+    """The section of the membership controller.
+
+    :param vms: known VMs by name, without this one
+    :param listed_leaving: VMs and endpoints that the platform lists as leaving
+    """
+
+    vms: Mapping[str, VmState] = attrs.field(factory=dict)
+    listed_leaving: frozenset[str] = frozenset()
+
+
+def record_hello(
+    view: MembershipView, hello: messages.Hello, now_ms: int
+) -> MembershipView:
+    """Return the view after a session was opened."""
+    known = view.vms.get(hello.vm)
+    if known is not None and known.incarnation == hello.incarnation:
+        state = attrs.evolve(known, heard_ms=now_ms, connected=True)
+    else:
+        state = VmState(
+            vm=hello.vm,
+            incarnation=hello.incarnation,
+            availability_zone=hello.availability_zone,
+            peer_address=hello.peer_address,
+            caller_address=hello.caller_address,
+            status=messages.VmStatus.STARTING,
+            heard_ms=now_ms,
+        )
+    return attrs.evolve(view, vms={**view.vms, hello.vm: state})
+
+
+def record_heartbeat(
+    view: MembershipView, heartbeat: messages.Heartbeat, now_ms: int
+) -> MembershipView:
+    """Return the view after a heartbeat; one of an old incarnation is void."""
+    known = view.vms.get(heartbeat.vm)
+    if known is None or known.incarnation != heartbeat.incarnation:
+        return view
+    state = attrs.evolve(
+        known,
+        status=heartbeat.status,
+        heard_ms=now_ms,
+        configuration_offset=heartbeat.configuration_offset,
+        endpoints=heartbeat.endpoints,
+        usage=heartbeat.usage,
+        connected=True,
+    )
+    return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
+
+
+def record_closed(view: MembershipView, vm: str) -> MembershipView:
+    """Return the view after the session with a VM ended."""
+    known = view.vms.get(vm)
+    if known is None:
+        return view
+    state = attrs.evolve(known, connected=False)
+    return attrs.evolve(view, vms={**view.vms, vm: state})
+
+
+def expire_vms(view: MembershipView, now_ms: int) -> MembershipView:
+    """Return the view without VMs that were not heard for too long."""
+    kept = {
+        name: state
+        for name, state in view.vms.items()
+        if now_ms - state.heard_ms < GONE_AFTER_MS
+    }
+    if len(kept) == len(view.vms):
+        return view
+    return attrs.evolve(view, vms=kept)
+
+
+def is_reachable(state: VmState, now_ms: int) -> bool:
+    """Return whether new work may be relayed to a VM."""
+    return (
+        state.connected
+        and state.status is not messages.VmStatus.STARTING
+        and now_ms - state.heard_ms < SUSPECT_AFTER_MS
+    )
+
+
+def list_serving(view: MembershipView, now_ms: int) -> list[VmState]:
+    """Return the VMs that serve and are not leaving, in order of name."""
+    return [
+        state
+        for _, state in sorted(view.vms.items())
+        if is_reachable(state, now_ms)
+        and state.status is messages.VmStatus.SERVING
+        and state.vm not in view.listed_leaving
+    ]
--- /dev/null
+++ b/src/bronzetrack/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VM owns which endpoint."""
--- /dev/null
+++ b/src/bronzetrack/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries, and requests that crash endpoints."""
--- /dev/null
+++ b/src/bronzetrack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of endpoints and entry VMs."""
--- /dev/null
+++ b/src/bronzetrack/routing/candidates.py
@@ -0,0 +1,71 @@
+"""Endpoints that could run a request."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.membership import messages
+
+
+@attrs.frozen
+class Candidate:
+    """An endpoint that could run a request, as this VM sees it.
+
+    :param owner: the VM that owns the endpoint
+    :param warm: whether the adapter version is loaded there
+    :param in_flight: attempts that this VM sent there and that have not ended
+    :param report_age_ms: age of the owner's summary
+    """
+
+    endpoint: str
+    owner: str
+    slots: int
+    warm: bool
+    free_slots: int
+    queued: int
+    in_flight: int
+    report_age_ms: int
+    slow: bool = False
+    near: bool = True
+
+
+@attrs.frozen
+class OwnerReport:
+    """The newest summary of an endpoint that reached this VM."""
+
+    owner: str
+    summary: messages.EndpointSummary
+    age_ms: int
+
+
+def list_candidates(
+    endpoints: Mapping[str, inventories.Endpoint],
+    reports: Mapping[str, OwnerReport],
+    adapter: str,
+    in_flight: Mapping[str, int],
+    leaving: frozenset[str],
+    zone: str,
+) -> list[Candidate]:
+    """Return the candidates among some endpoints, in order of name."""
+    return [
+        Candidate(
+            endpoint=name,
+            owner=reports[name].owner,
+            slots=endpoint.slots,
+            warm=adapter in reports[name].summary.warm,
+            free_slots=reports[name].summary.free_slots,
+            queued=reports[name].summary.queued,
+            in_flight=in_flight.get(name, 0),
+            report_age_ms=reports[name].age_ms,
+            slow=reports[name].summary.slow,
+            near=endpoint.availability_zone == zone,
+        )
+        for name, endpoint in sorted(endpoints.items())
+        if name in reports
+        and name not in leaving
+        and not endpoint.leaving
+        and not reports[name].summary.leaving
+    ]
--- /dev/null
+++ b/src/bronzetrack/routing/choice.py
@@ -0,0 +1,84 @@
+"""The choice of an endpoint for one attempt."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from bronzetrack.core import failures
+from bronzetrack.core import rendezvous
+from bronzetrack.membership import messages
+from bronzetrack.membership import view as views
+from bronzetrack.routing import candidates
+from bronzetrack.routing import policies
+
+if TYPE_CHECKING:
+    from bronzetrack.configuration import inventory as inventories
+    from bronzetrack.ownership import leases
+
+
+def collect_reports(
+    ownership: leases.OwnershipState,
+    view: views.MembershipView,
+    own: Mapping[str, messages.EndpointSummary],
+    vm: str,
+    incarnation: str,
+    now_ms: int,
+) -> dict[str, candidates.OwnerReport]:
+    """Return the newest summary of each endpoint with a reachable owner.
+
+    :param own: summaries of the endpoints of this VM
+    """
+    reports = {}
+    for name, owner in ownership.owners.items():
+        if owner.incarnation == incarnation:
+            summary = own.get(name, messages.EndpointSummary())
+            reports[name] = candidates.OwnerReport(vm, summary, 0)
+            continue
+        state = view.vms.get(owner.vm)
+        if state is None or state.incarnation != owner.incarnation:
+            continue
+        if views.is_reachable(state, now_ms):
+            reports[name] = candidates.OwnerReport(
+                owner.vm,
+                state.endpoints.get(name, messages.EndpointSummary()),
+                now_ms - state.heard_ms,
+            )
+    return reports
+
+
+def choose_endpoint(
+    endpoints: Mapping[str, inventories.Endpoint],
+    reports: Mapping[str, candidates.OwnerReport],
+    adapter: str,
+    in_flight: Mapping[str, int],
+    leaving: frozenset[str],
+    zone: str,
+    excluded: Collection[str],
+    isolated_key: str | None = None,
+    policy: str = "balanced",
+) -> candidates.Candidate | failures.Failure:
+    """Return the endpoint for an attempt.
+
+    :param excluded: endpoints on which the request has failed; used again
+        only if there is no other
+    :param isolated_key: fingerprint of a suspect, which all VMs have to send
+        to the same endpoint
+    """
+    found = candidates.list_candidates(
+        endpoints, reports, adapter, in_flight, leaving, zone
+    )
+    if not found:
+        return failures.Failure(
+            failures.Reason.NO_OWNER,
+            "no endpoint with a reachable owner",
+            retry_after_ms=1_000,
+        )
+    if isolated_key is not None:
+        names = rendezvous.rank_nodes(
+            isolated_key, [item.endpoint for item in found]
+        )
+        return next(item for item in found if item.endpoint == names[0])
+    preferred = [item for item in found if item.endpoint not in excluded]
+    return policies.POLICIES.lookup(policy)(preferred or found, adapter)
--- /dev/null
+++ b/src/bronzetrack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemon."""
--- /dev/null
+++ b/src/bronzetrack/settings/model.py
@@ -0,0 +1,202 @@
+"""The settings of a daemon, by section of the INI file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+import ipaddress
+from typing import Any
+
+import attrs
+
+
+class LogLevel(enum.Enum):
+    """How much is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@attrs.frozen
+class Kind:
+    """How the text of a setting becomes a value.
+
+    :param allowed: what is allowed, for messages and the reference
+    :param parse: raises ValueError for anything else
+    """
+
+    allowed: str
+    parse: Callable[[str], Any]
+
+
+def parse_name(text: str) -> str:
+    """Return a name that is safe in paths, logs and headers."""
+    if not text or len(text) > 63 or not text.replace("-", "a").isalnum():
+        raise ValueError(text)
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Return an `IP:port` address."""
+    host, separator, port = text.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not separator or not 0 < int(port) < 65_536:
+        raise ValueError(text)
+    return text
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Return addresses separated by commas or white space."""
+    return tuple(
+        parse_address(item) for item in text.replace(",", " ").split()
+    )
+
+
+def parse_url(text: str) -> str:
+    """Return a base URL whose host is an IP address."""
+    scheme, separator, rest = text.partition("://")
+    if scheme != "http" or not separator:
+        raise ValueError(text)
+    parse_address(rest.rstrip("/"))
+    return text.rstrip("/")
+
+
+def make_number(low: int, high: int) -> Kind:
+    """Return the kind of a whole number within a range."""
+
+    def parse(text: str) -> int:
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(text)
+        return value
+
+    return Kind(f"a whole number from {low} to {high}", parse)
+
+
+def make_fraction(low: float, high: float) -> Kind:
+    """Return the kind of a number within a range."""
+
+    def parse(text: str) -> float:
+        value = float(text)
+        if not low <= value <= high:
+            raise ValueError(text)
+        return value
+
+    return Kind(f"a number from {low:g} to {high:g}", parse)
+
+
+NAME = Kind("letters, digits and hyphens, 63 at most", parse_name)
+ADDRESS = Kind("an address IP:port", parse_address)
+ADDRESSES = Kind("addresses IP:port, separated by commas", parse_addresses)
+URL = Kind("a base URL http://IP:port", parse_url)
+LEVEL = Kind(
+    "one of " + ", ".join(level.value for level in LogLevel),
+    lambda text: LogLevel(text.lower()),
+)
+
+
+def setting(kind: Kind, description: str, default: Any = attrs.NOTHING) -> Any:
+    """Return a field of a section with what the reference says of it."""
+    return attrs.field(
+        default=default,
+        metadata={"kind": kind, "description": description},
+    )
+
+
+@attrs.frozen
+class VmSettings:
+    """Which VM this is."""
+
+    name: str = setting(NAME, "Name of this VM, unique among the daemons.")
+    availability_zone: str = setting(NAME, "Availability zone of this VM.")
+
+
+@attrs.frozen
+class ListenSettings:
+    """Addresses that the daemon listens on."""
+
+    callers: str = setting(ADDRESS, "Callers' requests and entry look-ups.")
+    operators: str = setting(ADDRESS, "State dump and metrics.")
+    peers: str = setting(ADDRESS, "Streams from other daemons.")
+
+
+@attrs.frozen
+class PeerSettings:
+    """How the daemon finds the others."""
+
+    join: tuple[str, ...] = setting(
+        ADDRESSES, "Peer addresses to join through.", ()
+    )
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Services of the platform."""
+
+    log_url: str = setting(URL, "Base URL of the log service.")
+    vm_list_url: str = setting(URL, "Base URL of the list of VMs.")
+
+
+@attrs.frozen
+class StoreSettings:
+    """Limits of the weight store."""
+
+    loads_per_s: float = setting(
+        make_fraction(0.1, 10_000), "Loads a second over all VMs.", 4.0
+    )
+    in_flight: int = setting(
+        make_number(1, 100_000),
+        "Loads in flight over all servers above which the store slows down.",
+        16,
+    )
+    expected_vms: int = setting(
+        make_number(1, 10_000),
+        "Daemons that share the limits, with room for one replacement.",
+        8,
+    )
+
+
+@attrs.frozen
+class LimitSettings:
+    """Bounds of this process."""
+
+    body_bytes: int = setting(
+        make_number(1_024, 524_288), "Largest body of a request.", 262_144
+    )
+    queue_requests: int = setting(
+        make_number(1, 100_000),
+        "Requests that may wait for one endpoint.",
+        256,
+    )
+    request_timeout_ms: int = setting(
+        make_number(100, 3_600_000),
+        "Longest time from arrival to the last byte.",
+        600_000,
+    )
+    drain_ms: int = setting(
+        make_number(0, 3_600_000),
+        "Time without a request after which a stopping daemon exits.",
+        1_000,
+    )
+
+
+@attrs.frozen
+class LogSettings:
+    """What is logged."""
+
+    level: LogLevel = setting(LEVEL, "Lowest level.", LogLevel.INFO)
+
+
+@attrs.frozen
+class Settings:
+    """All settings of a daemon."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    peers: PeerSettings = attrs.field(factory=PeerSettings)
+    weight_store: StoreSettings = attrs.field(factory=StoreSettings)
+    limits: LimitSettings = attrs.field(factory=LimitSettings)
+    logging: LogSettings = attrs.field(factory=LogSettings)
--- /dev/null
+++ b/src/bronzetrack/streaming/__init__.py
@@ -0,0 +1,1 @@
+"""Work, answers and their order."""
--- /dev/null
+++ b/src/bronzetrack/streaming/messages.py
@@ -0,0 +1,105 @@
+"""Peer messages that carry work to an owner and its answer back."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from bronzetrack.core import failures
+from bronzetrack.core import messages
+from bronzetrack.streaming import outcomes
+
+
+@messages.MESSAGES.register("submit_work")
+@attrs.frozen
+class SubmitWork:
+    """One attempt of a request, sent to the owner of an endpoint.
+
+    :param attempt: identifies the attempt, also towards the endpoint
+    :param member: the member that is charged
+    :param adapter: `name@version`, empty for a plain service
+    :param path: path at the endpoint
+    :param timeout_ms: time left until the caller's deadline
+    :param cost: estimated cost in tokens
+    :param fingerprint: digest of the adapter, version and body
+    :param key: digest of the idempotency key, None if the work may repeat
+    :param isolated: whether it must run alone on the endpoint
+    :param resume_of: attempt to resume at the endpoint, None to start anew
+    :param resume_from: number of the first chunk wanted
+    """
+
+    mailbox: ClassVar[str] = "work"
+
+    attempt: str
+    request: str
+    endpoint: str
+    member: str
+    adapter: str
+    work_class: str
+    method: str
+    path: str
+    body: bytes
+    timeout_ms: int
+    cost: int = 1
+    stream: bool = False
+    content_type: str = "application/json"
+    fingerprint: str = ""
+    key: str | None = None
+    issued_ms: int = 0
+    isolated: bool = False
+    resume_of: str | None = None
+    resume_from: int = 0
+
+
+@messages.MESSAGES.register("answer_started")
+@attrs.frozen
+class AnswerStarted:
+    """The endpoint began to answer."""
+
+    mailbox: ClassVar[str] = "answers"
+
+    attempt: str
+    status: int
+    content_type: str
+
+
+@messages.MESSAGES.register("answer_chunk")
+@attrs.frozen
+class AnswerChunk:
+    """One chunk of an answer.
+
+    :param number: counts the chunks of the attempt from 0
+    """
+
+    mailbox: ClassVar[str] = "answers"
+
+    attempt: str
+    number: int
+    data: bytes
+
+
+@messages.MESSAGES.register("answer_end")
+@attrs.frozen
+class AnswerEnd:
+    """The end of an attempt.
+
+    :param chunks: how many chunks the whole answer has
+    """
+
+    mailbox: ClassVar[str] = "answers"
+
+    attempt: str
+    outcome: outcomes.Outcome
+    chunks: int = 0
+    failure: failures.Failure | None = None
+
+
+@messages.MESSAGES.register("cancel_work")
+@attrs.frozen
+class CancelWork:
+    """The caller of an attempt no longer wants it."""
+
+    mailbox: ClassVar[str] = "work"
+
+    attempt: str
--- /dev/null
+++ b/src/bronzetrack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats."""
--- /dev/null
+++ b/src/bronzetrack/wire/httpclient.py
@@ -0,0 +1,108 @@
+"""HTTP requests that return failures in place of exceptions."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import contextlib
+
+import attrs
+import httpcore
+
+from bronzetrack.core import failures
+
+CONNECT_TIMEOUT_S = 1.0
+
+ERRORS = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.UnsupportedProtocol,
+)
+
+
+@attrs.frozen
+class HttpResponse:
+    """A whole response."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def make_pool(connections: int) -> httpcore.AsyncConnectionPool:
+    """Return a connection pool.
+
+    :param connections: the most connections open at once
+    """
+    return httpcore.AsyncConnectionPool(
+        max_connections=connections,
+        max_keepalive_connections=connections,
+        keepalive_expiry=30.0,
+    )
+
+
+def _make_timeouts(timeout_ms: int) -> dict[str, float]:
+    seconds = timeout_ms / 1000
+    return {
+        "connect": min(CONNECT_TIMEOUT_S, seconds),
+        "read": seconds,
+        "write": seconds,
+        "pool": seconds,
+    }
+
+
+def read_headers(response: httpcore.Response) -> dict[str, str]:
+    """Return the headers with names in lower case."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in response.headers
+    }
+
+
+@contextlib.asynccontextmanager
+async def open_stream(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    timeout_ms: int,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+) -> AsyncIterator[httpcore.Response]:
+    """Open a streamed response; raises the errors in ERRORS.
+
+    :param timeout_ms: for each read, not for the whole response
+    """
+    sent = {"Content-Length": str(len(body)), **(headers or {})}
+    async with pool.stream(
+        method,
+        url,
+        headers=sent,
+        content=body,
+        extensions={"timeout": _make_timeouts(timeout_ms)},
+    ) as response:
+        yield response
+
+
+async def fetch(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    timeout_ms: int,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    failure_reason: failures.Reason = failures.Reason.ENDPOINT_UNREACHABLE,
+) -> HttpResponse | failures.Failure:
+    """Send a request and return its whole response or a failure."""
+    try:
+        async with open_stream(
+            pool, method, url, timeout_ms, body, headers
+        ) as response:
+            content = await response.aread()
+            return HttpResponse(
+                response.status, read_headers(response), content
+            )
+    except ERRORS as error:
+        return failures.Failure(
+            failure_reason, f"{method} {url}: {type(error).__name__}: {error}"
+        )
--- /dev/null
+++ b/src/bronzetrack/wire/tagged.py
@@ -0,0 +1,53 @@
+"""msgpack encoding of registered classes with their registered name."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+
+from bronzetrack.core import errors
+from bronzetrack.core import failures
+from bronzetrack.core import registry as registries
+from bronzetrack.wire import converter
+
+
+class TaggedCodec:
+    """Encodes objects of the classes in a registry.
+
+    The encoding is a msgpack array of the registered name and the fields.
+
+    :param registry: the classes by name
+    :param failure_reason: reason of the failures for bad input
+    """
+
+    def __init__(
+        self,
+        registry: registries.Registry[type],
+        failure_reason: failures.Reason,
+    ) -> None:
+        self.registry = registry
+        self.failure_reason = failure_reason
+        self._names: dict[type, str] = {}
+
+    def encode(self, item: Any) -> bytes:
+        """Return the encoded object."""
+        cls = type(item)
+        if cls not in self._names:
+            self._names = {cls: name for name, cls in self.registry.items()}
+        fields = converter.WIRE.unstructure(item)
+        return msgpack.packb((self._names[cls], fields), use_bin_type=True)
+
+    def decode(self, data: bytes) -> Any:
+        """Return the object or a failure."""
+        try:
+            name, fields = msgpack.unpackb(data, raw=False)
+            cls = self.registry.lookup(name)
+            return converter.WIRE.structure(fields, cls)
+        except errors.UnknownEntryError as error:
+            return failures.Failure(self.failure_reason, str(error))
+        # Corrupt input makes msgpack and cattrs raise many kinds of error.
+        except Exception as error:
+            return failures.Failure(
+                self.failure_reason, f"{type(error).__name__}: {error}"
+            )
