--- /dev/null
+++ b/src/bronzetrack/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client side of the system: publishing, look-ups and requests."""
--- /dev/null
+++ b/src/bronzetrack/client/sender.py
@@ -0,0 +1,149 @@
+"""Looks up entry VMs and sends requests to them."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import json
+from urllib import parse
+
+import attrs
+import httpcore
+
+from bronzetrack.core import failures
+from bronzetrack.wire import httpclient
+
+LOOKUP_TIMEOUT_MS = 2_000
+END_MARKER = b"data: [DONE]"
+
+
+@attrs.frozen
+class Entry:
+    """An address that a caller may use."""
+
+    vm: str
+    address: str
+    reason: str
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer.
+
+    :param whole: whether its end marker arrived
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    whole: bool
+
+
+async def look_up(
+    pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], model: str
+) -> list[Entry] | failures.Failure:
+    """Ask VMs in turn which addresses to use."""
+    query = parse.urlencode({"model": model})
+    failure = failures.Failure(
+        failures.Reason.PEER_UNREACHABLE, "no address was given"
+    )
+    for address in addresses:
+        answer = await httpclient.fetch(
+            pool,
+            "GET",
+            f"http://{address}/v1/entry?{query}",
+            LOOKUP_TIMEOUT_MS,
+            failure_reason=failures.Reason.PEER_UNREACHABLE,
+        )
+        if isinstance(answer, failures.Failure):
+            failure = answer
+            continue
+        rows = json.loads(answer.body)["entries"]
+        if rows:
+            return [Entry(**row) for row in rows]
+        failure = failures.Failure(
+            failures.Reason.NO_CONFIGURATION, "no VM serves yet"
+        )
+    return failure
+
+
+async def send(
+    pool: httpcore.AsyncConnectionPool,
+    addresses: Sequence[str],
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+    timeout_ms: int,
+    method: str = "POST",
+) -> Answer | failures.Failure:
+    """Send a request, through another VM if one breaks off.
+
+    Work with an `Idempotency-Key` may be sent again as well, since the key
+    keeps it from running twice.
+    """
+    failure = failures.Failure(
+        failures.Reason.PEER_UNREACHABLE, "no address was given"
+    )
+    for address in addresses:
+        answer = await send_once(
+            pool, address, path, body, headers, timeout_ms, method
+        )
+        if isinstance(answer, failures.Failure):
+            failure = answer
+            continue
+        if answer.whole:
+            return answer
+        failure = failures.Failure(
+            failures.Reason.ANSWER_INCOMPLETE, f"from {address}"
+        )
+    return failure
+
+
+async def send_once(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+    timeout_ms: int,
+    method: str = "POST",
+) -> Answer | failures.Failure:
+    """Send a request to one VM."""
+    answer = await httpclient.fetch(
+        pool,
+        method,
+        f"http://{address}{path}",
+        timeout_ms,
+        body,
+        {"Content-Type": "application/json", **headers},
+        failures.Reason.PEER_UNREACHABLE,
+    )
+    if isinstance(answer, failures.Failure):
+        return answer
+    streamed = answer.headers.get("content-type", "").startswith(
+        "text/event-stream"
+    )
+    whole = not streamed or END_MARKER in answer.body
+    return Answer(answer.status, answer.headers, answer.body, whole)
+
+
+async def stream(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+    timeout_ms: int,
+) -> AsyncIterator[bytes]:
+    """Iterate over the parts of a streamed answer of one VM."""
+    async with httpclient.open_stream(
+        pool,
+        "POST",
+        f"http://{address}{path}",
+        timeout_ms,
+        body,
+        {"Content-Type": "application/json", **headers},
+    ) as response:
+        async for part in response.aiter_stream():
+            yield part
--- /dev/null
+++ b/src/bronzetrack/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/src/bronzetrack/console/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command-line tool as a module."""
+
+from __future__ import annotations
+
+from bronzetrack.console import application
+
+if __name__ == "__main__":
+    application.main()
--- /dev/null
+++ b/src/bronzetrack/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/bronzetrack/console/commands/rules.py
@@ -0,0 +1,7 @@
+"""The `rules` commands."""
+
+from __future__ import annotations
+
+from bronzetrack.console import publishing
+
+command = publishing.make_group("rules", "rules.json")
--- /dev/null
+++ b/src/bronzetrack/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""The controllers of a daemon, one module each."""
--- /dev/null
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -0,0 +1,372 @@
+"""Queues, loads, evicts and dispatches on the endpoints of this VM."""
+
+from __future__ import annotations
+
+import functools
+import logging
+from typing import Any
+
+import anyio
+import attrs
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.controllers import runs
+from bronzetrack.core import controllers
+from bronzetrack.core import failures
+from bronzetrack.core import messages as core_messages
+from bronzetrack.dispatch import events
+from bronzetrack.dispatch import planner
+from bronzetrack.dispatch import state as states
+from bronzetrack.dispatch import transitions
+from bronzetrack.limits import usage
+from bronzetrack.ownership import leases
+from bronzetrack.streaming import messages
+from bronzetrack.streaming import outcomes
+
+LOG = logging.getLogger(__name__)
+STEP_INTERVAL_MS = 250
+REPORT_INTERVAL_MS = 1_000
+
+
+@controllers.CONTROLLERS.register("dispatch")
+class DispatchController(controllers.Controller):
+    """Runs the queue of each endpoint that this VM owns."""
+
+    name = "dispatch"
+
+    async def run(self) -> None:
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._refilled_ms = self.read_clock().monotonic_ms
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._poll_reports)
+            await self._step_forever()
+
+    async def _step_forever(self) -> None:
+        work = self.board.mailboxes["work"]
+        runs_box = self.board.mailboxes["runs"]
+        while True:
+            await controllers.wait_first(
+                work.wait_items,
+                runs_box.wait_items,
+                timeout_ms=STEP_INTERVAL_MS,
+            )
+            now_ms = self.read_clock().monotonic_ms
+            self._refill(now_ms)
+            self._follow_ownership()
+            for delivery in work.take():
+                self._receive(delivery, now_ms)
+            for event in runs_box.take():
+                self._apply_event(event, now_ms)
+            for name in list(self.board.dispatch.value.endpoints):
+                self._advance(name, now_ms)
+
+    def _refill(self, now_ms: int) -> None:
+        store = self.board.settings.weight_store
+        share = store.loads_per_s / store.expected_vms
+        bucket = self.board.permits.value.refill(
+            share, max(1.0, share), now_ms
+        )
+        self.write(self.board.permits, bucket)
+        state = self.board.dispatch.value
+        decayed = usage.decay(state.usage, now_ms - self._refilled_ms)
+        self._refilled_ms = now_ms
+        self.write(self.board.dispatch, attrs.evolve(state, usage=decayed))
+
+    def _follow_ownership(self) -> None:
+        """Add queues of endpoints gained; drop idle ones that were lost."""
+        owned = set(
+            leases.list_owned(
+                self.board.ownership.value, self.board.incarnation
+            )
+        )
+        state = self.board.dispatch.value
+        kept = {
+            name: queue
+            for name, queue in state.endpoints.items()
+            if name in owned or queue.is_busy
+        }
+        gained = {name: states.EndpointQueue() for name in owned - kept.keys()}
+        if gained or len(kept) != len(state.endpoints):
+            state = attrs.evolve(state, endpoints={**kept, **gained})
+            self.write(self.board.dispatch, state)
+
+    def _set_queue(self, name: str, queue: states.EndpointQueue) -> None:
+        state = self.board.dispatch.value
+        endpoints = {**state.endpoints, name: queue}
+        self.write(
+            self.board.dispatch, attrs.evolve(state, endpoints=endpoints)
+        )
+
+    def _get_endpoint(self, name: str) -> inventories.Endpoint | None:
+        inventory = self.board.configuration.value.configuration.inventory
+        return inventory.endpoints.get(name)
+
+    def _receive(self, delivery: core_messages.Delivery, now_ms: int) -> None:
+        match delivery.message:
+            case messages.SubmitWork():
+                self._accept(delivery.message, delivery.sender, now_ms)
+            case messages.CancelWork():
+                self._cancel(delivery.message.attempt)
+
+    def _accept(
+        self, work: messages.SubmitWork, sender: str, now_ms: int
+    ) -> None:
+        endpoint = self._get_endpoint(work.endpoint)
+        if endpoint is not None and work.resume_of is not None:
+            self._start_run(work, sender, endpoint)
+            return
+        queue = self.board.dispatch.value.endpoints.get(work.endpoint)
+        failure = self._check_acceptance(queue)
+        if queue is None or failure is not None:
+            self._refuse(work, sender, failure)
+            return
+        item = states.Waiting(work, sender, now_ms)
+        self._set_queue(work.endpoint, transitions.enqueue(queue, item))
+
+    def _check_acceptance(
+        self, queue: states.EndpointQueue | None
+    ) -> failures.Failure | None:
+        if queue is None:
+            return failures.Failure(
+                failures.Reason.NO_OWNER, "not the owner of the endpoint"
+            )
+        limit = self.board.settings.limits.queue_requests
+        if len(queue.waiting) >= limit:
+            return failures.Failure(
+                failures.Reason.QUEUE_FULL,
+                f"{limit} requests wait",
+                retry_after_ms=1_000,
+                limit="limits.queue_requests",
+            )
+        return None
+
+    def _refuse(
+        self,
+        work: messages.SubmitWork,
+        sender: str,
+        failure: failures.Failure | None,
+    ) -> None:
+        end = messages.AnswerEnd(
+            work.attempt, outcomes.Outcome.REFUSED, failure=failure
+        )
+        self.ports.peers.send(sender, end)
+
+    def _cancel(self, attempt: str) -> None:
+        scope = self._scopes.get(attempt)
+        if scope is not None:
+            scope.cancel()
+            return
+        for name, queue in self.board.dispatch.value.endpoints.items():
+            if any(item.work.attempt == attempt for item in queue.waiting):
+                self._set_queue(
+                    name, transitions.remove_waiting(queue, {attempt})
+                )
+                return
+
+    def _apply_event(self, event: Any, now_ms: int) -> None:
+        queue = self.board.dispatch.value.endpoints.get(event.endpoint)
+        if queue is None:
+            return
+        match event:
+            case events.RunEnded():
+                self._scopes.pop(event.attempt, None)
+                queue = transitions.finish(queue, event.attempt, now_ms)
+            case events.LoadEnded():
+                queue = transitions.end_load(queue, event, now_ms)
+            case events.UnloadEnded():
+                queue = transitions.end_unload(queue, event, now_ms)
+            case events.ReportRead():
+                queue = self._apply_report(queue, event, now_ms)
+        self._set_queue(event.endpoint, queue)
+
+    def _apply_report(
+        self,
+        queue: states.EndpointQueue,
+        event: events.ReportRead,
+        now_ms: int,
+    ) -> states.EndpointQueue:
+        if isinstance(event.report, failures.Failure):
+            return queue
+        owner = self.board.ownership.value.owners.get(event.endpoint)
+        claimed_ms = now_ms if owner is None else owner.claimed_ms
+        now = self.read_clock()
+        claimed_wall_ms = now.wall_ms - (now.monotonic_ms - claimed_ms)
+        return transitions.apply_report(
+            queue, event.report, claimed_wall_ms, now_ms
+        )
+
+    def _advance(self, name: str, now_ms: int) -> None:
+        endpoint = self._get_endpoint(name)
+        if endpoint is None:
+            return
+        queue = self.board.dispatch.value.endpoints[name]
+        context = self._make_context(name, endpoint, now_ms)
+        plan = planner.plan_endpoint(queue, context, now_ms)
+        self._carry_out_refusals(name, plan)
+        for attempt in plan.start:
+            self._start(name, endpoint, attempt, now_ms)
+        for adapter in plan.load:
+            self._load(name, endpoint, adapter, now_ms)
+        for adapter in plan.unload:
+            self._unload(name, endpoint, adapter, now_ms)
+
+    def _make_context(
+        self, name: str, endpoint: inventories.Endpoint, now_ms: int
+    ) -> planner.EndpointContext:
+        state = self.board.dispatch.value
+        ownership = self.board.ownership.value
+        return planner.EndpointContext(
+            endpoint=endpoint,
+            rules=self.board.configuration.value.configuration.rules,
+            may_load=state.endpoints[name].boot != "",
+            may_unload=leases.may_order(
+                ownership,
+                name,
+                self.board.incarnation,
+                endpoint.checks_fencing,
+                now_ms,
+            ),
+            load_permits=self._count_permits(state),
+            usage=usage.add_remote(
+                state.usage, self.board.membership.value.vms.values()
+            ),
+        )
+
+    def _count_permits(self, state: states.DispatchState) -> int:
+        store = self.board.settings.weight_store
+        loading = sum(
+            resident.phase is states.ResidentPhase.LOADING
+            for queue in state.endpoints.values()
+            for resident in queue.residents.values()
+        )
+        in_flight = max(1, store.in_flight // store.expected_vms) - loading
+        return max(0, min(in_flight, int(self.board.permits.value.tokens)))
+
+    def _carry_out_refusals(self, name: str, plan: planner.Plan) -> None:
+        queue = self.board.dispatch.value.endpoints[name]
+        items = {item.work.attempt: item for item in queue.waiting}
+        for attempt, failure in plan.refuse:
+            item = items[attempt]
+            self._refuse(item.work, item.sender, failure)
+        refused = {attempt for attempt, _ in plan.refuse}
+        if refused:
+            self._set_queue(name, transitions.remove_waiting(queue, refused))
+
+    def _start(
+        self,
+        name: str,
+        endpoint: inventories.Endpoint,
+        attempt: str,
+        now_ms: int,
+    ) -> None:
+        queue = transitions.start(
+            self.board.dispatch.value.endpoints[name], attempt, now_ms
+        )
+        self._set_queue(name, queue)
+        item = queue.running[attempt]
+        state = self.board.dispatch.value
+        charged = usage.charge(state.usage, item.work.member, item.work.cost)
+        self.write(self.board.dispatch, attrs.evolve(state, usage=charged))
+        self._start_run(item.work, item.sender, endpoint)
+
+    def _start_run(
+        self,
+        work: messages.SubmitWork,
+        sender: str,
+        endpoint: inventories.Endpoint,
+    ) -> None:
+        scope = anyio.CancelScope()
+        self._scopes[work.attempt] = scope
+        run = runs.Run(
+            self.board, self.ports, self.read_clock, work, sender, endpoint
+        )
+        self._group.start_soon(run.execute, scope)
+
+    def _load(
+        self,
+        name: str,
+        endpoint: inventories.Endpoint,
+        adapter: str,
+        now_ms: int,
+    ) -> None:
+        queue = transitions.set_resident(
+            self.board.dispatch.value.endpoints[name],
+            adapter,
+            states.ResidentPhase.LOADING,
+            now_ms,
+        )
+        self._set_queue(name, queue)
+        self.write(self.board.permits, self.board.permits.value.take(1))
+        self._group.start_soon(
+            self._order,
+            self.ports.endpoints.load_adapter,
+            functools.partial(events.LoadEnded, name, adapter),
+            endpoint,
+            adapter,
+            self._get_fencing(name),
+        )
+
+    def _unload(
+        self,
+        name: str,
+        endpoint: inventories.Endpoint,
+        adapter: str,
+        now_ms: int,
+    ) -> None:
+        queue = transitions.set_resident(
+            self.board.dispatch.value.endpoints[name],
+            adapter,
+            states.ResidentPhase.UNLOADING,
+            now_ms,
+        )
+        self._set_queue(name, queue)
+        self._group.start_soon(
+            self._order,
+            self.ports.endpoints.unload_adapter,
+            functools.partial(events.UnloadEnded, name, adapter),
+            endpoint,
+            adapter,
+            self._get_fencing(name),
+        )
+
+    def _get_fencing(self, name: str) -> int:
+        owner = self.board.ownership.value.owners.get(name)
+        return 0 if owner is None else owner.fencing
+
+    async def _order(
+        self,
+        send: Any,
+        make_event: Any,
+        endpoint: inventories.Endpoint,
+        adapter: str,
+        fencing: int,
+    ) -> None:
+        failure = await send(endpoint, adapter, fencing)
+        if failure is not None:
+            LOG.warning(
+                "order failed",
+                extra={
+                    "event": "order_failed",
+                    "adapter": adapter,
+                    "reason": failure.reason.value,
+                    "detail": failure.detail,
+                },
+            )
+        self.board.mailboxes["runs"].post(make_event(failure))
+
+    async def _poll_reports(self) -> None:
+        while True:
+            async with anyio.create_task_group() as group:
+                for name in self.board.dispatch.value.endpoints:
+                    group.start_soon(self._read_report, name)
+            await anyio.sleep(REPORT_INTERVAL_MS / 1000)
+
+    async def _read_report(self, name: str) -> None:
+        endpoint = self._get_endpoint(name)
+        if endpoint is None:
+            return
+        if endpoint.kind is not inventories.EndpointKind.ENGINE:
+            return
+        report = await self.ports.endpoints.read_report(endpoint)
+        self.board.mailboxes["runs"].post(events.ReportRead(name, report))
--- /dev/null
+++ b/src/bronzetrack/controllers/keys.py
@@ -0,0 +1,102 @@
+"""Keeps the table of idempotency keys."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+
+from bronzetrack.core import controllers
+from bronzetrack.core import failures
+from bronzetrack.idempotency import keys
+from bronzetrack.idempotency import records
+from bronzetrack.idempotency import requests
+from bronzetrack.idempotency import table as tables
+from bronzetrack.platform import follower
+from bronzetrack.platform import logservice
+
+GATHER_MS = 5
+RETRY_MS = 200
+TRIM_INTERVAL_S = 60
+
+
+@controllers.CONTROLLERS.register("keys")
+class KeysController(controllers.Controller):
+    """Replays the keys stream and appends records in batches."""
+
+    name = "keys"
+
+    async def run(self) -> None:
+        self._pending: list[Any] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._append)
+            group.start_soon(self._trim)
+
+    async def _follow(self) -> None:
+        batches = follower.follow_stream(self.ports.log, records.STREAM)
+        async for batch in batches:
+            table = self.board.keys.value
+            if isinstance(batch, failures.Failure):
+                table.log_reachable = False
+            else:
+                self._apply_batch(table, batch)
+            self.write(self.board.keys, table)
+
+    def _apply_batch(
+        self, table: tables.KeyTable, batch: logservice.LogBatch
+    ) -> None:
+        table.log_reachable = True
+        for offset, record in batch.records:
+            table.next_offset = offset + 1
+            if isinstance(record, failures.Failure):
+                continue
+            entry = tables.apply_record(table.entries, offset, record)
+            if entry is not None:
+                table.entries[record.key] = entry
+        if not batch.records or table.next_offset >= batch.end:
+            table.caught_up = True
+
+    async def _append(self) -> None:
+        mailbox = self.board.mailboxes["keys"]
+        while True:
+            if not self._pending:
+                await mailbox.wait_items()
+                await anyio.sleep(GATHER_MS / 1000)
+            for request in mailbox.take():
+                self._note_request(request)
+            if not self._pending:
+                continue
+            batch = list(self._pending)
+            offset = await self.ports.log.append(records.STREAM, batch)
+            if isinstance(offset, failures.Failure):
+                # The records may be in the log all the same. A second copy
+                # changes nothing, since the first record of a key decides.
+                await anyio.sleep(RETRY_MS / 1000)
+                continue
+            self._pending = [
+                record for record in self._pending if record not in batch
+            ]
+
+    def _note_request(self, request: Any) -> None:
+        if isinstance(request, requests.AppendKey):
+            self._pending.append(request.record)
+            return
+        self._pending = [
+            record
+            for record in self._pending
+            if not isinstance(record, records.KeyClaim)
+            or record.attempt != request.attempt
+        ]
+
+    async def _trim(self) -> None:
+        while True:
+            await anyio.sleep(TRIM_INTERVAL_S)
+            oldest_ms = self.read_clock().wall_ms - keys.KEPT_MS
+            table = self.board.keys.value
+            table.entries = {
+                key: entry
+                for key, entry in table.entries.items()
+                if entry.issued_ms >= oldest_ms
+            }
+            self.write(self.board.keys, table)
--- /dev/null
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -0,0 +1,68 @@
+"""Starts serving when ready, and stops without cutting a request."""
+
+from __future__ import annotations
+
+import signal
+
+import anyio
+
+from bronzetrack.configuration import state as configuration_state
+from bronzetrack.core import controllers
+from bronzetrack.membership import lifecycle
+from bronzetrack.ownership import leases
+
+STEP_INTERVAL_MS = 100
+
+
+@controllers.CONTROLLERS.register("lifecycle")
+class LifecycleController(controllers.Controller):
+    """Decides the status of this VM."""
+
+    name = "lifecycle"
+
+    async def run(self) -> None:
+        self._stop_requested = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_signals)
+            await self._step_forever()
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                self._stop_requested = True
+
+    async def _step_forever(self) -> None:
+        busy_ms = self.read_clock().monotonic_ms
+        while True:
+            now_ms = self.read_clock().monotonic_ms
+            if self._is_busy():
+                busy_ms = now_ms
+            before = self.board.lifecycle.value
+            state = lifecycle.decide_lifecycle(
+                before,
+                self._stop_requested,
+                self._is_configured(),
+                self.board.ownership.value.caught_up,
+                now_ms - busy_ms,
+                self.board.settings.limits.drain_ms,
+            )
+            if state != before:
+                self.write(self.board.lifecycle, state)
+            await anyio.sleep(STEP_INTERVAL_MS / 1000)
+
+    def _is_configured(self) -> bool:
+        offset = self.board.configuration.value.configuration.offset
+        return offset != configuration_state.NO_OFFSET
+
+    def _is_busy(self) -> bool:
+        owned = leases.list_owned(
+            self.board.ownership.value, self.board.incarnation
+        )
+        queues = self.board.dispatch.value.endpoints.values()
+        return bool(
+            owned
+            or self.board.requests.value.open
+            or any(queue.is_busy for queue in queues)
+        )
--- /dev/null
+++ b/src/bronzetrack/controllers/membership.py
@@ -0,0 +1,101 @@
+"""Keeps the view of the other VMs and tells them of this one."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import attrs
+
+from bronzetrack.core import controllers
+from bronzetrack.core import failures
+from bronzetrack.membership import messages
+from bronzetrack.membership import summaries
+from bronzetrack.membership import view as views
+
+LIST_INTERVAL_MS = 2_000
+RECONNECT_MS = 500
+
+
+@controllers.CONTROLLERS.register("membership")
+class MembershipController(controllers.Controller):
+    """Handles heartbeats, sessions and the platform's list of VMs."""
+
+    name = "membership"
+
+    async def run(self) -> None:
+        self._connecting: set[str] = set()
+        self._addresses = set(self.board.settings.peers.join)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._receive)
+            group.start_soon(self._send_heartbeats)
+            group.start_soon(self._read_list)
+            group.start_soon(self._open_sessions, group)
+
+    async def _receive(self) -> None:
+        mailbox = self.board.mailboxes["membership"]
+        while True:
+            await mailbox.wait_items()
+            view = self.board.membership.value
+            now_ms = self.read_clock().monotonic_ms
+            for delivery in mailbox.take():
+                view = self._apply_message(view, delivery.message, now_ms)
+            self.write(self.board.membership, view)
+
+    def _apply_message(
+        self, view: views.MembershipView, message: Any, now_ms: int
+    ) -> views.MembershipView:
+        match message:
+            case messages.Hello():
+                self._addresses.add(message.peer_address)
+                return views.record_hello(view, message, now_ms)
+            case messages.Heartbeat():
+                return views.record_heartbeat(view, message, now_ms)
+            case messages.SessionClosed():
+                return views.record_closed(view, message.vm)
+        return view
+
+    async def _send_heartbeats(self) -> None:
+        revision = -1
+        while True:
+            now_ms = self.read_clock().monotonic_ms
+            heartbeat = summaries.make_heartbeat(self.board)
+            for vm in self.ports.peers.list_sessions():
+                self.ports.peers.send(vm, heartbeat)
+            view = views.expire_vms(self.board.membership.value, now_ms)
+            self.write(self.board.membership, view)
+            # A change of status is told at once, so that a leaving VM gets
+            # no new work for the rest of the interval.
+            await controllers.wait_first(
+                lambda: self.board.lifecycle.wait_change(revision),
+                timeout_ms=views.HEARTBEAT_INTERVAL_MS,
+            )
+            revision = self.board.lifecycle.revision
+
+    async def _read_list(self) -> None:
+        while True:
+            listed = await self.ports.vms.list_vms()
+            if not isinstance(listed, failures.Failure):
+                self._addresses |= {row.address for row in listed} - {""}
+                leaving = frozenset(row.name for row in listed if row.leaving)
+                view = self.board.membership.value
+                if leaving != view.listed_leaving:
+                    view = attrs.evolve(view, listed_leaving=leaving)
+                    self.write(self.board.membership, view)
+            await anyio.sleep(LIST_INTERVAL_MS / 1000)
+
+    async def _open_sessions(self, group: Any) -> None:
+        own = self.board.settings.listen.peers
+        while True:
+            open_addresses = set(self.ports.peers.list_sessions().values())
+            wanted = self._addresses - open_addresses - self._connecting
+            for address in wanted - {own}:
+                self._connecting.add(address)
+                group.start_soon(self._connect, address)
+            await anyio.sleep(RECONNECT_MS / 1000)
+
+    async def _connect(self, address: str) -> None:
+        try:
+            await self.ports.peers.connect(address)
+        finally:
+            self._connecting.discard(address)
--- /dev/null
+++ b/src/bronzetrack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process."""
--- /dev/null
+++ b/src/bronzetrack/daemon/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the daemon as a module."""
+
+from __future__ import annotations
+
+from bronzetrack.daemon import main
+
+if __name__ == "__main__":
+    main.main()
--- /dev/null
+++ b/src/bronzetrack/daemon/logs.py
@@ -0,0 +1,49 @@
+"""Logging as JSON lines on standard error."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from typing import Any
+
+STANDARD_FIELDS = frozenset(
+    vars(logging.LogRecord("", 0, "", 0, "", None, None))
+) | {"message", "asctime", "taskName", "color_message"}
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object.
+
+    :param fields: fields of every line, such as the VM
+    """
+
+    def __init__(self, fields: dict[str, str]) -> None:
+        super().__init__()
+        self._fields = fields
+
+    def format(self, record: logging.LogRecord) -> str:
+        extra = {
+            name: value
+            for name, value in vars(record).items()
+            if name not in STANDARD_FIELDS
+        }
+        line: dict[str, Any] = {
+            "time": record.created,
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "message": record.getMessage(),
+            **self._fields,
+            **extra,
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def configure_logs(level: str, vm: str, availability_zone: str) -> None:
+    """Send all logs to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    fields = {"vm": vm, "availability_zone": availability_zone}
+    handler.setFormatter(JsonFormatter(fields))
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/src/bronzetrack/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Client of engines and plain services."""
--- /dev/null
+++ b/src/bronzetrack/endpoints/client.py
@@ -0,0 +1,249 @@
+"""Client of endpoints: engines and plain services."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import json
+from typing import Any
+
+import attrs
+import httpcore
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.core import errors
+from bronzetrack.core import failures
+from bronzetrack.core import registry
+from bronzetrack.endpoints import reports
+from bronzetrack.ownership import leases
+from bronzetrack.streaming import messages
+from bronzetrack.wire import converter
+from bronzetrack.wire import httpclient
+
+ORDER_TIMEOUT_MS = leases.ORDER_LIFE_MS
+REPORT_TIMEOUT_MS = 1_000
+CHUNK_TIMEOUT_MS = 30_000
+SERVER_SENT_EVENTS = "text/event-stream"
+END_MARKER = b"data: [DONE]"
+
+
+@attrs.frozen
+class EndpointRequest:
+    """An HTTP request to an endpoint."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+RequestMaker = Callable[[messages.SubmitWork], EndpointRequest]
+
+PROTOCOLS: registry.Registry[RequestMaker] = registry.Registry(
+    "endpoint protocols"
+)
+
+
+@PROTOCOLS.register("engine")
+def make_engine_request(work: messages.SubmitWork) -> EndpointRequest:
+    """Return the request that starts or resumes work at an engine."""
+    headers = {"Request-Id": work.attempt}
+    if work.resume_of is not None:
+        path = f"/v1/requests/{work.resume_of}/resume?from={work.resume_from}"
+        return EndpointRequest("GET", path, b"", headers)
+    headers["Content-Type"] = work.content_type
+    return EndpointRequest(work.method, work.path, work.body, headers)
+
+
+@PROTOCOLS.register("service")
+def make_service_request(work: messages.SubmitWork) -> EndpointRequest:
+    """Return the request for a plain service."""
+    headers = {"Request-Id": work.attempt, "Content-Type": work.content_type}
+    return EndpointRequest(work.method, work.path, work.body, headers)
+
+
+class EndpointAnswer:
+    """The answer of an endpoint as it arrives.
+
+    :param status: HTTP status
+    :param content_type: of the body
+    """
+
+    def __init__(self, response: httpcore.Response, work: messages.SubmitWork):
+        headers = httpclient.read_headers(response)
+        self._response = response
+        self._adapter = work.adapter
+        self.status = response.status
+        self.content_type = headers.get("content-type", "")
+
+    async def iterate_chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over server-sent events, or the parts of another body.
+
+        :raises errors.FailureError: the answer ended without its end marker
+            or comes from another adapter
+        """
+        if not self.content_type.startswith(SERVER_SENT_EVENTS):
+            body = await self._response.aread()
+            if self.status == 200 and self._adapter:
+                self._check_adapter(body)
+            yield body
+            return
+        first = True
+        async for event in _split_events(self._response.aiter_stream()):
+            if first:
+                self._check_adapter(event.removeprefix(b"data: "))
+                first = False
+            yield event
+            if event.startswith(END_MARKER):
+                return
+        raise _make_error(
+            failures.Reason.ENDPOINT_CRASHED, "no end marker in the answer"
+        )
+
+    def _check_adapter(self, body: bytes) -> None:
+        try:
+            model = json.loads(body).get("model")
+        except (ValueError, AttributeError):
+            raise _make_error(
+                failures.Reason.ENDPOINT_PROTOCOL, "answer is not JSON"
+            ) from None
+        if model != self._adapter:
+            raise _make_error(
+                failures.Reason.WRONG_ADAPTER,
+                f"answer of {model}, wanted {self._adapter}",
+            )
+
+
+async def _split_events(
+    parts: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    pending = b""
+    async for part in parts:
+        *events, pending = (pending + part).split(b"\n\n")
+        for event in events:
+            yield event + b"\n\n"
+
+
+def _make_error(reason: failures.Reason, detail: str) -> errors.FailureError:
+    return errors.FailureError(failures.Failure(reason, detail))
+
+
+class EndpointClient:
+    """Sends requests and orders to endpoints."""
+
+    def __init__(self, pool: httpcore.AsyncConnectionPool) -> None:
+        self._pool = pool
+
+    @contextlib.asynccontextmanager
+    async def open_answer(
+        self, endpoint: inventories.Endpoint, work: messages.SubmitWork
+    ) -> AsyncIterator[EndpointAnswer]:
+        """Send work and give access to its answer.
+
+        :raises errors.FailureError: ENDPOINT_UNREACHABLE when no byte was
+            sent, ENDPOINT_CRASHED when the connection broke after that
+        """
+        request = PROTOCOLS.lookup(endpoint.kind.value)(work)
+        try:
+            async with httpclient.open_stream(
+                self._pool,
+                request.method,
+                _make_url(endpoint) + request.path,
+                min(CHUNK_TIMEOUT_MS, max(1, work.timeout_ms)),
+                request.body,
+                request.headers,
+            ) as response:
+                yield EndpointAnswer(response, work)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise _make_error(
+                failures.Reason.ENDPOINT_UNREACHABLE, repr(error)
+            ) from None
+        except httpcore.PoolTimeout as error:
+            raise _make_error(
+                failures.Reason.ENDPOINT_UNREACHABLE, repr(error)
+            ) from None
+        except httpclient.ERRORS as error:
+            raise _make_error(
+                failures.Reason.ENDPOINT_CRASHED, repr(error)
+            ) from None
+
+    async def load_adapter(
+        self, endpoint: inventories.Endpoint, adapter: str, fencing: int
+    ) -> failures.Failure | None:
+        """Order an engine to load an adapter version."""
+        return await self._order(
+            endpoint, "/v1/load_lora_adapter", {"lora_name": adapter}, fencing
+        )
+
+    async def unload_adapter(
+        self, endpoint: inventories.Endpoint, adapter: str, fencing: int
+    ) -> failures.Failure | None:
+        """Order an engine to unload an adapter version."""
+        return await self._order(
+            endpoint,
+            "/v1/unload_lora_adapter",
+            {"lora_name": adapter},
+            fencing,
+        )
+
+    async def cancel(
+        self, endpoint: inventories.Endpoint, attempt: str
+    ) -> failures.Failure | None:
+        """Ask an engine to cancel a request."""
+        return await self._order(
+            endpoint, f"/v1/requests/{attempt}/cancel", {}, None
+        )
+
+    async def read_report(
+        self, endpoint: inventories.Endpoint
+    ) -> reports.LoadReport | failures.Failure:
+        """Return the load report of an engine."""
+        answer = await httpclient.fetch(
+            self._pool, "GET", _make_url(endpoint) + "/load", REPORT_TIMEOUT_MS
+        )
+        if isinstance(answer, failures.Failure):
+            return answer
+        try:
+            return converter.WIRE.structure(
+                json.loads(answer.body), reports.LoadReport
+            )
+        # Corrupt input makes cattrs raise many kinds of error.
+        except Exception as error:
+            return converter.describe_failure(
+                failures.Reason.ENDPOINT_PROTOCOL, error
+            )
+
+    async def _order(
+        self,
+        endpoint: inventories.Endpoint,
+        path: str,
+        fields: dict[str, Any],
+        fencing: int | None,
+    ) -> failures.Failure | None:
+        headers = {"Content-Type": "application/json"}
+        if fencing is not None:
+            headers["Fencing-Number"] = str(fencing)
+        answer = await httpclient.fetch(
+            self._pool,
+            "POST",
+            _make_url(endpoint) + path,
+            ORDER_TIMEOUT_MS,
+            json.dumps(fields).encode(),
+            headers,
+        )
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 200:
+            return None
+        reason = (
+            failures.Reason.FENCED
+            if answer.status == 412
+            else failures.Reason.ENDPOINT_REFUSED
+        )
+        detail = answer.body[:200].decode(errors="replace")
+        return failures.Failure(reason, f"{answer.status} {detail}")
+
+
+def _make_url(endpoint: inventories.Endpoint) -> str:
+    return f"http://{endpoint.host}:{endpoint.port}"
--- /dev/null
+++ b/src/bronzetrack/http/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners for callers and operators."""
--- /dev/null
+++ b/src/bronzetrack/http/callers.py
@@ -0,0 +1,190 @@
+"""The listener for callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+from starlette import applications
+from starlette import requests as http_requests
+from starlette import responses
+from starlette import routing
+
+from bronzetrack.core import blackboard
+from bronzetrack.core import clock
+from bronzetrack.core import failures
+from bronzetrack.http import answers
+from bronzetrack.http import intake
+from bronzetrack.membership import messages
+from bronzetrack.membership import view as views
+from bronzetrack.routing import entries
+from bronzetrack.streaming import requests
+
+if TYPE_CHECKING:
+    from bronzetrack import board as boards
+
+OUTPUT_EVENTS = 65_536
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+@attrs.define
+class CallersApplication:
+    """Handlers of the callers' listener."""
+
+    board: boards.Blackboard
+    read_clock: Callable[[], clock.Instant]
+
+    def build(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route("/v1/entry", self.get_entry),
+                routing.Route("/v1/models", self.list_models),
+                routing.Route(
+                    "/v1/completions", self.complete, methods=["POST"]
+                ),
+                routing.Route(
+                    "/v1/chat/completions", self.complete, methods=["POST"]
+                ),
+                routing.Route(
+                    "/services/{path:path}",
+                    self.call_service,
+                    methods=SERVICE_METHODS,
+                ),
+            ]
+        )
+
+    async def get_entry(
+        self, request: http_requests.Request
+    ) -> responses.Response:
+        """Answer which VMs a caller should use."""
+        model = request.query_params.get("model", "")
+        now_ms = self.read_clock().monotonic_ms
+        view = self.board.membership.value
+        serving = views.list_serving(view, now_ms)
+        addresses = {vm.vm: vm.caller_address for vm in serving}
+        warm = {
+            vm.vm
+            for vm in serving
+            if any(model in item.warm for item in vm.endpoints.values())
+        }
+        if self.board.lifecycle.value.status is messages.VmStatus.SERVING:
+            addresses[self.board.vm] = self.board.settings.listen.callers
+            if self._is_warm_here(model):
+                warm.add(self.board.vm)
+        ranked = entries.rank_entries(addresses, warm, model)
+        return responses.JSONResponse(
+            {
+                "ttl_s": entries.TIME_TO_LIVE_S,
+                "entries": [
+                    {
+                        "vm": entry.vm,
+                        "address": entry.address,
+                        "reason": entry.reason.value,
+                    }
+                    for entry in ranked
+                ],
+            }
+        )
+
+    def _is_warm_here(self, model: str) -> bool:
+        return any(
+            model in queue.residents
+            for queue in self.board.dispatch.value.endpoints.values()
+        )
+
+    async def list_models(
+        self, request: http_requests.Request
+    ) -> responses.Response:
+        """List the adapters."""
+        inventory = self.board.configuration.value.configuration.inventory
+        return responses.JSONResponse(
+            {
+                "object": "list",
+                "data": [
+                    {"id": name, "object": "model", "owned_by": adapter.owner}
+                    for name, adapter in inventory.adapters.items()
+                ],
+            }
+        )
+
+    async def complete(
+        self, request: http_requests.Request
+    ) -> responses.Response:
+        """Answer a completions or chat call."""
+        body = await self._read_body(request)
+        if isinstance(body, failures.Failure):
+            return answers.make_refusal(body)
+        checked = intake.read_completion(
+            self.board.configuration.value.configuration,
+            request.url.path,
+            request.headers,
+            body,
+            self.board.settings.limits.request_timeout_ms,
+            self.read_clock(),
+        )
+        return await self._serve(checked)
+
+    async def call_service(
+        self, request: http_requests.Request
+    ) -> responses.Response:
+        """Answer a call to a plain service."""
+        body = await self._read_body(request)
+        if isinstance(body, failures.Failure):
+            return answers.make_refusal(body)
+        checked = intake.read_service_call(
+            self.board.configuration.value.configuration,
+            request.method,
+            request.url.path,
+            request.url.query,
+            request.headers,
+            body,
+            self.board.settings.limits.request_timeout_ms,
+            self.read_clock(),
+        )
+        return await self._serve(checked)
+
+    async def _serve(
+        self, checked: requests.CallerRequest | failures.Failure
+    ) -> responses.Response:
+        if isinstance(checked, failures.Failure):
+            return answers.make_refusal(checked)
+        if self.board.suspects.value.is_banned(checked.fingerprint):
+            failure = failures.Failure(
+                failures.Reason.CRASHES_ENDPOINTS,
+                "endpoints crashed each time they ran this request",
+            )
+            return answers.make_refusal(failure, request=checked)
+        output: blackboard.Mailbox[object] = blackboard.Mailbox(
+            checked.request, OUTPUT_EVENTS
+        )
+        intake_box = self.board.mailboxes["intake"]
+        if not intake_box.post(requests.Exchange(checked, output)):
+            failure = failures.Failure(
+                failures.Reason.QUEUE_FULL,
+                "too many requests wait at this VM",
+                retry_after_ms=1_000,
+            )
+            return answers.make_refusal(failure, request=checked)
+        abandoned = requests.Abandoned(checked.request)
+        return await answers.make_answer(
+            checked, output, lambda: _ignore(intake_box.post(abandoned))
+        )
+
+    async def _read_body(
+        self, request: http_requests.Request
+    ) -> bytes | failures.Failure:
+        limit = self.board.settings.limits.body_bytes
+        body = bytearray()
+        async for part in request.stream():
+            body += part
+            if len(body) > limit:
+                return failures.Failure(
+                    failures.Reason.BODY_TOO_LARGE, f"{limit} bytes allowed"
+                )
+        return bytes(body)
+
+
+def _ignore(result: object) -> None:
+    """Drop a result that does not matter."""
--- /dev/null
+++ b/src/bronzetrack/http/intake.py
@@ -0,0 +1,158 @@
+"""Checks of callers' HTTP requests."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import hashlib
+import json
+from typing import Any
+import uuid
+
+from bronzetrack.configuration import resolver
+from bronzetrack.configuration import state
+from bronzetrack.core import clock
+from bronzetrack.core import failures
+from bronzetrack.idempotency import keys
+from bronzetrack.streaming import requests
+
+CLASS_HEADER = "bronzetrack-class"
+KEY_HEADER = "idempotency-key"
+ISSUED_HEADER = "idempotency-issued-at"
+DEFAULT_COST_TOKENS = 256
+
+
+def read_completion(
+    configuration: state.Configuration,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    timeout_ms: int,
+    now: clock.Instant,
+) -> requests.CallerRequest | failures.Failure:
+    """Return the request of a completions or chat call, or a failure."""
+    fields = _read_object(body)
+    if isinstance(fields, failures.Failure):
+        return fields
+    model = fields.get("model")
+    if not isinstance(model, str):
+        return _refuse("model is missing or not a string")
+    resolved = resolver.resolve_model(configuration, model)
+    if isinstance(resolved, failures.Failure):
+        return resolved
+    work_class = _read_class(configuration, headers)
+    if isinstance(work_class, failures.Failure):
+        return work_class
+    key = _read_key(resolved.member, headers, now)
+    if isinstance(key, failures.Failure):
+        return key
+    cost = fields.get("max_tokens", DEFAULT_COST_TOKENS)
+    if not isinstance(cost, int) or isinstance(cost, bool) or cost < 1:
+        return _refuse("max_tokens is not a positive whole number")
+    # The version is fixed here, so that one published while the request
+    # waits does not change what it runs on.
+    sent = json.dumps({**fields, "model": resolved.adapter}).encode()
+    return requests.CallerRequest(
+        request=uuid.uuid4().hex,
+        member=resolved.member,
+        adapter=resolved.adapter,
+        work_class=work_class,
+        method="POST",
+        path=path,
+        body=sent,
+        content_type="application/json",
+        stream=fields.get("stream") is True,
+        cost=cost,
+        fingerprint=_digest(resolved.adapter, sent),
+        endpoints=resolved.endpoints,
+        repeatable=key is None,
+        key=key,
+        deadline_ms=now.monotonic_ms + timeout_ms,
+    )
+
+
+def read_service_call(
+    configuration: state.Configuration,
+    method: str,
+    path: str,
+    query: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    timeout_ms: int,
+    now: clock.Instant,
+) -> requests.CallerRequest | failures.Failure:
+    """Return the request of a call to a plain service, or a failure."""
+    resolved = resolver.resolve_service(configuration, path)
+    if isinstance(resolved, failures.Failure):
+        return resolved
+    service = resolved.service
+    repeatable = method in service.repeatable_methods
+    key = _read_key(service.owner, headers, now)
+    if isinstance(key, failures.Failure):
+        return key
+    if key is None and not repeatable:
+        return failures.Failure(
+            failures.Reason.KEY_REQUIRED,
+            f"{method} at this service needs an Idempotency-Key",
+        )
+    work_class = _read_class(configuration, headers)
+    if isinstance(work_class, failures.Failure):
+        return work_class
+    target = resolved.path + (f"?{query}" if query else "")
+    return requests.CallerRequest(
+        request=uuid.uuid4().hex,
+        member=service.owner,
+        adapter="",
+        work_class=work_class,
+        method=method,
+        path=target,
+        body=body,
+        content_type=headers.get("content-type", "application/octet-stream"),
+        stream=False,
+        cost=1,
+        fingerprint=_digest(f"{method} {path}?{query}", body),
+        endpoints=service.endpoints,
+        repeatable=repeatable and key is None,
+        key=key,
+        deadline_ms=now.monotonic_ms + timeout_ms,
+    )
+
+
+def _read_object(body: bytes) -> dict[str, Any] | failures.Failure:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return _refuse(f"the body is not JSON: {error}")
+    if not isinstance(fields, dict):
+        return _refuse("the body is not a JSON object")
+    return fields
+
+
+def _read_class(
+    configuration: state.Configuration, headers: Mapping[str, str]
+) -> str | failures.Failure:
+    rules = configuration.rules
+    name = headers.get(CLASS_HEADER, rules.default_class)
+    if name in rules.classes:
+        return name
+    known = ", ".join(rules.classes)
+    return failures.Failure(
+        failures.Reason.UNKNOWN_CLASS, f"{name!r}; known: {known}"
+    )
+
+
+def _read_key(
+    member: str, headers: Mapping[str, str], now: clock.Instant
+) -> keys.IdempotencyKey | failures.Failure | None:
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    return keys.check_key(member, key, headers.get(ISSUED_HEADER), now.wall_ms)
+
+
+def _digest(name: str, body: bytes) -> str:
+    digest = hashlib.blake2b(name.encode() + b"\x00" + body, digest_size=16)
+    return digest.hexdigest()
+
+
+def _refuse(detail: str) -> failures.Failure:
+    return failures.Failure(failures.Reason.BAD_REQUEST, detail)
--- /dev/null
+++ b/src/bronzetrack/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between daemons."""
--- /dev/null
+++ b/src/bronzetrack/platform/logservice.py
@@ -0,0 +1,122 @@
+"""Client of the platform's append-only log service."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import httpcore
+import msgpack
+
+from bronzetrack.core import failures
+from bronzetrack.core import records
+from bronzetrack.wire import httpclient
+from bronzetrack.wire import tagged
+
+READ_LIMIT = 1_000
+APPEND_TIMEOUT_MS = 3_000
+
+CODEC = tagged.TaggedCodec(records.RECORDS, failures.Reason.LOG_UNAVAILABLE)
+
+
+@attrs.frozen
+class LogBatch:
+    """Records that one read returned.
+
+    :param start: the earliest offset that is retained
+    :param end: the offset that the next append gets
+    :param records: offsets and records; a Failure stands for a record that
+        this version cannot decode
+    """
+
+    start: int
+    end: int
+    records: tuple[tuple[int, Any], ...]
+
+
+class LogClient:
+    """Appends to and reads from streams.
+
+    :param url: base URL of the service
+    """
+
+    def __init__(self, url: str, pool: httpcore.AsyncConnectionPool) -> None:
+        self._url = url.rstrip("/")
+        self._pool = pool
+
+    async def append(
+        self, stream: str, items: Sequence[Any]
+    ) -> int | failures.Failure:
+        """Append records in one call.
+
+        :returns: offset of the first, or a failure; APPEND_UNCERTAIN when
+            the records may have been appended
+        """
+        body = msgpack.packb([CODEC.encode(item) for item in items])
+        answer = await httpclient.fetch(
+            self._pool,
+            "POST",
+            f"{self._url}/streams/{stream}",
+            APPEND_TIMEOUT_MS,
+            body,
+            failure_reason=failures.Reason.APPEND_UNCERTAIN,
+        )
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200:
+            return _describe_status(answer)
+        return int(msgpack.unpackb(answer.body)["offset"])
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_ms: int = 0,
+        limit: int = READ_LIMIT,
+    ) -> LogBatch | failures.Failure:
+        """Read records from an offset on.
+
+        :param wait_ms: how long the service may wait for a record
+        :returns: a batch, or a failure; LOG_TRUNCATED when the offset is
+            below the retained range
+        """
+        answer = await httpclient.fetch(
+            self._pool,
+            "GET",
+            f"{self._url}/streams/{stream}"
+            f"?from={offset}&limit={limit}&wait_ms={wait_ms}",
+            wait_ms + APPEND_TIMEOUT_MS,
+            failure_reason=failures.Reason.LOG_UNAVAILABLE,
+        )
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200:
+            return _describe_status(answer)
+        return _decode_batch(answer.body)
+
+
+def _describe_status(answer: httpclient.HttpResponse) -> failures.Failure:
+    reasons = {
+        410: failures.Reason.LOG_TRUNCATED,
+        429: failures.Reason.LOG_RATE_LIMITED,
+    }
+    reason = reasons.get(answer.status, failures.Reason.LOG_UNAVAILABLE)
+    return failures.Failure(reason, f"the log answered {answer.status}")
+
+
+def _decode_batch(body: bytes) -> LogBatch | failures.Failure:
+    try:
+        fields = msgpack.unpackb(body)
+        return LogBatch(
+            start=int(fields["start"]),
+            end=int(fields["end"]),
+            records=tuple(
+                (int(offset), CODEC.decode(data))
+                for offset, data in fields["records"]
+            ),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return failures.Failure(
+            failures.Reason.LOG_UNAVAILABLE, f"bad answer: {error}"
+        )
--- /dev/null
+++ b/tests/daemon/conftest.py
@@ -0,0 +1,18 @@
+"""A site of separate processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from standins import site as sites
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory) -> Iterator[sites.Site]:
+    folder = tmp_path_factory.mktemp("site")
+    with sites.run_site(folder) as running:
+        sites.publish_samples(running)
+        running.wait(lambda: running.count_owned() == 4)
+        yield running
--- /dev/null
+++ b/tests/daemon/test_process.py
@@ -0,0 +1,31 @@
+"""Tests of whole daemons as separate processes."""
+
+from __future__ import annotations
+
+import json
+import time
+
+
+def test_request_runs_on_named_version(site):
+    """Guards against an answer of another version than the one named."""
+    answer = site.send("trust-1@1", max_tokens=4)
+    assert answer.status == 200
+    assert json.loads(answer.content)["model"] == "trust-1@1"
+
+
+def test_stream_ends_with_marker(site):
+    """Guards against a stream that loses its end on the way."""
+    answer = site.send("trust-2", max_tokens=5, stream=True)
+    assert answer.content.endswith(b"data: [DONE]\n\n")
+    assert answer.content.count(b"token") == 5
+
+
+def test_resent_key_runs_once(site):
+    """Guards against a doubled update when a caller sends it again."""
+    headers = {
+        "Idempotency-Key": "stage-1",
+        "Idempotency-Issued-At": str(int(time.time() * 1000)),
+    }
+    for vm in site.vms.values():
+        site.send("trust-3", vm=vm, headers=headers, prompt="stage once")
+    assert site.count_runs("stage once") == 1
--- /dev/null
+++ b/tests/ownership/test_leases.py
@@ -0,0 +1,70 @@
+"""Tests of the replay of the ownership stream."""
+
+from __future__ import annotations
+
+import pytest
+
+from bronzetrack.ownership import leases
+from bronzetrack.ownership import records
+
+
+@pytest.fixture
+def claimed() -> leases.OwnershipState:
+    """Endpoint e1 owned by incarnation i1, read at time 0."""
+    state = leases.OwnershipState()
+    state = leases.apply_record(state, 0, records.LeaseRecord("a", "i1", 0), 0)
+    claim = records.ClaimRecord("a", "i1", ("e1",))
+    return leases.apply_record(state, 1, claim, 0)
+
+
+def test_first_claim_wins(claimed):
+    """Guards against two owners of one endpoint after a race."""
+    claim = records.ClaimRecord("b", "i2", ("e1",))
+    state = leases.apply_record(claimed, 2, claim, 0)
+    assert state.owners["e1"].vm == "a"
+    assert state.owners["e1"].fencing == 1
+
+
+def test_claim_after_renewal_is_void(claimed):
+    """Guards against a claim that raced with a renewal of the holder."""
+    renewal = records.LeaseRecord("a", "i1", 1)
+    state = leases.apply_record(claimed, 2, renewal, 9_000)
+    claim = records.ClaimRecord("b", "i2", ("e1",), {"i1": 0})
+    state = leases.apply_record(state, 3, claim, 20_000)
+    assert state.owners["e1"].vm == "a"
+
+
+def test_claim_of_lapsed_lease_takes_over(claimed):
+    """Guards against an endpoint without owner after its owner died."""
+    claim = records.ClaimRecord("b", "i2", ("e1",), {"i1": 0})
+    state = leases.apply_record(claimed, 2, claim, 20_000)
+    assert state.owners["e1"].vm == "b"
+    assert state.owners["e1"].fencing == 2
+
+
+def test_follower_sees_lease_lapse_after_holder(claimed):
+    """Guards against a successor that acts while the holder still may."""
+    assert not leases.is_lapsed(claimed, "i1", leases.LEASE_MS)
+    lapse_ms = leases.LEASE_MS + leases.CLOCK_MARGIN_MS + 1
+    assert leases.is_lapsed(claimed, "i1", lapse_ms)
+
+
+def test_paused_holder_may_not_order(claimed):
+    """Guards against an eviction by a holder that was paused."""
+    until = leases.LEASE_MS
+    state = leases.OwnershipState(
+        owners=claimed.owners, leases=claimed.leases, held_until_ms=until
+    )
+    early = leases.ORDER_LIFE_MS
+    assert leases.may_order(state, "e1", "i1", False, early)
+    late = until - leases.ORDER_LIFE_MS + 1
+    assert not leases.may_order(state, "e1", "i1", False, late)
+
+
+def test_successor_waits_for_orders_of_predecessor(claimed):
+    """Guards against a late order that crosses those of the successor."""
+    state = leases.OwnershipState(
+        owners=claimed.owners, held_until_ms=1_000_000
+    )
+    early = leases.ORDER_LIFE_MS - 1
+    assert not leases.may_order(state, "e1", "i1", False, early)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,285 @@
+"""Stand-in for a model engine or a plain service."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import AsyncIterator
+import json
+import os
+import time
+from typing import Any
+import uuid
+
+import anyio
+import attrs
+import httpcore
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import uvicorn
+
+CRASH_TEXT = "crash-the-endpoint"
+
+
+@attrs.define
+class Job:
+    """A request that runs or ran, with the events made so far."""
+
+    model: str
+    events: list[bytes] = attrs.field(factory=list)
+    done: bool = False
+    cancelled: bool = False
+    grown: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def add(self, event: bytes) -> None:
+        self.events.append(event)
+        self._wake()
+
+    def finish(self) -> None:
+        self.done = True
+        self._wake()
+
+    def _wake(self) -> None:
+        self.grown.set()
+        self.grown = anyio.Event()
+
+
+@attrs.define
+class Engine:
+    """State and handlers of the stand-in.
+
+    :param store_url: weight store that adapters are loaded from
+    :param token_s: time for each token
+    :param checks_fencing: whether an old fencing number is refused
+    """
+
+    store_url: str = ""
+    adapter_slots: int = 8
+    token_s: float = 0.005
+    checks_fencing: bool = False
+    report_lag_s: float = 0.5
+    boot: str = attrs.field(factory=lambda: uuid.uuid4().hex)
+    loaded: set[str] = attrs.field(factory=set)
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    fencing: int = 0
+    runs: dict[str, int] = attrs.field(factory=dict)
+    faults: list[str] = attrs.field(factory=list)
+    report: dict[str, Any] = attrs.field(factory=dict)
+    leaving: bool = False
+
+    def build(self) -> applications.Starlette:
+        post = ["POST"]
+        return applications.Starlette(
+            routes=[
+                routing.Route("/v1/completions", self.run, methods=post),
+                routing.Route("/v1/chat/completions", self.run, methods=post),
+                routing.Route(
+                    "/v1/load_lora_adapter", self.load, methods=post
+                ),
+                routing.Route(
+                    "/v1/unload_lora_adapter", self.unload, methods=post
+                ),
+                routing.Route(
+                    "/v1/requests/{id}/cancel", self.cancel, methods=post
+                ),
+                routing.Route("/v1/requests/{id}/resume", self.resume),
+                routing.Route("/load", self.get_load),
+                routing.Route("/statistics", self.get_statistics),
+                routing.Route("/leave", self.leave, methods=post),
+                routing.Route(
+                    "/{path:path}",
+                    self.serve_call,
+                    methods=["GET", "POST", "PUT", "PATCH", "DELETE"],
+                ),
+            ]
+        )
+
+    def _count_run(self, body: bytes) -> None:
+        text = body.decode(errors="replace")
+        self.runs[text] = self.runs.get(text, 0) + 1
+
+    async def run(self, request: requests.Request) -> responses.Response:
+        body = await request.body()
+        fields = json.loads(body)
+        model = fields["model"]
+        if model not in self.loaded:
+            return responses.JSONResponse(
+                {"error": f"{model} is not loaded"}, status_code=404
+            )
+        self._count_run(body)
+        if CRASH_TEXT in body.decode():
+            os._exit(1)
+        tokens = int(fields.get("max_tokens", 8))
+        job = Job(model)
+        self.jobs[request.headers.get("request-id", uuid.uuid4().hex)] = job
+        if fields.get("stream"):
+            return responses.StreamingResponse(
+                self._generate(job, tokens), media_type="text/event-stream"
+            )
+        await anyio.sleep(tokens * self.token_s)
+        job.finish()
+        text = " ".join(f"token{index}" for index in range(tokens))
+        return responses.JSONResponse(
+            {
+                "model": model,
+                "choices": [{"index": 0, "text": text}],
+                "usage": {"completion_tokens": tokens},
+            }
+        )
+
+    async def _generate(self, job: Job, tokens: int) -> AsyncIterator[bytes]:
+        for index in range(tokens):
+            await anyio.sleep(self.token_s)
+            if job.cancelled:
+                job.finish()
+                return
+            fields = {
+                "model": job.model,
+                "choices": [{"index": 0, "text": f"token{index} "}],
+            }
+            event = b"data: " + json.dumps(fields).encode() + b"\n\n"
+            job.add(event)
+            yield event
+        job.add(b"data: [DONE]\n\n")
+        job.finish()
+        yield b"data: [DONE]\n\n"
+
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        job = self.jobs.get(request.path_params["id"])
+        if job is not None:
+            job.cancelled = True
+        return responses.JSONResponse({})
+
+    async def resume(self, request: requests.Request) -> responses.Response:
+        job = self.jobs.get(request.path_params["id"])
+        if job is None:
+            return responses.JSONResponse({}, status_code=404)
+        first = int(request.query_params["from"])
+        return responses.StreamingResponse(
+            self._replay(job, first), media_type="text/event-stream"
+        )
+
+    async def _replay(self, job: Job, first: int) -> AsyncIterator[bytes]:
+        number = first
+        while True:
+            for event in job.events[number:]:
+                number += 1
+                yield event
+            if job.done:
+                return
+            await job.grown.wait()
+
+    async def load(self, request: requests.Request) -> responses.Response:
+        refusal = self._check_fencing(request)
+        if refusal is not None:
+            return refusal
+        name = (await request.json())["lora_name"]
+        if name in self.loaded:
+            return responses.JSONResponse({})
+        if len(self.loaded) >= self.adapter_slots:
+            return responses.JSONResponse(
+                {"error": "no adapter slot"}, status_code=409
+            )
+        if self.store_url and not await self._fetch_weights(name):
+            return responses.JSONResponse(
+                {"error": "weight store"}, status_code=503
+            )
+        self.loaded.add(name)
+        return responses.JSONResponse({})
+
+    async def _fetch_weights(self, name: str) -> bool:
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f"{self.store_url}/weights/{name}"
+            answer = await pool.request("GET", url)
+            return answer.status == 200
+
+    async def unload(self, request: requests.Request) -> responses.Response:
+        refusal = self._check_fencing(request)
+        if refusal is not None:
+            return refusal
+        name = (await request.json())["lora_name"]
+        if any(
+            job.model == name and not job.done for job in self.jobs.values()
+        ):
+            self.faults.append(f"unload of {name} in use")
+        self.loaded.discard(name)
+        return responses.JSONResponse({})
+
+    def _check_fencing(
+        self, request: requests.Request
+    ) -> responses.Response | None:
+        number = int(request.headers.get("fencing-number", "0"))
+        if self.checks_fencing and number < self.fencing:
+            return responses.JSONResponse(
+                {"error": "old fencing number"}, status_code=412
+            )
+        self.fencing = max(self.fencing, number)
+        return None
+
+    async def get_load(self, request: requests.Request) -> responses.Response:
+        now_ms = int(time.time() * 1000)
+        lag_ms = self.report_lag_s * 1000
+        if now_ms - self.report.get("produced_ms", 0) >= lag_ms:
+            self.report = self._make_report(now_ms)
+        return responses.JSONResponse(self.report)
+
+    def _make_report(self, now_ms: int) -> dict[str, Any]:
+        running: dict[str, int] = {}
+        for job in self.jobs.values():
+            if not job.done:
+                running[job.model] = running.get(job.model, 0) + 1
+        return {
+            "boot": self.boot,
+            "produced_ms": now_ms,
+            "running": running,
+            "loaded": sorted(self.loaded),
+            "leaving": self.leaving,
+        }
+
+    async def leave(self, request: requests.Request) -> responses.Response:
+        self.leaving = True
+        return responses.JSONResponse({})
+
+    async def get_statistics(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return responses.JSONResponse(
+            {"runs": self.runs, "faults": self.faults, "boot": self.boot}
+        )
+
+    async def serve_call(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await request.body()
+        self._count_run(body)
+        return responses.JSONResponse(
+            {"path": request.url.path, "bytes": len(body)}
+        )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--store-url", default="")
+    parser.add_argument("--adapter-slots", type=int, default=8)
+    parser.add_argument("--token-ms", type=float, default=5)
+    parser.add_argument("--checks-fencing", action="store_true")
+    arguments = parser.parse_args()
+    engine = Engine(
+        store_url=arguments.store_url,
+        adapter_slots=arguments.adapter_slots,
+        token_s=arguments.token_ms / 1000,
+        checks_fencing=arguments.checks_fencing,
+    )
+    uvicorn.run(
+        engine.build(),
+        host=arguments.host,
+        port=arguments.port,
+        log_level="warning",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,203 @@
+"""Stand-in for the platform: log service, VM list and weight store."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+from typing import Any
+
+import anyio
+import attrs
+import msgpack
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import uvicorn
+
+
+@attrs.define
+class Faults:
+    """Switches for the faults of the platform.
+
+    :param log_down: every call to the log fails
+    :param log_delay_s: added to every call to the log
+    :param lose_answers: appends whose answer is lost after they took effect
+    :param list_down: the VM list fails
+    :param store_down: the weight store fails
+    """
+
+    log_down: bool = False
+    log_delay_s: float = 0.0
+    lose_answers: int = 0
+    list_down: bool = False
+    store_down: bool = False
+
+
+@attrs.define
+class Stream:
+    """Records of one stream."""
+
+    start: int = 0
+    records: list[bytes] = attrs.field(factory=list)
+    grown: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.start + len(self.records)
+
+    def append(self, items: list[bytes]) -> int:
+        offset = self.end
+        self.records.extend(items)
+        self.grown.set()
+        self.grown = anyio.Event()
+        return offset
+
+    def truncate(self, start: int) -> None:
+        self.records = self.records[start - self.start :]
+        self.start = start
+
+
+@attrs.define
+class Platform:
+    """State and handlers of the stand-in.
+
+    :param load_s: time that a load takes at full speed
+    :param knee: loads in flight above which each takes longer
+    """
+
+    load_s: float = 0.25
+    knee: int = 16
+    faults: Faults = attrs.field(factory=Faults)
+    streams: dict[str, Stream] = attrs.field(
+        factory=lambda: collections.defaultdict(Stream)
+    )
+    vms: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    loading: int = 0
+    most_loading: int = 0
+    appends: int = 0
+
+    def build(self) -> applications.Starlette:
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    "/streams/{name}", self.append, methods=["POST"]
+                ),
+                routing.Route("/streams/{name}", self.read, methods=["GET"]),
+                routing.Route(
+                    "/streams/{name}/truncate", self.truncate, methods=["POST"]
+                ),
+                routing.Route("/vms", self.list_vms, methods=["GET"]),
+                routing.Route("/vms", self.set_vms, methods=["PUT"]),
+                routing.Route("/weights/{name}", self.load_weights),
+                routing.Route("/faults", self.set_faults, methods=["PUT"]),
+                routing.Route("/statistics", self.get_statistics),
+            ]
+        )
+
+    async def append(self, request: requests.Request) -> responses.Response:
+        items = msgpack.unpackb(await request.body())
+        if self.faults.log_down:
+            return responses.Response(status_code=503)
+        await anyio.sleep(self.faults.log_delay_s)
+        offset = self.streams[request.path_params["name"]].append(items)
+        self.appends += 1
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return responses.Response(status_code=504)
+        return responses.Response(msgpack.packb({"offset": offset}))
+
+    async def read(self, request: requests.Request) -> responses.Response:
+        if self.faults.log_down:
+            return responses.Response(status_code=503)
+        await anyio.sleep(self.faults.log_delay_s)
+        stream = self.streams[request.path_params["name"]]
+        first = int(request.query_params["from"])
+        limit = int(request.query_params.get("limit", "1000"))
+        wait_ms = int(request.query_params.get("wait_ms", "0"))
+        if first < stream.start:
+            return responses.Response(status_code=410)
+        if first >= stream.end and wait_ms:
+            with anyio.move_on_after(wait_ms / 1000):
+                await stream.grown.wait()
+        if self.faults.log_down:
+            return responses.Response(status_code=503)
+        chosen = stream.records[first - stream.start :][:limit]
+        return responses.Response(
+            msgpack.packb(
+                {
+                    "start": stream.start,
+                    "end": stream.end,
+                    "records": [
+                        [first + index, data]
+                        for index, data in enumerate(chosen)
+                    ],
+                }
+            )
+        )
+
+    async def truncate(self, request: requests.Request) -> responses.Response:
+        stream = self.streams[request.path_params["name"]]
+        stream.truncate(int((await request.json())["start"]))
+        return responses.Response()
+
+    async def list_vms(self, request: requests.Request) -> responses.Response:
+        if self.faults.list_down:
+            return responses.Response(status_code=503)
+        return responses.JSONResponse(list(self.vms.values()))
+
+    async def set_vms(self, request: requests.Request) -> responses.Response:
+        rows: list[dict[str, Any]] = await request.json()
+        self.vms = {row["name"]: row for row in rows}
+        return responses.Response()
+
+    async def load_weights(
+        self, request: requests.Request
+    ) -> responses.Response:
+        if self.faults.store_down:
+            return responses.Response(status_code=503)
+        self.loading += 1
+        self.most_loading = max(self.most_loading, self.loading)
+        try:
+            slowdown = max(1.0, self.loading / self.knee)
+            await anyio.sleep(self.load_s * slowdown)
+        finally:
+            self.loading -= 1
+        return responses.Response(request.path_params["name"])
+
+    async def set_faults(
+        self, request: requests.Request
+    ) -> responses.Response:
+        self.faults = Faults(**await request.json())
+        return responses.Response()
+
+    async def get_statistics(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                "most_loading": self.most_loading,
+                "appends": self.appends,
+                "streams": {
+                    name: stream.end for name, stream in self.streams.items()
+                },
+            }
+        )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--load-ms", type=int, default=250)
+    arguments = parser.parse_args()
+    uvicorn.run(
+        Platform(load_s=arguments.load_ms / 1000).build(),
+        host=arguments.host,
+        port=arguments.port,
+        log_level="warning",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/site.py
@@ -0,0 +1,356 @@
+"""Starts a small site of separate processes on loopback addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import attrs
+import httpcore
+
+TESTS = pathlib.Path(__file__).parent.parent
+STOP_TIMEOUT_S = 20.0
+TIMEOUTS = ("connect", "read", "write", "pool")
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+class SiteError(Exception):
+    """The site did not reach an expected state in time."""
+
+
+def find_port(host: str = "127.0.0.1") -> int:
+    """Return a port that the system says is free."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+@attrs.define
+class Vm:
+    """The process and the addresses of a daemon."""
+
+    name: str
+    zone: str
+    host: str
+    callers: str
+    operators: str
+    peers: str
+    process: subprocess.Popen[bytes] | None = None
+
+
+@attrs.define
+class EndpointProcess:
+    """The process and the address of an endpoint."""
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    kind: str = "engine"
+    checks_fencing: bool = False
+    process: subprocess.Popen[bytes] | None = None
+
+
+@attrs.define
+class Site:
+    """Everything that runs, and where.
+
+    :param folder: for settings files and logs
+    """
+
+    folder: pathlib.Path
+    platform_port: int
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    endpoints: dict[str, EndpointProcess] = attrs.field(factory=dict)
+    processes: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
+    adapter_slots: int = 8
+    token_ms: float = 5.0
+    extra_settings: str = ""
+
+    @property
+    def platform_url(self) -> str:
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    def start(self, name: str, *command: str) -> subprocess.Popen[bytes]:
+        """Start a process whose output goes into the folder."""
+        environment = {**os.environ, "PYTHONPATH": str(TESTS)}
+        with open(self.folder / f"{name}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *command],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.processes.append(process)
+        return process
+
+    def start_platform(self) -> None:
+        self.start(
+            "platform",
+            "-m",
+            "standins.platform",
+            "--port",
+            str(self.platform_port),
+        )
+        self.wait(lambda: fetch("GET", f"{self.platform_url}/vms") == [])
+
+    def start_endpoint(self, endpoint: EndpointProcess) -> None:
+        self.endpoints[endpoint.name] = endpoint
+        command = [
+            "-m",
+            "standins.engine",
+            "--host",
+            endpoint.host,
+            "--port",
+            str(endpoint.port),
+            "--store-url",
+            self.platform_url,
+            "--adapter-slots",
+            str(self.adapter_slots),
+            "--token-ms",
+            str(self.token_ms),
+        ]
+        if endpoint.checks_fencing:
+            command.append("--checks-fencing")
+        endpoint.process = self.start(endpoint.name, *command)
+        url = f"http://{endpoint.host}:{endpoint.port}/statistics"
+        self.wait(lambda: fetch("GET", url) is not None)
+
+    def add_vm(self, name: str, zone: str, host: str) -> Vm:
+        ports = [find_port(host) for _ in range(3)]
+        vm = Vm(name, zone, host, *(f"{host}:{port}" for port in ports))
+        self.vms[name] = vm
+        return vm
+
+    def write_settings(self, vm: Vm) -> pathlib.Path:
+        join = ", ".join(
+            other.peers for other in self.vms.values() if other is not vm
+        )
+        path = self.folder / f"{vm.name}.ini"
+        path.write_text(
+            f"[vm]\nname = {vm.name}\navailability_zone = {vm.zone}\n"
+            f"[listen]\ncallers = {vm.callers}\n"
+            f"operators = {vm.operators}\npeers = {vm.peers}\n"
+            f"[peers]\njoin = {join}\n"
+            f"[platform]\nlog_url = {self.platform_url}\n"
+            f"vm_list_url = {self.platform_url}\n{self.extra_settings}"
+        )
+        return path
+
+    def start_vm(self, vm: Vm) -> None:
+        path = self.write_settings(vm)
+        vm.process = self.start(
+            vm.name, "-m", "bronzetrack.daemon", "--config", str(path)
+        )
+
+    def get_state(self, vm: Vm, section: str) -> Any:
+        """Return the value of a section of a daemon, None if it is down."""
+        answer = fetch("GET", f"http://{vm.operators}/state/{section}")
+        return None if answer is None else answer["value"]
+
+    def count_owned(self) -> int:
+        """Return how many endpoints have an owner that lives."""
+        living = [vm for vm in self.vms.values() if is_running(vm)]
+        owners = self.get_state(living[0], "ownership")["owners"]
+        names = {vm.name for vm in living}
+        return sum(owner["vm"] in names for owner in owners.values())
+
+    def wait(self, condition: Any, timeout_s: float = 30.0) -> None:
+        """Wait until a condition holds."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise SiteError("timeout while waiting for a condition")
+
+    def make_inventory(
+        self, adapters: int = 12, member: str = "trust"
+    ) -> dict[str, Any]:
+        """Return an inventory of the endpoints and some adapters."""
+        return {
+            "members": [member],
+            "base_models": ["base"],
+            "adapters": {
+                f"{member}-{index}": {
+                    "owner": member,
+                    "base_model": "base",
+                    "versions": ["1", "2"],
+                    "current": "2",
+                }
+                for index in range(adapters)
+            },
+            "endpoints": {
+                endpoint.name: {
+                    "host": endpoint.host,
+                    "port": endpoint.port,
+                    "availability_zone": endpoint.zone,
+                    "kind": endpoint.kind,
+                    "base_model": (
+                        "base" if endpoint.kind == "engine" else ""
+                    ),
+                    "slots": 8,
+                    "adapter_slots": self.adapter_slots,
+                    "checks_fencing": endpoint.checks_fencing,
+                }
+                for endpoint in self.endpoints.values()
+            },
+            "services": {
+                "updates": {
+                    "owner": member,
+                    "prefix": "/services/updates",
+                    "endpoints": [
+                        endpoint.name
+                        for endpoint in self.endpoints.values()
+                        if endpoint.kind == "service"
+                    ],
+                }
+            },
+        }
+
+    def make_rules(self, member: str = "trust") -> dict[str, Any]:
+        """Return a rule set with three work classes."""
+        return {
+            "members": {member: {"weight": 1.0, "warm_adapters": 64}},
+            "classes": {
+                "urgent": {"rank": 0},
+                "normal": {"rank": 1},
+                "long": {"rank": 2, "slot_share": 0.5},
+            },
+            "default_class": "normal",
+        }
+
+    def send(
+        self,
+        model: str,
+        vm: Vm | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 30.0,
+        **fields: Any,
+    ) -> httpcore.Response:
+        """Send a completions call to a daemon and return the answer."""
+        address = (vm or next(iter(self.vms.values()))).callers
+        body = {"model": model, "prompt": "hello", **fields}
+        timeouts = dict.fromkeys(TIMEOUTS, timeout_s)
+        return httpcore.request(
+            "POST",
+            f"http://{address}/v1/completions",
+            headers={"Content-Type": "application/json", **(headers or {})},
+            content=json.dumps(body).encode(),
+            extensions={"timeout": timeouts},
+        )
+
+    def count_runs(self, text: str) -> int:
+        """Return how often endpoints ran requests that hold a text."""
+        statistics = [
+            fetch("GET", f"http://{item.host}:{item.port}/statistics")
+            for item in self.endpoints.values()
+        ]
+        return sum(
+            count
+            for answer in statistics
+            for body, count in (answer or {"runs": {}})["runs"].items()
+            if text in body
+        )
+
+    def stop(self) -> None:
+        """Stop every process that was started here."""
+        running = [item for item in self.processes if item.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in running:
+            process.wait(STOP_TIMEOUT_S)
+
+
+def publish_samples(site: Site) -> None:
+    """Publish the sample inventory and rules with the command-line tool."""
+    documents = {
+        "inventory": site.make_inventory(),
+        "rules": site.make_rules(),
+    }
+    for kind, document in documents.items():
+        path = site.folder / f"{kind}.json"
+        path.write_text(json.dumps(document))
+        run_tool(kind, "publish", str(path), "--log-url", site.platform_url)
+
+
+def run_tool(*arguments: str) -> str:
+    """Run the command-line tool and return what it printed."""
+    result = subprocess.run(
+        [sys.executable, "-m", "bronzetrack.console", *arguments],
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    return result.stdout
+
+
+def is_running(vm: Vm) -> bool:
+    """Return whether the process of a daemon runs."""
+    return vm.process is not None and vm.process.poll() is None
+
+
+def fetch(
+    method: str, url: str, body: Any = None, timeout_s: float = 2.0
+) -> Any:
+    """Return the JSON of an answer, None if there is none."""
+    timeouts = dict.fromkeys(TIMEOUTS, timeout_s)
+    content = b"" if body is None else json.dumps(body).encode()
+    try:
+        answer = httpcore.request(
+            method, url, content=content, extensions={"timeout": timeouts}
+        )
+    except (httpcore.NetworkError, httpcore.TimeoutException):
+        return None
+    except httpcore.ProtocolError:
+        return None
+    if answer.status != 200:
+        return None
+    return json.loads(answer.content) if answer.content else {}
+
+
+@contextlib.contextmanager
+def run_site(
+    folder: pathlib.Path,
+    vms: int = 3,
+    engines: int = 3,
+    services: int = 1,
+    **options: Any,
+) -> Iterator[Site]:
+    """Run a site; whatever happens, end what it started."""
+    site = Site(folder, find_port(), **options)
+    try:
+        site.start_platform()
+        kinds = ["engine"] * engines + ["service"] * services
+        for index, kind in enumerate(kinds):
+            host = f"127.0.1.{index + 1}"
+            site.start_endpoint(
+                EndpointProcess(
+                    f"{kind}-{index}",
+                    ZONES[index % len(ZONES)],
+                    host,
+                    find_port(host),
+                    kind,
+                    checks_fencing=index % 2 == 0,
+                )
+            )
+        for index in range(vms):
+            zone = ZONES[index % len(ZONES)]
+            site.add_vm(f"vm-{index}", zone, f"127.0.2.{index + 1}")
+        for vm in list(site.vms.values()):
+            site.start_vm(vm)
+        yield site
+    finally:
+        site.stop()
