--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -82,7 +82,8 @@
 
     def start(self, name: str, *command: str) -> subprocess.Popen[bytes]:
         """Start a process whose output goes into the folder."""
-        environment = {**os.environ, "PYTHONPATH": str(TESTS)}
+        paths = os.pathsep.join([str(TESTS), str(TESTS.parent / "src")])
+        environment = {**os.environ, "PYTHONPATH": paths}
         with open(self.folder / f"{name}.log", "ab") as log:
             process = subprocess.Popen(
                 [sys.executable, *command],
@@ -289,6 +290,7 @@
     """Run the command-line tool and return what it printed."""
     result = subprocess.run(
         [sys.executable, "-m", "bronzetrack.console", *arguments],
+        env={**os.environ, "PYTHONPATH": str(TESTS.parent / "src")},
         check=True,
         capture_output=True,
         text=True,
