Report every mistake of a settings file at once

Cause: the loader stopped at the first repeated key or section, read non-UTF-8 files with a traceback, accepted non-ASCII VM names that no HTTP header can carry, and checked no setting against another. Found by reading.

Change: settings.parsing goes on past mistakes of syntax, settings.checks is a registry of checks between settings, settings.reference writes docs/settings.md from the classes, and the tool has `settings check` and `settings reference`. Files are bounded at 64 KiB.

After a repeated section the second one is not checked, since merging both would hide which value was meant. No check requires in_flight >= expected_vms, since 400 daemons would then not start with the limits of today's stores.

--- /dev/null
+++ b/src/bronzetrack/console/commands/settings.py
@@ -0,0 +1,38 @@
+"""The `settings` commands."""
+
+from __future__ import annotations
+
+import pathlib
+
+import click
+
+from bronzetrack.console import options
+from bronzetrack.settings import loader
+from bronzetrack.settings import reference
+
+
+@click.group("settings")
+def command() -> None:
+    """Check a settings file and print what is allowed in one."""
+
+
+@command.command(
+    "check", epilog="Example: bronzetrack settings check vm-1.ini"
+)
+@click.argument(
+    "file", type=click.Path(dir_okay=False, path_type=pathlib.Path)
+)
+def check(file: pathlib.Path) -> None:
+    """Report every mistake in FILE."""
+    found = loader.read_settings(file)
+    if isinstance(found, list):
+        for mistake in found:
+            click.echo(f"{file}: {mistake}", err=True)
+        raise SystemExit(options.EXIT_FAILURE)
+    click.echo(f"{file}: no mistakes")
+
+
+@command.command("reference", epilog="Example: bronzetrack settings reference")
+def print_reference() -> None:
+    """Print docs/settings.md, made from the classes of the settings."""
+    click.echo(reference.write_reference(), nl=False)
--- a/src/bronzetrack/daemon/main.py
+++ b/src/bronzetrack/daemon/main.py
@@ -19,7 +19,7 @@
 @click.option(
     "--config",
     required=True,
-    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
     help="Settings file (INI).",
 )
 def main(config: pathlib.Path) -> None:
@@ -27,7 +27,7 @@
 
     Exits with 0 after a planned stop and 2 for bad settings.
     """
-    settings = loader.load_settings(config.read_text(encoding="utf-8"))
+    settings = loader.read_settings(config)
     if isinstance(settings, list):
         for mistake in settings:
             click.echo(f"{config}: {mistake}", err=True)
--- /dev/null
+++ b/src/bronzetrack/settings/checks.py
@@ -0,0 +1,111 @@
+"""Checks between settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import ipaddress
+from typing import Any
+
+from bronzetrack.core import registry
+from bronzetrack.settings import mistakes
+
+# Values by section and key; those that are invalid by themselves are absent.
+Values = Mapping[tuple[str, str], Any]
+Check = Callable[[Values], Iterator[mistakes.Mistake]]
+
+CHECKS: registry.Registry[Check] = registry.Registry("settings checks")
+
+LISTENERS = ("callers", "operators", "peers")
+
+
+def find_conflicts(values: Values) -> list[mistakes.Mistake]:
+    """Return the mistakes that values make together."""
+    return [
+        mistake for _, check in CHECKS.items() for mistake in check(values)
+    ]
+
+
+def _list_listeners(values: Values) -> dict[str, str]:
+    return {
+        key: values["listen", key]
+        for key in LISTENERS
+        if ("listen", key) in values
+    }
+
+
+@CHECKS.register("listeners_differ")
+def check_listeners(values: Values) -> Iterator[mistakes.Mistake]:
+    """Find an address that two listeners use."""
+    seen: dict[str, str] = {}
+    for key, address in _list_listeners(values).items():
+        if address in seen:
+            yield mistakes.make_invalid(
+                "listen",
+                key,
+                address,
+                f"already used by [listen] {seen[address]};"
+                " each listener needs its own address",
+            )
+        seen.setdefault(address, key)
+
+
+@CHECKS.register("listeners_reachable")
+def check_hosts(values: Values) -> Iterator[mistakes.Mistake]:
+    """Find an address that others could not connect to.
+
+    The addresses of the listeners are told to callers and peers as they
+    stand in the file.
+    """
+    for key, address in _list_listeners(values).items():
+        host = ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
+        if host.is_unspecified or host.is_multicast:
+            yield mistakes.make_invalid(
+                "listen",
+                key,
+                address,
+                "callers and peers are told this address;"
+                " it must be the address of one interface",
+            )
+
+
+@CHECKS.register("join_peers_only")
+def check_join(values: Values) -> Iterator[mistakes.Mistake]:
+    """Find addresses to join that are not those of peers, or repeated."""
+    join = values.get(("peers", "join"), ())
+    own = {
+        address: key
+        for key, address in _list_listeners(values).items()
+        if key != "peers"
+    }
+    for place, address in enumerate(join):
+        if address in own:
+            yield mistakes.make_invalid(
+                "peers",
+                "join",
+                address,
+                f"is [listen] {own[address]} of this VM;"
+                " give the peers' addresses of other VMs",
+            )
+        if address in join[:place]:
+            yield mistakes.make_invalid(
+                "peers", "join", address, "given twice; give it once"
+            )
+
+
+@CHECKS.register("platform_elsewhere")
+def check_platform(values: Values) -> Iterator[mistakes.Mistake]:
+    """Find a platform service at an address of this daemon."""
+    own = {address: key for key, address in _list_listeners(values).items()}
+    for key in ("log_url", "vm_list_url"):
+        url = values.get(("platform", key), "")
+        address = url.removeprefix("http://")
+        if address in own:
+            yield mistakes.make_invalid(
+                "platform",
+                key,
+                url,
+                f"is the address of [listen] {own[address]};"
+                " give that of the platform's service",
+            )
--- a/src/bronzetrack/settings/loader.py
+++ b/src/bronzetrack/settings/loader.py
@@ -2,100 +2,123 @@
 
 from __future__ import annotations
 
-import configparser
 import difflib
 import itertools
+import pathlib
 import typing
 from typing import Any
 
 import attrs
 
-from bronzetrack.core import failures
+from bronzetrack.settings import checks
+from bronzetrack.settings import mistakes
 from bronzetrack.settings import model
+from bronzetrack.settings import parsing
 
-
-@attrs.frozen
-class Mistake:
-    """One mistake in a settings file."""
-
-    section: str
-    key: str
-    value: str
-    failure: failures.Failure
-
-    def __str__(self) -> str:
-        place = f"[{self.section}] {self.key}".rstrip()
-        value = f" = {self.value!r}" if self.value else ""
-        return f"{place}{value}: {self.failure.detail}"
+FILE_BYTES = 65_536
 
 
 def list_sections() -> dict[str, type]:
     """Return the class of each section by name."""
     hints = typing.get_type_hints(model.Settings)
-    return {field.name: hints[field.name] for field in _fields(model.Settings)}
+    return {
+        field.name: hints[field.name] for field in attrs.fields(model.Settings)
+    }
+
 
+def read_settings(
+    file: pathlib.Path,
+) -> model.Settings | list[mistakes.Mistake]:
+    """Return the settings in a file, or every mistake in it."""
+    try:
+        with file.open("rb") as opened:
+            data = opened.read(FILE_BYTES + 1)
+    except OSError as error:
+        return [_make_file_mistake(f"cannot be read: {error.strerror}")]
+    if len(data) > FILE_BYTES:
+        return [_make_file_mistake(f"longer than {FILE_BYTES} bytes")]
+    try:
+        text = data.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        return [_make_file_mistake(f"not UTF-8 at byte {error.start}")]
+    return load_settings(text.replace("\r\n", "\n"))
 
-def _fields(cls: type) -> tuple[attrs.Attribute, ...]:
-    return attrs.fields(cls)
 
+def _make_file_mistake(detail: str) -> mistakes.Mistake:
+    return mistakes.make_invalid("", "", "", detail)
 
-def load_settings(text: str) -> model.Settings | list[Mistake]:
+
+def load_settings(text: str) -> model.Settings | list[mistakes.Mistake]:
     """Return the settings, or every mistake in the text of a file."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        return [_make_mistake("", "", "", str(error).replace("\n", " "))]
-    sections = list_sections()
-    mistakes = list(
+    parsed = parsing.parse_text(text)
+    classes = list_sections()
+    found = list(
         itertools.chain(
-            _find_unknown_sections(parser, sections),
+            parsed.mistakes,
+            _find_unknown_sections(parsed.sections, classes),
             *(
-                _check_section(parser, name, cls)
-                for name, cls in sections.items()
+                _check_section(name, cls, parsed.sections.get(name, {}))
+                for name, cls in classes.items()
             ),
         )
     )
-    if mistakes:
-        return mistakes
+    values = {
+        (name, key): value
+        for name, cls in classes.items()
+        for key, value in _parse_section(
+            cls, parsed.sections.get(name, {})
+        ).items()
+    }
+    found.extend(checks.find_conflicts(values))
+    if found:
+        return found
     return model.Settings(
         **{
-            name: _build_section(parser, name, cls)
-            for name, cls in sections.items()
+            name: cls(
+                **{
+                    key: value
+                    for (section, key), value in values.items()
+                    if section == name
+                }
+            )
+            for name, cls in classes.items()
         }
     )
 
 
 def _find_unknown_sections(
-    parser: configparser.ConfigParser, sections: dict[str, type]
-) -> list[Mistake]:
+    sections: dict[str, dict[str, str]], classes: dict[str, type]
+) -> list[mistakes.Mistake]:
     return [
-        _make_unknown(name, "", "section", name, list(sections))
-        for name in parser.sections()
-        if name not in sections
+        mistakes.make_unknown(
+            name, "", "", f"unknown section; {_name_nearest(name, classes)}"
+        )
+        for name in sections
+        if name not in classes
     ]
 
 
 def _check_section(
-    parser: configparser.ConfigParser, name: str, cls: type
-) -> list[Mistake]:
-    given = _read_section(parser, name)
-    fields = {field.name: field for field in _fields(cls)}
+    name: str, cls: type, given: dict[str, str]
+) -> list[mistakes.Mistake]:
+    fields = attrs.fields_dict(cls)
     unknown = [
-        _make_unknown(name, key, "key", key, list(fields))
-        for key in given
+        mistakes.make_unknown(
+            name, key, value, f"unknown key; {_name_nearest(key, fields)}"
+        )
+        for key, value in given.items()
         if key not in fields
     ]
     missing = [
-        _make_mistake(
-            name, key, "", f"missing; {field.metadata['kind'].allowed}"
+        mistakes.make_invalid(
+            name, key, "", f"missing; must be {_get_kind(field).allowed}"
         )
         for key, field in fields.items()
         if field.default is attrs.NOTHING and key not in given
     ]
     invalid = [
-        _make_mistake(
-            name, key, given[key], f"must be {field.metadata['kind'].allowed}"
+        mistakes.make_invalid(
+            name, key, given[key], f"must be {_get_kind(field).allowed}"
         )
         for key, field in fields.items()
         if key in given and not _is_valid(field, given[key])
@@ -103,44 +126,33 @@
     return unknown + missing + invalid
 
 
-def _read_section(
-    parser: configparser.ConfigParser, name: str
-) -> dict[str, str]:
-    return dict(parser[name]) if parser.has_section(name) else {}
+def _get_kind(field: Any) -> model.Kind:
+    return field.metadata["kind"]
 
 
-def _is_valid(field: attrs.Attribute, text: str) -> bool:
+def _is_valid(field: Any, text: str) -> bool:
     try:
-        field.metadata["kind"].parse(text)
+        _get_kind(field).parse(text)
     except ValueError:
         return False
     return True
 
 
-def _build_section(
-    parser: configparser.ConfigParser, name: str, cls: type
-) -> Any:
-    given = _read_section(parser, name)
-    return cls(
-        **{
-            field.name: field.metadata["kind"].parse(given[field.name])
-            for field in _fields(cls)
-            if field.name in given
-        }
-    )
+def _parse_section(cls: type, given: dict[str, str]) -> dict[str, Any]:
+    """Return the valid values of a section, given or by default."""
+    defaults = {
+        field.name: field.default
+        for field in attrs.fields(cls)
+        if field.default is not attrs.NOTHING and field.name not in given
+    }
+    valid = {
+        field.name: _get_kind(field).parse(given[field.name])
+        for field in attrs.fields(cls)
+        if field.name in given and _is_valid(field, given[field.name])
+    }
+    return {**defaults, **valid}
 
 
-def _make_unknown(
-    section: str, key: str, what: str, given: str, known: list[str]
-) -> Mistake:
+def _name_nearest(given: str, known: typing.Iterable[str]) -> str:
     nearest = difflib.get_close_matches(given, known, n=1, cutoff=0.0)
-    failure = failures.Failure(
-        failures.Reason.SETTING_UNKNOWN,
-        f"unknown {what}; the nearest known one is {nearest[0]!r}",
-    )
-    return Mistake(section, key, "", failure)
-
-
-def _make_mistake(section: str, key: str, value: str, detail: str) -> Mistake:
-    failure = failures.Failure(failures.Reason.SETTING_INVALID, detail)
-    return Mistake(section, key, value, failure)
+    return f"the nearest known one is {nearest[0]!r}"
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -33,16 +33,22 @@
 
 def parse_name(text: str) -> str:
     """Return a name that is safe in paths, logs and headers."""
-    if not text or len(text) > 63 or not text.replace("-", "a").isalnum():
+    known = text.isascii() and text.replace("-", "a").isalnum()
+    if not known or len(text) > 63:
         raise ValueError(text)
     return text
 
 
 def parse_address(text: str) -> str:
-    """Return an `IP:port` address."""
-    host, separator, port = text.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not separator or not 0 < int(port) < 65_536:
+    """Return an `IP:port` address; brackets enclose an IPv6 address."""
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        ipaddress.IPv6Address(host[1:-1])
+    else:
+        ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()) or len(port) > 5:
+        raise ValueError(text)
+    if not 0 < int(port) < 65_536:
         raise ValueError(text)
     return text
 
@@ -88,7 +94,7 @@
 
 
 NAME = Kind("letters, digits and hyphens, 63 at most", parse_name)
-ADDRESS = Kind("an address IP:port", parse_address)
+ADDRESS = Kind("an address IP:port or [IPv6]:port", parse_address)
 ADDRESSES = Kind("addresses IP:port, separated by commas", parse_addresses)
 URL = Kind("a base URL http://IP:port", parse_url)
 LEVEL = Kind(
@@ -118,7 +124,7 @@
     """Addresses that the daemon listens on."""
 
     callers: str = setting(ADDRESS, "Callers' requests and entry look-ups.")
-    operators: str = setting(ADDRESS, "State dump and metrics.")
+    operators: str = setting(ADDRESS, "State dump, metrics and planned stops.")
     peers: str = setting(ADDRESS, "Streams from other daemons.")
 
 
