Add request, state, status, drain and config commands

Cause: operators had commands for publishing and look-ups only.

Change: `request` prints tokens as they arrive and where they ran; `state` and `status` read the dump of one and of all VMs; `drain` posts to a new mailbox of the lifecycle controller through the operators' listener; `config diff` and `config history` show what a publication changes and how it was decided. Hello carries the operators' address.

--- a/src/bronzetrack/board.py
+++ b/src/bronzetrack/board.py
@@ -33,6 +33,7 @@
     "keys",
     "suspects",
     "configuration",
+    "lifecycle",
 )
 
 
--- /dev/null
+++ b/src/bronzetrack/client/inspector.py
@@ -0,0 +1,169 @@
+"""Reads the state of daemons and asks them to stop."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import json
+from typing import Any
+
+import anyio
+import attrs
+import httpcore
+
+from bronzetrack.core import failures
+from bronzetrack.wire import httpclient
+
+TIMEOUT_MS = 5_000
+LIMIT = 100_000
+
+
+@attrs.frozen
+class SiteStatus:
+    """What all VMs say of themselves.
+
+    :param vms: the status section of each VM that answered
+    :param unreachable: why the others did not answer, by VM
+    :param owners: owner and fencing number by endpoint, as the VM that was
+        asked first reads the log
+    """
+
+    vms: tuple[dict[str, Any], ...]
+    unreachable: dict[str, failures.Failure]
+    owners: dict[str, Any]
+
+
+async def read_state(
+    pool: httpcore.AsyncConnectionPool,
+    addresses: Sequence[str],
+    section: str = "",
+    limit: int = LIMIT,
+) -> Any | failures.Failure:
+    """Return the dump or one section from the first VM that answers.
+
+    :param addresses: operators' addresses
+    """
+    path = f"/state/{section}" if section else "/state"
+    return await _call(pool, "GET", addresses, f"{path}?limit={limit}")
+
+
+async def begin_drain(
+    pool: httpcore.AsyncConnectionPool, address: str
+) -> Any | failures.Failure:
+    """Ask the VM at an operators' address for a planned stop."""
+    return await _call(pool, "POST", [address], "/drain")
+
+
+async def find_operators(
+    pool: httpcore.AsyncConnectionPool, addresses: Sequence[str]
+) -> dict[str, str] | failures.Failure:
+    """Return the operators' address of each VM that one of them knows."""
+    failure = failures.Failure(
+        failures.Reason.PEER_UNREACHABLE, "no address was given"
+    )
+    for address in addresses:
+        own = await read_state(pool, [address], "vm")
+        view = await read_state(pool, [address], "membership")
+        if isinstance(own, failures.Failure):
+            failure = own
+            continue
+        if isinstance(view, failures.Failure):
+            failure = view
+            continue
+        known = {
+            name: state["operator_address"]
+            for name, state in view["value"]["vms"].items()
+        }
+        return {**known, own["value"]["name"]: address}
+    return failure
+
+
+async def read_status(
+    pool: httpcore.AsyncConnectionPool, addresses: Sequence[str]
+) -> SiteStatus | failures.Failure:
+    """Return the status of every VM that one of the addresses knows."""
+    operators = await find_operators(pool, addresses)
+    if isinstance(operators, failures.Failure):
+        return operators
+    ownership = await read_state(pool, addresses, "ownership")
+    if isinstance(ownership, failures.Failure):
+        return ownership
+    answers: dict[str, Any] = {}
+
+    async def ask(name: str, address: str) -> None:
+        answers[name] = await read_state(pool, [address], "status")
+
+    async with anyio.create_task_group() as group:
+        for name, address in operators.items():
+            group.start_soon(ask, name, address)
+    unreachable = {
+        name: answer
+        for name, answer in sorted(answers.items())
+        if isinstance(answer, failures.Failure)
+    }
+    return SiteStatus(
+        vms=tuple(
+            answer["value"]
+            for name, answer in sorted(answers.items())
+            if name not in unreachable
+        ),
+        unreachable=unreachable,
+        owners=ownership["value"]["owners"],
+    )
+
+
+async def _call(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    addresses: Sequence[str],
+    path: str,
+) -> Any | failures.Failure:
+    """Return the JSON of the first address that answers."""
+    failure = failures.Failure(
+        failures.Reason.PEER_UNREACHABLE, "no address was given"
+    )
+    for address in addresses:
+        answer = await httpclient.fetch(
+            pool,
+            method,
+            f"http://{address}{path}",
+            TIMEOUT_MS,
+            failure_reason=failures.Reason.PEER_UNREACHABLE,
+        )
+        if isinstance(answer, failures.Failure):
+            failure = answer
+            continue
+        return _read_json(answer, address)
+    return failure
+
+
+def _read_json(
+    answer: httpclient.HttpResponse, address: str
+) -> Any | failures.Failure:
+    try:
+        fields = json.loads(answer.body)
+    except ValueError:
+        return failures.Failure(
+            failures.Reason.PEER_PROTOCOL,
+            f"{address} answered {answer.status} without JSON",
+        )
+    if answer.status >= 400:
+        return failures.Failure(
+            failures.Reason.BAD_REQUEST,
+            f"{address} answered {answer.status}: "
+            f"{fields.get('error', {}).get('message', '')}",
+        )
+    return fields
+
+
+def list_orphans(status: SiteStatus) -> dict[str, Any]:
+    """Return the claims in the log that no VM that answered confirms."""
+    held = {
+        (name, counts["fencing"])
+        for vm in status.vms
+        for name, counts in vm["endpoints"].items()
+    }
+    return {
+        name: owner
+        for name, owner in sorted(status.owners.items())
+        if (name, owner["fencing"]) not in held
+    }
--- a/src/bronzetrack/client/sender.py
+++ b/src/bronzetrack/client/sender.py
@@ -5,17 +5,20 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 import json
 from urllib import parse
 
 import attrs
 import httpcore
 
+from bronzetrack.core import errors
 from bronzetrack.core import failures
 from bronzetrack.wire import httpclient
 
 LOOKUP_TIMEOUT_MS = 2_000
 END_MARKER = b"data: [DONE]"
+EVENT_STREAM = "text/event-stream"
 
 
 @attrs.frozen
@@ -40,6 +43,21 @@
     whole: bool
 
 
+@attrs.frozen
+class OpenAnswer:
+    """An answer whose body still arrives."""
+
+    status: int
+    headers: Mapping[str, str]
+    parts: AsyncIterator[bytes]
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        content_type = self.headers.get("content-type", "")
+        return content_type.startswith(EVENT_STREAM)
+
+
 async def look_up(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], model: str
 ) -> list[Entry] | failures.Failure:
@@ -59,15 +77,32 @@
         if isinstance(answer, failures.Failure):
             failure = answer
             continue
-        rows = json.loads(answer.body)["entries"]
-        if rows:
-            return [Entry(**row) for row in rows]
-        failure = failures.Failure(
-            failures.Reason.NO_CONFIGURATION, "no VM serves yet"
+        entries = _read_entries(answer.body, address)
+        if entries:
+            return entries
+        failure = (
+            entries
+            if isinstance(entries, failures.Failure)
+            else failures.Failure(
+                failures.Reason.NO_CONFIGURATION, "no VM serves yet"
+            )
         )
     return failure
 
 
+def _read_entries(body: bytes, address: str) -> list[Entry] | failures.Failure:
+    try:
+        return [
+            Entry(str(row["vm"]), str(row["address"]), str(row["reason"]))
+            for row in json.loads(body)["entries"]
+        ]
+    except (ValueError, KeyError, TypeError) as error:
+        return failures.Failure(
+            failures.Reason.PEER_PROTOCOL,
+            f"bad answer of {address}: {type(error).__name__}: {error}",
+        )
+
+
 async def send(
     pool: httpcore.AsyncConnectionPool,
     addresses: Sequence[str],
@@ -121,29 +156,44 @@
     )
     if isinstance(answer, failures.Failure):
         return answer
-    streamed = answer.headers.get("content-type", "").startswith(
-        "text/event-stream"
-    )
+    content_type = answer.headers.get("content-type", "")
+    streamed = content_type.startswith(EVENT_STREAM)
     whole = not streamed or END_MARKER in answer.body
     return Answer(answer.status, answer.headers, answer.body, whole)
 
 
-async def stream(
+@contextlib.asynccontextmanager
+async def open_answer(
     pool: httpcore.AsyncConnectionPool,
     address: str,
     path: str,
     body: bytes,
     headers: Mapping[str, str],
     timeout_ms: int,
-) -> AsyncIterator[bytes]:
-    """Iterate over the parts of a streamed answer of one VM."""
-    async with httpclient.open_stream(
-        pool,
-        "POST",
-        f"http://{address}{path}",
-        timeout_ms,
-        body,
-        {"Content-Type": "application/json", **headers},
-    ) as response:
-        async for part in response.aiter_stream():
-            yield part
+) -> AsyncIterator[OpenAnswer]:
+    """Send a request to one VM and give access to its answer.
+
+    :param timeout_ms: for each read, not for the whole answer
+    :raises errors.FailureError: the VM was not reached or broke off
+    """
+    try:
+        async with httpclient.open_stream(
+            pool,
+            "POST",
+            f"http://{address}{path}",
+            timeout_ms,
+            body,
+            {"Content-Type": "application/json", **headers},
+        ) as response:
+            yield OpenAnswer(
+                response.status,
+                httpclient.read_headers(response),
+                response.aiter_stream(),
+            )
+    except httpclient.ERRORS as error:
+        raise errors.FailureError(
+            failures.Failure(
+                failures.Reason.PEER_UNREACHABLE,
+                f"{address}: {type(error).__name__}: {error}",
+            )
+        ) from None
--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -10,11 +10,33 @@
 import click
 
 from bronzetrack.core import failures
+from bronzetrack.settings import model
 
 EXIT_FAILURE = 1
 
+
+class KindType(click.ParamType):
+    """A parameter of the same kind as a setting.
+
+    :param kind: parses the text and says what is allowed
+    """
+
+    def __init__(self, name: str, kind: model.Kind) -> None:
+        self.name = name
+        self.kind = kind
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> Any:
+        try:
+            return self.kind.parse(value)
+        except ValueError:
+            self.fail(f"{value!r} is not {self.kind.allowed}", param, ctx)
+
+
+ADDRESS = KindType("ip:port", model.ADDRESS)
+
 log_url = click.option(
     "--log-url",
+    type=KindType("url", model.URL),
     envvar="BRONZETRACK_LOG_URL",
     required=True,
     help="Base URL of the platform's log service.",
@@ -22,11 +44,21 @@
 addresses = click.option(
     "--address",
     "addresses",
+    type=ADDRESS,
     envvar="BRONZETRACK_ADDRESSES",
     multiple=True,
     required=True,
     help="Callers' address of a VM, IP:port; may be given several times.",
 )
+operators = click.option(
+    "--operators",
+    "operators",
+    type=ADDRESS,
+    envvar="BRONZETRACK_OPERATORS",
+    multiple=True,
+    required=True,
+    help="Operators' address of a VM, IP:port; may be given several times.",
+)
 output_format = click.option(
     "--format",
     "output_format",
@@ -43,6 +75,7 @@
 )
 
 HINTS: dict[failures.Reason, str] = {
+    failures.Reason.BAD_REQUEST: "correct the request",
     failures.Reason.CONFIGURATION_CONFLICT: (
         "look at 'bronzetrack config history' and publish again"
     ),
@@ -51,16 +84,21 @@
     failures.Reason.APPEND_UNCERTAIN: (
         "look at 'bronzetrack config history' before publishing again"
     ),
+    failures.Reason.NO_CONFIGURATION: "publish an inventory and rules",
+    failures.Reason.ANSWER_INCOMPLETE: (
+        "send it again, under the same key if it had one"
+    ),
+    failures.Reason.PEER_PROTOCOL: "check that the address is that of a VM",
     failures.Reason.PEER_UNREACHABLE: "check the addresses of the VMs",
+    failures.Reason.SETTING_INVALID: "see docs/settings.md",
 }
 
 
 def fail(failure: failures.Failure) -> NoReturn:
     """End the command with one line: the cause and what to do."""
     hint = HINTS.get(failure.reason, "see docs/operations.md")
-    click.echo(
-        f"error: {failure.reason.value}: {failure.detail}; {hint}", err=True
-    )
+    detail = " ".join(failure.detail.split())
+    click.echo(f"error: {failure.reason.value}: {detail}; {hint}", err=True)
     raise SystemExit(EXIT_FAILURE)
 
 
@@ -76,7 +114,7 @@
     if not rows:
         return
     names = list(rows[0])
-    cells = [[str(row[name]) for name in names] for row in rows]
+    cells = [[_format_cell(row[name]) for name in names] for row in rows]
     widths = [
         max(len(line[column]) for line in [names, *cells])
         for column in range(len(names))
@@ -84,3 +122,7 @@
     for line in [names, *cells]:
         padded = [text.ljust(width) for text, width in zip(line, widths)]
         echo("  ".join(padded).rstrip())
+
+
+def _format_cell(value: Any) -> str:
+    return "-" if value is None or value == "" else str(value)
--- a/src/bronzetrack/console/publishing.py
+++ b/src/bronzetrack/console/publishing.py
@@ -26,7 +26,7 @@
     """Return the JSON document of a file, or end the command."""
     try:
         return json.loads(file.read_text(encoding="utf-8"))
-    except ValueError as error:
+    except (OSError, ValueError, RecursionError) as error:
         options.fail(
             failures.Failure(
                 failures.Reason.CONFIGURATION_INVALID, f"{file}: {error}"
--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import signal
 
 import anyio
@@ -11,6 +12,7 @@
 from bronzetrack.membership import lifecycle
 from bronzetrack.ownership import leases
 
+LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 100
 
 
@@ -30,12 +32,15 @@
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
-            async for _ in signals:
-                self._stop_requested = True
+            async for number in signals:
+                request = lifecycle.StopRequest(number.name)
+                self.board.mailboxes["lifecycle"].post(request)
 
     async def _step_forever(self) -> None:
         busy_ms = self.read_clock().monotonic_ms
+        mailbox = self.board.mailboxes["lifecycle"]
         while True:
+            self._take_requests()
             now_ms = self.read_clock().monotonic_ms
             if self._is_busy():
                 busy_ms = now_ms
@@ -50,7 +55,17 @@
             )
             if state != before:
                 self.write(self.board.lifecycle, state)
-            await anyio.sleep(STEP_INTERVAL_MS / 1000)
+            await controllers.wait_first(
+                mailbox.wait_items, timeout_ms=STEP_INTERVAL_MS
+            )
+
+    def _take_requests(self) -> None:
+        for request in self.board.mailboxes["lifecycle"].take():
+            self._stop_requested = True
+            LOG.info(
+                "planned stop requested",
+                extra={"event": "stop_requested", "origin": request.origin},
+            )
 
     def _is_configured(self) -> bool:
         offset = self.board.configuration.value.configuration.offset
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -51,6 +51,7 @@
         availability_zone=settings.vm.availability_zone,
         peer_address=settings.listen.peers,
         caller_address=settings.listen.callers,
+        operator_address=settings.listen.operators,
     )
 
     def deliver(delivery: messages.Delivery) -> None:
@@ -84,7 +85,7 @@
         settings.listen.callers,
     )
     operators_server = servers.make_server(
-        operators.OperatorsApplication(board).build(),
+        operators.OperatorsApplication(board, clock.read_clock).build(),
         settings.listen.operators,
     )
     async with anyio.create_task_group() as group:
--- a/src/bronzetrack/http/operators.py
+++ b/src/bronzetrack/http/operators.py
@@ -1,7 +1,8 @@
-"""The listener for operators: metrics and the state dump."""
+"""The listener for operators: metrics, the state dump and planned stops."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,10 +12,12 @@
 from starlette import responses
 from starlette import routing
 
+from bronzetrack.membership import lifecycle
 from bronzetrack.wire import dump
 
 if TYPE_CHECKING:
     from bronzetrack import board as boards
+    from bronzetrack.core import clock
 
 
 @attrs.define
@@ -22,6 +25,7 @@
     """Handlers of the operators' listener."""
 
     board: boards.Blackboard
+    read_clock: Callable[[], clock.Instant]
 
     def build(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -30,6 +34,7 @@
                 routing.Route("/metrics", self.get_metrics),
                 routing.Route("/state", self.get_state),
                 routing.Route("/state/{section}", self.get_section),
+                routing.Route("/drain", self.drain, methods=["POST"]),
             ]
         )
 
@@ -45,18 +50,56 @@
     async def get_state(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Return every section of the blackboard."""
-        return responses.JSONResponse(dump.dump_board(self.board))
+        """Return every section of the dump."""
+        dump_request = self._read_request(request)
+        if dump_request is None:
+            return _refuse_limit()
+        return responses.JSONResponse(dump.dump_board(dump_request))
 
     async def get_section(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Return one section of the blackboard."""
-        sections = dump.dump_board(self.board)
+        """Return one section of the dump."""
+        dump_request = self._read_request(request)
+        if dump_request is None:
+            return _refuse_limit()
         name = request.path_params["section"]
-        if name not in sections:
-            return responses.JSONResponse(
-                {"error": "unknown_section", "known": sorted(sections)},
-                status_code=404,
-            )
-        return responses.JSONResponse(sections[name])
+        section = dump.dump_section(dump_request, name)
+        if section is None:
+            known = ", ".join(sorted(dump.list_sections(self.board)))
+            return _make_error(404, "unknown_section", f"known: {known}")
+        return responses.JSONResponse(section)
+
+    async def drain(
+        self, request: http_requests.Request
+    ) -> responses.Response:
+        """Begin a planned stop; one that has begun goes on."""
+        client = request.client
+        origin = "unknown" if client is None else client.host
+        stop = lifecycle.StopRequest(origin)
+        if not self.board.mailboxes["lifecycle"].post(stop):
+            return _make_error(503, "queue_full", "try again")
+        return responses.JSONResponse({"vm": self.board.vm}, status_code=202)
+
+    def _read_request(
+        self, request: http_requests.Request
+    ) -> dump.DumpRequest | None:
+        """Return what to dump, None if the limit is invalid."""
+        text = request.query_params.get("limit", str(dump.DEFAULT_LIMIT))
+        if not (text.isascii() and text.isdigit() and len(text) < 10):
+            return None
+        limit = int(text)
+        if not 0 < limit <= dump.LONGEST_LIMIT:
+            return None
+        return dump.DumpRequest(self.board, self.read_clock(), limit)
+
+
+def _refuse_limit() -> responses.Response:
+    detail = f"limit is a whole number from 1 to {dump.LONGEST_LIMIT}"
+    return _make_error(400, "bad_request", detail)
+
+
+def _make_error(status: int, reason: str, detail: str) -> responses.Response:
+    return responses.JSONResponse(
+        {"error": {"type": reason, "message": detail}}, status_code=status
+    )
--- a/src/bronzetrack/membership/lifecycle.py
+++ b/src/bronzetrack/membership/lifecycle.py
@@ -21,6 +21,16 @@
     finished: bool = False
 
 
+@attrs.frozen
+class StopRequest:
+    """Posted to the lifecycle controller to begin a planned stop.
+
+    :param origin: who asked, for the log
+    """
+
+    origin: str
+
+
 def decide_lifecycle(
     state: Lifecycle,
     stop_requested: bool,
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -37,6 +37,7 @@
     availability_zone: str
     peer_address: str
     caller_address: str
+    operator_address: str = ""
 
 
 @attrs.frozen
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -34,6 +34,7 @@
     )
     usage: Mapping[str, float] = attrs.field(factory=dict)
     connected: bool = True
+    operator_address: str = ""
 
 
 @attrs.frozen
@@ -64,6 +65,7 @@
             caller_address=hello.caller_address,
             status=messages.VmStatus.STARTING,
             heard_ms=now_ms,
+            operator_address=hello.operator_address,
         )
     return attrs.evolve(view, vms={**view.vms, hello.vm: state})
 
--- /dev/null
+++ b/tests/console/test_commands.py
@@ -0,0 +1,145 @@
+"""Tests of the commands at a running site."""
+
+from __future__ import annotations
+
+import json
+
+import click
+import pytest
+
+from bronzetrack.console import application
+
+
+def list_commands(group: click.Group, path: tuple[str, ...] = ()):
+    for name, command in group.commands.items():
+        if isinstance(command, click.Group):
+            yield from list_commands(command, (*path, name))
+        else:
+            yield (*path, name)
+
+
+def test_each_help_has_an_example(run):
+    """Guards against a command that an operator cannot guess how to use."""
+    for path in list_commands(application.application):
+        result = run(*path, "--help")
+        assert result.exit_code == 0
+        assert f"Example: bronzetrack {' '.join(path)}" in " ".join(
+            result.output.split()
+        )
+
+
+def test_streamed_request_shows_where_it_ran(call):
+    """Guards against an answer that nobody can trace to an endpoint."""
+    result = call("trust-1@1", "--stream", "--max-tokens", "3")
+    assert result.exit_code == 0, result.output
+    assert result.stdout == "token0 token1 token2 \n"
+    assert "outcome completed" in result.stderr
+    assert "adapter trust-1, version 1, endpoint engine-" in result.stderr
+
+
+def test_request_with_new_key(call):
+    """Guards against a key that the daemon refuses for want of a time."""
+    result = call("trust-2", "--key", "new", "--chat", "--format", "json")
+    assert result.exit_code == 0, result.output
+    assert json.loads(result.stdout)["outcome"] == "completed"
+    assert result.stderr.startswith("Idempotency-Key: ")
+
+
+def test_refused_request_fails_in_one_line(call):
+    """Guards against a refusal that scripts take for success."""
+    result = call("absent")
+    assert result.exit_code == 1
+    assert "error: unknown_adapter" in result.stderr
+
+
+def test_status_lists_each_endpoint_once(inspect):
+    """Guards against a table that hides an endpoint or its owner."""
+    result = inspect("status", "--format", "json")
+    assert result.exit_code == 0, result.output
+    found = json.loads(result.stdout)
+    owned = [name for vm in found["vms"] for name in vm["endpoints"]]
+    assert sorted(owned) == ["engine-0", "engine-1", "service-2"]
+    assert {vm["configuration_offset"] for vm in found["vms"]} == {1}
+    assert found["orphans"] == {}
+
+
+def test_state_prints_one_section(inspect):
+    """Guards against a dump that cannot be read without a JSON tool."""
+    result = inspect("state", "vm")
+    assert result.exit_code == 0, result.output
+    assert "availability_zone" in result.stdout
+
+
+def test_unknown_section_names_the_known(inspect):
+    """Guards against a dead end after a mistyped section."""
+    result = inspect("state", "leases")
+    assert result.exit_code == 1
+    assert "ownership" in result.stderr
+
+
+def test_diff_lists_changed_entries(site, run, tmp_path):
+    """Guards against a publication that changes more than its author saw."""
+    inventory = site.make_inventory()
+    inventory["adapters"]["trust-0"]["current"] = "1"
+    del inventory["adapters"]["trust-1"]
+    path = tmp_path / "inventory.json"
+    path.write_text(json.dumps(inventory))
+    arguments = ("--log-url", site.platform_url, "--format", "json")
+    result = run("config", "diff", str(path), *arguments)
+    assert result.exit_code == 0, result.output
+    changes = {
+        row["entry"]: row["change"] for row in json.loads(result.stdout)
+    }
+    assert changes == {
+        "adapters.trust-0": "changed",
+        "adapters.trust-1": "removed",
+    }
+
+
+def test_history_shows_verdicts(site, run):
+    """Guards against a lost race that its loser cannot see."""
+    result = run("config", "history", "--log-url", site.platform_url)
+    assert result.exit_code == 0, result.output
+    assert result.stdout.count("True") >= 2
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("entry", "x", "--address", "nowhere"),
+        ("status",),
+        ("config", "history", "--log-url", "ftp://127.0.0.1:1"),
+        ("request", "x", "--address", "127.0.0.1:1"),
+    ],
+)
+def test_bad_use_ends_with_2(run, arguments):
+    """Guards against scripts that take a mistyped command for a failure."""
+    assert run(*arguments).exit_code == 2
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("entry", "x", "--address", "127.0.0.1:1"),
+        ("status", "--operators", "127.0.0.1:1"),
+        ("config", "history", "--log-url", "http://127.0.0.1:1"),
+        ("drain", "vm-0", "--operators", "127.0.0.1:1"),
+    ],
+)
+def test_failure_is_one_line(run, arguments):
+    """Guards against a traceback in place of a cause and a remedy."""
+    result = run(*arguments)
+    assert result.exit_code == 1
+    assert result.stderr.startswith("error: ")
+    assert result.stderr.count("\n") == 1
+
+
+def test_drain_ends_the_daemon(site, inspect):
+    """Guards against a planned stop that never begins or never ends.
+
+    It stands last, since it takes a VM out of the site.
+    """
+    result = inspect("drain", "vm-1")
+    assert result.exit_code == 0, result.output
+    process = site.vms["vm-1"].process
+    assert process.wait(timeout=20) == 0
