Replay recorded traces of the log against stated outcomes

Cause: operators ask for proof by replay of recorded traces, and a decision that changes for an old incident showed nowhere.

--- a/src/bronzetrack/client/publisher.py
+++ b/src/bronzetrack/client/publisher.py
@@ -28,7 +28,7 @@
     log: logservice.LogClient,
 ) -> states.ConfigurationState | failures.Failure:
     """Replay the retained stream up to its present end."""
-    first = await log.read(records.STREAM, 1 << 62)
+    first = await log.read(records.STREAM, logservice.BEYOND_END)
     if isinstance(first, failures.Failure):
         return first
     state = states.ConfigurationState(next_offset=first.start)
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -64,6 +64,7 @@
     # Configuration and settings.
     CONFIGURATION_CONFLICT = "configuration_conflict"
     CONFIGURATION_INVALID = "configuration_invalid"
+    TRACE_INVALID = "trace_invalid"
     SETTING_INVALID = "setting_invalid"
     SETTING_UNKNOWN = "setting_unknown"
 
--- a/src/bronzetrack/platform/logservice.py
+++ b/src/bronzetrack/platform/logservice.py
@@ -15,6 +15,8 @@
 from bronzetrack.wire import tagged
 
 READ_LIMIT = 1_000
+# A read from here returns no records but names both ends of the stream.
+BEYOND_END = 1 << 62
 APPEND_TIMEOUT_MS = 3_000
 
 CODEC = tagged.TaggedCodec(records.RECORDS, failures.Reason.LOG_UNAVAILABLE)
--- /dev/null
+++ b/src/bronzetrack/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces and their replay against stated outcomes."""
--- /dev/null
+++ b/src/bronzetrack/traces/cores.py
@@ -0,0 +1,111 @@
+"""The decisions that traces are replayed through, by stream."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from bronzetrack.configuration import records as configuration_records
+from bronzetrack.configuration import replay as configuration_replay
+from bronzetrack.configuration import state as configuration_state
+from bronzetrack.core import registry
+from bronzetrack.idempotency import records as key_records
+from bronzetrack.idempotency import table as key_table
+from bronzetrack.ownership import leases
+from bronzetrack.ownership import records as ownership_records
+from bronzetrack.retries import records as crash_records
+from bronzetrack.retries import suspects
+from bronzetrack.wire import documents
+
+
+class Core(Protocol):
+    """Replays the records of one stream."""
+
+    def apply(self, at_ms: int, offset: int, record: Any) -> None:
+        """Take in one record."""
+
+    def read_outcomes(self) -> Mapping[str, Any]:
+        """Return every outcome so far by name."""
+
+
+CORES: registry.Registry[type[Core]] = registry.Registry("trace cores")
+
+
+@CORES.register(key_records.STREAM)
+@attrs.define
+class KeysCore:
+    """Outcomes: phase and attempt of each key."""
+
+    entries: dict[str, key_table.KeyEntry] = attrs.field(factory=dict)
+
+    def apply(self, at_ms: int, offset: int, record: Any) -> None:
+        entry = key_table.apply_record(self.entries, offset, record)
+        if entry is not None:
+            self.entries[record.key] = entry
+
+    def read_outcomes(self) -> Mapping[str, Any]:
+        return {
+            key: {"phase": entry.phase.value, "attempt": entry.attempt}
+            for key, entry in self.entries.items()
+        }
+
+
+@CORES.register(ownership_records.STREAM)
+@attrs.define
+class OwnershipCore:
+    """Outcomes: owner and fencing number of each endpoint."""
+
+    state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
+
+    def apply(self, at_ms: int, offset: int, record: Any) -> None:
+        self.state = leases.apply_record(self.state, offset, record, at_ms)
+
+    def read_outcomes(self) -> Mapping[str, Any]:
+        return {
+            endpoint: {"vm": owner.vm, "fencing": owner.fencing}
+            for endpoint, owner in self.state.owners.items()
+        }
+
+
+@CORES.register(configuration_records.STREAM)
+@attrs.define
+class ConfigurationCore:
+    """Outcomes: offset in force, and whether each offset was accepted."""
+
+    state: configuration_state.ConfigurationState = attrs.field(
+        factory=configuration_state.ConfigurationState
+    )
+
+    def apply(self, at_ms: int, offset: int, record: Any) -> None:
+        self.state = configuration_replay.apply_record(
+            self.state, offset, record, documents
+        )
+
+    def read_outcomes(self) -> Mapping[str, Any]:
+        accepted = {
+            str(verdict.offset): verdict.accepted
+            for verdict in self.state.verdicts
+        }
+        return {"in_force": self.state.configuration.offset, **accepted}
+
+
+@CORES.register(crash_records.STREAM)
+@attrs.define
+class CrashesCore:
+    """Outcomes: whether each fingerprint is a suspect or is refused."""
+
+    table: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
+
+    def apply(self, at_ms: int, offset: int, record: Any) -> None:
+        self.table = suspects.record_crash(self.table, record, at_ms)
+
+    def read_outcomes(self) -> Mapping[str, Any]:
+        return {
+            fingerprint: (
+                "refused" if self.table.is_banned(fingerprint) else "suspect"
+            )
+            for fingerprint in self.table.suspects
+        }
--- /dev/null
+++ b/src/bronzetrack/traces/replay.py
@@ -0,0 +1,56 @@
+"""Replay of a trace through the decisions of its stream."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bronzetrack.core import errors
+from bronzetrack.core import failures
+from bronzetrack.core import records
+from bronzetrack.traces import cores
+from bronzetrack.traces import model
+from bronzetrack.wire import converter
+
+
+def replay_trace(
+    trace: model.Trace,
+) -> tuple[model.Difference, ...] | failures.Failure:
+    """Return the outcomes that differ from the stated ones, or a failure."""
+    try:
+        core = cores.CORES.lookup(trace.stream)()
+        for event in trace.events:
+            core.apply(event.at_ms, event.offset, _read_record(event))
+    except errors.UnknownEntryError as error:
+        return failures.Failure(failures.Reason.TRACE_INVALID, str(error))
+    replayed = core.read_outcomes()
+    return tuple(
+        model.Difference(name, stated, replayed.get(name))
+        for name, stated in trace.outcomes.items()
+        if replayed.get(name) != stated
+    )
+
+
+def _read_record(event: model.TraceEvent) -> Any:
+    name, fields = event.record
+    return converter.JSON.structure(fields, records.RECORDS.lookup(name))
+
+
+def read_trace(text: str) -> model.Trace | failures.Failure:
+    """Return the trace in the text of a file, or a failure."""
+    try:
+        return converter.JSON.loads(text, model.Trace)
+    # Corrupt input makes json and cattrs raise many kinds of error.
+    except Exception as error:
+        return converter.describe_failure(failures.Reason.TRACE_INVALID, error)
+
+
+def write_trace(trace: model.Trace) -> str:
+    """Return the text of a trace file."""
+    return converter.JSON.dumps(trace, indent=2)
+
+
+def make_event(at_ms: int, offset: int, record: Any) -> model.TraceEvent:
+    """Return the event of a record that was read."""
+    names = {cls: name for name, cls in records.RECORDS.items()}
+    fields = converter.JSON.unstructure(record)
+    return model.TraceEvent(at_ms, offset, (names[type(record)], fields))
--- a/src/bronzetrack/wire/converter.py
+++ b/src/bronzetrack/wire/converter.py
@@ -7,6 +7,7 @@
 
 import cattrs
 from cattrs import gen
+import cattrs.preconf.json
 import cattrs.preconf.msgpack
 
 from bronzetrack.core import failures
@@ -16,10 +17,8 @@
     return hasattr(get_origin(cls) or cls, "__attrs_attrs__")
 
 
-def _make_converter(forbid_extra_keys: bool) -> cattrs.Converter:
-    converter = cattrs.preconf.msgpack.make_converter(
-        forbid_extra_keys=forbid_extra_keys
-    )
+def _write_sparsely(converter: Any) -> Any:
+    """Make a converter leave out fields that have their default."""
 
     def unstructure_sparse(cls: type) -> Any:
         return gen.make_dict_unstructure_fn(
@@ -32,8 +31,13 @@
 
 # Messages and records ignore unknown fields, so that two versions of the
 # daemon can run side by side; documents that people write do not.
-WIRE = _make_converter(forbid_extra_keys=False)
-DOCUMENTS = _make_converter(forbid_extra_keys=True)
+WIRE = _write_sparsely(cattrs.preconf.msgpack.make_converter())
+DOCUMENTS = _write_sparsely(
+    cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
+)
+JSON = _write_sparsely(
+    cattrs.preconf.json.make_converter(forbid_extra_keys=True)
+)
 
 
 def explain_error(error: BaseException) -> tuple[str, ...]:
