End the daemon with a documented code when a part of it fails

Cause: an exception in a controller ended the process with a traceback of many lines and code 1; a controller that returned was not noticed; an address in use ended one listener inside uvicorn after the controllers had started. Found by reading.

Change: each controller runs under a guard that logs one JSON line and ends the process with 3; addresses are opened before anything starts and end it with 4; other errors end it with 5.

Exceptions in an HTTP handler still end that request only.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -241,6 +241,7 @@
                 "answer has no reader",
                 extra={
                     "event": "answer_dropped",
+                    "request_id": self._work.request,
                     "attempt_id": self._work.attempt,
                 },
             )
--- a/src/bronzetrack/daemon/logs.py
+++ b/src/bronzetrack/daemon/logs.py
@@ -12,6 +12,14 @@
 ) | {"message", "asctime", "taskName", "color_message"}
 
 
+# Every line has these fields. Lines of libraries have no event of ours.
+COMMON_FIELDS: dict[str, Any] = {
+    "event": "library",
+    "request_id": None,
+    "attempt_id": None,
+}
+
+
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object.
 
@@ -33,8 +41,9 @@
             "level": record.levelname.lower(),
             "logger": record.name,
             "message": record.getMessage(),
-            **self._fields,
+            **COMMON_FIELDS,
             **extra,
+            **self._fields,
         }
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
@@ -47,3 +56,4 @@
     fields = {"vm": vm, "availability_zone": availability_zone}
     handler.setFormatter(JsonFormatter(fields))
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    logging.captureWarnings(True)
--- a/src/bronzetrack/daemon/main.py
+++ b/src/bronzetrack/daemon/main.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import sys
 
 import anyio
 import click
 
+from bronzetrack.daemon import exits
 from bronzetrack.daemon import logs
 from bronzetrack.daemon import process
 from bronzetrack.settings import loader
+from bronzetrack.settings import model
 
-EXIT_BAD_SETTINGS = 2
+LOG = logging.getLogger(__name__)
 
 
-@click.command()
+@click.command(epilog="Example: bronzetrackd --config /etc/bronzetrack.ini")
 @click.option(
     "--config",
     required=True,
@@ -25,16 +28,53 @@
 def main(config: pathlib.Path) -> None:
     """Run a bronzetrack daemon.
 
-    Exits with 0 after a planned stop and 2 for bad settings.
+    Exits with 0 after a planned stop, 2 for bad settings, 3 after the
+    failure of a controller, 4 if an address cannot be listened on and 5
+    after any other error.
     """
     settings = loader.read_settings(config)
     if isinstance(settings, list):
         for mistake in settings:
             click.echo(f"{config}: {mistake}", err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
+        sys.exit(exits.ExitCode.BAD_SETTINGS)
     logs.configure_logs(
         settings.logging.level.value,
         settings.vm.name,
         settings.vm.availability_zone,
     )
-    anyio.run(process.run_daemon, settings)
+    sys.exit(run(settings))
+
+
+def run(settings: model.Settings) -> exits.ExitCode:
+    """Run a daemon and return how it ended."""
+    try:
+        anyio.run(process.run_daemon, settings)
+    except Exception as error:
+        return report_error(error)
+    return exits.ExitCode.PLANNED_STOP
+
+
+def report_error(error: BaseException) -> exits.ExitCode:
+    """Return the exit code for an error; log it unless that was done."""
+    if find_error(error, process.ControllerFailedError):
+        return exits.ExitCode.CONTROLLER_FAILED
+    if find_error(error, process.AddressUnavailableError):
+        return exits.ExitCode.ADDRESS_UNAVAILABLE
+    LOG.critical(
+        "the daemon failed",
+        exc_info=error,
+        extra={"event": "daemon_failed"},
+    )
+    return exits.ExitCode.INTERNAL_ERROR
+
+
+def find_error(
+    error: BaseException, wanted: type[BaseException]
+) -> BaseException | None:
+    """Return an error of a type, also from within a group of errors."""
+    if isinstance(error, wanted):
+        return error
+    if not isinstance(error, BaseExceptionGroup):
+        return None
+    found = (find_error(item, wanted) for item in error.exceptions)
+    return next((item for item in found if item is not None), None)
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -5,6 +5,8 @@
 import importlib
 import logging
 import pkgutil
+import socket
+from typing import TYPE_CHECKING
 import uuid
 
 import anyio
@@ -13,6 +15,7 @@
 from bronzetrack import controllers as controller_package
 from bronzetrack.core import clock
 from bronzetrack.core import controllers
+from bronzetrack.core import errors
 from bronzetrack.core import messages
 from bronzetrack.daemon import servers
 from bronzetrack.endpoints import client as endpoint_client
@@ -25,11 +28,22 @@
 from bronzetrack.settings import model
 from bronzetrack.wire import httpclient
 
+if TYPE_CHECKING:
+    from anyio import abc
+
 LOG = logging.getLogger(__name__)
 ENDPOINT_CONNECTIONS = 1_024
 PLATFORM_CONNECTIONS = 32
 
 
+class ControllerFailedError(errors.BronzetrackError):
+    """A controller ended; that was logged."""
+
+
+class AddressUnavailableError(errors.BronzetrackError):
+    """A listener could not be opened; that was logged."""
+
+
 def import_controllers() -> None:
     """Import every controller module, so that each is registered."""
     for module in pkgutil.iter_modules(controller_package.__path__):
@@ -76,42 +90,105 @@
 
 
 async def run_daemon(settings: model.Settings) -> None:
-    """Run a daemon until its planned stop has ended."""
+    """Run a daemon until its planned stop has ended.
+
+    :raises AddressUnavailableError: nothing was started
+    :raises ControllerFailedError: within a group
+    """
     import_controllers()
     board = make_board(settings)
     ports = make_ports(board)
     callers_server = servers.make_server(
-        callers.CallersApplication(board, clock.read_clock).build(),
-        settings.listen.callers,
+        callers.CallersApplication(board, clock.read_clock).build()
     )
     operators_server = servers.make_server(
-        operators.OperatorsApplication(board, clock.read_clock).build(),
-        settings.listen.operators,
+        operators.OperatorsApplication(board, clock.read_clock).build()
+    )
+    callers_socket = _listen(settings.listen.callers)
+    operators_socket = _listen(settings.listen.operators)
+    peers_listener = await _listen_peers(settings.listen.peers)
+    LOG.info(
+        "listening",
+        extra={
+            "event": "listening",
+            "incarnation": board.incarnation,
+            "callers": settings.listen.callers,
+            "operators": settings.listen.operators,
+            "peers": settings.listen.peers,
+        },
     )
     async with anyio.create_task_group() as group:
-        for _, controller in controllers.CONTROLLERS.items():
-            group.start_soon(controller(board, ports, clock.read_clock).run)
-        group.start_soon(_listen_peers, settings.listen.peers, ports.peers)
-        group.start_soon(operators_server.serve)
-        await _serve_callers(board, callers_server)
+        for name, controller in controllers.CONTROLLERS.items():
+            running = controller(board, ports, clock.read_clock)
+            group.start_soon(_run_controller, name, running)
+        group.start_soon(peers_listener.serve, ports.peers.serve)
+        group.start_soon(operators_server.serve, [operators_socket])
+        await _serve_callers(board, callers_server, callers_socket)
         group.cancel_scope.cancel()
     LOG.info("stopped", extra={"event": "stopped"})
 
 
+async def _run_controller(
+    name: str, controller: controllers.Controller
+) -> None:
+    """Run a controller; one that ends takes the whole process with it.
+
+    A daemon without one of its controllers would still hold its lease and
+    take requests that nothing carries on.
+    """
+    try:
+        await controller.run()
+    except Exception as error:
+        LOG.critical(
+            "controller failed",
+            exc_info=error,
+            extra={"event": "controller_failed", "controller": name},
+        )
+        raise ControllerFailedError(name) from error
+    LOG.critical(
+        "controller returned",
+        extra={"event": "controller_failed", "controller": name},
+    )
+    raise ControllerFailedError(name)
+
+
 async def _serve_callers(
-    board: boards.Blackboard, server: servers.QuietServer
+    board: boards.Blackboard,
+    server: servers.QuietServer,
+    listener: socket.socket,
 ) -> None:
     """Serve callers until the planned stop may end the process."""
     async with anyio.create_task_group() as group:
-        group.start_soon(server.serve)
+        group.start_soon(server.serve, [listener])
         while not board.lifecycle.value.finished:
             await board.lifecycle.wait_change(board.lifecycle.revision)
         server.should_exit = True
 
 
-async def _listen_peers(address: str, hub: peer_hub.PeerHub) -> None:
-    host, _, port = address.rpartition(":")
-    listener = await anyio.create_tcp_listener(
-        local_host=host.strip("[]"), local_port=int(port)
+def _listen(address: str) -> socket.socket:
+    try:
+        return servers.open_socket(address)
+    except OSError as error:
+        raise _report_address(address, error) from error
+
+
+async def _listen_peers(address: str) -> abc.Listener[abc.SocketStream]:
+    host, port = servers.split_address(address)
+    try:
+        return await anyio.create_tcp_listener(
+            local_host=host, local_port=port
+        )
+    except OSError as error:
+        raise _report_address(address, error) from error
+
+
+def _report_address(address: str, error: OSError) -> AddressUnavailableError:
+    LOG.critical(
+        "cannot listen at an address",
+        extra={
+            "event": "listen_failed",
+            "address": address,
+            "detail": error.strerror,
+        },
     )
-    await listener.serve(hub.serve)
+    return AddressUnavailableError(address)
