Survive bad records, documents and answers of the platform

Cause: fuzz tests of the parsers. A delta that gives entries by name for a section that has none ({"default_class": {}}) raised in every daemon that replayed it, again at each start. A record of another stream in the stream keys, a deeply nested list of VMs and a bad answer to an append also ended a daemon. Names outside printable ASCII were accepted in an inventory, although they stand in the headers of answers.

Change: each of these is a typed failure. Touched in other folders: idempotency.table, configuration.validation, wire.documents, platform.logservice, platform.vmlist, a few lines each.

A bad answer to an append counts as uncertain, since the records may be in the log.

--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -9,6 +9,9 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
 
+# Names stand in the headers of answers.
+NAME_RULE = "a name has printable ASCII characters, is not empty"
+
 
 def list_mistakes(
     inventory: inventories.Inventory, rules: rule_sets.Rules
@@ -44,8 +47,10 @@
     models = set(inventory.base_models)
     for name, adapter in inventory.adapters.items():
         place = f"adapters.{name}"
-        if not name or "@" in name:
-            yield f"{place}: a name is not empty and has no '@'"
+        if not _is_name(name) or "@" in name:
+            yield f"{place}: {NAME_RULE}, and has no '@'"
+        if not all(map(_is_name, adapter.versions)):
+            yield f"{place}.versions: {NAME_RULE}"
         if adapter.owner not in members:
             yield f"{place}.owner: unknown member {adapter.owner!r}"
         if adapter.base_model not in models:
@@ -57,6 +62,8 @@
 def _check_endpoints(inventory: inventories.Inventory) -> Iterator[str]:
     for name, endpoint in inventory.endpoints.items():
         place = f"endpoints.{name}"
+        if not _is_name(name):
+            yield f"{place}: {NAME_RULE}"
         if not _is_ip(endpoint.host):
             yield f"{place}.host: {endpoint.host!r} is not an IP address"
         if not 0 < endpoint.port < 65_536:
@@ -108,6 +115,10 @@
             yield f"classes.{name}.queue_timeout_ms: more than 0"
 
 
+def _is_name(text: str) -> bool:
+    return text.isascii() and text.isprintable() and text.strip() != ""
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/src/bronzetrack/idempotency/table.py
+++ b/src/bronzetrack/idempotency/table.py
@@ -10,6 +10,8 @@
 
 from bronzetrack.idempotency import records
 
+KEY_RECORDS = (records.KeyClaim, records.KeyVoid, records.KeyResult)
+
 
 class KeyPhase(enum.Enum):
     """What the log says about a key."""
@@ -59,6 +61,8 @@
     entries: Mapping[str, KeyEntry], offset: int, record: Any
 ) -> KeyEntry | None:
     """Return the new entry of the record's key, None if nothing changes."""
+    if not isinstance(record, KEY_RECORDS):
+        return None
     known = entries.get(record.key)
     match record:
         case records.KeyClaim():
--- a/src/bronzetrack/platform/logservice.py
+++ b/src/bronzetrack/platform/logservice.py
@@ -18,6 +18,7 @@
 # A read from here returns no records but names both ends of the stream.
 BEYOND_END = 1 << 62
 APPEND_TIMEOUT_MS = 3_000
+BAD_ANSWERS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
 
 CODEC = tagged.TaggedCodec(records.RECORDS, failures.Reason.LOG_UNAVAILABLE)
 
@@ -68,7 +69,7 @@
             return answer
         if answer.status != 200:
             return _describe_status(answer)
-        return int(msgpack.unpackb(answer.body)["offset"])
+        return _read_offset(answer.body)
 
     async def read(
         self,
@@ -107,6 +108,16 @@
     return failures.Failure(reason, f"the log answered {answer.status}")
 
 
+def _read_offset(body: bytes) -> int | failures.Failure:
+    try:
+        return int(msgpack.unpackb(body)["offset"])
+    except BAD_ANSWERS as error:
+        return failures.Failure(
+            failures.Reason.APPEND_UNCERTAIN,
+            f"bad answer: {type(error).__name__}: {error}",
+        )
+
+
 def _decode_batch(body: bytes) -> LogBatch | failures.Failure:
     try:
         fields = msgpack.unpackb(body)
@@ -118,7 +129,7 @@
                 for offset, data in fields["records"]
             ),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except BAD_ANSWERS as error:
         return failures.Failure(
             failures.Reason.LOG_UNAVAILABLE, f"bad answer: {error}"
         )
--- a/src/bronzetrack/platform/vmlist.py
+++ b/src/bronzetrack/platform/vmlist.py
@@ -11,6 +11,13 @@
 from bronzetrack.wire import httpclient
 
 LIST_TIMEOUT_MS = 2_000
+BAD_LISTS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 
 
 @attrs.frozen
@@ -55,7 +62,7 @@
                 )
                 for row in json.loads(answer.body)
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except BAD_LISTS as error:
             return failures.Failure(
                 failures.Reason.VM_LIST_UNAVAILABLE, f"bad list: {error}"
             )
--- a/src/bronzetrack/wire/documents.py
+++ b/src/bronzetrack/wire/documents.py
@@ -49,6 +49,16 @@
                 failures.Reason.CONFIGURATION_INVALID,
                 f"unknown section {section!r}",
             )
+        by_name = isinstance(getattr(current, section), Mapping)
+        if isinstance(changed, Mapping) != by_name:
+            return failures.Failure(
+                failures.Reason.CONFIGURATION_INVALID,
+                (
+                    f"{section}: entries by name expected"
+                    if by_name
+                    else f"{section}: a whole value expected"
+                ),
+            )
         value = _structure(_drop_removed(changed), hints[section])
         if isinstance(value, failures.Failure):
             return value
