Convert no types when a document is read

Cause: a version that an export wrote as the number 1.10 became the text 1.1, and the text 'false' counted as true, so a request could run on a version that nobody listed (found by reading the converter). Change: documents and traces take scalars and lists of their type only; every mistake is still reported at once. Messages between daemons stay with the fast conversion.

--- a/src/bronzetrack/wire/converter.py
+++ b/src/bronzetrack/wire/converter.py
@@ -29,14 +29,49 @@
     return converter
 
 
+def _refuse_conversions(converter: Any) -> Any:
+    """Make a converter take no value of another type in place of a scalar.
+
+    Without this, the text "false" would count as true and a version 1.10
+    that an export wrote as a number would become "1.1".
+    """
+    for cls in (str, int, bool):
+        converter.register_structure_hook(cls, _check_scalar)
+    converter.register_structure_hook(float, _check_number)
+    converter.register_structure_hook_func(
+        lambda wanted: wanted == tuple[str, ...], _check_texts
+    )
+    return converter
+
+
+def _check_scalar(value: Any, cls: type) -> Any:
+    if type(value) is not cls:
+        raise TypeError(f"{value!r} is not of type {cls.__name__}")
+    return value
+
+
+def _check_number(value: Any, cls: type) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
+
+
+def _check_texts(value: Any, cls: Any) -> tuple[str, ...]:
+    if not isinstance(value, (list, tuple)):
+        raise TypeError(f"{value!r} is not a list")
+    return tuple(_check_scalar(item, str) for item in value)
+
+
 # Messages and records ignore unknown fields, so that two versions of the
 # daemon can run side by side; documents that people write do not.
 WIRE = _write_sparsely(cattrs.preconf.msgpack.make_converter())
-DOCUMENTS = _write_sparsely(
-    cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
+DOCUMENTS = _refuse_conversions(
+    _write_sparsely(
+        cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
+    )
 )
-JSON = _write_sparsely(
-    cattrs.preconf.json.make_converter(forbid_extra_keys=True)
+JSON = _refuse_conversions(
+    _write_sparsely(cattrs.preconf.json.make_converter(forbid_extra_keys=True))
 )
 
 
--- /dev/null
+++ b/tests/wire/test_converter.py
@@ -0,0 +1,34 @@
+"""Tests of the conversion of documents that people write."""
+
+from __future__ import annotations
+
+import pytest
+
+from bronzetrack.core import failures
+from bronzetrack.wire import documents
+
+
+@pytest.mark.parametrize(
+    "adapter",
+    [
+        {"versions": [1.1], "current": "1.1"},
+        {"versions": "12", "current": "1"},
+        {"versions": ["1"], "current": 1},
+        {"versions": ["1"], "current": "1", "ownr": "trust"},
+    ],
+)
+def test_inventory_converts_no_types(adapter):
+    """Guards against version 1.10 that becomes 1.1 by way of a number."""
+    fields = {"owner": "trust", "base_model": "base", **adapter}
+    found = documents.read_document("inventory", {"adapters": {"a": fields}})
+    assert isinstance(found, failures.Failure)
+    assert found.reason is failures.Reason.CONFIGURATION_INVALID
+
+
+def test_failure_names_every_mistake():
+    """Guards against one round of publishing for each mistake."""
+    found = documents.read_document(
+        "rules", {"members": {"a": {"weight": "1"}, "b": {"wait": 1}}}
+    )
+    assert "members" in found.detail
+    assert len(found.detail.split("; ")) == 2
