Add a load driver for the decisions

Cause: no measurement showed what the policy does under load, for slowed endpoints or for members that ask for more than their share.

Change: `make bench` runs the planner, the transitions, routing and limits under simulated time over the same seeded arrivals for four policies and an oracle without loads, with today's sizes of both members. It writes a table, JSON and an SVG. The default class rule is built once, since building it for each item took a tenth of the planner's time. The naive policies use one queue in order of arrival and no shares.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check format environment
+.PHONY: bench demo test check format environment
 
 environment: $(VENV)/.installed
 
@@ -15,13 +15,16 @@
 	$(BIN)/python scripts/demo.py
 
 check: environment
-	$(BIN)/black --quiet --check src tests scripts
-	$(BIN)/isort --check-only src tests scripts
-	$(BIN)/flake8 src tests scripts
+	$(BIN)/black --quiet --check src tests scripts bench
+	$(BIN)/isort --check-only src tests scripts bench
+	$(BIN)/flake8 src tests scripts bench
 
 format: environment
-	$(BIN)/isort src tests scripts
-	$(BIN)/black --quiet src tests scripts
+	$(BIN)/isort src tests scripts bench
+	$(BIN)/black --quiet src tests scripts bench
 
 test: check
 	$(BIN)/python -m pytest
+
+bench: environment
+	PYTHONPATH=src $(BIN)/python -m bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions under a seeded load."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,93 @@
+"""Runs all policies over the same arrivals and writes the figures."""
+
+from __future__ import annotations
+
+import argparse
+from concurrent import futures
+import itertools
+import json
+import pathlib
+
+from bench import charts
+from bench import measures
+from bench import simulation
+from bench import workloads
+
+POLICIES = ("oracle", *simulation.NAIVE, simulation.OWN)
+SCENARIOS = ("load", "slowed", "crowded")
+SEEDS = range(5)
+# The machine is shared, so that only part of its cores are used.
+WORKERS = 4
+
+Results = dict[str, dict[str, dict[str, list[float]]]]
+
+
+def run_one(
+    name: str, policy: str, scenario: str, seed: int
+) -> dict[str, float]:
+    """Return the figures of one run."""
+    workload = workloads.WORKLOADS[name]
+    arrivals = workloads.make_arrivals(workload, seed, scenario == "crowded")
+    if policy == "oracle":
+        run = simulation.run_oracle(workload, arrivals)
+    else:
+        run = simulation.Simulation(
+            workload, policy, arrivals, seed, scenario == "slowed"
+        )
+    run.run()
+    if scenario == "crowded":
+        return measures.measure_shares(run)
+    figures = measures.measure_load(run)
+    if scenario == "slowed":
+        return {
+            f"slowed_{key}": figures[key]
+            for key in ("short_first_p99_ms", "crest_goodput_per_s")
+        }
+    return figures
+
+
+def list_runs(
+    names: list[str], seeds: range
+) -> list[tuple[str, str, str, int]]:
+    """Return the arguments of all runs.
+
+    The oracle runs one scenario. Shares hardly depend on the routing of a
+    naive policy, so that one of them stands for all.
+    """
+    return [
+        (name, policy, scenario, seed)
+        for name, policy, scenario, seed in itertools.product(
+            names, POLICIES, SCENARIOS, seeds
+        )
+        if scenario == "load"
+        or policy == simulation.OWN
+        or (policy != "oracle" and scenario == "slowed")
+        or policy == "least_load"
+    ]
+
+
+def main() -> None:
+    """Run the measurements."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--output", type=pathlib.Path, default="build/bench")
+    parser.add_argument("--workload", choices=list(workloads.WORKLOADS))
+    parser.add_argument("--seeds", type=int, default=len(SEEDS))
+    options = parser.parse_args()
+    names = [options.workload] if options.workload else [*workloads.WORKLOADS]
+    runs = list_runs(names, range(options.seeds))
+    results: Results = {
+        name: {policy: {} for policy in POLICIES} for name in names
+    }
+    with futures.ProcessPoolExecutor(WORKERS) as pool:
+        figures = pool.map(run_one, *zip(*runs))
+        for (name, policy, _, _), values in zip(runs, figures):
+            for key, value in values.items():
+                results[name][policy].setdefault(key, []).append(value)
+    options.output.mkdir(parents=True, exist_ok=True)
+    (options.output / "bench.json").write_text(json.dumps(results, indent=1))
+    (options.output / "bench.svg").write_text(charts.draw(results))
+    print(charts.make_table(results))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,121 @@
+"""Figures of one run."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import statistics
+
+from bench import fakes
+from bench import simulation
+from bench import workloads
+
+WINDOW_MS = 10_000
+SETTLE_MS = 3_000
+
+
+def find_percentile(values: Sequence[float], part: float) -> float:
+    """Return a percentile, or 0 without values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def _get_first(run: simulation.Simulation, item: simulation.Outcome) -> float:
+    """Return the time to the first token; work without one counts as late."""
+    at_ms = item.first_ms
+    if at_ms is None:
+        at_ms = run.timeline.now_ms
+    return at_ms - item.arrival.at_ms
+
+
+def measure_load(run: simulation.Simulation) -> dict[str, float]:
+    """Return the figures of a run with a crest."""
+    workload = run.workload
+    short = workload.kinds[0].work_class
+    crest = [
+        item for item in run.outcomes if workload.is_crest(item.arrival.at_ms)
+    ]
+    good = [
+        item
+        for item in crest
+        if item.ended_ms is not None
+        and _get_first(run, item) <= item.arrival.kind.limit_ms
+    ]
+    firsts = [
+        _get_first(run, item)
+        for item in crest
+        if not item.refusal and item.arrival.kind.work_class == short
+    ]
+    waits = [
+        (item.started_ms or run.timeline.now_ms) - item.arrival.at_ms
+        for item in run.outcomes
+        if not item.refusal and item.arrival.kind.work_class == short
+        # Waits for a load are counted as stalls.
+        and item.stalled_ms is None
+    ]
+    stalls = [
+        item.stalled_ms for item in run.outcomes if item.stalled_ms is not None
+    ]
+    thousands = len(run.outcomes) / 1000
+    crest_s = sum(end - start for start, end in workload.crests) / 1000
+    refusals: dict[str, float] = {}
+    for item in run.outcomes:
+        if item.refusal:
+            name = f"refused_{item.refusal}"
+            refusals[name] = refusals.get(name, 0) + 1
+    return {
+        "stalls_per_1000": len(stalls) / thousands,
+        "stall_s_per_1000": sum(stalls) / 1000 / thousands,
+        "batch_efficiency": _measure_batches(run),
+        "crest_goodput_per_s": len(good) / crest_s,
+        "crest_first_p50_ms": find_percentile(firsts, 0.5),
+        "crest_first_p99_ms": find_percentile(firsts, 0.99),
+        "short_wait_p99_ms": find_percentile(waits, 0.99),
+        "short_first_p99_ms": find_percentile(
+            [
+                _get_first(run, item)
+                for item in run.outcomes
+                if not item.refusal and item.arrival.kind.work_class == short
+            ],
+            0.99,
+        ),
+        "loads": run.store.loads,
+        "most_loads": run.store.most,
+        **refusals,
+    }
+
+
+def _measure_batches(run: simulation.Simulation) -> float:
+    """Return tokens made as a part of those of full batches."""
+    token_ms = (
+        fakes.TOKEN_BASE_MS + fakes.TOKEN_PART_MS * workloads.ENGINE_SLOTS
+    )
+    full = sum(
+        engine.busy_ms * workloads.ENGINE_SLOTS / token_ms
+        for engine in run.engines.values()
+    )
+    made = sum(engine.tokens for engine in run.engines.values())
+    return made / full if full else 0.0
+
+
+def measure_shares(run: simulation.Simulation) -> dict[str, float]:
+    """Return the worst distance from the voted shares over any window."""
+    total = sum(workloads.MEMBERS.values())
+    worst = 0.0
+    last = int(run.workload.duration_ms) - WINDOW_MS
+    for start in range(SETTLE_MS, last + 1, 500):
+        cost = dict.fromkeys(workloads.MEMBERS, 0.0)
+        for at_ms, member, amount in run.served:
+            if start <= at_ms < start + WINDOW_MS:
+                cost[member] += amount
+        served = sum(cost.values())
+        for member, weight in workloads.MEMBERS.items():
+            share = cost[member] / served if served else 0.0
+            worst = max(worst, abs(share - weight / total))
+    return {"share_error": worst}
+
+
+def sum_up(values: Sequence[float]) -> tuple[float, float, float]:
+    """Return the median, the smallest and the largest value."""
+    return statistics.median(values), min(values), max(values)
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,511 @@
+"""Drives the decision code with simulated time."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import functools
+import itertools
+import random
+
+import attrs
+
+from bench import fakes
+from bench import workloads
+from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.core import failures
+from bronzetrack.core import rendezvous
+from bronzetrack.dispatch import events
+from bronzetrack.dispatch import planner
+from bronzetrack.dispatch import state as states
+from bronzetrack.dispatch import transitions
+from bronzetrack.limits import tokens
+from bronzetrack.limits import usage
+from bronzetrack.membership import messages as membership
+from bronzetrack.membership import summaries
+from bronzetrack.routing import candidates
+from bronzetrack.routing import choice
+from bronzetrack.streaming import messages
+
+HOP_MS = 1.0
+STEP_MS = 250
+HEARTBEAT_MS = 1_000
+HISTORY = 3_000
+SLOWED = (8_000, 18_000)
+SLOW_FACTOR = 5.0
+EXPECTED_VMS = workloads.VMS + 1
+# A naive owner keeps one queue in order of arrival and knows no shares.
+NAIVE = ("round_robin", "least_load", "locality")
+OWN = "balanced"
+
+
+@attrs.define
+class Outcome:
+    """What became of an arrival; times in milliseconds."""
+
+    arrival: workloads.Arrival
+    endpoint: str = ""
+    started_ms: float | None = None
+    first_ms: float | None = None
+    ended_ms: float | None = None
+    stalled_ms: float | None = None
+    refusal: str = ""
+    excluded: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Vm:
+    """One entry VM, which also owns endpoints."""
+
+    name: str
+    zone: str
+    bucket: tokens.TokenBucket = attrs.field(factory=tokens.TokenBucket)
+    usage: dict[str, float] = attrs.field(factory=dict)
+    used_ms: float = 0.0
+    in_flight: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    heartbeat_ms: float = 0.0
+    reported: dict[str, membership.EndpointSummary] = attrs.field(factory=dict)
+    reported_usage: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class RemoteUsage:
+    """The part of a peer's state that usage is added up from."""
+
+    usage: dict[str, float]
+
+
+class Simulation:
+    """One run of one policy over one list of arrivals.
+
+    :param slowed: whether a third of the engines is slow for a while
+    """
+
+    def __init__(
+        self,
+        workload: workloads.Workload,
+        policy: str,
+        arrivals: list[workloads.Arrival],
+        seed: int,
+        slowed: bool = False,
+    ) -> None:
+        self.workload = workload
+        self.policy = policy
+        self.timeline = fakes.Timeline()
+        self.endpoints = workload.list_endpoints()
+        self.engines = {
+            name: fakes.Engine(self.timeline) for name in self.endpoints
+        }
+        self.store = fakes.Store(
+            self.timeline,
+            workload.loads_per_s,
+            workload.burst,
+            workload.store_limit,
+        )
+        self.outcomes = [Outcome(item) for item in arrivals]
+        self.served: list[tuple[float, str, float]] = []
+        self._chance = random.Random(seed)
+        self._turn = itertools.count()
+        self._rules = self._make_rules()
+        self.vms = {
+            f"vm-{index}": Vm(
+                f"vm-{index}",
+                workloads.ZONES[index % len(workloads.ZONES)],
+                tokens.TokenBucket(1.0),
+            )
+            for index in range(workloads.VMS)
+        }
+        self.owners = self._assign_owners()
+        self.queues = self._warm_up(seed)
+        for index, vm in enumerate(self.vms.values()):
+            self._beat(vm, index * HEARTBEAT_MS / len(self.vms))
+            self._step(vm, index * STEP_MS / len(self.vms))
+        for outcome in self.outcomes:
+            entry = self.vms[self._chance.choice(list(self.vms))]
+            self.timeline.call_at(
+                outcome.arrival.at_ms,
+                functools.partial(self._route, outcome, entry),
+            )
+        if slowed:
+            self._slow_some()
+
+    def run(self) -> None:
+        """Run to the end of the arrivals and of most of the work."""
+        self.timeline.run(self.workload.duration_ms + 10_000)
+
+    def _make_rules(self) -> rule_sets.Rules:
+        if self.policy in NAIVE:
+            classes = {
+                name: attrs.evolve(rule, rank=0, slot_share=1.0)
+                for name, rule in self.workload.classes.items()
+            }
+            return rule_sets.Rules(classes=classes)
+        members = {
+            name: rule_sets.MemberRule(weight, 10_000)
+            for name, weight in workloads.MEMBERS.items()
+        }
+        return rule_sets.Rules(members, self.workload.classes)
+
+    def _assign_owners(self) -> dict[str, Vm]:
+        owners = {}
+        for name, endpoint in self.endpoints.items():
+            near = [
+                vm.name
+                for vm in self.vms.values()
+                if vm.zone == endpoint.availability_zone
+            ]
+            owners[name] = self.vms[rendezvous.rank_nodes(name, near)[0]]
+        return owners
+
+    def _warm_up(self, seed: int) -> dict[str, states.EndpointQueue]:
+        """Return queues with the adapters that earlier requests left."""
+        self.queues = {
+            name: states.EndpointQueue(boot="1") for name in self.endpoints
+        }
+        history = workloads.make_arrivals(
+            attrs.evolve(self.workload, moved_ms=10**9), seed
+        )
+        recent = {
+            name: collections.OrderedDict[str, None]()
+            for name in self.endpoints
+        }
+        known = {item.adapter for item in history}
+        adapters = [item.adapter for item in history]
+        for adapter in self._chance.choices(adapters, k=HISTORY):
+            if adapter not in known:
+                continue
+            reports = {
+                name: candidates.OwnerReport(
+                    self.owners[name].name,
+                    membership.EndpointSummary(
+                        self._chance.randrange(workloads.ENGINE_SLOTS),
+                        warm=tuple(loaded),
+                    ),
+                    0,
+                )
+                for name, loaded in recent.items()
+            }
+            entry = self.vms[self._chance.choice(list(self.vms))]
+            chosen = self._pick(entry, reports, adapter, set())
+            loaded = recent[chosen.endpoint]
+            loaded[adapter] = None
+            loaded.move_to_end(adapter)
+            if len(loaded) > self.workload.adapter_slots:
+                loaded.popitem(last=False)
+        return {
+            name: attrs.evolve(
+                self.queues[name],
+                residents={
+                    adapter: states.Resident(
+                        states.ResidentPhase.READY, place - len(loaded)
+                    )
+                    for place, adapter in enumerate(loaded)
+                },
+            )
+            for name, loaded in recent.items()
+        }
+
+    def _slow_some(self) -> None:
+        chosen = sorted(self.engines)[:: len(workloads.ZONES)]
+        for name in chosen:
+            engine = self.engines[name]
+            for at_ms, factor in zip(SLOWED, (SLOW_FACTOR, 1.0)):
+                self.timeline.call_at(
+                    at_ms, functools.partial(engine.set_slow, factor)
+                )
+
+    # Entry role.
+
+    def _route(self, outcome: Outcome, entry: Vm) -> None:
+        reports = {
+            name: self._get_report(name, entry) for name in self.endpoints
+        }
+        chosen = self._pick(
+            entry, reports, outcome.arrival.adapter, outcome.excluded
+        )
+        if isinstance(chosen, failures.Failure):
+            outcome.refusal = chosen.reason.value
+            return
+        entry.in_flight[chosen.endpoint] += 1
+        outcome.endpoint = chosen.endpoint
+        hop_ms = 0.0 if chosen.owner == entry.name else HOP_MS
+        self.timeline.call_at(
+            self.timeline.now_ms + hop_ms,
+            lambda: self._accept(outcome, entry),
+        )
+
+    def _get_report(self, name: str, entry: Vm) -> candidates.OwnerReport:
+        owner = self.owners[name]
+        if owner is entry:
+            return candidates.OwnerReport(owner.name, self._sum_up(name), 0)
+        return candidates.OwnerReport(
+            owner.name,
+            owner.reported[name],
+            int(self.timeline.now_ms - owner.heartbeat_ms),
+        )
+
+    def _sum_up(self, name: str) -> membership.EndpointSummary:
+        return summaries.summarize_endpoint(
+            self.queues[name], self.endpoints[name].slots
+        )
+
+    def _pick(
+        self,
+        entry: Vm,
+        reports: dict[str, candidates.OwnerReport],
+        adapter: str,
+        excluded: set[str],
+    ) -> candidates.Candidate | failures.Failure:
+        if self.policy == "round_robin":
+            found = candidates.list_candidates(
+                self.endpoints,
+                reports,
+                adapter,
+                entry.in_flight,
+                frozenset(),
+                entry.zone,
+            )
+            return found[next(self._turn) % len(found)]
+        return choice.choose_endpoint(
+            self.endpoints,
+            reports,
+            adapter,
+            entry.in_flight,
+            frozenset(),
+            entry.zone,
+            excluded,
+            policy=self.policy,
+        )
+
+    # Owner role; follows controllers.dispatch.
+
+    def _accept(self, outcome: Outcome, entry: Vm) -> None:
+        name = outcome.endpoint
+        queue = self.queues[name]
+        arrival = outcome.arrival
+        resident = queue.residents.get(arrival.adapter)
+        if (
+            resident is None
+            or resident.phase is not states.ResidentPhase.READY
+        ):
+            outcome.stalled_ms = 0.0
+        rule = self._rules.classes[arrival.kind.work_class]
+        work = messages.SubmitWork(
+            attempt=str(arrival.number),
+            request=str(arrival.number),
+            endpoint=name,
+            member=arrival.member,
+            adapter=arrival.adapter,
+            work_class=arrival.kind.work_class,
+            method="POST",
+            path="/v1/completions",
+            body=b"",
+            timeout_ms=rule.queue_timeout_ms,
+            cost=arrival.cost,
+        )
+        item = states.Waiting(work, entry.name, int(self.timeline.now_ms))
+        self.queues[name] = transitions.enqueue(queue, item)
+        self._advance(name)
+
+    def _step(self, vm: Vm, after_ms: float) -> None:
+        def act() -> None:
+            for name, owner in self.owners.items():
+                if owner is vm:
+                    self._advance(name)
+            self._step(vm, STEP_MS)
+
+        self.timeline.call_at(self.timeline.now_ms + after_ms, act)
+
+    def _beat(self, vm: Vm, after_ms: float) -> None:
+        def act() -> None:
+            vm.heartbeat_ms = self.timeline.now_ms
+            vm.reported = self._report_all(vm)
+            self._refresh(vm)
+            vm.reported_usage = dict(vm.usage)
+            self._beat(vm, HEARTBEAT_MS)
+
+        vm.reported = self._report_all(vm)
+        self.timeline.call_at(self.timeline.now_ms + after_ms, act)
+
+    def _report_all(self, vm: Vm) -> dict[str, membership.EndpointSummary]:
+        return {
+            name: self._sum_up(name)
+            for name, owner in self.owners.items()
+            if owner is vm
+        }
+
+    def _refresh(self, vm: Vm) -> None:
+        now_ms = self.timeline.now_ms
+        share = self.workload.loads_per_s / EXPECTED_VMS
+        vm.bucket = vm.bucket.refill(share, max(1.0, share), int(now_ms))
+        vm.usage = usage.decay(vm.usage, int(now_ms) - int(vm.used_ms))
+        vm.used_ms = now_ms
+
+    def _advance(self, name: str) -> None:
+        vm = self.owners[name]
+        self._refresh(vm)
+        now_ms = int(self.timeline.now_ms)
+        plan = planner.plan_endpoint(
+            self.queues[name], self._make_context(name, vm), now_ms
+        )
+        for attempt, failure in plan.refuse:
+            self._refuse(name, attempt, failure)
+        for attempt in plan.start:
+            self._start(name, vm, attempt)
+        for adapter in plan.load:
+            self._load(name, vm, adapter)
+        for adapter in plan.unload:
+            self.queues[name] = transitions.drop_resident(
+                self.queues[name], adapter
+            )
+        if plan.unload:
+            self._advance(name)
+
+    def _make_context(self, name: str, vm: Vm) -> planner.EndpointContext:
+        limit = max(1, self.workload.store_limit // EXPECTED_VMS)
+        loading = sum(
+            resident.phase is states.ResidentPhase.LOADING
+            for other, queue in self.queues.items()
+            if self.owners[other] is vm
+            for resident in queue.residents.values()
+        )
+        permits = min(limit - loading, int(vm.bucket.tokens))
+        known: dict[str, float] = {}
+        if self.policy not in NAIVE:
+            peers = [
+                RemoteUsage(other.reported_usage)
+                for other in self.vms.values()
+                if other is not vm
+            ]
+            known = usage.add_remote(vm.usage, peers)
+        return planner.EndpointContext(
+            endpoint=self.endpoints[name],
+            rules=self._rules,
+            may_load=True,
+            may_unload=True,
+            load_permits=max(0, permits),
+            usage=known,
+        )
+
+    def _refuse(
+        self, name: str, attempt: str, failure: failures.Failure
+    ) -> None:
+        queue = self.queues[name]
+        item = next(
+            item for item in queue.waiting if item.work.attempt == attempt
+        )
+        self.queues[name] = transitions.remove_waiting(queue, {attempt})
+        self.vms[item.sender].in_flight[name] -= 1
+        self.outcomes[int(attempt)].refusal = failure.reason.value
+
+    def _start(self, name: str, vm: Vm, attempt: str) -> None:
+        queue = transitions.start(
+            self.queues[name], attempt, int(self.timeline.now_ms)
+        )
+        self.queues[name] = queue
+        item = queue.running[attempt]
+        vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
+        outcome = self.outcomes[int(attempt)]
+        outcome.started_ms = self.timeline.now_ms
+        self.served.append(
+            (self.timeline.now_ms, item.work.member, item.work.cost)
+        )
+
+        def note_first() -> None:
+            outcome.first_ms = self.timeline.now_ms
+
+        def end() -> None:
+            outcome.ended_ms = self.timeline.now_ms
+            self.vms[item.sender].in_flight[name] -= 1
+            self.queues[name] = transitions.finish(
+                self.queues[name], attempt, int(self.timeline.now_ms)
+            )
+            self._advance(name)
+
+        self.engines[name].start(
+            attempt,
+            outcome.arrival.kind.prompt,
+            outcome.arrival.output,
+            note_first,
+            end,
+        )
+
+    def _load(self, name: str, vm: Vm, adapter: str) -> None:
+        self.queues[name] = transitions.set_resident(
+            self.queues[name],
+            adapter,
+            states.ResidentPhase.LOADING,
+            int(self.timeline.now_ms),
+        )
+        vm.bucket = vm.bucket.take(1)
+        self.store.load(lambda: self._end_load(name, adapter))
+
+    def _end_load(self, name: str, adapter: str) -> None:
+        now_ms = self.timeline.now_ms
+        queue = self.queues[name]
+        for item in queue.waiting:
+            outcome = self.outcomes[int(item.work.attempt)]
+            if item.work.adapter == adapter:
+                outcome.stalled_ms = now_ms - item.queued_ms
+        self.queues[name] = transitions.end_load(
+            queue, events.LoadEnded(name, adapter), int(now_ms)
+        )
+        self._advance(name)
+
+
+def run_oracle(
+    workload: workloads.Workload, arrivals: list[workloads.Arrival]
+) -> Simulation:
+    """Return a run with one queue, exact knowledge and no loads.
+
+    Every adapter is loaded everywhere, and the request of the lowest rank
+    starts on the engine with the smallest batch.
+    """
+    run = Simulation(workload, OWN, [], 0)
+    run.outcomes = [Outcome(item) for item in arrivals]
+    waiting: list[Outcome] = []
+
+    def advance() -> None:
+        waiting.sort(
+            key=lambda item: (
+                workload.classes[item.arrival.kind.work_class].rank,
+                item.arrival.at_ms,
+            )
+        )
+        while waiting:
+            engine = min(run.engines.values(), key=lambda e: len(e.jobs))
+            if len(engine.jobs) >= workloads.ENGINE_SLOTS:
+                return
+            start(engine, waiting.pop(0))
+
+    def start(engine: fakes.Engine, outcome: Outcome) -> None:
+        outcome.started_ms = run.timeline.now_ms
+        arrival = outcome.arrival
+
+        def note_first() -> None:
+            outcome.first_ms = run.timeline.now_ms
+
+        def end() -> None:
+            outcome.ended_ms = run.timeline.now_ms
+            advance()
+
+        engine.start(
+            str(arrival.number),
+            arrival.kind.prompt,
+            arrival.output,
+            note_first,
+            end,
+        )
+
+    def arrive(outcome: Outcome) -> Callable[[], None]:
+        def act() -> None:
+            waiting.append(outcome)
+            advance()
+
+        return act
+
+    for outcome in run.outcomes:
+        run.timeline.call_at(outcome.arrival.at_ms, arrive(outcome))
+    return run
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -12,6 +12,8 @@
 from bronzetrack.core import failures
 from bronzetrack.dispatch import state as states
 
+DEFAULT_CLASS = rule_sets.ClassRule()
+
 
 @attrs.frozen
 class Plan:
@@ -89,7 +91,7 @@
 
 def get_class(rules: rule_sets.Rules, work_class: str) -> rule_sets.ClassRule:
     """Return the rule of a class, or the default after a rule was removed."""
-    return rules.classes.get(work_class, rule_sets.ClassRule())
+    return rules.classes.get(work_class, DEFAULT_CLASS)
 
 
 def _rank_waiting(
