Move weight-store tokens between VMs

Cause: each VM had its share of the store's rate and no way to use the share of the others.

A VM asks one peer at a time and pauses after a round without enough. The grant is subtracted before it is sent, and a grant counts once. A refill keeps granted tokens above the capacity. The controller is split: orders and load reports are in controllers/orders.py, permits in controllers/permits.py.

The property test loses, repeats and reorders messages and finds no rise of the sum.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -19,7 +19,9 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
+from bronzetrack.limits import messages as limit_messages
 from bronzetrack.limits import tokens
+from bronzetrack.limits import transfers
 from bronzetrack.limits import usage
 from bronzetrack.membership import messages as membership
 from bronzetrack.membership import summaries
@@ -59,7 +61,9 @@
 
     name: str
     zone: str
-    bucket: tokens.TokenBucket = attrs.field(factory=tokens.TokenBucket)
+    permits: transfers.Permits
+    short: dict[str, int] = attrs.field(factory=dict)
+    needed: int = 0
     usage: dict[str, float] = attrs.field(factory=dict)
     used_ms: float = 0.0
     in_flight: collections.Counter[str] = attrs.field(
@@ -113,7 +117,7 @@
             f"vm-{index}": Vm(
                 f"vm-{index}",
                 workloads.ZONES[index % len(workloads.ZONES)],
-                tokens.TokenBucket(1.0),
+                transfers.Permits(tokens.TokenBucket(1.0)),
             )
             for index in range(workloads.VMS)
         }
@@ -339,7 +343,8 @@
     def _refresh(self, vm: Vm) -> None:
         now_ms = self.timeline.now_ms
         share = self.workload.loads_per_s / EXPECTED_VMS
-        vm.bucket = vm.bucket.refill(share, max(1.0, share), int(now_ms))
+        bucket = vm.permits.bucket.refill(share, max(1.0, share), int(now_ms))
+        vm.permits = vm.permits.change(bucket)
         vm.usage = usage.decay(vm.usage, int(now_ms) - int(vm.used_ms))
         vm.used_ms = now_ms
 
@@ -362,16 +367,53 @@
             )
         if plan.unload:
             self._advance(name)
+            return
+        vm.short[name] = plan.short
+        self._ask(vm)
 
-    def _make_context(self, name: str, vm: Vm) -> planner.EndpointContext:
-        limit = max(1, self.workload.store_limit // EXPECTED_VMS)
+    def _count_places(self, vm: Vm) -> int:
         loading = sum(
             resident.phase is states.ResidentPhase.LOADING
             for other, queue in self.queues.items()
             if self.owners[other] is vm
             for resident in queue.residents.values()
         )
-        permits = min(limit - loading, int(vm.bucket.tokens))
+        limit = self.workload.store_limit // EXPECTED_VMS
+        return max(0, max(1, limit) - loading)
+
+    def _ask(self, vm: Vm) -> None:
+        if self.policy in NAIVE:
+            return
+        vm.needed = min(sum(vm.short.values()), self._count_places(vm))
+        peers = [name for name in self.vms if name != vm.name]
+        vm.permits, question = transfers.ask(
+            vm.permits, vm.name, peers, vm.needed, int(self.timeline.now_ms)
+        )
+        if question is None:
+            return
+        peer = self.vms[question.peer]
+
+        def receive() -> None:
+            self._refresh(peer)
+            peer.permits, answer = transfers.grant(
+                peer.permits, question.request, peer.needed
+            )
+            self._later(lambda: accept(answer))
+
+        def accept(answer: limit_messages.TokenGrant) -> None:
+            vm.permits = transfers.accept(vm.permits, answer)
+            for name, owner in self.owners.items():
+                if owner is vm:
+                    self._advance(name)
+
+        self._later(receive)
+
+    def _later(self, action: Callable[[], None]) -> None:
+        self.timeline.call_at(self.timeline.now_ms + HOP_MS, action)
+
+    def _make_context(self, name: str, vm: Vm) -> planner.EndpointContext:
+        whole = int(vm.permits.bucket.tokens)
+        permits = min(self._count_places(vm), whole)
         known: dict[str, float] = {}
         if self.policy not in NAIVE:
             peers = [
@@ -398,7 +440,10 @@
         )
         self.queues[name] = transitions.remove_waiting(queue, {attempt})
         self.vms[item.sender].in_flight[name] -= 1
-        self.outcomes[int(attempt)].refusal = failure.reason.value
+        outcome = self.outcomes[int(attempt)]
+        outcome.refusal = failure.reason.value
+        if outcome.stalled_ms is not None and not outcome.stalled_ms:
+            outcome.stalled_ms = self.timeline.now_ms - item.queued_ms
 
     def _start(self, name: str, vm: Vm, attempt: str) -> None:
         queue = transitions.start(
@@ -439,7 +484,7 @@
             states.ResidentPhase.LOADING,
             int(self.timeline.now_ms),
         )
-        vm.bucket = vm.bucket.take(1)
+        vm.permits = vm.permits.change(vm.permits.bucket.take(1))
         self.store.load(lambda: self._end_load(name, adapter))
 
     def _end_load(self, name: str, adapter: str) -> None:
--- a/src/bronzetrack/board.py
+++ b/src/bronzetrack/board.py
@@ -12,7 +12,7 @@
 from bronzetrack.core import messages
 from bronzetrack.dispatch import state as dispatch_state
 from bronzetrack.idempotency import table as key_table
-from bronzetrack.limits import tokens
+from bronzetrack.limits import transfers
 from bronzetrack.membership import lifecycle
 from bronzetrack.membership import view
 from bronzetrack.ownership import leases
@@ -84,8 +84,8 @@
     suspects: blackboard.Section[suspects.SuspectTable] = _make_section(
         "suspects", suspects.SuspectTable
     )
-    permits: blackboard.Section[tokens.TokenBucket] = _make_section(
-        "permits", tokens.TokenBucket, writer="dispatch"
+    permits: blackboard.Section[transfers.Permits] = _make_section(
+        "permits", transfers.Permits, writer="dispatch"
     )
     mailboxes: dict[str, blackboard.Mailbox[Any]] = attrs.field(
         factory=lambda: {
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import functools
-import logging
 from typing import Any
 
 import anyio
 import attrs
 
 from bronzetrack.configuration import inventory as inventories
+from bronzetrack.controllers import orders
+from bronzetrack.controllers import permits
 from bronzetrack.controllers import runs
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
@@ -18,14 +18,13 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
+from bronzetrack.limits import messages as limit_messages
 from bronzetrack.limits import usage
 from bronzetrack.ownership import leases
 from bronzetrack.streaming import messages
 from bronzetrack.streaming import outcomes
 
-LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 250
-REPORT_INTERVAL_MS = 1_000
 
 
 @controllers.CONTROLLERS.register("dispatch")
@@ -37,9 +36,11 @@
     async def run(self) -> None:
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._refilled_ms = self.read_clock().monotonic_ms
+        self._permits = permits.LoadPermits(self.board, self.ports, self.name)
         async with anyio.create_task_group() as group:
             self._group = group
-            group.start_soon(self._poll_reports)
+            self._orders = orders.EndpointOrders(self.board, self.ports, group)
+            group.start_soon(self._orders.poll_reports)
             await self._step_forever()
 
     async def _step_forever(self) -> None:
@@ -58,16 +59,14 @@
                 self._receive(delivery, now_ms)
             for event in runs_box.take():
                 self._apply_event(event, now_ms)
-            for name in list(self.board.dispatch.value.endpoints):
+            short = sum(
                 self._advance(name, now_ms)
+                for name in list(self.board.dispatch.value.endpoints)
+            )
+            self._permits.request(short, now_ms)
 
     def _refill(self, now_ms: int) -> None:
-        store = self.board.settings.weight_store
-        share = store.loads_per_s / store.expected_vms
-        bucket = self.board.permits.value.refill(
-            share, max(1.0, share), now_ms
-        )
-        self.write(self.board.permits, bucket)
+        self._permits.refill(now_ms)
         state = self.board.dispatch.value
         decayed = usage.decay(state.usage, now_ms - self._refilled_ms)
         self._refilled_ms = now_ms
@@ -108,6 +107,8 @@
                 self._accept(delivery.message, delivery.sender, now_ms)
             case messages.CancelWork():
                 self._cancel(delivery.message.attempt)
+            case limit_messages.TokenRequest() | limit_messages.TokenGrant():
+                self._permits.receive(delivery.sender, delivery.message)
 
     def _accept(
         self, work: messages.SubmitWork, sender: str, now_ms: int
@@ -196,10 +197,11 @@
             queue, event.report, claimed_wall_ms, now_ms
         )
 
-    def _advance(self, name: str, now_ms: int) -> None:
+    def _advance(self, name: str, now_ms: int) -> int:
+        """Carry out what is due; return the loads that lack a permit."""
         endpoint = self._get_endpoint(name)
         if endpoint is None:
-            return
+            return 0
         queue = self.board.dispatch.value.endpoints[name]
         context = self._make_context(name, endpoint, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
@@ -210,6 +212,7 @@
             self._load(name, endpoint, adapter, now_ms)
         for adapter in plan.unload:
             self._unload(name, endpoint, adapter, now_ms)
+        return plan.short
 
     def _make_context(
         self, name: str, endpoint: inventories.Endpoint, now_ms: int
@@ -227,22 +230,12 @@
                 endpoint.checks_fencing,
                 now_ms,
             ),
-            load_permits=self._count_permits(state),
+            load_permits=self._permits.count(),
             usage=usage.add_remote(
                 state.usage, self.board.membership.value.vms.values()
             ),
         )
 
-    def _count_permits(self, state: states.DispatchState) -> int:
-        store = self.board.settings.weight_store
-        loading = sum(
-            resident.phase is states.ResidentPhase.LOADING
-            for queue in state.endpoints.values()
-            for resident in queue.residents.values()
-        )
-        in_flight = max(1, store.in_flight // store.expected_vms) - loading
-        return max(0, min(in_flight, int(self.board.permits.value.tokens)))
-
     def _carry_out_refusals(self, name: str, plan: planner.Plan) -> None:
         queue = self.board.dispatch.value.endpoints[name]
         items = {item.work.attempt: item for item in queue.waiting}
@@ -297,15 +290,8 @@
             now_ms,
         )
         self._set_queue(name, queue)
-        self.write(self.board.permits, self.board.permits.value.take(1))
-        self._group.start_soon(
-            self._order,
-            self.ports.endpoints.load_adapter,
-            functools.partial(events.LoadEnded, name, adapter),
-            endpoint,
-            adapter,
-            self._get_fencing(name),
-        )
+        self._permits.take()
+        self._orders.load(name, endpoint, adapter)
 
     def _unload(
         self,
@@ -321,52 +307,4 @@
             now_ms,
         )
         self._set_queue(name, queue)
-        self._group.start_soon(
-            self._order,
-            self.ports.endpoints.unload_adapter,
-            functools.partial(events.UnloadEnded, name, adapter),
-            endpoint,
-            adapter,
-            self._get_fencing(name),
-        )
-
-    def _get_fencing(self, name: str) -> int:
-        owner = self.board.ownership.value.owners.get(name)
-        return 0 if owner is None else owner.fencing
-
-    async def _order(
-        self,
-        send: Any,
-        make_event: Any,
-        endpoint: inventories.Endpoint,
-        adapter: str,
-        fencing: int,
-    ) -> None:
-        failure = await send(endpoint, adapter, fencing)
-        if failure is not None:
-            LOG.warning(
-                "order failed",
-                extra={
-                    "event": "order_failed",
-                    "adapter": adapter,
-                    "reason": failure.reason.value,
-                    "detail": failure.detail,
-                },
-            )
-        self.board.mailboxes["runs"].post(make_event(failure))
-
-    async def _poll_reports(self) -> None:
-        while True:
-            async with anyio.create_task_group() as group:
-                for name in self.board.dispatch.value.endpoints:
-                    group.start_soon(self._read_report, name)
-            await anyio.sleep(REPORT_INTERVAL_MS / 1000)
-
-    async def _read_report(self, name: str) -> None:
-        endpoint = self._get_endpoint(name)
-        if endpoint is None:
-            return
-        if endpoint.kind is not inventories.EndpointKind.ENGINE:
-            return
-        report = await self.ports.endpoints.read_report(endpoint)
-        self.board.mailboxes["runs"].post(events.ReportRead(name, report))
+        self._orders.unload(name, endpoint, adapter)
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -23,12 +23,14 @@
     :param load: adapter versions to load
     :param unload: adapter versions to evict
     :param refuse: attempts to refuse, with the failure
+    :param short: loads that wait for a permit only
     """
 
     start: tuple[str, ...] = ()
     load: tuple[str, ...] = ()
     unload: tuple[str, ...] = ()
     refuse: tuple[tuple[str, failures.Failure], ...] = ()
+    short: int = 0
 
 
 @attrs.frozen
@@ -68,6 +70,7 @@
         load=load,
         unload=unload,
         refuse=tuple(refused),
+        short=_count_short(queue, context, missing) if missing else 0,
     )
 
 
@@ -174,6 +177,20 @@
     return load, tuple(victims[: max(0, needed)])
 
 
+def _count_short(
+    queue: states.EndpointQueue,
+    context: EndpointContext,
+    missing: list[str],
+) -> int:
+    """Return how many loads more permits would allow."""
+    if not context.may_load:
+        return 0
+    room = context.endpoint.adapter_slots - len(queue.residents)
+    if context.may_unload:
+        room += len(list_evictable(queue))
+    return max(0, min(len(missing), room) - context.load_permits)
+
+
 def list_evictable(queue: states.EndpointQueue) -> list[str]:
     """Return adapters that nothing uses, least recently used first."""
     pinned = queue.pinned
--- a/src/bronzetrack/limits/tokens.py
+++ b/src/bronzetrack/limits/tokens.py
@@ -19,10 +19,18 @@
     def refill(
         self, rate_per_s: float, capacity: float, now_ms: int
     ) -> TokenBucket:
-        """Return the bucket with the tokens that time has brought."""
+        """Return the bucket with the tokens that time has brought.
+
+        Tokens above the capacity, which peers granted, are kept.
+        """
         gained = rate_per_s * max(0, now_ms - self.updated_ms) / 1000
-        return TokenBucket(min(capacity, self.tokens + gained), now_ms)
+        filled = max(self.tokens, min(capacity, self.tokens + gained))
+        return TokenBucket(filled, max(now_ms, self.updated_ms))
 
     def take(self, count: float) -> TokenBucket:
         """Return the bucket with fewer tokens."""
         return attrs.evolve(self, tokens=self.tokens - count)
+
+    def add(self, count: float) -> TokenBucket:
+        """Return the bucket with tokens that a peer granted."""
+        return attrs.evolve(self, tokens=self.tokens + count)
--- /dev/null
+++ b/tests/limits/test_transfers.py
@@ -0,0 +1,92 @@
+"""Tests of the transfer of weight-store tokens."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bronzetrack.limits import messages
+from bronzetrack.limits import tokens
+from bronzetrack.limits import transfers
+
+VMS = ("vm-1", "vm-2", "vm-3")
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("ask", "deliver", "repeat", "lose")),
+        strategies.integers(0, 2),
+        strategies.integers(0, 4),
+        strategies.integers(0, 700),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(
+    STEPS,
+    strategies.lists(strategies.integers(0, 16), min_size=3, max_size=3),
+)
+def test_sum_of_tokens_never_rises(steps, amounts):
+    """Guards against loads over the store's rate after a lost message."""
+    states = {
+        vm: transfers.Permits(tokens.TokenBucket(amount / 4))
+        for vm, amount in zip(VMS, amounts)
+    }
+    wire = []
+    now_ms = 0
+    for action, index, needed, passed_ms in steps:
+        now_ms += passed_ms
+        vm = VMS[index]
+        if action == "ask":
+            peers = [name for name in VMS if name != vm]
+            states[vm], question = transfers.ask(
+                states[vm], vm, peers, needed, now_ms
+            )
+            if question is not None:
+                wire.append((vm, question.peer, question.request))
+        elif wire and action == "lose":
+            wire.pop(index % len(wire))
+        elif wire:
+            place = index % len(wire)
+            sender, receiver, message = wire[place]
+            if action == "deliver":
+                wire.pop(place)
+            if isinstance(message, messages.TokenRequest):
+                states[receiver], answer = transfers.grant(
+                    states[receiver], message, needed
+                )
+                wire.append((receiver, sender, answer))
+            else:
+                states[receiver] = transfers.accept(states[receiver], message)
+        held = sum(state.bucket.tokens for state in states.values())
+        assert held <= sum(amounts) / 4 + 1e-9
+        assert all(state.bucket.tokens >= 0 for state in states.values())
+
+
+def test_grant_gives_the_whole_request_when_nothing_is_lost(make_permits):
+    """Guards against tokens that vanish in an ordinary transfer."""
+    asking, question = transfers.ask(make_permits(0.25), "a", ["b"], 1, 0)
+    giving, answer = transfers.grant(make_permits(2.0), question.request, 1)
+    asking = transfers.accept(asking, answer)
+    assert asking.bucket.tokens == pytest.approx(1.0)
+    assert giving.bucket.tokens == pytest.approx(1.25)
+
+
+def test_all_peers_are_asked_before_a_pause(make_permits):
+    """Guards against a VM that asks an empty peer over and over."""
+    permits, asked, now_ms = make_permits(0.0), [], 0
+    for _ in range(5):
+        permits, question = transfers.ask(permits, "a", ["b", "c"], 1, now_ms)
+        if question is not None:
+            asked.append(question.peer)
+            permits = transfers.accept(
+                permits, messages.TokenGrant(question.request.number, 0.0)
+            )
+    assert sorted(asked) == ["b", "c"]
+    assert permits.pause_until_ms == transfers.ROUND_PAUSE_MS
+
+
+def test_refill_keeps_granted_tokens(make_permits):
+    """Guards against a refill that cuts granted tokens to the capacity."""
+    bucket = make_permits(3.0).bucket.refill(0.5, 1.0, 1_000)
+    assert bucket.tokens == pytest.approx(3.0)
