--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,7 +29,8 @@
     workload = workloads.WORKLOADS[name]
     arrivals = workloads.make_arrivals(workload, seed, scenario == "crowded")
     if policy == "oracle":
-        run = simulation.run_oracle(workload, arrivals)
+        run = simulation.run_oracle(workload, arrivals, seed)
+        needed = measures.count_needed_loads(run) * 1000 / len(arrivals)
     else:
         run = simulation.Simulation(
             workload, policy, arrivals, seed, scenario == "slowed"
@@ -38,6 +39,8 @@
     if scenario == "crowded":
         return measures.measure_shares(run)
     figures = measures.measure_load(run)
+    if policy == "oracle":
+        figures = {**figures, "stalls_per_1000": needed}
     if scenario == "slowed":
         return {
             f"slowed_{key}": figures[key]
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -86,6 +86,36 @@
     }
 
 
+def count_needed_loads(run: simulation.Simulation) -> int:
+    """Return the fewest stalls with exact knowledge of later requests.
+
+    All adapter slots form one pool, which starts with what the run starts
+    with and evicts what is needed last.
+    """
+    arrivals = [item.arrival for item in run.outcomes]
+    room = run.workload.engines * run.workload.adapter_slots
+    later: dict[str, list[int]] = {}
+    for place in reversed(range(len(arrivals))):
+        later.setdefault(arrivals[place].adapter, []).append(place)
+    loaded = set().union(*(queue.residents for queue in run.queues.values()))
+    misses = 0
+    for item in arrivals:
+        later[item.adapter].pop()
+        if item.adapter in loaded:
+            continue
+        misses += 1
+        if len(loaded) >= room:
+            loaded.remove(
+                max(loaded, key=lambda name: _find_next(later.get(name)))
+            )
+        loaded.add(item.adapter)
+    return misses
+
+
+def _find_next(places: list[int] | None) -> float:
+    return places[-1] if places else float("inf")
+
+
 def _measure_batches(run: simulation.Simulation) -> float:
     """Return tokens made as a part of those of full batches."""
     token_ms = (
