Copy an adapter to endpoints in one order

Change: costs are in batches; a cold endpoint costs two batches, not one, and a tenth more for each place in the rendezvous order of the adapter.

--- a/src/bronzetrack/routing/policies.py
+++ b/src/bronzetrack/routing/policies.py
@@ -13,11 +13,14 @@
 
 POLICIES: registry.Registry[Policy] = registry.Registry("routing policies")
 
-# A cold endpoint has to be idler than a warm one by this part of its slots,
-# since a load takes about as long as a short answer.
-LOAD_COST_SLOTS = 4.0
-SLOW_COST_SLOTS = 8.0
-FAR_COST_SLOTS = 0.25
+# Costs are in units of one full batch. A cold endpoint is chosen when the
+# warm ones have two batches more, since a load waits for the weight store.
+COLD_COST = 2.0
+# Makes all VMs copy an adapter to the same next endpoint. Without it, each
+# overflow loaded another copy; with 0.3 the first copies are overloaded.
+COPY_ORDER_COST = 0.1
+SLOW_COST = 2.0
+FAR_COST = 0.06
 
 
 @POLICIES.register("locality")
@@ -45,18 +48,25 @@
     ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
     order = {name: place for place, name in enumerate(ranked)}
     return min(
-        items, key=lambda item: (_estimate_cost(item), order[item.endpoint])
+        items,
+        key=lambda item: (
+            _estimate_cost(item, order[item.endpoint]),
+            order[item.endpoint],
+        ),
     )
 
 
-def _estimate_cost(item: candidates.Candidate) -> float:
+def _estimate_cost(item: candidates.Candidate, place: int) -> float:
+    """Return the cost of an endpoint.
+
+    :param place: of the endpoint in the order of copies of the adapter
+    """
     reported = item.slots - item.free_slots + item.queued
-    load = max(reported, item.in_flight)
-    cost = load * LOAD_COST_SLOTS / max(1, item.slots)
+    cost = max(reported, item.in_flight) / max(1, item.slots)
     if not item.warm:
-        cost += LOAD_COST_SLOTS
+        cost += COLD_COST + COPY_ORDER_COST * place
     if item.slow:
-        cost += SLOW_COST_SLOTS
+        cost += SLOW_COST
     if not item.near:
-        cost += FAR_COST_SLOTS
+        cost += FAR_COST
     return cost
