Load copies of popular adapters ahead of demand

Cause: at the start of a crest the most popular adapter, a third of all requests, was loaded on too few engines, and its copies queued for the weight store with everyone else's loads. Rare adapters were loaded before popular ones, and adapters were evicted up to 2 s before a permit for the load came.

Change: dispatch.placement gives each adapter copies by its part of the latest requests, in the order in which routing overflows. Owners load them when nobody waits for a load and the bucket is full. Loads are ranked by the sum of the waits behind them, evictions happen only with a permit in hand, and adapters with another copy or without demand are evicted first.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -16,6 +16,7 @@
 from bronzetrack.core import failures
 from bronzetrack.core import rendezvous
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import placement
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
@@ -28,6 +29,7 @@
 from bronzetrack.routing import candidates
 from bronzetrack.routing import choice
 from bronzetrack.streaming import messages
+from bronzetrack.streaming import requests
 
 HOP_MS = 1.0
 STEP_MS = 250
@@ -64,6 +66,10 @@
     permits: transfers.Permits
     short: dict[str, int] = attrs.field(factory=dict)
     needed: int = 0
+    placements: dict[str, placement.Placement] = attrs.field(factory=dict)
+    recent: collections.deque[str] = attrs.field(
+        factory=lambda: collections.deque(maxlen=requests.RECENT_REQUESTS)
+    )
     usage: dict[str, float] = attrs.field(factory=dict)
     used_ms: float = 0.0
     in_flight: collections.Counter[str] = attrs.field(
@@ -228,6 +234,7 @@
             outcome.refusal = chosen.reason.value
             return
         entry.in_flight[chosen.endpoint] += 1
+        entry.recent.append(outcome.arrival.adapter)
         outcome.endpoint = chosen.endpoint
         hop_ms = 0.0 if chosen.owner == entry.name else HOP_MS
         self.timeline.call_at(
@@ -323,6 +330,7 @@
             vm.reported = self._report_all(vm)
             self._refresh(vm)
             vm.reported_usage = dict(vm.usage)
+            self._place(vm)
             self._beat(vm, HEARTBEAT_MS)
 
         vm.reported = self._report_all(vm)
@@ -424,8 +432,28 @@
             may_unload=True,
             load_permits=max(0, permits),
             usage=known,
+            placement=vm.placements.get(name, placement.Placement()),
+            may_prefetch=vm.permits.may_prefetch(),
         )
 
+    def _place(self, vm: Vm) -> None:
+        if self.policy in NAIVE:
+            return
+        demand = placement.count_demand(vm.recent)
+        for name, owner in self.owners.items():
+            if owner is not vm:
+                continue
+            elsewhere = itertools.chain.from_iterable(
+                report.warm
+                for peer in self.vms.values()
+                for other, report in peer.reported.items()
+                if other != name
+            )
+            vm.placements[name] = placement.Placement(
+                placement.list_wanted(name, self.endpoints, demand),
+                frozenset(elsewhere),
+            )
+
     def _refuse(
         self, name: str, attempt: str, failure: failures.Failure
     ) -> None:
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -10,6 +10,7 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.controllers import orders
 from bronzetrack.controllers import permits
+from bronzetrack.controllers import placements
 from bronzetrack.controllers import runs
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
@@ -36,6 +37,7 @@
     async def run(self) -> None:
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._refilled_ms = self.read_clock().monotonic_ms
+        self._placements = placements.Placements(self.board)
         self._permits = permits.LoadPermits(self.board, self.ports, self.name)
         async with anyio.create_task_group() as group:
             self._group = group
@@ -55,6 +57,7 @@
             now_ms = self.read_clock().monotonic_ms
             self._refill(now_ms)
             self._follow_ownership()
+            self._placements.refresh(now_ms)
             for delivery in work.take():
                 self._receive(delivery, now_ms)
             for event in runs_box.take():
@@ -231,6 +234,8 @@
                 now_ms,
             ),
             load_permits=self._permits.count(),
+            placement=self._placements.get(name),
+            may_prefetch=self.board.permits.value.may_prefetch(),
             usage=usage.add_remote(
                 state.usage, self.board.membership.value.vms.values()
             ),
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -10,9 +10,12 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
 from bronzetrack.core import failures
+from bronzetrack.dispatch import placement as placements
 from bronzetrack.dispatch import state as states
 
 DEFAULT_CLASS = rule_sets.ClassRule()
+# A request that has just arrived counts as one that has waited this long.
+LEAST_WAIT_MS = 250
 
 
 @attrs.frozen
@@ -41,6 +44,7 @@
     :param may_unload: whether orders that need the lease are allowed
     :param load_permits: loads that may start now
     :param usage: cost by member over all VMs
+    :param may_prefetch: whether the store has loads to spare
     """
 
     endpoint: inventories.Endpoint
@@ -49,6 +53,8 @@
     may_unload: bool
     load_permits: int
     usage: dict[str, float] = attrs.field(factory=dict)
+    placement: placements.Placement = attrs.field(factory=placements.Placement)
+    may_prefetch: bool = False
 
 
 def plan_endpoint(
@@ -64,13 +70,20 @@
     ]
     started = _choose_starts(queue, context, waiting)
     missing = _list_missing(queue, waiting, now_ms)
+    demanded = bool(missing)
+    if not demanded and context.may_prefetch:
+        missing = [
+            adapter
+            for adapter in context.placement.wanted
+            if _may_load(queue, adapter, now_ms)
+        ][:1]
     load, unload = _choose_loads(queue, context, missing)
     return Plan(
         start=tuple(started),
         load=load,
         unload=unload,
         refuse=tuple(refused),
-        short=_count_short(queue, context, missing) if missing else 0,
+        short=_count_short(queue, context, missing) if demanded else 0,
     )
 
 
@@ -146,15 +159,24 @@
 def _list_missing(
     queue: states.EndpointQueue, waiting: list[states.Waiting], now_ms: int
 ) -> list[str]:
-    """Return the adapters to load, most urgent first and each once."""
-    wanted = dict.fromkeys(item.work.adapter for item in waiting)
-    return [
-        adapter
-        for adapter in wanted
-        if adapter
-        and adapter not in queue.residents
-        and now_ms >= queue.load_retry_ms.get(adapter, 0)
-    ]
+    """Return the adapters to load, those with the longest waits first.
+
+    The waits of all requests for an adapter are added up. Ranking by the
+    first request alone let one rare adapter go before a popular one.
+    """
+    waits: dict[str, int] = {}
+    for item in waiting:
+        adapter = item.work.adapter
+        if adapter and _may_load(queue, adapter, now_ms):
+            waited_ms = now_ms - item.queued_ms + LEAST_WAIT_MS
+            waits[adapter] = waits.get(adapter, 0) + waited_ms
+    return sorted(waits, key=lambda adapter: -waits[adapter])
+
+
+def _may_load(queue: states.EndpointQueue, adapter: str, now_ms: int) -> bool:
+    return adapter not in queue.residents and now_ms >= (
+        queue.load_retry_ms.get(adapter, 0)
+    )
 
 
 def _choose_loads(
@@ -162,19 +184,38 @@
     context: EndpointContext,
     missing: list[str],
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the adapters to load and those to evict for more.
+
+    Only loads with a permit evict: an adapter that is evicted earlier serves
+    nobody while the load waits for the weight store.
+    """
     if not context.may_load:
         return (), ()
-    free = context.endpoint.adapter_slots - len(queue.residents)
-    load = tuple(missing[: max(0, min(free, context.load_permits))])
+    permitted = missing[: max(0, context.load_permits)]
+    free = max(0, context.endpoint.adapter_slots - len(queue.residents))
+    load = tuple(permitted[:free])
     if not context.may_unload:
         return load, ()
     unloading = sum(
         resident.phase is states.ResidentPhase.UNLOADING
         for resident in queue.residents.values()
     )
-    needed = len(missing) - len(load) - unloading - max(0, free - len(load))
-    victims = list_evictable(queue)
-    return load, tuple(victims[: max(0, needed)])
+    needed = max(0, len(permitted) - len(load) - unloading)
+    return load, tuple(_rank_victims(queue, context)[:needed])
+
+
+def _rank_victims(
+    queue: states.EndpointQueue, context: EndpointContext
+) -> list[str]:
+    """Return what may be evicted, adapters in least demand first."""
+    wanted = set(context.placement.wanted)
+    return sorted(
+        list_evictable(queue),
+        key=lambda adapter: (
+            adapter in wanted,
+            adapter not in context.placement.elsewhere,
+        ),
+    )
 
 
 def _count_short(
--- a/src/bronzetrack/limits/transfers.py
+++ b/src/bronzetrack/limits/transfers.py
@@ -41,6 +41,14 @@
         """Return the permits with another bucket."""
         return attrs.evolve(self, bucket=bucket)
 
+    def may_prefetch(self) -> bool:
+        """Return whether a token is to spare.
+
+        Peers in need drain the buckets of all VMs, so that a bucket is full
+        only when no load waits for a token anywhere.
+        """
+        return self.open_until_ms is None and self.bucket.tokens >= 1
+
 
 @attrs.frozen
 class Question:
