Repeat, hand over and release claims safely

Cause: A VM that joined got no endpoints, retention could drop claims, and a replay of a truncated stream could come to other owners: a missing lease counted as lapsed, and any claim won while the true owner was unknown. A holder that read its own release late could still order (found by reading the code and by a state machine over replicas). Change: Split the replay from the leases. HoldingRecord repeats all claims and is the start of a truncated replay; ResetRecord recovers when nobody knows the owners. Holders hand over idle endpoints and drain one busy one at a time, act as owner no longer before the release is sent, and name the fencing number in it. A plan runs whenever an owner changes. A stop ends without the log once the lease has lapsed. Holding records of one incarnation with the higher fencing number winning were ruled out, see docs/decisions.

--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -9,7 +9,6 @@
 from bronzetrack.configuration import state as configuration_state
 from bronzetrack.core import controllers
 from bronzetrack.membership import lifecycle
-from bronzetrack.ownership import leases
 
 STEP_INTERVAL_MS = 100
 
@@ -57,12 +56,23 @@
         return offset != configuration_state.NO_OFFSET
 
     def _is_busy(self) -> bool:
-        owned = leases.list_owned(
-            self.board.ownership.value, self.board.incarnation
-        )
         queues = self.board.dispatch.value.endpoints.values()
         return bool(
-            owned
+            self._has_unreleased()
             or self.board.requests.value.open
             or any(queue.is_busy for queue in queues)
         )
+
+    def _has_unreleased(self) -> bool:
+        """Return whether a release has yet to be read back.
+
+        Without a lease, as in an outage of the log, others claim the
+        endpoints anyway, and the stop does not wait for the log.
+        """
+        ownership = self.board.ownership.value
+        if self.read_clock().monotonic_ms >= ownership.held_until_ms:
+            return False
+        return any(
+            owner.incarnation == self.board.incarnation
+            for owner in ownership.owners.values()
+        )
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -1,11 +1,11 @@
-"""Holds the lease of this VM and claims endpoints."""
+"""Holds the lease of this VM, claims endpoints and hands them over."""
 
 from __future__ import annotations
 
 import logging
+from typing import Any
 
 import anyio
-import attrs
 
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
@@ -14,11 +14,14 @@
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import planner
 from bronzetrack.ownership import records
+from bronzetrack.ownership import replay
 from bronzetrack.platform import follower
 from bronzetrack.platform import logservice
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
+# A copy that the log did not take is tried again after this time.
+COPY_RETRY_MS = 5_000
 
 
 @controllers.CONTROLLERS.register("ownership")
@@ -28,118 +31,183 @@
     name = "ownership"
 
     async def run(self) -> None:
-        self._sent: dict[int, int] = {}
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._renew)
-            group.start_soon(self._claim)
+            group.start_soon(self._plan)
+            group.start_soon(self._copy)
+
+    def _now_ms(self) -> int:
+        return self.read_clock().monotonic_ms
 
     async def _follow(self) -> None:
         batches = follower.follow_stream(self.ports.log, records.STREAM)
         async for batch in batches:
-            if not isinstance(batch, failures.Failure):
-                self._apply_batch(batch)
-
-    def _apply_batch(self, batch: logservice.LogBatch) -> None:
-        now_ms = self.read_clock().monotonic_ms
-        state = self.board.ownership.value
-        for offset, record in batch.records:
-            state = leases.apply_record(state, offset, record, now_ms)
-            if self._is_own_renewal(record):
-                held_ms = self._sent.pop(record.sequence) + leases.LEASE_MS
-                state = attrs.evolve(
-                    state, held_until_ms=max(state.held_until_ms, held_ms)
-                )
-        caught_up = state.caught_up or state.next_offset >= batch.end
-        state = attrs.evolve(state, caught_up=caught_up)
-        self.write(self.board.ownership, state)
-
-    def _is_own_renewal(self, record: object) -> bool:
-        return (
-            isinstance(record, records.LeaseRecord)
-            and record.incarnation == self.board.incarnation
-            and record.sequence in self._sent
+            state = self.board.ownership.value
+            if isinstance(batch, failures.Failure):
+                state = replay.note_outage(state, self._now_ms())
+            else:
+                state = self._apply_batch(state, batch)
+            self.write(self.board.ownership, state)
+
+    def _apply_batch(
+        self, state: leases.OwnershipState, batch: logservice.LogBatch
+    ) -> leases.OwnershipState:
+        after = replay.apply_batch(
+            state,
+            batch.start,
+            batch.end,
+            batch.records,
+            self.board.incarnation,
+            self._now_ms(),
         )
+        if state.complete != after.complete:
+            LOG.warning(
+                "ownership replay changed its completeness",
+                extra={
+                    "event": "ownership_replay",
+                    "complete": after.complete,
+                    "next_offset": after.next_offset,
+                },
+            )
+        return after
 
     async def _renew(self) -> None:
         sequence = 0
         while True:
-            # The lease counts from before the append, so that it ends here
-            # before any reader of the record sees it end.
-            self._sent[sequence] = self.read_clock().monotonic_ms
-            record = records.LeaseRecord(
-                self.board.vm, self.board.incarnation, sequence
-            )
-            await self.ports.log.append(records.STREAM, [record])
-            sequence += 1
-            await anyio.sleep(leases.RENEWAL_INTERVAL_MS / 1000)
+            started_ms = self._now_ms()
+            if self.board.ownership.value.caught_up:
+                state = replay.note_sent(
+                    self.board.ownership.value, sequence, started_ms
+                )
+                self.write(self.board.ownership, state)
+                await self._append(
+                    records.LeaseRecord(
+                        self.board.vm, self.board.incarnation, sequence
+                    )
+                )
+                sequence += 1
+                due_ms = started_ms + leases.RENEWAL_INTERVAL_MS
+                await anyio.sleep(max(0, due_ms - self._now_ms()) / 1000)
+            else:
+                await self.board.ownership.wait_change(
+                    self.board.ownership.revision
+                )
 
-    async def _claim(self) -> None:
+    async def _plan(self) -> None:
         while True:
-            await anyio.sleep(PLAN_INTERVAL_MS / 1000)
+            await self._wait_owners()
             state = self.board.ownership.value
-            now_ms = self.read_clock().monotonic_ms
+            now_ms = self._now_ms()
             if not state.caught_up or now_ms >= state.held_until_ms:
                 continue
-            if self.board.lifecycle.value.stop_requested:
-                await self._release_idle()
-                continue
+            settled = self._make_site(now_ms, views.SETTLED_AFTER_MS)
+            state = planner.plan_handover(state, settled)
+            if state != self.board.ownership.value:
+                self.write(self.board.ownership, state)
+            release = planner.plan_release(state, settled)
+            if release is not None:
+                await self._announce("releasing", release, release.endpoints)
             if self._is_serving():
-                await self._claim_free(state, now_ms)
+                await self._claim(now_ms)
+
+    async def _claim(self, now_ms: int) -> None:
+        claim = planner.plan_claim(
+            self.board.ownership.value, self._make_site(now_ms, 0), now_ms
+        )
+        if claim is not None:
+            await self._announce("claiming", claim, claim.endpoints)
+
+    async def _wait_owners(self) -> None:
+        """Wait until owners or the status changed, or for an interval.
+
+        A release is followed by a claim at once. Renewals, which change the
+        section far more often, start no plan.
+        """
+        deadline_ms = self._now_ms() + PLAN_INTERVAL_MS
+        lifecycle = self.board.lifecycle.revision
+        owners = self.board.ownership.value.owners
+        while (
+            self._now_ms() < deadline_ms
+            and self.board.ownership.value.owners is owners
+            and self.board.lifecycle.revision == lifecycle
+        ):
+            revision = self.board.ownership.revision
+            await controllers.wait_first(
+                lambda: self.board.ownership.wait_change(revision),
+                lambda: self.board.lifecycle.wait_change(lifecycle),
+                timeout_ms=deadline_ms - self._now_ms(),
+            )
 
     def _is_serving(self) -> bool:
         status = self.board.lifecycle.value.status
         return status is membership_messages.VmStatus.SERVING
 
-    async def _claim_free(
-        self, state: leases.OwnershipState, now_ms: int
-    ) -> None:
-        inventory = self.board.configuration.value.configuration.inventory
+    def _make_site(self, now_ms: int, settled_ms: int) -> planner.Site:
+        """Return the surroundings.
+
+        :param settled_ms: for how long other VMs have to have served
+        """
+        view = self.board.membership.value
         zones = {
             vm.vm: vm.availability_zone
-            for vm in views.list_serving(self.board.membership.value, now_ms)
+            for vm in views.list_serving(view, now_ms)
+            if now_ms - vm.serving_ms >= settled_ms
         }
-        zones[self.board.vm] = self.board.settings.vm.availability_zone
-        plan = planner.plan_claims(
-            state, inventory.endpoints, zones, self.board.vm, now_ms
+        if self.board.vm not in view.listed_leaving or not zones:
+            zones[self.board.vm] = self.board.settings.vm.availability_zone
+        configuration = self.board.configuration.value.configuration
+        return planner.Site(
+            vm=self.board.vm,
+            incarnation=self.board.incarnation,
+            endpoints=configuration.inventory.endpoints,
+            vm_zones=zones,
+            idle=self._list_idle(),
+            stopping=self.board.lifecycle.value.stop_requested,
         )
-        if not plan.endpoints:
-            return
-        LOG.info(
-            "claiming endpoints",
-            extra={"event": "claim", "endpoints": list(plan.endpoints)},
-        )
-        record = records.ClaimRecord(
-            self.board.vm,
-            self.board.incarnation,
-            plan.endpoints,
-            dict(plan.lapsed),
-        )
-        await self._append_and_wait(record)
 
-    async def _release_idle(self) -> None:
-        dispatch = self.board.dispatch.value
+    def _list_idle(self) -> set[str]:
         owned = leases.list_owned(
             self.board.ownership.value, self.board.incarnation
         )
-        idle = tuple(
+        queues = self.board.dispatch.value.endpoints
+        return {
             name
             for name in owned
-            if name not in dispatch.endpoints
-            or not dispatch.endpoints[name].is_busy
-        )
-        if idle:
-            record = records.ReleaseRecord(
-                self.board.vm, self.board.incarnation, idle
+            if name not in queues or queues[name].is_releasable
+        }
+
+    async def _copy(self) -> None:
+        while True:
+            copy = planner.plan_copy(
+                self.board.ownership.value,
+                self._make_site(self._now_ms(), 0),
+                self._now_ms(),
             )
-            await self._append_and_wait(record)
+            if copy is not None:
+                LOG.info(
+                    "repeating ownership in the log",
+                    extra={"event": "ownership_copy"},
+                )
+                await self._append(copy)
+            await anyio.sleep(COPY_RETRY_MS / 1000)
 
-    async def _append_and_wait(self, record: object) -> None:
+    async def _announce(
+        self, action: str, record: Any, endpoints: Any
+    ) -> None:
         """Append a record and wait until the replay has passed it."""
-        offset = await self.ports.log.append(records.STREAM, [record])
+        LOG.info(
+            "%s endpoints",
+            action,
+            extra={"event": action, "endpoints": sorted(endpoints)},
+        )
+        offset = await self._append(record)
         if isinstance(offset, failures.Failure):
             return
         while self.board.ownership.value.next_offset <= offset:
             await self.board.ownership.wait_change(
                 self.board.ownership.revision
             )
+
+    async def _append(self, record: Any) -> int | failures.Failure:
+        return await self.ports.log.append(records.STREAM, [record])
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -79,6 +79,14 @@
         """Whether work waits or runs."""
         return bool(self.waiting or self.running)
 
+    @property
+    def is_releasable(self) -> bool:
+        """Whether no work and no order of this VM is on its way."""
+        return not self.is_busy and all(
+            resident.phase is ResidentPhase.READY
+            for resident in self.residents.values()
+        )
+
     @property
     def pinned(self) -> frozenset[str]:
         """Adapter versions that queued or running work needs."""
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -16,7 +16,8 @@
     """Return the heartbeat of the present state."""
     dispatch = board.dispatch.value
     inventory = board.configuration.value.configuration.inventory
-    owned = leases.list_owned(board.ownership.value, board.incarnation)
+    ownership = board.ownership.value
+    owned = leases.list_owned(ownership, board.incarnation)
     return messages.Heartbeat(
         vm=board.vm,
         incarnation=board.incarnation,
@@ -26,6 +27,7 @@
             name: summarize_endpoint(
                 dispatch.endpoints.get(name, dispatch_state.EndpointQueue()),
                 inventory.endpoints[name].slots,
+                name in ownership.draining,
             )
             for name in owned
             if name in inventory.endpoints
@@ -35,9 +37,12 @@
 
 
 def summarize_endpoint(
-    queue: dispatch_state.EndpointQueue, slots: int
+    queue: dispatch_state.EndpointQueue, slots: int, draining: bool
 ) -> messages.EndpointSummary:
-    """Return the summary of one owned endpoint."""
+    """Return the summary of one owned endpoint.
+
+    :param draining: whether its queue is finished before a handover
+    """
     return messages.EndpointSummary(
         free_slots=max(0, slots - len(queue.running)),
         queued=len(queue.waiting),
@@ -47,5 +52,5 @@
             if resident.phase is dispatch_state.ResidentPhase.READY
         ),
         slow=queue.slow,
-        leaving=queue.leaving,
+        leaving=queue.leaving or draining,
     )
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -11,6 +11,9 @@
 HEARTBEAT_INTERVAL_MS = 1_000
 SUSPECT_AFTER_MS = 3_000
 GONE_AFTER_MS = 10_000
+# A VM that has just joined gets endpoints of others only after this time, so
+# that one that starts and fails again moves nothing.
+SETTLED_AFTER_MS = 3_000
 
 
 @attrs.frozen
@@ -18,6 +21,7 @@
     """The last that was heard of a VM.
 
     :param heard_ms: monotonic time of the last message
+    :param serving_ms: monotonic time since when it says that it serves
     :param connected: whether a session with it is open
     """
 
@@ -28,6 +32,7 @@
     caller_address: str
     status: messages.VmStatus
     heard_ms: int
+    serving_ms: int = 0
     configuration_offset: int = -1
     endpoints: Mapping[str, messages.EndpointSummary] = attrs.field(
         factory=dict
@@ -75,10 +80,12 @@
     known = view.vms.get(heartbeat.vm)
     if known is None or known.incarnation != heartbeat.incarnation:
         return view
+    still = known.status is heartbeat.status
     state = attrs.evolve(
         known,
         status=heartbeat.status,
         heard_ms=now_ms,
+        serving_ms=known.serving_ms if still else now_ms,
         configuration_offset=heartbeat.configuration_offset,
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -1,18 +1,25 @@
-"""Replay of the ownership stream and decisions about leases."""
+"""Leases, owners, and what they allow.
+
+Times are monotonic times of this VM. A time is never compared with one of
+another VM, and no record holds a time.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
 
 import attrs
 
-from bronzetrack.ownership import records
+from bronzetrack.core import retention
 
 LEASE_MS = 10_000
 RENEWAL_INTERVAL_MS = 3_000
 CLOCK_MARGIN_MS = 1_000
 ORDER_LIFE_MS = 5_000
+# After this time without a record no holder has a lease or an order on its
+# way.
+QUIET_MS = LEASE_MS + CLOCK_MARGIN_MS + ORDER_LIFE_MS
+NO_SEQUENCE = -1
 
 
 @attrs.frozen
@@ -48,115 +55,59 @@
     :param next_offset: the log position that is read next
     :param leases: newest lease by incarnation
     :param owners: owner by endpoint
+    :param complete: whether the replay lacks no record that counts
+    :param caught_up: whether it is complete and has read to the end
+    :param changed_offset: position after the last record that was no lease
+    :param retained: the retained range and the newest holding record
+    :param read_ms: monotonic time at which the last record was read
+    :param sent: monotonic time before the append of each lease of this VM
+        that was not read back yet, by sequence
     :param held_until_ms: monotonic time until which this VM holds its lease
-    :param caught_up: whether the end of the stream has been read
+    :param draining: own endpoints that get no new work, to be handed over
+    :param given_up: endpoints that this VM decided to release; it stops to
+        act as their owner before it sends the record
     """
 
     next_offset: int = 0
     leases: Mapping[str, Lease] = attrs.field(factory=dict)
     owners: Mapping[str, Ownership] = attrs.field(factory=dict)
-    held_until_ms: int = 0
+    complete: bool = True
     caught_up: bool = False
+    changed_offset: int = 0
+    retained: retention.Retained = attrs.field(factory=retention.Retained)
+    read_ms: int = 0
+    sent: Mapping[int, int] = attrs.field(factory=dict)
+    held_until_ms: int = 0
+    draining: frozenset[str] = frozenset()
+    given_up: frozenset[str] = frozenset()
 
 
-def apply_record(
-    state: OwnershipState, offset: int, record: Any, now_ms: int
-) -> OwnershipState:
-    """Return the state after one record of the stream.
-
-    :param now_ms: monotonic time at which the record was read
-    """
-    state = attrs.evolve(state, next_offset=offset + 1)
-    match record:
-        case records.LeaseRecord():
-            return _apply_lease(state, record, now_ms)
-        case records.ClaimRecord():
-            return _apply_claim(state, offset, record, now_ms)
-        case records.HoldingRecord():
-            return _apply_holding(state, record, now_ms)
-        case records.ReleaseRecord():
-            return _apply_release(state, record)
-    return state
-
-
-def _apply_lease(
-    state: OwnershipState, record: records.LeaseRecord, now_ms: int
-) -> OwnershipState:
-    known = state.leases.get(record.incarnation)
-    if known is not None and known.sequence >= record.sequence:
-        return state
-    lease = Lease(vm=record.vm, sequence=record.sequence, read_ms=now_ms)
-    return attrs.evolve(
-        state, leases={**state.leases, record.incarnation: lease}
-    )
-
+def get_sequence(state: OwnershipState, incarnation: str) -> int:
+    """Return the newest lease sequence of an incarnation."""
+    lease = state.leases.get(incarnation)
+    return NO_SEQUENCE if lease is None else lease.sequence
 
-def _apply_claim(
-    state: OwnershipState,
-    offset: int,
-    record: records.ClaimRecord,
-    now_ms: int,
-) -> OwnershipState:
-    won = {
-        endpoint: Ownership(record.vm, record.incarnation, offset, now_ms)
-        for endpoint in record.endpoints
-        if _is_claimable(state, endpoint, record)
-    }
-    return attrs.evolve(state, owners={**state.owners, **won})
 
+def is_lapsed(state: OwnershipState, endpoint: str, now_ms: int) -> bool:
+    """Return whether a follower may state the lease of a holder as lapsed.
 
-def _is_claimable(
-    state: OwnershipState, endpoint: str, record: records.ClaimRecord
-) -> bool:
-    owner = state.owners.get(endpoint)
-    if owner is None:
-        return True
-    if owner.incarnation == record.incarnation:
-        return False
-    stated = record.lapsed.get(owner.incarnation)
+    A holder without a known lease gets the time of one from its claim on.
+    """
+    owner = state.owners[endpoint]
     lease = state.leases.get(owner.incarnation)
-    newest = -1 if lease is None else lease.sequence
-    return stated is not None and stated >= newest
-
-
-def _apply_holding(
-    state: OwnershipState, record: records.HoldingRecord, now_ms: int
-) -> OwnershipState:
-    newer = {
-        endpoint: Ownership(record.vm, record.incarnation, fencing, now_ms)
-        for endpoint, fencing in record.endpoints.items()
-        if endpoint not in state.owners
-        or state.owners[endpoint].fencing < fencing
-    }
-    return attrs.evolve(state, owners={**state.owners, **newer})
-
-
-def _apply_release(
-    state: OwnershipState, record: records.ReleaseRecord
-) -> OwnershipState:
-    kept = {
-        endpoint: owner
-        for endpoint, owner in state.owners.items()
-        if endpoint not in record.endpoints
-        or owner.incarnation != record.incarnation
-    }
-    return attrs.evolve(state, owners=kept)
-
-
-def is_lapsed(state: OwnershipState, incarnation: str, now_ms: int) -> bool:
-    """Return whether a follower may state the lease of a holder as lapsed."""
-    lease = state.leases.get(incarnation)
-    if lease is None:
-        return True
-    return now_ms - lease.read_ms > LEASE_MS + CLOCK_MARGIN_MS
+    read_ms = owner.claimed_ms if lease is None else lease.read_ms
+    return now_ms - read_ms > LEASE_MS + CLOCK_MARGIN_MS
 
 
 def list_owned(state: OwnershipState, incarnation: str) -> list[str]:
-    """Return the endpoints that an incarnation owns."""
+    """Return the endpoints that an incarnation owns and has not given up.
+
+    Only the own incarnation has endpoints that are given up.
+    """
     return sorted(
         endpoint
         for endpoint, owner in state.owners.items()
-        if owner.incarnation == incarnation
+        if owner.incarnation == incarnation and endpoint not in state.given_up
     )
 
 
@@ -176,6 +127,8 @@
     owner = state.owners.get(endpoint)
     if owner is None or owner.incarnation != incarnation:
         return False
+    if endpoint in state.given_up:
+        return False
     if checks_fencing:
         return True
     settled_ms = owner.claimed_ms + ORDER_LIFE_MS
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -6,21 +6,22 @@
 
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import records
+from bronzetrack.ownership import replay
 
 
 @pytest.fixture
 def claimed() -> leases.OwnershipState:
     """Endpoint e1 owned by incarnation i1, read at time 0."""
     state = leases.OwnershipState()
-    state = leases.apply_record(state, 0, records.LeaseRecord("a", "i1", 0), 0)
+    state = replay.apply_record(state, 0, records.LeaseRecord("a", "i1", 0), 0)
     claim = records.ClaimRecord("a", "i1", ("e1",))
-    return leases.apply_record(state, 1, claim, 0)
+    return replay.apply_record(state, 1, claim, 0)
 
 
 def test_first_claim_wins(claimed):
     """Guards against two owners of one endpoint after a race."""
     claim = records.ClaimRecord("b", "i2", ("e1",))
-    state = leases.apply_record(claimed, 2, claim, 0)
+    state = replay.apply_record(claimed, 2, claim, 0)
     assert state.owners["e1"].vm == "a"
     assert state.owners["e1"].fencing == 1
 
@@ -28,25 +29,25 @@
 def test_claim_after_renewal_is_void(claimed):
     """Guards against a claim that raced with a renewal of the holder."""
     renewal = records.LeaseRecord("a", "i1", 1)
-    state = leases.apply_record(claimed, 2, renewal, 9_000)
+    state = replay.apply_record(claimed, 2, renewal, 9_000)
     claim = records.ClaimRecord("b", "i2", ("e1",), {"i1": 0})
-    state = leases.apply_record(state, 3, claim, 20_000)
+    state = replay.apply_record(state, 3, claim, 20_000)
     assert state.owners["e1"].vm == "a"
 
 
 def test_claim_of_lapsed_lease_takes_over(claimed):
     """Guards against an endpoint without owner after its owner died."""
     claim = records.ClaimRecord("b", "i2", ("e1",), {"i1": 0})
-    state = leases.apply_record(claimed, 2, claim, 20_000)
+    state = replay.apply_record(claimed, 2, claim, 20_000)
     assert state.owners["e1"].vm == "b"
     assert state.owners["e1"].fencing == 2
 
 
 def test_follower_sees_lease_lapse_after_holder(claimed):
     """Guards against a successor that acts while the holder still may."""
-    assert not leases.is_lapsed(claimed, "i1", leases.LEASE_MS)
+    assert not leases.is_lapsed(claimed, "e1", leases.LEASE_MS)
     lapse_ms = leases.LEASE_MS + leases.CLOCK_MARGIN_MS + 1
-    assert leases.is_lapsed(claimed, "i1", lapse_ms)
+    assert leases.is_lapsed(claimed, "e1", lapse_ms)
 
 
 def test_paused_holder_may_not_order(claimed):
--- /dev/null
+++ b/tests/ownership/test_machine.py
@@ -0,0 +1,284 @@
+"""Several replicas of the ownership decisions over a log with faults."""
+
+from __future__ import annotations
+
+import itertools
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from ownership import naive
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.ownership import leases
+from bronzetrack.ownership import planner
+from bronzetrack.ownership import records
+from bronzetrack.ownership import replay
+
+ENDPOINTS = {
+    name: inventories.Endpoint("127.0.0.1", 1, "zone-a")
+    for name in ("e1", "e2", "e3")
+}
+VMS = ("a", "b", "c")
+# Clocks of VMs run at different rates and start at different times.
+CLOCKS = {"a": (5_000, 1.0), "b": (900_000, 1.02), "c": (77_000, 0.98)}
+NAMES = sorted(ENDPOINTS)
+
+
+@attrs.frozen
+class Faults:
+    """What goes wrong while the replicas run.
+
+    :param asleep: a VM that does nothing
+    :param blind: a VM that does not read the log
+    :param late_leases: a VM whose renewals arrive later, if at all
+    :param late_claims: a VM whose other records arrive later, if at all
+    :param unseen: a VM that is not seen as serving
+    :param sees_itself: whether this VM sees itself all the same
+    :param idle: endpoints without work
+    """
+
+    asleep: str = ""
+    blind: str = ""
+    late_leases: str = ""
+    late_claims: str = ""
+    unseen: str = ""
+    sees_itself: bool = False
+    idle: frozenset[str] = frozenset(NAMES)
+
+
+NO_FAULTS = Faults()
+SOME_VM = strategies.sampled_from(["", *VMS])
+FAULTS = strategies.builds(
+    Faults,
+    asleep=SOME_VM,
+    blind=SOME_VM,
+    late_leases=SOME_VM,
+    late_claims=SOME_VM,
+    unseen=SOME_VM,
+    sees_itself=strategies.booleans(),
+    idle=strategies.frozensets(strategies.sampled_from(NAMES), min_size=1),
+)
+
+
+@attrs.define
+class Replica:
+    vm: str
+    incarnation: str
+    state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
+    sequence: int = 0
+    renewed_ms: int = -leases.LEASE_MS
+    copied_ms: int = -leases.LEASE_MS
+    paused: bool = False
+
+    def read_clock(self, now_ms: int) -> int:
+        start_ms, rate = CLOCKS[self.vm]
+        return start_ms + int(now_ms * rate)
+
+
+class OwnershipMachine(stateful.RuleBasedStateMachine):
+    """Draws faults and compares each replica with the naive replay."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.history: list[object] = []
+        self.naive = naive.Replay()
+        self.start = 0
+        self.down = False
+        self.late: list[object] = []
+        self.runs = 0
+        self.replicas: dict[str, Replica] = {}
+        self.orders: dict[str, tuple[int, int]] = {}
+        for vm in VMS:
+            self.start_replica(vm)
+        self.run_seconds(12)
+
+    def start_replica(self, vm: str) -> None:
+        self.runs += 1
+        self.replicas[vm] = Replica(vm, f"{vm}{self.runs}")
+
+    def append(self, record: object, late: bool = False) -> None:
+        if late:
+            self.late.append(record)
+        elif not self.down:
+            self.history.append(record)
+            self.naive.add(record)
+
+    def read(self, replica: Replica, count: int, again: int = 0) -> None:
+        now_ms = replica.read_clock(self.now_ms)
+        if self.down:
+            replica.state = replay.note_outage(replica.state, now_ms)
+            return
+        first = max(self.start, replica.state.next_offset - again)
+        items = self.history[first : first + count + again]
+        replica.state = replay.apply_batch(
+            replica.state,
+            self.start,
+            len(self.history),
+            enumerate(items, first),
+            replica.incarnation,
+            now_ms,
+        )
+        self.check_owners(replica)
+
+    def renew(self, replica: Replica, late: bool) -> None:
+        due_ms = replica.renewed_ms + leases.RENEWAL_INTERVAL_MS
+        if self.now_ms < due_ms or not replica.state.caught_up:
+            return
+        now_ms = replica.read_clock(self.now_ms)
+        replica.state = replay.note_sent(
+            replica.state, replica.sequence, now_ms
+        )
+        record = records.LeaseRecord(
+            replica.vm, replica.incarnation, replica.sequence
+        )
+        replica.sequence += 1
+        replica.renewed_ms = self.now_ms
+        self.append(record, late)
+
+    def plan(
+        self,
+        replica: Replica,
+        seen: set[str],
+        idle: frozenset[str],
+        late: bool,
+    ) -> None:
+        now_ms = replica.read_clock(self.now_ms)
+        site = planner.Site(
+            replica.vm,
+            replica.incarnation,
+            ENDPOINTS,
+            dict.fromkeys(seen, "zone-a"),
+            idle,
+        )
+        copy = planner.plan_copy(replica.state, site, now_ms)
+        if copy is not None and self.now_ms >= replica.copied_ms + 5_000:
+            replica.copied_ms = self.now_ms
+            self.append(copy, late)
+        if not replica.state.caught_up:
+            return
+        if now_ms >= replica.state.held_until_ms:
+            return
+        replica.state = planner.plan_handover(replica.state, site)
+        for record in (
+            planner.plan_release(replica.state, site),
+            planner.plan_claim(replica.state, site, now_ms),
+        ):
+            if record is not None:
+                self.append(record, late)
+
+    def run_seconds(self, seconds: int, faults: Faults = NO_FAULTS) -> None:
+        """Let all replicas that are not paused run."""
+        for _ in range(seconds):
+            self.now_ms += 1_000
+            for vm, replica in self.replicas.items():
+                if replica.paused or vm == faults.asleep:
+                    continue
+                seen = set(VMS) - {faults.unseen}
+                if faults.sees_itself:
+                    seen.add(vm)
+                self.renew(replica, vm == faults.late_leases)
+                self.read(replica, 0 if vm == faults.blind else 1_000)
+                self.plan(replica, seen, faults.idle, vm == faults.late_claims)
+                self.check_orders()
+
+    @stateful.rule(seconds=strategies.integers(1, 14), faults=FAULTS)
+    def run_with_faults(self, seconds: int, faults: Faults) -> None:
+        self.run_seconds(seconds, faults)
+
+    @stateful.rule(seconds=strategies.integers(1, 14))
+    def run_without_faults(self, seconds: int) -> None:
+        self.run_seconds(seconds)
+
+    @stateful.rule(ms=strategies.integers(1, 900))
+    def pass_time(self, ms: int) -> None:
+        self.now_ms += ms
+        self.check_orders()
+
+    @stateful.rule(
+        vm=strategies.sampled_from(VMS),
+        count=strategies.integers(0, 4),
+        again=strategies.integers(0, 3),
+    )
+    def read_some(self, vm: str, count: int, again: int) -> None:
+        if not self.replicas[vm].paused:
+            self.read(self.replicas[vm], count, again)
+            self.check_orders()
+
+    @stateful.precondition(lambda self: self.late and not self.down)
+    @stateful.rule(data=strategies.data())
+    def take_late(self, data: strategies.DataObject) -> None:
+        index = data.draw(strategies.integers(0, len(self.late) - 1))
+        self.append(self.late.pop(index))
+
+    @stateful.rule(vm=strategies.sampled_from(VMS))
+    def pause_or_resume(self, vm: str) -> None:
+        self.replicas[vm].paused = not self.replicas[vm].paused
+        self.check_orders()
+
+    @stateful.precondition(lambda self: self.late and not self.down)
+    @stateful.rule()
+    def take_all_late(self) -> None:
+        while self.late:
+            self.append(self.late.pop())
+
+    @stateful.rule(vm=strategies.sampled_from(VMS))
+    def restart_empty(self, vm: str) -> None:
+        self.start_replica(vm)
+
+    @stateful.rule()
+    def begin_or_end_outage(self) -> None:
+        self.down = not self.down
+
+    @stateful.rule(kept=strategies.integers(0, 12))
+    def truncate(self, kept: int) -> None:
+        self.start = max(self.start, len(self.history) - kept)
+
+    def check_owners(self, replica: Replica) -> None:
+        if not replica.state.complete:
+            assert not replica.state.owners
+            return
+        assert {
+            name: (owner.incarnation, owner.fencing)
+            for name, owner in replica.state.owners.items()
+        } == self.naive.history[replica.state.next_offset]
+
+    def check_orders(self) -> None:
+        """Let each replica that may do so send an exclusive order."""
+        for name, replica in itertools.product(
+            ENDPOINTS, self.replicas.values()
+        ):
+            if replica.paused or not leases.may_order(
+                replica.state,
+                name,
+                replica.incarnation,
+                False,
+                replica.read_clock(self.now_ms),
+            ):
+                continue
+            fencing = replica.state.owners[name].fencing
+            newest, until_ms = self.orders.get(name, (-1, 0))
+            if fencing != newest:
+                assert until_ms <= self.now_ms, "two VMs send orders"
+                assert fencing > newest, "a fencing number fell"
+            self.orders[name] = (fencing, self.now_ms + leases.ORDER_LIFE_MS)
+
+    def teardown(self) -> None:
+        """Every endpoint gets an owner that lives when the faults end."""
+        self.down = False
+        for replica in self.replicas.values():
+            replica.paused = False
+        self.run_seconds(60)
+        living = {item.incarnation for item in self.replicas.values()}
+        assert set(self.naive.owners) == set(ENDPOINTS)
+        assert {holder for holder, _ in self.naive.owners.values()} <= living
+
+
+def test_one_vm_orders_under_faults():
+    """Guards against two owners, lost owners and replicas that disagree."""
+    stateful.run_state_machine_as_test(
+        OwnershipMachine,
+        settings=hypothesis.settings(max_examples=150, stateful_step_count=30),
+    )
