--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -16,6 +16,7 @@
 from bronzetrack.idempotency import table as key_table
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import records as ownership_records
+from bronzetrack.ownership import replay as ownership_replay
 from bronzetrack.retries import records as crash_records
 from bronzetrack.retries import suspects
 from bronzetrack.wire import documents
@@ -61,7 +62,9 @@
     state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
 
     def apply(self, at_ms: int, offset: int, record: Any) -> None:
-        self.state = leases.apply_record(self.state, offset, record, at_ms)
+        self.state = ownership_replay.apply_record(
+            self.state, offset, record, at_ms
+        )
 
     def read_outcomes(self) -> Mapping[str, Any]:
         return {
