--- a/tests/wire/test_bad_bytes.py
+++ b/tests/wire/test_bad_bytes.py
@@ -18,6 +18,7 @@
 from bronzetrack.core import records
 from bronzetrack.idempotency import table
 from bronzetrack.ownership import leases
+from bronzetrack.ownership import replay as ownership_replay
 from bronzetrack.peer import hub
 from bronzetrack.platform import logservice
 from bronzetrack.streaming import messages as streaming_messages
@@ -93,7 +94,7 @@
     def check(data: bytes) -> None:
         record = logservice.CODEC.decode(data)
         replay.apply_record(states.ConfigurationState(), 0, record, documents)
-        leases.apply_record(leases.OwnershipState(), 0, record, 0)
+        ownership_replay.apply_record(leases.OwnershipState(), 0, record, 0)
         if not isinstance(record, failures.Failure):
             table.apply_record({}, 0, record)
 
