Keep an adapter with one copy where it is

Cause: an adapter in little demand was prefetched at its first endpoint in rendezvous order although another endpoint had it.

Change: an adapter that needs one copy is prefetched only if no endpoint has it.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -15,7 +15,9 @@
 from bronzetrack.configuration import rules as rule_sets
 from bronzetrack.core import failures
 from bronzetrack.core import rendezvous
+from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import loads as load_plans
 from bronzetrack.dispatch import placement
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
@@ -64,7 +66,7 @@
     name: str
     zone: str
     permits: transfers.Permits
-    short: dict[str, int] = attrs.field(factory=dict)
+    plans: dict[str, load_plans.LoadPlan] = attrs.field(factory=dict)
     needed: int = 0
     placements: dict[str, placement.Placement] = attrs.field(factory=dict)
     recent: collections.deque[str] = attrs.field(
@@ -363,16 +365,16 @@
             self._refuse(name, attempt, failure)
         for attempt in plan.start:
             self._start(name, vm, attempt)
-        for adapter in plan.load:
+        for adapter in plan.loads.load:
             self._load(name, vm, adapter)
-        for adapter in plan.unload:
+        for adapter in plan.loads.unload:
             self.queues[name] = transitions.drop_resident(
                 self.queues[name], adapter
             )
-        if plan.unload:
+        if plan.loads.unload:
             self._advance(name)
             return
-        vm.short[name] = plan.short
+        vm.plans[name] = plan.loads
         self._ask(vm)
 
     def _count_places(self, vm: Vm) -> int:
@@ -388,7 +390,8 @@
     def _ask(self, vm: Vm) -> None:
         if self.policy in NAIVE:
             return
-        vm.needed = min(sum(vm.short.values()), self._count_places(vm))
+        short = sum(plan.short for plan in vm.plans.values())
+        vm.needed = min(short, self._count_places(vm))
         peers = [name for name in self.vms if name != vm.name]
         vm.permits, question = transfers.ask(
             vm.permits, vm.name, peers, vm.needed, int(self.timeline.now_ms)
@@ -415,7 +418,7 @@
     def _later(self, action: Callable[[], None]) -> None:
         self.timeline.call_at(self.timeline.now_ms + HOP_MS, action)
 
-    def _make_context(self, name: str, vm: Vm) -> planner.EndpointContext:
+    def _make_context(self, name: str, vm: Vm) -> contexts.EndpointContext:
         whole = int(vm.permits.bucket.tokens)
         permits = min(self._count_places(vm), whole)
         known: dict[str, float] = {}
@@ -426,7 +429,7 @@
                 if other is not vm
             ]
             known = usage.add_remote(vm.usage, peers)
-        return planner.EndpointContext(
+        return contexts.EndpointContext(
             endpoint=self.endpoints[name],
             rules=self._rules,
             may_load=True,
@@ -444,15 +447,17 @@
         for name, owner in self.owners.items():
             if owner is not vm:
                 continue
-            elsewhere = itertools.chain.from_iterable(
-                report.warm
-                for peer in self.vms.values()
-                for other, report in peer.reported.items()
-                if other != name
+            elsewhere = frozenset(
+                itertools.chain.from_iterable(
+                    report.warm
+                    for peer in self.vms.values()
+                    for other, report in peer.reported.items()
+                    if other != name
+                )
             )
             vm.placements[name] = placement.Placement(
-                placement.list_wanted(name, self.endpoints, demand),
-                frozenset(elsewhere),
+                placement.list_wanted(name, self.endpoints, demand, elsewhere),
+                elsewhere,
             )
 
     def _refuse(
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -15,7 +15,9 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
+from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import loads
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
@@ -64,7 +66,7 @@
             for event in runs_box.take():
                 self._apply_event(event, now_ms)
             short = sum(
-                self._advance(name, now_ms)
+                self._advance(name, now_ms).short
                 for name in list(self.board.dispatch.value.endpoints)
             )
             self._permits.request(short, now_ms)
@@ -203,29 +205,29 @@
             queue, event.report, claimed_wall_ms, now_ms
         )
 
-    def _advance(self, name: str, now_ms: int) -> int:
-        """Carry out what is due; return the loads that lack a permit."""
+    def _advance(self, name: str, now_ms: int) -> loads.LoadPlan:
+        """Carry out what is due; return what was due of loads."""
         endpoint = self._get_endpoint(name)
         if endpoint is None:
-            return 0
+            return loads.LoadPlan()
         queue = self.board.dispatch.value.endpoints[name]
         context = self._make_context(name, endpoint, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
         self._carry_out_refusals(name, plan)
         for attempt in plan.start:
             self._start(name, endpoint, attempt, now_ms)
-        for adapter in plan.load:
+        for adapter in plan.loads.load:
             self._load(name, endpoint, adapter, now_ms)
-        for adapter in plan.unload:
+        for adapter in plan.loads.unload:
             self._unload(name, endpoint, adapter, now_ms)
-        return plan.short
+        return plan.loads
 
     def _make_context(
         self, name: str, endpoint: inventories.Endpoint, now_ms: int
-    ) -> planner.EndpointContext:
+    ) -> contexts.EndpointContext:
         state = self.board.dispatch.value
         ownership = self.board.ownership.value
-        return planner.EndpointContext(
+        return contexts.EndpointContext(
             endpoint=endpoint,
             rules=self.board.configuration.value.configuration.rules,
             may_load=state.endpoints[name].boot != "",
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -58,18 +58,14 @@
             and item.base_model == model
             and not item.leaving
         ]
-        return placement.Placement(
-            placement.list_wanted(
-                name,
-                engines,
-                {
-                    adapter: part
-                    for adapter, part in demand.items()
-                    if _get_model(inventory, adapter) == model
-                },
-            ),
-            self._list_elsewhere(name),
-        )
+        elsewhere = self._list_elsewhere(name)
+        of_model = {
+            adapter: part
+            for adapter, part in demand.items()
+            if _get_model(inventory, adapter) == model
+        }
+        wanted = placement.list_wanted(name, engines, of_model, elsewhere)
+        return placement.Placement(wanted, elsewhere)
 
     def _list_elsewhere(self, name: str) -> frozenset[str]:
         remote = (
--- /dev/null
+++ b/src/bronzetrack/dispatch/context.py
@@ -0,0 +1,37 @@
+"""What a plan for one endpoint depends on besides its queue."""
+
+from __future__ import annotations
+
+import attrs
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.dispatch import placement as placements
+
+DEFAULT_CLASS = rule_sets.ClassRule()
+
+
+@attrs.frozen
+class EndpointContext:
+    """What a plan depends on besides the queue.
+
+    :param may_load: whether orders that evict nothing are allowed
+    :param may_unload: whether orders that need the lease are allowed
+    :param load_permits: loads that may start now
+    :param usage: cost by member over all VMs
+    :param may_prefetch: whether the store has loads to spare
+    """
+
+    endpoint: inventories.Endpoint
+    rules: rule_sets.Rules
+    may_load: bool
+    may_unload: bool
+    load_permits: int
+    usage: dict[str, float] = attrs.field(factory=dict)
+    placement: placements.Placement = attrs.field(factory=placements.Placement)
+    may_prefetch: bool = False
+
+
+def get_class(rules: rule_sets.Rules, work_class: str) -> rule_sets.ClassRule:
+    """Return the rule of a class, or the default after a rule was removed."""
+    return rules.classes.get(work_class, DEFAULT_CLASS)
--- a/src/bronzetrack/dispatch/placement.py
+++ b/src/bronzetrack/dispatch/placement.py
@@ -44,21 +44,27 @@
 
 
 def list_wanted(
-    endpoint: str, endpoints: Collection[str], demand: Mapping[str, float]
+    endpoint: str,
+    endpoints: Collection[str],
+    demand: Mapping[str, float],
+    elsewhere: Collection[str],
 ) -> tuple[str, ...]:
     """Return the adapters to hold at an endpoint, most in demand first.
 
     Copies go to the first endpoints in the rendezvous order of the adapter,
     which is also the order in which routing overflows, so that all owners
-    agree without a message.
+    agree without a message. An adapter that needs one copy stays where it is.
 
     :param demand: part of the recent requests by adapter
+    :param elsewhere: adapters that other endpoints have loaded
     """
+    copies = {
+        adapter: math.ceil(part * len(endpoints) * COPY_FACTOR)
+        for adapter, part in demand.items()
+    }
     return tuple(
         adapter
-        for adapter, part in demand.items()
-        if endpoint
-        in rendezvous.rank_nodes(adapter, endpoints)[
-            : math.ceil(part * len(endpoints) * COPY_FACTOR)
-        ]
+        for adapter, count in copies.items()
+        if (count > 1 or adapter not in elsewhere)
+        and endpoint in rendezvous.rank_nodes(adapter, endpoints)[:count]
     )
