Find slow endpoints from the time between chunks

Cause: the field that marks an endpoint as slow was never set, so that endpoints slowed fivefold got new work for as long as it lasted.

Change: each stream reports the mean time between its chunks every 250 ms. The owner compares it with the median of the other engines, which heartbeats carry. A slow or silent endpoint costs four batches more in routing, its waiting work is sent to others with the new reason endpoint_slow, and it gets no copies. After a pause that doubles with each failed trial it starts with two slots and gets more with each normal observation.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -44,7 +44,11 @@
     if scenario == "slowed":
         return {
             f"slowed_{key}": figures[key]
-            for key in ("short_first_p99_ms", "crest_goodput_per_s")
+            for key in (
+                "short_first_p99_ms",
+                "warm_first_p99_ms",
+                "crest_goodput_per_s",
+            )
         }
     return figures
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -82,7 +82,7 @@
         on_end: Callable[[], None],
     ) -> None:
         """Add a request to the batch."""
-        self._advance()
+        self.advance()
         first_at = self.progress + prompt + 1
         end_at = self.progress + prompt + output
         self.jobs[name] = Job(first_at, end_at, on_first, on_end)
@@ -90,17 +90,18 @@
 
     def cancel(self, name: str) -> None:
         """Remove a request from the batch."""
-        self._advance()
+        self.advance()
         self.jobs.pop(name, None)
         self._schedule()
 
     def set_slow(self, factor: float) -> None:
         """Change the speed from now on."""
-        self._advance()
+        self.advance()
         self.slow = factor
         self._schedule()
 
-    def _advance(self) -> None:
+    def advance(self) -> None:
+        """Bring the progress up to now."""
         passed_ms = self.timeline.now_ms - self.updated_ms
         self.updated_ms = self.timeline.now_ms
         if self.jobs:
@@ -123,7 +124,7 @@
     def _fire(self, wake: int) -> None:
         if wake != self._wake:
             return
-        self._advance()
+        self.advance()
         reached = self.progress + 1e-6
         due = [
             (name, job)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -80,6 +80,16 @@
             ],
             0.99,
         ),
+        "warm_first_p99_ms": find_percentile(
+            [
+                _get_first(run, item)
+                for item in run.outcomes
+                if not item.refusal
+                and item.arrival.kind.work_class == short
+                and item.stalled_ms is None
+            ],
+            0.99,
+        ),
         "loads": run.store.loads,
         "most_loads": run.store.most,
         **refusals,
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -18,6 +18,7 @@
 from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import loads as load_plans
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import placement
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
@@ -28,6 +29,7 @@
 from bronzetrack.limits import usage
 from bronzetrack.membership import messages as membership
 from bronzetrack.membership import summaries
+from bronzetrack.retries import policy as retry_policy
 from bronzetrack.routing import candidates
 from bronzetrack.routing import choice
 from bronzetrack.streaming import messages
@@ -56,6 +58,7 @@
     ended_ms: float | None = None
     stalled_ms: float | None = None
     refusal: str = ""
+    attempts: int = 0
     excluded: set[str] = attrs.field(factory=set)
 
 
@@ -68,6 +71,9 @@
     permits: transfers.Permits
     plans: dict[str, load_plans.LoadPlan] = attrs.field(factory=dict)
     needed: int = 0
+    budget: retry_policy.RetryBudget = attrs.field(
+        factory=retry_policy.RetryBudget
+    )
     placements: dict[str, placement.Placement] = attrs.field(factory=dict)
     recent: collections.deque[str] = attrs.field(
         factory=lambda: collections.deque(maxlen=requests.RECENT_REQUESTS)
@@ -134,6 +140,8 @@
         for index, vm in enumerate(self.vms.values()):
             self._beat(vm, index * HEARTBEAT_MS / len(self.vms))
             self._step(vm, index * STEP_MS / len(self.vms))
+        for name in self.endpoints:
+            self._watch(name)
         for outcome in self.outcomes:
             entry = self.vms[self._chance.choice(list(self.vms))]
             self.timeline.call_at(
@@ -235,6 +243,9 @@
         if isinstance(chosen, failures.Failure):
             outcome.refusal = chosen.reason.value
             return
+        if not outcome.attempts:
+            entry.budget = entry.budget.credit()
+        outcome.attempts += 1
         entry.in_flight[chosen.endpoint] += 1
         entry.recent.append(outcome.arrival.adapter)
         outcome.endpoint = chosen.endpoint
@@ -313,6 +324,7 @@
             body=b"",
             timeout_ms=rule.queue_timeout_ms,
             cost=arrival.cost,
+            stream=True,
         )
         item = states.Waiting(work, entry.name, int(self.timeline.now_ms))
         self.queues[name] = transitions.enqueue(queue, item)
@@ -327,6 +339,26 @@
 
         self.timeline.call_at(self.timeline.now_ms + after_ms, act)
 
+    def _watch(self, name: str) -> None:
+        """Tell the owner of the speed of the streams at an endpoint."""
+        engine = self.engines[name]
+        busy_ms, progress = engine.busy_ms, engine.progress
+
+        def act() -> None:
+            engine.advance()
+            made = engine.progress - progress
+            if made > 0:
+                queue = self.queues[name]
+                seen = paces.observe(
+                    queue.pace,
+                    (engine.busy_ms - busy_ms) / made,
+                    int(self.timeline.now_ms),
+                )
+                self.queues[name] = attrs.evolve(queue, pace=seen)
+            self._watch(name)
+
+        self.timeline.call_at(self.timeline.now_ms + paces.PART_MS, act)
+
     def _beat(self, vm: Vm, after_ms: float) -> None:
         def act() -> None:
             vm.heartbeat_ms = self.timeline.now_ms
@@ -358,6 +390,13 @@
         vm = self.owners[name]
         self._refresh(vm)
         now_ms = int(self.timeline.now_ms)
+        if self.policy not in NAIVE:
+            self.queues[name] = transitions.judge_pace(
+                self.queues[name],
+                vm.placements.get(name, placement.Placement()).paces,
+                self.endpoints[name].slots,
+                now_ms,
+            )
         plan = planner.plan_endpoint(
             self.queues[name], self._make_context(name, vm), now_ms
         )
@@ -444,6 +483,11 @@
         if self.policy in NAIVE:
             return
         demand = placement.count_demand(vm.recent)
+        normal = [
+            name
+            for name, owner in self.owners.items()
+            if not owner.reported[name].slow
+        ]
         for name, owner in self.owners.items():
             if owner is not vm:
                 continue
@@ -456,8 +500,17 @@
                 )
             )
             vm.placements[name] = placement.Placement(
-                placement.list_wanted(name, self.endpoints, demand, elsewhere),
+                placement.list_wanted(name, normal, demand, elsewhere),
                 elsewhere,
+                tuple(
+                    (
+                        self.queues[other].pace.chunk_ms
+                        if self.owners[other] is vm
+                        else self.owners[other].reported[other].chunk_ms
+                    )
+                    for other in self.endpoints
+                    if other != name
+                ),
             )
 
     def _refuse(
@@ -471,6 +524,15 @@
         self.vms[item.sender].in_flight[name] -= 1
         outcome = self.outcomes[int(attempt)]
         outcome.refusal = failure.reason.value
+        entry = self.vms[item.sender]
+        if retry_policy.may_retry(
+            failure, outcome.attempts, True, 0, entry.budget
+        ):
+            entry.budget = entry.budget.debit()
+            outcome.refusal = ""
+            outcome.excluded.add(name)
+            self._later(lambda: self._route(outcome, entry))
+            return
         if outcome.stalled_ms is not None and not outcome.stalled_ms:
             outcome.stalled_ms = self.timeline.now_ms - item.queued_ms
 
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -18,6 +18,7 @@
 from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import loads
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
@@ -179,6 +180,9 @@
             case events.RunEnded():
                 self._scopes.pop(event.attempt, None)
                 queue = transitions.finish(queue, event.attempt, now_ms)
+            case events.ChunksPassed():
+                pace = paces.observe(queue.pace, event.chunk_ms, now_ms)
+                queue = attrs.evolve(queue, pace=pace)
             case events.LoadEnded():
                 counters.count_load(event.failure)
                 queue = transitions.end_load(queue, event, now_ms)
@@ -210,7 +214,14 @@
         endpoint = self._get_endpoint(name)
         if endpoint is None:
             return loads.LoadPlan()
-        queue = self.board.dispatch.value.endpoints[name]
+        queue = transitions.judge_pace(
+            self.board.dispatch.value.endpoints[name],
+            self._placements.get(name).paces,
+            endpoint.slots,
+            now_ms,
+        )
+        if queue is not self.board.dispatch.value.endpoints[name]:
+            self._set_queue(name, queue)
         context = self._make_context(name, endpoint, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
         self._carry_out_refusals(name, plan)
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -7,6 +7,8 @@
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.dispatch import placement
+from bronzetrack.membership import messages
+from bronzetrack.membership import summaries
 
 if TYPE_CHECKING:
     from bronzetrack import board as boards
@@ -51,34 +53,42 @@
         if endpoint is None:
             return placement.Placement()
         model = endpoint.base_model
-        engines = [
-            other
-            for other, item in inventory.endpoints.items()
-            if item.kind is inventories.EndpointKind.ENGINE
-            and item.base_model == model
-            and not item.leaving
-        ]
-        elsewhere = self._list_elsewhere(name)
+        others = {
+            other: summary
+            for other, summary in self._list_summaries().items()
+            if other in inventory.endpoints
+            and inventory.endpoints[other].kind
+            is inventories.EndpointKind.ENGINE
+            and inventory.endpoints[other].base_model == model
+        }
         of_model = {
             adapter: part
             for adapter, part in demand.items()
             if _get_model(inventory, adapter) == model
         }
-        wanted = placement.list_wanted(name, engines, of_model, elsewhere)
-        return placement.Placement(wanted, elsewhere)
+        normal = [
+            other
+            for other, summary in others.items()
+            if not summary.slow and not summary.leaving
+        ]
+        others.pop(name, None)
+        elsewhere = frozenset(
+            itertools.chain(*(summary.warm for summary in others.values()))
+        )
+        return placement.Placement(
+            placement.list_wanted(name, normal, of_model, elsewhere),
+            elsewhere,
+            tuple(summary.chunk_ms for summary in others.values()),
+        )
 
-    def _list_elsewhere(self, name: str) -> frozenset[str]:
+    def _list_summaries(self) -> dict[str, messages.EndpointSummary]:
+        """Return the newest summary of every endpoint that has an owner."""
         remote = (
-            summary.warm
+            vm.endpoints.items()
             for vm in self._board.membership.value.vms.values()
-            for summary in vm.endpoints.values()
-        )
-        local = (
-            queue.residents
-            for other, queue in self._board.dispatch.value.endpoints.items()
-            if other != name
         )
-        return frozenset(itertools.chain(*remote, *local))
+        own = summaries.make_heartbeat(self._board).endpoints
+        return dict(itertools.chain(*remote, own.items()))
 
 
 def _get_model(inventory: inventories.Inventory, adapter: str) -> str | None:
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -13,6 +13,7 @@
 from bronzetrack.core import errors
 from bronzetrack.core import failures
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import pace
 from bronzetrack.idempotency import decisions
 from bronzetrack.idempotency import keys
 from bronzetrack.idempotency import records
@@ -183,7 +184,13 @@
                 self._work.attempt, answer.status, answer.content_type
             )
         )
+        timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
+            chunk_ms = timer.note_chunk(self._read_clock().monotonic_ms)
+            if chunk_ms is not None:
+                self._board.mailboxes["runs"].post(
+                    events.ChunksPassed(self._work.endpoint, chunk_ms)
+                )
             if self._first_chunk_ms is None:
                 now_ms = self._read_clock().monotonic_ms
                 self._first_chunk_ms = now_ms - sent_ms
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -44,6 +44,7 @@
     # Endpoints.
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_CRASHED = "endpoint_crashed"
     ENDPOINT_PROTOCOL = "endpoint_protocol"
     WRONG_ADAPTER = "wrong_adapter"
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -22,6 +22,17 @@
     first_chunk_ms: int | None = None
 
 
+@attrs.frozen
+class ChunksPassed:
+    """A stream passed some chunks.
+
+    :param chunk_ms: mean time between them
+    """
+
+    endpoint: str
+    chunk_ms: float
+
+
 @attrs.frozen
 class LoadEnded:
     """An order to load an adapter version ended."""
--- a/src/bronzetrack/dispatch/placement.py
+++ b/src/bronzetrack/dispatch/placement.py
@@ -26,10 +26,12 @@
     :param wanted: adapters to load before anyone waits for them, most in
         demand first
     :param elsewhere: adapters that other endpoints have loaded
+    :param paces: time between chunks at the other endpoints of the model
     """
 
     wanted: tuple[str, ...] = ()
     elsewhere: frozenset[str] = frozenset()
+    paces: tuple[float, ...] = ()
 
 
 def count_demand(adapters: Iterable[str]) -> dict[str, float]:
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -13,6 +13,9 @@
 from bronzetrack.dispatch import loads as load_plans
 from bronzetrack.dispatch import state as states
 
+# Every VM has read of a change in a heartbeat after this time.
+NOTICE_MS = 1_200
+
 
 @attrs.frozen
 class Plan:
@@ -31,7 +34,10 @@
     queue: states.EndpointQueue, context: contexts.EndpointContext, now_ms: int
 ) -> Plan:
     """Return the effects that are due for one endpoint."""
-    refused = list(_find_timeouts(queue, context.rules, now_ms))
+    refused = [
+        *_find_timeouts(queue, context.rules, now_ms),
+        *_find_misplaced(queue),
+    ]
     gone = {attempt for attempt, _ in refused}
     waiting = [
         item
@@ -64,6 +70,26 @@
             )
 
 
+def _find_misplaced(
+    queue: states.EndpointQueue,
+) -> Iterator[tuple[str, failures.Failure]]:
+    """Send work to others that came before its sender knew of the slowness.
+
+    Work that comes later was sent here because the others are worse. Isolated
+    work stays, since all VMs send it to the same endpoint.
+    """
+    if not queue.pace.slow:
+        return
+    for item in queue.waiting:
+        lag_ms = item.queued_ms - queue.pace.slow_since_ms
+        if lag_ms < NOTICE_MS and not item.work.isolated:
+            yield item.work.attempt, failures.Failure(
+                failures.Reason.ENDPOINT_SLOW,
+                "the endpoint answers slower than its peers",
+                retry_after_ms=1_000,
+            )
+
+
 def _rank_waiting(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> list[states.Waiting]:
@@ -85,6 +111,8 @@
     waiting: list[states.Waiting],
 ) -> Iterator[str]:
     slots = context.endpoint.slots
+    if queue.pace.trial_slots is not None:
+        slots = min(slots, queue.pace.trial_slots)
     running = [item.work for item in queue.running.values()]
     for item in waiting:
         if len(running) >= slots:
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.streaming import messages
 
 
@@ -62,7 +63,7 @@
     :param load_retry_ms: monotonic time before which a load that failed is
         not tried again, by `name@version`
     :param boot: the run of the engine that the residents belong to
-    :param slow: whether the endpoint answers slower than its peers
+    :param pace: how fast the endpoint answers
     :param leaving: whether the endpoint says that it is leaving
     """
 
@@ -71,7 +72,7 @@
     residents: Mapping[str, Resident] = attrs.field(factory=dict)
     load_retry_ms: Mapping[str, int] = attrs.field(factory=dict)
     boot: str = ""
-    slow: bool = False
+    pace: paces.Pace = attrs.field(factory=paces.Pace)
     leaving: bool = False
 
     @property
@@ -79,6 +80,18 @@
         """Whether work waits or runs."""
         return bool(self.waiting or self.running)
 
+    @property
+    def streaming_since_ms(self) -> int | None:
+        """Start of the oldest stream that runs here, if any."""
+        return min(
+            (
+                item.started_ms
+                for item in self.running.values()
+                if item.work.stream
+            ),
+            default=None,
+        )
+
     @property
     def pinned(self) -> frozenset[str]:
         """Adapter versions that queued or running work needs."""
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Sequence
 
 import attrs
 
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import state as states
 from bronzetrack.endpoints import reports
 from bronzetrack.streaming import messages
@@ -168,6 +170,22 @@
     )
 
 
+def judge_pace(
+    queue: states.EndpointQueue,
+    peers: Sequence[float],
+    slots: int,
+    now_ms: int,
+) -> states.EndpointQueue:
+    """Return the queue with the present verdict on its speed.
+
+    :param peers: time between chunks at the other endpoints
+    """
+    judged = paces.judge(
+        queue.pace, peers, queue.streaming_since_ms, slots, now_ms
+    )
+    return queue if judged == queue.pace else attrs.evolve(queue, pace=judged)
+
+
 def apply_report(
     queue: states.EndpointQueue,
     report: reports.LoadReport,
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -48,12 +48,14 @@
     :param queued: requests that wait there
     :param warm: adapter versions that are loaded, `name@version`
     :param slow: whether the endpoint answers slower than its peers
+    :param chunk_ms: time between the chunks of a stream, 0 if not known
     """
 
     free_slots: int = 0
     queued: int = 0
     warm: tuple[str, ...] = ()
     slow: bool = False
+    chunk_ms: float = 0.0
     leaving: bool = False
 
 
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -46,6 +46,7 @@
             for adapter, resident in queue.residents.items()
             if resident.phase is dispatch_state.ResidentPhase.READY
         ),
-        slow=queue.slow,
+        slow=queue.pace.slow,
+        chunk_ms=queue.pace.chunk_ms,
         leaving=queue.leaving,
     )
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -16,6 +16,7 @@
         failures.Reason.NO_OWNER,
         failures.Reason.ENDPOINT_UNREACHABLE,
         failures.Reason.ENDPOINT_REFUSED,
+        failures.Reason.ENDPOINT_SLOW,
         failures.Reason.ENDPOINT_CRASHED,
         failures.Reason.LOAD_FAILED,
         failures.Reason.DRAINING,
--- a/src/bronzetrack/routing/policies.py
+++ b/src/bronzetrack/routing/policies.py
@@ -19,7 +19,7 @@
 # Makes all VMs copy an adapter to the same next endpoint. Without it, each
 # overflow loaded another copy; with 0.3 the first copies are overloaded.
 COPY_ORDER_COST = 0.1
-SLOW_COST = 2.0
+SLOW_COST = 4.0
 # Within a second after a summary, 7 VMs sent up to 60 requests more to one
 # endpoint that it showed as idle. 1 s let more of them pass than 0.3 s.
 REPORT_HALF_LIFE_MS = 300
