Keep a former owner from the adapters that a successor uses

Cause: read-through of the takeover: the pins of a predecessor were cleared by comparing the clock of an endpoint with that of a VM; an engine that checks fencing numbers learned the new one only with the first load, so that the old owner could still evict; a paused owner dispatched without looking at its lease; a load or unload whose answer was lost stayed wrong for ever. Change: reports count by how long the endpoint is owned; a fence order goes before the first dispatch after a takeover or restart of an engine; work starts only with a lease or in an outage of the log; settled load reports correct the residents.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -189,6 +189,8 @@
             case events.UnloadEnded():
                 counters.count_eviction(event.failure)
                 queue = transitions.end_unload(queue, event, now_ms)
+            case events.FenceEnded():
+                queue = transitions.end_fence(queue, event)
             case events.ReportRead():
                 queue = self._apply_report(queue, event, now_ms)
         self._set_queue(event.endpoint, queue)
@@ -202,12 +204,8 @@
         if isinstance(event.report, failures.Failure):
             return queue
         owner = self.board.ownership.value.owners.get(event.endpoint)
-        claimed_ms = now_ms if owner is None else owner.claimed_ms
-        now = self.read_clock()
-        claimed_wall_ms = now.wall_ms - (now.monotonic_ms - claimed_ms)
-        return transitions.apply_report(
-            queue, event.report, claimed_wall_ms, now_ms
-        )
+        owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
+        return transitions.apply_report(queue, event.report, owned_ms, now_ms)
 
     def _advance(self, name: str, now_ms: int) -> loads.LoadPlan:
         """Carry out what is due; return what was due of loads."""
@@ -225,6 +223,10 @@
         context = self._make_context(name, endpoint, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
         self._carry_out_refusals(name, plan)
+        if plan.fence is not None:
+            queue = self.board.dispatch.value.endpoints[name]
+            self._set_queue(name, transitions.send_fence(queue, now_ms))
+            self._orders.fence(name, endpoint, plan.fence)
         for attempt in plan.start:
             self._start(name, endpoint, attempt, now_ms)
         for adapter in plan.loads.load:
@@ -241,6 +243,7 @@
         return contexts.EndpointContext(
             endpoint=endpoint,
             rules=self.board.configuration.value.configuration.rules,
+            may_start=leases.may_dispatch(ownership, now_ms),
             may_load=state.endpoints[name].boot != "",
             may_unload=leases.may_order(
                 ownership,
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -27,7 +27,8 @@
     [inventories.Endpoint, str, int], Awaitable[failures.Failure | None]
 ]
 EventMaker = Callable[
-    [failures.Failure | None], events.LoadEnded | events.UnloadEnded
+    [failures.Failure | None],
+    events.LoadEnded | events.UnloadEnded | events.FenceEnded,
 ]
 
 
@@ -68,6 +69,18 @@
             adapter,
         )
 
+    def fence(
+        self, name: str, endpoint: inventories.Endpoint, adapter: str
+    ) -> None:
+        """Show an engine the fencing number by a load that is done."""
+        self._send(
+            self._ports.endpoints.load_adapter,
+            functools.partial(events.FenceEnded, name),
+            name,
+            endpoint,
+            adapter,
+        )
+
     def _send(
         self,
         send: OrderSender,
--- a/src/bronzetrack/dispatch/context.py
+++ b/src/bronzetrack/dispatch/context.py
@@ -15,6 +15,7 @@
 class EndpointContext:
     """What a plan depends on besides the queue.
 
+    :param may_start: whether work may be dispatched
     :param may_load: whether orders that evict nothing are allowed
     :param may_unload: whether orders that need the lease are allowed
     :param load_permits: loads that may start now
@@ -27,6 +28,7 @@
     may_load: bool
     may_unload: bool
     load_permits: int
+    may_start: bool = True
     usage: dict[str, float] = attrs.field(factory=dict)
     placement: placements.Placement = attrs.field(factory=placements.Placement)
     may_prefetch: bool = False
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -51,6 +51,14 @@
     failure: failures.Failure | None = None
 
 
+@attrs.frozen
+class FenceEnded:
+    """An order that only carries the fencing number ended."""
+
+    endpoint: str
+    failure: failures.Failure | None = None
+
+
 @attrs.frozen
 class ReportRead:
     """A load report of an endpoint was read."""
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -23,11 +23,14 @@
 
     :param start: attempts to dispatch now
     :param refuse: attempts to refuse, with the failure
+    :param fence: loaded adapter version to load again, which changes nothing
+        but shows the engine the fencing number
     """
 
     start: tuple[str, ...] = ()
     refuse: tuple[tuple[str, failures.Failure], ...] = ()
     loads: load_plans.LoadPlan = attrs.field(factory=load_plans.LoadPlan)
+    fence: str | None = None
 
 
 def plan_endpoint(
@@ -44,7 +47,14 @@
         for item in _rank_waiting(queue, context)
         if item.work.attempt not in gone
     ]
-    started = _choose_starts(queue, context, waiting)
+    if _lacks_fence(queue, context):
+        due = now_ms >= queue.fence_retry_ms
+        return Plan(
+            refuse=tuple(refused), fence=min(queue.residents) if due else None
+        )
+    started = (
+        _choose_starts(queue, context, waiting) if context.may_start else ()
+    )
     return Plan(
         start=tuple(started),
         refuse=tuple(refused),
@@ -52,6 +62,21 @@
     )
 
 
+def _lacks_fence(
+    queue: states.EndpointQueue, context: contexts.EndpointContext
+) -> bool:
+    """Return whether a former owner could still evict what is loaded.
+
+    An engine that checks fencing numbers refuses the orders of a former
+    owner only once it has seen the number of this one.
+    """
+    return (
+        context.endpoint.checks_fencing
+        and not queue.fenced
+        and bool(queue.residents)
+    )
+
+
 def _find_timeouts(
     queue: states.EndpointQueue, rules: rule_sets.Rules, now_ms: int
 ) -> Iterator[tuple[str, failures.Failure]]:
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -62,7 +62,11 @@
     :param residents: by `name@version`
     :param load_retry_ms: monotonic time before which a load that failed is
         not tried again, by `name@version`
+    :param ordered_ms: monotonic time at which the last order ended, by
+        `name@version`; load reports say so late
     :param boot: the run of the engine that the residents belong to
+    :param fenced: whether the engine has seen the fencing number of this VM
+    :param fence_retry_ms: monotonic time before which no fence is sent again
     :param pace: how fast the endpoint answers
     :param leaving: whether the endpoint says that it is leaving
     """
@@ -71,7 +75,10 @@
     running: Mapping[str, Running] = attrs.field(factory=dict)
     residents: Mapping[str, Resident] = attrs.field(factory=dict)
     load_retry_ms: Mapping[str, int] = attrs.field(factory=dict)
+    ordered_ms: Mapping[str, int] = attrs.field(factory=dict)
     boot: str = ""
+    fenced: bool = False
+    fence_retry_ms: int = 0
     pace: paces.Pace = attrs.field(factory=paces.Pace)
     leaving: bool = False
 
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -14,6 +14,8 @@
 from bronzetrack.streaming import messages
 
 LOAD_RETRY_MS = 1_000
+FENCE_RETRY_MS = 1_000
+NEVER_MS = -(1 << 62)
 
 
 def enqueue(
@@ -148,11 +150,38 @@
     queue: states.EndpointQueue, event: events.LoadEnded, now_ms: int
 ) -> states.EndpointQueue:
     """Return the queue after an order to load ended."""
+    queue = _note_order(queue, event.adapter, now_ms)
     if event.failure is not None:
         return delay_load(queue, event.adapter, now_ms + LOAD_RETRY_MS)
-    return set_resident(
+    queue = set_resident(
         queue, event.adapter, states.ResidentPhase.READY, now_ms
     )
+    return attrs.evolve(queue, fenced=True)
+
+
+def _note_order(
+    queue: states.EndpointQueue, adapter: str, now_ms: int
+) -> states.EndpointQueue:
+    recent = {
+        name: ended_ms
+        for name, ended_ms in queue.ordered_ms.items()
+        if now_ms - ended_ms <= reports.REPORT_LAG_MS
+    }
+    return attrs.evolve(queue, ordered_ms={**recent, adapter: now_ms})
+
+
+def send_fence(
+    queue: states.EndpointQueue, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue after a fence was sent."""
+    return attrs.evolve(queue, fence_retry_ms=now_ms + FENCE_RETRY_MS)
+
+
+def end_fence(
+    queue: states.EndpointQueue, event: events.FenceEnded
+) -> states.EndpointQueue:
+    """Return the queue after a fence ended."""
+    return attrs.evolve(queue, fenced=event.failure is None)
 
 
 def end_unload(
@@ -163,6 +192,7 @@
     After a failure the adapter may or may not be loaded. It is taken as
     loaded, so that its slot is not filled twice; a load report corrects it.
     """
+    queue = _note_order(queue, event.adapter, now_ms)
     if event.failure is None:
         return drop_resident(queue, event.adapter)
     return set_resident(
@@ -189,18 +219,51 @@
 def apply_report(
     queue: states.EndpointQueue,
     report: reports.LoadReport,
-    claimed_wall_ms: int,
+    owned_ms: int,
     now_ms: int,
 ) -> states.EndpointQueue:
     """Return the queue after a load report.
 
-    :param claimed_wall_ms: Unix time at which this VM read its claim
+    :param owned_ms: how long this VM has owned the endpoint. A report that
+        is read later than its longest lag after the claim was made after the
+        claim; the clocks of an endpoint and of a VM are never compared.
     """
     queue = attrs.evolve(queue, leaving=report.leaving)
     if report.boot != queue.boot:
-        fresh = attrs.evolve(queue, boot=report.boot, residents={})
+        fresh = attrs.evolve(
+            queue, boot=report.boot, residents={}, fenced=False
+        )
         return adopt_residents(fresh, report.loaded, now_ms)
-    if report.produced_ms <= claimed_wall_ms:
+    queue = _reconcile_residents(queue, report, now_ms)
+    if owned_ms <= reports.REPORT_LAG_MS:
         return queue
     in_use = [name for name, count in report.running.items() if count]
     return clear_inherited(queue, in_use)
+
+
+def _reconcile_residents(
+    queue: states.EndpointQueue, report: reports.LoadReport, now_ms: int
+) -> states.EndpointQueue:
+    """Correct what the answer of an order that was lost would have said."""
+    settled = {
+        adapter
+        for adapter in {*queue.residents, *report.loaded}
+        if now_ms - queue.ordered_ms.get(adapter, NEVER_MS)
+        > reports.REPORT_LAG_MS
+    }
+    gone = {
+        adapter
+        for adapter, resident in queue.residents.items()
+        if resident.phase is states.ResidentPhase.READY
+        and adapter in settled - set(report.loaded)
+        and adapter not in queue.pinned
+    }
+    kept = {
+        adapter: resident
+        for adapter, resident in queue.residents.items()
+        if adapter not in gone
+    }
+    found = settled & set(report.loaded)
+    return adopt_residents(
+        attrs.evolve(queue, residents=kept), sorted(found), now_ms
+    )
--- a/src/bronzetrack/endpoints/reports.py
+++ b/src/bronzetrack/endpoints/reports.py
@@ -6,6 +6,11 @@
 
 import attrs
 
+# Longest time between the making of a report and its reading. Engines
+# publish late; one that is later than this would let an adapter in use be
+# taken as idle.
+REPORT_LAG_MS = 5_000
+
 
 @attrs.frozen
 class LoadReport:
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -57,6 +57,7 @@
     :param owners: owner by endpoint
     :param complete: whether the replay lacks no record that counts
     :param caught_up: whether it is complete and has read to the end
+    :param log_reachable: whether the last read of the stream succeeded
     :param changed_offset: position after the last record that was no lease
     :param retained: the retained range and the newest holding record
     :param read_ms: monotonic time at which the last record was read
@@ -73,6 +74,7 @@
     owners: Mapping[str, Ownership] = attrs.field(factory=dict)
     complete: bool = True
     caught_up: bool = False
+    log_reachable: bool = False
     changed_offset: int = 0
     retained: retention.Retained = attrs.field(factory=retention.Retained)
     read_ms: int = 0
@@ -133,3 +135,13 @@
         return True
     settled_ms = owner.claimed_ms + ORDER_LIFE_MS
     return settled_ms <= now_ms <= state.held_until_ms - ORDER_LIFE_MS
+
+
+def may_dispatch(state: OwnershipState, now_ms: int) -> bool:
+    """Return whether this VM may start idempotent work on what it owns.
+
+    A holder that was paused may not, until it has read whether there is a
+    successor, which may evict what the work needs. In an outage of the log
+    there can be no successor.
+    """
+    return now_ms < state.held_until_ms or not state.log_reachable
--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -42,7 +42,7 @@
         state = _note_own(state, record, incarnation)
     at_end = state.next_offset >= end
     caught_up = state.complete and (state.caught_up or at_end)
-    return attrs.evolve(state, caught_up=caught_up)
+    return attrs.evolve(state, caught_up=caught_up, log_reachable=True)
 
 
 def note_outage(
@@ -52,6 +52,7 @@
 
     A stream that could not be read does not count as quiet.
     """
+    state = attrs.evolve(state, log_reachable=False)
     return state if state.complete else attrs.evolve(state, read_ms=now_ms)
 
 
--- /dev/null
+++ b/tests/dispatch/test_transitions.py
@@ -0,0 +1,69 @@
+"""Tests of what owners take from orders and load reports."""
+
+from __future__ import annotations
+
+import pytest
+
+from bronzetrack.core import failures
+from bronzetrack.dispatch import events
+from bronzetrack.dispatch import state as states
+from bronzetrack.dispatch import transitions
+from bronzetrack.endpoints import reports
+
+LATE_MS = reports.REPORT_LAG_MS + 1
+
+
+@pytest.fixture
+def taken_over() -> states.EndpointQueue:
+    """A queue whose residents a former owner loaded."""
+    report = reports.LoadReport("b1", 0, {"a@1": 1}, ("a@1", "b@1"))
+    return transitions.apply_report(states.EndpointQueue(), report, 0, 0)
+
+
+def list_inherited(queue: states.EndpointQueue) -> list[str]:
+    return [name for name, item in queue.residents.items() if item.inherited]
+
+
+def test_early_report_clears_no_inherited_pin(taken_over):
+    """Guards against an eviction by a report from before the claim."""
+    idle = reports.LoadReport("b1", 10**15, {}, ("a@1", "b@1"))
+    queue = transitions.apply_report(
+        taken_over, idle, reports.REPORT_LAG_MS, 1
+    )
+    assert list_inherited(queue) == ["a@1", "b@1"]
+
+
+def test_late_report_clears_pins_of_idle_adapters(taken_over):
+    """Guards against adapters that nobody may ever evict."""
+    report = reports.LoadReport("b1", 0, {"a@1": 1}, ("a@1", "b@1"))
+    queue = transitions.apply_report(taken_over, report, LATE_MS, LATE_MS)
+    assert list_inherited(queue) == ["a@1"]
+
+
+def test_report_shows_load_whose_answer_was_lost():
+    """Guards against an adapter slot that is full and counted as free."""
+    lost = failures.Failure(failures.Reason.ENDPOINT_UNREACHABLE)
+    queue = states.EndpointQueue(boot="b1")
+    queue = transitions.end_load(queue, events.LoadEnded("e", "a@1", lost), 0)
+    report = reports.LoadReport("b1", 0, {}, ("a@1",))
+    early = transitions.apply_report(queue, report, LATE_MS, 100)
+    assert "a@1" not in early.residents
+    late = transitions.apply_report(queue, report, LATE_MS, LATE_MS)
+    assert "a@1" in late.residents
+
+
+def test_report_shows_adapter_that_is_gone(taken_over):
+    """Guards against dispatch to an adapter that an order removed."""
+    report = reports.LoadReport("b1", 0, {}, ("a@1",))
+    queue = transitions.apply_report(taken_over, report, LATE_MS, LATE_MS)
+    assert list(queue.residents) == ["a@1"]
+
+
+def test_restart_of_engine_asks_for_a_new_fence(taken_over):
+    """Guards against trust in a fencing number that the engine forgot."""
+    queue = transitions.end_fence(taken_over, events.FenceEnded("e"))
+    assert queue.fenced
+    restarted = reports.LoadReport("b2", 0, {}, ())
+    queue = transitions.apply_report(queue, restarted, LATE_MS, LATE_MS)
+    assert not queue.fenced
+    assert queue.residents == {}
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -69,3 +69,20 @@
     )
     early = leases.ORDER_LIFE_MS - 1
     assert not leases.may_order(state, "e1", "i1", False, early)
+
+
+def test_paused_holder_may_not_dispatch(claimed):
+    """Guards against new work on what a successor is evicting."""
+    state = leases.OwnershipState(
+        owners=claimed.owners, held_until_ms=10_000, log_reachable=True
+    )
+    assert leases.may_dispatch(state, 9_999)
+    assert not leases.may_dispatch(state, 10_000)
+
+
+def test_holder_dispatches_on_in_outage_of_log(claimed):
+    """Guards against a site that stops serving with the log."""
+    state = leases.OwnershipState(
+        owners=claimed.owners, held_until_ms=10_000, log_reachable=False
+    )
+    assert leases.may_dispatch(state, 1_000_000)
