Hand back the queue of a leaving endpoint

Cause: an endpoint that leaves got no new requests from entry VMs, but its owner went on to start what waited in its queue, for up to the queue timeout of the class (30 s by default). Change: the owner refuses waiting work with endpoint_leaving as soon as the inventory, the platform's list or the load report says so; the entry VM sends it elsewhere.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -243,6 +243,7 @@
         return contexts.EndpointContext(
             endpoint=endpoint,
             rules=self.board.configuration.value.configuration.rules,
+            leaving=self._is_leaving(name, endpoint),
             may_start=leases.may_dispatch(ownership, now_ms),
             may_load=state.endpoints[name].boot != "",
             may_unload=leases.may_order(
@@ -260,6 +261,14 @@
             ),
         )
 
+    def _is_leaving(self, name: str, endpoint: inventories.Endpoint) -> bool:
+        """Return whether any of the sources says that an endpoint leaves."""
+        return (
+            endpoint.leaving
+            or self.board.dispatch.value.endpoints[name].leaving
+            or name in self.board.membership.value.listed_leaving
+        )
+
     def _carry_out_refusals(self, name: str, plan: planner.Plan) -> None:
         queue = self.board.dispatch.value.endpoints[name]
         items = {item.work.attempt: item for item in queue.waiting}
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -44,6 +44,7 @@
     CANCELLED = "cancelled"
     # Endpoints.
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_CRASHED = "endpoint_crashed"
--- a/src/bronzetrack/dispatch/context.py
+++ b/src/bronzetrack/dispatch/context.py
@@ -15,6 +15,7 @@
 class EndpointContext:
     """What a plan depends on besides the queue.
 
+    :param leaving: whether the endpoint gets no new work
     :param may_start: whether work may be dispatched
     :param may_load: whether orders that evict nothing are allowed
     :param may_unload: whether orders that need the lease are allowed
@@ -28,6 +29,7 @@
     may_load: bool
     may_unload: bool
     load_permits: int
+    leaving: bool = False
     may_start: bool = True
     usage: dict[str, float] = attrs.field(factory=dict)
     placement: placements.Placement = attrs.field(factory=placements.Placement)
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -40,6 +40,7 @@
     refused = [
         *_find_timeouts(queue, context.rules, now_ms),
         *_find_misplaced(queue),
+        *_find_stranded(queue, context),
     ]
     gone = {attempt for attempt, _ in refused}
     waiting = [
@@ -115,6 +116,20 @@
             )
 
 
+def _find_stranded(
+    queue: states.EndpointQueue, context: contexts.EndpointContext
+) -> Iterator[tuple[str, failures.Failure]]:
+    """Send queued work to other endpoints before its endpoint leaves."""
+    if not context.leaving:
+        return
+    for item in queue.waiting:
+        yield item.work.attempt, failures.Failure(
+            failures.Reason.ENDPOINT_LEAVING,
+            "the endpoint gets no new work",
+            retry_after_ms=1_000,
+        )
+
+
 def _rank_waiting(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> list[states.Waiting]:
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -15,6 +15,7 @@
         failures.Reason.PEER_UNREACHABLE,
         failures.Reason.NO_OWNER,
         failures.Reason.ENDPOINT_UNREACHABLE,
+        failures.Reason.ENDPOINT_LEAVING,
         failures.Reason.ENDPOINT_REFUSED,
         failures.Reason.ENDPOINT_SLOW,
         failures.Reason.ENDPOINT_CRASHED,
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -70,3 +70,12 @@
     fenced = attrs.evolve(queue, fenced=True)
     barred = attrs.evolve(context, may_start=False)
     assert planner.plan_endpoint(fenced, barred, 0).start == ()
+
+
+def test_leaving_endpoint_hands_back_its_queue(queue, context):
+    """Guards against new work on an endpoint long after it said it leaves."""
+    fenced = attrs.evolve(queue, fenced=True)
+    leaving = attrs.evolve(context, leaving=True)
+    plan = planner.plan_endpoint(fenced, leaving, 0)
+    assert plan.start == ()
+    assert [attempt for attempt, _ in plan.refuse] == ["t1"]
