Copy the configuration in the log and between peers

Cause: Retention could drop the only copy of the configuration; a replay of a truncated stream could accept or miss publications; a VM started in an outage never served; a small change cost 1.7 MB in the log and 60 ms in each daemon; an append whose answer was lost was reported as not landed although it could land later (found by reading the code, measurement and a state machine). A VM that is behind fetches configuration and position from a peer in parts. The tool publishes the entries that differ and resends an uncertain record. A daemon checks only what a delta can have made wrong.

--- a/src/bronzetrack/client/publisher.py
+++ b/src/bronzetrack/client/publisher.py
@@ -15,6 +15,8 @@
 from bronzetrack.platform import logservice
 from bronzetrack.wire import documents
 
+APPEND_TRIES = 3
+
 
 @attrs.frozen
 class Publication:
@@ -31,14 +33,43 @@
     first = await log.read(records.STREAM, logservice.BEYOND_END)
     if isinstance(first, failures.Failure):
         return first
-    state = states.ConfigurationState(next_offset=first.start)
-    while state.next_offset < first.end:
+    state = replay.apply_batch(
+        states.ConfigurationState(), first.start, first.end, (), documents, 0
+    )
+    state = await _read_on(log, state)
+    if isinstance(state, failures.Failure) or state.complete:
+        return state
+    return failures.Failure(
+        failures.Reason.LOG_TRUNCATED,
+        "the log retains no copy of the configuration; a running daemon "
+        "appends one within seconds",
+        retry_after_ms=10_000,
+    )
+
+
+async def _read_on(
+    log: logservice.LogClient,
+    state: states.ConfigurationState,
+    token: str = "",
+) -> states.ConfigurationState | failures.Failure:
+    """Replay from a state to the end, or until a token was decided."""
+    while True:
         batch = await log.read(records.STREAM, state.next_offset)
         if isinstance(batch, failures.Failure):
             return batch
-        for offset, record in batch.records:
-            state = replay.apply_record(state, offset, record, documents)
-    return state
+        state = replay.apply_batch(
+            state, batch.start, batch.end, batch.records, documents, 0
+        )
+        decided = token and _find_verdict(state, token)
+        if decided or state.next_offset >= batch.end:
+            return state
+
+
+def _find_verdict(
+    state: states.ConfigurationState, token: str
+) -> states.Verdict | None:
+    found = (item for item in state.verdicts if item.token == token)
+    return next(found, None)
 
 
 async def publish(
@@ -57,62 +88,70 @@
     before = await read_configuration(log)
     if isinstance(before, failures.Failure):
         return before
-    record = records.PublicationRecord(
-        kind=kind,
-        base=before.configuration.offset if base is None else base,
-        document=document,
-        author=author,
-        token=uuid.uuid4().hex,
-    )
+    record = _make_record(before.configuration, kind, document, author, base)
+    if isinstance(record, failures.Failure):
+        return record
     checked = replay.decide_publication(
         before.configuration, before.next_offset, record, documents
     )
     if isinstance(checked, failures.Failure):
         return checked
-    offset = await log.append(records.STREAM, [record])
-    if isinstance(offset, failures.Failure):
-        if offset.reason is not failures.Reason.APPEND_UNCERTAIN:
-            return offset
-        offset = await _find_record(log, record, before.next_offset)
-        if isinstance(offset, failures.Failure):
-            return offset
-    return await _read_verdict(log, offset)
+    return await _append(log, before, record)
 
 
-async def _find_record(
+def _make_record(
+    current: states.Configuration,
+    kind: str,
+    document: Mapping[str, Any],
+    author: str,
+    base: int | None,
+) -> records.PublicationRecord | failures.Failure:
+    """Return the publication of only what differs from what is in force."""
+    value = documents.read_document(kind, document)
+    if isinstance(value, failures.Failure):
+        return value
+    first = current.offset == states.NO_OFFSET
+    if not first:
+        document = documents.make_delta(getattr(current, kind), value)
+    return records.PublicationRecord(
+        kind=kind,
+        base=current.offset if base is None else base,
+        document=document,
+        author=author,
+        delta=not first,
+        token=uuid.uuid4().hex,
+    )
+
+
+async def _append(
     log: logservice.LogClient,
+    state: states.ConfigurationState,
     record: records.PublicationRecord,
-    offset: int,
-) -> int | failures.Failure:
-    """Look for a record whose append was not confirmed."""
-    while True:
-        batch = await log.read(records.STREAM, offset)
-        if isinstance(batch, failures.Failure):
-            return batch
-        for found_offset, found in batch.records:
-            offset = found_offset + 1
-            if (
-                isinstance(found, records.PublicationRecord)
-                and found.token == record.token
-            ):
-                return found_offset
-        if offset >= batch.end:
-            return failures.Failure(
-                failures.Reason.APPEND_UNCERTAIN,
-                "the record is not in the log yet; look at the history",
-            )
-
-
-async def _read_verdict(
-    log: logservice.LogClient, offset: int
 ) -> Publication | failures.Failure:
-    state = await read_configuration(log)
-    if isinstance(state, failures.Failure):
-        return state
-    found = [item for item in state.verdicts if item.offset == offset]
-    if not found:
-        return failures.Failure(
-            failures.Reason.APPEND_UNCERTAIN,
-            f"the decision about offset {offset} is no longer retained",
-        )
-    return Publication(found[0], state.configuration)
+    """Append a record until its decision is read.
+
+    It may land several times when answers are lost. All copies have the same
+    base, so at most the first is accepted, and the first decides.
+    """
+    uncertain = ""
+    for _ in range(APPEND_TRIES):
+        offset = await log.append(records.STREAM, [record])
+        if isinstance(offset, failures.Failure):
+            certain = offset.reason is not failures.Reason.APPEND_UNCERTAIN
+            if certain and not uncertain:
+                return offset
+            uncertain = f"{offset.reason.value}: {offset.detail}"
+        else:
+            uncertain = f"appended at {offset}"
+        after = await _read_on(log, state, record.token)
+        if isinstance(after, failures.Failure):
+            uncertain = f"{uncertain}; {after.detail}"
+            continue
+        state = after
+        verdict = _find_verdict(state, record.token)
+        if verdict is not None:
+            return Publication(verdict, state.configuration)
+    return failures.Failure(
+        failures.Reason.APPEND_UNCERTAIN,
+        f"the decision could not be read; look at the history: {uncertain}",
+    )
--- a/src/bronzetrack/configuration/records.py
+++ b/src/bronzetrack/configuration/records.py
@@ -38,11 +38,21 @@
 @records.RECORDS.register("snapshot")
 @attrs.frozen
 class SnapshotRecord:
-    """A copy of the configuration in force, so that retention drops none."""
+    """A copy of the configuration in force, so that retention drops none.
+
+    It is effective if nothing was published since its author read the
+    stream. To a replay that has read everything it brings nothing new; a
+    replay that lacks earlier records starts from it.
+
+    :param offset: of the publication that brought the configuration
+    :param through: the position up to which its author had read
+    :param data: the encoded configuration, which a replay that has read
+        everything need not decode
+    """
 
     offset: int
-    inventory: Mapping[str, Any]
-    rules: Mapping[str, Any]
+    through: int
+    data: bytes
 
 
 EMPTY_BASE = state.NO_OFFSET
--- a/src/bronzetrack/configuration/replay.py
+++ b/src/bronzetrack/configuration/replay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Any
 from typing import Protocol
@@ -16,6 +17,7 @@
 from bronzetrack.configuration import state as states
 from bronzetrack.configuration import validation
 from bronzetrack.core import failures
+from bronzetrack.core import retention
 
 KEPT_VERDICTS = 64
 
@@ -31,20 +33,107 @@
     ) -> Any:
         """Return a changed inventory or rule set, or a failure."""
 
+    def decode_configuration(self, data: bytes) -> Any:
+        """Return a configuration, or a failure."""
+
+
+def apply_batch(
+    state: states.ConfigurationState,
+    start: int,
+    end: int,
+    items: Iterable[tuple[int, Any]],
+    reader: DocumentReader,
+    now_ms: int,
+) -> states.ConfigurationState:
+    """Return the state after one read of the stream.
+
+    :param start: the earliest offset that is retained
+    :param end: the offset that the next append gets
+    :param items: offsets and records; those read before are skipped
+    :param now_ms: monotonic time at which the batch was read
+    """
+    retained = attrs.evolve(state.retained, start=start, end=end)
+    state = attrs.evolve(
+        state, retained=retained, log_reachable=True, failed_reads=0
+    )
+    fresh = [item for item in items if item[0] >= state.next_offset]
+    first = fresh[0][0] if fresh else max(start, state.next_offset)
+    if first > state.next_offset:
+        state = attrs.evolve(
+            state, next_offset=first, changed_offset=first, complete=False
+        )
+    for offset, record in fresh:
+        state = apply_record(state, offset, record, reader, now_ms)
+    return state
+
+
+def note_failure(
+    state: states.ConfigurationState,
+) -> states.ConfigurationState:
+    """Return the state after a read of the stream failed."""
+    return attrs.evolve(
+        state, log_reachable=False, failed_reads=state.failed_reads + 1
+    )
+
+
+def adopt(
+    state: states.ConfigurationState,
+    configuration: states.Configuration,
+    through: int,
+) -> states.ConfigurationState:
+    """Return the state after a peer sent its configuration.
+
+    The peer's replay was complete, so that the replay goes on from its
+    position as the peer does. A lower offset is never adopted.
+
+    :param through: the position up to which the peer had read
+    """
+    if configuration.offset < state.configuration.offset:
+        return state
+    if state.complete and through <= state.next_offset:
+        return state
+    return attrs.evolve(
+        state,
+        configuration=configuration,
+        next_offset=through,
+        changed_offset=through,
+        complete=True,
+    )
+
+
+def is_copy_due(
+    state: states.ConfigurationState, rank: int, now_ms: int
+) -> bool:
+    """Return whether this VM should append a snapshot now.
+
+    :param rank: place of this VM among those that could append one
+    """
+    if state.configuration.offset == states.NO_OFFSET:
+        return False
+    if not state.complete or not state.log_reachable:
+        return False
+    return retention.is_copy_due(state.retained, rank, now_ms)
+
 
 def apply_record(
     state: states.ConfigurationState,
     offset: int,
     record: Any,
     reader: DocumentReader,
+    now_ms: int = 0,
 ) -> states.ConfigurationState:
-    """Return the state after one record of the stream."""
+    """Return the state after one record of the stream.
+
+    :param now_ms: monotonic time at which the record was read
+    """
     state = attrs.evolve(state, next_offset=offset + 1)
     match record:
         case records.PublicationRecord():
-            return _apply_publication(state, offset, record, reader)
+            if state.complete:
+                state = _apply_publication(state, offset, record, reader)
+            return attrs.evolve(state, changed_offset=offset + 1)
         case records.SnapshotRecord():
-            return _apply_snapshot(state, offset, record, reader)
+            return _apply_snapshot(state, record, reader, now_ms)
     return state
 
 
@@ -55,16 +144,18 @@
     reader: DocumentReader,
 ) -> states.ConfigurationState:
     result = decide_publication(state.configuration, offset, record, reader)
-    if isinstance(result, failures.Failure):
-        verdict = states.Verdict(
-            offset,
-            False,
-            f"{result.reason.value}: {result.detail}",
-            record.author,
-        )
-        return _add_verdict(state, verdict)
-    verdict = states.Verdict(offset, True, author=record.author)
-    return _add_verdict(attrs.evolve(state, configuration=result), verdict)
+    accepted = not isinstance(result, failures.Failure)
+    verdict = states.Verdict(
+        offset,
+        accepted,
+        "" if accepted else f"{result.reason.value}: {result.detail}",
+        record.author,
+        record.token,
+    )
+    if accepted:
+        state = attrs.evolve(state, configuration=result)
+    verdicts = (*state.verdicts, verdict)[-KEPT_VERDICTS:]
+    return attrs.evolve(state, verdicts=verdicts)
 
 
 def decide_publication(
@@ -93,7 +184,12 @@
     if isinstance(value, failures.Failure):
         return value
     changed = attrs.evolve(current, offset=offset, **{record.kind: value})
-    mistakes = validation.list_mistakes(changed.inventory, changed.rules)
+    names = None
+    if record.delta and record.kind == "inventory":
+        names = record.document
+    mistakes = validation.list_mistakes(
+        changed.inventory, changed.rules, names
+    )
     if mistakes:
         return failures.Failure(
             failures.Reason.CONFIGURATION_INVALID, "; ".join(mistakes)
@@ -103,24 +199,22 @@
 
 def _apply_snapshot(
     state: states.ConfigurationState,
-    offset: int,
     record: records.SnapshotRecord,
     reader: DocumentReader,
+    now_ms: int,
 ) -> states.ConfigurationState:
-    if record.offset <= state.configuration.offset:
+    if record.through < max(state.changed_offset, state.retained.copy):
         return state
-    inventory = reader.read_document("inventory", record.inventory)
-    rules = reader.read_document("rules", record.rules)
-    if isinstance(inventory, failures.Failure):
+    retained = attrs.evolve(
+        state.retained, copy=record.through, copy_ms=now_ms
+    )
+    if state.complete:
+        return attrs.evolve(state, retained=retained)
+    found = reader.decode_configuration(record.data)
+    if isinstance(found, failures.Failure):
         return state
-    if isinstance(rules, failures.Failure):
+    if found.offset < state.configuration.offset:
         return state
-    configuration = states.Configuration(record.offset, inventory, rules)
-    return attrs.evolve(state, configuration=configuration)
-
-
-def _add_verdict(
-    state: states.ConfigurationState, verdict: states.Verdict
-) -> states.ConfigurationState:
-    verdicts = (*state.verdicts, verdict)[-KEPT_VERDICTS:]
-    return attrs.evolve(state, verdicts=verdicts)
+    return attrs.evolve(
+        state, configuration=found, retained=retained, complete=True
+    )
--- a/src/bronzetrack/configuration/state.py
+++ b/src/bronzetrack/configuration/state.py
@@ -6,6 +6,7 @@
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.core import retention
 
 NO_OFFSET = -1
 
@@ -32,12 +33,14 @@
     :param accepted: whether it is or was in force
     :param reason: why it was not accepted
     :param author: who published it, as the record states
+    :param token: by which the author finds the decision again
     """
 
     offset: int
     accepted: bool
     reason: str = ""
     author: str = ""
+    token: str = ""
 
 
 @attrs.frozen
@@ -48,9 +51,18 @@
     :param next_offset: the log position that is read next
     :param verdicts: the latest decisions, oldest first
     :param log_reachable: whether the last read of the stream succeeded
+    :param failed_reads: how many reads have failed since one succeeded
+    :param complete: whether the replay lacks no publication; if it does, the
+        configuration stays in force and no publication is accepted
+    :param changed_offset: position after the last publication
+    :param retained: the retained range and the newest snapshot record
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
     next_offset: int = 0
     verdicts: tuple[Verdict, ...] = ()
     log_reachable: bool = False
+    failed_reads: int = 0
+    complete: bool = True
+    changed_offset: int = 0
+    retained: retention.Retained = attrs.field(factory=retention.Retained)
--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -2,20 +2,32 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import ipaddress
 import itertools
+from typing import Any
+from typing import TypeVar
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
 
+T = TypeVar("T")
+
 
 def list_mistakes(
-    inventory: inventories.Inventory, rules: rule_sets.Rules
+    inventory: inventories.Inventory,
+    rules: rule_sets.Rules,
+    delta: Mapping[str, Any] | None = None,
 ) -> tuple[str, ...]:
-    """Return every mistake, one line each."""
+    """Return every mistake, one line each.
+
+    :param delta: the change that made a valid inventory into this one; only
+        what it can have made wrong is checked
+    """
     return (
-        *list_inventory_mistakes(inventory),
+        *list_inventory_mistakes(inventory, delta),
         *list_rule_mistakes(rules),
         *_check_members(inventory, rules),
     )
@@ -23,26 +35,41 @@
 
 def list_inventory_mistakes(
     inventory: inventories.Inventory,
+    delta: Mapping[str, Any] | None = None,
 ) -> tuple[str, ...]:
     """Return the mistakes that an inventory alone shows."""
+    # Members and base models are referred to from everywhere.
+    if delta is not None and not {"members", "base_models"} & delta.keys():
+        adapters = _pick(inventory.adapters, delta.get("adapters", ()))
+        endpoints = _pick(inventory.endpoints, delta.get("endpoints", ()))
+    else:
+        adapters = inventory.adapters
+        endpoints = inventory.endpoints
     return tuple(
         itertools.chain(
-            _check_adapters(inventory),
-            _check_endpoints(inventory),
+            _check_adapters(inventory, adapters),
+            _check_endpoints(inventory, endpoints),
             _check_services(inventory),
         )
     )
 
 
+def _pick(entries: Mapping[str, T], names: Iterable[str]) -> dict[str, T]:
+    return {name: entries[name] for name in names if name in entries}
+
+
 def list_rule_mistakes(rules: rule_sets.Rules) -> tuple[str, ...]:
     """Return the mistakes that a rule set alone shows."""
     return tuple(_check_rules(rules))
 
 
-def _check_adapters(inventory: inventories.Inventory) -> Iterator[str]:
+def _check_adapters(
+    inventory: inventories.Inventory,
+    adapters: Mapping[str, inventories.Adapter],
+) -> Iterator[str]:
     members = set(inventory.members)
     models = set(inventory.base_models)
-    for name, adapter in inventory.adapters.items():
+    for name, adapter in adapters.items():
         place = f"adapters.{name}"
         if not name or "@" in name:
             yield f"{place}: a name is not empty and has no '@'"
@@ -54,8 +81,11 @@
             yield f"{place}.current: {adapter.current!r} is not in versions"
 
 
-def _check_endpoints(inventory: inventories.Inventory) -> Iterator[str]:
-    for name, endpoint in inventory.endpoints.items():
+def _check_endpoints(
+    inventory: inventories.Inventory,
+    endpoints: Mapping[str, inventories.Endpoint],
+) -> Iterator[str]:
+    for name, endpoint in endpoints.items():
         place = f"endpoints.{name}"
         if not _is_ip(endpoint.host):
             yield f"{place}.host: {endpoint.host!r} is not an IP address"
--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -13,6 +13,8 @@
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 100
+# So many failed reads in a row count as an outage of the log.
+OUTAGE_READS = 3
 
 
 @controllers.CONTROLLERS.register("lifecycle")
@@ -48,7 +50,7 @@
                 before,
                 self._stop_requested,
                 self._is_configured(),
-                self.board.ownership.value.caught_up,
+                self._is_caught_up(),
                 now_ms - busy_ms,
                 self.board.settings.limits.drain_ms,
             )
@@ -70,6 +72,18 @@
         offset = self.board.configuration.value.configuration.offset
         return offset != configuration_state.NO_OFFSET
 
+    def _is_caught_up(self) -> bool:
+        """Return whether ownership is known as far as it can be.
+
+        In an outage of the log a VM that has the configuration of a peer
+        still takes calls, and routes them by the heartbeats of owners.
+        """
+        failed_reads = self.board.configuration.value.failed_reads
+        return (
+            self.board.ownership.value.caught_up
+            or failed_reads >= OUTAGE_READS
+        )
+
     def _is_busy(self) -> bool:
         queues = self.board.dispatch.value.endpoints.values()
         return bool(
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -41,7 +41,11 @@
         return self.read_clock().monotonic_ms
 
     async def _follow(self) -> None:
-        batches = follower.follow_stream(self.ports.log, records.STREAM)
+        batches = follower.follow_position(
+            self.ports.log,
+            records.STREAM,
+            lambda: self.board.ownership.value.next_offset,
+        )
         async for batch in batches:
             state = self.board.ownership.value
             if isinstance(batch, failures.Failure):
--- a/src/bronzetrack/membership/lifecycle.py
+++ b/src/bronzetrack/membership/lifecycle.py
@@ -42,7 +42,8 @@
     """Return the next state.
 
     :param configured: whether a configuration is in force
-    :param caught_up: whether ownership has been read to its end
+    :param caught_up: whether ownership has been read to its end, or cannot
+        be read
     :param idle_ms: how long no request has been in progress, and no endpoint
         has been owned
     """
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import anyio
 
 from bronzetrack.core import failures
-
-if TYPE_CHECKING:
-    from bronzetrack.platform import logservice
+from bronzetrack.platform import logservice
 
 WAIT_MS = 1_000
 RETRY_MS = 250
@@ -23,23 +21,35 @@
 
     A reader that fell below the retained range goes on at its start.
     """
+    async for batch in follow_position(log, stream, lambda: offset):
+        if isinstance(batch, failures.Failure):
+            yield batch
+        elif batch.start > offset and not batch.records:
+            offset = batch.start
+        else:
+            yield batch
+            if batch.records:
+                offset = batch.records[-1][0] + 1
+
+
+async def follow_position(
+    log: logservice.LogClient, stream: str, read_position: Callable[[], int]
+) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
+    """Iterate like `follow_stream`, with the position kept by the reader.
+
+    A reader that fell below the retained range gets a batch without records,
+    whose start is above its position.
+
+    :param read_position: returns the offset to read next
+    """
     while True:
-        batch = await log.read(stream, offset, wait_ms=WAIT_MS)
+        batch = await log.read(stream, read_position(), wait_ms=WAIT_MS)
+        if (
+            isinstance(batch, failures.Failure)
+            and batch.reason is failures.Reason.LOG_TRUNCATED
+        ):
+            # A read beyond the end names the retained range.
+            batch = await log.read(stream, logservice.BEYOND_END)
         yield batch
         if isinstance(batch, failures.Failure):
-            if batch.reason is failures.Reason.LOG_TRUNCATED:
-                offset = await _find_start(log, stream, offset)
             await anyio.sleep(RETRY_MS / 1000)
-            continue
-        if batch.records:
-            offset = batch.records[-1][0] + 1
-        elif batch.end > offset:
-            offset = max(offset, batch.start)
-
-
-async def _find_start(
-    log: logservice.LogClient, stream: str, offset: int
-) -> int:
-    """Return the earliest offset; a read beyond the end names it."""
-    beyond = await log.read(stream, 1 << 62)
-    return offset if isinstance(beyond, failures.Failure) else beyond.start
--- a/src/bronzetrack/platform/logservice.py
+++ b/src/bronzetrack/platform/logservice.py
@@ -67,8 +67,13 @@
         if isinstance(answer, failures.Failure):
             return answer
         if answer.status != 200:
-            return _describe_status(answer)
-        return int(msgpack.unpackb(answer.body)["offset"])
+            return _describe_append(answer)
+        try:
+            return int(msgpack.unpackb(answer.body)["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            return failures.Failure(
+                failures.Reason.APPEND_UNCERTAIN, f"bad answer: {error}"
+            )
 
     async def read(
         self,
@@ -98,6 +103,17 @@
         return _decode_batch(answer.body)
 
 
+def _describe_append(answer: httpclient.HttpResponse) -> failures.Failure:
+    # An overload or an outage refuses an append; other errors of a server
+    # may come after the append took effect.
+    if answer.status >= 500 and answer.status != 503:
+        return failures.Failure(
+            failures.Reason.APPEND_UNCERTAIN,
+            f"the log answered {answer.status}",
+        )
+    return _describe_status(answer)
+
+
 def _describe_status(answer: httpclient.HttpResponse) -> failures.Failure:
     reasons = {
         410: failures.Reason.LOG_TRUNCATED,
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -46,6 +46,15 @@
                 state.endpoints.get(name, messages.EndpointSummary()),
                 now_ms - state.heard_ms,
             )
+    if not ownership.caught_up:
+        # A VM that started in an outage of the log knows owners only from
+        # their heartbeats. An owner refuses what is not its own.
+        for state in view.vms.values():
+            if views.is_reachable(state, now_ms):
+                age_ms = now_ms - state.heard_ms
+                for name, summary in state.endpoints.items():
+                    report = candidates.OwnerReport(state.vm, summary, age_ms)
+                    reports.setdefault(name, report)
     return reports
 
 
--- a/src/bronzetrack/wire/documents.py
+++ b/src/bronzetrack/wire/documents.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 import typing
 from typing import Any
 
 import attrs
+import msgpack
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.configuration import state as states
 from bronzetrack.core import failures
 from bronzetrack.wire import converter
 
+PIECE_ENTRIES = 256
 DOCUMENT_CLASSES: dict[str, type] = {
     "inventory": inventories.Inventory,
     "rules": rule_sets.Rules,
@@ -20,7 +25,7 @@
 
 
 def write_document(item: Any) -> dict[str, Any]:
-    """Return the plain document of an inventory or a rule set."""
+    """Return the plain document of an inventory, a rule set or a part."""
     return converter.DOCUMENTS.unstructure(item)
 
 
@@ -53,16 +58,35 @@
         if isinstance(value, failures.Failure):
             return value
         if isinstance(changed, Mapping):
-            kept = {
-                name: entry
-                for name, entry in getattr(current, section).items()
-                if name not in changed
-            }
-            value = {**kept, **value}
+            value = {**getattr(current, section), **value}
+            for name in changed:
+                if changed[name] is None:
+                    value.pop(name, None)
         changes[section] = value
     return attrs.evolve(current, **changes)
 
 
+def make_delta(before: Any, after: Any) -> dict[str, Any]:
+    """Return the delta that turns an inventory or a rule set into another."""
+    delta: dict[str, Any] = {}
+    for field in attrs.fields(type(before)):
+        old = getattr(before, field.name)
+        new = getattr(after, field.name)
+        if not isinstance(new, Mapping):
+            if new != old:
+                delta[field.name] = converter.DOCUMENTS.unstructure(new)
+            continue
+        changed = {
+            name: converter.DOCUMENTS.unstructure(entry)
+            for name, entry in new.items()
+            if old.get(name) != entry
+        }
+        removed = dict.fromkeys(old.keys() - new.keys())
+        if changed or removed:
+            delta[field.name] = {**changed, **removed}
+    return delta
+
+
 def _drop_removed(changed: Any) -> Any:
     if not isinstance(changed, Mapping):
         return changed
@@ -79,3 +103,58 @@
         return converter.describe_failure(
             failures.Reason.CONFIGURATION_INVALID, error
         )
+
+
+def encode_configuration(
+    configuration: states.Configuration,
+) -> Iterator[bytes]:
+    """Iterate over the pieces of an encoded configuration.
+
+    The whole takes about 100 ms for 18,000 adapters, so that a caller in the
+    event loop lets others run between the pieces.
+    """
+    packer = msgpack.Packer()
+    yield packer.pack_map_header(3)
+    yield packer.pack("offset") + packer.pack(configuration.offset)
+    yield packer.pack("rules")
+    yield packer.pack(write_document(configuration.rules))
+    yield packer.pack("inventory")
+    fields = attrs.fields(inventories.Inventory)
+    yield packer.pack_map_header(len(fields))
+    for field in fields:
+        value = getattr(configuration.inventory, field.name)
+        yield packer.pack(field.name)
+        if isinstance(value, Mapping):
+            yield packer.pack_map_header(len(value))
+            for entries in _cut(value):
+                yield b"".join(
+                    packer.pack(name) + packer.pack(write_document(entry))
+                    for name, entry in entries
+                )
+        else:
+            yield packer.pack(write_document(value))
+
+
+def _cut(entries: Mapping[str, Any]) -> Iterator[list[tuple[str, Any]]]:
+    items = iter(entries.items())
+    while piece := list(itertools.islice(items, PIECE_ENTRIES)):
+        yield piece
+
+
+def decode_configuration(
+    data: bytes,
+) -> states.Configuration | failures.Failure:
+    """Return the configuration of joined pieces, or a failure."""
+    try:
+        fields = msgpack.unpackb(data)
+        inventory = read_document("inventory", fields["inventory"])
+        rules = read_document("rules", fields["rules"])
+        offset = int(fields["offset"])
+    except (ValueError, KeyError, TypeError) as error:
+        return failures.Failure(
+            failures.Reason.PEER_PROTOCOL, f"bad configuration: {error}"
+        )
+    for part in (inventory, rules):
+        if isinstance(part, failures.Failure):
+            return part
+    return states.Configuration(offset, inventory, rules)
--- /dev/null
+++ b/tests/configuration/test_configuration_machine.py
@@ -0,0 +1,318 @@
+"""Several replicas of the configuration decisions over a log with faults."""
+
+from __future__ import annotations
+
+import attrs
+from configuration import naive
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bronzetrack.configuration import records
+from bronzetrack.configuration import replay
+from bronzetrack.configuration import state as states
+from bronzetrack.configuration import transfer
+from bronzetrack.core import failures
+from bronzetrack.wire import documents
+
+VMS = ("a", "b", "c")
+SOME_VM = strategies.sampled_from(VMS)
+ADAPTER = strategies.fixed_dictionaries(
+    {
+        "owner": strategies.sampled_from(["m1", "m2"]),
+        "base_model": strategies.just("base"),
+        "versions": strategies.just(["1", "2"]),
+        "current": strategies.sampled_from(["1", "2", "3"]),
+    }
+)
+ENDPOINT = strategies.just(
+    {
+        "host": "10.0.0.1",
+        "port": 1,
+        "availability_zone": "z",
+        "base_model": "base",
+    }
+)
+WHOLE = {
+    "members": ["m1"],
+    "base_models": ["base"],
+    "adapters": {},
+    "endpoints": {
+        "e1": {
+            "host": "10.0.0.1",
+            "port": 1,
+            "availability_zone": "z",
+            "base_model": "base",
+        }
+    },
+    "services": {
+        "s1": {"owner": "m1", "prefix": "/services/s", "endpoints": ["e1"]}
+    },
+}
+DELTA = strategies.one_of(
+    strategies.fixed_dictionaries(
+        {
+            "adapters": strategies.dictionaries(
+                strategies.sampled_from(["x", "y"]),
+                strategies.none() | ADAPTER,
+                min_size=1,
+            )
+        }
+    ),
+    strategies.fixed_dictionaries(
+        {
+            "endpoints": strategies.dictionaries(
+                strategies.sampled_from(["e1", "e2"]),
+                strategies.none() | ENDPOINT,
+                min_size=1,
+            )
+        }
+    ),
+    strategies.fixed_dictionaries(
+        {"members": strategies.sampled_from([["m1"], ["m1", "m2"], []])}
+    ),
+)
+
+
+@attrs.define
+class Replica:
+    state: states.ConfigurationState = attrs.field(
+        factory=states.ConfigurationState
+    )
+    highest: int = -1
+
+
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
+    """Draws faults and compares each replica with the naive replay."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.history: list[object] = []
+        self.naive = naive.Replay()
+        self.start = 0
+        self.down = False
+        self.late: list[object] = []
+        self.answers: list[tuple[str, bytes, int]] = []
+        self.tokens = 0
+        self.replicas = {vm: Replica() for vm in VMS}
+        self.append(
+            records.PublicationRecord("inventory", -1, WHOLE, token="0")
+        )
+        self.read_all(list(VMS))
+
+    def append(self, record: object, late: bool = False) -> None:
+        if late:
+            self.late.append(record)
+        elif not self.down:
+            self.history.append(record)
+            self.naive.add(record)
+
+    def read(self, vm: str, count: int, again: int = 0) -> None:
+        replica = self.replicas[vm]
+        if self.down:
+            replica.state = replay.note_failure(replica.state)
+            return
+        first = max(self.start, replica.state.next_offset - again)
+        items = self.history[first : first + count + again]
+        replica.state = replay.apply_batch(
+            replica.state,
+            self.start,
+            len(self.history),
+            enumerate(items, first),
+            documents,
+            self.now_ms,
+        )
+        self.check(replica)
+
+    def read_all(self, vms: list[str]) -> None:
+        for vm in vms:
+            self.read(vm, len(self.history))
+
+    def copy(self, vm: str, late: bool) -> None:
+        state = self.replicas[vm].state
+        if not replay.is_copy_due(state, VMS.index(vm), self.now_ms):
+            return
+        found = state.configuration
+        self.append(
+            records.SnapshotRecord(
+                found.offset,
+                state.next_offset,
+                b"".join(documents.encode_configuration(found)),
+            ),
+            late,
+        )
+
+    @stateful.rule(
+        vms=strategies.permutations(VMS), late=strategies.booleans()
+    )
+    def read_and_copy(self, vms: list[str], late: bool) -> None:
+        self.now_ms += 5_000
+        self.read_all(vms)
+        for vm in vms:
+            self.copy(vm, late)
+
+    @stateful.rule(
+        vm=SOME_VM,
+        count=strategies.integers(0, 4),
+        again=strategies.integers(0, 3),
+    )
+    def read_some(self, vm: str, count: int, again: int) -> None:
+        self.read(vm, count, again)
+
+    @stateful.rule(vm=SOME_VM, delta=DELTA, late=strategies.booleans())
+    def publish(self, vm: str, delta: dict, late: bool) -> None:
+        """An operator publishes from what one replica has in force."""
+        self.tokens += 1
+        base = self.replicas[vm].state.configuration.offset
+        record = records.PublicationRecord(
+            "inventory", base, delta, delta=True, token=str(self.tokens)
+        )
+        self.append(record, late)
+
+    @stateful.rule(base=strategies.integers(-1, 20))
+    def publish_whole(self, base: int) -> None:
+        record = records.PublicationRecord("inventory", base, WHOLE)
+        self.append(record)
+
+    @stateful.precondition(lambda self: self.late and not self.down)
+    @stateful.rule(data=strategies.data())
+    def take_late(self, data: strategies.DataObject) -> None:
+        """A record lands late, and perhaps once more."""
+        index = data.draw(strategies.integers(0, len(self.late) - 1))
+        self.append(self.late[index])
+        if data.draw(strategies.booleans()):
+            del self.late[index]
+
+    @stateful.rule(vm=SOME_VM, peer=SOME_VM)
+    def send_configuration(self, vm: str, peer: str) -> None:
+        state = self.replicas[peer].state
+        offset = state.configuration.offset
+        if state.complete and offset != states.NO_OFFSET:
+            data = b"".join(
+                documents.encode_configuration(state.configuration)
+            )
+            self.answers.append((vm, data, state.next_offset))
+
+    @stateful.precondition(lambda self: self.answers)
+    @stateful.rule(data=strategies.data())
+    def receive_configuration(self, data: strategies.DataObject) -> None:
+        index = data.draw(strategies.integers(0, len(self.answers) - 1))
+        vm, encoded, through = self.answers.pop(index)
+        replica = self.replicas[vm]
+        found = documents.decode_configuration(encoded)
+        assert not isinstance(found, failures.Failure)
+        replica.state = replay.adopt(replica.state, found, through)
+        self.check(replica)
+
+    @stateful.rule(vm=SOME_VM)
+    def restart_empty(self, vm: str) -> None:
+        self.replicas[vm] = Replica()
+
+    @stateful.rule()
+    def begin_or_end_outage(self) -> None:
+        self.down = not self.down
+
+    @stateful.rule(kept=strategies.integers(0, 6))
+    def truncate(self, kept: int) -> None:
+        self.start = max(self.start, len(self.history) - kept)
+
+    def check(self, replica: Replica) -> None:
+        state = replica.state
+        assert state.configuration.offset >= replica.highest, "reverted"
+        replica.highest = state.configuration.offset
+        expected, plain = self.naive.history[state.next_offset]
+        if state.complete:
+            assert state.configuration.offset == expected
+        else:
+            assert state.configuration.offset <= expected
+            expected, plain = self.naive.history[
+                state.configuration.offset + 1
+            ]
+        if expected >= 0:
+            inventory = documents.read_document(
+                "inventory", plain["inventory"]
+            )
+            assert state.configuration.inventory == inventory
+        accepted = {
+            offset
+            for offset, (after, _) in enumerate(self.naive.history[1:])
+            if after == offset
+        }
+        for verdict in state.verdicts:
+            assert verdict.accepted == (verdict.offset in accepted)
+
+    def teardown(self) -> None:
+        """One complete replica brings all others to what is in force."""
+        self.down = False
+        self.read_all(list(VMS))
+        complete = [vm for vm in VMS if self.replicas[vm].state.complete]
+        if not complete:
+            return
+        for _ in range(4):
+            self.read_and_copy(list(VMS), False)
+        for replica in self.replicas.values():
+            assert replica.state.complete
+            assert replica.state.configuration.offset == self.naive.offset
+
+
+def test_replicas_agree_under_faults():
+    """Guards against replicas that disagree or revert, and lost copies."""
+    stateful.run_state_machine_as_test(
+        ConfigurationMachine,
+        settings=hypothesis.settings(max_examples=150, stateful_step_count=30),
+    )
+
+
+@hypothesis.given(
+    data=strategies.binary(max_size=40), size=strategies.integers(1, 9)
+)
+def test_transfer_restores_parts_in_any_order(data, size):
+    """Guards against a configuration put together from mixed parts."""
+    state = states.ConfigurationState(next_offset=7)
+    before = transfer.PART_BYTES
+    transfer.PART_BYTES = size
+    try:
+        parts = transfer.split(state, data)
+    finally:
+        transfer.PART_BYTES = before
+    collected = None
+    for part in reversed(parts):
+        collected = transfer.add_part(collected, "a", part)
+    if parts:
+        assert collected.data == data
+        assert transfer.add_part(collected, "b", parts[0]).sender == "b"
+
+
+def test_stale_snapshot_starts_no_replay():
+    """Guards against a replay that misses a publication for good."""
+    state = states.ConfigurationState()
+    whole = records.PublicationRecord("inventory", -1, WHOLE)
+    state = replay.apply_batch(state, 0, 1, [(0, whole)], documents, 0)
+    data = b"".join(documents.encode_configuration(state.configuration))
+    change = records.PublicationRecord(
+        "inventory", 0, {"members": ["m1", "m2"]}, delta=True
+    )
+    stale = records.SnapshotRecord(0, 1, data)
+    items = [(1, change), (2, stale)]
+    fresh = states.ConfigurationState()
+    late = replay.apply_batch(fresh, 1, 3, items, documents, 0)
+    assert not late.complete
+    late = replay.apply_batch(fresh, 2, 3, items[1:], documents, 0)
+    assert not late.complete
+    current = records.SnapshotRecord(0, 1, data)
+    late = replay.apply_batch(fresh, 1, 2, [(1, current)], documents, 0)
+    assert late.complete
+    assert late.configuration == state.configuration
+
+
+def test_removed_member_is_checked_everywhere():
+    """Guards against a small change that leaves a reference dangling."""
+    state = states.ConfigurationState()
+    whole = records.PublicationRecord("inventory", -1, WHOLE)
+    change = records.PublicationRecord(
+        "inventory", 0, {"members": []}, delta=True
+    )
+    items = [(0, whole), (1, change)]
+    state = replay.apply_batch(state, 0, 2, items, documents, 0)
+    assert [item.accepted for item in state.verdicts] == [True, False]
