--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -14,6 +14,8 @@
 from bronzetrack.configuration import rules as rule_sets
 
 T = TypeVar("T")
+# Names stand in the headers of answers.
+NAME_RULE = "a name has printable ASCII characters, is not empty"
 
 
 def list_mistakes(
@@ -71,8 +73,10 @@
     models = set(inventory.base_models)
     for name, adapter in adapters.items():
         place = f"adapters.{name}"
-        if not name or "@" in name:
-            yield f"{place}: a name is not empty and has no '@'"
+        if not _is_name(name) or "@" in name:
+            yield f"{place}: {NAME_RULE}, and has no '@'"
+        if not all(map(_is_name, adapter.versions)):
+            yield f"{place}.versions: {NAME_RULE}"
         if adapter.owner not in members:
             yield f"{place}.owner: unknown member {adapter.owner!r}"
         if adapter.base_model not in models:
@@ -87,6 +91,8 @@
 ) -> Iterator[str]:
     for name, endpoint in endpoints.items():
         place = f"endpoints.{name}"
+        if not _is_name(name):
+            yield f"{place}: {NAME_RULE}"
         if not _is_ip(endpoint.host):
             yield f"{place}.host: {endpoint.host!r} is not an IP address"
         if not 0 < endpoint.port < 65_536:
@@ -138,6 +144,10 @@
             yield f"classes.{name}.queue_timeout_ms: more than 0"
 
 
+def _is_name(text: str) -> bool:
+    return text.isascii() and text.isprintable() and text.strip() != ""
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
