Survive odd values in messages of peers

Cause: a trial that sent messages of the right types with odd values to a running daemon. A Hello whose peer address has no port, or a list of VMs with such a row, ended every daemon that read it (ValueError in the hub). A path without a slash in SubmitWork ended the owner (ValueError in httpcore). Two SubmitWork with one attempt ended it too (StopIteration in the queue).

Change: the hub checks the address, the HTTP client raises its documented error for a text that is no URL, and a known attempt is not queued again. Touched in other folders: peer.hub and dispatch.transitions, a few lines.

--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -17,7 +17,11 @@
 def enqueue(
     queue: states.EndpointQueue, item: states.Waiting
 ) -> states.EndpointQueue:
-    """Return the queue with one more item."""
+    """Return the queue with one more item; a known attempt adds nothing."""
+    attempt = item.work.attempt
+    waiting = any(other.work.attempt == attempt for other in queue.waiting)
+    if waiting or attempt in queue.running:
+        return queue
     return attrs.evolve(queue, waiting=(*queue.waiting, item))
 
 
--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -20,6 +20,7 @@
 from bronzetrack.core import failures
 from bronzetrack.core import messages
 from bronzetrack.membership import messages as membership_messages
+from bronzetrack.settings import model
 from bronzetrack.wire import frames
 from bronzetrack.wire import tagged
 
@@ -101,11 +102,12 @@
 
     async def connect(self, address: str) -> None:
         """Open a stream to an address and send on it until it breaks."""
-        host, _, port = address.rpartition(":")
         try:
+            host, _, port = model.parse_address(address).rpartition(":")
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError):
+                stream = await anyio.connect_tcp(host.strip("[]"), int(port))
+        # The address is that of a list or of a peer and may be malformed.
+        except (OSError, TimeoutError, ValueError):
             return
         async with stream:
             try:
--- a/src/bronzetrack/wire/httpclient.py
+++ b/src/bronzetrack/wire/httpclient.py
@@ -74,6 +74,18 @@
         ) from None
 
 
+def _parse_url(url: str) -> httpcore.URL:
+    """Return a URL for the library.
+
+    :raises httpcore.LocalProtocolError: the text is no URL; the library
+        would raise a ValueError
+    """
+    try:
+        return httpcore.URL(_encode(url))
+    except ValueError as error:
+        raise httpcore.LocalProtocolError(f"{url!a}: {error}") from None
+
+
 @contextlib.asynccontextmanager
 async def open_stream(
     pool: httpcore.AsyncConnectionPool,
@@ -90,7 +102,7 @@
     sent = {"Content-Length": str(len(body)), **(headers or {})}
     async with pool.stream(
         _encode(method),
-        httpcore.URL(_encode(url)),
+        _parse_url(url),
         headers=[
             (_encode(name), _encode(value)) for name, value in sent.items()
         ],
