Move the logic of commands into the client package

Cause: the modules of request and drain held the sending and the following of redirects between VMs; http.callers held checks of three kinds. A caller that disconnected within its body left a traceback in the log.

Change: client.asker and client.inspector hold the logic, http.targets the checks of what can be passed on, http.faults the answers to what no handler answers. A disconnect within the body is a typed failure.

--- a/src/bronzetrack/client/inspector.py
+++ b/src/bronzetrack/client/inspector.py
@@ -47,10 +47,18 @@
 
 
 async def begin_drain(
-    pool: httpcore.AsyncConnectionPool, address: str
+    pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], vm: str
 ) -> Any | failures.Failure:
-    """Ask the VM at an operators' address for a planned stop."""
-    return await _call(pool, "POST", [address], "/drain")
+    """Ask a VM that one of the operators' addresses knows for a stop."""
+    known = await find_operators(pool, addresses)
+    if isinstance(known, failures.Failure):
+        return known
+    if not known.get(vm):
+        names = ", ".join(sorted(known))
+        return failures.Failure(
+            failures.Reason.BAD_REQUEST, f"unknown VM {vm!r}; known: {names}"
+        )
+    return await _call(pool, "POST", [known[vm]], "/drain")
 
 
 async def find_operators(
--- a/src/bronzetrack/console/commands/drain.py
+++ b/src/bronzetrack/console/commands/drain.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+
 import click
-import httpcore
 
 from bronzetrack.client import inspector
 from bronzetrack.console import options
@@ -19,25 +20,8 @@
 @options.operators
 def command(vm: str, operators: tuple[str, ...]) -> None:
     """Begin the planned stop of VM; requests in progress are finished."""
-
-    async def drain(
-        pool: httpcore.AsyncConnectionPool,
-    ) -> str | failures.Failure:
-        known = await inspector.find_operators(pool, operators)
-        if isinstance(known, failures.Failure):
-            return known
-        if not known.get(vm):
-            names = ", ".join(sorted(known))
-            return failures.Failure(
-                failures.Reason.BAD_REQUEST,
-                f"unknown VM {vm!r}; known: {names}",
-            )
-        answer = await inspector.begin_drain(pool, known[vm])
-        if isinstance(answer, failures.Failure):
-            return answer
-        return known[vm]
-
-    found = runner.run_with_pool(drain)
+    work = functools.partial(inspector.begin_drain, addresses=operators, vm=vm)
+    found = runner.run_with_pool(work)
     if isinstance(found, failures.Failure):
         options.fail(found)
     click.echo(f"{vm} stops; watch it with: bronzetrack status")
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import logging
 from typing import TYPE_CHECKING
-from urllib import parse
 
 import attrs
 from starlette import applications
@@ -18,7 +17,9 @@
 from bronzetrack.core import clock
 from bronzetrack.core import failures
 from bronzetrack.http import answers
+from bronzetrack.http import faults
 from bronzetrack.http import intake
+from bronzetrack.http import targets
 from bronzetrack.membership import messages
 from bronzetrack.membership import view as views
 from bronzetrack.metrics import counters
@@ -33,9 +34,6 @@
 OUTPUT_EVENTS = 65_536
 # A model name may be as long as a body; the record of a refusal is bounded.
 NOTED_CHARACTERS = 200
-OUTCOME_HEADER = "Bronzetrack-Outcome"
-# Larger numbers do not fit a message to a peer, and no engine has them.
-LARGEST_COST_TOKENS = 1_000_000
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 
@@ -65,8 +63,8 @@
                 ),
             ],
             exception_handlers={
-                exceptions.HTTPException: _answer_http_error,
-                Exception: _answer_fault,
+                exceptions.HTTPException: faults.answer_http_error,
+                Exception: faults.answer_fault,
             },
         )
         # Not every client repeats the body after a redirect.
@@ -154,7 +152,7 @@
         checked = intake.read_service_call(
             self.board.configuration.value.configuration,
             request.method,
-            _read_target(request),
+            targets.read_target(request),
             request.scope["query_string"].decode("latin-1"),
             request.headers,
             body,
@@ -170,7 +168,7 @@
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return self._refuse(request, checked)
-        unsendable = _check_sendable(checked)
+        unsendable = targets.check_sendable(checked)
         if unsendable is not None:
             return self._refuse(request, unsendable, checked)
         if self.board.suspects.value.is_banned(checked.fingerprint):
@@ -227,77 +225,19 @@
     ) -> bytes | failures.Failure:
         limit = self.board.settings.limits.body_bytes
         body = bytearray()
-        async for part in request.stream():
-            body += part
-            if len(body) > limit:
-                return failures.Failure(
-                    failures.Reason.BODY_TOO_LARGE, f"{limit} bytes allowed"
-                )
-        return bytes(body)
-
-
-def _read_target(request: http_requests.Request) -> str:
-    """Return the path as the caller sent it, still percent-encoded.
-
-    A decoded path could not be told apart from one with a query, and may
-    hold characters that no request line can.
-    """
-    raw = request.scope.get("raw_path")
-    if raw is None:
-        return parse.quote(request.scope["path"])
-    return raw.decode("latin-1")
-
-
-def _check_sendable(
-    checked: requests.CallerRequest,
-) -> failures.Failure | None:
-    """Return why a request could not be passed on to an endpoint."""
-    if checked.cost > LARGEST_COST_TOKENS:
-        return failures.Failure(
-            failures.Reason.BAD_REQUEST,
-            f"max_tokens exceeds {LARGEST_COST_TOKENS}",
-        )
-    for name, text in (
-        ("path", checked.path),
-        ("Content-Type", checked.content_type),
-    ):
-        if not (text.isascii() and text.isprintable()):
+        try:
+            async for part in request.stream():
+                body += part
+                if len(body) > limit:
+                    return failures.Failure(
+                        failures.Reason.BODY_TOO_LARGE,
+                        f"{limit} bytes allowed",
+                    )
+        except http_requests.ClientDisconnect:
             return failures.Failure(
-                failures.Reason.BAD_REQUEST,
-                f"the {name} holds characters outside printable ASCII",
+                failures.Reason.CANCELLED, "disconnected within the body"
             )
-    return None
-
-
-async def _answer_http_error(
-    request: http_requests.Request, error: Exception
-) -> responses.Response:
-    """Answer a path or method that is not served."""
-    assert isinstance(error, exceptions.HTTPException)
-    failure = failures.Failure(
-        failures.Reason.BAD_REQUEST, f"{request.method}: {error.detail}"
-    )
-    fields = answers.make_error_fields(outcomes.Outcome.REFUSED, failure)
-    return responses.JSONResponse(
-        fields,
-        status_code=error.status_code,
-        headers={**(error.headers or {}), OUTCOME_HEADER: "refused"},
-    )
-
-
-async def _answer_fault(
-    request: http_requests.Request, error: Exception
-) -> responses.Response:
-    """Answer a request that met a fault of ours; the server logs it."""
-    failure = failures.Failure(
-        failures.Reason.INTERNAL_ERROR, type(error).__name__
-    )
-    outcome = outcomes.Outcome.UNKNOWN
-    return responses.JSONResponse(
-        answers.make_error_fields(outcome, failure),
-        status_code=500,
-        headers={OUTCOME_HEADER: outcome.value},
-    )
+        return bytes(body)
 
 
 def _ignore(result: object) -> None:
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -109,9 +109,10 @@
     application: Any,
     method: str,
     target: bytes,
-    body: Iterable[bytes],
+    body: Iterable[bytes | None],
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Reply:
+    """Call an application; None within a body is a disconnect."""
     path, _, query = target.partition(b"?")
     scope = {
         "type": "http",
@@ -126,19 +127,21 @@
         "client": ("127.0.0.1", 5),
         "server": ("127.0.0.1", 8000),
     }
-    parts: Iterator[bytes] = iter(body)
+    parts: Iterator[bytes | None] = iter(body)
     sent: list[dict[str, Any]] = []
     served: list[requests.CallerRequest] = []
     read_bytes = 0
 
     async def receive() -> dict[str, Any]:
         nonlocal read_bytes
-        part = next(parts, None)
-        read_bytes += len(part or b"")
+        part = next(parts, b"")
+        if part is None:
+            return {"type": "http.disconnect"}
+        read_bytes += len(part)
         return {
             "type": "http.request",
-            "body": part or b"",
-            "more_body": part is not None,
+            "body": part,
+            "more_body": part != b"",
         }
 
     async def send(message: dict[str, Any]) -> None:
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -170,6 +170,12 @@
     assert reply.read_bytes <= limit + len(part)
 
 
+def test_disconnect_within_the_body_is_no_fault(call):
+    """Guards against a traceback in the log for each impatient caller."""
+    reply = call("POST", COMPLETIONS, [b"{", None])
+    assert json.loads(reply.body)["error"]["type"] == "cancelled"
+
+
 def test_errors_of_the_router_have_the_same_shape(call):
     """Guards against a client that cannot parse a 404 or a 405."""
     for method, target in (("GET", b"/nowhere"), ("GET", COMPLETIONS)):
