--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import json
@@ -91,6 +92,10 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
+                # Modules of a working directory would hide installed ones.
+                cwd=self.folder,
+                # Ctrl-C reaches the script alone, which then ends the rest.
+                start_new_session=True,
             )
         self.processes.append(process)
         return process
@@ -166,7 +171,9 @@
         names = {vm.name for vm in living}
         return sum(owner["vm"] in names for owner in owners.values())
 
-    def wait(self, condition: Any, timeout_s: float = 30.0) -> None:
+    def wait(
+        self, condition: Callable[[], Any], timeout_s: float = 30.0
+    ) -> None:
         """Wait until a condition holds."""
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
@@ -276,10 +283,14 @@
 
 def publish_samples(site: Site) -> None:
     """Publish the sample inventory and rules with the command-line tool."""
-    documents = {
-        "inventory": site.make_inventory(),
-        "rules": site.make_rules(),
-    }
+    publish_documents(
+        site,
+        {"inventory": site.make_inventory(), "rules": site.make_rules()},
+    )
+
+
+def publish_documents(site: Site, documents: dict[str, Any]) -> None:
+    """Publish documents by kind with the command-line tool."""
     for kind, document in documents.items():
         path = site.folder / f"{kind}.json"
         path.write_text(json.dumps(document))
