--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -21,6 +21,7 @@
 import anyio
 import attrs
 import httpcore
+
 import traffic
 
 TESTS = pathlib.Path(__file__).parent.parent / "tests"
@@ -260,15 +261,9 @@
     return demo.mistakes
 
 
-def exit_on_signal(number: int, frame: Any) -> None:
-    """Turn a signal into an exit that ends what was started."""
-    raise SystemExit(128 + number)
-
-
 def main() -> int:
     """Return 0 if every answer was right."""
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, exit_on_signal)
+    sites.exit_on_signals()
     started_s = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
         with sites.run_site(
--- a/scripts/traffic.py
+++ b/scripts/traffic.py
@@ -18,7 +18,7 @@
 from bronzetrack.client import sender
 from bronzetrack.wire import httpclient
 
-RESENT_STATUSES = frozenset({429, 502, 503, 504})
+RESENT_STATUSES = frozenset({0, 429, 502, 503, 504})
 RESEND_DELAY_S = 0.1
 RESEND_DEADLINE_S = 25.0
 REQUEST_TIMEOUT_MS = 20_000
@@ -42,10 +42,12 @@
 class Reply:
     """An answer and when its parts arrived.
 
+    :param status: 0 if the connection broke before the headers arrived
     :param first_s: time to the first byte of the body
     :param gaps_s: time between one token and the next, for streams
     :param total_s: time to the last byte, resending included
     :param sends: how often the request was sent
+    :param broken: whether the connection broke before the end
     """
 
     call: Call
@@ -56,10 +58,13 @@
     gaps_s: tuple[float, ...]
     total_s: float
     sends: int = 1
+    broken: bool = False
 
     @property
     def is_whole(self) -> bool:
         """Whether the end marker is there, if the answer needs one."""
+        if self.broken:
+            return False
         kind = self.headers.get("content-type", "")
         streamed = kind.startswith("text/event-stream")
         return not streamed or sender.END_MARKER in self.body
@@ -90,10 +95,12 @@
 async def exchange(
     pool: httpcore.AsyncConnectionPool, address: str, call: Call
 ) -> Reply | None:
-    """Send a call once; return None if the connection broke."""
+    """Send a call once; return None if no connection could be made."""
     started_s = time.monotonic()
     parts: list[bytes] = []
     times_s: list[float] = []
+    response = httpcore.Response(0)
+    broken = False
     try:
         async with httpclient.open_stream(
             pool,
@@ -107,8 +114,10 @@
                 parts.append(part)
                 now_s = time.monotonic()
                 times_s += [now_s] * max(1, part.count(b"data: "))
-    except httpclient.ERRORS:
+    except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return None
+    except httpclient.ERRORS:
+        broken = True
     ended_s = time.monotonic()
     return Reply(
         call=call,
@@ -118,6 +127,7 @@
         first_s=(times_s[0] if times_s else ended_s) - started_s,
         gaps_s=tuple(b - a for a, b in itertools.pairwise(times_s)),
         total_s=ended_s - started_s,
+        broken=broken,
     )
 
 
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -150,6 +150,13 @@
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return answers.make_refusal(checked)
+        if self.board.lifecycle.value.stop_requested:
+            failure = failures.Failure(
+                failures.Reason.DRAINING,
+                "this VM stops; use another",
+                retry_after_ms=1_000,
+            )
+            return answers.make_refusal(failure, request=checked)
         if self.board.suspects.value.is_banned(checked.fingerprint):
             failure = failures.Failure(
                 failures.Reason.CRASHES_ENDPOINTS,
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -28,6 +28,9 @@
 ) -> dict[str, candidates.OwnerReport]:
     """Return the newest summary of each endpoint with a reachable owner.
 
+    A leaving owner gets no new work, since it can give up an endpoint only
+    once the endpoint is idle.
+
     :param own: summaries of the endpoints of this VM
     """
     reports = {}
@@ -39,6 +42,8 @@
         state = view.vms.get(owner.vm)
         if state is None or state.incarnation != owner.incarnation:
             continue
+        if state.status is messages.VmStatus.LEAVING:
+            continue
         if views.is_reachable(state, now_ms):
             reports[name] = candidates.OwnerReport(
                 owner.vm,
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -8,11 +8,22 @@
 
 from standins import site as sites
 
+ENDPOINTS = 4
+
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory) -> Iterator[sites.Site]:
     folder = tmp_path_factory.mktemp("site")
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
-        running.wait(lambda: running.count_owned() == 4)
+        running.wait(lambda: running.count_owned() == ENDPOINTS)
         yield running
+
+
+@pytest.fixture
+def healthy_site(site) -> Iterator[sites.Site]:
+    """The site with every fault switched off before and after a test."""
+    site.set_faults()
+    yield site
+    site.set_faults()
+    site.wait(lambda: site.count_owned() == ENDPOINTS)
--- /dev/null
+++ b/tests/daemon/test_leaving.py
@@ -0,0 +1,53 @@
+"""Tests that a leaving endpoint receives no new work."""
+
+from __future__ import annotations
+
+from standins import site as sites
+
+FEW_SECONDS_S = 6.0
+SENDS = 6
+
+
+def send_from_each(site, model):
+    """Return which endpoints answered one request from each VM."""
+    answers = [site.send(model, vm=vm) for vm in site.vms.values()]
+    assert [answer.status for answer in answers] == [200] * len(answers)
+    return {read_endpoint(answer) for answer in answers}
+
+
+def read_endpoint(answer):
+    return dict(answer.headers)[b"bronzetrack-endpoint"].decode()
+
+
+def check_avoided(site, model, endpoint):
+    """Check that new work goes elsewhere after a few seconds, and stays."""
+    site.wait(
+        lambda: endpoint not in send_from_each(site, model), FEW_SECONDS_S
+    )
+    for _ in range(SENDS):
+        assert endpoint not in send_from_each(site, model)
+
+
+def test_endpoint_that_reports_leaving_is_avoided(site):
+    """Guards against work for an endpoint whose own report says it leaves."""
+    endpoint = read_endpoint(site.send("trust-4"))
+    sites.fetch("POST", f"{site.endpoints[endpoint].url}/leave")
+    check_avoided(site, "trust-4", endpoint)
+
+
+def test_endpoint_listed_as_leaving_is_avoided(site):
+    """Guards against work for an endpoint that the VM list says leaves."""
+    endpoint = read_endpoint(site.send("trust-5"))
+    row = {"name": endpoint, "address": "", "state": "leaving"}
+    sites.fetch("PUT", f"{site.platform_url}/vms", [row])
+    check_avoided(site, "trust-5", endpoint)
+    sites.fetch("PUT", f"{site.platform_url}/vms", [])
+
+
+def test_endpoint_leaving_in_inventory_is_avoided(site):
+    """Guards against work for an endpoint that operators marked."""
+    endpoint = read_endpoint(site.send("trust-6"))
+    inventory = site.make_inventory()
+    inventory["endpoints"][endpoint]["leaving"] = True
+    sites.publish_documents(site, {"inventory": inventory})
+    check_avoided(site, "trust-6", endpoint)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import json
 import os
@@ -60,12 +61,17 @@
     checks_fencing: bool = False
     process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def url(self) -> str:
+        return f"http://{self.host}:{self.port}"
+
 
 @attrs.define
 class Site:
     """Everything that runs, and where.
 
     :param folder: for settings files and logs
+    :param profile: whether daemons write a profile when they stop
     """
 
     folder: pathlib.Path
@@ -75,7 +81,9 @@
     processes: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
     adapter_slots: int = 8
     token_ms: float = 5.0
+    slots: int = 8
     extra_settings: str = ""
+    profile: bool = False
 
     @property
     def platform_url(self) -> str:
@@ -129,8 +137,11 @@
         if endpoint.checks_fencing:
             command.append("--checks-fencing")
         endpoint.process = self.start(endpoint.name, *command)
-        url = f"http://{endpoint.host}:{endpoint.port}/statistics"
-        self.wait(lambda: fetch("GET", url) is not None)
+
+    def wait_endpoints(self) -> None:
+        """Wait until every endpoint answers."""
+        for item in self.endpoints.values():
+            self.wait(lambda: fetch("GET", f"{item.url}/load") is not None)
 
     def add_vm(self, name: str, zone: str, host: str) -> Vm:
         ports = [find_port(host) for _ in range(3)]
@@ -155,8 +166,11 @@
 
     def start_vm(self, vm: Vm) -> None:
         path = self.write_settings(vm)
+        profiler = ["-m", "cProfile", "-o", f"{vm.name}.profile"]
         vm.process = self.start(
-            vm.name, "-m", "bronzetrack.daemon", "--config", str(path)
+            vm.name,
+            *(profiler if self.profile else []),
+            *("-m", "bronzetrack.daemon", "--config", str(path)),
         )
 
     def get_state(self, vm: Vm, section: str) -> Any:
@@ -207,7 +221,7 @@
                     "base_model": (
                         "base" if endpoint.kind == "engine" else ""
                     ),
-                    "slots": 8,
+                    "slots": self.slots,
                     "adapter_slots": self.adapter_slots,
                     "checks_fencing": endpoint.checks_fencing,
                 }
@@ -258,10 +272,28 @@
             extensions={"timeout": timeouts},
         )
 
+    def set_faults(self, **faults: Any) -> None:
+        """Switch the faults of the platform; what is not named is off."""
+        fetch("PUT", f"{self.platform_url}/faults", faults)
+
+    def is_serving(self, name: str) -> bool:
+        """Return whether a daemon serves in its own and each other's view."""
+        living = [vm for vm in self.vms.values() if is_running(vm)]
+        for vm in living:
+            section = "lifecycle" if vm.name == name else "membership"
+            value = self.get_state(vm, section)
+            if value is not None and section == "membership":
+                value = value["vms"].get(name)
+                if value is None or not value["connected"]:
+                    return False
+            if value is None or value["status"] != "serving":
+                return False
+        return True
+
     def count_runs(self, text: str) -> int:
         """Return how often endpoints ran requests that hold a text."""
         statistics = [
-            fetch("GET", f"http://{item.host}:{item.port}/statistics")
+            fetch("GET", f"{item.url}/statistics")
             for item in self.endpoints.values()
         ]
         return sum(
@@ -334,12 +366,23 @@
     return json.loads(answer.content) if answer.content else {}
 
 
+def exit_on_signals() -> None:
+    """Let the usual signals raise SystemExit, so that clean-up runs."""
+
+    def leave(number: int, frame: Any) -> None:
+        raise SystemExit(128 + number)
+
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, leave)
+
+
 @contextlib.contextmanager
 def run_site(
     folder: pathlib.Path,
     vms: int = 3,
     engines: int = 3,
     services: int = 1,
+    endpoint_zones: Sequence[str] = ZONES,
     **options: Any,
 ) -> Iterator[Site]:
     """Run a site; whatever happens, end what it started."""
@@ -352,13 +395,14 @@
             site.start_endpoint(
                 EndpointProcess(
                     f"{kind}-{index}",
-                    ZONES[index % len(ZONES)],
+                    endpoint_zones[index % len(endpoint_zones)],
                     host,
                     find_port(host),
                     kind,
                     checks_fencing=index % 2 == 0,
                 )
             )
+        site.wait_endpoints()
         for index in range(vms):
             zone = ZONES[index % len(ZONES)]
             site.add_vm(f"vm-{index}", zone, f"127.0.2.{index + 1}")
