--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -21,6 +21,7 @@
 
 TESTS = pathlib.Path(__file__).parent.parent
 STOP_TIMEOUT_S = 20.0
+LOG_LINES = 5
 TIMEOUTS = ("connect", "read", "write", "pool")
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -181,9 +182,23 @@
     def count_owned(self) -> int:
         """Return how many endpoints have an owner that lives."""
         living = [vm for vm in self.vms.values() if is_running(vm)]
-        owners = self.get_state(living[0], "ownership")["owners"]
+        if not living:
+            raise SiteError(f"no daemon runs\n{self.read_log_ends()}")
+        ownership = self.get_state(living[0], "ownership") or {"owners": {}}
         names = {vm.name for vm in living}
-        return sum(owner["vm"] in names for owner in owners.values())
+        return sum(
+            owner["vm"] in names for owner in ownership["owners"].values()
+        )
+
+    def read_log_ends(self) -> str:
+        """Return the last lines that each daemon logged."""
+        return "\n".join(
+            f"{name}: {line}"
+            for name in self.vms
+            for line in (self.folder / f"{name}.log")
+            .read_text()
+            .splitlines()[-LOG_LINES:]
+        )
 
     def wait(
         self, condition: Callable[[], Any], timeout_s: float = 30.0
@@ -194,7 +209,9 @@
             if condition():
                 return
             time.sleep(0.05)
-        raise SiteError("timeout while waiting for a condition")
+        raise SiteError(
+            f"timeout while waiting for a condition\n{self.read_log_ends()}"
+        )
 
     def make_inventory(
         self, adapters: int = 12, member: str = "trust"
