Take the chunks of 2 ms along in one step of the requests controller

Cause: the controller woke up for every chunk and looked at every open request each time (cProfile of an entry VM: wait_first and _advance). Change: it waits 2 ms after the first item before it takes all of them. Adds up to 2 ms of the 52 ms between tokens.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -6,6 +6,7 @@
 from typing import Any
 import uuid
 
+import anyio
 import attrs
 
 from bronzetrack.core import controllers
@@ -25,6 +26,9 @@
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 250
+# A wake-up costs more than a chunk, so chunks of other streams that arrive
+# meanwhile are taken along; 52 ms are allowed between tokens.
+GATHER_MS = 2
 ROUTE_RETRY_MS = 250
 
 
@@ -74,6 +78,7 @@
                 answers.wait_items,
                 timeout_ms=STEP_INTERVAL_MS,
             )
+            await anyio.sleep(GATHER_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
             for item in intake.take():
                 self._take_in(item, now_ms)
--- a/tests/daemon/test_outages.py
+++ b/tests/daemon/test_outages.py
@@ -90,7 +90,7 @@
 def has_no_former_owner(site):
     """Return whether every endpoint belongs to a running daemon."""
     runs = {
-        sites.fetch("GET", f"http://{vm.operators}/state")["vm"]["incarnation"]
+        site.get_state(vm, "vm")["incarnation"]
         for vm in site.vms.values()
     }
     owners = site.get_state(site.vms["vm-0"], "ownership")["owners"]
