--- a/tests/daemon/test_outages.py
+++ b/tests/daemon/test_outages.py
@@ -6,7 +6,6 @@
 import json
 import time
 
-from standins import site as sites
 
 
 def stage(site, key, timeout_s=30.0):
