--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -17,6 +17,7 @@
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
+    INTERNAL_ERROR = "internal_error"
     # Idempotency keys.
     KEY_INVALID = "key_invalid"
     KEY_ISSUE_TIME_MISSING = "key_issue_time_missing"
@@ -44,6 +45,7 @@
     # Endpoints.
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_CRASHED = "endpoint_crashed"
     ENDPOINT_PROTOCOL = "endpoint_protocol"
     WRONG_ADAPTER = "wrong_adapter"
--- a/tests/daemon/test_outages.py
+++ b/tests/daemon/test_outages.py
@@ -7,7 +7,6 @@
 import time
 
 
-
 def stage(site, key, timeout_s=30.0):
     """Send non-idempotent work under a key."""
     headers = {
