--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -20,7 +20,6 @@
 from bronzetrack.streaming import messages
 from bronzetrack.wire import converter
 from bronzetrack.wire import httpclient
-from bronzetrack.wire import streams
 
 ORDER_TIMEOUT_MS = leases.ORDER_LIFE_MS
 REPORT_TIMEOUT_MS = 1_000
@@ -147,8 +146,13 @@
         """
         request = PROTOCOLS.lookup(endpoint.kind.value)(work)
         try:
-            async with self._open_response(
-                endpoint, request, work
+            async with httpclient.open_stream(
+                self._pool,
+                request.method,
+                _make_url(endpoint) + request.path,
+                min(CHUNK_TIMEOUT_MS, max(1, work.timeout_ms)),
+                request.body,
+                request.headers,
             ) as response:
                 yield EndpointAnswer(response, work)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -164,33 +168,6 @@
                 failures.Reason.ENDPOINT_CRASHED, repr(error)
             ) from None
 
-    def _open_response(
-        self,
-        endpoint: inventories.Endpoint,
-        request: EndpointRequest,
-        work: messages.SubmitWork,
-    ) -> Any:
-        timeout_ms = min(CHUNK_TIMEOUT_MS, max(1, work.timeout_ms))
-        if work.stream:
-            return streams.open_stream(
-                endpoint.host,
-                endpoint.port,
-                request.method,
-                request.path,
-                min(httpclient.CONNECT_TIMEOUT_S, timeout_ms / 1000),
-                timeout_ms / 1000,
-                request.body,
-                request.headers,
-            )
-        return httpclient.open_stream(
-            self._pool,
-            request.method,
-            _make_url(endpoint) + request.path,
-            timeout_ms,
-            request.body,
-            request.headers,
-        )
-
     async def load_adapter(
         self, endpoint: inventories.Endpoint, adapter: str, fencing: int
     ) -> failures.Failure | None:
