Serve callers with an old answer until their answers expire

Change: a stopping VM serves on until the time to live of the look-up answer has passed ([limits] entry_ttl_s, 30 s), ends once idle after that, and refuses only callers that come 2 s later still.

--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -24,7 +24,8 @@
     name = "lifecycle"
 
     async def run(self) -> None:
-        self._stop_requested = False
+        self._stopped_ms: int | None = None
+        self._busy_ms = self.read_clock().monotonic_ms
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_signals)
             await self._step_forever()
@@ -38,31 +39,39 @@
                 self.board.mailboxes["lifecycle"].post(request)
 
     async def _step_forever(self) -> None:
-        busy_ms = self.read_clock().monotonic_ms
         mailbox = self.board.mailboxes["lifecycle"]
         while True:
-            self._take_requests()
             now_ms = self.read_clock().monotonic_ms
+            self._take_requests(now_ms)
             if self._is_busy():
-                busy_ms = now_ms
+                self._busy_ms = now_ms
             before = self.board.lifecycle.value
-            state = lifecycle.decide_lifecycle(
-                before,
-                self._stop_requested,
-                self._is_configured(),
-                self._is_caught_up(),
-                now_ms - busy_ms,
-                self.board.settings.limits.drain_ms,
-            )
+            state = self._decide(before, now_ms)
             if state != before:
                 self.write(self.board.lifecycle, state)
             await controllers.wait_first(
                 mailbox.wait_items, timeout_ms=STEP_INTERVAL_MS
             )
 
-    def _take_requests(self) -> None:
+    def _decide(
+        self, before: lifecycle.Lifecycle, now_ms: int
+    ) -> lifecycle.Lifecycle:
+        if self._stopped_ms is None:
+            return lifecycle.decide_start(
+                before, self._is_configured(), self._is_caught_up()
+            )
+        limits = self.board.settings.limits
+        return lifecycle.decide_stop(
+            now_ms - self._stopped_ms,
+            now_ms - self._busy_ms,
+            limits.drain_ms,
+            limits.entry_ttl_s,
+        )
+
+    def _take_requests(self, now_ms: int) -> None:
         for request in self.board.mailboxes["lifecycle"].take():
-            self._stop_requested = True
+            if self._stopped_ms is None:
+                self._stopped_ms = now_ms
             LOG.info(
                 "planned stop requested",
                 extra={"event": "stop_requested", "origin": request.origin},
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -92,7 +92,7 @@
         ranked = entries.rank_entries(addresses, warm, model)
         return responses.JSONResponse(
             {
-                "ttl_s": entries.TIME_TO_LIVE_S,
+                "ttl_s": self.board.settings.limits.entry_ttl_s,
                 "entries": [
                     {
                         "vm": entry.vm,
@@ -168,7 +168,7 @@
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return self._refuse(request, checked)
-        if self.board.lifecycle.value.stop_requested:
+        if self.board.lifecycle.value.refuses_calls:
             failure = failures.Failure(
                 failures.Reason.DRAINING,
                 "this VM stops; use another",
--- a/src/bronzetrack/routing/entries.py
+++ b/src/bronzetrack/routing/entries.py
@@ -10,8 +10,6 @@
 
 from bronzetrack.core import rendezvous
 
-TIME_TO_LIVE_S = 30
-
 
 class EntryReason(enum.Enum):
     """Why a VM stands where it stands in the list."""
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -183,6 +183,11 @@
         "Longest time from arrival to the last byte.",
         600_000,
     )
+    entry_ttl_s: int = setting(
+        make_number(1, 3_600),
+        "How long callers may keep the answer which VM to use.",
+        30,
+    )
     drain_ms: int = setting(
         make_number(0, 3_600_000),
         "Time without a request after which a stopping daemon exits.",
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -83,7 +83,7 @@
     adapter_slots: int = 8
     token_ms: float = 5.0
     slots: int = 8
-    extra_settings: str = ""
+    extra_settings: str = "[limits]\nentry_ttl_s = 1\n"
     profile: bool = False
 
     @property
