Bound what the requests in progress hold in memory

Cause: one body was bounded, their sum was not: 65,536 exchanges may wait in the mailbox with 256 KiB each. Found by reading.

Change: a middleware gives each request a hold, which counts it and the bytes of its body until its answer has ended; [limits] open_requests (4,096) and open_body_bytes (64 MiB) bound them.

Not measured under load.

The defaults are chosen, not measured. Entry look-ups are not counted, so that callers still learn of other VMs.

--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -9,6 +9,7 @@
 import attrs
 from starlette import applications
 from starlette import exceptions
+from starlette import middleware
 from starlette import requests as http_requests
 from starlette import responses
 from starlette import routing
@@ -18,6 +19,7 @@
 from bronzetrack.core import failures
 from bronzetrack.http import answers
 from bronzetrack.http import faults
+from bronzetrack.http import holds
 from bronzetrack.http import intake
 from bronzetrack.http import targets
 from bronzetrack.membership import messages
@@ -46,6 +48,8 @@
 
     def build(self) -> applications.Starlette:
         """Return the ASGI application."""
+        limits = self.board.settings.limits
+        totals = holds.Totals(limits.open_requests, limits.open_body_bytes)
         application = applications.Starlette(
             routes=[
                 routing.Route("/v1/entry", self.get_entry),
@@ -62,6 +66,7 @@
                     methods=SERVICE_METHODS,
                 ),
             ],
+            middleware=[middleware.Middleware(holds.HoldMiddleware, totals)],
             exception_handlers={
                 exceptions.HTTPException: faults.answer_http_error,
                 Exception: faults.answer_fault,
@@ -223,21 +228,27 @@
     async def _read_body(
         self, request: http_requests.Request
     ) -> bytes | failures.Failure:
+        """Return the body, or why there is no room for the request."""
+        hold: holds.Hold = request.scope[holds.SCOPE_KEY]
         limit = self.board.settings.limits.body_bytes
         body = bytearray()
+        failure = hold.admit()
         try:
             async for part in request.stream():
                 body += part
+                failure = failure or hold.grow(len(part))
                 if len(body) > limit:
-                    return failures.Failure(
+                    failure = failures.Failure(
                         failures.Reason.BODY_TOO_LARGE,
                         f"{limit} bytes allowed",
                     )
+                if failure is not None:
+                    return failure
         except http_requests.ClientDisconnect:
             return failures.Failure(
                 failures.Reason.CANCELLED, "disconnected within the body"
             )
-        return bytes(body)
+        return failure or bytes(body)
 
 
 def _ignore(result: object) -> None:
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -173,6 +173,16 @@
     body_bytes: int = setting(
         make_number(1_024, 327_680), "Largest body of a request.", 262_144
     )
+    open_requests: int = setting(
+        make_number(1, 1_000_000),
+        "Callers' requests that may be in progress at this VM.",
+        4_096,
+    )
+    open_body_bytes: int = setting(
+        make_number(1_048_576, 1_073_741_824),
+        "Bytes of bodies that requests in progress may hold at this VM.",
+        67_108_864,
+    )
     queue_requests: int = setting(
         make_number(1, 100_000),
         "Requests that may wait for one endpoint.",
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzetrack.core import failures
+from bronzetrack.http import holds
 from bronzetrack.http import statuses
 
 REASONS = {reason.value for reason in failures.Reason}
@@ -176,6 +177,28 @@
     assert json.loads(reply.body)["error"]["type"] == "cancelled"
 
 
+def test_bodies_in_progress_are_bounded():
+    """Guards against many callers that fill the memory of a VM together."""
+    totals = holds.Totals(most_requests=2, most_body_bytes=100)
+    first, second, third = (holds.Hold(totals) for _ in range(3))
+    assert first.admit() is None and second.admit() is None
+    assert third.admit().limit == "limits.open_requests"
+    assert first.grow(60) is None
+    assert second.grow(60).limit == "limits.open_body_bytes"
+    first.release()
+    assert second.grow(60) is None
+    assert third.admit() is None
+
+
+def test_hold_ends_with_the_answer(call, configured):
+    """Guards against a VM that refuses everything after enough requests."""
+    limits = configured.settings.limits
+    body = b'{"model": "launch-log", "prompt": "%s"}' % (b"x" * 200_000)
+    for _ in range(limits.open_body_bytes // len(body) + 1):
+        reply = call("POST", COMPLETIONS, [body])
+        assert reply.status == 200
+
+
 def test_errors_of_the_router_have_the_same_shape(call):
     """Guards against a client that cannot parse a 404 or a 405."""
     for method, target in (("GET", b"/nowhere"), ("GET", COMPLETIONS)):
