--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -43,7 +43,7 @@
         rows = re.findall(rf"^\| `{name}` \|.*$", protocols, re.MULTILINE)
         assert any(
             all(word in row for word in words) for row in rows
-        ), f"the row of {name} in docs/protocols.md needs {words}"
+        ), f"run scripts/update_protocols.py for {name}: {words}"
 
 
 def test_each_reason_has_its_status(protocols):
