Keep sessions apart by incarnation and end them cleanly

Cause: A VM replaced at another address stayed unreachable while the old stream was open; a VM that came back after 10 s of silence was never known again while its stream was open; a write to a broken stream or an invalid address of a peer could end the daemon; a peer could speak for another VM or close its session; heartbeats made a one-way partition look healthy; addresses of replaced VMs were tried for ever (found by reading the code). Change: Sessions carry the incarnation and are replaced, and closed when their VM is silent. Session events are local. Frames are encoded when they are queued, heartbeats once for all peers, and queues are bounded in bytes. Addresses expire.

--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -15,6 +15,8 @@
 
 LIST_INTERVAL_MS = 2_000
 RECONNECT_MS = 500
+# A region that was cut off for minutes finds the others again.
+FORGET_MS = 600_000
 
 
 @controllers.CONTROLLERS.register("membership")
@@ -25,7 +27,8 @@
 
     async def run(self) -> None:
         self._connecting: set[str] = set()
-        self._addresses = set(self.board.settings.peers.join)
+        self._listed: set[str] = set()
+        self._heard: dict[str, int] = {}
         async with anyio.create_task_group() as group:
             group.start_soon(self._receive)
             group.start_soon(self._send_heartbeats)
@@ -39,7 +42,8 @@
             view = self.board.membership.value
             now_ms = self.read_clock().monotonic_ms
             for delivery in mailbox.take():
-                view = self._apply_message(view, delivery.message, now_ms)
+                if delivery.message.vm == delivery.sender:
+                    view = self._apply_message(view, delivery.message, now_ms)
             self.write(self.board.membership, view)
 
     def _apply_message(
@@ -47,23 +51,25 @@
     ) -> views.MembershipView:
         match message:
             case messages.Hello():
-                self._addresses.add(message.peer_address)
+                self._heard[message.peer_address] = now_ms
                 return views.record_hello(view, message, now_ms)
             case messages.Heartbeat():
                 return views.record_heartbeat(view, message, now_ms)
+            case messages.SessionOpened():
+                return views.record_session(
+                    view, message.vm, message.incarnation, True
+                )
             case messages.SessionClosed():
-                return views.record_closed(view, message.vm)
+                return views.record_session(
+                    view, message.vm, message.incarnation, False
+                )
         return view
 
     async def _send_heartbeats(self) -> None:
         revision = -1
         while True:
-            now_ms = self.read_clock().monotonic_ms
-            heartbeat = summaries.make_heartbeat(self.board)
-            for vm in self.ports.peers.list_sessions():
-                self.ports.peers.send(vm, heartbeat)
-            view = views.expire_vms(self.board.membership.value, now_ms)
-            self.write(self.board.membership, view)
+            self.ports.peers.send_all(summaries.make_heartbeat(self.board))
+            self._expire()
             # A change of status is told at once, so that a leaving VM gets
             # no new work for the rest of the interval.
             await controllers.wait_first(
@@ -72,11 +78,21 @@
             )
             revision = self.board.lifecycle.revision
 
+    def _expire(self) -> None:
+        """Forget silent VMs; a VM that comes back has to greet again."""
+        before = self.board.membership.value
+        now_ms = self.read_clock().monotonic_ms
+        view = views.expire_vms(before, now_ms)
+        for vm in before.vms.keys() - view.vms.keys():
+            self.ports.peers.close(vm)
+        if view is not before:
+            self.write(self.board.membership, view)
+
     async def _read_list(self) -> None:
         while True:
             listed = await self.ports.vms.list_vms()
             if not isinstance(listed, failures.Failure):
-                self._addresses |= {row.address for row in listed} - {""}
+                self._listed = {row.address for row in listed} - {""}
                 leaving = frozenset(row.name for row in listed if row.leaving)
                 view = self.board.membership.value
                 if leaving != view.listed_leaving:
@@ -85,15 +101,31 @@
             await anyio.sleep(LIST_INTERVAL_MS / 1000)
 
     async def _open_sessions(self, group: Any) -> None:
-        own = self.board.settings.listen.peers
         while True:
-            open_addresses = set(self.ports.peers.list_sessions().values())
-            wanted = self._addresses - open_addresses - self._connecting
-            for address in wanted - {own}:
+            for address in self._list_wanted():
                 self._connecting.add(address)
                 group.start_soon(self._connect, address)
             await anyio.sleep(RECONNECT_MS / 1000)
 
+    def _list_wanted(self) -> set[str]:
+        """Return the addresses to connect to.
+
+        VMs are replaced all the time, so that addresses that nobody has
+        greeted from for long are dropped unless they are listed.
+        """
+        now_ms = self.read_clock().monotonic_ms
+        for vm in self.board.membership.value.vms.values():
+            self._heard[vm.peer_address] = vm.heard_ms
+        self._heard = {
+            address: heard_ms
+            for address, heard_ms in self._heard.items()
+            if now_ms - heard_ms < FORGET_MS
+        }
+        known = self._heard.keys() | self._listed
+        known |= set(self.board.settings.peers.join)
+        known -= set(self.ports.peers.list_sessions().values())
+        return known - self._connecting - {self.board.settings.listen.peers}
+
     async def _connect(self, address: str) -> None:
         try:
             await self.ports.peers.connect(address)
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -76,11 +76,25 @@
     usage: Mapping[str, float] = attrs.field(factory=dict)
 
 
-@messages.MESSAGES.register("session_closed")
+# The next two are posted locally and are not registered, so that no peer can
+# send them.
+
+
+@attrs.frozen
+class SessionOpened:
+    """A session towards a peer is open."""
+
+    mailbox: ClassVar[str] = "membership"
+
+    vm: str
+    incarnation: str
+
+
 @attrs.frozen
 class SessionClosed:
-    """Posted locally when the session with a peer ended."""
+    """The session towards a peer ended."""
 
     mailbox: ClassVar[str] = "membership"
 
     vm: str
+    incarnation: str
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -22,7 +22,7 @@
 
     :param heard_ms: monotonic time of the last message
     :param serving_ms: monotonic time since when it says that it serves
-    :param connected: whether a session with it is open
+    :param connected: whether a session towards it is open
     """
 
     vm: str
@@ -38,7 +38,7 @@
         factory=dict
     )
     usage: Mapping[str, float] = attrs.field(factory=dict)
-    connected: bool = True
+    connected: bool = False
     operator_address: str = ""
 
 
@@ -60,7 +60,7 @@
     """Return the view after a session was opened."""
     known = view.vms.get(hello.vm)
     if known is not None and known.incarnation == hello.incarnation:
-        state = attrs.evolve(known, heard_ms=now_ms, connected=True)
+        state = attrs.evolve(known, heard_ms=now_ms)
     else:
         state = VmState(
             vm=hello.vm,
@@ -91,17 +91,18 @@
         configuration_offset=heartbeat.configuration_offset,
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
-        connected=True,
     )
     return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
 
 
-def record_closed(view: MembershipView, vm: str) -> MembershipView:
-    """Return the view after the session with a VM ended."""
+def record_session(
+    view: MembershipView, vm: str, incarnation: str, connected: bool
+) -> MembershipView:
+    """Return the view after the session towards a VM opened or ended."""
     known = view.vms.get(vm)
-    if known is None:
+    if known is None or known.incarnation != incarnation:
         return view
-    state = attrs.evolve(known, connected=False)
+    state = attrs.evolve(known, connected=connected)
     return attrs.evolve(view, vms={**view.vms, vm: state})
 
 
--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import logging
 from typing import Any
 from typing import TYPE_CHECKING
@@ -20,6 +22,7 @@
 from bronzetrack.core import failures
 from bronzetrack.core import messages
 from bronzetrack.membership import messages as membership_messages
+from bronzetrack.settings import model
 from bronzetrack.wire import frames
 from bronzetrack.wire import tagged
 
@@ -28,19 +31,55 @@
 
 LOG = logging.getLogger(__name__)
 QUEUE_MESSAGES = 1_024
+QUEUE_BYTES = 16_777_216
 GREETING_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 30.0
+STREAM_ERRORS = (
+    OSError,
+    TimeoutError,
+    anyio.IncompleteRead,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 CODEC = tagged.TaggedCodec(messages.MESSAGES, failures.Reason.PEER_PROTOCOL)
 
 
 @attrs.define
 class Session:
-    """An open stream towards a peer."""
+    """An open stream towards a peer.
 
-    vm: str
+    :param queue: encoded frames that were not written yet
+    :param queued_bytes: their size
+    """
+
+    peer: membership_messages.Hello
     address: str
-    queue: blackboard.Mailbox[Any]
+    queue: blackboard.Mailbox[bytes]
+    scope: anyio.CancelScope
+    queued_bytes: int = 0
+
+    def post(self, frame: bytes) -> bool:
+        """Queue a frame; return whether there was room."""
+        if self.queued_bytes + len(frame) > QUEUE_BYTES:
+            return False
+        if not self.queue.post(frame):
+            return False
+        self.queued_bytes += len(frame)
+        return True
+
+    async def write_forever(self, stream: abc.ByteStream) -> None:
+        """Write what is queued, until the stream breaks."""
+        while True:
+            await self.queue.wait_items()
+            data = b"".join(self.queue.take())
+            self.queued_bytes = 0
+            try:
+                await stream.send(data)
+            except STREAM_ERRORS:
+                self.scope.cancel()
 
 
 class PeerHub:
@@ -65,86 +104,94 @@
             self._deliver(messages.Delivery(vm, message))
             return True
         session = self._sessions.get(vm)
-        return session is not None and session.queue.post(message)
+        if session is None:
+            return False
+        frame = _encode(message)
+        return frame is not None and session.post(frame)
+
+    def send_all(self, message: Any) -> None:
+        """Queue a message to every peer, encoded once."""
+        frame = _encode(message) if self._sessions else None
+        if frame is not None:
+            for session in self._sessions.values():
+                session.post(frame)
 
     def list_sessions(self) -> dict[str, str]:
         """Return the address of each VM that a stream is open to."""
         return {vm: item.address for vm, item in self._sessions.items()}
 
+    def close(self, vm: str) -> None:
+        """Close the stream to a VM, if one is open."""
+        session = self._sessions.pop(vm, None)
+        if session is not None:
+            session.scope.cancel()
+
     async def serve(self, stream: abc.ByteStream) -> None:
         """Receive on a stream that a peer opened until it ends."""
         async with stream:
-            try:
+            with _end_quietly("a peer"):
                 await self._receive(stream)
-            except (anyio.IncompleteRead, anyio.BrokenResourceError):
-                return
-            except (anyio.ClosedResourceError, TimeoutError):
-                return
-            except errors.FailureError as error:
-                LOG.warning(
-                    "peer disconnected for a protocol error",
-                    extra={
-                        "event": "peer_protocol_error",
-                        "detail": str(error),
-                    },
-                )
 
     async def _receive(self, stream: abc.ByteStream) -> None:
         reader = frames.FrameReader(stream)
         with anyio.fail_after(GREETING_TIMEOUT_S):
             hello = await self._read_hello(reader)
-            await self._write(stream, [self._greeting])
+            await self._greet(stream)
         self._deliver(messages.Delivery(hello.vm, hello))
         while True:
-            message = _decode(await reader.read_frame())
-            self._deliver(messages.Delivery(hello.vm, message))
+            # A peer that vanished without closing its stream is not waited
+            # for; a living one sends a heartbeat every second.
+            with anyio.fail_after(IDLE_TIMEOUT_S):
+                frame = await reader.read_frame()
+            self._deliver(messages.Delivery(hello.vm, _decode(frame)))
 
     async def connect(self, address: str) -> None:
         """Open a stream to an address and send on it until it breaks."""
-        host, _, port = address.rpartition(":")
-        try:
+        with _end_quietly(address):
+            # Addresses come from peers and from the platform.
+            host, _, port = model.parse_address(address).rpartition(":")
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError):
-            return
-        async with stream:
-            try:
+                stream = await anyio.connect_tcp(host.strip("[]"), int(port))
+            async with stream:
                 await self._run_session(stream, address)
-            except (anyio.IncompleteRead, anyio.BrokenResourceError):
-                return
-            except (anyio.ClosedResourceError, TimeoutError):
-                return
-            except errors.FailureError as error:
-                LOG.warning(
-                    "greeting of a peer was refused",
-                    extra={
-                        "event": "peer_protocol_error",
-                        "detail": str(error),
-                    },
-                )
 
     async def _run_session(self, stream: abc.ByteStream, address: str) -> None:
         reader = frames.FrameReader(stream)
         with anyio.fail_after(GREETING_TIMEOUT_S):
-            await self._write(stream, [self._greeting])
+            await self._greet(stream)
             hello = await self._read_hello(reader)
-        if hello.vm == self._greeting.vm or hello.vm in self._sessions:
+        known = self._sessions.get(hello.vm)
+        if hello.vm == self._greeting.vm:
             return
-        queue: blackboard.Mailbox[Any] = blackboard.Mailbox(
-            hello.vm, QUEUE_MESSAGES
-        )
-        self._sessions[hello.vm] = Session(hello.vm, address, queue)
-        self._deliver(messages.Delivery(hello.vm, hello))
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(_watch_close, stream, group.cancel_scope)
-                while True:
-                    await queue.wait_items()
-                    await self._write(stream, queue.take())
-        finally:
-            del self._sessions[hello.vm]
-            closed = membership_messages.SessionClosed(hello.vm)
-            self._deliver(messages.Delivery(hello.vm, closed))
+        if known is not None and known.peer.incarnation == hello.incarnation:
+            return
+        # A VM that was replaced may have left a stream that never closed.
+        self.close(hello.vm)
+        async with anyio.create_task_group() as group:
+            session = Session(
+                hello,
+                address,
+                blackboard.Mailbox(hello.vm, QUEUE_MESSAGES),
+                group.cancel_scope,
+            )
+            self._open(session)
+            group.start_soon(_watch_close, stream, group.cancel_scope)
+            group.start_soon(session.write_forever, stream)
+        self._forget(session)
+
+    def _open(self, session: Session) -> None:
+        peer = session.peer
+        self._sessions[peer.vm] = session
+        opened = membership_messages.SessionOpened(peer.vm, peer.incarnation)
+        self._deliver(messages.Delivery(peer.vm, peer))
+        self._deliver(messages.Delivery(peer.vm, opened))
+
+    def _forget(self, session: Session) -> None:
+        peer = session.peer
+        if self._sessions.get(peer.vm) is session:
+            del self._sessions[peer.vm]
+        closed = membership_messages.SessionClosed(peer.vm, peer.incarnation)
+        self._deliver(messages.Delivery(peer.vm, closed))
 
     async def _read_hello(
         self, reader: frames.FrameReader
@@ -156,9 +203,30 @@
             raise _make_error(f"protocol version {hello.version}")
         return hello
 
-    async def _write(self, stream: abc.ByteStream, items: list[Any]) -> None:
-        await stream.send(
-            b"".join(frames.encode_frame(CODEC.encode(item)) for item in items)
+    async def _greet(self, stream: abc.ByteStream) -> None:
+        await stream.send(frames.encode_frame(CODEC.encode(self._greeting)))
+
+
+@contextlib.contextmanager
+def _end_quietly(peer: str) -> Iterator[None]:
+    """End a session whose stream broke or whose peer sent nonsense."""
+    try:
+        yield
+    except STREAM_ERRORS:
+        return
+    except ValueError:
+        LOG.warning(
+            "address of a peer is not IP:port",
+            extra={"event": "peer_address_invalid", "address": peer},
+        )
+    except errors.FailureError as error:
+        LOG.warning(
+            "session ended for a protocol error",
+            extra={
+                "event": "peer_protocol_error",
+                "peer": peer,
+                "detail": str(error),
+            },
         )
 
 
@@ -173,6 +241,21 @@
     scope.cancel()
 
 
+def _encode(message: Any) -> bytes | None:
+    try:
+        return frames.encode_frame(CODEC.encode(message))
+    except errors.FailureError as error:
+        LOG.error(
+            "message is too large for a peer",
+            extra={
+                "event": "message_too_large",
+                "type": type(message).__name__,
+                "detail": str(error),
+            },
+        )
+        return None
+
+
 def _decode(data: bytes) -> Any:
     message = CODEC.decode(data)
     if isinstance(message, failures.Failure):
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,65 @@
+"""Tests of the view of the other VMs."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from bronzetrack.membership import messages
+from bronzetrack.membership import view as views
+
+HELLO = messages.Hello(1, "b", "b1", "zone-a", "127.0.0.1:1", "")
+SERVING = messages.Heartbeat("b", "b1", messages.VmStatus.SERVING, 4)
+
+
+@pytest.fixture
+def view() -> views.MembershipView:
+    """VM b serves and was heard at 1,000 ms."""
+    view = views.record_hello(views.MembershipView(), HELLO, 0)
+    view = views.record_session(view, "b", "b1", True)
+    return views.record_heartbeat(view, SERVING, 1_000)
+
+
+def test_silent_vm_gets_no_work(view):
+    """Guards against work relayed to a VM that is frozen or cut off."""
+    assert views.list_serving(view, 1_000)
+    assert not views.list_serving(view, 1_000 + views.SUSPECT_AFTER_MS)
+
+
+def test_vm_that_hears_but_cannot_be_reached_gets_no_work(view):
+    """Guards against a one-way partition that looks healthy."""
+    view = views.record_session(view, "b", "b1", False)
+    view = views.record_heartbeat(view, SERVING, 2_000)
+    assert not views.list_serving(view, 2_000)
+
+
+@pytest.mark.parametrize("source", ["heartbeat", "list"])
+def test_leaving_vm_gets_no_work_whoever_says_so(view, source):
+    """Guards against a VM that is told off by one source only."""
+    if source == "list":
+        view = attrs.evolve(view, listed_leaving=frozenset({"b"}))
+    else:
+        leaving = attrs.evolve(SERVING, status=messages.VmStatus.LEAVING)
+        view = views.record_heartbeat(view, leaving, 1_100)
+    assert not views.list_serving(view, 1_200)
+
+
+def test_restart_under_the_same_name_starts_afresh(view):
+    """Guards against the state of a dead run that outlives it."""
+    restarted = attrs.evolve(HELLO, incarnation="b2")
+    view = views.record_hello(view, restarted, 2_000)
+    assert not views.list_serving(view, 2_000)
+    # Late words of the former run change nothing.
+    late = views.record_heartbeat(view, SERVING, 2_100)
+    late = views.record_session(late, "b", "b1", True)
+    assert late == view
+
+
+def test_vm_that_comes_back_is_known_again(view):
+    """Guards against a VM that stays unknown after a partition."""
+    gone = views.expire_vms(view, 1_000 + views.GONE_AFTER_MS)
+    assert not gone.vms
+    back = views.record_hello(gone, HELLO, 20_000)
+    back = views.record_session(back, "b", "b1", True)
+    back = views.record_heartbeat(back, SERVING, 20_100)
+    assert views.list_serving(back, 20_100)
--- /dev/null
+++ b/tests/peer/test_sessions.py
@@ -0,0 +1,117 @@
+"""Tests of sessions between daemons."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import attrs
+import pytest
+
+from bronzetrack.configuration import messages as configuration_messages
+from bronzetrack.membership import messages
+from bronzetrack.peer import hub
+
+
+@attrs.define
+class Peer:
+    """A hub that listens, and what it delivered."""
+
+    hub: hub.PeerHub
+    address: str
+    delivered: list
+
+
+def make_hello(vm: str, incarnation: str, address: str = "") -> messages.Hello:
+    version = messages.PROTOCOL_VERSION
+    return messages.Hello(version, vm, incarnation, "zone-a", address, "")
+
+
+@contextlib.asynccontextmanager
+async def run_peer(vm: str, incarnation: str):
+    delivered: list = []
+    made = hub.PeerHub(make_hello(vm, incarnation), delivered.append)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    with anyio.fail_after(10):
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, made.serve)
+            yield Peer(made, f"127.0.0.1:{port}", delivered)
+            group.cancel_scope.cancel()
+
+
+async def wait_until(condition) -> None:
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+def list_types(peer: Peer) -> list[str]:
+    return [type(item.message).__name__ for item in peer.delivered]
+
+
+def test_restarted_vm_replaces_a_session_that_never_closed():
+    """Guards against a VM that stays unreachable after its replacement."""
+
+    async def check() -> None:
+        async with (
+            run_peer("a", "a1") as one,
+            run_peer("b", "b1") as old,
+            run_peer("b", "b2") as new,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(one.hub.connect, old.address)
+            await wait_until(one.hub.list_sessions)
+            group.start_soon(one.hub.connect, new.address)
+            await wait_until(lambda: "SessionClosed" in list_types(one))
+            assert one.hub.list_sessions() == {"b": new.address}
+            opened = [
+                item.message.incarnation
+                for item in one.delivered
+                if isinstance(item.message, messages.SessionOpened)
+            ]
+            assert opened == ["b1", "b2"]
+            closed = one.delivered[-1].message
+            assert closed == messages.SessionClosed("b", "b1")
+            group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
+def test_peer_that_reads_nothing_fills_only_its_own_queue():
+    """Guards against memory that grows, or waits, for one frozen peer."""
+
+    async def check() -> None:
+        async with (
+            run_peer("a", "a1") as one,
+            run_peer("b", "b1") as other,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(one.hub.connect, other.address)
+            await wait_until(one.hub.list_sessions)
+            part = configuration_messages.ConfigurationSnapshot(
+                1, 1, 0, 1, b"x" * 500_000
+            )
+            sent = [one.hub.send("b", part) for _ in range(100)]
+            assert 1 < sum(sent) < 40
+            too_large = attrs.evolve(part, data=b"x" * 2_000_000)
+            assert not one.hub.send("b", too_large)
+            names = list_types(other)
+            await wait_until(lambda: len(list_types(other)) > len(names))
+            assert one.hub.list_sessions()
+            group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
+@pytest.mark.parametrize(
+    "address", ["", "nonsense", "127.0.0.1:99999", "host:80", "127.0.0.1:1"]
+)
+def test_bad_address_ends_only_the_attempt(address):
+    """Guards against a peer or a list that ends the daemon."""
+
+    async def check() -> None:
+        async with run_peer("a", "a1") as one:
+            await one.hub.connect(address)
+            assert not one.hub.list_sessions()
+
+    anyio.run(check)
