--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -15,7 +15,10 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
+from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import loads
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
@@ -64,7 +67,7 @@
             for event in runs_box.take():
                 self._apply_event(event, now_ms)
             short = sum(
-                self._advance(name, now_ms)
+                self._advance(name, now_ms).short
                 for name in list(self.board.dispatch.value.endpoints)
             )
             self._permits.request(short, now_ms)
@@ -177,12 +180,17 @@
             case events.RunEnded():
                 self._scopes.pop(event.attempt, None)
                 queue = transitions.finish(queue, event.attempt, now_ms)
+            case events.ChunksPassed():
+                pace = paces.observe(queue.pace, event.chunk_ms, now_ms)
+                queue = attrs.evolve(queue, pace=pace)
             case events.LoadEnded():
                 counters.count_load(event.failure)
                 queue = transitions.end_load(queue, event, now_ms)
             case events.UnloadEnded():
                 counters.count_eviction(event.failure)
                 queue = transitions.end_unload(queue, event, now_ms)
+            case events.FenceEnded():
+                queue = transitions.end_fence(queue, event)
             case events.ReportRead():
                 queue = self._apply_report(queue, event, now_ms)
         self._set_queue(event.endpoint, queue)
@@ -196,38 +204,47 @@
         if isinstance(event.report, failures.Failure):
             return queue
         owner = self.board.ownership.value.owners.get(event.endpoint)
-        claimed_ms = now_ms if owner is None else owner.claimed_ms
-        now = self.read_clock()
-        claimed_wall_ms = now.wall_ms - (now.monotonic_ms - claimed_ms)
-        return transitions.apply_report(
-            queue, event.report, claimed_wall_ms, now_ms
-        )
+        owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
+        return transitions.apply_report(queue, event.report, owned_ms, now_ms)
 
-    def _advance(self, name: str, now_ms: int) -> int:
-        """Carry out what is due; return the loads that lack a permit."""
+    def _advance(self, name: str, now_ms: int) -> loads.LoadPlan:
+        """Carry out what is due; return what was due of loads."""
         endpoint = self._get_endpoint(name)
         if endpoint is None:
-            return 0
-        queue = self.board.dispatch.value.endpoints[name]
+            return loads.LoadPlan()
+        queue = transitions.judge_pace(
+            self.board.dispatch.value.endpoints[name],
+            self._placements.get(name).paces,
+            endpoint.slots,
+            now_ms,
+        )
+        if queue is not self.board.dispatch.value.endpoints[name]:
+            self._set_queue(name, queue)
         context = self._make_context(name, endpoint, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
         self._carry_out_refusals(name, plan)
+        if plan.fence is not None:
+            queue = self.board.dispatch.value.endpoints[name]
+            self._set_queue(name, transitions.send_fence(queue, now_ms))
+            self._orders.fence(name, endpoint, plan.fence)
         for attempt in plan.start:
             self._start(name, endpoint, attempt, now_ms)
-        for adapter in plan.load:
+        for adapter in plan.loads.load:
             self._load(name, endpoint, adapter, now_ms)
-        for adapter in plan.unload:
+        for adapter in plan.loads.unload:
             self._unload(name, endpoint, adapter, now_ms)
-        return plan.short
+        return plan.loads
 
     def _make_context(
         self, name: str, endpoint: inventories.Endpoint, now_ms: int
-    ) -> planner.EndpointContext:
+    ) -> contexts.EndpointContext:
         state = self.board.dispatch.value
         ownership = self.board.ownership.value
-        return planner.EndpointContext(
+        return contexts.EndpointContext(
             endpoint=endpoint,
             rules=self.board.configuration.value.configuration.rules,
+            leaving=self._is_leaving(name, endpoint),
+            may_start=leases.may_dispatch(ownership, now_ms),
             may_load=state.endpoints[name].boot != "",
             may_unload=leases.may_order(
                 ownership,
@@ -244,6 +261,14 @@
             ),
         )
 
+    def _is_leaving(self, name: str, endpoint: inventories.Endpoint) -> bool:
+        """Return whether any of the sources says that an endpoint leaves."""
+        return (
+            endpoint.leaving
+            or self.board.dispatch.value.endpoints[name].leaving
+            or name in self.board.membership.value.listed_leaving
+        )
+
     def _carry_out_refusals(self, name: str, plan: planner.Plan) -> None:
         queue = self.board.dispatch.value.endpoints[name]
         items = {item.work.attempt: item for item in queue.waiting}
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -44,7 +44,9 @@
     CANCELLED = "cancelled"
     # Endpoints.
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_CRASHED = "endpoint_crashed"
     ENDPOINT_PROTOCOL = "endpoint_protocol"
     WRONG_ADAPTER = "wrong_adapter"
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -22,6 +22,17 @@
     first_chunk_ms: int | None = None
 
 
+@attrs.frozen
+class ChunksPassed:
+    """A stream passed some chunks.
+
+    :param chunk_ms: mean time between them
+    """
+
+    endpoint: str
+    chunk_ms: float
+
+
 @attrs.frozen
 class LoadEnded:
     """An order to load an adapter version ended."""
@@ -40,6 +51,14 @@
     failure: failures.Failure | None = None
 
 
+@attrs.frozen
+class FenceEnded:
+    """An order that only carries the fencing number ended."""
+
+    endpoint: str
+    failure: failures.Failure | None = None
+
+
 @attrs.frozen
 class ReportRead:
     """A load report of an endpoint was read."""
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.streaming import messages
 
 
@@ -61,8 +62,12 @@
     :param residents: by `name@version`
     :param load_retry_ms: monotonic time before which a load that failed is
         not tried again, by `name@version`
+    :param ordered_ms: monotonic time at which the last order ended, by
+        `name@version`; load reports say so late
     :param boot: the run of the engine that the residents belong to
-    :param slow: whether the endpoint answers slower than its peers
+    :param fenced: whether the engine has seen the fencing number of this VM
+    :param fence_retry_ms: monotonic time before which no fence is sent again
+    :param pace: how fast the endpoint answers
     :param leaving: whether the endpoint says that it is leaving
     """
 
@@ -70,8 +75,11 @@
     running: Mapping[str, Running] = attrs.field(factory=dict)
     residents: Mapping[str, Resident] = attrs.field(factory=dict)
     load_retry_ms: Mapping[str, int] = attrs.field(factory=dict)
+    ordered_ms: Mapping[str, int] = attrs.field(factory=dict)
     boot: str = ""
-    slow: bool = False
+    fenced: bool = False
+    fence_retry_ms: int = 0
+    pace: paces.Pace = attrs.field(factory=paces.Pace)
     leaving: bool = False
 
     @property
@@ -87,6 +95,18 @@
             for resident in self.residents.values()
         )
 
+    @property
+    def streaming_since_ms(self) -> int | None:
+        """Start of the oldest stream that runs here, if any."""
+        return min(
+            (
+                item.started_ms
+                for item in self.running.values()
+                if item.work.stream
+            ),
+            default=None,
+        )
+
     @property
     def pinned(self) -> frozenset[str]:
         """Adapter versions that queued or running work needs."""
