--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -168,6 +168,13 @@
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return self._refuse(request, checked)
+        if self.board.lifecycle.value.stop_requested:
+            failure = failures.Failure(
+                failures.Reason.DRAINING,
+                "this VM stops; use another",
+                retry_after_ms=1_000,
+            )
+            return self._refuse(request, failure, checked)
         unsendable = targets.check_sendable(checked)
         if unsendable is not None:
             return self._refuse(request, unsendable, checked)
