--- a/tests/daemon/test_outages.py
+++ b/tests/daemon/test_outages.py
@@ -88,8 +88,7 @@
 def has_no_former_owner(site):
     """Return whether every endpoint belongs to a running daemon."""
     runs = {
-        site.get_state(vm, "vm")["incarnation"]
-        for vm in site.vms.values()
+        site.get_state(vm, "vm")["incarnation"] for vm in site.vms.values()
     }
     owners = site.get_state(site.vms["vm-0"], "ownership")["owners"]
     return {owner["incarnation"] for owner in owners.values()} <= runs
