--- a/src/bronzetrack/client/inspector.py
+++ b/src/bronzetrack/client/inspector.py
@@ -43,7 +43,12 @@
     :param addresses: operators' addresses
     """
     path = f"/state/{section}" if section else "/state"
-    return await _call(pool, "GET", addresses, f"{path}?limit={limit}")
+    found = await _call(pool, "GET", addresses, f"{path}?limit={limit}")
+    if isinstance(found, failures.Failure) or "value" in found or not section:
+        return found
+    return failures.Failure(
+        failures.Reason.PEER_PROTOCOL, "the answer is no state dump"
+    )
 
 
 async def begin_drain(
@@ -149,16 +154,17 @@
 ) -> Any | failures.Failure:
     try:
         fields = json.loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
+        fields = None
+    if not isinstance(fields, dict):
         return failures.Failure(
             failures.Reason.PEER_PROTOCOL,
-            f"{address} answered {answer.status} without JSON",
+            f"{address} answered {answer.status} without a JSON object",
         )
     if answer.status >= 400:
         return failures.Failure(
             failures.Reason.BAD_REQUEST,
-            f"{address} answered {answer.status}: "
-            f"{fields.get('error', {}).get('message', '')}",
+            f"{address} answered {answer.status}: {fields.get('error')}",
         )
     return fields
 
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -5,6 +5,7 @@
 import json
 
 import click
+import httpcore
 import pytest
 
 from bronzetrack.console import application
@@ -89,6 +90,31 @@
     assert "absent" in newest["failure"]["detail"]
 
 
+def test_metrics_count_a_request(site):
+    """Guards against counters that no controller changes any more."""
+    vm = site.vms["vm-0"]
+    assert site.send("trust-5@1", stream=True, max_tokens=2).status == 200
+    assert site.send("absent").status == 404
+    site.wait(lambda: count(site, "loads_total", "none") > 0)
+    assert count(site, "requests_total", "completed", vm) > 0
+    assert count(site, "requests_total", "unknown_adapter", vm) > 0
+    assert count(site, "first_chunk_seconds_count", "normal", vm) > 0
+
+
+def count(site, name, label, vm=None) -> float:
+    """Return the sum of a metric with a label over some VMs."""
+    total = 0.0
+    for item in [vm] if vm else site.vms.values():
+        answer = httpcore.request("GET", f"http://{item.operators}/metrics")
+        lines = answer.content.decode().splitlines()
+        total += sum(
+            float(line.split()[-1])
+            for line in lines
+            if line.startswith(f"bronzetrack_{name}{{") and label in line
+        )
+    return total
+
+
 def test_unknown_section_names_the_known(inspect):
     """Guards against a dead end after a mistyped section."""
     result = inspect("state", "leases")
@@ -143,6 +169,7 @@
         ("status", "--operators", "127.0.0.1:1"),
         ("config", "history", "--log-url", "http://127.0.0.1:1"),
         ("drain", "vm-0", "--operators", "127.0.0.1:1"),
+        ("state", "vm", "--operators", "127.0.0.1:1"),
     ],
 )
 def test_failure_is_one_line(run, arguments):
