--- a/scripts/update_protocols.py
+++ b/scripts/update_protocols.py
@@ -1,4 +1,7 @@
-"""Rewrites the tables of messages and records in docs/protocols.md."""
+"""Rewrites the tables of messages and records in docs/protocols.md.
+
+Meanings that stand there are kept; new rows get the summary of the class.
+"""
 
 from __future__ import annotations
 
@@ -19,16 +22,22 @@
 from bronzetrack.daemon import process  # noqa: E402
 
 
-def write_rows(registry: registries.Registry[type]) -> str:
-    """Return a row for each class, in order of module."""
+def write_rows(registry: registries.Registry[type], page: str) -> str:
+    """Return a row for each class, in order of module.
+
+    :param page: the present page, whose meanings are kept
+    """
     items = sorted(registry.items(), key=lambda item: item[1].__module__)
-    return "".join(write_row(name, cls) for name, cls in items)
+    return "".join(write_row(name, cls, page) for name, cls in items)
 
 
-def write_row(name: str, cls: type) -> str:
+def write_row(name: str, cls: type, page: str) -> str:
     """Return the row of a message or record."""
+    known = re.search(
+        rf"^\| `{name}` \| `[^|]*\| ([^|]+) \| ", page, re.MULTILINE
+    )
     fields = ", ".join(f"`{field.name}`" for field in attrs.fields(cls))
-    summary = (cls.__doc__ or "").splitlines()[0]
+    summary = known[1] if known else (cls.__doc__ or "").splitlines()[0]
     places = [f"`{cls.__module__.removeprefix('bronzetrack.')}`"]
     stream = getattr(importlib.import_module(cls.__module__), "STREAM", None)
     if stream is not None:
@@ -48,8 +57,8 @@
     """Rewrite the page."""
     process.import_controllers()
     page = PAGE.read_text(encoding="utf-8")
-    page = replace_rows(page, "message", write_rows(messages.MESSAGES))
-    page = replace_rows(page, "record", write_rows(records.RECORDS))
+    page = replace_rows(page, "message", write_rows(messages.MESSAGES, page))
+    page = replace_rows(page, "record", write_rows(records.RECORDS, page))
     PAGE.write_text(page, encoding="utf-8")
 
 
