Rank work of members within their share first

Cause: class rank went before the use of a member's share, so that a member with much short work exceeded its share without limit. The voted shares were kept no better than by a queue in order of arrival.

Change: limits.shares finds the members that are ahead of another waiting member by more than the tolerance; their work goes after that of the others. The crowded arrivals of the load driver ask for four times the usual load, since at three times one member hardly asked for its share.

--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -199,7 +199,7 @@
     while True:
         factor = kind.crest if workload.is_crest(at_ms) else 1.0
         if crowded:
-            factor = 3.0
+            factor = 4.0
         at_ms += chance.expovariate(kind.rate_per_s * factor) * 1000
         if at_ms >= workload.duration_ms:
             return
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -12,6 +12,7 @@
 from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import loads as load_plans
 from bronzetrack.dispatch import state as states
+from bronzetrack.limits import shares
 
 # Every VM has read of a change in a heartbeat after this time.
 NOTICE_MS = 1_200
@@ -93,14 +94,25 @@
 def _rank_waiting(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> list[states.Waiting]:
-    def rank(item: states.Waiting) -> tuple[int, float, int]:
-        member = context.rules.members.get(item.work.member)
-        weight = member.weight if member else 1.0
-        used = context.usage.get(item.work.member, 0.0) / weight
-        class_rank = contexts.get_class(
-            context.rules, item.work.work_class
-        ).rank
-        return class_rank, used, item.queued_ms
+    """Return the waiting work, most urgent first.
+
+    Work of members within their shares goes before that of others, then
+    lower class ranks before higher ones.
+    """
+    rules = context.rules
+    leaders = shares.find_leaders(
+        context.usage, rules, (item.work.member for item in queue.waiting)
+    )
+
+    def rank(item: states.Waiting) -> tuple[bool, int, float, int]:
+        member = item.work.member
+        used = context.usage.get(member, 0.0)
+        return (
+            member in leaders,
+            contexts.get_class(rules, item.work.work_class).rank,
+            used / shares.get_weight(rules, member),
+            item.queued_ms,
+        )
 
     return sorted(queue.waiting, key=rank)
 
