Refuse work that would time out, and let isolated work start

Cause: work for an endpoint whose queue is longer than its class allows waited until it timed out. Isolated work started only when the endpoint happened to be empty, which it never is under load (found by reading). Work of a high rank had no bound on its wait.

Work that has waited for half of its limit goes before newer work of all classes, within its share of slots. Isolated work stops later starts until the endpoint is empty.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -23,6 +23,7 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
+from bronzetrack.limits import admission
 from bronzetrack.limits import messages as limit_messages
 from bronzetrack.limits import tokens
 from bronzetrack.limits import transfers
@@ -39,6 +40,7 @@
 STEP_MS = 250
 HEARTBEAT_MS = 1_000
 HISTORY = 3_000
+QUEUE_REQUESTS = 256
 SLOWED = (8_000, 18_000)
 SLOW_FACTOR = 5.0
 EXPECTED_VMS = workloads.VMS + 1
@@ -326,6 +328,20 @@
             cost=arrival.cost,
             stream=True,
         )
+        if self.policy not in NAIVE:
+            failure = admission.check(
+                admission.Admission(
+                    work,
+                    queue,
+                    self._rules,
+                    self.endpoints[name].slots,
+                    QUEUE_REQUESTS,
+                )
+            )
+            if failure is not None:
+                entry.in_flight[name] -= 1
+                outcome.refusal = failure.reason.value
+                return
         item = states.Waiting(work, entry.name, int(self.timeline.now_ms))
         self.queues[name] = transitions.enqueue(queue, item)
         self._advance(name)
@@ -542,7 +558,8 @@
         )
         self.queues[name] = queue
         item = queue.running[attempt]
-        vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
+        if queue.has_rival(item.work.member):
+            vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
         outcome = self.outcomes[int(attempt)]
         outcome.started_ms = self.timeline.now_ms
         self.served.append(
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -22,6 +22,7 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
+from bronzetrack.limits import admission
 from bronzetrack.limits import messages as limit_messages
 from bronzetrack.limits import usage
 from bronzetrack.metrics import counters
@@ -125,7 +126,7 @@
             self._start_run(work, sender, endpoint)
             return
         queue = self.board.dispatch.value.endpoints.get(work.endpoint)
-        failure = self._check_acceptance(queue)
+        failure = self._check_acceptance(work, queue)
         if queue is None or failure is not None:
             self._refuse(work, sender, failure)
             return
@@ -133,21 +134,22 @@
         self._set_queue(work.endpoint, transitions.enqueue(queue, item))
 
     def _check_acceptance(
-        self, queue: states.EndpointQueue | None
+        self, work: messages.SubmitWork, queue: states.EndpointQueue | None
     ) -> failures.Failure | None:
-        if queue is None:
+        endpoint = self._get_endpoint(work.endpoint)
+        if queue is None or endpoint is None:
             return failures.Failure(
                 failures.Reason.NO_OWNER, "not the owner of the endpoint"
             )
-        limit = self.board.settings.limits.queue_requests
-        if len(queue.waiting) >= limit:
-            return failures.Failure(
-                failures.Reason.QUEUE_FULL,
-                f"{limit} requests wait",
-                retry_after_ms=1_000,
-                limit="limits.queue_requests",
+        return admission.check(
+            admission.Admission(
+                work,
+                queue,
+                self.board.configuration.value.configuration.rules,
+                endpoint.slots,
+                self.board.settings.limits.queue_requests,
             )
-        return None
+        )
 
     def _refuse(
         self,
@@ -279,9 +281,12 @@
         )
         self._set_queue(name, queue)
         item = queue.running[attempt]
-        state = self.board.dispatch.value
-        charged = usage.charge(state.usage, item.work.member, item.work.cost)
-        self.write(self.board.dispatch, attrs.evolve(state, usage=charged))
+        if queue.has_rival(item.work.member):
+            state = self.board.dispatch.value
+            charged = usage.charge(
+                state.usage, item.work.member, item.work.cost
+            )
+            self.write(self.board.dispatch, attrs.evolve(state, usage=charged))
         self._start_run(item.work, item.sender, endpoint)
 
     def _start_run(
--- a/src/bronzetrack/dispatch/context.py
+++ b/src/bronzetrack/dispatch/context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from bronzetrack.configuration import inventory as inventories
@@ -35,3 +37,8 @@
 def get_class(rules: rule_sets.Rules, work_class: str) -> rule_sets.ClassRule:
     """Return the rule of a class, or the default after a rule was removed."""
     return rules.classes.get(work_class, DEFAULT_CLASS)
+
+
+def count_slots(rule: rule_sets.ClassRule, slots: int) -> int:
+    """Return how many slots of an endpoint a class may take."""
+    return max(1, math.floor(slots * rule.slot_share))
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import math
 
 import attrs
 
@@ -42,7 +41,7 @@
     gone = {attempt for attempt, _ in refused}
     waiting = [
         item
-        for item in _rank_waiting(queue, context)
+        for item in rank_waiting(queue, context, now_ms)
         if item.work.attempt not in gone
     ]
     started = _choose_starts(queue, context, waiting)
@@ -91,25 +90,29 @@
             )
 
 
-def _rank_waiting(
-    queue: states.EndpointQueue, context: contexts.EndpointContext
+def rank_waiting(
+    queue: states.EndpointQueue, context: contexts.EndpointContext, now_ms: int
 ) -> list[states.Waiting]:
     """Return the waiting work, most urgent first.
 
-    Work of members within their shares goes before that of others, then
-    lower class ranks before higher ones.
+    Work of members within their shares goes before that of others, then work
+    that has waited for half of the limit of its class, then lower class ranks
+    before higher ones. Work of a high rank therefore waits at most for half
+    of its limit and then for a slot of its class.
     """
     rules = context.rules
     leaders = _find_leaders(queue, context)
 
-    def rank(item: states.Waiting) -> tuple[bool, int, float, int]:
+    def rank(item: states.Waiting) -> tuple[bool, bool, int, float, int]:
         member = item.work.member
-        class_rank = contexts.get_class(rules, item.work.work_class).rank
+        rule = contexts.get_class(rules, item.work.work_class)
+        aged = 2 * (now_ms - item.queued_ms) >= rule.queue_timeout_ms
         used = context.usage.get(member, 0.0)
         return (
-            member in leaders[class_rank],
-            class_rank,
-            used / shares.get_weight(rules, member),
+            member in leaders[rule.rank],
+            not aged,
+            0 if aged else rule.rank,
+            0.0 if aged else used / shares.get_weight(rules, member),
             item.queued_ms,
         )
 
@@ -152,26 +155,19 @@
     for item in waiting:
         if len(running) >= slots:
             return
-        if not _is_ready(queue, item.work.adapter):
+        if not queue.is_ready(item.work.adapter):
             continue
-        if running and (item.work.isolated or running[0].isolated):
-            continue
-        share = contexts.get_class(
-            context.rules, item.work.work_class
-        ).slot_share
+        if running and running[0].isolated:
+            return
+        if running and item.work.isolated:
+            # Nothing of a later place starts, or the endpoint would never be
+            # empty under load and the isolated work would wait for ever.
+            return
+        rule = contexts.get_class(context.rules, item.work.work_class)
         of_class = sum(
             work.work_class == item.work.work_class for work in running
         )
-        if of_class >= max(1, math.floor(slots * share)):
+        if of_class >= contexts.count_slots(rule, slots):
             continue
         running.append(item.work)
         yield item.work.attempt
-
-
-def _is_ready(queue: states.EndpointQueue, adapter: str) -> bool:
-    if not adapter:
-        return True
-    resident = queue.residents.get(adapter)
-    return (
-        resident is not None and resident.phase is states.ResidentPhase.READY
-    )
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -92,6 +92,20 @@
             default=None,
         )
 
+    def is_ready(self, adapter: str) -> bool:
+        """Whether work with an adapter, or with none, may start."""
+        if not adapter:
+            return True
+        resident = self.residents.get(adapter)
+        return resident is not None and resident.phase is ResidentPhase.READY
+
+    def has_rival(self, member: str) -> bool:
+        """Whether work of another member waits for a slot only."""
+        return any(
+            item.work.member != member and self.is_ready(item.work.adapter)
+            for item in self.waiting
+        )
+
     @property
     def pinned(self) -> frozenset[str]:
         """Adapter versions that queued or running work needs."""
@@ -105,7 +119,8 @@
     """The section of the dispatch controller.
 
     :param endpoints: queue by owned endpoint
-    :param usage: decayed cost of the work started here, by member
+    :param usage: decayed cost of the work that started here while others
+        waited, by member
     """
 
     endpoints: Mapping[str, EndpointQueue] = attrs.field(factory=dict)
--- /dev/null
+++ b/src/bronzetrack/limits/admission.py
@@ -0,0 +1,98 @@
+"""Rules that refuse work before it waits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import math
+
+import attrs
+
+from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.core import failures
+from bronzetrack.core import registry
+from bronzetrack.dispatch import context as contexts
+from bronzetrack.dispatch import state as states
+from bronzetrack.streaming import messages
+
+LEAST_RETRY_MS = 250
+
+
+@attrs.frozen
+class Admission:
+    """Work that arrives at the owner of an endpoint.
+
+    :param slots: requests that the endpoint runs at once
+    :param queue_requests: requests that may wait there
+    """
+
+    work: messages.SubmitWork
+    queue: states.EndpointQueue
+    rules: rule_sets.Rules
+    slots: int
+    queue_requests: int
+
+
+AdmissionRule = Callable[[Admission], failures.Failure | None]
+
+RULES: registry.Registry[AdmissionRule] = registry.Registry("admission rules")
+
+
+def check(admission: Admission) -> failures.Failure | None:
+    """Return why the work is refused, None if it may wait."""
+    refusals = (rule(admission) for _, rule in RULES.items())
+    return next((item for item in refusals if item is not None), None)
+
+
+@RULES.register("queue_length")
+def check_length(admission: Admission) -> failures.Failure | None:
+    """Bound the memory that waiting work takes."""
+    limit = admission.queue_requests
+    if len(admission.queue.waiting) < limit:
+        return None
+    return failures.Failure(
+        failures.Reason.QUEUE_FULL,
+        f"{limit} requests wait",
+        retry_after_ms=1_000,
+        limit="limits.queue_requests",
+    )
+
+
+@RULES.register("wait_estimate")
+def check_wait(admission: Admission) -> failures.Failure | None:
+    """Refuse work that would time out in the queue.
+
+    Work that waits for nothing takes slots from work that can still be
+    answered in time.
+    """
+    work = admission.work
+    rule = contexts.get_class(admission.rules, work.work_class)
+    estimate_ms = estimate_wait_ms(admission)
+    if estimate_ms <= rule.queue_timeout_ms:
+        return None
+    return failures.Failure(
+        failures.Reason.QUEUE_FULL,
+        f"about {estimate_ms:.0f} ms of work waits",
+        retry_after_ms=max(
+            LEAST_RETRY_MS, math.ceil(estimate_ms - rule.queue_timeout_ms)
+        ),
+        limit=f"classes.{work.work_class}.queue_timeout_ms",
+    )
+
+
+def estimate_wait_ms(admission: Admission) -> float:
+    """Return the time until a slot is free for the work.
+
+    Work ahead is what waits with the same or a lower rank and does not wait
+    for a load. Each slot makes a token in the observed time between chunks,
+    and the class has its share of the slots.
+    """
+    rules = admission.rules
+    own = contexts.get_class(rules, admission.work.work_class)
+    ahead = sum(
+        item.work.cost
+        for item in admission.queue.waiting
+        if contexts.get_class(rules, item.work.work_class).rank <= own.rank
+        and admission.queue.is_ready(item.work.adapter)
+    )
+    slots = contexts.count_slots(own, admission.slots)
+    return ahead * admission.queue.pace.chunk_ms / slots
