Charge only contended work to a member's share

Cause: a member that used idle engines before a crest was ahead of its share when the crest began, and its short work went after the long work of others.

Change: work is charged when work of another member waits for a slot at its start.

--- a/src/bronzetrack/limits/usage.py
+++ b/src/bronzetrack/limits/usage.py
@@ -1,4 +1,9 @@
-"""Recent cost by member, which decays with time."""
+"""Recent cost by member, which decays with time.
+
+Only work that started while work of another member waited is charged. Capacity
+that nobody else asked for is thereby lent without a debt: when it was charged
+too, members that had used idle engines before a crest went last in it.
+"""
 
 from __future__ import annotations
 
