--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -270,7 +270,7 @@
 
     def _sum_up(self, name: str) -> membership.EndpointSummary:
         return summaries.summarize_endpoint(
-            self.queues[name], self.endpoints[name].slots
+            self.queues[name], self.endpoints[name].slots, draining=False
         )
 
     def _pick(
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -29,6 +29,9 @@
 ) -> dict[str, candidates.OwnerReport]:
     """Return the newest summary of each endpoint with a reachable owner.
 
+    A leaving owner gets no new work, since it can give up an endpoint only
+    once the endpoint is idle.
+
     :param own: summaries of the endpoints of this VM
     """
     reports = {}
@@ -41,6 +44,8 @@
         state = view.vms.get(owner.vm)
         if state is None or state.incarnation != owner.incarnation:
             continue
+        if state.status is messages.VmStatus.LEAVING:
+            continue
         if views.is_reachable(state, now_ms):
             reports[name] = candidates.OwnerReport(
                 owner.vm,
@@ -48,6 +53,15 @@
                 now_ms - state.heard_ms,
                 senders,
             )
+    if not ownership.caught_up:
+        # A VM that started in an outage of the log knows owners only from
+        # their heartbeats. An owner refuses what is not its own.
+        for state in view.vms.values():
+            if views.is_reachable(state, now_ms):
+                age_ms = now_ms - state.heard_ms
+                for name, summary in state.endpoints.items():
+                    report = candidates.OwnerReport(state.vm, summary, age_ms)
+                    reports.setdefault(name, report)
     return reports
 
 
