--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -23,6 +23,7 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.dispatch import transitions
+from bronzetrack.limits import admission
 from bronzetrack.limits import messages as limit_messages
 from bronzetrack.limits import tokens
 from bronzetrack.limits import transfers
@@ -39,6 +40,7 @@
 STEP_MS = 250
 HEARTBEAT_MS = 1_000
 HISTORY = 3_000
+QUEUE_REQUESTS = 256
 SLOWED = (8_000, 18_000)
 SLOW_FACTOR = 5.0
 EXPECTED_VMS = workloads.VMS + 1
@@ -151,9 +153,12 @@
         if slowed:
             self._slow_some()
 
-    def run(self) -> None:
-        """Run to the end of the arrivals and of most of the work."""
-        self.timeline.run(self.workload.duration_ms + 10_000)
+    def run(self, rest_ms: int = 10_000) -> None:
+        """Run to the end of the arrivals and of most of the work.
+
+        :param rest_ms: time after the last arrival
+        """
+        self.timeline.run(self.workload.duration_ms + rest_ms)
 
     def _make_rules(self) -> rule_sets.Rules:
         if self.policy in NAIVE:
@@ -268,7 +273,7 @@
 
     def _sum_up(self, name: str) -> membership.EndpointSummary:
         return summaries.summarize_endpoint(
-            self.queues[name], self.endpoints[name].slots
+            self.queues[name], self.endpoints[name].slots, draining=False
         )
 
     def _pick(
@@ -326,6 +331,20 @@
             cost=arrival.cost,
             stream=True,
         )
+        if self.policy not in NAIVE:
+            failure = admission.check(
+                admission.Admission(
+                    work,
+                    queue,
+                    self._rules,
+                    self.endpoints[name].slots,
+                    QUEUE_REQUESTS,
+                )
+            )
+            if failure is not None:
+                entry.in_flight[name] -= 1
+                outcome.refusal = failure.reason.value
+                return
         item = states.Waiting(work, entry.name, int(self.timeline.now_ms))
         self.queues[name] = transitions.enqueue(queue, item)
         self._advance(name)
@@ -542,7 +561,8 @@
         )
         self.queues[name] = queue
         item = queue.running[attempt]
-        vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
+        if queue.has_rival(item.work.member):
+            vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
         outcome = self.outcomes[int(attempt)]
         outcome.started_ms = self.timeline.now_ms
         self.served.append(
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import math
 
 import attrs
 
@@ -12,6 +11,7 @@
 from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import loads as load_plans
 from bronzetrack.dispatch import state as states
+from bronzetrack.limits import shares
 
 # Every VM has read of a change in a heartbeat after this time.
 NOTICE_MS = 1_200
@@ -45,7 +45,7 @@
     gone = {attempt for attempt, _ in refused}
     waiting = [
         item
-        for item in _rank_waiting(queue, context)
+        for item in rank_waiting(queue, context, now_ms)
         if item.work.attempt not in gone
     ]
     if _lacks_fence(queue, context):
@@ -130,21 +130,59 @@
         )
 
 
-def _rank_waiting(
-    queue: states.EndpointQueue, context: contexts.EndpointContext
+def rank_waiting(
+    queue: states.EndpointQueue, context: contexts.EndpointContext, now_ms: int
 ) -> list[states.Waiting]:
-    def rank(item: states.Waiting) -> tuple[int, float, int]:
-        member = context.rules.members.get(item.work.member)
-        weight = member.weight if member else 1.0
-        used = context.usage.get(item.work.member, 0.0) / weight
-        class_rank = contexts.get_class(
-            context.rules, item.work.work_class
-        ).rank
-        return class_rank, used, item.queued_ms
+    """Return the waiting work, most urgent first.
+
+    Work of members within their shares goes before that of others, then work
+    that has waited for half of the limit of its class, then lower class ranks
+    before higher ones. Work of a high rank therefore waits at most for half
+    of its limit and then for a slot of its class.
+    """
+    rules = context.rules
+    leaders = _find_leaders(queue, context)
+
+    def rank(item: states.Waiting) -> tuple[bool, bool, int, float, int]:
+        member = item.work.member
+        rule = contexts.get_class(rules, item.work.work_class)
+        aged = 2 * (now_ms - item.queued_ms) >= rule.queue_timeout_ms
+        used = context.usage.get(member, 0.0)
+        return (
+            member in leaders[rule.rank],
+            not aged,
+            0 if aged else rule.rank,
+            0.0 if aged else used / shares.get_weight(rules, member),
+            item.queued_ms,
+        )
 
     return sorted(queue.waiting, key=rank)
 
 
+def _find_leaders(
+    queue: states.EndpointQueue, context: contexts.EndpointContext
+) -> dict[int, frozenset[str]]:
+    """Return the members ahead of their share, by rank of waiting work.
+
+    A member may be further ahead with work of a lower rank, so that its short
+    work does not wait behind long work of the others for a small lead.
+    """
+    ranks = {
+        contexts.get_class(context.rules, item.work.work_class).rank
+        for item in queue.waiting
+    }
+    contending = {item.work.member for item in queue.waiting}
+    return {
+        rank: shares.find_leaders(
+            context.usage,
+            context.rules,
+            contending,
+            shares.get_tolerance(max(ranks) - rank),
+        )
+        for rank in ranks
+    }
+
+
 def _choose_starts(
     queue: states.EndpointQueue,
     context: contexts.EndpointContext,
@@ -157,26 +195,19 @@
     for item in waiting:
         if len(running) >= slots:
             return
-        if not _is_ready(queue, item.work.adapter):
-            continue
-        if running and (item.work.isolated or running[0].isolated):
+        if not queue.is_ready(item.work.adapter):
             continue
-        share = contexts.get_class(
-            context.rules, item.work.work_class
-        ).slot_share
+        if running and running[0].isolated:
+            return
+        if running and item.work.isolated:
+            # Nothing of a later place starts, or the endpoint would never be
+            # empty under load and the isolated work would wait for ever.
+            return
+        rule = contexts.get_class(context.rules, item.work.work_class)
         of_class = sum(
             work.work_class == item.work.work_class for work in running
         )
-        if of_class >= max(1, math.floor(slots * share)):
+        if of_class >= contexts.count_slots(rule, slots):
             continue
         running.append(item.work)
         yield item.work.attempt
-
-
-def _is_ready(queue: states.EndpointQueue, adapter: str) -> bool:
-    if not adapter:
-        return True
-    resident = queue.residents.get(adapter)
-    return (
-        resident is not None and resident.phase is states.ResidentPhase.READY
-    )
