Hand back work that could only wait at its endpoint

Cause: a request for an adapter that was warm at one endpoint was sent to another, where its load failed, and waited there for the queue timeout of 30 s: in an outage of the weight store, and at an engine that was dead, to which only orders had been sent. Change: an owner that gets no answer from an endpoint hands its queue back and says so in its summary; after a failed load it hands back work whose adapter others have loaded. Isolated work stays.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -204,7 +204,7 @@
         now_ms: int,
     ) -> states.EndpointQueue:
         if isinstance(event.report, failures.Failure):
-            return queue
+            return transitions.note_answer(queue, event.report)
         owner = self.board.ownership.value.owners.get(event.endpoint)
         owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
         return transitions.apply_report(queue, event.report, owned_ms, now_ms)
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -119,15 +119,36 @@
 def _find_stranded(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> Iterator[tuple[str, failures.Failure]]:
-    """Send queued work to other endpoints before its endpoint leaves."""
-    if not context.leaving:
-        return
+    """Send queued work to other endpoints if it could only wait here.
+
+    Isolated work stays, since all VMs send it to the same endpoint.
+    """
     for item in queue.waiting:
-        yield item.work.attempt, failures.Failure(
-            failures.Reason.ENDPOINT_LEAVING,
-            "the endpoint gets no new work",
-            retry_after_ms=1_000,
-        )
+        reason = _find_strand_reason(queue, context, item)
+        if reason is not None:
+            yield item.work.attempt, failures.Failure(
+                reason,
+                "the endpoint cannot run the request now",
+                retry_after_ms=1_000,
+            )
+
+
+def _find_strand_reason(
+    queue: states.EndpointQueue,
+    context: contexts.EndpointContext,
+    item: states.Waiting,
+) -> failures.Reason | None:
+    if context.leaving:
+        return failures.Reason.ENDPOINT_LEAVING
+    if item.work.isolated:
+        return None
+    if not queue.reachable:
+        return failures.Reason.ENDPOINT_UNREACHABLE
+    adapter = item.work.adapter
+    failed = adapter in queue.load_retry_ms and adapter not in queue.residents
+    if failed and adapter in context.placement.elsewhere:
+        return failures.Reason.LOAD_FAILED
+    return None
 
 
 def rank_waiting(
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -69,6 +69,7 @@
     :param fence_retry_ms: monotonic time before which no fence is sent again
     :param pace: how fast the endpoint answers
     :param leaving: whether the endpoint says that it is leaving
+    :param reachable: whether the last order or report got an answer
     """
 
     waiting: tuple[Waiting, ...] = ()
@@ -81,6 +82,7 @@
     fence_retry_ms: int = 0
     pace: paces.Pace = attrs.field(factory=paces.Pace)
     leaving: bool = False
+    reachable: bool = True
 
     @property
     def is_busy(self) -> bool:
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bronzetrack.core import failures
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import state as states
@@ -154,6 +155,7 @@
     queue: states.EndpointQueue, event: events.LoadEnded, now_ms: int
 ) -> states.EndpointQueue:
     """Return the queue after an order to load ended."""
+    queue = note_answer(queue, event.failure)
     queue = _note_order(queue, event.adapter, now_ms)
     if event.failure is not None:
         return delay_load(queue, event.adapter, now_ms + LOAD_RETRY_MS)
@@ -174,6 +176,17 @@
     return attrs.evolve(queue, ordered_ms={**recent, adapter: now_ms})
 
 
+def note_answer(
+    queue: states.EndpointQueue, failure: failures.Failure | None
+) -> states.EndpointQueue:
+    """Return the queue after an order or a report ended."""
+    reachable = (
+        failure is None
+        or failure.reason is not failures.Reason.ENDPOINT_UNREACHABLE
+    )
+    return attrs.evolve(queue, reachable=reachable)
+
+
 def send_fence(
     queue: states.EndpointQueue, now_ms: int
 ) -> states.EndpointQueue:
@@ -232,7 +245,7 @@
         is read later than its longest lag after the claim was made after the
         claim; the clocks of an endpoint and of a VM are never compared.
     """
-    queue = attrs.evolve(queue, leaving=report.leaving)
+    queue = attrs.evolve(queue, leaving=report.leaving, reachable=True)
     if report.boot != queue.boot:
         fresh = attrs.evolve(
             queue, boot=report.boot, residents={}, fenced=False
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -57,6 +57,7 @@
     slow: bool = False
     chunk_ms: float = 0.0
     leaving: bool = False
+    reachable: bool = True
 
 
 @messages.MESSAGES.register("heartbeat")
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -54,4 +54,5 @@
         slow=queue.pace.slow,
         chunk_ms=queue.pace.chunk_ms,
         leaving=queue.leaving or draining,
+        reachable=queue.reachable,
     )
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -33,6 +33,7 @@
     in_flight: int
     report_age_ms: int
     slow: bool = False
+    reachable: bool = True
     near: bool = True
     senders: int = 1
 
@@ -70,6 +71,7 @@
             in_flight=in_flight.get(name, 0),
             report_age_ms=reports[name].age_ms,
             slow=reports[name].summary.slow,
+            reachable=reports[name].summary.reachable,
             near=endpoint.availability_zone == zone,
             senders=reports[name].senders,
         )
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -101,5 +101,6 @@
             isolated_key, [item.endpoint for item in found]
         )
         return next(item for item in found if item.endpoint == names[0])
-    preferred = [item for item in found if item.endpoint not in excluded]
-    return policies.POLICIES.lookup(policy)(preferred or found, adapter)
+    reachable = [item for item in found if item.reachable] or found
+    preferred = [item for item in reachable if item.endpoint not in excluded]
+    return policies.POLICIES.lookup(policy)(preferred or reachable, adapter)
