Measure slopes of state, messages and decisions with make slopes

Tests and demo wait until endpoints no longer move between VMs, since a handover in the middle of a store outage made a test time out.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench demo test check format environment
+.PHONY: bench demo slopes test check format environment
 
 environment: $(VENV)/.installed
 
@@ -14,6 +14,9 @@
 demo: environment
 	$(BIN)/python scripts/demo.py
 
+slopes: environment
+	$(BIN)/python scripts/slopes.py
+
 check: environment
 	$(BIN)/black --quiet --check src tests scripts bench
 	$(BIN)/isort --check-only src tests scripts bench
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -270,7 +270,7 @@
             pathlib.Path(folder), vms=VMS, engines=ENGINES
         ) as site:
             sites.publish_documents(site, make_documents(site))
-            site.wait(lambda: site.count_owned() == ENDPOINTS)
+            site.wait(site.is_settled)
             print(f"{VMS} daemons own {ENDPOINTS} endpoints")
             mistakes = anyio.run(run_requests, site)
     print(f"{time.monotonic() - started_s:.1f} s, {len(mistakes)} mistakes")
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -8,15 +8,13 @@
 
 from standins import site as sites
 
-ENDPOINTS = 4
-
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory) -> Iterator[sites.Site]:
     folder = tmp_path_factory.mktemp("site")
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
-        running.wait(lambda: running.count_owned() == ENDPOINTS)
+        running.wait(running.is_settled)
         yield running
 
 
@@ -26,4 +24,4 @@
     site.set_faults()
     yield site
     site.set_faults()
-    site.wait(lambda: site.count_owned() == ENDPOINTS)
+    site.wait(site.is_settled)
--- a/tests/daemon/test_rolling_restart.py
+++ b/tests/daemon/test_rolling_restart.py
@@ -44,7 +44,7 @@
         assert vm.process.wait(sites.STOP_TIMEOUT_S) == 0
         site.start_vm(vm)
         site.wait(lambda: site.is_serving(vm.name))
-        site.wait(lambda: site.count_owned() == len(site.endpoints))
+        site.wait(site.is_settled)
 
 
 def test_rolling_restart_cuts_no_stream(site):
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -190,6 +190,22 @@
             owner["vm"] in names for owner in ownership["owners"].values()
         )
 
+    def is_settled(self) -> bool:
+        """Return whether every endpoint is owned by a VM of its zone.
+
+        Until then endpoints still move between VMs.
+        """
+        living = {name: vm for name, vm in self.vms.items() if is_running(vm)}
+        views = [self.get_state(vm, "ownership") for vm in living.values()]
+        return all(
+            view is not None
+            and name in view["owners"]
+            and view["owners"][name]["vm"] in living
+            and living[view["owners"][name]["vm"]].zone == endpoint.zone
+            for view in views
+            for name, endpoint in self.endpoints.items()
+        )
+
     def read_log_ends(self) -> str:
         """Return the last lines that each daemon logged."""
         return "\n".join(
