Measure the data path only once endpoints stay with their owner

Cause: vm-1 owned some engines in a run, so that owner = entry was mixed. Change: relay_cost.py waits until ownership has settled.

--- a/scripts/relay_cost.py
+++ b/scripts/relay_cost.py
@@ -82,7 +82,7 @@
         profile=profile,
     ) as site:
         sites.publish_samples(site)
-        site.wait(lambda: site.count_owned() == ENGINES)
+        site.wait(site.is_settled)
         site.wait(lambda: site.is_serving("vm-1"))
         yield site
 
