--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -165,12 +165,13 @@
                 return
 
     def _apply_event(self, event: Any, now_ms: int) -> None:
+        if isinstance(event, events.RunEnded):
+            self._scopes.pop(event.attempt, None)
         queue = self.board.dispatch.value.endpoints.get(event.endpoint)
         if queue is None:
             return
         match event:
             case events.RunEnded():
-                self._scopes.pop(event.attempt, None)
                 queue = transitions.finish(queue, event.attempt, now_ms)
             case events.LoadEnded():
                 queue = transitions.end_load(queue, event, now_ms)
--- a/src/bronzetrack/controllers/keys.py
+++ b/src/bronzetrack/controllers/keys.py
@@ -8,7 +8,6 @@
 
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
-from bronzetrack.idempotency import keys
 from bronzetrack.idempotency import records
 from bronzetrack.idempotency import requests
 from bronzetrack.idempotency import table as tables
@@ -39,6 +38,8 @@
             table = self.board.keys.value
             if isinstance(batch, failures.Failure):
                 table.log_reachable = False
+                if batch.reason is failures.Reason.LOG_TRUNCATED:
+                    table.caught_up = False
             else:
                 self._apply_batch(table, batch)
             self.write(self.board.keys, table)
@@ -54,7 +55,9 @@
             entry = tables.apply_record(table.entries, offset, record)
             if entry is not None:
                 table.entries[record.key] = entry
-        if not batch.records or table.next_offset >= batch.end:
+        if not batch.records:
+            table.next_offset = max(table.next_offset, batch.start)
+        if table.next_offset >= batch.end:
             table.caught_up = True
 
     async def _append(self) -> None:
@@ -92,11 +95,8 @@
     async def _trim(self) -> None:
         while True:
             await anyio.sleep(TRIM_INTERVAL_S)
-            oldest_ms = self.read_clock().wall_ms - keys.KEPT_MS
             table = self.board.keys.value
-            table.entries = {
-                key: entry
-                for key, entry in table.entries.items()
-                if entry.issued_ms >= oldest_ms
-            }
+            table.entries = tables.trim_entries(
+                table.entries, self.read_clock().wall_ms
+            )
             self.write(self.board.keys, table)
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -8,393 +8,472 @@
 
 import attrs
 
+from bronzetrack.controllers import submission
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
-from bronzetrack.idempotency import decisions
+from bronzetrack.core import messages as core_messages
 from bronzetrack.idempotency import records as key_records
 from bronzetrack.idempotency import requests as key_requests
-from bronzetrack.membership import summaries
+from bronzetrack.idempotency import settlement
+from bronzetrack.membership import view as views
 from bronzetrack.retries import policy as retry_policy
+from bronzetrack.retries import suspects as suspect_tables
 from bronzetrack.routing import candidates
-from bronzetrack.routing import choice
-from bronzetrack.streaming import assembler
+from bronzetrack.streaming import losses
 from bronzetrack.streaming import messages
 from bronzetrack.streaming import outcomes
+from bronzetrack.streaming import output as outputs
+from bronzetrack.streaming import progress as progresses
 from bronzetrack.streaming import requests
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 250
 ROUTE_RETRY_MS = 250
-
-
-@attrs.define
-class Progress:
-    """What the controller holds of one request in progress.
-
-    :param retry_ms: monotonic time at which to route again
-    :param excluded: endpoints on which an attempt failed
-    """
-
-    exchange: requests.Exchange
-    assembler: assembler.Assembler
-    endpoint: str = ""
-    owner: str = ""
-    attempts: int = 0
-    retry_ms: int | None = 0
-    excluded: set[str] = attrs.field(factory=set)
-    failure: failures.Failure | None = None
-    started: bool = False
-    end: messages.AnswerEnd | None = None
-    voiding: bool = False
-
-    @property
-    def request(self) -> requests.CallerRequest:
-        return self.exchange.request
+# A suspect may run at one endpoint only and waits for it to come back.
+ISOLATED_RETRY_MS = 1_000
 
 
 @controllers.CONTROLLERS.register("requests")
 class RequestsController(controllers.Controller):
-    """Routes attempts, assembles answers, retries."""
+    """Routes attempts, assembles answers, retries and settles keys."""
 
     name = "requests"
 
     async def run(self) -> None:
-        self._open: dict[str, Progress] = {}
-        self._attempts: dict[str, Progress] = {}
+        self._outputs: dict[str, outputs.Output] = {}
+        self._attempts: dict[str, progresses.Progress] = {}
         self._budget = retry_policy.RetryBudget()
-        intake = self.board.mailboxes["intake"]
-        answers = self.board.mailboxes["answers"]
+        self._swept_ms = 0
         while True:
-            await controllers.wait_first(
-                intake.wait_items,
-                answers.wait_items,
-                timeout_ms=STEP_INTERVAL_MS,
-            )
+            await self._wait_event()
             now_ms = self.read_clock().monotonic_ms
-            for item in intake.take():
-                self._take_in(item)
-            for delivery in answers.take():
-                self._receive(delivery.message, now_ms)
-            for progress in list(self._open.values()):
-                self._advance(progress, now_ms)
-
-    def _take_in(self, item: Any) -> None:
+            for item in self.board.mailboxes["intake"].take():
+                self._take_in(item, now_ms)
+            for delivery in self.board.mailboxes["answers"].take():
+                self._receive(delivery, now_ms)
+            self._settle_all(now_ms)
+            if now_ms - self._swept_ms >= STEP_INTERVAL_MS:
+                self._sweep(now_ms)
+
+    @property
+    def _open(self) -> dict[str, progresses.Progress]:
+        return self.board.requests.value.open
+
+    async def _wait_event(self) -> None:
+        waits = [
+            self.board.mailboxes["intake"].wait_items,
+            self.board.mailboxes["answers"].wait_items,
+        ]
+        if any(
+            progress.stage is progresses.Stage.SETTLING
+            for progress in self._open.values()
+        ):
+            revision = self.board.keys.revision
+            waits.append(lambda: self.board.keys.wait_change(revision))
+        await controllers.wait_first(*waits, timeout_ms=STEP_INTERVAL_MS)
+
+    def _sweep(self, now_ms: int) -> None:
+        """Act on what only time brings about."""
+        self._swept_ms = now_ms
+        sessions = self.ports.peers.list_sessions()
+        incarnations = {
+            name: state.incarnation
+            for name, state in self.board.membership.value.vms.items()
+        }
+        for progress in list(self._open.values()):
+            if progress.stage is progresses.Stage.SETTLING:
+                continue
+            if now_ms >= progress.request.deadline_ms:
+                self._expire(progress, now_ms)
+            elif progress.stage is progresses.Stage.RUNNING:
+                loss = losses.find_loss(
+                    progress, self.board.vm, sessions, incarnations, now_ms
+                )
+                if loss is not None:
+                    self._lose(progress, loss, now_ms)
+            elif now_ms >= progress.due_ms:
+                self._route(progress, now_ms)
+        self._probe(now_ms)
+
+    def _probe(self, now_ms: int) -> None:
+        silent = losses.list_silent(self._open.values(), self.board.vm, now_ms)
+        for owner, found in silent.items():
+            chosen = found[: losses.PROBED_ATTEMPTS]
+            attempts = tuple(progress.attempt for progress in chosen)
+            self.ports.peers.send(owner, messages.ProbeWork(attempts))
+            for progress in chosen:
+                progress.heard_ms = now_ms
+
+    def _take_in(self, item: Any, now_ms: int) -> None:
         if isinstance(item, requests.Abandoned):
             progress = self._open.get(item.request)
             if progress is not None:
                 self._abandon(progress)
             return
-        progress = Progress(item, assembler.Assembler(""))
+        progress = progresses.Progress(item.request)
+        self._outputs[item.request.request] = item.output
         self._open[item.request.request] = progress
         self._budget = self._budget.credit()
-        self._note(progress)
+        self._note()
+        self._route(progress, now_ms)
 
-    def _abandon(self, progress: Progress) -> None:
-        attempt = progress.assembler.attempt
-        # Work under a key runs on, since its caller may ask for the result.
-        if attempt and progress.request.key is None:
-            self.ports.peers.send(progress.owner, messages.CancelWork(attempt))
+    def _abandon(self, progress: progresses.Progress) -> None:
+        self._cancel(progress)
         self._close(
             progress,
             outcomes.Outcome.UNKNOWN,
             failures.Failure(failures.Reason.CANCELLED),
         )
 
-    def _receive(self, message: Any, now_ms: int) -> None:
-        progress = self._attempts.get(message.attempt)
-        if progress is None:
-            return
-        if progress.assembler.attempt != message.attempt:
+    def _cancel(self, progress: progresses.Progress) -> None:
+        """Cancel the present attempt, unless its result may be asked for."""
+        running = progress.stage is progresses.Stage.RUNNING
+        if running and progress.request.key is None:
+            cancel = messages.CancelWork(progress.attempt)
+            self.ports.peers.send(progress.owner, cancel)
+
+    def _receive(self, delivery: core_messages.Delivery, now_ms: int) -> None:
+        match delivery.message:
+            case messages.ProbeWork(attempts=attempts):
+                self._answer_probe(delivery.sender, attempts)
+            case messages.WorkUnknown(attempts=attempts):
+                for attempt in attempts:
+                    self._lose_unknown(attempt, delivery.sender, now_ms)
+            case message:
+                progress = self._attempts.get(message.attempt)
+                if progress is not None:
+                    progress.heard_ms = now_ms
+                    self._apply_answer(progress, message, now_ms)
+
+    def _answer_probe(self, sender: str, attempts: tuple[str, ...]) -> None:
+        known = {
+            attempt
+            for queue in self.board.dispatch.value.endpoints.values()
+            for attempt in (
+                *queue.running,
+                *(item.work.attempt for item in queue.waiting),
+            )
+        }
+        unknown = tuple(name for name in attempts if name not in known)
+        if unknown:
+            self.ports.peers.send(sender, messages.WorkUnknown(unknown))
+
+    def _lose_unknown(self, attempt: str, sender: str, now_ms: int) -> None:
+        progress = self._attempts.get(attempt)
+        if progress is None or progress.owner != sender:
             return
+        if progress.stage is progresses.Stage.RUNNING:
+            loss = failures.Failure(
+                failures.Reason.ANSWER_INCOMPLETE,
+                f"{sender} no longer has the work",
+            )
+            self._lose(progress, loss, now_ms)
+
+    def _apply_answer(
+        self, progress: progresses.Progress, message: Any, now_ms: int
+    ) -> None:
         match message:
             case messages.AnswerStarted():
-                self._begin_answer(progress, message)
-            case messages.AnswerChunk():
-                self._pass_on(progress, message)
-            case messages.AnswerEnd():
+                progress.head = message
+            case messages.AnswerChunk() if progress.head is not None:
+                for data in progress.assembler.accept(message):
+                    if not self._pass_on(progress, data):
+                        self._overflow(progress)
+                        return
+            case messages.AnswerEnd(failure=None):
                 progress.assembler.end(message)
-                progress.end = message
-        self._finish_if_ended(progress, now_ms)
-
-    def _begin_answer(
-        self, progress: Progress, message: messages.AnswerStarted
-    ) -> None:
-        if progress.started:
+            case messages.AnswerEnd(outcome=outcome, failure=failure):
+                # While the log decides, only a whole answer counts.
+                if progress.stage is progresses.Stage.RUNNING:
+                    self._recover(progress, outcome, failure, False, now_ms)
+                return
+        if progress.assembler.is_whole and progress.head is not None:
+            self._close(progress, outcomes.Outcome.COMPLETED, None)
+        elif progress.head is not None and not progress.assembler.has_gap:
+            progress.gap_ms = None
+        elif progress.gap_ms is None:
+            progress.gap_ms = now_ms
+
+    def _pass_on(self, progress: progresses.Progress, data: bytes) -> bool:
+        if progress.request.stream:
+            self._begin(progress)
+            return self._get_output(progress).post_chunk(data)
+        progress.parts.append(data)
+        size = sum(len(part) for part in progress.parts)
+        return size <= outputs.ANSWER_BYTES
+
+    def _begin(self, progress: progresses.Progress) -> None:
+        if progress.begun or progress.head is None:
             return
-        progress.started = True
-        self._put(
-            progress,
-            requests.Started(
+        progress.begun = True
+        self._get_output(progress).post(
+            outputs.Started(
                 progress.endpoint,
                 progress.owner,
-                message.status,
-                message.content_type,
-            ),
+                progress.head.status,
+                progress.head.content_type,
+            )
         )
 
-    def _pass_on(
-        self, progress: Progress, message: messages.AnswerChunk
-    ) -> None:
-        for data in progress.assembler.accept(message):
-            self._put(progress, requests.Chunk(data))
+    def _get_output(self, progress: progresses.Progress) -> outputs.Output:
+        return self._outputs[progress.request.request]
 
-    def _put(self, progress: Progress, event: Any) -> None:
-        progress.exchange.output.post(event)
+    def _overflow(self, progress: progresses.Progress) -> None:
+        self._cancel(progress)
+        failure = failures.Failure(
+            failures.Reason.ANSWER_INCOMPLETE,
+            f"the caller left {outputs.ANSWER_BYTES} bytes unread",
+        )
+        self._close(progress, outcomes.Outcome.UNKNOWN, failure)
 
-    def _finish_if_ended(self, progress: Progress, now_ms: int) -> None:
-        end = progress.end
-        if end is None:
-            return
-        if end.failure is None:
-            if progress.assembler.is_whole:
-                self._close(progress, end.outcome, None)
-            return
-        self._handle_failure(progress, end.outcome, end.failure, now_ms)
+    def _lose(
+        self,
+        progress: progresses.Progress,
+        failure: failures.Failure,
+        now_ms: int,
+    ) -> None:
+        """Act on an answer that was lost between VMs."""
+        self._recover(
+            progress, outcomes.Outcome.UNKNOWN, failure, True, now_ms
+        )
 
-    def _handle_failure(
+    def _recover(
         self,
-        progress: Progress,
+        progress: progresses.Progress,
         outcome: outcomes.Outcome,
         failure: failures.Failure,
+        lost: bool,
         now_ms: int,
     ) -> None:
-        request = progress.request
+        """Retry, resume, settle or end after a failed attempt."""
         progress.failure = failure
         refused = outcome is outcomes.Outcome.REFUSED
-        retried = retry_policy.may_retry(
-            failure,
-            progress.attempts,
-            request.repeatable or refused,
-            progress.assembler.next_number,
-            self._budget,
+        if progress.request.repeatable and not refused:
+            progress.may_have_run = True
+        if failure.reason is failures.Reason.ENDPOINT_CRASHED:
+            progress.isolated = True
+        failed = retry_policy.FailedAttempt(
+            outcome=outcome,
+            failure=failure,
+            lost=lost,
+            repeatable=progress.request.repeatable,
+            resumable=submission.can_resume(self.board, progress),
+            isolated=submission.is_isolated(self.board, progress),
+            attempts=progress.attempts,
+            resumes=progress.resumes,
+            chunks_passed=progress.chunks_passed,
         )
-        if not retried:
-            self._close(progress, outcome, failure)
-            return
+        match retry_policy.decide_recovery(failed, self._budget):
+            case retry_policy.Recovery.RETRY:
+                if lost:
+                    self._cancel(progress)
+                self._retry(progress, now_ms)
+            case retry_policy.Recovery.WAIT:
+                progress.stage = progresses.Stage.ROUTING
+                progress.due_ms = now_ms + ISOLATED_RETRY_MS
+            case retry_policy.Recovery.RESUME:
+                self._resume(progress, now_ms)
+            case retry_policy.Recovery.SETTLE:
+                self._settle(progress, now_ms, void=lost)
+            case retry_policy.Recovery.END:
+                self._close(progress, outcome, failure)
+
+    def _retry(self, progress: progresses.Progress, now_ms: int) -> None:
         self._budget = self._budget.debit()
         progress.excluded.add(progress.endpoint)
-        progress.end = None
-        progress.retry_ms = now_ms
-        self._note(progress)
-
-    def _advance(self, progress: Progress, now_ms: int) -> None:
-        request = progress.request
-        if now_ms >= request.deadline_ms:
-            self._expire(progress)
-            return
-        if progress.retry_ms is None:
-            self._check_owner(progress, now_ms)
-        elif now_ms >= progress.retry_ms:
+        progress.stage = progresses.Stage.ROUTING
+        if submission.is_isolated(self.board, progress):
+            progress.due_ms = now_ms + ISOLATED_RETRY_MS
+        else:
             self._route(progress, now_ms)
 
-    def _expire(self, progress: Progress) -> None:
+    def _expire(self, progress: progresses.Progress, now_ms: int) -> None:
         failure = progress.failure or failures.Failure(
             failures.Reason.QUEUE_TIMEOUT, "the deadline of the request passed"
         )
-        if progress.retry_ms is not None and not progress.voiding:
+        if progress.stage is progresses.Stage.ROUTING:
+            self._close(progress, outcomes.Outcome.REFUSED, failure)
+        elif progress.request.key is not None:
+            self._settle(progress, now_ms, void=True)
+        else:
+            self._cancel(progress)
+            self._close(progress, outcomes.Outcome.UNKNOWN, failure)
+
+    def _route(self, progress: progresses.Progress, now_ms: int) -> None:
+        """Submit an attempt if the key and an endpoint allow it."""
+        request = progress.request
+        suspects = self.board.suspects.value
+        if suspects.is_banned(request.fingerprint):
+            failure = suspect_tables.describe_ban()
             self._close(progress, outcomes.Outcome.REFUSED, failure)
             return
-        self.ports.peers.send(
-            progress.owner, messages.CancelWork(progress.assembler.attempt)
-        )
-        self._close(progress, outcomes.Outcome.UNKNOWN, failure)
-
-    def _route(self, progress: Progress, now_ms: int) -> None:
-        chosen = self._choose(progress.request, progress.excluded, now_ms)
+        if request.key is not None:
+            table = self.board.keys.value
+            if request.key.digest in table.entries:
+                self._settle(progress, now_ms, void=False)
+                return
+            unready = settlement.check_ready(table)
+            if unready is not None:
+                self._close(progress, outcomes.Outcome.REFUSED, unready)
+                return
+        chosen = submission.choose_endpoint(self.board, progress, now_ms)
         if isinstance(chosen, failures.Failure):
             progress.failure = chosen
-            progress.retry_ms = now_ms + ROUTE_RETRY_MS
+            progress.due_ms = now_ms + ROUTE_RETRY_MS
             return
         self._submit(progress, chosen, now_ms)
 
-    def _choose(
-        self,
-        request: requests.CallerRequest,
-        excluded: set[str],
-        now_ms: int,
-    ) -> candidates.Candidate | failures.Failure:
-        inventory = self.board.configuration.value.configuration.inventory
-        suspects = self.board.suspects.value
-        suspect = suspects.is_suspect(request.fingerprint)
-        return choice.choose_endpoint(
-            {
-                name: inventory.endpoints[name]
-                for name in request.endpoints
-                if name in inventory.endpoints
-            },
-            choice.collect_reports(
-                self.board.ownership.value,
-                self.board.membership.value,
-                summaries.make_heartbeat(self.board).endpoints,
-                self.board.vm,
-                self.board.incarnation,
-                now_ms,
-            ),
-            request.adapter,
-            self._count_in_flight(),
-            self.board.membership.value.listed_leaving,
-            self.board.settings.vm.availability_zone,
-            excluded,
-            request.fingerprint if suspect else None,
-        )
-
-    def _count_in_flight(self) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for progress in self._open.values():
-            if progress.retry_ms is None:
-                counts[progress.endpoint] = (
-                    counts.get(progress.endpoint, 0) + 1
-                )
-        return counts
-
     def _submit(
         self,
-        progress: Progress,
+        progress: progresses.Progress,
         chosen: candidates.Candidate,
         now_ms: int,
     ) -> None:
-        request = progress.request
         attempt = uuid.uuid4().hex
-        suspects = self.board.suspects.value
-        work = messages.SubmitWork(
-            attempt=attempt,
-            request=request.request,
-            endpoint=chosen.endpoint,
-            member=request.member,
-            adapter=request.adapter,
-            work_class=request.work_class,
-            method=request.method,
-            path=request.path,
-            body=request.body,
-            timeout_ms=request.deadline_ms - now_ms,
-            cost=request.cost,
-            stream=request.stream,
-            content_type=request.content_type,
-            fingerprint=request.fingerprint,
-            key=None if request.key is None else request.key.digest,
-            issued_ms=0 if request.key is None else request.key.issued_ms,
-            isolated=suspects.is_suspect(request.fingerprint),
+        work = submission.make_work(
+            self.board, progress, attempt, chosen.endpoint, now_ms
         )
         if not self.ports.peers.send(chosen.owner, work):
             progress.failure = failures.Failure(
                 failures.Reason.PEER_UNREACHABLE, chosen.owner
             )
-            progress.retry_ms = now_ms + ROUTE_RETRY_MS
+            progress.due_ms = now_ms + ROUTE_RETRY_MS
             return
-        self._attempts.pop(progress.assembler.attempt, None)
-        progress.assembler.restart(attempt)
+        self._attempts.pop(progress.attempt, None)
         self._attempts[attempt] = progress
+        progress.start_attempt(attempt, now_ms)
+        self._set_owner(progress, chosen.owner)
         progress.endpoint = chosen.endpoint
-        progress.owner = chosen.owner
-        progress.attempts += 1
-        progress.retry_ms = None
-        self._note(progress)
-
-    def _check_owner(self, progress: Progress, now_ms: int) -> None:
-        """Act on the loss of the VM that works on an attempt."""
-        if progress.voiding:
-            self._check_void(progress)
-            return
-        if progress.owner == self.board.vm:
-            return
-        if progress.owner in self.ports.peers.list_sessions():
-            return
-        failure = failures.Failure(
-            failures.Reason.PEER_UNREACHABLE, progress.owner
+        self._note()
+
+    def _resume(self, progress: progresses.Progress, now_ms: int) -> None:
+        """Read the rest of a stream from the engine through this VM."""
+        self._budget = self._budget.debit()
+        attempt = uuid.uuid4().hex
+        work = submission.make_work(
+            self.board, progress, attempt, progress.endpoint, now_ms
         )
-        if progress.request.key is not None:
-            self._void(progress, failure)
-            return
-        self._handle_failure(
-            progress, outcomes.Outcome.FAILED, failure, now_ms
+        self.ports.peers.send(
+            self.board.vm,
+            attrs.evolve(
+                work,
+                resume_of=progress.engine_attempt,
+                resume_from=progress.assembler.next_number,
+            ),
         )
+        self._attempts.pop(progress.attempt, None)
+        self._attempts[attempt] = progress
+        progress.resume_attempt(attempt, now_ms)
+        self._set_owner(progress, self.board.vm)
+        self._note()
 
-    def _void(self, progress: Progress, failure: failures.Failure) -> None:
-        """Try to make sure that the key never runs."""
-        key = progress.request.key
-        if key is None:
-            return
-        progress.voiding = True
-        progress.failure = failure
-        void = key_records.KeyVoid(
-            key=key.digest,
-            incarnation=self.board.incarnation,
-            attempt=progress.assembler.attempt,
-            issued_ms=key.issued_ms,
-        )
-        self.board.mailboxes["keys"].post(key_requests.AppendKey(void))
+    def _set_owner(self, progress: progresses.Progress, vm: str) -> None:
+        progress.owner = vm
+        progress.owner_incarnation = submission.get_incarnation(self.board, vm)
 
-    def _check_void(self, progress: Progress) -> None:
+    def _settle(
+        self, progress: progresses.Progress, now_ms: int, void: bool
+    ) -> None:
+        """Leave the answer to the records of the key.
+
+        :param void: whether a claim that is not in the log yet is prevented
+        """
         key = progress.request.key
         if key is None:
             return
-        entry = self.board.keys.value.entries.get(key.digest)
-        verdict = decisions.judge_claim(entry, progress.assembler.attempt)
-        if verdict is decisions.ClaimVerdict.PENDING:
-            return
-        if verdict is decisions.ClaimVerdict.WON:
-            self._check_claimant(progress)
-            return
-        if verdict is decisions.ClaimVerdict.ENDED and entry is not None:
-            self._answer_result(progress, entry.result)
-            return
-        outcome, failure = decisions.describe_verdict(verdict)
-        self._close(progress, outcome, failure)
-
-    def _check_claimant(self, progress: Progress) -> None:
-        """Give up waiting for the result of a claimant that is gone."""
-        if progress.owner not in self.board.membership.value.vms:
-            self._close(
-                progress,
-                outcomes.Outcome.UNKNOWN,
-                failures.Failure(
-                    failures.Reason.OUTCOME_UNKNOWN,
-                    f"{progress.owner} claimed the key and is gone",
-                ),
+        progress.stage = progresses.Stage.SETTLING
+        progress.settling_ms = now_ms
+        left_ms = max(0, progress.request.deadline_ms - now_ms)
+        wait_ms = min(settlement.RESULT_WAIT_MS, left_ms)
+        if void:
+            wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
+            record = key_records.KeyVoid(
+                key=key.digest,
+                incarnation=self.board.incarnation,
+                attempt=progress.attempt,
+                issued_ms=key.issued_ms,
             )
-
-    def _answer_result(
-        self, progress: Progress, result: key_records.KeyResult | None
+            request = key_requests.AppendKey(record)
+            self.board.mailboxes["keys"].post(request)
+        progress.settle_until_ms = now_ms + wait_ms
+        self._note()
+
+    def _settle_all(self, now_ms: int) -> None:
+        for progress in list(self._open.values()):
+            if progress.stage is progresses.Stage.SETTLING:
+                self._check_settled(progress, now_ms)
+
+    def _check_settled(
+        self, progress: progresses.Progress, now_ms: int
     ) -> None:
-        if result is None or result.answer is None or progress.started:
-            outcome, failure = decisions.describe_verdict(
-                decisions.ClaimVerdict.ENDED
+        request = progress.request
+        if request.key is None:
+            return
+        entry = self.board.keys.value.entries.get(request.key.digest)
+        settled = settlement.settle_key(
+            entry,
+            request.key,
+            request.digest,
+            entry is not None
+            and self._is_gone(entry.incarnation, progress, now_ms),
+            now_ms >= progress.settle_until_ms,
+            self.read_clock().wall_ms,
+        )
+        if settled is None:
+            return
+        if settled.result is None or progress.begun:
+            failure = settled.failure or failures.Failure(
+                failures.Reason.ANSWER_INCOMPLETE,
+                "the answer was lost after its first part",
             )
-            self._close(progress, outcome, failure)
+            self._close(progress, settled.outcome, failure)
             return
-        self._put(
-            progress,
-            requests.Started(
-                progress.endpoint,
-                progress.owner,
-                result.status,
-                result.content_type,
-            ),
+        progress.head = messages.AnswerStarted(
+            progress.attempt,
+            settled.result.status,
+            settled.result.content_type,
         )
-        self._put(progress, requests.Chunk(result.answer))
-        self._close(progress, outcomes.Outcome(result.outcome), None)
+        progress.parts = [settled.result.answer or b""]
+        self._close(progress, settled.outcome, None)
+
+    def _is_gone(
+        self, incarnation: str, progress: progresses.Progress, now_ms: int
+    ) -> bool:
+        """Return whether a claimant can no longer record a result.
+
+        A VM that has just started has not heard from all others yet.
+        """
+        if now_ms - progress.settling_ms < views.SUSPECT_AFTER_MS:
+            return False
+        living = {self.board.incarnation} | {
+            state.incarnation
+            for state in self.board.membership.value.vms.values()
+        }
+        return incarnation not in living
 
     def _close(
         self,
-        progress: Progress,
+        progress: progresses.Progress,
         outcome: outcomes.Outcome,
         failure: failures.Failure | None,
     ) -> None:
-        self._put(progress, requests.Ended(outcome, failure))
-        self._attempts.pop(progress.assembler.attempt, None)
-        del self._open[progress.request.request]
-        progress.failure = failure
+        """Tell the caller how the request ended."""
+        output = self._get_output(progress)
+        if outcome is outcomes.Outcome.REFUSED and progress.may_have_run:
+            # "Refused" promises that nothing ran, also by earlier attempts.
+            outcome = outcomes.Outcome.FAILED
+        if failure is None:
+            self._begin(progress)
+            for data in progress.parts:
+                output.post_chunk(data)
+        output.post(outputs.Ended(outcome, failure))
+        del self._outputs[progress.request.request]
+        self._attempts.pop(progress.attempt, None)
         table = self.board.requests.value
-        entry = attrs.evolve(self._describe(progress), outcome=outcome)
-        still_open = {
-            name: other
-            for name, other in table.open.items()
-            if name != entry.request
-        }
-        recent = (*table.recent, entry)[-requests.RECENT_REQUESTS :]
-        self.write(
-            self.board.requests, requests.RequestTable(still_open, recent)
-        )
+        del table.open[progress.request.request]
+        entry = requests.describe_end(progress, outcome, failure)
+        table.recent = (*table.recent, entry)[-requests.RECENT_REQUESTS :]
+        self._note()
         LOG.info(
             "request ended",
             extra={
@@ -407,24 +486,5 @@
             },
         )
 
-    def _note(self, progress: Progress) -> None:
-        table = self.board.requests.value
-        entry = self._describe(progress)
-        self.write(
-            self.board.requests,
-            attrs.evolve(table, open={**table.open, entry.request: entry}),
-        )
-
-    def _describe(self, progress: Progress) -> requests.RequestEntry:
-        request = progress.request
-        return requests.RequestEntry(
-            request=request.request,
-            member=request.member,
-            adapter=request.adapter,
-            work_class=request.work_class,
-            attempt=progress.assembler.attempt,
-            endpoint=progress.endpoint,
-            owner=progress.owner,
-            attempts=progress.attempts,
-            failure=progress.failure,
-        )
+    def _note(self) -> None:
+        self.write(self.board.requests, self.board.requests.value)
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -8,27 +8,36 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import attrs
 
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.controllers import claiming
 from bronzetrack.core import controllers
 from bronzetrack.core import errors
 from bronzetrack.core import failures
 from bronzetrack.dispatch import events
-from bronzetrack.idempotency import decisions
-from bronzetrack.idempotency import keys
+from bronzetrack.dispatch import state as states
+from bronzetrack.endpoints import reports
 from bronzetrack.idempotency import records
 from bronzetrack.idempotency import requests as key_requests
+from bronzetrack.retries import events as crash_events
+from bronzetrack.retries import suspects
 from bronzetrack.streaming import messages
 from bronzetrack.streaming import outcomes
 
 if TYPE_CHECKING:
     from bronzetrack import board as boards
-    from bronzetrack.configuration import inventory as inventories
     from bronzetrack.core import clock
     from bronzetrack.endpoints import client as endpoint_client
 
 LOG = logging.getLogger(__name__)
-CLAIM_TIMEOUT_MS = 5_000
-RETURNED_STATUS = range(200, 500)
+# A broken session is usually open again after 0.5 s, and a full queue of a
+# living peer is sent within a second.
+SEND_TIMEOUT_MS = 5_000
+SEND_RETRY_MS = 20
+CANCEL_RETRY_MS = 500
+CANCEL_ATTEMPTS = 60
+CRASH_NOTE_TIMEOUT_MS = 1_000
 
 
 class Run:
@@ -54,21 +63,26 @@
         self._endpoint = endpoint
         self._next_number = work.resume_from
         self._first_chunk_ms: int | None = None
-        self._stored: list[bytes] | None = [] if work.key else None
-        self._status = 0
-        self._content_type = ""
+        self._dispatched = False
+        self._has_reader = True
+        self._boot = self._get_queue().boot
+        self._crashes = self._list_crashes()
+        self._result = _ResultCollector(work)
+        self._claimer: claiming.KeyClaimer | None = None
+        if work.key is not None and work.resume_of is None:
+            self._claimer = claiming.KeyClaimer(
+                board, read_clock, work, work.key
+            )
 
     async def execute(self, scope: anyio.CancelScope) -> None:
         """Run until the answer has ended or the scope is cancelled."""
         failure: failures.Failure | None = None
         with scope:
-            failure = await self._claim_and_dispatch()
+            failure = await self._check_and_dispatch()
         if scope.cancelled_caught:
             failure = failures.Failure(failures.Reason.CANCELLED)
             with anyio.CancelScope(shield=True):
-                await self._ports.endpoints.cancel(
-                    self._endpoint, self._work.attempt
-                )
+                await self._clean_up()
         self._board.mailboxes["runs"].post(
             events.RunEnded(
                 self._work.endpoint,
@@ -78,169 +92,242 @@
             )
         )
 
-    async def _claim_and_dispatch(self) -> failures.Failure | None:
-        if self._work.key is not None:
-            verdict = await self._claim(self._work.key)
-            if verdict is not decisions.ClaimVerdict.WON:
-                return self._answer_verdict(verdict)
-        return await self._dispatch()
-
-    async def _claim(self, key: str) -> decisions.ClaimVerdict:
-        claim = records.KeyClaim(
-            key=key,
-            vm=self._board.vm,
-            incarnation=self._board.incarnation,
-            attempt=self._work.attempt,
-            fingerprint=self._work.fingerprint,
-            issued_ms=self._work.issued_ms,
-        )
-        self._post_key(key_requests.AppendKey(claim))
-        verdict = await self._wait_verdict(key)
-        if verdict is decisions.ClaimVerdict.PENDING:
-            verdict = await self._give_up_claim(key)
-        expired_ms = self._work.issued_ms + keys.KEPT_MS
-        if self._read_clock().wall_ms > expired_ms:
-            # This process was paused for longer than the log keeps keys.
-            return decisions.ClaimVerdict.PENDING
-        return verdict
-
-    async def _give_up_claim(self, key: str) -> decisions.ClaimVerdict:
-        """Void the key, so that a claim still under way has no effect."""
-        self._post_key(key_requests.WithdrawClaim(self._work.attempt))
-        void = records.KeyVoid(
-            key=key,
-            incarnation=self._board.incarnation,
-            attempt=self._work.attempt,
-            issued_ms=self._work.issued_ms,
-        )
-        self._post_key(key_requests.AppendKey(void))
-        verdict = await self._wait_verdict(key)
-        if verdict is decisions.ClaimVerdict.WON:
-            # The claim came first and the void is still under way. Nothing
-            # was dispatched and this attempt ends here.
-            return decisions.ClaimVerdict.PENDING
-        return verdict
-
-    def _post_key(self, request: Any) -> None:
-        self._board.mailboxes["keys"].post(request)
-
-    async def _wait_verdict(self, key: str) -> decisions.ClaimVerdict:
-        verdict = decisions.ClaimVerdict.PENDING
-        with anyio.move_on_after(CLAIM_TIMEOUT_MS / 1000):
-            while verdict is decisions.ClaimVerdict.PENDING:
-                entry = self._board.keys.value.entries.get(key)
-                verdict = decisions.judge_claim(entry, self._work.attempt)
-                if verdict is decisions.ClaimVerdict.PENDING:
-                    await self._board.keys.wait_change(
-                        self._board.keys.revision
-                    )
-        return verdict
-
-    def _answer_verdict(
-        self, verdict: decisions.ClaimVerdict
-    ) -> failures.Failure | None:
-        entry = self._board.keys.value.entries.get(self._work.key or "")
-        if entry is not None and entry.result is not None:
-            if entry.result.answer is not None:
-                return self._answer_stored(entry.result)
-        outcome, failure = decisions.describe_verdict(verdict)
-        self._send_end(outcome, failure)
-        return failure
-
-    def _answer_stored(self, result: records.KeyResult) -> None:
-        self._send(
-            messages.AnswerStarted(
-                self._work.attempt, result.status, result.content_type
-            )
+    async def _check_and_dispatch(self) -> failures.Failure | None:
+        unfit = suspects.check_run(
+            self._board.suspects.value,
+            self._work.fingerprint,
+            self._work.isolated,
         )
-        self._send_chunk(result.answer or b"")
-        self._send_end(outcomes.Outcome(result.outcome), None)
+        if unfit is not None and self._work.resume_of is None:
+            await self._send_end(outcomes.Outcome.REFUSED, unfit)
+            return unfit
+        if self._claimer is not None:
+            refusal = await self._claimer.claim()
+            if refusal is not None:
+                await self._send_end(refusal.outcome, refusal.failure)
+                return refusal.failure
+        return await self._dispatch()
 
     async def _dispatch(self) -> failures.Failure | None:
+        self._dispatched = True
         sent_ms = self._read_clock().monotonic_ms
         try:
             async with self._ports.endpoints.open_answer(
                 self._endpoint, self._work
             ) as answer:
-                return await self._relay(answer, sent_ms)
+                await self._relay(answer, sent_ms)
         except errors.FailureError as error:
-            return self._end_failed(error.failure)
+            return await self._end_failed(error.failure)
+        if self._work.isolated and self._crashes:
+            done = crash_events.SuspectCompleted(
+                self._work.fingerprint, tuple(sorted(self._crashes))
+            )
+            self._board.mailboxes["suspects"].post(done)
+        self._record_result(outcomes.Outcome.COMPLETED)
+        await self._send_end(outcomes.Outcome.COMPLETED, None)
+        return None
 
     async def _relay(
         self, answer: endpoint_client.EndpointAnswer, sent_ms: int
-    ) -> failures.Failure | None:
-        if answer.status not in RETURNED_STATUS or answer.status == 404:
-            return self._end_failed(
+    ) -> None:
+        if not answer.is_returned:
+            raise errors.FailureError(
                 failures.Failure(
                     failures.Reason.ENDPOINT_REFUSED,
                     f"the endpoint answered {answer.status}",
                 )
             )
-        self._status = answer.status
-        self._content_type = answer.content_type
-        self._send(
-            messages.AnswerStarted(
-                self._work.attempt, answer.status, answer.content_type
-            )
+        self._result.start(answer.status, answer.content_type)
+        started = messages.AnswerStarted(
+            self._work.attempt, answer.status, answer.content_type
         )
+        await self._relay_message(started)
         async for data in answer.iterate_chunks():
             if self._first_chunk_ms is None:
                 now_ms = self._read_clock().monotonic_ms
                 self._first_chunk_ms = now_ms - sent_ms
-            self._send_chunk(data)
-        self._record_result(outcomes.Outcome.COMPLETED)
-        self._send_end(outcomes.Outcome.COMPLETED, None)
-        return None
+            self._result.add(data)
+            chunk = messages.AnswerChunk(
+                self._work.attempt, self._next_number, data, answer.has_ended
+            )
+            await self._relay_message(chunk)
+            self._next_number += 1
 
-    def _end_failed(self, failure: failures.Failure) -> failures.Failure:
-        not_sent = failure.reason is failures.Reason.ENDPOINT_UNREACHABLE
-        if self._work.key is None or not_sent:
-            outcome = outcomes.Outcome.FAILED
-        else:
-            outcome = outcomes.Outcome.UNKNOWN
+    async def _end_failed(self, failure: failures.Failure) -> failures.Failure:
+        """Tell the entry VM what a failure says about the run."""
+        if failure.reason is failures.Reason.ENDPOINT_UNREACHABLE:
+            return await self._end_unsent(failure)
+        if failure.reason is failures.Reason.ENDPOINT_CRASHED:
+            failure = await self._examine_break(failure)
+        keyed = self._work.key is not None
+        outcome = (
+            outcomes.Outcome.UNKNOWN if keyed else (outcomes.Outcome.FAILED)
+        )
         self._record_result(outcome)
-        self._send_end(outcome, failure)
+        await self._send_end(outcome, failure)
         return failure
 
-    def _record_result(self, outcome: outcomes.Outcome) -> None:
-        if self._work.key is None:
-            return
-        answer = b"".join(self._stored or [])
-        kept = len(answer) <= records.STORED_ANSWER_BYTES
-        complete = outcome is outcomes.Outcome.COMPLETED
-        result = records.KeyResult(
-            key=self._work.key,
-            attempt=self._work.attempt,
-            outcome=outcome.value,
-            status=self._status,
-            content_type=self._content_type,
-            answer=answer if kept and complete else None,
-        )
-        self._post_key(key_requests.AppendKey(result))
+    async def _end_unsent(self, failure: failures.Failure) -> failures.Failure:
+        """End a run of which the endpoint got no byte."""
+        self._dispatched = False
+        if self._claimer is None:
+            await self._send_end(outcomes.Outcome.REFUSED, failure)
+            return failure
+        refusal = await self._claimer.void()
+        await self._send_end(refusal.outcome, refusal.failure)
+        return failure
 
-    def _send_chunk(self, data: bytes) -> None:
-        if self._stored is not None:
-            self._stored.append(data)
-        self._send(
-            messages.AnswerChunk(self._work.attempt, self._next_number, data)
+    async def _examine_break(
+        self, failure: failures.Failure
+    ) -> failures.Failure:
+        """Tell a crash from a connection that broke."""
+        if self._boot:
+            report = await self._ports.endpoints.read_report(self._endpoint)
+            if (
+                isinstance(report, reports.LoadReport)
+                and report.boot == self._boot
+            ):
+                return failures.Failure(
+                    failures.Reason.ANSWER_INCOMPLETE, failure.detail
+                )
+        seen = crash_events.CrashSeen(
+            self._work.endpoint, self._boot, self._list_running()
         )
-        self._next_number += 1
+        self._board.mailboxes["suspects"].post(seen)
+        # The slot is given back only after the crash is known here, so that
+        # the next run at this endpoint is checked against it.
+        with anyio.move_on_after(CRASH_NOTE_TIMEOUT_MS / 1000):
+            while self._list_crashes() == self._crashes:
+                await self._board.suspects.wait_change(
+                    self._board.suspects.revision
+                )
+        return failure
+
+    def _list_running(self) -> tuple[str, ...]:
+        """Return the fingerprints that ran in the same run of the engine."""
+        queue = self._get_queue()
+        if queue.boot != self._boot:
+            return (self._work.fingerprint,)
+        running = {item.work.fingerprint for item in queue.running.values()}
+        return tuple(sorted(running | {self._work.fingerprint}))
+
+    def _list_crashes(self) -> frozenset[str]:
+        table = self._board.suspects.value
+        return table.list_crashes(self._work.fingerprint)
+
+    def _get_queue(self) -> states.EndpointQueue:
+        queues = self._board.dispatch.value.endpoints
+        return queues.get(self._work.endpoint, states.EndpointQueue())
+
+    async def _clean_up(self) -> None:
+        """End what a cancelled run left behind."""
+        if not self._dispatched:
+            if self._claimer is not None:
+                await self._claimer.void()
+            return
+        if self._work.key is not None:
+            self._record_result(outcomes.Outcome.UNKNOWN)
+        if self._endpoint.kind is not inventories.EndpointKind.ENGINE:
+            return
+        # The slot and the pin are kept until the engine confirms. One that
+        # cannot be reached for the whole time has been given up by then.
+        attempt = self._work.resume_of or self._work.attempt
+        for _ in range(CANCEL_ATTEMPTS):
+            failure = await self._ports.endpoints.cancel(
+                self._endpoint, attempt
+            )
+            if failure is None:
+                return
+            await anyio.sleep(CANCEL_RETRY_MS / 1000)
+
+    def _record_result(self, outcome: outcomes.Outcome) -> None:
+        record = self._result.make_record(outcome)
+        if record is not None:
+            request = key_requests.AppendKey(record)
+            self._board.mailboxes["keys"].post(request)
 
-    def _send_end(
+    async def _send_end(
         self, outcome: outcomes.Outcome, failure: failures.Failure | None
     ) -> None:
-        self._send(
+        await self._deliver(
             messages.AnswerEnd(
                 self._work.attempt, outcome, self._next_number, failure
             )
         )
 
-    def _send(self, message: Any) -> None:
-        if not self._ports.peers.send(self._sender, message):
-            LOG.debug(
-                "answer has no reader",
-                extra={
-                    "event": "answer_dropped",
-                    "attempt_id": self._work.attempt,
-                },
+    async def _relay_message(self, message: Any) -> None:
+        """Send a part of the answer.
+
+        :raises errors.FailureError: nobody takes the answer, and nobody can
+            ask for it later
+        """
+        if not self._has_reader:
+            return
+        self._has_reader = await self._deliver(message)
+        if not self._has_reader and self._work.key is None:
+            await self._ports.endpoints.cancel(
+                self._endpoint, self._work.resume_of or self._work.attempt
+            )
+            raise errors.FailureError(
+                failures.Failure(
+                    failures.Reason.PEER_UNREACHABLE,
+                    f"{self._sender} does not take the answer",
+                )
             )
+
+    async def _deliver(self, message: Any) -> bool:
+        """Send a message, waiting while the queue of the peer is full."""
+        deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
+        while not self._ports.peers.send(self._sender, message):
+            if self._read_clock().monotonic_ms >= deadline_ms:
+                LOG.warning(
+                    "answer has no reader",
+                    extra={
+                        "event": "answer_dropped",
+                        "attempt_id": self._work.attempt,
+                    },
+                )
+                return False
+            await anyio.sleep(SEND_RETRY_MS / 1000)
+        return True
+
+
+@attrs.define
+class _ResultCollector:
+    """Collects what the log keeps of a run under a key."""
+
+    _work: messages.SubmitWork
+    _status: int = 0
+    _content_type: str = ""
+    _parts: list[bytes] = attrs.field(factory=list)
+    _size_bytes: int = 0
+
+    def start(self, status: int, content_type: str) -> None:
+        self._status = status
+        self._content_type = content_type
+
+    def add(self, data: bytes) -> None:
+        self._size_bytes += len(data)
+        if self._size_bytes <= records.STORED_ANSWER_BYTES:
+            self._parts.append(data)
+        else:
+            self._parts.clear()
+
+    def make_record(
+        self, outcome: outcomes.Outcome
+    ) -> records.KeyResult | None:
+        if self._work.key is None:
+            return None
+        kept = (
+            outcome is outcomes.Outcome.COMPLETED
+            and self._work.resume_from == 0
+            and self._size_bytes <= records.STORED_ANSWER_BYTES
+        )
+        return records.KeyResult(
+            key=self._work.key,
+            attempt=self._work.resume_of or self._work.attempt,
+            outcome=outcome.value,
+            status=self._status,
+            content_type=self._content_type,
+            answer=b"".join(self._parts) if kept else None,
+        )
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -17,6 +17,7 @@
 from bronzetrack.core import registry
 from bronzetrack.endpoints import reports
 from bronzetrack.ownership import leases
+from bronzetrack.streaming import assembler
 from bronzetrack.streaming import messages
 from bronzetrack.wire import converter
 from bronzetrack.wire import httpclient
@@ -26,6 +27,8 @@
 CHUNK_TIMEOUT_MS = 30_000
 SERVER_SENT_EVENTS = "text/event-stream"
 END_MARKER = b"data: [DONE]"
+ANSWER_BYTES = 16_777_216
+RETURNED_STATUS = range(200, 500)
 
 
 @attrs.frozen
@@ -68,39 +71,64 @@
 
     :param status: HTTP status
     :param content_type: of the body
+    :param has_ended: whether the end marker was passed on
     """
 
     def __init__(self, response: httpcore.Response, work: messages.SubmitWork):
         headers = httpclient.read_headers(response)
         self._response = response
-        self._adapter = work.adapter
+        self._work = work
         self.status = response.status
         self.content_type = headers.get("content-type", "")
+        self.has_ended = False
+
+    @property
+    def is_returned(self) -> bool:
+        """Whether the caller gets this answer in place of a failure.
+
+        An engine answers 404 when the adapter version is not loaded.
+        """
+        unloaded = self.status == 404 and bool(self._work.adapter)
+        return self.status in RETURNED_STATUS and not unloaded
 
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Iterate over server-sent events, or the parts of another body.
 
-        :raises errors.FailureError: the answer ended without its end marker
-            or comes from another adapter
+        :raises errors.FailureError: the answer ended without its end marker,
+            is too large or comes from another adapter
         """
         if not self.content_type.startswith(SERVER_SENT_EVENTS):
-            body = await self._response.aread()
-            if self.status == 200 and self._adapter:
+            body = await self._read_body()
+            if self.status == 200 and self._work.adapter:
                 self._check_adapter(body)
-            yield body
+            for start in range(0, len(body), assembler.CHUNK_BYTES):
+                yield body[start : start + assembler.CHUNK_BYTES]
             return
-        first = True
+        # The adapter of a resumed answer was checked at its beginning.
+        checked = self._work.resume_from > 0
         async for event in _split_events(self._response.aiter_stream()):
-            if first:
+            if not checked:
                 self._check_adapter(event.removeprefix(b"data: "))
-                first = False
+                checked = True
+            self.has_ended = event.startswith(END_MARKER)
             yield event
-            if event.startswith(END_MARKER):
+            if self.has_ended:
                 return
         raise _make_error(
-            failures.Reason.ENDPOINT_CRASHED, "no end marker in the answer"
+            failures.Reason.ANSWER_INCOMPLETE, "no end marker in the answer"
         )
 
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        async for part in self._response.aiter_stream():
+            body += part
+            if len(body) > ANSWER_BYTES:
+                raise _make_error(
+                    failures.Reason.ENDPOINT_PROTOCOL,
+                    f"the answer exceeds {ANSWER_BYTES} bytes",
+                )
+        return bytes(body)
+
     def _check_adapter(self, body: bytes) -> None:
         try:
             model = json.loads(body).get("model")
@@ -108,10 +136,10 @@
             raise _make_error(
                 failures.Reason.ENDPOINT_PROTOCOL, "answer is not JSON"
             ) from None
-        if model != self._adapter:
+        if model != self._work.adapter:
             raise _make_error(
                 failures.Reason.WRONG_ADAPTER,
-                f"answer of {model}, wanted {self._adapter}",
+                f"answer of {model}, wanted {self._work.adapter}",
             )
 
 
@@ -123,6 +151,11 @@
         *events, pending = (pending + part).split(b"\n\n")
         for event in events:
             yield event + b"\n\n"
+        if len(pending) > assembler.EVENT_BYTES:
+            raise _make_error(
+                failures.Reason.ENDPOINT_PROTOCOL,
+                f"an event exceeds {assembler.EVENT_BYTES} bytes",
+            )
 
 
 def _make_error(reason: failures.Reason, detail: str) -> errors.FailureError:
@@ -142,15 +175,19 @@
         """Send work and give access to its answer.
 
         :raises errors.FailureError: ENDPOINT_UNREACHABLE when no byte was
-            sent, ENDPOINT_CRASHED when the connection broke after that
+            sent, ANSWER_INCOMPLETE when the endpoint was silent for too
+            long, ENDPOINT_CRASHED when the connection broke
         """
         request = PROTOCOLS.lookup(endpoint.kind.value)(work)
+        timeout_ms = max(1, work.timeout_ms)
+        if work.stream:
+            timeout_ms = min(CHUNK_TIMEOUT_MS, timeout_ms)
         try:
             async with httpclient.open_stream(
                 self._pool,
                 request.method,
                 _make_url(endpoint) + request.path,
-                min(CHUNK_TIMEOUT_MS, max(1, work.timeout_ms)),
+                timeout_ms,
                 request.body,
                 request.headers,
             ) as response:
@@ -163,6 +200,10 @@
             raise _make_error(
                 failures.Reason.ENDPOINT_UNREACHABLE, repr(error)
             ) from None
+        except httpcore.TimeoutException as error:
+            raise _make_error(
+                failures.Reason.ANSWER_INCOMPLETE, repr(error)
+            ) from None
         except httpclient.ERRORS as error:
             raise _make_error(
                 failures.Reason.ENDPOINT_CRASHED, repr(error)
--- a/src/bronzetrack/http/answers.py
+++ b/src/bronzetrack/http/answers.py
@@ -3,24 +3,30 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import MutableMapping
 import json
 import math
 from typing import Any
 
+import anyio
 from starlette import responses
 
-from bronzetrack.core import blackboard
 from bronzetrack.core import failures
 from bronzetrack.http import statuses
+from bronzetrack.streaming import calls
 from bronzetrack.streaming import outcomes
-from bronzetrack.streaming import requests
+from bronzetrack.streaming import output as outputs
+
+CLIENT_CLOSED_STATUS = 499
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 
 
 def make_headers(
-    request: requests.CallerRequest | None,
+    request: calls.CallerRequest | None,
     outcome: str,
-    started: requests.Started | None = None,
+    started: outputs.Started | None = None,
 ) -> dict[str, str]:
     """Return the headers that every answer has."""
     headers = {"Bronzetrack-Outcome": outcome}
@@ -31,7 +37,8 @@
             "Bronzetrack-Adapter": adapter,
             "Bronzetrack-Version": version,
         }
-    if started is not None:
+    # A stored answer comes from no endpoint.
+    if started is not None and started.endpoint:
         headers |= {
             "Bronzetrack-Endpoint": started.endpoint,
             "Bronzetrack-VM": started.vm,
@@ -56,7 +63,7 @@
 def make_refusal(
     failure: failures.Failure,
     outcome: outcomes.Outcome = outcomes.Outcome.REFUSED,
-    request: requests.CallerRequest | None = None,
+    request: calls.CallerRequest | None = None,
 ) -> responses.Response:
     """Return the answer to a request that did not complete."""
     headers = make_headers(request, outcome.value)
@@ -70,30 +77,33 @@
     )
 
 
-async def iterate_events(
-    output: blackboard.Mailbox[Any],
-) -> AsyncIterator[Any]:
+async def iterate_events(output: outputs.Output) -> AsyncIterator[Any]:
     """Iterate over what the requests controller says of one request."""
     while True:
-        await output.wait_items()
-        for event in output.take():
+        for event in await output.take():
             yield event
-            if isinstance(event, requests.Ended):
+            if isinstance(event, outputs.Ended):
                 return
 
 
 async def make_answer(
-    request: requests.CallerRequest,
-    output: blackboard.Mailbox[Any],
+    request: calls.CallerRequest,
+    output: outputs.Output,
     abandon: Callable[[], None],
+    receive: Receive,
 ) -> responses.Response:
     """Return the answer to a request once its first event is there.
 
-    :param abandon: called when the caller disconnects
+    :param abandon: called when the caller is gone; it does nothing after the
+        end of the request
+    :param receive: waits for the next message of the caller's connection
     """
     events = iterate_events(output)
-    first = await anext(events)
-    if isinstance(first, requests.Ended):
+    first = await _wait_first_event(events, receive)
+    if first is None:
+        abandon()
+        return responses.Response(status_code=CLIENT_CLOSED_STATUS)
+    if isinstance(first, outputs.Ended):
         failure = first.failure or failures.Failure(
             failures.Reason.ANSWER_INCOMPLETE
         )
@@ -101,25 +111,62 @@
     if not request.stream:
         return await _make_whole(request, first, events)
     headers = make_headers(request, "streaming", first)
-    return responses.StreamingResponse(
-        _stream(events, abandon),
+    return AnswerStream(
+        abandon,
+        _stream(events),
         status_code=first.status,
         headers={**headers, "Content-Type": first.content_type},
     )
 
 
+async def _wait_first_event(
+    events: AsyncIterator[Any], receive: Receive
+) -> Any:
+    """Return the first event, None if the caller disconnects before it."""
+    found = []
+    async with anyio.create_task_group() as group:
+
+        async def watch() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            group.cancel_scope.cancel()
+
+        group.start_soon(watch)
+        found.append(await anext(events))
+        group.cancel_scope.cancel()
+    return found[0] if found else None
+
+
+class AnswerStream(responses.StreamingResponse):
+    """A streamed answer that tells when it can send no more.
+
+    :param abandon: called at the end, and when the caller disconnects
+    """
+
+    def __init__(
+        self, abandon: Callable[[], None], *arguments: Any, **options: Any
+    ) -> None:
+        super().__init__(*arguments, **options)
+        self._abandon = abandon
+
+    async def __call__(self, *arguments: Any) -> None:
+        try:
+            await super().__call__(*arguments)
+        finally:
+            self._abandon()
+
+
 async def _make_whole(
-    request: requests.CallerRequest,
-    started: requests.Started,
+    request: calls.CallerRequest,
+    started: outputs.Started,
     events: AsyncIterator[Any],
 ) -> responses.Response:
+    """Return an answer in one piece, all of whose events are there."""
     parts = []
     async for event in events:
-        if isinstance(event, requests.Chunk):
+        if isinstance(event, outputs.Chunk):
             parts.append(event.data)
             continue
-        if event.failure is not None:
-            return make_refusal(event.failure, event.outcome, request)
         headers = make_headers(request, event.outcome.value, started)
         return responses.Response(
             b"".join(parts),
@@ -131,22 +178,20 @@
     )
 
 
-async def _stream(
-    events: AsyncIterator[Any], abandon: Callable[[], None]
-) -> AsyncIterator[bytes]:
+async def _stream(events: AsyncIterator[Any]) -> AsyncIterator[bytes]:
     """Iterate over the body; a failure becomes an event without end marker."""
-    ended = False
-    try:
-        async for event in events:
-            if isinstance(event, requests.Chunk):
-                yield event.data
-                continue
-            ended = True
-            if event.failure is not None:
-                fields = make_error_fields(event.outcome, event.failure)
-                yield b"event: error\ndata: %s\n\n" % (
-                    json.dumps(fields).encode()
-                )
-    finally:
-        if not ended:
-            abandon()
+    async for event in events:
+        if isinstance(event, outputs.Chunk):
+            yield event.data
+        elif event.failure is not None:
+            fields = make_error_fields(
+                event.outcome, _describe_broken(event.failure)
+            )
+            yield b"event: error\ndata: %s\n\n" % json.dumps(fields).encode()
+
+
+def _describe_broken(failure: failures.Failure) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.ANSWER_INCOMPLETE,
+        f"{failure.reason.value}: {failure.detail}",
+    )
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -11,7 +11,6 @@
 from starlette import responses
 from starlette import routing
 
-from bronzetrack.core import blackboard
 from bronzetrack.core import clock
 from bronzetrack.core import failures
 from bronzetrack.http import answers
@@ -19,12 +18,13 @@
 from bronzetrack.membership import messages
 from bronzetrack.membership import view as views
 from bronzetrack.routing import entries
+from bronzetrack.streaming import calls
+from bronzetrack.streaming import output as outputs
 from bronzetrack.streaming import requests
 
 if TYPE_CHECKING:
     from bronzetrack import board as boards
 
-OUTPUT_EVENTS = 65_536
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 
@@ -124,7 +124,7 @@
             self.board.settings.limits.request_timeout_ms,
             self.read_clock(),
         )
-        return await self._serve(checked)
+        return await self._serve(checked, request)
 
     async def call_service(
         self, request: http_requests.Request
@@ -143,22 +143,16 @@
             self.board.settings.limits.request_timeout_ms,
             self.read_clock(),
         )
-        return await self._serve(checked)
+        return await self._serve(checked, request)
 
     async def _serve(
-        self, checked: requests.CallerRequest | failures.Failure
+        self,
+        checked: calls.CallerRequest | failures.Failure,
+        request: http_requests.Request,
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return answers.make_refusal(checked)
-        if self.board.suspects.value.is_banned(checked.fingerprint):
-            failure = failures.Failure(
-                failures.Reason.CRASHES_ENDPOINTS,
-                "endpoints crashed each time they ran this request",
-            )
-            return answers.make_refusal(failure, request=checked)
-        output: blackboard.Mailbox[object] = blackboard.Mailbox(
-            checked.request, OUTPUT_EVENTS
-        )
+        output = outputs.Output(checked.request)
         intake_box = self.board.mailboxes["intake"]
         if not intake_box.post(requests.Exchange(checked, output)):
             failure = failures.Failure(
@@ -167,9 +161,12 @@
                 retry_after_ms=1_000,
             )
             return answers.make_refusal(failure, request=checked)
-        abandoned = requests.Abandoned(checked.request)
+
+        def abandon() -> None:
+            intake_box.post(requests.Abandoned(checked.request))
+
         return await answers.make_answer(
-            checked, output, lambda: _ignore(intake_box.post(abandoned))
+            checked, output, abandon, request.receive
         )
 
     async def _read_body(
@@ -184,7 +181,3 @@
                     failures.Reason.BODY_TOO_LARGE, f"{limit} bytes allowed"
                 )
         return bytes(body)
-
-
-def _ignore(result: object) -> None:
-    """Drop a result that does not matter."""
--- a/src/bronzetrack/http/intake.py
+++ b/src/bronzetrack/http/intake.py
@@ -13,12 +13,18 @@
 from bronzetrack.core import clock
 from bronzetrack.core import failures
 from bronzetrack.idempotency import keys
-from bronzetrack.streaming import requests
+from bronzetrack.streaming import calls
 
 CLASS_HEADER = "bronzetrack-class"
 KEY_HEADER = "idempotency-key"
 ISSUED_HEADER = "idempotency-issued-at"
 DEFAULT_COST_TOKENS = 256
+# These differ between copies of a request and do not change what it does to
+# an engine.
+IDENTITY_FIELDS = frozenset(
+    {"model", "request_id", "user", "metadata", "priority"}
+    | {"stream", "stream_options"}
+)
 
 
 def read_completion(
@@ -28,7 +34,7 @@
     body: bytes,
     timeout_ms: int,
     now: clock.Instant,
-) -> requests.CallerRequest | failures.Failure:
+) -> calls.CallerRequest | failures.Failure:
     """Return the request of a completions or chat call, or a failure."""
     fields = _read_object(body)
     if isinstance(fields, failures.Failure):
@@ -51,7 +57,7 @@
     # The version is fixed here, so that one published while the request
     # waits does not change what it runs on.
     sent = json.dumps({**fields, "model": resolved.adapter}).encode()
-    return requests.CallerRequest(
+    return calls.CallerRequest(
         request=uuid.uuid4().hex,
         member=resolved.member,
         adapter=resolved.adapter,
@@ -62,7 +68,8 @@
         content_type="application/json",
         stream=fields.get("stream") is True,
         cost=cost,
-        fingerprint=_digest(resolved.adapter, sent),
+        fingerprint=_digest(resolved.adapter, _dump_content(fields)),
+        digest=_digest(path, _dump_sorted(fields)),
         endpoints=resolved.endpoints,
         repeatable=key is None,
         key=key,
@@ -79,7 +86,7 @@
     body: bytes,
     timeout_ms: int,
     now: clock.Instant,
-) -> requests.CallerRequest | failures.Failure:
+) -> calls.CallerRequest | failures.Failure:
     """Return the request of a call to a plain service, or a failure."""
     resolved = resolver.resolve_service(configuration, path)
     if isinstance(resolved, failures.Failure):
@@ -97,8 +104,9 @@
     work_class = _read_class(configuration, headers)
     if isinstance(work_class, failures.Failure):
         return work_class
+    digest = _digest(f"{method} {path}?{query}", body)
     target = resolved.path + (f"?{query}" if query else "")
-    return requests.CallerRequest(
+    return calls.CallerRequest(
         request=uuid.uuid4().hex,
         member=service.owner,
         adapter="",
@@ -109,7 +117,8 @@
         content_type=headers.get("content-type", "application/octet-stream"),
         stream=False,
         cost=1,
-        fingerprint=_digest(f"{method} {path}?{query}", body),
+        fingerprint=digest,
+        digest=digest,
         endpoints=service.endpoints,
         repeatable=repeatable and key is None,
         key=key,
@@ -149,6 +158,20 @@
     return keys.check_key(member, key, headers.get(ISSUED_HEADER), now.wall_ms)
 
 
+def _dump_content(fields: Mapping[str, Any]) -> bytes:
+    return _dump_sorted(
+        {
+            name: value
+            for name, value in fields.items()
+            if name not in IDENTITY_FIELDS
+        }
+    )
+
+
+def _dump_sorted(fields: Mapping[str, Any]) -> bytes:
+    return json.dumps(fields, sort_keys=True).encode()
+
+
 def _digest(name: str, body: bytes) -> str:
     digest = hashlib.blake2b(name.encode() + b"\x00" + body, digest_size=16)
     return digest.hexdigest()
--- a/src/bronzetrack/idempotency/keys.py
+++ b/src/bronzetrack/idempotency/keys.py
@@ -15,6 +15,9 @@
 # A key is kept for longer than it is accepted, since the clocks of two VMs
 # may differ by the skew in either direction.
 KEPT_MS = WINDOW_MS + 2 * FUTURE_SKEW_MS
+# A VM decides nothing from its table in the last part of KEPT_MS, so that a
+# wall clock that is set back does not make it use a table that was trimmed.
+DECIDED_MS = WINDOW_MS + FUTURE_SKEW_MS
 
 
 @attrs.frozen
@@ -60,6 +63,11 @@
     return IdempotencyKey(digest, issued_ms)
 
 
+def is_decidable(issued_ms: int, now_wall_ms: int) -> bool:
+    """Return whether the table of this VM still decides about a key."""
+    return now_wall_ms <= issued_ms + DECIDED_MS
+
+
 def _read_issue_time(
     key: str, issued_header: str | None
 ) -> int | failures.Failure:
--- /dev/null
+++ b/src/bronzetrack/idempotency/settlement.py
@@ -0,0 +1,108 @@
+"""What a caller is told of a key that the log has decided."""
+
+from __future__ import annotations
+
+import attrs
+
+from bronzetrack.core import failures
+from bronzetrack.idempotency import claims
+from bronzetrack.idempotency import keys
+from bronzetrack.idempotency import records
+from bronzetrack.idempotency import table as tables
+from bronzetrack.streaming import outcomes
+
+# Long enough for most answers; a caller that is told `in_progress` asks again.
+RESULT_WAIT_MS = 30_000
+# Two appends that time out, after which a void is taken as unconfirmed.
+VOID_WAIT_MS = 7_000
+
+
+@attrs.frozen
+class Settlement:
+    """The answer to a caller whose request was not dispatched for it.
+
+    :param result: the stored answer, if the caller gets it
+    """
+
+    outcome: outcomes.Outcome
+    failure: failures.Failure | None = None
+    result: records.KeyResult | None = None
+
+
+def check_ready(table: tables.KeyTable) -> failures.Failure | None:
+    """Return why work under a key that is not in the table is refused."""
+    if table.caught_up and table.log_reachable:
+        return None
+    detail = (
+        "the log cannot be read"
+        if table.caught_up
+        else "the keys of the last hour are not read yet"
+    )
+    return failures.Failure(
+        failures.Reason.LOG_UNAVAILABLE, detail, retry_after_ms=1_000
+    )
+
+
+def settle_key(
+    entry: tables.KeyEntry | None,
+    key: keys.IdempotencyKey,
+    digest: str,
+    claimant_gone: bool,
+    expired: bool,
+    now_wall_ms: int,
+) -> Settlement | None:
+    """Return what the caller is told, None while it has to wait.
+
+    :param digest: digest of the caller's request
+    :param claimant_gone: whether the claimant can no longer answer
+    :param expired: whether the caller has waited for as long as it may
+    """
+    if not keys.is_decidable(key.issued_ms, now_wall_ms):
+        # The table may have dropped the key, so it shows nothing any more.
+        return _settle_unknown("the key expired during the wait")
+    if entry is None:
+        if expired:
+            return _settle_unknown("no record of the key was read")
+        return None
+    if entry.phase is tables.KeyPhase.VOID:
+        return Settlement(outcomes.Outcome.NOT_RUN, claims.describe_void())
+    if entry.fingerprint != digest:
+        return Settlement(
+            outcomes.Outcome.REFUSED,
+            failures.Failure(
+                failures.Reason.KEY_REUSED,
+                "the key was used for a different request",
+            ),
+        )
+    if entry.result is not None:
+        return _settle_result(entry.result)
+    if claimant_gone:
+        return _settle_unknown(f"claimant {entry.incarnation} is gone")
+    if expired:
+        return Settlement(
+            outcomes.Outcome.IN_PROGRESS, claims.describe_in_progress()
+        )
+    return None
+
+
+def _settle_unknown(detail: str) -> Settlement:
+    return Settlement(
+        outcomes.Outcome.UNKNOWN,
+        failures.Failure(failures.Reason.OUTCOME_UNKNOWN, detail),
+    )
+
+
+def _settle_result(result: records.KeyResult) -> Settlement:
+    outcome = outcomes.Outcome(result.outcome)
+    if outcome is not outcomes.Outcome.COMPLETED:
+        detail = "the run of the key ended without a known result"
+        return attrs.evolve(_settle_unknown(detail), outcome=outcome)
+    if result.answer is not None:
+        return Settlement(outcome, result=result)
+    return Settlement(
+        outcome,
+        failures.Failure(
+            failures.Reason.ANSWER_NOT_KEPT,
+            "the key ran and its answer is not kept",
+        ),
+    )
--- a/src/bronzetrack/idempotency/table.py
+++ b/src/bronzetrack/idempotency/table.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from bronzetrack.idempotency import keys
 from bronzetrack.idempotency import records
 
 
@@ -55,6 +56,18 @@
     entries: dict[str, KeyEntry] = attrs.field(factory=dict)
 
 
+def trim_entries(
+    entries: Mapping[str, KeyEntry], now_wall_ms: int
+) -> dict[str, KeyEntry]:
+    """Return the entries of keys that may still be sent."""
+    oldest_ms = now_wall_ms - keys.KEPT_MS
+    return {
+        key: entry
+        for key, entry in entries.items()
+        if entry.issued_ms >= oldest_ms
+    }
+
+
 def apply_record(
     entries: Mapping[str, KeyEntry], offset: int, record: Any
 ) -> KeyEntry | None:
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -180,3 +180,13 @@
         return True
     settled_ms = owner.claimed_ms + ORDER_LIFE_MS
     return settled_ms <= now_ms <= state.held_until_ms - ORDER_LIFE_MS
+
+
+def may_dispatch_once(
+    state: OwnershipState, endpoint: str, incarnation: str, now_ms: int
+) -> bool:
+    """Return whether this VM may dispatch work that must not be repeated."""
+    owner = state.owners.get(endpoint)
+    if owner is None or owner.incarnation != incarnation:
+        return False
+    return now_ms < state.held_until_ms
--- /dev/null
+++ b/src/bronzetrack/retries/events.py
@@ -0,0 +1,29 @@
+"""What runs report to the suspects controller."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class CrashSeen:
+    """An endpoint crashed.
+
+    :param boot: the run of the engine that crashed, empty if it has none
+    :param fingerprints: of the requests that ran there
+    """
+
+    endpoint: str
+    boot: str
+    fingerprints: tuple[str, ...]
+
+
+@attrs.frozen
+class SuspectCompleted:
+    """A suspect ran alone to its end.
+
+    :param crashes: the crashes it was suspected of when it started
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -1,14 +1,18 @@
-"""Whether a failed attempt is tried again."""
+"""What follows an attempt that failed."""
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from bronzetrack.core import failures
+from bronzetrack.streaming import outcomes
 
 BUDGET_PART = 0.1
 BUDGET_FLOOR = 10.0
 ATTEMPTS = 4
+RESUMES = 3
 
 RETRIED = frozenset(
     {
@@ -20,10 +24,27 @@
         failures.Reason.LOAD_FAILED,
         failures.Reason.DRAINING,
         failures.Reason.WRONG_ADAPTER,
+        failures.Reason.LEASE_LAPSED,
+        failures.Reason.ANSWER_INCOMPLETE,
     }
 )
 
 
+class Recovery(enum.Enum):
+    """What is done after a failed attempt.
+
+    RETRY starts again, WAIT does so after a pause, RESUME goes on at the
+    engine at the caller's position, and SETTLE leaves the answer to the
+    records of the key.
+    """
+
+    RETRY = "retry"
+    WAIT = "wait"
+    RESUME = "resume"
+    SETTLE = "settle"
+    END = "end"
+
+
 @attrs.frozen
 class RetryBudget:
     """Retries that are allowed, as a part of the requests.
@@ -42,22 +63,62 @@
         return RetryBudget(self.tokens - 1)
 
 
-def may_retry(
-    failure: failures.Failure,
-    attempts: int,
-    repeatable: bool,
-    chunks_passed: int,
-    budget: RetryBudget,
-) -> bool:
-    """Return whether another attempt may be made from the start.
+@attrs.frozen
+class FailedAttempt:
+    """What the choice depends on.
 
+    :param lost: whether the answer was lost between VMs, so that the
+        endpoint may still run the work
     :param repeatable: whether the request may run more than once
+    :param resumable: whether the endpoint can resume the answer
+    :param isolated: whether the request has to run alone
+    :param attempts: attempts made from the start
+    :param resumes: how often the answer was resumed
     :param chunks_passed: chunks that the caller already has
     """
+
+    outcome: outcomes.Outcome
+    failure: failures.Failure
+    lost: bool
+    repeatable: bool
+    resumable: bool
+    isolated: bool
+    attempts: int
+    resumes: int
+    chunks_passed: int
+
+
+def decide_recovery(failed: FailedAttempt, budget: RetryBudget) -> Recovery:
+    """Return what is done after a failed attempt."""
+    if failed.lost and failed.resumable and failed.chunks_passed:
+        # Nothing runs a second time, so this is allowed under a key too.
+        if failed.resumes < RESUMES and budget.tokens >= 1:
+            return Recovery.RESUME
+    if not failed.repeatable:
+        decided = failed.outcome is outcomes.Outcome.IN_PROGRESS
+        if failed.lost or decided:
+            return Recovery.SETTLE
+    refused = failed.outcome is outcomes.Outcome.REFUSED
+    if refused and failed.isolated and failed.failure.reason in RETRIED:
+        # All VMs send a suspect to one endpoint, so that trying another one
+        # in place of waiting could cost two endpoints at once.
+        return Recovery.WAIT
+    if may_retry(failed, budget):
+        return Recovery.RETRY
+    return Recovery.END
+
+
+def may_retry(failed: FailedAttempt, budget: RetryBudget) -> bool:
+    """Return whether another attempt may be made from the start.
+
+    An attempt that was refused did nothing, so that work under a key may be
+    tried again after it and only after it.
+    """
+    refused = failed.outcome is outcomes.Outcome.REFUSED
     return (
-        repeatable
-        and chunks_passed == 0
-        and attempts < ATTEMPTS
-        and failure.reason in RETRIED
+        (failed.repeatable or (refused and not failed.lost))
+        and failed.chunks_passed == 0
+        and failed.attempts < ATTEMPTS
+        and failed.failure.reason in RETRIED
         and budget.tokens >= 1
     )
--- a/src/bronzetrack/retries/records.py
+++ b/src/bronzetrack/retries/records.py
@@ -22,3 +22,16 @@
     endpoint: str
     fingerprints: tuple[str, ...]
     wall_ms: int
+
+
+@records.RECORDS.register("clearance")
+@attrs.frozen
+class ClearanceRecord:
+    """A suspect completed alone.
+
+    :param crashes: the crashes that it did not cause
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    wall_ms: int
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -2,26 +2,44 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
+from typing import Any
 
 import attrs
 
+from bronzetrack.core import failures
 from bronzetrack.retries import records
 
 CRASH_LIMIT = 2
 MEMORY_MS = 3_600_000
+# About 3 MB; a crash adds as many as the endpoint has slots.
+SUSPECTS = 8_192
+# A service has no boot value. Its runs fail within this of each other.
+GATHER_MS = 5_000
 
 
 @attrs.frozen
 class Suspect:
     """Crashes that a fingerprint was present at.
 
+    Both sets only grow, so that the order in which records arrive from peers
+    and from the log does not matter.
+
     :param crashes: identities of the crashes
+    :param cleared: those that it did not cause
     :param seen_ms: monotonic time of the latest
     """
 
-    crashes: frozenset[str]
-    seen_ms: int
+    crashes: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+    seen_ms: int = 0
+
+    @property
+    def suspected(self) -> frozenset[str]:
+        """Crashes that it may have caused."""
+        return self.crashes - self.cleared
 
 
 @attrs.frozen
@@ -31,44 +49,118 @@
     next_offset: int = 0
     suspects: Mapping[str, Suspect] = attrs.field(factory=dict)
 
+    def list_crashes(self, fingerprint: str) -> frozenset[str]:
+        """Return the crashes that a request may have caused."""
+        return self.suspects.get(fingerprint, Suspect()).suspected
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request has to run alone."""
-        return fingerprint in self.suspects
+        return bool(self.list_crashes(fingerprint))
 
     def is_banned(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
-        suspect = self.suspects.get(fingerprint)
-        return suspect is not None and len(suspect.crashes) >= CRASH_LIMIT
+        return len(self.list_crashes(fingerprint)) >= CRASH_LIMIT
+
+
+def check_run(
+    table: SuspectTable, fingerprint: str, isolated: bool
+) -> failures.Failure | None:
+    """Return why a request may not be dispatched, None if it may."""
+    if table.is_banned(fingerprint):
+        return describe_ban()
+    if table.is_suspect(fingerprint) and not isolated:
+        return failures.Failure(
+            failures.Reason.ENDPOINT_REFUSED, "the request has to run alone"
+        )
+    return None
+
+
+def describe_ban() -> failures.Failure:
+    """Return the failure for a request that is refused everywhere."""
+    return failures.Failure(
+        failures.Reason.CRASHES_ENDPOINTS,
+        f"{CRASH_LIMIT} endpoints crashed while they ran this request",
+    )
+
+
+def make_crash_id(
+    endpoint: str, boot: str, earlier: Iterable[str], now_ms: int
+) -> str:
+    """Return the identity of a crash, the same for all its witnesses.
+
+    :param earlier: identities of earlier crashes of a service
+    """
+    if boot:
+        return f"{endpoint}/{boot}"
+    for crash in earlier:
+        name, _, time_ms = crash.rpartition("/")
+        if name == endpoint and now_ms - int(time_ms) < GATHER_MS:
+            return crash
+    return f"{endpoint}/{now_ms}"
+
+
+def apply_record(
+    table: SuspectTable, record: Any, age_ms: int, now_ms: int
+) -> SuspectTable:
+    """Return the table after a record of the stream or of a peer.
+
+    :param age_ms: how long ago it was made
+    """
+    if age_ms >= MEMORY_MS:
+        return table
+    match record:
+        case records.CrashRecord():
+            return record_crash(table, record, now_ms - age_ms)
+        case records.ClearanceRecord():
+            return clear_suspect(table, record, now_ms - age_ms)
+    return table
 
 
 def record_crash(
     table: SuspectTable, record: records.CrashRecord, now_ms: int
 ) -> SuspectTable:
     """Return the table after a crash; one seen before changes nothing."""
-    changed = {
-        fingerprint: _add_crash(
-            table.suspects.get(fingerprint), record.crash, now_ms
+    changed = {}
+    for fingerprint in record.fingerprints:
+        known = table.suspects.get(fingerprint, Suspect())
+        changed[fingerprint] = attrs.evolve(
+            known,
+            crashes=known.crashes | {record.crash},
+            seen_ms=max(known.seen_ms, now_ms),
         )
-        for fingerprint in record.fingerprints
-    }
-    kept = {
-        fingerprint: suspect
-        for fingerprint, suspect in table.suspects.items()
-        if now_ms - suspect.seen_ms < MEMORY_MS
-    }
-    return attrs.evolve(table, suspects={**kept, **changed})
+    return _replace(table, changed, now_ms)
 
 
-def _add_crash(known: Suspect | None, crash: str, now_ms: int) -> Suspect:
-    crashes = frozenset() if known is None else known.crashes
-    return Suspect(crashes | {crash}, now_ms)
+def clear_suspect(
+    table: SuspectTable, record: records.ClearanceRecord, now_ms: int
+) -> SuspectTable:
+    """Return the table after a suspect completed alone."""
+    known = table.suspects.get(record.fingerprint, Suspect())
+    cleared = attrs.evolve(
+        known,
+        cleared=known.cleared | set(record.crashes),
+        seen_ms=max(known.seen_ms, now_ms),
+    )
+    return _replace(table, {record.fingerprint: cleared}, now_ms)
 
 
-def clear_suspect(table: SuspectTable, fingerprint: str) -> SuspectTable:
-    """Return the table after a suspect completed alone."""
+def _replace(
+    table: SuspectTable, changed: Mapping[str, Suspect], now_ms: int
+) -> SuspectTable:
+    """Return the table with changes, and without what is old or too much."""
+    merged = {**table.suspects, **changed}
     kept = {
-        name: suspect
-        for name, suspect in table.suspects.items()
-        if name != fingerprint
+        fingerprint: suspect
+        for fingerprint, suspect in merged.items()
+        if now_ms - suspect.seen_ms < MEMORY_MS
     }
+    excess = len(kept) - SUSPECTS
+    if excess > 0:
+        # Those with the fewest crashes go first, then the oldest.
+        ranked = sorted(
+            kept,
+            key=lambda name: (len(kept[name].suspected), kept[name].seen_ms),
+        )
+        for name in itertools.islice(ranked, excess):
+            del kept[name]
     return attrs.evolve(table, suspects=kept)
--- a/src/bronzetrack/streaming/messages.py
+++ b/src/bronzetrack/streaming/messages.py
@@ -24,6 +24,7 @@
     :param cost: estimated cost in tokens
     :param fingerprint: digest of the adapter, version and body
     :param key: digest of the idempotency key, None if the work may repeat
+    :param digest: of the request as its caller sent it, to detect a reused key
     :param isolated: whether it must run alone on the endpoint
     :param resume_of: attempt to resume at the endpoint, None to start anew
     :param resume_from: number of the first chunk wanted
@@ -46,6 +47,7 @@
     content_type: str = "application/json"
     fingerprint: str = ""
     key: str | None = None
+    digest: str = ""
     issued_ms: int = 0
     isolated: bool = False
     resume_of: str | None = None
@@ -70,6 +72,7 @@
     """One chunk of an answer.
 
     :param number: counts the chunks of the attempt from 0
+    :param last: whether it holds the end marker of the endpoint
     """
 
     mailbox: ClassVar[str] = "answers"
@@ -77,6 +80,7 @@
     attempt: str
     number: int
     data: bytes
+    last: bool = False
 
 
 @messages.MESSAGES.register("answer_end")
@@ -103,3 +107,30 @@
     mailbox: ClassVar[str] = "work"
 
     attempt: str
+
+
+@messages.MESSAGES.register("probe_work")
+@attrs.frozen
+class ProbeWork:
+    """Asks an owner about attempts that it has been silent about.
+
+    Messages are lost when a session breaks or its queue is full.
+    """
+
+    mailbox: ClassVar[str] = "answers"
+
+    attempts: tuple[str, ...]
+
+
+@messages.MESSAGES.register("work_unknown")
+@attrs.frozen
+class WorkUnknown:
+    """The attempts of a probe that neither wait nor run.
+
+    It follows their ends on the same stream. A VM that has not received the
+    end of such an attempt has lost it.
+    """
+
+    mailbox: ClassVar[str] = "answers"
+
+    attempts: tuple[str, ...]
--- a/src/bronzetrack/streaming/requests.py
+++ b/src/bronzetrack/streaming/requests.py
@@ -2,77 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any
-
 import attrs
 
-from bronzetrack.core import blackboard
 from bronzetrack.core import failures
-from bronzetrack.idempotency import keys
+from bronzetrack.streaming import calls
 from bronzetrack.streaming import outcomes
+from bronzetrack.streaming import output as outputs
+from bronzetrack.streaming import progress as progresses
 
 RECENT_REQUESTS = 128
 
 
-@attrs.frozen
-class CallerRequest:
-    """A checked request of a caller.
-
-    :param member: the member that is charged
-    :param adapter: `name@version`, empty for a plain service
-    :param endpoints: endpoints that could run it
-    :param repeatable: whether it may run more than once
-    """
-
-    request: str
-    member: str
-    adapter: str
-    work_class: str
-    method: str
-    path: str
-    body: bytes
-    content_type: str
-    stream: bool
-    cost: int
-    fingerprint: str
-    endpoints: tuple[str, ...]
-    repeatable: bool
-    key: keys.IdempotencyKey | None
-    deadline_ms: int
-
-
-@attrs.frozen
-class Started:
-    """The answer begins."""
-
-    endpoint: str
-    vm: str
-    status: int
-    content_type: str
-
-
-@attrs.frozen
-class Chunk:
-    """The next bytes of the answer."""
-
-    data: bytes
-
-
-@attrs.frozen
-class Ended:
-    """The answer ended."""
-
-    outcome: outcomes.Outcome
-    failure: failures.Failure | None = None
-
-
 @attrs.frozen
 class Exchange:
-    """A request with the mailbox through which its caller gets the answer."""
+    """A request with the place where its caller gets the answer."""
 
-    request: CallerRequest
-    output: blackboard.Mailbox[Any]
+    request: calls.CallerRequest
+    output: outputs.Output
 
 
 @attrs.frozen
@@ -84,7 +30,7 @@
 
 @attrs.frozen
 class RequestEntry:
-    """Where a request in progress stands.
+    """How a request ended.
 
     :param attempts: attempts made, with the endpoint and owner of the latest
     :param failure: why the latest attempt failed
@@ -94,21 +40,45 @@
     member: str
     adapter: str
     work_class: str
+    outcome: outcomes.Outcome
     attempt: str = ""
     endpoint: str = ""
     owner: str = ""
     attempts: int = 0
     failure: failures.Failure | None = None
-    outcome: outcomes.Outcome | None = None
 
 
-@attrs.frozen
+@attrs.define
 class RequestTable:
     """The section of the requests controller.
 
-    :param open: requests in progress
+    It is changed in place, since a copy of all requests in progress for each
+    message would cost more than the message.
+
+    :param open: requests in progress by id
     :param recent: the latest requests that ended, oldest first
     """
 
-    open: Mapping[str, RequestEntry] = attrs.field(factory=dict)
+    open: dict[str, progresses.Progress] = attrs.field(factory=dict)
     recent: tuple[RequestEntry, ...] = ()
+
+
+def describe_end(
+    progress: progresses.Progress,
+    outcome: outcomes.Outcome,
+    failure: failures.Failure | None,
+) -> RequestEntry:
+    """Return what is kept of a request that ended."""
+    request = progress.request
+    return RequestEntry(
+        request=request.request,
+        member=request.member,
+        adapter=request.adapter,
+        work_class=request.work_class,
+        outcome=outcome,
+        attempt=progress.attempt,
+        endpoint=progress.endpoint,
+        owner=progress.owner,
+        attempts=progress.attempts,
+        failure=failure,
+    )
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -100,7 +100,7 @@
     table: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
 
     def apply(self, at_ms: int, offset: int, record: Any) -> None:
-        self.table = suspects.record_crash(self.table, record, at_ms)
+        self.table = suspects.apply_record(self.table, record, 0, at_ms)
 
     def read_outcomes(self) -> Mapping[str, Any]:
         return {
