--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -16,6 +16,7 @@
 from bronzetrack.idempotency import requests as key_requests
 from bronzetrack.idempotency import settlement
 from bronzetrack.membership import view as views
+from bronzetrack.metrics import counters
 from bronzetrack.retries import policy as retry_policy
 from bronzetrack.retries import suspects as suspect_tables
 from bronzetrack.routing import candidates
@@ -110,7 +111,10 @@
             if progress is not None:
                 self._abandon(progress)
             return
-        progress = progresses.Progress(item.request)
+        if isinstance(item, requests.Refusal):
+            self._record_refusal(item)
+            return
+        progress = progresses.Progress(item.request, arrived_ms=now_ms)
         self._outputs[item.request.request] = item.output
         self._open[item.request.request] = progress
         self._budget = self._budget.credit()
@@ -176,6 +180,11 @@
             case messages.AnswerStarted():
                 progress.head = message
             case messages.AnswerChunk() if progress.head is not None:
+                if progress.assembler.next_number == message.number == 0:
+                    counters.observe_first_chunk(
+                        progress.request.work_class,
+                        now_ms - progress.arrived_ms,
+                    )
                 for data in progress.assembler.accept(message):
                     if not self._pass_on(progress, data):
                         self._overflow(progress)
@@ -469,6 +478,7 @@
         output.post(outputs.Ended(outcome, failure))
         del self._outputs[progress.request.request]
         self._attempts.pop(progress.attempt, None)
+        counters.count_request(outcome, failure)
         table = self.board.requests.value
         del table.open[progress.request.request]
         entry = requests.describe_end(progress, outcome, failure)
@@ -486,5 +496,11 @@
             },
         )
 
+    def _record_refusal(self, refusal: requests.Refusal) -> None:
+        table = self.board.requests.value
+        refusals = (*table.refusals, refusal)
+        table.refusals = refusals[-requests.RECENT_REQUESTS :]
+        self._note()
+
     def _note(self) -> None:
         self.write(self.board.requests, self.board.requests.value)
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -24,6 +24,10 @@
     request = progress.request
     inventory = board.configuration.value.configuration.inventory
     isolated = is_isolated(board, progress)
+
+    def note(found: list[candidates.Candidate]) -> None:
+        progress.considered = candidates.sample_candidates(found)
+
     return choice.choose_endpoint(
         {
             name: inventory.endpoints[name]
@@ -44,6 +48,7 @@
         board.settings.vm.availability_zone,
         progress.excluded,
         request.fingerprint if isolated else None,
+        note=note,
     )
 
 
--- a/src/bronzetrack/streaming/progress.py
+++ b/src/bronzetrack/streaming/progress.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bronzetrack.core import failures
+from bronzetrack.routing import candidates
 from bronzetrack.streaming import assembler
 from bronzetrack.streaming import calls
 from bronzetrack.streaming import messages
@@ -28,11 +29,13 @@
 class Progress:
     """A request in progress at the VM that its caller uses.
 
+    :param arrived_ms: monotonic time of arrival
     :param due_ms: monotonic time at which to route again
     :param owner_incarnation: the run of the owner that has the attempt
     :param engine_attempt: the attempt that the endpoint knows, which differs
         from the present one when that one resumes a stream
     :param excluded: endpoints on which an attempt failed
+    :param considered: endpoints that the latest choice was made from
     :param may_have_run: whether an endpoint may have got an earlier attempt
     :param isolated: whether it runs alone because an endpoint crashed with it
     :param head: start of the answer of the present attempt
@@ -48,6 +51,7 @@
     assembler: assembler.Assembler = attrs.field(
         factory=lambda: assembler.Assembler("")
     )
+    arrived_ms: int = 0
     stage: Stage = Stage.ROUTING
     due_ms: int = 0
     endpoint: str = ""
@@ -57,6 +61,7 @@
     attempts: int = 0
     resumes: int = 0
     excluded: set[str] = attrs.field(factory=set)
+    considered: tuple[candidates.Candidate, ...] = ()
     failure: failures.Failure | None = None
     may_have_run: bool = False
     isolated: bool = False
--- a/src/bronzetrack/streaming/requests.py
+++ b/src/bronzetrack/streaming/requests.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzetrack.core import failures
+from bronzetrack.routing import candidates
 from bronzetrack.streaming import calls
 from bronzetrack.streaming import outcomes
 from bronzetrack.streaming import output as outputs
@@ -28,12 +29,26 @@
     request: str
 
 
+@attrs.frozen
+class Refusal:
+    """A request that was refused on arrival.
+
+    :param adapter: as far as it is known, else empty
+    """
+
+    wall_ms: int
+    path: str
+    adapter: str
+    failure: failures.Failure
+
+
 @attrs.frozen
 class RequestEntry:
     """How a request ended.
 
     :param attempts: attempts made, with the endpoint and owner of the latest
     :param failure: why the latest attempt failed
+    :param considered: endpoints that the latest choice was made from
     """
 
     request: str
@@ -46,6 +61,7 @@
     owner: str = ""
     attempts: int = 0
     failure: failures.Failure | None = None
+    considered: tuple[candidates.Candidate, ...] = ()
 
 
 @attrs.define
@@ -57,10 +73,12 @@
 
     :param open: requests in progress by id
     :param recent: the latest requests that ended, oldest first
+    :param refusals: the latest that were refused on arrival, oldest first
     """
 
     open: dict[str, progresses.Progress] = attrs.field(factory=dict)
     recent: tuple[RequestEntry, ...] = ()
+    refusals: tuple[Refusal, ...] = ()
 
 
 def describe_end(
@@ -81,4 +99,5 @@
         owner=progress.owner,
         attempts=progress.attempts,
         failure=failure,
+        considered=progress.considered,
     )
