Test keys with daemons that are killed and paused at the claim

Cause: nothing showed the claim protocol in whole processes under failure. The log stand-in gets the fault read_delay_s, which holds a claim between append and reading.

--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from daemon import pairs
 import pytest
 
 from standins import site as sites
@@ -15,4 +16,23 @@
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
         running.wait(lambda: running.count_owned() == 4)
+        pairs.wait_keys(running)
         yield running
+
+
+@pytest.fixture
+def service_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """Two VMs, one of which owns a plain service."""
+    with sites.run_site(tmp_path, vms=2, engines=0, services=1) as running:
+        sites.publish_samples(running)
+        yield pairs.find_pair(running)
+
+
+@pytest.fixture
+def engine_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """Two VMs, one of which owns an engine."""
+    with sites.run_site(
+        tmp_path, vms=2, engines=1, services=0, token_ms=20.0
+    ) as running:
+        sites.publish_samples(running)
+        yield pairs.find_pair(running)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -22,6 +22,7 @@
 
     :param log_down: every call to the log fails
     :param log_delay_s: added to every call to the log
+    :param read_delay_s: added to every answer to a read of the log
     :param lose_answers: appends whose answer is lost after they took effect
     :param list_down: the VM list fails
     :param store_down: the weight store fails
@@ -29,6 +30,7 @@
 
     log_down: bool = False
     log_delay_s: float = 0.0
+    read_delay_s: float = 0.0
     lose_answers: int = 0
     list_down: bool = False
     store_down: bool = False
@@ -120,6 +122,7 @@
         if first >= stream.end and wait_ms:
             with anyio.move_on_after(wait_ms / 1000):
                 await stream.grown.wait()
+        await anyio.sleep(self.faults.read_delay_s)
         if self.faults.log_down:
             return responses.Response(status_code=503)
         chosen = stream.records[first - stream.start :][:limit]
