--- a/src/bronzetrack/streaming/progress.py
+++ b/src/bronzetrack/streaming/progress.py
@@ -78,6 +78,11 @@
         """The present attempt, empty before the first."""
         return self.assembler.attempt
 
+    @property
+    def adapter(self) -> str:
+        """The adapter version that the request runs on."""
+        return self.request.adapter
+
     @property
     def chunks_passed(self) -> int:
         """Chunks that the caller got; none of an answer in one piece."""
