Prove the bound on endpoints lost to one request

Cause: crash records had no test over several VMs, and a second copy of a suspect could reach an owner before the notice of the first crash. An engine that restarted answered 404 for an adapter that it had lost, which counted as a run that failed, and left a key unknown. Change: submit_work carries the crashes that the entry VM knows; 404 of an engine is a run that did not begin. A suspect waits for its endpoint to come back until its deadline; trying another one could cost two endpoints at once.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -38,6 +38,10 @@
 CANCEL_RETRY_MS = 500
 CANCEL_ATTEMPTS = 60
 CRASH_NOTE_TIMEOUT_MS = 1_000
+# The endpoint got no byte, or lacked the adapter version.
+NOT_RUN = frozenset(
+    {failures.Reason.ENDPOINT_UNREACHABLE, failures.Reason.LOAD_FAILED}
+)
 
 
 class Run:
@@ -97,6 +101,7 @@
             self._board.suspects.value,
             self._work.fingerprint,
             self._work.isolated,
+            self._work.crashes,
         )
         if unfit is not None and self._work.resume_of is None:
             await self._send_end(outcomes.Outcome.REFUSED, unfit)
@@ -130,13 +135,8 @@
     async def _relay(
         self, answer: endpoint_client.EndpointAnswer, sent_ms: int
     ) -> None:
-        if not answer.is_returned:
-            raise errors.FailureError(
-                failures.Failure(
-                    failures.Reason.ENDPOINT_REFUSED,
-                    f"the endpoint answered {answer.status}",
-                )
-            )
+        if answer.refusal is not None:
+            raise errors.FailureError(answer.refusal)
         self._result.start(answer.status, answer.content_type)
         started = messages.AnswerStarted(
             self._work.attempt, answer.status, answer.content_type
@@ -155,8 +155,8 @@
 
     async def _end_failed(self, failure: failures.Failure) -> failures.Failure:
         """Tell the entry VM what a failure says about the run."""
-        if failure.reason is failures.Reason.ENDPOINT_UNREACHABLE:
-            return await self._end_unsent(failure)
+        if failure.reason in NOT_RUN:
+            return await self._end_not_run(failure)
         if failure.reason is failures.Reason.ENDPOINT_CRASHED:
             failure = await self._examine_break(failure)
         keyed = self._work.key is not None
@@ -167,8 +167,10 @@
         await self._send_end(outcome, failure)
         return failure
 
-    async def _end_unsent(self, failure: failures.Failure) -> failures.Failure:
-        """End a run of which the endpoint got no byte."""
+    async def _end_not_run(
+        self, failure: failures.Failure
+    ) -> failures.Failure:
+        """End a run that the endpoint did not begin."""
         self._dispatched = False
         if self._claimer is None:
             await self._send_end(outcomes.Outcome.REFUSED, failure)
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -124,4 +124,7 @@
         digest=request.digest,
         issued_ms=0 if request.key is None else request.key.issued_ms,
         isolated=is_isolated(board, progress),
+        crashes=tuple(
+            sorted(board.suspects.value.list_crashes(request.fingerprint))
+        ),
     )
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -83,13 +83,19 @@
         self.has_ended = False
 
     @property
-    def is_returned(self) -> bool:
-        """Whether the caller gets this answer in place of a failure.
-
-        An engine answers 404 when the adapter version is not loaded.
-        """
-        unloaded = self.status == 404 and bool(self._work.adapter)
-        return self.status in RETURNED_STATUS and not unloaded
+    def refusal(self) -> failures.Failure | None:
+        """Why the caller does not get this answer, None if it does."""
+        if self.status == 404 and self._work.adapter:
+            return failures.Failure(
+                failures.Reason.LOAD_FAILED,
+                f"{self._work.adapter} is not loaded",
+            )
+        if self.status in RETURNED_STATUS:
+            return None
+        return failures.Failure(
+            failures.Reason.ENDPOINT_REFUSED,
+            f"the endpoint answered {self.status}",
+        )
 
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Iterate over server-sent events, or the parts of another body.
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -63,12 +63,21 @@
 
 
 def check_run(
-    table: SuspectTable, fingerprint: str, isolated: bool
+    table: SuspectTable,
+    fingerprint: str,
+    isolated: bool,
+    carried: Iterable[str] = (),
 ) -> failures.Failure | None:
-    """Return why a request may not be dispatched, None if it may."""
-    if table.is_banned(fingerprint):
+    """Return why a request may not be dispatched, None if it may.
+
+    :param carried: crashes that the entry VM knew of, whose notice may not
+        have reached this VM
+    """
+    known = table.suspects.get(fingerprint, Suspect())
+    suspected = known.suspected | (frozenset(carried) - known.cleared)
+    if len(suspected) >= CRASH_LIMIT:
         return describe_ban()
-    if table.is_suspect(fingerprint) and not isolated:
+    if suspected and not isolated:
         return failures.Failure(
             failures.Reason.ENDPOINT_REFUSED, "the request has to run alone"
         )
--- a/src/bronzetrack/streaming/messages.py
+++ b/src/bronzetrack/streaming/messages.py
@@ -26,6 +26,7 @@
     :param key: digest of the idempotency key, None if the work may repeat
     :param digest: of the request as its caller sent it, to detect a reused key
     :param isolated: whether it must run alone on the endpoint
+    :param crashes: crashes that the request may have caused
     :param resume_of: attempt to resume at the endpoint, None to start anew
     :param resume_from: number of the first chunk wanted
     """
@@ -50,6 +51,7 @@
     digest: str = ""
     issued_ms: int = 0
     isolated: bool = False
+    crashes: tuple[str, ...] = ()
     resume_of: str | None = None
     resume_from: int = 0
 
--- /dev/null
+++ b/tests/retries/test_suspects.py
@@ -0,0 +1,187 @@
+"""Tests of requests that crash the endpoints that run them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from bronzetrack.core import failures
+from bronzetrack.core import rendezvous
+from bronzetrack.retries import records
+from bronzetrack.retries import suspects
+
+VMS = 3
+ENDPOINTS = ("e0", "e1", "e2", "e3")
+BAD = "bad"
+
+
+@attrs.define
+class Site:
+    """Tables of several VMs and what runs at the endpoints they own."""
+
+    tables: list[suspects.SuspectTable] = attrs.field(
+        factory=lambda: [suspects.SuspectTable() for _ in range(VMS)]
+    )
+    notices: list[tuple[int, Any]] = attrs.field(factory=list)
+    waiting: dict[str, list[Any]] = attrs.field(
+        factory=lambda: {name: [] for name in ENDPOINTS}
+    )
+    running: dict[str, list[Any]] = attrs.field(
+        factory=lambda: {name: [] for name in ENDPOINTS}
+    )
+    crashes: int = 0
+    aware_crashes: int = 0
+    answered: int = 0
+
+    def submit(self, vm: int, fingerprint: str, endpoint: str) -> None:
+        table = self.tables[vm]
+        if table.is_banned(fingerprint):
+            return
+        crashes = table.list_crashes(fingerprint)
+        if crashes:
+            endpoint = rendezvous.rank_nodes(fingerprint, ENDPOINTS)[0]
+        self.waiting[endpoint].append((fingerprint, crashes))
+
+    def start(self, endpoint: str) -> None:
+        if not self.waiting[endpoint]:
+            return
+        fingerprint, crashes = self.waiting[endpoint][0]
+        running = self.running[endpoint]
+        if running and (crashes or running[0][1]):
+            return
+        del self.waiting[endpoint][0]
+        owner = self.tables[get_owner(endpoint)]
+        if not suspects.check_run(owner, fingerprint, bool(crashes), crashes):
+            aware = crashes | owner.list_crashes(fingerprint)
+            running.append((fingerprint, aware))
+
+    def finish(self, endpoint: str) -> None:
+        """The oldest run ends; a bad one takes the endpoint down."""
+        running = self.running[endpoint]
+        if not running:
+            return
+        fingerprint, aware = running[0]
+        if any(name == BAD for name, _ in running):
+            self._crash(endpoint)
+            return
+        del running[0]
+        self.answered += 1
+        if aware:
+            cleared = tuple(sorted(aware))
+            record = records.ClearanceRecord(fingerprint, cleared, 0)
+            self._publish(get_owner(endpoint), record)
+
+    def _crash(self, endpoint: str) -> None:
+        running = self.running[endpoint]
+        self.crashes += 1
+        self.aware_crashes += any(
+            aware for name, aware in running if name == BAD
+        )
+        names = tuple(sorted({name for name, _ in running}))
+        record = records.CrashRecord(f"c{self.crashes}", endpoint, names, 0)
+        running.clear()
+        self._publish(get_owner(endpoint), record)
+
+    def _publish(self, vm: int, record: Any) -> None:
+        self._apply(vm, record)
+        self.notices += [(other, record) for other in range(VMS)]
+
+    def _apply(self, vm: int, record: Any) -> None:
+        self.tables[vm] = suspects.apply_record(self.tables[vm], record, 0, 0)
+
+    def deliver(self, number: int) -> None:
+        """A notice arrives, in any order and perhaps a second time."""
+        if self.notices:
+            self._apply(*self.notices[number % len(self.notices)])
+
+
+def get_owner(endpoint: str) -> int:
+    return ENDPOINTS.index(endpoint) % VMS
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("submit", "run", "start", "deliver")),
+        strategies.integers(0, 30),
+        strategies.sampled_from((BAD, BAD, "good-1", "good-2")),
+        strategies.sampled_from(ENDPOINTS),
+    ),
+    min_size=20,
+    max_size=80,
+)
+
+
+@settings(max_examples=300)
+@given(STEPS)
+def test_request_costs_two_endpoints_at_most(steps):
+    """Guards against a request that takes one endpoint after another.
+
+    Runs that start before any crash is known to the VMs on their way cannot
+    be stopped. After that one more endpoint may be lost.
+    """
+    site = Site()
+    for step, number, fingerprint, endpoint in steps:
+        match step:
+            case "submit":
+                site.submit(number % VMS, fingerprint, endpoint)
+            case "run":
+                site.start(endpoint)
+                site.finish(endpoint)
+            case "start":
+                site.start(endpoint)
+            case "deliver":
+                site.deliver(number)
+    assert site.aware_crashes <= suspects.CRASH_LIMIT - 1
+
+
+def test_records_in_any_order_give_one_table():
+    """Guards against a suspect that is cleared at some VMs only."""
+    crash = records.CrashRecord("c1", "e0", ("a", "b"), 0)
+    clearance = records.ClearanceRecord("a", ("c1",), 0)
+    tables = []
+    for items in ((crash, clearance), (clearance, crash, crash)):
+        table = suspects.SuspectTable()
+        for item in items:
+            table = suspects.apply_record(table, item, 0, 0)
+        tables.append(table)
+    assert tables[0].suspects == tables[1].suspects
+    assert not tables[0].is_suspect("a")
+    assert tables[0].is_suspect("b")
+
+
+def test_table_is_bounded_and_forgets(monkeypatch):
+    """Guards against memory that grows with the crashes of a bad day."""
+    monkeypatch.setattr(suspects, "SUSPECTS", 3)
+    table = suspects.SuspectTable()
+    for number in range(5):
+        names = ("bad", f"good-{number}")
+        record = records.CrashRecord(f"c{number}", "e0", names, 0)
+        table = suspects.record_crash(table, record, number)
+    assert set(table.suspects) == {"bad", "good-3", "good-4"}
+    assert table.is_banned("bad")
+    later = records.CrashRecord("c9", "e0", ("new",), 0)
+    table = suspects.record_crash(table, later, suspects.MEMORY_MS + 9)
+    assert set(table.suspects) == {"new"}
+
+
+def test_witnesses_of_one_crash_agree_on_its_identity():
+    """Guards against one crash that counts twice."""
+    assert suspects.make_crash_id("e0", "b1", (), 5) == (
+        suspects.make_crash_id("e0", "b1", (), 9_000)
+    )
+    first = suspects.make_crash_id("s0", "", (), 5)
+    assert suspects.make_crash_id("s0", "", (first,), 900) == first
+    assert suspects.make_crash_id("s0", "", (first,), 90_000) != first
+
+
+def test_owner_counts_crashes_that_the_entry_vm_knows():
+    """Guards against a third endpoint lost while a notice is under way."""
+    record = records.CrashRecord("c2", "e0", (BAD,), 0)
+    table = suspects.record_crash(suspects.SuspectTable(), record, 0)
+    assert suspects.check_run(table, BAD, True) is None
+    failure = suspects.check_run(table, BAD, True, ("c1",))
+    assert failure.reason is failures.Reason.CRASHES_ENDPOINTS
