--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -15,7 +15,10 @@
 from bronzetrack.configuration import rules as rule_sets
 from bronzetrack.core import failures
 from bronzetrack.core import rendezvous
+from bronzetrack.dispatch import context as contexts
 from bronzetrack.dispatch import events
+from bronzetrack.dispatch import loads as load_plans
+from bronzetrack.dispatch import pace as paces
 from bronzetrack.dispatch import placement
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
@@ -26,6 +29,7 @@
 from bronzetrack.limits import usage
 from bronzetrack.membership import messages as membership
 from bronzetrack.membership import summaries
+from bronzetrack.retries import policy as retry_policy
 from bronzetrack.routing import candidates
 from bronzetrack.routing import choice
 from bronzetrack.streaming import messages
@@ -54,6 +58,7 @@
     ended_ms: float | None = None
     stalled_ms: float | None = None
     refusal: str = ""
+    attempts: int = 0
     excluded: set[str] = attrs.field(factory=set)
 
 
@@ -64,8 +69,11 @@
     name: str
     zone: str
     permits: transfers.Permits
-    short: dict[str, int] = attrs.field(factory=dict)
+    plans: dict[str, load_plans.LoadPlan] = attrs.field(factory=dict)
     needed: int = 0
+    budget: retry_policy.RetryBudget = attrs.field(
+        factory=retry_policy.RetryBudget
+    )
     placements: dict[str, placement.Placement] = attrs.field(factory=dict)
     recent: collections.deque[str] = attrs.field(
         factory=lambda: collections.deque(maxlen=requests.RECENT_REQUESTS)
@@ -132,6 +140,8 @@
         for index, vm in enumerate(self.vms.values()):
             self._beat(vm, index * HEARTBEAT_MS / len(self.vms))
             self._step(vm, index * STEP_MS / len(self.vms))
+        for name in self.endpoints:
+            self._watch(name)
         for outcome in self.outcomes:
             entry = self.vms[self._chance.choice(list(self.vms))]
             self.timeline.call_at(
@@ -233,6 +243,9 @@
         if isinstance(chosen, failures.Failure):
             outcome.refusal = chosen.reason.value
             return
+        if not outcome.attempts:
+            entry.budget = entry.budget.credit()
+        outcome.attempts += 1
         entry.in_flight[chosen.endpoint] += 1
         entry.recent.append(outcome.arrival.adapter)
         outcome.endpoint = chosen.endpoint
@@ -311,6 +324,7 @@
             body=b"",
             timeout_ms=rule.queue_timeout_ms,
             cost=arrival.cost,
+            stream=True,
         )
         item = states.Waiting(work, entry.name, int(self.timeline.now_ms))
         self.queues[name] = transitions.enqueue(queue, item)
@@ -325,6 +339,26 @@
 
         self.timeline.call_at(self.timeline.now_ms + after_ms, act)
 
+    def _watch(self, name: str) -> None:
+        """Tell the owner of the speed of the streams at an endpoint."""
+        engine = self.engines[name]
+        busy_ms, progress = engine.busy_ms, engine.progress
+
+        def act() -> None:
+            engine.advance()
+            made = engine.progress - progress
+            if made > 0:
+                queue = self.queues[name]
+                seen = paces.observe(
+                    queue.pace,
+                    (engine.busy_ms - busy_ms) / made,
+                    int(self.timeline.now_ms),
+                )
+                self.queues[name] = attrs.evolve(queue, pace=seen)
+            self._watch(name)
+
+        self.timeline.call_at(self.timeline.now_ms + paces.PART_MS, act)
+
     def _beat(self, vm: Vm, after_ms: float) -> None:
         def act() -> None:
             vm.heartbeat_ms = self.timeline.now_ms
@@ -356,6 +390,13 @@
         vm = self.owners[name]
         self._refresh(vm)
         now_ms = int(self.timeline.now_ms)
+        if self.policy not in NAIVE:
+            self.queues[name] = transitions.judge_pace(
+                self.queues[name],
+                vm.placements.get(name, placement.Placement()).paces,
+                self.endpoints[name].slots,
+                now_ms,
+            )
         plan = planner.plan_endpoint(
             self.queues[name], self._make_context(name, vm), now_ms
         )
@@ -363,16 +404,16 @@
             self._refuse(name, attempt, failure)
         for attempt in plan.start:
             self._start(name, vm, attempt)
-        for adapter in plan.load:
+        for adapter in plan.loads.load:
             self._load(name, vm, adapter)
-        for adapter in plan.unload:
+        for adapter in plan.loads.unload:
             self.queues[name] = transitions.drop_resident(
                 self.queues[name], adapter
             )
-        if plan.unload:
+        if plan.loads.unload:
             self._advance(name)
             return
-        vm.short[name] = plan.short
+        vm.plans[name] = plan.loads
         self._ask(vm)
 
     def _count_places(self, vm: Vm) -> int:
@@ -388,7 +429,8 @@
     def _ask(self, vm: Vm) -> None:
         if self.policy in NAIVE:
             return
-        vm.needed = min(sum(vm.short.values()), self._count_places(vm))
+        short = sum(plan.short for plan in vm.plans.values())
+        vm.needed = min(short, self._count_places(vm))
         peers = [name for name in self.vms if name != vm.name]
         vm.permits, question = transfers.ask(
             vm.permits, vm.name, peers, vm.needed, int(self.timeline.now_ms)
@@ -415,7 +457,7 @@
     def _later(self, action: Callable[[], None]) -> None:
         self.timeline.call_at(self.timeline.now_ms + HOP_MS, action)
 
-    def _make_context(self, name: str, vm: Vm) -> planner.EndpointContext:
+    def _make_context(self, name: str, vm: Vm) -> contexts.EndpointContext:
         whole = int(vm.permits.bucket.tokens)
         permits = min(self._count_places(vm), whole)
         known: dict[str, float] = {}
@@ -426,7 +468,7 @@
                 if other is not vm
             ]
             known = usage.add_remote(vm.usage, peers)
-        return planner.EndpointContext(
+        return contexts.EndpointContext(
             endpoint=self.endpoints[name],
             rules=self._rules,
             may_load=True,
@@ -441,18 +483,34 @@
         if self.policy in NAIVE:
             return
         demand = placement.count_demand(vm.recent)
+        normal = [
+            name
+            for name, owner in self.owners.items()
+            if not owner.reported[name].slow
+        ]
         for name, owner in self.owners.items():
             if owner is not vm:
                 continue
-            elsewhere = itertools.chain.from_iterable(
-                report.warm
-                for peer in self.vms.values()
-                for other, report in peer.reported.items()
-                if other != name
+            elsewhere = frozenset(
+                itertools.chain.from_iterable(
+                    report.warm
+                    for peer in self.vms.values()
+                    for other, report in peer.reported.items()
+                    if other != name
+                )
             )
             vm.placements[name] = placement.Placement(
-                placement.list_wanted(name, self.endpoints, demand),
-                frozenset(elsewhere),
+                placement.list_wanted(name, normal, demand, elsewhere),
+                elsewhere,
+                tuple(
+                    (
+                        self.queues[other].pace.chunk_ms
+                        if self.owners[other] is vm
+                        else self.owners[other].reported[other].chunk_ms
+                    )
+                    for other in self.endpoints
+                    if other != name
+                ),
             )
 
     def _refuse(
@@ -466,6 +524,15 @@
         self.vms[item.sender].in_flight[name] -= 1
         outcome = self.outcomes[int(attempt)]
         outcome.refusal = failure.reason.value
+        entry = self.vms[item.sender]
+        if retry_policy.may_retry(
+            failure, outcome.attempts, True, 0, entry.budget
+        ):
+            entry.budget = entry.budget.debit()
+            outcome.refusal = ""
+            outcome.excluded.add(name)
+            self._later(lambda: self._route(outcome, entry))
+            return
         if outcome.stalled_ms is not None and not outcome.stalled_ms:
             outcome.stalled_ms = self.timeline.now_ms - item.queued_ms
 
--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -10,10 +10,11 @@
 from bronzetrack.configuration import state as configuration_state
 from bronzetrack.core import controllers
 from bronzetrack.membership import lifecycle
-from bronzetrack.ownership import leases
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 100
+# So many failed reads in a row count as an outage of the log.
+OUTAGE_READS = 3
 
 
 @controllers.CONTROLLERS.register("lifecycle")
@@ -49,7 +50,7 @@
                 before,
                 self._stop_requested,
                 self._is_configured(),
-                self.board.ownership.value.caught_up,
+                self._is_caught_up(),
                 now_ms - busy_ms,
                 self.board.settings.limits.drain_ms,
             )
@@ -71,13 +72,36 @@
         offset = self.board.configuration.value.configuration.offset
         return offset != configuration_state.NO_OFFSET
 
-    def _is_busy(self) -> bool:
-        owned = leases.list_owned(
-            self.board.ownership.value, self.board.incarnation
+    def _is_caught_up(self) -> bool:
+        """Return whether ownership is known as far as it can be.
+
+        In an outage of the log a VM that has the configuration of a peer
+        still takes calls, and routes them by the heartbeats of owners.
+        """
+        failed_reads = self.board.configuration.value.failed_reads
+        return (
+            self.board.ownership.value.caught_up
+            or failed_reads >= OUTAGE_READS
         )
+
+    def _is_busy(self) -> bool:
         queues = self.board.dispatch.value.endpoints.values()
         return bool(
-            owned
+            self._has_unreleased()
             or self.board.requests.value.open
             or any(queue.is_busy for queue in queues)
         )
+
+    def _has_unreleased(self) -> bool:
+        """Return whether a release has yet to be read back.
+
+        Without a lease, as in an outage of the log, others claim the
+        endpoints anyway, and the stop does not wait for the log.
+        """
+        ownership = self.board.ownership.value
+        if self.read_clock().monotonic_ms >= ownership.held_until_ms:
+            return False
+        return any(
+            owner.incarnation == self.board.incarnation
+            for owner in ownership.owners.values()
+        )
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -16,7 +16,9 @@
 from bronzetrack.core import clock
 from bronzetrack.http import callers
 from bronzetrack.http import operators
+from bronzetrack.streaming import calls
 from bronzetrack.streaming import outcomes
+from bronzetrack.streaming import output as outputs
 from bronzetrack.streaming import requests
 from bronzetrack.wire import documents
 
@@ -57,7 +59,7 @@
     headers: dict[str, str]
     body: bytes
     read_bytes: int
-    served: list[requests.CallerRequest]
+    served: list[calls.CallerRequest]
 
 
 Call = Callable[..., Reply]
@@ -109,9 +111,10 @@
     application: Any,
     method: str,
     target: bytes,
-    body: Iterable[bytes],
+    body: Iterable[bytes | None],
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Reply:
+    """Call an application; None within a body is a disconnect."""
     path, _, query = target.partition(b"?")
     scope = {
         "type": "http",
@@ -126,19 +129,26 @@
         "client": ("127.0.0.1", 5),
         "server": ("127.0.0.1", 8000),
     }
-    parts: Iterator[bytes] = iter(body)
+    parts: Iterator[bytes | None] = iter(body)
     sent: list[dict[str, Any]] = []
-    served: list[requests.CallerRequest] = []
+    served: list[calls.CallerRequest] = []
     read_bytes = 0
+    body_ended = False
 
     async def receive() -> dict[str, Any]:
-        nonlocal read_bytes
-        part = next(parts, None)
-        read_bytes += len(part or b"")
+        nonlocal read_bytes, body_ended
+        if body_ended:
+            # A server has nothing more to say until the caller disconnects.
+            await anyio.sleep_forever()
+        part = next(parts, b"")
+        if part is None:
+            return {"type": "http.disconnect"}
+        read_bytes += len(part)
+        body_ended = part == b""
         return {
             "type": "http.request",
-            "body": part or b"",
-            "more_body": part is not None,
+            "body": part,
+            "more_body": part != b"",
         }
 
     async def send(message: dict[str, Any]) -> None:
@@ -162,7 +172,7 @@
 
 
 async def answer_requests(
-    board: boards.Blackboard, served: list[requests.CallerRequest]
+    board: boards.Blackboard, served: list[calls.CallerRequest]
 ) -> None:
     """Complete each request, in place of the requests controller."""
     intake = board.mailboxes["intake"]
@@ -173,7 +183,7 @@
                 continue
             served.append(item.request)
             item.output.post(
-                requests.Started("engine-0", "vm-1", 200, "text/plain")
+                outputs.Started("engine-0", "vm-1", 200, "text/plain")
             )
-            item.output.post(requests.Chunk(b"whole"))
-            item.output.post(requests.Ended(outcomes.Outcome.COMPLETED))
+            item.output.post_chunk(b"whole")
+            item.output.post(outputs.Ended(outcomes.Outcome.COMPLETED))
