--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -6,6 +6,7 @@
 from typing import Any
 import uuid
 
+import anyio
 import attrs
 
 from bronzetrack.controllers import submission
@@ -29,6 +30,9 @@
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 250
+# A wake-up costs more than a chunk, so chunks of other streams that arrive
+# meanwhile are taken along; 52 ms are allowed between tokens.
+GATHER_MS = 2
 ROUTE_RETRY_MS = 250
 # A suspect may run at one endpoint only and waits for it to come back.
 ISOLATED_RETRY_MS = 1_000
@@ -47,6 +51,7 @@
         self._swept_ms = 0
         while True:
             await self._wait_event()
+            await anyio.sleep(GATHER_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
             for item in self.board.mailboxes["intake"].take():
                 self._take_in(item, now_ms)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import json
 import os
@@ -19,6 +21,7 @@
 
 TESTS = pathlib.Path(__file__).parent.parent
 STOP_TIMEOUT_S = 20.0
+LOG_LINES = 5
 TIMEOUTS = ("connect", "read", "write", "pool")
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -59,12 +62,17 @@
     checks_fencing: bool = False
     process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def url(self) -> str:
+        return f"http://{self.host}:{self.port}"
+
 
 @attrs.define
 class Site:
     """Everything that runs, and where.
 
     :param folder: for settings files and logs
+    :param profile: whether daemons write a profile when they stop
     """
 
     folder: pathlib.Path
@@ -74,7 +82,9 @@
     processes: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
     adapter_slots: int = 8
     token_ms: float = 5.0
+    slots: int = 8
     extra_settings: str = ""
+    profile: bool = False
 
     @property
     def platform_url(self) -> str:
@@ -91,6 +101,10 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
+                # Modules of a working directory would hide installed ones.
+                cwd=self.folder,
+                # Ctrl-C reaches the script alone, which then ends the rest.
+                start_new_session=True,
             )
         self.processes.append(process)
         return process
@@ -124,8 +138,11 @@
         if endpoint.checks_fencing:
             command.append("--checks-fencing")
         endpoint.process = self.start(endpoint.name, *command)
-        url = f"http://{endpoint.host}:{endpoint.port}/statistics"
-        self.wait(lambda: fetch("GET", url) is not None)
+
+    def wait_endpoints(self) -> None:
+        """Wait until every endpoint answers."""
+        for item in self.endpoints.values():
+            self.wait(lambda: fetch("GET", f"{item.url}/load") is not None)
 
     def add_vm(self, name: str, zone: str, host: str) -> Vm:
         ports = [find_port(host) for _ in range(3)]
@@ -150,8 +167,11 @@
 
     def start_vm(self, vm: Vm) -> None:
         path = self.write_settings(vm)
+        profiler = ["-m", "cProfile", "-o", f"{vm.name}.profile"]
         vm.process = self.start(
-            vm.name, "-m", "bronzetrack.daemon", "--config", str(path)
+            vm.name,
+            *(profiler if self.profile else []),
+            *("-m", "bronzetrack.daemon", "--config", str(path)),
         )
 
     def get_state(self, vm: Vm, section: str) -> Any:
@@ -162,18 +182,36 @@
     def count_owned(self) -> int:
         """Return how many endpoints have an owner that lives."""
         living = [vm for vm in self.vms.values() if is_running(vm)]
-        owners = self.get_state(living[0], "ownership")["owners"]
+        if not living:
+            raise SiteError(f"no daemon runs\n{self.read_log_ends()}")
+        ownership = self.get_state(living[0], "ownership") or {"owners": {}}
         names = {vm.name for vm in living}
-        return sum(owner["vm"] in names for owner in owners.values())
+        return sum(
+            owner["vm"] in names for owner in ownership["owners"].values()
+        )
 
-    def wait(self, condition: Any, timeout_s: float = 30.0) -> None:
+    def read_log_ends(self) -> str:
+        """Return the last lines that each daemon logged."""
+        return "\n".join(
+            f"{name}: {line}"
+            for name in self.vms
+            for line in (self.folder / f"{name}.log")
+            .read_text()
+            .splitlines()[-LOG_LINES:]
+        )
+
+    def wait(
+        self, condition: Callable[[], Any], timeout_s: float = 30.0
+    ) -> None:
         """Wait until a condition holds."""
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             if condition():
                 return
             time.sleep(0.05)
-        raise SiteError("timeout while waiting for a condition")
+        raise SiteError(
+            f"timeout while waiting for a condition\n{self.read_log_ends()}"
+        )
 
     def make_inventory(
         self, adapters: int = 12, member: str = "trust"
@@ -200,7 +238,7 @@
                     "base_model": (
                         "base" if endpoint.kind == "engine" else ""
                     ),
-                    "slots": 8,
+                    "slots": self.slots,
                     "adapter_slots": self.adapter_slots,
                     "checks_fencing": endpoint.checks_fencing,
                 }
@@ -251,10 +289,28 @@
             extensions={"timeout": timeouts},
         )
 
+    def set_faults(self, **faults: Any) -> None:
+        """Switch the faults of the platform; what is not named is off."""
+        fetch("PUT", f"{self.platform_url}/faults", faults)
+
+    def is_serving(self, name: str) -> bool:
+        """Return whether a daemon serves in its own and each other's view."""
+        living = [vm for vm in self.vms.values() if is_running(vm)]
+        for vm in living:
+            section = "lifecycle" if vm.name == name else "membership"
+            value = self.get_state(vm, section)
+            if value is not None and section == "membership":
+                value = value["vms"].get(name)
+                if value is None or not value["connected"]:
+                    return False
+            if value is None or value["status"] != "serving":
+                return False
+        return True
+
     def count_runs(self, text: str) -> int:
         """Return how often endpoints ran requests that hold a text."""
         statistics = [
-            fetch("GET", f"http://{item.host}:{item.port}/statistics")
+            fetch("GET", f"{item.url}/statistics")
             for item in self.endpoints.values()
         ]
         return sum(
@@ -276,10 +332,14 @@
 
 def publish_samples(site: Site) -> None:
     """Publish the sample inventory and rules with the command-line tool."""
-    documents = {
-        "inventory": site.make_inventory(),
-        "rules": site.make_rules(),
-    }
+    publish_documents(
+        site,
+        {"inventory": site.make_inventory(), "rules": site.make_rules()},
+    )
+
+
+def publish_documents(site: Site, documents: dict[str, Any]) -> None:
+    """Publish documents by kind with the command-line tool."""
     for kind, document in documents.items():
         path = site.folder / f"{kind}.json"
         path.write_text(json.dumps(document))
@@ -323,12 +383,23 @@
     return json.loads(answer.content) if answer.content else {}
 
 
+def exit_on_signals() -> None:
+    """Let the usual signals raise SystemExit, so that clean-up runs."""
+
+    def leave(number: int, frame: Any) -> None:
+        raise SystemExit(128 + number)
+
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, leave)
+
+
 @contextlib.contextmanager
 def run_site(
     folder: pathlib.Path,
     vms: int = 3,
     engines: int = 3,
     services: int = 1,
+    endpoint_zones: Sequence[str] = ZONES,
     **options: Any,
 ) -> Iterator[Site]:
     """Run a site; whatever happens, end what it started."""
@@ -341,13 +412,14 @@
             site.start_endpoint(
                 EndpointProcess(
                     f"{kind}-{index}",
-                    ZONES[index % len(ZONES)],
+                    endpoint_zones[index % len(endpoint_zones)],
                     host,
                     find_port(host),
                     kind,
                     checks_fencing=index % 2 == 0,
                 )
             )
+        site.wait_endpoints()
         for index in range(vms):
             zone = ZONES[index % len(ZONES)]
             site.add_vm(f"vm-{index}", zone, f"127.0.2.{index + 1}")
