--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -175,12 +175,13 @@
                 return
 
     def _apply_event(self, event: Any, now_ms: int) -> None:
+        if isinstance(event, events.RunEnded):
+            self._scopes.pop(event.attempt, None)
         queue = self.board.dispatch.value.endpoints.get(event.endpoint)
         if queue is None:
             return
         match event:
             case events.RunEnded():
-                self._scopes.pop(event.attempt, None)
                 queue = transitions.finish(queue, event.attempt, now_ms)
             case events.ChunksPassed():
                 pace = paces.observe(queue.pace, event.chunk_ms, now_ms)
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -14,7 +14,6 @@
 from starlette import responses
 from starlette import routing
 
-from bronzetrack.core import blackboard
 from bronzetrack.core import clock
 from bronzetrack.core import failures
 from bronzetrack.http import answers
@@ -26,14 +25,15 @@
 from bronzetrack.membership import view as views
 from bronzetrack.metrics import counters
 from bronzetrack.routing import entries
+from bronzetrack.streaming import calls
 from bronzetrack.streaming import outcomes
+from bronzetrack.streaming import output as outputs
 from bronzetrack.streaming import requests
 
 if TYPE_CHECKING:
     from bronzetrack import board as boards
 
 LOG = logging.getLogger(__name__)
-OUTPUT_EVENTS = 65_536
 # A model name may be as long as a body; the record of a refusal is bounded.
 NOTED_CHARACTERS = 200
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -169,7 +169,7 @@
     async def _serve(
         self,
         request: http_requests.Request,
-        checked: requests.CallerRequest | failures.Failure,
+        checked: calls.CallerRequest | failures.Failure,
     ) -> responses.Response:
         if isinstance(checked, failures.Failure):
             return self._refuse(request, checked)
@@ -183,15 +183,7 @@
         unsendable = targets.check_sendable(checked)
         if unsendable is not None:
             return self._refuse(request, unsendable, checked)
-        if self.board.suspects.value.is_banned(checked.fingerprint):
-            failure = failures.Failure(
-                failures.Reason.CRASHES_ENDPOINTS,
-                "endpoints crashed each time they ran this request",
-            )
-            return self._refuse(request, failure, checked)
-        output: blackboard.Mailbox[object] = blackboard.Mailbox(
-            checked.request, OUTPUT_EVENTS
-        )
+        output = outputs.Output(checked.request)
         intake_box = self.board.mailboxes["intake"]
         if not intake_box.post(requests.Exchange(checked, output)):
             failure = failures.Failure(
@@ -200,16 +192,19 @@
                 retry_after_ms=1_000,
             )
             return self._refuse(request, failure, checked)
-        abandoned = requests.Abandoned(checked.request)
+
+        def abandon() -> None:
+            intake_box.post(requests.Abandoned(checked.request))
+
         return await answers.make_answer(
-            checked, output, lambda: _ignore(intake_box.post(abandoned))
+            checked, output, abandon, request.receive
         )
 
     def _refuse(
         self,
         request: http_requests.Request,
         failure: failures.Failure,
-        checked: requests.CallerRequest | None = None,
+        checked: calls.CallerRequest | None = None,
     ) -> responses.Response:
         """Answer and record a request that is refused on arrival."""
         counters.count_request(outcomes.Outcome.REFUSED, failure)
@@ -256,7 +251,3 @@
                 failures.Reason.CANCELLED, "disconnected within the body"
             )
         return failure or bytes(body)
-
-
-def _ignore(result: object) -> None:
-    """Drop a result that does not matter."""
--- a/src/bronzetrack/http/targets.py
+++ b/src/bronzetrack/http/targets.py
@@ -7,7 +7,7 @@
 from starlette import requests as http_requests
 
 from bronzetrack.core import failures
-from bronzetrack.streaming import requests
+from bronzetrack.streaming import calls
 
 # Larger numbers do not fit a message to a peer, and no engine has them.
 LARGEST_COST_TOKENS = 1_000_000
@@ -26,7 +26,7 @@
 
 
 def check_sendable(
-    checked: requests.CallerRequest,
+    checked: calls.CallerRequest,
 ) -> failures.Failure | None:
     """Return why a request could not be passed on to an endpoint."""
     if checked.cost > LARGEST_COST_TOKENS:
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -145,3 +145,13 @@
     there can be no successor.
     """
     return now_ms < state.held_until_ms or not state.log_reachable
+
+
+def may_dispatch_once(
+    state: OwnershipState, endpoint: str, incarnation: str, now_ms: int
+) -> bool:
+    """Return whether this VM may dispatch work that must not be repeated."""
+    owner = state.owners.get(endpoint)
+    if owner is None or owner.incarnation != incarnation:
+        return False
+    return endpoint not in state.given_up and now_ms < state.held_until_ms
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 from collections.abc import AsyncIterator
 import json
 import os
@@ -31,6 +32,7 @@
     done: bool = False
     cancelled: bool = False
     grown: anyio.Event = attrs.field(factory=anyio.Event)
+    task: asyncio.Task[None] | None = None
 
     def add(self, event: bytes) -> None:
         self.events.append(event)
@@ -114,8 +116,10 @@
         job = Job(model)
         self.jobs[request.headers.get("request-id", uuid.uuid4().hex)] = job
         if fields.get("stream"):
+            # A job runs on when its connection breaks, and can be resumed.
+            job.task = asyncio.create_task(self._generate(job, tokens))
             return responses.StreamingResponse(
-                self._generate(job, tokens), media_type="text/event-stream"
+                self._replay(job, 0), media_type="text/event-stream"
             )
         await anyio.sleep(tokens * self.token_s)
         job.finish()
@@ -128,7 +132,7 @@
             }
         )
 
-    async def _generate(self, job: Job, tokens: int) -> AsyncIterator[bytes]:
+    async def _generate(self, job: Job, tokens: int) -> None:
         for index in range(tokens):
             await anyio.sleep(self.token_s)
             if job.cancelled:
@@ -140,10 +144,8 @@
             }
             event = b"data: " + json.dumps(fields).encode() + b"\n\n"
             job.add(event)
-            yield event
         job.add(b"data: [DONE]\n\n")
         job.finish()
-        yield b"data: [DONE]\n\n"
 
     async def cancel(self, request: requests.Request) -> responses.Response:
         job = self.jobs.get(request.path_params["id"])
