--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -34,6 +34,7 @@
 from bronzetrack.routing import candidates
 from bronzetrack.routing import choice
 from bronzetrack.streaming import messages
+from bronzetrack.streaming import outcomes
 from bronzetrack.streaming import requests
 
 HOP_MS = 1.0
@@ -544,9 +545,18 @@
         outcome = self.outcomes[int(attempt)]
         outcome.refusal = failure.reason.value
         entry = self.vms[item.sender]
-        if retry_policy.may_retry(
-            failure, outcome.attempts, True, 0, entry.budget
-        ):
+        failed = retry_policy.FailedAttempt(
+            outcome=outcomes.Outcome.REFUSED,
+            failure=failure,
+            lost=False,
+            repeatable=True,
+            resumable=False,
+            isolated=False,
+            attempts=outcome.attempts,
+            resumes=0,
+            chunks_passed=0,
+        )
+        if retry_policy.may_retry(failed, entry.budget):
             entry.budget = entry.budget.debit()
             outcome.refusal = ""
             outcome.excluded.add(name)
