Enforce warm quotas

Cause: the voted number of adapters that a member keeps warm was read and checked, and limited nothing. Change: each VM counts loaded versions by member from the heartbeats; a member without room displaces its own least recently used adapter, work that could only exceed the quota is refused as warm_quota with the limit's name, and one VM evicts what loads of the same second brought too much. A quota can be exceeded until the next heartbeat, by as many loads as the token rate allows.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -258,6 +258,7 @@
             ),
             load_permits=self._permits.count(),
             placement=self._placements.get(name),
+            quotas=self._placements.quotas,
             may_prefetch=self.board.permits.value.may_prefetch(),
             usage=usage.add_remote(
                 state.usage, self.board.membership.value.vms.values()
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -7,6 +7,7 @@
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.dispatch import placement
+from bronzetrack.limits import quotas as quota_views
 from bronzetrack.membership import messages
 from bronzetrack.membership import summaries
 
@@ -26,6 +27,7 @@
         self._board = board
         self._renewed_ms: int | None = None
         self._placements: dict[str, placement.Placement] = {}
+        self.quotas = quota_views.QuotaView()
 
     def get(self, name: str) -> placement.Placement:
         """Return the placement of an owned endpoint."""
@@ -41,6 +43,7 @@
         entries = (*table.recent, *table.open.values())
         demand = placement.count_demand(entry.adapter for entry in entries)
         known = self._list_summaries()
+        self.quotas = self._judge_quotas()
         self._placements = {
             name: self._place(name, demand, known)
             for name in self._board.dispatch.value.endpoints
@@ -85,6 +88,31 @@
             tuple(summary.chunk_ms for summary in others.values()),
         )
 
+    def _judge_quotas(self) -> quota_views.QuotaView:
+        configuration = self._board.configuration.value.configuration
+        loaded = {
+            vm.vm: [
+                adapter
+                for summary in vm.endpoints.values()
+                for adapter in summary.warm
+            ]
+            for vm in self._board.membership.value.vms.values()
+        }
+        loaded[self._board.vm] = [
+            adapter
+            for queue in self._board.dispatch.value.endpoints.values()
+            for adapter in queue.residents
+        ]
+        adapters = configuration.inventory.adapters
+        members = {
+            version: adapters[version.rpartition("@")[0]].owner
+            for version in itertools.chain(*loaded.values())
+            if version.rpartition("@")[0] in adapters
+        }
+        return quota_views.judge_quotas(
+            configuration.rules.members, loaded, members, self._board.vm
+        )
+
     def _list_summaries(self) -> dict[str, messages.EndpointSummary]:
         """Return the newest summary of every endpoint that has an owner."""
         remote = (
--- a/src/bronzetrack/dispatch/context.py
+++ b/src/bronzetrack/dispatch/context.py
@@ -9,6 +9,7 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.configuration import rules as rule_sets
 from bronzetrack.dispatch import placement as placements
+from bronzetrack.limits import quotas as quota_views
 
 DEFAULT_CLASS = rule_sets.ClassRule()
 
@@ -23,6 +24,7 @@
     :param may_unload: whether orders that need the lease are allowed
     :param load_permits: loads that may start now
     :param usage: cost by member over all VMs
+    :param quotas: warm quotas of the members
     :param may_prefetch: whether the store has loads to spare
     """
 
@@ -35,6 +37,7 @@
     may_start: bool = True
     usage: dict[str, float] = attrs.field(factory=dict)
     placement: placements.Placement = attrs.field(factory=placements.Placement)
+    quotas: quota_views.QuotaView = attrs.field(factory=quota_views.QuotaView)
     may_prefetch: bool = False
 
 
--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -34,10 +34,16 @@
     """Return what to load for waiting work, or ahead of it."""
     if not context.may_load:
         return LoadPlan()
-    missing = rank_missing(queue, waiting, now_ms)
+    missing, displaced = _apply_quotas(queue, context, waiting, now_ms)
     if missing:
         load, unload = _choose_loads(queue, context, missing)
-        return LoadPlan(load, unload, _count_short(queue, context, missing))
+        return LoadPlan(
+            load,
+            tuple(dict.fromkeys((*unload, *displaced))),
+            _count_short(queue, context, missing),
+        )
+    if displaced:
+        return LoadPlan(unload=tuple(displaced))
     if not context.may_prefetch:
         return LoadPlan()
     wanted = [
@@ -48,6 +54,49 @@
     return LoadPlan(*_choose_loads(queue, context, wanted[:1]))
 
 
+def _apply_quotas(
+    queue: states.EndpointQueue,
+    context: contexts.EndpointContext,
+    waiting: Sequence[states.Waiting],
+    now_ms: int,
+) -> tuple[list[str], list[str]]:
+    """Return the missing adapters within quota and what has to go first.
+
+    A member without room displaces its own least recently used adapter. Its
+    load follows once the eviction is counted.
+    """
+    view = context.quotas
+    members = {item.work.adapter: item.work.member for item in waiting}
+    missing = rank_missing(queue, waiting, now_ms)
+    full = {members[name] for name in missing} - {
+        member for member in members.values() if view.has_room(member)
+    }
+    wanted = [name for name in missing if members[name] not in full]
+    if not context.may_unload:
+        return wanted, []
+    due = {**{member: 1 for member in full}, **view.excess}
+    evictable = list_evictable(queue)
+    return wanted, [
+        name
+        for member, count in due.items()
+        for name in view.pick(evictable, member)[:count]
+    ]
+
+
+def is_over_quota(
+    queue: states.EndpointQueue,
+    context: contexts.EndpointContext,
+    adapter: str,
+    member: str,
+) -> bool:
+    """Return whether a load would exceed a quota and nothing here can go."""
+    if not adapter or adapter in queue.residents:
+        return False
+    if context.quotas.has_room(member):
+        return False
+    return not context.quotas.pick(queue.residents, member)
+
+
 def rank_missing(
     queue: states.EndpointQueue,
     waiting: Sequence[states.Waiting],
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -130,9 +130,16 @@
                 reason,
                 "the endpoint cannot run the request now",
                 retry_after_ms=1_000,
+                limit=_name_limit(reason, item),
             )
 
 
+def _name_limit(reason: failures.Reason, item: states.Waiting) -> str | None:
+    if reason is failures.Reason.WARM_QUOTA:
+        return f"members.{item.work.member}.warm_adapters"
+    return None
+
+
 def _find_strand_reason(
     queue: states.EndpointQueue,
     context: contexts.EndpointContext,
@@ -146,9 +153,10 @@
         return failures.Reason.ENDPOINT_UNREACHABLE
     adapter = item.work.adapter
     failed = adapter in queue.load_retry_ms and adapter not in queue.residents
-    if failed and adapter in context.placement.elsewhere:
+    over = load_plans.is_over_quota(queue, context, adapter, item.work.member)
+    if (failed or over) and adapter in context.placement.elsewhere:
         return failures.Reason.LOAD_FAILED
-    return None
+    return failures.Reason.WARM_QUOTA if over else None
 
 
 def rank_waiting(
--- /dev/null
+++ b/src/bronzetrack/limits/quotas.py
@@ -0,0 +1,96 @@
+"""Warm quotas: how many adapter versions a member may keep loaded.
+
+Every VM counts from the heartbeats, so that loads of the last second may
+exceed a quota. One VM then evicts what is too much.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from bronzetrack.configuration import rules as rule_sets
+
+
+@attrs.frozen
+class QuotaView:
+    """How far members are from their quotas, over all VMs.
+
+    :param room: versions that a member may still load; a member without a
+        rule is not in it and has no quota
+    :param excess: versions that this VM has to evict, by member
+    :param members: the member of each loaded adapter version
+    """
+
+    room: Mapping[str, int] = attrs.field(factory=dict)
+    excess: Mapping[str, int] = attrs.field(factory=dict)
+    members: Mapping[str, str] = attrs.field(factory=dict)
+
+    def has_room(self, member: str) -> bool:
+        """Return whether a member may load one more version."""
+        return self.room.get(member, 1) > 0
+
+    def pick(self, adapters: Iterable[str], member: str) -> list[str]:
+        """Return the adapter versions of a member among some."""
+        return [name for name in adapters if self.members.get(name) == member]
+
+
+def judge_quotas(
+    rules: Mapping[str, rule_sets.MemberRule],
+    loaded: Mapping[str, Iterable[str]],
+    members: Mapping[str, str],
+    vm: str,
+) -> QuotaView:
+    """Return the view of one VM.
+
+    :param loaded: adapter versions that the endpoints of each VM have loaded,
+        one entry a copy
+    :param members: the member of each adapter version
+    """
+    counts = {
+        name: _count_members(adapters, members)
+        for name, adapters in loaded.items()
+    }
+    totals = {
+        member: sum(count.get(member, 0) for count in counts.values())
+        for member in rules
+    }
+    over = {
+        member: total - rules[member].warm_adapters
+        for member, total in totals.items()
+        if total > rules[member].warm_adapters
+    }
+    return QuotaView(
+        room={
+            member: max(0, rules[member].warm_adapters - total)
+            for member, total in totals.items()
+        },
+        excess={
+            member: count
+            for member, count in over.items()
+            if _choose_evictor(counts, member) == vm
+        },
+        members=members,
+    )
+
+
+def _count_members(
+    adapters: Iterable[str], members: Mapping[str, str]
+) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for adapter in adapters:
+        member = members.get(adapter, "")
+        counts[member] = counts.get(member, 0) + 1
+    return counts
+
+
+def _choose_evictor(
+    counts: Mapping[str, Mapping[str, int]], member: str
+) -> str:
+    """Return the VM with the most versions of a member.
+
+    If all evicted, a member would lose as many times too much.
+    """
+    return max(counts, key=lambda vm: (counts[vm].get(member, 0), vm))
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -12,6 +12,7 @@
 from bronzetrack.dispatch import placement as placements
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
+from bronzetrack.limits import quotas
 from bronzetrack.streaming import messages
 
 
@@ -103,3 +104,28 @@
     warm = placements.Placement(elsewhere=frozenset({"a@1"}))
     beside = attrs.evolve(context, placement=warm)
     assert list_refusals(cold, beside) == [("t1", failures.Reason.LOAD_FAILED)]
+
+
+def test_member_without_room_displaces_its_own_adapter(queue, context):
+    """Guards against a load beyond the quota, and against other members."""
+    idle = states.Resident(states.ResidentPhase.READY, 0)
+    cold = attrs.evolve(
+        queue, residents={"b@1": idle, "c@1": idle}, fenced=True
+    )
+    view = quotas.QuotaView({"m": 0}, {}, {"b@1": "m", "c@1": "other"})
+    full = attrs.evolve(context, quotas=view)
+    plan = planner.plan_endpoint(cold, full, 0)
+    assert plan.loads.load == ()
+    assert plan.loads.unload == ("b@1",)
+    assert plan.refuse == ()
+
+
+def test_work_beyond_the_quota_is_refused_by_name(queue, context):
+    """Guards against a wait for a load that the quota never allows."""
+    cold = attrs.evolve(queue, residents={})
+    full = attrs.evolve(context, quotas=quotas.QuotaView({"m": 0}))
+    plan = planner.plan_endpoint(cold, full, 0)
+    ((attempt, failure),) = plan.refuse
+    assert failure.reason is failures.Reason.WARM_QUOTA
+    assert failure.limit == "members.m.warm_adapters"
+    assert plan.loads.load == ()
