Take work that was handed back from no retry budget

Cause: an endpoint that leaves, dies or turns slow hands back its queue, up to 256 requests at once; the budget holds 10 retries, so that most callers would have been refused although no endpoint had done anything. Change: refused attempts are tried again without the budget, up to the bound on attempts.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -281,7 +281,7 @@
             case retry_policy.Recovery.RETRY:
                 if lost:
                     self._cancel(progress)
-                self._retry(progress, now_ms)
+                self._retry(progress, outcome, now_ms)
             case retry_policy.Recovery.WAIT:
                 progress.stage = progresses.Stage.ROUTING
                 progress.due_ms = now_ms + ISOLATED_RETRY_MS
@@ -292,8 +292,14 @@
             case retry_policy.Recovery.END:
                 self._close(progress, outcome, failure)
 
-    def _retry(self, progress: progresses.Progress, now_ms: int) -> None:
-        self._budget = self._budget.debit()
+    def _retry(
+        self,
+        progress: progresses.Progress,
+        outcome: outcomes.Outcome,
+        now_ms: int,
+    ) -> None:
+        if outcome is not outcomes.Outcome.REFUSED:
+            self._budget = self._budget.debit()
         progress.excluded.add(progress.endpoint)
         progress.stage = progresses.Stage.ROUTING
         if submission.is_isolated(self.board, progress):
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -114,7 +114,9 @@
     """Return whether another attempt may be made from the start.
 
     An attempt that was refused did nothing, so that work under a key may be
-    tried again after it and only after it.
+    tried again after it and only after it. It cost no endpoint anything
+    either, so it takes nothing from the budget: an endpoint that leaves hands
+    back its whole queue at once.
     """
     refused = failed.outcome is outcomes.Outcome.REFUSED
     return (
@@ -122,5 +124,5 @@
         and failed.chunks_passed == 0
         and failed.attempts < ATTEMPTS
         and failed.failure.reason in RETRIED
-        and budget.tokens >= 1
+        and (refused or budget.tokens >= 1)
     )
