Refuse settings that cannot keep the store's limit

Cause: a VM took one load in flight even if its share of the store's limit was below one, so that more expected VMs than loads would exceed the limit (found by two reviews). Change: such settings are a mistake, and the share is used as it is. Measured: pytest tests/settings tests/limits tests/bench green.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -444,7 +444,7 @@
             for resident in queue.residents.values()
         )
         limit = self.workload.store_limit // EXPECTED_VMS
-        return max(0, max(1, limit) - loading)
+        return max(0, limit - loading)
 
     def _ask(self, vm: Vm) -> None:
         if self.policy in NAIVE:
--- a/src/bronzetrack/controllers/permits.py
+++ b/src/bronzetrack/controllers/permits.py
@@ -58,7 +58,7 @@
             for resident in queue.residents.values()
         )
         share = self._store.in_flight // self._store.expected_vms
-        return max(0, max(1, share) - loading)
+        return max(0, share - loading)
 
     def request(self, short: int, now_ms: int) -> None:
         """Ask a peer for the tokens that waiting loads lack.
--- a/src/bronzetrack/settings/checks.py
+++ b/src/bronzetrack/settings/checks.py
@@ -10,6 +10,7 @@
 
 from bronzetrack.core import registry
 from bronzetrack.settings import mistakes
+from bronzetrack.settings import model
 
 # Values by section and key; those that are invalid by themselves are absent.
 Values = Mapping[tuple[str, str], Any]
@@ -109,3 +110,22 @@
                 f"is the address of [listen] {own[address]};"
                 " give that of the platform's service",
             )
+
+
+@CHECKS.register("store_divides")
+def check_store(values: Values) -> Iterator[mistakes.Mistake]:
+    """Find more VMs than loads that may be in flight.
+
+    Each VM has a whole share of the loads in flight. A share of less than
+    one load would either stop all loads or exceed the limit of the store.
+    """
+    store = model.StoreSettings()
+    in_flight = values.get(("weight_store", "in_flight"), store.in_flight)
+    vms = values.get(("weight_store", "expected_vms"), store.expected_vms)
+    if vms > in_flight:
+        yield mistakes.make_invalid(
+            "weight_store",
+            "expected_vms",
+            str(vms),
+            f"at most [weight_store] in_flight, which is {in_flight}",
+        )
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -97,3 +97,12 @@
 def test_reference_page_is_current():
     """Guards against a page that differs from the classes."""
     assert PAGE.read_text(encoding="utf-8") == reference.write_reference()
+
+
+def test_more_vms_than_loads_in_flight_are_refused(good):
+    """Guards against loads that exceed the limit of the weight store."""
+    text = good + "\n[weight_store]\nin_flight = 7\n"
+    (mistake,) = loader.load_settings(text)
+    assert mistake.key == "expected_vms"
+    fitting = text + "expected_vms = 7\n"
+    assert isinstance(loader.load_settings(fitting), model.Settings)
