Name the owner of the warm endpoint in look-ups without a version

Cause: the look-up compared the name that a caller gives with name@version, so that a caller without a version never got the warm owner (found with the demo, which only ever printed 'rendezvous'). Change: the look-up resolves the current version first.

--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -14,6 +14,7 @@
 from starlette import responses
 from starlette import routing
 
+from bronzetrack.configuration import resolver
 from bronzetrack.core import clock
 from bronzetrack.core import failures
 from bronzetrack.http import answers
@@ -80,7 +81,7 @@
         self, request: http_requests.Request
     ) -> responses.Response:
         """Answer which VMs a caller should use."""
-        model = request.query_params.get("model", "")
+        model = self._resolve(request.query_params.get("model", ""))
         now_ms = self.read_clock().monotonic_ms
         view = self.board.membership.value
         serving = views.list_serving(view, now_ms)
@@ -109,6 +110,15 @@
             }
         )
 
+    def _resolve(self, model: str) -> str:
+        """Return the adapter version that a look-up means, if there is one."""
+        resolved = resolver.resolve_model(
+            self.board.configuration.value.configuration, model
+        )
+        if isinstance(resolved, failures.Failure):
+            return model
+        return resolved.adapter
+
     def _is_warm_here(self, model: str) -> bool:
         return any(
             model in queue.residents
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -5,6 +5,8 @@
 import json
 import time
 
+from standins import site as sites
+
 
 def test_request_runs_on_named_version(site):
     """Guards against an answer of another version than the one named."""
@@ -29,3 +31,18 @@
     for vm in site.vms.values():
         site.send("trust-3", vm=vm, headers=headers, prompt="stage once")
     assert site.count_runs("stage once") == 1
+
+
+def test_lookup_names_the_owner_of_the_warm_endpoint(site):
+    """Guards against an extra hop for a caller that names no version."""
+    answer = site.send("trust-1", max_tokens=4)
+    warm = dict(answer.headers)[b"bronzetrack-vm"].decode()
+
+    def lists_warm_owner_first() -> bool:
+        found = sites.fetch(
+            "GET", f"http://{site.vms[warm].callers}/v1/entry?model=trust-1"
+        )
+        first = found["entries"][0]
+        return (first["vm"], first["reason"]) == (warm, "owns_warm_endpoint")
+
+    site.wait(lists_warm_owner_first)
