Pass the voted rank to the engine as its priority

Cause: engines honour priorities, but the rank ordered the owner's queue only; within a batch, long work stood equal to that of duty pilots, and a caller's own priority field went through. Change: the body that the engine gets has the rank as its priority. Measured: pytest tests/http tests/docs, green; no run with an engine that schedules by priority. Conclusion: kept; its effect on waits is not measured.

--- a/src/bronzetrack/http/intake.py
+++ b/src/bronzetrack/http/intake.py
@@ -54,9 +54,7 @@
     cost = fields.get("max_tokens", DEFAULT_COST_TOKENS)
     if not isinstance(cost, int) or isinstance(cost, bool) or cost < 1:
         return _refuse("max_tokens is not a positive whole number")
-    # The version is fixed here, so that one published while the request
-    # waits does not change what it runs on.
-    sent = json.dumps({**fields, "model": resolved.adapter}).encode()
+    sent = _write_body(fields, resolved.adapter, configuration, work_class)
     return calls.CallerRequest(
         request=uuid.uuid4().hex,
         member=resolved.member,
@@ -158,6 +156,23 @@
     return keys.check_key(member, key, headers.get(ISSUED_HEADER), now.wall_ms)
 
 
+def _write_body(
+    fields: Mapping[str, Any],
+    adapter: str,
+    configuration: state.Configuration,
+    work_class: str,
+) -> bytes:
+    """Return the body that the engine gets.
+
+    The version is fixed here, so that one published while the request waits
+    does not change what it runs on. The priority is the voted rank, whatever
+    the caller asks for.
+    """
+    rank = configuration.rules.classes[work_class].rank
+    sent = {**fields, "model": adapter, "priority": rank}
+    return json.dumps(sent).encode()
+
+
 def _dump_content(fields: Mapping[str, Any]) -> bytes:
     return _dump_sorted(
         {
