Read the first load report as soon as an endpoint is gained

Cause: an owner loads nothing before the first report of an engine, and the round of reports is a second apart; the demo's first cold request after the start took 1,261 ms to its first token. Change: a report is read at once for each endpoint that is gained. The two methods that marked an adapter before its order are one now, and a rule of the planner has a plainer name.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -97,6 +97,10 @@
         if gained or len(kept) != len(state.endpoints):
             state = attrs.evolve(state, endpoints={**kept, **gained})
             self.write(self.board.dispatch, state)
+        # Nothing is loaded before the first report, and the next round of
+        # reports may be a second away.
+        for name in gained:
+            self._group.start_soon(self._orders.read_report, name)
 
     def _set_queue(self, name: str, queue: states.EndpointQueue) -> None:
         state = self.board.dispatch.value
@@ -233,9 +237,12 @@
         for attempt in plan.start:
             self._start(name, endpoint, attempt, now_ms)
         for adapter in plan.loads.load:
-            self._load(name, endpoint, adapter, now_ms)
+            self._mark(name, adapter, states.ResidentPhase.LOADING, now_ms)
+            self._permits.take()
+            self._orders.load(name, endpoint, adapter)
         for adapter in plan.loads.unload:
-            self._unload(name, endpoint, adapter, now_ms)
+            self._mark(name, adapter, states.ResidentPhase.UNLOADING, now_ms)
+            self._orders.unload(name, endpoint, adapter)
         return plan.loads
 
     def _make_context(
@@ -316,35 +323,15 @@
         )
         self._group.start_soon(run.execute, scope)
 
-    def _load(
+    def _mark(
         self,
         name: str,
-        endpoint: inventories.Endpoint,
-        adapter: str,
-        now_ms: int,
-    ) -> None:
-        queue = transitions.set_resident(
-            self.board.dispatch.value.endpoints[name],
-            adapter,
-            states.ResidentPhase.LOADING,
-            now_ms,
-        )
-        self._set_queue(name, queue)
-        self._permits.take()
-        self._orders.load(name, endpoint, adapter)
-
-    def _unload(
-        self,
-        name: str,
-        endpoint: inventories.Endpoint,
         adapter: str,
+        phase: states.ResidentPhase,
         now_ms: int,
     ) -> None:
-        queue = transitions.set_resident(
-            self.board.dispatch.value.endpoints[name],
-            adapter,
-            states.ResidentPhase.UNLOADING,
-            now_ms,
+        """Note the phase of an adapter before its order is sent."""
+        queue = self.board.dispatch.value.endpoints[name]
+        self._set_queue(
+            name, transitions.set_resident(queue, adapter, phase, now_ms)
         )
-        self._set_queue(name, queue)
-        self._orders.unload(name, endpoint, adapter)
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -121,10 +121,11 @@
         while True:
             async with anyio.create_task_group() as group:
                 for name in self._board.dispatch.value.endpoints:
-                    group.start_soon(self._read_report, name)
+                    group.start_soon(self.read_report, name)
             await anyio.sleep(REPORT_INTERVAL_MS / 1000)
 
-    async def _read_report(self, name: str) -> None:
+    async def read_report(self, name: str) -> None:
+        """Read the load report of one endpoint, if it is an engine."""
         inventory = self._board.configuration.value.configuration.inventory
         endpoint = inventory.endpoints.get(name)
         if endpoint is None:
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -40,7 +40,7 @@
     refused = [
         *_find_timeouts(queue, context.rules, now_ms),
         *_find_misplaced(queue),
-        *_find_stranded(queue, context),
+        *_find_unservable(queue, context),
     ]
     gone = {attempt for attempt, _ in refused}
     waiting = [
@@ -116,7 +116,7 @@
             )
 
 
-def _find_stranded(
+def _find_unservable(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> Iterator[tuple[str, failures.Failure]]:
     """Send queued work to other endpoints if it could only wait here.
@@ -124,7 +124,7 @@
     Isolated work stays, since all VMs send it to the same endpoint.
     """
     for item in queue.waiting:
-        reason = _find_strand_reason(queue, context, item)
+        reason = _find_unservable_reason(queue, context, item)
         if reason is not None:
             yield item.work.attempt, failures.Failure(
                 reason,
@@ -140,7 +140,7 @@
     return None
 
 
-def _find_strand_reason(
+def _find_unservable_reason(
     queue: states.EndpointQueue,
     context: contexts.EndpointContext,
     item: states.Waiting,
