Say with a stored answer which VM and endpoint made it

Cause: the demo printed no endpoint and no VM for the second answer under one key, since the record of the result did not hold them. Change: two fields of key_result; they are empty in older records.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -454,6 +454,8 @@
             settled.result.content_type,
         )
         progress.parts = [settled.result.answer or b""]
+        progress.owner = settled.result.vm
+        progress.endpoint = settled.result.endpoint
         self._close(progress, settled.outcome, None)
 
     def _is_gone(
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -72,7 +72,7 @@
         self._has_reader = True
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
-        self._result = _ResultCollector(work)
+        self._result = _ResultCollector(work, board.vm)
         self._claimer: claiming.KeyClaimer | None = None
         if work.key is not None and work.resume_of is None:
             self._claimer = claiming.KeyClaimer(
@@ -307,6 +307,7 @@
     """Collects what the log keeps of a run under a key."""
 
     _work: messages.SubmitWork
+    _vm: str
     _status: int = 0
     _content_type: str = ""
     _parts: list[bytes] = attrs.field(factory=list)
@@ -340,4 +341,6 @@
             status=self._status,
             content_type=self._content_type,
             answer=b"".join(self._parts) if kept else None,
+            vm=self._vm,
+            endpoint=self._work.endpoint,
         )
--- a/src/bronzetrack/idempotency/records.py
+++ b/src/bronzetrack/idempotency/records.py
@@ -52,6 +52,7 @@
     :param outcome: an `streaming.outcomes.Outcome` value
     :param status: HTTP status of the answer
     :param answer: the whole answer if it is small enough, else None
+    :param vm: the VM that dispatched it, for the headers of a stored answer
     """
 
     key: str
@@ -60,3 +61,5 @@
     status: int
     content_type: str
     answer: bytes | None
+    vm: str = ""
+    endpoint: str = ""
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -28,9 +28,18 @@
         "Idempotency-Key": "stage-1",
         "Idempotency-Issued-At": str(int(time.time() * 1000)),
     }
-    for vm in site.vms.values():
+    answers = [
         site.send("trust-3", vm=vm, headers=headers, prompt="stage once")
+        for vm in site.vms.values()
+    ]
     assert site.count_runs("stage once") == 1
+    names = (b"bronzetrack-vm", b"bronzetrack-endpoint")
+    served = {
+        tuple(dict(answer.headers)[name] for name in names)
+        for answer in answers
+    }
+    assert len(served) == 1
+    assert len({answer.content for answer in answers}) == 1
 
 
 def test_lookup_names_the_owner_of_the_warm_endpoint(site):
