Move the settling of keys out of the requests controller

Change: beginning to wait for a key's records and asking for the outcome are functions of their own module; behaviour is the same.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -9,14 +9,12 @@
 import anyio
 import attrs
 
+from bronzetrack.controllers import settling
 from bronzetrack.controllers import submission
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
-from bronzetrack.idempotency import records as key_records
-from bronzetrack.idempotency import requests as key_requests
 from bronzetrack.idempotency import settlement
-from bronzetrack.membership import view as views
 from bronzetrack.metrics import counters
 from bronzetrack.retries import policy as retry_policy
 from bronzetrack.retries import suspects as suspect_tables
@@ -398,50 +396,23 @@
 
         :param void: whether a claim that is not in the log yet is prevented
         """
-        key = progress.request.key
-        if key is None:
-            return
-        progress.stage = progresses.Stage.SETTLING
-        progress.settling_ms = now_ms
-        left_ms = max(0, progress.request.deadline_ms - now_ms)
-        wait_ms = min(settlement.RESULT_WAIT_MS, left_ms)
-        if void:
-            wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
-            record = key_records.KeyVoid(
-                key=key.digest,
-                incarnation=self.board.incarnation,
-                attempt=progress.attempt,
-                issued_ms=key.issued_ms,
-            )
-            request = key_requests.AppendKey(record)
-            self.board.mailboxes["keys"].post(request)
-        progress.settle_until_ms = now_ms + wait_ms
+        settling.begin(self.board, progress, now_ms, void)
         self._note()
 
     def _settle_all(self, now_ms: int) -> None:
+        wall_ms = self.read_clock().wall_ms
         for progress in list(self._open.values()):
-            if progress.stage is progresses.Stage.SETTLING:
-                self._check_settled(progress, now_ms)
+            if progress.stage is not progresses.Stage.SETTLING:
+                continue
+            settled = settling.check(self.board, progress, now_ms, wall_ms)
+            if settled is not None:
+                self._close_settled(progress, settled)
 
-    def _check_settled(
-        self, progress: progresses.Progress, now_ms: int
+    def _close_settled(
+        self, progress: progresses.Progress, settled: settlement.Settlement
     ) -> None:
-        request = progress.request
-        if request.key is None:
-            return
-        entry = self.board.keys.value.entries.get(request.key.digest)
-        settled = settlement.settle_key(
-            entry,
-            request.key,
-            request.digest,
-            entry is not None
-            and self._is_gone(entry.incarnation, progress, now_ms),
-            now_ms >= progress.settle_until_ms,
-            self.read_clock().wall_ms,
-        )
-        if settled is None:
-            return
-        if settled.result is None or progress.begun:
+        result = settled.result
+        if result is None or progress.begun:
             failure = settled.failure or failures.Failure(
                 failures.Reason.ANSWER_INCOMPLETE,
                 "the answer was lost after its first part",
@@ -449,30 +420,13 @@
             self._close(progress, settled.outcome, failure)
             return
         progress.head = messages.AnswerStarted(
-            progress.attempt,
-            settled.result.status,
-            settled.result.content_type,
+            progress.attempt, result.status, result.content_type
         )
-        progress.parts = [settled.result.answer or b""]
-        progress.owner = settled.result.vm
-        progress.endpoint = settled.result.endpoint
+        progress.parts = [result.answer or b""]
+        progress.owner = result.vm
+        progress.endpoint = result.endpoint
         self._close(progress, settled.outcome, None)
 
-    def _is_gone(
-        self, incarnation: str, progress: progresses.Progress, now_ms: int
-    ) -> bool:
-        """Return whether a claimant can no longer record a result.
-
-        A VM that has just started has not heard from all others yet.
-        """
-        if now_ms - progress.settling_ms < views.SUSPECT_AFTER_MS:
-            return False
-        living = {self.board.incarnation} | {
-            state.incarnation
-            for state in self.board.membership.value.vms.values()
-        }
-        return incarnation not in living
-
     def _close(
         self,
         progress: progresses.Progress,
--- /dev/null
+++ b/src/bronzetrack/controllers/settling.py
@@ -0,0 +1,83 @@
+"""Requests whose outcome is left to the records of their key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bronzetrack.idempotency import records
+from bronzetrack.idempotency import requests
+from bronzetrack.idempotency import settlement
+from bronzetrack.membership import view as views
+from bronzetrack.streaming import progress as progresses
+
+if TYPE_CHECKING:
+    from bronzetrack import board as boards
+
+
+def begin(
+    board: boards.Blackboard,
+    progress: progresses.Progress,
+    now_ms: int,
+    void: bool,
+) -> None:
+    """Wait for the records of the key from now on.
+
+    :param void: whether a claim that is not in the log yet is prevented
+    """
+    key = progress.request.key
+    if key is None:
+        return
+    progress.stage = progresses.Stage.SETTLING
+    progress.settling_ms = now_ms
+    left_ms = max(0, progress.request.deadline_ms - now_ms)
+    wait_ms = min(settlement.RESULT_WAIT_MS, left_ms)
+    if void:
+        wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
+        record = records.KeyVoid(
+            key=key.digest,
+            incarnation=board.incarnation,
+            attempt=progress.attempt,
+            issued_ms=key.issued_ms,
+        )
+        board.mailboxes["keys"].post(requests.AppendKey(record))
+    progress.settle_until_ms = now_ms + wait_ms
+
+
+def check(
+    board: boards.Blackboard,
+    progress: progresses.Progress,
+    now_ms: int,
+    wall_ms: int,
+) -> settlement.Settlement | None:
+    """Return how the request ended, None while that is open."""
+    request = progress.request
+    if request.key is None:
+        return None
+    entry = board.keys.value.entries.get(request.key.digest)
+    return settlement.settle_key(
+        entry,
+        request.key,
+        request.digest,
+        entry is not None
+        and _is_gone(board, entry.incarnation, progress, now_ms),
+        now_ms >= progress.settle_until_ms,
+        wall_ms,
+    )
+
+
+def _is_gone(
+    board: boards.Blackboard,
+    incarnation: str,
+    progress: progresses.Progress,
+    now_ms: int,
+) -> bool:
+    """Return whether a claimant can no longer record a result.
+
+    A VM that has just started has not heard from all others yet.
+    """
+    if now_ms - progress.settling_ms < views.SUSPECT_AFTER_MS:
+        return False
+    living = {board.incarnation} | {
+        state.incarnation for state in board.membership.value.vms.values()
+    }
+    return incarnation not in living
