Give the platform stand-in an address of its own

Cause: one set-up of a process test failed while two suites ran at once. A listener on 127.0.0.1 takes a port that an outgoing connection may take between the choice of the port and the start of the process; this is the likely cause, it was not reproduced. Change: the stand-in listens on 127.0.3.1, from which nothing connects. Measured: tests/daemon/test_process.py and test_exits.py, 6 passed.

--- a/tests/daemon/test_exits.py
+++ b/tests/daemon/test_exits.py
@@ -32,7 +32,7 @@
     """Settings with free ports and a platform that does not answer."""
     text = good
     for port in ("8000", "8001", "8002", "9000"):
-        text = text.replace(f":{port}", f":{sites.find_port()}")
+        text = text.replace(f":{port}", f":{sites.find_port('127.0.0.1')}")
     path = tmp_path / "vm.ini"
     path.write_text(text)
     return path
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -30,7 +30,12 @@
     """The site did not reach an expected state in time."""
 
 
-def find_port(host: str = "127.0.0.1") -> int:
+# Outgoing connections on loopback come from 127.0.0.1, whose ports they take
+# at any moment; listeners of the site have addresses of their own.
+PLATFORM_HOST = "127.0.3.1"
+
+
+def find_port(host: str = PLATFORM_HOST) -> int:
     """Return a port that the system says is free."""
     with socket.socket() as probe:
         probe.bind((host, 0))
@@ -88,7 +93,7 @@
 
     @property
     def platform_url(self) -> str:
-        return f"http://127.0.0.1:{self.platform_port}"
+        return f"http://{PLATFORM_HOST}:{self.platform_port}"
 
     def start(self, name: str, *command: str) -> subprocess.Popen[bytes]:
         """Start a process whose output goes into the folder."""
@@ -114,6 +119,8 @@
             "platform",
             "-m",
             "standins.platform",
+            "--host",
+            PLATFORM_HOST,
             "--port",
             str(self.platform_port),
         )
