Refuse an attempt once and build no heartbeat to route a request

Cause: read-through of the whole change. A waiting attempt to which two reasons applied was refused twice, the second message to nobody; each routing decision built a whole heartbeat for the summaries in it; a constant had no user. Change: refusals are kept by attempt, with the timeout counting before the others as before; summaries.summarize_owned serves routing, placement and the heartbeat; the constant is gone.

--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -383,7 +383,7 @@
             choice.collect_reports(
                 board.ownership.value,
                 board.membership.value,
-                summaries.make_heartbeat(board).endpoints,
+                summaries.summarize_owned(board),
                 board.vm,
                 board.incarnation,
                 1,
--- a/src/bronzetrack/configuration/records.py
+++ b/src/bronzetrack/configuration/records.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from bronzetrack.configuration import state
 from bronzetrack.core import records
 
 STREAM = "configuration"
@@ -53,6 +52,3 @@
     offset: int
     through: int
     data: bytes
-
-
-EMPTY_BASE = state.NO_OFFSET
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -119,7 +119,7 @@
             vm.endpoints.items()
             for vm in self._board.membership.value.vms.values()
         )
-        own = summaries.make_heartbeat(self._board).endpoints
+        own = summaries.summarize_owned(self._board)
         return dict(itertools.chain(*remote, own.items()))
 
 
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -37,7 +37,7 @@
         choice.collect_reports(
             board.ownership.value,
             board.membership.value,
-            summaries.make_heartbeat(board).endpoints,
+            summaries.summarize_owned(board),
             board.vm,
             board.incarnation,
             now_ms,
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import itertools
 
 import attrs
 
@@ -37,28 +38,31 @@
     queue: states.EndpointQueue, context: contexts.EndpointContext, now_ms: int
 ) -> Plan:
     """Return the effects that are due for one endpoint."""
-    refused = [
-        *_find_timeouts(queue, context.rules, now_ms),
-        *_find_misplaced(queue),
-        *_find_unservable(queue, context),
-    ]
-    gone = {attempt for attempt, _ in refused}
+    # Each attempt is refused once; of several reasons the last one counts.
+    refusals = dict(
+        itertools.chain(
+            _find_unservable(queue, context),
+            _find_misplaced(queue),
+            _find_timeouts(queue, context.rules, now_ms),
+        )
+    )
+    refused = tuple(refusals.items())
     waiting = [
         item
         for item in rank_waiting(queue, context, now_ms)
-        if item.work.attempt not in gone
+        if item.work.attempt not in refusals
     ]
     if _lacks_fence(queue, context):
         due = now_ms >= queue.fence_retry_ms
         return Plan(
-            refuse=tuple(refused), fence=min(queue.residents) if due else None
+            refuse=refused, fence=min(queue.residents) if due else None
         )
     started = (
         _choose_starts(queue, context, waiting) if context.may_start else ()
     )
     return Plan(
         start=tuple(started),
-        refuse=tuple(refused),
+        refuse=refused,
         loads=load_plans.plan_loads(queue, context, waiting, now_ms),
     )
 
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -14,28 +14,34 @@
 
 def make_heartbeat(board: boards.Blackboard) -> messages.Heartbeat:
     """Return the heartbeat of the present state."""
-    dispatch = board.dispatch.value
-    inventory = board.configuration.value.configuration.inventory
-    ownership = board.ownership.value
-    owned = leases.list_owned(ownership, board.incarnation)
     return messages.Heartbeat(
         vm=board.vm,
         incarnation=board.incarnation,
         status=board.lifecycle.value.status,
         configuration_offset=board.configuration.value.configuration.offset,
-        endpoints={
-            name: summarize_endpoint(
-                dispatch.endpoints.get(name, dispatch_state.EndpointQueue()),
-                inventory.endpoints[name].slots,
-                name in ownership.draining,
-            )
-            for name in owned
-            if name in inventory.endpoints
-        },
-        usage=dict(dispatch.usage),
+        endpoints=summarize_owned(board),
+        usage=dict(board.dispatch.value.usage),
     )
 
 
+def summarize_owned(
+    board: boards.Blackboard,
+) -> dict[str, messages.EndpointSummary]:
+    """Return the summaries of the endpoints that this VM owns."""
+    queues = board.dispatch.value.endpoints
+    endpoints = board.configuration.value.configuration.inventory.endpoints
+    ownership = board.ownership.value
+    return {
+        name: summarize_endpoint(
+            queues.get(name, dispatch_state.EndpointQueue()),
+            endpoints[name].slots,
+            name in ownership.draining,
+        )
+        for name in leases.list_owned(ownership, board.incarnation)
+        if name in endpoints
+    }
+
+
 def summarize_endpoint(
     queue: dispatch_state.EndpointQueue, slots: int, draining: bool
 ) -> messages.EndpointSummary:
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -129,3 +129,12 @@
     assert failure.reason is failures.Reason.WARM_QUOTA
     assert failure.limit == "members.m.warm_adapters"
     assert plan.loads.load == ()
+
+
+def test_attempt_is_refused_once(queue, context):
+    """Guards against two ends of one attempt for two reasons at once."""
+    leaving = attrs.evolve(context, leaving=True)
+    plan = planner.plan_endpoint(queue, leaving, 10_000)
+    ((attempt, failure),) = plan.refuse
+    assert attempt == "t1"
+    assert failure.reason is failures.Reason.QUEUE_TIMEOUT
