Wait until all daemons answer before a test reads from them

Cause: run_site started the daemons and returned at once. Publishing the samples was usually slow enough to hide this.

Change: run_site returns when every daemon answers. get_state raises NoAnswerError instead of returning None, and Site.wait takes that for "not yet". Each test run has a loopback network of its own, so that two runs at the same time do not take each other's ports; this was suspected for an earlier flaky set-up.

That equal ports caused the earlier failure is not shown.

--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -24,14 +24,13 @@
     sites.fetch("PUT", f"{site.platform_url}/faults", faults)
 
 
-def get_status(site: sites.Site, vm: sites.Vm) -> str | None:
-    state = site.get_state(vm, "lifecycle")
-    return None if state is None else state["status"]
+def get_status(site: sites.Site, vm: sites.Vm) -> str:
+    return site.get_state(vm, "lifecycle")["status"]
 
 
 def list_owners(site: sites.Site, vm: sites.Vm) -> dict[str, tuple[str, int]]:
     """Return owner and fencing number by endpoint as one VM sees them."""
-    owners = (site.get_state(vm, "ownership") or {"owners": {}})["owners"]
+    owners = site.get_state(vm, "ownership")["owners"]
     return {
         name: (owner["vm"], owner["fencing"]) for name, owner in owners.items()
     }
@@ -69,7 +68,7 @@
     wait_settled(site, set(site.vms))
     before = site.get_state(site.vms["vm-0"], "configuration")
     set_faults(site, log_down=True)
-    vm = site.add_vm("vm-3", "zone-d", "127.0.2.4")
+    vm = site.add_vm("vm-3", "zone-d", f"{sites.NETWORK}.2.4")
     site.start_vm(vm)
     site.wait(lambda: get_status(site, vm) == "serving")
     found = site.get_state(vm, "configuration")
@@ -92,7 +91,7 @@
         end = statistics["streams"][stream]
         url = f"{site.platform_url}/streams/{stream}/truncate"
         sites.fetch("POST", url, {"start": end})
-    vm = site.add_vm("vm-4", "zone-d", "127.0.2.5")
+    vm = site.add_vm("vm-4", "zone-d", f"{sites.NETWORK}.2.5")
     site.start_vm(vm)
     site.wait(lambda: get_status(site, vm) == "serving")
     site.wait(lambda: list_owners(site, vm) == before)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -30,9 +30,16 @@
     """The site did not reach an expected state in time."""
 
 
+class NoAnswerError(Exception):
+    """A daemon does not answer; it may not have started yet."""
+
+
 # Outgoing connections on loopback come from 127.0.0.1, whose ports they take
-# at any moment; listeners of the site have addresses of their own.
-PLATFORM_HOST = "127.0.3.1"
+# at any moment; listeners of the site have addresses of their own. Runs at
+# the same time are on different networks, since a port that was found free
+# could be taken by the other run before it is bound.
+NETWORK = f"127.{os.getpid() % 254 + 1}"
+PLATFORM_HOST = f"{NETWORK}.3.1"
 
 
 def find_port(host: str = PLATFORM_HOST) -> int:
@@ -181,17 +188,27 @@
             *("-m", "bronzetrack.daemon", "--config", str(path)),
         )
 
+    def wait_vms(self) -> None:
+        """Wait until every daemon answers."""
+        for vm in self.vms.values():
+            self.wait(lambda vm=vm: self.get_state(vm, "vm"))
+
     def get_state(self, vm: Vm, section: str) -> Any:
-        """Return the value of a section of a daemon, None if it is down."""
+        """Return the value of a section of a daemon.
+
+        :raises NoAnswerError: if the daemon does not answer
+        """
         answer = fetch("GET", f"http://{vm.operators}/state/{section}")
-        return None if answer is None else answer["value"]
+        if answer is None:
+            raise NoAnswerError(f"{vm.name} does not answer")
+        return answer["value"]
 
     def count_owned(self) -> int:
         """Return how many endpoints have an owner that lives."""
         living = [vm for vm in self.vms.values() if is_running(vm)]
         if not living:
             raise SiteError(f"no daemon runs\n{self.read_log_ends()}")
-        ownership = self.get_state(living[0], "ownership") or {"owners": {}}
+        ownership = self.get_state(living[0], "ownership")
         names = {vm.name for vm in living}
         return sum(
             owner["vm"] in names for owner in ownership["owners"].values()
@@ -205,8 +222,7 @@
         living = {name: vm for name, vm in self.vms.items() if is_running(vm)}
         views = [self.get_state(vm, "ownership") for vm in living.values()]
         return all(
-            view is not None
-            and name in view["owners"]
+            name in view["owners"]
             and view["owners"][name]["vm"] in living
             and living[view["owners"][name]["vm"]].zone == endpoint.zone
             for view in views
@@ -226,11 +242,15 @@
     def wait(
         self, condition: Callable[[], Any], timeout_s: float = 30.0
     ) -> None:
-        """Wait until a condition holds."""
+        """Wait until a condition holds.
+
+        A condition that a daemon does not answer does not hold yet.
+        """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            if condition():
-                return
+            with contextlib.suppress(NoAnswerError):
+                if condition():
+                    return
             time.sleep(0.05)
         raise SiteError(
             f"timeout while waiting for a condition\n{self.read_log_ends()}"
@@ -322,11 +342,11 @@
         for vm in living:
             section = "lifecycle" if vm.name == name else "membership"
             value = self.get_state(vm, section)
-            if value is not None and section == "membership":
+            if section == "membership":
                 value = value["vms"].get(name)
                 if value is None or not value["connected"]:
                     return False
-            if value is None or value["status"] != "serving":
+            if value["status"] != "serving":
                 return False
         return True
 
@@ -431,7 +451,7 @@
         site.start_platform()
         kinds = ["engine"] * engines + ["service"] * services
         for index, kind in enumerate(kinds):
-            host = f"127.0.1.{index + 1}"
+            host = f"{NETWORK}.1.{index + 1}"
             site.start_endpoint(
                 EndpointProcess(
                     f"{kind}-{index}",
@@ -445,9 +465,10 @@
         site.wait_endpoints()
         for index in range(vms):
             zone = ZONES[index % len(ZONES)]
-            site.add_vm(f"vm-{index}", zone, f"127.0.2.{index + 1}")
+            site.add_vm(f"vm-{index}", zone, f"{NETWORK}.2.{index + 1}")
         for vm in list(site.vms.values()):
             site.start_vm(vm)
+        site.wait_vms()
         yield site
     finally:
         site.stop()
