Name every call on arrival and bound the time of its body

Cause: answers to calls that were refused before they were checked had no Bronzetrack-Request-Id, although the design promises it for every response, so that operators could not find them in the logs. A caller that stopped within the body held one of limits.open_requests without an end.

Change: a middleware around the callers' listener gives each call its id and puts it on the answer, errors of the router and faults included; the refusal in the dump and in the log has the same id. New setting limits.body_timeout_ms (30 s) and reason body_timeout (408). After it and after body_too_large the connection is closed, since the rest of the body is unread. Slow request heads are still bounded by uvicorn alone.

--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -433,6 +433,7 @@
 
     def read() -> Any:
         return intake.read_completion(
+            uuid.uuid4().hex,
             state.configuration,
             "/v1/completions",
             {},
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -17,6 +17,7 @@
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
     INTERNAL_ERROR = "internal_error"
     # Idempotency keys.
     KEY_INVALID = "key_invalid"
--- a/src/bronzetrack/http/answers.py
+++ b/src/bronzetrack/http/answers.py
@@ -20,6 +20,10 @@
 from bronzetrack.streaming import output as outputs
 
 CLIENT_CLOSED_STATUS = 499
+# The rest of the body stays unread, so that no other request can follow.
+CLOSING_REASONS = frozenset(
+    {failures.Reason.BODY_TOO_LARGE, failures.Reason.BODY_TIMEOUT}
+)
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 
 
@@ -28,12 +32,11 @@
     outcome: str,
     started: outputs.Started | None = None,
 ) -> dict[str, str]:
-    """Return the headers that every answer has."""
+    """Return the headers of an answer, but for the id of the request."""
     headers = {"Bronzetrack-Outcome": outcome}
     if request is not None:
         adapter, _, version = request.adapter.partition("@")
         headers |= {
-            "Bronzetrack-Request-Id": request.request,
             "Bronzetrack-Adapter": adapter,
             "Bronzetrack-Version": version,
         }
@@ -70,6 +73,8 @@
     if failure.retry_after_ms is not None:
         seconds = math.ceil(failure.retry_after_ms / 1000)
         headers["Retry-After"] = str(seconds)
+    if failure.reason in CLOSING_REASONS:
+        headers["Connection"] = "close"
     return responses.JSONResponse(
         make_error_fields(outcome, failure),
         status_code=statuses.get_status(failure),
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+import anyio
 import attrs
 from starlette import applications
 from starlette import exceptions
@@ -20,6 +21,7 @@
 from bronzetrack.http import answers
 from bronzetrack.http import faults
 from bronzetrack.http import holds
+from bronzetrack.http import identities
 from bronzetrack.http import intake
 from bronzetrack.http import targets
 from bronzetrack.membership import messages
@@ -47,26 +49,12 @@
     board: boards.Blackboard
     read_clock: Callable[[], clock.Instant]
 
-    def build(self) -> applications.Starlette:
+    def build(self) -> identities.IdentityMiddleware:
         """Return the ASGI application."""
         limits = self.board.settings.limits
         totals = holds.Totals(limits.open_requests, limits.open_body_bytes)
         application = applications.Starlette(
-            routes=[
-                routing.Route("/v1/entry", self.get_entry),
-                routing.Route("/v1/models", self.list_models),
-                routing.Route(
-                    "/v1/completions", self.complete, methods=["POST"]
-                ),
-                routing.Route(
-                    "/v1/chat/completions", self.complete, methods=["POST"]
-                ),
-                routing.Route(
-                    "/services/{path:path}",
-                    self.call_service,
-                    methods=SERVICE_METHODS,
-                ),
-            ],
+            routes=self.list_routes(),
             middleware=[middleware.Middleware(holds.HoldMiddleware, totals)],
             exception_handlers={
                 exceptions.HTTPException: faults.answer_http_error,
@@ -75,7 +63,23 @@
         )
         # Not every client repeats the body after a redirect.
         application.router.redirect_slashes = False
-        return application
+        return identities.IdentityMiddleware(application)
+
+    def list_routes(self) -> list[routing.Route]:
+        """Return the paths and their handlers."""
+        return [
+            routing.Route("/v1/entry", self.get_entry),
+            routing.Route("/v1/models", self.list_models),
+            routing.Route("/v1/completions", self.complete, methods=["POST"]),
+            routing.Route(
+                "/v1/chat/completions", self.complete, methods=["POST"]
+            ),
+            routing.Route(
+                "/services/{path:path}",
+                self.call_service,
+                methods=SERVICE_METHODS,
+            ),
+        ]
 
     async def get_entry(
         self, request: http_requests.Request
@@ -148,6 +152,7 @@
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
         checked = intake.read_completion(
+            identities.get_request_id(request),
             self.board.configuration.value.configuration,
             request.scope["path"],
             request.headers,
@@ -165,6 +170,7 @@
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
         checked = intake.read_service_call(
+            identities.get_request_id(request),
             self.board.configuration.value.configuration,
             request.method,
             targets.read_target(request),
@@ -220,6 +226,7 @@
         counters.count_request(outcomes.Outcome.REFUSED, failure)
         detail = failure.detail[:NOTED_CHARACTERS]
         refusal = requests.Refusal(
+            request=identities.get_request_id(request),
             wall_ms=self.read_clock().wall_ms,
             path=request.scope["path"][:NOTED_CHARACTERS],
             adapter="" if checked is None else checked.adapter,
@@ -230,7 +237,7 @@
             "request refused on arrival",
             extra={
                 "event": "request_refused",
-                "request_id": None if checked is None else checked.request,
+                "request_id": refusal.request,
                 "reason": failure.reason.value,
                 "detail": detail,
             },
@@ -243,21 +250,29 @@
         """Return the body, or why there is no room for the request."""
         hold: holds.Hold = request.scope[holds.SCOPE_KEY]
         limit = self.board.settings.limits.body_bytes
+        timeout_ms = self.board.settings.limits.body_timeout_ms
         body = bytearray()
         failure = hold.admit()
         try:
-            async for part in request.stream():
-                body += part
-                failure = failure or hold.grow(len(part))
-                if len(body) > limit:
-                    failure = failures.Failure(
-                        failures.Reason.BODY_TOO_LARGE,
-                        f"{limit} bytes allowed",
-                    )
-                if failure is not None:
-                    return failure
+            with anyio.fail_after(timeout_ms / 1000):
+                async for part in request.stream():
+                    body += part
+                    failure = failure or hold.grow(len(part))
+                    if len(body) > limit:
+                        failure = failures.Failure(
+                            failures.Reason.BODY_TOO_LARGE,
+                            f"{limit} bytes allowed",
+                        )
+                    if failure is not None:
+                        return failure
         except http_requests.ClientDisconnect:
             return failures.Failure(
                 failures.Reason.CANCELLED, "disconnected within the body"
             )
+        except TimeoutError:
+            return failures.Failure(
+                failures.Reason.BODY_TIMEOUT,
+                f"{len(body)} bytes of the body in {timeout_ms} ms",
+                limit="limits.body_timeout_ms",
+            )
         return failure or bytes(body)
--- a/src/bronzetrack/http/intake.py
+++ b/src/bronzetrack/http/intake.py
@@ -6,7 +6,6 @@
 import hashlib
 import json
 from typing import Any
-import uuid
 
 from bronzetrack.configuration import resolver
 from bronzetrack.configuration import state
@@ -28,6 +27,7 @@
 
 
 def read_completion(
+    request: str,
     configuration: state.Configuration,
     path: str,
     headers: Mapping[str, str],
@@ -56,7 +56,7 @@
         return _refuse("max_tokens is not a positive whole number")
     sent = _write_body(fields, resolved.adapter, configuration, work_class)
     return calls.CallerRequest(
-        request=uuid.uuid4().hex,
+        request=request,
         member=resolved.member,
         adapter=resolved.adapter,
         work_class=work_class,
@@ -76,6 +76,7 @@
 
 
 def read_service_call(
+    request: str,
     configuration: state.Configuration,
     method: str,
     path: str,
@@ -105,7 +106,7 @@
     digest = _digest(f"{method} {path}?{query}", body)
     target = resolved.path + (f"?{query}" if query else "")
     return calls.CallerRequest(
-        request=uuid.uuid4().hex,
+        request=request,
         member=service.owner,
         adapter="",
         work_class=work_class,
--- a/src/bronzetrack/http/statuses.py
+++ b/src/bronzetrack/http/statuses.py
@@ -16,6 +16,7 @@
     failures.Reason.UNKNOWN_ADAPTER: 404,
     failures.Reason.UNKNOWN_VERSION: 404,
     failures.Reason.UNKNOWN_SERVICE: 404,
+    failures.Reason.BODY_TIMEOUT: 408,
     failures.Reason.KEY_IN_PROGRESS: 409,
     failures.Reason.KEY_VOID: 409,
     failures.Reason.KEY_REUSED: 422,
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -193,6 +193,11 @@
         "Longest time from arrival to the last byte.",
         600_000,
     )
+    body_timeout_ms: int = setting(
+        make_number(100, 3_600_000),
+        "Longest time from the head of a request to the end of its body.",
+        30_000,
+    )
     entry_ttl_s: int = setting(
         make_number(1, 3_600),
         "How long callers may keep the answer which VM to use.",
--- a/src/bronzetrack/streaming/requests.py
+++ b/src/bronzetrack/streaming/requests.py
@@ -36,6 +36,7 @@
     :param adapter: as far as it is known, else empty
     """
 
+    request: str
     wall_ms: int
     path: str
     adapter: str
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -64,16 +64,11 @@
 @pytest.fixture
 def configured_routes(board) -> list[str]:
     """Paths of both HTTP listeners."""
-    applications = (
-        callers.CallersApplication(board, None).build(),
-        operators.OperatorsApplication(board, None).build(),
-    )
-    return [
-        route.path
-        for application in applications
-        for route in application.routes
-        if route.path != "/v1/completions"
+    routes = [
+        *callers.CallersApplication(board, None).list_routes(),
+        *operators.OperatorsApplication(board, None).build().routes,
     ]
+    return [route.path for route in routes if route.path != "/v1/completions"]
 
 
 def test_operations_page_names_what_operators_see(operations, board):
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -60,6 +60,7 @@
     body: bytes
     read_bytes: int
     served: list[calls.CallerRequest]
+    refused: list[requests.Refusal]
 
 
 Call = Callable[..., Reply]
@@ -111,10 +112,13 @@
     application: Any,
     method: str,
     target: bytes,
-    body: Iterable[bytes | None],
+    body: Iterable[Any],
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Reply:
-    """Call an application; None within a body is a disconnect."""
+    """Call an application.
+
+    :param body: parts; None is a disconnect, ... a caller that stalls
+    """
     path, _, query = target.partition(b"?")
     scope = {
         "type": "http",
@@ -129,9 +133,9 @@
         "client": ("127.0.0.1", 5),
         "server": ("127.0.0.1", 8000),
     }
-    parts: Iterator[bytes | None] = iter(body)
+    parts: Iterator[Any] = iter(body)
     sent: list[dict[str, Any]] = []
-    served: list[calls.CallerRequest] = []
+    taken: list[Any] = []
     read_bytes = 0
     body_ended = False
 
@@ -141,6 +145,8 @@
             # A server has nothing more to say until the caller disconnects.
             await anyio.sleep_forever()
         part = next(parts, b"")
+        if part is ...:
+            await anyio.sleep_forever()
         if part is None:
             return {"type": "http.disconnect"}
         read_bytes += len(part)
@@ -155,10 +161,11 @@
         sent.append(message)
 
     async with anyio.create_task_group() as group:
-        group.start_soon(answer_requests, board, served)
+        group.start_soon(answer_requests, board, taken)
         with anyio.fail_after(10):
             await application(scope, receive, send)
         group.cancel_scope.cancel()
+    taken += board.mailboxes["intake"].take()
     return Reply(
         sent[0]["status"],
         {
@@ -167,21 +174,24 @@
         },
         b"".join(item.get("body", b"") for item in sent[1:]),
         read_bytes,
-        served,
+        [
+            item.request
+            for item in taken
+            if isinstance(item, requests.Exchange)
+        ],
+        [item for item in taken if isinstance(item, requests.Refusal)],
     )
 
 
-async def answer_requests(
-    board: boards.Blackboard, served: list[calls.CallerRequest]
-) -> None:
+async def answer_requests(board: boards.Blackboard, taken: list[Any]) -> None:
     """Complete each request, in place of the requests controller."""
     intake = board.mailboxes["intake"]
     while True:
         await intake.wait_items()
         for item in intake.take():
+            taken.append(item)
             if not isinstance(item, requests.Exchange):
                 continue
-            served.append(item.request)
             item.output.post(
                 outputs.Started("engine-0", "vm-1", 200, "text/plain")
             )
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -72,6 +73,7 @@
     assert error["type"] in REASONS
     assert reply.status != 500, error
     assert reply.headers["bronzetrack-outcome"] == "refused"
+    assert reply.headers["bronzetrack-request-id"]
 
 
 def test_any_completion_call_is_answered(call):
@@ -171,6 +173,24 @@
     assert reply.read_bytes <= limit + len(part)
 
 
+def test_stalled_body_is_given_up(call, configured):
+    """Guards against callers that hold a place in a VM without an end."""
+    limits = attrs.evolve(configured.settings.limits, body_timeout_ms=100)
+    configured.settings = attrs.evolve(configured.settings, limits=limits)
+    reply = call("POST", COMPLETIONS, [b'{"model"', ...])
+    check_typed(reply)
+    assert reply.status == 408
+    assert reply.headers["connection"] == "close"
+
+
+def test_refusal_has_the_id_that_is_recorded(call):
+    """Guards against a refusal that operators cannot find in the logs."""
+    reply = call("POST", COMPLETIONS, [b"{}"])
+    assert reply.status == 400
+    [refusal] = reply.refused
+    assert reply.headers["bronzetrack-request-id"] == refusal.request
+
+
 def test_disconnect_within_the_body_is_no_fault(call):
     """Guards against a traceback in the log for each impatient caller."""
     reply = call("POST", COMPLETIONS, [b"{", None])
--- a/tests/http/test_intake.py
+++ b/tests/http/test_intake.py
@@ -37,7 +37,7 @@
     def run(**fields):
         body = json.dumps({"model": "launch-log", **fields}).encode()
         return intake.read_completion(
-            configuration, "/v1/completions", {}, body, 1_000, NOW
+            "request", configuration, "/v1/completions", {}, body, 1_000, NOW
         )
 
     return run
