Add make search, which draws longer histories from a seed

Cause: the state machines and property tests could be run longer only by editing their numbers of examples.

Change: `make search SEED=n FACTOR=n SEARCHED="folders"`; tests/effort.py scales the numbers that tests state.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: bench demo slopes test check format environment
+.PHONY: bench demo slopes test search check format environment
 
 environment: $(VENV)/.installed
 
@@ -29,5 +29,13 @@
 test: check
 	$(BIN)/python -m pytest
 
+SEED ?= 0
+FACTOR ?= 20
+SEARCHED ?= configuration dispatch idempotency limits ownership retries \
+	routing streaming
+search: environment
+	HYPOTHESIS_PROFILE=search SEARCH_FACTOR=$(FACTOR) $(BIN)/python \
+		-m pytest --hypothesis-seed=$(SEED) $(addprefix tests/,$(SEARCHED))
+
 bench: environment
 	PYTHONPATH=src $(BIN)/python -m bench
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -4,6 +4,7 @@
 
 import attrs
 from configuration import naive
+import effort
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -260,7 +261,7 @@
     """Guards against replicas that disagree or revert, and lost copies."""
     stateful.run_state_machine_as_test(
         ConfigurationMachine,
-        settings=hypothesis.settings(max_examples=150, stateful_step_count=30),
+        settings=effort.make_settings(150, stateful_step_count=30),
     )
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import os
 
+import effort
 import hypothesis
 import pytest
 
@@ -26,7 +27,9 @@
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, database=None
 )
-hypothesis.settings.register_profile("search", deadline=None)
+hypothesis.settings.register_profile(
+    "search", max_examples=100 * effort.FACTOR, deadline=None, database=None
+)
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import hypothesis
+import effort
 from hypothesis import stateful
 from idempotency import machine
 
@@ -21,7 +21,7 @@
     """
     stateful.run_state_machine_as_test(
         machine.KeyMachine,
-        settings=hypothesis.settings(max_examples=300, stateful_step_count=50),
+        settings=effort.make_settings(300, stateful_step_count=50),
     )
 
 
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -5,7 +5,7 @@
 import itertools
 
 import attrs
-import hypothesis
+import effort
 from hypothesis import stateful
 from hypothesis import strategies
 from ownership import naive
@@ -280,5 +280,5 @@
     """Guards against two owners, lost owners and replicas that disagree."""
     stateful.run_state_machine_as_test(
         OwnershipMachine,
-        settings=hypothesis.settings(max_examples=150, stateful_step_count=30),
+        settings=effort.make_settings(150, stateful_step_count=30),
     )
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 import attrs
+import effort
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies
 
 from bronzetrack.core import failures
@@ -115,7 +115,7 @@
 )
 
 
-@settings(max_examples=300)
+@effort.make_settings(300)
 @given(STEPS)
 def test_request_costs_two_endpoints_at_most(steps):
     """Guards against a request that takes one endpoint after another.
