Let the owner keep the crashes that a suspect brings

VM a knows crash 1 of a fingerprint and sends it, isolated, to the endpoint of all suspects; its owner b has not heard of crash 1 and counts it for this run only. The run is crash 2. VM c hears of crash 2 first and sends the request again: b knows crash 2 alone and runs it, so that a third endpoint is lost. A completed run also cleared only the crashes that the owner knew, not those that came with the work. Ruled out: a fault of the model; the controllers act as it does.

Change: the owner adds the carried crashes to its table before the run. A completed run clears these too.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -107,6 +107,11 @@
         if unfit is not None and self._work.resume_of is None:
             await self._send_end(outcomes.Outcome.REFUSED, unfit)
             return unfit
+        if self._work.crashes:
+            carried = crash_events.CrashesCarried(
+                self._work.fingerprint, self._work.crashes
+            )
+            self._board.mailboxes["suspects"].post(carried)
         if self._claimer is not None:
             refusal = await self._claimer.claim()
             if refusal is not None:
@@ -206,7 +211,7 @@
         # The slot is given back only after the crash is known here, so that
         # the next run at this endpoint is checked against it.
         with anyio.move_on_after(CRASH_NOTE_TIMEOUT_MS / 1000):
-            while self._list_crashes() == self._crashes:
+            while self._list_crashes() <= self._crashes:
                 await self._board.suspects.wait_change(
                     self._board.suspects.revision
                 )
@@ -222,7 +227,7 @@
 
     def _list_crashes(self) -> frozenset[str]:
         table = self._board.suspects.value
-        return table.list_crashes(self._work.fingerprint)
+        return table.list_crashes(self._work.fingerprint, self._work.crashes)
 
     def _get_queue(self) -> states.EndpointQueue:
         queues = self._board.dispatch.value.endpoints
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -66,6 +66,8 @@
                 match item:
                     case events.CrashSeen():
                         self._record_crash(item)
+                    case events.CrashesCarried():
+                        self._learn_crashes(item)
                     case events.SuspectCompleted():
                         self._record_clearance(item)
                     case _:
@@ -95,6 +97,15 @@
             )
             self._publish(record, messages.SuspectNotice(crash=record))
 
+    def _learn_crashes(self, carried: events.CrashesCarried) -> None:
+        table = suspects.learn_crashes(
+            self.board.suspects.value,
+            carried.fingerprint,
+            carried.crashes,
+            self.read_clock().monotonic_ms,
+        )
+        self.write(self.board.suspects, table)
+
     def _record_clearance(self, done: events.SuspectCompleted) -> None:
         record = records.ClearanceRecord(
             done.fingerprint, done.crashes, self.read_clock().wall_ms
--- a/src/bronzetrack/retries/events.py
+++ b/src/bronzetrack/retries/events.py
@@ -18,6 +18,14 @@
     fingerprints: tuple[str, ...]
 
 
+@attrs.frozen
+class CrashesCarried:
+    """A suspect is about to run, with the crashes that its entry VM knows."""
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+
+
 @attrs.frozen
 class SuspectCompleted:
     """A suspect ran alone to its end.
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -49,9 +49,16 @@
     next_offset: int = 0
     suspects: Mapping[str, Suspect] = attrs.field(factory=dict)
 
-    def list_crashes(self, fingerprint: str) -> frozenset[str]:
-        """Return the crashes that a request may have caused."""
-        return self.suspects.get(fingerprint, Suspect()).suspected
+    def list_crashes(
+        self, fingerprint: str, carried: Iterable[str] = ()
+    ) -> frozenset[str]:
+        """Return the crashes that a request may have caused.
+
+        :param carried: crashes that another VM knew of, whose notice may not
+            have reached this VM
+        """
+        known = self.suspects.get(fingerprint, Suspect())
+        return known.suspected | (frozenset(carried) - known.cleared)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request has to run alone."""
@@ -70,11 +77,9 @@
 ) -> failures.Failure | None:
     """Return why a request may not be dispatched, None if it may.
 
-    :param carried: crashes that the entry VM knew of, whose notice may not
-        have reached this VM
+    :param carried: crashes that the entry VM knew of
     """
-    known = table.suspects.get(fingerprint, Suspect())
-    suspected = known.suspected | (frozenset(carried) - known.cleared)
+    suspected = table.list_crashes(fingerprint, carried)
     if len(suspected) >= CRASH_LIMIT:
         return describe_ban()
     if suspected and not isolated:
@@ -140,6 +145,24 @@
     return _replace(table, changed, now_ms)
 
 
+def learn_crashes(
+    table: SuspectTable, fingerprint: str, crashes: Iterable[str], now_ms: int
+) -> SuspectTable:
+    """Return the table after a request came with crashes it may have caused.
+
+    A suspect has one endpoint in the eyes of all VMs. Its owner has to know
+    every crash, as an entry VM that sends the request again may know only the
+    latest.
+    """
+    known = table.suspects.get(fingerprint, Suspect())
+    learnt = attrs.evolve(
+        known,
+        crashes=known.crashes | set(crashes),
+        seen_ms=max(known.seen_ms, now_ms),
+    )
+    return _replace(table, {fingerprint: learnt}, now_ms)
+
+
 def clear_suspect(
     table: SuspectTable, record: records.ClearanceRecord, now_ms: int
 ) -> SuspectTable:
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -54,10 +54,14 @@
         if running and (crashes or running[0][1]):
             return
         del self.waiting[endpoint][0]
-        owner = self.tables[get_owner(endpoint)]
+        vm = get_owner(endpoint)
+        owner = self.tables[vm]
         if not suspects.check_run(owner, fingerprint, bool(crashes), crashes):
-            aware = crashes | owner.list_crashes(fingerprint)
+            aware = owner.list_crashes(fingerprint, crashes)
             running.append((fingerprint, aware))
+            self.tables[vm] = suspects.learn_crashes(
+                owner, fingerprint, crashes, 0
+            )
 
     def finish(self, endpoint: str) -> None:
         """The oldest run ends; a bad one takes the endpoint down."""
@@ -138,6 +142,19 @@
     assert site.aware_crashes <= suspects.CRASH_LIMIT - 1
 
 
+def test_owner_keeps_the_crashes_that_came_with_a_request():
+    """Guards against a third endpoint lost to a VM that knows one crash.
+
+    The second crash came from a run whose entry VM knew the first. The VM that
+    sends the request again has heard of the second only.
+    """
+    table = suspects.learn_crashes(suspects.SuspectTable(), BAD, ["c1"], 0)
+    second = records.CrashRecord("c2", "e1", (BAD,), 0)
+    table = suspects.record_crash(table, second, 0)
+    unfit = suspects.check_run(table, BAD, True, ["c2"])
+    assert unfit.reason is failures.Reason.CRASHES_ENDPOINTS
+
+
 def test_records_in_any_order_give_one_table():
     """Guards against a suspect that is cleared at some VMs only."""
     crash = records.CrashRecord("c1", "e0", ("a", "b"), 0)
