Start nothing beside an isolated run that was resumed

The planner looked at the first running work only. Work that is resumed starts beside whatever runs, so that a suspect can be at any place; work that waited was started beside it and would crash with it.

Change: any isolated run stops further starts. The naive model in the differential test had the same shortcut and is stricter now.

A resumed suspect itself may still join innocent runs of the same endpoint, since its stream runs there already.

--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -225,13 +225,15 @@
     if queue.pace.trial_slots is not None:
         slots = min(slots, queue.pace.trial_slots)
     running = [item.work for item in queue.running.values()]
+    # Resumed work starts beside whatever runs, so that isolated work need not
+    # be the first or the only one.
+    if any(work.isolated for work in running):
+        return
     for item in waiting:
         if len(running) >= slots:
             return
         if not queue.is_ready(item.work.adapter):
             continue
-        if running and running[0].isolated:
-            return
         if running and item.work.isolated:
             # Nothing of a later place starts, or the endpoint would never be
             # empty under load and the isolated work would wait for ever.
@@ -244,3 +246,5 @@
             continue
         running.append(item.work)
         yield item.work.attempt
+        if item.work.isolated:
+            return
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -113,7 +113,7 @@
         )
         if not ready:
             continue
-        if len(running) >= slots or (running and running[0].isolated):
+        if len(running) >= slots or any(other.isolated for other in running):
             return None
         if running and work.isolated:
             return None
@@ -228,6 +228,21 @@
         assert plan.start == (first,)
 
 
+def test_nothing_starts_beside_resumed_isolated_work(
+    full_queue, context, make_work, make_waiting
+):
+    """Guards against innocent work that a resumed suspect takes down."""
+    suspect = states.Running(make_work("4", isolated=True), "vm", 0)
+    queue = attrs.evolve(
+        full_queue,
+        running={**full_queue.running, "4": suspect},
+        waiting=(make_waiting("new", NOW_MS, work_class="short"),),
+    )
+    roomy = attrs.evolve(context.endpoint, slots=8)
+    context = attrs.evolve(context, endpoint=roomy)
+    assert planner.plan_endpoint(queue, context, NOW_MS).start == ()
+
+
 def test_isolated_work_empties_the_endpoint(full_queue, context, make_waiting):
     """Guards against isolated work that never finds the endpoint empty."""
     queue = attrs.evolve(
