Tell peers an address other than that of the listener

Cause: a daemon tells its peers the address that it listens on, so that nothing can stand between two daemons: a peer that joined through another address is told the real one in the greeting and connects there as well. Change: an optional setting [peers] address is told in place of the listener's. It is checked like the addresses of listeners, and no daemon connects to its own. Measured: `pytest tests/settings`: the new case "told this address" passes; without the check of [peers] address it has no such mistake to find. Ruled out: rewriting greetings in a stand-in, which would make it more than a forwarder of bytes.

--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -124,7 +124,9 @@
         known = self._heard.keys() | self._listed
         known |= set(self.board.settings.peers.join)
         known -= set(self.ports.peers.list_sessions().values())
-        return known - self._connecting - {self.board.settings.listen.peers}
+        settings = self.board.settings
+        own = {settings.listen.peers, settings.peers.address}
+        return known - self._connecting - own
 
     async def _connect(self, address: str) -> None:
         try:
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -63,7 +63,7 @@
         vm=settings.vm.name,
         incarnation=board.incarnation,
         availability_zone=settings.vm.availability_zone,
-        peer_address=settings.listen.peers,
+        peer_address=settings.peers.address or settings.listen.peers,
         caller_address=settings.listen.callers,
         operator_address=settings.listen.operators,
     )
--- a/src/bronzetrack/settings/checks.py
+++ b/src/bronzetrack/settings/checks.py
@@ -56,14 +56,19 @@
 def check_hosts(values: Values) -> Iterator[mistakes.Mistake]:
     """Find an address that others could not connect to.
 
-    The addresses of the listeners are told to callers and peers as they
-    stand in the file.
+    These addresses are told to callers and peers as they stand in the file.
     """
-    for key, address in _list_listeners(values).items():
+    told = {
+        ("listen", key): address
+        for key, address in _list_listeners(values).items()
+    }
+    if values.get(("peers", "address")):
+        told["peers", "address"] = values["peers", "address"]
+    for (section, key), address in told.items():
         host = ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
         if host.is_unspecified or host.is_multicast:
             yield mistakes.make_invalid(
-                "listen",
+                section,
                 key,
                 address,
                 "callers and peers are told this address;"
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -135,6 +135,12 @@
     join: tuple[str, ...] = setting(
         ADDRESSES, "Peer addresses to join through.", ()
     )
+    address: str = setting(
+        ADDRESS,
+        "Address that peers are told, if they reach this VM at another than"
+        " `[listen] peers`.",
+        "",
+    )
 
 
 @attrs.frozen
--- a/src/bronzetrack/settings/reference.py
+++ b/src/bronzetrack/settings/reference.py
@@ -63,4 +63,6 @@
         return f"`{value.value}`"
     if isinstance(value, tuple):
         return f"`{', '.join(value)}`" if value else "none"
+    if value == "":
+        return "none"
     return f"`{value}`"
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -45,6 +45,7 @@
     "before, after, expected",
     [
         ("127.0.0.1:8000", "0.0.0.0:8000", "told this address"),
+        ("[vm]", "[peers]\naddress = 0.0.0.0:1\n[vm]", "told this address"),
         ("9000\nvm", "8001\nvm", "is the address of [listen] operators"),
         ("[vm]", "[peers]\njoin = 127.0.0.1:8000\n[vm]", "of this VM"),
         ("[vm]", "[peers]\njoin=1.1.1.1:1 1.1.1.1:1\n[vm]", "given twice"),
