Add a forwarder that holds or refuses connections in tests

Cause: no test with real processes cuts a network. Change: a stand-in forwards TCP connections of named links and takes their mode over HTTP: forward, hold (neither bytes nor the end of a connection pass, and both follow later) and refuse. A site that asks for it has one link to each daemon from its peers and one from each daemon to the platform. A VM can also have a VM list of its own. A held link accepts new connections, where a real cut would time them out, and all peers of a VM share its link, since daemons do not bind outgoing connections to their own address.

--- a/tests/daemon/test_site.py
+++ b/tests/daemon/test_site.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import socket
+import threading
+
 import pytest
 
 from standins import site as sites
@@ -22,3 +26,55 @@
         vm.process.wait()
         with pytest.raises(sites.NoAnswerError):
             site.get_state(vm, "vm")
+
+
+@pytest.fixture
+def echo_link(tmp_path) -> Iterator[tuple[sites.Site, socket.socket]]:
+    """A site, and a connection through a link to a server that echoes."""
+    with (
+        sites.run_site(
+            tmp_path, vms=0, engines=0, services=0, forwarded=True
+        ) as site,
+        socket.create_server((sites.PLATFORM_HOST, 0)) as server,
+    ):
+        host, port = server.getsockname()
+        link = site.add_link("echo", f"{host}:{port}").split(":")
+        with socket.create_connection((link[0], int(link[1])), 5) as near:
+            far, _ = server.accept()
+            with far:
+                threading.Thread(target=echo, args=(far,)).start()
+                yield site, near
+                near.close()
+
+
+def echo(connection: socket.socket) -> None:
+    try:
+        while data := connection.recv(100):
+            connection.sendall(data)
+    except OSError:
+        pass
+
+
+def test_held_link_passes_bytes_on_when_it_heals(echo_link):
+    """Guards against a cut that lets bytes through, or that loses some."""
+    site, near = echo_link
+    near.sendall(b"1")
+    assert near.recv(1) == b"1"
+    site.set_link("echo", "hold")
+    near.sendall(b"2")
+    near.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        near.recv(1)
+    site.set_link("echo", "forward")
+    near.settimeout(5)
+    assert near.recv(1) == b"2"
+
+
+def test_refused_link_breaks_and_takes_nothing(echo_link):
+    """Guards against a refusal that leaves connections as they were."""
+    site, near = echo_link
+    address = near.getpeername()
+    site.set_link("echo", "refuse")
+    assert near.recv(1) == b""
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address, 5)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -51,7 +51,12 @@
 
 @attrs.define
 class Vm:
-    """The process and the addresses of a daemon."""
+    """The process and the addresses of a daemon.
+
+    :param advertised: where peers connect, if not to `peers`
+    :param platform_url: the platform, if this VM does not reach it directly
+    :param vm_list_url: the VM list, if it is not that of the platform
+    """
 
     name: str
     zone: str
@@ -59,6 +64,9 @@
     callers: str
     operators: str
     peers: str
+    advertised: str = ""
+    platform_url: str = ""
+    vm_list_url: str = ""
     process: subprocess.Popen[bytes] | None = None
 
 
@@ -85,6 +93,8 @@
 
     :param folder: for settings files and logs
     :param profile: whether daemons write a profile when they stop
+    :param forwarded: whether links of the forwarder lie between daemons, and
+        between each daemon and the platform
     """
 
     folder: pathlib.Path
@@ -97,6 +107,8 @@
     slots: int = 8
     extra_settings: str = "[limits]\nentry_ttl_s = 1\n"
     profile: bool = False
+    forwarded: bool = False
+    forwarder_port: int = 0
 
     @property
     def platform_url(self) -> str:
@@ -122,16 +134,55 @@
         return process
 
     def start_platform(self) -> None:
+        self._start_standin("platform", "platform", self.platform_port)
+        self.wait(lambda: fetch("GET", f"{self.platform_url}/vms") == [])
+
+    def start_vm_list(self, name: str) -> str:
+        """Start a further VM list and return its base URL."""
+        port = find_port()
+        self._start_standin(name, "platform", port)
+        url = f"http://{PLATFORM_HOST}:{port}"
+        self.wait(lambda: fetch("GET", f"{url}/vms") == [])
+        return url
+
+    def _start_standin(self, name: str, module: str, port: int) -> None:
         self.start(
-            "platform",
+            name,
             "-m",
-            "standins.platform",
+            f"standins.{module}",
             "--host",
             PLATFORM_HOST,
             "--port",
-            str(self.platform_port),
+            str(port),
         )
-        self.wait(lambda: fetch("GET", f"{self.platform_url}/vms") == [])
+
+    def start_forwarder(self) -> None:
+        self.forwarder_port = find_port()
+        self._start_standin("forwarder", "forwarder", self.forwarder_port)
+
+        def accepts() -> bool:
+            with socket.socket() as probe:
+                address = (PLATFORM_HOST, self.forwarder_port)
+                return probe.connect_ex(address) == 0
+
+        self.wait(accepts)
+
+    def add_link(self, name: str, target: str) -> str:
+        """Return an address whose connections go on to another one."""
+        host, port = target.split(":")
+        listen = (PLATFORM_HOST, find_port())
+        self.set_link(name, "forward", listen=listen, target=(host, int(port)))
+        return f"{listen[0]}:{listen[1]}"
+
+    def set_link(self, name: str, mode: str, **fields: Any) -> None:
+        """Let a link forward, hold or refuse.
+
+        :param name: `peers-VM` for connections to a VM from its peers,
+            `platform-VM` for those of a VM to the platform
+        """
+        url = f"http://{PLATFORM_HOST}:{self.forwarder_port}/links/{name}"
+        if fetch("PUT", url, {"mode": mode, **fields}) is None:
+            raise SiteError(f"the forwarder did not set {name} to {mode}")
 
     def start_endpoint(self, endpoint: EndpointProcess) -> None:
         self.endpoints[endpoint.name] = endpoint
@@ -161,21 +212,31 @@
     def add_vm(self, name: str, zone: str, host: str) -> Vm:
         ports = [find_port(host) for _ in range(3)]
         vm = Vm(name, zone, host, *(f"{host}:{port}" for port in ports))
+        if self.forwarded:
+            vm.advertised = self.add_link(f"peers-{name}", vm.peers)
+            platform = f"{PLATFORM_HOST}:{self.platform_port}"
+            address = self.add_link(f"platform-{name}", platform)
+            vm.platform_url = f"http://{address}"
         self.vms[name] = vm
         return vm
 
     def write_settings(self, vm: Vm) -> pathlib.Path:
         join = ", ".join(
-            other.peers for other in self.vms.values() if other is not vm
+            other.advertised or other.peers
+            for other in self.vms.values()
+            if other is not vm
         )
+        advertised = f"address = {vm.advertised}\n" if vm.advertised else ""
+        platform_url = vm.platform_url or self.platform_url
         path = self.folder / f"{vm.name}.ini"
         path.write_text(
             f"[vm]\nname = {vm.name}\navailability_zone = {vm.zone}\n"
             f"[listen]\ncallers = {vm.callers}\n"
             f"operators = {vm.operators}\npeers = {vm.peers}\n"
-            f"[peers]\njoin = {join}\n"
-            f"[platform]\nlog_url = {self.platform_url}\n"
-            f"vm_list_url = {self.platform_url}\n{self.extra_settings}"
+            f"[peers]\njoin = {join}\n{advertised}"
+            f"[platform]\nlog_url = {platform_url}\n"
+            f"vm_list_url = {vm.vm_list_url or platform_url}\n"
+            f"{self.extra_settings}"
         )
         return path
 
@@ -449,6 +510,8 @@
     site = Site(folder, find_port(), **options)
     try:
         site.start_platform()
+        if site.forwarded:
+            site.start_forwarder()
         kinds = ["engine"] * engines + ["service"] * services
         for index, kind in enumerate(kinds):
             host = f"{NETWORK}.1.{index + 1}"
