Sleep until the next deadline of dispatch or a change that matters

Cause: the same profile of an idle daemon showed 13% of its work in steps of the dispatch controller, 4 a second with nothing to do, and about as much in wait_first, which started a task for each thing that it waited for. The ownership controller woke with each renewal of a lease.

Change: sections and mailboxes are sources of conditions, and wait_any waits for several conditions with one event in place of wait_first and its tasks. dispatch.deadlines says how long an owner may rest: 250 ms as before with work, orders, retries, a verdict on the pace, usage that decays or a bucket that is not full, otherwise 1 s, at which placements are renewed. A change of owners, of leaving endpoints or of the configuration ends the rest. A hypothesis test compares plans within a rest.

--- a/src/bronzetrack/controllers/claiming.py
+++ b/src/bronzetrack/controllers/claiming.py
@@ -7,8 +7,8 @@
 
 import attrs
 
+from bronzetrack.core import blackboard
 from bronzetrack.core import clock
-from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.idempotency import claims
 from bronzetrack.idempotency import records
@@ -128,8 +128,8 @@
                     await self._wait_change(revision, now)
 
     async def _wait_change(self, revision: int, now: clock.Instant) -> None:
-        await controllers.wait_first(
-            lambda: self._board.keys.wait_change(revision),
+        await blackboard.wait_any(
+            self._board.keys.is_newer(revision),
             timeout_ms=self._claim.deadline_ms - now.monotonic_ms,
         )
 
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -12,10 +12,12 @@
 from bronzetrack.controllers import permits
 from bronzetrack.controllers import placements
 from bronzetrack.controllers import runs
+from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
 from bronzetrack.dispatch import context as contexts
+from bronzetrack.dispatch import deadlines
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import loads
 from bronzetrack.dispatch import pace as paces
@@ -30,8 +32,6 @@
 from bronzetrack.streaming import messages
 from bronzetrack.streaming import outcomes
 
-STEP_INTERVAL_MS = 250
-
 
 @controllers.CONTROLLERS.register("dispatch")
 class DispatchController(controllers.Controller):
@@ -54,11 +54,7 @@
         work = self.board.mailboxes["work"]
         runs_box = self.board.mailboxes["runs"]
         while True:
-            await controllers.wait_first(
-                work.wait_items,
-                runs_box.wait_items,
-                timeout_ms=STEP_INTERVAL_MS,
-            )
+            await self._wait_step()
             now_ms = self.read_clock().monotonic_ms
             self._refill(now_ms)
             self._follow_ownership()
@@ -73,6 +69,28 @@
             )
             self._permits.request(short, now_ms)
 
+    async def _wait_step(self) -> None:
+        """Wait until something is due, or changed that decides what is."""
+        owners = self.board.ownership.value.owners
+        leaving = self.board.membership.value.listed_leaving
+        configuration = self.board.configuration.value.configuration
+        await blackboard.wait_any(
+            self.board.mailboxes["work"].is_filled(),
+            self.board.mailboxes["runs"].is_filled(),
+            self.board.ownership.meets(lambda it: it.owners is not owners),
+            self.board.membership.meets(
+                lambda it: it.listed_leaving is not leaving
+            ),
+            self.board.configuration.meets(
+                lambda it: it.configuration is not configuration
+            ),
+            timeout_ms=deadlines.find_wait(
+                self.board.dispatch.value,
+                self.board.permits.value,
+                self.read_clock().monotonic_ms,
+            ),
+        )
+
     def _refill(self, now_ms: int) -> None:
         self._permits.refill(now_ms)
         state = self.board.dispatch.value
--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -8,6 +8,7 @@
 import anyio
 
 from bronzetrack.configuration import state as configuration_state
+from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.membership import lifecycle
 from bronzetrack.membership import messages
@@ -53,8 +54,8 @@
             # Nothing but a request to stop changes the status of a VM that
             # serves.
             serves = state.status is messages.VmStatus.SERVING
-            await controllers.wait_first(
-                mailbox.wait_items,
+            await blackboard.wait_any(
+                mailbox.is_filled(),
                 timeout_ms=None if serves else STEP_INTERVAL_MS,
             )
 
--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.membership import messages
@@ -72,8 +73,8 @@
             self._expire()
             # A change of status is told at once, so that a leaving VM gets
             # no new work for the rest of the interval.
-            await controllers.wait_first(
-                lambda: self.board.lifecycle.wait_change(revision),
+            await blackboard.wait_any(
+                self.board.lifecycle.is_newer(revision),
                 timeout_ms=views.HEARTBEAT_INTERVAL_MS,
             )
             revision = self.board.lifecycle.revision
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.membership import messages as membership_messages
@@ -129,20 +130,12 @@
         A release is followed by a claim at once. Renewals, which change the
         section far more often, start no plan.
         """
-        deadline_ms = self._now_ms() + PLAN_INTERVAL_MS
-        lifecycle = self.board.lifecycle.revision
         owners = self.board.ownership.value.owners
-        while (
-            self._now_ms() < deadline_ms
-            and self.board.ownership.value.owners is owners
-            and self.board.lifecycle.revision == lifecycle
-        ):
-            revision = self.board.ownership.revision
-            await controllers.wait_first(
-                lambda: self.board.ownership.wait_change(revision),
-                lambda: self.board.lifecycle.wait_change(lifecycle),
-                timeout_ms=deadline_ms - self._now_ms(),
-            )
+        await blackboard.wait_any(
+            self.board.ownership.meets(lambda it: it.owners is not owners),
+            self.board.lifecycle.is_newer(self.board.lifecycle.revision),
+            timeout_ms=PLAN_INTERVAL_MS,
+        )
 
     def _is_serving(self) -> bool:
         status = self.board.lifecycle.value.status
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -11,6 +11,7 @@
 
 from bronzetrack.controllers import settling
 from bronzetrack.controllers import submission
+from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
@@ -65,18 +66,18 @@
 
     async def _wait_event(self) -> None:
         waits = [
-            self.board.mailboxes["intake"].wait_items,
-            self.board.mailboxes["answers"].wait_items,
+            self.board.mailboxes["intake"].is_filled(),
+            self.board.mailboxes["answers"].is_filled(),
         ]
         if any(
             progress.stage is progresses.Stage.SETTLING
             for progress in self._open.values()
         ):
             revision = self.board.keys.revision
-            waits.append(lambda: self.board.keys.wait_change(revision))
+            waits.append(self.board.keys.is_newer(revision))
         # Without open requests there is nothing that time brings about.
         timeout_ms = STEP_INTERVAL_MS if self._open else None
-        await controllers.wait_first(*waits, timeout_ms=timeout_ms)
+        await blackboard.wait_any(*waits, timeout_ms=timeout_ms)
 
     def _sweep(self, now_ms: int) -> None:
         """Act on what only time brings about."""
--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -7,7 +7,6 @@
 from typing import ClassVar
 from typing import TYPE_CHECKING
 
-import anyio
 import attrs
 
 from bronzetrack.core import registry
@@ -63,23 +62,3 @@
 CONTROLLERS: registry.Registry[type[Controller]] = registry.Registry(
     "controllers"
 )
-
-
-async def wait_first(
-    *waits: Callable[[], Any], timeout_ms: int | None = None
-) -> None:
-    """Wait until the first of several waits returns or a time has passed.
-
-    :param waits: functions that return an awaitable each
-    :param timeout_ms: the longest wait
-    """
-    delay = None if timeout_ms is None else max(0, timeout_ms) / 1000
-    with anyio.move_on_after(delay):
-        async with anyio.create_task_group() as group:
-
-            async def wait_one(wait: Callable[[], Any]) -> None:
-                await wait()
-                group.cancel_scope.cancel()
-
-            for wait in waits:
-                group.start_soon(wait_one, wait)
--- /dev/null
+++ b/tests/core/test_blackboard.py
@@ -0,0 +1,63 @@
+"""Tests of waits for sections and mailboxes."""
+
+from __future__ import annotations
+
+import anyio
+
+from bronzetrack.core import blackboard
+
+
+def make_sources():
+    section = blackboard.Section("s", "writer", 0)
+    return section, blackboard.Mailbox("m", 8)
+
+
+async def wait_while(change, section, mailbox):
+    """Return whether a wait ends because of a change."""
+    with anyio.move_on_after(0.2) as scope:
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                blackboard.wait_any,
+                section.meets(lambda value: value > 1),
+                mailbox.is_filled(),
+            )
+            await anyio.sleep(0.01)
+            change()
+    return not scope.cancelled_caught
+
+
+def test_each_source_ends_a_wait():
+    """Guards against a controller that sleeps through a change."""
+    section, mailbox = make_sources()
+    changes = (lambda: section.write("writer", 2), lambda: mailbox.post("x"))
+    for change in changes:
+        assert anyio.run(wait_while, change, *make_sources()) is False
+        assert anyio.run(wait_while, change, section, mailbox) is True
+        section, mailbox = make_sources()
+
+
+def test_change_without_effect_on_condition_ends_no_wait():
+    """Guards against a controller that acts on each renewal of a lease."""
+    section, mailbox = make_sources()
+    change = lambda: section.write("writer", 1)  # noqa: E731
+    assert anyio.run(wait_while, change, section, mailbox) is False
+
+
+def test_condition_that_holds_ends_wait_at_once():
+    """Guards against a lost wake-up between a look and a wait."""
+    section, mailbox = make_sources()
+    mailbox.post("x")
+    waits = blackboard.wait_any, section.is_newer(0), mailbox.is_filled()
+    anyio.run(*waits)
+
+
+async def time_out(section, mailbox):
+    waits = section.is_newer(0), mailbox.is_filled()
+    with anyio.fail_after(1):
+        await blackboard.wait_any(*waits, timeout_ms=10)
+    return [source._watchers for source in (section, mailbox)]
+
+
+def test_wait_that_timed_out_leaves_nothing_behind():
+    """Guards against events that add up with each wait."""
+    assert anyio.run(time_out, *make_sources()) == [set(), set()]
--- /dev/null
+++ b/tests/dispatch/test_deadlines.py
@@ -0,0 +1,107 @@
+"""Tests of the time until the next step of an owner."""
+
+from __future__ import annotations
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.dispatch import context as contexts
+from bronzetrack.dispatch import deadlines
+from bronzetrack.dispatch import pace as paces
+from bronzetrack.dispatch import placement
+from bronzetrack.dispatch import planner
+from bronzetrack.dispatch import state as states
+from bronzetrack.dispatch import transitions
+from bronzetrack.limits import tokens
+from bronzetrack.limits import transfers
+
+NOW_MS = 10_000
+ADAPTERS = ("a@1", "b@1", "c@1")
+FULL = transfers.Permits(bucket=tokens.TokenBucket(tokens=1.0))
+TIMES = strategies.integers(NOW_MS - 3_000, NOW_MS + 3_000)
+PAST = strategies.integers(NOW_MS - 3_000, NOW_MS)
+QUEUES = strategies.builds(
+    states.EndpointQueue,
+    residents=strategies.dictionaries(
+        strategies.sampled_from(ADAPTERS),
+        strategies.builds(
+            states.Resident,
+            strategies.sampled_from(list(states.ResidentPhase)),
+            PAST,
+            strategies.booleans(),
+        ),
+    ),
+    load_retry_ms=strategies.dictionaries(
+        strategies.sampled_from(ADAPTERS), TIMES
+    ),
+    boot=strategies.just("1"),
+    fenced=strategies.booleans(),
+    fence_retry_ms=TIMES,
+    pace=strategies.builds(
+        paces.Pace,
+        chunk_ms=strategies.sampled_from((0.0, 20.0, 60.0)),
+        observed_ms=PAST,
+        slow=strategies.booleans(),
+        trial_slots=strategies.sampled_from((None, 2)),
+    ),
+)
+CONTEXTS = strategies.builds(
+    contexts.EndpointContext,
+    endpoint=strategies.builds(
+        inventories.Endpoint,
+        host=strategies.just("127.0.0.1"),
+        port=strategies.just(1),
+        availability_zone=strategies.just("zone-a"),
+        checks_fencing=strategies.booleans(),
+    ),
+    rules=strategies.just(rule_sets.Rules()),
+    may_load=strategies.just(True),
+    may_unload=strategies.booleans(),
+    load_permits=strategies.just(2),
+    placement=strategies.just(placement.Placement(wanted=ADAPTERS)),
+    may_prefetch=strategies.just(True),
+)
+
+
+def plan(queue, context, now_ms):
+    judged = transitions.judge_pace(queue, (20.0, 20.0), 8, now_ms)
+    return judged, planner.plan_endpoint(judged, context, now_ms)
+
+
+@hypothesis.given(
+    QUEUES, CONTEXTS, strategies.integers(0, deadlines.REST_INTERVAL_MS)
+)
+def test_rest_hides_nothing_that_time_brings(queue, context, passed_ms):
+    """Guards against a deadline that the owner sleeps through."""
+    if not deadlines.is_timed(queue, NOW_MS):
+        now_ms = NOW_MS + passed_ms
+        assert plan(queue, context, now_ms) == plan(queue, context, NOW_MS)
+
+
+@pytest.mark.parametrize(
+    ("change", "wait_ms"),
+    [
+        ({}, deadlines.REST_INTERVAL_MS),
+        ({"usage": {"north": 1.0}}, deadlines.STEP_INTERVAL_MS),
+    ],
+)
+def test_decaying_usage_needs_steps(change, wait_ms):
+    """Guards against usage in heartbeats that no longer decays."""
+    state = states.DispatchState(endpoints={"e": states.EndpointQueue()})
+    state = attrs.evolve(state, **change)
+    assert deadlines.find_wait(state, FULL, NOW_MS) == wait_ms
+
+
+def test_waiting_work_and_missing_tokens_need_steps(make_waiting):
+    """Guards against work that waits longer than its time-out."""
+    queue = states.EndpointQueue(waiting=(make_waiting("a"),))
+    state = states.DispatchState(endpoints={"e": queue})
+    wait_ms = deadlines.find_wait(state, FULL, NOW_MS)
+    assert wait_ms == deadlines.STEP_INTERVAL_MS
+    empty = transfers.Permits()
+    wait_ms = deadlines.find_wait(states.DispatchState(), empty, NOW_MS)
+    assert wait_ms == deadlines.STEP_INTERVAL_MS
