Let senders wait for room in a mailbox in place of losing chunks

Cause: an entry VM that owned the endpoint of its streams, was stopped with SIGSTOP and went on, found everything that the engine had sent meanwhile in its sockets. The runs put it into the mailbox "answers" within one turn of the loop, more than the 65,536 messages that it holds. A message to the own VM counted as sent even when there was no room. Streams whose whole tail was dropped showed no gap and were not asked about, because only attempts at other VMs are probed: they stayed open until the deadline of the request (600 s). Others were resumed, until the retry budget (10) was used up, or were cut off. Change: `PeerHub.send` tells whether the own mailbox had room, so that a run waits as it does for a full queue towards a peer. A session reads nothing more from its peer while the mailbox of a message is full, for 2 s at most. Attempts at the own VM are probed too, except those that resume a stream, which are in no queue. A resume that cannot be queued ends with `queue_full`. The two new tests in tests/peer fail without the change. A larger mailbox was ruled out, since what a pause can pile up has no bound.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -371,7 +371,7 @@
         work = submission.make_work(
             self.board, progress, attempt, progress.endpoint, now_ms
         )
-        self.ports.peers.send(
+        sent = self.ports.peers.send(
             self.board.vm,
             attrs.evolve(
                 work,
@@ -379,6 +379,12 @@
                 resume_from=progress.assembler.next_number,
             ),
         )
+        if not sent:
+            failure = failures.Failure(
+                failures.Reason.QUEUE_FULL, "too much work waits at this VM"
+            )
+            self._close(progress, outcomes.Outcome.UNKNOWN, failure)
+            return
         self._attempts.pop(progress.attempt, None)
         self._attempts[attempt] = progress
         progress.resume_attempt(attempt, now_ms)
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -16,7 +16,6 @@
 from bronzetrack.core import clock
 from bronzetrack.core import controllers
 from bronzetrack.core import errors
-from bronzetrack.core import messages
 from bronzetrack.daemon import servers
 from bronzetrack.endpoints import client as endpoint_client
 from bronzetrack.http import callers
@@ -68,21 +67,11 @@
         operator_address=settings.listen.operators,
     )
 
-    def deliver(delivery: messages.Delivery) -> None:
-        if not board.deliver(delivery):
-            LOG.error(
-                "mailbox is full",
-                extra={
-                    "event": "mailbox_full",
-                    "mailbox": delivery.message.mailbox,
-                },
-            )
-
     platform_pool = httpclient.make_pool(PLATFORM_CONNECTIONS)
     return controllers.Ports(
         log=logservice.LogClient(settings.platform.log_url, platform_pool),
         vms=vmlist.VmListClient(settings.platform.vm_list_url, platform_pool),
-        peers=peer_hub.PeerHub(greeting, deliver),
+        peers=peer_hub.PeerHub(greeting, board.deliver),
         endpoints=endpoint_client.EndpointClient(
             httpclient.make_pool(ENDPOINT_CONNECTIONS)
         ),
--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -35,6 +35,10 @@
 GREETING_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 30.0
+# Controllers empty a mailbox whenever they run, so that a full one has room
+# again at once unless its controller hangs.
+DELIVER_TIMEOUT_S = 2.0
+DELIVER_RETRY_S = 0.005
 STREAM_ERRORS = (
     OSError,
     TimeoutError,
@@ -86,13 +90,14 @@
     """Sends messages to peers and delivers those that arrive.
 
     :param greeting: what this VM says of itself
-    :param deliver: takes each message that arrived
+    :param deliver: takes each message that arrived; returns whether there
+        was room for it
     """
 
     def __init__(
         self,
         greeting: membership_messages.Hello,
-        deliver: Callable[[messages.Delivery], None],
+        deliver: Callable[[messages.Delivery], bool],
     ) -> None:
         self._greeting = greeting
         self._deliver = deliver
@@ -101,8 +106,7 @@
     def send(self, vm: str, message: Any) -> bool:
         """Queue a message; return False if it cannot reach the VM now."""
         if vm == self._greeting.vm:
-            self._deliver(messages.Delivery(vm, message))
-            return True
+            return self._deliver(messages.Delivery(vm, message))
         session = self._sessions.get(vm)
         if session is None:
             return False
@@ -137,13 +141,35 @@
         with anyio.fail_after(GREETING_TIMEOUT_S):
             hello = await self._read_hello(reader)
             await self._greet(stream)
-        self._deliver(messages.Delivery(hello.vm, hello))
+        await self._hand_over(messages.Delivery(hello.vm, hello))
         while True:
             # A peer that vanished without closing its stream is not waited
             # for; a living one sends a heartbeat every second.
             with anyio.fail_after(IDLE_TIMEOUT_S):
                 frame = await reader.read_frame()
-            self._deliver(messages.Delivery(hello.vm, _decode(frame)))
+            await self._hand_over(messages.Delivery(hello.vm, _decode(frame)))
+
+    async def _hand_over(self, delivery: messages.Delivery) -> None:
+        """Deliver a message that arrived, waiting for room in its mailbox.
+
+        Nothing more is read from the peer meanwhile.
+        """
+        with anyio.move_on_after(DELIVER_TIMEOUT_S):
+            while not self._deliver(delivery):
+                await anyio.sleep(DELIVER_RETRY_S)
+            return
+        self._deliver_or_log(delivery)
+
+    def _deliver_or_log(self, delivery: messages.Delivery) -> None:
+        if not self._deliver(delivery):
+            LOG.error(
+                "mailbox is full",
+                extra={
+                    "event": "mailbox_full",
+                    "mailbox": delivery.message.mailbox,
+                    "peer": delivery.sender,
+                },
+            )
 
     async def connect(self, address: str) -> None:
         """Open a stream to an address and send on it until it breaks."""
@@ -183,15 +209,15 @@
         peer = session.peer
         self._sessions[peer.vm] = session
         opened = membership_messages.SessionOpened(peer.vm, peer.incarnation)
-        self._deliver(messages.Delivery(peer.vm, peer))
-        self._deliver(messages.Delivery(peer.vm, opened))
+        self._deliver_or_log(messages.Delivery(peer.vm, peer))
+        self._deliver_or_log(messages.Delivery(peer.vm, opened))
 
     def _forget(self, session: Session) -> None:
         peer = session.peer
         if self._sessions.get(peer.vm) is session:
             del self._sessions[peer.vm]
         closed = membership_messages.SessionClosed(peer.vm, peer.incarnation)
-        self._deliver(messages.Delivery(peer.vm, closed))
+        self._deliver_or_log(messages.Delivery(peer.vm, closed))
 
     async def _read_hello(
         self, reader: frames.FrameReader
--- a/src/bronzetrack/streaming/losses.py
+++ b/src/bronzetrack/streaming/losses.py
@@ -53,12 +53,16 @@
 def list_silent(
     open_requests: Iterable[progresses.Progress], own_vm: str, now_ms: int
 ) -> dict[str, list[progresses.Progress]]:
-    """Return by owner the requests whose attempt has been silent."""
+    """Return by owner the requests whose attempt has been silent.
+
+    An attempt that resumes a stream at this VM is in no queue, so that its
+    owner could not tell that it runs.
+    """
     silent: dict[str, list[progresses.Progress]] = {}
     for progress in open_requests:
         if (
             progress.stage is progresses.Stage.RUNNING
-            and progress.owner != own_vm
+            and not (progress.owner == own_vm and progress.is_resumed)
             and now_ms - progress.heard_ms >= PROBE_INTERVAL_MS
         ):
             silent.setdefault(progress.owner, []).append(progress)
--- a/src/bronzetrack/streaming/progress.py
+++ b/src/bronzetrack/streaming/progress.py
@@ -78,6 +78,11 @@
         """The present attempt, empty before the first."""
         return self.assembler.attempt
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the present attempt resumes a stream."""
+        return self.attempt != self.engine_attempt
+
     @property
     def adapter(self) -> str:
         """The adapter version that the request runs on."""
--- a/tests/peer/test_bad_frames.py
+++ b/tests/peer/test_bad_frames.py
@@ -24,10 +24,15 @@
 
     def run(data: bytes) -> list:
         delivered: list = []
+
+        def keep(delivery) -> bool:
+            delivered.append(delivery)
+            return True
+
         greeting = messages.Hello(
             messages.PROTOCOL_VERSION, "vm-1", "i", "zone-a", "", ""
         )
-        receiver = hub.PeerHub(greeting, delivered.append)
+        receiver = hub.PeerHub(greeting, keep)
         anyio.run(send_bytes, receiver, data)
         return delivered
 
--- a/tests/peer/test_sessions.py
+++ b/tests/peer/test_sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 
 import anyio
@@ -11,15 +12,20 @@
 from bronzetrack.configuration import messages as configuration_messages
 from bronzetrack.membership import messages
 from bronzetrack.peer import hub
+from bronzetrack.streaming import messages as answers
 
 
 @attrs.define
 class Peer:
-    """A hub that listens, and what it delivered."""
+    """A hub that listens, and what it delivered.
+
+    :param refusals: by type of message, how often there is no room for it
+    """
 
     hub: hub.PeerHub
     address: str
     delivered: list
+    refusals: collections.Counter = attrs.field(factory=collections.Counter)
 
 
 def make_hello(vm: str, incarnation: str, address: str = "") -> messages.Hello:
@@ -30,13 +36,24 @@
 @contextlib.asynccontextmanager
 async def run_peer(vm: str, incarnation: str):
     delivered: list = []
-    made = hub.PeerHub(make_hello(vm, incarnation), delivered.append)
+
+    refusals: collections.Counter = collections.Counter()
+
+    def keep(delivery) -> bool:
+        name = type(delivery.message).__name__
+        if refusals[name] > 0:
+            refusals[name] -= 1
+            return False
+        delivered.append(delivery)
+        return True
+
+    made = hub.PeerHub(make_hello(vm, incarnation), keep)
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     with anyio.fail_after(10):
         async with listener, anyio.create_task_group() as group:
             group.start_soon(listener.serve, made.serve)
-            yield Peer(made, f"127.0.0.1:{port}", delivered)
+            yield Peer(made, f"127.0.0.1:{port}", delivered, refusals)
             group.cancel_scope.cancel()
 
 
@@ -115,3 +132,36 @@
             assert not one.hub.list_sessions()
 
     anyio.run(check)
+
+
+def test_full_mailbox_delays_the_messages_of_a_peer():
+    """Guards against answers dropped when many arrive at once."""
+
+    async def check() -> None:
+        async with (
+            run_peer("a", "a1") as one,
+            run_peer("b", "b1") as other,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(one.hub.connect, other.address)
+            await wait_until(one.hub.list_sessions)
+            other.refusals["ProbeWork"] = 3
+            sent = [answers.ProbeWork((str(place),)) for place in range(4)]
+            assert all(one.hub.send("b", message) for message in sent)
+            await wait_until(lambda: len(other.delivered) >= 5)
+            assert [item.message for item in other.delivered[1:]] == sent
+            group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
+def test_full_mailbox_is_told_to_its_own_vm():
+    """Guards against chunks of an own endpoint that are taken for sent."""
+
+    async def check() -> None:
+        async with run_peer("a", "a1") as one:
+            one.refusals["ProbeWork"] = 1
+            sent = [one.hub.send("a", answers.ProbeWork(())) for _ in "ab"]
+            assert sent == [False, True]
+
+    anyio.run(check)
