Bound the silence of a stream and resume it after one

Cause: an endpoint host that died without closing its connections held its streams for the read timeout of 30 s. A stream that had begun was cut off even if the host had only paused. Change: `[limits] stream_silence_ms` (500 to 600,000, default 5,000) replaces the 30 s. After a silence the run resumes the stream at the engine where it stopped. A stream that brings nothing more when it is resumed, or brought nothing before, ends with the new reason `endpoint_silent` (504): idempotent work without a chunk is retried elsewhere, other work gets the typed error. After that the run cancels the work at the engine and keeps slot and pin until the engine confirms. What a resume meets is no longer taken as "not run". Answers in one piece have no cadence and still wait for the deadline of the request.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -69,6 +69,7 @@
         self._next_number = work.resume_from
         self._first_chunk_ms: int | None = None
         self._dispatched = False
+        self._resumed = work.resume_of is not None
         self._has_reader = True
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
@@ -118,12 +119,13 @@
         self._dispatched = True
         sent_ms = self._read_clock().monotonic_ms
         try:
-            async with self._ports.endpoints.open_answer(
-                self._endpoint, self._work
-            ) as answer:
-                await self._relay(answer, sent_ms)
+            await self._read_answer(sent_ms)
         except errors.FailureError as error:
-            return await self._end_failed(error.failure)
+            failure = await self._end_failed(error.failure)
+            if failure.reason is failures.Reason.ENDPOINT_SILENT:
+                # The work may still run there.
+                await self._cancel_at_engine()
+            return failure
         if self._work.isolated and self._crashes:
             done = crash_events.SuspectCompleted(
                 self._work.fingerprint, tuple(sorted(self._crashes))
@@ -133,6 +135,58 @@
         await self._send_end(outcomes.Outcome.COMPLETED, None)
         return None
 
+    async def _read_answer(self, sent_ms: int) -> None:
+        """Relay the answer; after a silence, resume it where it stopped.
+
+        A stream that brings nothing more when it is resumed is lost.
+
+        :raises errors.FailureError: the answer did not end
+        """
+        work = self._work
+        while True:
+            try:
+                async with self._ports.endpoints.open_answer(
+                    self._endpoint, work
+                ) as answer:
+                    await self._relay(answer, sent_ms)
+                return
+            except errors.FailureError as error:
+                silent = error.failure.reason is (
+                    failures.Reason.ENDPOINT_SILENT
+                )
+                if silent:
+                    self._log_silence()
+                grown = self._next_number > work.resume_from
+                if not (silent and grown and self._is_engine):
+                    raise
+            self._resumed = True
+            work = attrs.evolve(
+                self._work,
+                resume_of=self._engine_attempt,
+                resume_from=self._next_number,
+            )
+
+    @property
+    def _is_engine(self) -> bool:
+        return self._endpoint.kind is inventories.EndpointKind.ENGINE
+
+    @property
+    def _engine_attempt(self) -> str:
+        """The attempt that the endpoint knows."""
+        return self._work.resume_of or self._work.attempt
+
+    def _log_silence(self) -> None:
+        LOG.warning(
+            "endpoint is silent within an answer",
+            extra={
+                "event": "endpoint_silent",
+                "request_id": self._work.request,
+                "attempt_id": self._work.attempt,
+                "endpoint": self._work.endpoint,
+                "chunks": self._next_number,
+            },
+        )
+
     async def _relay(
         self, answer: endpoint_client.EndpointAnswer, sent_ms: int
     ) -> None:
@@ -162,7 +216,8 @@
 
     async def _end_failed(self, failure: failures.Failure) -> failures.Failure:
         """Tell the entry VM what a failure says about the run."""
-        if failure.reason in NOT_RUN:
+        # What a resume meets says nothing of the run before it.
+        if failure.reason in NOT_RUN and not self._resumed:
             return await self._end_not_run(failure)
         if failure.reason is failures.Reason.ENDPOINT_CRASHED:
             failure = await self._examine_break(failure)
@@ -236,14 +291,17 @@
             return
         if self._work.key is not None:
             self._record_result(outcomes.Outcome.UNKNOWN)
-        if self._endpoint.kind is not inventories.EndpointKind.ENGINE:
+        await self._cancel_at_engine()
+
+    async def _cancel_at_engine(self) -> None:
+        """Cancel the work until an engine confirms it."""
+        if not self._is_engine:
             return
         # The slot and the pin are kept until the engine confirms. One that
         # cannot be reached for the whole time has been given up by then.
-        attempt = self._work.resume_of or self._work.attempt
         for _ in range(CANCEL_ATTEMPTS):
             failure = await self._ports.endpoints.cancel(
-                self._endpoint, attempt
+                self._endpoint, self._engine_attempt
             )
             if failure is None:
                 return
@@ -275,7 +333,7 @@
         self._has_reader = await self._deliver(message)
         if not self._has_reader and self._work.key is None:
             await self._ports.endpoints.cancel(
-                self._endpoint, self._work.resume_of or self._work.attempt
+                self._endpoint, self._engine_attempt
             )
             raise errors.FailureError(
                 failures.Failure(
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -47,6 +47,7 @@
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_SLOW = "endpoint_slow"
+    ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_CRASHED = "endpoint_crashed"
     ENDPOINT_PROTOCOL = "endpoint_protocol"
     WRONG_ADAPTER = "wrong_adapter"
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -73,7 +73,8 @@
         vms=vmlist.VmListClient(settings.platform.vm_list_url, platform_pool),
         peers=peer_hub.PeerHub(greeting, board.deliver),
         endpoints=endpoint_client.EndpointClient(
-            httpclient.make_pool(ENDPOINT_CONNECTIONS)
+            httpclient.make_pool(ENDPOINT_CONNECTIONS),
+            settings.limits.stream_silence_ms,
         ),
     )
 
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -24,7 +24,6 @@
 
 ORDER_TIMEOUT_MS = leases.ORDER_LIFE_MS
 REPORT_TIMEOUT_MS = 1_000
-CHUNK_TIMEOUT_MS = 30_000
 SERVER_SENT_EVENTS = "text/event-stream"
 END_MARKER = b"data: [DONE]"
 ANSWER_BYTES = 16_777_216
@@ -169,10 +168,16 @@
 
 
 class EndpointClient:
-    """Sends requests and orders to endpoints."""
+    """Sends requests and orders to endpoints.
 
-    def __init__(self, pool: httpcore.AsyncConnectionPool) -> None:
+    :param silence_ms: time without a byte after which a stream is lost
+    """
+
+    def __init__(
+        self, pool: httpcore.AsyncConnectionPool, silence_ms: int
+    ) -> None:
         self._pool = pool
+        self._silence_ms = silence_ms
 
     @contextlib.asynccontextmanager
     async def open_answer(
@@ -181,13 +186,14 @@
         """Send work and give access to its answer.
 
         :raises errors.FailureError: ENDPOINT_UNREACHABLE when no byte was
-            sent, ANSWER_INCOMPLETE when the endpoint was silent for too
-            long, ENDPOINT_CRASHED when the connection broke
+            sent, ENDPOINT_SILENT when a stream was silent for too long,
+            ANSWER_INCOMPLETE when another answer was not there in time,
+            ENDPOINT_CRASHED when the connection broke
         """
         request = PROTOCOLS.lookup(endpoint.kind.value)(work)
         timeout_ms = max(1, work.timeout_ms)
         if work.stream:
-            timeout_ms = min(CHUNK_TIMEOUT_MS, timeout_ms)
+            timeout_ms = min(self._silence_ms, timeout_ms)
         try:
             async with httpclient.open_stream(
                 self._pool,
@@ -207,6 +213,11 @@
                 failures.Reason.ENDPOINT_UNREACHABLE, repr(error)
             ) from None
         except httpcore.TimeoutException as error:
+            if work.stream:
+                raise _make_error(
+                    failures.Reason.ENDPOINT_SILENT,
+                    f"no byte for {timeout_ms} ms",
+                ) from None
             raise _make_error(
                 failures.Reason.ANSWER_INCOMPLETE, repr(error)
             ) from None
--- a/src/bronzetrack/http/statuses.py
+++ b/src/bronzetrack/http/statuses.py
@@ -31,6 +31,7 @@
     failures.Reason.ENDPOINT_PROTOCOL: 502,
     failures.Reason.WRONG_ADAPTER: 502,
     failures.Reason.ANSWER_INCOMPLETE: 502,
+    failures.Reason.ENDPOINT_SILENT: 504,
     failures.Reason.OUTCOME_UNKNOWN: 504,
     failures.Reason.QUEUE_TIMEOUT: 504,
 }
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -22,6 +22,7 @@
         failures.Reason.ENDPOINT_LEAVING,
         failures.Reason.ENDPOINT_REFUSED,
         failures.Reason.ENDPOINT_SLOW,
+        failures.Reason.ENDPOINT_SILENT,
         failures.Reason.ENDPOINT_CRASHED,
         failures.Reason.LOAD_FAILED,
         failures.Reason.DRAINING,
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -193,6 +193,13 @@
         "Longest time from arrival to the last byte.",
         600_000,
     )
+    # Chunks are due every 52 ms, and an engine may work 1.5 s on a long prompt
+    # without one. A host that is slow for a moment stays below the bound.
+    stream_silence_ms: int = setting(
+        make_number(500, 600_000),
+        "Time without a byte after which a streamed answer counts as lost.",
+        5_000,
+    )
     entry_ttl_s: int = setting(
         make_number(1, 3_600),
         "How long callers may keep the answer which VM to use.",
--- a/tests/platform/test_bad_answers.py
+++ b/tests/platform/test_bad_answers.py
@@ -78,7 +78,7 @@
 
 def test_any_load_report_is_read_or_refused(answer_with):
     """Guards against a report that ends the owner of an endpoint."""
-    client = endpoint_client.EndpointClient(None)
+    client = endpoint_client.EndpointClient(None, 5_000)
     endpoint = inventories.Endpoint("127.0.0.1", 1, "zone-a")
 
     @hypothesis.given(JSON_BODIES)
