--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -204,6 +204,13 @@
         "Longest time from the head of a request to the end of its body.",
         30_000,
     )
+    # Chunks are due every 52 ms. An engine may work 1.5 s on a long prompt
+    # without one, and 7.5 s when it is slowed fivefold.
+    stream_silence_ms: int = setting(
+        make_number(500, 600_000),
+        "Time without a byte after which a streamed answer counts as lost.",
+        10_000,
+    )
     entry_ttl_s: int = setting(
         make_number(1, 3_600),
         "How long callers may keep the answer which VM to use.",
