Forget an adapter version that its engine denies

The new test of the restart found a fault: a restart that the load report does not show yet left the version marked as loaded, so that each new attempt went to the empty engine at once. After four attempts the caller got 503 load_failed. Change: a run that the engine answered with 404 removes the version from the owner's list unless it is loading, and the next attempt loads it again. A report older than the denial does not bring it back. The engine stand-in can restart in place, with its former load report still published.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -186,7 +186,7 @@
             return
         match event:
             case events.RunEnded():
-                queue = transitions.finish(queue, event.attempt, now_ms)
+                queue = transitions.end_run(queue, event, now_ms)
             case events.ChunksPassed():
                 pace = paces.observe(queue.pace, event.chunk_ms, now_ms)
                 queue = attrs.evolve(queue, pace=pace)
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -79,6 +79,28 @@
     )
 
 
+def end_run(
+    queue: states.EndpointQueue, event: events.RunEnded, now_ms: int
+) -> states.EndpointQueue:
+    """Return the queue after a run ended.
+
+    An engine that restarted denies an adapter version before its load report
+    shows the restart. Work would be sent there until then.
+    """
+    item = queue.running.get(event.attempt)
+    queue = finish(queue, event.attempt, now_ms)
+    if item is None or event.failure is None:
+        return queue
+    adapter = item.work.adapter
+    resident = queue.residents.get(adapter)
+    denied = event.failure.reason is failures.Reason.LOAD_FAILED
+    if not denied or resident is None:
+        return queue
+    if resident.phase is not states.ResidentPhase.READY:
+        return queue
+    return drop_resident(_note_order(queue, adapter, now_ms), adapter)
+
+
 def _touch(
     queue: states.EndpointQueue, adapter: str, now_ms: int
 ) -> states.EndpointQueue:
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -38,6 +38,16 @@
         yield pairs.find_pair(running)
 
 
+@pytest.fixture
+def narrow_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """Two VMs, one of which owns an engine with a single slot."""
+    with sites.run_site(
+        tmp_path, vms=2, engines=1, services=0, token_ms=20.0, slots=1
+    ) as running:
+        sites.publish_samples(running)
+        yield pairs.find_pair(running)
+
+
 @pytest.fixture
 def healthy_site(site) -> Iterator[sites.Site]:
     """The site with every fault switched off before and after a test."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -31,6 +31,7 @@
     events: list[bytes] = attrs.field(factory=list)
     done: bool = False
     cancelled: bool = False
+    lost: bool = False
     grown: anyio.Event = attrs.field(factory=anyio.Event)
     task: asyncio.Task[None] | None = None
 
@@ -89,6 +90,7 @@
                 routing.Route("/load", self.get_load),
                 routing.Route("/statistics", self.get_statistics),
                 routing.Route("/leave", self.leave, methods=post),
+                routing.Route("/restart", self.restart, methods=post),
                 routing.Route(
                     "/{path:path}",
                     self.serve_call,
@@ -135,7 +137,7 @@
     async def _generate(self, job: Job, tokens: int) -> None:
         for index in range(tokens):
             await anyio.sleep(self.token_s)
-            if job.cancelled:
+            if job.cancelled or job.lost:
                 job.finish()
                 return
             fields = {
@@ -168,6 +170,9 @@
             for event in job.events[number:]:
                 number += 1
                 yield event
+            if job.lost:
+                # The server then breaks the connection.
+                raise ConnectionAbortedError
             if job.done:
                 return
             await job.grown.wait()
@@ -243,6 +248,20 @@
         self.leaving = True
         return responses.JSONResponse({})
 
+    async def restart(self, request: requests.Request) -> responses.Response:
+        """Restart empty while the published report is still the former one."""
+        self.report = {
+            **self.report,
+            "produced_ms": int(time.time() * 1000),
+        }
+        self.boot = uuid.uuid4().hex
+        self.loaded.clear()
+        for job in self.jobs.values():
+            job.lost = not job.done
+            job.finish()
+        self.jobs.clear()
+        return responses.JSONResponse({})
+
     async def get_statistics(
         self, request: requests.Request
     ) -> responses.Response:
