Void no claim whose run is at the entry VM itself

Cause: an entry VM that gave an attempt up appended a void that named its own incarnation. When it owned the endpoint too, the log took this for the claimant's withdrawal: a run that was dispatched and went on past the deadline of its request was reported as not run, and so was each resend. The state machine had left this case out, since it voided only attempts of other VMs. Change: the void of an entry VM names no claimant, so that it has an effect only as the first record of the key. The machine also voids attempts that the VM itself claims or runs.

--- a/src/bronzetrack/controllers/settling.py
+++ b/src/bronzetrack/controllers/settling.py
@@ -33,9 +33,11 @@
     wait_ms = min(settlement.RESULT_WAIT_MS, left_ms)
     if void:
         wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
+        # This VM may be the claimant too, and its run may be dispatched by
+        # now. Only the run itself knows whether its claim can be withdrawn.
         record = records.KeyVoid(
             key=key.digest,
-            incarnation=board.incarnation,
+            incarnation=records.NOT_CLAIMANT,
             attempt=progress.attempt,
             issued_ms=key.issued_ms,
         )
--- a/src/bronzetrack/idempotency/records.py
+++ b/src/bronzetrack/idempotency/records.py
@@ -8,6 +8,7 @@
 
 STREAM = "keys"
 STORED_ANSWER_BYTES = 4_096
+NOT_CLAIMANT = ""
 
 
 @records.RECORDS.register("key_claim")
@@ -35,7 +36,8 @@
     """Makes sure that a key that was not dispatched never will be.
 
     :param attempt: the attempt that is given up
-    :param incarnation: who appends the record
+    :param incarnation: the claimant that withdraws its own claim, which it
+        has not dispatched and never will; `NOT_CLAIMANT` from an entry VM
     """
 
     key: str
--- a/tests/idempotency/machine.py
+++ b/tests/idempotency/machine.py
@@ -180,16 +180,17 @@
 
     @stateful.rule(number=VM, pick=PICK)
     def lose_owner(self, number: int, pick: int) -> None:
-        """An entry VM voids an attempt that it gave to another VM."""
+        """An entry VM voids an attempt that it gave to another VM or itself.
+
+        Its own run may claim, wait or be dispatched at that moment.
+        """
         if not self.names:
             return
         attempt, key = self.names[pick % len(self.names)]
         vm = self.vms[number]
-        if attempt in vm.claims or attempt in vm.running:
-            return
         issued_ms = self.issued[key].issued_ms
         vm.pending.append(
-            records.KeyVoid(key, vm.incarnation, attempt, issued_ms)
+            records.KeyVoid(key, records.NOT_CLAIMANT, attempt, issued_ms)
         )
 
     @stateful.rule(number=VM, index=KEY, expired=strategies.booleans())
--- a/tests/idempotency/test_table.py
+++ b/tests/idempotency/test_table.py
@@ -50,3 +50,9 @@
     """Guards against a key left in progress by a claimant that gave up."""
     void = records.KeyVoid("k", "i1", "t1", 0)
     assert apply(claim, void).phase is tables.KeyPhase.VOID
+
+
+def test_void_of_entry_vm_does_not_withdraw_a_claim(apply, claim):
+    """Guards against "not run" for a run at the entry VM itself."""
+    void = records.KeyVoid("k", records.NOT_CLAIMANT, "t1", 0)
+    assert apply(claim, void).phase is tables.KeyPhase.CLAIMED
