--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -72,12 +72,17 @@
         return sum(len(queue["running"]) for queue in endpoints.values())
 
 
-def call_service(vm: sites.Vm, key: str, body: str) -> httpcore.Response:
-    """Send a call that must not be repeated to the plain service."""
+def call_service(
+    vm: sites.Vm, key: str, body: str, headers: dict[str, str] | None = None
+) -> httpcore.Response:
+    """Send a call that must not be repeated to the plain service.
+
+    :param headers: of a key that is not issued now
+    """
     return httpcore.request(
         "POST",
         f"http://{vm.callers}/services/updates/x",
-        headers=make_key(key),
+        headers=headers or make_key(key),
         content=body.encode(),
         extensions={"timeout": TIMEOUTS},
     )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -24,6 +24,9 @@
     :param log_delay_s: added to every call to the log
     :param read_delay_s: added to every answer to a read of the log
     :param lose_answers: appends whose answer is lost after they took effect
+    :param refused_stream: stream whose appends are refused
+    :param broken_stream: stream whose next append takes effect, loses its
+        answer and takes the whole log down
     :param list_down: the VM list fails
     :param store_down: the weight store fails
     """
@@ -32,6 +35,8 @@
     log_delay_s: float = 0.0
     read_delay_s: float = 0.0
     lose_answers: int = 0
+    refused_stream: str = ""
+    broken_stream: str = ""
     list_down: bool = False
     store_down: bool = False
 
@@ -78,6 +83,7 @@
     loading: int = 0
     most_loading: int = 0
     appends: int = 0
+    refused_appends: int = 0
 
     def build(self) -> applications.Starlette:
         return applications.Starlette(
@@ -99,11 +105,16 @@
 
     async def append(self, request: requests.Request) -> responses.Response:
         items = msgpack.unpackb(await request.body())
-        if self.faults.log_down:
+        name = request.path_params["name"]
+        if self.faults.log_down or name == self.faults.refused_stream:
+            self.refused_appends += 1
             return responses.Response(status_code=503)
         await anyio.sleep(self.faults.log_delay_s)
-        offset = self.streams[request.path_params["name"]].append(items)
+        offset = self.streams[name].append(items)
         self.appends += 1
+        if name == self.faults.broken_stream:
+            self.faults.log_down = True
+            return responses.Response(status_code=504)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return responses.Response(status_code=504)
@@ -181,6 +192,7 @@
             {
                 "most_loading": self.most_loading,
                 "appends": self.appends,
+                "refused_appends": self.refused_appends,
                 "streams": {
                     name: stream.end for name, stream in self.streams.items()
                 },
