--- a/src/bronzetrack/console/commands/settings.py
+++ b/src/bronzetrack/console/commands/settings.py
@@ -22,14 +22,12 @@
 @click.argument(
     "file", type=click.Path(dir_okay=False, path_type=pathlib.Path)
 )
-def check(file: pathlib.Path) -> None:
+@options.output_format
+def check(file: pathlib.Path, output_format: str) -> None:
     """Report every mistake in FILE."""
     found = loader.read_settings(file)
-    if isinstance(found, list):
-        for mistake in found:
-            click.echo(f"{file}: {mistake}", err=True)
-        raise SystemExit(options.EXIT_FAILURE)
-    click.echo(f"{file}: no mistakes")
+    mistakes = found if isinstance(found, list) else []
+    options.report_mistakes(file, mistakes, output_format)
 
 
 @command.command("reference", epilog="Example: bronzetrack settings reference")
--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
+import pathlib
 from typing import Any
 from typing import NoReturn
 
@@ -102,6 +104,23 @@
     raise SystemExit(EXIT_FAILURE)
 
 
+def report_mistakes(
+    file: pathlib.Path, mistakes: Sequence[Any], output_format: str
+) -> None:
+    """Print the mistakes of a file; end the command if there are any."""
+    lines = [str(mistake) for mistake in mistakes]
+    if output_format == "json":
+        rows = [{"file": str(file), "mistake": line} for line in lines]
+        click.echo(json.dumps(rows, indent=2))
+    elif lines:
+        for line in lines:
+            click.echo(f"{file}: {line}", err=True)
+    else:
+        click.echo(f"{file}: no mistakes")
+    if lines:
+        raise SystemExit(EXIT_FAILURE)
+
+
 def print_rows(
     rows: list[dict[str, Any]],
     output_format: str,
--- a/src/bronzetrack/console/publishing.py
+++ b/src/bronzetrack/console/publishing.py
@@ -55,14 +55,11 @@
         "check", epilog=f"Example: bronzetrack {kind} check {example}"
     )
     @FILE
-    def check(file: pathlib.Path) -> None:
+    @options.output_format
+    def check(file: pathlib.Path, output_format: str) -> None:
         """Report every mistake in FILE and publish nothing."""
         mistakes = check_document(kind, read_file(file))
-        for mistake in mistakes:
-            click.echo(f"{file}: {mistake}", err=True)
-        if mistakes:
-            raise SystemExit(options.EXIT_FAILURE)
-        click.echo(f"{file}: no mistakes")
+        options.report_mistakes(file, mistakes, output_format)
 
     @group.command(
         "publish", epilog=f"Example: bronzetrack {kind} publish {example}"
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -189,3 +189,30 @@
     assert result.exit_code == 0, result.output
     process = site.vms["vm-1"].process
     assert process.wait(timeout=20) == 0
+
+
+@pytest.mark.parametrize(
+    ("group", "text"),
+    [
+        ("inventory", '{"members": 1}'),
+        ("rules", '{"members": {"north": {"weight": -1}}}'),
+        ("settings", "[vm]\nname = vm-1\n"),
+    ],
+)
+def test_check_lists_mistakes_as_json(run, tmp_path, group, text):
+    """Guards against mistakes that a script has to cut out of sentences."""
+    path = tmp_path / "file"
+    path.write_text(text)
+    result = run(group, "check", str(path), "--format", "json")
+    assert result.exit_code == 1
+    found = json.loads(result.stdout)
+    assert found
+    assert {item["file"] for item in found} == {str(path)}
+
+
+def test_check_of_a_correct_file_lists_nothing(run, good, tmp_path):
+    """Guards against a correct file that a script takes for a wrong one."""
+    path = tmp_path / "vm.ini"
+    path.write_text(good)
+    result = run("settings", "check", str(path), "--format", "json")
+    assert (result.exit_code, json.loads(result.stdout)) == (0, [])
