Write the dispatch section only when usage decays

Cause: each step of the dispatch controller wrote its section although nothing had been charged, which woke the watch for restarts of engines.

Change: usage is written only if it changed.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -96,7 +96,8 @@
         state = self.board.dispatch.value
         decayed = usage.decay(state.usage, now_ms - self._refilled_ms)
         self._refilled_ms = now_ms
-        self.write(self.board.dispatch, attrs.evolve(state, usage=decayed))
+        if decayed != state.usage:
+            self.write(self.board.dispatch, attrs.evolve(state, usage=decayed))
 
     def _follow_ownership(self) -> None:
         """Add queues of endpoints gained; drop idle ones that were lost."""
