--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -65,6 +65,7 @@
         peer_address=settings.peers.address or settings.listen.peers,
         caller_address=settings.listen.callers,
         operator_address=settings.listen.operators,
+        reads_changes=True,
     )
 
     platform_pool = httpclient.make_pool(PLATFORM_CONNECTIONS)
