Look up rules and rankings once per decision

Cause: profile of the load driver. A plan with hundreds of waiting items looked up the class rule of each item up to five times and sorted the evictable adapters up to three times, even when nothing had to go. A choice among 140 endpoints computed a digest for each endpoint on each request. Decisions are the same. Most of what remains of a choice is building the candidates.

--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -75,6 +75,8 @@
     if not context.may_unload:
         return wanted, []
     due = {**{member: 1 for member in full}, **view.excess}
+    if not due:
+        return wanted, []
     evictable = list_evictable(queue)
     return wanted, [
         name
@@ -142,6 +144,8 @@
         for resident in queue.residents.values()
     )
     needed = max(0, len(permitted) - len(load) - unloading)
+    if not needed:
+        return load, ()
     return load, tuple(_rank_victims(queue, context)[:needed])
 
 
@@ -165,6 +169,8 @@
     missing: list[str],
 ) -> int:
     """Return how many loads more permits would allow."""
+    if len(missing) <= context.load_permits:
+        return 0
     room = context.endpoint.adapter_slots - len(queue.residents)
     if context.may_unload:
         room += len(list_evictable(queue))
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -85,11 +85,12 @@
 def _find_timeouts(
     queue: states.EndpointQueue, rules: rule_sets.Rules, now_ms: int
 ) -> Iterator[tuple[str, failures.Failure]]:
+    limits_ms = {
+        name: contexts.get_class(rules, name).queue_timeout_ms
+        for name in {item.work.work_class for item in queue.waiting}
+    }
     for item in queue.waiting:
-        limit_ms = min(
-            item.work.timeout_ms,
-            contexts.get_class(rules, item.work.work_class).queue_timeout_ms,
-        )
+        limit_ms = min(item.work.timeout_ms, limits_ms[item.work.work_class])
         waited_ms = now_ms - item.queued_ms
         if waited_ms >= limit_ms:
             yield item.work.attempt, failures.Failure(
@@ -127,6 +128,13 @@
 
     Isolated work stays, since all VMs send it to the same endpoint.
     """
+    if (
+        queue.reachable
+        and not context.leaving
+        and not queue.load_retry_ms
+        and not context.quotas.room
+    ):
+        return
     for item in queue.waiting:
         reason = _find_unservable_reason(queue, context, item)
         if reason is not None:
@@ -173,25 +181,52 @@
     before higher ones. Work of a high rank therefore waits at most for half
     of its limit and then for a slot of its class.
     """
-    rules = context.rules
-    leaders = _find_leaders(queue, context)
+    # The part of the key that work of a member and a class has in common.
+    # With hundreds of items, the look-ups for each took most of a plan.
+    shared = _rank_groups(queue, context)
 
     def rank(item: states.Waiting) -> tuple[bool, bool, int, float, int]:
-        member = item.work.member
-        rule = contexts.get_class(rules, item.work.work_class)
-        aged = 2 * (now_ms - item.queued_ms) >= rule.queue_timeout_ms
-        used = context.usage.get(member, 0.0)
-        return (
-            member in leaders[rule.rank],
-            not aged,
-            0 if aged else rule.rank,
-            0.0 if aged else used / shares.get_weight(rules, member),
-            item.queued_ms,
-        )
+        group = shared[item.work.member, item.work.work_class]
+        if 2 * (now_ms - item.queued_ms) >= group.queue_timeout_ms:
+            return group.leads, False, 0, 0.0, item.queued_ms
+        return group.leads, True, group.rank, group.used, item.queued_ms
 
     return sorted(queue.waiting, key=rank)
 
 
+@attrs.frozen
+class _Group:
+    """Work of one member and one class.
+
+    :param leads: whether the member is ahead of its share for this class
+    :param used: recent cost of the member by weight
+    """
+
+    leads: bool
+    rank: int
+    used: float
+    queue_timeout_ms: int
+
+
+def _rank_groups(
+    queue: states.EndpointQueue, context: contexts.EndpointContext
+) -> dict[tuple[str, str], _Group]:
+    groups = {}
+    leaders = _find_leaders(queue, context)
+    for member, work_class in {
+        (item.work.member, item.work.work_class) for item in queue.waiting
+    }:
+        rule = contexts.get_class(context.rules, work_class)
+        weight = shares.get_weight(context.rules, member)
+        groups[member, work_class] = _Group(
+            member in leaders[rule.rank],
+            rule.rank,
+            context.usage.get(member, 0.0) / weight,
+            rule.queue_timeout_ms,
+        )
+    return groups
+
+
 def _find_leaders(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> dict[int, frozenset[str]]:
@@ -201,8 +236,8 @@
     work does not wait behind long work of the others for a small lead.
     """
     ranks = {
-        contexts.get_class(context.rules, item.work.work_class).rank
-        for item in queue.waiting
+        contexts.get_class(context.rules, name).rank
+        for name in {item.work.work_class for item in queue.waiting}
     }
     contending = {item.work.member for item in queue.waiting}
     return {
--- a/src/bronzetrack/limits/admission.py
+++ b/src/bronzetrack/limits/admission.py
@@ -88,10 +88,16 @@
     """
     rules = admission.rules
     own = contexts.get_class(rules, admission.work.work_class)
+    classes = {item.work.work_class for item in admission.queue.waiting}
+    before = {
+        name
+        for name in classes
+        if contexts.get_class(rules, name).rank <= own.rank
+    }
     ahead = sum(
         item.work.cost
         for item in admission.queue.waiting
-        if contexts.get_class(rules, item.work.work_class).rank <= own.rank
+        if item.work.work_class in before
         and admission.queue.is_ready(item.work.adapter)
     )
     slots = contexts.count_slots(own, admission.slots)
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -60,27 +60,31 @@
     zone: str,
 ) -> list[Candidate]:
     """Return the candidates among some endpoints, in order of name."""
-    return [
-        Candidate(
-            endpoint=name,
-            owner=reports[name].owner,
-            slots=endpoint.slots,
-            warm=adapter in reports[name].summary.warm,
-            free_slots=reports[name].summary.free_slots,
-            queued=reports[name].summary.queued,
-            in_flight=in_flight.get(name, 0),
-            report_age_ms=reports[name].age_ms,
-            slow=reports[name].summary.slow,
-            reachable=reports[name].summary.reachable,
-            near=endpoint.availability_zone == zone,
-            senders=reports[name].senders,
+    found = []
+    for name in sorted(reports):
+        endpoint, report = endpoints.get(name), reports[name]
+        if endpoint is None or endpoint.leaving or name in leaving:
+            continue
+        summary = report.summary
+        if summary.leaving:
+            continue
+        found.append(
+            Candidate(
+                name,
+                report.owner,
+                endpoint.slots,
+                adapter in summary.warm,
+                summary.free_slots,
+                summary.queued,
+                in_flight.get(name, 0),
+                report.age_ms,
+                summary.slow,
+                summary.reachable,
+                endpoint.availability_zone == zone,
+                report.senders,
+            )
         )
-        for name, endpoint in sorted(endpoints.items())
-        if name in reports
-        and name not in leaving
-        and not endpoint.leaving
-        and not reports[name].summary.leaving
-    ]
+    return found
 
 
 def sample_candidates(
--- a/src/bronzetrack/routing/policies.py
+++ b/src/bronzetrack/routing/policies.py
@@ -49,11 +49,24 @@
 def choose_balanced(
     items: Sequence[candidates.Candidate], adapter: str
 ) -> candidates.Candidate:
-    """Choose the lowest sum of expected load and expected load stall."""
-    ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
+    """Choose the lowest sum of expected load and expected load stall.
+
+    The order of copies is needed only for cold endpoints and to decide
+    between equals. It takes a digest for each endpoint, so that it is left
+    out where a warm endpoint costs less than any cold one at the first place.
+    """
+    costs = [_estimate_cost(item) for item in items]
+    lowest = min(costs)
+    best = [item for item, cost in zip(items, costs) if cost == lowest]
+    if len(best) == 1 and best[0].warm:
+        return best[0]
+    compared = best if all(item.warm for item in best) else items
+    ranked = rendezvous.rank_nodes(
+        adapter, [item.endpoint for item in compared]
+    )
     order = {name: place for place, name in enumerate(ranked)}
     return min(
-        items,
+        compared,
         key=lambda item: (
             _estimate_cost(item, order[item.endpoint]),
             order[item.endpoint],
@@ -76,7 +89,7 @@
     )
 
 
-def _estimate_cost(item: candidates.Candidate, place: int) -> float:
+def _estimate_cost(item: candidates.Candidate, place: int = 0) -> float:
     """Return the cost of an endpoint.
 
     :param place: of the endpoint in the order of copies of the adapter
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -55,3 +56,22 @@
     idle = make_candidate("idle", free_slots=16, in_flight=4)
     busy = make_candidate("busy", free_slots=8, in_flight=1)
     assert policies.choose_balanced([idle, busy], "a@1") is busy
+
+
+@hypothesis.given(CANDIDATES, strategies.sampled_from(("a@1", "b@2")))
+def test_equal_endpoints_go_by_rendezvous_order(items, adapter):
+    """Guards against a short cut that decides between equals by name."""
+    ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
+    equal = [attrs.evolve(items[0], endpoint=name) for name in ranked]
+    for order in (equal, equal[::-1]):
+        chosen = policies.choose_balanced(order, adapter)
+        assert chosen.endpoint == ranked[0]
+
+
+def test_ranking_is_not_shared_between_callers():
+    """Guards against a caller that changes the ranking kept for others."""
+    nodes = ["e1", "e2", "e3"]
+    ranked = rendezvous.rank_nodes("a@1", nodes)
+    expected = sorted(nodes, key=lambda n: -rendezvous.score("a@1", n))
+    ranked.clear()
+    assert rendezvous.rank_nodes("a@1", nodes) == expected
