Split the load driver by role

Change: one state (site) that the roles (entry, owner, permits, heartbeats) read and write, with warmup, oracle and the assembly in simulation.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,10 +10,12 @@
 
 from bench import charts
 from bench import measures
+from bench import oracle
 from bench import simulation
+from bench import site as sites
 from bench import workloads
 
-POLICIES = ("oracle", *simulation.NAIVE, simulation.OWN)
+POLICIES = ("oracle", *sites.NAIVE, sites.OWN)
 SCENARIOS = ("load", "slowed", "crowded")
 SEEDS = range(5)
 # The machine is shared, so that only part of its cores are used.
@@ -29,10 +31,10 @@
     workload = workloads.WORKLOADS[name]
     arrivals = workloads.make_arrivals(workload, seed, scenario == "crowded")
     if policy == "oracle":
-        run = simulation.run_oracle(workload, arrivals, seed)
+        run = oracle.run_oracle(workload, arrivals, seed)
         needed = measures.count_needed_loads(run) * 1000 / len(arrivals)
     else:
-        run = simulation.Simulation(
+        run = simulation.make_site(
             workload, policy, arrivals, seed, scenario == "slowed"
         )
     if scenario == "crowded":
@@ -68,7 +70,7 @@
             names, POLICIES, SCENARIOS, seeds
         )
         if scenario == "load"
-        or policy == simulation.OWN
+        or policy == sites.OWN
         or (policy != "oracle" and scenario == "slowed")
         or policy == "least_load"
     ]
--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,107 @@
+"""The entry role: sends each request to an endpoint."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+
+from bench import owner as owners
+from bench import site as sites
+from bronzetrack.core import failures
+from bronzetrack.membership import messages as membership
+from bronzetrack.membership import summaries
+from bronzetrack.routing import candidates
+from bronzetrack.routing import choice
+
+
+class EntryRole:
+    """Routes the requests of all VMs."""
+
+    def __init__(self, site: sites.Site, owner: owners.OwnerRole) -> None:
+        self._site = site
+        self._owner = owner
+        self._turn = itertools.count()
+        owner.resend = self.route
+
+    def schedule(self) -> None:
+        """Let each request arrive at a random VM."""
+        site = self._site
+        names = list(site.vms)
+        for outcome in site.outcomes:
+            entry = site.vms[site.chance.choice(names)]
+            site.timeline.call_at(
+                outcome.arrival.at_ms,
+                functools.partial(self.route, outcome, entry),
+            )
+
+    def route(self, outcome: sites.Outcome, entry: sites.Vm) -> None:
+        """Send a request to the endpoint that the policy chooses."""
+        site = self._site
+        reports = {
+            name: self._get_report(name, entry) for name in site.endpoints
+        }
+        chosen = self.pick(
+            entry, reports, outcome.arrival.adapter, outcome.excluded
+        )
+        if isinstance(chosen, failures.Failure):
+            outcome.refusal = chosen.reason.value
+            return
+        if not outcome.attempts:
+            entry.budget = entry.budget.credit()
+        outcome.attempts += 1
+        entry.in_flight[chosen.endpoint] += 1
+        entry.recent.append(outcome.arrival.adapter)
+        outcome.endpoint = chosen.endpoint
+        hop_ms = 0.0 if chosen.owner == entry.name else sites.HOP_MS
+        site.call_later(hop_ms, lambda: self._owner.accept(outcome, entry))
+
+    def _get_report(
+        self, name: str, entry: sites.Vm
+    ) -> candidates.OwnerReport:
+        site = self._site
+        owner = site.owners[name]
+        if owner is entry:
+            return candidates.OwnerReport(owner.name, sum_up(site, name), 0)
+        return candidates.OwnerReport(
+            owner.name,
+            owner.reported[name],
+            int(site.timeline.now_ms - owner.heartbeat_ms),
+            len(site.vms),
+        )
+
+    def pick(
+        self,
+        entry: sites.Vm,
+        reports: dict[str, candidates.OwnerReport],
+        adapter: str,
+        excluded: set[str],
+    ) -> candidates.Candidate | failures.Failure:
+        """Return the endpoint for one attempt."""
+        site = self._site
+        if site.policy == "round_robin":
+            found = candidates.list_candidates(
+                site.endpoints,
+                reports,
+                adapter,
+                entry.in_flight,
+                frozenset(),
+                entry.zone,
+            )
+            return found[next(self._turn) % len(found)]
+        return choice.choose_endpoint(
+            site.endpoints,
+            reports,
+            adapter,
+            entry.in_flight,
+            frozenset(),
+            entry.zone,
+            excluded,
+            policy=site.policy,
+        )
+
+
+def sum_up(site: sites.Site, name: str) -> membership.EndpointSummary:
+    """Return what the owner of an endpoint says of it."""
+    return summaries.summarize_endpoint(
+        site.queues[name], site.endpoints[name].slots, draining=False
+    )
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -6,7 +6,7 @@
 import statistics
 
 from bench import fakes
-from bench import simulation
+from bench import site as sites
 from bench import workloads
 
 WINDOW_MS = 10_000
@@ -21,7 +21,7 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def _get_first(run: simulation.Simulation, item: simulation.Outcome) -> float:
+def _get_first(run: sites.Site, item: sites.Outcome) -> float:
     """Return the time to the first token; work without one counts as late."""
     at_ms = item.first_ms
     if at_ms is None:
@@ -29,7 +29,7 @@
     return at_ms - item.arrival.at_ms
 
 
-def measure_load(run: simulation.Simulation) -> dict[str, float]:
+def measure_load(run: sites.Site) -> dict[str, float]:
     """Return the figures of a run with a crest."""
     workload = run.workload
     short = workload.kinds[0].work_class
@@ -96,7 +96,7 @@
     }
 
 
-def count_needed_loads(run: simulation.Simulation) -> int:
+def count_needed_loads(run: sites.Site) -> int:
     """Return the fewest stalls with exact knowledge of later requests.
 
     All adapter slots form one pool, which starts with what the run starts
@@ -126,7 +126,7 @@
     return places[-1] if places else float("inf")
 
 
-def _measure_batches(run: simulation.Simulation) -> float:
+def _measure_batches(run: sites.Site) -> float:
     """Return tokens made as a part of those of full batches."""
     token_ms = (
         fakes.TOKEN_BASE_MS + fakes.TOKEN_PART_MS * workloads.ENGINE_SLOTS
@@ -139,7 +139,7 @@
     return made / full if full else 0.0
 
 
-def measure_shares(run: simulation.Simulation) -> dict[str, float]:
+def measure_shares(run: sites.Site) -> dict[str, float]:
     """Return the worst distance from the voted shares over any window."""
     total = sum(workloads.MEMBERS.values())
     worst = 0.0
--- /dev/null
+++ b/bench/permits.py
@@ -0,0 +1,68 @@
+"""Weight-store tokens of the VMs; follows controllers.permits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bench import site as sites
+from bench import workloads
+from bronzetrack.dispatch import state as states
+from bronzetrack.limits import messages
+from bronzetrack.limits import transfers
+from bronzetrack.limits import usage
+
+EXPECTED_VMS = workloads.VMS + 1
+
+
+def refresh(site: sites.Site, vm: sites.Vm) -> None:
+    """Bring the tokens and the usage of a VM up to now."""
+    now_ms = int(site.timeline.now_ms)
+    share = site.workload.loads_per_s / EXPECTED_VMS
+    bucket = vm.permits.bucket.refill(share, max(1.0, share), now_ms)
+    vm.permits = vm.permits.change(bucket)
+    vm.usage = usage.decay(vm.usage, now_ms - int(vm.used_ms))
+    vm.used_ms = site.timeline.now_ms
+
+
+def count_places(site: sites.Site, vm: sites.Vm) -> int:
+    """Return the loads that may start besides those in flight."""
+    loading = sum(
+        resident.phase is states.ResidentPhase.LOADING
+        for name in site.list_owned(vm)
+        for resident in site.queues[name].residents.values()
+    )
+    return max(0, site.workload.store_limit // EXPECTED_VMS - loading)
+
+
+def ask(
+    site: sites.Site, vm: sites.Vm, advance: Callable[[str], None]
+) -> None:
+    """Ask a peer for tokens when some are lacking.
+
+    :param advance: takes each endpoint of the VM once there are more tokens
+    """
+    if site.is_naive:
+        return
+    short = sum(plan.short for plan in vm.plans.values())
+    vm.needed = min(short, count_places(site, vm)) if short else 0
+    peers = [name for name in site.vms if name != vm.name]
+    vm.permits, question = transfers.ask(
+        vm.permits, vm.name, peers, vm.needed, int(site.timeline.now_ms)
+    )
+    if question is None:
+        return
+    peer = site.vms[question.peer]
+
+    def receive() -> None:
+        refresh(site, peer)
+        peer.permits, answer = transfers.grant(
+            peer.permits, question.request, peer.needed
+        )
+        site.call_later(sites.HOP_MS, lambda: accept(answer))
+
+    def accept(answer: messages.TokenGrant) -> None:
+        vm.permits = transfers.accept(vm.permits, answer)
+        for name in site.list_owned(vm):
+            advance(name)
+
+    site.call_later(sites.HOP_MS, receive)
--- /dev/null
+++ b/bench/site.py
@@ -0,0 +1,111 @@
+"""The state of one run, which the roles read and write."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import random
+
+import attrs
+
+from bench import fakes
+from bench import workloads
+from bronzetrack.configuration import inventory as inventories
+from bronzetrack.configuration import rules as rule_sets
+from bronzetrack.dispatch import loads as load_plans
+from bronzetrack.dispatch import placement
+from bronzetrack.dispatch import state as states
+from bronzetrack.limits import transfers
+from bronzetrack.membership import messages as membership
+from bronzetrack.retries import policy as retry_policy
+from bronzetrack.streaming import requests
+
+HOP_MS = 1.0
+# A naive owner keeps one queue in order of arrival and knows no shares.
+NAIVE = ("round_robin", "least_load", "locality")
+OWN = "balanced"
+
+
+@attrs.define
+class Outcome:
+    """What became of an arrival; times in milliseconds."""
+
+    arrival: workloads.Arrival
+    endpoint: str = ""
+    started_ms: float | None = None
+    first_ms: float | None = None
+    ended_ms: float | None = None
+    stalled_ms: float | None = None
+    refusal: str = ""
+    attempts: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Vm:
+    """One entry VM, which also owns endpoints."""
+
+    name: str
+    zone: str
+    permits: transfers.Permits
+    plans: dict[str, load_plans.LoadPlan] = attrs.field(factory=dict)
+    needed: int = 0
+    budget: retry_policy.RetryBudget = attrs.field(
+        factory=retry_policy.RetryBudget
+    )
+    placements: dict[str, placement.Placement] = attrs.field(factory=dict)
+    recent: collections.deque[str] = attrs.field(
+        factory=lambda: collections.deque(maxlen=requests.RECENT_REQUESTS)
+    )
+    usage: dict[str, float] = attrs.field(factory=dict)
+    used_ms: float = 0.0
+    in_flight: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    heartbeat_ms: float = 0.0
+    reported: dict[str, membership.EndpointSummary] = attrs.field(factory=dict)
+    reported_usage: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Site:
+    """One run of one policy over one list of arrivals.
+
+    :param queues: by endpoint, as its owner sees it
+    :param owners: the VM of each endpoint
+    :param served: time, member and cost of each start
+    """
+
+    workload: workloads.Workload
+    policy: str
+    rules: rule_sets.Rules
+    chance: random.Random
+    timeline: fakes.Timeline
+    endpoints: dict[str, inventories.Endpoint]
+    engines: dict[str, fakes.Engine]
+    store: fakes.Store
+    outcomes: list[Outcome]
+    vms: dict[str, Vm]
+    owners: dict[str, Vm]
+    queues: dict[str, states.EndpointQueue]
+    served: list[tuple[float, str, float]] = attrs.field(factory=list)
+
+    @property
+    def is_naive(self) -> bool:
+        """Whether owners know neither shares nor transfers nor copies."""
+        return self.policy in NAIVE
+
+    def list_owned(self, vm: Vm) -> list[str]:
+        """Return the endpoints of a VM."""
+        return [name for name, owner in self.owners.items() if owner is vm]
+
+    def call_later(self, after_ms: float, action: Callable[[], None]) -> None:
+        """Run an action after some time."""
+        self.timeline.call_at(self.timeline.now_ms + after_ms, action)
+
+    def run(self, rest_ms: int = 10_000) -> None:
+        """Run to the end of the arrivals and of most of the work.
+
+        :param rest_ms: time after the last arrival
+        """
+        self.timeline.run(self.workload.duration_ms + rest_ms)
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -6,16 +6,17 @@
 import pytest
 
 from bench import simulation
+from bench import site as sites
 from bench import workloads
 
 
 @pytest.fixture(scope="module", params=list(workloads.WORKLOADS))
-def run(request) -> simulation.Simulation:
+def run(request) -> sites.Site:
     workload = attrs.evolve(
         workloads.WORKLOADS[request.param], duration_ms=12_000
     )
     arrivals = workloads.make_arrivals(workload, 11)
-    made = simulation.Simulation(workload, simulation.OWN, arrivals, 11, True)
+    made = simulation.make_site(workload, sites.OWN, arrivals, 11, True)
     made.run()
     return made
 
