Grant a part of a token that completes one elsewhere

Change: a VM that waits for the rest of a token grants its part if that completes a token of the asking VM. Whole tokens stay reserved, the sum of all buckets cannot rise.

--- a/src/bronzetrack/limits/transfers.py
+++ b/src/bronzetrack/limits/transfers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+import math
 
 import attrs
 
@@ -103,10 +104,16 @@
 ) -> tuple[Permits, messages.TokenGrant]:
     """Return the permits without the tokens granted, and the answer.
 
+    A part of a token starts no load. It is granted even if this VM waits for
+    the rest of it, provided that it completes a token of the asking VM.
+
     :param reserved: loads that this VM could start itself
     """
-    spare = max(0.0, permits.bucket.tokens - reserved)
-    granted = max(0.0, min(spare, request.tokens))
+    held = permits.bucket.tokens
+    granted = max(0.0, min(held - reserved, request.tokens))
+    if held <= reserved:
+        lacking = request.tokens - (math.ceil(request.tokens) - 1)
+        granted = lacking if lacking <= held - math.floor(held) else 0.0
     return (
         permits.change(permits.bucket.take(granted)),
         messages.TokenGrant(request.number, granted),
--- a/tests/limits/test_transfers.py
+++ b/tests/limits/test_transfers.py
@@ -72,6 +72,24 @@
     assert giving.bucket.tokens == pytest.approx(1.25)
 
 
+@pytest.mark.parametrize(
+    "held,lacking,granted",
+    [(0.6, 0.5, 0.5), (0.6, 1.5, 0.5), (0.6, 0.7, 0.0), (1.6, 1.0, 0.0)],
+)
+def test_part_of_a_token_completes_one_elsewhere(
+    make_permits, held, lacking, granted
+):
+    """Guards against parts of tokens that lie idle while loads wait.
+
+    A VM that could start two loads itself keeps its whole tokens, and a part
+    that completes nothing.
+    """
+    request = messages.TokenRequest(1, lacking)
+    giving, answer = transfers.grant(make_permits(held), request, 2)
+    assert answer.tokens == pytest.approx(granted)
+    assert giving.bucket.tokens == pytest.approx(held - granted)
+
+
 def test_all_peers_are_asked_before_a_pause(make_permits):
     """Guards against a VM that asks an empty peer over and over."""
     permits, asked, now_ms = make_permits(0.0), [], 0
