Count each crash of a service that comes back at once

Cause: plain services that crash had no test with real processes. The new tests found a fault: a service has no boot value, and its crashes within 5 s of each other counted as one. A call that took down a service which was back within a second got a third run and crashed it again. Change: a run that started after a crash was seen belongs to a later process, so its crash counts anew. The service stand-in crashes on the text that the engine crashes on, and can hold calls until they are released. The tests bring a crash about beside a call that may be repeated and one under a key, with and without keys, and follow the suspects until they are cleared. Two runs of a service are lost to one call. Without a key a call that must not be repeated is refused with key_required; under a key its crash is told as unknown, and a resend under that key never runs it.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -69,6 +69,7 @@
         self._next_number = work.resume_from
         self._first_chunk_ms: int | None = None
         self._dispatched = False
+        self._sent_wall_ms = 0
         self._has_reader = True
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
@@ -116,12 +117,13 @@
 
     async def _dispatch(self) -> failures.Failure | None:
         self._dispatched = True
-        sent_ms = self._read_clock().monotonic_ms
+        sent = self._read_clock()
+        self._sent_wall_ms = sent.wall_ms
         try:
             async with self._ports.endpoints.open_answer(
                 self._endpoint, self._work
             ) as answer:
-                await self._relay(answer, sent_ms)
+                await self._relay(answer, sent.monotonic_ms)
         except errors.FailureError as error:
             return await self._end_failed(error.failure)
         if self._work.isolated and self._crashes:
@@ -200,7 +202,10 @@
                     failures.Reason.ANSWER_INCOMPLETE, failure.detail
                 )
         seen = crash_events.CrashSeen(
-            self._work.endpoint, self._boot, self._list_running()
+            self._work.endpoint,
+            self._boot,
+            self._list_running(),
+            self._sent_wall_ms,
         )
         self._board.mailboxes["suspects"].post(seen)
         # The slot is given back only after the crash is known here, so that
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -79,7 +79,11 @@
     def _record_crash(self, seen: events.CrashSeen) -> None:
         now = self.read_clock()
         crash = suspects.make_crash_id(
-            seen.endpoint, seen.boot, self._service_crashes, now.wall_ms
+            seen.endpoint,
+            seen.boot,
+            self._service_crashes,
+            seen.started_ms,
+            now.wall_ms,
         )
         if not seen.boot and crash not in self._service_crashes:
             self._service_crashes = [*self._service_crashes[-63:], crash]
--- a/src/bronzetrack/retries/events.py
+++ b/src/bronzetrack/retries/events.py
@@ -11,11 +11,13 @@
 
     :param boot: the run of the engine that crashed, empty if it has none
     :param fingerprints: of the requests that ran there
+    :param started_ms: Unix time at which the run that saw it started
     """
 
     endpoint: str
     boot: str
     fingerprints: tuple[str, ...]
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -93,17 +93,27 @@
 
 
 def make_crash_id(
-    endpoint: str, boot: str, earlier: Iterable[str], now_ms: int
+    endpoint: str,
+    boot: str,
+    earlier: Iterable[str],
+    started_ms: int,
+    now_ms: int,
 ) -> str:
     """Return the identity of a crash, the same for all its witnesses.
 
+    A run that started after a crash of a service was seen ran in a later
+    process: a service that is back within a second may crash again.
+
     :param earlier: identities of earlier crashes of a service
+    :param started_ms: Unix time at which the run that saw it started
+    :param now_ms: Unix time
     """
     if boot:
         return f"{endpoint}/{boot}"
+    oldest_ms = max(started_ms, now_ms - GATHER_MS + 1)
     for crash in earlier:
         name, _, time_ms = crash.rpartition("/")
-        if name == endpoint and now_ms - int(time_ms) < GATHER_MS:
+        if name == endpoint and int(time_ms) >= oldest_ms:
             return crash
     return f"{endpoint}/{now_ms}"
 
--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -73,16 +73,23 @@
 
 
 def call_service(
-    vm: sites.Vm, key: str, body: str, headers: dict[str, str] | None = None
+    vm: sites.Vm,
+    key: str | None,
+    body: str,
+    headers: dict[str, str] | None = None,
+    method: str = "POST",
+    path: str = "x",
 ) -> httpcore.Response:
-    """Send a call that must not be repeated to the plain service.
+    """Send a call to the plain service, by default one not to be repeated.
 
     :param headers: of a key that is not issued now
     """
+    if headers is None:
+        headers = {} if key is None else make_key(key)
     return httpcore.request(
-        "POST",
-        f"http://{vm.callers}/services/updates/x",
-        headers=headers or make_key(key),
+        method,
+        f"http://{vm.callers}/services/updates/{path}",
+        headers=headers,
         content=body.encode(),
         extensions={"timeout": TIMEOUTS},
     )
--- a/tests/daemon/test_crashes.py
+++ b/tests/daemon/test_crashes.py
@@ -1,4 +1,4 @@
-"""Test of a request that crashes the endpoints that run it."""
+"""Tests of requests that crash the endpoints that run it."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 
 from daemon import pairs
 
+from standins import site as sites
+
 BAD = "crash-the-endpoint"
+HELD = "hold-until-released"
 
 
 def test_crashing_request_is_refused_and_innocents_are_answered(engine_pair):
@@ -42,5 +45,89 @@
     assert engine.process.poll() is None
 
 
+def test_crashing_call_takes_two_runs_of_a_service(service_pair):
+    """Guards against a call that takes a service down again and again.
+
+    The service is back within seconds, and calls that ran beside the crash
+    are answered if they may run again, and else are told to be unknown.
+    """
+    pair = service_pair
+    site = pair.site
+    calls = {
+        name: pair.threads.submit(
+            pairs.call_service, vm, key, "", method=method, path=HELD + name
+        )
+        for name, vm, key, method in (
+            ("get", pair.entry, None, "GET"),
+            ("post", pair.owner, "held", "POST"),
+        )
+    }
+    site.wait(lambda: site.count_runs(HELD) == len(calls))
+    bad = pair.threads.submit(
+        pairs.call_service, pair.entry, None, "", method="GET", path=BAD
+    )
+    for _ in range(2):
+        restart_service(pair)
+    refused = bad.result()
+    assert pairs.read_outcome(refused) == "failed"
+    assert read_reason(refused) == "crashes_endpoints"
+    assert pairs.read_outcome(calls["get"].result()) == "completed"
+    assert pairs.read_outcome(calls["post"].result()) == "unknown"
+    for vm in (pair.entry, pair.owner):
+        again = pairs.call_service(vm, None, "", method="GET", path=BAD)
+        assert pairs.read_outcome(again) == "refused"
+        assert read_reason(again) == "crashes_endpoints"
+    # The call that was answered is no suspect any more. The other one is,
+    # until it has run alone under a new key.
+    for vm in (pair.entry, pair.owner):
+        site.wait(lambda vm=vm: count_suspects(pair, vm) == 2)
+    answer = pairs.call_service(pair.entry, "new", "", path=HELD + "post")
+    assert pairs.read_outcome(answer) == "completed"
+    for vm in (pair.entry, pair.owner):
+        site.wait(lambda vm=vm: count_suspects(pair, vm) == 1)
+    assert get_service(pair).process.poll() is None
+
+
+def test_crashing_call_under_keys_takes_two_runs_of_a_service(service_pair):
+    """Guards against a run under a used key, or a third one under new keys."""
+    pair = service_pair
+    for key in ("first", "second"):
+        call = pair.threads.submit(pair.call_service, key, body=BAD)
+        restart_service(pair)
+        assert pairs.read_outcome(call.result()) == "unknown"
+        again = pair.call_service(key, pair.owner, BAD)
+        assert pairs.read_outcome(again) in ("unknown", "refused")
+    for vm in (pair.entry, pair.owner):
+        refused = pair.call_service("third", vm, BAD)
+        assert pairs.read_outcome(refused) == "refused"
+        assert read_reason(refused) == "crashes_endpoints"
+    without_key = pairs.call_service(pair.entry, None, BAD)
+    assert read_reason(without_key) == "key_required"
+    assert get_service(pair).process.poll() is None
+
+
+def get_service(pair):
+    [service] = pair.site.endpoints.values()
+    return service
+
+
+def restart_service(pair):
+    """Wait until the service has crashed, and start it again."""
+    service = get_service(pair)
+    service.process.wait(pairs.TIMEOUTS["read"])
+    pair.site.start_endpoint(service)
+    pair.site.wait(
+        lambda: sites.fetch("POST", f"{service.url}/release") is not None
+    )
+
+
+def count_suspects(pair, vm):
+    """Return how many requests a VM suspects."""
+    suspects = pair.site.get_state(vm, "suspects")["suspects"].values()
+    return sum(
+        bool(set(item["crashes"]) - set(item["cleared"])) for item in suspects
+    )
+
+
 def read_reason(answer: pairs.httpcore.Response) -> str:
     return json.loads(answer.content)["error"]["type"]
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -170,12 +170,21 @@
 
 def test_witnesses_of_one_crash_agree_on_its_identity():
     """Guards against one crash that counts twice."""
-    assert suspects.make_crash_id("e0", "b1", (), 5) == (
-        suspects.make_crash_id("e0", "b1", (), 9_000)
+    assert suspects.make_crash_id("e0", "b1", (), 0, 5) == (
+        suspects.make_crash_id("e0", "b1", (), 0, 9_000)
     )
-    first = suspects.make_crash_id("s0", "", (), 5)
-    assert suspects.make_crash_id("s0", "", (first,), 900) == first
-    assert suspects.make_crash_id("s0", "", (first,), 90_000) != first
+    first = suspects.make_crash_id("s0", "", (), 0, 5)
+    assert suspects.make_crash_id("s0", "", (first,), 5, 900) == first
+    assert suspects.make_crash_id("s0", "", (first,), 0, 90_000) != first
+
+
+def test_crash_of_a_service_that_came_back_counts_again():
+    """Guards against a service lost four times in the time of one crash."""
+    first = suspects.make_crash_id("s0", "", (), 0, 5)
+    second = suspects.make_crash_id("s0", "", (first,), 6, 900)
+    assert second != first
+    witness = suspects.make_crash_id("s0", "", (first, second), 7, 901)
+    assert witness == second
 
 
 def test_owner_counts_crashes_that_the_entry_vm_knows():
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -21,6 +21,7 @@
 import uvicorn
 
 CRASH_TEXT = "crash-the-endpoint"
+HOLD_TEXT = "hold-until-released"
 
 
 @attrs.define
@@ -70,6 +71,7 @@
     faults: list[str] = attrs.field(factory=list)
     report: dict[str, Any] = attrs.field(factory=dict)
     leaving: bool = False
+    released: anyio.Event = attrs.field(factory=anyio.Event)
 
     def build(self) -> applications.Starlette:
         post = ["POST"]
@@ -91,6 +93,7 @@
                 routing.Route("/statistics", self.get_statistics),
                 routing.Route("/leave", self.leave, methods=post),
                 routing.Route("/restart", self.restart, methods=post),
+                routing.Route("/release", self.release, methods=post),
                 routing.Route(
                     "/{path:path}",
                     self.serve_call,
@@ -262,6 +265,11 @@
         self.jobs.clear()
         return responses.JSONResponse({})
 
+    async def release(self, request: requests.Request) -> responses.Response:
+        """Let the calls go on that are held, now and later."""
+        self.released.set()
+        return responses.JSONResponse({})
+
     async def get_statistics(
         self, request: requests.Request
     ) -> responses.Response:
@@ -273,7 +281,12 @@
         self, request: requests.Request
     ) -> responses.Response:
         body = await request.body()
-        self._count_run(body)
+        call = request.url.path.encode() + b" " + body
+        self._count_run(call)
+        if CRASH_TEXT in call.decode(errors="replace"):
+            os._exit(1)
+        if HOLD_TEXT in call.decode(errors="replace"):
+            await self.released.wait()
         return responses.JSONResponse(
             {"path": request.url.path, "bytes": len(body)}
         )
