Replay traces of dispatch to one endpoint

Cause: traces could hold the records of a stream only, so that an incident of an endpoint (lost, restarted empty, a load that failed, a lapsed lease, a late answer) could not become a test without code. Change: a trace of the subject "dispatch" holds arrivals and faults of one endpoint, which traces.dispatch replays through the planner, the transitions and the rights of a lease. Each core names the registry of its events; only streams of the log can be recorded. A mistake in a written event is a failure in place of a traceback, for streams too. One endpoint a trace; routing and retries of the entry VM are not replayed.

--- a/src/bronzetrack/console/commands/trace.py
+++ b/src/bronzetrack/console/commands/trace.py
@@ -23,7 +23,7 @@
 @command.command(
     "record", epilog="Example: bronzetrack trace record keys > incident.json"
 )
-@click.argument("stream", type=click.Choice(sorted(cores.CORES)))
+@click.argument("stream", type=click.Choice(cores.list_streams()))
 @options.log_url
 @click.option("--description", default="", help="What happened.")
 def record(stream: str, log_url: str, description: str) -> None:
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -1,9 +1,10 @@
-"""The decisions that traces are replayed through, by stream."""
+"""The decisions that traces are replayed through, by stream or subject."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from typing import Any
+from typing import ClassVar
 from typing import Protocol
 
 import attrs
@@ -11,6 +12,7 @@
 from bronzetrack.configuration import records as configuration_records
 from bronzetrack.configuration import replay as configuration_replay
 from bronzetrack.configuration import state as configuration_state
+from bronzetrack.core import records
 from bronzetrack.core import registry
 from bronzetrack.idempotency import records as key_records
 from bronzetrack.idempotency import table as key_table
@@ -19,25 +21,45 @@
 from bronzetrack.ownership import replay as ownership_replay
 from bronzetrack.retries import records as crash_records
 from bronzetrack.retries import suspects
+from bronzetrack.traces import dispatch
 from bronzetrack.wire import documents
 
 
 class Core(Protocol):
-    """Replays the records of one stream."""
+    """Replays the events of one trace.
+
+    :param events: the classes of the events by name
+    """
+
+    events: ClassVar[registry.Registry[Any]]
 
     def apply(self, at_ms: int, offset: int, record: Any) -> None:
-        """Take in one record."""
+        """Take in one event."""
 
     def read_outcomes(self) -> Mapping[str, Any]:
         """Return every outcome so far by name."""
 
 
 CORES: registry.Registry[type[Core]] = registry.Registry("trace cores")
+CORES.register(dispatch.NAME)(dispatch.DispatchCore)
+
+
+def list_streams() -> list[str]:
+    """Return the streams of the log that can be recorded."""
+    return sorted(
+        name for name, core in CORES.items() if core.events is records.RECORDS
+    )
+
+
+class StreamCore:
+    """A core whose events are the records of a stream."""
+
+    events: ClassVar[registry.Registry[Any]] = records.RECORDS
 
 
 @CORES.register(key_records.STREAM)
 @attrs.define
-class KeysCore:
+class KeysCore(StreamCore):
     """Outcomes: phase and attempt of each key."""
 
     entries: dict[str, key_table.KeyEntry] = attrs.field(factory=dict)
@@ -56,7 +78,7 @@
 
 @CORES.register(ownership_records.STREAM)
 @attrs.define
-class OwnershipCore:
+class OwnershipCore(StreamCore):
     """Outcomes: owner and fencing number of each endpoint."""
 
     state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
@@ -75,7 +97,7 @@
 
 @CORES.register(configuration_records.STREAM)
 @attrs.define
-class ConfigurationCore:
+class ConfigurationCore(StreamCore):
     """Outcomes: offset in force, and whether each offset was accepted."""
 
     state: configuration_state.ConfigurationState = attrs.field(
@@ -97,7 +119,7 @@
 
 @CORES.register(crash_records.STREAM)
 @attrs.define
-class CrashesCore:
+class CrashesCore(StreamCore):
     """Outcomes: whether each fingerprint is a suspect or is refused."""
 
     table: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
--- a/src/bronzetrack/traces/model.py
+++ b/src/bronzetrack/traces/model.py
@@ -10,23 +10,23 @@
 
 @attrs.frozen
 class TraceEvent:
-    """One record of a stream as a daemon read it.
+    """One record of a stream, or one event, as a daemon took it in.
 
-    :param at_ms: monotonic time of the read
-    :param offset: offset of the record
-    :param record: registered name and fields of the record
+    :param at_ms: monotonic time at which it did
+    :param record: registered name and fields of the record or event
+    :param offset: offset of a record
     """
 
     at_ms: int
-    offset: int
     record: tuple[str, Mapping[str, Any]]
+    offset: int = 0
 
 
 @attrs.frozen
 class Trace:
-    """A trace of one stream.
+    """A trace of one stream, or of the dispatch to one endpoint.
 
-    :param stream: the stream that was recorded
+    :param stream: the stream that was recorded, or `dispatch`
     :param description: what happened, for a person
     :param events: records in the order in which they were read
     :param outcomes: what the replay has to come to, by name; names that are
--- a/src/bronzetrack/traces/replay.py
+++ b/src/bronzetrack/traces/replay.py
@@ -7,6 +7,7 @@
 from bronzetrack.core import errors
 from bronzetrack.core import failures
 from bronzetrack.core import records
+from bronzetrack.core import registry
 from bronzetrack.traces import cores
 from bronzetrack.traces import model
 from bronzetrack.wire import converter
@@ -19,9 +20,12 @@
     try:
         core = cores.CORES.lookup(trace.stream)()
         for event in trace.events:
-            core.apply(event.at_ms, event.offset, _read_record(event))
+            record = _read_record(event, core.events)
+            core.apply(event.at_ms, event.offset, record)
     except errors.UnknownEntryError as error:
         return failures.Failure(failures.Reason.TRACE_INVALID, str(error))
+    except errors.FailureError as error:
+        return error.failure
     replayed = core.read_outcomes()
     return tuple(
         model.Difference(name, stated, replayed.get(name))
@@ -30,9 +34,18 @@
     )
 
 
-def _read_record(event: model.TraceEvent) -> Any:
+def _read_record(
+    event: model.TraceEvent, known: registry.Registry[type]
+) -> Any:
     name, fields = event.record
-    return converter.JSON.structure(fields, records.RECORDS.lookup(name))
+    cls = known.lookup(name)
+    try:
+        return converter.JSON.structure(fields, cls)
+    # Corrupt input makes cattrs raise many kinds of error.
+    except Exception as error:
+        raise errors.FailureError(
+            converter.describe_failure(failures.Reason.TRACE_INVALID, error)
+        ) from None
 
 
 def read_trace(text: str) -> model.Trace | failures.Failure:
@@ -53,4 +66,4 @@
     """Return the event of a record that was read."""
     names = {cls: name for name, cls in records.RECORDS.items()}
     fields = converter.JSON.unstructure(record)
-    return model.TraceEvent(at_ms, offset, (names[type(record)], fields))
+    return model.TraceEvent(at_ms, (names[type(record)], fields), offset)
--- a/tests/traces/test_replay.py
+++ b/tests/traces/test_replay.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bronzetrack.core import failures
+from bronzetrack.traces import model
 from bronzetrack.traces import replay
 
 
@@ -36,3 +37,27 @@
     found = replay.read_trace(text)
     assert isinstance(found, failures.Failure)
     assert found.reason is failures.Reason.TRACE_INVALID
+
+
+@pytest.mark.parametrize(
+    "stream, name, fields",
+    [
+        ("dispatch", "arrived", {}),
+        ("dispatch", "arrival", {"attempt": 1}),
+        ("dispatch", "arrival", {"attempt": "a", "adapters": "a@1"}),
+        ("dispatch", "run_ended", {"attempt": "a", "reason": "crash"}),
+        ("keys", "key_void", {"key": "k"}),
+    ],
+)
+def test_bad_event_is_a_failure(stream, name, fields):
+    """Guards against a traceback for a mistake in a written event."""
+    trace = model.Trace(stream, (model.TraceEvent(0, (name, fields)),))
+    found = replay.replay_trace(trace)
+    assert isinstance(found, failures.Failure)
+    assert found.reason is failures.Reason.TRACE_INVALID
+
+
+def test_dispatch_trace_needs_no_claim_first():
+    """Guards against a traceback for events in an unusual order."""
+    report = model.TraceEvent(0, ("report", {"boot": "b1"}))
+    assert replay.replay_trace(model.Trace("dispatch", (report,))) == ()
