--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -71,6 +71,7 @@
         self._next_number = work.resume_from
         self._first_chunk_ms: int | None = None
         self._dispatched = False
+        self._sent_wall_ms = 0
         self._resumed = work.resume_of is not None
         self._reader = submission.get_incarnation(board, sender)
         self._reader_lost_ms: int | None = None
@@ -125,9 +126,10 @@
 
     async def _dispatch(self) -> failures.Failure | None:
         self._dispatched = True
-        sent_ms = self._read_clock().monotonic_ms
+        sent = self._read_clock()
+        self._sent_wall_ms = sent.wall_ms
         try:
-            await self._read_answer(sent_ms)
+            await self._read_answer(sent.monotonic_ms)
         except errors.FailureError as error:
             failure = await self._end_failed(error.failure)
             if failure.reason is failures.Reason.ENDPOINT_SILENT:
@@ -263,7 +265,10 @@
                     failures.Reason.ANSWER_INCOMPLETE, failure.detail
                 )
         seen = crash_events.CrashSeen(
-            self._work.endpoint, self._boot, self._list_running()
+            self._work.endpoint,
+            self._boot,
+            self._list_running(),
+            self._sent_wall_ms,
         )
         self._board.mailboxes["suspects"].post(seen)
         # The slot is given back only after the crash is known here, so that
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -70,18 +70,18 @@
             continue
         found.append(
             Candidate(
-                name,
-                report.owner,
-                endpoint.slots,
-                adapter in summary.warm,
-                summary.free_slots,
-                summary.queued,
-                in_flight.get(name, 0),
-                report.age_ms,
-                summary.slow,
-                summary.reachable,
-                endpoint.availability_zone == zone,
-                report.senders,
+                endpoint=name,
+                owner=report.owner,
+                slots=endpoint.slots,
+                warm=adapter in summary.warm,
+                free_slots=summary.free_slots,
+                queued=summary.queued,
+                in_flight=in_flight.get(name, 0),
+                report_age_ms=report.age_ms,
+                slow=summary.slow,
+                reachable=summary.reachable,
+                near=endpoint.availability_zone == zone,
+                senders=report.senders,
             )
         )
     return found
