--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -54,11 +54,12 @@
         group.start_soon(collect, log, "probed", [], True)
         await anyio.sleep(0.05)
         service.down = True
+        before = len(seen)
         await anyio.sleep(follower.PROBE_WAIT_MS / 1000)
-        outage = list(seen)
+        outage = seen[before:]
         service.down = False
         await anyio.sleep(follower.RETRY_MS / 1000 + 0.1)
-        recovery = seen[len(outage) :]
+        recovery = seen[before + len(outage) :]
         group.cancel_scope.cancel()
     return outage, recovery
 
@@ -75,6 +76,19 @@
     assert isinstance(recovery[-1], logservice.LogBatch)
 
 
+async def find_first_batch(log):
+    with anyio.fail_after(follower.PROBE_WAIT_MS / 2_000):
+        async for batch in follower.follow_stream(log, "quiet"):
+            return batch
+
+
+def test_empty_stream_is_known_at_once(service):
+    """Guards against a VM that refuses keys while it waits for a record."""
+    log = logservice.LogClient("http://127.0.0.1:9", None)
+    batch = anyio.run(find_first_batch, log)
+    assert batch.end == 0
+
+
 async def read_beside_failure(service):
     """Return the answer to a read that must not end with others."""
     log = logservice.LogClient("http://127.0.0.1:9", None)
