Stop an owner that alone is cut off from the log

Cause: an owner could not tell its own cut from an outage of the log and went on with idempotent work, while a successor could evict what that used. The other VMs also kept choosing the cut-off owner, which still sent heartbeats, so that nobody took its endpoint over. A VM that had given an endpoint up and could not read its release refused its own callers four times at once with no_owner. Change: heartbeats say whether the sender reads the log and holds its lease. ownership.standing decides from that whether a VM without the log and without a lease may have a successor; such a VM starts, loads and unloads nothing, hands its queue back with lease_lapsed and sends its callers' work to the owner that a heartbeat names. VMs without a lease are no candidates for endpoints. A version is inherited for 1.5 s longer, until a former owner has heard of it. What this VM has given up is no candidate of its own. test_transitions takes the longer time from the code and is as strict; test_holder_dispatches_on_in_outage_of_log now states when the outage was judged, since a judgement from before a pause no longer counts. With the standing switched off: "assert ['unload of trust-1@1 in use'] == []"; without the rule on VMs without a lease: "SiteError: timeout" on the wait for the successor. It is no proof: a majority that is cut off together with a successor in the rest goes on. Requiring all VMs to agree from the start would stop a site in an outage with one dead VM. Ruled out: offsets of the log in heartbeats, which tell a cut only after the next renewal, 3 s later.

--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -360,7 +360,7 @@
         )
         measure_time(
             f"own heartbeat made, {scale}",
-            lambda: summaries.make_heartbeat(board),
+            lambda: summaries.make_heartbeat(board, 0),
         )
         measure_routing(board, endpoints, scale)
 
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -250,12 +250,14 @@
     ) -> contexts.EndpointContext:
         state = self.board.dispatch.value
         ownership = self.board.ownership.value
+        may_start = leases.may_dispatch(ownership, now_ms)
         return contexts.EndpointContext(
             endpoint=endpoint,
             rules=self.board.configuration.value.configuration.rules,
             leaving=self._is_leaving(name, endpoint),
-            may_start=leases.may_dispatch(ownership, now_ms),
-            may_load=state.endpoints[name].boot != "",
+            may_start=may_start,
+            superseded=ownership.standing is not leases.Standing.SOLE,
+            may_load=may_start and state.endpoints[name].boot != "",
             may_unload=leases.may_order(
                 ownership,
                 name,
--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -68,7 +68,9 @@
     async def _send_heartbeats(self) -> None:
         revision = -1
         while True:
-            self.ports.peers.send_all(summaries.make_heartbeat(self.board))
+            now_ms = self.read_clock().monotonic_ms
+            heartbeat = summaries.make_heartbeat(self.board, now_ms)
+            self.ports.peers.send_all(heartbeat)
             self._expire()
             # A change of status is told at once, so that a leaving VM gets
             # no new work for the rest of the interval.
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -15,11 +15,14 @@
 from bronzetrack.ownership import planner
 from bronzetrack.ownership import records
 from bronzetrack.ownership import replay
+from bronzetrack.ownership import standing
 from bronzetrack.platform import follower
 from bronzetrack.platform import logservice
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
+# Less than the margin, after which a successor may claim.
+JUDGE_INTERVAL_MS = 250
 # A copy that the log did not take is tried again after this time.
 COPY_RETRY_MS = 5_000
 
@@ -35,6 +38,7 @@
             group.start_soon(self._follow)
             group.start_soon(self._renew)
             group.start_soon(self._plan)
+            group.start_soon(self._judge_forever)
             group.start_soon(self._copy)
 
     def _now_ms(self) -> int:
@@ -50,10 +54,36 @@
             state = self.board.ownership.value
             if isinstance(batch, failures.Failure):
                 state = replay.note_outage(state, self._now_ms())
+                state = self._judge(state)
             else:
                 state = self._apply_batch(state, batch)
             self.write(self.board.ownership, state)
 
+    async def _judge_forever(self) -> None:
+        while True:
+            state = self._judge(self.board.ownership.value)
+            if state is not self.board.ownership.value:
+                self.write(self.board.ownership, state)
+            await anyio.sleep(JUDGE_INTERVAL_MS / 1000)
+
+    def _judge(self, state: leases.OwnershipState) -> leases.OwnershipState:
+        now_ms = self._now_ms()
+        claimants = views.list_claimants(
+            self.board.membership.value,
+            leases.list_owned(state, self.board.incarnation),
+            now_ms,
+        )
+        after = standing.judge(state, self.board.vm, claimants, now_ms)
+        if after.standing is not state.standing:
+            LOG.warning(
+                "standing as an owner changed",
+                extra={
+                    "event": "ownership_standing",
+                    "standing": after.standing.value,
+                },
+            )
+        return after
+
     def _apply_batch(
         self, state: leases.OwnershipState, batch: logservice.LogBatch
     ) -> leases.OwnershipState:
@@ -153,10 +183,14 @@
         :param settled_ms: for how long other VMs have to have served
         """
         view = self.board.membership.value
+        state = self.board.ownership.value
+        # A VM that is cut off from the log alone still says that it serves,
+        # and would keep its place while nobody can take it.
         zones = {
             vm.vm: vm.availability_zone
             for vm in views.list_serving(view, now_ms)
             if now_ms - vm.serving_ms >= settled_ms
+            and not leases.lacks_lease(state, vm.incarnation, now_ms)
         }
         if self.board.vm not in view.listed_leaving or not zones:
             zones[self.board.vm] = self.board.settings.vm.availability_zone
--- a/src/bronzetrack/dispatch/context.py
+++ b/src/bronzetrack/dispatch/context.py
@@ -20,6 +20,7 @@
 
     :param leaving: whether the endpoint gets no new work
     :param may_start: whether work may be dispatched
+    :param superseded: whether another VM may own the endpoint
     :param may_load: whether orders that evict nothing are allowed
     :param may_unload: whether orders that need the lease are allowed
     :param load_permits: loads that may start now
@@ -35,6 +36,7 @@
     load_permits: int
     leaving: bool = False
     may_start: bool = True
+    superseded: bool = False
     usage: dict[str, float] = attrs.field(factory=dict)
     placement: placements.Placement = attrs.field(factory=placements.Placement)
     quotas: quota_views.QuotaView = attrs.field(factory=quota_views.QuotaView)
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -149,6 +149,8 @@
     context: contexts.EndpointContext,
     item: states.Waiting,
 ) -> failures.Reason | None:
+    if context.superseded:
+        return failures.Reason.LEASE_LAPSED
     if context.leaving:
         return failures.Reason.ENDPOINT_LEAVING
     if item.work.isolated:
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -17,6 +17,11 @@
 LOAD_RETRY_MS = 1_000
 FENCE_RETRY_MS = 1_000
 NEVER_MS = -(1 << 62)
+# A former owner that is cut off may start work until it has heard in a
+# heartbeat that it may have a successor: an interval, and the transit.
+NOTICE_MS = 1_500
+# A report that is read later than this after a claim shows all of its work.
+TAKEOVER_MS = reports.REPORT_LAG_MS + NOTICE_MS
 
 
 def enqueue(
@@ -242,8 +247,9 @@
     """Return the queue after a load report.
 
     :param owned_ms: how long this VM has owned the endpoint. A report that
-        is read later than its longest lag after the claim was made after the
-        claim; the clocks of an endpoint and of a VM are never compared.
+        is read later than its longest lag and the notice after the claim was
+        made after the former owner stopped; the clocks of an endpoint and of
+        a VM are never compared.
     """
     queue = attrs.evolve(queue, leaving=report.leaving, reachable=True)
     if report.boot != queue.boot:
@@ -252,7 +258,7 @@
         )
         return adopt_residents(fresh, report.loaded, now_ms)
     queue = _reconcile_residents(queue, report, now_ms)
-    if owned_ms <= reports.REPORT_LAG_MS:
+    if owned_ms <= TAKEOVER_MS:
         return queue
     in_use = [name for name, count in report.running.items() if count]
     return clear_inherited(queue, in_use)
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -67,6 +67,7 @@
 
     :param endpoints: summaries of the endpoints that the VM owns
     :param usage: recent cost by member, decayed, of the work it dispatched
+    :param may_claim: whether the VM reads the log and holds its lease
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -77,6 +78,7 @@
     configuration_offset: int
     endpoints: Mapping[str, EndpointSummary] = attrs.field(factory=dict)
     usage: Mapping[str, float] = attrs.field(factory=dict)
+    may_claim: bool = True
 
 
 # The next two are posted locally and are not registered, so that no peer can
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -12,7 +12,9 @@
     from bronzetrack import board as boards
 
 
-def make_heartbeat(board: boards.Blackboard) -> messages.Heartbeat:
+def make_heartbeat(
+    board: boards.Blackboard, now_ms: int
+) -> messages.Heartbeat:
     """Return the heartbeat of the present state."""
     return messages.Heartbeat(
         vm=board.vm,
@@ -21,6 +23,7 @@
         configuration_offset=board.configuration.value.configuration.offset,
         endpoints=summarize_owned(board),
         usage=dict(board.dispatch.value.usage),
+        may_claim=leases.may_claim(board.ownership.value, now_ms),
     )
 
 
@@ -35,7 +38,8 @@
         name: summarize_endpoint(
             queues.get(name, dispatch_state.EndpointQueue()),
             endpoints[name].slots,
-            name in ownership.draining,
+            name in ownership.draining
+            or ownership.standing is not leases.Standing.SOLE,
         )
         for name in leases.list_owned(ownership, board.incarnation)
         if name in endpoints
@@ -47,7 +51,8 @@
 ) -> messages.EndpointSummary:
     """Return the summary of one owned endpoint.
 
-    :param draining: whether its queue is finished before a handover
+    :param draining: whether it gets no new work, for a handover or since
+        another VM may own it
     """
     return messages.EndpointSummary(
         free_slots=max(0, slots - len(queue.running)),
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 
 import attrs
@@ -23,6 +24,8 @@
     :param heard_ms: monotonic time of the last message
     :param serving_ms: monotonic time since when it says that it serves
     :param connected: whether a session towards it is open
+    :param may_claim: whether it could claim endpoints, None before its first
+        heartbeat
     """
 
     vm: str
@@ -40,6 +43,7 @@
     usage: Mapping[str, float] = attrs.field(factory=dict)
     connected: bool = False
     operator_address: str = ""
+    may_claim: bool | None = None
 
 
 @attrs.frozen
@@ -91,6 +95,7 @@
         configuration_offset=heartbeat.configuration_offset,
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
+        may_claim=heartbeat.may_claim,
     )
     return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
 
@@ -127,6 +132,21 @@
     )
 
 
+def list_claimants(
+    view: MembershipView, owned: Collection[str], now_ms: int
+) -> dict[str, bool]:
+    """Return by VM that was heard recently whether it may be a successor.
+
+    :param owned: the endpoints of this VM, as far as it has read
+    """
+    return {
+        name: state.may_claim or not state.endpoints.keys().isdisjoint(owned)
+        for name, state in view.vms.items()
+        if state.may_claim is not None
+        and now_ms - state.heard_ms < SUSPECT_AFTER_MS
+    }
+
+
 def list_serving(view: MembershipView, now_ms: int) -> list[VmState]:
     """Return the VMs that serve and are not leaving, in order of name."""
     return [
--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -39,10 +39,15 @@
         state = skip_records(state, first, now_ms)
     for offset, record in fresh:
         state = apply_record(state, offset, record, now_ms)
-        state = _note_own(state, record, incarnation)
+        state = _note_own(state, record, incarnation, now_ms)
     at_end = state.next_offset >= end
     caught_up = state.complete and (state.caught_up or at_end)
-    return attrs.evolve(state, caught_up=caught_up, log_reachable=True)
+    return attrs.evolve(
+        state,
+        caught_up=caught_up,
+        log_reachable=True,
+        standing=leases.Standing.SOLE,
+    )
 
 
 def note_outage(
@@ -104,8 +109,15 @@
     if leases.get_sequence(state, record.incarnation) >= record.sequence:
         return state
     lease = leases.Lease(record.vm, record.sequence, now_ms)
+    recent = {
+        vm: read_ms
+        for vm, read_ms in state.renewed_ms.items()
+        if now_ms - read_ms <= leases.KNOWN_MS
+    }
     return attrs.evolve(
-        state, leases={**state.leases, record.incarnation: lease}
+        state,
+        leases={**state.leases, record.incarnation: lease},
+        renewed_ms={**recent, record.vm: now_ms},
     )
 
 
@@ -209,7 +221,7 @@
 
 
 def _note_own(
-    state: leases.OwnershipState, record: Any, incarnation: str
+    state: leases.OwnershipState, record: Any, incarnation: str, now_ms: int
 ) -> leases.OwnershipState:
     """Return the state after a record of this VM was read back."""
     if getattr(record, "incarnation", None) != incarnation:
@@ -217,8 +229,11 @@
     match record:
         case records.LeaseRecord() if record.sequence in state.sent:
             held_ms = state.sent[record.sequence] + leases.LEASE_MS
+            lapsed = now_ms >= state.held_until_ms
             return attrs.evolve(
-                state, held_until_ms=max(state.held_until_ms, held_ms)
+                state,
+                held_until_ms=max(state.held_until_ms, held_ms),
+                held_since_ms=now_ms if lapsed else state.held_since_ms,
             )
         case records.ReleaseRecord():
             gone = frozenset(record.endpoints)
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -11,12 +11,12 @@
 from bronzetrack.core import rendezvous
 from bronzetrack.membership import messages
 from bronzetrack.membership import view as views
+from bronzetrack.ownership import leases
 from bronzetrack.routing import candidates
 from bronzetrack.routing import policies
 
 if TYPE_CHECKING:
     from bronzetrack.configuration import inventory as inventories
-    from bronzetrack.ownership import leases
 
 
 def collect_reports(
@@ -32,14 +32,16 @@
     A leaving owner gets no new work, since it can give up an endpoint only
     once the endpoint is idle.
 
-    :param own: summaries of the endpoints of this VM
+    :param own: summaries of the endpoints of this VM, without those that it
+        has given up and may still be recorded for
     """
     reports = {}
     senders = 1 + len(views.list_serving(view, now_ms))
+    sole = ownership.standing is leases.Standing.SOLE
     for name, owner in ownership.owners.items():
         if owner.incarnation == incarnation:
-            summary = own.get(name, messages.EndpointSummary())
-            reports[name] = candidates.OwnerReport(vm, summary, 0)
+            if sole and name in own:
+                reports[name] = candidates.OwnerReport(vm, own[name], 0)
             continue
         state = view.vms.get(owner.vm)
         if state is None or state.incarnation != owner.incarnation:
@@ -53,9 +55,10 @@
                 now_ms - state.heard_ms,
                 senders,
             )
-    if not ownership.caught_up:
-        # A VM that started in an outage of the log knows owners only from
-        # their heartbeats. An owner refuses what is not its own.
+    if not ownership.caught_up or not sole:
+        # A VM that started in an outage of the log, or that is cut off from
+        # it, knows owners only from their heartbeats. An owner refuses what
+        # is not its own.
         for state in view.vms.values():
             if views.is_reachable(state, now_ms):
                 age_ms = now_ms - state.heard_ms
--- a/tests/daemon/test_cuts.py
+++ b/tests/daemon/test_cuts.py
@@ -31,6 +31,7 @@
         forwarded=True,
     ) as running:
         sites.publish_samples(running)
+        running.wait(running.is_settled)
         yield pairs.find_pair(running)
 
 
@@ -141,3 +142,73 @@
     cut_pair.site.wait(lambda: is_healed(cut_pair))
     assert cut_pair.site.count_runs("queued") == 0
     assert cut_pair.site.count_runs("long") == 2
+
+
+@pytest.fixture
+def evicting_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """Two VMs with links, one of which owns an engine with few adapters."""
+    with sites.run_site(
+        tmp_path,
+        vms=2,
+        engines=1,
+        services=0,
+        token_ms=20.0,
+        adapter_slots=2,
+        forwarded=True,
+    ) as running:
+        sites.publish_samples(running)
+        running.wait(running.is_settled)
+        yield pairs.find_pair(running)
+
+
+def read_statistics(pair: pairs.Pair) -> dict[str, object]:
+    url = pair.site.endpoints["engine-0"].url
+    return sites.fetch("GET", f"{url}/statistics")
+
+
+def list_residents(pair: pairs.Pair, vm: sites.Vm) -> dict[str, object]:
+    queues = pair.site.get_state(vm, "dispatch")["endpoints"]
+    return queues.get("engine-0", {"residents": {}})["residents"]
+
+
+def test_owner_cut_off_from_the_log_is_succeeded(evicting_pair):
+    """Guards against work that a successor's eviction breaks."""
+    pair = evicting_pair
+    former, successor = pair.owner, pair.entry
+    for model in ("trust-1@1", "trust-2@1"):
+        assert pair.site.send(model, former).status == 200
+    pair.site.set_link(f"platform-{former.name}", "hold")
+    pair.site.wait(lambda: owns(pair, successor))
+    # The successor may evict what it has inherited and finds idle.
+    pair.site.wait(
+        lambda: list_residents(pair, successor)
+        and not any(
+            item["inherited"]
+            for item in list_residents(pair, successor).values()
+        )
+    )
+    call = pair.threads.submit(
+        pair.site.send,
+        "trust-1@1",
+        former,
+        timeout_s=60.0,
+        prompt="from the former owner",
+        max_tokens=150,
+        stream=True,
+    )
+    pair.site.wait(lambda: pair.site.count_runs("from the former") == 1)
+    for model in ("trust-3@1", "trust-4@1", "trust-5@1"):
+        assert pair.site.send(model, successor).status == 200
+    answer = call.result()
+    assert read_statistics(pair)["faults"] == []
+    check_stream(answer.content, 150)
+    headers = {name.lower(): value for name, value in answer.headers}
+    assert headers[b"bronzetrack-vm"] == successor.name.encode()
+    pair.site.set_link(f"platform-{former.name}", "forward")
+    pair.site.wait(lambda: is_healed(pair))
+    assert pair.site.send("trust-1@1", former).status == 200
+
+
+def owns(pair: pairs.Pair, vm: sites.Vm) -> bool:
+    owners = pair.site.get_state(vm, "ownership")["owners"]
+    return owners["engine-0"]["vm"] == vm.name
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -75,6 +75,16 @@
     assert planner.plan_endpoint(fenced, barred, 0).start == ()
 
 
+def test_superseded_owner_hands_back_its_queue(queue, context):
+    """Guards against work that waits where nothing starts again."""
+    fenced = attrs.evolve(queue, fenced=True)
+    barred = attrs.evolve(context, may_start=False, superseded=True)
+    plan = planner.plan_endpoint(fenced, barred, 0)
+    assert plan.start == ()
+    ((attempt, failure),) = plan.refuse
+    assert (attempt, failure.reason) == ("t1", failures.Reason.LEASE_LAPSED)
+
+
 def test_leaving_endpoint_hands_back_its_queue(queue, context):
     """Guards against new work on an endpoint long after it said it leaves."""
     fenced = attrs.evolve(queue, fenced=True)
--- a/tests/dispatch/test_transitions.py
+++ b/tests/dispatch/test_transitions.py
@@ -10,7 +10,7 @@
 from bronzetrack.dispatch import transitions
 from bronzetrack.endpoints import reports
 
-LATE_MS = reports.REPORT_LAG_MS + 1
+LATE_MS = transitions.TAKEOVER_MS + 1
 
 
 @pytest.fixture
@@ -27,9 +27,8 @@
 def test_early_report_clears_no_inherited_pin(taken_over):
     """Guards against an eviction by a report from before the claim."""
     idle = reports.LoadReport("b1", 10**15, {}, ("a@1", "b@1"))
-    queue = transitions.apply_report(
-        taken_over, idle, reports.REPORT_LAG_MS, 1
-    )
+    owned_ms = reports.REPORT_LAG_MS + transitions.NOTICE_MS
+    queue = transitions.apply_report(taken_over, idle, owned_ms, 1)
     assert list_inherited(queue) == ["a@1", "b@1"]
 
 
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -63,3 +63,14 @@
     back = views.record_session(back, "b", "b1", True)
     back = views.record_heartbeat(back, SERVING, 20_100)
     assert views.list_serving(back, 20_100)
+
+
+def test_owner_of_the_same_endpoint_may_be_a_successor(view):
+    """Guards against a successor that is overlooked once the log is out."""
+    summaries = {"e1": messages.EndpointSummary()}
+    heartbeat = attrs.evolve(SERVING, endpoints=summaries, may_claim=False)
+    view = views.record_heartbeat(view, heartbeat, 1_000)
+    assert views.list_claimants(view, ["e1"], 1_000) == {"b": True}
+    assert views.list_claimants(view, ["e2"], 1_000) == {"b": False}
+    silent_ms = 1_000 + views.SUSPECT_AFTER_MS
+    assert views.list_claimants(view, ["e1"], silent_ms) == {}
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -83,6 +83,31 @@
 def test_holder_dispatches_on_in_outage_of_log(claimed):
     """Guards against a site that stops serving with the log."""
     state = leases.OwnershipState(
-        owners=claimed.owners, held_until_ms=10_000, log_reachable=False
+        owners=claimed.owners,
+        held_until_ms=10_000,
+        log_reachable=False,
+        judged_ms=1_000_000,
     )
     assert leases.may_dispatch(state, 1_000_000)
+
+
+def test_holder_that_slept_in_an_outage_may_not_dispatch(claimed):
+    """Guards against a standing from before a pause."""
+    state = leases.OwnershipState(
+        owners=claimed.owners, held_until_ms=10_000, judged_ms=20_000
+    )
+    life_ms = leases.STANDING_LIFE_MS
+    assert leases.may_dispatch(state, 20_000 + life_ms)
+    assert not leases.may_dispatch(state, 20_000 + life_ms + 1)
+
+
+@pytest.mark.parametrize(
+    "standing", [leases.Standing.DOUBTFUL, leases.Standing.SUPERSEDED]
+)
+def test_holder_that_may_have_a_successor_stops(claimed, standing):
+    """Guards against new work on what a successor may be evicting."""
+    state = leases.OwnershipState(
+        owners=claimed.owners, held_until_ms=10_000, standing=standing
+    )
+    assert leases.may_dispatch(state, 9_999)
+    assert not leases.may_dispatch(state, 10_000)
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -11,10 +11,13 @@
 from ownership import naive
 
 from bronzetrack.configuration import inventory as inventories
+from bronzetrack.dispatch import transitions
+from bronzetrack.endpoints import reports
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import planner
 from bronzetrack.ownership import records
 from bronzetrack.ownership import replay
+from bronzetrack.ownership import standing
 
 ENDPOINTS = {
     name: inventories.Endpoint("127.0.0.1", 1, "zone-a")
@@ -37,6 +40,8 @@
     :param unseen: a VM that is not seen as serving
     :param sees_itself: whether this VM sees itself all the same
     :param idle: endpoints without work
+    :param cut: a VM that does not reach the log
+    :param isolated: whether the VM that is cut hears no other VM either
     """
 
     asleep: str = ""
@@ -46,6 +51,8 @@
     unseen: str = ""
     sees_itself: bool = False
     idle: frozenset[str] = frozenset(NAMES)
+    cut: str = ""
+    isolated: bool = False
 
 
 NO_FAULTS = Faults()
@@ -59,6 +66,8 @@
     unseen=SOME_VM,
     sees_itself=strategies.booleans(),
     idle=strategies.frozensets(strategies.sampled_from(NAMES), min_size=1),
+    cut=SOME_VM,
+    isolated=strategies.booleans(),
 )
 
 
@@ -87,10 +96,13 @@
         self.naive = naive.Replay()
         self.start = 0
         self.down = False
+        # Whether the VM whose turn it is does not reach the log.
+        self.cut = False
         self.late: list[object] = []
         self.runs = 0
         self.replicas: dict[str, Replica] = {}
         self.orders: dict[str, tuple[int, int]] = {}
+        self.started: dict[tuple[str, str], int] = {}
         for vm in VMS:
             self.start_replica(vm)
         self.run_seconds(12)
@@ -100,6 +112,8 @@
         self.replicas[vm] = Replica(vm, f"{vm}{self.runs}")
 
     def append(self, record: object, late: bool = False) -> None:
+        if self.cut:
+            return
         if late:
             self.late.append(record)
         elif not self.down:
@@ -108,7 +122,7 @@
 
     def read(self, replica: Replica, count: int, again: int = 0) -> None:
         now_ms = replica.read_clock(self.now_ms)
-        if self.down:
+        if self.down or self.cut:
             replica.state = replay.note_outage(replica.state, now_ms)
             return
         first = max(self.start, replica.state.next_offset - again)
@@ -146,11 +160,19 @@
         late: bool,
     ) -> None:
         now_ms = replica.read_clock(self.now_ms)
+        able = {
+            vm
+            for vm in seen
+            if vm == replica.vm
+            or not leases.lacks_lease(
+                replica.state, self.replicas[vm].incarnation, now_ms
+            )
+        }
         site = planner.Site(
             replica.vm,
             replica.incarnation,
             ENDPOINTS,
-            dict.fromkeys(seen, "zone-a"),
+            dict.fromkeys(able, "zone-a"),
             idle,
         )
         copy = planner.plan_copy(replica.state, site, now_ms)
@@ -179,15 +201,45 @@
                 seen = set(VMS) - {faults.unseen}
                 if faults.sees_itself:
                     seen.add(vm)
+                self.cut = vm == faults.cut
                 self.renew(replica, vm == faults.late_leases)
                 self.read(replica, 0 if vm == faults.blind else 1_000)
+                self.judge(replica, faults)
                 self.plan(replica, seen, faults.idle, vm == faults.late_claims)
+                self.cut = False
                 self.check_orders()
+                self.check_evictions()
+
+    def judge(self, replica: Replica, faults: Faults) -> None:
+        """Let a replica hear the others, those that do nothing excepted."""
+        owned = leases.list_owned(replica.state, replica.incarnation)
+        claimants = {
+            vm: leases.may_claim(other.state, other.read_clock(self.now_ms))
+            or not set(owned).isdisjoint(
+                leases.list_owned(other.state, other.incarnation)
+            )
+            for vm, other in self.replicas.items()
+            if other is not replica
+            and not (other.paused or vm == faults.asleep)
+            and not (self.cut and faults.isolated)
+        }
+        now_ms = replica.read_clock(self.now_ms)
+        replica.state = standing.judge(
+            replica.state, replica.vm, claimants, now_ms
+        )
 
     @stateful.rule(seconds=strategies.integers(1, 14), faults=FAULTS)
     def run_with_faults(self, seconds: int, faults: Faults) -> None:
         self.run_seconds(seconds, faults)
 
+    @stateful.rule(
+        cut=strategies.sampled_from(VMS),
+        isolated=strategies.booleans(),
+        seconds=strategies.integers(20, 30),
+    )
+    def cut_from_log(self, cut: str, isolated: bool, seconds: int) -> None:
+        self.run_seconds(seconds, Faults(cut=cut, isolated=isolated))
+
     @stateful.rule(seconds=strategies.integers(1, 14))
     def run_without_faults(self, seconds: int) -> None:
         self.run_seconds(seconds)
@@ -265,6 +317,33 @@
                 assert fencing > newest, "a fencing number fell"
             self.orders[name] = (fencing, self.now_ms + leases.ORDER_LIFE_MS)
 
+    def check_evictions(self) -> None:
+        """Check that an owner that may evict knows of all work that began.
+
+        What began before its last load report was made is shown there.
+        """
+        for name, replica in itertools.product(
+            ENDPOINTS, self.replicas.values()
+        ):
+            owned = leases.list_owned(replica.state, replica.incarnation)
+            if replica.paused or name not in owned:
+                continue
+            now_ms = replica.read_clock(self.now_ms)
+            owned_ms = now_ms - replica.state.owners[name].claimed_ms
+            if owned_ms > transitions.TAKEOVER_MS and leases.may_order(
+                replica.state, name, replica.incarnation, False, now_ms
+            ):
+                others = {
+                    vm
+                    for (endpoint, vm), started_ms in self.started.items()
+                    if endpoint == name
+                    and vm != replica.vm
+                    and self.now_ms - started_ms < reports.REPORT_LAG_MS
+                }
+                assert not others, "work began that a successor cannot see"
+            if leases.may_dispatch(replica.state, now_ms):
+                self.started[name, replica.vm] = self.now_ms
+
     def teardown(self) -> None:
         """Every endpoint gets an owner that lives when the faults end."""
         self.down = False
