--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -390,7 +390,7 @@
         )
         measure_time(
             f"own heartbeat made, {scale}",
-            lambda: summaries.make_heartbeat(board, 1),
+            lambda: summaries.make_heartbeat(board, 1, 0),
         )
         measure_routing(board, endpoints, scale)
 
--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -95,7 +95,9 @@
     def _send_heartbeat(self) -> None:
         before = self._last
         number = 1 if before is None else before.number + 1
-        heartbeat = summaries.make_heartbeat(self.board, number)
+        heartbeat = summaries.make_heartbeat(
+            self.board, number, self.read_clock().monotonic_ms
+        )
         beat = changes.plan_beat(
             before,
             heartbeat,
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -128,9 +128,11 @@
 
     Isolated work stays, since all VMs send it to the same endpoint.
     """
+    # Every reason needs one of these, and few endpoints have any.
     if (
         queue.reachable
         and not context.leaving
+        and not context.superseded
         and not queue.load_retry_ms
         and not context.quotas.room
     ):
@@ -157,6 +159,8 @@
     context: contexts.EndpointContext,
     item: states.Waiting,
 ) -> failures.Reason | None:
+    if context.superseded:
+        return failures.Reason.LEASE_LAPSED
     if context.leaving:
         return failures.Reason.ENDPOINT_LEAVING
     if item.work.isolated:
--- a/src/bronzetrack/membership/changes.py
+++ b/src/bronzetrack/membership/changes.py
@@ -73,6 +73,7 @@
         status=after.status,
         configuration_offset=after.configuration_offset,
         number=after.number,
+        may_claim=after.may_claim,
         endpoints=changed,
         removed=tuple(sorted(before.endpoints.keys() - after.endpoints)),
         usage=None if before.usage == after.usage else after.usage,
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -71,6 +71,7 @@
     :param usage: recent cost by member, decayed, of the work it dispatched
     :param number: counts the heartbeats of an incarnation from 1 on; 0 from a
         version that does not count
+    :param may_claim: whether the VM reads the log and holds its lease
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -82,6 +83,7 @@
     endpoints: Mapping[str, EndpointSummary] = attrs.field(factory=dict)
     usage: Mapping[str, float] = attrs.field(factory=dict)
     number: int = 0
+    may_claim: bool = True
 
 
 @attrs.frozen
@@ -118,6 +120,7 @@
     endpoints: Mapping[str, EndpointChange] = attrs.field(factory=dict)
     removed: tuple[str, ...] = ()
     usage: Mapping[str, float] | None = None
+    may_claim: bool = True
 
 
 @messages.MESSAGES.register("fetch_heartbeat")
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -13,7 +13,7 @@
 
 
 def make_heartbeat(
-    board: boards.Blackboard, number: int
+    board: boards.Blackboard, number: int, now_ms: int
 ) -> messages.Heartbeat:
     """Return the heartbeat of the present state."""
     return messages.Heartbeat(
@@ -24,6 +24,7 @@
         endpoints=summarize_owned(board),
         usage=dict(board.dispatch.value.usage),
         number=number,
+        may_claim=leases.may_claim(board.ownership.value, now_ms),
     )
 
 
@@ -38,7 +39,8 @@
         name: summarize_endpoint(
             queues.get(name, dispatch_state.EndpointQueue()),
             endpoints[name].slots,
-            name in ownership.draining,
+            name in ownership.draining
+            or ownership.standing is not leases.Standing.SOLE,
         )
         for name in leases.list_owned(ownership, board.incarnation)
         if name in endpoints
@@ -50,7 +52,8 @@
 ) -> messages.EndpointSummary:
     """Return the summary of one owned endpoint.
 
-    :param draining: whether its queue is finished before a handover
+    :param draining: whether it gets no new work, for a handover or since
+        another VM may own it
     """
     return messages.EndpointSummary(
         free_slots=max(0, slots - len(queue.running)),
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 
 import attrs
@@ -26,6 +27,8 @@
     :param connected: whether a session towards it is open
     :param number: of the heartbeat that the fields are from
     :param reads_changes: whether it reads heartbeats as changes
+    :param may_claim: whether it could claim endpoints, None before its first
+        heartbeat
     """
 
     vm: str
@@ -45,6 +48,7 @@
     operator_address: str = ""
     number: int = 0
     reads_changes: bool = False
+    may_claim: bool | None = None
 
 
 @attrs.frozen
@@ -104,6 +108,7 @@
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
         number=heartbeat.number,
+        may_claim=heartbeat.may_claim,
     )
     return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
 
@@ -141,6 +146,7 @@
         endpoints=heartbeat_changes.apply_changes(known.endpoints, changes),
         usage=known.usage if changes.usage is None else changes.usage,
         number=changes.number,
+        may_claim=changes.may_claim,
     )
     return record_heartbeat(view, heartbeat, now_ms)
 
@@ -177,6 +183,21 @@
     )
 
 
+def list_claimants(
+    view: MembershipView, owned: Collection[str], now_ms: int
+) -> dict[str, bool]:
+    """Return by VM that was heard recently whether it may be a successor.
+
+    :param owned: the endpoints of this VM, as far as it has read
+    """
+    return {
+        name: state.may_claim or not state.endpoints.keys().isdisjoint(owned)
+        for name, state in view.vms.items()
+        if state.may_claim is not None
+        and now_ms - state.heard_ms < SUSPECT_AFTER_MS
+    }
+
+
 def list_serving(view: MembershipView, now_ms: int) -> list[VmState]:
     """Return the VMs that serve and are not leaving, in order of name."""
     return [
