Let old work take a quarter of the slots from short work

Work that has waited for half its limit went before newer work of every class. Above the capacity all long work is that old, so that check-ins started last, whatever their rank, and came too late. Change: old work goes before work of the lowest rank that waits only while less than a quarter of the slots runs work of higher ranks. The look for work that cannot be served is left out when every member has room in its quota, not only when there are no quotas. Above the capacity long work still waits for its limit and is refused there.

--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 import itertools
+import math
 
 import attrs
 
@@ -16,6 +17,10 @@
 
 # Every VM has read of a change in a heartbeat after this time.
 NOTICE_MS = 1_200
+# Work that has waited long goes before work of a lower rank only while less
+# than this part of the slots runs work of higher ranks. Without the bound, all
+# long work was old at twice the capacity, and short work came too late.
+AGED_PART = 0.25
 
 
 @attrs.frozen
@@ -132,7 +137,7 @@
         queue.reachable
         and not context.leaving
         and not queue.load_retry_ms
-        and not context.quotas.room
+        and all(context.quotas.room.values())
     ):
         return
     for item in queue.waiting:
@@ -179,21 +184,36 @@
     Work of members within their shares goes before that of others, then work
     that has waited for half of the limit of its class, then lower class ranks
     before higher ones. Work of a high rank therefore waits at most for half
-    of its limit and then for a slot of its class.
+    of its limit and then for a slot of its class, or for one of the slots that
+    old work may take from work of a lower rank.
     """
     # The part of the key that work of a member and a class has in common.
     # With hundreds of items, the look-ups for each took most of a plan.
     shared = _rank_groups(queue, context)
+    lowest = min((group.rank for group in shared.values()), default=0)
+    only_rank = lowest if _is_aged_full(queue, context, lowest) else None
 
     def rank(item: states.Waiting) -> tuple[bool, bool, int, float, int]:
         group = shared[item.work.member, item.work.work_class]
-        if 2 * (now_ms - item.queued_ms) >= group.queue_timeout_ms:
+        aged = 2 * (now_ms - item.queued_ms) >= group.queue_timeout_ms
+        if aged and only_rank in (None, group.rank):
             return group.leads, False, 0, 0.0, item.queued_ms
         return group.leads, True, group.rank, group.used, item.queued_ms
 
     return sorted(queue.waiting, key=rank)
 
 
+def _is_aged_full(
+    queue: states.EndpointQueue, context: contexts.EndpointContext, rank: int
+) -> bool:
+    """Return whether old work may take no more slots from work of a rank."""
+    higher = sum(
+        contexts.get_class(context.rules, item.work.work_class).rank > rank
+        for item in queue.running.values()
+    )
+    return higher >= max(1, math.floor(context.endpoint.slots * AGED_PART))
+
+
 @attrs.frozen
 class _Group:
     """Work of one member and one class.
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -228,6 +228,35 @@
         assert plan.start == (first,)
 
 
+def test_old_long_work_leaves_slots_to_short_work(
+    full_queue, context, make_waiting
+):
+    """Guards against short work that waits behind a queue of old long work.
+
+    Under a load above the capacity all long work is old, so that short work
+    went last whatever its rank.
+    """
+    long = states.Running(
+        make_waiting("long", work_class="long").work, "vm", 0
+    )
+    queue = attrs.evolve(
+        full_queue,
+        running={"1": full_queue.running["1"], "long": long},
+        waiting=(
+            make_waiting("old", 0, work_class="long", timeout_ms=60_000),
+            make_waiting("new", NOW_MS, work_class="short"),
+        ),
+    )
+    rules = rule_sets.Rules(
+        classes={**CLASSES, "long": rule_sets.ClassRule(1, 1.0, 15_000)}
+    )
+    wide = attrs.evolve(context, rules=rules)
+    ranked = planner.rank_waiting(queue, wide, NOW_MS)
+    assert [item.work.attempt for item in ranked] == ["new", "old"]
+    alone = attrs.evolve(queue, waiting=queue.waiting[:1])
+    assert planner.plan_endpoint(alone, wide, NOW_MS).start == ("old",)
+
+
 def test_isolated_work_empties_the_endpoint(full_queue, context, make_waiting):
     """Guards against isolated work that never finds the endpoint empty."""
     queue = attrs.evolve(
