--- a/src/bronzetrack/wire/httpclient.py
+++ b/src/bronzetrack/wire/httpclient.py
@@ -5,8 +5,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 import contextlib
-import importlib.util
-import sys
 
 import attrs
 import httpcore
@@ -15,13 +13,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
-# httpcore tries to import this optional package several times a request, and
-# takes a failure to mean asyncio. A failed import is not cached, so each try
-# searches the import path: a third of the processor time of a request. With
-# an entry of None the import fails at once.
-if importlib.util.find_spec("sniffio") is None:
-    sys.modules["sniffio"] = None  # type: ignore[assignment]
-
 ERRORS = (
     httpcore.TimeoutException,
     httpcore.NetworkError,
