Read a stream at once at the start and after a failure

Cause: tests/console failed in test_request_with_new_key, four times in four runs: the key stream of a new site is empty, and since reads wait 3 s a daemon knew only after the first wait that it had read the stream to its end. Until then it refuses work under keys.

Change: the first read of a stream does not wait, as one after a failure. The test of outages counts from the outage on.

--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -53,13 +53,14 @@
         are not ended by a failure of another stream
     """
     wait_ms = PROBE_WAIT_MS if probes else WAIT_MS
-    failed = False
+    succeeded = False
     while True:
-        # After a failure a success is shown at once, also without a record.
+        # At the start and after a failure, a success is shown at once, also
+        # without a record: a reader of an empty stream has caught up.
         batch = await log.read(
             stream,
             read_position(),
-            wait_ms=0 if failed else wait_ms,
+            wait_ms=wait_ms if succeeded else 0,
             interruptible=not probes,
         )
         if (
@@ -68,7 +69,7 @@
         ):
             # A read beyond the end names the retained range.
             batch = await log.read(stream, logservice.BEYOND_END)
-        failed = isinstance(batch, failures.Failure)
+        succeeded = not isinstance(batch, failures.Failure)
         yield batch
-        if failed:
+        if not succeeded:
             await anyio.sleep(RETRY_MS / 1000)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -54,6 +54,7 @@
         group.start_soon(collect, log, "probed", [], True)
         await anyio.sleep(0.05)
         service.down = True
+        seen.clear()
         await anyio.sleep(follower.PROBE_WAIT_MS / 1000)
         outage = list(seen)
         service.down = False
@@ -75,6 +76,21 @@
     assert isinstance(recovery[-1], logservice.LogBatch)
 
 
+async def start(service):
+    """Return what a follower of an empty stream saw within 0.1 s."""
+    log = logservice.LogClient("http://127.0.0.1:9", None)
+    seen = []
+    with anyio.move_on_after(0.1):
+        await collect(log, "quiet", seen)
+    return seen
+
+
+def test_empty_stream_is_shown_at_once(service):
+    """Guards against a daemon that refuses keys until a first wait ends."""
+    seen = anyio.run(start, service)
+    assert [batch.end for batch in seen] == [0]
+
+
 async def read_beside_failure(service):
     """Return the answer to a read that must not end with others."""
     log = logservice.LogClient("http://127.0.0.1:9", None)
