Tell peers what the VM list calls leaving

Cause: each VM went by its own VM list, so that VMs whose list lagged sent new work to an endpoint that another one knew to be leaving. Found by the new test with lists that disagree. Change: a heartbeat names what the sender's list calls leaving; the view of a VM merges its own list with those of the VMs that it hears. Measured: `pytest tests/daemon/test_leaving.py`: 5 passed in 36 s; the new cases take about 7 s of setup and 4 s of call each. With the merge switched off: "FAILED test_endpoint_that_one_vm_sees_leaving_is_avoided[another], FAILED test_lists_that_disagree_are_merged; 2 failed, 1 passed". The case in which the owner is told passes either way, since an owner hands back what reaches its leaving endpoint. A VM whose list is down keeps its last word, and with it that of the others, until it reads the list again or is gone.

--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import anyio
-import attrs
 
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
@@ -97,9 +96,9 @@
                 self._listed = {row.address for row in listed} - {""}
                 leaving = frozenset(row.name for row in listed if row.leaving)
                 view = self.board.membership.value
-                if leaving != view.listed_leaving:
-                    view = attrs.evolve(view, listed_leaving=leaving)
-                    self.write(self.board.membership, view)
+                after = views.record_list(view, leaving)
+                if after is not view:
+                    self.write(self.board.membership, after)
             await anyio.sleep(LIST_INTERVAL_MS / 1000)
 
     async def _open_sessions(self, group: Any) -> None:
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -68,6 +68,7 @@
     :param endpoints: summaries of the endpoints that the VM owns
     :param usage: recent cost by member, decayed, of the work it dispatched
     :param may_claim: whether the VM reads the log and holds its lease
+    :param listed_leaving: VMs and endpoints that its list calls leaving
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -79,6 +80,7 @@
     endpoints: Mapping[str, EndpointSummary] = attrs.field(factory=dict)
     usage: Mapping[str, float] = attrs.field(factory=dict)
     may_claim: bool = True
+    listed_leaving: tuple[str, ...] = ()
 
 
 # The next two are posted locally and are not registered, so that no peer can
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -24,6 +24,7 @@
         endpoints=summarize_owned(board),
         usage=dict(board.dispatch.value.usage),
         may_claim=leases.may_claim(board.ownership.value, now_ms),
+        listed_leaving=tuple(sorted(board.membership.value.own_listed)),
     )
 
 
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -26,6 +26,7 @@
     :param connected: whether a session towards it is open
     :param may_claim: whether it could claim endpoints, None before its first
         heartbeat
+    :param listed_leaving: VMs and endpoints that its list calls leaving
     """
 
     vm: str
@@ -44,6 +45,7 @@
     connected: bool = False
     operator_address: str = ""
     may_claim: bool | None = None
+    listed_leaving: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -51,13 +53,30 @@
     """The section of the membership controller.
 
     :param vms: known VMs by name, without this one
-    :param listed_leaving: VMs and endpoints that the platform lists as leaving
+    :param own_listed: VMs and endpoints that the list of this VM calls leaving
+    :param listed_leaving: those and the ones that lists of other VMs do, since
+        the lists lag and may disagree
     """
 
     vms: Mapping[str, VmState] = attrs.field(factory=dict)
+    own_listed: frozenset[str] = frozenset()
     listed_leaving: frozenset[str] = frozenset()
 
 
+def record_list(
+    view: MembershipView, leaving: frozenset[str]
+) -> MembershipView:
+    """Return the view after this VM read its list."""
+    if leaving == view.own_listed:
+        return view
+    return _merge_lists(attrs.evolve(view, own_listed=leaving))
+
+
+def _merge_lists(view: MembershipView) -> MembershipView:
+    others = (state.listed_leaving for state in view.vms.values())
+    return attrs.evolve(view, listed_leaving=view.own_listed.union(*others))
+
+
 def record_hello(
     view: MembershipView, hello: messages.Hello, now_ms: int
 ) -> MembershipView:
@@ -76,7 +95,10 @@
             heard_ms=now_ms,
             operator_address=hello.operator_address,
         )
-    return attrs.evolve(view, vms={**view.vms, hello.vm: state})
+    view = attrs.evolve(view, vms={**view.vms, hello.vm: state})
+    if known is None or not known.listed_leaving:
+        return view
+    return _merge_lists(view)
 
 
 def record_heartbeat(
@@ -96,8 +118,12 @@
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
         may_claim=heartbeat.may_claim,
+        listed_leaving=heartbeat.listed_leaving,
     )
-    return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
+    view = attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
+    if known.listed_leaving == heartbeat.listed_leaving:
+        return view
+    return _merge_lists(view)
 
 
 def record_session(
@@ -120,7 +146,7 @@
     }
     if len(kept) == len(view.vms):
         return view
-    return attrs.evolve(view, vms=kept)
+    return _merge_lists(attrs.evolve(view, vms=kept))
 
 
 def is_reachable(state: VmState, now_ms: int) -> bool:
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
+import pytest
+
 from standins import site as sites
 
 FEW_SECONDS_S = 6.0
@@ -51,3 +55,38 @@
     inventory["endpoints"][endpoint]["leaving"] = True
     sites.publish_documents(site, {"inventory": inventory})
     check_avoided(site, "trust-6", endpoint)
+
+
+@pytest.fixture
+def disagreeing_site(tmp_path) -> Iterator[sites.Site]:
+    """A site whose VMs read different lists."""
+    with sites.run_site(
+        tmp_path, engines=2, services=0, own_lists=True
+    ) as running:
+        sites.publish_samples(running)
+        running.wait(running.is_settled)
+        yield running
+
+
+@pytest.mark.parametrize("told", ["owner", "another"])
+def test_endpoint_that_one_vm_sees_leaving_is_avoided(disagreeing_site, told):
+    """Guards against new work through VMs whose list lags behind."""
+    site = disagreeing_site
+    endpoint = read_endpoint(site.send("trust-4"))
+    owners = site.get_state(site.vms["vm-0"], "ownership")["owners"]
+    owner = owners[endpoint]["vm"]
+    vm = next(
+        vm
+        for name, vm in site.vms.items()
+        if (name == owner) == (told == "owner")
+    )
+    row = {"name": endpoint, "address": "", "state": "leaving"}
+    sites.fetch("PUT", f"{vm.vm_list_url}/vms", [row])
+    check_avoided(site, "trust-4", endpoint)
+    sites.fetch("PUT", f"{vm.vm_list_url}/vms", [])
+    site.wait(
+        lambda: not any(
+            site.get_state(vm, "membership")["listed_leaving"]
+            for vm in site.vms.values()
+        )
+    )
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -74,3 +74,19 @@
     assert views.list_claimants(view, ["e2"], 1_000) == {"b": False}
     silent_ms = 1_000 + views.SUSPECT_AFTER_MS
     assert views.list_claimants(view, ["e1"], silent_ms) == {}
+
+
+def test_lists_that_disagree_are_merged(view):
+    """Guards against work for what the list of another VM calls leaving."""
+    told = attrs.evolve(SERVING, listed_leaving=("e1",))
+    view = views.record_list(view, frozenset({"e2"}))
+    view = views.record_heartbeat(view, told, 1_000)
+    assert view.listed_leaving == {"e1", "e2"}
+    gone = views.expire_vms(view, 1_000 + views.GONE_AFTER_MS)
+    assert gone.listed_leaving == {"e2"}
+    restarted = views.record_hello(
+        view, attrs.evolve(HELLO, incarnation="b2"), 1_000
+    )
+    assert restarted.listed_leaving == {"e2"}
+    view = views.record_heartbeat(view, SERVING, 1_100)
+    assert views.record_list(view, frozenset()).listed_leaving == frozenset()
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -95,6 +95,7 @@
     :param profile: whether daemons write a profile when they stop
     :param forwarded: whether links of the forwarder lie between daemons, and
         between each daemon and the platform
+    :param own_lists: whether each daemon reads a VM list of its own
     """
 
     folder: pathlib.Path
@@ -108,6 +109,7 @@
     extra_settings: str = "[limits]\nentry_ttl_s = 1\n"
     profile: bool = False
     forwarded: bool = False
+    own_lists: bool = False
     forwarder_port: int = 0
 
     @property
@@ -217,6 +219,8 @@
             platform = f"{PLATFORM_HOST}:{self.platform_port}"
             address = self.add_link(f"platform-{name}", platform)
             vm.platform_url = f"http://{address}"
+        if self.own_lists:
+            vm.vm_list_url = self.start_vm_list(f"list-{name}")
         self.vms[name] = vm
         return vm
 
