--- a/src/bronzetrack/membership/changes.py
+++ b/src/bronzetrack/membership/changes.py
@@ -77,6 +77,11 @@
         endpoints=changed,
         removed=tuple(sorted(before.endpoints.keys() - after.endpoints)),
         usage=None if before.usage == after.usage else after.usage,
+        listed_leaving=(
+            None
+            if before.listed_leaving == after.listed_leaving
+            else after.listed_leaving
+        ),
     )
 
 
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -72,6 +72,7 @@
     :param number: counts the heartbeats of an incarnation from 1 on; 0 from a
         version that does not count
     :param may_claim: whether the VM reads the log and holds its lease
+    :param listed_leaving: VMs and endpoints that its list calls leaving
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -84,6 +85,7 @@
     usage: Mapping[str, float] = attrs.field(factory=dict)
     number: int = 0
     may_claim: bool = True
+    listed_leaving: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -107,7 +109,7 @@
     :param endpoints: changes by endpoint; a new one differs from a summary
         with defaults
     :param removed: endpoints that the VM no longer owns
-    :param usage: None if it did not change
+    :param usage: None if it did not change, like `listed_leaving`
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -121,6 +123,7 @@
     removed: tuple[str, ...] = ()
     usage: Mapping[str, float] | None = None
     may_claim: bool = True
+    listed_leaving: tuple[str, ...] | None = None
 
 
 @messages.MESSAGES.register("fetch_heartbeat")
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -25,6 +25,7 @@
         usage=dict(board.dispatch.value.usage),
         number=number,
         may_claim=leases.may_claim(board.ownership.value, now_ms),
+        listed_leaving=tuple(sorted(board.membership.value.own_listed)),
     )
 
 
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -29,6 +29,7 @@
     :param reads_changes: whether it reads heartbeats as changes
     :param may_claim: whether it could claim endpoints, None before its first
         heartbeat
+    :param listed_leaving: VMs and endpoints that its list calls leaving
     """
 
     vm: str
@@ -49,6 +50,7 @@
     number: int = 0
     reads_changes: bool = False
     may_claim: bool | None = None
+    listed_leaving: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -56,13 +58,30 @@
     """The section of the membership controller.
 
     :param vms: known VMs by name, without this one
-    :param listed_leaving: VMs and endpoints that the platform lists as leaving
+    :param own_listed: VMs and endpoints that the list of this VM calls leaving
+    :param listed_leaving: those and the ones that lists of other VMs do, since
+        the lists lag and may disagree
     """
 
     vms: Mapping[str, VmState] = attrs.field(factory=dict)
+    own_listed: frozenset[str] = frozenset()
     listed_leaving: frozenset[str] = frozenset()
 
 
+def record_list(
+    view: MembershipView, leaving: frozenset[str]
+) -> MembershipView:
+    """Return the view after this VM read its list."""
+    if leaving == view.own_listed:
+        return view
+    return _merge_lists(attrs.evolve(view, own_listed=leaving))
+
+
+def _merge_lists(view: MembershipView) -> MembershipView:
+    others = (state.listed_leaving for state in view.vms.values())
+    return attrs.evolve(view, listed_leaving=view.own_listed.union(*others))
+
+
 def record_hello(
     view: MembershipView, hello: messages.Hello, now_ms: int
 ) -> MembershipView:
@@ -82,7 +101,10 @@
             operator_address=hello.operator_address,
             reads_changes=hello.reads_changes,
         )
-    return attrs.evolve(view, vms={**view.vms, hello.vm: state})
+    view = attrs.evolve(view, vms={**view.vms, hello.vm: state})
+    if known is None or not known.listed_leaving:
+        return view
+    return _merge_lists(view)
 
 
 def record_heartbeat(
@@ -109,8 +131,12 @@
         usage=heartbeat.usage,
         number=heartbeat.number,
         may_claim=heartbeat.may_claim,
+        listed_leaving=heartbeat.listed_leaving,
     )
-    return attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
+    view = attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
+    if known.listed_leaving == heartbeat.listed_leaving:
+        return view
+    return _merge_lists(view)
 
 
 def lacks_base(
@@ -145,6 +171,11 @@
         configuration_offset=changes.configuration_offset,
         endpoints=heartbeat_changes.apply_changes(known.endpoints, changes),
         usage=known.usage if changes.usage is None else changes.usage,
+        listed_leaving=(
+            known.listed_leaving
+            if changes.listed_leaving is None
+            else changes.listed_leaving
+        ),
         number=changes.number,
         may_claim=changes.may_claim,
     )
@@ -171,7 +202,7 @@
     }
     if len(kept) == len(view.vms):
         return view
-    return attrs.evolve(view, vms=kept)
+    return _merge_lists(attrs.evolve(view, vms=kept))
 
 
 def is_reachable(state: VmState, now_ms: int) -> bool:
--- a/tests/membership/test_changes.py
+++ b/tests/membership/test_changes.py
@@ -38,6 +38,8 @@
         strategies.sampled_from(("north", "south")),
         strategies.sampled_from((0.0, 1.0)),
     ),
+    may_claim=strategies.booleans(),
+    listed_leaving=strategies.sampled_from(((), ("e1",), ("e1", "vm-9"))),
 )
 MOSTLY = strategies.sampled_from((True, True, True, False))
 COUNTS = strategies.integers(1, 4)
@@ -140,6 +142,8 @@
                 assert state.status is whole.status
                 assert state.endpoints == whole.endpoints
                 assert state.usage == whole.usage
+                assert state.may_claim == whole.may_claim
+                assert state.listed_leaving == whole.listed_leaving
                 assert state.configuration_offset == (
                     whole.configuration_offset
                 )
