End one request for a message that no frame can hold

Cause: a message that msgpack cannot hold or that exceeds the frame of 1 MiB was logged and counted as "not sent now". Work was routed again every 250 ms until its deadline and then refused as `peer_unreachable`; a part of an answer was tried for 5 s; an end of an answer was lost. An endpoint could cause that: the failure `wrong_adapter` quoted the model of the answer whole (up to 16 MiB, or with characters that UTF-8 has no bytes for). Load reports and answers to orders were read without a bound. Change: `PeerHub.post` tells why a message was not queued; `frame_too_large` and `peer_protocol` are final. Such work is refused with that reason (413 for `frame_too_large`), such a part ends the answer and cancels it at the engine, and an end is sent without its detail. Values of endpoints are quoted in 200 ASCII characters. Reports and answers to orders are read up to 1 MiB; answers in one piece keep their 16 MiB. The session stayed open before, too, and still does; a test now shows that the other messages arrive. A message that the receiver cannot decode still ends the session, as docs/protocols.md says.

--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -351,10 +351,12 @@
         work = submission.make_work(
             self.board, progress, attempt, chosen.endpoint, now_ms
         )
-        if not self.ports.peers.send(chosen.owner, work):
-            progress.failure = failures.Failure(
-                failures.Reason.PEER_UNREACHABLE, chosen.owner
-            )
+        unsent = self.ports.peers.post(chosen.owner, work)
+        if unsent is not None:
+            if unsent.reason in core_messages.UNSENDABLE:
+                self._close(progress, outcomes.Outcome.REFUSED, unsent)
+                return
+            progress.failure = unsent
             progress.due_ms = now_ms + ROUTE_RETRY_MS
             return
         self._attempts.pop(progress.attempt, None)
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -15,6 +15,7 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import errors
 from bronzetrack.core import failures
+from bronzetrack.core import messages as core_messages
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import pace
 from bronzetrack.dispatch import state as states
@@ -316,11 +317,15 @@
     async def _send_end(
         self, outcome: outcomes.Outcome, failure: failures.Failure | None
     ) -> None:
-        await self._deliver(
-            messages.AnswerEnd(
-                self._work.attempt, outcome, self._next_number, failure
-            )
+        end = messages.AnswerEnd(
+            self._work.attempt, outcome, self._next_number, failure
         )
+        unsent = await self._deliver(end)
+        if failure is None or unsent is None:
+            return
+        if unsent.reason in core_messages.UNSENDABLE:
+            bare = failures.Failure(failure.reason, "the detail is left out")
+            await self._deliver(attrs.evolve(end, failure=bare))
 
     async def _relay_message(self, message: Any) -> None:
         """Send a part of the answer.
@@ -330,22 +335,26 @@
         """
         if not self._has_reader:
             return
-        self._has_reader = await self._deliver(message)
-        if not self._has_reader and self._work.key is None:
+        unsent = await self._deliver(message)
+        if unsent is None:
+            return
+        self._has_reader = False
+        if self._work.key is None:
             await self._ports.endpoints.cancel(
                 self._endpoint, self._engine_attempt
             )
-            raise errors.FailureError(
-                failures.Failure(
-                    failures.Reason.PEER_UNREACHABLE,
-                    f"{self._sender} does not take the answer",
-                )
-            )
+            raise errors.FailureError(unsent)
 
-    async def _deliver(self, message: Any) -> bool:
-        """Send a message, waiting while the queue of the peer is full."""
+    async def _deliver(self, message: Any) -> failures.Failure | None:
+        """Send a message, waiting while the queue of the peer is full.
+
+        :returns: why it was not sent
+        """
         deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
-        while not self._ports.peers.send(self._sender, message):
+        while True:
+            unsent = self._ports.peers.post(self._sender, message)
+            if unsent is None or unsent.reason in core_messages.UNSENDABLE:
+                return unsent
             if self._read_clock().monotonic_ms >= deadline_ms:
                 LOG.warning(
                     "answer has no reader",
@@ -355,9 +364,11 @@
                         "attempt_id": self._work.attempt,
                     },
                 )
-                return False
+                return failures.Failure(
+                    failures.Reason.PEER_UNREACHABLE,
+                    f"{self._sender} does not take the answer",
+                )
             await anyio.sleep(SEND_RETRY_MS / 1000)
-        return True
 
 
 @attrs.define
--- a/src/bronzetrack/core/messages.py
+++ b/src/bronzetrack/core/messages.py
@@ -6,8 +6,15 @@
 
 import attrs
 
+from bronzetrack.core import failures
 from bronzetrack.core import registry
 
+# Reasons for which a message is never sent: no frame can hold it, whatever
+# becomes of the session and its queue.
+UNSENDABLE = frozenset(
+    {failures.Reason.FRAME_TOO_LARGE, failures.Reason.PEER_PROTOCOL}
+)
+
 MESSAGES: registry.Registry[type] = registry.Registry("peer messages")
 
 
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -27,6 +27,10 @@
 SERVER_SENT_EVENTS = "text/event-stream"
 END_MARKER = b"data: [DONE]"
 ANSWER_BYTES = 16_777_216
+# 1,000 adapters with names of 100 characters, which a load report may list
+# twice, take about 200 KB.
+REPORT_BYTES = 1_048_576
+QUOTED_CHARACTERS = 200
 RETURNED_STATUS = range(200, 500)
 
 
@@ -124,15 +128,13 @@
         )
 
     async def _read_body(self) -> bytes:
-        body = bytearray()
-        async for part in self._response.aiter_stream():
-            body += part
-            if len(body) > ANSWER_BYTES:
-                raise _make_error(
-                    failures.Reason.ENDPOINT_PROTOCOL,
-                    f"the answer exceeds {ANSWER_BYTES} bytes",
-                )
-        return bytes(body)
+        body = await httpclient.read_body(self._response, ANSWER_BYTES)
+        if body is None:
+            raise _make_error(
+                failures.Reason.ENDPOINT_PROTOCOL,
+                f"the answer exceeds {ANSWER_BYTES} bytes",
+            )
+        return body
 
     def _check_adapter(self, body: bytes) -> None:
         try:
@@ -144,10 +146,15 @@
         if model != self._work.adapter:
             raise _make_error(
                 failures.Reason.WRONG_ADAPTER,
-                f"answer of {model}, wanted {self._work.adapter}",
+                f"answer of {_quote(model)}, wanted {self._work.adapter}",
             )
 
 
+def _quote(value: Any) -> str:
+    """Return a value of an endpoint for a detail, which a peer gets too."""
+    return ascii(value)[:QUOTED_CHARACTERS]
+
+
 async def _split_events(
     parts: AsyncIterator[bytes],
 ) -> AsyncIterator[bytes]:
@@ -258,7 +265,11 @@
     ) -> reports.LoadReport | failures.Failure:
         """Return the load report of an engine."""
         answer = await httpclient.fetch(
-            self._pool, "GET", _make_url(endpoint) + "/load", REPORT_TIMEOUT_MS
+            self._pool,
+            "GET",
+            _make_url(endpoint) + "/load",
+            REPORT_TIMEOUT_MS,
+            limit_bytes=REPORT_BYTES,
         )
         if isinstance(answer, failures.Failure):
             return answer
@@ -289,6 +300,7 @@
             ORDER_TIMEOUT_MS,
             json.dumps(fields).encode(),
             headers,
+            limit_bytes=REPORT_BYTES,
         )
         if isinstance(answer, failures.Failure):
             return answer
--- a/src/bronzetrack/http/statuses.py
+++ b/src/bronzetrack/http/statuses.py
@@ -22,6 +22,7 @@
     failures.Reason.ANSWER_NOT_KEPT: 409,
     failures.Reason.KEY_EXPIRED: 410,
     failures.Reason.BODY_TOO_LARGE: 413,
+    failures.Reason.FRAME_TOO_LARGE: 413,
     failures.Reason.CRASHES_ENDPOINTS: 422,
     failures.Reason.SHARE_EXCEEDED: 429,
     failures.Reason.WARM_QUOTA: 429,
--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -105,18 +105,38 @@
 
     def send(self, vm: str, message: Any) -> bool:
         """Queue a message; return False if it cannot reach the VM now."""
+        return self.post(vm, message) is None
+
+    def post(self, vm: str, message: Any) -> failures.Failure | None:
+        """Queue a message; return why it cannot reach the VM.
+
+        A failure with a reason in `messages.UNSENDABLE` is final. Others
+        pass when the session is open again or its queue has room.
+        """
         if vm == self._greeting.vm:
-            return self._deliver(messages.Delivery(vm, message))
+            if self._deliver(messages.Delivery(vm, message)):
+                return None
+            return failures.Failure(
+                failures.Reason.QUEUE_FULL, f"a mailbox of {vm} is full"
+            )
         session = self._sessions.get(vm)
         if session is None:
-            return False
+            return failures.Failure(
+                failures.Reason.PEER_UNREACHABLE, f"no session with {vm}"
+            )
         frame = _encode(message)
-        return frame is not None and session.post(frame)
+        if isinstance(frame, failures.Failure):
+            return frame
+        if session.post(frame):
+            return None
+        return failures.Failure(
+            failures.Reason.QUEUE_FULL, f"the queue towards {vm} is full"
+        )
 
     def send_all(self, message: Any) -> None:
         """Queue a message to every peer, encoded once."""
-        frame = _encode(message) if self._sessions else None
-        if frame is not None:
+        frame = _encode(message) if self._sessions else b""
+        if not isinstance(frame, failures.Failure):
             for session in self._sessions.values():
                 session.post(frame)
 
@@ -267,19 +287,19 @@
     scope.cancel()
 
 
-def _encode(message: Any) -> bytes | None:
+def _encode(message: Any) -> bytes | failures.Failure:
     try:
         return frames.encode_frame(CODEC.encode(message))
     except errors.FailureError as error:
         LOG.error(
-            "message is too large for a peer",
+            "message cannot be sent to a peer",
             extra={
-                "event": "message_too_large",
+                "event": "message_unsendable",
                 "type": type(message).__name__,
                 "detail": str(error),
             },
         )
-        return None
+        return error.failure
 
 
 def _decode(data: bytes) -> Any:
--- a/src/bronzetrack/wire/httpclient.py
+++ b/src/bronzetrack/wire/httpclient.py
@@ -112,6 +112,18 @@
         yield response
 
 
+async def read_body(
+    response: httpcore.Response, limit_bytes: int | None
+) -> bytes | None:
+    """Return the body of a response, None if it exceeds a limit."""
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if limit_bytes is not None and len(body) > limit_bytes:
+            return None
+    return bytes(body)
+
+
 async def fetch(
     pool: httpcore.AsyncConnectionPool,
     method: str,
@@ -120,13 +132,22 @@
     body: bytes = b"",
     headers: Mapping[str, str] | None = None,
     failure_reason: failures.Reason = failures.Reason.ENDPOINT_UNREACHABLE,
+    limit_bytes: int | None = None,
 ) -> HttpResponse | failures.Failure:
-    """Send a request and return its whole response or a failure."""
+    """Send a request and return its whole response or a failure.
+
+    :param limit_bytes: the largest body that is read
+    """
     try:
         async with open_stream(
             pool, method, url, timeout_ms, body, headers
         ) as response:
-            content = await response.aread()
+            content = await read_body(response, limit_bytes)
+            if content is None:
+                return failures.Failure(
+                    failure_reason,
+                    f"{method} {url}: the answer exceeds {limit_bytes} bytes",
+                )
             return HttpResponse(
                 response.status, read_headers(response), content
             )
--- /dev/null
+++ b/tests/controllers/edges.py
@@ -0,0 +1,90 @@
+"""Edges of controllers that only record what they are asked for."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+import attrs
+
+from bronzetrack.core import errors
+from bronzetrack.core import failures
+from bronzetrack.peer import hub
+from bronzetrack.wire import frames
+
+
+@attrs.define
+class Peers:
+    """Keeps what is sent; encodes it as the hub does for another VM.
+
+    :param refusals: how many messages find the queue full
+    """
+
+    sent: list[Any] = attrs.field(factory=list)
+    refusals: int = 0
+
+    def post(self, vm: str, message: Any) -> failures.Failure | None:
+        try:
+            frames.encode_frame(hub.CODEC.encode(message))
+        except errors.FailureError as error:
+            return error.failure
+        if self.refusals:
+            self.refusals -= 1
+            return failures.Failure(failures.Reason.QUEUE_FULL)
+        self.sent.append(message)
+        return None
+
+    def send(self, vm: str, message: Any) -> bool:
+        return self.post(vm, message) is None
+
+    def list_sessions(self) -> dict[str, str]:
+        return {"vm-2": ""}
+
+    def take(self, cls: type) -> list[Any]:
+        """Remove and return the messages of a class."""
+        found = [item for item in self.sent if isinstance(item, cls)]
+        self.sent = [item for item in self.sent if not isinstance(item, cls)]
+        return found
+
+
+@attrs.define
+class Answer:
+    """An answer of an endpoint."""
+
+    chunks: list[bytes]
+    status: int = 200
+    content_type: str = "text/event-stream"
+    refusal: failures.Failure | None = None
+    failure: failures.Failure | None = None
+    has_ended: bool = False
+
+    async def iterate_chunks(self):
+        for number, data in enumerate(self.chunks):
+            self.has_ended = (
+                self.failure is None and number == len(self.chunks) - 1
+            )
+            yield data
+        if self.failure is not None:
+            raise errors.FailureError(self.failure)
+
+
+@attrs.define
+class Endpoints:
+    """Gives its answers one after the other and records cancels.
+
+    :param answers: the last is repeated
+    :param opened: work that was sent
+    """
+
+    answers: list[Answer]
+    opened: list[Any] = attrs.field(factory=list)
+    cancelled: list[str] = attrs.field(factory=list)
+
+    @contextlib.asynccontextmanager
+    async def open_answer(self, endpoint, work):
+        self.opened.append(work)
+        place = min(len(self.opened), len(self.answers)) - 1
+        yield self.answers[place]
+
+    async def cancel(self, endpoint, attempt: str) -> None:
+        self.cancelled.append(attempt)
--- a/tests/peer/test_sessions.py
+++ b/tests/peer/test_sessions.py
@@ -10,9 +10,11 @@
 import pytest
 
 from bronzetrack.configuration import messages as configuration_messages
+from bronzetrack.core import failures
 from bronzetrack.membership import messages
 from bronzetrack.peer import hub
 from bronzetrack.streaming import messages as answers
+from bronzetrack.wire import frames
 
 
 @attrs.define
@@ -165,3 +167,34 @@
             assert sent == [False, True]
 
     anyio.run(check)
+
+
+@pytest.mark.parametrize(
+    ("name", "reason"),
+    [
+        ("x" * frames.FRAME_BYTES, failures.Reason.FRAME_TOO_LARGE),
+        ("\ud800", failures.Reason.PEER_PROTOCOL),
+    ],
+)
+def test_message_that_no_frame_holds_leaves_the_others(name, reason):
+    """Guards against a session closed, or messages lost, for one message."""
+
+    async def check() -> None:
+        async with (
+            run_peer("a", "a1") as one,
+            run_peer("b", "b1") as other,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(one.hub.connect, other.address)
+            await wait_until(one.hub.list_sessions)
+            sent = [answers.ProbeWork((text,)) for text in ("1", name, "2")]
+            found = [one.hub.post("b", message) for message in sent]
+            assert found[0] is None and found[2] is None
+            assert found[1].reason is reason
+            await wait_until(lambda: len(other.delivered) >= 3)
+            received = [item.message for item in other.delivered[1:]]
+            assert received == [sent[0], sent[2]]
+            assert "SessionClosed" not in list_types(one)
+            group.cancel_scope.cancel()
+
+    anyio.run(check)
