Tell a pause of the VM from a silence of the endpoint

Cause: when a VM goes on after a pause that is longer than `stream_silence_ms`, the time limits of all its reads have passed, and they end before the data that waits in the sockets is read. A stream without a chunk so far, or resumed before the pause, was then given up. Found with tests/daemon/test_frozen_entry.py and a bound of 1.5 s. Change: a silence that is noticed over 500 ms late counts as a pause of the VM. The stream is then resumed although it brought nothing, 3 times at most. The test waits until the requests have left the VM before it stops the VM, and ends its callers when a condition does not come about. Two new tests in tests/controllers fail without the change. A watch that counts turns of the loop in place of time was ruled out: it wakes up for every stream.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -37,6 +37,10 @@
 # living peer is sent within a second.
 SEND_TIMEOUT_MS = 5_000
 SEND_RETRY_MS = 20
+# A silence that is noticed this much too late was a pause of this VM, which
+# closes streams whose next chunks wait in the socket.
+PAUSE_MARGIN_MS = 500
+PAUSES = 3
 CANCEL_RETRY_MS = 500
 CANCEL_ATTEMPTS = 60
 CRASH_NOTE_TIMEOUT_MS = 1_000
@@ -68,6 +72,7 @@
         self._sender = sender
         self._endpoint = endpoint
         self._next_number = work.resume_from
+        self._heard_ms = 0
         self._first_chunk_ms: int | None = None
         self._dispatched = False
         self._resumed = work.resume_of is not None
@@ -139,12 +144,15 @@
     async def _read_answer(self, sent_ms: int) -> None:
         """Relay the answer; after a silence, resume it where it stopped.
 
-        A stream that brings nothing more when it is resumed is lost.
+        A stream that brings nothing more when it is resumed is lost, unless
+        this VM was paused meanwhile.
 
         :raises errors.FailureError: the answer did not end
         """
         work = self._work
+        pauses = 0
         while True:
+            self._heard_ms = self._read_clock().monotonic_ms
             try:
                 async with self._ports.endpoints.open_answer(
                     self._endpoint, work
@@ -158,6 +166,9 @@
                 if silent:
                     self._log_silence()
                 grown = self._next_number > work.resume_from
+                if not grown and self._was_paused() and pauses < PAUSES:
+                    pauses += 1
+                    grown = True
                 if not (silent and grown and self._is_engine):
                     raise
             self._resumed = True
@@ -167,6 +178,11 @@
                 resume_from=self._next_number,
             )
 
+    def _was_paused(self) -> bool:
+        silent_ms = self._read_clock().monotonic_ms - self._heard_ms
+        bound_ms = self._board.settings.limits.stream_silence_ms
+        return silent_ms > bound_ms + PAUSE_MARGIN_MS
+
     @property
     def _is_engine(self) -> bool:
         return self._endpoint.kind is inventories.EndpointKind.ENGINE
@@ -200,7 +216,8 @@
         await self._relay_message(started)
         timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
-            chunk_ms = timer.note_chunk(self._read_clock().monotonic_ms)
+            self._heard_ms = self._read_clock().monotonic_ms
+            chunk_ms = timer.note_chunk(self._heard_ms)
             if chunk_ms is not None:
                 self._board.mailboxes["runs"].post(
                     events.ChunksPassed(self._work.endpoint, chunk_ms)
--- a/tests/controllers/test_runs.py
+++ b/tests/controllers/test_runs.py
@@ -78,3 +78,23 @@
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.outcome is outcomes.Outcome.FAILED
+
+
+def test_pause_of_the_vm_is_not_a_silence_of_the_endpoint(run_work):
+    """Guards against streams given up because their reader stood still."""
+    peers, endpoints = run_work(
+        edges.Answer([], failure=SILENT), edges.Answer([b"0"]), step_ms=6_000
+    )
+    [end] = peers.take(messages.AnswerEnd)
+    assert end.outcome is outcomes.Outcome.COMPLETED
+    assert endpoints.opened[1].resume_from == 0
+
+
+def test_pauses_do_not_resume_a_stream_for_ever(run_work):
+    """Guards against a silent endpoint that a slow VM never gives up."""
+    peers, endpoints = run_work(
+        edges.Answer([], failure=SILENT), step_ms=6_000
+    )
+    [end] = peers.take(messages.AnswerEnd)
+    assert end.failure.reason is failures.Reason.ENDPOINT_SILENT
+    assert len(endpoints.opened) == 4
--- a/tests/daemon/test_frozen_entry.py
+++ b/tests/daemon/test_frozen_entry.py
@@ -67,19 +67,24 @@
             threads.submit(read_stream, fast_pair, body, may_read)
             for body in bodies
         ]
-        fast_pair.site.wait(lambda: fast_pair.count_running() == STREAMS)
-        fast_pair.signal_owner(signal.SIGSTOP)
         try:
+            fast_pair.site.wait(lambda: fast_pair.count_running() == STREAMS)
+            # A run counts before its request is written to the engine, which
+            # takes a few turns of the loop that these calls go through too.
+            for _ in range(20):
+                fast_pair.count_running()
+            fast_pair.signal_owner(signal.SIGSTOP)
             engine.process.send_signal(signal.SIGCONT)
             fast_pair.site.wait(
                 lambda: fast_pair.site.count_runs("long") == STREAMS
                 and is_idle(engine)
             )
-        finally:
             fast_pair.signal_owner(signal.SIGCONT)
-        may_read.set()
-        _, late = pairs.futures.wait(reads, timeout=10)
-        whole = [body.count(b"token") == TOKENS for body in bodies]
-        # A caller that still waits would keep its thread.
-        fast_pair.signal_owner(signal.SIGKILL)
+            may_read.set()
+            _, late = pairs.futures.wait(reads, timeout=10)
+            whole = [body.count(b"token") == TOKENS for body in bodies]
+        finally:
+            # A caller that still waits would keep its thread.
+            may_read.set()
+            fast_pair.signal_owner(signal.SIGKILL)
     assert (len(late), whole.count(False)) == (0, 0)
