--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -16,6 +16,7 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import errors
 from bronzetrack.core import failures
+from bronzetrack.core import messages as core_messages
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import pace
 from bronzetrack.dispatch import readers
@@ -38,6 +39,10 @@
 # living peer is sent within a second.
 SEND_TIMEOUT_MS = 5_000
 SEND_RETRY_MS = 20
+# A silence that is noticed this much too late was a pause of this VM, which
+# closes streams whose next chunks wait in the socket.
+PAUSE_MARGIN_MS = 500
+PAUSES = 3
 CANCEL_RETRY_MS = 500
 CANCEL_ATTEMPTS = 60
 CRASH_NOTE_TIMEOUT_MS = 1_000
@@ -69,12 +74,14 @@
         self._sender = sender
         self._endpoint = endpoint
         self._next_number = work.resume_from
+        self._heard_ms = 0
         self._first_chunk_ms: int | None = None
         self._dispatched = False
         self._sent_wall_ms = 0
         self._resumed = work.resume_of is not None
         self._reader = submission.get_incarnation(board, sender)
-        self._reader_lost_ms: int | None = None
+        self._reader_lost_ms = 0
+        self._unsent: failures.Failure | None = None
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
         self._result = _ResultCollector(work, board.vm)
@@ -148,12 +155,15 @@
     async def _read_answer(self, sent_ms: int) -> None:
         """Relay the answer; after a silence, resume it where it stopped.
 
-        A stream that brings nothing more when it is resumed is lost.
+        A stream that brings nothing more when it is resumed is lost, unless
+        this VM was paused meanwhile.
 
         :raises errors.FailureError: the answer did not end
         """
         work = self._work
+        pauses = 0
         while True:
+            self._heard_ms = self._read_clock().monotonic_ms
             try:
                 async with self._ports.endpoints.open_answer(
                     self._endpoint, work
@@ -167,6 +177,9 @@
                 if silent:
                     self._log_silence()
                 grown = self._next_number > work.resume_from
+                if not grown and self._was_paused() and pauses < PAUSES:
+                    pauses += 1
+                    grown = True
                 if not (silent and grown and self._is_engine):
                     raise
             self._resumed = True
@@ -176,6 +189,11 @@
                 resume_from=self._next_number,
             )
 
+    def _was_paused(self) -> bool:
+        silent_ms = self._read_clock().monotonic_ms - self._heard_ms
+        bound_ms = self._board.settings.limits.stream_silence_ms
+        return silent_ms > bound_ms + PAUSE_MARGIN_MS
+
     @property
     def _is_engine(self) -> bool:
         return self._endpoint.kind is inventories.EndpointKind.ENGINE
@@ -209,7 +227,8 @@
         await self._relay_message(started)
         timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
-            chunk_ms = timer.note_chunk(self._read_clock().monotonic_ms)
+            self._heard_ms = self._read_clock().monotonic_ms
+            chunk_ms = timer.note_chunk(self._heard_ms)
             if chunk_ms is not None:
                 self._board.mailboxes["runs"].post(
                     events.ChunksPassed(self._work.endpoint, chunk_ms)
@@ -329,13 +348,18 @@
     async def _send_end(
         self, outcome: outcomes.Outcome, failure: failures.Failure | None
     ) -> None:
-        if self._reader_lost_ms is not None:
+        if self._unsent is not None and not self._is_unsendable():
+            # The reader did not take a part of the answer either.
             return
-        await self._deliver(
-            messages.AnswerEnd(
-                self._work.attempt, outcome, self._next_number, failure
-            )
+        end = messages.AnswerEnd(
+            self._work.attempt, outcome, self._next_number, failure
         )
+        unsent = await self._deliver(end)
+        if failure is None or unsent is None:
+            return
+        if unsent.reason in core_messages.UNSENDABLE:
+            bare = failures.Failure(failure.reason, "the detail is left out")
+            await self._deliver(attrs.evolve(end, failure=bare))
 
     async def _relay_message(self, message: Any) -> None:
         """Send a part of the answer.
@@ -343,24 +367,26 @@
         :raises errors.FailureError: nobody takes the answer, and nobody can
             ask for it later
         """
-        if self._reader_lost_ms is None:
+        if self._unsent is None:
             now_ms = self._read_clock().monotonic_ms
-            if await self._deliver(message):
+            self._unsent = await self._deliver(message)
+            if self._unsent is None:
                 return
             self._reader_lost_ms = now_ms
         if self._work.key is None and self._is_reader_gone():
             await self._ports.endpoints.cancel(
                 self._endpoint, self._engine_attempt
             )
-            raise errors.FailureError(
-                failures.Failure(
-                    failures.Reason.PEER_UNREACHABLE,
-                    f"{self._sender} does not take the answer",
-                )
-            )
+            raise errors.FailureError(self._unsent)
+
+    def _is_unsendable(self) -> bool:
+        return (
+            self._unsent is not None
+            and self._unsent.reason in core_messages.UNSENDABLE
+        )
 
     def _is_reader_gone(self) -> bool:
-        return self._reader_lost_ms is not None and readers.is_reader_gone(
+        return self._is_unsendable() or readers.is_reader_gone(
             self._board.ownership.value,
             self._reader,
             self._work.stream and self._is_engine,
@@ -368,10 +394,16 @@
             self._read_clock().monotonic_ms,
         )
 
-    async def _deliver(self, message: Any) -> bool:
-        """Send a message, waiting while the queue of the peer is full."""
+    async def _deliver(self, message: Any) -> failures.Failure | None:
+        """Send a message, waiting while the queue of the peer is full.
+
+        :returns: why it was not sent
+        """
         deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
-        while not self._ports.peers.send(self._sender, message):
+        while True:
+            unsent = self._ports.peers.post(self._sender, message)
+            if unsent is None or unsent.reason in core_messages.UNSENDABLE:
+                return unsent
             if self._read_clock().monotonic_ms >= deadline_ms:
                 LOG.warning(
                     "answer has no reader",
@@ -381,9 +413,11 @@
                         "attempt_id": self._work.attempt,
                     },
                 )
-                return False
+                return failures.Failure(
+                    failures.Reason.PEER_UNREACHABLE,
+                    f"{self._sender} does not take the answer",
+                )
             await anyio.sleep(SEND_RETRY_MS / 1000)
-        return True
 
 
 @attrs.define
