Move the delivery and the record of an answer out of the run

Change: controllers/delivery.py passes parts and the end on to the reader and knows whether anybody reads the rest; controllers/results.py collects what the log keeps. The loop that resumes after a silence states its cases one by one. Behaviour is the same.

Measured: tests/controllers, tests/dispatch, tests/daemon/test_process.py and test_cuts.py pass (56) after the move; tests/controllers, test_silent_endpoint.py and test_frozen_entry.py pass with the loop as it is.

--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -12,17 +12,15 @@
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.controllers import claiming
-from bronzetrack.controllers import submission
+from bronzetrack.controllers import delivery
+from bronzetrack.controllers import results
 from bronzetrack.core import controllers
 from bronzetrack.core import errors
 from bronzetrack.core import failures
-from bronzetrack.core import messages as core_messages
 from bronzetrack.dispatch import events
 from bronzetrack.dispatch import pace
-from bronzetrack.dispatch import readers
 from bronzetrack.dispatch import state as states
 from bronzetrack.endpoints import reports
-from bronzetrack.idempotency import records
 from bronzetrack.idempotency import requests as key_requests
 from bronzetrack.retries import events as crash_events
 from bronzetrack.retries import suspects
@@ -35,10 +33,6 @@
     from bronzetrack.endpoints import client as endpoint_client
 
 LOG = logging.getLogger(__name__)
-# A broken session is usually open again after 0.5 s, and a full queue of a
-# living peer is sent within a second.
-SEND_TIMEOUT_MS = 5_000
-SEND_RETRY_MS = 20
 # A silence that is noticed this much too late was a pause of this VM, which
 # closes streams whose next chunks wait in the socket.
 PAUSE_MARGIN_MS = 500
@@ -71,7 +65,6 @@
         self._ports = ports
         self._read_clock = read_clock
         self._work = work
-        self._sender = sender
         self._endpoint = endpoint
         self._next_number = work.resume_from
         self._heard_ms = 0
@@ -79,12 +72,17 @@
         self._dispatched = False
         self._sent_wall_ms = 0
         self._resumed = work.resume_of is not None
-        self._reader = submission.get_incarnation(board, sender)
-        self._reader_lost_ms = 0
-        self._unsent: failures.Failure | None = None
+        self._delivery = delivery.AnswerDelivery(
+            board,
+            ports,
+            read_clock,
+            work,
+            sender,
+            resumable=work.stream and self._is_engine,
+        )
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
-        self._result = _ResultCollector(work, board.vm)
+        self._result = results.ResultCollector(work, board.vm)
         self._claimer: claiming.KeyClaimer | None = None
         if work.key is not None and work.resume_of is None:
             self._claimer = claiming.KeyClaimer(
@@ -171,17 +169,15 @@
                     await self._relay(answer, sent_ms)
                 return
             except errors.FailureError as error:
-                silent = error.failure.reason is (
-                    failures.Reason.ENDPOINT_SILENT
-                )
-                if silent:
-                    self._log_silence()
-                grown = self._next_number > work.resume_from
-                if not grown and self._was_paused() and pauses < PAUSES:
-                    pauses += 1
-                    grown = True
-                if not (silent and grown and self._is_engine):
+                if error.failure.reason is not failures.Reason.ENDPOINT_SILENT:
                     raise
+                self._log_silence()
+                if not self._is_engine:
+                    raise
+                if self._next_number == work.resume_from:
+                    if pauses == PAUSES or not self._was_paused():
+                        raise
+                    pauses += 1
             self._resumed = True
             work = attrs.evolve(
                 self._work,
@@ -348,18 +344,7 @@
     async def _send_end(
         self, outcome: outcomes.Outcome, failure: failures.Failure | None
     ) -> None:
-        if self._unsent is not None and not self._is_unsendable():
-            # The reader did not take a part of the answer either.
-            return
-        end = messages.AnswerEnd(
-            self._work.attempt, outcome, self._next_number, failure
-        )
-        unsent = await self._deliver(end)
-        if failure is None or unsent is None:
-            return
-        if unsent.reason in core_messages.UNSENDABLE:
-            bare = failures.Failure(failure.reason, "the detail is left out")
-            await self._deliver(attrs.evolve(end, failure=bare))
+        await self._delivery.send_end(outcome, self._next_number, failure)
 
     async def _relay_message(self, message: Any) -> None:
         """Send a part of the answer.
@@ -367,98 +352,9 @@
         :raises errors.FailureError: nobody takes the answer, and nobody can
             ask for it later
         """
-        if self._unsent is None:
-            now_ms = self._read_clock().monotonic_ms
-            self._unsent = await self._deliver(message)
-            if self._unsent is None:
-                return
-            self._reader_lost_ms = now_ms
-        if self._work.key is None and self._is_reader_gone():
+        unread = await self._delivery.send_part(message)
+        if unread is not None and self._work.key is None:
             await self._ports.endpoints.cancel(
                 self._endpoint, self._engine_attempt
             )
-            raise errors.FailureError(self._unsent)
-
-    def _is_unsendable(self) -> bool:
-        return (
-            self._unsent is not None
-            and self._unsent.reason in core_messages.UNSENDABLE
-        )
-
-    def _is_reader_gone(self) -> bool:
-        return self._is_unsendable() or readers.is_reader_gone(
-            self._board.ownership.value,
-            self._reader,
-            self._work.stream and self._is_engine,
-            self._reader_lost_ms,
-            self._read_clock().monotonic_ms,
-        )
-
-    async def _deliver(self, message: Any) -> failures.Failure | None:
-        """Send a message, waiting while the queue of the peer is full.
-
-        :returns: why it was not sent
-        """
-        deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
-        while True:
-            unsent = self._ports.peers.post(self._sender, message)
-            if unsent is None or unsent.reason in core_messages.UNSENDABLE:
-                return unsent
-            if self._read_clock().monotonic_ms >= deadline_ms:
-                LOG.warning(
-                    "answer has no reader",
-                    extra={
-                        "event": "answer_dropped",
-                        "request_id": self._work.request,
-                        "attempt_id": self._work.attempt,
-                    },
-                )
-                return failures.Failure(
-                    failures.Reason.PEER_UNREACHABLE,
-                    f"{self._sender} does not take the answer",
-                )
-            await anyio.sleep(SEND_RETRY_MS / 1000)
-
-
-@attrs.define
-class _ResultCollector:
-    """Collects what the log keeps of a run under a key."""
-
-    _work: messages.SubmitWork
-    _vm: str
-    _status: int = 0
-    _content_type: str = ""
-    _parts: list[bytes] = attrs.field(factory=list)
-    _size_bytes: int = 0
-
-    def start(self, status: int, content_type: str) -> None:
-        self._status = status
-        self._content_type = content_type
-
-    def add(self, data: bytes) -> None:
-        self._size_bytes += len(data)
-        if self._size_bytes <= records.STORED_ANSWER_BYTES:
-            self._parts.append(data)
-        else:
-            self._parts.clear()
-
-    def make_record(
-        self, outcome: outcomes.Outcome
-    ) -> records.KeyResult | None:
-        if self._work.key is None:
-            return None
-        kept = (
-            outcome is outcomes.Outcome.COMPLETED
-            and self._work.resume_from == 0
-            and self._size_bytes <= records.STORED_ANSWER_BYTES
-        )
-        return records.KeyResult(
-            key=self._work.key,
-            attempt=self._work.resume_of or self._work.attempt,
-            outcome=outcome.value,
-            status=self._status,
-            content_type=self._content_type,
-            answer=b"".join(self._parts) if kept else None,
-            vm=self._vm,
-            endpoint=self._work.endpoint,
-        )
+            raise errors.FailureError(unread)
