--- a/tests/streaming/test_assembler.py
+++ b/tests/streaming/test_assembler.py
@@ -42,3 +42,43 @@
     joined.accept(make_chunk(0))
     joined.end(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 2))
     assert not joined.is_whole
+
+
+def test_resume_closes_a_gap_and_repeats_nothing(joined, make_chunk):
+    """Guards against chunks lost or sent twice when a stream is resumed."""
+    assert joined.accept(make_chunk(0)) == [b"0"]
+    assert joined.accept(make_chunk(2)) == []
+    assert joined.has_gap
+    joined.resume("a2")
+    assert not joined.has_gap
+    assert joined.accept(make_chunk(1)) == []
+    passed = [joined.accept(make_chunk(n, "a2")) for n in (0, 1, 2, 3)]
+    assert passed == [[], [b"1"], [b"2"], [b"3"]]
+    joined.end(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 9))
+    assert not joined.is_whole and not joined.has_gap
+    joined.end(messages.AnswerEnd("a2", outcomes.Outcome.COMPLETED, 4))
+    assert joined.is_whole
+
+
+def test_early_chunks_are_bounded_in_number(joined, make_chunk):
+    """Guards against memory that grows behind one lost chunk."""
+    for number in range(1, assembler.EARLY_CHUNKS + 50):
+        assert joined.accept(make_chunk(number)) == []
+    # The chunk that is missing has room even then.
+    assert len(joined.accept(make_chunk(0))) == assembler.EARLY_CHUNKS + 1
+    assert not joined.has_gap
+
+
+def test_early_chunks_are_bounded_in_bytes(joined):
+    """Guards against memory that grows with the size of early chunks."""
+    data = b"x" * assembler.EVENT_BYTES
+    fitting = assembler.EARLY_BYTES // assembler.EVENT_BYTES
+    for number in range(1, fitting + 3):
+        joined.accept(messages.AnswerChunk("a1", number, data))
+    ready = joined.accept(messages.AnswerChunk("a1", 0, data))
+    assert len(ready) == fitting + 1
+    # What was passed on leaves room for as much again.
+    for number in range(fitting + 2, 2 * fitting + 2):
+        joined.accept(messages.AnswerChunk("a1", number, data))
+    chunk = messages.AnswerChunk("a1", fitting + 1, data)
+    assert len(joined.accept(chunk)) == fitting + 1
