Keep doubt about a successor until the log is read to its end

A VM that had heard of a successor reached the log for a read that brought nothing yet, which lifted its doubt. Cut off again, with the successor silent and the third VM cut off as well, it heard a majority without a lease and dispatched. A VM that was paused after its lease had the same gap: it had not heard what was said meanwhile.

Change: only a read to the end of the stream lifts the doubt. A VM that did not judge its standing for 2 s after its lease needs the word of all the others. The fixture of test_standing.py judges while the lease holds, as a VM that runs does; its checks are the same.

--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -42,11 +42,10 @@
         state = _note_own(state, record, incarnation, now_ms)
     at_end = state.next_offset >= end
     caught_up = state.complete and (state.caught_up or at_end)
+    # A read that stops before the end does not tell of every successor.
+    standing = leases.Standing.SOLE if at_end else state.standing
     return attrs.evolve(
-        state,
-        caught_up=caught_up,
-        log_reachable=True,
-        standing=leases.Standing.SOLE,
+        state, caught_up=caught_up, log_reachable=True, standing=standing
     )
 
 
--- a/src/bronzetrack/ownership/standing.py
+++ b/src/bronzetrack/ownership/standing.py
@@ -8,6 +8,9 @@
 
 from bronzetrack.ownership import leases
 
+# Several times the interval at which a VM judges its standing.
+JUDGE_GAP_MS = 2_000
+
 
 def judge(
     state: leases.OwnershipState,
@@ -22,7 +25,9 @@
     so, and none says the contrary: in an outage a few VMs may be down, while
     an owner that is cut off hears from few others or from none.
 
-    Once there was doubt, all of them have to say so.
+    Once there was doubt, all of them have to say so. That is also so for a VM
+    that did not judge for a while after its lease, as it was paused: it has
+    not heard what the others said meanwhile.
 
     :param vm: name of this VM
     :param claimants: whether it could claim, or owns what this VM owned, by
@@ -49,7 +54,8 @@
         return leases.Standing.SUPERSEDED
     others = list_others(state, vm)
     agreeing = 1 + len(others & claimants.keys())
-    if state.standing is leases.Standing.DOUBTFUL:
+    paused = now_ms - state.judged_ms > JUDGE_GAP_MS
+    if paused or state.standing is leases.Standing.DOUBTFUL:
         enough = agreeing == 1 + len(others)
     else:
         enough = 2 * agreeing > 1 + len(others)
--- a/tests/ownership/test_standing.py
+++ b/tests/ownership/test_standing.py
@@ -17,11 +17,15 @@
 
 @pytest.fixture
 def cut() -> leases.OwnershipState:
-    """VM a and three others renewed at 0 ms; a has not read since."""
+    """VM a and three others renewed at 0 ms; a has not read since.
+
+    It has judged its standing while it held its lease.
+    """
     state = replay.note_sent(leases.OwnershipState(), 0, 0)
     renewals = [records.LeaseRecord(vm, f"{vm}1", 0) for vm in VMS]
     state = replay.apply_batch(state, 0, 4, enumerate(renewals), "a1", 0)
-    return replay.note_outage(state, 4_000)
+    state = replay.note_outage(state, 4_000)
+    return standing.judge(state, "a", OUT, LAPSED_MS - 1)
 
 
 def judge(state, claimants, now_ms=LAPSED_MS):
@@ -104,3 +108,21 @@
         item = (3 + sequence, records.LeaseRecord("a", "a1", sequence))
         cut = replay.apply_batch(cut, 0, 9, [item], "a1", sent_ms)
         assert cut.held_since_ms == (0 if sequence == 1 else sent_ms)
+
+
+def test_read_that_stops_before_the_end_lifts_no_doubt(cut):
+    """Guards against a VM that goes on before it read of its successor."""
+    doubtful = judge(cut, {"b": True})
+    behind = replay.apply_batch(doubtful, 0, 6, [], "a1", LAPSED_MS)
+    again = replay.note_outage(behind, LAPSED_MS)
+    assert not may_dispatch(again, OUT)
+    at_end = replay.apply_batch(doubtful, 0, 4, [], "a1", LAPSED_MS)
+    again = replay.note_outage(at_end, LAPSED_MS)
+    assert may_dispatch(again, OUT)
+
+
+def test_paused_vm_needs_the_word_of_all(cut):
+    """Guards against a successor that claimed and is silent after a pause."""
+    late_ms = LAPSED_MS + standing.JUDGE_GAP_MS
+    assert not may_dispatch(cut, {"b": False, "c": False}, late_ms)
+    assert may_dispatch(cut, OUT, late_ms)
