Copy the times of renewals without looking through all of them

Change: old entries are dropped only when a new VM is added. Those that count are chosen by their time wherever they are read, as before.

Measured: scripts/slopes.py, replay of a lease record among 400 VMs: 65.4 us before, 19.7 us after. tests/ownership and tests/traces pass (76).

At 133 records/s that is 0.3% of a core in place of 0.9%.

--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -108,18 +109,32 @@
     if leases.get_sequence(state, record.incarnation) >= record.sequence:
         return state
     lease = leases.Lease(record.vm, record.sequence, now_ms)
-    recent = {
-        vm: read_ms
-        for vm, read_ms in state.renewed_ms.items()
-        if now_ms - read_ms <= leases.KNOWN_MS
-    }
     return attrs.evolve(
         state,
         leases={**state.leases, record.incarnation: lease},
-        renewed_ms={**recent, record.vm: now_ms},
+        renewed_ms={
+            **_list_known(state, record.vm, now_ms),
+            record.vm: now_ms,
+        },
     )
 
 
+def _list_known(
+    state: leases.OwnershipState, vm: str, now_ms: int
+) -> Mapping[str, int]:
+    """Return when VMs renewed, without old ones if the map is to grow.
+
+    With each record it took two thirds of its replay among 400 VMs.
+    """
+    if vm in state.renewed_ms:
+        return state.renewed_ms
+    return {
+        name: read_ms
+        for name, read_ms in state.renewed_ms.items()
+        if now_ms - read_ms <= leases.KNOWN_MS
+    }
+
+
 def _apply_claim(
     state: leases.OwnershipState,
     offset: int,
