--- a/tests/daemon/test_cuts.py
+++ b/tests/daemon/test_cuts.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterator
 from concurrent import futures
 import contextlib
+import pathlib
 
 from daemon import pairs
+import httpcore
 import pytest
 
 from standins import site as sites
@@ -18,23 +20,37 @@
 END = b"data: [DONE]\n\n"
 
 
-@pytest.fixture
-def cut_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs with links between them, one of which owns an engine."""
+@contextlib.contextmanager
+def run_pair(folder: pathlib.Path, **options: int) -> Iterator[pairs.Pair]:
+    """Run two VMs with links between them, one of which owns an engine."""
     with sites.run_site(
-        tmp_path,
+        folder,
         vms=2,
         engines=1,
         services=0,
         token_ms=20.0,
-        slots=2,
         forwarded=True,
+        **options,
     ) as running:
         sites.publish_samples(running)
         running.wait(running.is_settled)
         yield pairs.find_pair(running)
 
 
+@pytest.fixture
+def cut_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """A pair whose engine runs two requests at once."""
+    with run_pair(tmp_path, slots=2) as pair:
+        yield pair
+
+
+@pytest.fixture
+def evicting_pair(tmp_path) -> Iterator[pairs.Pair]:
+    """A pair whose engine holds two adapters at once."""
+    with run_pair(tmp_path, adapter_slots=2) as pair:
+        yield pair
+
+
 def set_links(pair: pairs.Pair, mode: str) -> None:
     """Set the mode of the links between the two VMs."""
     for name in pair.site.vms:
@@ -43,7 +59,7 @@
 
 def send(
     pair: pairs.Pair, prompt: str, tokens: int, **headers: str
-) -> futures.Future[pairs.httpcore.Response]:
+) -> futures.Future[httpcore.Response]:
     """Send a request that is answered in one piece, in the background."""
     return pair.threads.submit(
         pair.site.send,
@@ -144,23 +160,6 @@
     assert cut_pair.site.count_runs("long") == 2
 
 
-@pytest.fixture
-def evicting_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs with links, one of which owns an engine with few adapters."""
-    with sites.run_site(
-        tmp_path,
-        vms=2,
-        engines=1,
-        services=0,
-        token_ms=20.0,
-        adapter_slots=2,
-        forwarded=True,
-    ) as running:
-        sites.publish_samples(running)
-        running.wait(running.is_settled)
-        yield pairs.find_pair(running)
-
-
 def read_statistics(pair: pairs.Pair) -> dict[str, object]:
     url = pair.site.endpoints["engine-0"].url
     return sites.fetch("GET", f"{url}/statistics")
