Share the connected peers of the session tests

Cause: three tests of tests/peer repeated the same start of two peers.

Change: one context manager; the checks are the same.

--- a/tests/peer/test_sessions.py
+++ b/tests/peer/test_sessions.py
@@ -64,6 +64,20 @@
         await anyio.sleep(0.01)
 
 
+@contextlib.asynccontextmanager
+async def connect_peers():
+    """Run two peers, the first of which has a session with the second."""
+    async with (
+        run_peer("a", "a1") as one,
+        run_peer("b", "b1") as other,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(one.hub.connect, other.address)
+        await wait_until(one.hub.list_sessions)
+        yield one, other
+        group.cancel_scope.cancel()
+
+
 def list_types(peer: Peer) -> list[str]:
     return [type(item.message).__name__ for item in peer.delivered]
 
@@ -100,13 +114,7 @@
     """Guards against memory that grows, or waits, for one frozen peer."""
 
     async def check() -> None:
-        async with (
-            run_peer("a", "a1") as one,
-            run_peer("b", "b1") as other,
-            anyio.create_task_group() as group,
-        ):
-            group.start_soon(one.hub.connect, other.address)
-            await wait_until(one.hub.list_sessions)
+        async with connect_peers() as (one, other):
             part = configuration_messages.ConfigurationSnapshot(
                 1, 1, 0, 1, b"x" * 500_000
             )
@@ -117,7 +125,6 @@
             names = list_types(other)
             await wait_until(lambda: len(list_types(other)) > len(names))
             assert one.hub.list_sessions()
-            group.cancel_scope.cancel()
 
     anyio.run(check)
 
@@ -140,19 +147,12 @@
     """Guards against answers dropped when many arrive at once."""
 
     async def check() -> None:
-        async with (
-            run_peer("a", "a1") as one,
-            run_peer("b", "b1") as other,
-            anyio.create_task_group() as group,
-        ):
-            group.start_soon(one.hub.connect, other.address)
-            await wait_until(one.hub.list_sessions)
+        async with connect_peers() as (one, other):
             other.refusals["ProbeWork"] = 3
             sent = [answers.ProbeWork((str(place),)) for place in range(4)]
             assert all(one.hub.send("b", message) for message in sent)
             await wait_until(lambda: len(other.delivered) >= 5)
             assert [item.message for item in other.delivered[1:]] == sent
-            group.cancel_scope.cancel()
 
     anyio.run(check)
 
@@ -180,13 +180,7 @@
     """Guards against a session closed, or messages lost, for one message."""
 
     async def check() -> None:
-        async with (
-            run_peer("a", "a1") as one,
-            run_peer("b", "b1") as other,
-            anyio.create_task_group() as group,
-        ):
-            group.start_soon(one.hub.connect, other.address)
-            await wait_until(one.hub.list_sessions)
+        async with connect_peers() as (one, other):
             sent = [answers.ProbeWork((text,)) for text in ("1", name, "2")]
             found = [one.hub.post("b", message) for message in sent]
             assert found[0] is None and found[2] is None
@@ -195,6 +189,5 @@
             received = [item.message for item in other.delivered[1:]]
             assert received == [sent[0], sent[2]]
             assert "SessionClosed" not in list_types(one)
-            group.cancel_scope.cancel()
 
     anyio.run(check)
