--- a/bench/owner.py
+++ b/bench/owner.py
@@ -7,8 +7,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from bench import permits
 from bench import site as sites
 from bronzetrack.core import failures
@@ -29,13 +27,6 @@
 NO_PLACEMENT = placement.Placement()
 
 
-@attrs.frozen
-class RemoteUsage:
-    """The part of a peer's state that usage is added up from."""
-
-    usage: dict[str, float]
-
-
 class OwnerRole:
     """Runs the queues of all VMs."""
 
@@ -140,12 +131,12 @@
             whole = min(permits.count_places(site, vm), whole)
         known: dict[str, float] = {}
         if not site.is_naive:
-            peers = [
-                RemoteUsage(other.reported_usage)
+            reported = (
+                other.reported_usage
                 for other in site.vms.values()
                 if other is not vm
-            ]
-            known = usage.add_remote(vm.usage, peers)
+            )
+            known = usage.sum_usage((vm.usage, *reported))
         return contexts.EndpointContext(
             endpoint=site.endpoints[name],
             rules=site.rules,
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Installs the pinned libraries and the package into target/deps.
+set -eu
+deps=target/deps
+if ! cmp -s deploy/requirements.txt "$deps/.requirements"; then
+    rm -rf "$deps"
+    python3 -m pip install -q --target "$deps" -r deploy/requirements.txt
+    cp deploy/requirements.txt "$deps/.requirements"
+fi
+rm -rf "$deps/bronzetrack"
+cp -r src/bronzetrack "$deps/bronzetrack"
+python3 -m compileall -q "$deps"
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -48,7 +48,7 @@
 from bronzetrack.ownership import records as lease_records  # noqa: E402
 from bronzetrack.ownership import replay as ownership  # noqa: E402
 from bronzetrack.peer import hub  # noqa: E402
-from bronzetrack.platform import logservice  # noqa: E402
+from bronzetrack.logservice import logservice  # noqa: E402
 from bronzetrack.retries import records as crash_records  # noqa: E402
 from bronzetrack.retries import suspects  # noqa: E402
 from bronzetrack.routing import choice  # noqa: E402
@@ -634,7 +634,7 @@
     """Return whether every daemon hears every other."""
     for vm in site.vms.values():
         view = site.get_state(vm, "membership")
-        if view is None or len(view["vms"]) < len(site.vms) - 1:
+        if len(view["vms"]) < len(site.vms) - 1:
             return False
     return True
 
--- a/src/bronzetrack/client/publisher.py
+++ b/src/bronzetrack/client/publisher.py
@@ -12,7 +12,7 @@
 from bronzetrack.configuration import replay
 from bronzetrack.configuration import state as states
 from bronzetrack.core import failures
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import logservice
 from bronzetrack.wire import documents
 
 APPEND_TRIES = 3
--- a/src/bronzetrack/client/recorder.py
+++ b/src/bronzetrack/client/recorder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bronzetrack.core import failures
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import logservice
 from bronzetrack.traces import cores
 from bronzetrack.traces import model
 from bronzetrack.traces import replay
--- a/src/bronzetrack/configuration/inventory.py
+++ b/src/bronzetrack/configuration/inventory.py
@@ -49,6 +49,14 @@
     checks_fencing: bool = False
     leaving: bool = False
 
+    @property
+    def is_engine(self) -> bool:
+        return self.kind is EndpointKind.ENGINE
+
+    def runs_model(self, base_model: str) -> bool:
+        """Return whether it is an engine of a base model."""
+        return self.is_engine and self.base_model == base_model
+
 
 @attrs.frozen
 class Service:
--- a/src/bronzetrack/configuration/replay.py
+++ b/src/bronzetrack/configuration/replay.py
@@ -56,8 +56,7 @@
     state = attrs.evolve(
         state, retained=retained, log_reachable=True, failed_reads=0
     )
-    fresh = [item for item in items if item[0] >= state.next_offset]
-    first = fresh[0][0] if fresh else max(start, state.next_offset)
+    first, fresh = retention.find_fresh(state.next_offset, start, items)
     if first > state.next_offset:
         state = attrs.evolve(
             state, next_offset=first, changed_offset=first, complete=False
--- a/src/bronzetrack/configuration/resolver.py
+++ b/src/bronzetrack/configuration/resolver.py
@@ -60,8 +60,7 @@
     endpoints = tuple(
         name
         for name, endpoint in configuration.inventory.endpoints.items()
-        if endpoint.base_model == adapter.base_model
-        and endpoint.kind is inventories.EndpointKind.ENGINE
+        if endpoint.runs_model(adapter.base_model)
     )
     return ResolvedModel(f"{adapter_name}@{version}", adapter.owner, endpoints)
 
--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -99,7 +99,7 @@
             yield f"{place}.port: {endpoint.port} is not a port"
         if endpoint.slots < 1:
             yield f"{place}.slots: at least 1"
-        if endpoint.kind is not inventories.EndpointKind.ENGINE:
+        if not endpoint.is_engine:
             continue
         if endpoint.base_model not in inventory.base_models:
             yield f"{place}.base_model: unknown {endpoint.base_model!r}"
--- a/src/bronzetrack/console/runner.py
+++ b/src/bronzetrack/console/runner.py
@@ -9,7 +9,7 @@
 import anyio
 import httpcore
 
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import logservice
 from bronzetrack.wire import httpclient
 
 CONNECTIONS = 8
--- a/src/bronzetrack/controllers/configuration.py
+++ b/src/bronzetrack/controllers/configuration.py
@@ -15,7 +15,7 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.membership import view as views
-from bronzetrack.platform import follower
+from bronzetrack.logservice import follower
 from bronzetrack.wire import documents
 
 LOG = logging.getLogger(__name__)
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -63,8 +63,11 @@
                 self._receive(delivery, now_ms)
             for event in runs_box.take():
                 self._apply_event(event, now_ms)
+            remote = usage.sum_usage(
+                vm.usage for vm in self.board.membership.value.vms.values()
+            )
             short = sum(
-                self._advance(name, now_ms).short
+                self._advance(name, remote, now_ms).short
                 for name in list(self.board.dispatch.value.endpoints)
             )
             self._permits.request(short, now_ms)
@@ -233,8 +236,13 @@
         owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
         return transitions.apply_report(queue, event.report, owned_ms, now_ms)
 
-    def _advance(self, name: str, now_ms: int) -> loads.LoadPlan:
-        """Carry out what is due; return what was due of loads."""
+    def _advance(
+        self, name: str, remote: dict[str, float], now_ms: int
+    ) -> loads.LoadPlan:
+        """Carry out what is due; return what was due of loads.
+
+        :param remote: recent cost by member over the other VMs
+        """
         endpoint = self._get_endpoint(name)
         if endpoint is None:
             return loads.LoadPlan()
@@ -246,7 +254,7 @@
         )
         if queue is not self.board.dispatch.value.endpoints[name]:
             self._set_queue(name, queue)
-        context = self._make_context(name, endpoint, now_ms)
+        context = self._make_context(name, endpoint, remote, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
         self._carry_out_refusals(name, plan)
         if plan.fence is not None:
@@ -265,7 +273,11 @@
         return plan.loads
 
     def _make_context(
-        self, name: str, endpoint: inventories.Endpoint, now_ms: int
+        self,
+        name: str,
+        endpoint: inventories.Endpoint,
+        remote: dict[str, float],
+        now_ms: int,
     ) -> contexts.EndpointContext:
         state = self.board.dispatch.value
         ownership = self.board.ownership.value
@@ -288,9 +300,7 @@
             placement=self._placements.get(name),
             quotas=self._placements.quotas,
             may_prefetch=self.board.permits.value.may_prefetch(),
-            usage=usage.add_remote(
-                state.usage, self.board.membership.value.vms.values()
-            ),
+            usage=usage.sum_usage((state.usage, remote)),
         )
 
     def _is_leaving(self, name: str, endpoint: inventories.Endpoint) -> bool:
--- a/src/bronzetrack/controllers/keys.py
+++ b/src/bronzetrack/controllers/keys.py
@@ -11,8 +11,8 @@
 from bronzetrack.idempotency import records
 from bronzetrack.idempotency import requests
 from bronzetrack.idempotency import table as tables
-from bronzetrack.platform import follower
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import follower
+from bronzetrack.logservice import logservice
 
 GATHER_MS = 5
 RETRY_MS = 200
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -130,7 +130,7 @@
         endpoint = inventory.endpoints.get(name)
         if endpoint is None:
             return
-        if endpoint.kind is not inventories.EndpointKind.ENGINE:
+        if not endpoint.is_engine:
             return
         report = await self._ports.endpoints.read_report(endpoint)
         self._board.mailboxes["runs"].post(events.ReportRead(name, report))
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -17,8 +17,8 @@
 from bronzetrack.ownership import records
 from bronzetrack.ownership import replay
 from bronzetrack.ownership import standing
-from bronzetrack.platform import follower
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import follower
+from bronzetrack.logservice import logservice
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -64,9 +64,7 @@
             other: summary
             for other, summary in known.items()
             if other in inventory.endpoints
-            and inventory.endpoints[other].kind
-            is inventories.EndpointKind.ENGINE
-            and inventory.endpoints[other].base_model == model
+            and inventory.endpoints[other].runs_model(model)
         }
         of_model = {
             adapter: part
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -363,11 +363,9 @@
             progress.due_ms = now_ms + ROUTE_RETRY_MS
             return
         self._attempts.pop(progress.attempt, None)
-        self._attempts[attempt] = progress
         progress.start_attempt(attempt, now_ms)
-        self._set_owner(progress, chosen.owner)
         progress.endpoint = chosen.endpoint
-        self._note()
+        self._follow_attempt(progress, chosen.owner)
 
     def _resume(self, progress: progresses.Progress, now_ms: int) -> None:
         """Read the rest of a stream from the engine through this VM."""
@@ -391,14 +389,15 @@
             self._close(progress, outcomes.Outcome.UNKNOWN, failure)
             return
         self._attempts.pop(progress.attempt, None)
-        self._attempts[attempt] = progress
         progress.resume_attempt(attempt, now_ms)
-        self._set_owner(progress, self.board.vm)
-        self._note()
+        self._follow_attempt(progress, self.board.vm)
 
-    def _set_owner(self, progress: progresses.Progress, vm: str) -> None:
+    def _follow_attempt(self, progress: progresses.Progress, vm: str) -> None:
+        """Expect the answers of the present attempt from a VM."""
+        self._attempts[progress.attempt] = progress
         progress.owner = vm
         progress.owner_incarnation = submission.get_incarnation(self.board, vm)
+        self._note()
 
     def _settle(
         self, progress: progresses.Progress, now_ms: int, void: bool
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -78,7 +78,7 @@
             read_clock,
             work,
             sender,
-            resumable=work.stream and self._is_engine,
+            resumable=work.stream and endpoint.is_engine,
         )
         self._boot = self._get_queue().boot
         self._crashes = self._list_crashes()
@@ -172,7 +172,7 @@
                 if error.failure.reason is not failures.Reason.ENDPOINT_SILENT:
                     raise
                 self._log_silence()
-                if not self._is_engine:
+                if not self._endpoint.is_engine:
                     raise
                 if self._next_number == work.resume_from:
                     if pauses == PAUSES or not self._was_paused():
@@ -190,10 +190,6 @@
         bound_ms = self._board.settings.limits.stream_silence_ms
         return silent_ms > bound_ms + PAUSE_MARGIN_MS
 
-    @property
-    def _is_engine(self) -> bool:
-        return self._endpoint.kind is inventories.EndpointKind.ENGINE
-
     @property
     def _engine_attempt(self) -> str:
         """The attempt that the endpoint knows."""
@@ -230,8 +226,7 @@
                     events.ChunksPassed(self._work.endpoint, chunk_ms)
                 )
             if self._first_chunk_ms is None:
-                now_ms = self._read_clock().monotonic_ms
-                self._first_chunk_ms = now_ms - sent_ms
+                self._first_chunk_ms = self._heard_ms - sent_ms
             self._result.add(data)
             chunk = messages.AnswerChunk(
                 self._work.attempt, self._next_number, data, answer.has_ended
@@ -246,9 +241,10 @@
             return await self._end_not_run(failure)
         if failure.reason is failures.Reason.ENDPOINT_CRASHED:
             failure = await self._examine_break(failure)
-        keyed = self._work.key is not None
         outcome = (
-            outcomes.Outcome.UNKNOWN if keyed else (outcomes.Outcome.FAILED)
+            outcomes.Outcome.FAILED
+            if self._work.key is None
+            else outcomes.Outcome.UNKNOWN
         )
         self._record_result(outcome)
         await self._send_end(outcome, failure)
@@ -323,7 +319,7 @@
 
     async def _cancel_at_engine(self) -> None:
         """Cancel the work until an engine confirms it."""
-        if not self._is_engine:
+        if not self._endpoint.is_engine:
             return
         # The slot and the pin are kept until the engine confirms. One that
         # cannot be reached for the whole time has been given up by then.
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from bronzetrack.configuration import inventory as inventories
 from bronzetrack.core import failures
 from bronzetrack.membership import summaries
 from bronzetrack.routing import candidates
@@ -90,9 +89,7 @@
     inventory = board.configuration.value.configuration.inventory
     endpoint = inventory.endpoints.get(progress.endpoint)
     return (
-        progress.request.stream
-        and endpoint is not None
-        and endpoint.kind is inventories.EndpointKind.ENGINE
+        progress.request.stream and endpoint is not None and endpoint.is_engine
     )
 
 
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -9,7 +9,7 @@
 
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
-from bronzetrack.platform import follower
+from bronzetrack.logservice import follower
 from bronzetrack.retries import events
 from bronzetrack.retries import messages
 from bronzetrack.retries import records
--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -16,8 +16,8 @@
     from bronzetrack.core import clock
     from bronzetrack.endpoints import client as endpoint_client
     from bronzetrack.peer import hub as peer_hub
-    from bronzetrack.platform import logservice
-    from bronzetrack.platform import vmlist
+    from bronzetrack.logservice import logservice
+    from bronzetrack.logservice import vmlist
 
 
 @attrs.frozen
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -32,15 +32,11 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     # Admission and limits.
     NO_CONFIGURATION = "no_configuration"
-    NO_ENDPOINT = "no_endpoint"
     NO_OWNER = "no_owner"
     QUEUE_FULL = "queue_full"
     QUEUE_TIMEOUT = "queue_timeout"
-    SHARE_EXCEEDED = "share_exceeded"
     WARM_QUOTA = "warm_quota"
-    ADAPTER_SLOTS_FULL = "adapter_slots_full"
     CRASHES_ENDPOINTS = "crashes_endpoints"
-    RETRY_BUDGET = "retry_budget"
     DRAINING = "draining"
     CANCELLED = "cancelled"
     # Endpoints.
@@ -59,7 +55,6 @@
     LOG_RATE_LIMITED = "log_rate_limited"
     LOG_TRUNCATED = "log_truncated"
     APPEND_UNCERTAIN = "append_uncertain"
-    STORE_UNAVAILABLE = "store_unavailable"
     VM_LIST_UNAVAILABLE = "vm_list_unavailable"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_PROTOCOL = "peer_protocol"
--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import Any
+
 import attrs
 
 # The log service has to retain records for at least twice this time.
@@ -29,6 +32,22 @@
     copy_ms: int = 0
 
 
+def find_fresh(
+    next_offset: int, start: int, items: Iterable[tuple[int, Any]]
+) -> tuple[int, list[tuple[int, Any]]]:
+    """Return where a reader goes on, and the records it has not read.
+
+    It goes on above its position if the log has dropped records in between.
+
+    :param next_offset: position of the reader
+    :param start: the earliest offset that is retained
+    :param items: offsets and records of one read
+    """
+    fresh = [item for item in items if item[0] >= next_offset]
+    first = fresh[0][0] if fresh else max(start, next_offset)
+    return first, fresh
+
+
 def is_copy_due(
     retained: Retained,
     rank: int,
--- a/src/bronzetrack/daemon/logs.py
+++ b/src/bronzetrack/daemon/logs.py
@@ -6,6 +6,7 @@
 import logging
 import sys
 from typing import Any
+from typing import TextIO
 
 STANDARD_FIELDS = frozenset(
     vars(logging.LogRecord("", 0, "", 0, "", None, None))
@@ -50,9 +51,14 @@
         return json.dumps(line, default=str)
 
 
-def configure_logs(level: str, vm: str, availability_zone: str) -> None:
-    """Send all logs to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logs(
+    level: str,
+    vm: str,
+    availability_zone: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Send all logs to a stream as JSON lines, by default standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     fields = {"vm": vm, "availability_zone": availability_zone}
     handler.setFormatter(JsonFormatter(fields))
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -22,8 +22,8 @@
 from bronzetrack.http import operators
 from bronzetrack.membership import messages as membership_messages
 from bronzetrack.peer import hub as peer_hub
-from bronzetrack.platform import logservice
-from bronzetrack.platform import vmlist
+from bronzetrack.logservice import logservice
+from bronzetrack.logservice import vmlist
 from bronzetrack.settings import model
 from bronzetrack.wire import httpclient
 
--- /dev/null
+++ b/src/bronzetrack/entry/board.py
@@ -0,0 +1,112 @@
+"""The blackboard: the whole state of an entry VM."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import budget
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import leases
+from bronzetrack.entry import members
+from bronzetrack.entry import messages
+from bronzetrack.entry import routes
+from bronzetrack.entry import settings as entry_settings
+from bronzetrack.entry import traffic
+
+MAILBOX_ITEMS = 4_096
+
+
+@attrs.define(eq=False)
+class Lifecycle:
+    """Whether this VM takes requests.
+
+    :param stopping_since: when it was asked to stop
+    """
+
+    ready: bool = False
+    stopping_since: float | None = None
+
+
+@attrs.define(eq=False)
+class Rules:
+    """The configuration in force, and versions of adapters named since.
+
+    :param versions: oldest usable version by model and adapter
+    """
+
+    configuration: routes.Configuration | None = None
+    versions: dict[tuple[str, str], int] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Membership:
+    """The other VMs, and their work in sum.
+
+    :param active: requests of other VMs in progress, by endpoint
+    """
+
+    members: members.Members = attrs.field(factory=members.Members)
+    active: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Budgets:
+    """Retry budgets by service."""
+
+    by_service: dict[str, budget.RetryBudget] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Blackboard:
+    """Sections with one writer each, and mailboxes with one reader each.
+
+    :param incarnation: random value of this run
+    """
+
+    settings: entry_settings.Settings
+    incarnation: str
+    lifecycle: blackboard.Section[Lifecycle] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "lifecycle", "lifecycle", Lifecycle()
+        )
+    )
+    rules: blackboard.Section[Rules] = attrs.field(
+        factory=lambda: blackboard.Section("rules", "configuration", Rules())
+    )
+    endpoints: blackboard.Section[endpoints.EndpointTable] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "endpoints", "discovery", endpoints.EndpointTable()
+        )
+    )
+    traffic: blackboard.Section[traffic.TrafficTable] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "traffic", "forwarding", traffic.TrafficTable()
+        )
+    )
+    budgets: blackboard.Section[Budgets] = attrs.field(
+        factory=lambda: blackboard.Section("budgets", "forwarding", Budgets())
+    )
+    membership: blackboard.Section[Membership] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "membership", "membership", Membership()
+        )
+    )
+    lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
+    placed: blackboard.Mailbox[messages.Placed] = attrs.field(
+        factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
+    )
+    wanted: blackboard.Mailbox[messages.Want] = attrs.field(
+        factory=lambda: blackboard.Mailbox("wanted", MAILBOX_ITEMS)
+    )
+    outgoing: blackboard.Mailbox[Any] = attrs.field(
+        factory=lambda: blackboard.Mailbox("outgoing", MAILBOX_ITEMS)
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Make the section that depends on the settings."""
+        self.lease = blackboard.Section(
+            "lease", "leadership", leases.Lease(ttl_s=self.settings.lease_s)
+        )
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of an entry VM, one module each."""
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -0,0 +1,85 @@
+"""Keeps the configuration in force."""
+
+from __future__ import annotations
+
+import logging
+
+from bronzetrack.entry import roles
+from bronzetrack.platform import documents
+from bronzetrack.platform import follower
+from bronzetrack.platform import names
+from bronzetrack.platform import store as stores
+
+LOG = logging.getLogger(__name__)
+# A change is in force within two seconds of its acknowledgement, also where
+# a connection fell silent; one call may take this long.
+WAIT_S = 1.0
+
+
+@roles.CONTROLLERS.register("configuration")
+class ConfigurationController(roles.Controller):
+    """Follows what operators publish."""
+
+    name = "configuration"
+
+    async def run(self) -> None:
+        """Take in one change after the other."""
+        following = follower.Follower(
+            self.ports.store, names.OPERATOR_TOPIC, WAIT_S, self.read_clock
+        )
+        while True:
+            change = await following.read()
+            applied = [self._apply(record) for record in change.records]
+            if any(applied):
+                self.write(self.board.rules, self.board.rules.value)
+
+    def _apply(self, record: stores.KeyedRecord) -> bool:
+        if record.value is None:
+            return False
+        try:
+            if record.key == names.CONFIGURATION_KEY:
+                return self._apply_configuration(record.value)
+            if record.key.startswith(names.VERSION_KEY_PREFIX):
+                return self._apply_version(record.value)
+        except documents.DocumentError as error:
+            LOG.error(
+                "a document of the operators cannot be read",
+                extra={
+                    "event": "document_rejected",
+                    "key": record.key,
+                    "offset": record.offset,
+                    "detail": str(error),
+                },
+            )
+        return False
+
+    def _apply_configuration(self, value: bytes) -> bool:
+        found = documents.decode_configuration(value)
+        rules = self.board.rules.value
+        current = rules.configuration
+        if current is not None and found.version <= current.version:
+            return False
+        rules.configuration = found
+        LOG.info(
+            "a configuration is in force",
+            extra={"event": "configuration", "version": found.version},
+        )
+        return True
+
+    def _apply_version(self, value: bytes) -> bool:
+        found = documents.decode_version(value)
+        versions = self.board.rules.value.versions
+        key = (found.model, found.adapter)
+        if versions.get(key, 0) >= found.version:
+            return False
+        versions[key] = found.version
+        LOG.info(
+            "a new version of an adapter is named",
+            extra={
+                "event": "adapter_version",
+                "model": found.model,
+                "adapter": found.adapter,
+                "version": found.version,
+            },
+        )
+        return True
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -0,0 +1,171 @@
+"""Keeps the table of endpoints."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import messages
+from bronzetrack.entry import roles
+from bronzetrack.platform import documents
+from bronzetrack.platform import follower
+from bronzetrack.platform import names
+from bronzetrack.platform import store as stores
+
+LOG = logging.getLogger(__name__)
+# Endpoints write about once a second each. Reading them in turns of this
+# length costs few calls and keeps well within the time in which a leaving
+# endpoint must get no more work.
+GAP_S = 0.7
+WAIT_S = 0.5
+# Entries that lapsed while the store was away return in about this time.
+RETURN_S = 2.0
+
+
+@roles.CONTROLLERS.register("discovery")
+class DiscoveryController(roles.Controller):
+    """Follows the entries of the endpoints and the orders of the holder."""
+
+    name = "discovery"
+    _recovered_at = float("-inf")
+
+    async def run(self) -> None:
+        """Take in entries and placements."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_entries)
+            group.start_soon(self._follow_placements)
+
+    async def _follow_entries(self) -> None:
+        following = follower.Follower(
+            self.ports.store, names.SERVERS_TOPIC, WAIT_S, self.read_clock
+        )
+        while True:
+            change = await following.read()
+            now = self.read_clock()
+            if change.recovered:
+                self._recovered_at = now
+            if change.snapshot:
+                self._drop_missing({item.key for item in change.records}, now)
+            for record in change.records:
+                self._apply(record, now)
+            self._expire(now)
+            self._notify()
+            await anyio.sleep(GAP_S)
+
+    async def _follow_placements(self) -> None:
+        mailbox = self.board.placed
+        while True:
+            await blackboard.wait_any(mailbox.is_filled())
+            for placed in mailbox.take():
+                self._apply_placement(placed)
+            self._notify()
+
+    def _notify(self) -> None:
+        self.write(self.board.endpoints, self.board.endpoints.value)
+
+    def _apply(self, record: stores.KeyedRecord, now: float) -> None:
+        if record.value is None:
+            self._mark_removed(record.key, now)
+            return
+        try:
+            found = documents.decode_announcement(record.key, record.value)
+        except documents.DocumentError as error:
+            LOG.warning(
+                "an entry names no endpoint to use",
+                extra={
+                    "event": "entry_rejected",
+                    "endpoint": record.key,
+                    "detail": str(error),
+                },
+            )
+            return
+        self._apply_announcement(found, now)
+
+    def _apply_announcement(
+        self, found: documents.Announcement, now: float
+    ) -> None:
+        table = self.board.endpoints.value
+        known = table.by_identity.get(found.identity)
+        if known is None or is_other_start(known, found):
+            if known is not None and found.started_ms < known.started_ms:
+                return
+            known = found.make_endpoint(now)
+            table.add(known)
+            self._log("endpoint_seen", known)
+        known.removed_at = None
+        known.seen_at = now
+        known.zone = found.zone
+        known.capacity = found.capacity
+        if found.draining and known.leaving_since is None:
+            known.leaving_since = now
+            self._log("endpoint_leaving", known)
+        elif not found.draining:
+            known.leaving_since = None
+        if found.sequence >= known.sequence:
+            known.sequence = found.sequence
+            known.models = dict(found.models)
+            known.adapters = dict(found.adapters)
+
+    def _apply_placement(self, placed: messages.Placed) -> None:
+        known = self.board.endpoints.value.by_identity.get(placed.identity)
+        if known is None or placed.sequence < known.sequence:
+            return
+        known.sequence = placed.sequence
+        if not placed.adapter:
+            if placed.version:
+                known.models[placed.model] = placed.version
+            else:
+                known.models.pop(placed.model, None)
+        elif placed.version:
+            known.adapters[(placed.model, placed.adapter)] = placed.version
+        else:
+            known.adapters.pop((placed.model, placed.adapter), None)
+
+    def _mark_removed(self, identity: str, now: float) -> None:
+        known = self.board.endpoints.value.by_identity.get(identity)
+        if known is None or known.removed_at is not None:
+            return
+        returning = now - self._recovered_at < RETURN_S
+        known.removed_at = (
+            self._recovered_at + RETURN_S if returning else now
+        )
+        self._log("endpoint_removed", known)
+
+    def _drop_missing(self, present: set[str], now: float) -> None:
+        for identity in set(self.board.endpoints.value.by_identity) - present:
+            self._mark_removed(identity, now)
+
+    def _expire(self, now: float) -> None:
+        table = self.board.endpoints.value
+        gone = [
+            item.identity
+            for item in table.by_identity.values()
+            if item.removed_at is not None and now > item.removed_at + RETURN_S
+        ]
+        for identity in gone:
+            table.remove(identity)
+
+    def _log(self, event: str, endpoint: endpoints.Endpoint) -> None:
+        LOG.info(
+            "an endpoint changed",
+            extra={
+                "event": event,
+                "endpoint": endpoint.identity,
+                "service": endpoint.service,
+                "address": endpoint.address,
+            },
+        )
+
+
+def is_other_start(
+    known: endpoints.Endpoint, found: documents.Announcement
+) -> bool:
+    """Return whether an entry is of another start than the known one."""
+    return (
+        known.started_ms != found.started_ms
+        or known.address != found.address
+        or known.service != found.service
+    )
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -0,0 +1,556 @@
+"""Serves callers' requests."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import anyio
+import attrs
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import budget
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import events
+from bronzetrack.entry import failures
+from bronzetrack.entry import messages
+from bronzetrack.entry import placement
+from bronzetrack.entry import relays
+from bronzetrack.entry import requests
+from bronzetrack.entry import roles
+from bronzetrack.entry import routes
+from bronzetrack.entry import traffic as traffic_tables
+from bronzetrack.entry.http import connections
+from bronzetrack.entry.http import server
+from bronzetrack.platform import requests as wire_requests
+
+LOG = logging.getLogger(__name__)
+TICK_S = 0.5
+# A VM asks again for an adapter that it waits for.
+ASK_S = 0.15
+WAIT_S = 0.1
+# Sends of one request, with those that endpoints rejected unrun.
+MOST_SENDS = 3
+REJECTED_PAUSE_S = 0.05
+RETRY_AFTER_S = 0.5
+# Each VM takes this part of an even share of an endpoint's connections.
+CONNECTION_SHARE = 0.8
+MIN_CONNECTIONS = 4
+
+
+@attrs.define(eq=False)
+class Progress:
+    """What has been done for a request.
+
+    :param ran: endpoints that may have run it
+    """
+
+    service: str
+    tried: set[str] = attrs.field(factory=set)
+    sends: int = 0
+    ran: int = 0
+    outcome: str = ""
+    endpoint: str = ""
+    buffer: events.EventBuffer | None = None
+    sending: bool = False
+    first_byte_s: float | None = None
+    asked_at: float = 0.0
+    missing: str = ""
+
+
+@roles.CONTROLLERS.register("forwarding")
+class ForwardingController(roles.Controller):
+    """Takes requests, chooses endpoints and relays answers."""
+
+    name = "forwarding"
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.listener = server.Listener(self.serve, self.read_clock)
+        self._pools: dict[str, connections.Pool] = {}
+
+    async def run(self) -> None:
+        """Listen, and keep connections and tables in bounds."""
+        await self.listener.open(self.board.settings.front)
+        while True:
+            await anyio.sleep(TICK_S)
+            self._keep_house(self.read_clock())
+
+    def _keep_house(self, now: float) -> None:
+        configuration = self.board.rules.value.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self.listener.bounds = server.Bounds(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                header_timeout_s=limits.header_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            )
+        self.listener.expire(now)
+        known = set(self.board.endpoints.value.by_identity)
+        self.board.traffic.value.retain(known)
+        for identity in set(self._pools) - known:
+            self._pools.pop(identity).close()
+
+    # One request.
+
+    async def serve(self, exchange: server.Exchange) -> None:
+        """Answer a request of a caller."""
+        now = exchange.arrived
+        request = wire_requests.decode_request(
+            exchange.head, exchange.body, now
+        )
+        route = self._find_route(request)
+        if isinstance(route, failures.Failure):
+            self._fail(exchange, request, None, route)
+            return
+        request.route = route
+        request.deadline = min(request.deadline, now + route.timeout_s)
+        progress = Progress(self._choose_service(route))
+        if route.resumable:
+            progress.buffer = events.EventBuffer(request.last_event_id)
+        self._find_budget(progress.service).note_request(now)
+        remaining = request.deadline - self.read_clock()
+        with anyio.move_on_after(max(0.0, remaining)):
+            failure = await self._forward(exchange, request, progress)
+            self._end(exchange, request, progress, failure)
+            return
+        reason = failures.Reason.DEADLINE
+        if not progress.ran:
+            # Nothing ran it, which the caller may know.
+            reason = failures.Reason.OVERLOADED
+        self._end(
+            exchange, request, progress, failures.Failure(reason, "timeout")
+        )
+
+    def _find_route(
+        self, request: requests.Request
+    ) -> routes.Route | failures.Failure:
+        configuration = self.board.rules.value.configuration
+        if configuration is None:
+            return failures.Failure(
+                failures.Reason.NO_CONFIGURATION,
+                "no configuration is known yet",
+                RETRY_AFTER_S,
+            )
+        if self.listener.closing:
+            return failures.Failure(
+                failures.Reason.STOPPING, "this VM stops", 0.0
+            )
+        if not request.identity:
+            return failures.Failure(
+                failures.Reason.NO_IDENTITY, "the request has no id"
+            )
+        route = routes.find_route(configuration, request.host, request.path)
+        if route is None:
+            return failures.Failure(
+                failures.Reason.NO_ROUTE, "no route has this path"
+            )
+        return route
+
+    def _choose_service(self, route: routes.Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return random.choices(route.shares, weights)[0].service
+
+    def _find_budget(self, service: str) -> budget.RetryBudget:
+        by_service = self.board.budgets.value.by_service
+        found = by_service.get(service)
+        if found is None:
+            settings = self.board.settings
+            found = by_service[service] = budget.RetryBudget(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+            )
+        return found
+
+    async def _forward(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress,
+    ) -> failures.Failure | None:
+        """Send a request until it is answered or given up."""
+        while True:
+            endpoint = await self._await_endpoint(request, progress)
+            if isinstance(endpoint, failures.Failure):
+                return endpoint
+            relay = await self._send(exchange, request, progress, endpoint)
+            if relay is None:
+                progress.tried.add(endpoint.identity)
+                continue
+            outcome = relay.done.result()
+            progress.outcome = outcome.value
+            if outcome is relays.Outcome.DELIVERED:
+                exchange.finish()
+                return None
+            failure = self._judge(request, progress, relay, outcome)
+            if failure is not None and self._may_repeat(
+                request, progress, outcome, exchange
+            ):
+                if outcome is relays.Outcome.REJECTED:
+                    await anyio.sleep(REJECTED_PAUSE_S)
+                continue
+            if outcome is relays.Outcome.ANSWERED and not exchange.started:
+                exchange.respond(
+                    relay.status,
+                    relays.select_headers(relay.head.headers),
+                    relay.body,
+                )
+                return None
+            return failure
+
+    def _judge(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        relay: relays.Relay,
+        outcome: relays.Outcome,
+    ) -> failures.Failure | None:
+        """Return why an answer is no success, if it is none."""
+        match outcome:
+            case relays.Outcome.REJECTED:
+                return failures.Failure(
+                    failures.Reason.REJECTED,
+                    f"the endpoint answered {relay.status} without a run",
+                    RETRY_AFTER_S,
+                )
+            case relays.Outcome.LOST:
+                return failures.Failure(
+                    failures.Reason.LOST, "the endpoint broke off"
+                )
+            case relays.Outcome.MALFORMED:
+                return failures.Failure(
+                    failures.Reason.MALFORMED, "the answer is not HTTP"
+                )
+        if relay.status >= 500:
+            return failures.Failure(
+                failures.Reason.LOST, f"the endpoint answered {relay.status}"
+            )
+        return None
+
+    def _may_repeat(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        outcome: relays.Outcome,
+        exchange: server.Exchange,
+    ) -> bool:
+        """Return whether a request is sent once more, and pay for it."""
+        route = request.route
+        if progress.sends >= MOST_SENDS:
+            return False
+        if outcome is not relays.Outcome.REJECTED:
+            if not route.idempotent or progress.ran >= route.max_attempts:
+                return False
+            if exchange.started and progress.buffer is None:
+                return False
+        now = self.read_clock()
+        if request.deadline - now < 0.02:
+            return False
+        vms = self.board.membership.value.members.count_vms(now)
+        return self._find_budget(progress.service).spend(now, vms)
+
+    # Choice of the endpoint.
+
+    async def _await_endpoint(
+        self, request: requests.Request, progress: Progress
+    ) -> endpoints.Endpoint | failures.Failure:
+        """Wait until an endpoint can take a request."""
+        section = self.board.endpoints
+        while True:
+            now = self.read_clock()
+            candidates = section.value.list_service(progress.service)
+            if not any(item.is_usable(now) for item in candidates):
+                return failures.Failure(
+                    failures.Reason.NO_ENDPOINT,
+                    "the service has no endpoint",
+                    RETRY_AFTER_S,
+                )
+            endpoint = self._choose(request, progress, candidates, now)
+            if endpoint is not None:
+                return endpoint
+            await blackboard.wait_any(
+                section.is_newer(section.revision),
+                timeout_ms=int(1000 * WAIT_S),
+            )
+
+    def _choose(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        candidates: list[endpoints.Endpoint],
+        now: float,
+    ) -> endpoints.Endpoint | None:
+        view = placement.View(
+            self.board.traffic.value,
+            self.board.membership.value.active,
+            self.board.settings.zone,
+            now,
+        )
+        need = request.need
+        if need is None or not self._has_engine(progress.service):
+            return placement.choose_endpoint(
+                candidates, frozenset(progress.tried), view
+            )
+        version = self.board.rules.value.versions.get(need, 0)
+        holders = placement.list_holders(candidates, need, version, now)
+        if not holders:
+            self._ask(progress, need, version, 1, now)
+            return None
+        if need[1] and placement.wants_copy(holders, view):
+            self._ask(progress, need, version, len(holders) + 1, now)
+        return placement.choose_endpoint(
+            holders, frozenset(progress.tried), view
+        )
+
+    def _has_engine(self, service: str) -> bool:
+        configuration = self.board.rules.value.configuration
+        found = configuration.services.get(service) if configuration else None
+        return found is not None and found.engine is not None
+
+    def _ask(
+        self,
+        progress: Progress,
+        need: tuple[str, str],
+        version: int,
+        copies: int,
+        now: float,
+    ) -> None:
+        """Ask the holder of the lease for a load."""
+        if now - progress.asked_at < ASK_S:
+            return
+        progress.asked_at = now
+        want = messages.Want(
+            self.board.settings.vm,
+            progress.service,
+            need[0],
+            need[1],
+            version,
+            copies,
+            progress.missing,
+        )
+        progress.missing = ""
+        if self.board.lease.value.is_held(now):
+            self.board.wanted.post(want)
+        else:
+            self.board.outgoing.post(want)
+
+    # One send.
+
+    async def _send(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress,
+        endpoint: endpoints.Endpoint,
+    ) -> relays.Relay | None:
+        """Send a request to an endpoint; nothing if it took no connection."""
+        traffic = self.board.traffic.value.find(endpoint.identity)
+        need = request.need
+        traffic.start(need)
+        try:
+            pool = self._find_pool(endpoint)
+            connection = pool.take_idle(self.read_clock())
+            if connection is None:
+                connection = await pool.connect()
+            if connection is None:
+                traffic.note_unreachable(self.read_clock())
+                return None
+            return await self._exchange(
+                exchange, request, progress, endpoint, pool, connection
+            )
+        finally:
+            traffic.end(need)
+
+    def _find_pool(self, endpoint: endpoints.Endpoint) -> connections.Pool:
+        pool = self._pools.get(endpoint.identity)
+        if pool is None or pool.address != endpoint.address:
+            pool = connections.Pool(endpoint.address, 0)
+            self._pools[endpoint.identity] = pool
+        return pool
+
+    async def _exchange(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress,
+        endpoint: endpoints.Endpoint,
+        pool: connections.Pool,
+        connection: connections.Connection,
+    ) -> relays.Relay:
+        resume_after = None
+        if progress.buffer is not None and exchange.started:
+            progress.buffer.discard_rest()
+            resume_after = progress.buffer.last_id or 0
+        relay = relays.Relay(
+            exchange, request, connection, progress.buffer, self.read_clock
+        )
+        sent_at = self.read_clock()
+        data = wire_requests.encode_request(
+            request,
+            endpoint,
+            request.deadline - sent_at,
+            self._get_version(request, endpoint),
+            resume_after,
+        )
+        progress.sends += 1
+        progress.ran += 1
+        progress.endpoint = endpoint.identity
+        connection.send(
+            data, relay, request.identity.encode("latin-1"),
+            request.method == b"HEAD",
+        )
+        try:
+            outcome = await relay.done
+        except BaseException:
+            pool.drop(connection)
+            raise
+        if outcome in (relays.Outcome.LOST, relays.Outcome.MALFORMED):
+            pool.drop(connection)
+        else:
+            pool.put_back(connection, self.read_clock())
+        self._note_outcome(
+            request, progress, endpoint, relay, outcome, sent_at
+        )
+        return relay
+
+    def _get_version(
+        self, request: requests.Request, endpoint: endpoints.Endpoint
+    ) -> int | None:
+        """Return the adapter version to insist on, if one was named."""
+        need = request.need
+        if need is None or need not in self.board.rules.value.versions:
+            return None
+        return endpoint.adapters.get(need)
+
+    def _note_outcome(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        outcome: relays.Outcome,
+        sent_at: float,
+    ) -> None:
+        now = self.read_clock()
+        traffic: traffic_tables.Traffic = self.board.traffic.value.find(
+            endpoint.identity
+        )
+        progress.tried.add(endpoint.identity)
+        if outcome is relays.Outcome.REJECTED:
+            progress.ran -= 1
+            self._note_rejection(request, progress, endpoint, relay, now)
+        elif outcome in (
+            relays.Outcome.LOST,
+            relays.Outcome.MALFORMED,
+        ) or relay.status >= 500:
+            traffic.note_failure(now)
+        elif relay.first_byte_at is not None:
+            progress.first_byte_s = relay.first_byte_at - request.arrived
+            traffic.note_answer(now, relay.first_byte_at - sent_at)
+
+    def _note_rejection(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        now: float,
+    ) -> None:
+        LOG.info(
+            "an endpoint rejected a request without running it",
+            extra={
+                "event": "rejected",
+                "request_id": request.identity,
+                "endpoint": endpoint.identity,
+                "status": relay.status,
+                "adapter": request.adapter,
+                "detail": relay.body[:120].decode("latin-1"),
+            },
+        )
+        other = relay.find_header(b"x-instance-id")
+        if relay.status != 421:
+            self.board.traffic.value.find(endpoint.identity).note_failure(now)
+        elif other is not None and other != endpoint.identity.encode():
+            self.board.traffic.value.find(
+                endpoint.identity
+            ).note_unreachable(now)
+        elif request.need is not None:
+            progress.missing = endpoint.identity
+            progress.asked_at = 0.0
+            self.board.placed.post(
+                messages.Placed(
+                    endpoint.identity, endpoint.sequence, *request.need, 0
+                )
+            )
+
+    # The end.
+
+    def _end(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress,
+        failure: failures.Failure | None,
+    ) -> None:
+        if failure is not None and exchange.started:
+            exchange.abort()
+        elif failure is not None:
+            self._respond_failure(exchange, request, failure)
+        self._log_end(request, progress, failure)
+
+    def _fail(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress | None,
+        failure: failures.Failure,
+    ) -> None:
+        self._respond_failure(exchange, request, failure)
+        self._log_end(request, progress, failure)
+
+    def _respond_failure(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        failure: failures.Failure,
+    ) -> None:
+        headers = [
+            (b"Content-Type", b"text/plain"),
+            (b"X-Request-Id", request.identity.encode("latin-1")),
+        ]
+        if failure.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
+        body = f"{failure.reason.value}: {failure.detail}\n".encode()
+        exchange.respond(failure.status, headers, body)
+
+    def _log_end(
+        self,
+        request: requests.Request,
+        progress: Progress | None,
+        failure: failures.Failure | None,
+    ) -> None:
+        now = self.read_clock()
+        LOG.info(
+            "a request ended",
+            extra={
+                "event": "request",
+                "request_id": request.identity,
+                "route": request.route.name if request.route else "",
+                "adapter": request.adapter,
+                "endpoint": progress.endpoint if progress else "",
+                "sends": progress.sends if progress else 0,
+                "outcome": progress.outcome if progress else "",
+                "reason": failure.reason.value if failure else "",
+                "detail": failure.detail if failure else "",
+                "first_byte_s": (
+                    round(progress.first_byte_s, 4)
+                    if progress and progress.first_byte_s is not None
+                    else None
+                ),
+                "total_s": round(now - request.arrived, 4),
+            },
+        )
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -0,0 +1,362 @@
+"""Gives orders to the engines while this VM holds the lease."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+import anyio
+from anyio import abc
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import loading
+from bronzetrack.entry import messages
+from bronzetrack.entry import roles
+from bronzetrack.entry import routes
+from bronzetrack.platform import orders
+
+LOG = logging.getLogger(__name__)
+TICK_S = 0.05
+# A demand that nobody repeated for this time is forgotten.
+DEMAND_S = 1.0
+# Reports are some hundred milliseconds old.
+REPORT_LAG_S = 0.35
+MODEL_LOAD_WINDOW_S = 5.0
+MODEL_LOAD_SHARE = 0.6
+# A model that was ordered is not ordered again within this many times its
+# load time.
+MODEL_LOAD_FACTOR = 3.0
+
+
+@roles.CONTROLLERS.register("loading")
+class LoadingController(roles.Controller):
+    """Loads what the VMs ask for."""
+
+    name = "loading"
+
+    async def run(self) -> None:
+        """Plan in turns while the lease is held."""
+        self._state = loading.LoadingState()
+        async with anyio.create_task_group() as group:
+            while True:
+                await blackboard.wait_any(
+                    self.board.wanted.is_filled(),
+                    timeout_ms=int(1000 * TICK_S),
+                )
+                now = self.read_clock()
+                wants = self.board.wanted.take()
+                if not self.board.lease.value.is_held(now):
+                    self._state = loading.LoadingState()
+                    if not wants:
+                        await anyio.sleep(TICK_S)
+                    continue
+                for want in wants:
+                    self._note_want(want, now)
+                self._note_uses(now)
+                self._finish_loads(now)
+                self._plan(group, now)
+
+    # Demand.
+
+    def _note_want(self, want: messages.Want, now: float) -> None:
+        need = (want.model, want.adapter)
+        if want.missing:
+            self._note_missing(want, need, now)
+        key = (want.service, need)
+        demand = self._state.demands.get(key)
+        if demand is None:
+            demand = loading.Demand(
+                want.service, need, want.version, want.copies, now, now
+            )
+            self._state.demands[key] = demand
+        demand.last_at = now
+        demand.version = max(demand.version, want.version)
+        demand.copies = max(demand.copies, want.copies)
+
+    def _note_missing(
+        self, want: messages.Want, need: loading.Need, now: float
+    ) -> None:
+        endpoint = self.board.endpoints.value.by_identity.get(want.missing)
+        if endpoint is None:
+            return
+        state = self._state.find_engine(endpoint)
+        if state.check_at is None:
+            state.check_at = now + REPORT_LAG_S
+        if need in endpoint.adapters:
+            self._state.note_missing()
+
+    def _note_uses(self, now: float) -> None:
+        uses: collections.Counter[tuple[str, loading.Need]] = (
+            collections.Counter()
+        )
+        for identity, item in self.board.traffic.value.by_identity.items():
+            for need in item.uses:
+                uses[(identity, need)] += 1
+        members = self.board.membership.value.members
+        for peer in members.list_alive(now):
+            for identity, model, adapter in peer.uses:
+                uses[(identity, (model, adapter))] += 1
+        self._state.note_uses(uses, now)
+
+    # Plans.
+
+    def _plan(self, group: abc.TaskGroup, now: float) -> None:
+        configuration = self.board.rules.value.configuration
+        if configuration is None:
+            return
+        self._start_checks(group, now)
+        for service in configuration.services.values():
+            if service.engine is not None:
+                self._plan_models(group, service, service.engine, now)
+        for key, demand in list(self._state.demands.items()):
+            service = configuration.services.get(demand.service)
+            if service is None or service.engine is None:
+                del self._state.demands[key]
+            elif self._plan_demand(group, service.engine, demand, now):
+                del self._state.demands[key]
+
+    def _plan_demand(
+        self,
+        group: abc.TaskGroup,
+        engine: routes.Engine,
+        demand: loading.Demand,
+        now: float,
+    ) -> bool:
+        """Start what a demand needs; return whether it is settled."""
+        if now - demand.last_at > DEMAND_S:
+            return True
+        candidates = self.board.endpoints.value.list_service(demand.service)
+        demand.version = max(
+            demand.version, self.board.rules.value.versions.get(demand.need, 0)
+        )
+        held = loading.count_holders(candidates, demand, self._state, now)
+        if held >= demand.copies:
+            return True
+        loads = self._measure_loads(candidates)
+        plan = loading.plan_load(
+            candidates, demand, self._state, loads, engine, now
+        )
+        if plan is None:
+            return False
+        self._state.find_engine(plan.endpoint).ordering = True
+        group.start_soon(self._carry_out, plan)
+        return held + 1 >= demand.copies
+
+    def _measure_loads(
+        self, candidates: list[endpoints.Endpoint]
+    ) -> dict[str, float]:
+        own = self.board.traffic.value.by_identity
+        others = self.board.membership.value.active
+        return {
+            item.identity: (
+                others.get(item.identity, 0)
+                + (own[item.identity].active if item.identity in own else 0)
+            )
+            / max(1, item.capacity)
+            for item in candidates
+        }
+
+    def _plan_models(
+        self,
+        group: abc.TaskGroup,
+        service: routes.Service,
+        engine: routes.Engine,
+        now: float,
+    ) -> None:
+        """Load the base model where it is missing, within the store's rate."""
+        if not engine.models:
+            return
+        model = engine.models[0]
+        recent = [
+            at
+            for at in self._state.model_loads
+            if now - at < MODEL_LOAD_WINDOW_S
+        ]
+        self._state.model_loads = recent
+        allowed = engine.loads_per_s * MODEL_LOAD_WINDOW_S * MODEL_LOAD_SHARE
+        for endpoint in self.board.endpoints.value.list_service(service.name):
+            if endpoint.models or not loading.can_order(
+                endpoint, self._state, now
+            ):
+                continue
+            if len(recent) + 1 > allowed:
+                return
+            recent.append(now)
+            state = self._state.find_engine(endpoint)
+            state.ordering = True
+            state.loading_until = now + MODEL_LOAD_FACTOR * model.load_s
+            group.start_soon(self._load_model, endpoint, model.name)
+
+    # Effects.
+
+    async def _load_model(
+        self, endpoint: endpoints.Endpoint, model: str
+    ) -> None:
+        state = self._state.find_engine(endpoint)
+        try:
+            verdict = await self._order(endpoint, state, True, (model, ""))
+        finally:
+            state.ordering = False
+        if verdict is orders.Verdict.DONE:
+            self._publish(endpoint, state, (model, ""), 1)
+
+    async def _carry_out(self, plan: loading.Plan) -> None:
+        endpoint = plan.endpoint
+        state = self._state.find_engine(endpoint)
+        try:
+            if plan.victim is not None and not await self._drop(
+                endpoint, state, plan.victim
+            ):
+                return
+            await self._load(endpoint, state, plan)
+        finally:
+            state.ordering = False
+
+    async def _drop(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loading.EngineState,
+        victim: loading.Need,
+    ) -> bool:
+        """Unload an adapter; return whether its place is free."""
+        # The other VMs hear first, so that no request is on its way to the
+        # engine for an adapter that it no longer holds.
+        self._publish(endpoint, state, victim, 0)
+        verdict = await self._order(endpoint, state, False, victim)
+        if verdict is orders.Verdict.DONE:
+            return True
+        if verdict is orders.Verdict.STARTED and state.check_at is None:
+            state.check_at = self.read_clock() + REPORT_LAG_S
+        return False
+
+    async def _load(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loading.EngineState,
+        plan: loading.Plan,
+    ) -> None:
+        version = plan.version if plan.version > 1 else None
+        verdict = await self._order(
+            endpoint, state, True, plan.need, version
+        )
+        now = self.read_clock()
+        if verdict is orders.Verdict.STARTED:
+            state.pending[plan.need] = now + self._state.load_s
+            state.versions[plan.need] = max(1, plan.version)
+        elif verdict is orders.Verdict.DONE:
+            self._publish(endpoint, state, plan.need, max(1, plan.version))
+
+    async def _order(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loading.EngineState,
+        load: bool,
+        need: loading.Need,
+        version: int | None = None,
+    ) -> orders.Verdict:
+        lease = self.board.lease.value
+        if not lease.is_held(self.read_clock()):
+            return orders.Verdict.REFUSED
+        order = orders.Order(load, need[0], need[1], state.sequence, version)
+        verdict = await self.ports.engines.order(
+            endpoint.address, endpoint.identity, order, lease.token
+        )
+        now = self.read_clock()
+        if verdict is orders.Verdict.STARTED or (
+            verdict is orders.Verdict.DONE and not load
+        ):
+            state.sequence += 1
+        elif verdict is not orders.Verdict.DONE:
+            state.check_at = now + REPORT_LAG_S
+        if verdict is orders.Verdict.FENCED:
+            lease.release()
+        LOG.info(
+            "an order was answered",
+            extra={
+                "event": "order",
+                "endpoint": endpoint.identity,
+                "operation": "load" if load else "unload",
+                "model": need[0],
+                "adapter": need[1],
+                "version": version,
+                "sequence": order.sequence,
+                "token": lease.token,
+                "verdict": verdict.value,
+            },
+        )
+        return verdict
+
+    def _finish_loads(self, now: float) -> None:
+        """Announce adapters that are expected to be there now."""
+        for identity, state in self._state.engines.items():
+            ready = [
+                need for need, due in state.pending.items() if due <= now
+            ]
+            endpoint = self.board.endpoints.value.by_identity.get(identity)
+            for need in ready:
+                del state.pending[need]
+                if endpoint is not None:
+                    self._state.note_loaded()
+                    self._publish(
+                        endpoint, state, need, state.versions.pop(need, 1)
+                    )
+
+    def _publish(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loading.EngineState,
+        need: loading.Need,
+        version: int,
+    ) -> None:
+        placed = messages.Placed(
+            endpoint.identity, state.sequence, need[0], need[1], version
+        )
+        self.board.placed.post(placed)
+        self.board.outgoing.post(placed)
+
+    # Checks.
+
+    def _start_checks(self, group: abc.TaskGroup, now: float) -> None:
+        table = self.board.endpoints.value.by_identity
+        for identity, state in list(self._state.engines.items()):
+            endpoint = table.get(identity)
+            if endpoint is None:
+                del self._state.engines[identity]
+            elif (
+                state.check_at is not None
+                and state.check_at <= now
+                and not state.ordering
+            ):
+                state.ordering = True
+                group.start_soon(self._check, endpoint, state)
+
+    async def _check(
+        self, endpoint: endpoints.Endpoint, state: loading.EngineState
+    ) -> None:
+        """Take the truth from an engine's report."""
+        try:
+            report = await self.ports.engines.report(
+                endpoint.address, endpoint.identity
+            )
+        finally:
+            state.ordering = False
+        now = self.read_clock()
+        if report is None or report["busy"]:
+            state.check_at = now + REPORT_LAG_S
+            return
+        state.check_at = None
+        state.sequence = report["sequence"]
+        state.pending = {
+            need: state.pending.get(need, now + self._state.load_s)
+            for need in report["pending"]
+        }
+        endpoint.sequence = min(endpoint.sequence, state.sequence)
+        for need in set(endpoint.adapters) - set(report["adapters"]):
+            self._publish(endpoint, state, need, 0)
+        for need, version in report["adapters"].items():
+            if endpoint.adapters.get(need) != version:
+                self._publish(endpoint, state, need, version)
+        for model, version in report["models"].items():
+            if model not in endpoint.models:
+                self._publish(endpoint, state, (model, ""), version)
--- /dev/null
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -0,0 +1,224 @@
+"""Announces this VM, finds the others and exchanges heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import anyio
+import msgpack
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import members
+from bronzetrack.entry import messages
+from bronzetrack.entry import roles
+from bronzetrack.platform import follower
+from bronzetrack.platform import names
+from bronzetrack.platform import store as stores
+
+LOG = logging.getLogger(__name__)
+HEARTBEAT_S = 0.3
+# Announcements are kept for ever, so that they are rarely read.
+WAIT_S = 20.0
+RETRY_S = 0.5
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Receives datagrams and hands them to the controller."""
+
+    def __init__(self, controller: MembershipController) -> None:
+        self._controller = controller
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Deliver a datagram."""
+        self._controller.receive(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a VM does not listen; heartbeats show that."""
+
+
+@roles.CONTROLLERS.register("membership")
+class MembershipController(roles.Controller):
+    """Knows the other VMs."""
+
+    name = "membership"
+    _datagrams: Datagrams
+
+    async def run(self) -> None:
+        """Listen, announce, and send heartbeats."""
+        settings = self.board.settings
+        loop = asyncio.get_running_loop()
+        _, self._datagrams = await loop.create_datagram_endpoint(
+            lambda: Datagrams(self),
+            local_addr=(settings.peer_ip, settings.peer_port),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._announce)
+            group.start_soon(self._follow)
+            group.start_soon(self._send_heartbeats)
+            group.start_soon(self._send_outgoing)
+
+    async def _announce(self) -> None:
+        settings = self.board.settings
+        value = msgpack.packb(
+            [settings.front, settings.peer_ip, settings.peer_port, settings.zone]
+        )
+        while True:
+            try:
+                await self.ports.store.put(
+                    names.STATUS_TOPIC, settings.vm, value
+                )
+                return
+            except stores.StoreError as error:
+                LOG.warning(
+                    "this VM could not be announced",
+                    extra={"event": "announce_failed", "detail": str(error)},
+                )
+                await anyio.sleep(RETRY_S)
+
+    async def _follow(self) -> None:
+        following = follower.Follower(
+            self.ports.store, names.STATUS_TOPIC, WAIT_S, self.read_clock
+        )
+        while True:
+            change = await following.read()
+            for record in change.records:
+                self._apply(record)
+            self._notify()
+
+    def _apply(self, record: stores.KeyedRecord) -> None:
+        if record.value is None or record.key == self.board.settings.vm:
+            return
+        try:
+            front, host, port, zone = msgpack.unpackb(record.value)
+        except (ValueError, TypeError) as error:
+            LOG.warning(
+                "an announcement cannot be read",
+                extra={
+                    "event": "announcement_rejected",
+                    "peer": record.key,
+                    "detail": repr(error),
+                },
+            )
+            return
+        peers = self.board.membership.value.members.peers
+        known = peers.get(record.key)
+        now = self.read_clock()
+        if known is not None and known.address == (host, port):
+            known.announced_at = now
+            return
+        peers[record.key] = members.Peer(
+            record.key, front, (host, port), zone, now
+        )
+
+    def receive(self, data: bytes, addr: Any) -> None:
+        """Take in a datagram."""
+        try:
+            message = messages.decode(data)
+        except messages.MessageError as error:
+            LOG.warning(
+                "a datagram cannot be read",
+                extra={"event": "datagram_rejected", "detail": str(error)},
+            )
+            return
+        match message:
+            case messages.Heartbeat():
+                self._apply_heartbeat(message, addr)
+            case messages.Want():
+                self.board.wanted.post(message)
+            case messages.Placed():
+                self.board.placed.post(message)
+
+    def _apply_heartbeat(self, beat: messages.Heartbeat, addr: Any) -> None:
+        now = self.read_clock()
+        membership = self.board.membership.value
+        peer = membership.members.peers.get(beat.vm)
+        if peer is None or peer.address != addr:
+            peer = members.Peer(beat.vm, beat.front, addr, beat.zone, now)
+            membership.members.peers[beat.vm] = peer
+        peer.heard_at = now
+        peer.ready = beat.ready
+        peer.stopping = beat.stopping
+        peer.incarnation = beat.incarnation
+        peer.active = beat.active
+        peer.uses = {(item[0], item[1], item[2]) for item in beat.uses}
+        peer.lease_end = beat.lease_end
+        peer.holder = beat.holder
+        self._sum_active(now)
+        self._notify()
+
+    def _sum_active(self, now: float) -> None:
+        membership = self.board.membership.value
+        total: dict[str, int] = {}
+        for peer in membership.members.list_alive(now):
+            for identity, count in peer.active.items():
+                total[identity] = total.get(identity, 0) + count
+        membership.active = total
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            now = self.read_clock()
+            data = messages.encode(self._make_heartbeat())
+            for peer in self.board.membership.value.members.peers.values():
+                if peer.is_worth_telling(now):
+                    self._send(data, peer.address)
+            self._sum_active(now)
+            await anyio.sleep(HEARTBEAT_S)
+
+    def _make_heartbeat(self) -> messages.Heartbeat:
+        board = self.board
+        lease = board.lease.value
+        life = board.lifecycle.value
+        by_identity = board.traffic.value.by_identity
+        return messages.Heartbeat(
+            vm=board.settings.vm,
+            incarnation=board.incarnation,
+            front=board.settings.front,
+            zone=board.settings.zone,
+            ready=life.ready,
+            stopping=life.stopping_since is not None,
+            lease_end=lease.end,
+            holder=lease.holder,
+            active={
+                identity: item.active
+                for identity, item in by_identity.items()
+                if item.active
+            },
+            uses=[
+                [identity, model, adapter]
+                for identity, item in by_identity.items()
+                for model, adapter in item.uses
+            ],
+        )
+
+    async def _send_outgoing(self) -> None:
+        mailbox = self.board.outgoing
+        while True:
+            await blackboard.wait_any(mailbox.is_filled())
+            for message in mailbox.take():
+                self._send_message(message)
+
+    def _send_message(self, message: Any) -> None:
+        peers = self.board.membership.value.members.peers
+        data = messages.encode(message)
+        if isinstance(message, messages.Want):
+            holder = peers.get(self.board.lease.value.holder)
+            if holder is not None:
+                self._send(data, holder.address)
+            return
+        now = self.read_clock()
+        for peer in peers.values():
+            if peer.is_alive(now):
+                self._send(data, peer.address)
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        self._datagrams.transport.sendto(data, address)
+
+    def _notify(self) -> None:
+        self.write(self.board.membership, self.board.membership.value)
--- /dev/null
+++ b/src/bronzetrack/entry/dump.py
@@ -0,0 +1,45 @@
+"""State of an entry VM for operators."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bronzetrack.entry import board as boards
+
+
+def dump_board(board: boards.Blackboard) -> dict[str, Any]:
+    """Return the state of a process as plain values."""
+    configuration = board.rules.value.configuration
+    lease = board.lease.value
+    return {
+        "vm": board.settings.vm,
+        "incarnation": board.incarnation,
+        "ready": board.lifecycle.value.ready,
+        "configuration": configuration.version if configuration else None,
+        "lease": {
+            "holder": lease.holder,
+            "end": lease.end,
+            "token": lease.token,
+        },
+        "endpoints": [
+            {
+                "id": item.identity,
+                "service": item.service,
+                "address": item.address,
+                "sequence": item.sequence,
+                "leaving": item.leaving_since is not None,
+                "removed": item.removed_at is not None,
+                "adapters": [
+                    f"{model}/{adapter}@{version}"
+                    for (model, adapter), version in item.adapters.items()
+                ],
+            }
+            for item in board.endpoints.value.by_identity.values()
+        ],
+        "peers": [
+            {"vm": peer.vm, "ready": peer.ready, "heard_at": peer.heard_at}
+            for peer in board.membership.value.members.peers.values()
+        ],
+    }
--- /dev/null
+++ b/src/bronzetrack/entry/failures.py
@@ -0,0 +1,61 @@
+"""Why a request ended without an endpoint's answer."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Reason(enum.Enum):
+    """What ended a request."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_IDENTITY = "no_identity"
+    STOPPING = "stopping"
+    NO_ENDPOINT = "no_endpoint"
+    NOT_LOADED = "not_loaded"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    INTERNAL = "internal"
+
+
+# Statuses 503, 429, 408 and 421 state that the request has not run and never
+# will. All that may have run gets 502 or 504.
+STATUSES = {
+    Reason.NO_CONFIGURATION: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.NO_IDENTITY: 400,
+    Reason.STOPPING: 503,
+    Reason.NO_ENDPOINT: 503,
+    Reason.NOT_LOADED: 503,
+    Reason.OVERLOADED: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.REJECTED: 503,
+    Reason.DEADLINE: 504,
+    Reason.LOST: 502,
+    Reason.MALFORMED: 502,
+    Reason.INTERNAL: 502,
+}
+
+
+@attrs.frozen
+class Failure:
+    """A typed failure.
+
+    :param retry_after_s: when the caller should come back, if that helps
+    """
+
+    reason: Reason
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Status of the answer."""
+        return STATUSES[self.reason]
--- /dev/null
+++ b/src/bronzetrack/entry/http/calls.py
@@ -0,0 +1,108 @@
+"""Calls whose whole answer is read: store, orders and reports."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from bronzetrack.entry.http import connections
+from bronzetrack.entry.http import heads
+
+POOL_CONNECTIONS = 64
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@attrs.define(eq=False)
+class Collector:
+    """Receives one whole answer."""
+
+    done: asyncio.Future[connections.End]
+    head: heads.AnswerHead | None = None
+    parts: list[bytes] = attrs.field(factory=list)
+
+    def on_head(self, head: heads.AnswerHead) -> None:
+        """Keep the head."""
+        self.head = head
+
+    def on_data(self, data: bytes) -> None:
+        """Keep a part."""
+        self.parts.append(data)
+
+    def on_end(self, end: connections.End) -> None:
+        """Wake the caller."""
+        if not self.done.done():
+            self.done.set_result(end)
+
+
+class Caller:
+    """Sends calls over pools by address."""
+
+    def __init__(self, read_clock: Callable[[], float]) -> None:
+        self._read_clock = read_clock
+        self._pools: dict[str, connections.Pool] = {}
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> Answer | None:
+        """Return the answer, or nothing where it is unknown or none came."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = connections.Pool(address, POOL_CONNECTIONS)
+            self._pools[address] = pool
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = pool.take_idle(self._read_clock())
+                if connection is None:
+                    connection = await pool.connect()
+                if connection is None:
+                    return None
+                return await self._exchange(
+                    pool, connection, method, target, body, headers
+                )
+        except TimeoutError:
+            return None
+
+    async def _exchange(
+        self,
+        pool: connections.Pool,
+        connection: connections.Connection,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> Answer | None:
+        lines = [
+            f"{method} {target} HTTP/1.1".encode(),
+            b"Host: " + pool.address.encode(),
+            *(name + b": " + value for name, value in headers),
+            b"Content-Length: %d" % len(body),
+        ]
+        data = b"\r\n".join(lines) + b"\r\n\r\n" + body
+        future = asyncio.get_running_loop().create_future()
+        collector = Collector(future)
+        connection.send(data, collector, b"", False)
+        try:
+            end = await future
+        except BaseException:
+            pool.drop(connection)
+            raise
+        if end is not connections.End.COMPLETE or collector.head is None:
+            pool.drop(connection)
+            return None
+        pool.put_back(connection, self._read_clock())
+        return Answer(collector.head.status, b"".join(collector.parts))
--- /dev/null
+++ b/src/bronzetrack/entry/leases.py
@@ -0,0 +1,93 @@
+"""Lease of the VM that gives orders to the engines.
+
+The lease is the last record of a log partition: the offset is the fencing
+token, and a conditional append decides between candidates. A holder renews by
+appending again. A candidate waits for the whole time of the lease since it
+first knew of the last record, so that holders never overlap whatever their
+clocks say.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+# A holder stops this part of the lease before others may take it.
+HOLDER_MARGIN = 0.2
+# It renews when this part of the lease has passed.
+RENEW_AFTER = 0.4
+
+
+class Step(enum.Enum):
+    """What the controller does next."""
+
+    WAIT = "wait"
+    APPEND = "append"
+
+
+@attrs.define(eq=False)
+class Lease:
+    """What this VM knows of the lease.
+
+    :param end: offset after the last record, -1 if unknown
+    :param changed_at: when that end was first known here
+    :param token: fencing token while this VM holds the lease
+    :param valid_until: until when this VM may give orders
+    """
+
+    ttl_s: float
+    end: int = -1
+    changed_at: float = 0.0
+    token: int = 0
+    valid_until: float = 0.0
+    renewed_at: float = 0.0
+    holder: str = ""
+
+    def is_held(self, now: float) -> bool:
+        """Return whether this VM may give orders."""
+        return now < self.valid_until
+
+    def note_end(self, end: int, holder: str, now: float) -> None:
+        """Take in the end of the log that another VM or the log stated."""
+        if end > self.end:
+            self.end = end
+            self.changed_at = now
+            self.holder = holder
+
+    def note_renewed(self, offset: int, sent_at: float, vm: str) -> None:
+        """Take in that an append of this VM was the last record.
+
+        :param sent_at: when the call was sent, the start of the lease
+        """
+        self.end = offset + 1
+        self.token = offset + 1
+        self.changed_at = sent_at
+        self.renewed_at = sent_at
+        self.valid_until = sent_at + self.ttl_s * (1 - HOLDER_MARGIN)
+        self.holder = vm
+
+    def release(self) -> None:
+        """Stop giving orders."""
+        self.valid_until = 0.0
+
+
+def decide_step(
+    lease: Lease, now: float, rank: int, stopping: bool
+) -> tuple[Step, float]:
+    """Return what to do and when to decide again.
+
+    :param rank: place of this VM among the candidates that live; later ones
+        wait longer, so that not all of them append at once
+    """
+    if lease.is_held(now):
+        due = lease.renewed_at + lease.ttl_s * RENEW_AFTER
+        if now >= due and not stopping:
+            return Step.APPEND, now
+        return Step.WAIT, max(due, now + 0.05)
+    if stopping:
+        return Step.WAIT, now + lease.ttl_s
+    if lease.end < 0:
+        return Step.APPEND, now
+    due = lease.changed_at + lease.ttl_s * (1.05 + 0.15 * rank)
+    return (Step.APPEND, now) if now >= due else (Step.WAIT, due)
--- /dev/null
+++ b/src/bronzetrack/entry/loading.py
@@ -0,0 +1,263 @@
+"""Which engine loads an adapter, and what it drops for that.
+
+Load pattern: thousands of adapters over some hundred places, most requests
+for a few of them, a long tail of rare ones, and demand that moves on within
+seconds. An adapter goes to an engine that probably held it before, which
+loads it from its own memory, unless that engine is much busier; the adapter
+dropped for it is idle and the least used lately.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import hashlib
+import math
+
+import attrs
+
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import routes
+
+Need = tuple[str, str]
+
+# Adapters that an engine may have on their way from the weight store.
+MOST_PENDING = 4
+# An adapter counts as idle when no VM used it for this time, which is longer
+# than news of a request takes to arrive.
+IDLE_S = 0.7
+# Half-life of the use of adapters.
+HEAT_HALF_S = 15.0
+# What a place in the order of preference weighs against load.
+RANK_WEIGHT = 0.08
+# What the use of the adapter to drop weighs against load.
+HEAT_WEIGHT = 0.1
+# Engines that leave sooner than this load nothing more.
+LEAVING_S = 5.0
+FIRST_LOAD_S = 0.3
+LOAD_LOW_S = 0.01
+LOAD_HIGH_S = 5.0
+LOAD_RAISE = 1.3
+LOAD_LOWER = 0.99
+
+
+@attrs.define(eq=False)
+class EngineState:
+    """What the holder of the lease knows of one engine.
+
+    :param sequence: orders that the engine has accepted
+    :param pending: when each adapter on its way will be there
+    :param ordering: an order has not been answered yet
+    :param check_at: when to ask for a report before the next order
+    """
+
+    started_ms: int
+    sequence: int
+    pending: dict[Need, float] = attrs.field(factory=dict)
+    versions: dict[Need, int] = attrs.field(factory=dict)
+    ordering: bool = False
+    check_at: float | None = None
+    loading_until: float = 0.0
+
+
+@attrs.define(eq=False)
+class Demand:
+    """An adapter that VMs asked for and no engine holds yet."""
+
+    service: str
+    need: Need
+    version: int
+    copies: int
+    first_at: float
+    last_at: float
+
+
+@attrs.define(eq=False)
+class LoadingState:
+    """All that the holder of the lease keeps.
+
+    :param heat: decayed use of each adapter
+    :param used_at: when an adapter was last in use at an engine
+    :param load_s: how long an adapter takes to load
+    """
+
+    engines: dict[str, EngineState] = attrs.field(factory=dict)
+    demands: dict[tuple[str, Need], Demand] = attrs.field(factory=dict)
+    heat: dict[Need, float] = attrs.field(factory=dict)
+    used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
+    cooled_at: float = 0.0
+    load_s: float = FIRST_LOAD_S
+    model_loads: list[float] = attrs.field(factory=list)
+
+    def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
+        """Return the state of an engine, new after another start."""
+        state = self.engines.get(endpoint.identity)
+        if state is None or state.started_ms != endpoint.started_ms:
+            state = EngineState(endpoint.started_ms, endpoint.sequence)
+            self.engines[endpoint.identity] = state
+        if endpoint.sequence > state.sequence:
+            state.sequence = endpoint.sequence
+        return state
+
+    def note_uses(
+        self, uses: Mapping[tuple[str, Need], int], now: float
+    ) -> None:
+        """Take in what is in use now."""
+        elapsed = min(1.0, max(0.0, now - self.cooled_at))
+        self.cooled_at = now
+        factor = 0.5 ** (elapsed / HEAT_HALF_S)
+        self.heat = {
+            need: value * factor
+            for need, value in self.heat.items()
+            if value > 0.001
+        }
+        for (identity, need), count in uses.items():
+            self.used_at[(identity, need)] = now
+            self.heat[need] = self.heat.get(need, 0.0) + count * elapsed
+
+    def note_missing(self) -> None:
+        """Take in that a load took longer than expected."""
+        self.load_s = min(LOAD_HIGH_S, self.load_s * LOAD_RAISE)
+
+    def note_loaded(self) -> None:
+        """Take in that a load took no longer than expected."""
+        self.load_s = max(LOAD_LOW_S, self.load_s * LOAD_LOWER)
+
+
+@attrs.frozen
+class Plan:
+    """An engine that loads an adapter.
+
+    :param victim: adapter that it drops first
+    """
+
+    endpoint: endpoints.Endpoint
+    need: Need
+    version: int
+    victim: Need | None = None
+
+
+def measure_rank(need: Need, identity: str) -> int:
+    """Return the weight of an engine for an adapter, the same at all VMs."""
+    text = f"{need[0]}/{need[1]}/{identity}".encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def plan_load(
+    candidates: list[endpoints.Endpoint],
+    demand: Demand,
+    state: LoadingState,
+    loads: Mapping[str, float],
+    engine: routes.Engine,
+    now: float,
+) -> Plan | None:
+    """Return where an adapter is loaded, or nothing if no engine can.
+
+    :param loads: how full each engine is
+    """
+    ranked = sorted(
+        candidates,
+        key=lambda item: measure_rank(demand.need, item.identity),
+        reverse=True,
+    )
+    best: tuple[float, Plan] | None = None
+    for rank, endpoint in enumerate(ranked):
+        found = _weigh(endpoint, demand, state, engine, now)
+        if found is None:
+            continue
+        cost, plan = found
+        cost += loads.get(endpoint.identity, 0.0)
+        cost += RANK_WEIGHT * math.log1p(rank)
+        if best is None or cost < best[0]:
+            best = (cost, plan)
+    return best[1] if best else None
+
+
+def _weigh(
+    endpoint: endpoints.Endpoint,
+    demand: Demand,
+    state: LoadingState,
+    engine: routes.Engine,
+    now: float,
+) -> tuple[float, Plan] | None:
+    """Return the cost of loading at an engine, if it can be done now."""
+    if not can_order(endpoint, state, now):
+        return None
+    if demand.need[0] not in endpoint.models:
+        return None
+    known = state.find_engine(endpoint)
+    if demand.need in known.pending or len(known.pending) >= MOST_PENDING:
+        return None
+    if demand.need in endpoint.adapters:
+        if endpoint.adapters[demand.need] >= demand.version:
+            return None
+        busy = is_in_use(endpoint.identity, demand.need, state, now)
+        return (1.0 if busy else -1.0), Plan(
+            endpoint, demand.need, demand.version
+        )
+    held = set(endpoint.adapters) | set(known.pending)
+    if len(held) < engine.adapter_slots:
+        return 0.0, Plan(endpoint, demand.need, demand.version)
+    idle = [
+        need
+        for need in endpoint.adapters
+        if need not in known.pending
+        and not is_in_use(endpoint.identity, need, state, now)
+    ]
+    if not idle:
+        return None
+    victim = min(idle, key=lambda need: _rate(endpoint, need, state))
+    heat = state.heat.get(victim, 0.0)
+    return HEAT_WEIGHT * heat, Plan(
+        endpoint, demand.need, demand.version, victim
+    )
+
+
+def _rate(
+    endpoint: endpoints.Endpoint, need: Need, state: LoadingState
+) -> tuple[float, float]:
+    return (
+        state.heat.get(need, 0.0),
+        state.used_at.get((endpoint.identity, need), 0.0),
+    )
+
+
+def is_in_use(
+    identity: str, need: Need, state: LoadingState, now: float
+) -> bool:
+    """Return whether a VM used an adapter at an engine just now."""
+    used_at = state.used_at.get((identity, need))
+    return used_at is not None and now - used_at < IDLE_S
+
+
+def can_order(
+    endpoint: endpoints.Endpoint, state: LoadingState, now: float
+) -> bool:
+    """Return whether an engine takes an order now."""
+    known = state.find_engine(endpoint)
+    if endpoint.gone_at is not None and endpoint.gone_at - now < LEAVING_S:
+        return False
+    return (
+        endpoint.is_usable(now)
+        and not known.ordering
+        and known.check_at is None
+        and now >= known.loading_until
+    )
+
+
+def count_holders(
+    candidates: list[endpoints.Endpoint],
+    demand: Demand,
+    state: LoadingState,
+    now: float,
+) -> int:
+    """Return the engines that hold an adapter or will soon."""
+    return sum(
+        1
+        for item in candidates
+        if item.is_usable(now)
+        and (
+            item.adapters.get(demand.need, 0) >= demand.version
+            or demand.need in state.find_engine(item).pending
+        )
+    )
--- /dev/null
+++ b/src/bronzetrack/entry/messages.py
@@ -0,0 +1,104 @@
+"""Datagrams between entry VMs.
+
+Each is a msgpack list of a tag and the fields of a class. Datagrams may be
+lost or repeated; each message can be applied twice.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import msgpack
+
+from bronzetrack.core import errors
+from bronzetrack.core import registry
+
+MESSAGES: registry.Registry[type] = registry.Registry("entry messages")
+# Larger datagrams would be split on the way.
+DATAGRAM_BYTES = 1_400
+
+
+class MessageError(errors.BronzetrackError):
+    """A datagram that is no message."""
+
+
+@MESSAGES.register("h")
+@attrs.frozen
+class Heartbeat:
+    """What a VM says of itself.
+
+    :param lease_end: end of the lease log, as far as the VM knows
+    :param holder: the VM that last appended there
+    :param active: requests in progress by endpoint
+    :param uses: endpoint, model and adapter of requests in progress
+    """
+
+    vm: str
+    incarnation: str
+    front: str
+    zone: str
+    ready: bool
+    stopping: bool
+    lease_end: int
+    holder: str
+    active: dict[str, int]
+    uses: list[list[str]]
+
+
+@MESSAGES.register("w")
+@attrs.frozen
+class Want:
+    """A VM needs a model or an adapter at some engine of a service.
+
+    :param copies: engines that should hold it at least
+    :param missing: engine that said it does not hold it
+    """
+
+    vm: str
+    service: str
+    model: str
+    adapter: str
+    version: int
+    copies: int
+    missing: str = ""
+
+
+@MESSAGES.register("p")
+@attrs.frozen
+class Placed:
+    """An engine holds something anew, or no longer.
+
+    :param sequence: orders that the engine has accepted
+    :param version: version held, 0 for none
+    """
+
+    identity: str
+    sequence: int
+    model: str
+    adapter: str
+    version: int
+
+
+def encode(message: Any) -> bytes:
+    """Return a datagram."""
+    tag = TAGS[type(message)]
+    fields = attrs.astuple(message, recurse=False)
+    return msgpack.packb([tag, *fields])
+
+
+def decode(data: bytes) -> Any:
+    """Return the message in a datagram.
+
+    :raises MessageError: it is none
+    """
+    try:
+        tag, *fields = msgpack.unpackb(data)
+        return MESSAGES.lookup(tag)(*fields)
+    except (ValueError, TypeError, errors.UnknownEntryError) as error:
+        raise MessageError(f"not a message: {error!r}") from error
+    except msgpack.exceptions.UnpackException as error:
+        raise MessageError(f"not a message: {error!r}") from error
+
+
+TAGS = {cls: tag for tag, cls in MESSAGES.items()}
--- /dev/null
+++ b/src/bronzetrack/entry/placement.py
@@ -0,0 +1,107 @@
+"""Choice of the endpoint for a request.
+
+Load pattern: many short requests at a few small services, and streams whose
+adapters are each held by one or a few engines. The choice counts what all VMs
+have in progress, and turns away from endpoints that failed or were slow.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import traffic
+
+# A failure seen lately weighs as much as this share of a full endpoint.
+FAILURE_WEIGHT = 0.5
+# An endpoint of the own availability zone may be fuller by this share.
+ZONE_WEIGHT = 0.1
+# An engine that holds the adapter takes requests up to this share of its
+# capacity before another copy is asked for.
+COPY_SHARE = 0.3
+
+
+@attrs.frozen
+class View:
+    """What a choice reads.
+
+    :param peers_active: requests of other VMs in progress, by endpoint
+    :param zone: availability zone of this VM
+    """
+
+    traffic: traffic.TrafficTable
+    peers_active: Mapping[str, int]
+    zone: str
+    now: float
+
+    def count_active(self, endpoint: endpoints.Endpoint) -> int:
+        """Return the requests of all VMs in progress at an endpoint."""
+        own = self.traffic.by_identity.get(endpoint.identity)
+        return (own.active if own else 0) + self.peers_active.get(
+            endpoint.identity, 0
+        )
+
+    def measure_load(self, endpoint: endpoints.Endpoint) -> float:
+        """Return how unattractive an endpoint is; 1 is a full one."""
+        capacity = max(1, endpoint.capacity)
+        load = (self.count_active(endpoint) + 1) / capacity
+        own = self.traffic.by_identity.get(endpoint.identity)
+        if own is not None:
+            load += FAILURE_WEIGHT * own.measure_failures(self.now)
+            if own.unreachable_until > self.now:
+                load += 10.0
+        if endpoint.zone != self.zone:
+            load += ZONE_WEIGHT
+        return load
+
+
+def choose_endpoint(
+    candidates: list[endpoints.Endpoint],
+    tried: frozenset[str],
+    view: View,
+) -> endpoints.Endpoint | None:
+    """Return the least loaded usable endpoint that was not tried.
+
+    Endpoints that were tried come last, for requests that may repeat.
+    """
+    usable = [item for item in candidates if item.is_usable(view.now)]
+    fresh = [item for item in usable if item.identity not in tried]
+    return min(
+        fresh or usable, key=view.measure_load, default=None
+    )
+
+
+def list_holders(
+    candidates: list[endpoints.Endpoint],
+    need: tuple[str, str],
+    version: int,
+    now: float,
+) -> list[endpoints.Endpoint]:
+    """Return the usable engines that hold a model or an adapter.
+
+    :param version: oldest version of the adapter that may still be used
+    """
+    model, adapter = need
+    if not adapter:
+        return [
+            item
+            for item in candidates
+            if item.is_usable(now) and model in item.models
+        ]
+    return [
+        item
+        for item in candidates
+        if item.is_usable(now) and item.adapters.get(need, 0) >= version
+    ]
+
+
+def wants_copy(
+    holders: list[endpoints.Endpoint], view: View
+) -> bool:
+    """Return whether every engine that holds an adapter is busy with it."""
+    return bool(holders) and all(
+        view.count_active(item) >= COPY_SHARE * item.capacity
+        for item in holders
+    )
--- /dev/null
+++ b/src/bronzetrack/entry/process.py
@@ -0,0 +1,76 @@
+"""Assembly of an entry VM from its controllers and edges."""
+
+from __future__ import annotations
+
+import importlib
+import logging
+import pkgutil
+import time
+import uuid
+
+import anyio
+
+from bronzetrack.core import errors
+from bronzetrack.entry import board as boards
+from bronzetrack.entry import controllers as controller_package
+from bronzetrack.entry import roles
+from bronzetrack.entry import settings as entry_settings
+from bronzetrack.entry.controllers import lifecycle
+from bronzetrack.entry.http import calls
+from bronzetrack.platform import orders
+from bronzetrack.platform import store
+
+LOG = logging.getLogger(__name__)
+
+
+class ControllerEndedError(errors.BronzetrackError):
+    """A controller returned, without which the process cannot go on."""
+
+
+def read_clock() -> float:
+    """Return seconds that also pass while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def import_controllers() -> None:
+    """Import every controller module, so that each is registered."""
+    for module in pkgutil.iter_modules(controller_package.__path__):
+        importlib.import_module(f"{controller_package.__name__}.{module.name}")
+
+
+async def run_entry(settings: entry_settings.Settings) -> None:
+    """Run until the planned stop is complete."""
+    import_controllers()
+    board = boards.Blackboard(settings, uuid.uuid4().hex[:12])
+    caller = calls.Caller(read_clock)
+    ports = roles.Ports(
+        store.Store(caller, settings.store),
+        orders.Engines(caller, settings.vm),
+    )
+    running = {
+        name: controller(board, ports, read_clock)
+        for name, controller in roles.CONTROLLERS.items()
+    }
+    LOG.info(
+        "starting",
+        extra={"event": "starting", "incarnation": board.incarnation},
+    )
+    async with anyio.create_task_group() as group:
+        for name, controller in running.items():
+            group.start_soon(_run_controller, name, controller)
+        await lifecycle.run_until_stopped(
+            running["lifecycle"], running["forwarding"].listener, group
+        )
+
+
+async def _run_controller(name: str, controller: roles.Controller) -> None:
+    try:
+        await controller.run()
+    except Exception as error:
+        LOG.critical(
+            "a controller failed",
+            exc_info=error,
+            extra={"event": "controller_failed", "controller": name},
+        )
+        raise
+    raise ControllerEndedError(name)
--- /dev/null
+++ b/src/bronzetrack/entry/settings.py
@@ -0,0 +1,105 @@
+"""Settings of an entry VM, from an INI file."""
+
+from __future__ import annotations
+
+import configparser
+
+import attrs
+
+from bronzetrack.core import errors
+
+
+class SettingsError(errors.BronzetrackError):
+    """Settings that cannot be used; all mistakes are listed."""
+
+    def __init__(self, mistakes: list[str]) -> None:
+        super().__init__("; ".join(mistakes))
+        self.mistakes = mistakes
+
+
+@attrs.frozen
+class Settings:
+    """What a VM is told at its start.
+
+    :param front: address for callers
+    :param readiness: address for checks whether the VM is ready
+    :param directory: address that tells callers which VMs to use
+    :param operators: address for metrics and the state dump
+    :param peer_port: UDP port for the other VMs
+    :param drain_s: longest time in which new work may reach an endpoint
+        that leaves
+    :param grace_s: time from the signal to stop until the process is killed
+    :param retry_ratio: repeats for each request, over all VMs
+    :param retry_slack: repeats besides, over all VMs
+    """
+
+    vm: str
+    zone: str
+    region: str
+    front: str
+    readiness: str
+    directory: str
+    operators: str
+    peer_ip: str
+    peer_port: int
+    store: str
+    drain_s: float
+    grace_s: float
+    lease_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    entry_ttl_s: float
+
+    @property
+    def peer_address(self) -> str:
+        """Address for the other VMs."""
+        return f"{self.peer_ip}:{self.peer_port}"
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in a text.
+
+    :raises SettingsError: with every mistake
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        raise SettingsError([str(error)]) from error
+    mistakes: list[str] = []
+
+    def take(section: str, key: str, kind: type) -> object:
+        raw = parser.get(section, key, fallback="").strip()
+        try:
+            if not raw:
+                raise ValueError("missing")
+            return kind(raw)
+        except ValueError as error:
+            mistakes.append(f"[{section}] {key}: {error}")
+            return kind()
+
+    ports = str(take("peers", "ports", str)).split(",")
+    values = {
+        "vm": take("vm", "name", str),
+        "zone": take("vm", "availability_zone", str),
+        "region": take("vm", "region", str),
+        "front": take("listen", "callers", str),
+        "readiness": take("listen", "readiness", str),
+        "directory": take("listen", "directory", str),
+        "operators": take("listen", "operators", str),
+        "peer_ip": take("peers", "ip", str),
+        "store": take("store", "address", str),
+        "drain_s": take("limits", "drain_ms", float) / 1000,
+        "grace_s": take("limits", "grace_s", float),
+        "lease_s": take("limits", "lease_ms", float) / 1000,
+        "retry_ratio": take("limits", "retry_ratio", float),
+        "retry_slack": take("limits", "retry_slack", float),
+        "retry_window_s": take("limits", "retry_window_s", float),
+        "entry_ttl_s": take("limits", "entry_ttl_s", float),
+    }
+    if not ports[0].strip().isdigit():
+        mistakes.append("[peers] ports: not a port")
+    if mistakes:
+        raise SettingsError(mistakes)
+    return Settings(peer_port=int(ports[0]), **values)
--- /dev/null
+++ b/src/bronzetrack/entry/traffic.py
@@ -0,0 +1,95 @@
+"""What this VM has in progress at each endpoint, and how it fared there."""
+
+from __future__ import annotations
+
+import attrs
+
+# Each new time counts a fifth in the mean.
+SMOOTHING = 0.2
+# The effect of a failure halves with this time.
+FAILURE_FADE_S = 3.0
+# What a success leaves of the failures before it.
+SUCCESS_FACTOR = 0.7
+# An endpoint that took no connection gets none for this time.
+UNREACHABLE_S = 0.5
+
+
+@attrs.define(eq=False)
+class Traffic:
+    """Requests of this VM at one endpoint.
+
+    :param active: requests in progress
+    :param uses: requests in progress by model and adapter
+    :param failures: failures seen lately, as of `failed_at`
+    :param first_byte_s: mean time to the first byte of an answer
+    """
+
+    active: int = 0
+    uses: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    failures: float = 0.0
+    failed_at: float = 0.0
+    unreachable_until: float = 0.0
+    first_byte_s: float = 0.0
+
+    def start(self, need: tuple[str, str] | None) -> None:
+        """Count a request that is sent."""
+        self.active += 1
+        if need is not None:
+            self.uses[need] = self.uses.get(need, 0) + 1
+
+    def end(self, need: tuple[str, str] | None) -> None:
+        """Count a request that ended."""
+        self.active -= 1
+        if need is None:
+            return
+        left = self.uses.get(need, 0) - 1
+        if left > 0:
+            self.uses[need] = left
+        else:
+            self.uses.pop(need, None)
+
+    def measure_failures(self, now: float) -> float:
+        """Return the failures seen lately, faded with time."""
+        if not self.failures:
+            return 0.0
+        age = max(0.0, now - self.failed_at)
+        return self.failures * 0.5 ** (age / FAILURE_FADE_S)
+
+    def note_failure(self, now: float) -> None:
+        """Count a failure that the endpoint caused."""
+        self.failures = self.measure_failures(now) + 1.0
+        self.failed_at = now
+
+    def note_unreachable(self, now: float) -> None:
+        """Count a connection that could not be opened."""
+        self.note_failure(now)
+        self.unreachable_until = now + UNREACHABLE_S
+
+    def note_answer(self, now: float, seconds: float) -> None:
+        """Take the time to the first byte of a good answer into the mean."""
+        self.failures = self.measure_failures(now) * SUCCESS_FACTOR
+        self.failed_at = now
+        if self.first_byte_s:
+            self.first_byte_s += SMOOTHING * (seconds - self.first_byte_s)
+        else:
+            self.first_byte_s = seconds
+
+
+@attrs.define(eq=False)
+class TrafficTable:
+    """Traffic by endpoint."""
+
+    by_identity: dict[str, Traffic] = attrs.field(factory=dict)
+
+    def find(self, identity: str) -> Traffic:
+        """Return the traffic of an endpoint, new if there was none."""
+        traffic = self.by_identity.get(identity)
+        if traffic is None:
+            traffic = self.by_identity[identity] = Traffic()
+        return traffic
+
+    def retain(self, identities: set[str]) -> None:
+        """Forget idle endpoints that are not listed."""
+        for identity in set(self.by_identity) - identities:
+            if not self.by_identity[identity].active:
+                del self.by_identity[identity]
--- a/src/bronzetrack/http/statuses.py
+++ b/src/bronzetrack/http/statuses.py
@@ -25,7 +25,6 @@
     failures.Reason.BODY_TOO_LARGE: 413,
     failures.Reason.FRAME_TOO_LARGE: 413,
     failures.Reason.CRASHES_ENDPOINTS: 422,
-    failures.Reason.SHARE_EXCEEDED: 429,
     failures.Reason.WARM_QUOTA: 429,
     failures.Reason.QUEUE_FULL: 429,
     failures.Reason.INTERNAL_ERROR: 500,
--- a/src/bronzetrack/limits/usage.py
+++ b/src/bronzetrack/limits/usage.py
@@ -10,10 +10,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import itertools
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from bronzetrack.membership import view
 
 HALF_LIFE_MS = 10_000
 NEGLIGIBLE_COST = 0.01
@@ -36,12 +32,11 @@
     return {**usage, member: usage.get(member, 0.0) + cost}
 
 
-def add_remote(
-    usage: Mapping[str, float], vms: Iterable[view.VmState]
-) -> dict[str, float]:
-    """Return the usage over this VM and others."""
-    total = dict(usage)
-    remote = itertools.chain.from_iterable(vm.usage.items() for vm in vms)
-    for member, cost in remote:
+def sum_usage(usages: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """Return the usage over several VMs."""
+    total: dict[str, float] = {}
+    for member, cost in itertools.chain.from_iterable(
+        usage.items() for usage in usages
+    ):
         total[member] = total.get(member, 0.0) + cost
     return total
--- /dev/null
+++ b/src/bronzetrack/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform services."""
--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from bronzetrack.core import retention
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import records
 
@@ -34,8 +35,7 @@
     """
     retained = attrs.evolve(state.retained, start=start, end=end)
     state = attrs.evolve(state, retained=retained)
-    fresh = [item for item in items if item[0] >= state.next_offset]
-    first = fresh[0][0] if fresh else max(start, state.next_offset)
+    first, fresh = retention.find_fresh(state.next_offset, start, items)
     if first > state.next_offset:
         state = skip_records(state, first, now_ms)
     for offset, record in fresh:
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -1,75 +1,107 @@
-"""Follows a stream of the log from an offset on."""
+"""Follows a topic with keys, past outages and dropped history."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from collections.abc import Callable
+import logging
 
 import anyio
+import attrs
 
-from bronzetrack.core import failures
-from bronzetrack.platform import logservice
+from bronzetrack.platform import store as stores
 
-# A stream that grows seldom. A read that waits ends when another stream's read
-# fails; with the time-out of a read, a connection that broke unnoticed delays
-# a record by 6 s at most, within the 7 s for a configuration change.
-WAIT_MS = 3_000
-# The read of one stream, which shows an outage of the log to the others.
-PROBE_WAIT_MS = 1_000
-RETRY_MS = 250
+LOG = logging.getLogger(__name__)
+FIRST_DELAY_S = 0.1
+LONGEST_DELAY_S = 0.5
 
 
-async def follow_stream(
-    log: logservice.LogClient, stream: str, offset: int = 0
-) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
-    """Iterate over the batches of a stream, and the failures to read it.
+@attrs.frozen
+class Change:
+    """Records that were read.
 
-    A reader that fell below the retained range goes on at its start.
+    :param snapshot: they are the newest of all keys; others are gone
+    :param recovered: the store could not be read before
     """
-    async for batch in follow_position(log, stream, lambda: offset):
-        if isinstance(batch, failures.Failure):
-            yield batch
-        elif batch.start > offset and not batch.records:
-            offset = batch.start
-        else:
-            yield batch
-            if batch.records:
-                offset = batch.records[-1][0] + 1
-
-
-async def follow_position(
-    log: logservice.LogClient,
-    stream: str,
-    read_position: Callable[[], int],
-    probes: bool = False,
-) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
-    """Iterate like `follow_stream`, with the position kept by the reader.
-
-    A reader that fell below the retained range gets a batch without records,
-    whose start is above its position.
-
-    :param read_position: returns the offset to read next
-    :param probes: whether reads are short and show an outage to others, and
-        are not ended by a failure of another stream
+
+    records: list[stores.KeyedRecord]
+    snapshot: bool
+    recovered: bool
+
+
+class Follower:
+    """Reads a topic from its newest records on.
+
+    :param wait_s: longest wait of one call
     """
-    wait_ms = PROBE_WAIT_MS if probes else WAIT_MS
-    # At the start and after a failure a success is shown at once, also without
-    # a record: a reader has caught up only when it knows the end.
-    at_once = True
-    while True:
-        batch = await log.read(
-            stream,
-            read_position(),
-            wait_ms=0 if at_once else wait_ms,
-            interruptible=not probes,
+
+    def __init__(
+        self,
+        store: stores.Store,
+        topic: str,
+        wait_s: float,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._wait_s = wait_s
+        self._read_clock = read_clock
+        self._next: int | None = None
+        self._failing_since: float | None = None
+
+    async def read(self) -> Change:
+        """Wait for records, or for the time of one call."""
+        delay_s = FIRST_DELAY_S
+        while True:
+            try:
+                change = await self._read_once()
+            except stores.RecordsExpiredError:
+                self._next = None
+            except stores.StoreError as error:
+                self._note_failure(error)
+                await anyio.sleep(delay_s)
+                delay_s = min(LONGEST_DELAY_S, 2 * delay_s)
+            else:
+                self._note_success()
+                return change
+
+    async def _read_once(self) -> Change:
+        recovered = self._failing_since is not None
+        if self._next is None:
+            newest, self._next = await self._store.list_newest(self._topic)
+            return Change(newest, True, recovered)
+        wait_s = 0.0 if recovered else self._wait_s
+        batch = await self._store.read(self._topic, self._next, wait_s)
+        first = self._next
+        self._next = first + len(batch.records)
+        decoded = (
+            stores.decode_keyed(record, first + index)
+            for index, record in enumerate(batch.records)
+        )
+        records = [record for record in decoded if record is not None]
+        return Change(records, False, recovered)
+
+    def _note_failure(self, error: stores.StoreError) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._read_clock()
+            LOG.warning(
+                "a topic cannot be read",
+                extra={
+                    "event": "store_lost",
+                    "topic": self._topic,
+                    "detail": str(error),
+                },
+            )
+
+    def _note_success(self) -> None:
+        if self._failing_since is None:
+            return
+        away_s = self._read_clock() - self._failing_since
+        self._failing_since = None
+        LOG.info(
+            "a topic can be read again",
+            extra={
+                "event": "store_regained",
+                "topic": self._topic,
+                "away_s": round(away_s, 3),
+            },
         )
-        if (
-            isinstance(batch, failures.Failure)
-            and batch.reason is failures.Reason.LOG_TRUNCATED
-        ):
-            # A read beyond the end names the retained range.
-            batch = await log.read(stream, logservice.BEYOND_END)
-        at_once = isinstance(batch, failures.Failure)
-        yield batch
-        if at_once:
-            await anyio.sleep(RETRY_MS / 1000)
--- a/tests/client/test_publisher.py
+++ b/tests/client/test_publisher.py
@@ -9,7 +9,7 @@
 from bronzetrack.client import publisher
 from bronzetrack.configuration import records
 from bronzetrack.core import failures
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import logservice
 
 INVENTORY = {
     "members": ["trust"],
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -20,10 +20,7 @@
     with sites.run_site(folder, vms=2, engines=2) as running:
         sites.publish_samples(running)
         running.wait(lambda: running.count_owned() == 3)
-        for vm in running.vms.values():
-            running.wait(
-                lambda vm=vm: running.get_state(vm, "keys")["caught_up"]
-            )
+        running.wait_keys()
         yield running
 
 
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -16,7 +16,7 @@
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
         running.wait(running.is_settled)
-        pairs.wait_keys(running)
+        running.wait_keys()
         yield running
 
 
--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -52,12 +52,10 @@
             yield answer
 
     def set_faults(self, **faults: Any) -> None:
-        url = f"{self.site.platform_url}/faults"
-        assert sites.fetch("PUT", url, faults) is not None
+        self.site.set_faults(**faults)
 
     def count_records(self, stream: str) -> int:
-        url = f"{self.site.platform_url}/statistics"
-        return sites.fetch("GET", url)["streams"].get(stream, 0)
+        return self.site.read_statistics()["streams"].get(stream, 0)
 
     def wait_claim(self) -> None:
         """Wait until the log holds a claim of a key."""
@@ -109,12 +107,6 @@
     return headers[b"bronzetrack-outcome"].decode()
 
 
-def wait_keys(site: sites.Site) -> None:
-    """Wait until every VM has read the stream of keys to its end."""
-    for vm in site.vms.values():
-        site.wait(lambda vm=vm: site.get_state(vm, "keys")["caught_up"])
-
-
 def find_pair(site: sites.Site) -> Pair:
     """Wait until the only endpoint has an owner that both VMs know."""
     any_vm = next(iter(site.vms.values()))
@@ -128,5 +120,5 @@
         return known is not None and len(known["endpoints"]) == 1
 
     site.wait(is_visible)
-    wait_keys(site)
+    site.wait_keys()
     return Pair(site, entry, owner)
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -20,10 +20,6 @@
         yield running
 
 
-def set_faults(site: sites.Site, **faults) -> None:
-    sites.fetch("PUT", f"{site.platform_url}/faults", faults)
-
-
 def get_status(site: sites.Site, vm: sites.Vm) -> str:
     return site.get_state(vm, "lifecycle")["status"]
 
@@ -67,7 +63,7 @@
     site = failing_site
     wait_settled(site, set(site.vms))
     before = site.get_state(site.vms["vm-0"], "configuration")
-    set_faults(site, log_down=True)
+    site.set_faults(log_down=True)
     vm = site.add_vm("vm-3", "zone-d", f"{sites.NETWORK}.2.4")
     site.start_vm(vm)
     site.wait(lambda: get_status(site, vm) == "serving")
@@ -76,7 +72,7 @@
     assert found["next_offset"] == before["next_offset"]
     answer = site.send("trust-1@1", vm=vm, max_tokens=2)
     assert answer.status == 200
-    set_faults(site, log_down=False)
+    site.set_faults(log_down=False)
     site.wait(lambda: site.get_state(vm, "ownership")["caught_up"])
     wait_settled(site, set(site.vms))
 
@@ -86,7 +82,7 @@
     site = failing_site
     wait_settled(site, set(site.vms))
     before = list_owners(site, site.vms["vm-0"])
-    statistics = sites.fetch("GET", f"{site.platform_url}/statistics")
+    statistics = site.read_statistics()
     for stream in ("ownership", "configuration"):
         end = statistics["streams"][stream]
         url = f"{site.platform_url}/streams/{stream}/truncate"
@@ -145,12 +141,12 @@
     sites.fetch("PUT", f"{site.platform_url}/vms", [row])
     wait_settled(site, names - {"vm-1"})
     # What the list said last stays while it is down.
-    set_faults(site, list_down=True)
+    site.set_faults(list_down=True)
     before = list_owners(site, site.vms["vm-0"])
     answer = site.send("trust-3@1", vm=site.vms["vm-0"], max_tokens=2)
     assert answer.status == 200
     assert list_owners(site, site.vms["vm-0"]) == before
-    set_faults(site)
+    site.set_faults()
     sites.fetch("PUT", f"{site.platform_url}/vms", [])
 
     def has_share() -> bool:
--- a/tests/daemon/test_key_log.py
+++ b/tests/daemon/test_key_log.py
@@ -30,7 +30,7 @@
     pair.set_faults(refused_stream="keys")
     call = pair.threads.submit(pair.call_service, "refused", body="refused")
     refused = "refused_appends"
-    pair.site.wait(lambda: read_statistics(pair)[refused] >= 2)
+    pair.site.wait(lambda: pair.site.read_statistics()[refused] >= 2)
     assert pair.site.count_runs("refused") == 0
     pair.set_faults()
     assert pairs.read_outcome(call.result()) == "completed"
@@ -128,7 +128,3 @@
             lambda vm=vm: pair.site.get_state(vm, "keys")["next_offset"]
             >= pair.count_records("keys")
         )
-
-
-def read_statistics(pair):
-    return sites.fetch("GET", f"{pair.site.platform_url}/statistics")
--- a/tests/dispatch/test_rights.py
+++ b/tests/dispatch/test_rights.py
@@ -13,7 +13,6 @@
 from bronzetrack.dispatch import planner
 from bronzetrack.dispatch import state as states
 from bronzetrack.limits import quotas
-from bronzetrack.streaming import messages
 
 
 @pytest.fixture
@@ -30,23 +29,11 @@
 
 
 @pytest.fixture
-def queue() -> states.EndpointQueue:
+def queue(make_waiting) -> states.EndpointQueue:
     """One request waits for an adapter that is loaded."""
-    work = messages.SubmitWork(
-        attempt="t1",
-        request="r1",
-        endpoint="e1",
-        member="m",
-        adapter="a@1",
-        work_class="normal",
-        method="POST",
-        path="/v1/completions",
-        body=b"",
-        timeout_ms=10_000,
-    )
     ready = states.Resident(states.ResidentPhase.READY, 0)
     return states.EndpointQueue(
-        waiting=(states.Waiting(work, "vm-0", 0),),
+        waiting=(make_waiting("t1", member="m", timeout_ms=10_000),),
         residents={"a@1": ready},
         boot="b1",
     )
--- a/tests/platform/test_bad_answers.py
+++ b/tests/logservice/test_bad_answers.py
@@ -14,8 +14,8 @@
 from bronzetrack.core import failures
 from bronzetrack.endpoints import client as endpoint_client
 from bronzetrack.endpoints import reports
-from bronzetrack.platform import logservice
-from bronzetrack.platform import vmlist
+from bronzetrack.logservice import logservice
+from bronzetrack.logservice import vmlist
 from bronzetrack.wire import httpclient
 
 PLAIN = strategies.recursive(
--- a/tests/platform/test_follower.py
+++ b/tests/logservice/test_follower.py
@@ -7,8 +7,8 @@
 import pytest
 
 from bronzetrack.core import failures
-from bronzetrack.platform import follower
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import follower
+from bronzetrack.logservice import logservice
 from bronzetrack.wire import httpclient
 
 DOWN = failures.Failure(failures.Reason.LOG_UNAVAILABLE, "down")
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -399,7 +399,17 @@
 
     def set_faults(self, **faults: Any) -> None:
         """Switch the faults of the platform; what is not named is off."""
-        fetch("PUT", f"{self.platform_url}/faults", faults)
+        if fetch("PUT", f"{self.platform_url}/faults", faults) is None:
+            raise SiteError("the platform does not take faults")
+
+    def read_statistics(self) -> dict[str, Any]:
+        """Return what the platform has counted."""
+        return fetch("GET", f"{self.platform_url}/statistics")
+
+    def wait_keys(self) -> None:
+        """Wait until every VM has read the stream of keys to its end."""
+        for vm in self.vms.values():
+            self.wait(lambda vm=vm: self.get_state(vm, "keys")["caught_up"])
 
     def is_serving(self, name: str) -> bool:
         """Return whether a daemon serves in its own and each other's view."""
--- a/tests/wire/test_bad_bytes.py
+++ b/tests/wire/test_bad_bytes.py
@@ -20,7 +20,7 @@
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import replay as ownership_replay
 from bronzetrack.peer import hub
-from bronzetrack.platform import logservice
+from bronzetrack.logservice import logservice
 from bronzetrack.streaming import messages as streaming_messages
 from bronzetrack.wire import documents
 
