Count the adapters of an engine where its orders are given

Cause: an engine's entry counts announcements, not orders, and its list of adapters is up to three seconds old; requests for adapters that no engine held were sent anyway. Free places were counted from that list, and engines that were ordered to load an 18th adapter crashed. Change: the holder of the lease keeps the places of each engine, from a report at first and from its own orders then. Adapters on their way, being dropped or possibly loaded by an unanswered order take a place. New adapters are kept for two seconds, and a new version replaces one that was dropped before.

--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -92,11 +92,13 @@
         if known is None or is_other_start(known, found):
             if known is not None and found.started_ms < known.started_ms:
                 return
-            known = found.make_endpoint(now)
+            known = found.make_endpoint()
             table.add(known)
             self._log("endpoint_seen", known)
+        if found.announced < known.announced:
+            return
+        known.announced = found.announced
         known.removed_at = None
-        known.seen_at = now
         known.zone = found.zone
         known.capacity = found.capacity
         if found.draining and known.leaving_since is None:
@@ -104,25 +106,15 @@
             self._log("endpoint_leaving", known)
         elif not found.draining:
             known.leaving_since = None
-        if found.sequence >= known.sequence:
-            known.sequence = found.sequence
-            known.models = dict(found.models)
-            known.adapters = dict(found.adapters)
+        if found.leaves_in_s is not None:
+            known.gone_at = now + found.leaves_in_s
+        known.announce(found.models, found.adapters, now)
 
     def _apply_placement(self, placed: messages.Placed) -> None:
         known = self.board.endpoints.value.by_identity.get(placed.identity)
-        if known is None or placed.sequence < known.sequence:
-            return
-        known.sequence = placed.sequence
-        if not placed.adapter:
-            if placed.version:
-                known.models[placed.model] = placed.version
-            else:
-                known.models.pop(placed.model, None)
-        elif placed.version:
-            known.adapters[(placed.model, placed.adapter)] = placed.version
-        else:
-            known.adapters.pop((placed.model, placed.adapter), None)
+        if known is not None:
+            need = (placed.model, placed.adapter)
+            known.place(need, placed.version, self.read_clock())
 
     def _mark_removed(self, identity: str, now: float) -> None:
         known = self.board.endpoints.value.by_identity.get(identity)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -33,6 +33,7 @@
 MOST_SENDS = 3
 REJECTED_PAUSE_S = 0.05
 RETRY_AFTER_S = 0.5
+FIRST_VERSION = 1
 # Each VM takes this part of an even share of an endpoint's connections.
 CONNECTION_SHARE = 0.8
 MIN_CONNECTIONS = 4
@@ -295,7 +296,7 @@
             return placement.choose_endpoint(
                 candidates, frozenset(progress.tried), view
             )
-        version = self.board.rules.value.versions.get(need, 0)
+        version = self.board.rules.value.versions.get(need, FIRST_VERSION)
         holders = placement.list_holders(candidates, need, version, now)
         if not holders:
             self._ask(progress, need, version, 1, now)
@@ -482,9 +483,7 @@
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
             self.board.placed.post(
-                messages.Placed(
-                    endpoint.identity, endpoint.sequence, *request.need, 0
-                )
+                messages.Placed(endpoint.identity, *request.need, 0)
             )
 
     # The end.
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -4,6 +4,7 @@
 
 import collections
 import logging
+from typing import Any
 
 import anyio
 from anyio import abc
@@ -22,6 +23,8 @@
 DEMAND_S = 1.0
 # Reports are some hundred milliseconds old.
 REPORT_LAG_S = 0.35
+# A load that took longer than expected is looked at again after this time.
+LOAD_RECHECK_S = 0.06
 MODEL_LOAD_WINDOW_S = 5.0
 MODEL_LOAD_SHARE = 0.6
 # A model that was ordered is not ordered again within this many times its
@@ -81,10 +84,13 @@
         if endpoint is None:
             return
         state = self._state.find_engine(endpoint)
-        if state.check_at is None:
-            state.check_at = now + REPORT_LAG_S
-        if need in endpoint.adapters:
+        loaded_at = state.loaded_at.get(need)
+        if loaded_at is not None and now - loaded_at < loading.FRESH_S:
             self._state.note_missing()
+            state.pending[need] = now + LOAD_RECHECK_S
+        elif need in state.held and state.check_at is None:
+            state.check_at = now + REPORT_LAG_S
+        self._publish(endpoint, need, 0)
 
     def _note_uses(self, now: float) -> None:
         uses: collections.Counter[tuple[str, loading.Need]] = (
@@ -105,10 +111,10 @@
         configuration = self.board.rules.value.configuration
         if configuration is None:
             return
-        self._start_checks(group, now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._plan_models(group, service, service.engine, now)
+        self._start_checks(group, now)
         for key, demand in list(self._state.demands.items()):
             service = configuration.services.get(demand.service)
             if service is None or service.engine is None:
@@ -130,8 +136,9 @@
         demand.version = max(
             demand.version, self.board.rules.value.versions.get(demand.need, 0)
         )
-        held = loading.count_holders(candidates, demand, self._state, now)
-        if held >= demand.copies:
+        holders = loading.list_holders(candidates, demand, self._state, now)
+        if len(holders) >= demand.copies:
+            self._publish_held(holders, demand)
             return True
         loads = self._measure_loads(candidates)
         plan = loading.plan_load(
@@ -141,7 +148,18 @@
             return False
         self._state.find_engine(plan.endpoint).ordering = True
         group.start_soon(self._carry_out, plan)
-        return held + 1 >= demand.copies
+        return len(holders) + 1 >= demand.copies
+
+    def _publish_held(
+        self, holders: list[endpoints.Endpoint], demand: loading.Demand
+    ) -> None:
+        """Tell again what the VM that asked seems not to know."""
+        for endpoint in holders:
+            known = self._state.find_engine(endpoint)
+            if demand.need not in known.pending:
+                self._publish(
+                    endpoint, demand.need, known.held[demand.need]
+                )
 
     def _measure_loads(
         self, candidates: list[endpoints.Endpoint]
@@ -199,7 +217,7 @@
         finally:
             state.ordering = False
         if verdict is orders.Verdict.DONE:
-            self._publish(endpoint, state, (model, ""), 1)
+            self._publish(endpoint, (model, ""), 1)
 
     async def _carry_out(self, plan: loading.Plan) -> None:
         endpoint = plan.endpoint
@@ -222,11 +240,13 @@
         """Unload an adapter; return whether its place is free."""
         # The other VMs hear first, so that no request is on its way to the
         # engine for an adapter that it no longer holds.
-        self._publish(endpoint, state, victim, 0)
+        self._publish(endpoint, victim, 0)
         verdict = await self._order(endpoint, state, False, victim)
         if verdict is orders.Verdict.DONE:
+            state.held.pop(victim, None)
             return True
-        if verdict is orders.Verdict.STARTED and state.check_at is None:
+        if verdict is orders.Verdict.STARTED:
+            state.unloading.add(victim)
             state.check_at = self.read_clock() + REPORT_LAG_S
         return False
 
@@ -237,15 +257,16 @@
         plan: loading.Plan,
     ) -> None:
         version = plan.version if plan.version > 1 else None
+        # The place counts as taken before the answer, which may be lost.
+        state.held[plan.need] = max(1, plan.version)
         verdict = await self._order(
             endpoint, state, True, plan.need, version
         )
         now = self.read_clock()
         if verdict is orders.Verdict.STARTED:
             state.pending[plan.need] = now + self._state.load_s
-            state.versions[plan.need] = max(1, plan.version)
         elif verdict is orders.Verdict.DONE:
-            self._publish(endpoint, state, plan.need, max(1, plan.version))
+            self._publish(endpoint, plan.need, state.held[plan.need])
 
     async def _order(
         self,
@@ -298,20 +319,16 @@
                 del state.pending[need]
                 if endpoint is not None:
                     self._state.note_loaded()
-                    self._publish(
-                        endpoint, state, need, state.versions.pop(need, 1)
-                    )
+                    state.loaded_at[need] = now
+                    self._publish(endpoint, need, state.held.get(need, 1))
 
     def _publish(
         self,
         endpoint: endpoints.Endpoint,
-        state: loading.EngineState,
         need: loading.Need,
         version: int,
     ) -> None:
-        placed = messages.Placed(
-            endpoint.identity, state.sequence, need[0], need[1], version
-        )
+        placed = messages.Placed(endpoint.identity, *need, version)
         self.board.placed.post(placed)
         self.board.outgoing.post(placed)
 
@@ -347,16 +364,28 @@
             return
         state.check_at = None
         state.sequence = report["sequence"]
+        state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
+        state.unloading &= set(state.held)
         state.pending = {
             need: state.pending.get(need, now + self._state.load_s)
             for need in report["pending"]
         }
-        endpoint.sequence = min(endpoint.sequence, state.sequence)
+        self._publish_report(endpoint, state, report)
+
+    def _publish_report(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loading.EngineState,
+        report: dict[str, Any],
+    ) -> None:
+        """Tell the VMs where a report differs from what was announced."""
         for need in set(endpoint.adapters) - set(report["adapters"]):
-            self._publish(endpoint, state, need, 0)
+            self._publish(endpoint, need, 0)
         for need, version in report["adapters"].items():
+            if need in state.unloading or need in state.pending:
+                continue
             if endpoint.adapters.get(need) != version:
-                self._publish(endpoint, state, need, version)
+                self._publish(endpoint, need, version)
         for model, version in report["models"].items():
             if model not in endpoint.models:
-                self._publish(endpoint, state, (model, ""), version)
+                self._publish(endpoint, (model, ""), version)
--- a/src/bronzetrack/entry/dump.py
+++ b/src/bronzetrack/entry/dump.py
@@ -28,7 +28,6 @@
                 "id": item.identity,
                 "service": item.service,
                 "address": item.address,
-                "sequence": item.sequence,
                 "leaving": item.leaving_since is not None,
                 "removed": item.removed_at is not None,
                 "adapters": [
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -4,17 +4,22 @@
 
 import attrs
 
+# Announcements reach this VM at most about this late.
+ANNOUNCEMENT_AGE_S = 3.0
+
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint as it was last announced.
 
     :param identity: its id, new with most starts
     :param started_ms: Unix time of its start
-    :param sequence: orders that it has accepted
+    :param announced: count of its announcements
     :param adapters: version of each adapter held, by model and name
     :param leaving_since: when it was first known to leave
     :param removed_at: from when on it counts as gone
     :param gone_at: when it will be stopped, if that was announced
+    :param placed_at: when the holder of the lease last said whether it holds
+        a model or an adapter
     """
 
     identity: str
@@ -23,14 +28,13 @@
     zone: str
     capacity: int
     started_ms: int = 0
-    sequence: int = 0
+    announced: int = 0
     models: dict[str, int] = attrs.field(factory=dict)
     adapters: dict[tuple[str, str], int] = attrs.field(factory=dict)
     leaving_since: float | None = None
     removed_at: float | None = None
     gone_at: float | None = None
-    busy: bool = False
-    seen_at: float = 0.0
+    placed_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
     def is_usable(self, now: float) -> bool:
         """Return whether new work may be sent there."""
@@ -38,6 +42,53 @@
             return False
         return self.removed_at is None or now < self.removed_at
 
+    def place(self, need: tuple[str, str], version: int, now: float) -> None:
+        """Take in what the holder of the lease says of a model or adapter.
+
+        :param version: version held, 0 for none
+        """
+        self.placed_at[need] = now
+        self._set(need, version)
+
+    def announce(
+        self,
+        models: dict[str, int],
+        adapters: dict[tuple[str, str], int],
+        now: float,
+    ) -> None:
+        """Take in what the endpoint says that it holds.
+
+        An announcement is some time old, so that what the holder of the lease
+        said meanwhile stands.
+        """
+        self.placed_at = {
+            need: at
+            for need, at in self.placed_at.items()
+            if now - at < ANNOUNCEMENT_AGE_S
+        }
+        kept = {need: self._get(need) for need in self.placed_at}
+        self.models = dict(models)
+        self.adapters = dict(adapters)
+        for need, version in kept.items():
+            self._set(need, version)
+
+    def _get(self, need: tuple[str, str]) -> int:
+        model, adapter = need
+        if adapter:
+            return self.adapters.get(need, 0)
+        return self.models.get(model, 0)
+
+    def _set(self, need: tuple[str, str], version: int) -> None:
+        model, adapter = need
+        if adapter and version:
+            self.adapters[need] = version
+        elif adapter:
+            self.adapters.pop(need, None)
+        elif version:
+            self.models[model] = version
+        else:
+            self.models.pop(model, None)
+
 
 @attrs.define(eq=False)
 class EndpointTable:
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -36,8 +36,12 @@
 FIRST_LOAD_S = 0.3
 LOAD_LOW_S = 0.01
 LOAD_HIGH_S = 5.0
-LOAD_RAISE = 1.3
-LOAD_LOWER = 0.99
+LOAD_RAISE = 1.1
+LOAD_LOWER = 0.998
+# A rejection this soon after a load means that the load takes longer.
+FRESH_S = 1.0
+# An adapter that was loaded is kept for the requests that wait for it.
+KEEP_LOADED_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -45,17 +49,23 @@
     """What the holder of the lease knows of one engine.
 
     :param sequence: orders that the engine has accepted
+    :param held: version of each adapter that takes a place, also of those
+        that are on their way or being dropped
     :param pending: when each adapter on its way will be there
+    :param unloading: adapters that the engine drops once their requests end
+    :param loaded_at: when each adapter was announced as loaded
     :param ordering: an order has not been answered yet
     :param check_at: when to ask for a report before the next order
     """
 
     started_ms: int
-    sequence: int
+    sequence: int = 0
+    held: dict[Need, int] = attrs.field(factory=dict)
     pending: dict[Need, float] = attrs.field(factory=dict)
-    versions: dict[Need, int] = attrs.field(factory=dict)
+    unloading: set[Need] = attrs.field(factory=set)
+    loaded_at: dict[Need, float] = attrs.field(factory=dict)
     ordering: bool = False
-    check_at: float | None = None
+    check_at: float | None = 0.0
     loading_until: float = 0.0
 
 
@@ -92,10 +102,8 @@
         """Return the state of an engine, new after another start."""
         state = self.engines.get(endpoint.identity)
         if state is None or state.started_ms != endpoint.started_ms:
-            state = EngineState(endpoint.started_ms, endpoint.sequence)
+            state = EngineState(endpoint.started_ms)
             self.engines[endpoint.identity] = state
-        if endpoint.sequence > state.sequence:
-            state.sequence = endpoint.sequence
         return state
 
     def note_uses(
@@ -186,23 +194,22 @@
     if demand.need[0] not in endpoint.models:
         return None
     known = state.find_engine(endpoint)
-    if demand.need in known.pending or len(known.pending) >= MOST_PENDING:
+    if len(known.pending) >= MOST_PENDING:
         return None
-    if demand.need in endpoint.adapters:
-        if endpoint.adapters[demand.need] >= demand.version:
-            return None
-        busy = is_in_use(endpoint.identity, demand.need, state, now)
-        return (1.0 if busy else -1.0), Plan(
-            endpoint, demand.need, demand.version
-        )
-    held = set(endpoint.adapters) | set(known.pending)
-    if len(held) < engine.adapter_slots:
+    if demand.need in known.held:
+        # A replacement takes a place of its own until the old version goes,
+        # so that the old one is dropped first.
+        if _is_idle(endpoint, demand.need, known, state, now):
+            return -1.0, Plan(
+                endpoint, demand.need, demand.version, demand.need
+            )
+        return None
+    if len(known.held) < engine.adapter_slots:
         return 0.0, Plan(endpoint, demand.need, demand.version)
     idle = [
         need
-        for need in endpoint.adapters
-        if need not in known.pending
-        and not is_in_use(endpoint.identity, need, state, now)
+        for need in known.held
+        if _is_idle(endpoint, need, known, state, now)
     ]
     if not idle:
         return None
@@ -213,6 +220,22 @@
     )
 
 
+def _is_idle(
+    endpoint: endpoints.Endpoint,
+    need: Need,
+    known: EngineState,
+    state: LoadingState,
+    now: float,
+) -> bool:
+    """Return whether an adapter may be dropped."""
+    return (
+        need not in known.pending
+        and need not in known.unloading
+        and not is_in_use(endpoint.identity, need, state, now)
+        and now - known.loaded_at.get(need, 0.0) > KEEP_LOADED_S
+    )
+
+
 def _rate(
     endpoint: endpoints.Endpoint, need: Need, state: LoadingState
 ) -> tuple[float, float]:
@@ -245,19 +268,22 @@
     )
 
 
-def count_holders(
+def list_holders(
     candidates: list[endpoints.Endpoint],
     demand: Demand,
     state: LoadingState,
     now: float,
-) -> int:
+) -> list[endpoints.Endpoint]:
     """Return the engines that hold an adapter or will soon."""
-    return sum(
-        1
+    return [
+        item
         for item in candidates
-        if item.is_usable(now)
-        and (
-            item.adapters.get(demand.need, 0) >= demand.version
-            or demand.need in state.find_engine(item).pending
-        )
+        if item.is_usable(now) and _holds(state.find_engine(item), demand)
+    ]
+
+
+def _holds(known: EngineState, demand: Demand) -> bool:
+    return (
+        known.held.get(demand.need, 0) >= demand.version
+        and demand.need not in known.unloading
     )
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -69,12 +69,10 @@
 class Placed:
     """An engine holds something anew, or no longer.
 
-    :param sequence: orders that the engine has accepted
     :param version: version held, 0 for none
     """
 
     identity: str
-    sequence: int
     model: str
     adapter: str
     version: int
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -23,6 +23,7 @@
 class Announcement:
     """What an endpoint last said of itself in the store.
 
+    :param announced: count of its announcements since it started
     :param leaves_in_s: time until it is stopped, if it said so
     """
 
@@ -33,14 +34,12 @@
     capacity: int
     draining: bool
     started_ms: int
-    sequence: int
+    announced: int
     models: dict[str, int]
     adapters: dict[tuple[str, str], int]
-    busy: bool = False
-    pending: frozenset[tuple[str, str]] = frozenset()
     leaves_in_s: float | None = None
 
-    def make_endpoint(self, now: float) -> endpoints.Endpoint:
+    def make_endpoint(self) -> endpoints.Endpoint:
         """Return a new endpoint as announced."""
         return endpoints.Endpoint(
             identity=self.identity,
@@ -49,11 +48,8 @@
             zone=self.zone,
             capacity=self.capacity,
             started_ms=self.started_ms,
-            sequence=self.sequence,
             models=dict(self.models),
             adapters=dict(self.adapters),
-            busy=self.busy,
-            seen_at=now,
         )
 
 
@@ -209,10 +205,10 @@
         capacity=_take(document, "capacity", int),
         draining=state == DRAINING,
         started_ms=_decode_start(document),
-        sequence=_decode_count(document, "sequence"),
+        # In an entry this counts announcements; in a report, orders.
+        announced=_decode_count(document, "sequence"),
         models=models,
         adapters=adapters,
-        busy=document.get("busy") is True,
         leaves_in_s=(
             remaining_ms / 1000
             if isinstance(remaining_ms, (int, float))
