Tell the holder of the lease ten times a second which adapters are in use

Cause: places were kept for two seconds after a load and 0.7 s after the last use, as heartbeats come every 0.3 s; in bursts all places were taken. Demands that failed once went to the end of the list and starved. Change: uses go to the holder alone, every 0.1 s; a place is free 0.25 s after the last use; the longest waiting demand is planned first. Tried beside it and not kept: repeating a load order to learn when an adapter is there.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -10,6 +10,7 @@
 from bronzetrack.entry import budget
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import leases
+from bronzetrack.entry import loading
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import routes
@@ -94,6 +95,11 @@
             "membership", "membership", Membership()
         )
     )
+    loading: blackboard.Section[loading.LoadingState] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "loading", "loading", loading.LoadingState()
+        )
+    )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
     placed: blackboard.Mailbox[messages.Placed] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -299,10 +299,10 @@
         version = self.board.rules.value.versions.get(need, FIRST_VERSION)
         holders = placement.list_holders(candidates, need, version, now)
         if not holders:
-            self._ask(progress, need, version, 1, now)
+            self._ask(request, progress, version, 1, now)
             return None
         if need[1] and placement.wants_copy(holders, view):
-            self._ask(progress, need, version, len(holders) + 1, now)
+            self._ask(request, progress, version, len(holders) + 1, now)
         return placement.choose_endpoint(
             holders, frozenset(progress.tried), view
         )
@@ -314,8 +314,8 @@
 
     def _ask(
         self,
+        request: requests.Request,
         progress: Progress,
-        need: tuple[str, str],
         version: int,
         copies: int,
         now: float,
@@ -327,11 +327,12 @@
         want = messages.Want(
             self.board.settings.vm,
             progress.service,
-            need[0],
-            need[1],
+            request.model,
+            request.adapter,
             version,
             copies,
             progress.missing,
+            int(1000 * (now - request.arrived)),
         )
         progress.missing = ""
         if self.board.lease.value.is_held(now):
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -40,25 +40,31 @@
 
     async def run(self) -> None:
         """Plan in turns while the lease is held."""
-        self._state = loading.LoadingState()
+        section = self.board.loading
         async with anyio.create_task_group() as group:
             while True:
                 await blackboard.wait_any(
                     self.board.wanted.is_filled(),
+                    section.is_newer(section.revision),
                     timeout_ms=int(1000 * TICK_S),
                 )
-                now = self.read_clock()
-                wants = self.board.wanted.take()
-                if not self.board.lease.value.is_held(now):
-                    self._state = loading.LoadingState()
-                    if not wants:
-                        await anyio.sleep(TICK_S)
-                    continue
-                for want in wants:
-                    self._note_want(want, now)
-                self._note_uses(now)
-                self._finish_loads(now)
-                self._plan(group, now)
+                self._run_turn(group, self.read_clock())
+
+    @property
+    def _state(self) -> loading.LoadingState:
+        return self.board.loading.value
+
+    def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
+        wants = self.board.wanted.take()
+        if not self.board.lease.value.is_held(now):
+            if self._state.engines:
+                self.write(self.board.loading, loading.LoadingState())
+            return
+        for want in wants:
+            self._note_want(want, now)
+        self._note_uses(now)
+        self._finish_loads(now)
+        self._plan(group, now)
 
     # Demand.
 
@@ -74,6 +80,7 @@
             )
             self._state.demands[key] = demand
         demand.last_at = now
+        demand.since = min(demand.since, now - want.waited_ms / 1000)
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
 
@@ -115,40 +122,47 @@
             if service.engine is not None:
                 self._plan_models(group, service, service.engine, now)
         self._start_checks(group, now)
-        for key, demand in list(self._state.demands.items()):
-            service = configuration.services.get(demand.service)
-            if service is None or service.engine is None:
-                del self._state.demands[key]
-            elif self._plan_demand(group, service.engine, demand, now):
-                del self._state.demands[key]
-
-    def _plan_demand(
+        for service in configuration.services.values():
+            if service.engine is not None:
+                self._plan_service(group, service.name, service.engine, now)
+
+    def _plan_service(
         self,
         group: abc.TaskGroup,
+        service: str,
         engine: routes.Engine,
-        demand: loading.Demand,
         now: float,
-    ) -> bool:
-        """Start what a demand needs; return whether it is settled."""
-        if now - demand.last_at > DEMAND_S:
-            return True
-        candidates = self.board.endpoints.value.list_service(demand.service)
-        demand.version = max(
-            demand.version, self.board.rules.value.versions.get(demand.need, 0)
-        )
-        holders = loading.list_holders(candidates, demand, self._state, now)
-        if len(holders) >= demand.copies:
-            self._publish_held(holders, demand)
-            return True
+    ) -> None:
+        """Start loads for those who wait the longest, while engines can."""
+        state = self._state
+        candidates = self.board.endpoints.value.list_service(service)
+        able = [
+            item
+            for item in candidates
+            if loading.can_order(item, state, now)
+            and loading.has_room(item, state, engine, now)
+        ]
         loads = self._measure_loads(candidates)
-        plan = loading.plan_load(
-            candidates, demand, self._state, loads, engine, now
+        demands = sorted(
+            (item for item in state.demands.values() if item.service == service),
+            key=lambda item: item.since,
         )
-        if plan is None:
-            return False
-        self._state.find_engine(plan.endpoint).ordering = True
-        group.start_soon(self._carry_out, plan)
-        return len(holders) + 1 >= demand.copies
+        for demand in demands:
+            key = (service, demand.need)
+            holders = loading.list_holders(candidates, demand, state, now)
+            if now - demand.last_at > DEMAND_S:
+                del state.demands[key]
+            elif len(holders) >= demand.copies:
+                self._publish_held(holders, demand)
+                del state.demands[key]
+            elif able:
+                plan = loading.plan_load(
+                    able, demand, state, loads, engine, now
+                )
+                if plan is not None:
+                    state.find_engine(plan.endpoint).ordering = True
+                    able.remove(plan.endpoint)
+                    group.start_soon(self._carry_out, plan)
 
     def _publish_held(
         self, holders: list[endpoints.Endpoint], demand: loading.Demand
@@ -230,6 +244,7 @@
             await self._load(endpoint, state, plan)
         finally:
             state.ordering = False
+            self.write(self.board.loading, self._state)
 
     async def _drop(
         self,
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -19,6 +19,8 @@
 
 LOG = logging.getLogger(__name__)
 HEARTBEAT_S = 0.3
+# The holder of the lease hears of adapters in use at least this often.
+USES_S = 0.1
 # Announcements are kept for ever, so that they are rarely read.
 WAIT_S = 20.0
 RETRY_S = 0.5
@@ -63,6 +65,7 @@
             group.start_soon(self._follow)
             group.start_soon(self._send_heartbeats)
             group.start_soon(self._send_outgoing)
+            group.start_soon(self._send_uses)
 
     async def _announce(self) -> None:
         settings = self.board.settings
@@ -130,6 +133,8 @@
         match message:
             case messages.Heartbeat():
                 self._apply_heartbeat(message, addr)
+            case messages.Uses():
+                self._apply_uses(message)
             case messages.Want():
                 self.board.wanted.post(message)
             case messages.Placed():
@@ -147,12 +152,16 @@
         peer.stopping = beat.stopping
         peer.incarnation = beat.incarnation
         peer.active = beat.active
-        peer.uses = {(item[0], item[1], item[2]) for item in beat.uses}
         peer.lease_end = beat.lease_end
         peer.holder = beat.holder
         self._sum_active(now)
         self._notify()
 
+    def _apply_uses(self, message: messages.Uses) -> None:
+        peer = self.board.membership.value.members.peers.get(message.vm)
+        if peer is not None:
+            peer.uses = {(item[0], item[1], item[2]) for item in message.uses}
+
     def _sum_active(self, now: float) -> None:
         membership = self.board.membership.value
         total: dict[str, int] = {}
@@ -190,12 +199,30 @@
                 for identity, item in by_identity.items()
                 if item.active
             },
-            uses=[
+        )
+
+    async def _send_uses(self) -> None:
+        sent: list[list[str]] = []
+        while True:
+            await anyio.sleep(USES_S)
+            uses = [
                 [identity, model, adapter]
-                for identity, item in by_identity.items()
+                for identity, item in (
+                    self.board.traffic.value.by_identity.items()
+                )
                 for model, adapter in item.uses
-            ],
-        )
+            ]
+            if uses or sent:
+                self._send_to_holder(
+                    messages.Uses(self.board.settings.vm, uses)
+                )
+            sent = uses
+
+    def _send_to_holder(self, message: Any) -> None:
+        peers = self.board.membership.value.members.peers
+        holder = peers.get(self.board.lease.value.holder)
+        if holder is not None:
+            self._send(messages.encode(message), holder.address)
 
     async def _send_outgoing(self) -> None:
         mailbox = self.board.outgoing
@@ -205,13 +232,11 @@
                 self._send_message(message)
 
     def _send_message(self, message: Any) -> None:
-        peers = self.board.membership.value.members.peers
-        data = messages.encode(message)
         if isinstance(message, messages.Want):
-            holder = peers.get(self.board.lease.value.holder)
-            if holder is not None:
-                self._send(data, holder.address)
+            self._send_to_holder(message)
             return
+        peers = self.board.membership.value.members.peers
+        data = messages.encode(message)
         now = self.read_clock()
         for peer in peers.values():
             if peer.is_alive(now):
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -24,7 +24,7 @@
 MOST_PENDING = 4
 # An adapter counts as idle when no VM used it for this time, which is longer
 # than news of a request takes to arrive.
-IDLE_S = 0.7
+IDLE_S = 0.25
 # Half-life of the use of adapters.
 HEAT_HALF_S = 15.0
 # What a place in the order of preference weighs against load.
@@ -40,8 +40,9 @@
 LOAD_LOWER = 0.998
 # A rejection this soon after a load means that the load takes longer.
 FRESH_S = 1.0
-# An adapter that was loaded is kept for the requests that wait for it.
-KEEP_LOADED_S = 2.0
+# An adapter that was loaded is kept for the requests that wait for it until
+# the first of them uses it, or for this time.
+KEEP_LOADED_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -71,13 +72,16 @@
 
 @attrs.define(eq=False)
 class Demand:
-    """An adapter that VMs asked for and no engine holds yet."""
+    """An adapter that VMs asked for and no engine holds yet.
+
+    :param since: since when the oldest request has waited
+    """
 
     service: str
     need: Need
     version: int
     copies: int
-    first_at: float
+    since: float
     last_at: float
 
 
@@ -161,6 +165,7 @@
 ) -> Plan | None:
     """Return where an adapter is loaded, or nothing if no engine can.
 
+    :param candidates: engines that take an order now
     :param loads: how full each engine is
     """
     ranked = sorted(
@@ -189,8 +194,6 @@
     now: float,
 ) -> tuple[float, Plan] | None:
     """Return the cost of loading at an engine, if it can be done now."""
-    if not can_order(endpoint, state, now):
-        return None
     if demand.need[0] not in endpoint.models:
         return None
     known = state.find_engine(endpoint)
@@ -228,12 +231,13 @@
     now: float,
 ) -> bool:
     """Return whether an adapter may be dropped."""
-    return (
-        need not in known.pending
-        and need not in known.unloading
-        and not is_in_use(endpoint.identity, need, state, now)
-        and now - known.loaded_at.get(need, 0.0) > KEEP_LOADED_S
-    )
+    if need in known.pending or need in known.unloading:
+        return False
+    used_at = state.used_at.get((endpoint.identity, need), 0.0)
+    loaded_at = known.loaded_at.get(need, 0.0)
+    if used_at < loaded_at and now - loaded_at < KEEP_LOADED_S:
+        return False
+    return now - used_at >= IDLE_S
 
 
 def _rate(
@@ -245,14 +249,6 @@
     )
 
 
-def is_in_use(
-    identity: str, need: Need, state: LoadingState, now: float
-) -> bool:
-    """Return whether a VM used an adapter at an engine just now."""
-    used_at = state.used_at.get((identity, need))
-    return used_at is not None and now - used_at < IDLE_S
-
-
 def can_order(
     endpoint: endpoints.Endpoint, state: LoadingState, now: float
 ) -> bool:
@@ -268,6 +264,19 @@
     )
 
 
+def has_room(
+    endpoint: endpoints.Endpoint,
+    state: LoadingState,
+    engine: routes.Engine,
+    now: float,
+) -> bool:
+    """Return whether an engine has a free place or an idle adapter."""
+    known = state.find_engine(endpoint)
+    return len(known.held) < engine.adapter_slots or any(
+        _is_idle(endpoint, need, known, state, now) for need in known.held
+    )
+
+
 def list_holders(
     candidates: list[endpoints.Endpoint],
     demand: Demand,
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -31,7 +31,6 @@
     :param lease_end: end of the lease log, as far as the VM knows
     :param holder: the VM that last appended there
     :param active: requests in progress by endpoint
-    :param uses: endpoint, model and adapter of requests in progress
     """
 
     vm: str
@@ -43,6 +42,17 @@
     lease_end: int
     holder: str
     active: dict[str, int]
+
+
+@MESSAGES.register("u")
+@attrs.frozen
+class Uses:
+    """Adapters in use by a VM, for the holder of the lease.
+
+    :param uses: endpoint, model and adapter of requests in progress
+    """
+
+    vm: str
     uses: list[list[str]]
 
 
@@ -53,6 +63,7 @@
 
     :param copies: engines that should hold it at least
     :param missing: engine that said it does not hold it
+    :param waited_ms: how long the oldest request has waited
     """
 
     vm: str
@@ -61,7 +72,8 @@
     adapter: str
     version: int
     copies: int
-    missing: str = ""
+    missing: str
+    waited_ms: int
 
 
 @MESSAGES.register("p")
