Do not announce a load whose order is not answered yet

Cause: an adapter counted as held from the moment of its order, so that a repeated demand announced it within milliseconds; the engine answered 421. Change: it counts as on its way until the order is answered. Load times are learnt by kind (in the engine's memory or not, loads in flight). A request that cannot start before its caller leaves is refused with a time to come back, and a VM that reaches neither the store nor another VM sends callers elsewhere. Ruled out: the learnt load time as the cause.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -100,6 +100,9 @@
             "loading", "loading", loading.LoadingState()
         )
     )
+    contact: blackboard.Section[float] = attrs.field(
+        factory=lambda: blackboard.Section("contact", "configuration", 0.0)
+    )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
     placed: blackboard.Mailbox[messages.Placed] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -29,6 +29,7 @@
         )
         while True:
             change = await following.read()
+            self.write(self.board.contact, self.read_clock())
             applied = [self._apply(record) for record in change.records]
             if any(applied):
                 self.write(self.board.rules, self.board.rules.value)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -13,6 +13,7 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import events
 from bronzetrack.entry import failures
+from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import placement
 from bronzetrack.entry import relays
@@ -34,6 +35,10 @@
 REJECTED_PAUSE_S = 0.05
 RETRY_AFTER_S = 0.5
 FIRST_VERSION = 1
+# A request that waits for an engine is refused after this part of the time
+# until its caller leaves, so that the caller can still try again.
+WAIT_SHARE = 0.7
+ISOLATED_WAIT_S = 0.05
 # Each VM takes this part of an even share of an endpoint's connections.
 CONNECTION_SHARE = 0.8
 MIN_CONNECTIONS = 4
@@ -105,8 +110,7 @@
         if isinstance(route, failures.Failure):
             self._fail(exchange, request, None, route)
             return
-        request.route = route
-        request.deadline = min(request.deadline, now + route.timeout_s)
+        request.bind(route)
         progress = Progress(self._choose_service(route))
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
@@ -273,11 +277,39 @@
             endpoint = self._choose(request, progress, candidates, now)
             if endpoint is not None:
                 return endpoint
+            failure = self._judge_wait(request, now)
+            if failure is not None:
+                return failure
             await blackboard.wait_any(
                 section.is_newer(section.revision),
                 timeout_ms=int(1000 * WAIT_S),
             )
 
+    def _judge_wait(
+        self, request: requests.Request, now: float
+    ) -> failures.Failure | None:
+        """Return why waiting on is of no use, if that is so."""
+        waited = now - request.arrived
+        if waited > WAIT_SHARE * (request.start_by - request.arrived):
+            return failures.Failure(
+                failures.Reason.NOT_LOADED,
+                "no engine could load the adapter in time",
+                RETRY_AFTER_S,
+            )
+        if waited > ISOLATED_WAIT_S and self._is_isolated(now):
+            return failures.Failure(
+                failures.Reason.ISOLATED,
+                "this VM reaches neither the store nor another VM",
+                0.0,
+            )
+        return None
+
+    def _is_isolated(self, now: float) -> bool:
+        board = self.board
+        return members.is_isolated(
+            board.membership.value.members, board.contact.value, now
+        )
+
     def _choose(
         self,
         request: requests.Request,
@@ -332,7 +364,7 @@
             version,
             copies,
             progress.missing,
-            int(1000 * (now - request.arrived)),
+            int(1000 * (request.arrived + request.route.target_s - now)),
         )
         progress.missing = ""
         if self.board.lease.value.is_held(now):
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -159,13 +159,16 @@
     def _answer_resolve(self, exchange: server.Exchange, target: str) -> None:
         query = parse.parse_qs(parse.urlsplit(target).query)
         zone = query.get("zone", [""])[0]
+        now = self.read_clock()
+        others = self.board.membership.value.members
+        isolated = members.is_isolated(others, self.board.contact.value, now)
         fronts = members.list_fronts(
-            self.board.membership.value.members,
-            self.read_clock(),
+            others,
+            now,
             self.board.settings.front,
             self.board.lifecycle.value.ready,
         )
-        if not fronts:
+        if isolated or not fronts:
             LOG.info(
                 "no entry VM is ready",
                 extra={"event": "resolve_empty", "zone": zone},
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -4,6 +4,7 @@
 
 import collections
 import logging
+import math
 from typing import Any
 
 import anyio
@@ -78,9 +79,10 @@
             demand = loading.Demand(
                 want.service, need, want.version, want.copies, now, now
             )
+            demand.due = float("-inf")
             self._state.demands[key] = demand
         demand.last_at = now
-        demand.since = min(demand.since, now - want.waited_ms / 1000)
+        demand.due = max(demand.due, now + want.slack_ms / 1000)
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
 
@@ -93,7 +95,7 @@
         state = self._state.find_engine(endpoint)
         loaded_at = state.loaded_at.get(need)
         if loaded_at is not None and now - loaded_at < loading.FRESH_S:
-            self._state.note_missing()
+            self._state.times.note_early(state.kinds[need])
             state.pending[need] = now + LOAD_RECHECK_S
         elif need in state.held and state.check_at is None:
             state.check_at = now + REPORT_LAG_S
@@ -143,11 +145,10 @@
             and loading.has_room(item, state, engine, now)
         ]
         loads = self._measure_loads(candidates)
-        demands = sorted(
-            (item for item in state.demands.values() if item.service == service),
-            key=lambda item: item.since,
-        )
-        for demand in demands:
+        demands = [
+            item for item in state.demands.values() if item.service == service
+        ]
+        for demand in loading.order_demands(demands, now):
             key = (service, demand.need)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_S:
@@ -274,12 +275,19 @@
         version = plan.version if plan.version > 1 else None
         # The place counts as taken before the answer, which may be lost.
         state.held[plan.need] = max(1, plan.version)
-        verdict = await self._order(
-            endpoint, state, True, plan.need, version
-        )
+        state.pending[plan.need] = math.inf
+        try:
+            verdict = await self._order(
+                endpoint, state, True, plan.need, version
+            )
+        finally:
+            del state.pending[plan.need]
         now = self.read_clock()
         if verdict is orders.Verdict.STARTED:
-            state.pending[plan.need] = now + self._state.load_s
+            kind = self._state.classify_load(state, plan.need)
+            state.kinds[plan.need] = kind
+            state.seen.add(plan.need)
+            state.pending[plan.need] = now + self._state.times.expect(kind)
         elif verdict is orders.Verdict.DONE:
             self._publish(endpoint, plan.need, state.held[plan.need])
 
@@ -333,7 +341,10 @@
             for need in ready:
                 del state.pending[need]
                 if endpoint is not None:
-                    self._state.note_loaded()
+                    if state.loaded_at.get(need, 0.0) < now - loading.FRESH_S:
+                        self._state.times.note_announced(
+                            state.kinds.get(need, loading.UNKNOWN_KIND)
+                        )
                     state.loaded_at[need] = now
                     self._publish(endpoint, need, state.held.get(need, 1))
 
@@ -382,9 +393,10 @@
         state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
         state.unloading &= set(state.held)
         state.pending = {
-            need: state.pending.get(need, now + self._state.load_s)
+            need: state.pending.get(need, now + REPORT_LAG_S)
             for need in report["pending"]
         }
+        state.seen.update(state.held)
         self._publish_report(endpoint, state, report)
 
     def _publish_report(
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -17,6 +17,7 @@
     NO_ENDPOINT = "no_endpoint"
     NOT_LOADED = "not_loaded"
     OVERLOADED = "overloaded"
+    ISOLATED = "isolated"
     DEADLINE = "deadline"
     UNREACHABLE = "unreachable"
     REJECTED = "rejected"
@@ -35,6 +36,7 @@
     Reason.NO_ENDPOINT: 503,
     Reason.NOT_LOADED: 503,
     Reason.OVERLOADED: 503,
+    Reason.ISOLATED: 503,
     Reason.UNREACHABLE: 503,
     Reason.REJECTED: 503,
     Reason.DEADLINE: 504,
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
 import math
@@ -33,11 +34,20 @@
 HEAT_WEIGHT = 0.1
 # Engines that leave sooner than this load nothing more.
 LEAVING_S = 5.0
+# Expected time of a load before any was seen.
 FIRST_LOAD_S = 0.3
+# A load that an engine has in its own memory takes a tenth of the time; the
+# expectation starts a little higher.
+WARM_SHARE = 0.2
 LOAD_LOW_S = 0.01
 LOAD_HIGH_S = 5.0
-LOAD_RAISE = 1.1
-LOAD_LOWER = 0.998
+# A load that was announced too early raises the expectation, one that was not
+# lowers it: one in fifty is announced too early.
+LOAD_RAISE = 1.06
+LOAD_LOWER = 0.9988
+# Loads on their way are counted in steps of this many, since many slow each
+# other down.
+FLIGHT_STEP = 8
 # A rejection this soon after a load means that the load takes longer.
 FRESH_S = 1.0
 # An adapter that was loaded is kept for the requests that wait for it until
@@ -45,16 +55,61 @@
 KEEP_LOADED_S = 1.0
 
 
+@attrs.frozen
+class LoadKind:
+    """Loads that take about the same time.
+
+    :param warm: the engine held the adapter before
+    :param flight: loads on their way, in steps
+    """
+
+    warm: bool
+    flight: int
+
+
+UNKNOWN_KIND = LoadKind(False, 0)
+
+
+@attrs.define(eq=False)
+class LoadTimes:
+    """Learnt times of loads, by kind."""
+
+    by_kind: dict[LoadKind, float] = attrs.field(factory=dict)
+
+    def expect(self, kind: LoadKind) -> float:
+        """Return how long a load is expected to take, in seconds."""
+        known = self.by_kind.get(kind)
+        if known is not None:
+            return known
+        if kind.flight:
+            return self.expect(LoadKind(kind.warm, kind.flight - 1))
+        if kind.warm:
+            return WARM_SHARE * self.expect(LoadKind(False, 0))
+        return FIRST_LOAD_S
+
+    def note_early(self, kind: LoadKind) -> None:
+        """Take in that a load was announced too early."""
+        raised = min(LOAD_HIGH_S, self.expect(kind) * LOAD_RAISE)
+        self.by_kind[kind] = raised
+
+    def note_announced(self, kind: LoadKind) -> None:
+        """Take in that a load was announced."""
+        lowered = max(LOAD_LOW_S, self.expect(kind) * LOAD_LOWER)
+        self.by_kind[kind] = lowered
+
+
 @attrs.define(eq=False)
 class EngineState:
     """What the holder of the lease knows of one engine.
 
     :param sequence: orders that the engine has accepted
+    :param seen: adapters that the engine held before
     :param held: version of each adapter that takes a place, also of those
         that are on their way or being dropped
     :param pending: when each adapter on its way will be there
     :param unloading: adapters that the engine drops once their requests end
     :param loaded_at: when each adapter was announced as loaded
+    :param kinds: kind of the last load of each adapter
     :param ordering: an order has not been answered yet
     :param check_at: when to ask for a report before the next order
     """
@@ -62,9 +117,11 @@
     started_ms: int
     sequence: int = 0
     held: dict[Need, int] = attrs.field(factory=dict)
+    seen: set[Need] = attrs.field(factory=set)
     pending: dict[Need, float] = attrs.field(factory=dict)
     unloading: set[Need] = attrs.field(factory=set)
     loaded_at: dict[Need, float] = attrs.field(factory=dict)
+    kinds: dict[Need, LoadKind] = attrs.field(factory=dict)
     ordering: bool = False
     check_at: float | None = 0.0
     loading_until: float = 0.0
@@ -74,14 +131,14 @@
 class Demand:
     """An adapter that VMs asked for and no engine holds yet.
 
-    :param since: since when the oldest request has waited
+    :param due: until when the request with the most time is on time
     """
 
     service: str
     need: Need
     version: int
     copies: int
-    since: float
+    due: float
     last_at: float
 
 
@@ -91,7 +148,7 @@
 
     :param heat: decayed use of each adapter
     :param used_at: when an adapter was last in use at an engine
-    :param load_s: how long an adapter takes to load
+    :param times: how long loads take
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
@@ -99,7 +156,7 @@
     heat: dict[Need, float] = attrs.field(factory=dict)
     used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
     cooled_at: float = 0.0
-    load_s: float = FIRST_LOAD_S
+    times: LoadTimes = attrs.field(factory=LoadTimes)
     model_loads: list[float] = attrs.field(factory=list)
 
     def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
@@ -126,13 +183,10 @@
             self.used_at[(identity, need)] = now
             self.heat[need] = self.heat.get(need, 0.0) + count * elapsed
 
-    def note_missing(self) -> None:
-        """Take in that a load took longer than expected."""
-        self.load_s = min(LOAD_HIGH_S, self.load_s * LOAD_RAISE)
-
-    def note_loaded(self) -> None:
-        """Take in that a load took no longer than expected."""
-        self.load_s = max(LOAD_LOW_S, self.load_s * LOAD_LOWER)
+    def classify_load(self, known: EngineState, need: Need) -> LoadKind:
+        """Return the kind of a load that starts now."""
+        flight = sum(len(item.pending) for item in self.engines.values())
+        return LoadKind(need in known.seen, flight // FLIGHT_STEP)
 
 
 @attrs.frozen
@@ -264,6 +318,19 @@
     )
 
 
+def order_demands(demands: Iterable[Demand], now: float) -> list[Demand]:
+    """Return demands in the order in which they are met.
+
+    Those that can still be on time come first, the most urgent in front. Of
+    the late ones, whose callers leave soon, the latest come last: in the
+    order of their arrival every request would be late in a long burst.
+    """
+    return sorted(
+        demands,
+        key=lambda item: (item.due < now, abs(item.due - now)),
+    )
+
+
 def has_room(
     endpoint: endpoints.Endpoint,
     state: LoadingState,
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -76,3 +76,23 @@
     if own_ready:
         fronts.append(own)
     return sorted(fronts)
+
+
+# Without a successful read for this time, the store counts as out of reach.
+STORE_SILENCE_S = 2.5
+
+
+def is_isolated(
+    members: Members, store_read_at: float, now: float
+) -> bool:
+    """Return whether this VM reaches neither the store nor another VM.
+
+    Callers are better served by the other VMs then.
+
+    :param store_read_at: when the store was last read
+    """
+    return (
+        bool(members.peers)
+        and now - store_read_at > STORE_SILENCE_S
+        and not members.list_alive(now)
+    )
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -63,7 +63,7 @@
 
     :param copies: engines that should hold it at least
     :param missing: engine that said it does not hold it
-    :param waited_ms: how long the oldest request has waited
+    :param slack_ms: time left in which the request is on time
     """
 
     vm: str
@@ -73,7 +73,7 @@
     version: int
     copies: int
     missing: str
-    waited_ms: int
+    slack_ms: int
 
 
 @MESSAGES.register("p")
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -17,6 +17,7 @@
     :param target: path and query as they were sent
     :param headers: those that go on to the endpoint, as sent
     :param deadline: when the caller stops waiting, or the route's timeout
+    :param start_by: when the caller leaves if no event came
     :param model: base model, if the request is for an engine
     :param adapter: adapter of the model, if it names one
     :param prompt_tokens: size of the prompt
@@ -38,6 +39,13 @@
     output_tokens: int = 0
     last_event_id: int | None = None
     route: routes.Route | None = None
+    start_by: float = float("inf")
+
+    def bind(self, route: routes.Route) -> None:
+        """Take the bounds of the route that the request is for."""
+        self.route = route
+        self.deadline = min(self.deadline, self.arrived + route.timeout_s)
+        self.start_by = min(self.deadline, self.arrived + route.patience_s)
 
     @property
     def need(self) -> tuple[str, str] | None:
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -31,6 +31,7 @@
     :param max_attempts: endpoints that may run one request
     :param timeout_s: longest time until the final answer
     :param target_s: time within which an answer is on time
+    :param patience_s: time after which callers leave without any answer
     :param priority: rank, 0 is the most urgent
     """
 
@@ -45,6 +46,7 @@
     timeout_s: float = 30.0
     target_s: float = 1.0
     priority: int = 5
+    patience_s: float = float("inf")
 
     @property
     def idempotent(self) -> bool:
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -11,6 +11,11 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import routes
 
+# Callers leave a stream after the longest of: this gap, so many times the
+# target, so many times the allowed pause.
+STREAM_GAP_S = 2.0
+TARGET_GAPS = 4.0
+PAUSE_GAPS = 8.0
 READY = "ready"
 DRAINING = "draining"
 
@@ -129,6 +134,15 @@
         timeout_s=float(item.get("timeout_ms", 30_000)) / 1000,
         target_s=float(item.get("aim_ms", 1_000)) / 1000,
         priority=int(item.get("priority", 5)),
+        patience_s=_decode_patience(item) if streams else float("inf"),
+    )
+
+
+def _decode_patience(item: dict[str, Any]) -> float:
+    return max(
+        STREAM_GAP_S,
+        TARGET_GAPS * float(item.get("aim_ms", 0)) / 1000,
+        PAUSE_GAPS * float(item.get("gap_target_ms", 0)) / 1000,
     )
 
 
