Plan loads around silent engines and full places

Cause: an adapter whose only engine had crashed was sent there again and again, each connection refused at once; every waiting request looked at all engines with each placement; a new holder of the lease dropped adapters whose use it had not heard of, and the engine then took no orders for seconds; further copies of hot adapters took places that others waited for. Change: engines that took no connection count as not holding anything for a while, here and at the holder; requests wake for their own adapter; a new holder listens for 0.4 s first; copies come last and adapters that can still be on time come first; use of adapters decays when it is read.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bronzetrack.core import blackboard
+from bronzetrack.entry import arrivals
 from bronzetrack.entry import budget
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import leases
@@ -104,6 +105,7 @@
         factory=lambda: blackboard.Section("contact", "configuration", 0.0)
     )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
+    arrivals: arrivals.Arrivals = attrs.field(factory=arrivals.Arrivals)
     placed: blackboard.Mailbox[messages.Placed] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
     )
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -61,7 +61,6 @@
             await blackboard.wait_any(mailbox.is_filled())
             for placed in mailbox.take():
                 self._apply_placement(placed)
-            self._notify()
 
     def _notify(self) -> None:
         self.write(self.board.endpoints, self.board.endpoints.value)
@@ -115,6 +114,7 @@
         if known is not None:
             need = (placed.model, placed.adapter)
             known.place(need, placed.version, self.read_clock())
+            self.board.arrivals.change(need)
 
     def _mark_removed(self, identity: str, now: float) -> None:
         known = self.board.endpoints.value.by_identity.get(identity)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -35,6 +35,7 @@
 REJECTED_PAUSE_S = 0.05
 RETRY_AFTER_S = 0.5
 FIRST_VERSION = 1
+NO_NEED = ("", "")
 # A request that waits for an engine is refused after this part of the time
 # until its caller leaves, so that the caller can still try again.
 WAIT_SHARE = 0.7
@@ -62,6 +63,7 @@
     first_byte_s: float | None = None
     asked_at: float = 0.0
     missing: str = ""
+    unreachable: str = ""
 
 
 @roles.CONTROLLERS.register("forwarding")
@@ -264,26 +266,36 @@
         self, request: requests.Request, progress: Progress
     ) -> endpoints.Endpoint | failures.Failure:
         """Wait until an endpoint can take a request."""
-        section = self.board.endpoints
-        while True:
-            now = self.read_clock()
-            candidates = section.value.list_service(progress.service)
-            if not any(item.is_usable(now) for item in candidates):
-                return failures.Failure(
-                    failures.Reason.NO_ENDPOINT,
-                    "the service has no endpoint",
-                    RETRY_AFTER_S,
+        key = request.need or NO_NEED
+        arrival = self.board.arrivals.join(key)
+        try:
+            while True:
+                count = arrival.count
+                found = self._find_endpoint(request, progress)
+                if found is not None:
+                    return found
+                await blackboard.wait_any(
+                    arrival.is_newer(count), timeout_ms=int(1000 * WAIT_S)
                 )
-            endpoint = self._choose(request, progress, candidates, now)
-            if endpoint is not None:
-                return endpoint
-            failure = self._judge_wait(request, now)
-            if failure is not None:
-                return failure
-            await blackboard.wait_any(
-                section.is_newer(section.revision),
-                timeout_ms=int(1000 * WAIT_S),
+        finally:
+            self.board.arrivals.leave(key)
+
+    def _find_endpoint(
+        self, request: requests.Request, progress: Progress
+    ) -> endpoints.Endpoint | failures.Failure | None:
+        """Return an endpoint, why there is none, or nothing to wait on."""
+        now = self.read_clock()
+        table = self.board.endpoints.value
+        candidates = table.list_service(progress.service)
+        if not any(item.is_usable(now) for item in candidates):
+            return failures.Failure(
+                failures.Reason.NO_ENDPOINT,
+                "the service has no endpoint",
+                RETRY_AFTER_S,
             )
+        return self._choose(
+            request, progress, candidates, now
+        ) or self._judge_wait(request, now)
 
     def _judge_wait(
         self, request: requests.Request, now: float
@@ -329,7 +341,7 @@
                 candidates, frozenset(progress.tried), view
             )
         version = self.board.rules.value.versions.get(need, FIRST_VERSION)
-        holders = placement.list_holders(candidates, need, version, now)
+        holders = placement.list_holders(candidates, need, version, view)
         if not holders:
             self._ask(request, progress, version, 1, now)
             return None
@@ -364,9 +376,11 @@
             version,
             copies,
             progress.missing,
+            progress.unreachable,
             int(1000 * (request.arrived + request.route.target_s - now)),
         )
         progress.missing = ""
+        progress.unreachable = ""
         if self.board.lease.value.is_held(now):
             self.board.wanted.post(want)
         else:
@@ -392,6 +406,8 @@
                 connection = await pool.connect()
             if connection is None:
                 traffic.note_unreachable(self.read_clock())
+                progress.unreachable = endpoint.identity
+                progress.asked_at = 0.0
                 return None
             return await self._exchange(
                 exchange, request, progress, endpoint, pool, connection
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -24,6 +24,10 @@
 DEMAND_S = 1.0
 # Reports are some hundred milliseconds old.
 REPORT_LAG_S = 0.35
+# An engine that a VM could not reach gets no orders for this time.
+SILENT_S = 0.6
+# Turns follow each other no faster than this; wants come in crowds.
+TURN_S = 0.01
 # A load that took longer than expected is looked at again after this time.
 LOAD_RECHECK_S = 0.06
 MODEL_LOAD_WINDOW_S = 5.0
@@ -50,6 +54,7 @@
                     timeout_ms=int(1000 * TICK_S),
                 )
                 self._run_turn(group, self.read_clock())
+                await anyio.sleep(TURN_S)
 
     @property
     def _state(self) -> loading.LoadingState:
@@ -60,6 +65,7 @@
         if not self.board.lease.value.is_held(now):
             if self._state.engines:
                 self.write(self.board.loading, loading.LoadingState())
+            self._state.started_at = now
             return
         for want in wants:
             self._note_want(want, now)
@@ -71,6 +77,8 @@
 
     def _note_want(self, want: messages.Want, now: float) -> None:
         need = (want.model, want.adapter)
+        if want.unreachable:
+            self._note_unreachable(want.unreachable, now)
         if want.missing:
             self._note_missing(want, need, now)
         key = (want.service, need)
@@ -86,6 +94,12 @@
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
 
+    def _note_unreachable(self, identity: str, now: float) -> None:
+        endpoint = self.board.endpoints.value.by_identity.get(identity)
+        if endpoint is not None:
+            state = self._state.find_engine(endpoint)
+            state.silent_until = now + SILENT_S
+
     def _note_missing(
         self, want: messages.Want, need: loading.Need, now: float
     ) -> None:
@@ -148,7 +162,10 @@
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
-        for demand in loading.order_demands(demands, now):
+        margin_s = (
+            state.times.expect(loading.UNKNOWN_KIND) + loading.FIRST_EVENT_S
+        )
+        for demand in loading.order_demands(demands, margin_s, now):
             key = (service, demand.need)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_S:
@@ -385,7 +402,19 @@
         finally:
             state.ordering = False
         now = self.read_clock()
-        if report is None or report["busy"]:
+        LOG.info(
+            "an engine was asked for a report",
+            extra={
+                "event": "engine_checked",
+                "endpoint": endpoint.identity,
+                "sequence": report["sequence"] if report else None,
+                "busy": report["busy"] if report else None,
+                "held": len(report["adapters"]) if report else None,
+                "pending": len(report["pending"]) if report else None,
+                "expected": state.sequence,
+            },
+        )
+        if report is None:
             state.check_at = now + REPORT_LAG_S
             return
         state.check_at = None
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -42,6 +42,16 @@
             return False
         return self.removed_at is None or now < self.removed_at
 
+    def holds(self, need: tuple[str, str], version: int) -> bool:
+        """Return whether a model or an adapter is held.
+
+        :param version: oldest version of the adapter that may be used
+        """
+        model, adapter = need
+        if not adapter:
+            return model in self.models
+        return self.adapters.get(need, 0) >= version
+
     def place(self, need: tuple[str, str], version: int, now: float) -> None:
         """Take in what the holder of the lease says of a model or adapter.
 
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -34,6 +34,11 @@
 HEAT_WEIGHT = 0.1
 # Engines that leave sooner than this load nothing more.
 LEAVING_S = 5.0
+# A new holder of the lease hears for this time what is in use before it drops
+# anything.
+LISTEN_S = 0.4
+# Time from a request's arrival at an engine to the first event.
+FIRST_EVENT_S = 0.15
 # Expected time of a load before any was seen.
 FIRST_LOAD_S = 0.3
 # A load that an engine has in its own memory takes a tenth of the time; the
@@ -111,6 +116,7 @@
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
     :param ordering: an order has not been answered yet
+    :param silent_until: until when it counts as out of reach
     :param check_at: when to ask for a report before the next order
     """
 
@@ -123,6 +129,7 @@
     loaded_at: dict[Need, float] = attrs.field(factory=dict)
     kinds: dict[Need, LoadKind] = attrs.field(factory=dict)
     ordering: bool = False
+    silent_until: float = 0.0
     check_at: float | None = 0.0
     loading_until: float = 0.0
 
@@ -146,16 +153,18 @@
 class LoadingState:
     """All that the holder of the lease keeps.
 
-    :param heat: decayed use of each adapter
+    :param heat: decayed use of each adapter, and as of when
     :param used_at: when an adapter was last in use at an engine
+    :param started_at: since when this VM gives orders
     :param times: how long loads take
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
     demands: dict[tuple[str, Need], Demand] = attrs.field(factory=dict)
-    heat: dict[Need, float] = attrs.field(factory=dict)
+    heat: dict[Need, tuple[float, float]] = attrs.field(factory=dict)
     used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
-    cooled_at: float = 0.0
+    noted_at: float = 0.0
+    started_at: float = 0.0
     times: LoadTimes = attrs.field(factory=LoadTimes)
     model_loads: list[float] = attrs.field(factory=list)
 
@@ -171,17 +180,17 @@
         self, uses: Mapping[tuple[str, Need], int], now: float
     ) -> None:
         """Take in what is in use now."""
-        elapsed = min(1.0, max(0.0, now - self.cooled_at))
-        self.cooled_at = now
-        factor = 0.5 ** (elapsed / HEAT_HALF_S)
-        self.heat = {
-            need: value * factor
-            for need, value in self.heat.items()
-            if value > 0.001
-        }
+        elapsed = min(1.0, max(0.0, now - self.noted_at))
+        self.noted_at = now
         for (identity, need), count in uses.items():
             self.used_at[(identity, need)] = now
-            self.heat[need] = self.heat.get(need, 0.0) + count * elapsed
+            heat = self.measure_heat(need, now) + count * elapsed
+            self.heat[need] = (heat, now)
+
+    def measure_heat(self, need: Need, now: float) -> float:
+        """Return the decayed use of an adapter."""
+        value, at = self.heat.get(need, (0.0, now))
+        return value * 0.5 ** ((now - at) / HEAT_HALF_S)
 
     def classify_load(self, known: EngineState, need: Need) -> LoadKind:
         """Return the kind of a load that starts now."""
@@ -270,8 +279,8 @@
     ]
     if not idle:
         return None
-    victim = min(idle, key=lambda need: _rate(endpoint, need, state))
-    heat = state.heat.get(victim, 0.0)
+    victim = min(idle, key=lambda need: _rate(endpoint, need, state, now))
+    heat = state.measure_heat(victim, now)
     return HEAT_WEIGHT * heat, Plan(
         endpoint, demand.need, demand.version, victim
     )
@@ -287,6 +296,8 @@
     """Return whether an adapter may be dropped."""
     if need in known.pending or need in known.unloading:
         return False
+    if now - state.started_at < LISTEN_S:
+        return False
     used_at = state.used_at.get((endpoint.identity, need), 0.0)
     loaded_at = known.loaded_at.get(need, 0.0)
     if used_at < loaded_at and now - loaded_at < KEEP_LOADED_S:
@@ -295,10 +306,10 @@
 
 
 def _rate(
-    endpoint: endpoints.Endpoint, need: Need, state: LoadingState
+    endpoint: endpoints.Endpoint, need: Need, state: LoadingState, now: float
 ) -> tuple[float, float]:
     return (
-        state.heat.get(need, 0.0),
+        state.measure_heat(need, now),
         state.used_at.get((endpoint.identity, need), 0.0),
     )
 
@@ -314,20 +325,31 @@
         endpoint.is_usable(now)
         and not known.ordering
         and known.check_at is None
+        and now >= known.silent_until
         and now >= known.loading_until
     )
 
 
-def order_demands(demands: Iterable[Demand], now: float) -> list[Demand]:
+def order_demands(
+    demands: Iterable[Demand], margin_s: float, now: float
+) -> list[Demand]:
     """Return demands in the order in which they are met.
 
-    Those that can still be on time come first, the most urgent in front. Of
-    the late ones, whose callers leave soon, the latest come last: in the
-    order of their arrival every request would be late in a long burst.
+    Load pattern: a burst that asks for more adapters than there are places.
+    Those that can still be on time come first, the most urgent in front; then
+    the late ones, the latest last, since in the order of their arrival every
+    request would be late. Further copies come after all others.
+
+    :param margin_s: time from an order to the first event
     """
+    soonest = now + margin_s
     return sorted(
         demands,
-        key=lambda item: (item.due < now, abs(item.due - now)),
+        key=lambda item: (
+            item.copies > 1,
+            item.due < soonest,
+            abs(item.due - soonest),
+        ),
     )
 
 
@@ -354,12 +376,13 @@
     return [
         item
         for item in candidates
-        if item.is_usable(now) and _holds(state.find_engine(item), demand)
+        if item.is_usable(now) and _holds(state.find_engine(item), demand, now)
     ]
 
 
-def _holds(known: EngineState, demand: Demand) -> bool:
+def _holds(known: EngineState, demand: Demand, now: float) -> bool:
     return (
-        known.held.get(demand.need, 0) >= demand.version
+        now >= known.silent_until
+        and known.held.get(demand.need, 0) >= demand.version
         and demand.need not in known.unloading
     )
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -63,6 +63,7 @@
 
     :param copies: engines that should hold it at least
     :param missing: engine that said it does not hold it
+    :param unreachable: engine that took no connection
     :param slack_ms: time left in which the request is on time
     """
 
@@ -73,6 +74,7 @@
     version: int
     copies: int
     missing: str
+    unreachable: str
     slack_ms: int
 
 
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -20,7 +20,7 @@
 ZONE_WEIGHT = 0.1
 # An engine that holds the adapter takes requests up to this share of its
 # capacity before another copy is asked for.
-COPY_SHARE = 0.3
+COPY_SHARE = 0.4
 
 
 @attrs.frozen
@@ -43,6 +43,11 @@
             endpoint.identity, 0
         )
 
+    def is_reachable(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint took the last connection."""
+        own = self.traffic.by_identity.get(endpoint.identity)
+        return own is None or own.unreachable_until <= self.now
+
     def measure_load(self, endpoint: endpoints.Endpoint) -> float:
         """Return how unattractive an endpoint is; 1 is a full one."""
         capacity = max(1, endpoint.capacity)
@@ -50,8 +55,6 @@
         own = self.traffic.by_identity.get(endpoint.identity)
         if own is not None:
             load += FAILURE_WEIGHT * own.measure_failures(self.now)
-            if own.unreachable_until > self.now:
-                load += 10.0
         if endpoint.zone != self.zone:
             load += ZONE_WEIGHT
         return load
@@ -66,7 +69,11 @@
 
     Endpoints that were tried come last, for requests that may repeat.
     """
-    usable = [item for item in candidates if item.is_usable(view.now)]
+    usable = [
+        item
+        for item in candidates
+        if item.is_usable(view.now) and view.is_reachable(item)
+    ]
     fresh = [item for item in usable if item.identity not in tried]
     return min(
         fresh or usable, key=view.measure_load, default=None
@@ -77,23 +84,18 @@
     candidates: list[endpoints.Endpoint],
     need: tuple[str, str],
     version: int,
-    now: float,
+    view: View,
 ) -> list[endpoints.Endpoint]:
-    """Return the usable engines that hold a model or an adapter.
+    """Return the engines in reach that hold a model or an adapter.
 
     :param version: oldest version of the adapter that may still be used
     """
-    model, adapter = need
-    if not adapter:
-        return [
-            item
-            for item in candidates
-            if item.is_usable(now) and model in item.models
-        ]
     return [
         item
         for item in candidates
-        if item.is_usable(now) and item.adapters.get(need, 0) >= version
+        if item.is_usable(view.now)
+        and view.is_reachable(item)
+        and item.holds(need, version)
     ]
 
 
