--- a/src/bronzetrack/controllers/configuration.py
+++ b/src/bronzetrack/controllers/configuration.py
@@ -14,8 +14,8 @@
 from bronzetrack.configuration import transfer as transfers
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
-from bronzetrack.membership import view as views
 from bronzetrack.logservice import follower
+from bronzetrack.membership import view as views
 from bronzetrack.wire import documents
 
 LOG = logging.getLogger(__name__)
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -10,6 +10,8 @@
 from bronzetrack.core import blackboard
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
+from bronzetrack.logservice import follower
+from bronzetrack.logservice import logservice
 from bronzetrack.membership import messages as membership_messages
 from bronzetrack.membership import view as views
 from bronzetrack.ownership import leases
@@ -17,8 +19,6 @@
 from bronzetrack.ownership import records
 from bronzetrack.ownership import replay
 from bronzetrack.ownership import standing
-from bronzetrack.logservice import follower
-from bronzetrack.logservice import logservice
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -15,9 +15,9 @@
     from bronzetrack import board as boards
     from bronzetrack.core import clock
     from bronzetrack.endpoints import client as endpoint_client
-    from bronzetrack.peer import hub as peer_hub
     from bronzetrack.logservice import logservice
     from bronzetrack.logservice import vmlist
+    from bronzetrack.peer import hub as peer_hub
 
 
 @attrs.frozen
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -20,10 +20,10 @@
 from bronzetrack.endpoints import client as endpoint_client
 from bronzetrack.http import callers
 from bronzetrack.http import operators
-from bronzetrack.membership import messages as membership_messages
-from bronzetrack.peer import hub as peer_hub
 from bronzetrack.logservice import logservice
 from bronzetrack.logservice import vmlist
+from bronzetrack.membership import messages as membership_messages
+from bronzetrack.peer import hub as peer_hub
 from bronzetrack.settings import model
 from bronzetrack.wire import httpclient
 
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -121,9 +121,7 @@
         if known is None or known.removed_at is not None:
             return
         returning = now - self._recovered_at < RETURN_S
-        known.removed_at = (
-            self._recovered_at + RETURN_S if returning else now
-        )
+        known.removed_at = self._recovered_at + RETURN_S if returning else now
         self._log("endpoint_removed", known)
 
     def _drop_missing(self, present: set[str], now: float) -> None:
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -450,7 +450,9 @@
         progress.ran += 1
         progress.endpoint = endpoint.identity
         connection.send(
-            data, relay, request.identity.encode("latin-1"),
+            data,
+            relay,
+            request.identity.encode("latin-1"),
             request.method == b"HEAD",
         )
         try:
@@ -493,10 +495,14 @@
         if outcome is relays.Outcome.REJECTED:
             progress.ran -= 1
             self._note_rejection(request, progress, endpoint, relay, now)
-        elif outcome in (
-            relays.Outcome.LOST,
-            relays.Outcome.MALFORMED,
-        ) or relay.status >= 500:
+        elif (
+            outcome
+            in (
+                relays.Outcome.LOST,
+                relays.Outcome.MALFORMED,
+            )
+            or relay.status >= 500
+        ):
             traffic.note_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
@@ -525,9 +531,9 @@
         if relay.status != 421:
             self.board.traffic.value.find(endpoint.identity).note_failure(now)
         elif other is not None and other != endpoint.identity.encode():
-            self.board.traffic.value.find(
-                endpoint.identity
-            ).note_unreachable(now)
+            self.board.traffic.value.find(endpoint.identity).note_unreachable(
+                now
+            )
         elif request.need is not None:
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -54,9 +54,7 @@
     def _measure_rank(self, now: float) -> int:
         alive = self.board.membership.value.members.list_alive(now)
         own = self.board.settings.vm
-        return sum(
-            1 for peer in alive if peer.vm < own and not peer.stopping
-        )
+        return sum(1 for peer in alive if peer.vm < own and not peer.stopping)
 
     async def _append(self, lease: leases.Lease) -> None:
         sent_at = self.read_clock()
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -181,7 +181,9 @@
 
 
 async def run_until_stopped(
-    controller: LifecycleController, front: server.Listener, group: abc.TaskGroup
+    controller: LifecycleController,
+    front: server.Listener,
+    group: abc.TaskGroup,
 ) -> None:
     """Cancel a group when the planned stop is complete."""
     try:
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -189,9 +189,7 @@
         for endpoint in holders:
             known = self._state.find_engine(endpoint)
             if demand.need not in known.pending:
-                self._publish(
-                    endpoint, demand.need, known.held[demand.need]
-                )
+                self._publish(endpoint, demand.need, known.held[demand.need])
 
     def _measure_loads(
         self, candidates: list[endpoints.Endpoint]
@@ -351,9 +349,7 @@
     def _finish_loads(self, now: float) -> None:
         """Announce adapters that are expected to be there now."""
         for identity, state in self._state.engines.items():
-            ready = [
-                need for need, due in state.pending.items() if due <= now
-            ]
+            ready = [need for need, due in state.pending.items() if due <= now]
             endpoint = self.board.endpoints.value.by_identity.get(identity)
             for need in ready:
                 del state.pending[need]
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -70,7 +70,12 @@
     async def _announce(self) -> None:
         settings = self.board.settings
         value = msgpack.packb(
-            [settings.front, settings.peer_ip, settings.peer_port, settings.zone]
+            [
+                settings.front,
+                settings.peer_ip,
+                settings.peer_port,
+                settings.zone,
+            ]
         )
         while True:
             try:
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -7,6 +7,7 @@
 # Announcements reach this VM at most about this late.
 ANNOUNCEMENT_AGE_S = 3.0
 
+
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint as it was last announced.
--- a/src/bronzetrack/entry/http/connections.py
+++ b/src/bronzetrack/entry/http/connections.py
@@ -282,7 +282,9 @@
         self.opened -= 1
         connection.abort()
 
-    async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> Connection | None:
+    async def connect(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Connection | None:
         """Return a new connection, or nothing if none can be had."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -82,9 +82,7 @@
 STORE_SILENCE_S = 2.5
 
 
-def is_isolated(
-    members: Members, store_read_at: float, now: float
-) -> bool:
+def is_isolated(members: Members, store_read_at: float, now: float) -> bool:
     """Return whether this VM reaches neither the store nor another VM.
 
     Callers are better served by the other VMs then.
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -75,9 +75,7 @@
         if item.is_usable(view.now) and view.is_reachable(item)
     ]
     fresh = [item for item in usable if item.identity not in tried]
-    return min(
-        fresh or usable, key=view.measure_load, default=None
-    )
+    return min(fresh or usable, key=view.measure_load, default=None)
 
 
 def list_holders(
@@ -99,9 +97,7 @@
     ]
 
 
-def wants_copy(
-    holders: list[endpoints.Endpoint], view: View
-) -> bool:
+def wants_copy(holders: list[endpoints.Endpoint], view: View) -> bool:
     """Return whether every engine that holds an adapter is busy with it."""
     return bool(holders) and all(
         view.count_active(item) >= COPY_SHARE * item.capacity
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -15,6 +15,8 @@
     """A whole request of a caller.
 
     :param target: path and query as they were sent
+    :param host: without port, in lower case
+    :param authority: host and port as they were sent
     :param headers: those that go on to the endpoint, as sent
     :param deadline: when the caller stops waiting, or the route's timeout
     :param start_by: when the caller leaves if no event came
@@ -28,6 +30,7 @@
     method: bytes
     target: bytes
     host: str
+    authority: bytes
     path: str
     headers: list[tuple[bytes, bytes]]
     body: bytes
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -121,7 +121,9 @@
     shares = tuple(
         routes.Share(part["service"], float(part["weight"]))
         for part in item.get("split") or ()
-    ) or (routes.Share(item["service"], 1.0),)
+    ) or (
+        routes.Share(item["service"], 1.0),
+    )
     return routes.Route(
         name=item.get("name", ""),
         host=item["hostname"].lower(),
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -16,7 +16,9 @@
 MIN_DEADLINE_MS = 1
 
 
-def decode_request(head: heads.Head, body: bytes, now: float) -> requests.Request:
+def decode_request(
+    head: heads.Head, body: bytes, now: float
+) -> requests.Request:
     """Return the request that a caller sent.
 
     :param now: when its last byte arrived
@@ -33,7 +35,9 @@
             continue
         forwarded.append((name, value))
     host, path = head.split_target()
-    model, _, adapter = found.get(names.MODEL, b"").decode("latin-1").partition("/")
+    model, _, adapter = (
+        found.get(names.MODEL, b"").decode("latin-1").partition("/")
+    )
     prompt, output = _decode_tokens(found.get(names.TOKENS, b""))
     deadline_s = _decode_number(found.get(b"x-deadline-ms", b""))
     return requests.Request(
@@ -41,6 +45,7 @@
         method=head.method,
         target=head.target,
         host=host,
+        authority=found.get(b"host", host.encode("latin-1")),
         path=path,
         headers=forwarded,
         body=body,
@@ -95,7 +100,7 @@
     remaining_ms = max(MIN_DEADLINE_MS, int(remaining_s * 1000))
     lines = [
         request.method + b" " + request.target + b" HTTP/1.1",
-        b"Host: " + request.host.encode("latin-1"),
+        b"Host: " + request.authority,
         *(
             name + b": " + value
             for name, value in request.headers
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,71 @@
+"""Fixtures of the entry VM's decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import loading
+from bronzetrack.entry import placement
+from bronzetrack.entry import routes
+from bronzetrack.entry import traffic
+
+MODEL = "m"
+
+
+@pytest.fixture
+def now() -> float:
+    """Present time of a decision."""
+    return 1_000.0
+
+
+@pytest.fixture
+def make_endpoint() -> Callable[..., endpoints.Endpoint]:
+    """Makes an engine that holds adapters."""
+
+    def make(
+        identity: str, *adapters: str, **fields: object
+    ) -> endpoints.Endpoint:
+        values = {
+            "service": "s",
+            "address": "127.0.0.1:1",
+            "zone": "z",
+            "capacity": 10,
+            "models": {MODEL: 1},
+            "adapters": {(MODEL, name): 1 for name in adapters},
+        }
+        return endpoints.Endpoint(identity, **(values | fields))
+
+    return make
+
+
+@pytest.fixture
+def view(now: float) -> placement.View:
+    """View without any request in progress."""
+    return placement.View(traffic.TrafficTable(), {}, "z", now)
+
+
+@pytest.fixture
+def engine() -> routes.Engine:
+    """Engine with two places for adapters."""
+    model = routes.Model(MODEL, 100.0, 1.0, 10, 1.0)
+    return routes.Engine((model,), 10, 1000, 200.0, 2, 4.0)
+
+
+@pytest.fixture
+def state(now: float) -> loading.LoadingState:
+    """State of a VM that has held the lease for a while."""
+    return loading.LoadingState(started_at=now - 60)
+
+
+@pytest.fixture
+def make_demand(now: float) -> Callable[..., loading.Demand]:
+    """Makes a demand for an adapter that is due in a second."""
+
+    def make(adapter: str, **fields: object) -> loading.Demand:
+        values = {"version": 1, "copies": 1, "due": now + 1, "last_at": now}
+        return loading.Demand("s", (MODEL, adapter), **(values | fields))
+
+    return make
--- /dev/null
+++ b/tests/entry/http/test_server.py
@@ -0,0 +1,199 @@
+"""Connections from callers, with everything that callers do."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+pytestmark = pytest.mark.anyio
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def echo(exchange):
+    """Answer with the target and the body."""
+    body = exchange.head.target + b" " + exchange.body
+    exchange.respond(200, [(b"X-Test", b"1")], body)
+
+
+async def talk(port, *parts, pause_s=0.0, limit_s=2.0):
+    """Send parts and return all that comes until the end or the limit."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+    received = b""
+    try:
+        async with asyncio.timeout(limit_s):
+            while data := await reader.read(65_536):
+                received += data
+    except (TimeoutError, ConnectionError):
+        pass
+    writer.close()
+    return received
+
+
+async def test_requests_on_one_connection_are_answered_in_order(listen):
+    """Guards against answers that belong to another request."""
+    _, port = await listen(echo)
+    second = b"POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+    received = await talk(
+        port, GET + second + b"Connection: close\r\n\r\nab", limit_s=1.0
+    )
+    assert received.index(b"/x ") < received.index(b"/y ab")
+
+
+async def test_body_in_chunks_is_joined(listen):
+    """Guards against a body that depends on its framing."""
+    _, port = await listen(echo)
+    head = b"POST /y HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+    received = await talk(
+        port,
+        head + b"Connection: close\r\n\r\n",
+        b"2\r\nab\r\n",
+        b"1\r\nc\r\n0\r\n\r\n",
+        pause_s=0.02,
+    )
+    assert received.endswith(b"/y abc")
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Content-Length: +3\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Host: other\r\n",
+        b"Bad Name: 1\r\n",
+    ],
+)
+async def test_ambiguous_request_is_refused_and_the_channel_closed(
+    listen, headers
+):
+    """Guards against a request smuggled inside another one."""
+    served = []
+
+    async def serve(exchange):
+        served.append(exchange.head.target)
+        exchange.respond(200, [], b"")
+
+    _, port = await listen(serve)
+    head = b"POST /y HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n"
+    received = await talk(port, head + b"0\r\n\r\n" + GET)
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1") == 1
+    assert not served
+
+
+async def test_too_long_heads_and_bodies_are_refused(listen):
+    """Guards against a caller that fills the memory."""
+    _, port = await listen(echo, header_bytes=500, body_bytes=10)
+    long_head = b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 600
+    assert (await talk(port, long_head)).startswith(b"HTTP/1.1 431 ")
+    head = b"POST /y HTTP/1.1\r\nHost: h\r\n"
+    stated = head + b"Content-Length: 11\r\n\r\n"
+    assert (await talk(port, stated)).startswith(b"HTTP/1.1 413 ")
+    chunked = head + b"Transfer-Encoding: chunked\r\n\r\nb\r\n0123456789a\r\n"
+    assert (await talk(port, chunked)).startswith(b"HTTP/1.1 413 ")
+
+
+async def test_slow_head_and_idle_connection_end(listen):
+    """Guards against connections that are held open for nothing."""
+    listener, port = await listen(
+        echo, header_timeout_s=0.1, idle_timeout_s=0.1
+    )
+    slow = asyncio.ensure_future(talk(port, b"GET /x HT"))
+    idle = asyncio.ensure_future(talk(port))
+    await asyncio.sleep(0.25)
+    listener.expire(time.monotonic())
+    assert (await slow).startswith(b"HTTP/1.1 408 ")
+    assert await idle == b""
+
+
+async def test_caller_that_leaves_cancels_its_request(listen):
+    """Guards against work for a caller that is gone."""
+    cancelled = asyncio.Event()
+
+    async def serve(exchange):
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    _, port = await listen(serve)
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(GET)
+    await asyncio.sleep(0.1)
+    writer.close()
+    await asyncio.wait_for(cancelled.wait(), 2)
+
+
+async def test_cut_stream_does_not_look_complete(listen):
+    """Guards against half an answer that a caller takes for the whole."""
+
+    async def serve(exchange):
+        exchange.start(200, [])
+        exchange.write(b"part")
+        exchange.abort()
+
+    _, port = await listen(serve)
+    assert not (await talk(port, GET)).endswith(b"0\r\n\r\n")
+
+
+async def test_stream_flows_before_it_ends(listen):
+    """Guards against events that wait for the end of the answer."""
+    go_on = asyncio.Event()
+
+    async def serve(exchange):
+        exchange.start(200, [])
+        exchange.write(b"first")
+        await go_on.wait()
+        exchange.finish()
+
+    _, port = await listen(serve)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(GET)
+    async with asyncio.timeout(2):
+        assert b"first" in await reader.readuntil(b"first\r\n")
+    go_on.set()
+    async with asyncio.timeout(2):
+        assert await reader.readuntil(b"0\r\n\r\n")
+    writer.close()
+
+
+async def test_handler_without_an_answer_closes_the_connection(listen):
+    """Guards against a caller that waits for ever."""
+
+    async def serve(exchange):
+        return None
+
+    _, port = await listen(serve)
+    assert await talk(port, GET) == b""
+
+
+async def test_closing_listener_ends_connections_after_their_answer(listen):
+    """Guards against a planned stop that cuts requests."""
+    listener, port = await listen(echo)
+    listener.closing = True
+    received = await talk(port, GET)
+    assert b"Connection: close" in received
+    assert received.endswith(b"/x ")
+
+
+async def test_continue_is_sent_when_expected(listen):
+    """Guards against a caller that waits before it sends its body."""
+    _, port = await listen(echo)
+    head = b"POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+    received = await talk(
+        port,
+        head + b"Expect: 100-continue\r\nConnection: close\r\n\r\n",
+        b"ab",
+        pause_s=0.05,
+    )
+    assert received.startswith(b"HTTP/1.1 100 ")
+    assert received.endswith(b"/y ab")
--- /dev/null
+++ b/tests/entry/test_events.py
@@ -0,0 +1,30 @@
+"""Streams cut into whole events."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from bronzetrack.entry import events
+
+STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 6))
+
+
+@hypothesis.given(strategies.sets(strategies.integers(1, len(STREAM) - 1)))
+def test_any_cut_gives_the_same_whole_events(cuts):
+    """Guards against events that are joined or lost at packet borders."""
+    buffer = events.EventBuffer()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    parts = [STREAM[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    assert b"".join(buffer.feed(part) for part in parts) == STREAM
+    assert buffer.last_id == 5
+    assert not buffer.rest
+
+
+def test_part_of_an_event_is_dropped_before_a_resume():
+    """Guards against an event joined from two runs."""
+    buffer = events.EventBuffer()
+    assert buffer.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    buffer.discard_rest()
+    assert buffer.last_id == 1
+    assert buffer.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
--- /dev/null
+++ b/tests/entry/test_leases.py
@@ -0,0 +1,114 @@
+"""Lease of the VM that gives orders."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bronzetrack.entry import leases
+
+TTL_S = 3.0
+
+
+def test_candidate_waits_for_the_whole_lease(now):
+    """Guards against two holders at once."""
+    lease = leases.Lease(TTL_S)
+    lease.note_end(7, "other", now)
+    step, due = leases.decide_step(lease, now + 0.9 * TTL_S, 0, False)
+    assert step is leases.Step.WAIT
+    assert due > now + TTL_S
+    step, _ = leases.decide_step(lease, due, 0, False)
+    assert step is leases.Step.APPEND
+
+
+def test_lease_counts_from_when_the_call_was_sent(now):
+    """Guards against a holder that slept while its renewal was answered."""
+    lease = leases.Lease(TTL_S)
+    lease.note_renewed(4, now, "me")
+    assert lease.token == 5
+    assert not lease.is_held(now + TTL_S)
+
+
+def test_stopping_holder_does_not_renew(now):
+    """Guards against a VM that leaves with the lease."""
+    lease = leases.Lease(TTL_S)
+    lease.note_renewed(4, now, "me")
+    step, _ = leases.decide_step(lease, now + 0.5 * TTL_S, 0, True)
+    assert step is leases.Step.WAIT
+
+
+def test_later_candidates_wait_longer(now):
+    """Guards against all candidates appending at the same moment."""
+    lease = leases.Lease(TTL_S)
+    lease.note_end(7, "other", now)
+    first = leases.decide_step(lease, now, 0, False)[1]
+    second = leases.decide_step(lease, now, 1, False)[1]
+    assert second > first
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """VMs with clocks of their own rate, lost answers and pauses.
+
+    However answers are lost and VMs sleep, no two believe to hold the lease,
+    and tokens rise.
+    """
+
+    vms = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.end = 0
+        self.leases = [leases.Lease(TTL_S) for _ in range(self.vms)]
+        self.last_token = 0
+
+    @stateful.rule(seconds=strategies.floats(0.01, 4.0))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes for all, also for those that sleep."""
+        self.now += seconds
+
+    @stateful.rule(
+        vm=strategies.integers(0, vms - 1),
+        answered=strategies.booleans(),
+        took=strategies.floats(0.0, 1.0),
+    )
+    def decide(self, vm: int, answered: bool, took: float) -> None:
+        """A VM acts on what it knows."""
+        lease = self.leases[vm]
+        step, _ = leases.decide_step(lease, self.now, vm, False)
+        if step is not leases.Step.APPEND:
+            return
+        sent_at = self.now
+        if max(0, lease.end) != self.end:
+            if answered:
+                lease.note_end(self.end, "", self.now + took)
+            return
+        offset = self.end
+        self.end += 1
+        if answered:
+            self.now += took
+            lease.note_renewed(offset, sent_at, str(vm))
+            if lease.is_held(self.now):
+                assert lease.token > self.last_token
+                self.last_token = lease.token
+
+    @stateful.rule(
+        teller=strategies.integers(0, vms - 1),
+        told=strategies.integers(0, vms - 1),
+    )
+    def gossip(self, teller: int, told: int) -> None:
+        """A heartbeat arrives."""
+        source = self.leases[teller]
+        self.leases[told].note_end(source.end, source.holder, self.now)
+
+    @stateful.invariant()
+    def hold_one(self) -> None:
+        """At most one VM may give orders."""
+        assert sum(item.is_held(self.now) for item in self.leases) <= 1
+
+
+LeaseMachine.TestCase.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40
+)
+TestLeaseMachine = LeaseMachine.TestCase
--- /dev/null
+++ b/tests/entry/test_loading.py
@@ -0,0 +1,199 @@
+"""Which engine loads an adapter, and what it drops."""
+
+from __future__ import annotations
+
+from bronzetrack.entry import loading
+
+LOADS = {}
+
+
+def settle(state, endpoint, now):
+    """Return the state of an engine after its first report."""
+    known = state.find_engine(endpoint)
+    known.check_at = None
+    known.held = dict(endpoint.adapters)
+    return known
+
+
+def test_full_engine_drops_the_least_used_idle_adapter(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against evicting hot adapters in favour of rare ones."""
+    endpoint = make_endpoint("e", "hot", "cold")
+    settle(state, endpoint, now)
+    state.heat[("m", "hot")] = (5.0, now)
+    state.heat[("m", "cold")] = (0.1, now)
+    plan = loading.plan_load(
+        [endpoint], make_demand("new"), state, LOADS, engine, now
+    )
+    assert plan is not None
+    assert plan.victim == ("m", "cold")
+
+
+def test_adapter_in_use_is_never_dropped(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against evicting an adapter that serves a request."""
+    endpoint = make_endpoint("e", "a", "b")
+    settle(state, endpoint, now)
+    state.note_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
+    plan = loading.plan_load(
+        [endpoint], make_demand("new"), state, LOADS, engine, now
+    )
+    assert plan is None
+
+
+def test_adapters_on_their_way_take_places(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against an order for more adapters than there are places.
+
+    An engine that is given one crashes, with all its streams.
+    """
+    endpoint = make_endpoint("e")
+    known = settle(state, endpoint, now)
+    known.held = {("m", "x"): 1, ("m", "y"): 1}
+    known.pending = {("m", "x"): now + 0.2, ("m", "y"): now + 0.2}
+    plan = loading.plan_load(
+        [endpoint], make_demand("new"), state, LOADS, engine, now
+    )
+    assert plan is None
+
+
+def test_adapter_being_dropped_takes_a_place(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against counting a place as free while requests run there."""
+    endpoint = make_endpoint("e", "a", "b")
+    known = settle(state, endpoint, now)
+    known.unloading = {("m", "a"), ("m", "b")}
+    plan = loading.plan_load(
+        [endpoint], make_demand("new"), state, LOADS, engine, now
+    )
+    assert plan is None
+
+
+def test_new_version_replaces_a_dropped_old_one(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against a replacement that needs a place of its own."""
+    endpoint = make_endpoint("e", "a", "b")
+    settle(state, endpoint, now)
+    plan = loading.plan_load(
+        [endpoint], make_demand("a", version=2), state, LOADS, engine, now
+    )
+    assert plan is not None
+    assert plan.victim == ("m", "a")
+
+
+def test_fresh_adapter_is_kept_until_its_first_use(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against dropping an adapter before its waiting request came."""
+    endpoint = make_endpoint("e", "a", "b")
+    known = settle(state, endpoint, now)
+    known.loaded_at = {("m", "a"): now - 0.1, ("m", "b"): now - 0.1}
+    demand = make_demand("new")
+    assert (
+        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        is None
+    )
+    later = now + loading.KEEP_LOADED_S
+    assert loading.plan_load([endpoint], demand, state, LOADS, engine, later)
+
+
+def test_new_holder_of_the_lease_drops_nothing_at_first(
+    make_endpoint, make_demand, engine, now
+):
+    """Guards against dropping adapters whose use was not heard of yet."""
+    state = loading.LoadingState(started_at=now)
+    endpoint = make_endpoint("e", "a", "b")
+    settle(state, endpoint, now)
+    demand = make_demand("new")
+    assert not loading.has_room(endpoint, state, engine, now)
+    assert (
+        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        is None
+    )
+    later = now + 2 * loading.LISTEN_S
+    assert loading.has_room(endpoint, state, engine, later)
+
+
+def test_engine_is_asked_for_a_report_before_its_first_order(
+    make_endpoint, state, now
+):
+    """Guards against orders with a sequence that was only guessed."""
+    endpoint = make_endpoint("e")
+    assert not loading.can_order(endpoint, state, now)
+    settle(state, endpoint, now)
+    assert loading.can_order(endpoint, state, now)
+
+
+def test_restarted_engine_is_a_new_one(make_endpoint, state, now):
+    """Guards against counts of an engine that has forgotten everything."""
+    known = settle(state, make_endpoint("e", "a", started_ms=1), now)
+    known.sequence = 9
+    again = state.find_engine(make_endpoint("e", started_ms=2))
+    assert again.sequence == 0
+    assert not again.held
+
+
+def test_silent_engine_holds_nothing(make_endpoint, state, make_demand, now):
+    """Guards against waiting for an engine that nobody reaches."""
+    endpoint = make_endpoint("e", "a")
+    known = settle(state, endpoint, now)
+    demand = make_demand("a")
+    assert loading.list_holders([endpoint], demand, state, now)
+    known.silent_until = now + 1
+    assert not loading.list_holders([endpoint], demand, state, now)
+
+
+def test_burst_serves_those_that_can_be_on_time_first(make_demand, now):
+    """Guards against a burst in which every request is late in its turn.
+
+    Replays the crest of a swing: more adapters are asked for than places
+    turn over, and the oldest demands can no longer be on time.
+    """
+    margin_s = 0.4
+    late = make_demand("late", due=now - 1.0)
+    lost = make_demand("lost", due=now - 2.0)
+    urgent = make_demand("urgent", due=now + 0.5)
+    relaxed = make_demand("relaxed", due=now + 0.9)
+    copy = make_demand("copy", due=now + 0.5, copies=2)
+    ordered = loading.order_demands(
+        [lost, copy, late, relaxed, urgent], margin_s, now
+    )
+    assert ordered == [urgent, relaxed, late, lost, copy]
+
+
+def test_load_times_are_learnt_from_both_sides():
+    """Guards against an expectation that falls towards zero."""
+    times = loading.LoadTimes()
+    kind = loading.LoadKind(False, 0)
+    actual_s = 0.5
+    early = 0
+    for _ in range(2_000):
+        if times.expect(kind) < actual_s:
+            early += 1
+            times.note_early(kind)
+        else:
+            times.note_announced(kind)
+    assert abs(times.expect(kind) - actual_s) < 0.1 * actual_s
+    assert early < 100
+
+
+def test_adapter_goes_back_to_the_engine_that_had_it(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against fetching again what an engine still has in memory."""
+    endpoints = [make_endpoint(f"e{index}") for index in range(6)]
+    for endpoint in endpoints:
+        settle(state, endpoint, now)
+    demand = make_demand("a")
+    first = loading.plan_load(endpoints, demand, state, LOADS, engine, now)
+    again = loading.plan_load(
+        endpoints[::-1], demand, state, LOADS, engine, now + 20
+    )
+    assert first is not None
+    assert again is not None
+    assert first.endpoint is again.endpoint
--- /dev/null
+++ b/tests/entry/test_messages.py
@@ -0,0 +1,31 @@
+"""Datagrams between entry VMs."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bronzetrack.entry import messages
+
+SAMPLES = [
+    messages.Heartbeat("v", "i", "f:1", "z", True, False, 3, "v", {"e": 1}),
+    messages.Uses("v", [["e", "m", "a"]]),
+    messages.Want("v", "s", "m", "a", 1, 1, "", "", 500),
+    messages.Placed("e", "m", "a", 1),
+]
+
+
+@pytest.mark.parametrize("message", SAMPLES, ids=lambda item: item.__class__)
+def test_message_survives_the_wire(message):
+    """Guards against fields that are dropped or exchanged."""
+    assert messages.decode(messages.encode(message)) == message
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_give_a_message_or_an_error(data):
+    """Guards against a datagram that ends the process."""
+    try:
+        messages.decode(data)
+    except messages.MessageError:
+        pass
--- /dev/null
+++ b/tests/entry/test_placement.py
@@ -0,0 +1,86 @@
+"""Choice of the endpoint for a request."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from bronzetrack.entry import placement
+
+
+def test_work_of_other_vms_counts(make_endpoint, view):
+    """Guards against all VMs choosing the same endpoint."""
+    first, second = make_endpoint("a"), make_endpoint("b")
+    busy = attrs.evolve(view, peers_active={"a": 3})
+    assert placement.choose_endpoint([first, second], frozenset(), busy) is (
+        second
+    )
+
+
+def test_failing_endpoint_is_avoided_for_a_while(make_endpoint, view, now):
+    """Guards against an endpoint that fails fast and so seems idle."""
+    first, second = make_endpoint("a"), make_endpoint("b")
+    for _ in range(2):
+        view.traffic.find("a").note_failure(now)
+    assert (
+        placement.choose_endpoint([first, second], frozenset(), view) is second
+    )
+    later = attrs.evolve(view, now=now + 60, peers_active={"b": 1})
+    assert (
+        placement.choose_endpoint([first, second], frozenset(), later) is first
+    )
+
+
+def test_own_zone_comes_first_until_it_is_fuller(make_endpoint, view):
+    """Guards against bytes between zones without need."""
+    near = make_endpoint("near")
+    far = make_endpoint("far", zone="other")
+    assert placement.choose_endpoint([far, near], frozenset(), view) is near
+    loaded = attrs.evolve(view, peers_active={"near": 3})
+    assert placement.choose_endpoint([far, near], frozenset(), loaded) is far
+
+
+def test_tried_endpoint_comes_last(make_endpoint, view):
+    """Guards against repeating a request where it failed."""
+    first, second = make_endpoint("a"), make_endpoint("b")
+    tried = frozenset({"a"})
+    assert placement.choose_endpoint([first, second], tried, view) is second
+    assert placement.choose_endpoint([first], tried, view) is first
+
+
+@pytest.mark.parametrize("field", ["leaving_since", "removed_at"])
+def test_leaving_endpoint_gets_nothing(make_endpoint, view, now, field):
+    """Guards against new work at an endpoint that leaves."""
+    endpoint = make_endpoint("a", **{field: now - 0.1})
+    assert placement.choose_endpoint([endpoint], frozenset(), view) is None
+    assert not placement.list_holders([endpoint], ("m", ""), 1, view)
+
+
+def test_unreachable_engine_holds_nothing(make_endpoint, view, now):
+    """Guards against connecting again and again to a crashed engine."""
+    endpoint = make_endpoint("a", "x")
+    view.traffic.find("a").note_unreachable(now)
+    assert not placement.list_holders([endpoint], ("m", "x"), 1, view)
+    later = attrs.evolve(view, now=now + 5)
+    assert placement.list_holders([endpoint], ("m", "x"), 1, later)
+
+
+def test_older_version_does_not_count(make_endpoint, view):
+    """Guards against a request that begins on an old adapter version."""
+    endpoint = make_endpoint("a", "x")
+    assert placement.list_holders([endpoint], ("m", "x"), 1, view)
+    assert not placement.list_holders([endpoint], ("m", "x"), 2, view)
+
+
+def test_adapter_that_nobody_holds_has_no_holder(make_endpoint, view):
+    """Guards against sending a request where its adapter is missing."""
+    endpoint = make_endpoint("a", "x")
+    assert not placement.list_holders([endpoint], ("m", "y"), 1, view)
+
+
+def test_copy_is_wanted_when_all_holders_are_busy(make_endpoint, view):
+    """Guards against one engine that carries a hot adapter alone."""
+    endpoint = make_endpoint("a", "x")
+    assert not placement.wants_copy([endpoint], view)
+    busy = attrs.evolve(view, peers_active={"a": 9})
+    assert placement.wants_copy([endpoint], busy)
--- /dev/null
+++ b/tests/entry/test_routes.py
@@ -0,0 +1,33 @@
+"""Routes by host and longest prefix."""
+
+from __future__ import annotations
+
+import pytest
+
+from bronzetrack.entry import routes
+
+
+def make_route(prefix):
+    """Return a route."""
+    return routes.Route(prefix, "h", prefix, (routes.Share("s", 1.0),))
+
+
+@pytest.mark.parametrize(
+    ("path", "prefix"),
+    [
+        ("/a/x", "/a/"),
+        ("/a/b/x", "/a/b/"),
+        ("/a/b/", "/a/b/"),
+        ("/a/b", "/a/"),
+        ("/a", None),
+        ("/c/x", None),
+        ("", None),
+    ],
+)
+def test_longest_prefix_wins(path, prefix):
+    """Guards against a route that takes another one's requests."""
+    found = {item.prefix: item for item in map(make_route, ("/a/", "/a/b/"))}
+    configuration = routes.Configuration(1, {"h": found}, {})
+    route = routes.find_route(configuration, "h", path)
+    assert (route.prefix if route else None) == prefix
+    assert routes.find_route(configuration, "other", path) is None
--- /dev/null
+++ b/tests/standins/logstore.py
@@ -0,0 +1,139 @@
+"""A small stand-in of the platform's store, at its published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import struct
+from urllib import parse
+
+import attrs
+
+from standins import rawhttp
+
+
+@attrs.define
+class LogStore:
+    """Topics with one partition each, and faults on request.
+
+    :param failing: status that every call gets
+    :param lost: calls whose answer is withheld after they took effect
+    """
+
+    topics: dict[str, list[bytes]] = attrs.field(factory=dict)
+    first: dict[str, int] = attrs.field(factory=dict)
+    failing: int | None = None
+    lost: int = 0
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write a keyed record, as an operator or an endpoint does."""
+        name = key.encode()
+        self._append(topic, [bytes([len(name)]) + name + (value or b"")])
+
+    def put_json(self, topic: str, key: str, value: object) -> None:
+        """Write a JSON document."""
+        self.put(topic, key, json.dumps(value).encode())
+
+    def trim(self, topic: str) -> None:
+        """Drop the history of a topic."""
+        self.first[topic] = len(self.topics.get(topic, []))
+
+    def _append(self, topic: str, records: list[bytes]) -> int:
+        log = self.topics.setdefault(topic, [])
+        offset = len(log)
+        log.extend(records)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    async def handle(
+        self, request: rawhttp.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a call."""
+        if self.failing is not None:
+            writer.write(rawhttp.make_answer(self.failing))
+            return
+        path, _, query = request.target.partition("?")
+        fields = {
+            name: values[0] for name, values in parse.parse_qs(query).items()
+        }
+        calls = {
+            "/api/log-append": self._handle_append,
+            "/api/log-read": self._handle_read,
+            "/api/log-newest": self._handle_newest,
+        }
+        answer = await calls[path](fields, request.body)
+        if self.lost:
+            self.lost -= 1
+            await asyncio.sleep(3600)
+        writer.write(answer)
+
+    async def _handle_append(
+        self, fields: dict[str, str], body: bytes
+    ) -> bytes:
+        topic = fields["topic"]
+        end = len(self.topics.get(topic, []))
+        if "at" in fields and int(fields["at"]) != end:
+            return rawhttp.make_answer(412, json.dumps({"end": end}).encode())
+        records = []
+        position = 0
+        while position < len(body):
+            (size,) = struct.unpack_from(">I", body, position)
+            records.append(body[position + 4 : position + 4 + size])
+            position += 4 + size
+        offset = self._append(topic, records)
+        result = {"offset": offset, "end": offset + len(records)}
+        return rawhttp.make_answer(200, json.dumps(result).encode())
+
+    async def _handle_read(self, fields: dict[str, str], body: bytes) -> bytes:
+        topic = fields["topic"]
+        start = int(fields["from"])
+        first = self.first.get(topic, 0)
+        if start < first:
+            return rawhttp.make_answer(
+                410, json.dumps({"first": first}).encode()
+            )
+        wait_s = int(fields.get("max_wait_ms", 0)) / 1000
+        if start >= len(self.topics.get(topic, [])):
+            try:
+                await asyncio.wait_for(self.changed.wait(), wait_s)
+            except TimeoutError:
+                pass
+        log = self.topics.get(topic, [])
+        data = struct.pack(">QQ", len(log), first) + b"".join(
+            struct.pack(">I", len(item)) + item for item in log[start:]
+        )
+        return rawhttp.make_answer(200, data)
+
+    async def _handle_newest(
+        self, fields: dict[str, str], body: bytes
+    ) -> bytes:
+        log = self.topics.get(fields["topic"], [])
+        newest: dict[str, tuple[bytes, int]] = {}
+        for offset, record in enumerate(log):
+            end = 1 + record[0]
+            key = record[1:end].decode()
+            newest.pop(key, None)
+            if record[end:]:
+                newest[key] = (record[end:], offset)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in sorted(newest.items())
+            if key > fields.get("after", "")
+        ]
+        page = {
+            "items": items[:PAGE_ITEMS],
+            "has_more": len(items) > PAGE_ITEMS,
+            "end": len(log),
+        }
+        return rawhttp.make_answer(200, json.dumps(page).encode())
+
+
+# Small, so that tests see more than one page.
+PAGE_ITEMS = 3
--- /dev/null
+++ b/tests/standins/rawhttp.py
@@ -0,0 +1,82 @@
+"""HTTP servers of the outside whose every byte a test decides."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.define
+class Received:
+    """A request that arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received | None:
+    """Return the next request of a connection, or nothing at its end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Received(method, target, headers, body)
+
+
+def make_answer(
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None
+) -> bytes:
+    """Return an answer with a length."""
+    lines = [f"HTTP/1.1 {status} Reason", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@attrs.define
+class RawServer:
+    """A listening server; `received` keeps all requests."""
+
+    handler: Handler
+    received: list[Received] = attrs.field(factory=list)
+    connections: int = 0
+    server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while (request := await read_request(reader)) is not None:
+                self.received.append(request)
+                await self.handler(request, writer)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
--- a/tests/wire/test_bad_bytes.py
+++ b/tests/wire/test_bad_bytes.py
@@ -17,10 +17,10 @@
 from bronzetrack.core import messages
 from bronzetrack.core import records
 from bronzetrack.idempotency import table
+from bronzetrack.logservice import logservice
 from bronzetrack.ownership import leases
 from bronzetrack.ownership import replay as ownership_replay
 from bronzetrack.peer import hub
-from bronzetrack.logservice import logservice
 from bronzetrack.streaming import messages as streaming_messages
 from bronzetrack.wire import documents
 
