--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,10 @@
 	$(BIN)/isort src tests scripts bench
 	$(BIN)/black --quiet src tests scripts bench
 
+# Files run side by side. Tests of one file share processes and ports.
+WORKERS ?= $(shell nproc)
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
 
 SEED ?= 0
 FACTOR ?= 20
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -40,6 +40,7 @@
 from bronzetrack.idempotency import keys  # noqa: E402
 from bronzetrack.idempotency import records as key_records  # noqa: E402
 from bronzetrack.idempotency import table as key_table  # noqa: E402
+from bronzetrack.logservice import logservice  # noqa: E402
 from bronzetrack.membership import changes  # noqa: E402
 from bronzetrack.membership import messages as membership  # noqa: E402
 from bronzetrack.membership import summaries  # noqa: E402
@@ -48,7 +49,6 @@
 from bronzetrack.ownership import records as lease_records  # noqa: E402
 from bronzetrack.ownership import replay as ownership  # noqa: E402
 from bronzetrack.peer import hub  # noqa: E402
-from bronzetrack.logservice import logservice  # noqa: E402
 from bronzetrack.retries import records as crash_records  # noqa: E402
 from bronzetrack.retries import suspects  # noqa: E402
 from bronzetrack.routing import choice  # noqa: E402
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -21,9 +21,9 @@
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 from bronzetrack.entry import traffic as traffic_tables
-from bronzetrack.entry.http import connections
-from bronzetrack.entry.http import server
 from bronzetrack.platform import requests as wire_requests
+from bronzetrack.transport import connections
+from bronzetrack.transport import server
 
 LOG = logging.getLogger(__name__)
 TICK_S = 0.5
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -8,14 +8,13 @@
 from urllib import parse
 
 import anyio
-from anyio import abc
 import prometheus_client
 
 from bronzetrack.entry import dump
 from bronzetrack.entry import members
 from bronzetrack.entry import roles
-from bronzetrack.entry.http import server
 from bronzetrack.platform import names
+from bronzetrack.transport import server
 
 LOG = logging.getLogger(__name__)
 TICK_S = 0.1
@@ -29,10 +28,6 @@
 ENTRY_TTL_SHARE = 0.4
 
 
-class Stopped(Exception):
-    """The planned stop is complete."""
-
-
 @roles.CONTROLLERS.register("lifecycle")
 class LifecycleController(roles.Controller):
     """Says whether this VM takes requests, and stops it on a signal."""
@@ -107,10 +102,7 @@
         LOG.info("stopping", extra={"event": "stopping"})
 
     async def drain(self, front: server.Listener) -> None:
-        """Wait for the signal, then until all requests are answered.
-
-        :raises Stopped: when the process may end
-        """
+        """Wait for the signal, then until all requests are answered."""
         section = self.board.lifecycle
         while section.value.stopping_since is None:
             await section.wait_change(section.revision)
@@ -126,7 +118,6 @@
             "stopped",
             extra={"event": "stopped", "unfinished": front.count_busy()},
         )
-        raise Stopped
 
     async def _take_last_requests(self, until: float) -> None:
         while self.read_clock() < until:
@@ -178,15 +169,3 @@
         ttl_s = self.board.settings.entry_ttl_s * ENTRY_TTL_SHARE
         body = json.dumps({"addresses": fronts, "ttl_s": ttl_s}).encode()
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
-
-
-async def run_until_stopped(
-    controller: LifecycleController,
-    front: server.Listener,
-    group: abc.TaskGroup,
-) -> None:
-    """Cancel a group when the planned stop is complete."""
-    try:
-        await controller.drain(front)
-    except Stopped:
-        group.cancel_scope.cancel()
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -12,7 +12,7 @@
 import attrs
 
 from bronzetrack.entry import endpoints
-from bronzetrack.entry import traffic
+from bronzetrack.entry import traffic as traffic_tables
 
 # A failure seen lately weighs as much as this share of a full endpoint.
 FAILURE_WEIGHT = 0.5
@@ -31,7 +31,7 @@
     :param zone: availability zone of this VM
     """
 
-    traffic: traffic.TrafficTable
+    traffic: traffic_tables.TrafficTable
     peers_active: Mapping[str, int]
     zone: str
     now: float
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -6,6 +6,7 @@
 import logging
 import pkgutil
 import time
+from typing import Any
 import uuid
 
 import anyio
@@ -15,10 +16,9 @@
 from bronzetrack.entry import controllers as controller_package
 from bronzetrack.entry import roles
 from bronzetrack.entry import settings as entry_settings
-from bronzetrack.entry.controllers import lifecycle
-from bronzetrack.entry.http import calls
 from bronzetrack.platform import orders
 from bronzetrack.platform import store
+from bronzetrack.transport import calls
 
 LOG = logging.getLogger(__name__)
 
@@ -47,7 +47,7 @@
         store.Store(caller, settings.store),
         orders.Engines(caller, settings.vm),
     )
-    running = {
+    running: dict[str, Any] = {
         name: controller(board, ports, read_clock)
         for name, controller in roles.CONTROLLERS.items()
     }
@@ -58,9 +58,8 @@
     async with anyio.create_task_group() as group:
         for name, controller in running.items():
             group.start_soon(_run_controller, name, controller)
-        await lifecycle.run_until_stopped(
-            running["lifecycle"], running["forwarding"].listener, group
-        )
+        await running["lifecycle"].drain(running["forwarding"].listener)
+        group.cancel_scope.cancel()
 
 
 async def _run_controller(name: str, controller: roles.Controller) -> None:
--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -8,10 +8,10 @@
 
 from bronzetrack.entry import events
 from bronzetrack.entry import requests
-from bronzetrack.entry.http import connections
-from bronzetrack.entry.http import heads
-from bronzetrack.entry.http import server
 from bronzetrack.platform import names
+from bronzetrack.transport import connections
+from bronzetrack.transport import heads
+from bronzetrack.transport import server
 
 
 class Outcome(enum.Enum):
--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -13,7 +13,7 @@
 from bronzetrack.platform import names
 
 if TYPE_CHECKING:
-    from bronzetrack.entry.http import calls
+    from bronzetrack.transport import calls
 
 ORDER_TIMEOUT_S = 1.0
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from bronzetrack.entry import endpoints
-    from bronzetrack.entry.http import heads
+    from bronzetrack.transport import heads
 
 DEFAULT_DEADLINE_S = 30.0
 CRLF = b"\r\n"
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -18,7 +18,7 @@
 from bronzetrack.platform import names
 
 if TYPE_CHECKING:
-    from bronzetrack.entry.http import calls
+    from bronzetrack.transport import calls
 
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
--- a/src/bronzetrack/entry/http/calls.py
+++ b/src/bronzetrack/transport/calls.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from bronzetrack.entry.http import connections
-from bronzetrack.entry.http import heads
+from bronzetrack.transport import connections
+from bronzetrack.transport import heads
 
 POOL_CONNECTIONS = 64
 
--- a/src/bronzetrack/entry/http/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -17,7 +17,7 @@
 import attrs
 import httptools
 
-from bronzetrack.entry.http import heads
+from bronzetrack.transport import heads
 
 CONNECT_TIMEOUT_S = 0.4
 # Unacknowledged bytes end a connection after this time, also where the other
--- a/src/bronzetrack/entry/http/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -16,7 +16,7 @@
 import attrs
 import httptools
 
-from bronzetrack.entry.http import heads
+from bronzetrack.transport import heads
 
 # Requests that a caller may send before the answer to the first.
 PIPELINE_REQUESTS = 8
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -6,8 +6,8 @@
 
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import routes
-from bronzetrack.entry.http import heads
 from bronzetrack.platform import requests as wire_requests
+from bronzetrack.transport import heads
 
 ROUTE = routes.Route("r", "h", "/", (routes.Share("s", 1.0),), priority=2)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from bronzetrack.entry.http import calls
 from bronzetrack.platform import follower
 from bronzetrack.platform import store as stores
+from bronzetrack.transport import calls
 from standins import logstore
 from standins import rawhttp
 
--- a/tests/entry/http/conftest.py
+++ b/tests/transport/conftest.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from bronzetrack.entry.http import server
+from bronzetrack.transport import server
 
 
 @pytest.fixture
--- a/tests/entry/http/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from bronzetrack.entry.http import calls
-from bronzetrack.entry.http import connections
+from bronzetrack.transport import calls
+from bronzetrack.transport import connections
 from standins import rawhttp
 
 pytestmark = pytest.mark.anyio
