--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -50,6 +50,8 @@
     """What has been done for a request.
 
     :param ran: endpoints that may have run it
+    :param waited_s: time from the arrival to the last send
+    :param first_byte_s: time from the arrival to the answer's first byte
     """
 
     service: str
@@ -60,6 +62,7 @@
     endpoint: str = ""
     buffer: events.EventBuffer | None = None
     sending: bool = False
+    waited_s: float | None = None
     first_byte_s: float | None = None
     asked_at: float = 0.0
     missing: str = ""
@@ -345,7 +348,9 @@
         if not holders:
             self._ask(request, progress, version, 1, now)
             return None
-        if need[1] and placement.wants_copy(holders, view):
+        if need[1] and placement.wants_copy(
+            holders, candidates, view
+        ):
             self._ask(request, progress, version, len(holders) + 1, now)
         return placement.choose_endpoint(
             holders, frozenset(progress.tried), view
@@ -446,6 +451,7 @@
             self._get_version(request, endpoint),
             resume_after,
         )
+        progress.waited_s = sent_at - request.arrived
         progress.sends += 1
         progress.ran += 1
         progress.endpoint = endpoint.identity
@@ -600,11 +606,14 @@
                 "outcome": progress.outcome if progress else "",
                 "reason": failure.reason.value if failure else "",
                 "detail": failure.detail if failure else "",
-                "first_byte_s": (
-                    round(progress.first_byte_s, 4)
-                    if progress and progress.first_byte_s is not None
-                    else None
+                "waited_s": _round(progress.waited_s if progress else None),
+                "first_byte_s": _round(
+                    progress.first_byte_s if progress else None
                 ),
                 "total_s": round(now - request.arrived, 4),
             },
         )
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -14,6 +14,7 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loading
 from bronzetrack.entry import messages
+from bronzetrack.entry import placement
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 from bronzetrack.platform import orders
@@ -30,6 +31,8 @@
 TURN_S = 0.01
 # A load that took longer than expected is looked at again after this time.
 LOAD_RECHECK_S = 0.06
+# Added to the mean load, so that a few requests make no engine a busy one.
+IDLE_REQUESTS = 4.0
 MODEL_LOAD_WINDOW_S = 5.0
 MODEL_LOAD_SHARE = 0.6
 # A model that was ordered is not ordered again within this many times its
@@ -194,16 +197,15 @@
     def _measure_loads(
         self, candidates: list[endpoints.Endpoint]
     ) -> dict[str, float]:
-        own = self.board.traffic.value.by_identity
-        others = self.board.membership.value.active
-        return {
-            item.identity: (
-                others.get(item.identity, 0)
-                + (own[item.identity].active if item.identity in own else 0)
-            )
-            / max(1, item.capacity)
-            for item in candidates
+        """Return the requests in progress at each engine against the mean."""
+        view = placement.View(
+            self.board.traffic.value, self.board.membership.value.active, "", 0
+        )
+        active = {
+            item.identity: view.count_active(item) for item in candidates
         }
+        mean = sum(active.values()) / max(1, len(active)) + IDLE_REQUESTS
+        return {identity: count / mean for identity, count in active.items()}
 
     def _plan_models(
         self,
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -28,8 +28,9 @@
 IDLE_S = 0.25
 # Half-life of the use of adapters.
 HEAT_HALF_S = 15.0
-# What a place in the order of preference weighs against load.
-RANK_WEIGHT = 0.08
+# What a place in the order of preference weighs against load, where 1 is the
+# mean load of the engines.
+RANK_WEIGHT = 0.3
 # What the use of the adapter to drop weighs against load.
 HEAT_WEIGHT = 0.1
 # Engines that leave sooner than this load nothing more.
@@ -229,7 +230,7 @@
     """Return where an adapter is loaded, or nothing if no engine can.
 
     :param candidates: engines that take an order now
-    :param loads: how full each engine is
+    :param loads: requests in progress at each engine against the mean
     """
     ranked = sorted(
         candidates,
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -18,9 +18,12 @@
 FAILURE_WEIGHT = 0.5
 # An endpoint of the own availability zone may be fuller by this share.
 ZONE_WEIGHT = 0.1
-# An engine that holds the adapter takes requests up to this share of its
-# capacity before another copy is asked for.
-COPY_SHARE = 0.4
+# Engines share prompts and tokens among all their requests, so that each is
+# slow long before its last slot is taken. Another copy of an adapter is asked
+# for when each engine that holds it has this much more to do than the mean.
+COPY_FACTOR = 1.3
+# Fewer requests than this in progress are no load worth a copy.
+COPY_REQUESTS = 6
 
 
 @attrs.frozen
@@ -97,9 +100,19 @@
     ]
 
 
-def wants_copy(holders: list[endpoints.Endpoint], view: View) -> bool:
-    """Return whether every engine that holds an adapter is busy with it."""
-    return bool(holders) and all(
-        view.count_active(item) >= COPY_SHARE * item.capacity
-        for item in holders
-    )
+def wants_copy(
+    holders: list[endpoints.Endpoint],
+    candidates: list[endpoints.Endpoint],
+    view: View,
+) -> bool:
+    """Return whether an adapter should be held by one engine more.
+
+    Load pattern: one adapter gets a fifth of all requests, and the engine
+    that holds it alone answers late while the others have little to do.
+    """
+    usable = [item for item in candidates if item.is_usable(view.now)]
+    if not holders or len(holders) >= len(usable):
+        return False
+    mean = sum(map(view.count_active, usable)) / len(usable)
+    bound = max(COPY_REQUESTS, COPY_FACTOR * mean)
+    return all(view.count_active(item) > bound for item in holders)
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -78,9 +78,33 @@
     assert not placement.list_holders([endpoint], ("m", "y"), 1, view)
 
 
-def test_copy_is_wanted_when_all_holders_are_busy(make_endpoint, view):
-    """Guards against one engine that carries a hot adapter alone."""
-    endpoint = make_endpoint("a", "x")
-    assert not placement.wants_copy([endpoint], view)
-    busy = attrs.evolve(view, peers_active={"a": 9})
-    assert placement.wants_copy([endpoint], busy)
+def test_copy_is_wanted_when_holders_have_more_than_the_rest(
+    make_endpoint, view
+):
+    """Guards against one engine that carries a hot adapter alone.
+
+    Replays a day on which one adapter got a fifth of all requests: its
+    engine had 65 in progress and the others 12 to 30.
+    """
+    holder = make_endpoint("hot", "x")
+    others = [make_endpoint(f"e{index}") for index in range(5)]
+    engines = [holder, *others]
+    assert not placement.wants_copy([holder], engines, view)
+    active = {"hot": 65, "e0": 12, "e1": 19, "e2": 30, "e3": 25, "e4": 18}
+    busy = attrs.evolve(view, peers_active=active)
+    assert placement.wants_copy([holder], engines, busy)
+    assert not placement.wants_copy([holder, others[0]], engines, busy)
+
+
+def test_few_requests_are_no_reason_for_a_copy(make_endpoint, view):
+    """Guards against copies that take places while nothing is busy."""
+    holder, other = make_endpoint("a", "x"), make_endpoint("b")
+    light = attrs.evolve(view, peers_active={"a": 4})
+    assert not placement.wants_copy([holder], [holder, other], light)
+
+
+def test_no_copy_beyond_the_last_engine(make_endpoint, view):
+    """Guards against a demand that nothing can meet."""
+    holder = make_endpoint("a", "x")
+    busy = attrs.evolve(view, peers_active={"a": 50})
+    assert not placement.wants_copy([holder], [holder], busy)
