Ask for copies by the mean load, and keep adapters where they were

Cause: one engine carried 65 requests beside others with 12 to 30, as copies were asked for by the share of slots taken. Change: a copy is wanted where every holder has twice the mean (ten requests at least); the load of an engine weighs against the mean, the order of preference more than before.

--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -30,7 +30,7 @@
 HEAT_HALF_S = 15.0
 # What a place in the order of preference weighs against load, where 1 is the
 # mean load of the engines.
-RANK_WEIGHT = 0.3
+RANK_WEIGHT = 1.0
 # What the use of the adapter to drop weighs against load.
 HEAT_WEIGHT = 0.1
 # Engines that leave sooner than this load nothing more.
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -21,9 +21,9 @@
 # Engines share prompts and tokens among all their requests, so that each is
 # slow long before its last slot is taken. Another copy of an adapter is asked
 # for when each engine that holds it has this much more to do than the mean.
-COPY_FACTOR = 1.3
+COPY_FACTOR = 2.0
 # Fewer requests than this in progress are no load worth a copy.
-COPY_REQUESTS = 6
+COPY_REQUESTS = 10
 
 
 @attrs.frozen
