Log requests whose caller left

Cause: a request that was cancelled left no line, so that nobody could tell it from one that never came.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 
@@ -120,6 +121,20 @@
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
         self._find_budget(progress.service).note_request(now)
+        try:
+            await self._run(exchange, request, progress)
+        except asyncio.CancelledError:
+            left = failures.Failure(failures.Reason.CALLER_LEFT)
+            self._log_end(request, progress, left)
+            raise
+
+    async def _run(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: Progress,
+    ) -> None:
+        """Forward a request until its deadline."""
         remaining = request.deadline - self.read_clock()
         with anyio.move_on_after(max(0.0, remaining)):
             failure = await self._forward(exchange, request, progress)
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -24,6 +24,7 @@
     LOST = "lost"
     MALFORMED = "malformed"
     INTERNAL = "internal"
+    CALLER_LEFT = "caller_left"
 
 
 # Statuses 503, 429, 408 and 421 state that the request has not run and never
@@ -43,6 +44,7 @@
     Reason.LOST: 502,
     Reason.MALFORMED: 502,
     Reason.INTERNAL: 502,
+    Reason.CALLER_LEFT: 502,
 }
 
 
