--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -20,7 +20,7 @@
 LOG = logging.getLogger(__name__)
 HEARTBEAT_S = 0.3
 # The holder of the lease hears of adapters in use at least this often.
-USES_S = 0.1
+USES_S = 0.05
 # Announcements are kept for ever, so that they are rarely read.
 WAIT_S = 20.0
 RETRY_S = 0.5
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -25,7 +25,7 @@
 MOST_PENDING = 4
 # An adapter counts as idle when no VM used it for this time, which is longer
 # than news of a request takes to arrive.
-IDLE_S = 0.25
+IDLE_S = 0.15
 # Half-life of the use of adapters.
 HEAT_HALF_S = 15.0
 # What a place in the order of preference weighs against load, where 1 is the
