--- a/src/bronzetrack/daemon/logs.py
+++ b/src/bronzetrack/daemon/logs.py
@@ -6,7 +6,6 @@
 import logging
 import sys
 from typing import Any
-from typing import TextIO
 
 STANDARD_FIELDS = frozenset(
     vars(logging.LogRecord("", 0, "", 0, "", None, None))
@@ -55,7 +54,7 @@
     level: str,
     vm: str,
     availability_zone: str,
-    stream: TextIO | None = None,
+    stream: Any = None,
 ) -> None:
     """Send all logs to a stream as JSON lines, by default standard error."""
     handler = logging.StreamHandler(stream or sys.stderr)
--- a/src/bronzetrack/entry/__main__.py
+++ b/src/bronzetrack/entry/__main__.py
@@ -9,6 +9,7 @@
 import anyio
 
 from bronzetrack.daemon import logs
+from bronzetrack.entry import loglines
 from bronzetrack.entry import process
 from bronzetrack.entry import settings as entry_settings
 
@@ -24,7 +25,9 @@
     except (OSError, entry_settings.SettingsError) as error:
         print(f"{file}: {error}", file=sys.stderr)
         sys.exit(BAD_SETTINGS)
-    logs.configure_logs("info", settings.vm, settings.zone, sys.stdout)
+    output = loglines.BoundedStream(sys.stdout.fileno())
+    logs.configure_logs("info", settings.vm, settings.zone, output)
+    loglines.bound_root_logger()
     anyio.run(process.run_entry, settings)
 
 
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -16,6 +16,7 @@
 from bronzetrack.entry import failures
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
+from bronzetrack.entry import meters
 from bronzetrack.entry import placement
 from bronzetrack.entry import relays
 from bronzetrack.entry import requests
@@ -276,7 +277,9 @@
         if request.deadline - now < 0.02:
             return False
         vms = self.board.membership.value.members.count_vms(now)
-        return self._find_budget(progress.service).spend(now, vms)
+        allowed = self._find_budget(progress.service).spend(now, vms)
+        meters.REPEATS.labels(str(allowed).lower()).inc()
+        return allowed
 
     # Choice of the endpoint.
 
@@ -470,6 +473,7 @@
         progress.sends += 1
         progress.ran += 1
         progress.endpoint = endpoint.identity
+        self._log_send(request, progress, endpoint)
         connection.send(
             data,
             relay,
@@ -490,6 +494,37 @@
         )
         return relay
 
+    def _log_send(
+        self,
+        request: requests.Request,
+        progress: Progress,
+        endpoint: endpoints.Endpoint,
+    ) -> None:
+        """State what decided a send; first sends that did not wait say it
+        in the line at the end."""
+        if progress.sends == 1 and (progress.waited_s or 0.0) < WAIT_S:
+            return
+        now = self.read_clock()
+        LOG.info(
+            "a request was sent",
+            extra={
+                "event": "sent",
+                "request_id": request.identity,
+                "endpoint": endpoint.identity,
+                "adapter": request.adapter,
+                "version": endpoint.adapters.get(request.need or NO_NEED),
+                "placed_age_s": _round(
+                    now - endpoint.placed_at[request.need]
+                    if request.need in endpoint.placed_at
+                    else None
+                ),
+                "store_age_s": _round(now - self.board.contact.value),
+                "send": progress.sends,
+                "waited_s": _round(progress.waited_s),
+                "holder": self.board.lease.value.holder,
+            },
+        )
+
     def _get_version(
         self, request: requests.Request, endpoint: endpoints.Endpoint
     ) -> int | None:
@@ -537,6 +572,7 @@
         relay: relays.Relay,
         now: float,
     ) -> None:
+        meters.REJECTIONS.labels(relay.status).inc()
         LOG.info(
             "an endpoint rejected a request without running it",
             extra={
@@ -608,7 +644,8 @@
         progress: Progress | None,
         failure: failures.Failure | None,
     ) -> None:
-        now = self.read_clock()
+        total_s = self.read_clock() - request.arrived
+        _measure(progress, failure, total_s)
         LOG.info(
             "a request ended",
             extra={
@@ -625,10 +662,26 @@
                 "first_byte_s": _round(
                     progress.first_byte_s if progress else None
                 ),
-                "total_s": round(now - request.arrived, 4),
+                "total_s": _round(total_s),
             },
         )
 
 
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
+
+
+def _measure(
+    progress: Progress | None,
+    failure: failures.Failure | None,
+    total_s: float,
+) -> None:
+    meters.REQUESTS.labels(
+        progress.outcome if progress else "",
+        failure.reason.value if failure else "",
+    ).inc()
+    meters.TOTAL.observe(total_s)
+    if progress is not None and progress.waited_s is not None:
+        meters.WAITED.observe(progress.waited_s)
+    if progress is not None and progress.first_byte_s is not None:
+        meters.FIRST_BYTE.observe(progress.first_byte_s)
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -12,6 +12,7 @@
 
 from bronzetrack.entry import dump
 from bronzetrack.entry import members
+from bronzetrack.entry import meters
 from bronzetrack.entry import roles
 from bronzetrack.platform import names
 from bronzetrack.transport import server
@@ -43,6 +44,7 @@
                 settings.readiness,
                 settings.directory,
                 settings.operators,
+                settings.metrics,
             }
         }
         for address, listener in self._listeners.items():
@@ -137,7 +139,7 @@
             exchange.respond(
                 200,
                 [(b"Content-Type", b"text/plain; version=0.0.4")],
-                prometheus_client.generate_latest(),
+                prometheus_client.generate_latest(meters.REGISTRY),
             )
         elif path == "/state":
             body = json.dumps(dump.dump_board(self.board)).encode()
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -14,6 +14,7 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loading
 from bronzetrack.entry import messages
+from bronzetrack.entry import meters
 from bronzetrack.entry import placement
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
@@ -350,6 +351,8 @@
             state.sequence += 1
         elif verdict is not orders.Verdict.DONE:
             state.check_at = now + REPORT_LAG_S
+        operation = "load" if load else "unload"
+        meters.ORDERS.labels(operation, verdict.value).inc()
         if verdict is orders.Verdict.FENCED:
             lease.release()
         LOG.info(
@@ -357,7 +360,7 @@
             extra={
                 "event": "order",
                 "endpoint": endpoint.identity,
-                "operation": "load" if load else "unload",
+                "operation": operation,
                 "model": need[0],
                 "adapter": need[1],
                 "version": version,
--- /dev/null
+++ b/src/bronzetrack/entry/meters.py
@@ -0,0 +1,131 @@
+"""Counters, gauges and latency histograms of an entry VM."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import core as prometheus_core
+from prometheus_client import registry as prometheus_registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bronzetrack.entry import board as boards
+
+# The registry is of its own, as the other daemon of the package registers
+# metrics with the same names.
+REGISTRY = prometheus_client.CollectorRegistry()
+SECONDS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 10.0)
+
+REQUESTS = prometheus_client.Counter(
+    "bronzetrack_entry_requests",
+    "Requests that ended, by outcome of the last send and reason.",
+    ["outcome", "reason"],
+    registry=REGISTRY,
+)
+REJECTIONS = prometheus_client.Counter(
+    "bronzetrack_entry_rejections",
+    "Sends that an endpoint rejected without a run, by status.",
+    ["status"],
+    registry=REGISTRY,
+)
+REPEATS = prometheus_client.Counter(
+    "bronzetrack_entry_repeats",
+    "Sends beyond the first, by whether the retry budget allowed them.",
+    ["allowed"],
+    registry=REGISTRY,
+)
+ORDERS = prometheus_client.Counter(
+    "bronzetrack_entry_orders",
+    "Orders to engines, by operation and answer.",
+    ["operation", "verdict"],
+    registry=REGISTRY,
+)
+STORE_CALLS = prometheus_client.Counter(
+    "bronzetrack_entry_store_calls",
+    "Calls of the store, by call and status, 0 without an answer.",
+    ["call", "status"],
+    registry=REGISTRY,
+)
+WAITED = prometheus_client.Histogram(
+    "bronzetrack_entry_waited_seconds",
+    "Time from the arrival of a request to its last send.",
+    buckets=SECONDS,
+    registry=REGISTRY,
+)
+FIRST_BYTE = prometheus_client.Histogram(
+    "bronzetrack_entry_first_byte_seconds",
+    "Time from the arrival of a request to the first byte of the answer.",
+    buckets=SECONDS,
+    registry=REGISTRY,
+)
+TOTAL = prometheus_client.Histogram(
+    "bronzetrack_entry_total_seconds",
+    "Time from the arrival of a request to its end.",
+    buckets=SECONDS,
+    registry=REGISTRY,
+)
+
+
+class BoardCollector(prometheus_registry.Collector):
+    """Reads gauges from the blackboard when they are asked for."""
+
+    def __init__(
+        self, board: boards.Blackboard, read_clock: Callable[[], float]
+    ) -> None:
+        self._board = board
+        self._read_clock = read_clock
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        """Return the present values."""
+        board = self._board
+        now = self._read_clock()
+        configuration = board.rules.value.configuration
+        gauges = {
+            "ready": (
+                "Whether this VM takes requests.",
+                float(board.lifecycle.value.ready),
+            ),
+            "lease_held": (
+                "Whether this VM may give orders.",
+                float(board.lease.value.is_held(now)),
+            ),
+            "peers_alive": (
+                "Other VMs that were heard lately.",
+                len(board.membership.value.members.list_alive(now)),
+            ),
+            "endpoints_usable": (
+                "Endpoints that new work may be sent to.",
+                sum(
+                    item.is_usable(now)
+                    for item in board.endpoints.value.by_identity.values()
+                ),
+            ),
+            "requests_waiting": (
+                "Requests that wait for an engine.",
+                sum(
+                    item.waiting for item in board.arrivals.by_need.values()
+                ),
+            ),
+            "requests_active": (
+                "Requests in progress at endpoints.",
+                sum(
+                    item.active
+                    for item in board.traffic.value.by_identity.values()
+                ),
+            ),
+            "store_age_seconds": (
+                "Time since the store was last read.",
+                now - board.contact.value,
+            ),
+            "configuration_version": (
+                "Version of the configuration in force, 0 for none.",
+                configuration.version if configuration else 0,
+            ),
+        }
+        for name, (text, value) in gauges.items():
+            yield prometheus_core.GaugeMetricFamily(
+                f"bronzetrack_entry_{name}", text, value
+            )
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -14,6 +14,7 @@
 from bronzetrack.core import errors
 from bronzetrack.entry import board as boards
 from bronzetrack.entry import controllers as controller_package
+from bronzetrack.entry import meters
 from bronzetrack.entry import roles
 from bronzetrack.entry import settings as entry_settings
 from bronzetrack.platform import orders
@@ -51,6 +52,7 @@
         name: controller(board, ports, read_clock)
         for name, controller in roles.CONTROLLERS.items()
     }
+    meters.REGISTRY.register(meters.BoardCollector(board, read_clock))
     LOG.info(
         "starting",
         extra={"event": "starting", "incarnation": board.incarnation},
--- a/src/bronzetrack/entry/settings.py
+++ b/src/bronzetrack/entry/settings.py
@@ -24,7 +24,8 @@
     :param front: address for callers
     :param readiness: address for checks whether the VM is ready
     :param directory: address that tells callers which VMs to use
-    :param operators: address for metrics and the state dump
+    :param operators: address for the state dump
+    :param metrics: address for metrics
     :param peer_port: UDP port for the other VMs
     :param drain_s: longest time in which new work may reach an endpoint
         that leaves
@@ -40,6 +41,7 @@
     readiness: str
     directory: str
     operators: str
+    metrics: str
     peer_ip: str
     peer_port: int
     store: str
@@ -88,6 +90,7 @@
         "readiness": take("listen", "readiness", str),
         "directory": take("listen", "directory", str),
         "operators": take("listen", "operators", str),
+        "metrics": take("listen", "metrics", str),
         "peer_ip": take("peers", "ip", str),
         "store": take("store", "address", str),
         "drain_s": take("limits", "drain_ms", float) / 1000,
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -15,6 +15,7 @@
 import attrs
 
 from bronzetrack.core import errors
+from bronzetrack.entry import meters
 from bronzetrack.platform import names
 
 if TYPE_CHECKING:
@@ -178,6 +179,8 @@
         answer = await self._caller.call(
             self._address, method, target, body, timeout_s
         )
+        status = answer.status if answer else 0
+        meters.STORE_CALLS.labels(path.rpartition("/")[2], status).inc()
         if answer is None:
             raise StoreUncertainError(f"no answer to {method} {path}")
         return answer
