--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -16,6 +16,7 @@
 from bronzetrack.entry import messages
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
+from bronzetrack.entry import suspects
 from bronzetrack.entry import traffic
 
 MAILBOX_ITEMS = 4_096
@@ -105,6 +106,14 @@
         factory=lambda: blackboard.Section("contact", "configuration", 0.0)
     )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
+    suspects: blackboard.Section[suspects.Suspects] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "suspects", "forwarding", suspects.Suspects()
+        )
+    )
+    losses: blackboard.Mailbox[messages.Loss] = attrs.field(
+        factory=lambda: blackboard.Mailbox("losses", MAILBOX_ITEMS)
+    )
     arrivals: arrivals.Arrivals = attrs.field(factory=arrivals.Arrivals)
     placed: blackboard.Mailbox[messages.Placed] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -22,6 +22,7 @@
 from bronzetrack.entry import requests
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
+from bronzetrack.entry import suspects
 from bronzetrack.entry import traffic as traffic_tables
 from bronzetrack.platform import requests as wire_requests
 from bronzetrack.transport import connections
@@ -118,6 +119,14 @@
             self._fail(exchange, request, None, route)
             return
         request.bind(route)
+        suspect = suspects.identify(request.path, request.body)
+        if self._is_suspected(suspect, now):
+            failure = failures.Failure(
+                failures.Reason.SUSPECTED,
+                "endpoints broke off each time that they ran this request",
+            )
+            self._fail(exchange, request, None, failure)
+            return
         progress = Progress(self._choose_service(route))
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
@@ -149,6 +158,18 @@
             exchange, request, progress, failures.Failure(reason, "timeout")
         )
 
+    def _is_suspected(self, suspect: str, now: float) -> bool:
+        known = self.board.suspects.value
+        for loss in self.board.losses.take():
+            known.note_loss(loss.identity, now)
+        return known.is_refused(suspect, now)
+
+    def _note_loss(self, request: requests.Request, now: float) -> None:
+        suspect = suspects.identify(request.path, request.body)
+        self.board.suspects.value.note_loss(suspect, now)
+        if suspect:
+            self.board.outgoing.post(messages.Loss(suspect))
+
     def _find_route(
         self, request: requests.Request
     ) -> routes.Route | failures.Failure:
@@ -366,9 +387,7 @@
         if not holders:
             self._ask(request, progress, version, 1, now)
             return None
-        if need[1] and placement.wants_copy(
-            holders, candidates, view
-        ):
+        if need[1] and placement.wants_copy(holders, candidates, view):
             self._ask(request, progress, version, len(holders) + 1, now)
         return placement.choose_endpoint(
             holders, frozenset(progress.tried), view
@@ -500,8 +519,10 @@
         progress: Progress,
         endpoint: endpoints.Endpoint,
     ) -> None:
-        """State what decided a send; first sends that did not wait say it
-        in the line at the end."""
+        """State what decided a send.
+
+        The line at the end says it for a first send that did not wait.
+        """
         if progress.sends == 1 and (progress.waited_s or 0.0) < WAIT_S:
             return
         now = self.read_clock()
@@ -551,14 +572,10 @@
         if outcome is relays.Outcome.REJECTED:
             progress.ran -= 1
             self._note_rejection(request, progress, endpoint, relay, now)
-        elif (
-            outcome
-            in (
-                relays.Outcome.LOST,
-                relays.Outcome.MALFORMED,
-            )
-            or relay.status >= 500
-        ):
+        elif outcome is relays.Outcome.LOST:
+            traffic.note_failure(now)
+            self._note_loss(request, now)
+        elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
             traffic.note_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -111,7 +111,9 @@
             )
             self._state.demands[key] = demand
         demand.last_at = now
-        demand.due = max(demand.due, now + want.slack_ms / 1000)
+        demand.note_due(
+            now + want.slack_ms / 1000, now + self._state.measure_margin()
+        )
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
 
@@ -183,9 +185,7 @@
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
-        margin_s = (
-            state.times.expect(loading.UNKNOWN_KIND) + loading.FIRST_EVENT_S
-        )
+        margin_s = state.measure_margin()
         for demand in loading.order_demands(demands, margin_s, now):
             key = (service, demand.need)
             holders = loading.list_holders(candidates, demand, state, now)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -142,6 +142,8 @@
                 self._apply_uses(message)
             case messages.Want():
                 self.board.wanted.post(message)
+            case messages.Loss():
+                self.board.losses.post(message)
             case messages.Placed():
                 self.board.placed.post(message)
 
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -21,6 +21,7 @@
     DEADLINE = "deadline"
     UNREACHABLE = "unreachable"
     REJECTED = "rejected"
+    SUSPECTED = "suspected"
     LOST = "lost"
     MALFORMED = "malformed"
     INTERNAL = "internal"
@@ -40,6 +41,7 @@
     Reason.ISOLATED: 503,
     Reason.UNREACHABLE: 503,
     Reason.REJECTED: 503,
+    Reason.SUSPECTED: 503,
     Reason.DEADLINE: 504,
     Reason.LOST: 502,
     Reason.MALFORMED: 502,
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -143,7 +143,8 @@
     """An adapter that VMs asked for and no engine holds yet.
 
     :param since: when it was first asked for
-    :param due: until when the request with the most time is on time
+    :param due: until when the most urgent request that can still be on time
+        is on time, or the latest of those that cannot
     """
 
     service: str
@@ -154,6 +155,19 @@
     last_at: float
     since: float
 
+    def note_due(self, due: float, soonest: float) -> None:
+        """Take in one more request.
+
+        The time of newer requests must not stand for the older ones: a
+        demand that is asked for again and again would never be urgent.
+
+        :param soonest: earliest time of a first event
+        """
+        if self.due >= soonest and due >= soonest:
+            self.due = min(self.due, due)
+        else:
+            self.due = max(self.due, due)
+
 
 @attrs.define(eq=False)
 class LoadingState:
@@ -198,6 +212,10 @@
         value, at = self.heat.get(need, (0.0, now))
         return value * 0.5 ** ((now - at) / HEAT_HALF_S)
 
+    def measure_margin(self) -> float:
+        """Return the time from an order to the first event."""
+        return self.times.expect(UNKNOWN_KIND) + FIRST_EVENT_S
+
     def classify_load(self, known: EngineState, need: Need) -> LoadKind:
         """Return the kind of a load that starts now."""
         flight = sum(len(item.pending) for item in self.engines.values())
@@ -276,7 +294,7 @@
                 endpoint, demand.need, demand.version, demand.need
             )
         return None
-    if len(known.held) < engine.adapter_slots:
+    if len(known.held) < engine.places:
         return 0.0, Plan(endpoint, demand.need, demand.version)
     idle = [
         need
@@ -367,7 +385,7 @@
 ) -> bool:
     """Return whether an engine has a free place or an idle adapter."""
     known = state.find_engine(endpoint)
-    return len(known.held) < engine.adapter_slots or any(
+    return len(known.held) < engine.places or any(
         _is_idle(endpoint, need, known, state, now) for need in known.held
     )
 
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -113,4 +113,15 @@
         raise MessageError(f"not a message: {error!r}") from error
 
 
+@MESSAGES.register("l")
+@attrs.frozen
+class Loss:
+    """An endpoint broke off while it ran a request.
+
+    :param identity: path and body of the request, as a digest
+    """
+
+    identity: str
+
+
 TAGS = {cls: tag for tag, cls in MESSAGES.items()}
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -79,6 +79,15 @@
     adapter_slots: int
     loads_per_s: float
 
+    @property
+    def places(self) -> int:
+        """Adapters that fit beside the first model, by number and by size."""
+        if not self.models or self.models[0].adapter_mb <= 0:
+            return self.adapter_slots
+        model = self.models[0]
+        room_mb = max(0.0, self.weights_mb - model.weights_mb)
+        return min(self.adapter_slots, int(room_mb // model.adapter_mb))
+
 
 @attrs.frozen(eq=False)
 class Service:
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -217,3 +217,30 @@
     assert loading.prefer_warm([cold], engines, demand, state, later) == [cold]
     other = make_demand("b")
     assert loading.prefer_warm([cold], engines, other, state, now) == [cold]
+
+
+def test_demand_that_is_asked_for_often_becomes_urgent(make_demand, now):
+    """Guards against a hot adapter that waits behind all rare ones.
+
+    Replays a new version of a hot adapter in a burst: each new request put
+    off the time at which the demand was due, and none was served.
+    """
+    hot = make_demand("hot", due=now + 0.8)
+    rare = make_demand("rare", due=now + 0.7)
+    for step in range(5):
+        hot.note_due(now + 0.8 + 0.1 * step, now + 0.4)
+    assert hot.due == now + 0.8
+    later = now + 0.2
+    assert loading.order_demands([hot, rare], 0.4, later)[0] is rare
+    hot.note_due(later + 0.45, later + 0.4)
+    assert loading.order_demands([rare, hot], 0.4, later) == [hot, rare]
+    assert hot.due == later + 0.45
+
+
+def test_late_demand_takes_the_latest_of_its_requests(make_demand, now):
+    """Guards against a demand that stays late after a fresh request."""
+    demand = make_demand("a", due=now - 1.0)
+    demand.note_due(now + 0.9, now + 0.4)
+    assert demand.due == now + 0.9
+    demand.note_due(now - 2.0, now + 0.4)
+    assert demand.due == now + 0.9
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -13,6 +13,7 @@
     messages.Uses("v", [["e", "m", "a"]]),
     messages.Want("v", "s", "m", "a", 1, 1, "", "", 500),
     messages.Placed("e", "m", "a", 1),
+    messages.Loss("ab"),
 ]
 
 
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -31,3 +31,14 @@
     route = routes.find_route(configuration, "h", path)
     assert (route.prefix if route else None) == prefix
     assert routes.find_route(configuration, "other", path) is None
+
+
+@pytest.mark.parametrize(
+    ("weights_mb", "adapter_mb", "places"),
+    [(200.0, 1.0, 17), (105.0, 1.0, 5), (90.0, 1.0, 0), (200.0, 0.0, 17)],
+)
+def test_adapters_fit_by_number_and_by_size(weights_mb, adapter_mb, places):
+    """Guards against orders for more than an engine's memory holds."""
+    model = routes.Model("m", 100.0, 1.0, 10, adapter_mb)
+    engine = routes.Engine((model,), 8, 100, weights_mb, 17, 4.0)
+    assert engine.places == places
