Run entry VMs as processes in the tests, and resume streams elsewhere

Cause: a resumable stream that broke off went on at the same engine, the only one with its adapter, and broke off again (test_broken_resumable_stream_goes_on failed first). Change: such a request asks for a copy at another engine and waits 0.6 s for it. Tests: 17 with real processes against stand-ins of store, engines and services.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -42,6 +42,8 @@
 # A request that waits for an engine is refused after this part of the time
 # until its caller leaves, so that the caller can still try again.
 WAIT_SHARE = 0.7
+# A request that an engine broke off waits this long for another engine.
+ELSEWHERE_S = 0.6
 ISOLATED_WAIT_S = 0.05
 # Each VM takes this part of an even share of an endpoint's connections.
 CONNECTION_SHARE = 0.8
@@ -53,6 +55,8 @@
     """What has been done for a request.
 
     :param ran: endpoints that may have run it
+    :param elsewhere_until: until when it waits for an engine that has not
+        broken off yet
     :param waited_s: time from the arrival to the last send
     :param first_byte_s: time from the arrival to the answer's first byte
     """
@@ -68,6 +72,7 @@
     waited_s: float | None = None
     first_byte_s: float | None = None
     asked_at: float = 0.0
+    elsewhere_until: float = 0.0
     missing: str = ""
     unreachable: str = ""
 
@@ -387,12 +392,37 @@
         if not holders:
             self._ask(request, progress, version, 1, now)
             return None
-        if need[1] and placement.wants_copy(holders, candidates, view):
+        if need[1] and self._is_copy_needed(
+            progress, holders, candidates, view
+        ):
             self._ask(request, progress, version, len(holders) + 1, now)
+            if now < progress.elsewhere_until:
+                return None
         return placement.choose_endpoint(
             holders, frozenset(progress.tried), view
         )
 
+    def _is_copy_needed(
+        self,
+        progress: Progress,
+        holders: list[endpoints.Endpoint],
+        candidates: list[endpoints.Endpoint],
+        view: placement.View,
+    ) -> bool:
+        """Return whether one engine more should hold an adapter.
+
+        A request that broke off at all engines that hold its adapter goes on
+        at another one, if that can be had soon.
+        """
+        if view.now < progress.elsewhere_until:
+            if any(item.identity not in progress.tried for item in holders):
+                progress.elsewhere_until = 0.0
+            elif len(holders) < len(candidates):
+                return True
+            else:
+                progress.elsewhere_until = 0.0
+        return placement.wants_copy(holders, candidates, view)
+
     def _has_engine(self, service: str) -> bool:
         configuration = self.board.rules.value.configuration
         found = configuration.services.get(service) if configuration else None
@@ -574,6 +604,7 @@
             self._note_rejection(request, progress, endpoint, relay, now)
         elif outcome is relays.Outcome.LOST:
             traffic.note_failure(now)
+            progress.elsewhere_until = now + ELSEWHERE_S
             self._note_loss(request, now)
         elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
             traffic.note_failure(now)
--- /dev/null
+++ b/tests/entry/sites.py
@@ -0,0 +1,318 @@
+"""A small site: store, engines, a plain service and entry VMs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import attrs
+
+from standins import logstore
+from standins import rawhttp
+from standins import wireengine
+
+SOURCE = pathlib.Path(__file__).parents[2] / "src"
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "stream",
+            "hostname": "h",
+            "path_prefix": "/stream/",
+            "route_kind": "streaming",
+            "timeout_ms": 5000,
+            "aim_ms": 500,
+            "priority": 0,
+            "service": "engines",
+            "max_attempts": 1,
+            "resumable": False,
+            "gap_target_ms": 250,
+        },
+        {
+            "name": "resumable",
+            "hostname": "h",
+            "path_prefix": "/resumable/",
+            "route_kind": "streaming",
+            "timeout_ms": 5000,
+            "aim_ms": 500,
+            "priority": 0,
+            "service": "engines",
+            "max_attempts": 2,
+            "resumable": True,
+            "gap_target_ms": 250,
+        },
+        {
+            "name": "once",
+            "hostname": "h",
+            "path_prefix": "/once/",
+            "route_kind": "unsafe",
+            "timeout_ms": 1000,
+            "aim_ms": 100,
+            "priority": 0,
+            "service": "plain",
+            "max_attempts": 1,
+        },
+        {
+            "name": "safe",
+            "hostname": "h",
+            "path_prefix": "/safe/",
+            "route_kind": "safe",
+            "timeout_ms": 1000,
+            "aim_ms": 100,
+            "priority": 0,
+            "service": "plain",
+            "max_attempts": 2,
+        },
+    ],
+    "services": [
+        {"name": "plain", "health_path": "/h", "max_conns": 50},
+        {
+            "name": "engines",
+            "health_path": "/h",
+            "max_conns": 50,
+            "runtime": {
+                "capacity": 8,
+                "kv_capacity": 1000,
+                "models": [
+                    {
+                        "name": "m",
+                        "weights_mb": 100,
+                        "load_time_s": 0.1,
+                        "adapters": 9,
+                        "adapter_mb": 1,
+                    }
+                ],
+                "weights_mb": 200,
+                "adapter_slots": 2,
+                "loads_per_s": 4,
+            },
+        },
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 65536,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+SETTINGS = """\
+[vm]
+name = {name}
+availability_zone = z
+region = r
+[listen]
+callers = 127.0.0.1:{front}
+readiness = 127.0.0.1:{control}
+directory = 127.0.0.1:{control}
+operators = 127.0.0.1:{control}
+metrics = 127.0.0.1:{control}
+[peers]
+ip = 127.0.0.1
+ports = {peers},{peers}
+[store]
+address = {store}
+[limits]
+drain_ms = 2000
+grace_s = 3
+lease_ms = 900
+retry_ratio = 0.2
+retry_slack = 54
+retry_window_s = 10
+entry_ttl_s = 5
+"""
+
+
+@attrs.define
+class Answer:
+    """A caller's view of an answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def find_port() -> int:
+    """Return a free port."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def send(
+    port: int,
+    path: str,
+    identity: str,
+    method: str = "POST",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Send a request on a new connection and read the answer to its end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: h",
+        "Connection: close",
+        f"X-Request-Id: {identity}",
+        "X-Deadline-Ms: 4000",
+        f"Content-Length: {len(body)}",
+    ]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    data = b""
+    try:
+        async with asyncio.timeout(6):
+            while part := await reader.read(65_536):
+                data += part
+    except ConnectionError:
+        pass
+    writer.close()
+    return parse_answer(data)
+
+
+def parse_answer(data: bytes) -> Answer:
+    """Return an answer, and whether its framing says that it is whole."""
+    head, _, rest = data.partition(b"\r\n\r\n")
+    if not head:
+        return Answer(0, {}, b"", False)
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    status = int(first.split()[1])
+    if headers.get("transfer-encoding") != "chunked":
+        whole = len(rest) == int(headers.get("content-length", 0))
+        return Answer(status, headers, rest, whole)
+    body = b""
+    while rest:
+        size_text, _, rest = rest.partition(b"\r\n")
+        size = int(size_text, 16)
+        if size == 0:
+            return Answer(status, headers, body, True)
+        body += rest[:size]
+        rest = rest[size + 2 :]
+    return Answer(status, headers, body, False)
+
+
+@attrs.define
+class Vm:
+    """A running entry VM."""
+
+    front: int
+    control: int
+    process: asyncio.subprocess.Process
+
+    async def get(self, path: str) -> Answer:
+        """Read from the addresses that are not for callers."""
+        return await send(self.control, path, "", method="GET")
+
+    async def await_ready(self) -> None:
+        """Wait until the VM takes requests."""
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    if (await self.get("/api/ready")).status == 200:
+                        return
+                except ConnectionError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def stop(self) -> int:
+        """Stop the process as planned and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), 10)
+
+
+@attrs.define
+class Site:
+    """Everything around the entry VMs."""
+
+    folder: pathlib.Path
+    log: logstore.LogStore = attrs.field(factory=logstore.LogStore)
+    store: str = ""
+    engines: dict[str, wireengine.WireEngine] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    servers: list[rawhttp.RawServer] = attrs.field(factory=list)
+    vms: list[Vm] = attrs.field(factory=list)
+
+    async def start_store(self) -> None:
+        """Start the store."""
+        server = rawhttp.RawServer(self.log.handle)
+        self.servers.append(server)
+        self.store = await server.start()
+
+    async def add_server(
+        self, identity: str, service: str
+    ) -> wireengine.WireEngine:
+        """Start an endpoint and enter it in the store."""
+        engine = wireengine.WireEngine(identity, service)
+        server = rawhttp.RawServer(engine.handle)
+        self.servers.append(server)
+        address = await server.start()
+        self.engines[identity] = engine
+        self.addresses[identity] = address
+        self.announce(identity)
+        return engine
+
+    def announce(self, identity: str, **fields: object) -> None:
+        """Write the entry of an endpoint."""
+        entry = self.engines[identity].describe(
+            self.addresses[identity], **fields
+        )
+        self.log.put_json("keyed.servers", identity, entry)
+
+    def configure(self, version: int = 3) -> None:
+        """Publish the configuration."""
+        document = CONFIGURATION | {"version": version}
+        self.log.put_json("keyed.op", "config", document)
+
+    async def start_vm(self, name: str) -> Vm:
+        """Start an entry VM as a process of its own."""
+        front, control, peers = find_port(), find_port(), find_port()
+        file = self.folder / f"{name}.ini"
+        file.write_text(
+            SETTINGS.format(
+                name=name,
+                front=front,
+                control=control,
+                peers=peers,
+                store=self.store,
+            )
+        )
+        environment = os.environ | {
+            "BRONZETRACK_SETTINGS": str(file),
+            "PYTHONPATH": str(SOURCE),
+        }
+        with (self.folder / f"{name}.log").open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bronzetrack.entry",
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+        vm = Vm(front, control, process)
+        self.vms.append(vm)
+        return vm
+
+    async def stop(self) -> None:
+        """End all processes and servers that the site started."""
+        for vm in self.vms:
+            if vm.process.returncode is None:
+                vm.process.kill()
+                await vm.process.wait()
+        for server in self.servers:
+            await server.stop()
+
+    def read_events(self, name: str) -> list[dict]:
+        """Return the log lines of a VM."""
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line]
--- /dev/null
+++ b/tests/entry/test_process.py
@@ -0,0 +1,279 @@
+"""Entry VMs as processes, from callers to endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import json
+import pathlib
+
+from entry import sites
+import pytest
+
+pytestmark = pytest.mark.anyio
+ADAPTER = {"X-Model": "m/a1"}
+STREAM = b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in (1, 2, 3))
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the loop of the product."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
+    """Site with a store, two engines and two plain endpoints."""
+    site = sites.Site(tmp_path)
+    await site.start_store()
+    for identity, service in (
+        ("e1", "engines"),
+        ("e2", "engines"),
+        ("p1", "plain"),
+        ("p2", "plain"),
+    ):
+        await site.add_server(identity, service)
+    yield site
+    await site.stop()
+
+
+@pytest.fixture
+async def vm(site: sites.Site) -> sites.Vm:
+    """Entry VM that takes requests."""
+    site.configure()
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    return vm
+
+
+def count_runs(site: sites.Site) -> int:
+    """Return how often any request ran at all endpoints."""
+    return sum(len(engine.runs) for engine in site.engines.values())
+
+
+async def test_request_before_any_configuration_is_not_a_404(site):
+    """Guards against a refusal for good while nothing is known yet."""
+    vm = await site.start_vm("vm-1")
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                answer = await sites.send(vm.front, "/once/x", "r1")
+                break
+            except ConnectionError:
+                await asyncio.sleep(0.05)
+    assert answer.status == 503
+    assert (await vm.get("/api/ready")).status == 503
+    assert (await vm.get("/api/resolve?name=h")).status == 503
+
+
+async def test_plain_requests_are_answered(site, vm):
+    """Guards against answers that differ from the endpoint's."""
+    answer = await sites.send(vm.front, "/once/x", "r1", body=b"data")
+    assert (answer.status, answer.body, answer.whole) == (200, b"whole", True)
+    assert answer.headers["x-server-signature"] in ("p1", "p2")
+    missing = await sites.send(vm.front, "/other/x", "r2")
+    assert missing.status == 404
+    nameless = await sites.send(vm.front, "/once/x", "")
+    assert nameless.status == 400
+
+
+async def test_adapter_is_loaded_for_the_request_that_needs_it(site, vm):
+    """Guards against a request that runs without its adapter."""
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    assert (answer.status, answer.body, answer.whole) == (200, STREAM, True)
+    orders = [item for e in site.engines.values() for item in e.orders]
+    assert [item["adapter"] for item in orders] == ["a1"]
+    assert orders[0]["fence"] > 0
+
+
+async def test_more_adapters_than_places_overflow_no_engine(site, vm):
+    """Guards against orders that crash an engine."""
+    answers = await asyncio.gather(
+        *(
+            sites.send(
+                vm.front,
+                "/stream/x",
+                f"r{number}",
+                headers={"X-Model": f"m/a{number}"},
+            )
+            for number in range(8)
+        )
+    )
+    assert all(engine.overflows == 0 for engine in site.engines.values())
+    served = [item for item in answers if item.status == 200]
+    assert len(served) >= 4
+    assert all(item.status in (200, 503) for item in answers)
+    assert count_runs(site) == len(served)
+
+
+async def test_request_that_may_run_once_is_not_repeated(site, vm):
+    """Guards against a launch entry that is written twice."""
+    for identity in ("p1", "p2"):
+        site.engines[identity].status = 500
+    answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
+    assert answer.status == 500
+    assert answer.headers["x-server-signature"] in ("p1", "p2")
+    assert count_runs(site) == 1
+
+
+async def test_safe_request_is_repeated_elsewhere(site, vm):
+    """Guards against a failure that another endpoint would not have."""
+    site.engines["p1"].status = 500
+    for number in range(6):
+        answer = await sites.send(
+            vm.front, "/safe/x", f"r{number}", method="GET"
+        )
+        assert answer.status == 200
+
+
+async def test_broken_stream_does_not_look_complete(site, vm):
+    """Guards against half a stream that a caller takes for the whole."""
+    for identity in ("e1", "e2"):
+        site.engines[identity].cut_after = 1
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    assert not answer.whole
+    assert count_runs(site) == 1
+
+
+async def test_broken_resumable_stream_goes_on_elsewhere(site, vm):
+    """Guards against events that are lost, doubled or joined."""
+    await sites.send(vm.front, "/resumable/x", "warm", headers=ADAPTER)
+    for engine in (site.engines["e1"], site.engines["e2"]):
+        engine.cut_after = 1 if "warm" in engine.runs else None
+    answer = await sites.send(vm.front, "/resumable/x", "r1", headers=ADAPTER)
+    assert (answer.body, answer.whole) == (STREAM, True)
+
+
+async def test_leaving_endpoint_gets_no_new_work(site, vm):
+    """Guards against work at an endpoint that is about to stop."""
+    site.announce("p1", state="draining", sequence=2)
+    await asyncio.sleep(1.5)
+    before = len(site.engines["p1"].runs)
+    for number in range(6):
+        await sites.send(vm.front, "/once/x", f"r{number}", body=b"x")
+    assert len(site.engines["p1"].runs) == before
+
+
+async def test_reused_address_runs_nothing(site, vm):
+    """Guards against a request at a server that took over an address."""
+    for identity in ("p1", "p2"):
+        site.engines[identity].identity = "other"
+    answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
+    assert answer.status == 503
+    assert count_runs(site) == 0
+
+
+async def test_new_version_of_an_adapter_is_loaded(site, vm):
+    """Guards against a request that begins on an old version."""
+    await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    version = {"model": "m", "adapter": "a1", "version": 2}
+    site.log.put_json("keyed.op", "version/m.a1", version)
+    await asyncio.sleep(0.3)
+    answer = await sites.send(vm.front, "/stream/x", "r2", headers=ADAPTER)
+    assert answer.status == 200
+    loads = [
+        item
+        for engine in site.engines.values()
+        for item in engine.orders
+        if item["operation"] == "load"
+    ]
+    assert loads[-1]["version"] == 2
+
+
+async def test_store_outage_stops_nothing_that_is_known(site, vm):
+    """Guards against a system that lives only as long as the store."""
+    await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    site.log.failing = 503
+    await asyncio.sleep(1.2)
+    for number in range(3):
+        answer = await sites.send(vm.front, "/once/x", f"o{number}", body=b"x")
+        assert answer.status == 200
+    stream = await sites.send(vm.front, "/stream/x", "r2", headers=ADAPTER)
+    assert stream.whole
+    site.log.failing = None
+    await asyncio.sleep(2.0)
+    loaded = await sites.send(
+        vm.front, "/stream/x", "r3", headers={"X-Model": "m/a7"}
+    )
+    assert loaded.status == 200
+
+
+async def test_planned_stop_answers_what_it_took(site, vm):
+    """Guards against a stop that cuts a request."""
+    for engine in site.engines.values():
+        engine.load_s = 0.3
+    pending = asyncio.ensure_future(
+        sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    )
+    await asyncio.sleep(0.1)
+    stopping = asyncio.ensure_future(vm.stop())
+    await asyncio.sleep(0.2)
+    assert (await vm.get("/api/ready")).status == 503
+    answer = await pending
+    assert (answer.status, answer.whole) == (200, True)
+    assert await stopping == 0
+
+
+async def test_vms_find_each_other_and_share_the_holder(site, vm):
+    """Guards against VMs that each believe to be alone."""
+    second = await site.start_vm("vm-2")
+    await second.await_ready()
+    await asyncio.sleep(1.0)
+    answer = await second.get("/api/resolve?name=h&zone=z")
+    fronts = json.loads(answer.body)["addresses"]
+    assert sorted(fronts) == sorted(
+        [f"127.0.0.1:{vm.front}", f"127.0.0.1:{second.front}"]
+    )
+    loaded = await sites.send(second.front, "/stream/x", "r1", headers=ADAPTER)
+    assert loaded.status == 200
+    fences = {
+        item["fence"] for e in site.engines.values() for item in e.orders
+    }
+    assert len(fences) == 1
+
+
+async def test_killed_holder_is_succeeded_with_a_higher_token(site, vm):
+    """Guards against orders that stop with one VM, or that overlap."""
+    await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    second = await site.start_vm("vm-2")
+    await second.await_ready()
+    vm.process.kill()
+    await vm.process.wait()
+    async with asyncio.timeout(8):
+        while True:
+            answer = await sites.send(
+                second.front, "/stream/x", "r2", headers={"X-Model": "m/a5"}
+            )
+            if answer.status == 200:
+                break
+    fences = [
+        item["fence"] for e in site.engines.values() for item in e.orders
+    ]
+    assert max(fences) > min(fences)
+
+
+async def test_state_and_metrics_are_served(site, vm):
+    """Guards against an operator who cannot look into a process."""
+    await sites.send(vm.front, "/once/x", "r1", body=b"x")
+    state = json.loads((await vm.get("/state")).body)
+    assert state["configuration"] == 3
+    assert len(state["endpoints"]) == 4
+    metrics = (await vm.get("/metrics")).body.decode()
+    assert "bronzetrack_entry_requests_total" in metrics
+    assert "bronzetrack_entry_ready 1.0" in metrics
+
+
+async def test_log_tells_what_became_of_a_request(site, vm):
+    """Guards against a failed request that nobody can explain."""
+    for identity in ("p1", "p2"):
+        site.engines[identity].status = 503
+    await sites.send(vm.front, "/once/x", "r-77", body=b"x")
+    await asyncio.sleep(0.1)
+    lines = [
+        item
+        for item in site.read_events("vm-1")
+        if item.get("request_id") == "r-77"
+    ]
+    assert lines[-1]["event"] == "request"
+    assert lines[-1]["endpoint"] in ("p1", "p2")
+    assert lines[-1]["sends"] == 1
--- /dev/null
+++ b/tests/standins/wireengine.py
@@ -0,0 +1,147 @@
+"""A model engine and a plain service at the platform's protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import attrs
+
+from standins import rawhttp
+
+EVENTS = 3
+
+
+@attrs.define
+class WireEngine:
+    """Holds adapters by order and answers requests.
+
+    :param load_s: how long an adapter takes to load
+    :param cut_after: streams end within the event after this many
+    :param status: status of answers to requests, if not 200
+    """
+
+    identity: str
+    service: str
+    load_s: float = 0.05
+    cut_after: int | None = None
+    status: int | None = None
+    sequence: int = 0
+    adapters: dict[str, int] = attrs.field(factory=dict)
+    pending: set[str] = attrs.field(factory=set)
+    orders: list[dict] = attrs.field(factory=list)
+    runs: list[str] = attrs.field(factory=list)
+    model: str = "m"
+    most_adapters: int = 2
+    overflows: int = 0
+
+    def describe(self, address: str, **fields: object) -> dict:
+        """Return the entry that the engine writes."""
+        entry = {
+            "service": self.service,
+            "address": address,
+            "zone": "z",
+            "version": "v1",
+            "capacity": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+            "models": self._list_models(),
+        }
+        return entry | fields
+
+    def _list_models(self) -> list[dict]:
+        names = [f"{name}@{v}" for name, v in self.adapters.items()]
+        return [{"name": self.model, "version": 1, "adapters": names}]
+
+    async def handle(
+        self, request: rawhttp.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a call or run a request."""
+        expected = request.headers.get("x-expect-instance")
+        if expected not in (None, self.identity):
+            writer.write(
+                rawhttp.make_answer(
+                    421, headers={"X-Instance-Id": self.identity}
+                )
+            )
+        elif request.target == "/api/report":
+            writer.write(rawhttp.make_answer(200, self._report()))
+        elif request.target == "/api/order":
+            writer.write(self._order(json.loads(request.body)))
+        else:
+            await self._run(request, writer)
+
+    def _report(self) -> bytes:
+        report = {
+            "models": self._list_models(),
+            "busy": False,
+            "sequence": self.sequence,
+            "pending": [f"{self.model}/{name}@1" for name in self.pending],
+        }
+        return json.dumps(report).encode()
+
+    def _order(self, order: dict) -> bytes:
+        self.orders.append(order)
+        if order["expected"] != self.sequence:
+            return rawhttp.make_answer(409)
+        self.sequence += 1
+        name = order["adapter"]
+        if order["operation"] == "unload":
+            self.adapters.pop(name, None)
+            return rawhttp.make_answer(200)
+        if len(self.adapters) + len(self.pending) >= self.most_adapters:
+            self.overflows += 1
+        self.pending.add(name)
+        asyncio.get_running_loop().call_later(
+            self.load_s, self._finish_load, name, order.get("version", 1)
+        )
+        return rawhttp.make_answer(202)
+
+    def _finish_load(self, name: str, version: int) -> None:
+        self.pending.discard(name)
+        self.adapters[name] = version
+
+    async def _run(
+        self, request: rawhttp.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        identity = request.headers["x-request-id"]
+        echo = {
+            "X-Request-Id": identity,
+            "X-Server-Signature": self.identity,
+        }
+        adapter = request.headers.get("x-model", "").partition("/")[2]
+        if adapter and adapter not in self.adapters:
+            writer.write(rawhttp.make_answer(421, headers=echo))
+            return
+        self.runs.append(identity)
+        if self.status is not None:
+            writer.write(rawhttp.make_answer(self.status, b"failed", echo))
+        elif "x-model" in request.headers:
+            await self._stream(request, writer, echo)
+        else:
+            writer.write(rawhttp.make_answer(200, b"whole", echo))
+
+    async def _stream(
+        self,
+        request: rawhttp.Received,
+        writer: asyncio.StreamWriter,
+        echo: dict[str, str],
+    ) -> None:
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in echo.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            event = b"id: %d\ndata: token%d\n\n" % (number, number)
+            if self.cut_after is not None and number > self.cut_after:
+                half = event[: len(event) // 2]
+                writer.write(b"%x\r\n%b\r\n" % (len(half), half))
+                await writer.drain()
+                writer.close()
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
