--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 slopes: environment
 	$(BIN)/python scripts/slopes.py
+	$(BIN)/python scripts/entry_cost.py
 
 check: environment
 	$(BIN)/black --quiet --check src tests scripts bench
--- /dev/null
+++ b/scripts/entry_cost.py
@@ -0,0 +1,89 @@
+"""Processor time and memory of an entry VM, against stand-ins.
+
+Prints what a short request, a relayed event and an idle second cost one
+process, and how long it takes from start to ready.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
+
+from entry import sites  # noqa: E402
+
+from standins import wireengine  # noqa: E402
+
+SHORT_REQUESTS = 1_000
+STREAMS = 40
+EVENTS = 200
+IDLE_S = 10.0
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def measure(folder: pathlib.Path) -> None:
+    """Print all figures."""
+    site = sites.Site(folder)
+    await site.start_store()
+    await site.add_server("e1", "engines")
+    await site.add_server("p1", "plain")
+    site.configure()
+    started = time.monotonic()
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    print(f"start to ready: {time.monotonic() - started:.2f} s")
+    pid = vm.process.pid
+    await asyncio.sleep(2)
+    before = read_cpu_s(pid)
+    await asyncio.sleep(IDLE_S)
+    idle = (read_cpu_s(pid) - before) / IDLE_S
+    print(f"idle: {100 * idle:.2f}% of a core")
+    before, at = read_cpu_s(pid), time.monotonic()
+    for number in range(SHORT_REQUESTS):
+        await sites.send(vm.front, "/once/x", f"r{number}", body=b"x" * 600)
+    used = read_cpu_s(pid) - before - idle * (time.monotonic() - at)
+    print(
+        f"short request, new connection: {1e6 * used / SHORT_REQUESTS:.0f} us"
+    )
+    wireengine.EVENTS = EVENTS
+    headers = {"X-Model": "m/a1"}
+    await sites.send(vm.front, "/stream/x", "warm", headers=headers)
+    before, at = read_cpu_s(pid), time.monotonic()
+    await asyncio.gather(
+        *(
+            sites.send(vm.front, "/stream/x", f"s{number}", headers=headers)
+            for number in range(STREAMS)
+        )
+    )
+    used = read_cpu_s(pid) - before - idle * (time.monotonic() - at)
+    print(f"relayed event: {1e6 * used / (STREAMS * EVENTS):.0f} us")
+    print(f"resident memory: {read_memory_mb(pid):.1f} MB")
+    await site.stop()
+
+
+def main() -> None:
+    """Measure in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(measure(pathlib.Path(folder)))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -98,7 +98,7 @@
 
 def fail(failure: failures.Failure) -> NoReturn:
     """End the command with one line: the cause and what to do."""
-    hint = HINTS.get(failure.reason, "see docs/operations.md")
+    hint = HINTS.get(failure.reason, "see docs/OPERATIONS.md")
     detail = " ".join(failure.detail.split())
     click.echo(f"error: {failure.reason.value}: {detail}; {hint}", err=True)
     raise SystemExit(EXIT_FAILURE)
--- a/src/bronzetrack/daemon/exits.py
+++ b/src/bronzetrack/daemon/exits.py
@@ -6,7 +6,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """How a daemon ended; docs/operations.md says what to do about each.
+    """How a daemon ended; docs/OPERATIONS.md says what to do about each.
 
     A daemon that ends by itself is meant to be started again, except after
     PLANNED_STOP and BAD_SETTINGS.
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -19,7 +19,7 @@
 # Endpoints write about once a second each. Reading them in turns of this
 # length costs few calls and keeps well within the time in which a leaving
 # endpoint must get no more work.
-GAP_S = 0.7
+GAP_S = 1.0
 WAIT_S = 0.5
 # Entries that lapsed while the store was away return in about this time.
 RETURN_S = 2.0
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -10,6 +10,7 @@
 import anyio
 import prometheus_client
 
+from bronzetrack.core import blackboard
 from bronzetrack.entry import dump
 from bronzetrack.entry import members
 from bronzetrack.entry import meters
@@ -65,7 +66,16 @@
                     "readiness changed",
                     extra={"event": "ready" if ready else "not_ready"},
                 )
-            await anyio.sleep(TICK_S)
+            await blackboard.wait_any(
+                *(
+                    section.is_newer(section.revision)
+                    for section in (
+                        self.board.lifecycle,
+                        self.board.rules,
+                        self.board.endpoints,
+                    )
+                )
+            )
 
     def _is_ready(self) -> bool:
         board = self.board
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -22,6 +22,8 @@
 
 LOG = logging.getLogger(__name__)
 TICK_S = 0.05
+# VMs without the lease have nothing to plan.
+FOLLOWER_TICK_S = 1.0
 # A demand that nobody repeated for this time is forgotten.
 DEMAND_S = 1.0
 # Reports are some hundred milliseconds old.
@@ -55,6 +57,7 @@
                 await blackboard.wait_any(
                     self.board.wanted.is_filled(),
                     section.is_newer(section.revision),
+                    self.board.lease.is_newer(self.board.lease.revision),
                     timeout_ms=self._measure_pause_ms(self.read_clock()),
                 )
                 self._run_turn(group, self.read_clock())
@@ -62,6 +65,8 @@
 
     def _measure_pause_ms(self, now: float) -> int:
         """Return the time until the next load is expected to be there."""
+        if not self.board.lease.value.is_held(now):
+            return int(1000 * FOLLOWER_TICK_S)
         due = min(
             (
                 at
@@ -79,10 +84,11 @@
     def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
         wants = self.board.wanted.take()
         if not self.board.lease.value.is_held(now):
-            if self._state.engines:
+            if self._state.started_at is not None:
                 self.write(self.board.loading, loading.LoadingState())
-            self._state.started_at = now
             return
+        if self._state.started_at is None:
+            self._state.started_at = now
         for want in wants:
             self._note_want(want, now)
         self._note_uses(now)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -21,6 +21,8 @@
 HEARTBEAT_S = 0.3
 # The holder of the lease hears of adapters in use at least this often.
 USES_S = 0.05
+# The same while nothing is in progress.
+IDLE_USES_S = 0.1
 # Announcements are kept for ever, so that they are rarely read.
 WAIT_S = 20.0
 RETRY_S = 0.5
@@ -211,7 +213,7 @@
     async def _send_uses(self) -> None:
         sent: list[list[str]] = []
         while True:
-            await anyio.sleep(USES_S)
+            await anyio.sleep(USES_S if sent else IDLE_USES_S)
             uses = [
                 [identity, model, adapter]
                 for identity, item in (
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -175,7 +175,7 @@
 
     :param heat: decayed use of each adapter, and as of when
     :param used_at: when an adapter was last in use at an engine
-    :param started_at: since when this VM gives orders
+    :param started_at: since when this VM gives orders, if it does
     :param times: how long loads take
     """
 
@@ -184,7 +184,7 @@
     heat: dict[Need, tuple[float, float]] = attrs.field(factory=dict)
     used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
     noted_at: float = 0.0
-    started_at: float = 0.0
+    started_at: float | None = None
     times: LoadTimes = attrs.field(factory=LoadTimes)
     model_loads: list[float] = attrs.field(factory=list)
 
@@ -320,7 +320,7 @@
     """Return whether an adapter may be dropped."""
     if need in known.pending or need in known.unloading:
         return False
-    if now - state.started_at < LISTEN_S:
+    if state.started_at is None or now - state.started_at < LISTEN_S:
         return False
     used_at = state.used_at.get((endpoint.identity, need), 0.0)
     loaded_at = known.loaded_at.get(need, 0.0)
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -31,7 +31,7 @@
 
 @pytest.fixture(scope="module")
 def operations() -> str:
-    return (DOCS / "operations.md").read_text(encoding="utf-8")
+    return (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 @pytest.mark.parametrize("registry", [messages.MESSAGES, records.RECORDS])
@@ -84,4 +84,4 @@
     missing += [name for name in sections if f"| `{name}` |" not in operations]
     codes = [f"| {code.value} |" for code in exits.ExitCode]
     missing += [code for code in codes if code not in operations]
-    assert missing == [], "add rows to docs/operations.md"
+    assert missing == [], "add rows to docs/OPERATIONS.md"
