Serve on while a VM stops, and let a restarted holder go on at once

Cause, found in two recorded incidents: a stopping VM refused all requests from the signal on, though callers keep its address and have one more try; after a loss of power all VMs waited 3 s for a lease whose holder was one of them. Change: routing ends with listening; a VM whose record is the last of the lease log appends at once. Tests fail before and pass after.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -185,7 +185,7 @@
                 "no configuration is known yet",
                 RETRY_AFTER_S,
             )
-        if self.listener.closing:
+        if self.listener.stopped:
             return failures.Failure(
                 failures.Reason.STOPPING, "this VM stops", 0.0
             )
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -56,6 +56,22 @@
         own = self.board.settings.vm
         return sum(1 for peer in alive if peer.vm < own and not peer.stopping)
 
+    async def _read_last(self, lease: leases.Lease) -> None:
+        """Look after the start whether this VM held the lease before."""
+        try:
+            batch = await self.ports.store.read(
+                names.LEASE_TOPIC, lease.end - 1, 0.0
+            )
+        except stores.StoreError as error:
+            LOG.warning(
+                "the last record of the lease could not be read",
+                extra={"event": "lease_failed", "detail": str(error)},
+            )
+            return
+        own = self.board.settings.vm.encode()
+        if batch.end == lease.end and batch.records[-1:] == [own]:
+            lease.note_own_record(self.read_clock())
+
     async def _append(self, lease: leases.Lease) -> None:
         sent_at = self.read_clock()
         vm = self.board.settings.vm
@@ -66,7 +82,10 @@
                 names.LEASE_TOPIC, [vm.encode()], at
             )
         except stores.OffsetConflictError as error:
+            first = lease.end < 0
             lease.note_end(error.end, "", self.read_clock())
+            if first:
+                await self._read_last(lease)
         except stores.StoreError as error:
             LOG.warning(
                 "the lease could not be renewed or taken",
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -55,6 +55,13 @@
             self.changed_at = now
             self.holder = holder
 
+    def note_own_record(self, now: float) -> None:
+        """Take in that the last record is of an earlier run of this VM.
+
+        That run has ended, and nobody else may give orders meanwhile.
+        """
+        self.changed_at = now - 2 * self.ttl_s
+
     def note_renewed(self, offset: int, sent_at: float, vm: str) -> None:
         """Take in that an append of this VM was the last record.
 
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -40,12 +40,14 @@
 
     :param serve: handles one request
     :param closing: answers end their connections
+    :param stopped: no new connections are taken
     """
 
     serve: Callable[[Exchange], Awaitable[None]]
     read_clock: Callable[[], float]
     bounds: Bounds = attrs.field(factory=Bounds)
     closing: bool = False
+    stopped: bool = False
     connections: set[CallerConnection] = attrs.field(factory=set)
     server: Any = None
 
@@ -61,6 +63,7 @@
         if self.server is not None:
             self.server.close()
         self.closing = True
+        self.stopped = True
         for connection in list(self.connections):
             connection.close_if_idle()
 
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -47,6 +47,19 @@
     assert second > first
 
 
+def test_restarted_holder_goes_on_at_once(now):
+    """Guards against seconds without loads after all VMs were killed.
+
+    The last record is of this VM: its earlier run is over, and a conditional
+    append still loses against any other VM.
+    """
+    lease = leases.Lease(TTL_S)
+    lease.note_end(7, "", now)
+    lease.note_own_record(now)
+    step, _ = leases.decide_step(lease, now, 3, False)
+    assert step is leases.Step.APPEND
+
+
 class LeaseMachine(stateful.RuleBasedStateMachine):
     """VMs with clocks of their own rate, lost answers and pauses.
 
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -277,3 +277,32 @@
     assert lines[-1]["event"] == "request"
     assert lines[-1]["endpoint"] in ("p1", "p2")
     assert lines[-1]["sends"] == 1
+
+
+async def test_stopping_vm_still_serves_callers_that_know_it(site, vm):
+    """Guards against a planned stop that refuses callers at once.
+
+    Callers keep an address for seconds and have one more try. A day with a
+    rolling restart showed 16 to 52 refusals in two seconds.
+    """
+    stopping = asyncio.ensure_future(vm.stop())
+    await asyncio.sleep(0.3)
+    answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    assert await stopping == 0
+
+
+async def test_killed_holder_that_restarts_gives_orders_at_once(site, vm):
+    """Guards against waiting for a lease that is one's own."""
+    await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    vm.process.kill()
+    await vm.process.wait()
+    again = await site.start_vm("vm-1")
+    await again.await_ready()
+    started = asyncio.get_running_loop().time()
+    answer = await sites.send(
+        again.front, "/stream/x", "r2", headers={"X-Model": "m/a3"}
+    )
+    assert answer.status == 200
+    assert asyncio.get_running_loop().time() - started < 0.8
