Join what the entry VM wrote again, and drop what nothing reads

The two controller base classes share one; callers' bounds are the configuration's limits; requests that fail before routing end like all others; names of the wire come from the adapter. Gone: a mean time, a pool limit, an open count, a flag and two constants that nothing read. No behaviour is meant to change, and no assertion was touched.

--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -30,8 +30,8 @@
     endpoints: endpoint_client.EndpointClient
 
 
-class Controller:
-    """Reads sections of the blackboard and writes its own.
+class BaseController:
+    """Reads sections of a blackboard and writes its own.
 
     :param board: the state of this process
     :param ports: the edges
@@ -42,9 +42,9 @@
 
     def __init__(
         self,
-        board: boards.Blackboard,
-        ports: Ports,
-        read_clock: Callable[[], clock.Instant],
+        board: Any,
+        ports: Any,
+        read_clock: Callable[[], Any],
     ) -> None:
         self.board = board
         self.ports = ports
@@ -59,6 +59,14 @@
         section.write(self.name, value)
 
 
+class Controller(BaseController):
+    """A controller of the daemon with the project's own interface."""
+
+    board: boards.Blackboard
+    ports: Ports
+    read_clock: Callable[[], clock.Instant]
+
+
 CONTROLLERS: registry.Registry[type[Controller]] = registry.Registry(
     "controllers"
 )
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -24,6 +24,7 @@
 from bronzetrack.entry import routes
 from bronzetrack.entry import suspects
 from bronzetrack.entry import traffic as traffic_tables
+from bronzetrack.platform import names
 from bronzetrack.platform import requests as wire_requests
 from bronzetrack.transport import connections
 from bronzetrack.transport import server
@@ -45,9 +46,6 @@
 # A request that an engine broke off waits this long for another engine.
 ELSEWHERE_S = 0.6
 ISOLATED_WAIT_S = 0.05
-# Each VM takes this part of an even share of an endpoint's connections.
-CONNECTION_SHARE = 0.8
-MIN_CONNECTIONS = 4
 
 
 @attrs.define(eq=False)
@@ -68,7 +66,6 @@
     outcome: str = ""
     endpoint: str = ""
     buffer: events.EventBuffer | None = None
-    sending: bool = False
     waited_s: float | None = None
     first_byte_s: float | None = None
     asked_at: float = 0.0
@@ -98,13 +95,7 @@
     def _keep_house(self, now: float) -> None:
         configuration = self.board.rules.value.configuration
         if configuration is not None:
-            limits = configuration.limits
-            self.listener.bounds = server.Bounds(
-                header_bytes=limits.header_bytes,
-                body_bytes=limits.body_bytes,
-                header_timeout_s=limits.header_timeout_s,
-                idle_timeout_s=limits.idle_timeout_s,
-            )
+            self.listener.bounds = configuration.limits
         self.listener.expire(now)
         known = set(self.board.endpoints.value.by_identity)
         self.board.traffic.value.retain(known)
@@ -121,7 +112,7 @@
         )
         route = self._find_route(request)
         if isinstance(route, failures.Failure):
-            self._fail(exchange, request, None, route)
+            self._end(exchange, request, None, route)
             return
         request.bind(route)
         suspect = suspects.identify(request.path, request.body)
@@ -130,7 +121,7 @@
                 failures.Reason.SUSPECTED,
                 "endpoints broke off each time that they ran this request",
             )
-            self._fail(exchange, request, None, failure)
+            self._end(exchange, request, None, failure)
             return
         progress = Progress(self._choose_service(route))
         if route.resumable:
@@ -238,7 +229,7 @@
             if outcome is relays.Outcome.DELIVERED:
                 exchange.finish()
                 return None
-            failure = self._judge(request, progress, relay, outcome)
+            failure = self._judge(relay, outcome)
             if failure is not None and self._may_repeat(
                 request, progress, outcome, exchange
             ):
@@ -255,11 +246,7 @@
             return failure
 
     def _judge(
-        self,
-        request: requests.Request,
-        progress: Progress,
-        relay: relays.Relay,
-        outcome: relays.Outcome,
+        self, relay: relays.Relay, outcome: relays.Outcome
     ) -> failures.Failure | None:
         """Return why an answer is no success, if it is none."""
         match outcome:
@@ -490,7 +477,7 @@
     def _find_pool(self, endpoint: endpoints.Endpoint) -> connections.Pool:
         pool = self._pools.get(endpoint.identity)
         if pool is None or pool.address != endpoint.address:
-            pool = connections.Pool(endpoint.address, 0)
+            pool = connections.Pool(endpoint.address)
             self._pools[endpoint.identity] = pool
         return pool
 
@@ -538,9 +525,7 @@
             pool.drop(connection)
         else:
             pool.put_back(connection, self.read_clock())
-        self._note_outcome(
-            request, progress, endpoint, relay, outcome, sent_at
-        )
+        self._note_outcome(request, progress, endpoint, relay, outcome)
         return relay
 
     def _log_send(
@@ -592,7 +577,6 @@
         endpoint: endpoints.Endpoint,
         relay: relays.Relay,
         outcome: relays.Outcome,
-        sent_at: float,
     ) -> None:
         now = self.read_clock()
         traffic: traffic_tables.Traffic = self.board.traffic.value.find(
@@ -610,7 +594,7 @@
             traffic.note_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
-            traffic.note_answer(now, relay.first_byte_at - sent_at)
+            traffic.note_answer(now)
 
     def _note_rejection(
         self,
@@ -632,7 +616,7 @@
                 "detail": relay.body[:120].decode("latin-1"),
             },
         )
-        other = relay.find_header(b"x-instance-id")
+        other = relay.find_header(names.INSTANCE)
         if relay.status != 421:
             self.board.traffic.value.find(endpoint.identity).note_failure(now)
         elif other is not None and other != endpoint.identity.encode():
@@ -652,7 +636,7 @@
         self,
         exchange: server.Exchange,
         request: requests.Request,
-        progress: Progress,
+        progress: Progress | None,
         failure: failures.Failure | None,
     ) -> None:
         if failure is not None and exchange.started:
@@ -661,16 +645,6 @@
             self._respond_failure(exchange, request, failure)
         self._log_end(request, progress, failure)
 
-    def _fail(
-        self,
-        exchange: server.Exchange,
-        request: requests.Request,
-        progress: Progress | None,
-        failure: failures.Failure,
-    ) -> None:
-        self._respond_failure(exchange, request, failure)
-        self._log_end(request, progress, failure)
-
     def _respond_failure(
         self,
         exchange: server.Exchange,
@@ -679,7 +653,7 @@
     ) -> None:
         headers = [
             (b"Content-Type", b"text/plain"),
-            (b"X-Request-Id", request.identity.encode("latin-1")),
+            (names.REQUEST_ID_HEADER, request.identity.encode("latin-1")),
         ]
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
--- a/src/bronzetrack/entry/roles.py
+++ b/src/bronzetrack/entry/roles.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
-from typing import ClassVar
 from typing import TYPE_CHECKING
 
 import attrs
 
+from bronzetrack.core import controllers
 from bronzetrack.core import registry
 
 if TYPE_CHECKING:
@@ -25,33 +24,12 @@
     engines: orders.Engines
 
 
-class Controller:
-    """Reads sections of the blackboard and writes its own.
+class Controller(controllers.BaseController):
+    """A controller of an entry VM; its clock reads seconds."""
 
-    :param board: the state of this process
-    :param ports: the edges
-    :param read_clock: reads the present time in seconds
-    """
-
-    name: ClassVar[str]
-
-    def __init__(
-        self,
-        board: boards.Blackboard,
-        ports: Ports,
-        read_clock: Callable[[], float],
-    ) -> None:
-        self.board = board
-        self.ports = ports
-        self.read_clock = read_clock
-
-    async def run(self) -> None:
-        """Run until cancelled."""
-        raise NotImplementedError
-
-    def write(self, section: Any, value: Any) -> None:
-        """Write a section as this controller."""
-        section.write(self.name, value)
+    board: boards.Blackboard
+    ports: Ports
+    read_clock: Callable[[], float]
 
 
 CONTROLLERS: registry.Registry[type[Controller]] = registry.Registry(
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-# Each new time counts a fifth in the mean.
-SMOOTHING = 0.2
 # The effect of a failure halves with this time.
 FAILURE_FADE_S = 3.0
 # What a success leaves of the failures before it.
@@ -21,7 +19,6 @@
     :param active: requests in progress
     :param uses: requests in progress by model and adapter
     :param failures: failures seen lately, as of `failed_at`
-    :param first_byte_s: mean time to the first byte of an answer
     """
 
     active: int = 0
@@ -29,7 +26,6 @@
     failures: float = 0.0
     failed_at: float = 0.0
     unreachable_until: float = 0.0
-    first_byte_s: float = 0.0
 
     def start(self, need: tuple[str, str] | None) -> None:
         """Count a request that is sent."""
@@ -65,14 +61,10 @@
         self.note_failure(now)
         self.unreachable_until = now + UNREACHABLE_S
 
-    def note_answer(self, now: float, seconds: float) -> None:
-        """Take the time to the first byte of a good answer into the mean."""
+    def note_answer(self, now: float) -> None:
+        """Count a good answer."""
         self.failures = self.measure_failures(now) * SUCCESS_FACTOR
         self.failed_at = now
-        if self.first_byte_s:
-            self.first_byte_s += SMOOTHING * (seconds - self.first_byte_s)
-        else:
-            self.first_byte_s = seconds
 
 
 @attrs.define(eq=False)
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 REQUEST_ID = b"x-request-id"
+REQUEST_ID_HEADER = b"X-Request-Id"
 DEADLINE = b"X-Deadline-Ms"
 EXPECT_INSTANCE = b"X-Expect-Instance"
 EXPECT_VERSION = b"X-Expect-Version"
--- a/src/bronzetrack/transport/calls.py
+++ b/src/bronzetrack/transport/calls.py
@@ -10,8 +10,6 @@
 from bronzetrack.transport import connections
 from bronzetrack.transport import heads
 
-POOL_CONNECTIONS = 64
-
 
 @attrs.frozen
 class Answer:
@@ -62,7 +60,7 @@
         """Return the answer, or nothing where it is unknown or none came."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = connections.Pool(address, POOL_CONNECTIONS)
+            pool = connections.Pool(address)
             self._pools[address] = pool
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/bronzetrack/transport/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -17,6 +17,7 @@
 import attrs
 import httptools
 
+from bronzetrack.platform import names
 from bronzetrack.transport import heads
 
 CONNECT_TIMEOUT_S = 0.4
@@ -186,7 +187,7 @@
         if status < 200:
             return
         found = {name.lower(): value for name, value in self._headers}
-        echoed = found.get(b"x-request-id")
+        echoed = found.get(names.REQUEST_ID)
         self._skipped = (
             bool(self._request_id)
             and echoed is not None
@@ -247,9 +248,7 @@
     """Connections to one address that wait for the next request."""
 
     address: str
-    limit: int
     idle: list[Connection] = attrs.field(factory=list)
-    opened: int = 0
 
     def take_idle(self, now: float) -> Connection | None:
         """Return a connection that may be used again, the newest first."""
@@ -257,7 +256,7 @@
             connection = self.idle.pop()
             if connection.is_reusable(now):
                 return connection
-            self._close(connection)
+            connection.abort()
         return None
 
     def put_back(self, connection: Connection, now: float) -> None:
@@ -266,11 +265,11 @@
         if connection.is_reusable(now) and connection.receiver is None:
             self.idle.append(connection)
         else:
-            self._close(connection)
+            connection.abort()
 
     def drop(self, connection: Connection) -> None:
         """Close a connection that is in use."""
-        self._close(connection)
+        connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -278,26 +277,17 @@
             connection.abort()
         self.idle.clear()
 
-    def _close(self, connection: Connection) -> None:
-        self.opened -= 1
-        connection.abort()
-
     async def connect(
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> Connection | None:
         """Return a new connection, or nothing if none can be had."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     Connection, host, int(port)
                 )
         except (OSError, TimeoutError):
-            self.opened -= 1
             return None
-        except BaseException:
-            self.opened -= 1
-            raise
         return connection
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -16,6 +16,7 @@
 import attrs
 import httptools
 
+from bronzetrack.entry import routes
 from bronzetrack.transport import heads
 
 # Requests that a caller may send before the answer to the first.
@@ -24,28 +25,19 @@
 USER_TIMEOUT_MS = 5_000
 
 
-@attrs.define(eq=False)
-class Bounds:
-    """What callers may send; replaced as the configuration changes."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @attrs.define(eq=False)
 class Listener:
     """Connections of one listening address.
 
     :param serve: handles one request
+    :param bounds: what callers may send; replaced with the configuration
     :param closing: answers end their connections
     :param stopped: no new connections are taken
     """
 
     serve: Callable[[Exchange], Awaitable[None]]
     read_clock: Callable[[], float]
-    bounds: Bounds = attrs.field(factory=Bounds)
+    bounds: routes.Limits = attrs.field(factory=routes.Limits)
     closing: bool = False
     stopped: bool = False
     connections: set[CallerConnection] = attrs.field(factory=set)
--- a/tests/transport/conftest.py
+++ b/tests/transport/conftest.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from bronzetrack.entry import routes
 from bronzetrack.transport import server
 
 
@@ -33,7 +34,7 @@
 
     async def start(serve, **bounds):
         listener = server.Listener(serve, time.monotonic)
-        listener.bounds = server.Bounds(**bounds)
+        listener.bounds = routes.Limits(**bounds)
         port = find_port()
         await listener.open(f"127.0.0.1:{port}")
         opened.append(listener)
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -33,7 +33,7 @@
             await asyncio.sleep(0.02)
 
     server = rawhttp.RawServer(handle)
-    pool = connections.Pool(await server.start(), 0)
+    pool = connections.Pool(await server.start())
     connection = await pool.connect()
     future = asyncio.get_running_loop().create_future()
     collector = calls.Collector(future)
@@ -125,4 +125,4 @@
 
 async def test_refused_connection_is_no_exception():
     """Guards against a crashed endpoint that ends a request's task."""
-    assert await connections.Pool("127.0.0.1:1", 0).connect() is None
+    assert await connections.Pool("127.0.0.1:1").connect() is None
