Release the lease at a planned stop, and use engines once their model is there

Change: a holder that stops appends a release if engines check fencing tokens and another VM is ready; candidates take a released lease in the order of their rank. Engines without a model are asked every 0.25 s while it loads. A holder that lost the lease announces its last loads and starts anew when it takes it again. An engine's refusal of a token reaches the controller that owns the lease by a mailbox.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -67,6 +67,7 @@
     """Sections with one writer each, and mailboxes with one reader each.
 
     :param incarnation: random value of this run
+    :param fenced: fencing tokens that an engine refused as too old
     """
 
     settings: entry_settings.Settings
@@ -114,6 +115,9 @@
     losses: blackboard.Mailbox[messages.Loss] = attrs.field(
         factory=lambda: blackboard.Mailbox("losses", MAILBOX_ITEMS)
     )
+    fenced: blackboard.Mailbox[int] = attrs.field(
+        factory=lambda: blackboard.Mailbox("fenced", MAILBOX_ITEMS)
+    )
     arrivals: arrivals.Arrivals = attrs.field(factory=arrivals.Arrivals)
     placed: blackboard.Mailbox[messages.Placed] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -28,36 +28,63 @@
             now = self.read_clock()
             lease = self.board.lease.value
             self._take_heartbeats(now)
+            self._take_refusals(lease)
             stopping = self.board.lifecycle.value.stopping_since is not None
             step, due = leases.decide_step(
-                lease, now, self._measure_rank(now), stopping
+                lease,
+                now,
+                self._measure_rank(now),
+                stopping,
+                self._has_successor(now),
             )
-            if step is leases.Step.APPEND:
-                await self._append(lease)
-            else:
-                await blackboard.wait_any(
-                    self.board.membership.is_newer(
-                        self.board.membership.revision
-                    ),
-                    timeout_ms=int(1000 * min(1.0, max(0.05, due - now))),
-                )
+            match step:
+                case leases.Step.APPEND:
+                    await self._append(lease)
+                case leases.Step.RELEASE:
+                    await self._release(lease)
+                case leases.Step.WAIT:
+                    await self._wait(due - now)
+
+    async def _wait(self, delay_s: float) -> None:
+        board = self.board
+        await blackboard.wait_any(
+            board.membership.is_newer(board.membership.revision),
+            board.lifecycle.is_newer(board.lifecycle.revision),
+            board.fenced.is_filled(),
+            timeout_ms=int(1000 * min(1.0, max(0.05, delay_s))),
+        )
 
     def _take_heartbeats(self, now: float) -> None:
         lease = self.board.lease.value
         for peer in self.board.membership.value.members.peers.values():
             if peer.lease_end > lease.end:
-                lease.note_end(peer.lease_end, peer.holder, now)
+                lease.note_end(
+                    peer.lease_end, peer.holder, now, peer.lease_released
+                )
                 self.write(self.board.lease, lease)
             elif peer.lease_end == lease.end and not lease.holder:
                 lease.holder = peer.holder
 
+    def _take_refusals(self, lease: leases.Lease) -> None:
+        """Give the lease up where an engine knows of a later holder."""
+        for token in self.board.fenced.take():
+            if token == lease.token:
+                lease.give_up()
+
+    def _has_successor(self, now: float) -> bool:
+        """Return whether the lease may be released, and somebody takes it."""
+        alive = self.board.membership.value.members.list_alive(now)
+        return self.board.settings.engines_check_tokens and any(
+            peer.ready and not peer.stopping for peer in alive
+        )
+
     def _measure_rank(self, now: float) -> int:
         alive = self.board.membership.value.members.list_alive(now)
         own = self.board.settings.vm
         return sum(1 for peer in alive if peer.vm < own and not peer.stopping)
 
     async def _read_last(self, lease: leases.Lease) -> None:
-        """Look after the start whether this VM held the lease before."""
+        """Look after the start whether anybody else may hold the lease."""
         try:
             batch = await self.ports.store.read(
                 names.LEASE_TOPIC, lease.end - 1, 0.0
@@ -68,10 +95,34 @@
                 extra={"event": "lease_failed", "detail": str(error)},
             )
             return
-        own = self.board.settings.vm.encode()
-        if batch.end == lease.end and batch.records[-1:] == [own]:
+        if batch.end != lease.end:
+            return
+        last = batch.records[-1] if batch.records else b""
+        lease.released = last == names.LEASE_RELEASED
+        if last == self.board.settings.vm.encode():
             lease.note_own_record(self.read_clock())
 
+    async def _release(self, lease: leases.Lease) -> None:
+        """Let another VM take the lease before its time has passed."""
+        lease.give_up()
+        try:
+            offset = await self.ports.store.append(
+                names.LEASE_TOPIC, [names.LEASE_RELEASED], lease.end
+            )
+        except stores.StoreError as error:
+            # It lapses in its time.
+            LOG.warning(
+                "the lease could not be released",
+                extra={"event": "lease_failed", "detail": str(error)},
+            )
+            return
+        lease.note_end(offset + 1, "", self.read_clock(), released=True)
+        self.write(self.board.lease, lease)
+        LOG.info(
+            "the lease was released",
+            extra={"event": "lease_released", "token": lease.token},
+        )
+
     async def _append(self, lease: leases.Lease) -> None:
         sent_at = self.read_clock()
         vm = self.board.settings.vm
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -41,6 +41,9 @@
 # A model that was ordered is not ordered again within this many times its
 # load time.
 MODEL_LOAD_FACTOR = 3.0
+# How often an engine is asked meanwhile whether its model is there. A load
+# from its own disk takes a fraction of the stated time.
+MODEL_CHECK_S = 0.25
 
 
 @roles.CONTROLLERS.register("loading")
@@ -65,8 +68,8 @@
 
     def _measure_pause_ms(self, now: float) -> int:
         """Return the time until the next load is expected to be there."""
-        if not self.board.lease.value.is_held(now):
-            return int(1000 * FOLLOWER_TICK_S)
+        held = self.board.lease.value.is_held(now)
+        tick_s = TICK_S if held else FOLLOWER_TICK_S
         due = min(
             (
                 at
@@ -75,7 +78,7 @@
             ),
             default=math.inf,
         )
-        return math.ceil(1000 * max(0.0, min(TICK_S, due - now)))
+        return math.ceil(1000 * max(0.0, min(tick_s, due - now)))
 
     @property
     def _state(self) -> loading.LoadingState:
@@ -84,9 +87,11 @@
     def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
         wants = self.board.wanted.take()
         if not self.board.lease.value.is_held(now):
-            if self._state.started_at is not None:
-                self.write(self.board.loading, loading.LoadingState())
+            self._end_term(now)
             return
+        if self._state.ended:
+            # Another VM may have given orders since.
+            self.write(self.board.loading, loading.LoadingState())
         if self._state.started_at is None:
             self._state.started_at = now
         for want in wants:
@@ -95,6 +100,15 @@
         self._finish_loads(now)
         self._plan(group, now)
 
+    def _end_term(self, now: float) -> None:
+        """Announce the loads that are on their way, then forget all."""
+        if self._state.started_at is None:
+            return
+        self._state.ended = True
+        self._finish_loads(now)
+        if not any(item.pending for item in self._state.engines.values()):
+            self.write(self.board.loading, loading.LoadingState())
+
     # Demand.
 
     def _note_want(self, want: messages.Want, now: float) -> None:
@@ -275,6 +289,10 @@
             verdict = await self._order(endpoint, state, True, (model, ""))
         finally:
             state.ordering = False
+        if verdict is orders.Verdict.STARTED:
+            state.check_at = self.read_clock() + MODEL_CHECK_S
+            return
+        state.loading_until = 0.0
         if verdict is orders.Verdict.DONE:
             self._publish(endpoint, (model, ""), 1)
 
@@ -360,7 +378,7 @@
         operation = "load" if load else "unload"
         meters.ORDERS.labels(operation, verdict.value).inc()
         if verdict is orders.Verdict.FENCED:
-            lease.release()
+            self.board.fenced.post(lease.token)
         LOG.info(
             "an order was answered",
             extra={
@@ -444,6 +462,10 @@
         if report is None:
             state.check_at = now + REPORT_LAG_S
             return
+        if not report["models"] and now < state.loading_until:
+            state.check_at = now + MODEL_CHECK_S
+            return
+        state.loading_until = 0.0
         state.check_at = None
         state.sequence = report["sequence"]
         state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -163,6 +163,7 @@
         peer.active = beat.active
         peer.lease_end = beat.lease_end
         peer.holder = beat.holder
+        peer.lease_released = beat.lease_released
         self._sum_active(now)
         self._notify()
 
@@ -187,7 +188,12 @@
                 if peer.is_worth_telling(now):
                     self._send(data, peer.address)
             self._sum_active(now)
-            await anyio.sleep(HEARTBEAT_S)
+            # A change of the lease goes out at once: demands follow the
+            # holder, and a released lease waits for the next one.
+            await blackboard.wait_any(
+                self.board.lease.is_newer(self.board.lease.revision),
+                timeout_ms=int(1000 * HEARTBEAT_S),
+            )
 
     def _make_heartbeat(self) -> messages.Heartbeat:
         board = self.board
@@ -203,6 +209,7 @@
             stopping=life.stopping_since is not None,
             lease_end=lease.end,
             holder=lease.holder,
+            lease_released=lease.released,
             active={
                 identity: item.active
                 for identity, item in by_identity.items()
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -4,7 +4,8 @@
 token, and a conditional append decides between candidates. A holder renews by
 appending again. A candidate waits for the whole time of the lease since it
 first knew of the last record, so that holders never overlap whatever their
-clocks say.
+clocks say. A holder that stops as planned appends that the lease is released,
+after which nobody waits.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 HOLDER_MARGIN = 0.2
 # It renews when this part of the lease has passed.
 RENEW_AFTER = 0.4
+# A candidate waits this part of the lease for each one that ranks before it.
+RANK_DELAY = 0.15
 
 
 class Step(enum.Enum):
@@ -24,6 +27,7 @@
 
     WAIT = "wait"
     APPEND = "append"
+    RELEASE = "release"
 
 
 @attrs.define(eq=False)
@@ -34,6 +38,7 @@
     :param changed_at: when that end was first known here
     :param token: fencing token while this VM holds the lease
     :param valid_until: until when this VM may give orders
+    :param released: whether the last record says that nobody holds it
     """
 
     ttl_s: float
@@ -43,17 +48,21 @@
     valid_until: float = 0.0
     renewed_at: float = 0.0
     holder: str = ""
+    released: bool = False
 
     def is_held(self, now: float) -> bool:
         """Return whether this VM may give orders."""
         return now < self.valid_until
 
-    def note_end(self, end: int, holder: str, now: float) -> None:
+    def note_end(
+        self, end: int, holder: str, now: float, released: bool = False
+    ) -> None:
         """Take in the end of the log that another VM or the log stated."""
         if end > self.end:
             self.end = end
             self.changed_at = now
             self.holder = holder
+            self.released = released
 
     def note_own_record(self, now: float) -> None:
         """Take in that the last record is of an earlier run of this VM.
@@ -73,21 +82,31 @@
         self.renewed_at = sent_at
         self.valid_until = sent_at + self.ttl_s * (1 - HOLDER_MARGIN)
         self.holder = vm
+        self.released = False
 
-    def release(self) -> None:
+    def give_up(self) -> None:
         """Stop giving orders."""
         self.valid_until = 0.0
 
 
 def decide_step(
-    lease: Lease, now: float, rank: int, stopping: bool
+    lease: Lease,
+    now: float,
+    rank: int,
+    stopping: bool,
+    hands_over: bool = False,
 ) -> tuple[Step, float]:
     """Return what to do and when to decide again.
 
     :param rank: place of this VM among the candidates that live; later ones
         wait longer, so that not all of them append at once
+    :param hands_over: whether a holder that stops releases the lease. An
+        engine that does not check fencing tokens could still carry out one
+        of its orders beside those of the next holder.
     """
     if lease.is_held(now):
+        if stopping and hands_over:
+            return Step.RELEASE, now
         due = lease.renewed_at + lease.ttl_s * RENEW_AFTER
         if now >= due and not stopping:
             return Step.APPEND, now
@@ -96,5 +115,6 @@
         return Step.WAIT, now + lease.ttl_s
     if lease.end < 0:
         return Step.APPEND, now
-    due = lease.changed_at + lease.ttl_s * (1.05 + 0.15 * rank)
+    wait = 0.0 if lease.released else 1.05
+    due = lease.changed_at + lease.ttl_s * (wait + RANK_DELAY * rank)
     return (Step.APPEND, now) if now >= due else (Step.WAIT, due)
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -176,6 +176,7 @@
     :param heat: decayed use of each adapter, and as of when
     :param used_at: when an adapter was last in use at an engine
     :param started_at: since when this VM gives orders, if it does
+    :param ended: it gives no more orders, and announces its last loads
     :param times: how long loads take
     """
 
@@ -185,6 +186,7 @@
     used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
     noted_at: float = 0.0
     started_at: float | None = None
+    ended: bool = False
     times: LoadTimes = attrs.field(factory=LoadTimes)
     model_loads: list[float] = attrs.field(factory=list)
 
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -30,6 +30,7 @@
     incarnation: str = ""
     lease_end: int = -1
     holder: str = ""
+    lease_released: bool = False
     active: dict[str, int] = attrs.field(factory=dict)
     uses: set[tuple[str, str, str]] = attrs.field(factory=set)
 
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -30,6 +30,7 @@
 
     :param lease_end: end of the lease log, as far as the VM knows
     :param holder: the VM that last appended there
+    :param lease_released: whether that record releases the lease
     :param active: requests in progress by endpoint
     """
 
@@ -41,6 +42,7 @@
     stopping: bool
     lease_end: int
     holder: str
+    lease_released: bool
     active: dict[str, int]
 
 
--- a/src/bronzetrack/entry/settings.py
+++ b/src/bronzetrack/entry/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import configparser
 
 import attrs
@@ -32,6 +33,8 @@
     :param grace_s: time from the signal to stop until the process is killed
     :param retry_ratio: repeats for each request, over all VMs
     :param retry_slack: repeats besides, over all VMs
+    :param engines_check_tokens: whether engines refuse orders with a fencing
+        token lower than one that they have seen
     """
 
     vm: str
@@ -52,6 +55,7 @@
     retry_slack: float
     retry_window_s: float
     entry_ttl_s: float
+    engines_check_tokens: bool = False
 
     @property
     def peer_address(self) -> str:
@@ -59,6 +63,14 @@
         return f"{self.peer_ip}:{self.peer_port}"
 
 
+def _parse_switch(raw: str = "false") -> bool:
+    """Return a setting that is on or off."""
+    states = configparser.ConfigParser.BOOLEAN_STATES
+    if raw.lower() not in states:
+        raise ValueError(f"neither true nor false: {raw!r}")
+    return states[raw.lower()]
+
+
 def parse_settings(text: str) -> Settings:
     """Return the settings in a text.
 
@@ -71,8 +83,10 @@
         raise SettingsError([str(error)]) from error
     mistakes: list[str] = []
 
-    def take(section: str, key: str, kind: type) -> object:
-        raw = parser.get(section, key, fallback="").strip()
+    def take(
+        section: str, key: str, kind: Callable[..., object], default: str = ""
+    ) -> object:
+        raw = parser.get(section, key, fallback="").strip() or default
         try:
             if not raw:
                 raise ValueError("missing")
@@ -100,6 +114,9 @@
         "retry_slack": take("limits", "retry_slack", float),
         "retry_window_s": take("limits", "retry_window_s", float),
         "entry_ttl_s": take("limits", "entry_ttl_s", float),
+        "engines_check_tokens": take(
+            "limits", "engines_check_tokens", _parse_switch, "false"
+        ),
     }
     if not ports[0].strip().isdigit():
         mistakes.append("[peers] ports: not a port")
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -72,5 +72,8 @@
 SERVERS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 LEASE_TOPIC = "leases"
+# Record of the lease topic after which nobody holds the lease. No VM has this
+# name.
+LEASE_RELEASED = b"\0released"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import os
 import pathlib
@@ -124,6 +125,7 @@
 retry_slack = 54
 retry_window_s = 10
 entry_ttl_s = 5
+engines_check_tokens = true
 """
 
 
@@ -249,10 +251,10 @@
         self.store = await server.start()
 
     async def add_server(
-        self, identity: str, service: str
+        self, identity: str, service: str, **fields: object
     ) -> wireengine.WireEngine:
         """Start an endpoint and enter it in the store."""
-        engine = wireengine.WireEngine(identity, service)
+        engine = wireengine.WireEngine(identity, service, **fields)
         server = rawhttp.RawServer(engine.handle)
         self.servers.append(server)
         address = await server.start()
@@ -268,9 +270,14 @@
         )
         self.log.put_json("keyed.servers", identity, entry)
 
-    def configure(self, version: int = 3) -> None:
-        """Publish the configuration."""
-        document = CONFIGURATION | {"version": version}
+    def configure(self, version: int = 3, model_load_s: float = 0.1) -> None:
+        """Publish the configuration.
+
+        :param model_load_s: stated time of a load of the base model
+        """
+        document = copy.deepcopy(CONFIGURATION) | {"version": version}
+        runtime = document["services"][1]["runtime"]
+        runtime["models"][0]["load_time_s"] = model_load_s
         self.log.put_json("keyed.op", "config", document)
 
     async def start_vm(self, name: str) -> Vm:
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -38,6 +38,38 @@
     assert step is leases.Step.WAIT
 
 
+def test_stopping_holder_releases_a_lease_that_engines_check(now):
+    """Guards against seconds without loads around a planned stop."""
+    lease = leases.Lease(TTL_S)
+    lease.note_renewed(4, now, "me")
+    step, _ = leases.decide_step(lease, now, 0, True, hands_over=True)
+    assert step is leases.Step.RELEASE
+    lease.give_up()
+    assert not lease.is_held(now)
+    step, _ = leases.decide_step(lease, now, 0, True, hands_over=True)
+    assert step is leases.Step.WAIT
+
+
+def test_candidates_take_a_released_lease_in_their_order(now):
+    """Guards against waiting for a holder that said that it stopped."""
+    lease = leases.Lease(TTL_S)
+    lease.note_end(7, "", now, released=True)
+    assert leases.decide_step(lease, now, 0, False)[0] is leases.Step.APPEND
+    step, due = leases.decide_step(lease, now, 1, False)
+    assert step is leases.Step.WAIT
+    assert due < now + TTL_S / 2
+
+
+def test_record_after_a_release_is_waited_for_again(now):
+    """Guards against two holders after a lease was released and taken."""
+    lease = leases.Lease(TTL_S)
+    lease.note_end(7, "", now, released=True)
+    lease.note_end(8, "other", now)
+    step, due = leases.decide_step(lease, now, 0, False)
+    assert step is leases.Step.WAIT
+    assert due > now + TTL_S
+
+
 def test_later_candidates_wait_longer(now):
     """Guards against all candidates appending at the same moment."""
     lease = leases.Lease(TTL_S)
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -9,7 +9,9 @@
 from bronzetrack.entry import messages
 
 SAMPLES = [
-    messages.Heartbeat("v", "i", "f:1", "z", True, False, 3, "v", {"e": 1}),
+    messages.Heartbeat(
+        "v", "i", "f:1", "z", True, False, 3, "v", False, {"e": 1}
+    ),
     messages.Uses("v", [["e", "m", "a"]]),
     messages.Want("v", "s", "m", "a", 1, 1, "", "", 500),
     messages.Placed("e", "m", "a", 1),
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator
 import json
 import pathlib
+import signal
+import time
 
 from entry import sites
 import pytest
@@ -86,6 +88,26 @@
     assert orders[0]["fence"] > 0
 
 
+async def test_engine_serves_as_soon_as_its_base_model_is_there(tmp_path):
+    """Guards against engines left idle after a restart.
+
+    A load from the engine's own disk takes far less than the stated time.
+    """
+    site = sites.Site(tmp_path)
+    await site.start_store()
+    await site.add_server("e1", "engines", loaded=False, model_load_s=0.3)
+    site.configure(model_load_s=4.0)
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    started = time.monotonic()
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    await site.stop()
+    assert (answer.status, answer.body) == (200, STREAM)
+    assert time.monotonic() - started < 2.0
+    models = [item for item in site.engines["e1"].orders if "adapter" in item]
+    assert len(site.engines["e1"].orders) - len(models) == 1
+
+
 async def test_more_adapters_than_places_overflow_no_engine(site, vm):
     """Guards against orders that crash an engine."""
     answers = await asyncio.gather(
@@ -252,6 +274,28 @@
     assert max(fences) > min(fences)
 
 
+async def test_stopped_holder_is_succeeded_at_once(site, vm):
+    """Guards against a lease that lapses although its holder said goodbye."""
+    other = await site.start_vm("vm-2")
+    await other.await_ready()
+    await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    await asyncio.sleep(0.5)
+    vm.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    headers = {"X-Model": "m/a2"}
+    answer = await sites.send(other.front, "/stream/x", "r2", headers=headers)
+    assert answer.status == 200
+    orders = [item for e in site.engines.values() for item in e.orders]
+    assert orders[-1]["holder"] == "vm-2"
+    assert orders[-1]["fence"] > orders[0]["fence"]
+    events = {item["event"]: item["time"] for item in site.read_events("vm-2")}
+    released = {
+        item["event"]: item["time"] for item in site.read_events("vm-1")
+    }
+    taken_s = events["lease_taken"] - released["lease_released"]
+    assert 0 <= taken_s < 0.25
+
+
 async def test_state_and_metrics_are_served(site, vm):
     """Guards against an operator who cannot look into a process."""
     await sites.send(vm.front, "/once/x", "r1", body=b"x")
--- a/tests/standins/wireengine.py
+++ b/tests/standins/wireengine.py
@@ -19,6 +19,8 @@
     :param load_s: how long an adapter takes to load
     :param cut_after: streams end within the event after this many
     :param status: status of answers to requests, if not 200
+    :param model_load_s: how long the base model takes to load
+    :param loaded: whether the base model is there
     """
 
     identity: str
@@ -34,6 +36,9 @@
     model: str = "m"
     most_adapters: int = 2
     overflows: int = 0
+    model_load_s: float = 0.1
+    loaded: bool = True
+    busy: bool = False
 
     def describe(self, address: str, **fields: object) -> dict:
         """Return the entry that the engine writes."""
@@ -52,6 +57,8 @@
         return entry | fields
 
     def _list_models(self) -> list[dict]:
+        if not self.loaded:
+            return []
         names = [f"{name}@{v}" for name, v in self.adapters.items()]
         return [{"name": self.model, "version": 1, "adapters": names}]
 
@@ -76,7 +83,7 @@
     def _report(self) -> bytes:
         report = {
             "models": self._list_models(),
-            "busy": False,
+            "busy": self.busy,
             "sequence": self.sequence,
             "pending": [f"{self.model}/{name}@1" for name in self.pending],
         }
@@ -87,6 +94,12 @@
         if order["expected"] != self.sequence:
             return rawhttp.make_answer(409)
         self.sequence += 1
+        if "adapter" not in order:
+            self.busy = True
+            asyncio.get_running_loop().call_later(
+                self.model_load_s, self._finish_model
+            )
+            return rawhttp.make_answer(202)
         name = order["adapter"]
         if order["operation"] == "unload":
             self.adapters.pop(name, None)
@@ -99,6 +112,10 @@
         )
         return rawhttp.make_answer(202)
 
+    def _finish_model(self) -> None:
+        self.busy = False
+        self.loaded = True
+
     def _finish_load(self, name: str, version: int) -> None:
         self.pending.discard(name)
         self.adapters[name] = version
