--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 
+from entry import sites
 import pytest
 
+from bronzetrack.entry import board as boards
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loading
 from bronzetrack.entry import placement
 from bronzetrack.entry import routes
+from bronzetrack.entry import settings as entry_settings
 from bronzetrack.entry import traffic
 
 MODEL = "m"
@@ -21,6 +24,15 @@
     return 1_000.0
 
 
+@pytest.fixture
+def board() -> boards.Blackboard:
+    """State of an entry VM that has just started."""
+    text = sites.SETTINGS.format(
+        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
+    )
+    return boards.Blackboard(entry_settings.parse_settings(text), "run-1")
+
+
 @pytest.fixture
 def make_endpoint() -> Callable[..., endpoints.Endpoint]:
     """Makes an engine that holds adapters."""
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -2,26 +2,14 @@
 
 from __future__ import annotations
 
-from entry import sites
 import pytest
 
-from bronzetrack.entry import board as boards
 from bronzetrack.entry import loading
-from bronzetrack.entry import settings as entry_settings
 from bronzetrack.entry.controllers import loading as controllers
 
 NEED = ("m", "a1")
 
 
-@pytest.fixture
-def board() -> boards.Blackboard:
-    """State of an entry VM that has just started."""
-    text = sites.SETTINGS.format(
-        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
-    )
-    return boards.Blackboard(entry_settings.parse_settings(text), "run-1")
-
-
 @pytest.fixture
 def controller(board, now) -> controllers.LoadingController:
     """Controller of a VM that holds the lease."""
