--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bronzetrack.entry import loading
 from bronzetrack.entry.controllers import loading as controllers
 
 NEED = ("m", "a1")
@@ -18,15 +17,15 @@
 
 
 def test_vm_that_takes_the_lease_again_trusts_nothing_from_before(
-    controller, board, now
+    controller, board, make_endpoint, now
 ):
     """Guards against orders that overfill an engine.
 
     Another holder may have used the places meanwhile.
     """
     controller._run_turn(None, now)
-    known = loading.EngineState(0, pending={NEED: now + 1})
-    board.loading.value.engines["e"] = known
+    known = board.loading.value.find_engine(make_endpoint("e"))
+    known.pending = {NEED: now + 1}
     board.lease.value.give_up()
     controller._run_turn(None, now)
     assert board.loading.value.engines == {"e": known}
@@ -39,11 +38,12 @@
     controller, board, make_endpoint, now
 ):
     """Guards against requests that wait for a load that nobody announces."""
-    board.endpoints.value.add(make_endpoint("e"))
+    endpoint = make_endpoint("e")
+    board.endpoints.value.add(endpoint)
     controller._run_turn(None, now)
-    board.loading.value.engines["e"] = loading.EngineState(
-        0, held={NEED: 1}, pending={NEED: now + 0.2}
-    )
+    known = board.loading.value.find_engine(endpoint)
+    known.held = {NEED: 1}
+    known.pending = {NEED: now + 0.2}
     board.lease.value.give_up()
     controller._run_turn(None, now)
     assert len(board.placed) == 0
