Let requests wait for the first configuration

Change: such a request waits for 0.3 of its caller's time, at most 1.5 s, and is then told to come back after a second. The new test fails with a wait of 0 s.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 
@@ -38,6 +40,8 @@
 MOST_SENDS = 3
 REJECTED_PAUSE_S = 0.05
 RETRY_AFTER_S = 0.5
+# Callers wait this time at most a third of what they have left.
+NO_CONFIGURATION_RETRY_S = 1.0
 FIRST_VERSION = 1
 NO_NEED = ("", "")
 # A request that waits for an engine is refused after this part of the time
@@ -46,6 +50,10 @@
 # A request that an engine broke off waits this long for another engine.
 ELSEWHERE_S = 0.6
 ISOLATED_WAIT_S = 0.05
+# Until a configuration is known, requests wait for it this part of the time
+# that their caller has, and no longer than callers wait for a first event.
+CONFIGURATION_WAIT_SHARE = 0.3
+CONFIGURATION_WAIT_S = 1.5
 
 
 @attrs.define(eq=False)
@@ -110,6 +118,9 @@
         request = wire_requests.decode_request(
             exchange.head, exchange.body, now
         )
+        if self.board.rules.value.configuration is None:
+            with self._note_departure(request):
+                await self._await_configuration(request)
         route = self._find_route(request)
         if isinstance(route, failures.Failure):
             self._end(exchange, request, None, route)
@@ -127,8 +138,16 @@
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
         self._find_budget(progress.service).note_request(now)
-        try:
+        with self._note_departure(request, progress):
             await self._run(exchange, request, progress)
+
+    @contextlib.contextmanager
+    def _note_departure(
+        self, request: requests.Request, progress: Progress | None = None
+    ) -> Iterator[None]:
+        """Log a request whose caller closes the connection meanwhile."""
+        try:
+            yield
         except asyncio.CancelledError:
             left = failures.Failure(failures.Reason.CALLER_LEFT)
             self._log_end(request, progress, left)
@@ -166,6 +185,20 @@
         if suspect:
             self.board.outgoing.post(messages.Loss(suspect))
 
+    async def _await_configuration(self, request: requests.Request) -> None:
+        """Wait for the first configuration, for a part of the caller's time.
+
+        Load pattern: all VMs lost power while the store is away. Callers
+        that are refused come back once, mostly before the store does.
+        """
+        wait_s = CONFIGURATION_WAIT_SHARE * (
+            request.deadline - request.arrived
+        )
+        await blackboard.wait_any(
+            self.board.rules.meets(lambda rules: bool(rules.configuration)),
+            timeout_ms=int(1000 * min(CONFIGURATION_WAIT_S, wait_s)),
+        )
+
     def _find_route(
         self, request: requests.Request
     ) -> routes.Route | failures.Failure:
@@ -174,7 +207,7 @@
             return failures.Failure(
                 failures.Reason.NO_CONFIGURATION,
                 "no configuration is known yet",
-                RETRY_AFTER_S,
+                NO_CONFIGURATION_RETRY_S,
             )
         if self.listener.stopped:
             return failures.Failure(
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -214,9 +214,9 @@
         """Read from the addresses that are not for callers."""
         return await send(self.control, path, "", method="GET")
 
-    async def await_ready(self) -> None:
+    async def await_ready(self, timeout_s: float = 10.0) -> None:
         """Wait until the VM takes requests."""
-        async with asyncio.timeout(10):
+        async with asyncio.timeout(timeout_s):
             while True:
                 try:
                     if (await self.get("/api/ready")).status == 200:
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -68,6 +68,23 @@
     assert (await vm.get("/api/resolve?name=h")).status == 503
 
 
+async def test_request_waits_for_the_first_configuration(site):
+    """Guards against refusals for as long as a restarted VM knows nothing.
+
+    All VMs lost power while the store was away, which came back soon after.
+    """
+    vm = await site.start_vm("vm-1")
+    with pytest.raises(TimeoutError):
+        await vm.await_ready(timeout_s=0.7)
+    pending = asyncio.ensure_future(
+        sites.send(vm.front, "/once/x", "r1", body=b"data")
+    )
+    await asyncio.sleep(0.3)
+    site.configure()
+    answer = await pending
+    assert (answer.status, answer.body) == (200, b"whole")
+
+
 async def test_plain_requests_are_answered(site, vm):
     """Guards against answers that differ from the endpoint's."""
     answer = await sites.send(vm.front, "/once/x", "r1", body=b"data")
