Read the last record of the lease after each start, and wait for endpoints

The former holder looked whether the last record was its own only after its own append had met a conflict; a heartbeat of another VM had told it the end of the log before. Beside that, 143 requests were refused with no_endpoint in the second before the list of endpoints was read. Change: reading the last record is a step of its own that each VM takes once after its start. Requests wait for a service's first endpoint as for the first configuration. The state machine of the lease has restarts, releases and reads now.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -50,10 +50,11 @@
 # A request that an engine broke off waits this long for another engine.
 ELSEWHERE_S = 0.6
 ISOLATED_WAIT_S = 0.05
-# Until a configuration is known, requests wait for it this part of the time
-# that their caller has, and no longer than callers wait for a first event.
-CONFIGURATION_WAIT_SHARE = 0.3
-CONFIGURATION_WAIT_S = 1.5
+# Until a configuration and endpoints are known, requests wait this part of
+# the time that their caller has, and no longer than callers wait for a first
+# event.
+LEARNING_WAIT_SHARE = 0.3
+LEARNING_WAIT_S = 1.5
 
 
 @attrs.define(eq=False)
@@ -191,14 +192,16 @@
         Load pattern: all VMs lost power while the store is away. Callers
         that are refused come back once, mostly before the store does.
         """
-        wait_s = CONFIGURATION_WAIT_SHARE * (
-            request.deadline - request.arrived
-        )
         await blackboard.wait_any(
             self.board.rules.meets(lambda rules: bool(rules.configuration)),
-            timeout_ms=int(1000 * min(CONFIGURATION_WAIT_S, wait_s)),
+            timeout_ms=int(1000 * self._limit_wait(request)),
         )
 
+    def _limit_wait(self, request: requests.Request) -> float:
+        """Return how long a request may wait for what a VM learns first."""
+        time_s = request.deadline - request.arrived
+        return min(LEARNING_WAIT_S, LEARNING_WAIT_SHARE * time_s)
+
     def _find_route(
         self, request: requests.Request
     ) -> routes.Route | failures.Failure:
@@ -354,6 +357,12 @@
         now = self.read_clock()
         table = self.board.endpoints.value
         candidates = table.list_service(progress.service)
+        if not candidates and now - request.arrived < self._limit_wait(
+            request
+        ):
+            # The list may be incomplete after a start, or after entries
+            # lapsed with the store.
+            return None
         if not any(item.is_usable(now) for item in candidates):
             return failures.Failure(
                 failures.Reason.NO_ENDPOINT,
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -40,6 +40,8 @@
             match step:
                 case leases.Step.APPEND:
                     await self._append(lease)
+                case leases.Step.READ:
+                    await self._read_last(lease)
                 case leases.Step.RELEASE:
                     await self._release(lease)
                 case leases.Step.WAIT:
@@ -57,13 +59,12 @@
     def _take_heartbeats(self, now: float) -> None:
         lease = self.board.lease.value
         for peer in self.board.membership.value.members.peers.values():
-            if peer.lease_end > lease.end:
-                lease.note_end(
-                    peer.lease_end, peer.holder, now, peer.lease_released
-                )
+            newer = peer.lease_end > lease.end
+            lease.note_end(
+                peer.lease_end, peer.holder, now, peer.lease_released
+            )
+            if newer:
                 self.write(self.board.lease, lease)
-            elif peer.lease_end == lease.end and not lease.holder:
-                lease.holder = peer.holder
 
     def _take_refusals(self, lease: leases.Lease) -> None:
         """Give the lease up where an engine knows of a later holder."""
@@ -87,20 +88,30 @@
         """Look after the start whether anybody else may hold the lease."""
         try:
             batch = await self.ports.store.read(
-                names.LEASE_TOPIC, lease.end - 1, 0.0
-            )
-        except stores.StoreError as error:
-            LOG.warning(
-                "the last record of the lease could not be read",
-                extra={"event": "lease_failed", "detail": str(error)},
+                names.LEASE_TOPIC, max(0, lease.end - 1), 0.0
             )
+        except stores.RecordsExpiredError:
+            lease.checked = True
             return
-        if batch.end != lease.end:
+        except stores.StoreError as error:
+            await self._pause(error)
             return
         last = batch.records[-1] if batch.records else b""
-        lease.released = last == names.LEASE_RELEASED
-        if last == self.board.settings.vm.encode():
-            lease.note_own_record(self.read_clock())
+        lease.note_last(
+            batch.end,
+            last == self.board.settings.vm.encode(),
+            last == names.LEASE_RELEASED,
+            self.read_clock(),
+        )
+        self.write(self.board.lease, lease)
+
+    async def _pause(self, error: stores.StoreError) -> None:
+        """Wait a moment after a call that failed."""
+        LOG.warning(
+            "the store did not answer on the lease",
+            extra={"event": "lease_failed", "detail": str(error)},
+        )
+        await anyio.sleep(RETRY_S)
 
     async def _release(self, lease: leases.Lease) -> None:
         """Let another VM take the lease before its time has passed."""
@@ -133,16 +144,9 @@
                 names.LEASE_TOPIC, [vm.encode()], at
             )
         except stores.OffsetConflictError as error:
-            first = lease.end < 0
             lease.note_end(error.end, "", self.read_clock())
-            if first:
-                await self._read_last(lease)
         except stores.StoreError as error:
-            LOG.warning(
-                "the lease could not be renewed or taken",
-                extra={"event": "lease_failed", "detail": str(error)},
-            )
-            await anyio.sleep(RETRY_S)
+            await self._pause(error)
             return
         else:
             lease.note_renewed(offset, sent_at, vm)
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -27,6 +27,7 @@
 
     WAIT = "wait"
     APPEND = "append"
+    READ = "read"
     RELEASE = "release"
 
 
@@ -39,6 +40,7 @@
     :param token: fencing token while this VM holds the lease
     :param valid_until: until when this VM may give orders
     :param released: whether the last record says that nobody holds it
+    :param checked: whether this VM has read the last record since its start
     """
 
     ttl_s: float
@@ -49,6 +51,7 @@
     renewed_at: float = 0.0
     holder: str = ""
     released: bool = False
+    checked: bool = False
 
     def is_held(self, now: float) -> bool:
         """Return whether this VM may give orders."""
@@ -63,13 +66,25 @@
             self.changed_at = now
             self.holder = holder
             self.released = released
+        elif end == self.end:
+            self.holder = self.holder or holder
+            self.released = self.released or released
 
-    def note_own_record(self, now: float) -> None:
-        """Take in that the last record is of an earlier run of this VM.
+    def note_last(
+        self, end: int, own: bool, released: bool, now: float
+    ) -> None:
+        """Take in the last record, read after the start of this VM.
 
-        That run has ended, and nobody else may give orders meanwhile.
+        :param own: it is of an earlier run of this VM, which has ended, and
+            nobody else may give orders meanwhile
         """
-        self.changed_at = now - 2 * self.ttl_s
+        self.checked = True
+        self.note_end(end, "", now)
+        if end != self.end:
+            return
+        self.released = released
+        if own:
+            self.changed_at = now - 2 * self.ttl_s
 
     def note_renewed(self, offset: int, sent_at: float, vm: str) -> None:
         """Take in that an append of this VM was the last record.
@@ -83,6 +98,7 @@
         self.valid_until = sent_at + self.ttl_s * (1 - HOLDER_MARGIN)
         self.holder = vm
         self.released = False
+        self.checked = True
 
     def give_up(self) -> None:
         """Stop giving orders."""
@@ -115,6 +131,8 @@
         return Step.WAIT, now + lease.ttl_s
     if lease.end < 0:
         return Step.APPEND, now
+    if not lease.checked:
+        return Step.READ, now
     wait = 0.0 if lease.released else 1.05
     due = lease.changed_at + lease.ttl_s * (wait + RANK_DELAY * rank)
     return (Step.APPEND, now) if now >= due else (Step.WAIT, due)
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -9,11 +9,12 @@
 from bronzetrack.entry import leases
 
 TTL_S = 3.0
+RELEASED = "released"
 
 
 def test_candidate_waits_for_the_whole_lease(now):
     """Guards against two holders at once."""
-    lease = leases.Lease(TTL_S)
+    lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "other", now)
     step, due = leases.decide_step(lease, now + 0.9 * TTL_S, 0, False)
     assert step is leases.Step.WAIT
@@ -52,7 +53,7 @@
 
 def test_candidates_take_a_released_lease_in_their_order(now):
     """Guards against waiting for a holder that said that it stopped."""
-    lease = leases.Lease(TTL_S)
+    lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "", now, released=True)
     assert leases.decide_step(lease, now, 0, False)[0] is leases.Step.APPEND
     step, due = leases.decide_step(lease, now, 1, False)
@@ -62,7 +63,7 @@
 
 def test_record_after_a_release_is_waited_for_again(now):
     """Guards against two holders after a lease was released and taken."""
-    lease = leases.Lease(TTL_S)
+    lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "", now, released=True)
     lease.note_end(8, "other", now)
     step, due = leases.decide_step(lease, now, 0, False)
@@ -72,7 +73,7 @@
 
 def test_later_candidates_wait_longer(now):
     """Guards against all candidates appending at the same moment."""
-    lease = leases.Lease(TTL_S)
+    lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "other", now)
     first = leases.decide_step(lease, now, 0, False)[1]
     second = leases.decide_step(lease, now, 1, False)[1]
@@ -87,13 +88,29 @@
     """
     lease = leases.Lease(TTL_S)
     lease.note_end(7, "", now)
-    lease.note_own_record(now)
-    step, _ = leases.decide_step(lease, now, 3, False)
+    assert leases.decide_step(lease, now, 3, False)[0] is leases.Step.READ
+    lease.note_last(7, True, False, now)
+    assert leases.decide_step(lease, now, 3, False)[0] is leases.Step.APPEND
+
+
+def test_restarted_holder_that_hears_the_end_first_goes_on_at_once(now):
+    """Guards against a wait for its own lease after all VMs restarted.
+
+    Replays papyros-fw trouble-1: a heartbeat told the end of the log before
+    the VM's own append had met a conflict, so that nothing read the record.
+    """
+    lease = leases.Lease(TTL_S)
+    assert leases.decide_step(lease, now, 0, False)[0] is leases.Step.APPEND
+    lease.note_end(7, "", now)
+    step, _ = leases.decide_step(lease, now + 0.1, 0, False)
+    assert step is leases.Step.READ
+    lease.note_last(7, True, False, now + 0.1)
+    step, _ = leases.decide_step(lease, now + 0.1, 0, False)
     assert step is leases.Step.APPEND
 
 
 class LeaseMachine(stateful.RuleBasedStateMachine):
-    """VMs with clocks of their own rate, lost answers and pauses.
+    """VMs with clocks of their own rate, lost answers, pauses and restarts.
 
     However answers are lost and VMs sleep, no two believe to hold the lease,
     and tokens rise.
@@ -104,7 +121,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 100.0
-        self.end = 0
+        self.records: list[str] = []
         self.leases = [leases.Lease(TTL_S) for _ in range(self.vms)]
         self.last_token = 0
 
@@ -115,28 +132,58 @@
 
     @stateful.rule(
         vm=strategies.integers(0, vms - 1),
+        stopping=strategies.booleans(),
         answered=strategies.booleans(),
         took=strategies.floats(0.0, 1.0),
     )
-    def decide(self, vm: int, answered: bool, took: float) -> None:
+    def decide(
+        self, vm: int, stopping: bool, answered: bool, took: float
+    ) -> None:
         """A VM acts on what it knows."""
         lease = self.leases[vm]
-        step, _ = leases.decide_step(lease, self.now, vm, False)
-        if step is not leases.Step.APPEND:
-            return
-        sent_at = self.now
-        if max(0, lease.end) != self.end:
+        step, _ = leases.decide_step(lease, self.now, vm, stopping, True)
+        match step:
+            case leases.Step.READ if answered:
+                lease.note_last(
+                    len(self.records),
+                    self.records[-1] == str(vm),
+                    self.records[-1] == RELEASED,
+                    self.now,
+                )
+            case leases.Step.RELEASE:
+                lease.give_up()
+                if self._append(lease, RELEASED, answered, took):
+                    end = len(self.records)
+                    lease.note_end(end, "", self.now, released=True)
+            case leases.Step.APPEND:
+                sent_at = self.now
+                if self._append(lease, str(vm), answered, took):
+                    offset = len(self.records) - 1
+                    lease.note_renewed(offset, sent_at, str(vm))
+                    self._check_token(lease)
+
+    def _append(
+        self, lease: leases.Lease, record: str, answered: bool, took: float
+    ) -> bool:
+        """Append on a condition; return whether the VM knows that it did."""
+        if max(0, lease.end) != len(self.records):
             if answered:
-                lease.note_end(self.end, "", self.now + took)
-            return
-        offset = self.end
-        self.end += 1
+                lease.note_end(len(self.records), "", self.now + took)
+            return False
+        self.records.append(record)
         if answered:
             self.now += took
-            lease.note_renewed(offset, sent_at, str(vm))
-            if lease.is_held(self.now):
-                assert lease.token > self.last_token
-                self.last_token = lease.token
+        return answered
+
+    def _check_token(self, lease: leases.Lease) -> None:
+        if lease.is_held(self.now):
+            assert lease.token > self.last_token
+            self.last_token = lease.token
+
+    @stateful.rule(vm=strategies.integers(0, vms - 1))
+    def restart(self, vm: int) -> None:
+        """A VM is killed and starts again, knowing nothing."""
+        self.leases[vm] = leases.Lease(TTL_S)
 
     @stateful.rule(
         teller=strategies.integers(0, vms - 1),
@@ -145,7 +192,9 @@
     def gossip(self, teller: int, told: int) -> None:
         """A heartbeat arrives."""
         source = self.leases[teller]
-        self.leases[told].note_end(source.end, source.holder, self.now)
+        self.leases[told].note_end(
+            source.end, source.holder, self.now, source.released
+        )
 
     @stateful.invariant()
     def hold_one(self) -> None:
