--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -21,6 +21,8 @@
 # endpoint must get no more work.
 GAP_S = 1.0
 WAIT_S = 0.5
+# The same while entries return after an outage of the store.
+RETURN_GAP_S = 0.1
 # Entries that lapsed while the store was away return in about this time.
 RETURN_S = 2.0
 
@@ -53,7 +55,8 @@
                 self._apply(record, now)
             self._expire(now)
             self._notify()
-            await anyio.sleep(GAP_S)
+            returning = now - self._recovered_at < RETURN_S
+            await anyio.sleep(RETURN_GAP_S if returning else GAP_S)
 
     async def _follow_placements(self) -> None:
         mailbox = self.board.placed
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -237,6 +237,28 @@
     assert loaded.status == 200
 
 
+async def test_entries_that_return_with_the_store_are_used_at_once(site):
+    """Guards against idle endpoints in the seconds after an outage.
+
+    A VM started while the store was away, with which all entries lapsed.
+    """
+    site.configure()
+    site.log.failing = 503
+    for identity in site.engines:
+        site.log.put("keyed.servers", identity, None)
+    vm = await site.start_vm("vm-1")
+    await asyncio.sleep(0.8)
+    site.log.failing = None
+    site.announce("p1")
+    await vm.await_ready()
+    await asyncio.sleep(0.2)
+    site.announce("e1")
+    started = time.monotonic()
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    assert answer.status == 200
+    assert time.monotonic() - started < 0.6
+
+
 async def test_planned_stop_answers_what_it_took(site, vm):
     """Guards against a stop that cuts a request."""
     for engine in site.engines.values():
