Split forwarding into selection, sending and the log of requests

In the split a call lost its target, the task of a request ended with an exception that nothing logged, and the caller's connection stayed open for ever: the server swallowed what a handler raises. The server logs request_failed with the exception and closes the connection. No decision changed.

--- a/src/bronzetrack/entry/arrivals.py
+++ b/src/bronzetrack/entry/arrivals.py
@@ -7,6 +7,8 @@
 from bronzetrack.core import blackboard
 
 Need = tuple[str, str]
+# Requests that need no model wait under this.
+NO_NEED: Need = ("", "")
 
 
 class Arrival(blackboard.Source):
--- /dev/null
+++ b/src/bronzetrack/entry/requestlog.py
@@ -0,0 +1,125 @@
+"""Log lines and counters about single requests."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from bronzetrack.entry import arrivals
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import failures
+from bronzetrack.entry import meters
+from bronzetrack.entry import progress as progresses
+from bronzetrack.entry import relays
+from bronzetrack.entry import requests
+
+if TYPE_CHECKING:
+    from bronzetrack.entry import board as boards
+
+LOG = logging.getLogger(__name__)
+# A first send that waited less has no line of its own.
+LONG_WAIT_S = 0.1
+
+
+def log_send(
+    board: boards.Blackboard,
+    request: requests.Request,
+    progress: progresses.Progress,
+    endpoint: endpoints.Endpoint,
+    now: float,
+) -> None:
+    """State what decided a send.
+
+    The line at the end says it for a first send that did not wait.
+    """
+    if progress.sends == 1 and (progress.waited_s or 0.0) < LONG_WAIT_S:
+        return
+    LOG.info(
+        "a request was sent",
+        extra={
+            "event": "sent",
+            "request_id": request.identity,
+            "endpoint": endpoint.identity,
+            "adapter": request.adapter,
+            "version": endpoint.adapters.get(request.need or arrivals.NO_NEED),
+            "placed_age_s": _round(
+                now - endpoint.placed_at[request.need]
+                if request.need in endpoint.placed_at
+                else None
+            ),
+            "store_age_s": _round(now - board.contact.value),
+            "send": progress.sends,
+            "waited_s": _round(progress.waited_s),
+            "holder": board.lease.value.holder,
+        },
+    )
+
+
+def log_rejection(
+    request: requests.Request,
+    endpoint: endpoints.Endpoint,
+    relay: relays.Relay,
+) -> None:
+    """State why an endpoint did not run a request."""
+    meters.REJECTIONS.labels(relay.status).inc()
+    LOG.info(
+        "an endpoint rejected a request without running it",
+        extra={
+            "event": "rejected",
+            "request_id": request.identity,
+            "endpoint": endpoint.identity,
+            "status": relay.status,
+            "adapter": request.adapter,
+            "detail": relay.body[:120].decode("latin-1"),
+        },
+    )
+
+
+def log_end(
+    request: requests.Request,
+    progress: progresses.Progress | None,
+    failure: failures.Failure | None,
+    now: float,
+) -> None:
+    """State and count what became of a request."""
+    total_s = now - request.arrived
+    _measure(progress, failure, total_s)
+    LOG.info(
+        "a request ended",
+        extra={
+            "event": "request",
+            "request_id": request.identity,
+            "route": request.route.name if request.route else "",
+            "adapter": request.adapter,
+            "endpoint": progress.endpoint if progress else "",
+            "sends": progress.sends if progress else 0,
+            "outcome": progress.outcome if progress else "",
+            "reason": failure.reason.value if failure else "",
+            "detail": failure.detail if failure else "",
+            "waited_s": _round(progress.waited_s if progress else None),
+            "first_byte_s": _round(
+                progress.first_byte_s if progress else None
+            ),
+            "total_s": _round(total_s),
+        },
+    )
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
+
+
+def _measure(
+    progress: progresses.Progress | None,
+    failure: failures.Failure | None,
+    total_s: float,
+) -> None:
+    meters.REQUESTS.labels(
+        progress.outcome if progress else "",
+        failure.reason.value if failure else "",
+    ).inc()
+    meters.TOTAL.observe(total_s)
+    if progress is not None and progress.waited_s is not None:
+        meters.WAITED.observe(progress.waited_s)
+    if progress is not None and progress.first_byte_s is not None:
+        meters.FIRST_BYTE.observe(progress.first_byte_s)
--- /dev/null
+++ b/src/bronzetrack/entry/selection.py
@@ -0,0 +1,203 @@
+"""Finds the endpoint for a request, and asks for what is missing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bronzetrack.core import blackboard
+from bronzetrack.entry import arrivals
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import failures
+from bronzetrack.entry import members
+from bronzetrack.entry import messages
+from bronzetrack.entry import placement
+from bronzetrack.entry import progress as progresses
+from bronzetrack.entry import requests
+
+if TYPE_CHECKING:
+    from bronzetrack.entry import board as boards
+
+# A VM asks again for an adapter that it waits for.
+ASK_S = 0.15
+WAIT_S = 0.1
+RETRY_AFTER_S = 0.5
+FIRST_VERSION = 1
+# A request that waits for an engine is refused after this part of the time
+# until its caller leaves, so that the caller can still try again.
+WAIT_SHARE = 0.7
+ISOLATED_WAIT_S = 0.05
+# Until a configuration and endpoints are known, requests wait this part of
+# the time that their caller has, and no longer than callers wait for a first
+# event.
+LEARNING_WAIT_SHARE = 0.3
+LEARNING_WAIT_S = 1.5
+
+
+def limit_wait(request: requests.Request) -> float:
+    """Return how long a request may wait for what a VM learns first."""
+    time_s = request.deadline - request.arrived
+    return min(LEARNING_WAIT_S, LEARNING_WAIT_SHARE * time_s)
+
+
+class EndpointSelector:
+    """Waits for an endpoint that can take a request."""
+
+    def __init__(
+        self, board: boards.Blackboard, read_clock: Callable[[], float]
+    ) -> None:
+        self.board = board
+        self.read_clock = read_clock
+
+    async def await_endpoint(
+        self, request: requests.Request, progress: progresses.Progress
+    ) -> endpoints.Endpoint | failures.Failure:
+        """Wait until an endpoint can take a request."""
+        key = request.need or arrivals.NO_NEED
+        arrival = self.board.arrivals.join(key)
+        try:
+            while True:
+                count = arrival.count
+                found = self._find_endpoint(request, progress)
+                if found is not None:
+                    return found
+                await blackboard.wait_any(
+                    arrival.is_newer(count), timeout_ms=int(1000 * WAIT_S)
+                )
+        finally:
+            self.board.arrivals.leave(key)
+
+    def _find_endpoint(
+        self, request: requests.Request, progress: progresses.Progress
+    ) -> endpoints.Endpoint | failures.Failure | None:
+        """Return an endpoint, why there is none, or nothing to wait on."""
+        now = self.read_clock()
+        table = self.board.endpoints.value
+        candidates = table.list_service(progress.service)
+        if not candidates and now - request.arrived < limit_wait(request):
+            # The list may be incomplete after a start, or after entries
+            # lapsed with the store.
+            return None
+        if not any(item.is_usable(now) for item in candidates):
+            return failures.Failure(
+                failures.Reason.NO_ENDPOINT,
+                "the service has no endpoint",
+                RETRY_AFTER_S,
+            )
+        return self._choose(
+            request, progress, candidates, now
+        ) or self._judge_wait(request, now)
+
+    def _judge_wait(
+        self, request: requests.Request, now: float
+    ) -> failures.Failure | None:
+        """Return why waiting on is of no use, if that is so."""
+        waited = now - request.arrived
+        if waited > WAIT_SHARE * (request.start_by - request.arrived):
+            return failures.Failure(
+                failures.Reason.NOT_LOADED,
+                "no engine could load the adapter in time",
+                RETRY_AFTER_S,
+            )
+        if waited > ISOLATED_WAIT_S and self._is_isolated(now):
+            return failures.Failure(
+                failures.Reason.ISOLATED,
+                "this VM reaches neither the store nor another VM",
+                0.0,
+            )
+        return None
+
+    def _is_isolated(self, now: float) -> bool:
+        board = self.board
+        return members.is_isolated(
+            board.membership.value.members, board.contact.value, now
+        )
+
+    def _choose(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        candidates: list[endpoints.Endpoint],
+        now: float,
+    ) -> endpoints.Endpoint | None:
+        view = placement.View(
+            self.board.traffic.value,
+            self.board.membership.value.active,
+            self.board.settings.zone,
+            now,
+        )
+        need = request.need
+        if need is None or not self._has_engine(progress.service):
+            return placement.choose_endpoint(
+                candidates, frozenset(progress.tried), view
+            )
+        version = self.board.rules.value.versions.get(need, FIRST_VERSION)
+        holders = placement.list_holders(candidates, need, version, view)
+        if not holders:
+            self._ask(request, progress, version, 1, now)
+            return None
+        if need[1] and self._is_copy_needed(
+            progress, holders, candidates, view
+        ):
+            self._ask(request, progress, version, len(holders) + 1, now)
+            if now < progress.elsewhere_until:
+                return None
+        return placement.choose_endpoint(
+            holders, frozenset(progress.tried), view
+        )
+
+    def _is_copy_needed(
+        self,
+        progress: progresses.Progress,
+        holders: list[endpoints.Endpoint],
+        candidates: list[endpoints.Endpoint],
+        view: placement.View,
+    ) -> bool:
+        """Return whether one engine more should hold an adapter.
+
+        A request that broke off at all engines that hold its adapter goes on
+        at another one, if that can be had soon.
+        """
+        if view.now < progress.elsewhere_until:
+            if any(item.identity not in progress.tried for item in holders):
+                progress.elsewhere_until = 0.0
+            elif len(holders) < len(candidates):
+                return True
+            else:
+                progress.elsewhere_until = 0.0
+        return placement.wants_copy(holders, candidates, view)
+
+    def _has_engine(self, service: str) -> bool:
+        configuration = self.board.rules.value.configuration
+        found = configuration.services.get(service) if configuration else None
+        return found is not None and found.engine is not None
+
+    def _ask(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        version: int,
+        copies: int,
+        now: float,
+    ) -> None:
+        """Ask the holder of the lease for a load."""
+        if now - progress.asked_at < ASK_S:
+            return
+        progress.asked_at = now
+        want = messages.Want(
+            self.board.settings.vm,
+            progress.service,
+            request.model,
+            request.adapter,
+            version,
+            copies,
+            progress.missing,
+            progress.unreachable,
+            int(1000 * (request.arrived + request.route.target_s - now)),
+        )
+        progress.missing = ""
+        progress.unreachable = ""
+        if self.board.lease.value.is_held(now):
+            self.board.wanted.post(want)
+        else:
+            self.board.outgoing.post(want)
--- /dev/null
+++ b/src/bronzetrack/entry/sending.py
@@ -0,0 +1,186 @@
+"""Sends requests to endpoints, and notes how that went."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import messages
+from bronzetrack.entry import progress as progresses
+from bronzetrack.entry import relays
+from bronzetrack.entry import requestlog
+from bronzetrack.entry import requests
+from bronzetrack.entry import suspects
+from bronzetrack.entry import traffic as traffic_tables
+from bronzetrack.platform import names
+from bronzetrack.platform import requests as wire_requests
+from bronzetrack.transport import connections
+from bronzetrack.transport import server
+
+if TYPE_CHECKING:
+    from bronzetrack.entry import board as boards
+
+# A request that an engine broke off waits this long for another engine.
+ELSEWHERE_S = 0.6
+
+
+class Sender:
+    """Keeps the connections to endpoints and sends over them."""
+
+    def __init__(
+        self, board: boards.Blackboard, read_clock: Callable[[], float]
+    ) -> None:
+        self.board = board
+        self.read_clock = read_clock
+        self._pools: dict[str, connections.Pool] = {}
+
+    def retain(self, identities: set[str]) -> None:
+        """Close the idle connections to endpoints that are not listed."""
+        for identity in set(self._pools) - identities:
+            self._pools.pop(identity).close()
+
+    async def send(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: progresses.Progress,
+        endpoint: endpoints.Endpoint,
+    ) -> relays.Relay | None:
+        """Send a request to an endpoint; nothing if it took no connection."""
+        traffic = self.board.traffic.value.find(endpoint.identity)
+        need = request.need
+        traffic.start(need)
+        try:
+            pool = self._find_pool(endpoint)
+            connection = pool.take_idle(self.read_clock())
+            if connection is None:
+                connection = await pool.connect()
+            if connection is None:
+                traffic.note_unreachable(self.read_clock())
+                progress.unreachable = endpoint.identity
+                progress.asked_at = 0.0
+                return None
+            return await self._exchange(
+                exchange, request, progress, endpoint, pool, connection
+            )
+        finally:
+            traffic.end(need)
+
+    def _find_pool(self, endpoint: endpoints.Endpoint) -> connections.Pool:
+        pool = self._pools.get(endpoint.identity)
+        if pool is None or pool.address != endpoint.address:
+            pool = connections.Pool(endpoint.address)
+            self._pools[endpoint.identity] = pool
+        return pool
+
+    async def _exchange(
+        self,
+        exchange: server.Exchange,
+        request: requests.Request,
+        progress: progresses.Progress,
+        endpoint: endpoints.Endpoint,
+        pool: connections.Pool,
+        connection: connections.Connection,
+    ) -> relays.Relay:
+        resume_after = None
+        if progress.buffer is not None and exchange.started:
+            progress.buffer.discard_rest()
+            resume_after = progress.buffer.last_id or 0
+        relay = relays.Relay(
+            exchange, request, connection, progress.buffer, self.read_clock
+        )
+        sent_at = self.read_clock()
+        data = wire_requests.encode_request(
+            request,
+            endpoint,
+            request.deadline - sent_at,
+            self._get_version(request, endpoint),
+            resume_after,
+        )
+        progress.waited_s = sent_at - request.arrived
+        progress.sends += 1
+        progress.ran += 1
+        progress.endpoint = endpoint.identity
+        requestlog.log_send(self.board, request, progress, endpoint, sent_at)
+        connection.send(
+            data,
+            relay,
+            request.identity.encode("latin-1"),
+            request.method == b"HEAD",
+        )
+        try:
+            outcome = await relay.done
+        except BaseException:
+            pool.drop(connection)
+            raise
+        if outcome in (relays.Outcome.LOST, relays.Outcome.MALFORMED):
+            pool.drop(connection)
+        else:
+            pool.put_back(connection, self.read_clock())
+        self._note_outcome(request, progress, endpoint, relay, outcome)
+        return relay
+
+    def _get_version(
+        self, request: requests.Request, endpoint: endpoints.Endpoint
+    ) -> int | None:
+        """Return the adapter version to insist on, if one was named."""
+        need = request.need
+        if need is None or need not in self.board.rules.value.versions:
+            return None
+        return endpoint.adapters.get(need)
+
+    def _note_outcome(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        outcome: relays.Outcome,
+    ) -> None:
+        now = self.read_clock()
+        traffic: traffic_tables.Traffic = self.board.traffic.value.find(
+            endpoint.identity
+        )
+        progress.tried.add(endpoint.identity)
+        if outcome is relays.Outcome.REJECTED:
+            progress.ran -= 1
+            self._note_rejection(request, progress, endpoint, relay, now)
+        elif outcome is relays.Outcome.LOST:
+            traffic.note_failure(now)
+            progress.elsewhere_until = now + ELSEWHERE_S
+            self._note_loss(request, now)
+        elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
+            traffic.note_failure(now)
+        elif relay.first_byte_at is not None:
+            progress.first_byte_s = relay.first_byte_at - request.arrived
+            traffic.note_answer(now)
+
+    def _note_rejection(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        now: float,
+    ) -> None:
+        requestlog.log_rejection(request, endpoint, relay)
+        other = relay.find_header(names.INSTANCE)
+        if relay.status != 421:
+            self.board.traffic.value.find(endpoint.identity).note_failure(now)
+        elif other is not None and other != endpoint.identity.encode():
+            self.board.traffic.value.find(endpoint.identity).note_unreachable(
+                now
+            )
+        elif request.need is not None:
+            progress.missing = endpoint.identity
+            progress.asked_at = 0.0
+            self.board.placed.post(
+                messages.Placed(endpoint.identity, *request.need, 0)
+            )
+
+    def _note_loss(self, request: requests.Request, now: float) -> None:
+        suspect = suspects.identify(request.path, request.body)
+        self.board.suspects.value.note_loss(suspect, now)
+        if suspect:
+            self.board.outgoing.post(messages.Loss(suspect))
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import logging
 import socket
 from typing import Any
 
@@ -19,6 +20,7 @@
 from bronzetrack.entry import routes
 from bronzetrack.transport import heads
 
+LOG = logging.getLogger(__name__)
 # Requests that a caller may send before the answer to the first.
 PIPELINE_REQUESTS = 8
 BACKLOG = 512
@@ -280,7 +282,15 @@
         )
 
     async def _serve(self, exchange: Exchange) -> None:
-        await self._listener.serve(exchange)
+        try:
+            await self._listener.serve(exchange)
+        except Exception as error:
+            # The caller gets a closed connection, which promises nothing.
+            LOG.error(
+                "a request could not be served",
+                exc_info=error,
+                extra={"event": "request_failed"},
+            )
         if not exchange.finished:
             exchange.abort()
 
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -176,6 +176,22 @@
     assert await talk(port, GET) == b""
 
 
+async def test_failed_handler_closes_the_connection_and_is_logged(
+    listen, caplog
+):
+    """Guards against a caller that waits for ever, and a silent fault."""
+
+    async def serve(exchange):
+        raise ValueError("broken handler")
+
+    _, port = await listen(serve)
+    received = await asyncio.wait_for(talk(port, GET), 2)
+    assert received == b""
+    [line] = [item for item in caplog.records if item.event]
+    assert line.event == "request_failed"
+    assert line.exc_info[0] is ValueError
+
+
 async def test_closing_listener_ends_connections_after_their_answer(listen):
     """Guards against a planned stop that cuts requests."""
     listener, port = await listen(echo)
