Bound the state of the holder of the lease, and split its modules

Cause: used_at, heat, seen, loaded_at and kinds grew with every adapter ever used. A holder that announced a load of its predecessor, which then came late, ended its process: the kind of that load was not known (KeyError), found by reading. An unknown kind counts as a load from the weight store. loading.py (decisions) is split into loading, loadstate and loadtimes, the controller into plans and ordering.py (effects). Measured: tests only; the two new tests fail before.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -11,7 +11,7 @@
 from bronzetrack.entry import budget
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import leases
-from bronzetrack.entry import loading
+from bronzetrack.entry import loadstate
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import routes
@@ -98,9 +98,9 @@
             "membership", "membership", Membership()
         )
     )
-    loading: blackboard.Section[loading.LoadingState] = attrs.field(
+    loading: blackboard.Section[loadstate.LoadingState] = attrs.field(
         factory=lambda: blackboard.Section(
-            "loading", "loading", loading.LoadingState()
+            "loading", "loading", loadstate.LoadingState()
         )
     )
     contact: blackboard.Section[float] = attrs.field(
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import logging
 import math
 from typing import Any
 
@@ -13,21 +12,21 @@
 from bronzetrack.core import blackboard
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loading
+from bronzetrack.entry import loadstate
+from bronzetrack.entry import loadtimes
 from bronzetrack.entry import messages
-from bronzetrack.entry import meters
+from bronzetrack.entry import ordering
 from bronzetrack.entry import placement
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
-from bronzetrack.platform import orders
 
-LOG = logging.getLogger(__name__)
 TICK_S = 0.05
 # VMs without the lease have nothing to plan.
 FOLLOWER_TICK_S = 1.0
+# How often the holder drops what it need not know any more.
+FORGET_S = 1.0
 # A demand that nobody repeated for this time is forgotten.
 DEMAND_S = 1.0
-# Reports are some hundred milliseconds old.
-REPORT_LAG_S = 0.35
 # An engine that a VM could not reach gets no orders for this time.
 SILENT_S = 0.6
 # Turns follow each other no faster than this; wants come in crowds.
@@ -41,9 +40,6 @@
 # A model that was ordered is not ordered again within this many times its
 # load time.
 MODEL_LOAD_FACTOR = 3.0
-# How often an engine is asked meanwhile whether its model is there. A load
-# from its own disk takes a fraction of the stated time.
-MODEL_CHECK_S = 0.25
 
 
 @roles.CONTROLLERS.register("loading")
@@ -52,6 +48,15 @@
 
     name = "loading"
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._orderer = ordering.Orderer(
+            self.board,
+            self.ports.engines,
+            self.read_clock,
+            lambda: self.write(self.board.loading, self._state),
+        )
+
     async def run(self) -> None:
         """Plan in turns while the lease is held."""
         section = self.board.loading
@@ -81,7 +86,7 @@
         return math.ceil(1000 * max(0.0, min(tick_s, due - now)))
 
     @property
-    def _state(self) -> loading.LoadingState:
+    def _state(self) -> loadstate.LoadingState:
         return self.board.loading.value
 
     def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
@@ -91,7 +96,7 @@
             return
         if self._state.ended:
             # Another VM may have given orders since.
-            self.write(self.board.loading, loading.LoadingState())
+            self.write(self.board.loading, loadstate.LoadingState())
         if self._state.started_at is None:
             self._state.started_at = now
         for want in wants:
@@ -99,6 +104,8 @@
         self._note_uses(now)
         self._finish_loads(now)
         self._plan(group, now)
+        if now - self._state.forgot_at > FORGET_S:
+            self._state.forget(now)
 
     def _end_term(self, now: float) -> None:
         """Announce the loads that are on their way, then forget all."""
@@ -107,9 +114,7 @@
         self._state.ended = True
         self._finish_loads(now)
         if not any(item.pending for item in self._state.engines.values()):
-            self.write(self.board.loading, loading.LoadingState())
-
-    # Demand.
+            self.write(self.board.loading, loadstate.LoadingState())
 
     def _note_want(self, want: messages.Want, now: float) -> None:
         need = (want.model, want.adapter)
@@ -120,7 +125,7 @@
         key = (want.service, need)
         demand = self._state.demands.get(key)
         if demand is None:
-            demand = loading.Demand(
+            demand = loadstate.Demand(
                 want.service,
                 need,
                 want.version,
@@ -144,7 +149,7 @@
             state.silent_until = now + SILENT_S
 
     def _note_missing(
-        self, want: messages.Want, need: loading.Need, now: float
+        self, want: messages.Want, need: loadstate.Need, now: float
     ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
         if endpoint is None:
@@ -152,14 +157,16 @@
         state = self._state.find_engine(endpoint)
         loaded_at = state.loaded_at.get(need)
         if loaded_at is not None and now - loaded_at < loading.FRESH_S:
-            self._state.times.note_early(state.kinds[need])
+            self._state.times.note_early(
+                state.kinds.get(need, loadtimes.UNKNOWN_KIND)
+            )
             state.pending[need] = now + LOAD_RECHECK_S
         elif need in state.held and state.check_at is None:
-            state.check_at = now + REPORT_LAG_S
-        self._publish(endpoint, need, 0)
+            state.check_at = now + ordering.REPORT_LAG_S
+        self._orderer.publish(endpoint, need, 0)
 
     def _note_uses(self, now: float) -> None:
-        uses: collections.Counter[tuple[str, loading.Need]] = (
+        uses: collections.Counter[tuple[str, loadstate.Need]] = (
             collections.Counter()
         )
         for identity, item in self.board.traffic.value.by_identity.items():
@@ -171,8 +178,6 @@
                 uses[(identity, (model, adapter))] += 1
         self._state.note_uses(uses, now)
 
-    # Plans.
-
     def _plan(self, group: abc.TaskGroup, now: float) -> None:
         configuration = self.board.rules.value.configuration
         if configuration is None:
@@ -224,16 +229,18 @@
                 if plan is not None:
                     state.find_engine(plan.endpoint).ordering = True
                     able.remove(plan.endpoint)
-                    group.start_soon(self._carry_out, plan)
+                    group.start_soon(self._orderer.carry_out, plan)
 
     def _publish_held(
-        self, holders: list[endpoints.Endpoint], demand: loading.Demand
+        self, holders: list[endpoints.Endpoint], demand: loadstate.Demand
     ) -> None:
         """Tell again what the VM that asked seems not to know."""
         for endpoint in holders:
             known = self._state.find_engine(endpoint)
             if demand.need not in known.pending:
-                self._publish(endpoint, demand.need, known.held[demand.need])
+                self._orderer.publish(
+                    endpoint, demand.need, known.held[demand.need]
+                )
 
     def _measure_loads(
         self, candidates: list[endpoints.Endpoint]
@@ -277,123 +284,7 @@
             state = self._state.find_engine(endpoint)
             state.ordering = True
             state.loading_until = now + MODEL_LOAD_FACTOR * model.load_s
-            group.start_soon(self._load_model, endpoint, model.name)
-
-    # Effects.
-
-    async def _load_model(
-        self, endpoint: endpoints.Endpoint, model: str
-    ) -> None:
-        state = self._state.find_engine(endpoint)
-        try:
-            verdict = await self._order(endpoint, state, True, (model, ""))
-        finally:
-            state.ordering = False
-        if verdict is orders.Verdict.STARTED:
-            state.check_at = self.read_clock() + MODEL_CHECK_S
-            return
-        state.loading_until = 0.0
-        if verdict is orders.Verdict.DONE:
-            self._publish(endpoint, (model, ""), 1)
-
-    async def _carry_out(self, plan: loading.Plan) -> None:
-        endpoint = plan.endpoint
-        state = self._state.find_engine(endpoint)
-        try:
-            if plan.victim is not None and not await self._drop(
-                endpoint, state, plan.victim
-            ):
-                return
-            await self._load(endpoint, state, plan)
-        finally:
-            state.ordering = False
-            self.write(self.board.loading, self._state)
-
-    async def _drop(
-        self,
-        endpoint: endpoints.Endpoint,
-        state: loading.EngineState,
-        victim: loading.Need,
-    ) -> bool:
-        """Unload an adapter; return whether its place is free."""
-        # The other VMs hear first, so that no request is on its way to the
-        # engine for an adapter that it no longer holds.
-        self._publish(endpoint, victim, 0)
-        verdict = await self._order(endpoint, state, False, victim)
-        if verdict is orders.Verdict.DONE:
-            state.held.pop(victim, None)
-            return True
-        if verdict is orders.Verdict.STARTED:
-            state.unloading.add(victim)
-            state.check_at = self.read_clock() + REPORT_LAG_S
-        return False
-
-    async def _load(
-        self,
-        endpoint: endpoints.Endpoint,
-        state: loading.EngineState,
-        plan: loading.Plan,
-    ) -> None:
-        version = plan.version if plan.version > 1 else None
-        # The place counts as taken before the answer, which may be lost.
-        state.held[plan.need] = max(1, plan.version)
-        state.pending[plan.need] = math.inf
-        try:
-            verdict = await self._order(
-                endpoint, state, True, plan.need, version
-            )
-        finally:
-            del state.pending[plan.need]
-        now = self.read_clock()
-        if verdict is orders.Verdict.STARTED:
-            kind = self._state.classify_load(state, plan.need)
-            state.kinds[plan.need] = kind
-            state.seen.add(plan.need)
-            state.pending[plan.need] = now + self._state.times.expect(kind)
-        elif verdict is orders.Verdict.DONE:
-            self._publish(endpoint, plan.need, state.held[plan.need])
-
-    async def _order(
-        self,
-        endpoint: endpoints.Endpoint,
-        state: loading.EngineState,
-        load: bool,
-        need: loading.Need,
-        version: int | None = None,
-    ) -> orders.Verdict:
-        lease = self.board.lease.value
-        if not lease.is_held(self.read_clock()):
-            return orders.Verdict.REFUSED
-        order = orders.Order(load, need[0], need[1], state.sequence, version)
-        verdict = await self.ports.engines.order(
-            endpoint.address, endpoint.identity, order, lease.token
-        )
-        now = self.read_clock()
-        if verdict is orders.Verdict.STARTED or (
-            verdict is orders.Verdict.DONE and not load
-        ):
-            state.sequence += 1
-        elif verdict is not orders.Verdict.DONE:
-            state.check_at = now + REPORT_LAG_S
-        operation = "load" if load else "unload"
-        meters.ORDERS.labels(operation, verdict.value).inc()
-        if verdict is orders.Verdict.FENCED:
-            self.board.fenced.post(lease.token)
-        LOG.info(
-            "an order was answered",
-            extra={
-                "event": "order",
-                "endpoint": endpoint.identity,
-                "operation": operation,
-                "model": need[0],
-                "adapter": need[1],
-                "version": version,
-                "sequence": order.sequence,
-                "token": lease.token,
-                "verdict": verdict.value,
-            },
-        )
-        return verdict
+            group.start_soon(self._orderer.load_model, endpoint, model.name)
 
     def _finish_loads(self, now: float) -> None:
         """Announce adapters that are expected to be there now."""
@@ -405,22 +296,12 @@
                 if endpoint is not None:
                     if state.loaded_at.get(need, 0.0) < now - loading.FRESH_S:
                         self._state.times.note_announced(
-                            state.kinds.get(need, loading.UNKNOWN_KIND)
+                            state.kinds.get(need, loadtimes.UNKNOWN_KIND)
                         )
                     state.loaded_at[need] = now
-                    self._publish(endpoint, need, state.held.get(need, 1))
-
-    def _publish(
-        self,
-        endpoint: endpoints.Endpoint,
-        need: loading.Need,
-        version: int,
-    ) -> None:
-        placed = messages.Placed(endpoint.identity, *need, version)
-        self.board.placed.post(placed)
-        self.board.outgoing.post(placed)
-
-    # Checks.
+                    self._orderer.publish(
+                        endpoint, need, state.held.get(need, 1)
+                    )
 
     def _start_checks(self, group: abc.TaskGroup, now: float) -> None:
         table = self.board.endpoints.value.by_identity
@@ -434,63 +315,4 @@
                 and not state.ordering
             ):
                 state.ordering = True
-                group.start_soon(self._check, endpoint, state)
-
-    async def _check(
-        self, endpoint: endpoints.Endpoint, state: loading.EngineState
-    ) -> None:
-        """Take the truth from an engine's report."""
-        try:
-            report = await self.ports.engines.report(
-                endpoint.address, endpoint.identity
-            )
-        finally:
-            state.ordering = False
-        now = self.read_clock()
-        LOG.info(
-            "an engine was asked for a report",
-            extra={
-                "event": "engine_checked",
-                "endpoint": endpoint.identity,
-                "sequence": report["sequence"] if report else None,
-                "busy": report["busy"] if report else None,
-                "held": len(report["adapters"]) if report else None,
-                "pending": len(report["pending"]) if report else None,
-                "expected": state.sequence,
-            },
-        )
-        if report is None:
-            state.check_at = now + REPORT_LAG_S
-            return
-        if not report["models"] and now < state.loading_until:
-            state.check_at = now + MODEL_CHECK_S
-            return
-        state.loading_until = 0.0
-        state.check_at = None
-        state.sequence = report["sequence"]
-        state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
-        state.unloading &= set(state.held)
-        state.pending = {
-            need: state.pending.get(need, now + REPORT_LAG_S)
-            for need in report["pending"]
-        }
-        state.seen.update(state.held)
-        self._publish_report(endpoint, state, report)
-
-    def _publish_report(
-        self,
-        endpoint: endpoints.Endpoint,
-        state: loading.EngineState,
-        report: dict[str, Any],
-    ) -> None:
-        """Tell the VMs where a report differs from what was announced."""
-        for need in set(endpoint.adapters) - set(report["adapters"]):
-            self._publish(endpoint, need, 0)
-        for need, version in report["adapters"].items():
-            if need in state.unloading or need in state.pending:
-                continue
-            if endpoint.adapters.get(need) != version:
-                self._publish(endpoint, need, version)
-        for model, version in report["models"].items():
-            if model not in endpoint.models:
-                self._publish(endpoint, (model, ""), version)
+                group.start_soon(self._orderer.check, endpoint, state)
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -17,17 +17,16 @@
 import attrs
 
 from bronzetrack.entry import endpoints
+from bronzetrack.entry import loadstate
 from bronzetrack.entry import routes
 
-Need = tuple[str, str]
+Need = loadstate.Need
 
 # Adapters that an engine may have on their way from the weight store.
 MOST_PENDING = 4
 # An adapter counts as idle when no VM used it for this time, which is longer
 # than news of a request takes to arrive.
 IDLE_S = 0.15
-# Half-life of the use of adapters.
-HEAT_HALF_S = 15.0
 # What a place in the order of preference weighs against load, where 1 is the
 # mean load of the engines.
 RANK_WEIGHT = 1.0
@@ -41,22 +40,6 @@
 # A new holder of the lease hears for this time what is in use before it drops
 # anything.
 LISTEN_S = 0.4
-# Time from a request's arrival at an engine to the first event.
-FIRST_EVENT_S = 0.15
-# Expected time of a load before any was seen.
-FIRST_LOAD_S = 0.3
-# A load that an engine has in its own memory takes a tenth of the time; the
-# expectation starts a little higher.
-WARM_SHARE = 0.2
-LOAD_LOW_S = 0.01
-LOAD_HIGH_S = 5.0
-# A load that was announced too early raises the expectation, one that was not
-# lowers it: one in fifty is announced too early.
-LOAD_RAISE = 1.06
-LOAD_LOWER = 0.9988
-# Loads on their way are counted in steps of this many, since many slow each
-# other down.
-FLIGHT_STEP = 8
 # A rejection this soon after a load means that the load takes longer.
 FRESH_S = 1.0
 # An adapter that was loaded is kept for the requests that wait for it until
@@ -64,166 +47,6 @@
 KEEP_LOADED_S = 1.0
 
 
-@attrs.frozen
-class LoadKind:
-    """Loads that take about the same time.
-
-    :param warm: the engine held the adapter before
-    :param flight: loads on their way, in steps
-    """
-
-    warm: bool
-    flight: int
-
-
-UNKNOWN_KIND = LoadKind(False, 0)
-
-
-@attrs.define(eq=False)
-class LoadTimes:
-    """Learnt times of loads, by kind."""
-
-    by_kind: dict[LoadKind, float] = attrs.field(factory=dict)
-
-    def expect(self, kind: LoadKind) -> float:
-        """Return how long a load is expected to take, in seconds."""
-        known = self.by_kind.get(kind)
-        if known is not None:
-            return known
-        if kind.flight:
-            return self.expect(LoadKind(kind.warm, kind.flight - 1))
-        if kind.warm:
-            return WARM_SHARE * self.expect(LoadKind(False, 0))
-        return FIRST_LOAD_S
-
-    def note_early(self, kind: LoadKind) -> None:
-        """Take in that a load was announced too early."""
-        raised = min(LOAD_HIGH_S, self.expect(kind) * LOAD_RAISE)
-        self.by_kind[kind] = raised
-
-    def note_announced(self, kind: LoadKind) -> None:
-        """Take in that a load was announced."""
-        lowered = max(LOAD_LOW_S, self.expect(kind) * LOAD_LOWER)
-        self.by_kind[kind] = lowered
-
-
-@attrs.define(eq=False)
-class EngineState:
-    """What the holder of the lease knows of one engine.
-
-    :param sequence: orders that the engine has accepted
-    :param seen: adapters that the engine held before
-    :param held: version of each adapter that takes a place, also of those
-        that are on their way or being dropped
-    :param pending: when each adapter on its way will be there
-    :param unloading: adapters that the engine drops once their requests end
-    :param loaded_at: when each adapter was announced as loaded
-    :param kinds: kind of the last load of each adapter
-    :param ordering: an order has not been answered yet
-    :param silent_until: until when it counts as out of reach
-    :param check_at: when to ask for a report before the next order
-    """
-
-    started_ms: int
-    sequence: int = 0
-    held: dict[Need, int] = attrs.field(factory=dict)
-    seen: set[Need] = attrs.field(factory=set)
-    pending: dict[Need, float] = attrs.field(factory=dict)
-    unloading: set[Need] = attrs.field(factory=set)
-    loaded_at: dict[Need, float] = attrs.field(factory=dict)
-    kinds: dict[Need, LoadKind] = attrs.field(factory=dict)
-    ordering: bool = False
-    silent_until: float = 0.0
-    check_at: float | None = 0.0
-    loading_until: float = 0.0
-
-
-@attrs.define(eq=False)
-class Demand:
-    """An adapter that VMs asked for and no engine holds yet.
-
-    :param since: when it was first asked for
-    :param due: until when the most urgent request that can still be on time
-        is on time, or the latest of those that cannot
-    """
-
-    service: str
-    need: Need
-    version: int
-    copies: int
-    due: float
-    last_at: float
-    since: float
-
-    def note_due(self, due: float, soonest: float) -> None:
-        """Take in one more request.
-
-        The time of newer requests must not stand for the older ones: a
-        demand that is asked for again and again would never be urgent.
-
-        :param soonest: earliest time of a first event
-        """
-        if self.due >= soonest and due >= soonest:
-            self.due = min(self.due, due)
-        else:
-            self.due = max(self.due, due)
-
-
-@attrs.define(eq=False)
-class LoadingState:
-    """All that the holder of the lease keeps.
-
-    :param heat: decayed use of each adapter, and as of when
-    :param used_at: when an adapter was last in use at an engine
-    :param started_at: since when this VM gives orders, if it does
-    :param ended: it gives no more orders, and announces its last loads
-    :param times: how long loads take
-    """
-
-    engines: dict[str, EngineState] = attrs.field(factory=dict)
-    demands: dict[tuple[str, Need], Demand] = attrs.field(factory=dict)
-    heat: dict[Need, tuple[float, float]] = attrs.field(factory=dict)
-    used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
-    noted_at: float = 0.0
-    started_at: float | None = None
-    ended: bool = False
-    times: LoadTimes = attrs.field(factory=LoadTimes)
-    model_loads: list[float] = attrs.field(factory=list)
-
-    def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
-        """Return the state of an engine, new after another start."""
-        state = self.engines.get(endpoint.identity)
-        if state is None or state.started_ms != endpoint.started_ms:
-            state = EngineState(endpoint.started_ms)
-            self.engines[endpoint.identity] = state
-        return state
-
-    def note_uses(
-        self, uses: Mapping[tuple[str, Need], int], now: float
-    ) -> None:
-        """Take in what is in use now."""
-        elapsed = min(1.0, max(0.0, now - self.noted_at))
-        self.noted_at = now
-        for (identity, need), count in uses.items():
-            self.used_at[(identity, need)] = now
-            heat = self.measure_heat(need, now) + count * elapsed
-            self.heat[need] = (heat, now)
-
-    def measure_heat(self, need: Need, now: float) -> float:
-        """Return the decayed use of an adapter."""
-        value, at = self.heat.get(need, (0.0, now))
-        return value * 0.5 ** ((now - at) / HEAT_HALF_S)
-
-    def measure_margin(self) -> float:
-        """Return the time from an order to the first event."""
-        return self.times.expect(UNKNOWN_KIND) + FIRST_EVENT_S
-
-    def classify_load(self, known: EngineState, need: Need) -> LoadKind:
-        """Return the kind of a load that starts now."""
-        flight = sum(len(item.pending) for item in self.engines.values())
-        return LoadKind(need in known.seen, flight // FLIGHT_STEP)
-
-
 @attrs.frozen
 class Plan:
     """An engine that loads an adapter.
@@ -246,8 +69,8 @@
 
 def plan_load(
     candidates: list[endpoints.Endpoint],
-    demand: Demand,
-    state: LoadingState,
+    demand: loadstate.Demand,
+    state: loadstate.LoadingState,
     loads: Mapping[str, float],
     engine: routes.Engine,
     now: float,
@@ -277,8 +100,8 @@
 
 def _weigh(
     endpoint: endpoints.Endpoint,
-    demand: Demand,
-    state: LoadingState,
+    demand: loadstate.Demand,
+    state: loadstate.LoadingState,
     engine: routes.Engine,
     now: float,
 ) -> tuple[float, Plan] | None:
@@ -315,8 +138,8 @@
 def _is_idle(
     endpoint: endpoints.Endpoint,
     need: Need,
-    known: EngineState,
-    state: LoadingState,
+    known: loadstate.EngineState,
+    state: loadstate.LoadingState,
     now: float,
 ) -> bool:
     """Return whether an adapter may be dropped."""
@@ -332,7 +155,10 @@
 
 
 def _rate(
-    endpoint: endpoints.Endpoint, need: Need, state: LoadingState, now: float
+    endpoint: endpoints.Endpoint,
+    need: Need,
+    state: loadstate.LoadingState,
+    now: float,
 ) -> tuple[float, float]:
     return (
         state.measure_heat(need, now),
@@ -341,7 +167,7 @@
 
 
 def can_order(
-    endpoint: endpoints.Endpoint, state: LoadingState, now: float
+    endpoint: endpoints.Endpoint, state: loadstate.LoadingState, now: float
 ) -> bool:
     """Return whether an engine takes an order now."""
     known = state.find_engine(endpoint)
@@ -357,8 +183,8 @@
 
 
 def order_demands(
-    demands: Iterable[Demand], margin_s: float, now: float
-) -> list[Demand]:
+    demands: Iterable[loadstate.Demand], margin_s: float, now: float
+) -> list[loadstate.Demand]:
     """Return demands in the order in which they are met.
 
     Load pattern: a burst that asks for more adapters than there are places.
@@ -381,7 +207,7 @@
 
 def has_room(
     endpoint: endpoints.Endpoint,
-    state: LoadingState,
+    state: loadstate.LoadingState,
     engine: routes.Engine,
     now: float,
 ) -> bool:
@@ -395,8 +221,8 @@
 def prefer_warm(
     able: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
-    demand: Demand,
-    state: LoadingState,
+    demand: loadstate.Demand,
+    state: loadstate.LoadingState,
     now: float,
 ) -> list[endpoints.Endpoint]:
     """Return the engines that may load an adapter now.
@@ -412,7 +238,7 @@
         item.identity
         for item in candidates
         if item.is_usable(now)
-        and demand.need in state.find_engine(item).seen
+        and state.find_engine(item).has_seen(demand.need)
         and now >= state.find_engine(item).silent_until
     }
     if not warm:
@@ -422,8 +248,8 @@
 
 def list_holders(
     candidates: list[endpoints.Endpoint],
-    demand: Demand,
-    state: LoadingState,
+    demand: loadstate.Demand,
+    state: loadstate.LoadingState,
     now: float,
 ) -> list[endpoints.Endpoint]:
     """Return the engines that hold an adapter or will soon."""
@@ -434,7 +260,9 @@
     ]
 
 
-def _holds(known: EngineState, demand: Demand, now: float) -> bool:
+def _holds(
+    known: loadstate.EngineState, demand: loadstate.Demand, now: float
+) -> bool:
     return (
         now >= known.silent_until
         and known.held.get(demand.need, 0) >= demand.version
--- /dev/null
+++ b/src/bronzetrack/entry/ordering.py
@@ -0,0 +1,235 @@
+"""Carries out orders to engines, and asks them for reports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import math
+from typing import Any
+from typing import TYPE_CHECKING
+
+from bronzetrack.entry import endpoints
+from bronzetrack.entry import loading
+from bronzetrack.entry import loadstate
+from bronzetrack.entry import messages
+from bronzetrack.entry import meters
+from bronzetrack.platform import orders
+
+if TYPE_CHECKING:
+    from bronzetrack.entry import board as boards
+
+LOG = logging.getLogger(__name__)
+# Reports are some hundred milliseconds old.
+REPORT_LAG_S = 0.35
+# While a base model loads, its engine is asked this often whether it is there.
+# A load from its own disk takes a fraction of the stated time.
+MODEL_CHECK_S = 0.25
+
+
+class Orderer:
+    """Gives orders under the lease, and keeps the state of the engines.
+
+    :param notify: tells that the state of the engines changed
+    """
+
+    def __init__(
+        self,
+        board: boards.Blackboard,
+        engines: orders.Engines,
+        read_clock: Callable[[], float],
+        notify: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        self._read_clock = read_clock
+        self._notify = notify
+
+    @property
+    def _state(self) -> loadstate.LoadingState:
+        return self._board.loading.value
+
+    async def load_model(
+        self, endpoint: endpoints.Endpoint, model: str
+    ) -> None:
+        """Load a base model."""
+        state = self._state.find_engine(endpoint)
+        try:
+            verdict = await self._order(endpoint, state, True, (model, ""))
+        finally:
+            state.ordering = False
+        if verdict is orders.Verdict.STARTED:
+            state.check_at = self._read_clock() + MODEL_CHECK_S
+            return
+        state.loading_until = 0.0
+        if verdict is orders.Verdict.DONE:
+            self.publish(endpoint, (model, ""), 1)
+
+    async def carry_out(self, plan: loading.Plan) -> None:
+        """Load an adapter, in place of another one if need be."""
+        endpoint = plan.endpoint
+        state = self._state.find_engine(endpoint)
+        try:
+            if plan.victim is not None and not await self._drop(
+                endpoint, state, plan.victim
+            ):
+                return
+            await self._load(endpoint, state, plan)
+        finally:
+            state.ordering = False
+            self._notify()
+
+    async def _drop(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loadstate.EngineState,
+        victim: loadstate.Need,
+    ) -> bool:
+        """Unload an adapter; return whether its place is free."""
+        # The other VMs hear first, so that no request is on its way to the
+        # engine for an adapter that it no longer holds.
+        self.publish(endpoint, victim, 0)
+        verdict = await self._order(endpoint, state, False, victim)
+        if verdict is orders.Verdict.DONE:
+            state.held.pop(victim, None)
+            return True
+        if verdict is orders.Verdict.STARTED:
+            state.unloading.add(victim)
+            state.check_at = self._read_clock() + REPORT_LAG_S
+        return False
+
+    async def _load(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loadstate.EngineState,
+        plan: loading.Plan,
+    ) -> None:
+        version = plan.version if plan.version > 1 else None
+        # The place counts as taken before the answer, which may be lost.
+        state.held[plan.need] = max(1, plan.version)
+        state.pending[plan.need] = math.inf
+        try:
+            verdict = await self._order(
+                endpoint, state, True, plan.need, version
+            )
+        finally:
+            del state.pending[plan.need]
+        now = self._read_clock()
+        if verdict is orders.Verdict.STARTED:
+            kind = self._state.classify_load(state, plan.need)
+            state.kinds[plan.need] = kind
+            state.note_seen(plan.need)
+            state.pending[plan.need] = now + self._state.times.expect(kind)
+        elif verdict is orders.Verdict.DONE:
+            self.publish(endpoint, plan.need, state.held[plan.need])
+
+    async def _order(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loadstate.EngineState,
+        load: bool,
+        need: loadstate.Need,
+        version: int | None = None,
+    ) -> orders.Verdict:
+        lease = self._board.lease.value
+        if not lease.is_held(self._read_clock()):
+            return orders.Verdict.REFUSED
+        order = orders.Order(load, need[0], need[1], state.sequence, version)
+        verdict = await self._engines.order(
+            endpoint.address, endpoint.identity, order, lease.token
+        )
+        now = self._read_clock()
+        if verdict is orders.Verdict.STARTED or (
+            verdict is orders.Verdict.DONE and not load
+        ):
+            state.sequence += 1
+        elif verdict is not orders.Verdict.DONE:
+            state.check_at = now + REPORT_LAG_S
+        operation = "load" if load else "unload"
+        meters.ORDERS.labels(operation, verdict.value).inc()
+        if verdict is orders.Verdict.FENCED:
+            self._board.fenced.post(lease.token)
+        LOG.info(
+            "an order was answered",
+            extra={
+                "event": "order",
+                "endpoint": endpoint.identity,
+                "operation": operation,
+                "model": need[0],
+                "adapter": need[1],
+                "version": version,
+                "sequence": order.sequence,
+                "token": lease.token,
+                "verdict": verdict.value,
+            },
+        )
+        return verdict
+
+    def publish(
+        self,
+        endpoint: endpoints.Endpoint,
+        need: loadstate.Need,
+        version: int,
+    ) -> None:
+        placed = messages.Placed(endpoint.identity, *need, version)
+        self._board.placed.post(placed)
+        self._board.outgoing.post(placed)
+
+    async def check(
+        self, endpoint: endpoints.Endpoint, state: loadstate.EngineState
+    ) -> None:
+        """Take the truth from an engine's report."""
+        try:
+            report = await self._engines.report(
+                endpoint.address, endpoint.identity
+            )
+        finally:
+            state.ordering = False
+        now = self._read_clock()
+        LOG.info(
+            "an engine was asked for a report",
+            extra={
+                "event": "engine_checked",
+                "endpoint": endpoint.identity,
+                "sequence": report["sequence"] if report else None,
+                "busy": report["busy"] if report else None,
+                "held": len(report["adapters"]) if report else None,
+                "pending": len(report["pending"]) if report else None,
+                "expected": state.sequence,
+            },
+        )
+        if report is None:
+            state.check_at = now + REPORT_LAG_S
+            return
+        if not report["models"] and now < state.loading_until:
+            state.check_at = now + MODEL_CHECK_S
+            return
+        state.loading_until = 0.0
+        state.check_at = None
+        state.sequence = report["sequence"]
+        state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
+        state.unloading &= set(state.held)
+        state.pending = {
+            need: state.pending.get(need, now + REPORT_LAG_S)
+            for need in report["pending"]
+        }
+        for need in state.held:
+            state.note_seen(need)
+        self._publish_report(endpoint, state, report)
+
+    def _publish_report(
+        self,
+        endpoint: endpoints.Endpoint,
+        state: loadstate.EngineState,
+        report: dict[str, Any],
+    ) -> None:
+        """Tell the VMs where a report differs from what was announced."""
+        for need in set(endpoint.adapters) - set(report["adapters"]):
+            self.publish(endpoint, need, 0)
+        for need, version in report["adapters"].items():
+            if need in state.unloading or need in state.pending:
+                continue
+            if endpoint.adapters.get(need) != version:
+                self.publish(endpoint, need, version)
+        for model, version in report["models"].items():
+            if model not in endpoint.models:
+                self.publish(endpoint, (model, ""), version)
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -9,8 +9,9 @@
 
 from bronzetrack.entry import board as boards
 from bronzetrack.entry import endpoints
-from bronzetrack.entry import loading
+from bronzetrack.entry import loadstate
 from bronzetrack.entry import placement
+from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
 from bronzetrack.entry import traffic
@@ -33,6 +34,12 @@
     return boards.Blackboard(entry_settings.parse_settings(text), "run-1")
 
 
+@pytest.fixture
+def ports() -> roles.Ports:
+    """Edges of a controller that carries out nothing."""
+    return roles.Ports(None, None)
+
+
 @pytest.fixture
 def make_endpoint() -> Callable[..., endpoints.Endpoint]:
     """Makes an engine that holds adapters."""
@@ -67,16 +74,16 @@
 
 
 @pytest.fixture
-def state(now: float) -> loading.LoadingState:
+def state(now: float) -> loadstate.LoadingState:
     """State of a VM that has held the lease for a while."""
-    return loading.LoadingState(started_at=now - 60)
+    return loadstate.LoadingState(started_at=now - 60)
 
 
 @pytest.fixture
-def make_demand(now: float) -> Callable[..., loading.Demand]:
+def make_demand(now: float) -> Callable[..., loadstate.Demand]:
     """Makes a demand for an adapter that is due in a second."""
 
-    def make(adapter: str, **fields: object) -> loading.Demand:
+    def make(adapter: str, **fields: object) -> loadstate.Demand:
         values = {
             "version": 1,
             "copies": 1,
@@ -84,6 +91,6 @@
             "last_at": now,
             "since": now,
         }
-        return loading.Demand("s", (MODEL, adapter), **(values | fields))
+        return loadstate.Demand("s", (MODEL, adapter), **(values | fields))
 
     return make
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -2,20 +2,11 @@
 
 from __future__ import annotations
 
-import pytest
-
-from bronzetrack.entry.controllers import loading as controllers
+from bronzetrack.entry import messages
 
 NEED = ("m", "a1")
 
 
-@pytest.fixture
-def controller(board, now) -> controllers.LoadingController:
-    """Controller of a VM that holds the lease."""
-    board.lease.value.note_renewed(0, now, "vm-1")
-    return controllers.LoadingController(board, None, lambda: now)
-
-
 def test_vm_that_takes_the_lease_again_trusts_nothing_from_before(
     controller, board, make_endpoint, now
 ):
@@ -50,3 +41,20 @@
     controller._run_turn(None, now + 0.3)
     assert [item.adapter for item in board.placed.take()] == ["a1"]
     assert board.loading.value.engines == {}
+
+
+def test_load_that_another_holder_ordered_may_come_late(
+    controller, board, make_endpoint, now
+):
+    """Guards against a holder that ends over a load of its predecessor.
+
+    The kind of such a load is not known here.
+    """
+    endpoint = make_endpoint("e")
+    board.endpoints.value.add(endpoint)
+    known = board.loading.value.find_engine(endpoint)
+    known.loaded_at[NEED] = now
+    want = messages.Want("v", "s", *NEED, 1, 1, "e", "", 100)
+    board.wanted.post(want)
+    controller._run_turn(None, now)
+    assert now < known.pending[NEED] < now + 0.2
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from bronzetrack.entry import loading
+from bronzetrack.entry import loadstate
+from bronzetrack.entry import loadtimes
 
 LOADS = {}
 
@@ -106,7 +108,7 @@
     make_endpoint, make_demand, engine, now
 ):
     """Guards against dropping adapters whose use was not heard of yet."""
-    state = loading.LoadingState(started_at=now)
+    state = loadstate.LoadingState(started_at=now)
     endpoint = make_endpoint("e", "a", "b")
     settle(state, endpoint, now)
     demand = make_demand("new")
@@ -129,6 +131,27 @@
     assert loading.can_order(endpoint, state, now)
 
 
+def test_state_of_a_long_term_stays_bounded(make_endpoint, state, now):
+    """Guards against memory that grows with every adapter ever used."""
+    endpoint = make_endpoint("e", "held")
+    known = settle(state, endpoint, now)
+    for number in range(3_000):
+        need = ("m", f"a{number}")
+        state.note_uses({("e", need): 1}, now + 0.01 * number)
+        known.note_seen(need)
+        known.loaded_at[need] = now
+        known.kinds[need] = loadtimes.UNKNOWN_KIND
+    state.note_uses({("e", ("m", "held")): 1}, now + 500)
+    state.forget(now + 500)
+    assert set(state.used_at) == {("e", ("m", "held"))}
+    assert set(state.heat) == {("m", "held")}
+    assert len(known.seen) == loadstate.MOST_SEEN
+    assert known.has_seen(("m", "a2999"))
+    assert not known.has_seen(("m", "a0"))
+    assert not known.loaded_at
+    assert not known.kinds
+
+
 def test_restarted_engine_is_a_new_one(make_endpoint, state, now):
     """Guards against counts of an engine that has forgotten everything."""
     known = settle(state, make_endpoint("e", "a", started_ms=1), now)
@@ -168,8 +191,8 @@
 
 def test_load_times_are_learnt_from_both_sides():
     """Guards against an expectation that falls towards zero."""
-    times = loading.LoadTimes()
-    kind = loading.LoadKind(False, 0)
+    times = loadtimes.LoadTimes()
+    kind = loadtimes.LoadKind(False, 0)
     actual_s = 0.5
     early = 0
     for _ in range(2_000):
@@ -207,7 +230,7 @@
     Replays a burst in which 724 adapters were fetched 1,087 times.
     """
     warm, cold = make_endpoint("warm"), make_endpoint("cold")
-    settle(state, warm, now).seen.add(("m", "a"))
+    settle(state, warm, now).note_seen(("m", "a"))
     settle(state, cold, now)
     demand = make_demand("a")
     engines = [warm, cold]
