--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -91,6 +91,7 @@
         verdict = await self._order(endpoint, state, False, victim)
         if verdict is orders.Verdict.DONE:
             state.held.pop(victim, None)
+            state.note_seen(victim)
             return True
         if verdict is orders.Verdict.STARTED:
             state.unloading.add(victim)
