Read settings again on SIGHUP, keep to a share of connections, drop unread settings

Change: a reload puts the live settings in force, lists the others as need_restart, and keeps the old ones where the file has mistakes. A VM has at most its part of max_conns in progress at an endpoint. Bounds of callers follow at once.

--- a/src/bronzetrack/entry/__main__.py
+++ b/src/bronzetrack/entry/__main__.py
@@ -21,14 +21,14 @@
     """Run an entry VM with the settings file that the environment names."""
     file = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = entry_settings.parse_settings(file.read_text())
-    except (OSError, entry_settings.SettingsError) as error:
+        settings = entry_settings.load_settings(file)
+    except entry_settings.SettingsError as error:
         print(f"{file}: {error}", file=sys.stderr)
         sys.exit(BAD_SETTINGS)
     output = loglines.BoundedStream(sys.stdout.fileno())
     logs.configure_logs("info", settings.vm, settings.zone, output)
     loglines.bound_root_logger()
-    anyio.run(process.run_entry, settings)
+    anyio.run(process.run_entry, file)
 
 
 if __name__ == "__main__":
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -54,13 +54,21 @@
         """Listen, and keep connections and tables in bounds."""
         await self.listener.open(self.board.settings.front)
         while True:
-            await anyio.sleep(TICK_S)
+            await blackboard.wait_any(
+                self.board.rules.is_newer(self.board.rules.revision),
+                timeout_ms=int(1000 * TICK_S),
+            )
             self._keep_house(self.read_clock())
 
     def _keep_house(self, now: float) -> None:
         configuration = self.board.rules.value.configuration
         if configuration is not None:
             self.listener.bounds = configuration.limits
+        settings = self.board.settings
+        for found in self.board.budgets.value.by_service.values():
+            found.ratio = settings.retry_ratio
+            found.slack = settings.retry_slack
+            found.window_s = settings.retry_window_s
         self.listener.expire(now)
         known = set(self.board.endpoints.value.by_identity)
         self.board.traffic.value.retain(known)
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -15,6 +15,7 @@
 from bronzetrack.entry import members
 from bronzetrack.entry import meters
 from bronzetrack.entry import roles
+from bronzetrack.entry import settings as entry_settings
 from bronzetrack.platform import names
 from bronzetrack.transport import server
 
@@ -100,12 +101,28 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    # Settings are read at the start only; nothing that may
-                    # change while a process runs depends on them.
-                    LOG.info("settings changed", extra={"event": "reload"})
+                    self._reload()
                 elif self.board.lifecycle.value.stopping_since is None:
                     self._begin_stop()
 
+    def _reload(self) -> None:
+        """Put changed settings in force, as far as that needs no restart."""
+        try:
+            found = self.ports.read_settings()
+        except entry_settings.SettingsError as error:
+            LOG.error(
+                "the settings cannot be used; the old ones stay",
+                extra={"event": "reload_failed", "mistakes": error.mistakes},
+            )
+            return
+        self.board.settings, waiting = entry_settings.merge_reloaded(
+            self.board.settings, found
+        )
+        LOG.info(
+            "settings were read again",
+            extra={"event": "reload", "need_restart": waiting},
+        )
+
     def _begin_stop(self) -> None:
         life = self.board.lifecycle.value
         life.stopping_since = self.read_clock()
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
 import attrs
 
@@ -32,12 +33,15 @@
 
     :param peers_active: requests of other VMs in progress, by endpoint
     :param zone: availability zone of this VM
+    :param most_own: requests that this VM may have in progress at one
+        endpoint, each on a connection of its own
     """
 
     traffic: traffic_tables.TrafficTable
     peers_active: Mapping[str, int]
     zone: str
     now: float
+    most_own: float = math.inf
 
     def count_active(self, endpoint: endpoints.Endpoint) -> int:
         """Return the requests of all VMs in progress at an endpoint."""
@@ -47,9 +51,11 @@
         )
 
     def is_reachable(self, endpoint: endpoints.Endpoint) -> bool:
-        """Return whether an endpoint took the last connection."""
+        """Return whether an endpoint takes another connection, probably."""
         own = self.traffic.by_identity.get(endpoint.identity)
-        return own is None or own.unreachable_until <= self.now
+        if own is None:
+            return True
+        return own.unreachable_until <= self.now and own.active < self.most_own
 
     def measure_load(self, endpoint: endpoints.Endpoint) -> float:
         """Return how unattractive an endpoint is; 1 is a full one."""
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -4,6 +4,7 @@
 
 import importlib
 import logging
+import pathlib
 import pkgutil
 import time
 from typing import Any
@@ -39,14 +40,19 @@
         importlib.import_module(f"{controller_package.__name__}.{module.name}")
 
 
-async def run_entry(settings: entry_settings.Settings) -> None:
-    """Run until the planned stop is complete."""
+async def run_entry(file: pathlib.Path) -> None:
+    """Run until the planned stop is complete.
+
+    :param file: the settings file, which is read again on SIGHUP
+    """
+    settings = entry_settings.load_settings(file)
     import_controllers()
     board = boards.Blackboard(settings, uuid.uuid4().hex[:12])
     caller = calls.Caller(read_clock)
     ports = roles.Ports(
         store.Store(caller, settings.store),
         orders.Engines(caller, settings.vm),
+        lambda: entry_settings.load_settings(file),
     )
     running: dict[str, Any] = {
         name: controller(board, ports, read_clock)
--- a/src/bronzetrack/entry/roles.py
+++ b/src/bronzetrack/entry/roles.py
@@ -12,16 +12,21 @@
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
+    from bronzetrack.entry import settings as entry_settings
     from bronzetrack.platform import orders
     from bronzetrack.platform import store as stores
 
 
 @attrs.frozen
 class Ports:
-    """The edges that controllers carry out effects through."""
+    """The edges that controllers carry out effects through.
+
+    :param read_settings: reads the settings file; raises what it cannot read
+    """
 
     store: stores.Store
     engines: orders.Engines
+    read_settings: Callable[[], entry_settings.Settings]
 
 
 class Controller(controllers.BaseController):
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -74,7 +74,6 @@
 
     models: tuple[Model, ...]
     capacity: int
-    kv_tokens: int
     weights_mb: float
     adapter_slots: int
     loads_per_s: float
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 from typing import TYPE_CHECKING
 
 from bronzetrack.core import blackboard
@@ -125,6 +126,7 @@
             self.board.membership.value.active,
             self.board.settings.zone,
             now,
+            self._limit_own(progress.service, now),
         )
         need = request.need
         if need is None or not self._has_engine(progress.service):
@@ -146,6 +148,18 @@
             holders, frozenset(progress.tried), view
         )
 
+    def _limit_own(self, service: str, now: float) -> float:
+        """Return this VM's share of the connections that an endpoint takes.
+
+        An endpoint resets the connections of all VMs beyond its bound.
+        """
+        configuration = self.board.rules.value.configuration
+        known = configuration.services.get(service) if configuration else None
+        if known is None:
+            return math.inf
+        vms = self.board.membership.value.members.count_vms(now)
+        return max(1, known.max_connections // vms)
+
     def _is_copy_needed(
         self,
         progress: progresses.Progress,
--- a/src/bronzetrack/entry/settings.py
+++ b/src/bronzetrack/entry/settings.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import configparser
+import pathlib
 
 import attrs
 
@@ -28,8 +29,6 @@
     :param operators: address for the state dump
     :param metrics: address for metrics
     :param peer_port: UDP port for the other VMs
-    :param drain_s: longest time in which new work may reach an endpoint
-        that leaves
     :param grace_s: time from the signal to stop until the process is killed
     :param retry_ratio: repeats for each request, over all VMs
     :param retry_slack: repeats besides, over all VMs
@@ -48,7 +47,6 @@
     peer_ip: str
     peer_port: int
     store: str
-    drain_s: float
     grace_s: float
     lease_s: float
     retry_ratio: float
@@ -63,6 +61,36 @@
         return f"{self.peer_ip}:{self.peer_port}"
 
 
+# Settings that a reload puts in force; others need a restart. VMs that differ
+# in the time of the lease could hold it together.
+LIVE_FIELDS = (
+    "grace_s",
+    "retry_ratio",
+    "retry_slack",
+    "retry_window_s",
+    "entry_ttl_s",
+    "engines_check_tokens",
+)
+
+
+def merge_reloaded(
+    current: Settings, found: Settings
+) -> tuple[Settings, list[str]]:
+    """Return the settings in force after a reload.
+
+    :param found: the settings of the file now
+    :returns: the settings, and the names of changes that need a restart
+    """
+    live = {name: getattr(found, name) for name in LIVE_FIELDS}
+    merged = attrs.evolve(current, **live)
+    waiting = [
+        field.name
+        for field in attrs.fields(Settings)
+        if getattr(merged, field.name) != getattr(found, field.name)
+    ]
+    return merged, waiting
+
+
 def _parse_switch(raw: str = "false") -> bool:
     """Return a setting that is on or off."""
     states = configparser.ConfigParser.BOOLEAN_STATES
@@ -71,6 +99,18 @@
     return states[raw.lower()]
 
 
+def load_settings(file: pathlib.Path) -> Settings:
+    """Return the settings in a file.
+
+    :raises SettingsError: with every mistake
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise SettingsError([f"cannot be read: {error}"]) from error
+    return parse_settings(text)
+
+
 def parse_settings(text: str) -> Settings:
     """Return the settings in a text.
 
@@ -107,7 +147,6 @@
         "metrics": take("listen", "metrics", str),
         "peer_ip": take("peers", "ip", str),
         "store": take("store", "address", str),
-        "drain_s": take("limits", "drain_ms", float) / 1000,
         "grace_s": take("limits", "grace_s", float),
         "lease_s": take("limits", "lease_ms", float) / 1000,
         "retry_ratio": take("limits", "retry_ratio", float),
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -171,7 +171,6 @@
             for model in item.get("models") or ()
         ),
         capacity=int(item.get("capacity", 1)),
-        kv_tokens=int(item.get("kv_capacity", 0)),
         weights_mb=float(item.get("weights_mb", 0)),
         adapter_slots=int(item.get("adapter_slots", 0)),
         loads_per_s=float(item.get("loads_per_s", 1)),
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -37,7 +37,7 @@
 @pytest.fixture
 def ports() -> roles.Ports:
     """Edges of a controller that carries out nothing."""
-    return roles.Ports(None, None)
+    return roles.Ports(None, None, None)
 
 
 @pytest.fixture
@@ -70,7 +70,7 @@
 def engine() -> routes.Engine:
     """Engine with two places for adapters."""
     model = routes.Model(MODEL, 100.0, 1.0, 10, 1.0)
-    return routes.Engine((model,), 10, 1000, 200.0, 2, 4.0)
+    return routes.Engine((model,), 10, 200.0, 2, 4.0)
 
 
 @pytest.fixture
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -118,7 +118,6 @@
 [store]
 address = {store}
 [limits]
-drain_ms = 2000
 grace_s = 3
 lease_ms = 900
 retry_ratio = 0.2
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -40,6 +40,19 @@
     assert placement.choose_endpoint([far, near], frozenset(), loaded) is far
 
 
+def test_vm_keeps_to_its_share_of_the_connections(make_endpoint, view):
+    """Guards against connections that an endpoint resets, of all VMs."""
+    near, far = make_endpoint("near"), make_endpoint("far", zone="other")
+    limited = attrs.evolve(view, most_own=2)
+    for _ in range(2):
+        view.traffic.find("near").start(None)
+    busy = attrs.evolve(limited, peers_active={"far": 9})
+    assert placement.choose_endpoint([near, far], frozenset(), busy) is far
+    assert placement.choose_endpoint([near], frozenset(), limited) is None
+    view.traffic.find("near").end(None)
+    assert placement.choose_endpoint([near], frozenset(), limited) is near
+
+
 def test_tried_endpoint_comes_last(make_endpoint, view):
     """Guards against repeating a request where it failed."""
     first, second = make_endpoint("a"), make_endpoint("b")
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -335,6 +335,24 @@
     assert 0 <= taken_s < 0.25
 
 
+async def test_reload_takes_good_settings_and_survives_bad_ones(site, vm):
+    """Guards against a process that ends over a mistake in its settings."""
+    file = site.folder / "vm-1.ini"
+    text = file.read_text()
+    file.write_text(text.replace("entry_ttl_s = 5", "entry_ttl_s = 1"))
+    vm.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    answer = await vm.get("/api/resolve?name=h")
+    assert json.loads(answer.body)["ttl_s"] < 1
+    file.write_text("nonsense")
+    vm.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    assert (await vm.get("/api/resolve?name=h")).status == 200
+    events = [item["event"] for item in site.read_events("vm-1")]
+    assert events.count("reload") == 1
+    assert events.count("reload_failed") == 1
+
+
 async def test_state_and_metrics_are_served(site, vm):
     """Guards against an operator who cannot look into a process."""
     await sites.send(vm.front, "/once/x", "r1", body=b"x")
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -40,5 +40,5 @@
 def test_adapters_fit_by_number_and_by_size(weights_mb, adapter_mb, places):
     """Guards against orders for more than an engine's memory holds."""
     model = routes.Model("m", 100.0, 1.0, 10, adapter_mb)
-    engine = routes.Engine((model,), 8, 100, weights_mb, 17, 4.0)
+    engine = routes.Engine((model,), 8, weights_mb, 17, 4.0)
     assert engine.places == places
