Let a successor start early where engines check fencing tokens

Change: where engines check tokens, a candidate waits 0.6 of the lease for a holder that it does not hear though it hears others, and not at all for one that says that its lease lapsed. The append stays conditional, so that a holder that has renewed is never passed over.

--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -29,14 +29,9 @@
             lease = self.board.lease.value
             self._take_heartbeats(now)
             self._take_refusals(lease)
-            stopping = self.board.lifecycle.value.stopping_since is not None
-            step, due = leases.decide_step(
-                lease,
-                now,
-                self._measure_rank(now),
-                stopping,
-                self._has_successor(now),
-            )
+            if lease.note_lapse(now):
+                self.write(self.board.lease, lease)
+            step, due = leases.decide_step(lease, self._assess(now), now)
             match step:
                 case leases.Step.APPEND:
                     await self._append(lease)
@@ -72,18 +67,25 @@
             if token == lease.token:
                 lease.give_up()
 
-    def _has_successor(self, now: float) -> bool:
-        """Return whether the lease may be released, and somebody takes it."""
-        alive = self.board.membership.value.members.list_alive(now)
-        return self.board.settings.engines_check_tokens and any(
-            peer.ready and not peer.stopping for peer in alive
+    def _assess(self, now: float) -> leases.Situation:
+        settings = self.board.settings
+        known = self.board.membership.value.members
+        alive = known.list_alive(now)
+        holder = known.peers.get(self.board.lease.value.holder)
+        return leases.Situation(
+            rank=sum(
+                peer.vm < settings.vm and not peer.stopping for peer in alive
+            ),
+            stopping=self.board.lifecycle.value.stopping_since is not None,
+            fenced=settings.engines_check_tokens,
+            has_successor=any(
+                peer.ready and not peer.stopping for peer in alive
+            ),
+            holder_silent=bool(alive)
+            and holder is not None
+            and not holder.is_alive(now),
         )
 
-    def _measure_rank(self, now: float) -> int:
-        alive = self.board.membership.value.members.list_alive(now)
-        own = self.board.settings.vm
-        return sum(1 for peer in alive if peer.vm < own and not peer.stopping)
-
     async def _read_last(self, lease: leases.Lease) -> None:
         """Look after the start whether anybody else may hold the lease."""
         try:
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -18,6 +18,11 @@
 HOLDER_MARGIN = 0.2
 # It renews when this part of the lease has passed.
 RENEW_AFTER = 0.4
+# A candidate waits this part of the lease since the last record.
+CANDIDATE_WAIT = 1.05
+# The same where the holder is silent and engines check tokens: it has missed
+# a renewal then.
+SILENT_WAIT = 0.6
 # A candidate waits this part of the lease for each one that ranks before it.
 RANK_DELAY = 0.15
 
@@ -100,39 +105,75 @@
         self.released = False
         self.checked = True
 
+    def note_lapse(self, now: float) -> bool:
+        """Take in that this VM's own lease lapsed, which others may know.
+
+        :returns: whether that is new
+        """
+        lapsed = self.token == self.end and not self.is_held(now)
+        if not lapsed or self.released:
+            return False
+        self.released = True
+        return True
+
     def give_up(self) -> None:
         """Stop giving orders."""
         self.valid_until = 0.0
 
 
-def decide_step(
-    lease: Lease,
-    now: float,
-    rank: int,
-    stopping: bool,
-    hands_over: bool = False,
-) -> tuple[Step, float]:
-    """Return what to do and when to decide again.
+@attrs.frozen
+class Situation:
+    """What a step depends on beside the lease.
 
     :param rank: place of this VM among the candidates that live; later ones
         wait longer, so that not all of them append at once
-    :param hands_over: whether a holder that stops releases the lease. An
-        engine that does not check fencing tokens could still carry out one
-        of its orders beside those of the next holder.
+    :param stopping: whether this VM stops as planned
+    :param fenced: whether engines refuse orders with an older token. Only
+        then may a successor start before the time of the lease has passed:
+        an order of the former holder that is still on its way is refused.
+    :param has_successor: whether another VM would take the lease
+    :param holder_silent: whether the holder is not heard, though others are
     """
+
+    rank: int = 0
+    stopping: bool = False
+    fenced: bool = False
+    has_successor: bool = False
+    holder_silent: bool = False
+
+
+def decide_step(
+    lease: Lease, situation: Situation, now: float
+) -> tuple[Step, float]:
+    """Return what to do and when to decide again."""
     if lease.is_held(now):
-        if stopping and hands_over:
-            return Step.RELEASE, now
-        due = lease.renewed_at + lease.ttl_s * RENEW_AFTER
-        if now >= due and not stopping:
-            return Step.APPEND, now
-        return Step.WAIT, max(due, now + 0.05)
-    if stopping:
+        return _decide_as_holder(lease, situation, now)
+    if situation.stopping:
         return Step.WAIT, now + lease.ttl_s
     if lease.end < 0:
         return Step.APPEND, now
     if not lease.checked:
         return Step.READ, now
-    wait = 0.0 if lease.released else 1.05
-    due = lease.changed_at + lease.ttl_s * (wait + RANK_DELAY * rank)
+    wait = _measure_wait(lease, situation) + RANK_DELAY * situation.rank
+    due = lease.changed_at + lease.ttl_s * wait
     return (Step.APPEND, now) if now >= due else (Step.WAIT, due)
+
+
+def _decide_as_holder(
+    lease: Lease, situation: Situation, now: float
+) -> tuple[Step, float]:
+    if situation.stopping and situation.fenced and situation.has_successor:
+        return Step.RELEASE, now
+    due = lease.renewed_at + lease.ttl_s * RENEW_AFTER
+    if now >= due and not situation.stopping:
+        return Step.APPEND, now
+    return Step.WAIT, max(due, now + 0.05)
+
+
+def _measure_wait(lease: Lease, situation: Situation) -> float:
+    """Return the part of the lease for which a candidate waits."""
+    if not situation.fenced:
+        return CANDIDATE_WAIT
+    if lease.released:
+        return 0.0
+    return SILENT_WAIT if situation.holder_silent else CANDIDATE_WAIT
