Send uses by endpoint and model, not as rows

Cause: each VM tells the holder every 50 ms which adapters are in use; the endpoint's and the model's name stood in every row. Change: nested by endpoint and model.

--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -170,7 +170,7 @@
     def _apply_uses(self, message: messages.Uses) -> None:
         peer = self.board.membership.value.members.peers.get(message.vm)
         if peer is not None:
-            peer.uses = {(item[0], item[1], item[2]) for item in message.uses}
+            peer.uses = set(message.list_uses())
 
     def _sum_active(self, now: float) -> None:
         membership = self.board.membership.value
@@ -218,22 +218,25 @@
         )
 
     async def _send_uses(self) -> None:
-        sent: list[list[str]] = []
+        sent: dict[str, dict[str, list[str]]] = {}
         while True:
             await anyio.sleep(USES_S if sent else IDLE_USES_S)
-            uses = [
-                [identity, model, adapter]
-                for identity, item in (
-                    self.board.traffic.value.by_identity.items()
-                )
-                for model, adapter in item.uses
-            ]
+            uses = self._collect_uses()
             if uses or sent:
                 self._send_to_holder(
                     messages.Uses(self.board.settings.vm, uses)
                 )
             sent = uses
 
+    def _collect_uses(self) -> dict[str, dict[str, list[str]]]:
+        """Return the adapters in use, by endpoint and model."""
+        uses: dict[str, dict[str, list[str]]] = {}
+        for identity, item in self.board.traffic.value.by_identity.items():
+            for model, adapter in item.uses:
+                by_model = uses.setdefault(identity, {})
+                by_model.setdefault(model, []).append(adapter)
+        return uses
+
     def _send_to_holder(self, message: Any) -> None:
         peers = self.board.membership.value.members.peers
         holder = peers.get(self.board.lease.value.holder)
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -51,11 +52,18 @@
 class Uses:
     """Adapters in use by a VM, for the holder of the lease.
 
-    :param uses: endpoint, model and adapter of requests in progress
+    :param uses: adapters of requests in progress, by endpoint and model
     """
 
     vm: str
-    uses: list[list[str]]
+    uses: dict[str, dict[str, list[str]]]
+
+    def list_uses(self) -> Iterator[tuple[str, str, str]]:
+        """Iterate over endpoint, model and adapter."""
+        for identity, models in self.uses.items():
+            for model, adapters in models.items():
+                for adapter in adapters:
+                    yield identity, model, adapter
 
 
 @MESSAGES.register("w")
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -12,7 +12,7 @@
     messages.Heartbeat(
         "v", "i", "f:1", "z", True, False, 3, "v", False, {"e": 1}
     ),
-    messages.Uses("v", [["e", "m", "a"]]),
+    messages.Uses("v", {"e": {"m": ["a", "b"]}}),
     messages.Want("v", "s", "m", "a", 1, 1, "", "", 500),
     messages.Placed("e", "m", "a", 1),
     messages.Loss("ab"),
