--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -14,6 +14,7 @@
     :param ran: endpoints that may have run it
     :param elsewhere_until: until when it waits for an engine that has not
         broken off yet
+    :param status: status of the endpoint's last answer, 0 without one
     :param waited_s: time from the arrival to the last send
     :param first_byte_s: time from the arrival to the answer's first byte
     """
@@ -23,6 +24,7 @@
     sends: int = 0
     ran: int = 0
     outcome: str = ""
+    status: int = 0
     endpoint: str = ""
     buffer: events.EventBuffer | None = None
     waited_s: float | None = None
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -94,6 +94,7 @@
             "endpoint": progress.endpoint if progress else "",
             "sends": progress.sends if progress else 0,
             "outcome": progress.outcome if progress else "",
+            "status": progress.status if progress else 0,
             "reason": failure.reason.value if failure else "",
             "detail": failure.detail if failure else "",
             "waited_s": _round(progress.waited_s if progress else None),
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -143,6 +143,7 @@
             endpoint.identity
         )
         progress.tried.add(endpoint.identity)
+        progress.status = relay.status
         if outcome is relays.Outcome.REJECTED:
             progress.ran -= 1
             self._note_rejection(request, progress, endpoint, relay, now)
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -377,6 +377,7 @@
     ]
     assert lines[-1]["event"] == "request"
     assert lines[-1]["endpoint"] in ("p1", "p2")
+    assert lines[-1]["status"] == 503
     assert lines[-1]["sends"] == 1
 
 
