Wait for the controller that records refusals, in its test

Cause: test_state_shows_refusals failed once beside five other workers (IndexError: no refusal yet). The answer goes out from the HTTP edge, and the controller takes the refusal in with its next step, up to 2 ms later. Change: the test waits for a refusal; what it asserts of it stays. Measured: no product code changed.

--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -84,8 +84,14 @@
 def test_state_shows_refusals(site, inspect):
     """Guards against a refusal that leaves no trace at the VM."""
     assert site.send("absent").status == 404
-    result = inspect("state", "requests", "--format", "json")
-    newest = json.loads(result.stdout)["value"]["refusals"][-1]
+
+    def read_refusals():
+        result = inspect("state", "requests", "--format", "json")
+        return json.loads(result.stdout)["value"]["refusals"]
+
+    # The controller takes a refusal in with its next step, after the answer.
+    site.wait(read_refusals)
+    newest = read_refusals()[-1]
     assert newest["failure"]["reason"] == "unknown_adapter"
     assert "absent" in newest["failure"]["detail"]
 
