Refuse documents and reports with values of the wrong kind

Cause: a report whose list of loads was no list, or named a version that is no number, raised an exception outside the decoder's check and ended the holder of the lease; so did a route whose prefix is a list. Found by a test that puts any JSON value in any field. Change: every field is checked, whatever it holds; reports are a class and no bare map. An engine's refusal names the token that was sent, which a renewal may have raised meanwhile. The waits after a start have names that say so.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -64,15 +64,19 @@
         configuration = self.board.rules.value.configuration
         if configuration is not None:
             self.listener.bounds = configuration.limits
+        self._adjust_budgets()
+        self.listener.expire(now)
+        known = set(self.board.endpoints.value.by_identity)
+        self.board.traffic.value.retain(known)
+        self._sender.retain(known)
+
+    def _adjust_budgets(self) -> None:
+        """Follow a reload of the settings."""
         settings = self.board.settings
         for found in self.board.budgets.value.by_service.values():
             found.ratio = settings.retry_ratio
             found.slack = settings.retry_slack
             found.window_s = settings.retry_window_s
-        self.listener.expire(now)
-        known = set(self.board.endpoints.value.by_identity)
-        self.board.traffic.value.retain(known)
-        self._sender.retain(known)
 
     async def serve(self, exchange: server.Exchange) -> None:
         """Answer a request of a caller."""
@@ -144,14 +148,11 @@
         return known.is_refused(suspect, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
-        """Wait for the first configuration, for a part of the caller's time.
-
-        Load pattern: all VMs lost power while the store is away. Callers
-        that are refused come back once, mostly before the store does.
-        """
+        """Wait for the first configuration, if that is soon."""
+        wait_s = selection.limit_startup_wait(request)
         await blackboard.wait_any(
             self.board.rules.meets(lambda rules: bool(rules.configuration)),
-            timeout_ms=int(1000 * selection.limit_wait(request)),
+            timeout_ms=int(1000 * wait_s),
         )
 
     def _find_route(
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -4,8 +4,11 @@
 token, and a conditional append decides between candidates. A holder renews by
 appending again. A candidate waits for the whole time of the lease since it
 first knew of the last record, so that holders never overlap whatever their
-clocks say. A holder that stops as planned appends that the lease is released,
-after which nobody waits.
+clocks say.
+
+Where engines refuse orders with an older token, an overlap does no harm, and
+a candidate waits less: not at all once the holder has said that it stopped or
+that its lease lapsed, and until a missed renewal if the holder is silent.
 """
 
 from __future__ import annotations
@@ -44,7 +47,7 @@
     :param changed_at: when that end was first known here
     :param token: fencing token while this VM holds the lease
     :param valid_until: until when this VM may give orders
-    :param released: whether the last record says that nobody holds it
+    :param released: whether the holder said that it gives no more orders
     :param checked: whether this VM has read the last record since its start
     """
 
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import logging
 import math
-from typing import Any
 from typing import TYPE_CHECKING
 
 from bronzetrack.entry import endpoints
@@ -17,6 +16,7 @@
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
+    from bronzetrack.platform import documents
 
 LOG = logging.getLogger(__name__)
 # Reports are some hundred milliseconds old.
@@ -135,8 +135,10 @@
         if not lease.is_held(self._read_clock()):
             return orders.Verdict.REFUSED
         order = orders.Order(load, need[0], need[1], state.sequence, version)
+        # A renewal meanwhile raises the token of the lease.
+        token = lease.token
         verdict = await self._engines.order(
-            endpoint.address, endpoint.identity, order, lease.token
+            endpoint.address, endpoint.identity, order, token
         )
         now = self._read_clock()
         if verdict is orders.Verdict.STARTED or (
@@ -148,7 +150,7 @@
         operation = "load" if load else "unload"
         meters.ORDERS.labels(operation, verdict.value).inc()
         if verdict is orders.Verdict.FENCED:
-            self._board.fenced.post(lease.token)
+            self._board.fenced.post(token)
         LOG.info(
             "an order was answered",
             extra={
@@ -159,7 +161,7 @@
                 "adapter": need[1],
                 "version": version,
                 "sequence": order.sequence,
-                "token": lease.token,
+                "token": token,
                 "verdict": verdict.value,
             },
         )
@@ -171,6 +173,10 @@
         need: loadstate.Need,
         version: int,
     ) -> None:
+        """Tell all VMs what an engine holds.
+
+        :param version: version held, 0 for none
+        """
         placed = messages.Placed(endpoint.identity, *need, version)
         self._board.placed.post(placed)
         self._board.outgoing.post(placed)
@@ -191,27 +197,27 @@
             extra={
                 "event": "engine_checked",
                 "endpoint": endpoint.identity,
-                "sequence": report["sequence"] if report else None,
-                "busy": report["busy"] if report else None,
-                "held": len(report["adapters"]) if report else None,
-                "pending": len(report["pending"]) if report else None,
+                "sequence": report.sequence if report else None,
+                "busy": report.busy if report else None,
+                "held": len(report.adapters) if report else None,
+                "pending": len(report.pending) if report else None,
                 "expected": state.sequence,
             },
         )
         if report is None:
             state.check_at = now + REPORT_LAG_S
             return
-        if not report["models"] and now < state.loading_until:
+        if not report.models and now < state.loading_until:
             state.check_at = now + MODEL_CHECK_S
             return
         state.loading_until = 0.0
         state.check_at = None
-        state.sequence = report["sequence"]
-        state.held = dict.fromkeys(report["pending"], 1) | report["adapters"]
+        state.sequence = report.sequence
+        state.held = dict.fromkeys(report.pending, 1) | report.adapters
         state.unloading &= set(state.held)
         state.pending = {
             need: state.pending.get(need, now + REPORT_LAG_S)
-            for need in report["pending"]
+            for need in report.pending
         }
         for need in state.held:
             state.note_seen(need)
@@ -221,16 +227,16 @@
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
-        report: dict[str, Any],
+        report: documents.Report,
     ) -> None:
         """Tell the VMs where a report differs from what was announced."""
-        for need in set(endpoint.adapters) - set(report["adapters"]):
+        for need in set(endpoint.adapters) - set(report.adapters):
             self.publish(endpoint, need, 0)
-        for need, version in report["adapters"].items():
+        for need, version in report.adapters.items():
             if need in state.unloading or need in state.pending:
                 continue
             if endpoint.adapters.get(need) != version:
                 self.publish(endpoint, need, version)
-        for model, version in report["models"].items():
+        for model, version in report.models.items():
             if model not in endpoint.models:
                 self.publish(endpoint, (model, ""), version)
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -28,17 +28,20 @@
 # until its caller leaves, so that the caller can still try again.
 WAIT_SHARE = 0.7
 ISOLATED_WAIT_S = 0.05
-# Until a configuration and endpoints are known, requests wait this part of
-# the time that their caller has, and no longer than callers wait for a first
-# event.
-LEARNING_WAIT_SHARE = 0.3
-LEARNING_WAIT_S = 1.5
+# After a start, requests wait this part of the time that their caller has for
+# a configuration and endpoints, and less than callers wait for a first event.
+STARTUP_WAIT_SHARE = 0.3
+STARTUP_WAIT_S = 1.5
 
 
-def limit_wait(request: requests.Request) -> float:
-    """Return how long a request may wait for what a VM learns first."""
+def limit_startup_wait(request: requests.Request) -> float:
+    """Return how long a request may wait for a configuration or an endpoint.
+
+    Load pattern: all VMs lost power while the store is away. Callers that are
+    refused come back once, mostly before the store does.
+    """
     time_s = request.deadline - request.arrived
-    return min(LEARNING_WAIT_S, LEARNING_WAIT_SHARE * time_s)
+    return min(STARTUP_WAIT_S, STARTUP_WAIT_SHARE * time_s)
 
 
 class EndpointSelector:
@@ -75,7 +78,9 @@
         now = self.read_clock()
         table = self.board.endpoints.value
         candidates = table.list_service(progress.service)
-        if not candidates and now - request.arrived < limit_wait(request):
+        if not candidates and now - request.arrived < limit_startup_wait(
+            request
+        ):
             # The list may be incomplete after a start, or after entries
             # lapsed with the store.
             return None
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -18,6 +18,14 @@
 PAUSE_GAPS = 8.0
 READY = "ready"
 DRAINING = "draining"
+# What Python raises over values of the wrong kind.
+MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class DocumentError(errors.BronzetrackError):
@@ -58,6 +66,23 @@
         )
 
 
+@attrs.frozen
+class Report:
+    """What an engine says of itself when it is asked.
+
+    :param sequence: orders that it has accepted since its start
+    :param busy: whether an order for a base model is in progress
+    :param pending: adapters on their way from the weight store
+    """
+
+    sequence: int
+    started_ms: int
+    models: dict[str, int]
+    adapters: dict[tuple[str, str], int]
+    busy: bool
+    pending: frozenset[tuple[str, str]]
+
+
 @attrs.frozen
 class AdapterVersion:
     """The newest version of an adapter, as operators named it."""
@@ -101,7 +126,7 @@
             for item in document.get("services", ())
         }
         limits = _decode_limits(document.get("limits") or {})
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         raise DocumentError(f"malformed configuration: {error!r}") from error
     by_host: dict[str, dict[str, routes.Route]] = {}
     for route in found:
@@ -119,15 +144,15 @@
     streams = kind == "streaming"
     resumable = streams and bool(item.get("resumable", False))
     shares = tuple(
-        routes.Share(part["service"], float(part["weight"]))
+        routes.Share(_take(part, "service", str), float(part["weight"]))
         for part in item.get("split") or ()
     ) or (
-        routes.Share(item["service"], 1.0),
+        routes.Share(_take(item, "service", str), 1.0),
     )
     return routes.Route(
         name=item.get("name", ""),
-        host=item["hostname"].lower(),
-        prefix=item["path_prefix"],
+        host=_take(item, "hostname", str).lower(),
+        prefix=_take(item, "path_prefix", str),
         shares=shares,
         repeat=routes.Repeat.SAFE if kind == "safe" else routes.Repeat.ONCE,
         streams=streams,
@@ -232,27 +257,32 @@
     )
 
 
-def decode_report(data: bytes) -> dict[str, Any]:
-    """Return the fields of an engine's report that the product uses.
+def decode_report(data: bytes) -> Report:
+    """Return an engine's report.
 
     :raises DocumentError: it cannot be read
     """
     document = _load(data)
     models, adapters = decode_models(document.get("models") or ())
-    pending = {
-        (model, split_version(adapter)[0])
-        for model, _, adapter in (
-            str(item).partition("/") for item in document.get("pending") or ()
+    return Report(
+        sequence=_decode_count(document, "sequence"),
+        started_ms=_decode_start(document),
+        models=models,
+        adapters=adapters,
+        busy=document.get("busy") is True,
+        pending=_decode_pending(document.get("pending") or ()),
+    )
+
+
+def _decode_pending(items: Any) -> frozenset[tuple[str, str]]:
+    """Return adapters that are listed as MODEL/NAME@VERSION."""
+    try:
+        parts = [item.partition("/") for item in items]
+        return frozenset(
+            (model, split_version(adapter)[0]) for model, _, adapter in parts
         )
-    }
-    return {
-        "sequence": _decode_count(document, "sequence"),
-        "started_ms": _decode_start(document),
-        "models": models,
-        "adapters": adapters,
-        "busy": document.get("busy") is True,
-        "pending": frozenset(pending),
-    }
+    except MALFORMED as error:
+        raise DocumentError(f"malformed loads: {error!r}") from error
 
 
 def _decode_start(document: dict[str, Any]) -> int:
@@ -281,7 +311,7 @@
             for adapter in item.get("adapters") or ():
                 bare, version = split_version(adapter)
                 adapters[(name, bare)] = version
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         raise DocumentError(f"malformed models: {error!r}") from error
     return models, adapters
 
--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -94,7 +94,7 @@
 
     async def report(
         self, address: str, identity: str
-    ) -> dict[str, Any] | None:
+    ) -> documents.Report | None:
         """Return what an engine reports, or nothing without an answer."""
         answer = await self._caller.call(
             address,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -141,5 +141,62 @@
     """Guards against places that are counted as free."""
     data = encode(ENTRY | {"pending": ["m/a3@1"], "busy": False})
     report = documents.decode_report(data)
-    assert report["pending"] == {("m", "a3")}
-    assert report["sequence"] == 3
+    assert report.pending == {("m", "a3")}
+    assert report.sequence == 3
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda items: strategies.lists(items, max_size=3)
+    | strategies.dictionaries(
+        strategies.sampled_from(["name", "adapters", "version", "service"]),
+        items,
+        max_size=3,
+    ),
+    max_leaves=6,
+)
+REPORT = {"sequence": 3, "models": [], "pending": ["m/a3@1"], "busy": False}
+
+
+def decode_entry(data):
+    return documents.decode_announcement("i-1", data)
+
+
+@pytest.mark.parametrize(
+    ("decode", "document"),
+    [
+        (documents.decode_report, REPORT),
+        (decode_entry, ENTRY),
+        (
+            documents.decode_configuration,
+            {"version": 7, "routes": [ROUTE], "services": [], "limits": {}},
+        ),
+        (
+            lambda data: documents.decode_configuration(
+                json.dumps(
+                    {"version": 7, "routes": [json.loads(data)]}
+                ).encode()
+            ),
+            ROUTE,
+        ),
+    ],
+    ids=["report", "entry", "configuration", "route"],
+)
+@hypothesis.given(data=strategies.data())
+def test_any_value_of_a_field_gives_a_document_or_an_error(
+    decode, document, data
+):
+    """Guards against one bad field that ends a controller.
+
+    A report whose list of loads held no text ended the holder of the lease.
+    """
+    name = data.draw(strategies.sampled_from(sorted(document)))
+    changed = document | {name: data.draw(JSON)}
+    try:
+        decode(json.dumps(changed).encode())
+    except documents.DocumentError:
+        pass
