--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 slopes: environment
 	$(BIN)/python scripts/slopes.py
 	$(BIN)/python scripts/entry_cost.py
+	$(BIN)/python scripts/plan_cost.py
 
 check: environment
 	$(BIN)/black --quiet --check src tests scripts bench
--- /dev/null
+++ b/scripts/plan_cost.py
@@ -0,0 +1,110 @@
+"""Processor time of the holder of the lease for one turn of planning.
+
+All places but one of each engine are in use and the given number of adapters
+is asked for, as at the crest of a swing.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
+
+from entry import sites  # noqa: E402
+
+from bronzetrack.entry import board as boards  # noqa: E402
+from bronzetrack.entry import endpoints  # noqa: E402
+from bronzetrack.entry import messages  # noqa: E402
+from bronzetrack.entry import process  # noqa: E402
+from bronzetrack.entry import roles  # noqa: E402
+from bronzetrack.entry import routes  # noqa: E402
+from bronzetrack.entry import settings  # noqa: E402
+
+PLACES = 17
+TURNS = 100
+TURN_S = 0.004
+ENGINES = (6, 45, 400)
+DEMANDS = (0, 60)
+
+
+class NoEffects:
+    """Takes the place of the task group; nothing is carried out."""
+
+    def start_soon(self, *arguments: object) -> None:
+        """Drop an effect."""
+
+
+def make_board(engines: int) -> boards.Blackboard:
+    """Return the state of a VM that knows a service of engines."""
+    text = sites.SETTINGS.format(
+        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
+    )
+    board = boards.Blackboard(settings.parse_settings(text), "run-1")
+    model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
+    engine = routes.Engine((model,), 128, 17_000.0, PLACES, 4.3)
+    service = routes.Service("s", "/h", 600, engine)
+    board.rules.value.configuration = routes.Configuration(
+        1, {}, {"s": service}
+    )
+    for number in range(engines):
+        board.endpoints.value.add(
+            endpoints.Endpoint(
+                f"e{number}", "s", "127.0.0.1:1", "z", 128, models={"m": 1}
+            )
+        )
+    return board
+
+
+def fill_engines(board: boards.Blackboard) -> None:
+    """Let every engine hold adapters, all but one of them in use."""
+    for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
+        known = board.loading.value.find_engine(endpoint)
+        known.check_at = None
+        needs = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
+        known.held = dict.fromkeys(needs, 1)
+        uses = board.traffic.value.find(endpoint.identity).uses
+        uses.update(dict.fromkeys(needs[1:], 1))
+
+
+def measure(engines: int, demands: int) -> float:
+    """Return the processor time of a turn, in seconds."""
+    board = make_board(engines)
+    ports = roles.Ports(None, None, None)
+    now = 1_000.0
+    controller = roles.CONTROLLERS.lookup("loading")(board, ports, lambda: now)
+    board.lease.value.note_renewed(0, now, "vm-1")
+    controller._run_turn(NoEffects(), now)
+    fill_engines(board)
+    started = time.process_time()
+    for _ in range(TURNS):
+        now += TURN_S
+        board.lease.value.note_renewed(0, now, "vm-1")
+        for number in range(demands):
+            board.wanted.post(
+                messages.Want(
+                    "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
+                )
+            )
+        controller._run_turn(NoEffects(), now)
+        for known in board.loading.value.engines.values():
+            known.ordering = False
+    return (time.process_time() - started) / TURNS
+
+
+def main() -> None:
+    """Print the cost for some numbers of engines and demands."""
+    process.import_controllers()
+    for engines in ENGINES:
+        for demands in DEMANDS:
+            cost_ms = 1_000 * measure(engines, demands)
+            print(
+                f"turn, {engines} engines, {demands} demands: "
+                f"{cost_ms:.2f} ms"
+            )
+
+
+if __name__ == "__main__":
+    main()
