Let an idle holder of the lease rest

Change: turns of 0.25 s while nothing is in use or asked for; reports and loads that are due end the rest sooner, which they did not before.

--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 from typing import Any
 
@@ -21,6 +22,8 @@
 from bronzetrack.entry import routes
 
 TICK_S = 0.05
+# The same while no adapter is in use or asked for.
+IDLE_TICK_S = 0.25
 # VMs without the lease have nothing to plan.
 FOLLOWER_TICK_S = 1.0
 # How often the holder drops what it need not know any more.
@@ -72,19 +75,31 @@
                 await anyio.sleep(TURN_S)
 
     def _measure_pause_ms(self, now: float) -> int:
-        """Return the time until the next load is expected to be there."""
+        """Return the time until a load, a report or a turn is due."""
+        engines = self._state.engines.values()
         held = self.board.lease.value.is_held(now)
-        tick_s = TICK_S if held else FOLLOWER_TICK_S
-        due = min(
-            (
-                at
-                for engine in self._state.engines.values()
-                for at in engine.pending.values()
-            ),
-            default=math.inf,
+        loads = (engine.pending.values() for engine in engines)
+        reports = (
+            engine.check_at
+            for engine in engines
+            if held and engine.check_at is not None and not engine.ordering
         )
+        due = min(itertools.chain(*loads, reports), default=math.inf)
+        tick_s = self._choose_tick(now) if held else FOLLOWER_TICK_S
         return math.ceil(1000 * max(0.0, min(tick_s, due - now)))
 
+    def _choose_tick(self, now: float) -> float:
+        """Return the longest time between two turns of the holder."""
+        members = self.board.membership.value.members
+        in_use = any(
+            item.uses
+            for item in itertools.chain(
+                self.board.traffic.value.by_identity.values(),
+                members.list_alive(now),
+            )
+        )
+        return TICK_S if in_use or self._state.demands else IDLE_TICK_S
+
     @property
     def _state(self) -> loadstate.LoadingState:
         return self.board.loading.value
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -58,3 +58,24 @@
     board.wanted.post(want)
     controller._run_turn(None, now)
     assert now < known.pending[NEED] < now + 0.2
+
+
+def test_idle_holder_rests_until_something_is_due(
+    controller, board, make_endpoint, now
+):
+    """Guards against processor time spent while nothing is asked for."""
+    endpoint = make_endpoint("e")
+    known = board.loading.value.find_engine(endpoint)
+    known.check_at = None
+    assert controller._measure_pause_ms(now) > 200
+    known.check_at = now + 0.1
+    assert 90 <= controller._measure_pause_ms(now) <= 101
+    known.pending[NEED] = now + 0.05
+    assert controller._measure_pause_ms(now) <= 51
+    known.pending.clear()
+    known.check_at = None
+    board.traffic.value.find("e").start(NEED)
+    assert controller._measure_pause_ms(now) <= 51
+    board.lease.value.give_up()
+    known.check_at = now
+    assert controller._measure_pause_ms(now) > 200
