Join look-ups that the split left twice, and drop reasons that nothing gives

Read of the whole change: the service of a request was looked up the same way in two methods of the selector, the traffic of an endpoint twice in one method of the sender, and a load was classified past has_seen; the reasons unreachable and internal were given by nothing.

--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -19,12 +19,10 @@
     OVERLOADED = "overloaded"
     ISOLATED = "isolated"
     DEADLINE = "deadline"
-    UNREACHABLE = "unreachable"
     REJECTED = "rejected"
     SUSPECTED = "suspected"
     LOST = "lost"
     MALFORMED = "malformed"
-    INTERNAL = "internal"
     CALLER_LEFT = "caller_left"
 
 
@@ -39,13 +37,11 @@
     Reason.NOT_LOADED: 503,
     Reason.OVERLOADED: 503,
     Reason.ISOLATED: 503,
-    Reason.UNREACHABLE: 503,
     Reason.REJECTED: 503,
     Reason.SUSPECTED: 503,
     Reason.DEADLINE: 504,
     Reason.LOST: 502,
     Reason.MALFORMED: 502,
-    Reason.INTERNAL: 502,
     Reason.CALLER_LEFT: 502,
 }
 
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -175,4 +175,4 @@
     ) -> loadtimes.LoadKind:
         """Return the kind of a load that starts now."""
         flight = sum(len(item.pending) for item in self.engines.values())
-        return loadtimes.LoadKind(need in known.seen, flight // FLIGHT_STEP)
+        return loadtimes.LoadKind(known.has_seen(need), flight // FLIGHT_STEP)
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
+    from bronzetrack.entry import routes
 
 # A VM asks again for an adapter that it waits for.
 ASK_S = 0.15
@@ -158,12 +159,11 @@
 
         An endpoint resets the connections of all VMs beyond its bound.
         """
-        configuration = self.board.rules.value.configuration
-        known = configuration.services.get(service) if configuration else None
-        if known is None:
+        found = self._find_service(service)
+        if found is None:
             return math.inf
         vms = self.board.membership.value.members.count_vms(now)
-        return max(1, known.max_connections // vms)
+        return max(1, found.max_connections // vms)
 
     def _is_copy_needed(
         self,
@@ -187,10 +187,13 @@
         return placement.wants_copy(holders, candidates, view)
 
     def _has_engine(self, service: str) -> bool:
-        configuration = self.board.rules.value.configuration
-        found = configuration.services.get(service) if configuration else None
+        found = self._find_service(service)
         return found is not None and found.engine is not None
 
+    def _find_service(self, service: str) -> routes.Service | None:
+        configuration = self.board.rules.value.configuration
+        return configuration.services.get(service) if configuration else None
+
     def _ask(
         self,
         request: requests.Request,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -166,13 +166,12 @@
         now: float,
     ) -> None:
         requestlog.log_rejection(request, endpoint, relay)
+        traffic = self.board.traffic.value.find(endpoint.identity)
         other = relay.find_header(names.INSTANCE)
         if relay.status != 421:
-            self.board.traffic.value.find(endpoint.identity).note_failure(now)
+            traffic.note_failure(now)
         elif other is not None and other != endpoint.identity.encode():
-            self.board.traffic.value.find(endpoint.identity).note_unreachable(
-                now
-            )
+            traffic.note_unreachable(now)
         elif request.need is not None:
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
