Define log lines of entry VMs as typed events in one module

Fields of datagrams and announcements of other VMs were used unchecked: a property test over values of any kind ended the datagram callback with an AttributeError, and took an announcement with a number for a host. Change: core/logevents.py; lease_lapsed, endpoint_failing; messages check their fields, announcements are messages.Contact. The test now waits for store_lost; a new test holds the case that it met.

--- a/src/bronzetrack/client/explainer.py
+++ b/src/bronzetrack/client/explainer.py
@@ -73,6 +73,8 @@
         return adapter in adapters
     return record.get("endpoint") in endpoints or record.get("event") in (
         "lease_taken",
+        "lease_lapsed",
+        "lease_released",
         "store_lost",
         "store_regained",
     )
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from bronzetrack.core import logevents
 from bronzetrack.entry import roles
 from bronzetrack.platform import documents
 from bronzetrack.platform import follower
@@ -43,15 +44,10 @@
             if record.key.startswith(names.VERSION_KEY_PREFIX):
                 return self._apply_version(record.value)
         except documents.DocumentError as error:
-            LOG.error(
-                "a document of the operators cannot be read",
-                extra={
-                    "event": "document_rejected",
-                    "key": record.key,
-                    "offset": record.offset,
-                    "detail": str(error),
-                },
+            event = logevents.DocumentRejected(
+                record.key, record.offset, str(error)
             )
+            logevents.log(LOG, event)
         return False
 
     def _apply_configuration(self, value: bytes) -> bool:
@@ -61,10 +57,7 @@
         if current is not None and found.version <= current.version:
             return False
         rules.configuration = found
-        LOG.info(
-            "a configuration is in force",
-            extra={"event": "configuration", "version": found.version},
-        )
+        logevents.log(LOG, logevents.ConfigurationApplied(found.version))
         return True
 
     def _apply_version(self, value: bytes) -> bool:
@@ -74,13 +67,8 @@
         if versions.get(key, 0) >= found.version:
             return False
         versions[key] = found.version
-        LOG.info(
-            "a new version of an adapter is named",
-            extra={
-                "event": "adapter_version",
-                "model": found.model,
-                "adapter": found.adapter,
-                "version": found.version,
-            },
+        event = logevents.AdapterVersionNamed(
+            found.model, found.adapter, found.version
         )
+        logevents.log(LOG, event)
         return True
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -7,6 +7,7 @@
 import anyio
 
 from bronzetrack.core import blackboard
+from bronzetrack.core import logevents
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import messages
 from bronzetrack.entry import roles
@@ -21,7 +22,8 @@
 # endpoint must get no more work.
 GAP_S = 1.0
 WAIT_S = 0.5
-# The same while entries return after an outage of the store.
+# The same while entries may return after an outage of the store, which a VM
+# that has just started does not know of.
 RETURN_GAP_S = 0.1
 # Entries that lapsed while the store was away return in about this time.
 RETURN_S = 2.0
@@ -44,6 +46,7 @@
         following = follower.Follower(
             self.ports.store, names.SERVERS_TOPIC, WAIT_S, self.read_clock
         )
+        started_at = self.read_clock()
         while True:
             change = await following.read()
             now = self.read_clock()
@@ -55,7 +58,8 @@
                 self._apply(record, now)
             self._expire(now)
             self._notify()
-            returning = now - self._recovered_at < RETURN_S
+            since = max(started_at, self._recovered_at)
+            returning = now - since < RETURN_S
             await anyio.sleep(RETURN_GAP_S if returning else GAP_S)
 
     async def _follow_placements(self) -> None:
@@ -75,14 +79,8 @@
         try:
             found = documents.decode_announcement(record.key, record.value)
         except documents.DocumentError as error:
-            LOG.warning(
-                "an entry names no endpoint to use",
-                extra={
-                    "event": "entry_rejected",
-                    "endpoint": record.key,
-                    "detail": str(error),
-                },
-            )
+            event = logevents.EntryRejected(record.key, str(error))
+            logevents.log(LOG, event)
             return
         self._apply_announcement(found, now)
 
@@ -96,7 +94,7 @@
                 return
             known = found.make_endpoint()
             table.add(known)
-            self._log("endpoint_seen", known)
+            _log(logevents.EndpointSeen, known)
         if found.announced < known.announced:
             return
         known.announced = found.announced
@@ -105,7 +103,7 @@
         known.capacity = found.capacity
         if found.draining and known.leaving_since is None:
             known.leaving_since = now
-            self._log("endpoint_leaving", known)
+            _log(logevents.EndpointLeaving, known)
         elif not found.draining:
             known.leaving_since = None
         if found.leaves_in_s is not None:
@@ -125,7 +123,7 @@
             return
         returning = now - self._recovered_at < RETURN_S
         known.removed_at = self._recovered_at + RETURN_S if returning else now
-        self._log("endpoint_removed", known)
+        _log(logevents.EndpointRemoved, known)
 
     def _drop_missing(self, present: set[str], now: float) -> None:
         for identity in set(self.board.endpoints.value.by_identity) - present:
@@ -141,16 +139,12 @@
         for identity in gone:
             table.remove(identity)
 
-    def _log(self, event: str, endpoint: endpoints.Endpoint) -> None:
-        LOG.info(
-            "an endpoint changed",
-            extra={
-                "event": event,
-                "endpoint": endpoint.identity,
-                "service": endpoint.service,
-                "address": endpoint.address,
-            },
-        )
+
+def _log(
+    kind: type[logevents.EndpointEvent], endpoint: endpoints.Endpoint
+) -> None:
+    event = kind(endpoint.identity, endpoint.service, endpoint.address)
+    logevents.log(LOG, event)
 
 
 def is_other_start(
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -7,6 +7,7 @@
 import anyio
 
 from bronzetrack.core import blackboard
+from bronzetrack.core import logevents
 from bronzetrack.entry import leases
 from bronzetrack.entry import roles
 from bronzetrack.platform import names
@@ -31,6 +32,7 @@
             self._take_refusals(lease)
             if lease.note_lapse(now):
                 self.write(self.board.lease, lease)
+                logevents.log(LOG, logevents.LeaseLapsed(lease.token))
             step, due = leases.decide_step(lease, self._assess(now), now)
             match step:
                 case leases.Step.APPEND:
@@ -109,10 +111,7 @@
 
     async def _pause(self, error: stores.StoreError) -> None:
         """Wait a moment after a call that failed."""
-        LOG.warning(
-            "the store did not answer on the lease",
-            extra={"event": "lease_failed", "detail": str(error)},
-        )
+        logevents.log(LOG, logevents.LeaseCallFailed(str(error)))
         await anyio.sleep(RETRY_S)
 
     async def _release(self, lease: leases.Lease) -> None:
@@ -124,17 +123,11 @@
             )
         except stores.StoreError as error:
             # It lapses in its time.
-            LOG.warning(
-                "the lease could not be released",
-                extra={"event": "lease_failed", "detail": str(error)},
-            )
+            logevents.log(LOG, logevents.LeaseCallFailed(str(error)))
             return
         lease.note_end(offset + 1, "", self.read_clock(), released=True)
         self.write(self.board.lease, lease)
-        LOG.info(
-            "the lease was released",
-            extra={"event": "lease_released", "token": lease.token},
-        )
+        logevents.log(LOG, logevents.LeaseReleased(lease.token))
 
     async def _append(self, lease: leases.Lease) -> None:
         sent_at = self.read_clock()
@@ -153,8 +146,5 @@
         else:
             lease.note_renewed(offset, sent_at, vm)
             if not held:
-                LOG.info(
-                    "the lease was taken",
-                    extra={"event": "lease_taken", "token": lease.token},
-                )
+                logevents.log(LOG, logevents.LeaseTaken(lease.token))
         self.write(self.board.lease, lease)
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -11,6 +11,7 @@
 import prometheus_client
 
 from bronzetrack.core import blackboard
+from bronzetrack.core import logevents
 from bronzetrack.entry import dump
 from bronzetrack.entry import members
 from bronzetrack.entry import meters
@@ -63,10 +64,8 @@
             if ready != life.ready:
                 life.ready = ready
                 self.write(self.board.lifecycle, life)
-                LOG.info(
-                    "readiness changed",
-                    extra={"event": "ready" if ready else "not_ready"},
-                )
+                event = logevents.Ready() if ready else logevents.NotReady()
+                logevents.log(LOG, event)
             await blackboard.wait_any(
                 *(
                     section.is_newer(section.revision)
@@ -110,25 +109,19 @@
         try:
             found = self.ports.read_settings()
         except entry_settings.SettingsError as error:
-            LOG.error(
-                "the settings cannot be used; the old ones stay",
-                extra={"event": "reload_failed", "mistakes": error.mistakes},
-            )
+            logevents.log(LOG, logevents.ReloadFailed(error.mistakes))
             return
         self.board.settings, waiting = entry_settings.merge_reloaded(
             self.board.settings, found
         )
-        LOG.info(
-            "settings were read again",
-            extra={"event": "reload", "need_restart": waiting},
-        )
+        logevents.log(LOG, logevents.SettingsReloaded(waiting))
 
     def _begin_stop(self) -> None:
         life = self.board.lifecycle.value
         life.stopping_since = self.read_clock()
         life.ready = False
         self.write(self.board.lifecycle, life)
-        LOG.info("stopping", extra={"event": "stopping"})
+        logevents.log(LOG, logevents.Stopping())
 
     async def drain(self, front: server.Listener) -> None:
         """Wait for the signal, then until all requests are answered."""
@@ -143,10 +136,7 @@
         end = since + grace_s - KILL_MARGIN_S
         while front.count_busy() and self.read_clock() < end:
             await anyio.sleep(TICK_S)
-        LOG.info(
-            "stopped",
-            extra={"event": "stopped", "unfinished": front.count_busy()},
-        )
+        logevents.log(LOG, logevents.Stopped(front.count_busy()))
 
     async def _take_last_requests(self, until: float) -> None:
         while self.read_clock() < until:
@@ -189,10 +179,7 @@
             self.board.lifecycle.value.ready,
         )
         if isolated or not fronts:
-            LOG.info(
-                "no entry VM is ready",
-                extra={"event": "resolve_empty", "zone": zone},
-            )
+            logevents.log(LOG, logevents.ResolveEmpty(zone))
             exchange.respond(503, [], b"")
             return
         ttl_s = self.board.settings.entry_ttl_s * ENTRY_TTL_SHARE
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 import anyio
-import msgpack
 
 from bronzetrack.core import blackboard
+from bronzetrack.core import logevents
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import roles
@@ -71,14 +71,13 @@
 
     async def _announce(self) -> None:
         settings = self.board.settings
-        value = msgpack.packb(
-            [
-                settings.front,
-                settings.peer_ip,
-                settings.peer_port,
-                settings.zone,
-            ]
+        contact = messages.Contact(
+            front=settings.front,
+            host=settings.peer_ip,
+            port=settings.peer_port,
+            zone=settings.zone,
         )
+        value = messages.encode_contact(contact)
         while True:
             try:
                 await self.ports.store.put(
@@ -86,10 +85,7 @@
                 )
                 return
             except stores.StoreError as error:
-                LOG.warning(
-                    "this VM could not be announced",
-                    extra={"event": "announce_failed", "detail": str(error)},
-                )
+                logevents.log(LOG, logevents.AnnounceFailed(str(error)))
                 await anyio.sleep(RETRY_S)
 
     async def _follow(self) -> None:
@@ -106,25 +102,20 @@
         if record.value is None or record.key == self.board.settings.vm:
             return
         try:
-            front, host, port, zone = msgpack.unpackb(record.value)
-        except (ValueError, TypeError) as error:
-            LOG.warning(
-                "an announcement cannot be read",
-                extra={
-                    "event": "announcement_rejected",
-                    "peer": record.key,
-                    "detail": repr(error),
-                },
-            )
+            found = messages.decode_contact(record.value)
+        except messages.MessageError as error:
+            event = logevents.AnnouncementRejected(record.key, str(error))
+            logevents.log(LOG, event)
             return
         peers = self.board.membership.value.members.peers
         known = peers.get(record.key)
         now = self.read_clock()
-        if known is not None and known.address == (host, port):
+        address = (found.host, found.port)
+        if known is not None and known.address == address:
             known.announced_at = now
             return
         peers[record.key] = members.Peer(
-            record.key, front, (host, port), zone, now
+            record.key, found.front, address, found.zone, now
         )
 
     def receive(self, data: bytes, addr: Any) -> None:
@@ -132,10 +123,7 @@
         try:
             message = messages.decode(data)
         except messages.MessageError as error:
-            LOG.warning(
-                "a datagram cannot be read",
-                extra={"event": "datagram_rejected", "detail": str(error)},
-            )
+            logevents.log(LOG, logevents.DatagramRejected(str(error)))
             return
         match message:
             case messages.Heartbeat():
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -24,6 +24,47 @@
     """A datagram that is no message."""
 
 
+TEXT = attrs.validators.instance_of(str)
+FLAG = attrs.validators.instance_of(bool)
+# Python's bool is an int as well, which does no harm here.
+COUNT = attrs.validators.instance_of(int)
+
+
+def check_counts(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Accept counts by name.
+
+    :raises TypeError: the value is of another kind
+    """
+    if not isinstance(value, dict) or not all(
+        isinstance(name, str) and isinstance(count, int)
+        for name, count in value.items()
+    ):
+        raise TypeError(f"{field.name} holds no counts")
+
+
+def check_uses(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Accept names of adapters by endpoint and model.
+
+    :raises TypeError: the value is of another kind
+    """
+    if not isinstance(value, dict) or not all(
+        isinstance(identity, str)
+        and isinstance(models, dict)
+        and all(map(_is_use, models.items()))
+        for identity, models in value.items()
+    ):
+        raise TypeError(f"{field.name} holds no adapters in use")
+
+
+def _is_use(item: tuple[Any, Any]) -> bool:
+    model, adapters = item
+    return (
+        isinstance(model, str)
+        and isinstance(adapters, list)
+        and all(isinstance(adapter, str) for adapter in adapters)
+    )
+
+
 @MESSAGES.register("h")
 @attrs.frozen
 class Heartbeat:
@@ -35,16 +76,16 @@
     :param active: requests in progress by endpoint
     """
 
-    vm: str
-    incarnation: str
-    front: str
-    zone: str
-    ready: bool
-    stopping: bool
-    lease_end: int
-    holder: str
-    lease_released: bool
-    active: dict[str, int]
+    vm: str = attrs.field(validator=TEXT)
+    incarnation: str = attrs.field(validator=TEXT)
+    front: str = attrs.field(validator=TEXT)
+    zone: str = attrs.field(validator=TEXT)
+    ready: bool = attrs.field(validator=FLAG)
+    stopping: bool = attrs.field(validator=FLAG)
+    lease_end: int = attrs.field(validator=COUNT)
+    holder: str = attrs.field(validator=TEXT)
+    lease_released: bool = attrs.field(validator=FLAG)
+    active: dict[str, int] = attrs.field(validator=check_counts)
 
 
 @MESSAGES.register("u")
@@ -55,8 +96,8 @@
     :param uses: adapters of requests in progress, by endpoint and model
     """
 
-    vm: str
-    uses: dict[str, dict[str, list[str]]]
+    vm: str = attrs.field(validator=TEXT)
+    uses: dict[str, dict[str, list[str]]] = attrs.field(validator=check_uses)
 
     def list_uses(self) -> Iterator[tuple[str, str, str]]:
         """Iterate over endpoint, model and adapter."""
@@ -77,15 +118,15 @@
     :param slack_ms: time left in which the request is on time
     """
 
-    vm: str
-    service: str
-    model: str
-    adapter: str
-    version: int
-    copies: int
-    missing: str
-    unreachable: str
-    slack_ms: int
+    vm: str = attrs.field(validator=TEXT)
+    service: str = attrs.field(validator=TEXT)
+    model: str = attrs.field(validator=TEXT)
+    adapter: str = attrs.field(validator=TEXT)
+    version: int = attrs.field(validator=COUNT)
+    copies: int = attrs.field(validator=COUNT)
+    missing: str = attrs.field(validator=TEXT)
+    unreachable: str = attrs.field(validator=TEXT)
+    slack_ms: int = attrs.field(validator=COUNT)
 
 
 @MESSAGES.register("p")
@@ -96,10 +137,52 @@
     :param version: version held, 0 for none
     """
 
-    identity: str
-    model: str
-    adapter: str
-    version: int
+    identity: str = attrs.field(validator=TEXT)
+    model: str = attrs.field(validator=TEXT)
+    adapter: str = attrs.field(validator=TEXT)
+    version: int = attrs.field(validator=COUNT)
+
+
+@MESSAGES.register("l")
+@attrs.frozen
+class Loss:
+    """An endpoint broke off while it ran a request.
+
+    :param identity: path and body of the request, as a digest
+    """
+
+    identity: str = attrs.field(validator=TEXT)
+
+
+TAGS = {cls: tag for tag, cls in MESSAGES.items()}
+
+
+@attrs.frozen
+class Contact:
+    """Where a VM can be reached, as it announces it in the store."""
+
+    front: str = attrs.field(validator=TEXT)
+    host: str = attrs.field(validator=TEXT)
+    port: int = attrs.field(validator=COUNT)
+    zone: str = attrs.field(validator=TEXT)
+
+
+def encode_contact(contact: Contact) -> bytes:
+    """Return the value of a VM's announcement."""
+    return msgpack.packb(list(attrs.astuple(contact)))
+
+
+def decode_contact(value: bytes) -> Contact:
+    """Return what a VM announced.
+
+    :raises MessageError: it is no announcement
+    """
+    try:
+        return Contact(*msgpack.unpackb(value))
+    except (ValueError, TypeError) as error:
+        raise MessageError(f"not an announcement: {error!r}") from error
+    except msgpack.exceptions.UnpackException as error:
+        raise MessageError(f"not an announcement: {error!r}") from error
 
 
 def encode(message: Any) -> bytes:
@@ -121,17 +204,3 @@
         raise MessageError(f"not a message: {error!r}") from error
     except msgpack.exceptions.UnpackException as error:
         raise MessageError(f"not a message: {error!r}") from error
-
-
-@MESSAGES.register("l")
-@attrs.frozen
-class Loss:
-    """An endpoint broke off while it ran a request.
-
-    :param identity: path and body of the request, as a digest
-    """
-
-    identity: str
-
-
-TAGS = {cls: tag for tag, cls in MESSAGES.items()}
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -7,6 +7,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from bronzetrack.core import logevents
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loading
 from bronzetrack.entry import loadstate
@@ -151,20 +152,17 @@
         meters.ORDERS.labels(operation, verdict.value).inc()
         if verdict is orders.Verdict.FENCED:
             self._board.fenced.post(token)
-        LOG.info(
-            "an order was answered",
-            extra={
-                "event": "order",
-                "endpoint": endpoint.identity,
-                "operation": operation,
-                "model": need[0],
-                "adapter": need[1],
-                "version": version,
-                "sequence": order.sequence,
-                "token": token,
-                "verdict": verdict.value,
-            },
+        event = logevents.OrderAnswered(
+            endpoint=endpoint.identity,
+            operation=operation,
+            model=need[0],
+            adapter=need[1],
+            version=version,
+            sequence=order.sequence,
+            token=token,
+            verdict=verdict.value,
         )
+        logevents.log(LOG, event)
         return verdict
 
     def publish(
@@ -192,18 +190,15 @@
         finally:
             state.ordering = False
         now = self._read_clock()
-        LOG.info(
-            "an engine was asked for a report",
-            extra={
-                "event": "engine_checked",
-                "endpoint": endpoint.identity,
-                "sequence": report.sequence if report else None,
-                "busy": report.busy if report else None,
-                "held": len(report.adapters) if report else None,
-                "pending": len(report.pending) if report else None,
-                "expected": state.sequence,
-            },
+        event = logevents.EngineChecked(
+            endpoint=endpoint.identity,
+            sequence=report.sequence if report else None,
+            busy=report.busy if report else None,
+            held=len(report.adapters) if report else None,
+            pending=len(report.pending) if report else None,
+            expected=state.sequence,
         )
+        logevents.log(LOG, event)
         if report is None:
             state.check_at = now + REPORT_LAG_S
             return
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -13,6 +13,7 @@
 import anyio
 
 from bronzetrack.core import errors
+from bronzetrack.core import logevents
 from bronzetrack.entry import board as boards
 from bronzetrack.entry import controllers as controller_package
 from bronzetrack.entry import meters
@@ -59,10 +60,7 @@
         for name, controller in roles.CONTROLLERS.items()
     }
     meters.REGISTRY.register(meters.BoardCollector(board, read_clock))
-    LOG.info(
-        "starting",
-        extra={"event": "starting", "incarnation": board.incarnation},
-    )
+    logevents.log(LOG, logevents.Starting(board.incarnation))
     async with anyio.create_task_group() as group:
         for name, controller in running.items():
             group.start_soon(_run_controller, name, controller)
@@ -74,10 +72,6 @@
     try:
         await controller.run()
     except Exception as error:
-        LOG.critical(
-            "a controller failed",
-            exc_info=error,
-            extra={"event": "controller_failed", "controller": name},
-        )
+        logevents.log(LOG, logevents.ControllerFailed(name), error)
         raise
     raise ControllerEndedError(name)
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from bronzetrack.core import logevents
 from bronzetrack.entry import arrivals
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import failures
@@ -19,6 +20,8 @@
 LOG = logging.getLogger(__name__)
 # A first send that waited less has no line of its own.
 LONG_WAIT_S = 0.1
+# Part of a rejection's body that its line holds.
+DETAIL_BYTES = 120
 
 
 def log_send(
@@ -34,25 +37,22 @@
     """
     if progress.sends == 1 and (progress.waited_s or 0.0) < LONG_WAIT_S:
         return
-    LOG.info(
-        "a request was sent",
-        extra={
-            "event": "sent",
-            "request_id": request.identity,
-            "endpoint": endpoint.identity,
-            "adapter": request.adapter,
-            "version": endpoint.adapters.get(request.need or arrivals.NO_NEED),
-            "placed_age_s": _round(
-                now - endpoint.placed_at[request.need]
-                if request.need in endpoint.placed_at
-                else None
-            ),
-            "store_age_s": _round(now - board.contact.value),
-            "send": progress.sends,
-            "waited_s": _round(progress.waited_s),
-            "holder": board.lease.value.holder,
-        },
+    need = request.need or arrivals.NO_NEED
+    placed_at = endpoint.placed_at.get(need)
+    event = logevents.RequestSent(
+        request_id=request.identity,
+        endpoint=endpoint.identity,
+        adapter=request.adapter,
+        version=endpoint.adapters.get(need),
+        placed_age_s=logevents.round_time(
+            None if placed_at is None else now - placed_at
+        ),
+        store_age_s=logevents.round_time(now - board.contact.value),
+        send=progress.sends,
+        waited_s=logevents.round_time(progress.waited_s),
+        holder=board.lease.value.holder,
     )
+    logevents.log(LOG, event)
 
 
 def log_rejection(
@@ -62,17 +62,27 @@
 ) -> None:
     """State why an endpoint did not run a request."""
     meters.REJECTIONS.labels(relay.status).inc()
-    LOG.info(
-        "an endpoint rejected a request without running it",
-        extra={
-            "event": "rejected",
-            "request_id": request.identity,
-            "endpoint": endpoint.identity,
-            "status": relay.status,
-            "adapter": request.adapter,
-            "detail": relay.body[:120].decode("latin-1"),
-        },
+    event = logevents.RequestRejected(
+        request_id=request.identity,
+        endpoint=endpoint.identity,
+        status=relay.status,
+        adapter=request.adapter,
+        detail=relay.body[:DETAIL_BYTES].decode("latin-1"),
     )
+    logevents.log(LOG, event)
+
+
+def log_failing(
+    request: requests.Request,
+    endpoint: endpoints.Endpoint,
+    outcome: str,
+    status: int = 0,
+) -> None:
+    """State why other endpoints are preferred to one from now on."""
+    event = logevents.EndpointFailing(
+        request.identity, endpoint.identity, outcome, status
+    )
+    logevents.log(LOG, event)
 
 
 def log_end(
@@ -84,30 +94,23 @@
     """State and count what became of a request."""
     total_s = now - request.arrived
     _measure(progress, failure, total_s)
-    LOG.info(
-        "a request ended",
-        extra={
-            "event": "request",
-            "request_id": request.identity,
-            "route": request.route.name if request.route else "",
-            "adapter": request.adapter,
-            "endpoint": progress.endpoint if progress else "",
-            "sends": progress.sends if progress else 0,
-            "outcome": progress.outcome if progress else "",
-            "status": progress.status if progress else 0,
-            "reason": failure.reason.value if failure else "",
-            "detail": failure.detail if failure else "",
-            "waited_s": _round(progress.waited_s if progress else None),
-            "first_byte_s": _round(
-                progress.first_byte_s if progress else None
-            ),
-            "total_s": _round(total_s),
-        },
+    event = logevents.RequestEnded(
+        request_id=request.identity,
+        route=request.route.name if request.route else "",
+        adapter=request.adapter,
+        endpoint=progress.endpoint if progress else "",
+        sends=progress.sends if progress else 0,
+        outcome=progress.outcome if progress else "",
+        status=progress.status if progress else 0,
+        reason=failure.reason.value if failure else "",
+        detail=failure.detail if failure else "",
+        waited_s=logevents.round_time(progress.waited_s if progress else None),
+        first_byte_s=logevents.round_time(
+            progress.first_byte_s if progress else None
+        ),
+        total_s=logevents.round_time(total_s),
     )
-
-
-def _round(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 4)
+    logevents.log(LOG, event)
 
 
 def _measure(
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -23,6 +23,8 @@
 
 # A request that an engine broke off waits this long for another engine.
 ELSEWHERE_S = 0.6
+# Outcome in log lines of a send that found no connection.
+UNREACHABLE = "unreachable"
 
 
 class Sender:
@@ -57,7 +59,8 @@
             if connection is None:
                 connection = await pool.connect()
             if connection is None:
-                traffic.note_unreachable(self.read_clock())
+                if traffic.note_unreachable(self.read_clock()):
+                    requestlog.log_failing(request, endpoint, UNREACHABLE)
                 progress.unreachable = endpoint.identity
                 progress.asked_at = 0.0
                 return None
@@ -144,18 +147,25 @@
         )
         progress.tried.add(endpoint.identity)
         progress.status = relay.status
+        failing = False
         if outcome is relays.Outcome.REJECTED:
             progress.ran -= 1
-            self._note_rejection(request, progress, endpoint, relay, now)
+            failing = self._note_rejection(
+                request, progress, endpoint, relay, now
+            )
         elif outcome is relays.Outcome.LOST:
-            traffic.note_failure(now)
+            failing = traffic.note_failure(now)
             progress.elsewhere_until = now + ELSEWHERE_S
             self._note_loss(request, now)
         elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
-            traffic.note_failure(now)
+            failing = traffic.note_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
             traffic.note_answer(now)
+        if failing:
+            requestlog.log_failing(
+                request, endpoint, outcome.value, relay.status
+            )
 
     def _note_rejection(
         self,
@@ -164,20 +174,22 @@
         endpoint: endpoints.Endpoint,
         relay: relays.Relay,
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Take in a rejection; return whether the endpoint began to fail."""
         requestlog.log_rejection(request, endpoint, relay)
         traffic = self.board.traffic.value.find(endpoint.identity)
         other = relay.find_header(names.INSTANCE)
         if relay.status != 421:
-            traffic.note_failure(now)
-        elif other is not None and other != endpoint.identity.encode():
-            traffic.note_unreachable(now)
-        elif request.need is not None:
+            return traffic.note_failure(now)
+        if other is not None and other != endpoint.identity.encode():
+            return traffic.note_unreachable(now)
+        if request.need is not None:
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
             self.board.placed.post(
                 messages.Placed(endpoint.identity, *request.need, 0)
             )
+        return False
 
     def _note_loss(self, request: requests.Request, now: float) -> None:
         suspect = suspects.identify(request.path, request.body)
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -8,6 +8,8 @@
 FAILURE_FADE_S = 3.0
 # What a success leaves of the failures before it.
 SUCCESS_FACTOR = 0.7
+# Failures that have faded below this count as forgotten.
+FORGOTTEN_FAILURES = 0.5
 # An endpoint that took no connection gets none for this time.
 UNREACHABLE_S = 0.5
 
@@ -51,15 +53,23 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_FADE_S)
 
-    def note_failure(self, now: float) -> None:
-        """Count a failure that the endpoint caused."""
-        self.failures = self.measure_failures(now) + 1.0
+    def note_failure(self, now: float) -> bool:
+        """Count a failure that the endpoint caused.
+
+        :returns: whether earlier ones are forgotten
+        """
+        earlier = self.measure_failures(now)
+        self.failures = earlier + 1.0
         self.failed_at = now
+        return earlier < FORGOTTEN_FAILURES
+
+    def note_unreachable(self, now: float) -> bool:
+        """Count a connection that could not be opened.
 
-    def note_unreachable(self, now: float) -> None:
-        """Count a connection that could not be opened."""
-        self.note_failure(now)
+        :returns: whether earlier failures are forgotten
+        """
         self.unreachable_until = now + UNREACHABLE_S
+        return self.note_failure(now)
 
     def note_answer(self, now: float) -> None:
         """Count a good answer."""
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from bronzetrack.core import logevents
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
@@ -83,25 +84,15 @@
     def _note_failure(self, error: stores.StoreError) -> None:
         if self._failing_since is None:
             self._failing_since = self._read_clock()
-            LOG.warning(
-                "a topic cannot be read",
-                extra={
-                    "event": "store_lost",
-                    "topic": self._topic,
-                    "detail": str(error),
-                },
-            )
+            event = logevents.StoreLost(self._topic, str(error))
+            logevents.log(LOG, event)
 
     def _note_success(self) -> None:
         if self._failing_since is None:
             return
         away_s = self._read_clock() - self._failing_since
         self._failing_since = None
-        LOG.info(
-            "a topic can be read again",
-            extra={
-                "event": "store_regained",
-                "topic": self._topic,
-                "away_s": round(away_s, 3),
-            },
+        event = logevents.StoreRegained(
+            self._topic, logevents.round_time(away_s)
         )
+        logevents.log(LOG, event)
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -17,6 +17,7 @@
 import attrs
 import httptools
 
+from bronzetrack.core import logevents
 from bronzetrack.entry import routes
 from bronzetrack.transport import heads
 
@@ -286,11 +287,7 @@
             await self._listener.serve(exchange)
         except Exception as error:
             # The caller gets a closed connection, which promises nothing.
-            LOG.error(
-                "a request could not be served",
-                exc_info=error,
-                extra={"event": "request_failed"},
-            )
+            logevents.log(LOG, logevents.RequestFailed(), error)
         if not exchange.finished:
             exchange.abort()
 
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -325,6 +325,14 @@
         for server in self.servers:
             await server.stop()
 
+    async def await_event(self, name: str, event: str) -> None:
+        """Wait until a VM has logged an event."""
+        async with asyncio.timeout(10):
+            while event not in (
+                item["event"] for item in self.read_events(name)
+            ):
+                await asyncio.sleep(0.05)
+
     def read_events(self, name: str) -> list[dict]:
         """Return the log lines of a VM."""
         text = (self.folder / f"{name}.log").read_text()
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -247,7 +247,8 @@
     for identity in site.engines:
         site.log.put("keyed.servers", identity, None)
     vm = await site.start_vm("vm-1")
-    await asyncio.sleep(0.8)
+    await site.await_event("vm-1", "store_lost")
+    await asyncio.sleep(0.5)
     site.log.failing = None
     site.announce("p1")
     await vm.await_ready()
@@ -259,6 +260,25 @@
     assert time.monotonic() - started < 0.6
 
 
+async def test_vm_that_starts_after_an_outage_uses_entries_at_once(site):
+    """Guards against idle endpoints where a VM did not see the outage.
+
+    All entries lapsed before it started, and return after that.
+    """
+    site.configure()
+    for identity in site.engines:
+        site.log.put("keyed.servers", identity, None)
+    site.announce("p1")
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    await asyncio.sleep(0.2)
+    site.announce("e1")
+    started = time.monotonic()
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    assert answer.status == 200
+    assert time.monotonic() - started < 0.6
+
+
 async def test_planned_stop_answers_what_it_took(site, vm):
     """Guards against a stop that cuts a request."""
     for engine in site.engines.values():
