--- a/scripts/alter_site.py
+++ b/scripts/alter_site.py
@@ -2,7 +2,8 @@
 
 A variation changes figures of the site, so that a rule that holds only for
 the given figures shows. A list of kinds replaces the days by one day for each
-kind of impairment, so that its effect shows alone.
+kind of impairment, so that its effect shows alone. Further seeds of each day
+tell a change of policy from chance.
 """
 
 from __future__ import annotations
@@ -127,6 +128,25 @@
     return day
 
 
+def repeat_days(
+    days: list[dict[str, Any]], names: list[str], seeds: int
+) -> list[dict[str, Any]]:
+    """Return each day with further seeds.
+
+    :param names: days that are kept, all if empty
+    :param seeds: how often each day is played
+    """
+    chosen = [day for day in days if not names or day["name"] in names]
+    return [
+        {
+            **day,
+            "name": f"{day['name']}-{number}",
+            "seed": day["seed"] + number,
+        }
+        for day, number in itertools.product(chosen, range(seeds))
+    ]
+
+
 def _read(path: pathlib.Path) -> dict[str, Any]:
     return tomllib.loads(path.read_text(encoding="utf-8"))
 
@@ -136,11 +156,15 @@
 @click.argument("out_file", type=click.Path(path_type=pathlib.Path))
 @click.option("--variation", type=click.Path(path_type=pathlib.Path))
 @click.option("--kinds", type=click.Path(path_type=pathlib.Path))
+@click.option("--day", "names", multiple=True, help="Keep only this day.")
+@click.option("--seeds", default=1, type=click.IntRange(1))
 def main(
     site_file: pathlib.Path,
     out_file: pathlib.Path,
     variation: pathlib.Path | None,
     kinds: pathlib.Path | None,
+    names: tuple[str, ...],
+    seeds: int,
 ) -> None:
     """Write an altered copy of SITE_FILE to OUT_FILE."""
     site = _read(site_file)
@@ -148,6 +172,8 @@
         site = apply_variation(site, _read(variation))
     if kinds:
         site["day"] = make_days(site, _read(kinds)["kinds"])
+    if names or seeds > 1:
+        site["day"] = repeat_days(site["day"], list(names), seeds)
     out_file.write_text(tomli_w.dumps(site), encoding="utf-8")
 
 
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import functools
 from typing import Any
 
 import attrs
@@ -24,10 +26,15 @@
     """A datagram that is no message."""
 
 
-TEXT = attrs.validators.instance_of(str)
-FLAG = attrs.validators.instance_of(bool)
+def _checked(kind: type) -> Callable[[], Any]:
+    validator = attrs.validators.instance_of(kind)
+    return functools.partial(attrs.field, validator=validator)
+
+
+text = _checked(str)
+flag = _checked(bool)
 # Python's bool is an int as well, which does no harm here.
-COUNT = attrs.validators.instance_of(int)
+count = _checked(int)
 
 
 def check_counts(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
@@ -36,8 +43,8 @@
     :raises TypeError: the value is of another kind
     """
     if not isinstance(value, dict) or not all(
-        isinstance(name, str) and isinstance(count, int)
-        for name, count in value.items()
+        isinstance(name, str) and isinstance(number, int)
+        for name, number in value.items()
     ):
         raise TypeError(f"{field.name} holds no counts")
 
@@ -76,15 +83,15 @@
     :param active: requests in progress by endpoint
     """
 
-    vm: str = attrs.field(validator=TEXT)
-    incarnation: str = attrs.field(validator=TEXT)
-    front: str = attrs.field(validator=TEXT)
-    zone: str = attrs.field(validator=TEXT)
-    ready: bool = attrs.field(validator=FLAG)
-    stopping: bool = attrs.field(validator=FLAG)
-    lease_end: int = attrs.field(validator=COUNT)
-    holder: str = attrs.field(validator=TEXT)
-    lease_released: bool = attrs.field(validator=FLAG)
+    vm: str = text()
+    incarnation: str = text()
+    front: str = text()
+    zone: str = text()
+    ready: bool = flag()
+    stopping: bool = flag()
+    lease_end: int = count()
+    holder: str = text()
+    lease_released: bool = flag()
     active: dict[str, int] = attrs.field(validator=check_counts)
 
 
@@ -96,7 +103,7 @@
     :param uses: adapters of requests in progress, by endpoint and model
     """
 
-    vm: str = attrs.field(validator=TEXT)
+    vm: str = text()
     uses: dict[str, dict[str, list[str]]] = attrs.field(validator=check_uses)
 
     def list_uses(self) -> Iterator[tuple[str, str, str]]:
@@ -118,15 +125,15 @@
     :param slack_ms: time left in which the request is on time
     """
 
-    vm: str = attrs.field(validator=TEXT)
-    service: str = attrs.field(validator=TEXT)
-    model: str = attrs.field(validator=TEXT)
-    adapter: str = attrs.field(validator=TEXT)
-    version: int = attrs.field(validator=COUNT)
-    copies: int = attrs.field(validator=COUNT)
-    missing: str = attrs.field(validator=TEXT)
-    unreachable: str = attrs.field(validator=TEXT)
-    slack_ms: int = attrs.field(validator=COUNT)
+    vm: str = text()
+    service: str = text()
+    model: str = text()
+    adapter: str = text()
+    version: int = count()
+    copies: int = count()
+    missing: str = text()
+    unreachable: str = text()
+    slack_ms: int = count()
 
 
 @MESSAGES.register("p")
@@ -137,10 +144,10 @@
     :param version: version held, 0 for none
     """
 
-    identity: str = attrs.field(validator=TEXT)
-    model: str = attrs.field(validator=TEXT)
-    adapter: str = attrs.field(validator=TEXT)
-    version: int = attrs.field(validator=COUNT)
+    identity: str = text()
+    model: str = text()
+    adapter: str = text()
+    version: int = count()
 
 
 @MESSAGES.register("l")
@@ -151,7 +158,7 @@
     :param identity: path and body of the request, as a digest
     """
 
-    identity: str = attrs.field(validator=TEXT)
+    identity: str = text()
 
 
 TAGS = {cls: tag for tag, cls in MESSAGES.items()}
@@ -161,10 +168,10 @@
 class Contact:
     """Where a VM can be reached, as it announces it in the store."""
 
-    front: str = attrs.field(validator=TEXT)
-    host: str = attrs.field(validator=TEXT)
-    port: int = attrs.field(validator=COUNT)
-    zone: str = attrs.field(validator=TEXT)
+    front: str = text()
+    host: str = text()
+    port: int = count()
+    zone: str = text()
 
 
 def encode_contact(contact: Contact) -> bytes:
--- a/tests/scripts/test_alter_site.py
+++ b/tests/scripts/test_alter_site.py
@@ -24,9 +24,10 @@
         {"name": "plain"},
     ],
     "day": [
-        {"name": "quiet-1", "slot": "quiet"},
+        {"name": "quiet-1", "slot": "quiet", "seed": 1},
         {
             "name": "trouble-1",
+            "seed": 2,
             "slot": "trouble",
             "closing": {"kind": "kill_all"},
             "plan": [{"kind": "release"}],
@@ -92,6 +93,16 @@
         alter_site.make_days(site, [])
 
 
+def test_repeated_days_differ_in_seed_and_name(site):
+    """Guards against a comparison of the same day with itself."""
+    days = [{"name": "a", "seed": 5}, {"name": "b", "seed": 7}]
+    repeated = alter_site.repeat_days(days, ["b"], 2)
+    assert repeated == [
+        {"name": "b-0", "seed": 7},
+        {"name": "b-1", "seed": 8},
+    ]
+
+
 def test_command_writes_a_copy(site, tmp_path):
     """Guards against an alteration of the given file."""
     given, variation, out = (tmp_path / name for name in "abc")
@@ -108,6 +119,10 @@
     altered = tomllib.loads(out.read_text())
     assert altered["name"] == "s-fast"
     assert altered["services"][0]["llm"]["step_ms"] == 1.0
+    assert [day["name"] for day in altered["day"]] == [
+        "quiet-1",
+        "trouble-1",
+    ]
     assert tomllib.loads(given.read_text()) == site
 
 
