--- /dev/null
+++ b/scripts/slope_processes.py
@@ -0,0 +1,100 @@
+"""Measures idle daemons that exchange heartbeats."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+import processes
+import slope_reports
+
+ROOT = pathlib.Path(__file__).parent.parent
+# The code of this work tree is measured, wherever the package is installed.
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
+
+from standins import site as sites  # noqa: E402
+
+
+@attrs.frozen
+class Sample:
+    """What the daemons had used at a moment."""
+
+    cpu_s: float
+    sent_bytes: int
+    at_s: float
+
+
+def read_sent_bytes(site: sites.Site) -> int:
+    """Return what the daemons sent on their streams to peers."""
+    pids = {vm.process.pid for vm in site.vms.values()}
+    peers = {vm.peers for vm in site.vms.values()}
+    text = subprocess.run(
+        ["ss", "-tinpHO"], capture_output=True, text=True, check=True
+    ).stdout
+    total = 0
+    for line in text.splitlines():
+        fields = line.split()
+        if len(fields) < 5 or fields[4] not in peers:
+            continue
+        if not any(f"pid={pid}," in line for pid in pids):
+            continue
+        sent = [item for item in fields if item.startswith("bytes_sent:")]
+        total += sum(int(item.partition(":")[2]) for item in sent)
+    return total
+
+
+def take_sample(site: sites.Site) -> Sample:
+    """Read the counters of the daemons."""
+    return Sample(
+        cpu_s=sum(
+            processes.read_cpu_s(vm.process.pid) for vm in site.vms.values()
+        ),
+        sent_bytes=read_sent_bytes(site),
+        at_s=time.monotonic(),
+    )
+
+
+def measure_processes(count: int, window_s: float) -> None:
+    """Measure idle daemons that exchange heartbeats."""
+    with tempfile.TemporaryDirectory() as folder:
+        with sites.run_site(
+            pathlib.Path(folder), vms=count, engines=3, services=0
+        ) as site:
+            sites.publish_samples(site)
+            site.wait(lambda: is_meshed(site), 60.0)
+            before = take_sample(site)
+            time.sleep(window_s)
+            after = take_sample(site)
+            memory = [
+                processes.read_memory_bytes(vm.process.pid)
+                for vm in site.vms.values()
+            ]
+    passed_s = (after.at_s - before.at_s) * count
+    slope_reports.report(
+        f"{count} processes: sent to peers, each",
+        (after.sent_bytes - before.sent_bytes) / passed_s,
+        "bytes/s",
+    )
+    slope_reports.report(
+        f"{count} processes: processor time, each",
+        (after.cpu_s - before.cpu_s) / passed_s * 100,
+        "% of a core",
+    )
+    slope_reports.report(
+        f"{count} processes: memory, each",
+        sum(memory) / count / 2**20,
+        "MiB",
+    )
+
+
+def is_meshed(site: sites.Site) -> bool:
+    """Return whether every daemon hears every other."""
+    for vm in site.vms.values():
+        view = site.get_state(vm, "membership")
+        if len(view["vms"]) < len(site.vms) - 1:
+            return False
+    return True
