Load a further copy of an adapter where it is not held

The log of its VM shows that the copy asked for after the engine broke off was ordered at that same engine: it held the adapter before, so that the copy waited up to 0.25 s for it, and then unloaded and loaded it anew. The stream came back to it after 0.6 s. Change: engines that hold the adapter take no further copy of it and are not waited for.

--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -228,10 +228,16 @@
     """Return the engines that may load an adapter now.
 
     Load pattern: in a burst the engine that held an adapter before has no
-    idle place at the moment, and another one would fetch it anew.
+    idle place at the moment, and another one would fetch it anew. A further
+    copy goes to an engine that does not hold the adapter now.
 
     :param able: engines that take an order now
     """
+    able = [
+        item
+        for item in able
+        if not _holds(state.find_engine(item), demand, now)
+    ]
     if now - demand.since > WARM_WAIT_S:
         return able
     warm = {
@@ -240,6 +246,7 @@
         if item.is_usable(now)
         and state.find_engine(item).has_seen(demand.need)
         and now >= state.find_engine(item).silent_until
+        and not _holds(state.find_engine(item), demand, now)
     }
     if not warm:
         return able
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -88,6 +88,43 @@
     assert plan.victim == ("m", "a")
 
 
+def test_copy_is_loaded_where_the_adapter_is_not_held(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against a copy that is loaded again by its only holder.
+
+    A stream that broke off there waited 0.6 s for another engine in vain.
+    """
+    holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
+    for item in (holder, other):
+        settle(state, item, now)
+    state.find_engine(holder).note_seen(("m", "a"))
+    demand = make_demand("a", copies=2)
+    fitting = loading.prefer_warm(
+        [holder, other], [holder, other], demand, state, now
+    )
+    assert fitting == [other]
+
+
+def test_copy_waits_for_an_engine_that_had_the_adapter(
+    make_endpoint, state, make_demand, engine, now
+):
+    """Guards against a fetch from the store where memory has the adapter."""
+    holder, earlier, other = (
+        make_endpoint("e1", "a"),
+        make_endpoint("e2"),
+        make_endpoint("e3"),
+    )
+    for item in (holder, earlier, other):
+        settle(state, item, now)
+    for item in (holder, earlier):
+        state.find_engine(item).note_seen(("m", "a"))
+    demand = make_demand("a", copies=2)
+    candidates = [holder, earlier, other]
+    fitting = loading.prefer_warm(candidates, candidates, demand, state, now)
+    assert fitting == [earlier]
+
+
 def test_fresh_adapter_is_kept_until_its_first_use(
     make_endpoint, state, make_demand, engine, now
 ):
