Use one piece for what the change wrote twice

Cause: a read of the whole change. entry_cost.py read /proc itself beside scripts/processes.py; the type of model and adapter and RETRY_AFTER_S stood twice; the settings file was read twice at the start; holders of an adapter were looked for twice for each demand; free ports, settings texts, controller fixtures and the end of two outage tests were copies; four scripts changed the import path alike; two handlers of a decoding error were the same. Change: each has one place; a request without progress logs the values of a new one. The fields of engine_checked are described as they are. No behaviour changes, no assertion either.

--- a/scripts/entry_cost.py
+++ b/scripts/entry_cost.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 import tempfile
 import time
 
+import processes
+
 ROOT = pathlib.Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
 
@@ -26,19 +27,6 @@
 IDLE_S = 10.0
 
 
-def read_cpu_s(pid: int) -> float:
-    """Return the processor time of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1]
-    user, system = fields.split()[11:13]
-    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
-
-
-def read_memory_mb(pid: int) -> float:
-    """Return the resident memory of a process."""
-    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 async def measure(folder: pathlib.Path) -> None:
     """Print all figures."""
     site = sites.Site(folder)
@@ -52,30 +40,31 @@
     print(f"start to ready: {time.monotonic() - started:.2f} s")
     pid = vm.process.pid
     await asyncio.sleep(2)
-    before = read_cpu_s(pid)
+    before = processes.read_cpu_s(pid)
     await asyncio.sleep(IDLE_S)
-    idle = (read_cpu_s(pid) - before) / IDLE_S
+    idle = (processes.read_cpu_s(pid) - before) / IDLE_S
     print(f"idle: {100 * idle:.2f}% of a core")
-    before, at = read_cpu_s(pid), time.monotonic()
+    before, at = processes.read_cpu_s(pid), time.monotonic()
     for number in range(SHORT_REQUESTS):
         await sites.send(vm.front, "/once/x", f"r{number}", body=b"x" * 600)
-    used = read_cpu_s(pid) - before - idle * (time.monotonic() - at)
+    used = processes.read_cpu_s(pid) - before - idle * (time.monotonic() - at)
     print(
         f"short request, new connection: {1e6 * used / SHORT_REQUESTS:.0f} us"
     )
     wireengine.EVENTS = EVENTS
     headers = {"X-Model": "m/a1"}
     await sites.send(vm.front, "/stream/x", "warm", headers=headers)
-    before, at = read_cpu_s(pid), time.monotonic()
+    before, at = processes.read_cpu_s(pid), time.monotonic()
     await asyncio.gather(
         *(
             sites.send(vm.front, "/stream/x", f"s{number}", headers=headers)
             for number in range(STREAMS)
         )
     )
-    used = read_cpu_s(pid) - before - idle * (time.monotonic() - at)
+    used = processes.read_cpu_s(pid) - before - idle * (time.monotonic() - at)
     print(f"relayed event: {1e6 * used / (STREAMS * EVENTS):.0f} us")
-    print(f"resident memory: {read_memory_mb(pid):.1f} MB")
+    memory_mb = processes.read_memory_bytes(pid) / 1e6
+    print(f"resident memory: {memory_mb:.1f} MB")
     await site.stop()
 
 
--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -39,9 +39,7 @@
 
 def make_board(engines: int) -> boards.Blackboard:
     """Return the state of a VM that knows a service of engines."""
-    text = sites.SETTINGS.format(
-        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
-    )
+    text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
     engine = routes.Engine((model,), 128, 17_000.0, PLACES, 4.3)
--- a/scripts/slope_processes.py
+++ b/scripts/slope_processes.py
@@ -4,19 +4,15 @@
 
 import pathlib
 import subprocess
-import sys
 import tempfile
 import time
 
 import attrs
 import processes
 import slope_reports
+import worktree  # noqa: F401
 
-ROOT = pathlib.Path(__file__).parent.parent
-# The code of this work tree is measured, wherever the package is installed.
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
-
-from standins import site as sites  # noqa: E402
+from standins import site as sites
 
 
 @attrs.frozen
--- a/scripts/slope_requests.py
+++ b/scripts/slope_requests.py
@@ -2,32 +2,27 @@
 
 from __future__ import annotations
 
-import pathlib
-import sys
 from typing import Any
 import uuid
 
 import slope_reports
 import slope_samples
+import worktree  # noqa: F401
 
-ROOT = pathlib.Path(__file__).parent.parent
-# The code of this work tree is measured, wherever the package is installed.
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
-
-from bronzetrack.configuration import state as configurations  # noqa: E402
-from bronzetrack.core import clock  # noqa: E402
-from bronzetrack.dispatch import state as dispatch  # noqa: E402
-from bronzetrack.http import intake  # noqa: E402
-from bronzetrack.idempotency import keys  # noqa: E402
-from bronzetrack.idempotency import records as key_records  # noqa: E402
-from bronzetrack.idempotency import table as key_table  # noqa: E402
-from bronzetrack.logservice import logservice  # noqa: E402
-from bronzetrack.peer import hub  # noqa: E402
-from bronzetrack.retries import records as crash_records  # noqa: E402
-from bronzetrack.retries import suspects  # noqa: E402
-from bronzetrack.streaming import messages  # noqa: E402
-from bronzetrack.streaming import outcomes  # noqa: E402
-from bronzetrack.wire import frames  # noqa: E402
+from bronzetrack.configuration import state as configurations
+from bronzetrack.core import clock
+from bronzetrack.dispatch import state as dispatch
+from bronzetrack.http import intake
+from bronzetrack.idempotency import keys
+from bronzetrack.idempotency import records as key_records
+from bronzetrack.idempotency import table as key_table
+from bronzetrack.logservice import logservice
+from bronzetrack.peer import hub
+from bronzetrack.retries import records as crash_records
+from bronzetrack.retries import suspects
+from bronzetrack.streaming import messages
+from bronzetrack.streaming import outcomes
+from bronzetrack.wire import frames
 
 
 def measure_streams(state: configurations.ConfigurationState) -> None:
--- a/scripts/slope_samples.py
+++ b/scripts/slope_samples.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import pathlib
-import sys
 from typing import Any
 import uuid
 
-ROOT = pathlib.Path(__file__).parent.parent
-# The code of this work tree is measured, wherever the package is installed.
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
+import worktree  # noqa: F401
 
-from bronzetrack.dispatch import state as dispatch  # noqa: E402
-from bronzetrack.membership import messages as membership  # noqa: E402
-from bronzetrack.peer import hub  # noqa: E402
-from bronzetrack.streaming import messages  # noqa: E402
-from bronzetrack.wire import frames  # noqa: E402
+from bronzetrack.dispatch import state as dispatch
+from bronzetrack.membership import messages as membership
+from bronzetrack.peer import hub
+from bronzetrack.streaming import messages
+from bronzetrack.wire import frames
 
 ADAPTERS = 18_000
 ENDPOINTS = 7_000
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -7,7 +7,6 @@
 
 import argparse
 import functools
-import pathlib
 import sys
 import time
 from typing import Any
@@ -18,33 +17,30 @@
 import slope_reports
 import slope_requests
 import slope_samples
+import worktree  # noqa: F401
 
-ROOT = pathlib.Path(__file__).parent.parent
-# The code of this work tree is measured, wherever the package is installed.
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
-
-from bronzetrack import board as boards  # noqa: E402
-from bronzetrack.configuration import records as publications  # noqa: E402
-from bronzetrack.configuration import replay as configuration  # noqa: E402
-from bronzetrack.configuration import resolver  # noqa: E402
-from bronzetrack.configuration import state as configurations  # noqa: E402
-from bronzetrack.core import failures  # noqa: E402
-from bronzetrack.dispatch import context as contexts  # noqa: E402
-from bronzetrack.dispatch import planner  # noqa: E402
-from bronzetrack.dispatch import state as dispatch  # noqa: E402
-from bronzetrack.logservice import logservice  # noqa: E402
-from bronzetrack.membership import changes  # noqa: E402
-from bronzetrack.membership import summaries  # noqa: E402
-from bronzetrack.membership import view as views  # noqa: E402
-from bronzetrack.ownership import leases  # noqa: E402
-from bronzetrack.ownership import records as lease_records  # noqa: E402
-from bronzetrack.ownership import replay as ownership  # noqa: E402
-from bronzetrack.peer import hub  # noqa: E402
-from bronzetrack.routing import choice  # noqa: E402
-from bronzetrack.settings import loader  # noqa: E402
-from bronzetrack.wire import documents  # noqa: E402
-from bronzetrack.wire import frames  # noqa: E402
-from standins import site as sites  # noqa: E402
+from bronzetrack import board as boards
+from bronzetrack.configuration import records as publications
+from bronzetrack.configuration import replay as configuration
+from bronzetrack.configuration import resolver
+from bronzetrack.configuration import state as configurations
+from bronzetrack.core import failures
+from bronzetrack.dispatch import context as contexts
+from bronzetrack.dispatch import planner
+from bronzetrack.dispatch import state as dispatch
+from bronzetrack.logservice import logservice
+from bronzetrack.membership import changes
+from bronzetrack.membership import summaries
+from bronzetrack.membership import view as views
+from bronzetrack.ownership import leases
+from bronzetrack.ownership import records as lease_records
+from bronzetrack.ownership import replay as ownership
+from bronzetrack.peer import hub
+from bronzetrack.routing import choice
+from bronzetrack.settings import loader
+from bronzetrack.wire import documents
+from bronzetrack.wire import frames
+from standins import site as sites
 
 SETTINGS = """
 [vm]
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -231,14 +231,16 @@
 class EngineChecked(LogEvent):
     """The report of an engine, without fields if none came.
 
-    :param sequence: number of the last order that it carried out
-    :param busy: orders that it carries out now
-    :param expected: number of the last order of this VM
+    :param sequence: orders that it has accepted
+    :param busy: whether it loads a base model
+    :param held: adapters that it holds
+    :param pending: adapters on their way to it
+    :param expected: orders that this VM believed to be accepted
     """
 
     endpoint: str
     sequence: int | None
-    busy: int | None
+    busy: bool | None
     held: int | None
     pending: int | None
     expected: int
--- a/src/bronzetrack/entry/__main__.py
+++ b/src/bronzetrack/entry/__main__.py
@@ -28,7 +28,7 @@
     output = loglines.BoundedStream(sys.stdout.fileno())
     logs.configure_logs("info", settings.vm, settings.zone, output)
     loglines.bound_root_logger()
-    anyio.run(process.run_entry, file)
+    anyio.run(process.run_entry, settings, file)
 
 
 if __name__ == "__main__":
--- a/src/bronzetrack/entry/arrivals.py
+++ b/src/bronzetrack/entry/arrivals.py
@@ -5,10 +5,10 @@
 import attrs
 
 from bronzetrack.core import blackboard
+from bronzetrack.entry import endpoints
 
-Need = tuple[str, str]
 # Requests that need no model wait under this.
-NO_NEED: Need = ("", "")
+NO_NEED: endpoints.Need = ("", "")
 
 
 class Arrival(blackboard.Source):
@@ -33,9 +33,9 @@
 class Arrivals:
     """Arrivals that requests wait for, by model and adapter."""
 
-    by_need: dict[Need, Arrival] = attrs.field(factory=dict)
+    by_need: dict[endpoints.Need, Arrival] = attrs.field(factory=dict)
 
-    def join(self, need: Need) -> Arrival:
+    def join(self, need: endpoints.Need) -> Arrival:
         """Wait for a need; to be left again."""
         arrival = self.by_need.get(need)
         if arrival is None:
@@ -43,14 +43,14 @@
         arrival.waiting += 1
         return arrival
 
-    def leave(self, need: Need) -> None:
+    def leave(self, need: endpoints.Need) -> None:
         """Wait no longer."""
         arrival = self.by_need[need]
         arrival.waiting -= 1
         if not arrival.waiting:
             del self.by_need[need]
 
-    def change(self, need: Need) -> None:
+    def change(self, need: endpoints.Need) -> None:
         """Wake those that wait for a need."""
         arrival = self.by_need.get(need)
         if arrival is not None:
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -31,7 +31,6 @@
 # Sends of one request, with those that endpoints rejected unrun.
 MOST_SENDS = 3
 REJECTED_PAUSE_S = 0.05
-RETRY_AFTER_S = 0.5
 # Callers wait this time at most a third of what they have left.
 NO_CONFIGURATION_RETRY_S = 1.0
 
@@ -245,7 +244,7 @@
                 return failures.Failure(
                     failures.Reason.REJECTED,
                     f"the endpoint answered {relay.status} without a run",
-                    RETRY_AFTER_S,
+                    failures.RETRY_AFTER_S,
                 )
             case relays.Outcome.LOST:
                 return failures.Failure(
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -164,7 +164,7 @@
             state.silent_until = now + SILENT_S
 
     def _note_missing(
-        self, want: messages.Want, need: loadstate.Need, now: float
+        self, want: messages.Want, need: endpoints.Need, now: float
     ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
         if endpoint is None:
@@ -181,7 +181,7 @@
         self._orderer.publish(endpoint, need, 0)
 
     def _note_uses(self, now: float) -> None:
-        uses: collections.Counter[tuple[str, loadstate.Need]] = (
+        uses: collections.Counter[tuple[str, endpoints.Need]] = (
             collections.Counter()
         )
         for identity, item in self.board.traffic.value.by_identity.items():
@@ -236,7 +236,7 @@
                 del state.demands[key]
             elif able:
                 fitting = loading.prefer_warm(
-                    able, candidates, demand, state, now
+                    able, candidates, holders, demand, state, now
                 )
                 plan = loading.plan_load(
                     fitting, demand, state, loads, engine, now
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Model and adapter that a request is for; no adapter for the bare model.
+Need = tuple[str, str]
+
 # Announcements reach this VM at most about this late.
 ANNOUNCEMENT_AGE_S = 3.0
 
@@ -31,11 +34,11 @@
     started_ms: int = 0
     announced: int = 0
     models: dict[str, int] = attrs.field(factory=dict)
-    adapters: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    adapters: dict[Need, int] = attrs.field(factory=dict)
     leaving_since: float | None = None
     removed_at: float | None = None
     gone_at: float | None = None
-    placed_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    placed_at: dict[Need, float] = attrs.field(factory=dict)
 
     def is_usable(self, now: float) -> bool:
         """Return whether new work may be sent there."""
@@ -43,7 +46,7 @@
             return False
         return self.removed_at is None or now < self.removed_at
 
-    def holds(self, need: tuple[str, str], version: int) -> bool:
+    def holds(self, need: Need, version: int) -> bool:
         """Return whether a model or an adapter is held.
 
         :param version: oldest version of the adapter that may be used
@@ -53,7 +56,7 @@
             return model in self.models
         return self.adapters.get(need, 0) >= version
 
-    def place(self, need: tuple[str, str], version: int, now: float) -> None:
+    def place(self, need: Need, version: int, now: float) -> None:
         """Take in what the holder of the lease says of a model or adapter.
 
         :param version: version held, 0 for none
@@ -64,7 +67,7 @@
     def announce(
         self,
         models: dict[str, int],
-        adapters: dict[tuple[str, str], int],
+        adapters: dict[Need, int],
         now: float,
     ) -> None:
         """Take in what the endpoint says that it holds.
@@ -83,13 +86,13 @@
         for need, version in kept.items():
             self._set(need, version)
 
-    def _get(self, need: tuple[str, str]) -> int:
+    def _get(self, need: Need) -> int:
         model, adapter = need
         if adapter:
             return self.adapters.get(need, 0)
         return self.models.get(model, 0)
 
-    def _set(self, need: tuple[str, str], version: int) -> None:
+    def _set(self, need: Need, version: int) -> None:
         model, adapter = need
         if adapter and version:
             self.adapters[need] = version
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -46,6 +46,10 @@
 }
 
 
+# Until a place, a slot or another endpoint may be free.
+RETRY_AFTER_S = 0.5
+
+
 @attrs.frozen
 class Failure:
     """A typed failure.
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -20,8 +20,6 @@
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import routes
 
-Need = loadstate.Need
-
 # Adapters that an engine may have on their way from the weight store.
 MOST_PENDING = 4
 # An adapter counts as idle when no VM used it for this time, which is longer
@@ -55,12 +53,12 @@
     """
 
     endpoint: endpoints.Endpoint
-    need: Need
+    need: endpoints.Need
     version: int
-    victim: Need | None = None
+    victim: endpoints.Need | None = None
 
 
-def measure_rank(need: Need, identity: str) -> int:
+def measure_rank(need: endpoints.Need, identity: str) -> int:
     """Return the weight of an engine for an adapter, the same at all VMs."""
     text = f"{need[0]}/{need[1]}/{identity}".encode()
     digest = hashlib.blake2b(text, digest_size=8).digest()
@@ -137,7 +135,7 @@
 
 def _is_idle(
     endpoint: endpoints.Endpoint,
-    need: Need,
+    need: endpoints.Need,
     known: loadstate.EngineState,
     state: loadstate.LoadingState,
     now: float,
@@ -156,7 +154,7 @@
 
 def _rate(
     endpoint: endpoints.Endpoint,
-    need: Need,
+    need: endpoints.Need,
     state: loadstate.LoadingState,
     now: float,
 ) -> tuple[float, float]:
@@ -221,6 +219,7 @@
 def prefer_warm(
     able: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
+    holders: list[endpoints.Endpoint],
     demand: loadstate.Demand,
     state: loadstate.LoadingState,
     now: float,
@@ -232,12 +231,10 @@
     copy goes to an engine that does not hold the adapter now.
 
     :param able: engines that take an order now
+    :param holders: engines that hold the adapter or will soon
     """
-    able = [
-        item
-        for item in able
-        if not _holds(state.find_engine(item), demand, now)
-    ]
+    if holders:
+        able = [item for item in able if item not in holders]
     if now - demand.since > WARM_WAIT_S:
         return able
     warm = {
@@ -246,7 +243,7 @@
         if item.is_usable(now)
         and state.find_engine(item).has_seen(demand.need)
         and now >= state.find_engine(item).silent_until
-        and not _holds(state.find_engine(item), demand, now)
+        and item not in holders
     }
     if not warm:
         return able
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -9,8 +9,6 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loadtimes
 
-Need = tuple[str, str]
-
 # Half-life of the use of adapters.
 HEAT_HALF_S = 15.0
 # Use below this, in requests times seconds, is forgotten.
@@ -44,25 +42,25 @@
 
     started_ms: int
     sequence: int = 0
-    held: dict[Need, int] = attrs.field(factory=dict)
-    seen: dict[Need, None] = attrs.field(factory=dict)
-    pending: dict[Need, float] = attrs.field(factory=dict)
-    unloading: set[Need] = attrs.field(factory=set)
-    loaded_at: dict[Need, float] = attrs.field(factory=dict)
-    kinds: dict[Need, loadtimes.LoadKind] = attrs.field(factory=dict)
+    held: dict[endpoints.Need, int] = attrs.field(factory=dict)
+    seen: dict[endpoints.Need, None] = attrs.field(factory=dict)
+    pending: dict[endpoints.Need, float] = attrs.field(factory=dict)
+    unloading: set[endpoints.Need] = attrs.field(factory=set)
+    loaded_at: dict[endpoints.Need, float] = attrs.field(factory=dict)
+    kinds: dict[endpoints.Need, loadtimes.LoadKind] = attrs.field(factory=dict)
     ordering: bool = False
     silent_until: float = 0.0
     check_at: float | None = 0.0
     loading_until: float = 0.0
 
-    def note_seen(self, need: Need) -> None:
+    def note_seen(self, need: endpoints.Need) -> None:
         """Take in that the engine holds an adapter."""
         self.seen.pop(need, None)
         self.seen[need] = None
         while len(self.seen) > MOST_SEEN:
             del self.seen[next(iter(self.seen))]
 
-    def has_seen(self, need: Need) -> bool:
+    def has_seen(self, need: endpoints.Need) -> bool:
         """Return whether the engine has an adapter's weights, probably."""
         return need in self.seen
 
@@ -83,7 +81,7 @@
     """
 
     service: str
-    need: Need
+    need: endpoints.Need
     version: int
     copies: int
     due: float
@@ -116,9 +114,13 @@
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
-    demands: dict[tuple[str, Need], Demand] = attrs.field(factory=dict)
-    heat: dict[Need, tuple[float, float]] = attrs.field(factory=dict)
-    used_at: dict[tuple[str, Need], float] = attrs.field(factory=dict)
+    demands: dict[tuple[str, endpoints.Need], Demand] = attrs.field(
+        factory=dict
+    )
+    heat: dict[endpoints.Need, tuple[float, float]] = attrs.field(factory=dict)
+    used_at: dict[tuple[str, endpoints.Need], float] = attrs.field(
+        factory=dict
+    )
     noted_at: float = 0.0
     started_at: float | None = None
     ended: bool = False
@@ -135,7 +137,7 @@
         return state
 
     def note_uses(
-        self, uses: Mapping[tuple[str, Need], int], now: float
+        self, uses: Mapping[tuple[str, endpoints.Need], int], now: float
     ) -> None:
         """Take in what is in use now."""
         elapsed = min(1.0, max(0.0, now - self.noted_at))
@@ -145,7 +147,7 @@
             heat = self.measure_heat(need, now) + count * elapsed
             self.heat[need] = (heat, now)
 
-    def measure_heat(self, need: Need, now: float) -> float:
+    def measure_heat(self, need: endpoints.Need, now: float) -> float:
         """Return the decayed use of an adapter."""
         value, at = self.heat.get(need, (0.0, now))
         return value * 0.5 ** ((now - at) / HEAT_HALF_S)
@@ -171,7 +173,7 @@
         return self.times.expect(loadtimes.UNKNOWN_KIND) + FIRST_EVENT_S
 
     def classify_load(
-        self, known: EngineState, need: Need
+        self, known: EngineState, need: endpoints.Need
     ) -> loadtimes.LoadKind:
         """Return the kind of a load that starts now."""
         flight = sum(len(item.pending) for item in self.engines.values())
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -21,6 +21,9 @@
 # Larger datagrams would be split on the way.
 DATAGRAM_BYTES = 1_400
 
+# What decoding raises over bytes and fields of the wrong kind.
+MALFORMED = (ValueError, TypeError, msgpack.exceptions.UnpackException)
+
 
 class MessageError(errors.BronzetrackError):
     """A datagram that is no message."""
@@ -186,9 +189,7 @@
     """
     try:
         return Contact(*msgpack.unpackb(value))
-    except (ValueError, TypeError) as error:
-        raise MessageError(f"not an announcement: {error!r}") from error
-    except msgpack.exceptions.UnpackException as error:
+    except MALFORMED as error:
         raise MessageError(f"not an announcement: {error!r}") from error
 
 
@@ -207,7 +208,5 @@
     try:
         tag, *fields = msgpack.unpackb(data)
         return MESSAGES.lookup(tag)(*fields)
-    except (ValueError, TypeError, errors.UnknownEntryError) as error:
-        raise MessageError(f"not a message: {error!r}") from error
-    except msgpack.exceptions.UnpackException as error:
+    except (*MALFORMED, errors.UnknownEntryError) as error:
         raise MessageError(f"not a message: {error!r}") from error
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -83,7 +83,7 @@
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
-        victim: loadstate.Need,
+        victim: endpoints.Need,
     ) -> bool:
         """Unload an adapter; return whether its place is free."""
         # The other VMs hear first, so that no request is on its way to the
@@ -129,7 +129,7 @@
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
         load: bool,
-        need: loadstate.Need,
+        need: endpoints.Need,
         version: int | None = None,
     ) -> orders.Verdict:
         lease = self._board.lease.value
@@ -168,7 +168,7 @@
     def publish(
         self,
         endpoint: endpoints.Endpoint,
-        need: loadstate.Need,
+        need: endpoints.Need,
         version: int,
     ) -> None:
         """Tell all VMs what an engine holds.
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -41,12 +41,13 @@
         importlib.import_module(f"{controller_package.__name__}.{module.name}")
 
 
-async def run_entry(file: pathlib.Path) -> None:
+async def run_entry(
+    settings: entry_settings.Settings, file: pathlib.Path
+) -> None:
     """Run until the planned stop is complete.
 
-    :param file: the settings file, which is read again on SIGHUP
+    :param file: where the settings are from; it is read again on SIGHUP
     """
-    settings = entry_settings.load_settings(file)
     import_controllers()
     board = boards.Blackboard(settings, uuid.uuid4().hex[:12])
     caller = calls.Caller(read_clock)
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -92,38 +92,38 @@
     now: float,
 ) -> None:
     """State and count what became of a request."""
+    # A request that was refused at once has no progress.
+    progress = progress or progresses.Progress(service="")
     total_s = now - request.arrived
     _measure(progress, failure, total_s)
     event = logevents.RequestEnded(
         request_id=request.identity,
         route=request.route.name if request.route else "",
         adapter=request.adapter,
-        endpoint=progress.endpoint if progress else "",
-        sends=progress.sends if progress else 0,
-        outcome=progress.outcome if progress else "",
-        status=progress.status if progress else 0,
+        endpoint=progress.endpoint,
+        sends=progress.sends,
+        outcome=progress.outcome,
+        status=progress.status,
         reason=failure.reason.value if failure else "",
         detail=failure.detail if failure else "",
-        waited_s=logevents.round_time(progress.waited_s if progress else None),
-        first_byte_s=logevents.round_time(
-            progress.first_byte_s if progress else None
-        ),
+        waited_s=logevents.round_time(progress.waited_s),
+        first_byte_s=logevents.round_time(progress.first_byte_s),
         total_s=logevents.round_time(total_s),
     )
     logevents.log(LOG, event)
 
 
 def _measure(
-    progress: progresses.Progress | None,
+    progress: progresses.Progress,
     failure: failures.Failure | None,
     total_s: float,
 ) -> None:
     meters.REQUESTS.labels(
-        progress.outcome if progress else "",
+        progress.outcome,
         failure.reason.value if failure else "",
     ).inc()
     meters.TOTAL.observe(total_s)
-    if progress is not None and progress.waited_s is not None:
+    if progress.waited_s is not None:
         meters.WAITED.observe(progress.waited_s)
-    if progress is not None and progress.first_byte_s is not None:
+    if progress.first_byte_s is not None:
         meters.FIRST_BYTE.observe(progress.first_byte_s)
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -23,7 +23,6 @@
 # A VM asks again for an adapter that it waits for.
 ASK_S = 0.15
 WAIT_S = 0.1
-RETRY_AFTER_S = 0.5
 FIRST_VERSION = 1
 # A request that waits for an engine is refused after this part of the time
 # until its caller leaves, so that the caller can still try again.
@@ -89,7 +88,7 @@
             return failures.Failure(
                 failures.Reason.NO_ENDPOINT,
                 "the service has no endpoint",
-                RETRY_AFTER_S,
+                failures.RETRY_AFTER_S,
             )
         return self._choose(
             request, progress, candidates, now
@@ -104,7 +103,7 @@
             return failures.Failure(
                 failures.Reason.NOT_LOADED,
                 "no engine could load the adapter in time",
-                RETRY_AFTER_S,
+                failures.RETRY_AFTER_S,
             )
         if waited > ISOLATED_WAIT_S and self._is_isolated(now):
             return failures.Failure(
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -28,9 +28,7 @@
 @pytest.fixture
 def board() -> boards.Blackboard:
     """State of an entry VM that has just started."""
-    text = sites.SETTINGS.format(
-        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
-    )
+    text = sites.make_settings()
     return boards.Blackboard(entry_settings.parse_settings(text), "run-1")
 
 
--- a/tests/entry/controllers/conftest.py
+++ b/tests/entry/controllers/conftest.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
-from bronzetrack.entry.controllers import loading
+from bronzetrack.entry import process
+from bronzetrack.entry import roles
+
+
+@pytest.fixture
+def make_controller(board, ports, now) -> Callable[[str], roles.Controller]:
+    """Makes the controller of a name."""
+    process.import_controllers()
+    return lambda name: roles.CONTROLLERS.lookup(name)(
+        board, ports, lambda: now
+    )
 
 
 @pytest.fixture
-def controller(board, ports, now) -> loading.LoadingController:
-    """Controller of a VM that holds the lease."""
+def controller(make_controller, board, now) -> roles.Controller:
+    """Controller that gives orders, of a VM that holds the lease."""
     board.lease.value.note_renewed(0, now, "vm-1")
-    return loading.LoadingController(board, ports, lambda: now)
+    return make_controller("loading")
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -4,8 +4,6 @@
 
 import pytest
 
-from bronzetrack.core import controllers as core_controllers
-from bronzetrack.entry import process
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 
@@ -16,13 +14,12 @@
 
 
 @pytest.fixture
-def reader(board, ports, now) -> core_controllers.BaseController:
+def reader(make_controller, board) -> roles.Controller:
     """Controller of a VM whose configuration names one service."""
-    process.import_controllers()
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": routes.Service("s", "/h", 10)}
     )
-    return roles.CONTROLLERS.lookup("discovery")(board, ports, lambda: now)
+    return make_controller("discovery")
 
 
 def test_start_with_a_whole_list_reads_no_faster(
--- a/tests/entry/controllers/test_membership.py
+++ b/tests/entry/controllers/test_membership.py
@@ -7,9 +7,7 @@
 import msgpack
 import pytest
 
-from bronzetrack.core import controllers as core_controllers
 from bronzetrack.entry import messages
-from bronzetrack.entry import process
 from bronzetrack.entry import roles
 from bronzetrack.platform import store as stores
 
@@ -29,11 +27,10 @@
 
 
 @pytest.fixture
-def membership(board, ports, now) -> core_controllers.BaseController:
+def membership(make_controller, board) -> roles.Controller:
     """Controller that hears of other VMs."""
-    process.import_controllers()
     board.lifecycle.value.ready = True
-    return roles.CONTROLLERS.lookup("membership")(board, ports, lambda: now)
+    return make_controller("membership")
 
 
 @hypothesis.settings(
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -8,15 +8,16 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import attrs
 
 from standins import logstore
 from standins import rawhttp
+from standins import site as daemons
 from standins import wireengine
 
+HOST = "127.0.0.1"
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 CONFIGURATION = {
     "version": 3,
@@ -128,6 +129,24 @@
 """
 
 
+def make_settings(
+    name: str = "vm-1",
+    front: int = 1,
+    control: int = 2,
+    peers: int = 3,
+    store: str = "127.0.0.1:4",
+) -> str:
+    """Return the text of a correct settings file.
+
+    :param front: port for callers
+    :param control: port of all other listeners
+    :param peers: port for the other VMs
+    """
+    return SETTINGS.format(
+        name=name, front=front, control=control, peers=peers, store=store
+    )
+
+
 @attrs.define
 class Answer:
     """A caller's view of an answer."""
@@ -138,13 +157,6 @@
     whole: bool
 
 
-def find_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def send(
     port: int,
     path: str,
@@ -288,17 +300,9 @@
 
     async def start_vm(self, name: str) -> Vm:
         """Start an entry VM as a process of its own."""
-        front, control, peers = find_port(), find_port(), find_port()
+        front, control, peers = (daemons.find_port(HOST) for _ in range(3))
         file = self.folder / f"{name}.ini"
-        file.write_text(
-            SETTINGS.format(
-                name=name,
-                front=front,
-                control=control,
-                peers=peers,
-                store=self.store,
-            )
-        )
+        file.write_text(make_settings(name, front, control, peers, self.store))
         environment = os.environ | {
             "BRONZETRACK_SETTINGS": str(file),
             "PYTHONPATH": str(SOURCE),
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -100,8 +100,10 @@
         settle(state, item, now)
     state.find_engine(holder).note_seen(("m", "a"))
     demand = make_demand("a", copies=2)
+    engines = [holder, other]
+    holders = loading.list_holders(engines, demand, state, now)
     fitting = loading.prefer_warm(
-        [holder, other], [holder, other], demand, state, now
+        engines, engines, holders, demand, state, now
     )
     assert fitting == [other]
 
@@ -121,7 +123,10 @@
         state.find_engine(item).note_seen(("m", "a"))
     demand = make_demand("a", copies=2)
     candidates = [holder, earlier, other]
-    fitting = loading.prefer_warm(candidates, candidates, demand, state, now)
+    holders = loading.list_holders(candidates, demand, state, now)
+    fitting = loading.prefer_warm(
+        candidates, candidates, holders, demand, state, now
+    )
     assert fitting == [earlier]
 
 
@@ -271,12 +276,18 @@
     settle(state, cold, now)
     demand = make_demand("a")
     engines = [warm, cold]
-    assert not loading.prefer_warm([cold], engines, demand, state, now)
-    assert loading.prefer_warm(engines, engines, demand, state, now) == [warm]
+    assert not loading.prefer_warm([cold], engines, [], demand, state, now)
+    assert loading.prefer_warm(engines, engines, [], demand, state, now) == [
+        warm
+    ]
     later = now + 2 * loading.WARM_WAIT_S
-    assert loading.prefer_warm([cold], engines, demand, state, later) == [cold]
+    assert loading.prefer_warm([cold], engines, [], demand, state, later) == [
+        cold
+    ]
     other = make_demand("b")
-    assert loading.prefer_warm([cold], engines, other, state, now) == [cold]
+    assert loading.prefer_warm([cold], engines, [], other, state, now) == [
+        cold
+    ]
 
 
 def test_demand_that_is_asked_for_often_becomes_urgent(make_demand, now):
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -237,6 +237,17 @@
     assert loaded.status == 200
 
 
+async def check_returning_engine(site, vm):
+    """Check that an engine serves soon after its entry has returned."""
+    await vm.await_ready()
+    await asyncio.sleep(0.2)
+    site.announce("e1")
+    started = time.monotonic()
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    assert answer.status == 200
+    assert time.monotonic() - started < 0.6
+
+
 async def test_entries_that_return_with_the_store_are_used_at_once(site):
     """Guards against idle endpoints in the seconds after an outage.
 
@@ -251,13 +262,7 @@
     await asyncio.sleep(0.5)
     site.log.failing = None
     site.announce("p1")
-    await vm.await_ready()
-    await asyncio.sleep(0.2)
-    site.announce("e1")
-    started = time.monotonic()
-    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
-    assert answer.status == 200
-    assert time.monotonic() - started < 0.6
+    await check_returning_engine(site, vm)
 
 
 async def test_vm_that_starts_after_an_outage_uses_entries_at_once(site):
@@ -270,13 +275,7 @@
         site.log.put("keyed.servers", identity, None)
     site.announce("p1")
     vm = await site.start_vm("vm-1")
-    await vm.await_ready()
-    await asyncio.sleep(0.2)
-    site.announce("e1")
-    started = time.monotonic()
-    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
-    assert answer.status == 200
-    assert time.monotonic() - started < 0.6
+    await check_returning_engine(site, vm)
 
 
 async def test_planned_stop_answers_what_it_took(site, vm):
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -12,9 +12,7 @@
 @pytest.fixture
 def text() -> str:
     """Text of a correct settings file."""
-    return sites.SETTINGS.format(
-        name="vm-1", front=1, control=2, peers=3, store="127.0.0.1:4"
-    )
+    return sites.make_settings()
 
 
 def test_every_mistake_is_reported_at_once(text):
--- a/tests/transport/conftest.py
+++ b/tests/transport/conftest.py
@@ -5,13 +5,15 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-import socket
 import time
 
 import pytest
 
 from bronzetrack.entry import routes
 from bronzetrack.transport import server
+from standins import site as sites
+
+HOST = "127.0.0.1"
 
 
 @pytest.fixture
@@ -20,13 +22,6 @@
     return "asyncio"
 
 
-def find_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 @pytest.fixture
 async def listen() -> AsyncIterator[Callable[..., Awaitable[tuple]]]:
     """Starts a listener and returns it with its port."""
@@ -35,8 +30,8 @@
     async def start(serve, **bounds):
         listener = server.Listener(serve, time.monotonic)
         listener.bounds = routes.Limits(**bounds)
-        port = find_port()
-        await listener.open(f"127.0.0.1:{port}")
+        port = sites.find_port(HOST)
+        await listener.open(f"{HOST}:{port}")
         opened.append(listener)
         return listener, port
 
