--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import functools
 from typing import Any
+from typing import TypeVar
 
 import attrs
 import msgpack
@@ -17,6 +18,7 @@
 from bronzetrack.core import errors
 from bronzetrack.core import registry
 
+T = TypeVar("T")
 MESSAGES: registry.Registry[type] = registry.Registry("entry messages")
 # Larger datagrams would be split on the way.
 DATAGRAM_BYTES = 1_400
@@ -29,9 +31,14 @@
     """A datagram that is no message."""
 
 
+# Key of the check of a field. Checks are no validators of attrs, which would
+# run for each message that this VM makes itself, too.
+CHECK = "check"
+
+
 def _checked(kind: type) -> Callable[[], Any]:
-    validator = attrs.validators.instance_of(kind)
-    return functools.partial(attrs.field, validator=validator)
+    check = attrs.validators.instance_of(kind)
+    return functools.partial(attrs.field, metadata={CHECK: check})
 
 
 text = _checked(str)
@@ -66,6 +73,17 @@
         raise TypeError(f"{field.name} holds no adapters in use")
 
 
+def _check_fields(received: T) -> T:
+    """Return what was received, if all its fields are of their kinds.
+
+    :raises TypeError: one is not
+    """
+    for field in attrs.fields(type(received)):
+        check = field.metadata[CHECK]
+        check(received, field, getattr(received, field.name))
+    return received
+
+
 def _is_use(item: tuple[Any, Any]) -> bool:
     model, adapters = item
     return (
@@ -95,7 +113,7 @@
     lease_end: int = count()
     holder: str = text()
     lease_released: bool = flag()
-    active: dict[str, int] = attrs.field(validator=check_counts)
+    active: dict[str, int] = attrs.field(metadata={CHECK: check_counts})
 
 
 @MESSAGES.register("u")
@@ -107,7 +125,9 @@
     """
 
     vm: str = text()
-    uses: dict[str, dict[str, list[str]]] = attrs.field(validator=check_uses)
+    uses: dict[str, dict[str, list[str]]] = attrs.field(
+        metadata={CHECK: check_uses}
+    )
 
     def list_uses(self) -> Iterator[tuple[str, str, str]]:
         """Iterate over endpoint, model and adapter."""
@@ -188,7 +208,7 @@
     :raises MessageError: it is no announcement
     """
     try:
-        return Contact(*msgpack.unpackb(value))
+        return _check_fields(Contact(*msgpack.unpackb(value)))
     except MALFORMED as error:
         raise MessageError(f"not an announcement: {error!r}") from error
 
@@ -207,6 +227,6 @@
     """
     try:
         tag, *fields = msgpack.unpackb(data)
-        return MESSAGES.lookup(tag)(*fields)
+        return _check_fields(MESSAGES.lookup(tag)(*fields))
     except (*MALFORMED, errors.UnknownEntryError) as error:
         raise MessageError(f"not a message: {error!r}") from error
