Reword the texts of routing

Cause: the texts used private, figurative or vague words that a newcomer stumbles over. Change: docstrings and comments are plain sentences; constants, locals and test names use the terms of the field; one error detail is reworded.

--- a/src/bronzetrack/routing/__init__.py
+++ b/src/bronzetrack/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Choice of endpoints and entry VMs."""
+"""Selection of endpoints and entry VMs."""
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -1,4 +1,4 @@
-"""Endpoints that could run a request."""
+"""Candidate endpoints for a request."""
 
 from __future__ import annotations
 
@@ -10,18 +10,26 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.membership import messages
 
-SAMPLED_CANDIDATES = 8
+MAX_SAMPLED_CANDIDATES = 8
 
 
 @attrs.frozen
 class Candidate:
-    """An endpoint that could run a request, as this VM sees it.
+    """An endpoint that could run a request, as known to this VM.
 
     :param owner: the VM that owns the endpoint
-    :param warm: whether the adapter version is loaded there
-    :param in_flight: attempts that this VM sent there and that have not ended
+    :param slots: number of slots of the endpoint
+    :param warm: whether the adapter version is loaded at the endpoint
+    :param free_slots: free slots according to the owner's summary
+    :param queued: waiting requests according to the owner's summary
+    :param in_flight: attempts that this VM sent to the endpoint and that have
+        not ended
     :param report_age_ms: age of the owner's summary
-    :param senders: VMs that may have sent work there since the summary
+    :param slow: whether the endpoint answers slower than its peers
+    :param reachable: whether the endpoint answers its owner
+    :param near: whether the endpoint is in the availability zone of this VM
+    :param senders: VMs that may have sent work to the endpoint since the
+        summary
     """
 
     endpoint: str
@@ -40,9 +48,12 @@
 
 @attrs.frozen
 class OwnerReport:
-    """The newest summary of an endpoint that reached this VM.
+    """The newest summary of an endpoint that this VM has received.
 
-    :param senders: VMs that may have sent work there since, this one included
+    :param owner: the VM that owns the endpoint
+    :param age_ms: age of the summary in milliseconds
+    :param senders: VMs that may have sent work to the endpoint since the
+        summary, including this one
     """
 
     owner: str
@@ -59,7 +70,17 @@
     leaving: frozenset[str],
     zone: str,
 ) -> list[Candidate]:
-    """Return the candidates among some endpoints, in order of name."""
+    """Return the candidates for a request, sorted by endpoint name.
+
+    Endpoints that are leaving or no longer in the inventory are left out.
+
+    :param endpoints: endpoints that may serve the request, by name
+    :param reports: newest summaries by endpoint
+    :param adapter: adapter version that the request needs
+    :param in_flight: attempts of this VM that have not ended, by endpoint
+    :param leaving: endpoints that are listed as leaving
+    :param zone: availability zone of this VM
+    """
     found = []
     for name in sorted(reports):
         endpoint, report = endpoints.get(name), reports[name]
@@ -90,8 +111,8 @@
 def sample_candidates(
     found: Sequence[Candidate],
 ) -> tuple[Candidate, ...]:
-    """Return the candidates that the state dump keeps, warm ones first."""
-    if len(found) <= SAMPLED_CANDIDATES:
+    """Return the candidates to keep in the state dump, warm ones first."""
+    if len(found) <= MAX_SAMPLED_CANDIDATES:
         return tuple(found)
     ranked = sorted(found, key=lambda item: not item.warm)
-    return tuple(ranked[:SAMPLED_CANDIDATES])
+    return tuple(ranked[:MAX_SAMPLED_CANDIDATES])
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -1,4 +1,4 @@
-"""The choice of an endpoint for one attempt."""
+"""Selection of the endpoint for an attempt."""
 
 from __future__ import annotations
 
@@ -29,11 +29,13 @@
 ) -> dict[str, candidates.OwnerReport]:
     """Return the newest summary of each endpoint with a reachable owner.
 
-    A leaving owner gets no new work, since it can give up an endpoint only
-    once the endpoint is idle.
+    An owner that is leaving gets no new work, since it can release an
+    endpoint only when the endpoint is idle.
 
     :param own: summaries of the endpoints of this VM, without those that it
-        has given up and may still be recorded for
+        has released while the log may still record it as their owner
+    :param vm: name of this VM
+    :param incarnation: incarnation of this VM
     """
     reports = {}
     senders = 1 + len(views.list_serving(view, now_ms))
@@ -56,9 +58,9 @@
                 senders,
             )
     if not ownership.caught_up or not sole:
-        # A VM that started in an outage of the log, or that is cut off from
-        # it, knows owners only from their heartbeats. An owner refuses what
-        # is not its own.
+        # A VM that started during an outage of the log, or that cannot reach
+        # the log, learns of owners only from their heartbeats. A VM refuses
+        # work for endpoints that it does not own.
         for state in view.vms.values():
             if views.is_reachable(state, now_ms):
                 age_ms = now_ms - state.heard_ms
@@ -80,13 +82,20 @@
     policy: str = "balanced",
     note: Callable[[list[candidates.Candidate]], None] | None = None,
 ) -> candidates.Candidate | failures.Failure:
-    """Return the endpoint for an attempt.
+    """Return the endpoint for an attempt, or a failure if there is none.
 
-    :param excluded: endpoints on which the request has failed; used again
-        only if there is no other
-    :param isolated_key: fingerprint of a suspect, which all VMs have to send
-        to the same endpoint
-    :param note: takes all candidates, for the state dump
+    :param endpoints: endpoints that may serve the request, by name
+    :param reports: newest summaries by endpoint
+    :param adapter: adapter version that the request needs
+    :param in_flight: attempts of this VM that have not ended, by endpoint
+    :param leaving: endpoints that are listed as leaving
+    :param zone: availability zone of this VM
+    :param excluded: endpoints at which the request has failed; used again
+        only if there is no other endpoint
+    :param isolated_key: fingerprint of a suspect request, which all VMs have
+        to send to the same endpoint
+    :param policy: name of the routing policy
+    :param note: callback that receives all candidates, for the state dump
     """
     found = candidates.list_candidates(
         endpoints, reports, adapter, in_flight, leaving, zone
@@ -96,7 +105,7 @@
     if not found:
         return failures.Failure(
             failures.Reason.NO_OWNER,
-            "no endpoint with a reachable owner",
+            "no candidate endpoint has a reachable owner",
             retry_after_ms=1_000,
         )
     if isolated_key is not None:
--- a/src/bronzetrack/routing/entries.py
+++ b/src/bronzetrack/routing/entries.py
@@ -1,4 +1,4 @@
-"""Which VM a caller should connect to."""
+"""Ranking of the entry VMs that a caller may connect to."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class EntryReason(enum.Enum):
-    """Why a VM stands where it stands in the list."""
+    """Reasons for the position of a VM in the list."""
 
     OWNS_WARM_ENDPOINT = "owns_warm_endpoint"
     RENDEZVOUS = "rendezvous"
@@ -20,7 +20,11 @@
 
 @attrs.frozen
 class EntryAddress:
-    """One row of the answer to a caller."""
+    """One entry VM in the answer to a caller.
+
+    :param address: address of the VM for callers
+    :param reason: why the VM has its position in the list
+    """
 
     vm: str
     address: str
@@ -30,19 +34,19 @@
 def rank_entries(
     addresses: Mapping[str, str], warm_owners: Collection[str], key: str
 ) -> list[EntryAddress]:
-    """Return the VMs that serve, best first.
+    """Return the serving VMs, most suitable first.
 
     :param addresses: caller address by VM, without VMs that are leaving
     :param warm_owners: VMs that own an endpoint with the adapter loaded
-    :param key: spreads callers over VMs
+    :param key: rendezvous key that distributes callers over the VMs
     """
     ranked = rendezvous.rank_nodes(key, addresses)
-    near = [vm for vm in ranked if vm in warm_owners]
+    warm = [vm for vm in ranked if vm in warm_owners]
     others = [vm for vm in ranked if vm not in warm_owners]
     return [
         *(
             _make_entry(addresses, vm, EntryReason.OWNS_WARM_ENDPOINT)
-            for vm in near
+            for vm in warm
         ),
         *(_make_entry(addresses, vm, EntryReason.RENDEZVOUS) for vm in others),
     ]
--- a/src/bronzetrack/routing/policies.py
+++ b/src/bronzetrack/routing/policies.py
@@ -1,4 +1,4 @@
-"""Policies that choose the endpoint of a request."""
+"""Routing policies, which select the endpoint for a request."""
 
 from __future__ import annotations
 
@@ -13,26 +13,29 @@
 
 POLICIES: registry.Registry[Policy] = registry.Registry("routing policies")
 
-# Costs are in units of one full batch. A cold endpoint is chosen when the
-# warm ones have two batches more, since a load waits for the weight store.
+# Costs are in units of one full batch. A cold endpoint is selected only if the
+# warm ones have two more batches of load, since loading an adapter waits for
+# the weight store.
 COLD_COST = 2.0
-# Makes all VMs copy an adapter to the same next endpoint. Without it, each
-# overflow loaded another copy; with 0.3 the first copies are overloaded.
+# Makes all VMs copy an adapter to the same next endpoint. Without this cost,
+# each overflow loaded another copy; with 0.3 the first copies are overloaded.
 COPY_ORDER_COST = 0.1
 SLOW_COST = 4.0
-# Within a second after a summary, 7 VMs sent up to 60 requests more to one
-# endpoint that it showed as idle. 1 s let more of them pass than 0.3 s.
+# Within a second after a summary, 7 VMs sent up to 60 more requests to one
+# endpoint that the summary showed as idle. A half-life of 1 s allowed more of
+# these requests than 0.3 s.
 REPORT_HALF_LIFE_MS = 300
-# Among more VMs than this, one request of this VM says too little.
-MOST_SENDERS = 16
-FAR_COST = 0.06
+# With more VMs than this, one request of this VM is too weak a basis for an
+# estimate of the others.
+MAX_SENDERS = 16
+OTHER_ZONE_COST = 0.06
 
 
 @POLICIES.register("locality")
-def choose_local(
+def choose_by_hash(
     items: Sequence[candidates.Candidate], adapter: str
 ) -> candidates.Candidate:
-    """Choose by rendezvous hash of the adapter alone."""
+    """Select the endpoint by the rendezvous hash of the adapter only."""
     ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
     return next(item for item in items if item.endpoint == ranked[0])
 
@@ -41,7 +44,7 @@
 def choose_least_loaded(
     items: Sequence[candidates.Candidate], adapter: str
 ) -> candidates.Candidate:
-    """Choose the endpoint with the shortest queue in the last report."""
+    """Select the endpoint with the shortest queue in the last summary."""
     return min(items, key=lambda item: item.queued - item.free_slots)
 
 
@@ -49,11 +52,13 @@
 def choose_balanced(
     items: Sequence[candidates.Candidate], adapter: str
 ) -> candidates.Candidate:
-    """Choose the lowest sum of expected load and expected load stall.
+    """Select the endpoint with the lowest expected cost.
 
-    The order of copies is needed only for cold endpoints and to decide
-    between equals. It takes a digest for each endpoint, so that it is left
-    out where a warm endpoint costs less than any cold one at the first place.
+    The cost is the sum of the expected load and the expected wait for loading
+    the adapter. The copy order is needed only for cold endpoints and to break
+    ties. Since it takes a digest per endpoint, it is not computed if one warm
+    endpoint costs less than all others, even with each cold endpoint at the
+    first position of the copy order.
     """
     costs = [_estimate_cost(item) for item in items]
     lowest = min(costs)
@@ -64,7 +69,7 @@
     ranked = rendezvous.rank_nodes(
         adapter, [item.endpoint for item in compared]
     )
-    order = {name: place for place, name in enumerate(ranked)}
+    order = {name: position for position, name in enumerate(ranked)}
     return min(
         compared,
         key=lambda item: (
@@ -75,30 +80,31 @@
 
 
 def estimate_load(item: candidates.Candidate) -> float:
-    """Return the requests that are probably at an endpoint now.
+    """Return the estimated number of requests at an endpoint.
 
-    The older the summary, the more counts what this VM sent there, with the
-    assumption that every other VM sent as much.
+    The older the summary, the higher is the weight of the requests that this
+    VM sent to the endpoint, on the assumption that every other VM sent as
+    many.
     """
     reported = item.slots - item.free_slots + item.queued
     weight = 0.5 ** (item.report_age_ms / REPORT_HALF_LIFE_MS)
-    senders = min(item.senders, MOST_SENDERS)
+    senders = min(item.senders, MAX_SENDERS)
     return (
         weight * max(reported, item.in_flight)
         + (1 - weight) * item.in_flight * senders
     )
 
 
-def _estimate_cost(item: candidates.Candidate, place: int = 0) -> float:
-    """Return the cost of an endpoint.
+def _estimate_cost(item: candidates.Candidate, position: int = 0) -> float:
+    """Return the cost of an endpoint in units of one full batch.
 
-    :param place: of the endpoint in the order of copies of the adapter
+    :param position: position of the endpoint in the copy order of the adapter
     """
     cost = estimate_load(item) / max(1, item.slots)
     if not item.warm:
-        cost += COLD_COST + COPY_ORDER_COST * place
+        cost += COLD_COST + COPY_ORDER_COST * position
     if item.slow:
         cost += SLOW_COST
     if not item.near:
-        cost += FAR_COST
+        cost += OTHER_ZONE_COST
     return cost
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for the tests of routing."""
+"""Fixtures for the routing tests."""
 
 from __future__ import annotations
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -1,4 +1,4 @@
-"""Tests of what an entry VM takes as owners."""
+"""Tests of the endpoint owners that an entry VM assumes."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def ownership() -> leases.OwnershipState:
-    """VM a owns e1 and e2, as far as it has read."""
+    """Return a state in which VM a owns e1 and e2 by the log it has read."""
     owner = leases.Ownership("a", "a1", 3, 0)
     return leases.OwnershipState(
         owners={"e1": owner, "e2": owner}, caught_up=True
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def view() -> views.MembershipView:
-    """VM b says that it owns e1."""
+    """Return a view in which VM b claims e1 in its heartbeat."""
     hello = messages.Hello(1, "b", "b1", "zone-a", "127.0.0.1:1", "")
     view = views.record_hello(views.MembershipView(), hello, 0)
     view = views.record_session(view, "b", "b1", True)
@@ -39,12 +39,12 @@
     return {name: report.owner for name, report in found.items()}
 
 
-def test_endpoint_that_was_given_up_is_no_candidate(ownership, view):
-    """Guards against attempts that this VM itself refuses at once."""
+def test_released_endpoint_is_not_reported(ownership, view):
+    """Guards against attempts that this VM would refuse itself."""
     assert list_owners(ownership, view) == {"e1": "a"}
 
 
 def test_superseded_owner_sends_work_to_its_successor(ownership, view):
-    """Guards against callers that depend on a VM without the log."""
-    cut = attrs.evolve(ownership, standing=leases.Standing.SUPERSEDED)
-    assert list_owners(cut, view) == {"e1": "b"}
+    """Guards against work for an owner that cannot reach the log."""
+    superseded = attrs.evolve(ownership, standing=leases.Standing.SUPERSEDED)
+    assert list_owners(superseded, view) == {"e1": "b"}
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an endpoint."""
+"""Tests of the routing policies."""
 
 from __future__ import annotations
 
@@ -31,19 +31,19 @@
 )
 
 
-def _score(item, place):
-    fresh = pow(0.5, item.report_age_ms / 300)
-    seen = max(item.slots - item.free_slots + item.queued, item.in_flight)
-    guess = item.in_flight * min(item.senders, 16)
-    score = (fresh * seen + (1 - fresh) * guess) / item.slots
-    score += 0.0 if item.warm else 2.0 + 0.1 * place
+def _score(item, position):
+    weight = pow(0.5, item.report_age_ms / 300)
+    reported = max(item.slots - item.free_slots + item.queued, item.in_flight)
+    estimated = item.in_flight * min(item.senders, 16)
+    score = (weight * reported + (1 - weight) * estimated) / item.slots
+    score += 0.0 if item.warm else 2.0 + 0.1 * position
     score += 4.0 if item.slow else 0.0
     return score + (0.0 if item.near else 0.06)
 
 
 @hypothesis.given(CANDIDATES, strategies.sampled_from(("a@1", "b@2")))
 def test_choice_matches_exhaustive_search(items, adapter):
-    """Guards against a choice that another endpoint beats."""
+    """Guards against the selection of an endpoint without the lowest cost."""
     ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
     chosen = policies.choose_balanced(items, adapter)
     best = _score(chosen, ranked.index(chosen.endpoint))
@@ -51,16 +51,16 @@
         assert best <= _score(item, ranked.index(item.endpoint)) + 1e-9
 
 
-def test_old_report_does_not_attract_everyone(make_candidate):
-    """Guards against many VMs that fill the same idle endpoint at once."""
+def test_old_report_does_not_attract_all_vms(make_candidate):
+    """Guards against many VMs that overload the same idle endpoint."""
     idle = make_candidate("idle", free_slots=16, in_flight=4)
     busy = make_candidate("busy", free_slots=8, in_flight=1)
     assert policies.choose_balanced([idle, busy], "a@1") is busy
 
 
 @hypothesis.given(CANDIDATES, strategies.sampled_from(("a@1", "b@2")))
-def test_equal_endpoints_go_by_rendezvous_order(items, adapter):
-    """Guards against a short cut that decides between equals by name."""
+def test_ties_are_broken_by_rendezvous_order(items, adapter):
+    """Guards against ties that are broken by name when a shortcut applies."""
     ranked = rendezvous.rank_nodes(adapter, [item.endpoint for item in items])
     equal = [attrs.evolve(items[0], endpoint=name) for name in ranked]
     for order in (equal, equal[::-1]):
@@ -69,7 +69,7 @@
 
 
 def test_ranking_is_not_shared_between_callers():
-    """Guards against a caller that changes the ranking kept for others."""
+    """Guards against a caller that modifies a cached ranking."""
     nodes = ["e1", "e2", "e3"]
     ranked = rendezvous.rank_nodes("a@1", nodes)
     expected = sorted(nodes, key=lambda n: -rendezvous.score("a@1", n))
