Reword the texts of limits and the planner

Cause: the texts used private, figurative or vague words that a newcomer stumbles over. Change: docstrings, comments and error details are plain sentences; find_leaders is find_over_share and Question is AddressedRequest; private names, constants, locals and test names use the terms of the field.

--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -1,4 +1,4 @@
-"""What the owner of an endpoint does next."""
+"""Planning of the next actions of the owner of an endpoint."""
 
 from __future__ import annotations
 
@@ -15,22 +15,23 @@
 from bronzetrack.dispatch import state as states
 from bronzetrack.limits import shares
 
-# Every VM has read of a change in a heartbeat after this time.
-NOTICE_MS = 1_200
-# Work that has waited long goes before work of a lower rank only while less
-# than this part of the slots runs work of higher ranks. Without the bound, all
-# long work was old at twice the capacity, and short work came too late.
-AGED_PART = 0.25
+# Time after which every VM has received a change in a heartbeat.
+HEARTBEAT_PROPAGATION_MS = 1_200
+# Aged work precedes work of a lower rank only while less than this share of
+# the slots runs work of higher ranks. Without the bound, all long work was
+# aged at a load of twice the capacity, and short work started too late.
+AGED_SLOT_SHARE = 0.25
 
 
 @attrs.frozen
 class Plan:
-    """Effects for one endpoint.
+    """Holds the actions that are due for one endpoint.
 
     :param start: attempts to dispatch now
     :param refuse: attempts to refuse, with the failure
-    :param fence: loaded adapter version to load again, which changes nothing
-        but shows the engine the fencing number
+    :param loads: adapters to load and to evict
+    :param fence: loaded adapter version to load again, which has no effect
+        except that the engine sees the fencing number
     """
 
     start: tuple[str, ...] = ()
@@ -42,12 +43,13 @@
 def plan_endpoint(
     queue: states.EndpointQueue, context: contexts.EndpointContext, now_ms: int
 ) -> Plan:
-    """Return the effects that are due for one endpoint."""
-    # Each attempt is refused once; of several reasons the last one counts.
+    """Return the actions that are due for one endpoint."""
+    # Each attempt is refused once. If several reasons apply, the last one
+    # is used.
     refusals = dict(
         itertools.chain(
             _find_unservable(queue, context),
-            _find_misplaced(queue),
+            _find_sent_before_slow(queue),
             _find_timeouts(queue, context.rules, now_ms),
         )
     )
@@ -57,7 +59,7 @@
         for item in rank_waiting(queue, context, now_ms)
         if item.work.attempt not in refusals
     ]
-    if _lacks_fence(queue, context):
+    if _needs_fence(queue, context):
         due = now_ms >= queue.fence_retry_ms
         return Plan(
             refuse=refused, fence=min(queue.residents) if due else None
@@ -72,13 +74,13 @@
     )
 
 
-def _lacks_fence(
+def _needs_fence(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> bool:
-    """Return whether a former owner could still evict what is loaded.
+    """Return whether a former owner could still evict loaded adapters.
 
-    An engine that checks fencing numbers refuses the orders of a former
-    owner only once it has seen the number of this one.
+    An engine that checks fencing numbers rejects the orders of a former owner
+    only after it has seen the fencing number of the current owner.
     """
     return (
         context.endpoint.checks_fencing
@@ -100,25 +102,26 @@
         if waited_ms >= limit_ms:
             yield item.work.attempt, failures.Failure(
                 failures.Reason.QUEUE_TIMEOUT,
-                f"waited {waited_ms} ms",
+                f"the request waited {waited_ms} ms in the queue",
                 retry_after_ms=1_000,
                 limit=f"classes.{item.work.work_class}.queue_timeout_ms",
             )
 
 
-def _find_misplaced(
+def _find_sent_before_slow(
     queue: states.EndpointQueue,
 ) -> Iterator[tuple[str, failures.Failure]]:
-    """Send work to others that came before its sender knew of the slowness.
+    """Yield refusals of work that was sent before the slowness was known.
 
-    Work that comes later was sent here because the others are worse. Isolated
-    work stays, since all VMs send it to the same endpoint.
+    The senders retry this work at other endpoints. Work that arrives later
+    was sent here because the other endpoints are worse. Isolated work stays,
+    since all VMs send it to the same endpoint.
     """
     if not queue.pace.slow:
         return
     for item in queue.waiting:
         lag_ms = item.queued_ms - queue.pace.slow_since_ms
-        if lag_ms < NOTICE_MS and not item.work.isolated:
+        if lag_ms < HEARTBEAT_PROPAGATION_MS and not item.work.isolated:
             yield item.work.attempt, failures.Failure(
                 failures.Reason.ENDPOINT_SLOW,
                 "the endpoint answers slower than its peers",
@@ -129,11 +132,13 @@
 def _find_unservable(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> Iterator[tuple[str, failures.Failure]]:
-    """Send queued work to other endpoints if it could only wait here.
+    """Yield refusals of queued work that this endpoint cannot run now.
 
-    Isolated work stays, since all VMs send it to the same endpoint.
+    The senders retry the work at other endpoints. Isolated work stays unless
+    the endpoint is leaving or may have another owner, since all VMs send it
+    to the same endpoint.
     """
-    # Every reason needs one of these, and few endpoints have any.
+    # Each reason requires one of these conditions, and few endpoints meet any.
     if (
         queue.reachable
         and not context.leaving
@@ -185,65 +190,80 @@
 ) -> list[states.Waiting]:
     """Return the waiting work, most urgent first.
 
-    Work of members within their shares goes before that of others, then work
-    that has waited for half of the limit of its class, then lower class ranks
-    before higher ones. Work of a high rank therefore waits at most for half
-    of its limit and then for a slot of its class, or for one of the slots that
-    old work may take from work of a lower rank.
+    Work of members within their shares precedes that of other members. Next
+    comes aged work, which has waited for half of the queue time-out of its
+    class, and then lower class ranks before higher ones. Work of a high rank
+    therefore waits for at most half of its time-out, and then for a slot of
+    its class or for one of the slots that aged work may take from work of a
+    lower rank.
     """
-    # The part of the key that work of a member and a class has in common.
-    # With hundreds of items, the look-ups for each took most of a plan.
-    shared = _rank_groups(queue, context)
-    lowest = min((group.rank for group in shared.values()), default=0)
-    only_rank = lowest if _is_aged_full(queue, context, lowest) else None
+    # The sort key values that all work of a member and a class shares. With
+    # hundreds of items, looking them up for each item took most of the
+    # planning time.
+    groups = _group_waiting(queue, context)
+    lowest = min((group.rank for group in groups.values()), default=0)
+    aged_rank = lowest if _is_aged_share_used(queue, context, lowest) else None
 
     def rank(item: states.Waiting) -> tuple[bool, bool, int, float, int]:
-        group = shared[item.work.member, item.work.work_class]
+        group = groups[item.work.member, item.work.work_class]
         aged = 2 * (now_ms - item.queued_ms) >= group.queue_timeout_ms
-        if aged and only_rank in (None, group.rank):
-            return group.leads, False, 0, 0.0, item.queued_ms
-        return group.leads, True, group.rank, group.used, item.queued_ms
+        if aged and aged_rank in (None, group.rank):
+            return group.over_share, False, 0, 0.0, item.queued_ms
+        return (
+            group.over_share,
+            True,
+            group.rank,
+            group.weighted_usage,
+            item.queued_ms,
+        )
 
     return sorted(queue.waiting, key=rank)
 
 
-def _is_aged_full(
+def _is_aged_share_used(
     queue: states.EndpointQueue, context: contexts.EndpointContext, rank: int
 ) -> bool:
-    """Return whether old work may take no more slots from work of a rank."""
+    """Return whether aged work may take no more slots from work of a rank.
+
+    :param rank: the lowest class rank of the waiting work
+    """
     higher = sum(
         contexts.get_class(context.rules, item.work.work_class).rank > rank
         for item in queue.running.values()
     )
-    return higher >= max(1, math.floor(context.endpoint.slots * AGED_PART))
+    return higher >= max(
+        1, math.floor(context.endpoint.slots * AGED_SLOT_SHARE)
+    )
 
 
 @attrs.frozen
-class _Group:
-    """Work of one member and one class.
+class _WaitingGroup:
+    """Sort key values of the waiting work of one member and one class.
 
-    :param leads: whether the member is ahead of its share for this class
-    :param used: recent cost of the member by weight
+    :param over_share: whether the member exceeds its share for this class
+    :param rank: rank of the class
+    :param weighted_usage: recent cost of the member divided by its weight
+    :param queue_timeout_ms: queue time-out of the class
     """
 
-    leads: bool
+    over_share: bool
     rank: int
-    used: float
+    weighted_usage: float
     queue_timeout_ms: int
 
 
-def _rank_groups(
+def _group_waiting(
     queue: states.EndpointQueue, context: contexts.EndpointContext
-) -> dict[tuple[str, str], _Group]:
+) -> dict[tuple[str, str], _WaitingGroup]:
     groups = {}
-    leaders = _find_leaders(queue, context)
+    over_share = _find_over_share(queue, context)
     for member, work_class in {
         (item.work.member, item.work.work_class) for item in queue.waiting
     }:
         rule = contexts.get_class(context.rules, work_class)
         weight = shares.get_weight(context.rules, member)
-        groups[member, work_class] = _Group(
-            member in leaders[rule.rank],
+        groups[member, work_class] = _WaitingGroup(
+            member in over_share[rule.rank],
             rule.rank,
             context.usage.get(member, 0.0) / weight,
             rule.queue_timeout_ms,
@@ -251,13 +271,14 @@
     return groups
 
 
-def _find_leaders(
+def _find_over_share(
     queue: states.EndpointQueue, context: contexts.EndpointContext
 ) -> dict[int, frozenset[str]]:
-    """Return the members ahead of their share, by rank of waiting work.
+    """Return the members that exceed their shares, by rank of waiting work.
 
-    A member may be further ahead with work of a lower rank, so that its short
-    work does not wait behind long work of the others for a small lead.
+    The tolerance is larger for work of a lower rank, so that the short work
+    of a member that exceeds its share slightly does not wait behind long work
+    of other members.
     """
     ranks = {
         contexts.get_class(context.rules, name).rank
@@ -265,7 +286,7 @@
     }
     contending = {item.work.member for item in queue.waiting}
     return {
-        rank: shares.find_leaders(
+        rank: shares.find_over_share(
             context.usage,
             context.rules,
             contending,
@@ -284,8 +305,8 @@
     if queue.pace.trial_slots is not None:
         slots = min(slots, queue.pace.trial_slots)
     running = [item.work for item in queue.running.values()]
-    # Resumed work starts beside whatever runs, so that isolated work need not
-    # be the first or the only one.
+    # Resumed work starts regardless of what is running, so isolated work is
+    # not necessarily the first or the only work.
     if any(work.isolated for work in running):
         return
     for item in waiting:
@@ -294,14 +315,14 @@
         if not queue.is_ready(item.work.adapter):
             continue
         if running and item.work.isolated:
-            # Nothing of a later place starts, or the endpoint would never be
-            # empty under load and the isolated work would wait for ever.
+            # No later item may start. Otherwise the endpoint would never be
+            # empty under load and the isolated work would never start.
             return
         rule = contexts.get_class(context.rules, item.work.work_class)
-        of_class = sum(
+        class_running = sum(
             work.work_class == item.work.work_class for work in running
         )
-        if of_class >= contexts.count_slots(rule, slots):
+        if class_running >= contexts.count_slots(rule, slots):
             continue
         running.append(item.work)
         yield item.work.attempt
--- a/src/bronzetrack/limits/__init__.py
+++ b/src/bronzetrack/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Voted limits and limits of the weight store."""
+"""Voted limits of members and load limits of the weight store."""
--- a/src/bronzetrack/limits/admission.py
+++ b/src/bronzetrack/limits/admission.py
@@ -1,4 +1,4 @@
-"""Rules that refuse work before it waits."""
+"""Admission control: rules that refuse work before it is queued."""
 
 from __future__ import annotations
 
@@ -14,15 +14,16 @@
 from bronzetrack.dispatch import state as states
 from bronzetrack.streaming import messages
 
-LEAST_RETRY_MS = 250
+MIN_RETRY_AFTER_MS = 250
 
 
 @attrs.frozen
 class Admission:
     """Work that arrives at the owner of an endpoint.
 
-    :param slots: requests that the endpoint runs at once
-    :param queue_requests: requests that may wait there
+    :param queue: queue of the endpoint
+    :param slots: requests that the endpoint can run concurrently
+    :param queue_requests: maximum number of requests in the queue
     """
 
     work: messages.SubmitWork
@@ -38,20 +39,20 @@
 
 
 def check(admission: Admission) -> failures.Failure | None:
-    """Return why the work is refused, None if it may wait."""
+    """Return the reason to refuse the work, None if it is admitted."""
     refusals = (rule(admission) for _, rule in RULES.items())
     return next((item for item in refusals if item is not None), None)
 
 
 @RULES.register("queue_length")
 def check_length(admission: Admission) -> failures.Failure | None:
-    """Bound the memory that waiting work takes."""
+    """Refuse work if the queue is full, to bound the memory that it takes."""
     limit = admission.queue_requests
     if len(admission.queue.waiting) < limit:
         return None
     return failures.Failure(
         failures.Reason.QUEUE_FULL,
-        f"{limit} requests wait",
+        f"the queue is at its limit of {limit} requests",
         retry_after_ms=1_000,
         limit="limits.queue_requests",
     )
@@ -61,8 +62,8 @@
 def check_wait(admission: Admission) -> failures.Failure | None:
     """Refuse work that would time out in the queue.
 
-    Work that waits for nothing takes slots from work that can still be
-    answered in time.
+    Work that waits in vain takes slots from work that can still be answered
+    in time.
     """
     work = admission.work
     rule = contexts.get_class(admission.rules, work.work_class)
@@ -71,20 +72,21 @@
         return None
     return failures.Failure(
         failures.Reason.QUEUE_FULL,
-        f"about {estimate_ms:.0f} ms of work waits",
+        f"the estimated wait in the queue is {estimate_ms:.0f} ms",
         retry_after_ms=max(
-            LEAST_RETRY_MS, math.ceil(estimate_ms - rule.queue_timeout_ms)
+            MIN_RETRY_AFTER_MS, math.ceil(estimate_ms - rule.queue_timeout_ms)
         ),
         limit=f"classes.{work.work_class}.queue_timeout_ms",
     )
 
 
 def estimate_wait_ms(admission: Admission) -> float:
-    """Return the time until a slot is free for the work.
+    """Return the estimated time until a slot is free, in milliseconds.
 
-    Work ahead is what waits with the same or a lower rank and does not wait
-    for a load. Each slot makes a token in the observed time between chunks,
-    and the class has its share of the slots.
+    The estimate counts waiting work of the same or a lower rank that does not
+    wait for a load. It assumes that each slot produces one token in the
+    observed time between chunks, and that the class has its share of the
+    slots.
     """
     rules = admission.rules
     own = contexts.get_class(rules, admission.work.work_class)
--- a/src/bronzetrack/limits/messages.py
+++ b/src/bronzetrack/limits/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages that move weight-store tokens between VMs."""
+"""Peer messages that transfer weight-store tokens between VMs."""
 
 from __future__ import annotations
 
@@ -12,9 +12,10 @@
 @messages.MESSAGES.register("token_request")
 @attrs.frozen
 class TokenRequest:
-    """A VM asks a peer for tokens that the peer does not need.
+    """A request to a peer for tokens that the peer does not need.
 
-    :param number: counts the requests of the asking VM
+    :param number: sequence number of the request at the requesting VM
+    :param tokens: number of tokens that the requesting VM lacks
     """
 
     mailbox: ClassVar[str] = "work"
@@ -26,10 +27,10 @@
 @messages.MESSAGES.register("token_grant")
 @attrs.frozen
 class TokenGrant:
-    """The answer to a request; the sender has already given up the tokens.
+    """The answer to a request, whose tokens the sender has already subtracted.
 
-    :param number: the number of the request
-    :param tokens: 0 if the peer has none to spare
+    :param number: sequence number of the request
+    :param tokens: number of tokens granted, 0 if the peer has none to spare
     """
 
     mailbox: ClassVar[str] = "work"
--- a/src/bronzetrack/limits/quotas.py
+++ b/src/bronzetrack/limits/quotas.py
@@ -1,7 +1,7 @@
 """Warm quotas: how many adapter versions a member may keep loaded.
 
-Every VM counts from the heartbeats, so that loads of the last second may
-exceed a quota. One VM then evicts what is too much.
+Every VM counts loaded versions from the heartbeats, so loads of the last
+second may exceed a quota. One VM then evicts the excess.
 """
 
 from __future__ import annotations
@@ -16,11 +16,11 @@
 
 @attrs.frozen
 class QuotaView:
-    """How far members are from their quotas, over all VMs.
+    """Holds the usage of the warm quotas over all VMs.
 
-    :param room: versions that a member may still load; a member without a
-        rule is not in it and has no quota
-    :param excess: versions that this VM has to evict, by member
+    :param room: number of versions that a member may still load; members
+        without a rule are absent and have no quota
+    :param excess: number of versions that this VM has to evict, by member
     :param members: the member of each loaded adapter version
     """
 
@@ -33,7 +33,7 @@
         return self.room.get(member, 1) > 0
 
     def pick(self, adapters: Iterable[str], member: str) -> list[str]:
-        """Return the adapter versions of a member among some."""
+        """Return the given adapter versions that belong to a member."""
         return [name for name in adapters if self.members.get(name) == member]
 
 
@@ -43,11 +43,13 @@
     members: Mapping[str, str],
     vm: str,
 ) -> QuotaView:
-    """Return the view of one VM.
+    """Return the quota view of one VM.
 
+    :param rules: rules by member
     :param loaded: adapter versions that the endpoints of each VM have loaded,
-        one entry a copy
+        with one entry per copy
     :param members: the member of each adapter version
+    :param vm: name of the VM
     """
     counts = {
         name: _count_members(adapters, members)
@@ -57,7 +59,7 @@
         member: sum(count.get(member, 0) for count in counts.values())
         for member in rules
     }
-    over = {
+    excess_counts = {
         member: total - rules[member].warm_adapters
         for member, total in totals.items()
         if total > rules[member].warm_adapters
@@ -69,7 +71,7 @@
         },
         excess={
             member: count
-            for member, count in over.items()
+            for member, count in excess_counts.items()
             if _choose_evictor(counts, member) == vm
         },
         members=members,
@@ -89,8 +91,9 @@
 def _choose_evictor(
     counts: Mapping[str, Mapping[str, int]], member: str
 ) -> str:
-    """Return the VM with the most versions of a member.
+    """Return the VM that evicts for a member.
 
-    If all evicted, a member would lose as many times too much.
+    This is the VM with the most loaded copies of the member. If every VM
+    evicted the excess, the member would lose it once per VM.
     """
     return max(counts, key=lambda vm: (counts[vm].get(member, 0), vm))
--- a/src/bronzetrack/limits/shares.py
+++ b/src/bronzetrack/limits/shares.py
@@ -1,4 +1,4 @@
-"""Which members have had more than their voted share."""
+"""Detection of members that exceed their voted share of capacity."""
 
 from __future__ import annotations
 
@@ -7,51 +7,60 @@
 
 from bronzetrack.configuration import rules as rule_sets
 
-# Leads over another member that are allowed, as a part of all recent cost.
-# Without the part for ranks, a duty pilot of a member with a small lead waited
-# 2.6 s behind safety reviews of others; with 0.2 a rank the error of the
-# shares exceeded 5%.
+# Allowed excess over the share of another member, as a fraction of all recent
+# cost. Without the tolerance per rank, a duty pilot of a member with a small
+# excess waited 2.6 s behind safety reviews of other members. With 0.2 per
+# rank, the error of the shares exceeded 5%.
 TOLERANCE = 0.02
 RANK_TOLERANCE = 0.08
-MOST_TOLERANCE = 0.2
+MAX_TOLERANCE = 0.2
 
 
 def get_weight(rules: rule_sets.Rules, member: str) -> float:
-    """Return the voted weight of a member, 1 without a rule."""
+    """Return the voted weight of a member, or 1 if it has no rule."""
     rule = rules.members.get(member)
     return 1.0 if rule is None else rule.weight
 
 
-def get_tolerance(steps: int) -> float:
-    """Return the allowed lead of work some ranks below the highest."""
-    return min(MOST_TOLERANCE, TOLERANCE + RANK_TOLERANCE * steps)
+def get_tolerance(rank_distance: int) -> float:
+    """Return the allowed excess for work of a class rank.
+
+    :param rank_distance: difference between the highest rank of the waiting
+        work and the rank of the class
+    """
+    return min(MAX_TOLERANCE, TOLERANCE + RANK_TOLERANCE * rank_distance)
 
 
-def find_leaders(
+def find_over_share(
     usage: Mapping[str, float],
     rules: rule_sets.Rules,
     contending: Iterable[str],
     tolerance: float,
 ) -> frozenset[str]:
-    """Return the contending members that are ahead of another one.
+    """Return the contending members that exceed their share.
 
-    A member is ahead when its cost by weight exceeds that of the contending
-    member with the least by the tolerance. Members that ask for nothing do
-    not count, so that their share is lent, and taken back when they ask.
+    A member exceeds its share if its cost divided by its weight is above the
+    lowest such value of the contending members by more than the tolerance.
+    Members without waiting work do not count. Their share is available to the
+    others until they have work again.
 
     :param usage: recent cost by member over all VMs
-    :param tolerance: the allowed lead as a part of the cost of all of them
+    :param contending: members with waiting work
+    :param tolerance: the allowed excess as a fraction of the cost of all
+        contending members
     """
     members = set(contending)
     if len(members) < 2:
         return frozenset()
     weights = {member: get_weight(rules, member) for member in members}
-    served = {
+    weighted_usage = {
         member: usage.get(member, 0.0) / weight
         for member, weight in weights.items()
     }
     total = sum(usage.get(member, 0.0) for member in members)
-    limit = min(served.values()) + tolerance * total / sum(weights.values())
+    limit = min(weighted_usage.values()) + tolerance * total / sum(
+        weights.values()
+    )
     return frozenset(
-        member for member, amount in served.items() if amount > limit
+        member for member, cost in weighted_usage.items() if cost > limit
     )
--- a/src/bronzetrack/limits/tokens.py
+++ b/src/bronzetrack/limits/tokens.py
@@ -1,4 +1,4 @@
-"""Token bucket for the loads that a VM may ask of the weight store."""
+"""Token bucket that limits how many loads a VM requests from the store."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 
 @attrs.frozen
 class TokenBucket:
-    """Loads that this VM may start.
+    """A token bucket with one token per load that this VM may start.
 
-    :param tokens: loads that may start now
+    :param tokens: number of loads that may start now
     :param updated_ms: monotonic time of the last refill
     """
 
@@ -19,18 +19,18 @@
     def refill(
         self, rate_per_s: float, capacity: float, now_ms: int
     ) -> TokenBucket:
-        """Return the bucket with the tokens that time has brought.
+        """Return the bucket refilled for the time since the last refill.
 
-        Tokens above the capacity, which peers granted, are kept.
+        Tokens above the capacity, which peers have granted, are kept.
         """
         gained = rate_per_s * max(0, now_ms - self.updated_ms) / 1000
         filled = max(self.tokens, min(capacity, self.tokens + gained))
         return TokenBucket(filled, max(now_ms, self.updated_ms))
 
     def take(self, count: float) -> TokenBucket:
-        """Return the bucket with fewer tokens."""
+        """Return the bucket with some tokens removed."""
         return attrs.evolve(self, tokens=self.tokens - count)
 
     def add(self, count: float) -> TokenBucket:
-        """Return the bucket with tokens that a peer granted."""
+        """Return the bucket with tokens from a peer added."""
         return attrs.evolve(self, tokens=self.tokens + count)
--- a/src/bronzetrack/limits/transfers.py
+++ b/src/bronzetrack/limits/transfers.py
@@ -1,7 +1,7 @@
 """Transfer of weight-store tokens between VMs.
 
-The granting VM subtracts the tokens before it sends them, and the asking VM
-accepts one grant for each request. A message that is lost, late or repeated
+The granting VM subtracts the tokens before it sends the grant, and the
+requesting VM accepts one grant per request. A lost, late or repeated message
 can therefore lower the sum of all buckets but never raise it.
 """
 
@@ -17,19 +17,21 @@
 from bronzetrack.limits import tokens
 
 GRANT_TIMEOUT_MS = 500
-# Peers with nothing to spare are asked again after this time. A VM's share
-# of the rate brings about an eighth of a token in it.
+# Time after which peers that had no tokens to spare are asked again. The share
+# of the rate of one VM yields about an eighth of a token in this time.
 ROUND_PAUSE_MS = 250
 
 
 @attrs.frozen
 class Permits:
-    """The section with the loads that this VM may start.
-
-    :param number: number of the latest request
-    :param asked: peers asked in this round
-    :param open_until_ms: time-out of the open request, None without one
-    :param pause_until_ms: monotonic time before which no round begins
+    """Blackboard section with the weight-store tokens of this VM.
+
+    :param bucket: tokens for the loads that this VM may start
+    :param number: sequence number of the latest request
+    :param asked: peers that were asked in this round
+    :param open_until_ms: monotonic time at which the open request times out,
+        None without an open request
+    :param pause_until_ms: monotonic time before which no new round begins
     """
 
     bucket: tokens.TokenBucket = attrs.field(factory=tokens.TokenBucket)
@@ -39,21 +41,21 @@
     pause_until_ms: int = 0
 
     def change(self, bucket: tokens.TokenBucket) -> Permits:
-        """Return the permits with another bucket."""
+        """Return the permits with the bucket replaced."""
         return attrs.evolve(self, bucket=bucket)
 
     def may_prefetch(self) -> bool:
-        """Return whether a token is to spare.
+        """Return whether a token is available for a prefetch.
 
-        Peers in need drain the buckets of all VMs, so that a bucket is full
-        only when no load waits for a token anywhere.
+        VMs that lack tokens drain the buckets of all VMs, so a bucket is full
+        only if no load waits for a token at any VM.
         """
         return self.open_until_ms is None and self.bucket.tokens >= 1
 
 
 @attrs.frozen
-class Question:
-    """A request and the peer that it goes to."""
+class AddressedRequest:
+    """A token request and the peer to send it to."""
 
     peer: str
     request: messages.TokenRequest
@@ -65,22 +67,24 @@
     peers: Collection[str],
     needed: int,
     now_ms: int,
-) -> tuple[Permits, Question | None]:
+) -> tuple[Permits, AddressedRequest | None]:
     """Return the permits and the request to send now, if any.
 
-    Peers are asked one after the other, in an order that differs by VM.
+    Peers are asked one after another, in an order that differs by VM.
 
-    :param needed: loads that could start now with enough tokens
+    :param vm: name of this VM
+    :param peers: names of the peers that may be asked
+    :param needed: number of loads that could start now with enough tokens
     """
-    lacking = needed - permits.bucket.tokens
-    if lacking <= 0:
+    shortfall = needed - permits.bucket.tokens
+    if shortfall <= 0:
         return attrs.evolve(permits, asked=frozenset()), None
     if permits.open_until_ms is not None and now_ms < permits.open_until_ms:
         return permits, None
     if now_ms < permits.pause_until_ms:
         return permits, None
-    left = [peer for peer in peers if peer not in permits.asked]
-    if not left:
+    remaining = [peer for peer in peers if peer not in permits.asked]
+    if not remaining:
         paused = attrs.evolve(
             permits,
             asked=frozenset(),
@@ -88,7 +92,7 @@
             pause_until_ms=now_ms + ROUND_PAUSE_MS,
         )
         return paused, None
-    peer = rendezvous.rank_nodes(vm, left)[0]
+    peer = rendezvous.rank_nodes(vm, remaining)[0]
     number = permits.number + 1
     asking = attrs.evolve(
         permits,
@@ -96,24 +100,27 @@
         asked=permits.asked | {peer},
         open_until_ms=now_ms + GRANT_TIMEOUT_MS,
     )
-    return asking, Question(peer, messages.TokenRequest(number, lacking))
+    return asking, AddressedRequest(
+        peer, messages.TokenRequest(number, shortfall)
+    )
 
 
 def grant(
     permits: Permits, request: messages.TokenRequest, reserved: int
 ) -> tuple[Permits, messages.TokenGrant]:
-    """Return the permits without the tokens granted, and the answer.
+    """Return the permits without the granted tokens, and the answer.
 
-    A part of a token starts no load. It is granted even if this VM waits for
-    the rest of it, provided that it completes a token of the asking VM.
+    A fraction of a token cannot start a load. It is granted even if this VM
+    waits for the remainder of that token, provided that it completes a token
+    of the requesting VM.
 
-    :param reserved: loads that this VM could start itself
+    :param reserved: number of loads that this VM could start itself
     """
     held = permits.bucket.tokens
     granted = max(0.0, min(held - reserved, request.tokens))
     if held <= reserved:
-        lacking = request.tokens - (math.ceil(request.tokens) - 1)
-        granted = lacking if lacking <= held - math.floor(held) else 0.0
+        shortfall = request.tokens - (math.ceil(request.tokens) - 1)
+        granted = shortfall if shortfall <= held - math.floor(held) else 0.0
     return (
         permits.change(permits.bucket.take(granted)),
         messages.TokenGrant(request.number, granted),
@@ -121,9 +128,10 @@
 
 
 def accept(permits: Permits, answer: messages.TokenGrant) -> Permits:
-    """Return the permits after a grant; only one for the open request counts.
+    """Return the permits with the tokens of a grant for the open request.
 
-    A grant after the time-out still counts while no newer request was made.
+    Other grants are ignored. A grant that arrives after the time-out is still
+    accepted if no newer request was made.
     """
     if permits.open_until_ms is None or answer.number != permits.number:
         return permits
--- a/src/bronzetrack/limits/usage.py
+++ b/src/bronzetrack/limits/usage.py
@@ -1,8 +1,9 @@
-"""Recent cost by member, which decays with time.
+"""Recent cost by member, with exponential decay.
 
-Only work that started while work of another member waited is charged. Capacity
-that nobody else asked for is thereby lent without a debt: when it was charged
-too, members that had used idle engines before a crest went last in it.
+Only work that started while work of another member waited is charged. The use
+of capacity that no other member needed therefore does not count against a
+member. When it was charged too, members that had used idle engines before a
+load peak were served last during the peak.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 
 
 def decay(usage: Mapping[str, float], passed_ms: int) -> dict[str, float]:
-    """Return the usage after some time."""
+    """Return the usage decayed for some time, without negligible costs."""
     factor = 0.5 ** (max(0, passed_ms) / HALF_LIFE_MS)
     return {
         member: cost * factor
@@ -28,12 +29,12 @@
 def charge(
     usage: Mapping[str, float], member: str, cost: float
 ) -> dict[str, float]:
-    """Return the usage after work was started for a member."""
+    """Return the usage with the cost of started work added for a member."""
     return {**usage, member: usage.get(member, 0.0) + cost}
 
 
 def sum_usage(usages: Iterable[Mapping[str, float]]) -> dict[str, float]:
-    """Return the usage over several VMs."""
+    """Return the sum of the usage of several VMs by member."""
     total: dict[str, float] = {}
     for member, cost in itertools.chain.from_iterable(
         usage.items() for usage in usages
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -99,8 +99,8 @@
 )
 
 
-def _find_start(queue, context, ranked, running):
-    """Return the first work that may start now, by the rules one by one."""
+def _find_next_start(queue, context, ranked, running):
+    """Return the first work that the rules allow to start now."""
     slots = context.endpoint.slots
     if queue.pace.trial_slots is not None:
         slots = min(slots, queue.pace.trial_slots)
@@ -125,18 +125,20 @@
 
 
 @hypothesis.given(QUEUES, CONTEXTS)
-def test_starts_match_one_by_one_choice(queue, context):
-    """Guards against starts that the rules do not allow one at a time."""
+def test_starts_match_sequential_reference(queue, context):
+    """Guards against starts that the rules do not allow one after another."""
     plan = planner.plan_endpoint(queue, context, NOW_MS)
-    gone = {attempt for attempt, _ in plan.refuse}
+    refused = {attempt for attempt, _ in plan.refuse}
     left = [
         item
         for item in planner.rank_waiting(queue, context, NOW_MS)
-        if item.work.attempt not in gone
+        if item.work.attempt not in refused
     ]
     running = [item.work for item in queue.running.values()]
     expected = []
-    while (work := _find_start(queue, context, left, running)) is not None:
+    while (
+        work := _find_next_start(queue, context, left, running)
+    ) is not None:
         expected.append(work.attempt)
         running.append(work)
         left = [item for item in left if item.work is not work]
@@ -157,8 +159,8 @@
 
 
 @hypothesis.given(QUEUES, CONTEXTS)
-def test_loads_keep_to_permits_and_slots(queue, context):
-    """Guards against loads beyond the store's permits or adapter slots."""
+def test_loads_respect_permits_and_slots(queue, context):
+    """Guards against loads beyond the permits or the free adapter slots."""
     load = planner.plan_endpoint(queue, context, NOW_MS).loads.load
     free = context.endpoint.adapter_slots - len(queue.residents)
     assert len(load) <= min(max(0, free), context.load_permits)
@@ -170,8 +172,8 @@
 
 
 @hypothesis.given(QUEUES, CONTEXTS)
-def test_slots_shares_and_isolation_hold(queue, context):
-    """Guards against a full endpoint that gets more work."""
+def test_starts_respect_slots_shares_and_isolation(queue, context):
+    """Guards against starts beyond the slots, class shares or isolation."""
     plan = planner.plan_endpoint(queue, context, NOW_MS)
     items = {item.work.attempt: item.work for item in queue.waiting}
     started = [items[attempt] for attempt in plan.start]
@@ -214,7 +216,7 @@
 def test_long_work_starts_after_half_its_limit(
     full_queue, context, make_waiting
 ):
-    """Guards against long work that starves behind endless short work."""
+    """Guards against long work that starves behind continuous short work."""
     half_ms = CLASSES["long"].queue_timeout_ms // 2
     for waited_ms, first in ((half_ms - 1, "new"), (half_ms, "old")):
         queue = attrs.evolve(
@@ -231,7 +233,7 @@
 def test_nothing_starts_beside_resumed_isolated_work(
     full_queue, context, make_work, make_waiting
 ):
-    """Guards against innocent work that a resumed suspect takes down."""
+    """Guards against work that fails when a suspect crashes the engine."""
     suspect = states.Running(make_work("4", isolated=True), "vm", 0)
     queue = attrs.evolve(
         full_queue,
@@ -243,13 +245,13 @@
     assert planner.plan_endpoint(queue, context, NOW_MS).start == ()
 
 
-def test_old_long_work_leaves_slots_to_short_work(
+def test_aged_long_work_leaves_slots_to_short_work(
     full_queue, context, make_waiting
 ):
-    """Guards against short work that waits behind a queue of old long work.
+    """Guards against short work that waits behind a queue of aged long work.
 
-    Under a load above the capacity all long work is old, so that short work
-    went last whatever its rank.
+    Under a load above the capacity all long work is aged, so short work was
+    started last regardless of its rank.
     """
     long = states.Running(
         make_waiting("long", work_class="long").work, "vm", 0
@@ -272,8 +274,10 @@
     assert planner.plan_endpoint(alone, wide, NOW_MS).start == ("old",)
 
 
-def test_isolated_work_empties_the_endpoint(full_queue, context, make_waiting):
-    """Guards against isolated work that never finds the endpoint empty."""
+def test_isolated_work_waits_for_an_empty_endpoint(
+    full_queue, context, make_waiting
+):
+    """Guards against isolated work for which the endpoint is never empty."""
     queue = attrs.evolve(
         full_queue,
         waiting=(
--- a/tests/limits/conftest.py
+++ b/tests/limits/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for the tests of limits."""
+"""Fixtures for the limits tests."""
 
 from __future__ import annotations
 
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of refusals on arrival."""
+"""Tests of admission control."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 @pytest.fixture
-def admit():
+def check_admission():
     def make(waiting: int, work_class: str, limit: int = 256):
         work = messages.SubmitWork(
             "x", "x", "e", "m", "", work_class, "POST", "/", b"", 60_000, 50
@@ -36,22 +36,22 @@
     return make
 
 
-def test_refusal_names_limit_and_time(admit):
+def test_refusal_gives_limit_and_retry_time(check_admission):
     """Guards against time-outs in a queue that is known to be too long."""
-    assert admit(4, "duty") is None
-    failure = admit(8, "duty")
+    assert check_admission(4, "duty") is None
+    failure = check_admission(8, "duty")
     assert failure.reason is failures.Reason.QUEUE_FULL
     assert failure.limit == "classes.duty.queue_timeout_ms"
     # 8 requests of 50 tokens at 20 ms on 4 slots take 2 s, 1 s too long.
     assert failure.retry_after_ms == 1_000
 
 
-def test_estimate_counts_the_slots_of_the_class(admit):
-    """Guards against an estimate with slots that the class may not use."""
-    assert admit(4, "duty") is None
-    assert admit(4, "review").retry_after_ms == 1_000
+def test_estimate_counts_the_slots_of_the_class(check_admission):
+    """Guards against an estimate that counts slots closed to the class."""
+    assert check_admission(4, "duty") is None
+    assert check_admission(4, "review").retry_after_ms == 1_000
 
 
-def test_queue_length_is_bounded(admit):
+def test_queue_length_is_bounded(check_admission):
     """Guards against a queue that grows without limit."""
-    assert admit(2, "duty", limit=2).limit == "limits.queue_requests"
+    assert check_admission(2, "duty", limit=2).limit == "limits.queue_requests"
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -14,23 +14,23 @@
 
 
 @pytest.fixture
-def judge():
+def compute_view():
     def run(loaded, vm="vm-0"):
         return quotas.judge_quotas(RULES, loaded, MEMBERS, vm)
 
     return run
 
 
-def test_member_at_its_quota_has_no_room(judge):
-    """Guards against a member that keeps more warm than was voted."""
-    view = judge({"vm-0": ["a0@1", "b@1"], "vm-1": ["a1@1", "a1@1"]})
+def test_member_at_its_quota_has_no_room(compute_view):
+    """Guards against a member with more loaded versions than voted."""
+    view = compute_view({"vm-0": ["a0@1", "b@1"], "vm-1": ["a1@1", "a1@1"]})
     assert not view.has_room("trust")
     assert view.has_room("other")
 
 
-def test_member_below_its_quota_has_room(judge):
-    """Guards against a quota that copies of other members use up."""
-    view = judge({"vm-0": ["a0@1", "b@1"], "vm-1": ["a1@1", "b@1"]})
+def test_member_below_its_quota_has_room(compute_view):
+    """Guards against a quota that counts copies of other members."""
+    view = compute_view({"vm-0": ["a0@1", "b@1"], "vm-1": ["a1@1", "b@1"]})
     assert view.room == {"trust": 1}
     assert view.excess == {}
 
@@ -42,10 +42,10 @@
         min_size=1,
     )
 )
-def test_all_vms_together_evict_what_is_too_much(loaded):
-    """Guards against several VMs that evict for one member at once."""
-    own = [name for names in loaded.values() for name in names]
-    total = sum(MEMBERS[name] == "trust" for name in own)
+def test_all_vms_together_evict_exactly_the_excess(loaded):
+    """Guards against evictions of the same excess by several VMs."""
+    copies = [name for names in loaded.values() for name in names]
+    total = sum(MEMBERS[name] == "trust" for name in copies)
     evicted = sum(
         quotas.judge_quotas(RULES, loaded, MEMBERS, vm).excess.get("trust", 0)
         for vm in loaded
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -1,4 +1,4 @@
-"""Tests of the members ahead of their share."""
+"""Tests of the detection of members that exceed their share."""
 
 from __future__ import annotations
 
@@ -24,22 +24,22 @@
     strategies.sets(strategies.sampled_from(NAMES)),
     strategies.sampled_from((0.02, 0.1, 0.2)),
 )
-def test_someone_is_always_within_the_share(usage, contending, tolerance):
-    """Guards against shares by which nobody may run."""
-    ahead = shares.find_leaders(usage, RULES, contending, tolerance)
-    assert ahead <= contending
-    assert not contending or ahead < contending
+def test_some_member_is_always_within_its_share(usage, contending, tolerance):
+    """Guards against a result in which all members exceed their share."""
+    over_share = shares.find_over_share(usage, RULES, contending, tolerance)
+    assert over_share <= contending
+    assert not contending or over_share < contending
     least = min(
         (usage.get(n, 0) / shares.get_weight(RULES, n) for n in contending),
         default=0,
     )
-    for name in ahead:
+    for name in over_share:
         assert usage[name] / shares.get_weight(RULES, name) > least
 
 
-def test_share_of_an_idle_member_is_lent():
-    """Guards against capacity kept free for a member that asks nothing."""
+def test_share_of_an_idle_member_is_available_to_others():
+    """Guards against capacity reserved for a member without work."""
     usage = {"north": 1_000.0}
-    assert not shares.find_leaders(usage, RULES, {"north"}, 0.02)
-    ahead = shares.find_leaders(usage, RULES, {"north", "west"}, 0.02)
-    assert ahead == {"north"}
+    assert not shares.find_over_share(usage, RULES, {"north"}, 0.02)
+    over_share = shares.find_over_share(usage, RULES, {"north", "west"}, 0.02)
+    assert over_share == {"north"}
--- a/tests/limits/test_transfers.py
+++ b/tests/limits/test_transfers.py
@@ -27,35 +27,35 @@
     strategies.lists(strategies.integers(0, 16), min_size=3, max_size=3),
 )
 def test_sum_of_tokens_never_rises(steps, amounts):
-    """Guards against loads over the store's rate after a lost message."""
+    """Guards against loads above the store's rate after a lost message."""
     states = {
         vm: transfers.Permits(tokens.TokenBucket(amount / 4))
         for vm, amount in zip(VMS, amounts)
     }
-    wire = []
+    in_transit = []
     now_ms = 0
     for action, index, needed, passed_ms in steps:
         now_ms += passed_ms
         vm = VMS[index]
         if action == "ask":
             peers = [name for name in VMS if name != vm]
-            states[vm], question = transfers.ask(
+            states[vm], addressed = transfers.ask(
                 states[vm], vm, peers, needed, now_ms
             )
-            if question is not None:
-                wire.append((vm, question.peer, question.request))
-        elif wire and action == "lose":
-            wire.pop(index % len(wire))
-        elif wire:
-            place = index % len(wire)
-            sender, receiver, message = wire[place]
+            if addressed is not None:
+                in_transit.append((vm, addressed.peer, addressed.request))
+        elif in_transit and action == "lose":
+            in_transit.pop(index % len(in_transit))
+        elif in_transit:
+            place = index % len(in_transit)
+            sender, receiver, message = in_transit[place]
             if action == "deliver":
-                wire.pop(place)
+                in_transit.pop(place)
             if isinstance(message, messages.TokenRequest):
                 states[receiver], answer = transfers.grant(
                     states[receiver], message, needed
                 )
-                wire.append((receiver, sender, answer))
+                in_transit.append((receiver, sender, answer))
             else:
                 states[receiver] = transfers.accept(states[receiver], message)
         held = sum(state.bucket.tokens for state in states.values())
@@ -63,48 +63,48 @@
         assert all(state.bucket.tokens >= 0 for state in states.values())
 
 
-def test_grant_gives_the_whole_request_when_nothing_is_lost(make_permits):
-    """Guards against tokens that vanish in an ordinary transfer."""
-    asking, question = transfers.ask(make_permits(0.25), "a", ["b"], 1, 0)
-    giving, answer = transfers.grant(make_permits(2.0), question.request, 1)
-    asking = transfers.accept(asking, answer)
-    assert asking.bucket.tokens == pytest.approx(1.0)
-    assert giving.bucket.tokens == pytest.approx(1.25)
+def test_grant_covers_the_whole_request_without_message_loss(make_permits):
+    """Guards against tokens that are lost in a transfer without faults."""
+    requester, addressed = transfers.ask(make_permits(0.25), "a", ["b"], 1, 0)
+    granter, answer = transfers.grant(make_permits(2.0), addressed.request, 1)
+    requester = transfers.accept(requester, answer)
+    assert requester.bucket.tokens == pytest.approx(1.0)
+    assert granter.bucket.tokens == pytest.approx(1.25)
 
 
 @pytest.mark.parametrize(
     "held,lacking,granted",
     [(0.6, 0.5, 0.5), (0.6, 1.5, 0.5), (0.6, 0.7, 0.0), (1.6, 1.0, 0.0)],
 )
-def test_part_of_a_token_completes_one_elsewhere(
+def test_fraction_of_a_token_completes_one_at_a_peer(
     make_permits, held, lacking, granted
 ):
-    """Guards against parts of tokens that lie idle while loads wait.
+    """Guards against fractions of tokens that stay unused while loads wait.
 
-    A VM that could start two loads itself keeps its whole tokens, and a part
-    that completes nothing.
+    A VM that could start two loads itself keeps its whole tokens, and a
+    fraction that completes no token of the requesting VM.
     """
     request = messages.TokenRequest(1, lacking)
-    giving, answer = transfers.grant(make_permits(held), request, 2)
+    granter, answer = transfers.grant(make_permits(held), request, 2)
     assert answer.tokens == pytest.approx(granted)
-    assert giving.bucket.tokens == pytest.approx(held - granted)
+    assert granter.bucket.tokens == pytest.approx(held - granted)
 
 
 def test_all_peers_are_asked_before_a_pause(make_permits):
-    """Guards against a VM that asks an empty peer over and over."""
+    """Guards against repeated requests to a peer without tokens."""
     permits, asked, now_ms = make_permits(0.0), [], 0
     for _ in range(5):
-        permits, question = transfers.ask(permits, "a", ["b", "c"], 1, now_ms)
-        if question is not None:
-            asked.append(question.peer)
+        permits, addressed = transfers.ask(permits, "a", ["b", "c"], 1, now_ms)
+        if addressed is not None:
+            asked.append(addressed.peer)
             permits = transfers.accept(
-                permits, messages.TokenGrant(question.request.number, 0.0)
+                permits, messages.TokenGrant(addressed.request.number, 0.0)
             )
     assert sorted(asked) == ["b", "c"]
     assert permits.pause_until_ms == transfers.ROUND_PAUSE_MS
 
 
 def test_refill_keeps_granted_tokens(make_permits):
-    """Guards against a refill that cuts granted tokens to the capacity."""
+    """Guards against a refill that truncates granted tokens."""
     bucket = make_permits(3.0).bucket.refill(0.5, 1.0, 1_000)
     assert bucket.tokens == pytest.approx(3.0)
