Rename the adapter filter of the quota view

Cause: QuotaView.pick did not say what it selects. Change: the method is filter_adapters; its only callers are in dispatch/loads.py.

--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -87,7 +87,7 @@
     return wanted, [
         name
         for member, count in evictions.items()
-        for name in view.pick(evictable, member)[:count]
+        for name in view.filter_adapters(evictable, member)[:count]
     ]
 
 
@@ -106,7 +106,7 @@
         return False
     if context.quotas.has_room(member):
         return False
-    return not context.quotas.pick(queue.residents, member)
+    return not context.quotas.filter_adapters(queue.residents, member)
 
 
 def rank_missing(
--- a/src/bronzetrack/limits/quotas.py
+++ b/src/bronzetrack/limits/quotas.py
@@ -32,7 +32,9 @@
         """Return whether a member may load one more version."""
         return self.room.get(member, 1) > 0
 
-    def pick(self, adapters: Iterable[str], member: str) -> list[str]:
+    def filter_adapters(
+        self, adapters: Iterable[str], member: str
+    ) -> list[str]:
         """Return the given adapter versions that belong to a member."""
         return [name for name in adapters if self.members.get(name) == member]
 
