Reword the retry budget and its tests

Cause: "Repeat" and "sum" stood for the usual terms retry and budget. HYPOTHESIS_PROFILE=search SEARCH_FACTOR=5 pytest test_budget.py test_leases.py passed.

--- a/src/bronzetrack/entry/budget.py
+++ b/src/bronzetrack/entry/budget.py
@@ -1,9 +1,9 @@
-"""Budget of sends beyond the first, per service.
+"""Retry budget of a service.
 
-All VMs together may repeat a share of the requests of a window plus a fixed
-slack. Each VM spends only its part: the share of its own requests, and an
-equal part of the slack. No call is needed to spend it, and VMs that cannot
-see each other still stay within the sum.
+All VMs together may retry a fixed ratio of the requests in a sliding window
+plus a fixed slack. Each VM spends only its own part: the ratio of its own
+requests and an equal part of the slack. Spending needs no call to another VM,
+and VMs that are partitioned from each other together stay within the budget.
 """
 
 from __future__ import annotations
@@ -12,49 +12,56 @@
 
 import attrs
 
-# Part of the slack that is spent at all. A VM that restarts forgets what it
-# spent, and VMs that were cut off may count too few others.
-SLACK_SHARE = 0.5
+# Share of the slack that is spent at all. The rest is a reserve: a VM loses
+# its count of spent retries when it restarts, and a partitioned VM may count
+# too few other VMs.
+USABLE_SLACK_SHARE = 0.5
 
 
 @attrs.define(eq=False)
 class RetryBudget:
-    """Requests and repeats of one service in a sliding window.
+    """Requests and retries of one service in a sliding window.
 
-    :param ratio: repeats allowed for each request
-    :param slack: repeats allowed besides, over all VMs
-    :param window_s: length of the window
+    :param ratio: retries allowed for each request
+    :param slack: additional retries allowed, over all VMs
+    :param window_s: length of the window in seconds
+    :param requests: times of the requests within the window
+    :param retries: times of the retries within the window
     """
 
     ratio: float
     slack: float
     window_s: float
     requests: collections.deque[float] = attrs.field(factory=collections.deque)
-    repeats: collections.deque[float] = attrs.field(factory=collections.deque)
+    retries: collections.deque[float] = attrs.field(factory=collections.deque)
 
     def note_request(self, now: float) -> None:
-        """Count a request that a caller sent."""
+        """Count a request that arrived from a caller."""
         self._expire(now)
         self.requests.append(now)
 
     def spend(self, now: float, vms: int) -> bool:
-        """Take one repeat from the budget, if there is one left.
+        """Take one retry from the budget if one is left.
 
-        :param vms: VMs that share the slack
+        :param vms: number of VMs that share the slack
+        :returns: whether the retry may be sent
         """
         self._expire(now)
-        if len(self.repeats) + 1 > self.measure_limit(vms):
+        if len(self.retries) + 1 > self.measure_limit(vms):
             return False
-        self.repeats.append(now)
+        self.retries.append(now)
         return True
 
     def measure_limit(self, vms: int) -> float:
-        """Return the repeats allowed within the window."""
-        part = self.slack * SLACK_SHARE / max(1, vms)
+        """Return how many retries this VM may send within the window.
+
+        :param vms: number of VMs that share the slack
+        """
+        part = self.slack * USABLE_SLACK_SHARE / max(1, vms)
         return self.ratio * len(self.requests) + part
 
     def _expire(self, now: float) -> None:
         oldest = now - self.window_s
-        for times in (self.requests, self.repeats):
+        for times in (self.requests, self.retries):
             while times and times[0] < oldest:
                 times.popleft()
--- a/tests/entry/test_budget.py
+++ b/tests/entry/test_budget.py
@@ -1,4 +1,4 @@
-"""Budget of sends beyond the first."""
+"""Tests of the retry budget."""
 
 from __future__ import annotations
 
@@ -25,12 +25,12 @@
         max_size=400,
     )
 )
-def test_all_vms_together_stay_within_the_sum(events):
-    """Guards against repeats that pile up at a failing service."""
+def test_all_vms_together_stay_within_the_budget(events):
+    """Guards against retries that overload a failing service."""
     vms = 7
     budgets = [make_budget() for _ in range(vms)]
     now = 0.0
-    repeats: list[float] = []
+    retries: list[float] = []
     requests: list[float] = []
     for vm, is_request, passed in events:
         now += passed
@@ -38,26 +38,26 @@
             budgets[vm].note_request(now)
             requests.append(now)
         elif budgets[vm].spend(now, vms):
-            repeats.append(now)
-        recent = [at for at in repeats if at >= now - WINDOW_S]
+            retries.append(now)
+        recent = [at for at in retries if at >= now - WINDOW_S]
         served = [at for at in requests if at >= now - 2 * WINDOW_S]
         assert len(recent) <= RATIO * len(served) + SLACK
 
 
-def test_budget_returns_with_the_window(now):
-    """Guards against a budget that is spent for ever."""
-    found = make_budget()
-    while found.spend(now, 7):
+def test_budget_is_refilled_after_the_window(now):
+    """Guards against a budget that is never refilled."""
+    retry_budget = make_budget()
+    while retry_budget.spend(now, 7):
         pass
-    assert not found.spend(now + 0.9 * WINDOW_S, 7)
-    assert found.spend(now + 1.1 * WINDOW_S, 7)
+    assert not retry_budget.spend(now + 0.9 * WINDOW_S, 7)
+    assert retry_budget.spend(now + 1.1 * WINDOW_S, 7)
 
 
-def test_restarted_vm_leaves_room_in_the_sum(now):
-    """Guards against a slack that every restart grants anew in whole."""
+def test_restarted_vm_stays_within_the_slack(now):
+    """Guards against a restart that grants the whole slack again."""
     spent = 0
     for _ in range(2):
-        found = make_budget()
-        while found.spend(now, 1):
+        retry_budget = make_budget()
+        while retry_budget.spend(now, 1):
             spent += 1
     assert spent <= SLACK
