Reword the lease and its tests

Cause: Docstrings used verbs of speech and chains of clauses. Change: Comments and docstrings reworded, test names and test locals renamed. The machine's docstring claimed clocks of different rates, which it does not model.

--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -1,14 +1,16 @@
 """Lease of the VM that gives orders to the engines.
 
-The lease is the last record of a log partition: the offset is the fencing
-token, and a conditional append decides between candidates. A holder renews by
-appending again. A candidate waits for the whole time of the lease since it
-first knew of the last record, so that holders never overlap whatever their
-clocks say.
-
-Where engines refuse orders with an older token, an overlap does no harm, and
-a candidate waits less: not at all once the holder has said that it stopped or
-that its lease lapsed, and until a missed renewal if the holder is silent.
+The last record of a log partition defines the lease. The end offset after the
+record is the fencing token, and a conditional append decides between
+candidates. The holder renews the lease by appending another record. A
+candidate waits for the whole duration of the lease, counted from when it first
+knew of the last record, so that holders never overlap even if their clocks
+differ.
+
+Where engines refuse orders with an older token, an overlap is harmless and a
+candidate waits for less time. It does not wait once the holder has announced
+that it stopped or that its lease lapsed. If no heartbeat arrives from the
+holder, it waits until the holder has missed a renewal.
 """
 
 from __future__ import annotations
@@ -17,21 +19,23 @@
 
 import attrs
 
-# A holder stops this part of the lease before others may take it.
+# The holder stops giving orders this fraction of the duration before the lease
+# ends.
 HOLDER_MARGIN = 0.2
-# It renews when this part of the lease has passed.
+# The holder renews the lease when this fraction of its duration has passed.
 RENEW_AFTER = 0.4
-# A candidate waits this part of the lease since the last record.
+# A candidate waits for this fraction of the duration since the last record.
 CANDIDATE_WAIT = 1.05
-# The same where the holder is silent and engines check tokens: it has missed
-# a renewal then.
+# The same fraction where the holder is silent and engines check tokens. The
+# holder has missed a renewal by then.
 SILENT_WAIT = 0.6
-# A candidate waits this part of the lease for each one that ranks before it.
+# Additional wait for each candidate with a lower rank, as a fraction of the
+# duration. It keeps candidates from appending at once.
 RANK_DELAY = 0.15
 
 
 class Step(enum.Enum):
-    """What the controller does next."""
+    """Next action of the leadership controller."""
 
     WAIT = "wait"
     APPEND = "append"
@@ -41,14 +45,17 @@
 
 @attrs.define(eq=False)
 class Lease:
-    """What this VM knows of the lease.
+    """State of the lease as this VM knows it.
 
+    :param ttl_s: duration of the lease in seconds
     :param end: offset after the last record, -1 if unknown
-    :param changed_at: when that end was first known here
-    :param token: fencing token while this VM holds the lease
+    :param changed_at: when this VM first knew of that end
+    :param token: fencing token of this VM's last renewal
     :param valid_until: until when this VM may give orders
-    :param released: whether the holder said that it gives no more orders
-    :param checked: whether this VM has read the last record since its start
+    :param renewed_at: when this VM sent its last successful renewal
+    :param holder: VM that holds the lease, empty if unknown
+    :param released: whether the holder announced that it gives no more orders
+    :param checked: whether this VM knows the last record since its start
     """
 
     ttl_s: float
@@ -68,7 +75,7 @@
     def note_end(
         self, end: int, holder: str, now: float, released: bool = False
     ) -> None:
-        """Take in the end of the log that another VM or the log stated."""
+        """Record the end of the log that another VM or the log reported."""
         if end > self.end:
             self.end = end
             self.changed_at = now
@@ -81,10 +88,13 @@
     def note_last(
         self, end: int, own: bool, released: bool, now: float
     ) -> None:
-        """Take in the last record, read after the start of this VM.
+        """Record the last record of the log, read after the start of this VM.
 
-        :param own: it is of an earlier run of this VM, which has ended, and
-            nobody else may give orders meanwhile
+        :param end: offset after the record
+        :param own: whether an earlier run of this VM appended the record. That
+            run has ended and no other VM may give orders, so that this VM need
+            not wait.
+        :param released: whether the record releases the lease
         """
         self.checked = True
         self.note_end(end, "", now)
@@ -95,9 +105,10 @@
             self.changed_at = now - 2 * self.ttl_s
 
     def note_renewed(self, offset: int, sent_at: float, vm: str) -> None:
-        """Take in that an append of this VM was the last record.
+        """Record that this VM appended the last record.
 
-        :param sent_at: when the call was sent, the start of the lease
+        :param offset: offset of the record
+        :param sent_at: when the call was sent, which is when the lease starts
         """
         self.end = offset + 1
         self.token = offset + 1
@@ -109,9 +120,11 @@
         self.checked = True
 
     def note_lapse(self, now: float) -> bool:
-        """Take in that this VM's own lease lapsed, which others may know.
+        """Mark the lease as released if this VM's own lease has lapsed.
 
-        :returns: whether that is new
+        Other VMs may be informed of the lapse.
+
+        :returns: whether the lapse was detected now for the first time
         """
         lapsed = self.token == self.end and not self.is_held(now)
         if not lapsed or self.released:
@@ -120,22 +133,23 @@
         return True
 
     def give_up(self) -> None:
-        """Stop giving orders."""
+        """End this VM's right to give orders."""
         self.valid_until = 0.0
 
 
 @attrs.frozen
 class Situation:
-    """What a step depends on beside the lease.
+    """Conditions besides the lease that determine the next step.
 
-    :param rank: place of this VM among the candidates that live; later ones
-        wait longer, so that not all of them append at once
-    :param stopping: whether this VM stops as planned
+    :param rank: position of this VM among the live candidates. Candidates with
+        a higher rank wait longer, so that not all of them append at once.
+    :param stopping: whether this VM is shutting down as planned
     :param fenced: whether engines refuse orders with an older token. Only
-        then may a successor start before the time of the lease has passed:
-        an order of the former holder that is still on its way is refused.
-    :param has_successor: whether another VM would take the lease
-    :param holder_silent: whether the holder is not heard, though others are
+        then may a successor start before the lease expires, because engines
+        refuse orders of the former holder that are still in flight.
+    :param has_successor: whether another VM can take the lease
+    :param holder_silent: whether heartbeats arrive from other VMs but not from
+        the holder
     """
 
     rank: int = 0
@@ -148,7 +162,10 @@
 def decide_step(
     lease: Lease, situation: Situation, now: float
 ) -> tuple[Step, float]:
-    """Return what to do and when to decide again."""
+    """Return the next step and the time at which to decide again.
+
+    :param now: present time in seconds
+    """
     if lease.is_held(now):
         return _decide_as_holder(lease, situation, now)
     if situation.stopping:
@@ -174,7 +191,7 @@
 
 
 def _measure_wait(lease: Lease, situation: Situation) -> float:
-    """Return the part of the lease for which a candidate waits."""
+    """Return the fraction of the duration for which a candidate waits."""
     if not situation.fenced:
         return CANDIDATE_WAIT
     if lease.released:
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -1,4 +1,4 @@
-"""Lease of the VM that gives orders."""
+"""Tests of the lease of the VM that gives orders."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
     assert step is leases.Step.APPEND
 
 
-def test_lease_counts_from_when_the_call_was_sent(now):
-    """Guards against a holder that slept while its renewal was answered."""
+def test_lease_starts_when_the_call_was_sent(now):
+    """Guards against a holder that was paused until its renewal's answer."""
     lease = leases.Lease(TTL_S)
     lease.note_renewed(4, now, "me")
     assert lease.token == 5
@@ -36,7 +36,7 @@
 
 
 def test_stopping_holder_does_not_renew(now):
-    """Guards against a VM that leaves with the lease."""
+    """Guards against a VM that renews the lease and then stops."""
     lease = leases.Lease(TTL_S)
     lease.note_renewed(4, now, "me")
     stopping = leases.Situation(stopping=True)
@@ -44,7 +44,7 @@
     assert step is leases.Step.WAIT
 
 
-def test_stopping_holder_releases_a_lease_that_engines_check(now):
+def test_stopping_holder_releases_a_fenced_lease(now):
     """Guards against seconds without loads around a planned stop."""
     lease = leases.Lease(TTL_S)
     lease.note_renewed(4, now, "me")
@@ -56,20 +56,20 @@
     assert step is leases.Step.WAIT
 
 
-def test_lease_is_kept_to_its_end_where_engines_check_nothing(now):
-    """Guards against two holders whose orders an engine takes together."""
+def test_lease_is_kept_to_its_end_without_fencing(now):
+    """Guards against an engine that accepts the orders of two holders."""
     lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "other", now, released=True)
-    unchecked = leases.Situation(holder_silent=True)
-    step, due = leases.decide_step(lease, unchecked, now + 0.9 * TTL_S)
+    unfenced = leases.Situation(holder_silent=True)
+    step, due = leases.decide_step(lease, unfenced, now + 0.9 * TTL_S)
     assert step is leases.Step.WAIT
     assert due > now + TTL_S
 
 
 def test_silent_holder_is_succeeded_after_a_missed_renewal(now):
-    """Guards against three seconds without loads after a frozen holder.
+    """Guards against three seconds without loads after a holder froze.
 
-    Replays the incident kst-launchlog bd26: two holders stood still in turn.
+    Reproduces incident kst-launchlog bd26: two holders froze in turn.
     """
     lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "other", now)
@@ -78,8 +78,8 @@
     assert TTL_S * leases.RENEW_AFTER < due - now < 0.7 * TTL_S
 
 
-def test_holder_that_cannot_renew_says_so(now):
-    """Guards against candidates that wait for a holder cut from the store."""
+def test_holder_that_cannot_renew_reports_the_lapse(now):
+    """Guards against waiting for a holder that cannot reach the store."""
     lease = leases.Lease(TTL_S)
     lease.note_renewed(4, now, "me")
     assert not lease.note_lapse(now + 0.5 * TTL_S)
@@ -88,8 +88,8 @@
     assert not lease.note_lapse(now + 0.9 * TTL_S)
 
 
-def test_candidates_take_a_released_lease_in_their_order(now):
-    """Guards against waiting for a holder that said that it stopped."""
+def test_candidates_take_a_released_lease_by_rank(now):
+    """Guards against waiting for a holder that announced its stop."""
     lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "", now, released=True)
     assert leases.decide_step(lease, RANKS[0], now)[0] is leases.Step.APPEND
@@ -98,7 +98,7 @@
     assert due < now + TTL_S / 2
 
 
-def test_record_after_a_release_is_waited_for_again(now):
+def test_candidate_waits_again_for_a_record_after_a_release(now):
     """Guards against two holders after a lease was released and taken."""
     lease = leases.Lease(TTL_S, checked=True)
     lease.note_end(7, "", now, released=True)
@@ -117,11 +117,11 @@
     assert second > first
 
 
-def test_restarted_holder_goes_on_at_once(now):
+def test_restarted_holder_takes_the_lease_at_once(now):
     """Guards against seconds without loads after all VMs were killed.
 
-    The last record is of this VM: its earlier run is over, and a conditional
-    append still loses against any other VM.
+    An earlier run of this VM, which has ended, appended the last record. A
+    conditional append still fails if another VM appended in between.
     """
     lease = leases.Lease(TTL_S)
     lease.note_end(7, "", now)
@@ -130,11 +130,12 @@
     assert leases.decide_step(lease, RANKS[3], now)[0] is leases.Step.APPEND
 
 
-def test_restarted_holder_that_hears_the_end_first_goes_on_at_once(now):
-    """Guards against a wait for its own lease after all VMs restarted.
+def test_restarted_holder_reads_the_record_after_a_heartbeat(now):
+    """Guards against a VM that waits for its own lease after all restarted.
 
-    Replays papyros-fw trouble-1: a heartbeat told the end of the log before
-    the VM's own append had met a conflict, so that nothing read the record.
+    Reproduces papyros-fw trouble-1: a heartbeat reported the end of the log
+    before the VM's own append met a conflict, so that the VM never read the
+    last record.
     """
     lease = leases.Lease(TTL_S)
     assert leases.decide_step(lease, RANKS[0], now)[0] is leases.Step.APPEND
@@ -147,10 +148,10 @@
 
 
 class LeaseMachine(stateful.RuleBasedStateMachine):
-    """VMs with clocks of their own rate, lost answers, pauses and restarts.
+    """Checks the lease under lost answers, pauses and restarts of VMs.
 
-    However answers are lost and VMs sleep, no two believe to hold the lease
-    unless one was taken for silent, and tokens rise.
+    Two VMs hold the lease at once only if a holder was taken for silent, and
+    tokens always rise.
     """
 
     vms = 3
@@ -161,11 +162,11 @@
         self.records: list[str] = []
         self.leases = [leases.Lease(TTL_S) for _ in range(self.vms)]
         self.last_token = 0
-        self.overlaps = False
+        self.overlap_allowed = False
 
     @stateful.rule(seconds=strategies.floats(0.01, 4.0))
     def pass_time(self, seconds: float) -> None:
-        """Time passes for all, also for those that sleep."""
+        """Advance the time for all VMs, including paused ones."""
         self.now += seconds
 
     @stateful.rule(
@@ -183,15 +184,15 @@
         answered: bool,
         took: float,
     ) -> None:
-        """A VM acts on what it knows."""
+        """Let a VM decide and carry out its next step."""
         lease = self.leases[vm]
         lease.note_lapse(self.now)
         situation = leases.Situation(vm, stopping, True, True, silent)
         step, _ = leases.decide_step(lease, situation, self.now)
-        calm = attrs.evolve(situation, holder_silent=False)
-        if step is not leases.decide_step(lease, calm, self.now)[0]:
-            # The former holder may sleep until its time has passed.
-            self.overlaps = True
+        reachable = attrs.evolve(situation, holder_silent=False)
+        if step is not leases.decide_step(lease, reachable, self.now)[0]:
+            # The former holder may be paused until its lease has expired.
+            self.overlap_allowed = True
         match step:
             case leases.Step.READ if answered:
                 lease.note_last(
@@ -215,7 +216,7 @@
     def _append(
         self, lease: leases.Lease, record: str, answered: bool, took: float
     ) -> bool:
-        """Append on a condition; return whether the VM knows that it did."""
+        """Append conditionally; return whether the VM knows of its success."""
         if max(0, lease.end) != len(self.records):
             if answered:
                 lease.note_end(len(self.records), "", self.now + took)
@@ -232,25 +233,25 @@
 
     @stateful.rule(vm=strategies.integers(0, vms - 1))
     def restart(self, vm: int) -> None:
-        """A VM is killed and starts again, knowing nothing."""
+        """Kill a VM and start it again without any state."""
         self.leases[vm] = leases.Lease(TTL_S)
 
     @stateful.rule(
-        teller=strategies.integers(0, vms - 1),
-        told=strategies.integers(0, vms - 1),
+        sender=strategies.integers(0, vms - 1),
+        receiver=strategies.integers(0, vms - 1),
     )
-    def gossip(self, teller: int, told: int) -> None:
-        """A heartbeat arrives."""
-        source = self.leases[teller]
-        self.leases[told].note_end(
+    def gossip(self, sender: int, receiver: int) -> None:
+        """Deliver a heartbeat from one VM to another."""
+        source = self.leases[sender]
+        self.leases[receiver].note_end(
             source.end, source.holder, self.now, source.released
         )
 
     @stateful.invariant()
-    def hold_one(self) -> None:
-        """At most one VM may give orders, or engines tell them apart."""
+    def check_single_holder(self) -> None:
+        """At most one VM may give orders unless engines can tell two apart."""
         held = [item for item in self.leases if item.is_held(self.now)]
-        assert len(held) <= 1 or self.overlaps
+        assert len(held) <= 1 or self.overlap_allowed
         assert len({item.token for item in held}) == len(held)
 
 
