Reword the comments of the endpoint table

Cause: Docstrings said what a VM believes instead of what the fields hold. Change: Comments and docstrings reworded; ANNOUNCEMENT_AGE_S is MAX_ANNOUNCEMENT_DELAY_S, private accessors say that they handle versions.

--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -1,29 +1,31 @@
-"""What this VM believes of the endpoints."""
+"""Endpoints and the models and adapters that they hold, as known here."""
 
 from __future__ import annotations
 
 import attrs
 
-# Model and adapter that a request is for; no adapter for the bare model.
+# Model and adapter that a request is for. The adapter is empty where the
+# request is for the base model.
 Need = tuple[str, str]
 
-# Announcements reach this VM at most about this late.
-ANNOUNCEMENT_AGE_S = 3.0
+# Announcements reach this VM with at most about this delay.
+MAX_ANNOUNCEMENT_DELAY_S = 3.0
 
 
 @attrs.define(eq=False)
 class Endpoint:
-    """An endpoint as it was last announced.
+    """An endpoint with its last announcement and later placements.
 
-    :param identity: its id, new with most starts
-    :param started_ms: Unix time of its start
-    :param announced: count of its announcements
+    :param identity: id of the endpoint, which changes with most starts
+    :param started_ms: Unix time of the endpoint's start, in milliseconds
+    :param announced: number of the latest announcement
+    :param models: version of each base model held, by name
     :param adapters: version of each adapter held, by model and name
-    :param leaving_since: when it was first known to leave
-    :param removed_at: from when on it counts as gone
-    :param gone_at: when it will be stopped, if that was announced
-    :param placed_at: when the holder of the lease last said whether it holds
-        a model or an adapter
+    :param leaving_since: when this VM first knew that the endpoint is leaving
+    :param removed_at: time from which the endpoint counts as removed
+    :param gone_at: when the endpoint will be stopped, if that was announced
+    :param placed_at: when the holder of the lease last reported whether the
+        endpoint holds a model or an adapter
     """
 
     identity: str
@@ -41,13 +43,13 @@
     placed_at: dict[Need, float] = attrs.field(factory=dict)
 
     def is_usable(self, now: float) -> bool:
-        """Return whether new work may be sent there."""
+        """Return whether new requests may be sent to the endpoint."""
         if self.leaving_since is not None:
             return False
         return self.removed_at is None or now < self.removed_at
 
     def holds(self, need: Need, version: int) -> bool:
-        """Return whether a model or an adapter is held.
+        """Return whether the endpoint holds a model or an adapter.
 
         :param version: oldest version of the adapter that may be used
         """
@@ -57,12 +59,12 @@
         return self.adapters.get(need, 0) >= version
 
     def place(self, need: Need, version: int, now: float) -> None:
-        """Take in what the holder of the lease says of a model or adapter.
+        """Apply a report of the lease holder about a model or an adapter.
 
         :param version: version held, 0 for none
         """
         self.placed_at[need] = now
-        self._set(need, version)
+        self._set_version(need, version)
 
     def announce(
         self,
@@ -70,29 +72,29 @@
         adapters: dict[Need, int],
         now: float,
     ) -> None:
-        """Take in what the endpoint says that it holds.
+        """Apply the models and adapters that the endpoint announced.
 
-        An announcement is some time old, so that what the holder of the lease
-        said meanwhile stands.
+        An announcement arrives with a delay. Reports that the holder of the
+        lease sent within that delay are newer and take precedence.
         """
         self.placed_at = {
             need: at
             for need, at in self.placed_at.items()
-            if now - at < ANNOUNCEMENT_AGE_S
+            if now - at < MAX_ANNOUNCEMENT_DELAY_S
         }
-        kept = {need: self._get(need) for need in self.placed_at}
+        kept = {need: self._get_version(need) for need in self.placed_at}
         self.models = dict(models)
         self.adapters = dict(adapters)
         for need, version in kept.items():
-            self._set(need, version)
+            self._set_version(need, version)
 
-    def _get(self, need: Need) -> int:
+    def _get_version(self, need: Need) -> int:
         model, adapter = need
         if adapter:
             return self.adapters.get(need, 0)
         return self.models.get(model, 0)
 
-    def _set(self, need: Need, version: int) -> None:
+    def _set_version(self, need: Need, version: int) -> None:
         model, adapter = need
         if adapter and version:
             self.adapters[need] = version
@@ -106,24 +108,24 @@
 
 @attrs.define(eq=False)
 class EndpointTable:
-    """All endpoints, by id and by service."""
+    """All known endpoints by id and by service."""
 
     by_identity: dict[str, Endpoint] = attrs.field(factory=dict)
     by_service: dict[str, list[Endpoint]] = attrs.field(factory=dict)
 
     def add(self, endpoint: Endpoint) -> None:
-        """Enter an endpoint, in place of one with the same id."""
+        """Add an endpoint, replacing one with the same id."""
         self.remove(endpoint.identity)
         self.by_identity[endpoint.identity] = endpoint
         self.by_service.setdefault(endpoint.service, []).append(endpoint)
 
     def remove(self, identity: str) -> Endpoint | None:
-        """Remove an endpoint."""
+        """Remove an endpoint and return it, or None if the id is unknown."""
         endpoint = self.by_identity.pop(identity, None)
         if endpoint is not None:
             self.by_service[endpoint.service].remove(endpoint)
         return endpoint
 
     def list_service(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service, whatever their state."""
+        """Return all endpoints of a service, including unusable ones."""
         return self.by_service.get(service, [])
