Reword the loading plan, its state and the orders

Cause: Heat, seen, flight, places and similar words were private to the project. Change: Comments and docstrings reworded. heat is decayed_use, seen is cached, flight is in_flight_level, expect is estimate; private functions and constants follow the same terms; test names and locals renamed.

--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -1,10 +1,11 @@
-"""Which engine loads an adapter, and what it drops for that.
-
-Load pattern: thousands of adapters over some hundred places, most requests
-for a few of them, a long tail of rare ones, and demand that moves on within
-seconds. An adapter goes to an engine that probably held it before, which
-loads it from its own memory, unless that engine is much busier; the adapter
-dropped for it is idle and the least used lately.
+"""Placement of adapters on engines, and eviction of other adapters.
+
+Load pattern: thousands of adapters share a few hundred adapter slots. Most
+requests are for a few adapters, the rest for a long tail of rare ones, and
+demand shifts within seconds. An adapter is loaded by an engine that probably
+held it before and can load it from its own memory, unless that engine is much
+busier than others. The adapter evicted for it is idle and has the lowest
+decayed use.
 """
 
 from __future__ import annotations
@@ -20,36 +21,39 @@
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import routes
 
-# Adapters that an engine may have on their way from the weight store.
-MOST_PENDING = 4
-# An adapter counts as idle when no VM used it for this time, which is longer
-# than news of a request takes to arrive.
+# Maximum number of adapters that one engine may be loading from the weight
+# store at once.
+MAX_PENDING = 4
+# An adapter counts as idle when no VM has used it for this time. Reports of
+# requests from other VMs arrive in less time than this.
 IDLE_S = 0.15
-# What a place in the order of preference weighs against load, where 1 is the
-# mean load of the engines.
+# Weight of an engine's position in the order of preference. The load of an
+# engine counts in the same unit, in which the mean load of the engines is 1.
 RANK_WEIGHT = 1.0
-# A demand waits this long for an engine that held the adapter before. It loads
-# in a tenth of the time there, and nothing is fetched from the weight store.
+# A demand waits this long for an engine that held the adapter before. A load
+# there takes a tenth of the time and fetches nothing from the weight store.
 WARM_WAIT_S = 0.25
-# What the use of the adapter to drop weighs against load.
-HEAT_WEIGHT = 0.1
-# Engines that leave sooner than this load nothing more.
-LEAVING_S = 5.0
-# A new holder of the lease hears for this time what is in use before it drops
-# anything.
-LISTEN_S = 0.4
-# A rejection this soon after a load means that the load takes longer.
+# Weight of the evicted adapter's decayed use against the load of the engine.
+DECAYED_USE_WEIGHT = 0.1
+# Engines that will be stopped in less than this time get no more orders.
+MIN_REMAINING_S = 5.0
+# A new holder of the lease collects reports of used adapters for this time
+# before it evicts anything.
+USE_COLLECTION_S = 0.4
+# A rejection this soon after a load was announced means that the load takes
+# longer than expected.
 FRESH_S = 1.0
-# An adapter that was loaded is kept for the requests that wait for it until
-# the first of them uses it, or for this time.
+# A loaded adapter is kept for the requests that wait for it until the first of
+# them uses it, but no longer than this time.
 KEEP_LOADED_S = 1.0
 
 
 @attrs.frozen
 class Plan:
-    """An engine that loads an adapter.
+    """Decision that an engine loads an adapter.
 
-    :param victim: adapter that it drops first
+    :param version: version of the adapter to load
+    :param victim: adapter that the engine unloads first, if any
     """
 
     endpoint: endpoints.Endpoint
@@ -58,8 +62,11 @@
     victim: endpoints.Need | None = None
 
 
-def measure_rank(need: endpoints.Need, identity: str) -> int:
-    """Return the weight of an engine for an adapter, the same at all VMs."""
+def compute_hash_weight(need: endpoints.Need, identity: str) -> int:
+    """Return the rendezvous hash of an adapter and an engine.
+
+    The value is the same on all VMs.
+    """
     text = f"{need[0]}/{need[1]}/{identity}".encode()
     digest = hashlib.blake2b(text, digest_size=8).digest()
     return int.from_bytes(digest, "big")
@@ -73,19 +80,20 @@
     engine: routes.Engine,
     now: float,
 ) -> Plan | None:
-    """Return where an adapter is loaded, or nothing if no engine can.
+    """Return the engine that loads an adapter at the least cost.
 
-    :param candidates: engines that take an order now
-    :param loads: requests in progress at each engine against the mean
+    :param candidates: engines that accept an order now
+    :param loads: requests in progress at each engine, relative to the mean
+    :returns: the plan, or None if no engine can load the adapter now
     """
     ranked = sorted(
         candidates,
-        key=lambda item: measure_rank(demand.need, item.identity),
+        key=lambda item: compute_hash_weight(demand.need, item.identity),
         reverse=True,
     )
     best: tuple[float, Plan] | None = None
     for rank, endpoint in enumerate(ranked):
-        found = _weigh(endpoint, demand, state, engine, now)
+        found = _plan_on_engine(endpoint, demand, state, engine, now)
         if found is None:
             continue
         cost, plan = found
@@ -96,70 +104,73 @@
     return best[1] if best else None
 
 
-def _weigh(
+def _plan_on_engine(
     endpoint: endpoints.Endpoint,
     demand: loadstate.Demand,
     state: loadstate.LoadingState,
     engine: routes.Engine,
     now: float,
 ) -> tuple[float, Plan] | None:
-    """Return the cost of loading at an engine, if it can be done now."""
+    """Return the cost and plan of a load at an engine, if it is possible."""
     if demand.need[0] not in endpoint.models:
         return None
-    known = state.find_engine(endpoint)
-    if len(known.pending) >= MOST_PENDING:
+    engine_state = state.find_engine(endpoint)
+    if len(engine_state.pending) >= MAX_PENDING:
         return None
-    if demand.need in known.held:
-        # A replacement takes a place of its own until the old version goes,
-        # so that the old one is dropped first.
-        if _is_idle(endpoint, demand.need, known, state, now):
+    if demand.need in engine_state.held:
+        # A new version occupies a slot of its own until the old version is
+        # unloaded, so the old version is unloaded first.
+        if _is_evictable(endpoint, demand.need, engine_state, state, now):
             return -1.0, Plan(
                 endpoint, demand.need, demand.version, demand.need
             )
         return None
-    if len(known.held) < engine.places:
+    if len(engine_state.held) < engine.places:
         return 0.0, Plan(endpoint, demand.need, demand.version)
-    idle = [
+    evictable = [
         need
-        for need in known.held
-        if _is_idle(endpoint, need, known, state, now)
+        for need in engine_state.held
+        if _is_evictable(endpoint, need, engine_state, state, now)
     ]
-    if not idle:
+    if not evictable:
         return None
-    victim = min(idle, key=lambda need: _rate(endpoint, need, state, now))
-    heat = state.measure_heat(victim, now)
-    return HEAT_WEIGHT * heat, Plan(
+    victim = min(
+        evictable,
+        key=lambda need: _make_eviction_key(endpoint, need, state, now),
+    )
+    decayed_use = state.measure_decayed_use(victim, now)
+    return DECAYED_USE_WEIGHT * decayed_use, Plan(
         endpoint, demand.need, demand.version, victim
     )
 
 
-def _is_idle(
+def _is_evictable(
     endpoint: endpoints.Endpoint,
     need: endpoints.Need,
-    known: loadstate.EngineState,
+    engine_state: loadstate.EngineState,
     state: loadstate.LoadingState,
     now: float,
 ) -> bool:
-    """Return whether an adapter may be dropped."""
-    if need in known.pending or need in known.unloading:
+    """Return whether an adapter may be evicted from an engine."""
+    if need in engine_state.pending or need in engine_state.unloading:
         return False
-    if state.started_at is None or now - state.started_at < LISTEN_S:
+    if state.started_at is None or now - state.started_at < USE_COLLECTION_S:
         return False
     used_at = state.used_at.get((endpoint.identity, need), 0.0)
-    loaded_at = known.loaded_at.get(need, 0.0)
+    loaded_at = engine_state.loaded_at.get(need, 0.0)
     if used_at < loaded_at and now - loaded_at < KEEP_LOADED_S:
         return False
     return now - used_at >= IDLE_S
 
 
-def _rate(
+def _make_eviction_key(
     endpoint: endpoints.Endpoint,
     need: endpoints.Need,
     state: loadstate.LoadingState,
     now: float,
 ) -> tuple[float, float]:
     return (
-        state.measure_heat(need, now),
+        state.measure_decayed_use(need, now),
         state.used_at.get((endpoint.identity, need), 0.0),
     )
 
@@ -167,30 +178,34 @@
 def can_order(
     endpoint: endpoints.Endpoint, state: loadstate.LoadingState, now: float
 ) -> bool:
-    """Return whether an engine takes an order now."""
-    known = state.find_engine(endpoint)
-    if endpoint.gone_at is not None and endpoint.gone_at - now < LEAVING_S:
+    """Return whether an engine accepts an order now."""
+    engine_state = state.find_engine(endpoint)
+    if (
+        endpoint.gone_at is not None
+        and endpoint.gone_at - now < MIN_REMAINING_S
+    ):
         return False
     return (
         endpoint.is_usable(now)
-        and not known.ordering
-        and known.check_at is None
-        and now >= known.silent_until
-        and now >= known.loading_until
+        and not engine_state.ordering
+        and engine_state.check_at is None
+        and now >= engine_state.silent_until
+        and now >= engine_state.loading_until
     )
 
 
 def order_demands(
     demands: Iterable[loadstate.Demand], margin_s: float, now: float
 ) -> list[loadstate.Demand]:
-    """Return demands in the order in which they are met.
+    """Return demands in the order in which they are served.
 
-    Load pattern: a burst that asks for more adapters than there are places.
-    Those that can still be on time come first, the most urgent in front; then
-    the late ones, the latest last, since in the order of their arrival every
-    request would be late. Further copies come after all others.
+    Load pattern: a burst of demands for more adapters than there are slots.
+    Demands that can still be met on time come first, most urgent first. Late
+    demands follow, the latest last. If demands were served in the order of
+    their arrival, every request would be late. Demands for additional copies
+    come after all others.
 
-    :param margin_s: time from an order to the first event
+    :param margin_s: time in seconds from an order to the first event
     """
     soonest = now + margin_s
     return sorted(
@@ -209,15 +224,16 @@
     engine: routes.Engine,
     now: float,
 ) -> bool:
-    """Return whether an engine has a free place or an idle adapter."""
-    known = state.find_engine(endpoint)
-    return len(known.held) < engine.places or any(
-        _is_idle(endpoint, need, known, state, now) for need in known.held
+    """Return whether an engine has a free slot or an evictable adapter."""
+    engine_state = state.find_engine(endpoint)
+    return len(engine_state.held) < engine.places or any(
+        _is_evictable(endpoint, need, engine_state, state, now)
+        for need in engine_state.held
     )
 
 
 def prefer_warm(
-    able: list[endpoints.Endpoint],
+    available: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
     holders: list[endpoints.Endpoint],
     demand: loadstate.Demand,
@@ -227,27 +243,29 @@
     """Return the engines that may load an adapter now.
 
     Load pattern: in a burst the engine that held an adapter before has no
-    idle place at the moment, and another one would fetch it anew. A further
-    copy goes to an engine that does not hold the adapter now.
+    evictable slot at the moment, and another engine would fetch the adapter
+    from the weight store again. A demand therefore waits briefly for such an
+    engine. Additional copies go to engines that do not hold the adapter now.
 
-    :param able: engines that take an order now
-    :param holders: engines that hold the adapter or will soon
+    :param available: engines that accept an order now
+    :param candidates: all engines of the service
+    :param holders: engines that hold the adapter or are loading it
     """
     if holders:
-        able = [item for item in able if item not in holders]
+        available = [item for item in available if item not in holders]
     if now - demand.since > WARM_WAIT_S:
-        return able
+        return available
     warm = {
         item.identity
         for item in candidates
         if item.is_usable(now)
-        and state.find_engine(item).has_seen(demand.need)
+        and state.find_engine(item).is_cached(demand.need)
         and now >= state.find_engine(item).silent_until
         and item not in holders
     }
     if not warm:
-        return able
-    return [item for item in able if item.identity in warm]
+        return available
+    return [item for item in available if item.identity in warm]
 
 
 def list_holders(
@@ -256,19 +274,20 @@
     state: loadstate.LoadingState,
     now: float,
 ) -> list[endpoints.Endpoint]:
-    """Return the engines that hold an adapter or will soon."""
+    """Return the engines that hold an adapter or are loading it."""
     return [
         item
         for item in candidates
-        if item.is_usable(now) and _holds(state.find_engine(item), demand, now)
+        if item.is_usable(now)
+        and _will_hold(state.find_engine(item), demand, now)
     ]
 
 
-def _holds(
-    known: loadstate.EngineState, demand: loadstate.Demand, now: float
+def _will_hold(
+    engine_state: loadstate.EngineState, demand: loadstate.Demand, now: float
 ) -> bool:
     return (
-        now >= known.silent_until
-        and known.held.get(demand.need, 0) >= demand.version
-        and demand.need not in known.unloading
+        now >= engine_state.silent_until
+        and engine_state.held.get(demand.need, 0) >= demand.version
+        and demand.need not in engine_state.unloading
     )
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -1,4 +1,4 @@
-"""What the holder of the lease keeps of engines, demands and uses."""
+"""State that the lease holder keeps of engines, demands and adapter use."""
 
 from __future__ import annotations
 
@@ -9,41 +9,46 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loadtimes
 
-# Half-life of the use of adapters.
-HEAT_HALF_S = 15.0
-# Use below this, in requests times seconds, is forgotten.
-LEAST_HEAT = 0.001
-# Adapters per engine that are remembered as held before. Engines keep the
-# weights of the latest ones only.
-MOST_SEEN = 128
-# Time from a request's arrival at an engine to the first event.
+# Half-life of the decayed use of an adapter.
+USE_HALF_LIFE_S = 15.0
+# Decayed use below this, in requests times seconds, is discarded.
+MIN_DECAYED_USE = 0.001
+# Maximum number of adapters per engine that are recorded as held before.
+# Engines keep only the weights of the most recent ones in memory.
+MAX_CACHED = 128
+# Time from the arrival of a request at an engine to the first event.
 FIRST_EVENT_S = 0.15
-# Loads on their way are counted in steps of this many, since many slow each
-# other down.
-FLIGHT_STEP = 8
+# Loads in progress are grouped in steps of this many, because concurrent loads
+# slow each other down.
+IN_FLIGHT_STEP = 8
 
 
 @attrs.define(eq=False)
 class EngineState:
-    """What the holder of the lease knows of one engine.
-
-    :param sequence: orders that the engine has accepted
-    :param seen: adapters that the engine held before, the latest last
-    :param held: version of each adapter that takes a place, also of those
-        that are on their way or being dropped
-    :param pending: when each adapter on its way will be there
-    :param unloading: adapters that the engine drops once their requests end
+    """State of one engine as the holder of the lease knows it.
+
+    :param started_ms: Unix time of the engine's start, in milliseconds
+    :param sequence: number of orders that the engine has accepted
+    :param held: version of each adapter that occupies a slot, including
+        adapters that are being loaded or unloaded
+    :param cached: adapters that the engine holds or held before, the most
+        recent last; their weights are probably still in its memory
+    :param pending: when each adapter that is being loaded is expected to be
+        ready
+    :param unloading: adapters that the engine unloads once their requests end
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
-    :param ordering: an order has not been answered yet
-    :param silent_until: until when it counts as out of reach
-    :param check_at: when to ask for a report before the next order
+    :param ordering: whether an order or a check has not been answered yet
+    :param silent_until: until when the engine counts as unreachable
+    :param check_at: when to request a report, which has to precede the next
+        order; None if no report is needed
+    :param loading_until: until when a base model may still be loading
     """
 
     started_ms: int
     sequence: int = 0
     held: dict[endpoints.Need, int] = attrs.field(factory=dict)
-    seen: dict[endpoints.Need, None] = attrs.field(factory=dict)
+    cached: dict[endpoints.Need, None] = attrs.field(factory=dict)
     pending: dict[endpoints.Need, float] = attrs.field(factory=dict)
     unloading: set[endpoints.Need] = attrs.field(factory=set)
     loaded_at: dict[endpoints.Need, float] = attrs.field(factory=dict)
@@ -53,19 +58,19 @@
     check_at: float | None = 0.0
     loading_until: float = 0.0
 
-    def note_seen(self, need: endpoints.Need) -> None:
-        """Take in that the engine holds an adapter."""
-        self.seen.pop(need, None)
-        self.seen[need] = None
-        while len(self.seen) > MOST_SEEN:
-            del self.seen[next(iter(self.seen))]
+    def record_cached(self, need: endpoints.Need) -> None:
+        """Record that the engine holds an adapter."""
+        self.cached.pop(need, None)
+        self.cached[need] = None
+        while len(self.cached) > MAX_CACHED:
+            del self.cached[next(iter(self.cached))]
 
-    def has_seen(self, need: endpoints.Need) -> bool:
-        """Return whether the engine has an adapter's weights, probably."""
-        return need in self.seen
+    def is_cached(self, need: endpoints.Need) -> bool:
+        """Return whether the engine probably has an adapter's weights."""
+        return need in self.cached
 
     def forget(self) -> None:
-        """Drop what is known of adapters that take no place."""
+        """Discard load times and kinds of adapters that occupy no slot."""
         for times in (self.loaded_at, self.kinds):
             for need in set(times) - set(self.held):
                 del times[need]
@@ -73,11 +78,14 @@
 
 @attrs.define(eq=False)
 class Demand:
-    """An adapter that VMs asked for and no engine holds yet.
-
-    :param since: when it was first asked for
-    :param due: until when the most urgent request that can still be on time
-        is on time, or the latest of those that cannot
+    """An adapter that VMs requested and too few engines hold yet.
+
+    :param version: oldest version of the adapter that may be used
+    :param copies: number of engines that should hold the adapter
+    :param due: deadline of the most urgent request that can still be met on
+        time, or the latest deadline if none can
+    :param last_at: when the adapter was last requested
+    :param since: when the adapter was first requested
     """
 
     service: str
@@ -89,12 +97,14 @@
     since: float
 
     def note_due(self, due: float, soonest: float) -> None:
-        """Take in one more request.
+        """Update the deadline for one more request.
 
-        The time of newer requests must not stand for the older ones: a
-        demand that is asked for again and again would never be urgent.
+        The deadline of a newer request must not replace that of an older one.
+        Otherwise a demand that is requested repeatedly would never become
+        urgent.
 
-        :param soonest: earliest time of a first event
+        :param due: deadline of the request
+        :param soonest: earliest possible time of a first event
         """
         if self.due >= soonest and due >= soonest:
             self.due = min(self.due, due)
@@ -104,24 +114,33 @@
 
 @attrs.define(eq=False)
 class LoadingState:
-    """All that the holder of the lease keeps.
-
-    :param heat: decayed use of each adapter, and as of when
-    :param used_at: when an adapter was last in use at an engine
-    :param started_at: since when this VM gives orders, if it does
-    :param ended: it gives no more orders, and announces its last loads
-    :param times: how long loads take
+    """Complete loading state of the holder of the lease.
+
+    :param engines: state of each engine by its id
+    :param demands: unmet demands by service, model and adapter
+    :param decayed_use: decayed use of each adapter and the time that it is for
+    :param used_at: when each adapter was last in use at each engine
+    :param uses_updated_at: when the use of adapters was last recorded
+    :param started_at: when this VM started to give orders; None if it gives
+        none
+    :param ended: whether this VM gives no more orders and only announces its
+        last loads
+    :param times: expected durations of loads
+    :param model_loads: times of recent orders to load a base model
+    :param forgot_at: when obsolete entries were last discarded
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
     demands: dict[tuple[str, endpoints.Need], Demand] = attrs.field(
         factory=dict
     )
-    heat: dict[endpoints.Need, tuple[float, float]] = attrs.field(factory=dict)
+    decayed_use: dict[endpoints.Need, tuple[float, float]] = attrs.field(
+        factory=dict
+    )
     used_at: dict[tuple[str, endpoints.Need], float] = attrs.field(
         factory=dict
     )
-    noted_at: float = 0.0
+    uses_updated_at: float = 0.0
     started_at: float | None = None
     ended: bool = False
     times: loadtimes.LoadTimes = attrs.field(factory=loadtimes.LoadTimes)
@@ -129,7 +148,7 @@
     forgot_at: float = 0.0
 
     def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
-        """Return the state of an engine, new after another start."""
+        """Return the state of an engine, which is reset when it restarts."""
         state = self.engines.get(endpoint.identity)
         if state is None or state.started_ms != endpoint.started_ms:
             state = EngineState(endpoint.started_ms)
@@ -139,42 +158,47 @@
     def note_uses(
         self, uses: Mapping[tuple[str, endpoints.Need], int], now: float
     ) -> None:
-        """Take in what is in use now."""
-        elapsed = min(1.0, max(0.0, now - self.noted_at))
-        self.noted_at = now
+        """Record which adapters are in use now.
+
+        :param uses: number of VMs that use each adapter, by engine and adapter
+        """
+        elapsed = min(1.0, max(0.0, now - self.uses_updated_at))
+        self.uses_updated_at = now
         for (identity, need), count in uses.items():
             self.used_at[(identity, need)] = now
-            heat = self.measure_heat(need, now) + count * elapsed
-            self.heat[need] = (heat, now)
+            decayed_use = self.measure_decayed_use(need, now) + count * elapsed
+            self.decayed_use[need] = (decayed_use, now)
 
-    def measure_heat(self, need: endpoints.Need, now: float) -> float:
-        """Return the decayed use of an adapter."""
-        value, at = self.heat.get(need, (0.0, now))
-        return value * 0.5 ** ((now - at) / HEAT_HALF_S)
+    def measure_decayed_use(self, need: endpoints.Need, now: float) -> float:
+        """Return the decayed use of an adapter in requests times seconds."""
+        value, at = self.decayed_use.get(need, (0.0, now))
+        return value * 0.5 ** ((now - at) / USE_HALF_LIFE_S)
 
     def forget(self, now: float) -> None:
-        """Drop what decides nothing any more."""
+        """Discard entries that no longer affect any decision."""
         self.forgot_at = now
         self.used_at = {
             (identity, need): at
             for (identity, need), at in self.used_at.items()
             if identity in self.engines and need in self.engines[identity].held
         }
-        self.heat = {
+        self.decayed_use = {
             need: found
-            for need, found in self.heat.items()
-            if self.measure_heat(need, now) > LEAST_HEAT
+            for need, found in self.decayed_use.items()
+            if self.measure_decayed_use(need, now) > MIN_DECAYED_USE
         }
-        for known in self.engines.values():
-            known.forget()
+        for engine in self.engines.values():
+            engine.forget()
 
     def measure_margin(self) -> float:
-        """Return the time from an order to the first event."""
-        return self.times.expect(loadtimes.UNKNOWN_KIND) + FIRST_EVENT_S
+        """Return the expected seconds from an order to the first event."""
+        return self.times.estimate(loadtimes.UNKNOWN_KIND) + FIRST_EVENT_S
 
     def classify_load(
-        self, known: EngineState, need: endpoints.Need
+        self, engine: EngineState, need: endpoints.Need
     ) -> loadtimes.LoadKind:
-        """Return the kind of a load that starts now."""
-        flight = sum(len(item.pending) for item in self.engines.values())
-        return loadtimes.LoadKind(known.has_seen(need), flight // FLIGHT_STEP)
+        """Return the kind of a load that an engine starts now."""
+        in_flight = sum(len(item.pending) for item in self.engines.values())
+        return loadtimes.LoadKind(
+            engine.is_cached(need), in_flight // IN_FLIGHT_STEP
+        )
--- a/src/bronzetrack/entry/loadtimes.py
+++ b/src/bronzetrack/entry/loadtimes.py
@@ -1,32 +1,33 @@
-"""How long engines take to load adapters, learnt from both sides."""
+"""Expected load times of adapters, learnt from early and timely loads."""
 
 from __future__ import annotations
 
 import attrs
 
-# Expected time of a load before any was seen.
-FIRST_LOAD_S = 0.3
-# A load that an engine has in its own memory takes a tenth of the time; the
-# expectation starts a little higher.
-WARM_SHARE = 0.2
-LOAD_LOW_S = 0.01
-LOAD_HIGH_S = 5.0
-# A load that was announced too early raises the expectation, one that was not
-# lowers it: one in fifty is announced too early.
-LOAD_RAISE = 1.06
-LOAD_LOWER = 0.9988
+# Expected duration of a load before any was observed.
+INITIAL_LOAD_S = 0.3
+# A load from the engine's own memory takes a tenth of the time. The estimate
+# starts a little higher than that.
+WARM_LOAD_SHARE = 0.2
+# Bounds of the estimates.
+MIN_LOAD_S = 0.01
+MAX_LOAD_S = 5.0
+# A load that was announced too early raises the estimate and any other load
+# lowers it, so that about one in fifty is announced too early.
+EARLY_LOAD_FACTOR = 1.06
+TIMELY_LOAD_FACTOR = 0.9988
 
 
 @attrs.frozen
 class LoadKind:
-    """Loads that take about the same time.
+    """Class of loads that take about the same time.
 
-    :param warm: the engine held the adapter before
-    :param flight: loads on their way, in steps
+    :param warm: whether the engine held the adapter before
+    :param in_flight_level: loads in progress over all engines, in steps
     """
 
     warm: bool
-    flight: int
+    in_flight_level: int
 
 
 UNKNOWN_KIND = LoadKind(False, 0)
@@ -34,27 +35,27 @@
 
 @attrs.define(eq=False)
 class LoadTimes:
-    """Learnt times of loads, by kind."""
+    """Learnt load times in seconds by kind of load."""
 
     by_kind: dict[LoadKind, float] = attrs.field(factory=dict)
 
-    def expect(self, kind: LoadKind) -> float:
-        """Return how long a load is expected to take, in seconds."""
-        known = self.by_kind.get(kind)
-        if known is not None:
-            return known
-        if kind.flight:
-            return self.expect(LoadKind(kind.warm, kind.flight - 1))
+    def estimate(self, kind: LoadKind) -> float:
+        """Return the expected duration of a load in seconds."""
+        learned_s = self.by_kind.get(kind)
+        if learned_s is not None:
+            return learned_s
+        if kind.in_flight_level:
+            return self.estimate(LoadKind(kind.warm, kind.in_flight_level - 1))
         if kind.warm:
-            return WARM_SHARE * self.expect(LoadKind(False, 0))
-        return FIRST_LOAD_S
+            return WARM_LOAD_SHARE * self.estimate(LoadKind(False, 0))
+        return INITIAL_LOAD_S
 
     def note_early(self, kind: LoadKind) -> None:
-        """Take in that a load was announced too early."""
-        raised = min(LOAD_HIGH_S, self.expect(kind) * LOAD_RAISE)
+        """Raise the estimate after a load that was announced too early."""
+        raised = min(MAX_LOAD_S, self.estimate(kind) * EARLY_LOAD_FACTOR)
         self.by_kind[kind] = raised
 
     def note_announced(self, kind: LoadKind) -> None:
-        """Take in that a load was announced."""
-        lowered = max(LOAD_LOW_S, self.expect(kind) * LOAD_LOWER)
+        """Lower the estimate after a load was announced."""
+        lowered = max(MIN_LOAD_S, self.estimate(kind) * TIMELY_LOAD_FACTOR)
         self.by_kind[kind] = lowered
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -1,4 +1,4 @@
-"""Carries out orders to engines, and asks them for reports."""
+"""Sends load and unload orders to engines and requests their reports."""
 
 from __future__ import annotations
 
@@ -20,17 +20,17 @@
     from bronzetrack.platform import documents
 
 LOG = logging.getLogger(__name__)
-# Reports are some hundred milliseconds old.
+# Reports are a few hundred milliseconds old.
 REPORT_LAG_S = 0.35
-# While a base model loads, its engine is asked this often whether it is there.
-# A load from its own disk takes a fraction of the stated time.
+# Interval at which an engine is asked for a report while it loads a base
+# model. A load from the engine's own disk takes a fraction of the stated time.
 MODEL_CHECK_S = 0.25
 
 
 class Orderer:
-    """Gives orders under the lease, and keeps the state of the engines.
+    """Sends orders while the lease is held and updates the engines' state.
 
-    :param notify: tells that the state of the engines changed
+    :param notify: called when the state of the engines has changed
     """
 
     def __init__(
@@ -52,10 +52,12 @@
     async def load_model(
         self, endpoint: endpoints.Endpoint, model: str
     ) -> None:
-        """Load a base model."""
+        """Order an engine to load a base model."""
         state = self._state.find_engine(endpoint)
         try:
-            verdict = await self._order(endpoint, state, True, (model, ""))
+            verdict = await self._send_order(
+                endpoint, state, True, (model, "")
+            )
         finally:
             state.ordering = False
         if verdict is orders.Verdict.STARTED:
@@ -66,51 +68,54 @@
             self.publish(endpoint, (model, ""), 1)
 
     async def carry_out(self, plan: loading.Plan) -> None:
-        """Load an adapter, in place of another one if need be."""
+        """Unload the victim of a plan, if any, and load its adapter."""
         endpoint = plan.endpoint
         state = self._state.find_engine(endpoint)
         try:
-            if plan.victim is not None and not await self._drop(
+            if plan.victim is not None and not await self._unload(
                 endpoint, state, plan.victim
             ):
                 return
-            await self._load(endpoint, state, plan)
+            await self._load_adapter(endpoint, state, plan)
         finally:
             state.ordering = False
             self._notify()
 
-    async def _drop(
+    async def _unload(
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
         victim: endpoints.Need,
     ) -> bool:
-        """Unload an adapter; return whether its place is free."""
-        # The other VMs hear first, so that no request is on its way to the
-        # engine for an adapter that it no longer holds.
+        """Order an engine to unload an adapter.
+
+        :returns: whether the adapter's slot is free now
+        """
+        # The other VMs are informed first, so that no request for the adapter
+        # is in flight to the engine when the engine no longer holds it.
         self.publish(endpoint, victim, 0)
-        verdict = await self._order(endpoint, state, False, victim)
+        verdict = await self._send_order(endpoint, state, False, victim)
         if verdict is orders.Verdict.DONE:
             state.held.pop(victim, None)
-            state.note_seen(victim)
+            state.record_cached(victim)
             return True
         if verdict is orders.Verdict.STARTED:
             state.unloading.add(victim)
             state.check_at = self._read_clock() + REPORT_LAG_S
         return False
 
-    async def _load(
+    async def _load_adapter(
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
         plan: loading.Plan,
     ) -> None:
         version = plan.version if plan.version > 1 else None
-        # The place counts as taken before the answer, which may be lost.
+        # The slot counts as occupied before the answer, which may be lost.
         state.held[plan.need] = max(1, plan.version)
         state.pending[plan.need] = math.inf
         try:
-            verdict = await self._order(
+            verdict = await self._send_order(
                 endpoint, state, True, plan.need, version
             )
         finally:
@@ -119,12 +124,12 @@
         if verdict is orders.Verdict.STARTED:
             kind = self._state.classify_load(state, plan.need)
             state.kinds[plan.need] = kind
-            state.note_seen(plan.need)
-            state.pending[plan.need] = now + self._state.times.expect(kind)
+            state.record_cached(plan.need)
+            state.pending[plan.need] = now + self._state.times.estimate(kind)
         elif verdict is orders.Verdict.DONE:
             self.publish(endpoint, plan.need, state.held[plan.need])
 
-    async def _order(
+    async def _send_order(
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
@@ -136,7 +141,7 @@
         if not lease.is_held(self._read_clock()):
             return orders.Verdict.REFUSED
         order = orders.Order(load, need[0], need[1], state.sequence, version)
-        # A renewal meanwhile raises the token of the lease.
+        # A renewal during the call raises the token of the lease.
         token = lease.token
         verdict = await self._engines.order(
             endpoint.address, endpoint.identity, order, token
@@ -171,7 +176,7 @@
         need: endpoints.Need,
         version: int,
     ) -> None:
-        """Tell all VMs what an engine holds.
+        """Announce which version of a model or an adapter an engine holds.
 
         :param version: version held, 0 for none
         """
@@ -182,7 +187,7 @@
     async def check(
         self, endpoint: endpoints.Endpoint, state: loadstate.EngineState
     ) -> None:
-        """Take the truth from an engine's report."""
+        """Replace the state of an engine by the content of its report."""
         try:
             report = await self._engines.report(
                 endpoint.address, endpoint.identity
@@ -215,7 +220,7 @@
             for need in report.pending
         }
         for need in state.held:
-            state.note_seen(need)
+            state.record_cached(need)
         self._publish_report(endpoint, state, report)
 
     def _publish_report(
@@ -224,7 +229,7 @@
         state: loadstate.EngineState,
         report: documents.Report,
     ) -> None:
-        """Tell the VMs where a report differs from what was announced."""
+        """Announce to all VMs where a report differs from earlier ones."""
         for need in set(endpoint.adapters) - set(report.adapters):
             self.publish(endpoint, need, 0)
         for need, version in report.adapters.items():
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -1,4 +1,4 @@
-"""Which engine loads an adapter, and what it drops."""
+"""Tests of the placement and eviction of adapters."""
 
 from __future__ import annotations
 
@@ -9,22 +9,22 @@
 LOADS = {}
 
 
-def settle(state, endpoint, now):
+def apply_first_report(state, endpoint, now):
     """Return the state of an engine after its first report."""
-    known = state.find_engine(endpoint)
-    known.check_at = None
-    known.held = dict(endpoint.adapters)
-    return known
+    engine_state = state.find_engine(endpoint)
+    engine_state.check_at = None
+    engine_state.held = dict(endpoint.adapters)
+    return engine_state
 
 
-def test_full_engine_drops_the_least_used_idle_adapter(
+def test_full_engine_evicts_the_least_used_idle_adapter(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against evicting hot adapters in favour of rare ones."""
+    """Guards against evicting hot adapters for rare ones."""
     endpoint = make_endpoint("e", "hot", "cold")
-    settle(state, endpoint, now)
-    state.heat[("m", "hot")] = (5.0, now)
-    state.heat[("m", "cold")] = (0.1, now)
+    apply_first_report(state, endpoint, now)
+    state.decayed_use[("m", "hot")] = (5.0, now)
+    state.decayed_use[("m", "cold")] = (0.1, now)
     plan = loading.plan_load(
         [endpoint], make_demand("new"), state, LOADS, engine, now
     )
@@ -32,12 +32,12 @@
     assert plan.victim == ("m", "cold")
 
 
-def test_adapter_in_use_is_never_dropped(
+def test_adapter_in_use_is_never_evicted(
     make_endpoint, state, make_demand, engine, now
 ):
     """Guards against evicting an adapter that serves a request."""
     endpoint = make_endpoint("e", "a", "b")
-    settle(state, endpoint, now)
+    apply_first_report(state, endpoint, now)
     state.note_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
     plan = loading.plan_load(
         [endpoint], make_demand("new"), state, LOADS, engine, now
@@ -45,42 +45,42 @@
     assert plan is None
 
 
-def test_adapters_on_their_way_take_places(
+def test_adapters_being_loaded_occupy_slots(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against an order for more adapters than there are places.
+    """Guards against orders for more adapters than there are slots.
 
-    An engine that is given one crashes, with all its streams.
+    Such an order crashes the engine and breaks all its streams.
     """
     endpoint = make_endpoint("e")
-    known = settle(state, endpoint, now)
-    known.held = {("m", "x"): 1, ("m", "y"): 1}
-    known.pending = {("m", "x"): now + 0.2, ("m", "y"): now + 0.2}
+    engine_state = apply_first_report(state, endpoint, now)
+    engine_state.held = {("m", "x"): 1, ("m", "y"): 1}
+    engine_state.pending = {("m", "x"): now + 0.2, ("m", "y"): now + 0.2}
     plan = loading.plan_load(
         [endpoint], make_demand("new"), state, LOADS, engine, now
     )
     assert plan is None
 
 
-def test_adapter_being_dropped_takes_a_place(
+def test_adapter_being_unloaded_occupies_a_slot(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against counting a place as free while requests run there."""
+    """Guards against counting a slot as free while requests use it."""
     endpoint = make_endpoint("e", "a", "b")
-    known = settle(state, endpoint, now)
-    known.unloading = {("m", "a"), ("m", "b")}
+    engine_state = apply_first_report(state, endpoint, now)
+    engine_state.unloading = {("m", "a"), ("m", "b")}
     plan = loading.plan_load(
         [endpoint], make_demand("new"), state, LOADS, engine, now
     )
     assert plan is None
 
 
-def test_new_version_replaces_a_dropped_old_one(
+def test_old_version_is_unloaded_for_a_new_one(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against a replacement that needs a place of its own."""
+    """Guards against a new version that needs a slot of its own."""
     endpoint = make_endpoint("e", "a", "b")
-    settle(state, endpoint, now)
+    apply_first_report(state, endpoint, now)
     plan = loading.plan_load(
         [endpoint], make_demand("a", version=2), state, LOADS, engine, now
     )
@@ -93,50 +93,49 @@
 ):
     """Guards against a copy that is loaded again by its only holder.
 
-    A stream that broke off there waited 0.6 s for another engine in vain.
+    A stream that broke off at that engine waited 0.6 s for another one, but no
+    other engine loaded the adapter.
     """
     holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
     for item in (holder, other):
-        settle(state, item, now)
-    state.find_engine(holder).note_seen(("m", "a"))
+        apply_first_report(state, item, now)
+    state.find_engine(holder).record_cached(("m", "a"))
     demand = make_demand("a", copies=2)
     engines = [holder, other]
     holders = loading.list_holders(engines, demand, state, now)
-    fitting = loading.prefer_warm(
-        engines, engines, holders, demand, state, now
-    )
-    assert fitting == [other]
+    chosen = loading.prefer_warm(engines, engines, holders, demand, state, now)
+    assert chosen == [other]
 
 
 def test_copy_waits_for_an_engine_that_had_the_adapter(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against a fetch from the store where memory has the adapter."""
+    """Guards against a fetch of an adapter that an engine has in memory."""
     holder, earlier, other = (
         make_endpoint("e1", "a"),
         make_endpoint("e2"),
         make_endpoint("e3"),
     )
     for item in (holder, earlier, other):
-        settle(state, item, now)
+        apply_first_report(state, item, now)
     for item in (holder, earlier):
-        state.find_engine(item).note_seen(("m", "a"))
+        state.find_engine(item).record_cached(("m", "a"))
     demand = make_demand("a", copies=2)
     candidates = [holder, earlier, other]
     holders = loading.list_holders(candidates, demand, state, now)
-    fitting = loading.prefer_warm(
+    chosen = loading.prefer_warm(
         candidates, candidates, holders, demand, state, now
     )
-    assert fitting == [earlier]
+    assert chosen == [earlier]
 
 
-def test_fresh_adapter_is_kept_until_its_first_use(
+def test_loaded_adapter_is_kept_until_its_first_use(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against dropping an adapter before its waiting request came."""
+    """Guards against evicting an adapter before its request arrives."""
     endpoint = make_endpoint("e", "a", "b")
-    known = settle(state, endpoint, now)
-    known.loaded_at = {("m", "a"): now - 0.1, ("m", "b"): now - 0.1}
+    engine_state = apply_first_report(state, endpoint, now)
+    engine_state.loaded_at = {("m", "a"): now - 0.1, ("m", "b"): now - 0.1}
     demand = make_demand("new")
     assert (
         loading.plan_load([endpoint], demand, state, LOADS, engine, now)
@@ -146,78 +145,82 @@
     assert loading.plan_load([endpoint], demand, state, LOADS, engine, later)
 
 
-def test_new_holder_of_the_lease_drops_nothing_at_first(
+def test_new_lease_holder_evicts_nothing_at_first(
     make_endpoint, make_demand, engine, now
 ):
-    """Guards against dropping adapters whose use was not heard of yet."""
+    """Guards against evicting adapters whose use was not reported yet."""
     state = loadstate.LoadingState(started_at=now)
     endpoint = make_endpoint("e", "a", "b")
-    settle(state, endpoint, now)
+    apply_first_report(state, endpoint, now)
     demand = make_demand("new")
     assert not loading.has_room(endpoint, state, engine, now)
     assert (
         loading.plan_load([endpoint], demand, state, LOADS, engine, now)
         is None
     )
-    later = now + 2 * loading.LISTEN_S
+    later = now + 2 * loading.USE_COLLECTION_S
     assert loading.has_room(endpoint, state, engine, later)
 
 
 def test_engine_is_asked_for_a_report_before_its_first_order(
     make_endpoint, state, now
 ):
-    """Guards against orders with a sequence that was only guessed."""
+    """Guards against orders with an unconfirmed sequence number."""
     endpoint = make_endpoint("e")
     assert not loading.can_order(endpoint, state, now)
-    settle(state, endpoint, now)
+    apply_first_report(state, endpoint, now)
     assert loading.can_order(endpoint, state, now)
 
 
-def test_state_of_a_long_term_stays_bounded(make_endpoint, state, now):
-    """Guards against memory that grows with every adapter ever used."""
+def test_state_of_a_long_lease_stays_bounded(make_endpoint, state, now):
+    """Guards against memory use that grows with every adapter ever used."""
     endpoint = make_endpoint("e", "held")
-    known = settle(state, endpoint, now)
+    engine_state = apply_first_report(state, endpoint, now)
     for number in range(3_000):
         need = ("m", f"a{number}")
         state.note_uses({("e", need): 1}, now + 0.01 * number)
-        known.note_seen(need)
-        known.loaded_at[need] = now
-        known.kinds[need] = loadtimes.UNKNOWN_KIND
+        engine_state.record_cached(need)
+        engine_state.loaded_at[need] = now
+        engine_state.kinds[need] = loadtimes.UNKNOWN_KIND
     state.note_uses({("e", ("m", "held")): 1}, now + 500)
     state.forget(now + 500)
     assert set(state.used_at) == {("e", ("m", "held"))}
-    assert set(state.heat) == {("m", "held")}
-    assert len(known.seen) == loadstate.MOST_SEEN
-    assert known.has_seen(("m", "a2999"))
-    assert not known.has_seen(("m", "a0"))
-    assert not known.loaded_at
-    assert not known.kinds
-
-
-def test_restarted_engine_is_a_new_one(make_endpoint, state, now):
-    """Guards against counts of an engine that has forgotten everything."""
-    known = settle(state, make_endpoint("e", "a", started_ms=1), now)
-    known.sequence = 9
+    assert set(state.decayed_use) == {("m", "held")}
+    assert len(engine_state.cached) == loadstate.MAX_CACHED
+    assert engine_state.is_cached(("m", "a2999"))
+    assert not engine_state.is_cached(("m", "a0"))
+    assert not engine_state.loaded_at
+    assert not engine_state.kinds
+
+
+def test_state_of_a_restarted_engine_is_reset(make_endpoint, state, now):
+    """Guards against using the order count of an engine's earlier run."""
+    engine_state = apply_first_report(
+        state, make_endpoint("e", "a", started_ms=1), now
+    )
+    engine_state.sequence = 9
     again = state.find_engine(make_endpoint("e", started_ms=2))
     assert again.sequence == 0
     assert not again.held
 
 
-def test_silent_engine_holds_nothing(make_endpoint, state, make_demand, now):
-    """Guards against waiting for an engine that nobody reaches."""
+def test_unreachable_engine_is_no_holder(
+    make_endpoint, state, make_demand, now
+):
+    """Guards against waiting for an engine that no VM reaches."""
     endpoint = make_endpoint("e", "a")
-    known = settle(state, endpoint, now)
+    engine_state = apply_first_report(state, endpoint, now)
     demand = make_demand("a")
     assert loading.list_holders([endpoint], demand, state, now)
-    known.silent_until = now + 1
+    engine_state.silent_until = now + 1
     assert not loading.list_holders([endpoint], demand, state, now)
 
 
 def test_burst_serves_those_that_can_be_on_time_first(make_demand, now):
-    """Guards against a burst in which every request is late in its turn.
+    """Guards against a burst in which every request is served late.
 
-    Replays the crest of a swing: more adapters are asked for than places
-    turn over, and the oldest demands can no longer be on time.
+    At the peak of the demand, more adapters are requested than slots become
+    free, and the oldest demands can no longer be met on time.
     """
     margin_s = 0.4
     late = make_demand("late", due=now - 1.0)
@@ -231,29 +234,29 @@
     assert ordered == [urgent, relaxed, late, lost, copy]
 
 
-def test_load_times_are_learnt_from_both_sides():
-    """Guards against an expectation that falls towards zero."""
+def test_load_times_are_learnt_from_early_and_timely_loads():
+    """Guards against an estimate that falls towards zero."""
     times = loadtimes.LoadTimes()
     kind = loadtimes.LoadKind(False, 0)
     actual_s = 0.5
-    early = 0
+    early_count = 0
     for _ in range(2_000):
-        if times.expect(kind) < actual_s:
-            early += 1
+        if times.estimate(kind) < actual_s:
+            early_count += 1
             times.note_early(kind)
         else:
             times.note_announced(kind)
-    assert abs(times.expect(kind) - actual_s) < 0.1 * actual_s
-    assert early < 100
+    assert abs(times.estimate(kind) - actual_s) < 0.1 * actual_s
+    assert early_count < 100
 
 
 def test_adapter_goes_back_to_the_engine_that_had_it(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against fetching again what an engine still has in memory."""
+    """Guards against fetching an adapter that an engine has in memory."""
     endpoints = [make_endpoint(f"e{index}") for index in range(6)]
     for endpoint in endpoints:
-        settle(state, endpoint, now)
+        apply_first_report(state, endpoint, now)
     demand = make_demand("a")
     first = loading.plan_load(endpoints, demand, state, LOADS, engine, now)
     again = loading.plan_load(
@@ -264,16 +267,16 @@
     assert first.endpoint is again.endpoint
 
 
-def test_demand_waits_a_moment_for_an_engine_that_had_the_adapter(
+def test_demand_waits_briefly_for_an_engine_that_had_the_adapter(
     make_endpoint, state, make_demand, now
 ):
-    """Guards against fetching again what another engine has in memory.
+    """Guards against fetching an adapter that another engine has in memory.
 
-    Replays a burst in which 724 adapters were fetched 1,087 times.
+    In one burst, 724 adapters were fetched 1,087 times.
     """
     warm, cold = make_endpoint("warm"), make_endpoint("cold")
-    settle(state, warm, now).note_seen(("m", "a"))
-    settle(state, cold, now)
+    apply_first_report(state, warm, now).record_cached(("m", "a"))
+    apply_first_report(state, cold, now)
     demand = make_demand("a")
     engines = [warm, cold]
     assert not loading.prefer_warm([cold], engines, [], demand, state, now)
@@ -290,11 +293,11 @@
     ]
 
 
-def test_demand_that_is_asked_for_often_becomes_urgent(make_demand, now):
+def test_demand_that_is_requested_often_becomes_urgent(make_demand, now):
     """Guards against a hot adapter that waits behind all rare ones.
 
-    Replays a new version of a hot adapter in a burst: each new request put
-    off the time at which the demand was due, and none was served.
+    In a burst for a new version of a hot adapter, each new request postponed
+    the deadline of the demand, and no request was served.
     """
     hot = make_demand("hot", due=now + 0.8)
     rare = make_demand("rare", due=now + 0.7)
@@ -308,8 +311,8 @@
     assert hot.due == later + 0.45
 
 
-def test_late_demand_takes_the_latest_of_its_requests(make_demand, now):
-    """Guards against a demand that stays late after a fresh request."""
+def test_late_demand_takes_the_latest_deadline(make_demand, now):
+    """Guards against a demand that stays late after a newer request."""
     demand = make_demand("a", due=now - 1.0)
     demand.note_due(now + 0.9, now + 0.4)
     assert demand.due == now + 0.9
