--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -1,22 +1,32 @@
-"""The other entry VMs: who lives, and what each has in progress."""
+"""The other entry VMs, their liveness and their requests in progress."""
 
 from __future__ import annotations
 
 import attrs
 
-# A VM counts as alive for this time after it was last heard.
-ALIVE_S = 1.6
-# Heartbeats go to a silent VM for this time. One that restarts announces
-# itself anew.
-FORGET_S = 20.0
+# A VM counts as alive for this time after its last heartbeat.
+ALIVE_TIMEOUT_S = 1.6
+# Heartbeats are sent to a silent VM for this time. A VM that restarts
+# announces itself again.
+HEARTBEAT_TARGET_S = 20.0
 
 
 @attrs.define(eq=False)
 class Peer:
-    """Another entry VM.
-
-    :param active: requests in progress by endpoint
-    :param uses: adapters in use, by endpoint
+    """Another entry VM with the content of its last heartbeats.
+
+    :param vm: name of the VM
+    :param front: address that callers connect to
+    :param address: address that heartbeats are sent to
+    :param announced_at: when the VM last announced itself in the store, or
+        when its first heartbeat arrived
+    :param heard_at: when its last heartbeat arrived, None before the first
+    :param incarnation: id of the VM's current run
+    :param lease_end: end of the lease log that the VM knows, -1 if unknown
+    :param holder: holder of the lease that the VM knows
+    :param lease_released: whether the VM knows that the lease was released
+    :param active: number of requests in progress by endpoint
+    :param uses: endpoint, model and adapter of each adapter in use
     """
 
     vm: str
@@ -35,27 +45,29 @@
     uses: set[tuple[str, str, str]] = attrs.field(factory=set)
 
     def is_alive(self, now: float) -> bool:
-        """Return whether the VM was heard lately."""
-        return self.heard_at is not None and now - self.heard_at < ALIVE_S
+        """Return whether a heartbeat of the VM arrived recently."""
+        return (
+            self.heard_at is not None and now - self.heard_at < ALIVE_TIMEOUT_S
+        )
 
     def is_worth_telling(self, now: float) -> bool:
-        """Return whether heartbeats still go to it."""
+        """Return whether heartbeats are still sent to the VM."""
         latest = max(self.announced_at, self.heard_at or 0.0)
-        return now - latest < FORGET_S
+        return now - latest < HEARTBEAT_TARGET_S
 
 
 @attrs.define(eq=False)
 class Members:
-    """All other entry VMs by name."""
+    """All other known entry VMs by name."""
 
     peers: dict[str, Peer] = attrs.field(factory=dict)
 
     def list_alive(self, now: float) -> list[Peer]:
-        """Return the VMs that were heard lately."""
+        """Return the VMs whose heartbeats arrived recently."""
         return [peer for peer in self.peers.values() if peer.is_alive(now)]
 
     def count_vms(self, now: float) -> int:
-        """Return the VMs that may be running, with this one."""
+        """Return the number of VMs that may be running, including this one."""
         return 1 + sum(
             1 for peer in self.peers.values() if peer.is_worth_telling(now)
         )
@@ -64,10 +76,13 @@
 def list_fronts(
     members: Members, now: float, own: str, own_ready: bool
 ) -> list[str]:
-    """Return the addresses that callers may use.
+    """Return the addresses to which callers may connect.
+
+    The address of this VM is always included while this VM is ready, so that
+    callers get an address as long as this VM can serve them.
 
-    A VM that is ready itself always counts, so that callers get an address
-    as long as this VM can serve them.
+    :param own: address of this VM
+    :param own_ready: whether this VM is ready
     """
     fronts = [
         peer.front
@@ -79,19 +94,19 @@
     return sorted(fronts)
 
 
-# Without a successful read for this time, the store counts as out of reach.
-STORE_SILENCE_S = 2.5
+# The store counts as unreachable after this time without a successful read.
+STORE_UNREACHABLE_S = 2.5
 
 
 def is_isolated(members: Members, store_read_at: float, now: float) -> bool:
     """Return whether this VM reaches neither the store nor another VM.
 
-    Callers are better served by the other VMs then.
+    Callers of an isolated VM are better served by the other VMs.
 
-    :param store_read_at: when the store was last read
+    :param store_read_at: time of the last successful read from the store
     """
     return (
         bool(members.peers)
-        and now - store_read_at > STORE_SILENCE_S
+        and now - store_read_at > STORE_UNREACHABLE_S
         and not members.list_alive(now)
     )
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -1,4 +1,4 @@
-"""Which VMs callers are sent to."""
+"""Tests of the liveness of other VMs and of the addresses for callers."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def make_peer(name, heard_at, **fields):
-    """Return a peer that was heard."""
+    """Return a ready peer whose last heartbeat arrived at the given time."""
     peer = members.Peer(name, f"{name}:1", ("127.0.0.1", 1), "z", 0.0)
     peer.heard_at = heard_at
     peer.ready = True
@@ -16,7 +16,7 @@
 
 
 def test_silent_and_stopping_vms_are_left_out(now):
-    """Guards against callers who connect to a VM that is gone."""
+    """Guards against callers that are sent to a VM that has stopped."""
     found = members.Members(
         {
             "a": make_peer("a", now - 0.1),
@@ -30,7 +30,7 @@
 
 
 def test_vm_that_reaches_nobody_is_isolated(now):
-    """Guards against a cut-off VM that keeps its callers to itself."""
+    """Guards against a partitioned VM that keeps its callers."""
     silent = members.Members({"a": make_peer("a", now - 10)})
     heard = members.Members({"a": make_peer("a", now - 0.1)})
     assert members.is_isolated(silent, now - 10, now)
