--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -1,8 +1,9 @@
-"""Choice of the endpoint for a request.
+"""Load balancing of requests over endpoints.
 
-Load pattern: many short requests at a few small services, and streams whose
-adapters are each held by one or a few engines. The choice counts what all VMs
-have in progress, and turns away from endpoints that failed or were slow.
+Load pattern: many short requests for a few small services, and streams whose
+adapters are each held by one or a few engines. The choice counts the requests
+in progress of all VMs and avoids endpoints that failed recently or could not
+be reached.
 """
 
 from __future__ import annotations
@@ -15,50 +16,61 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import traffic as traffic_tables
 
-# A failure seen lately weighs as much as this share of a full endpoint.
+# Load that a recent failure adds, as a share of a full endpoint.
 FAILURE_WEIGHT = 0.5
-# An endpoint of the own availability zone may be fuller by this share.
+# Load by which an endpoint in this VM's own availability zone may exceed one
+# in another zone, as a share of a full endpoint.
 ZONE_WEIGHT = 0.1
-# Engines share prompts and tokens among all their requests, so that each is
-# slow long before its last slot is taken. Another copy of an adapter is asked
-# for when each engine that holds it has this much more to do than the mean.
+# An engine divides its prompt and token throughput among all its requests, so
+# that each request is slow long before the last request slot is occupied.
+# Another copy of an adapter is requested when the requests in progress at each
+# engine that holds it exceed this multiple of the mean.
 COPY_FACTOR = 2.0
-# Fewer requests than this in progress are no load worth a copy.
+# An engine with no more requests in progress than this needs no other copy.
 COPY_REQUESTS = 10
 
 
 @attrs.frozen
 class View:
-    """What a choice reads.
+    """Input of a choice between endpoints.
 
-    :param peers_active: requests of other VMs in progress, by endpoint
+    :param traffic: requests and failures of this VM by endpoint
+    :param peers_active: number of requests in progress of other VMs by
+        endpoint
     :param zone: availability zone of this VM
-    :param most_own: requests that this VM may have in progress at one
-        endpoint, each on a connection of its own
+    :param max_own_requests: number of requests that this VM may have in
+        progress at one endpoint, each on a connection of its own
     """
 
     traffic: traffic_tables.TrafficTable
     peers_active: Mapping[str, int]
     zone: str
     now: float
-    most_own: float = math.inf
+    max_own_requests: float = math.inf
 
     def count_active(self, endpoint: endpoints.Endpoint) -> int:
-        """Return the requests of all VMs in progress at an endpoint."""
+        """Return how many requests of all VMs an endpoint has in progress."""
         own = self.traffic.by_identity.get(endpoint.identity)
         return (own.active if own else 0) + self.peers_active.get(
             endpoint.identity, 0
         )
 
     def is_reachable(self, endpoint: endpoints.Endpoint) -> bool:
-        """Return whether an endpoint takes another connection, probably."""
+        """Return whether an endpoint probably accepts another connection."""
         own = self.traffic.by_identity.get(endpoint.identity)
         if own is None:
             return True
-        return own.unreachable_until <= self.now and own.active < self.most_own
+        return (
+            own.unreachable_until <= self.now
+            and own.active < self.max_own_requests
+        )
 
     def measure_load(self, endpoint: endpoints.Endpoint) -> float:
-        """Return how unattractive an endpoint is; 1 is a full one."""
+        """Return the load score of an endpoint.
+
+        A full endpoint has a score of 1. Recent failures and another
+        availability zone raise the score.
+        """
         capacity = max(1, endpoint.capacity)
         load = (self.count_active(endpoint) + 1) / capacity
         own = self.traffic.by_identity.get(endpoint.identity)
@@ -74,9 +86,12 @@
     tried: frozenset[str],
     view: View,
 ) -> endpoints.Endpoint | None:
-    """Return the least loaded usable endpoint that was not tried.
+    """Return the usable endpoint with the lowest load.
+
+    Endpoints that were already tried are chosen only if there is no other, for
+    requests that may be retried.
 
-    Endpoints that were tried come last, for requests that may repeat.
+    :param tried: ids of the endpoints that were already tried
     """
     usable = [
         item
@@ -93,9 +108,9 @@
     version: int,
     view: View,
 ) -> list[endpoints.Endpoint]:
-    """Return the engines in reach that hold a model or an adapter.
+    """Return the reachable engines that hold a model or an adapter.
 
-    :param version: oldest version of the adapter that may still be used
+    :param version: oldest version of the adapter that may be used
     """
     return [
         item
@@ -111,10 +126,10 @@
     candidates: list[endpoints.Endpoint],
     view: View,
 ) -> bool:
-    """Return whether an adapter should be held by one engine more.
+    """Return whether one more engine should hold an adapter.
 
-    Load pattern: one adapter gets a fifth of all requests, and the engine
-    that holds it alone answers late while the others have little to do.
+    Load pattern: one adapter gets a fifth of all requests. The only engine
+    that holds it answers late while the other engines have little load.
     """
     usable = [item for item in candidates if item.is_usable(view.now)]
     if not holders or len(holders) >= len(usable):
--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -1,4 +1,4 @@
-"""What has been done for a request so far."""
+"""Progress of a request on this VM."""
 
 from __future__ import annotations
 
@@ -9,14 +9,23 @@
 
 @attrs.define(eq=False)
 class Progress:
-    """What has been done for a request.
+    """Attempts made for a request and their results so far.
 
-    :param ran: endpoints that may have run it
-    :param elsewhere_until: until when it waits for an engine that has not
-        broken off yet
+    :param service: service that the request is routed to
+    :param tried: ids of the endpoints that were tried
+    :param sends: number of times that the request was sent
+    :param ran: number of sends after which an endpoint may have run the
+        request
     :param status: status of the endpoint's last answer, 0 without one
-    :param waited_s: time from the arrival to the last send
-    :param first_byte_s: time from the arrival to the answer's first byte
+    :param endpoint: id of the endpoint that the request was last sent to
+    :param buffer: buffer of incomplete events where the stream may be resumed
+    :param waited_s: seconds from the arrival to the last send
+    :param first_byte_s: seconds from the arrival to the answer's first byte
+    :param asked_at: when a load was last requested for the request
+    :param elsewhere_until: until when the request waits for an engine that has
+        not broken off its stream
+    :param missing: id of the endpoint that lacked the model or adapter
+    :param unreachable: id of the endpoint that accepted no connection
     """
 
     service: str
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -1,4 +1,4 @@
-"""Choice of the endpoint for a request."""
+"""Tests of the load balancing over endpoints."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from bronzetrack.entry import placement
 
 
-def test_work_of_other_vms_counts(make_endpoint, view):
+def test_requests_of_other_vms_count(make_endpoint, view):
     """Guards against all VMs choosing the same endpoint."""
     first, second = make_endpoint("a"), make_endpoint("b")
     busy = attrs.evolve(view, peers_active={"a": 3})
@@ -18,7 +18,7 @@
 
 
 def test_failing_endpoint_is_avoided_for_a_while(make_endpoint, view, now):
-    """Guards against an endpoint that fails fast and so seems idle."""
+    """Guards against an endpoint that fails fast and so appears idle."""
     first, second = make_endpoint("a"), make_endpoint("b")
     for _ in range(2):
         view.traffic.find("a").note_failure(now)
@@ -32,7 +32,7 @@
 
 
 def test_own_zone_comes_first_until_it_is_fuller(make_endpoint, view):
-    """Guards against bytes between zones without need."""
+    """Guards against unnecessary traffic between availability zones."""
     near = make_endpoint("near")
     far = make_endpoint("far", zone="other")
     assert placement.choose_endpoint([far, near], frozenset(), view) is near
@@ -41,9 +41,9 @@
 
 
 def test_vm_keeps_to_its_share_of_the_connections(make_endpoint, view):
-    """Guards against connections that an endpoint resets, of all VMs."""
+    """Guards against a VM that makes an endpoint reset connections of all."""
     near, far = make_endpoint("near"), make_endpoint("far", zone="other")
-    limited = attrs.evolve(view, most_own=2)
+    limited = attrs.evolve(view, max_own_requests=2)
     for _ in range(2):
         view.traffic.find("near").start(None)
     busy = attrs.evolve(limited, peers_active={"far": 9})
@@ -54,7 +54,7 @@
 
 
 def test_tried_endpoint_comes_last(make_endpoint, view):
-    """Guards against repeating a request where it failed."""
+    """Guards against a retry at the endpoint where the request failed."""
     first, second = make_endpoint("a"), make_endpoint("b")
     tried = frozenset({"a"})
     assert placement.choose_endpoint([first, second], tried, view) is second
@@ -62,15 +62,15 @@
 
 
 @pytest.mark.parametrize("field", ["leaving_since", "removed_at"])
-def test_leaving_endpoint_gets_nothing(make_endpoint, view, now, field):
-    """Guards against new work at an endpoint that leaves."""
+def test_leaving_endpoint_gets_no_requests(make_endpoint, view, now, field):
+    """Guards against new requests at an endpoint that is leaving."""
     endpoint = make_endpoint("a", **{field: now - 0.1})
     assert placement.choose_endpoint([endpoint], frozenset(), view) is None
     assert not placement.list_holders([endpoint], ("m", ""), 1, view)
 
 
-def test_unreachable_engine_holds_nothing(make_endpoint, view, now):
-    """Guards against connecting again and again to a crashed engine."""
+def test_unreachable_engine_is_no_holder(make_endpoint, view, now):
+    """Guards against repeated connection attempts to a crashed engine."""
     endpoint = make_endpoint("a", "x")
     view.traffic.find("a").note_unreachable(now)
     assert not placement.list_holders([endpoint], ("m", "x"), 1, view)
@@ -79,14 +79,14 @@
 
 
 def test_older_version_does_not_count(make_endpoint, view):
-    """Guards against a request that begins on an old adapter version."""
+    """Guards against a request that starts on an old adapter version."""
     endpoint = make_endpoint("a", "x")
     assert placement.list_holders([endpoint], ("m", "x"), 1, view)
     assert not placement.list_holders([endpoint], ("m", "x"), 2, view)
 
 
 def test_adapter_that_nobody_holds_has_no_holder(make_endpoint, view):
-    """Guards against sending a request where its adapter is missing."""
+    """Guards against a request to an engine that lacks its adapter."""
     endpoint = make_endpoint("a", "x")
     assert not placement.list_holders([endpoint], ("m", "y"), 1, view)
 
@@ -94,10 +94,10 @@
 def test_copy_is_wanted_when_holders_have_more_than_the_rest(
     make_endpoint, view
 ):
-    """Guards against one engine that carries a hot adapter alone.
+    """Guards against one engine that serves a hot adapter alone.
 
-    Replays a day on which one adapter got a fifth of all requests: its
-    engine had 65 in progress and the others 12 to 30.
+    One adapter got a fifth of all requests. Its engine had 65 requests in
+    progress and the others 12 to 30.
     """
     holder = make_endpoint("hot", "x")
     others = [make_endpoint(f"e{index}") for index in range(5)]
@@ -110,14 +110,14 @@
 
 
 def test_few_requests_are_no_reason_for_a_copy(make_endpoint, view):
-    """Guards against copies that take places while nothing is busy."""
+    """Guards against copies that occupy slots while no engine is busy."""
     holder, other = make_endpoint("a", "x"), make_endpoint("b")
     light = attrs.evolve(view, peers_active={"a": 4})
     assert not placement.wants_copy([holder], [holder, other], light)
 
 
 def test_no_copy_beyond_the_last_engine(make_endpoint, view):
-    """Guards against a demand that nothing can meet."""
+    """Guards against a demand that no engine can meet."""
     holder = make_endpoint("a", "x")
     busy = attrs.evolve(view, peers_active={"a": 50})
     assert not placement.wants_copy([holder], [holder], busy)
