Reword the selection of endpoints

Cause: Constants lacked a comment, and names such as _ask and ASK_S were vague. Change: Comments and docstrings reworded, private methods and constants renamed.

--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -1,4 +1,4 @@
-"""Finds the endpoint for a request, and asks for what is missing."""
+"""Selects the endpoint of a request and requests missing adapters."""
 
 from __future__ import annotations
 
@@ -20,16 +20,20 @@
     from bronzetrack.entry import board as boards
     from bronzetrack.entry import routes
 
-# A VM asks again for an adapter that it waits for.
-ASK_S = 0.15
-WAIT_S = 0.1
+# Interval at which a VM repeats its request to load an adapter.
+LOAD_REQUEST_INTERVAL_S = 0.15
+# A waiting request looks for an endpoint at least this often.
+RECHECK_INTERVAL_S = 0.1
+# Oldest usable version of an adapter for which no version was named.
 FIRST_VERSION = 1
-# A request that waits for an engine is refused after this part of the time
-# until its caller leaves, so that the caller can still try again.
-WAIT_SHARE = 0.7
+# A request that waits for an engine is refused after this share of the time
+# until its caller disconnects, so that the caller can still retry.
+ENGINE_WAIT_SHARE = 0.7
+# A request at an isolated VM is refused after this time.
 ISOLATED_WAIT_S = 0.05
-# After a start, requests wait this part of the time that their caller has for
-# a configuration and endpoints, and less than callers wait for a first event.
+# After a start, requests wait for a configuration and endpoints for this share
+# of their caller's time limit. The upper bound is less than the time for which
+# callers wait for a first event.
 STARTUP_WAIT_SHARE = 0.3
 STARTUP_WAIT_S = 1.5
 
@@ -37,8 +41,10 @@
 def limit_startup_wait(request: requests.Request) -> float:
     """Return how long a request may wait for a configuration or an endpoint.
 
-    Load pattern: all VMs lost power while the store is away. Callers that are
-    refused come back once, mostly before the store does.
+    Load pattern: all VMs lost power while the store is unavailable. Callers
+    that are refused retry once, mostly before the store is available again.
+
+    :returns: longest wait in seconds
     """
     time_s = request.deadline - request.arrived
     return min(STARTUP_WAIT_S, STARTUP_WAIT_SHARE * time_s)
@@ -56,7 +62,10 @@
     async def await_endpoint(
         self, request: requests.Request, progress: progresses.Progress
     ) -> endpoints.Endpoint | failures.Failure:
-        """Wait until an endpoint can take a request."""
+        """Wait until an endpoint can take a request.
+
+        :returns: the endpoint, or the reason why the request is refused
+        """
         key = request.need or arrivals.NO_NEED
         arrival = self.board.arrivals.join(key)
         try:
@@ -66,7 +75,8 @@
                 if found is not None:
                     return found
                 await blackboard.wait_any(
-                    arrival.is_newer(count), timeout_ms=int(1000 * WAIT_S)
+                    arrival.is_newer(count),
+                    timeout_ms=int(1000 * RECHECK_INTERVAL_S),
                 )
         finally:
             self.board.arrivals.leave(key)
@@ -74,7 +84,7 @@
     def _find_endpoint(
         self, request: requests.Request, progress: progresses.Progress
     ) -> endpoints.Endpoint | failures.Failure | None:
-        """Return an endpoint, why there is none, or nothing to wait on."""
+        """Return an endpoint, a failure, or None if the request must wait."""
         now = self.read_clock()
         table = self.board.endpoints.value
         candidates = table.list_service(progress.service)
@@ -82,7 +92,7 @@
             request
         ):
             # The list may be incomplete after a start, or after entries
-            # lapsed with the store.
+            # expired while the store was unavailable.
             return None
         if not any(item.is_usable(now) for item in candidates):
             return failures.Failure(
@@ -90,16 +100,16 @@
                 "the service has no endpoint",
                 failures.RETRY_AFTER_S,
             )
-        return self._choose(
+        return self._choose_endpoint(
             request, progress, candidates, now
-        ) or self._judge_wait(request, now)
+        ) or self._check_wait_limit(request, now)
 
-    def _judge_wait(
+    def _check_wait_limit(
         self, request: requests.Request, now: float
     ) -> failures.Failure | None:
-        """Return why waiting on is of no use, if that is so."""
+        """Return a failure if the request must not wait any longer."""
         waited = now - request.arrived
-        if waited > WAIT_SHARE * (request.start_by - request.arrived):
+        if waited > ENGINE_WAIT_SHARE * (request.start_by - request.arrived):
             return failures.Failure(
                 failures.Reason.NOT_LOADED,
                 "no engine could load the adapter in time",
@@ -119,7 +129,7 @@
             board.membership.value.members, board.contact.value, now
         )
 
-    def _choose(
+    def _choose_endpoint(
         self,
         request: requests.Request,
         progress: progresses.Progress,
@@ -131,7 +141,7 @@
             self.board.membership.value.active,
             self.board.settings.zone,
             now,
-            self._limit_own(progress.service, now),
+            self._limit_own_requests(progress.service, now),
         )
         need = request.need
         if need is None or not self._has_engine(progress.service):
@@ -141,22 +151,25 @@
         version = self.board.rules.value.versions.get(need, FIRST_VERSION)
         holders = placement.list_holders(candidates, need, version, view)
         if not holders:
-            self._ask(request, progress, version, 1, now)
+            self._request_load(request, progress, version, 1, now)
             return None
         if need[1] and self._is_copy_needed(
             progress, holders, candidates, view
         ):
-            self._ask(request, progress, version, len(holders) + 1, now)
+            self._request_load(
+                request, progress, version, len(holders) + 1, now
+            )
             if now < progress.elsewhere_until:
                 return None
         return placement.choose_endpoint(
             holders, frozenset(progress.tried), view
         )
 
-    def _limit_own(self, service: str, now: float) -> float:
-        """Return this VM's share of the connections that an endpoint takes.
+    def _limit_own_requests(self, service: str, now: float) -> float:
+        """Return this VM's share of the connections that an endpoint accepts.
 
-        An endpoint resets the connections of all VMs beyond its bound.
+        An endpoint resets the connections of all VMs when they exceed its
+        limit.
         """
         found = self._find_service(service)
         if found is None:
@@ -171,10 +184,10 @@
         candidates: list[endpoints.Endpoint],
         view: placement.View,
     ) -> bool:
-        """Return whether one engine more should hold an adapter.
+        """Return whether one more engine should hold an adapter.
 
-        A request that broke off at all engines that hold its adapter goes on
-        at another one, if that can be had soon.
+        A request that broke off at all engines that hold its adapter continues
+        at another engine if one can load the adapter soon.
         """
         if view.now < progress.elsewhere_until:
             if any(item.identity not in progress.tried for item in holders):
@@ -193,7 +206,7 @@
         configuration = self.board.rules.value.configuration
         return configuration.services.get(service) if configuration else None
 
-    def _ask(
+    def _request_load(
         self,
         request: requests.Request,
         progress: progresses.Progress,
@@ -201,8 +214,8 @@
         copies: int,
         now: float,
     ) -> None:
-        """Ask the holder of the lease for a load."""
-        if now - progress.asked_at < ASK_S:
+        """Request a load of a model or an adapter from the lease holder."""
+        if now - progress.asked_at < LOAD_REQUEST_INTERVAL_S:
             return
         progress.asked_at = now
         want = messages.Want(
