--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -1,4 +1,4 @@
-"""The configuration in force: routes, services and limits."""
+"""Active configuration with its routes, services and limits."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Repeat(enum.Enum):
-    """How often a request of a route may run."""
+    """Whether a request of a route may run more than once."""
 
     SAFE = "safe"
     ONCE = "once"
@@ -16,7 +16,7 @@
 
 @attrs.frozen(eq=False)
 class Share:
-    """Part of the requests of a route that a service gets."""
+    """Service that receives a weighted share of a route's requests."""
 
     service: str
     weight: float
@@ -24,15 +24,18 @@
 
 @attrs.frozen(eq=False)
 class Route:
-    """Where the requests of one path go, and what callers expect.
-
-    :param streams: the answer is a stream of events
-    :param resumable: a broken stream may continue at another endpoint
-    :param max_attempts: endpoints that may run one request
-    :param timeout_s: longest time until the final answer
-    :param target_s: time within which an answer is on time
-    :param patience_s: time after which callers leave without any answer
-    :param priority: rank, 0 is the most urgent
+    """Services of one host and path prefix, and what callers expect.
+
+    :param shares: services that the requests are distributed over
+    :param repeat: whether a request may run more than once
+    :param streams: whether the answer is a stream of events
+    :param resumable: whether a broken stream may continue at another endpoint
+    :param max_attempts: number of endpoints that may run one request
+    :param timeout_s: longest time until the final answer, in seconds
+    :param target_s: time in seconds within which an answer is on time
+    :param priority: priority of the requests, 0 is the most urgent
+    :param patience_s: time in seconds after which callers that have received
+        no answer disconnect
     """
 
     name: str
@@ -56,7 +59,12 @@
 
 @attrs.frozen(eq=False)
 class Model:
-    """A base model that the engines of a service may hold."""
+    """A base model that the engines of a service may hold.
+
+    :param weights_mb: size of the model's weights
+    :param load_s: stated time of a load, in seconds
+    :param adapter_mb: size of each adapter, 0 if unknown
+    """
 
     name: str
     weights_mb: float
@@ -67,9 +75,12 @@
 
 @attrs.frozen(eq=False)
 class Engine:
-    """What each engine of a service has room for.
+    """Capacity of each engine of a service.
 
-    :param loads_per_s: model loads from the weight store, over all engines
+    :param weights_mb: memory for the weights of models and adapters
+    :param adapter_slots: maximum number of adapters
+    :param loads_per_s: rate of model loads from the weight store, over all
+        engines
     """
 
     models: tuple[Model, ...]
@@ -80,7 +91,10 @@
 
     @property
     def places(self) -> int:
-        """Adapters that fit beside the first model, by number and by size."""
+        """Number of adapters that fit beside the first model.
+
+        Both the number of slots and the size of the memory limit it.
+        """
         if not self.models or self.models[0].adapter_mb <= 0:
             return self.adapter_slots
         model = self.models[0]
@@ -90,9 +104,11 @@
 
 @attrs.frozen(eq=False)
 class Service:
-    """A group of equal endpoints.
+    """A group of equivalent endpoints.
 
-    :param max_connections: connections that one endpoint accepts
+    :param max_connections: number of connections that one endpoint accepts
+    :param engine: capacity of each engine; None if the endpoints are no
+        engines
     """
 
     name: str
@@ -103,7 +119,7 @@
 
 @attrs.frozen(eq=False)
 class Limits:
-    """Bounds of what callers may send."""
+    """Limits on the size and duration of what callers send."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -115,7 +131,7 @@
 class Configuration:
     """One version of the configuration.
 
-    :param routes: by host in lower case, then by path prefix
+    :param routes: routes by host in lower case, then by path prefix
     """
 
     version: int
@@ -127,9 +143,12 @@
 def find_route(
     configuration: Configuration, host: str, path: str
 ) -> Route | None:
-    """Return the route with the longest prefix of a path.
+    """Return the route whose prefix is the longest match of a path.
+
+    Prefixes end with a slash, so the search only has to try the parts of the
+    path that end with one.
 
-    Prefixes end with a slash, so that only the slashes of the path count.
+    :returns: the route, or None if no route matches
     """
     by_prefix = configuration.routes.get(host)
     if not by_prefix:
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -1,4 +1,4 @@
-"""Routes by host and longest prefix."""
+"""Tests of the route lookup and of the adapter capacity of engines."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def make_route(prefix):
-    """Return a route."""
+    """Return a route with the given prefix."""
     return routes.Route(prefix, "h", prefix, (routes.Share("s", 1.0),))
 
 
@@ -25,7 +25,7 @@
     ],
 )
 def test_longest_prefix_wins(path, prefix):
-    """Guards against a route that takes another one's requests."""
+    """Guards against a route that receives the requests of another."""
     found = {item.prefix: item for item in map(make_route, ("/a/", "/a/b/"))}
     configuration = routes.Configuration(1, {"h": found}, {})
     route = routes.find_route(configuration, "h", path)
@@ -38,7 +38,7 @@
     [(200.0, 1.0, 17), (105.0, 1.0, 5), (90.0, 1.0, 0), (200.0, 0.0, 17)],
 )
 def test_adapters_fit_by_number_and_by_size(weights_mb, adapter_mb, places):
-    """Guards against orders for more than an engine's memory holds."""
+    """Guards against orders that exceed the memory of an engine."""
     model = routes.Model("m", 100.0, 1.0, 10, adapter_mb)
     engine = routes.Engine((model,), 8, weights_mb, 17, 4.0)
     assert engine.places == places
