Reword the suspects and the traffic of endpoints

Cause: Fading, forgetting and resting stood for decay and backoff. Change: Comments and docstrings reworded, constants, tests and locals renamed.

--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -1,8 +1,8 @@
 """Requests that may crash the endpoints that run them.
 
-Load pattern: one request ends each endpoint that begins it, and its caller
-sends it again to any VM. Requests are told apart by path and body; all VMs
-hear of each loss.
+Load pattern: one request crashes each endpoint that starts to run it, and its
+caller retries it at any VM. Path and body identify a request, and each loss of
+an endpoint is reported to all VMs.
 """
 
 from __future__ import annotations
@@ -11,18 +11,20 @@
 
 import attrs
 
-# A request after whose start this many endpoints broke off is refused.
-MOST_LOSSES = 3
-# Losses are forgotten after this time.
-MEMORY_S = 60.0
-MOST_SUSPECTS = 10_000
+# A request is refused after this many endpoints broke off while they ran it.
+MAX_LOSSES = 3
+# Losses older than this no longer count.
+LOSS_RETENTION_S = 60.0
+MAX_SUSPECTS = 10_000
 
 
 def identify(path: str, body: bytes) -> str:
-    """Return what a repeated request has in common with the first.
+    """Return a fingerprint of a request that its retries share.
 
-    Requests without a body are alike for all callers, so that they are never
+    Requests without a body are the same for all callers, so they are never
     suspected.
+
+    :returns: hash of path and body, empty for a request without a body
     """
     if not body:
         return ""
@@ -32,7 +34,7 @@
 
 @attrs.define(eq=False)
 class Suspects:
-    """Times of losses by request."""
+    """Times of recent losses by fingerprint of the request."""
 
     losses: dict[str, list[float]] = attrs.field(factory=dict)
 
@@ -40,16 +42,18 @@
         """Count an endpoint that broke off while it ran a request."""
         if not identity:
             return
-        if len(self.losses) >= MOST_SUSPECTS:
+        if len(self.losses) >= MAX_SUSPECTS:
             self.losses.pop(next(iter(self.losses)))
         recent = self._list_recent(identity, now)
         self.losses[identity] = [*recent, now]
 
     def is_refused(self, identity: str, now: float) -> bool:
-        """Return whether a request is not sent any more."""
-        return len(self._list_recent(identity, now)) >= MOST_LOSSES
+        """Return whether a request is refused because of its losses."""
+        return len(self._list_recent(identity, now)) >= MAX_LOSSES
 
     def _list_recent(self, identity: str, now: float) -> list[float]:
         return [
-            at for at in self.losses.get(identity, ()) if now - at < MEMORY_S
+            at
+            for at in self.losses.get(identity, ())
+            if now - at < LOSS_RETENTION_S
         ]
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -1,26 +1,27 @@
-"""What this VM has in progress at each endpoint, and how it fared there."""
+"""Requests and failures of this VM at each endpoint."""
 
 from __future__ import annotations
 
 import attrs
 
-# The effect of a failure halves with this time.
-FAILURE_FADE_S = 3.0
-# What a success leaves of the failures before it.
-SUCCESS_FACTOR = 0.7
-# Failures that have faded below this count as forgotten.
-FORGOTTEN_FAILURES = 0.5
-# An endpoint that took no connection gets none for this time.
-UNREACHABLE_S = 0.5
+# Half-life of the effect of a failure.
+FAILURE_HALF_LIFE_S = 3.0
+# Factor by which a good answer reduces the effect of earlier failures.
+SUCCESS_DECAY_FACTOR = 0.7
+# Failures whose effect has decayed below this value are negligible.
+NEGLIGIBLE_FAILURES = 0.5
+# An endpoint that accepted no connection gets no new one for this time.
+UNREACHABLE_BACKOFF_S = 0.5
 
 
 @attrs.define(eq=False)
 class Traffic:
     """Requests of this VM at one endpoint.
 
-    :param active: requests in progress
-    :param uses: requests in progress by model and adapter
-    :param failures: failures seen lately, as of `failed_at`
+    :param active: number of requests in progress
+    :param uses: number of requests in progress by model and adapter
+    :param failures: decayed number of recent failures at the time `failed_at`
+    :param unreachable_until: until when the endpoint gets no new connection
     """
 
     active: int = 0
@@ -30,13 +31,13 @@
     unreachable_until: float = 0.0
 
     def start(self, need: tuple[str, str] | None) -> None:
-        """Count a request that is sent."""
+        """Count a request that is being sent."""
         self.active += 1
         if need is not None:
             self.uses[need] = self.uses.get(need, 0) + 1
 
     def end(self, need: tuple[str, str] | None) -> None:
-        """Count a request that ended."""
+        """Remove a request that has ended from the count."""
         self.active -= 1
         if need is None:
             return
@@ -47,51 +48,52 @@
             self.uses.pop(need, None)
 
     def measure_failures(self, now: float) -> float:
-        """Return the failures seen lately, faded with time."""
+        """Return the decayed number of recent failures."""
         if not self.failures:
             return 0.0
         age = max(0.0, now - self.failed_at)
-        return self.failures * 0.5 ** (age / FAILURE_FADE_S)
+        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
     def note_failure(self, now: float) -> bool:
         """Count a failure that the endpoint caused.
 
-        :returns: whether earlier ones are forgotten
+        :returns: whether earlier failures are negligible, so that this one is
+            the first of a series
         """
         earlier = self.measure_failures(now)
         self.failures = earlier + 1.0
         self.failed_at = now
-        return earlier < FORGOTTEN_FAILURES
+        return earlier < NEGLIGIBLE_FAILURES
 
     def note_unreachable(self, now: float) -> bool:
-        """Count a connection that could not be opened.
+        """Count a connection that could not be opened as a failure.
 
-        :returns: whether earlier failures are forgotten
+        :returns: whether earlier failures are negligible
         """
-        self.unreachable_until = now + UNREACHABLE_S
+        self.unreachable_until = now + UNREACHABLE_BACKOFF_S
         return self.note_failure(now)
 
     def note_answer(self, now: float) -> None:
-        """Count a good answer."""
-        self.failures = self.measure_failures(now) * SUCCESS_FACTOR
+        """Reduce the effect of earlier failures after a good answer."""
+        self.failures = self.measure_failures(now) * SUCCESS_DECAY_FACTOR
         self.failed_at = now
 
 
 @attrs.define(eq=False)
 class TrafficTable:
-    """Traffic by endpoint."""
+    """Traffic of this VM by endpoint id."""
 
     by_identity: dict[str, Traffic] = attrs.field(factory=dict)
 
     def find(self, identity: str) -> Traffic:
-        """Return the traffic of an endpoint, new if there was none."""
+        """Return the traffic of an endpoint, creating it if needed."""
         traffic = self.by_identity.get(identity)
         if traffic is None:
             traffic = self.by_identity[identity] = Traffic()
         return traffic
 
     def retain(self, identities: set[str]) -> None:
-        """Forget idle endpoints that are not listed."""
+        """Discard idle endpoints whose ids are not listed."""
         for identity in set(self.by_identity) - identities:
             if not self.by_identity[identity].active:
                 del self.by_identity[identity]
--- a/tests/entry/test_traffic.py
+++ b/tests/entry/test_traffic.py
@@ -1,4 +1,4 @@
-"""How this VM fares at an endpoint."""
+"""Tests of the failures that a VM counts for an endpoint."""
 
 from __future__ import annotations
 
@@ -8,28 +8,37 @@
 
 
 @pytest.fixture
-def at_endpoint() -> traffic.Traffic:
-    """Traffic without any failure."""
+def endpoint_traffic() -> traffic.Traffic:
+    """Return the traffic of an endpoint without any failure."""
     return traffic.Traffic()
 
 
-def test_first_failure_and_one_after_a_calm_time_are_new(at_endpoint, now):
+def test_first_failure_and_one_after_a_quiet_time_are_new(
+    endpoint_traffic, now
+):
     """Guards against a log line for each of many failures, or for none."""
-    assert at_endpoint.note_failure(now)
-    assert not at_endpoint.note_failure(now + 1)
-    assert not at_endpoint.note_unreachable(now + 2)
-    assert at_endpoint.note_failure(now + 2 + 5 * traffic.FAILURE_FADE_S)
+    assert endpoint_traffic.note_failure(now)
+    assert not endpoint_traffic.note_failure(now + 1)
+    assert not endpoint_traffic.note_unreachable(now + 2)
+    assert endpoint_traffic.note_failure(
+        now + 2 + 5 * traffic.FAILURE_HALF_LIFE_S
+    )
 
 
-def test_answers_make_failures_forgotten_earlier(at_endpoint, now):
+def test_answers_make_failures_negligible_earlier(endpoint_traffic, now):
     """Guards against an endpoint that is avoided after it has recovered."""
-    at_endpoint.note_failure(now)
+    endpoint_traffic.note_failure(now)
     for _ in range(4):
-        at_endpoint.note_answer(now)
-    assert at_endpoint.measure_failures(now) < traffic.FORGOTTEN_FAILURES
-
-
-def test_unreachable_endpoint_rests(at_endpoint, now):
-    """Guards against a connect for each request to a dead address."""
-    at_endpoint.note_unreachable(now)
-    assert at_endpoint.unreachable_until == now + traffic.UNREACHABLE_S
+        endpoint_traffic.note_answer(now)
+    assert endpoint_traffic.measure_failures(now) < traffic.NEGLIGIBLE_FAILURES
+
+
+def test_unreachable_endpoint_gets_no_connection_for_a_while(
+    endpoint_traffic, now
+):
+    """Guards against a connection attempt per request to a dead address."""
+    endpoint_traffic.note_unreachable(now)
+    assert (
+        endpoint_traffic.unreachable_until
+        == now + traffic.UNREACHABLE_BACKOFF_S
+    )
