--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the entry VM's decisions."""
+"""Fixtures for the tests of an entry VM's decisions."""
 
 from __future__ import annotations
 
@@ -21,26 +21,26 @@
 
 @pytest.fixture
 def now() -> float:
-    """Present time of a decision."""
+    """Return the present time of a decision, in seconds."""
     return 1_000.0
 
 
 @pytest.fixture
 def board() -> boards.Blackboard:
-    """State of an entry VM that has just started."""
+    """Return the blackboard of an entry VM that has just started."""
     text = sites.make_settings()
     return boards.Blackboard(entry_settings.parse_settings(text), "run-1")
 
 
 @pytest.fixture
 def ports() -> roles.Ports:
-    """Edges of a controller that carries out nothing."""
+    """Return the ports of a controller that makes no calls."""
     return roles.Ports(None, None, None)
 
 
 @pytest.fixture
 def make_endpoint() -> Callable[..., endpoints.Endpoint]:
-    """Makes an engine that holds adapters."""
+    """Return a factory of engines that hold the given adapters."""
 
     def make(
         identity: str, *adapters: str, **fields: object
@@ -60,26 +60,26 @@
 
 @pytest.fixture
 def view(now: float) -> placement.View:
-    """View without any request in progress."""
+    """Return a view without any request in progress."""
     return placement.View(traffic.TrafficTable(), {}, "z", now)
 
 
 @pytest.fixture
 def engine() -> routes.Engine:
-    """Engine with two places for adapters."""
+    """Return an engine with two adapter slots."""
     model = routes.Model(MODEL, 100.0, 1.0, 10, 1.0)
     return routes.Engine((model,), 10, 200.0, 2, 4.0)
 
 
 @pytest.fixture
 def state(now: float) -> loadstate.LoadingState:
-    """State of a VM that has held the lease for a while."""
+    """Return the loading state of a VM that has held the lease for long."""
     return loadstate.LoadingState(started_at=now - 60)
 
 
 @pytest.fixture
 def make_demand(now: float) -> Callable[..., loadstate.Demand]:
-    """Makes a demand for an adapter that is due in a second."""
+    """Return a factory of demands that are due in a second."""
 
     def make(adapter: str, **fields: object) -> loadstate.Demand:
         values = {
