Reword interruptions and the expiry of silent VMs

Cause: "Broke off" and "taken for silent" stood for an interrupted request, a lost endpoint and a silent holder. Change: comments and docstrings reworded; members.PEER_EXPIRY_S and one local renamed.

--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -6,9 +6,9 @@
 
 # A VM counts as alive for this time after its last heartbeat.
 ALIVE_TIMEOUT_S = 1.6
-# Heartbeats are sent to a silent VM for this time. A VM that restarts
-# announces itself again.
-HEARTBEAT_TARGET_S = 20.0
+# Heartbeats are sent to a VM for this time after its last heartbeat or
+# announcement. A VM that restarts announces itself again.
+PEER_EXPIRY_S = 20.0
 
 
 @attrs.define(eq=False)
@@ -53,7 +53,7 @@
     def is_worth_telling(self, now: float) -> bool:
         """Return whether heartbeats are still sent to the VM."""
         latest = max(self.announced_at, self.heard_at or 0.0)
-        return now - latest < HEARTBEAT_TARGET_S
+        return now - latest < PEER_EXPIRY_S
 
 
 @attrs.define(eq=False)
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -98,8 +98,8 @@
         for item in candidates
         if item.is_usable(view.now) and view.is_reachable(item)
     ]
-    fresh = [item for item in usable if item.identity not in tried]
-    return min(fresh or usable, key=view.measure_load, default=None)
+    untried = [item for item in usable if item.identity not in tried]
+    return min(untried or usable, key=view.measure_load, default=None)
 
 
 def list_holders(
--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -22,8 +22,8 @@
     :param waited_s: seconds from the arrival to the last send
     :param first_byte_s: seconds from the arrival to the answer's first byte
     :param asked_at: when a load was last requested for the request
-    :param elsewhere_until: until when the request waits for an engine that has
-        not broken off its stream
+    :param elsewhere_until: until when the request waits for an engine at which
+        it was not interrupted
     :param missing: id of the endpoint that lacked the model or adapter
     :param unreachable: id of the endpoint that accepted no connection
     """
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -186,8 +186,8 @@
     ) -> bool:
         """Return whether one more engine should hold an adapter.
 
-        A request that broke off at all engines that hold its adapter continues
-        at another engine if one can load the adapter soon.
+        A request that was interrupted at all engines that hold its adapter
+        continues at another engine if one can load the adapter soon.
         """
         if view.now < progress.elsewhere_until:
             if any(item.identity not in progress.tried for item in holders):
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-# A request is refused after this many endpoints broke off while they ran it.
+# A request is refused after this many endpoints were lost while they ran it.
 MAX_LOSSES = 3
 # Losses older than this no longer count.
 LOSS_RETENTION_S = 60.0
@@ -39,7 +39,7 @@
     losses: dict[str, list[float]] = attrs.field(factory=dict)
 
     def note_loss(self, identity: str, now: float) -> None:
-        """Count an endpoint that broke off while it ran a request."""
+        """Count an endpoint that was lost while it ran a request."""
         if not identity:
             return
         if len(self.losses) >= MAX_SUSPECTS:
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -150,7 +150,7 @@
 class LeaseMachine(stateful.RuleBasedStateMachine):
     """Checks the lease under lost answers, pauses and restarts of VMs.
 
-    Two VMs hold the lease at once only if a holder was taken for silent, and
+    Two VMs hold the lease at once only if a holder counted as silent, and
     tokens always rise.
     """
 
@@ -249,7 +249,10 @@
 
     @stateful.invariant()
     def check_single_holder(self) -> None:
-        """At most one VM may give orders unless engines can tell two apart."""
+        """At most one VM gives orders, unless a holder counted as silent.
+
+        Two holders at once have different tokens.
+        """
         held = [item for item in self.leases if item.is_held(self.now)]
         assert len(held) <= 1 or self.overlap_allowed
         assert len({item.token for item in held}) == len(held)
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -93,8 +93,8 @@
 ):
     """Guards against a copy that is loaded again by its only holder.
 
-    A stream that broke off at that engine waited 0.6 s for another one, but no
-    other engine loaded the adapter.
+    A stream that was interrupted at that engine waited 0.6 s for another one,
+    but no other engine loaded the adapter.
     """
     holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
     for item in (holder, other):
