--- a/src/bronzetrack/entry/loadtimes.py
+++ b/src/bronzetrack/entry/loadtimes.py
@@ -9,7 +9,7 @@
 # A load from the engine's own memory takes a tenth of the time. The estimate
 # starts a little higher than that.
 WARM_LOAD_SHARE = 0.2
-# Bounds of the estimates.
+# Bounds of the learnt load times.
 MIN_LOAD_S = 0.01
 MAX_LOAD_S = 5.0
 # A load that was announced too early raises the estimate and any other load
