--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -1,7 +1,7 @@
 """Datagrams between entry VMs.
 
-Each is a msgpack list of a tag and the fields of a class. Datagrams may be
-lost or repeated; each message can be applied twice.
+A datagram is a msgpack list of a tag and the fields of a message class, in
+order. Datagrams may be lost or duplicated; each message may be applied twice.
 """
 
 from __future__ import annotations
@@ -20,63 +20,66 @@
 
 T = TypeVar("T")
 MESSAGES: registry.Registry[type] = registry.Registry("entry messages")
-# Larger datagrams would be split on the way.
+# Larger datagrams would be fragmented on the network.
 DATAGRAM_BYTES = 1_400
 
-# What decoding raises over bytes and fields of the wrong kind.
-MALFORMED = (ValueError, TypeError, msgpack.exceptions.UnpackException)
+# Exceptions raised by decoding invalid bytes or fields of a wrong type.
+DECODE_ERRORS = (ValueError, TypeError, msgpack.exceptions.UnpackException)
 
 
 class MessageError(errors.BronzetrackError):
-    """A datagram that is no message."""
+    """A datagram or an announcement that is not valid."""
 
 
-# Key of the check of a field. Checks are no validators of attrs, which would
-# run for each message that this VM makes itself, too.
+# Metadata key of the type check of a field. The checks are not attrs
+# validators, because those would also run for each message that this VM
+# creates itself.
 CHECK = "check"
 
 
-def _checked(kind: type) -> Callable[[], Any]:
+def _make_checked_field(kind: type) -> Callable[[], Any]:
     check = attrs.validators.instance_of(kind)
     return functools.partial(attrs.field, metadata={CHECK: check})
 
 
-text = _checked(str)
-flag = _checked(bool)
-# Python's bool is an int as well, which does no harm here.
-count = _checked(int)
+text_field = _make_checked_field(str)
+bool_field = _make_checked_field(bool)
+# The check also accepts bool, a subclass of int, which does no harm here.
+int_field = _make_checked_field(int)
 
 
 def check_counts(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
-    """Accept counts by name.
+    """Check that a value maps names to counts.
 
-    :raises TypeError: the value is of another kind
+    :raises TypeError: the value has another type
     """
     if not isinstance(value, dict) or not all(
         isinstance(name, str) and isinstance(number, int)
         for name, number in value.items()
     ):
-        raise TypeError(f"{field.name} holds no counts")
+        raise TypeError(f"{field.name} does not map names to counts")
 
 
 def check_uses(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
-    """Accept names of adapters by endpoint and model.
+    """Check that a value holds lists of adapters by endpoint and model.
 
-    :raises TypeError: the value is of another kind
+    :raises TypeError: the value has another type
     """
     if not isinstance(value, dict) or not all(
         isinstance(identity, str)
         and isinstance(models, dict)
-        and all(map(_is_use, models.items()))
+        and all(map(_is_use_list, models.items()))
         for identity, models in value.items()
     ):
-        raise TypeError(f"{field.name} holds no adapters in use")
+        raise TypeError(
+            f"{field.name} does not hold adapters by endpoint and model"
+        )
 
 
 def _check_fields(received: T) -> T:
-    """Return what was received, if all its fields are of their kinds.
+    """Return a received message after a check of the types of its fields.
 
-    :raises TypeError: one is not
+    :raises TypeError: a field has a wrong type
     """
     for field in attrs.fields(type(received)):
         check = field.metadata[CHECK]
@@ -84,7 +87,7 @@
     return received
 
 
-def _is_use(item: tuple[Any, Any]) -> bool:
+def _is_use_list(item: tuple[Any, Any]) -> bool:
     model, adapters = item
     return (
         isinstance(model, str)
@@ -96,41 +99,42 @@
 @MESSAGES.register("h")
 @attrs.frozen
 class Heartbeat:
-    """What a VM says of itself.
+    """Periodic report of a VM about its own state.
 
-    :param lease_end: end of the lease log, as far as the VM knows
-    :param holder: the VM that last appended there
+    :param front: address for callers
+    :param lease_end: end offset of the lease log, as far as the VM knows
+    :param holder: the VM that last appended to the lease log
     :param lease_released: whether that record releases the lease
     :param active: requests in progress by endpoint
     """
 
-    vm: str = text()
-    incarnation: str = text()
-    front: str = text()
-    zone: str = text()
-    ready: bool = flag()
-    stopping: bool = flag()
-    lease_end: int = count()
-    holder: str = text()
-    lease_released: bool = flag()
+    vm: str = text_field()
+    incarnation: str = text_field()
+    front: str = text_field()
+    zone: str = text_field()
+    ready: bool = bool_field()
+    stopping: bool = bool_field()
+    lease_end: int = int_field()
+    holder: str = text_field()
+    lease_released: bool = bool_field()
     active: dict[str, int] = attrs.field(metadata={CHECK: check_counts})
 
 
 @MESSAGES.register("u")
 @attrs.frozen
 class Uses:
-    """Adapters in use by a VM, for the holder of the lease.
+    """Adapters in use by a VM, sent to the holder of the lease.
 
     :param uses: adapters of requests in progress, by endpoint and model
     """
 
-    vm: str = text()
+    vm: str = text_field()
     uses: dict[str, dict[str, list[str]]] = attrs.field(
         metadata={CHECK: check_uses}
     )
 
     def list_uses(self) -> Iterator[tuple[str, str, str]]:
-        """Iterate over endpoint, model and adapter."""
+        """Yield the endpoint, model and adapter of each use."""
         for identity, models in self.uses.items():
             for model, adapters in models.items():
                 for adapter in adapters:
@@ -140,48 +144,48 @@
 @MESSAGES.register("w")
 @attrs.frozen
 class Want:
-    """A VM needs a model or an adapter at some engine of a service.
+    """Demand of a VM for a model or an adapter at any engine of a service.
 
-    :param copies: engines that should hold it at least
-    :param missing: engine that said it does not hold it
-    :param unreachable: engine that took no connection
-    :param slack_ms: time left in which the request is on time
+    :param copies: minimum number of engines that should hold it
+    :param missing: engine that rejected a request because it does not hold it
+    :param unreachable: engine that accepted no connection
+    :param slack_ms: time until the request can no longer be on time
     """
 
-    vm: str = text()
-    service: str = text()
-    model: str = text()
-    adapter: str = text()
-    version: int = count()
-    copies: int = count()
-    missing: str = text()
-    unreachable: str = text()
-    slack_ms: int = count()
+    vm: str = text_field()
+    service: str = text_field()
+    model: str = text_field()
+    adapter: str = text_field()
+    version: int = int_field()
+    copies: int = int_field()
+    missing: str = text_field()
+    unreachable: str = text_field()
+    slack_ms: int = int_field()
 
 
 @MESSAGES.register("p")
 @attrs.frozen
 class Placed:
-    """An engine holds something anew, or no longer.
+    """Change of the version of a model or an adapter at an engine.
 
-    :param version: version held, 0 for none
+    :param version: version that the engine now holds, 0 for none
     """
 
-    identity: str = text()
-    model: str = text()
-    adapter: str = text()
-    version: int = count()
+    identity: str = text_field()
+    model: str = text_field()
+    adapter: str = text_field()
+    version: int = int_field()
 
 
 @MESSAGES.register("l")
 @attrs.frozen
 class Loss:
-    """An endpoint broke off while it ran a request.
+    """Loss of the connection to an endpoint while it ran a request.
 
-    :param identity: path and body of the request, as a digest
+    :param identity: digest of the path and body of the request
     """
 
-    identity: str = text()
+    identity: str = text_field()
 
 
 TAGS = {cls: tag for tag, cls in MESSAGES.items()}
@@ -189,44 +193,49 @@
 
 @attrs.frozen
 class Contact:
-    """Where a VM can be reached, as it announces it in the store."""
+    """Addresses of a VM, as it announces them in the store.
 
-    front: str = text()
-    host: str = text()
-    port: int = count()
-    zone: str = text()
+    :param front: address for callers
+    :param host: IP address for datagrams of other VMs
+    :param port: UDP port for datagrams of other VMs
+    """
+
+    front: str = text_field()
+    host: str = text_field()
+    port: int = int_field()
+    zone: str = text_field()
 
 
 def encode_contact(contact: Contact) -> bytes:
-    """Return the value of a VM's announcement."""
+    """Return the encoded announcement of a VM."""
     return msgpack.packb(list(attrs.astuple(contact)))
 
 
 def decode_contact(value: bytes) -> Contact:
-    """Return what a VM announced.
+    """Decode the announcement of a VM.
 
-    :raises MessageError: it is no announcement
+    :raises MessageError: the value is not a valid announcement
     """
     try:
         return _check_fields(Contact(*msgpack.unpackb(value)))
-    except MALFORMED as error:
-        raise MessageError(f"not an announcement: {error!r}") from error
+    except DECODE_ERRORS as error:
+        raise MessageError(f"invalid announcement: {error!r}") from error
 
 
 def encode(message: Any) -> bytes:
-    """Return a datagram."""
+    """Encode a message as a datagram."""
     tag = TAGS[type(message)]
     fields = attrs.astuple(message, recurse=False)
     return msgpack.packb([tag, *fields])
 
 
 def decode(data: bytes) -> Any:
-    """Return the message in a datagram.
+    """Decode the message in a datagram.
 
-    :raises MessageError: it is none
+    :raises MessageError: the datagram is not a valid message
     """
     try:
         tag, *fields = msgpack.unpackb(data)
         return _check_fields(MESSAGES.lookup(tag)(*fields))
-    except (*MALFORMED, errors.UnknownEntryError) as error:
-        raise MessageError(f"not a message: {error!r}") from error
+    except (*DECODE_ERRORS, errors.UnknownEntryError) as error:
+        raise MessageError(f"invalid message: {error!r}") from error
