Reword the comments of the blackboard, events, failures and log lines

Cause: Comments and docstrings were figurative or only repeated names. Change: Plain docstrings; private names in events and loglines follow. No behaviour changes.

--- a/src/bronzetrack/entry/__init__.py
+++ b/src/bronzetrack/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Entry VMs: callers' requests straight to the endpoints that run them."""
+"""Entry VMs, which forward callers' requests directly to endpoints."""
--- a/src/bronzetrack/entry/__main__.py
+++ b/src/bronzetrack/entry/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of an entry VM."""
+"""Command-line entry point of an entry VM."""
 
 from __future__ import annotations
 
@@ -18,7 +18,11 @@
 
 
 def main() -> None:
-    """Run an entry VM with the settings file that the environment names."""
+    """Run an entry VM.
+
+    The environment variable `BRONZETRACK_SETTINGS` holds the path of the
+    settings file. The process exits with status 2 if the settings are invalid.
+    """
     file = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         settings = entry_settings.load_settings(file)
--- a/src/bronzetrack/entry/arrivals.py
+++ b/src/bronzetrack/entry/arrivals.py
@@ -1,4 +1,4 @@
-"""Wakes requests that wait for a model or an adapter at any engine."""
+"""Wake-ups for requests that wait for a model or an adapter."""
 
 from __future__ import annotations
 
@@ -7,12 +7,16 @@
 from bronzetrack.core import blackboard
 from bronzetrack.entry import endpoints
 
-# Requests that need no model wait under this.
+# Key for requests that need no model.
 NO_NEED: endpoints.Need = ("", "")
 
 
 class Arrival(blackboard.Source):
-    """Changes of where one model or adapter is held."""
+    """Source of changes to the engines that hold one model or adapter.
+
+    :ivar count: number of changes so far
+    :ivar waiting: number of requests that wait for a change
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -20,23 +24,29 @@
         self.waiting = 0
 
     def change(self) -> None:
-        """Wake all that wait."""
+        """Record a change and wake all waiting requests."""
         self.count += 1
         self._notify()
 
     def is_newer(self, count: int) -> blackboard.Condition:
-        """Return the condition that there was a change since."""
+        """Return a condition that holds once a further change has occurred.
+
+        :param count: number of changes that the caller has already seen
+        """
         return blackboard.Condition(self, lambda: self.count > count)
 
 
 @attrs.define(eq=False)
 class Arrivals:
-    """Arrivals that requests wait for, by model and adapter."""
+    """Change sources that requests wait on, by model and adapter."""
 
     by_need: dict[endpoints.Need, Arrival] = attrs.field(factory=dict)
 
     def join(self, need: endpoints.Need) -> Arrival:
-        """Wait for a need; to be left again."""
+        """Register a waiting request and return the source to wait on.
+
+        Each call must be paired with a call of `leave`.
+        """
         arrival = self.by_need.get(need)
         if arrival is None:
             arrival = self.by_need[need] = Arrival()
@@ -44,14 +54,14 @@
         return arrival
 
     def leave(self, need: endpoints.Need) -> None:
-        """Wait no longer."""
+        """Unregister a waiting request; the last one removes the source."""
         arrival = self.by_need[need]
         arrival.waiting -= 1
         if not arrival.waiting:
             del self.by_need[need]
 
     def change(self, need: endpoints.Need) -> None:
-        """Wake those that wait for a need."""
+        """Wake the requests that wait for a model or an adapter."""
         arrival = self.by_need.get(need)
         if arrival is not None:
             arrival.change()
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -1,4 +1,4 @@
-"""The blackboard: the whole state of an entry VM."""
+"""Blackboard that holds the whole state of an entry VM."""
 
 from __future__ import annotations
 
@@ -24,9 +24,10 @@
 
 @attrs.define(eq=False)
 class Lifecycle:
-    """Whether this VM takes requests.
+    """Readiness and shutdown state of this VM.
 
-    :param stopping_since: when it was asked to stop
+    :param ready: whether this VM accepts requests
+    :param stopping_since: time of the signal to stop, `None` before it
     """
 
     ready: bool = False
@@ -35,8 +36,9 @@
 
 @attrs.define(eq=False)
 class Rules:
-    """The configuration in force, and versions of adapters named since.
+    """Active configuration and the published adapter versions.
 
+    :param configuration: active configuration, `None` until one is read
     :param versions: oldest usable version by model and adapter
     """
 
@@ -46,9 +48,9 @@
 
 @attrs.define(eq=False)
 class Membership:
-    """The other VMs, and their work in sum.
+    """The other VMs and the total of their requests in progress.
 
-    :param active: requests of other VMs in progress, by endpoint
+    :param active: requests in progress of all other VMs, by endpoint
     """
 
     members: members.Members = attrs.field(factory=members.Members)
@@ -66,7 +68,8 @@
 class Blackboard:
     """Sections with one writer each, and mailboxes with one reader each.
 
-    :param incarnation: random value of this run
+    :param incarnation: random identifier of this run of the process
+    :param contact: time of the last successful read of the store
     :param fenced: fencing tokens that an engine refused as too old
     """
 
@@ -130,7 +133,7 @@
     )
 
     def __attrs_post_init__(self) -> None:
-        """Make the section that depends on the settings."""
+        """Create the section whose initial value depends on the settings."""
         self.lease = blackboard.Section(
             "lease", "leadership", leases.Lease(ttl_s=self.settings.lease_s)
         )
--- a/src/bronzetrack/entry/dump.py
+++ b/src/bronzetrack/entry/dump.py
@@ -1,4 +1,4 @@
-"""State of an entry VM for operators."""
+"""State dump of an entry VM for operators."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 def dump_board(board: boards.Blackboard) -> dict[str, Any]:
-    """Return the state of a process as plain values."""
+    """Return the state of an entry VM as JSON-serializable values."""
     configuration = board.rules.value.configuration
     lease = board.lease.value
     return {
--- a/src/bronzetrack/entry/events.py
+++ b/src/bronzetrack/entry/events.py
@@ -1,4 +1,4 @@
-"""Event streams cut into whole events."""
+"""Splitting of event streams into complete events."""
 
 from __future__ import annotations
 
@@ -10,16 +10,17 @@
 
 @attrs.define
 class EventBuffer:
-    """Holds back the part of an event that has not arrived whole.
+    """Buffers an event until it has arrived completely.
 
-    :param last_id: id of the last whole event
+    :param last_id: numeric id of the last complete event that had one
+    :param rest: received bytes of the event that is still incomplete
     """
 
     last_id: int | None = None
     rest: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Return the whole events that the data complete."""
+        """Add data and return the bytes of all events now complete."""
         data = self.rest + data
         end = data.rfind(BOUNDARY)
         if end < 0:
@@ -27,21 +28,21 @@
             return b""
         end += len(BOUNDARY)
         self.rest = data[end:]
-        whole = data[:end]
-        self._note_id(whole)
-        return whole
+        complete = data[:end]
+        self._update_last_id(complete)
+        return complete
 
     def discard_rest(self) -> None:
-        """Drop the part of an event that will not be completed."""
+        """Discard an incomplete event whose remainder will not arrive."""
         self.rest = b""
 
-    def _note_id(self, whole: bytes) -> None:
-        start = whole.rfind(b"\n" + ID_FIELD)
+    def _update_last_id(self, complete: bytes) -> None:
+        start = complete.rfind(b"\n" + ID_FIELD)
         if start < 0:
-            if not whole.startswith(ID_FIELD):
+            if not complete.startswith(ID_FIELD):
                 return
             start = -1
-        line_end = whole.find(b"\n", start + 1)
-        value = whole[start + 1 + len(ID_FIELD) : line_end].strip()
+        line_end = complete.find(b"\n", start + 1)
+        value = complete[start + 1 + len(ID_FIELD) : line_end].strip()
         if value.isdigit():
             self.last_id = int(value)
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -1,4 +1,4 @@
-"""Why a request ended without an endpoint's answer."""
+"""Failures of requests that end without an answer of an endpoint."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Reason(enum.Enum):
-    """What ended a request."""
+    """Reason for which a request failed."""
 
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
@@ -26,8 +26,8 @@
     CALLER_LEFT = "caller_left"
 
 
-# Statuses 503, 429, 408 and 421 state that the request has not run and never
-# will. All that may have run gets 502 or 504.
+# Statuses 503, 429, 408 and 421 guarantee that the request has not run and
+# never will. Requests that may have run are answered with 502 or 504.
 STATUSES = {
     Reason.NO_CONFIGURATION: 503,
     Reason.NO_ROUTE: 404,
@@ -46,15 +46,16 @@
 }
 
 
-# Until a place, a slot or another endpoint may be free.
+# Time until an adapter slot, a request slot or another endpoint may be free.
 RETRY_AFTER_S = 0.5
 
 
 @attrs.frozen
 class Failure:
-    """A typed failure.
+    """A failure with its reason and a detail for people.
 
-    :param retry_after_s: when the caller should come back, if that helps
+    :param retry_after_s: seconds until the caller should retry, `None` if a
+        retry does not help
     """
 
     reason: Reason
@@ -63,5 +64,5 @@
 
     @property
     def status(self) -> int:
-        """Status of the answer."""
+        """HTTP status of the answer to the caller."""
         return STATUSES[self.reason]
--- a/src/bronzetrack/entry/loglines.py
+++ b/src/bronzetrack/entry/loglines.py
@@ -1,4 +1,4 @@
-"""Log lines that are bounded in number and never block the loop."""
+"""Log output that is rate-limited and never blocks the event loop."""
 
 from __future__ import annotations
 
@@ -7,58 +7,62 @@
 import os
 import time
 
-# Lines a second and process at most, and how many may come at once.
+# Maximum rate of log lines per process, and the largest burst.
 LINES_PER_S = 200.0
 BURST_LINES = 400.0
-# Bytes that wait for a slow reader of the output; later lines are dropped.
-WAITING_BYTES = 262_144
+# Bytes buffered for a slow reader of the output. Lines beyond are dropped.
+BUFFER_BYTES = 262_144
 
 
 class BoundedStream:
-    """Writes whole lines to a descriptor without waiting.
+    """Writes whole lines to a file descriptor without blocking.
 
-    :param descriptor: it is set to not block
+    :param descriptor: file descriptor, which is set to non-blocking mode
     """
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
-        self._waiting = bytearray()
+        self._buffer = bytearray()
         self.dropped = 0
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Write a line, or drop it where the reader is too slow."""
+        """Buffer a line, or drop it if the buffer is full."""
         data = text.encode("utf-8", "replace")
-        if len(self._waiting) + len(data) > WAITING_BYTES:
+        if len(self._buffer) + len(data) > BUFFER_BYTES:
             self.dropped += 1
             return len(text)
-        self._waiting += data
+        self._buffer += data
         return len(text)
 
     def flush(self) -> None:
-        """Write what can be written at once."""
+        """Write as much of the buffer as is possible without blocking."""
         with contextlib.suppress(BlockingIOError):
-            while self._waiting:
-                written = os.write(self._descriptor, self._waiting)
-                del self._waiting[:written]
+            while self._buffer:
+                written = os.write(self._descriptor, self._buffer)
+                del self._buffer[:written]
 
 
 class RateLimit(logging.Filter):
-    """Drops lines beyond the rate; the next line states how many."""
+    """Drops lines beyond the rate limit.
+
+    The next line that passes has the number of dropped lines in its field
+    `dropped_lines`.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self._tokens = BURST_LINES
-        self._at = time.monotonic()
+        self._refilled_at = time.monotonic()
         self._dropped = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Return whether a line is written."""
+        """Return whether a line is within the rate limit."""
         now = time.monotonic()
-        refill = (now - self._at) * LINES_PER_S
+        refill = (now - self._refilled_at) * LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + refill)
-        self._at = now
+        self._refilled_at = now
         if self._tokens < 1:
             self._dropped += 1
             return False
@@ -70,6 +74,6 @@
 
 
 def bound_root_logger() -> None:
-    """Apply the rate to all lines of the process."""
+    """Apply the rate limit to every handler of the root logger."""
     for handler in logging.getLogger().handlers:
         handler.addFilter(RateLimit())
