Reword the settings, requests and process of an entry VM

Cause: Docstrings were fragments or left fields out, and two error details were unclear. Change: Plain docstrings with the fields and their units; private and local names in settings follow. No behaviour changes.

--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -14,8 +14,8 @@
 
     from bronzetrack.entry import board as boards
 
-# The registry is of its own, as the other daemon of the package registers
-# metrics with the same names.
+# Separate from the default registry, because the other daemon of the package
+# registers metrics with the same names.
 REGISTRY = prometheus_client.CollectorRegistry()
 SECONDS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 10.0)
 
@@ -70,7 +70,7 @@
 
 
 class BoardCollector(prometheus_registry.Collector):
-    """Reads gauges from the blackboard when they are asked for."""
+    """Computes gauges from the blackboard at each scrape."""
 
     def __init__(
         self, board: boards.Blackboard, read_clock: Callable[[], float]
@@ -79,7 +79,7 @@
         self._read_clock = read_clock
 
     def collect(self) -> Iterable[prometheus_core.Metric]:
-        """Return the present values."""
+        """Yield the current value of each gauge."""
         board = self._board
         now = self._read_clock()
         configuration = board.rules.value.configuration
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -1,4 +1,4 @@
-"""Assembly of an entry VM from its controllers and edges."""
+"""Assembly and run of an entry VM from its controllers and ports."""
 
 from __future__ import annotations
 
@@ -27,16 +27,16 @@
 
 
 class ControllerEndedError(errors.BronzetrackError):
-    """A controller returned, without which the process cannot go on."""
+    """A controller returned, although the process depends on it."""
 
 
 def read_clock() -> float:
-    """Return seconds that also pass while the VM is suspended."""
+    """Return seconds of a clock that also runs while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def import_controllers() -> None:
-    """Import every controller module, so that each is registered."""
+    """Import every controller module to register its controller."""
     for module in pkgutil.iter_modules(controller_package.__path__):
         importlib.import_module(f"{controller_package.__name__}.{module.name}")
 
@@ -44,9 +44,9 @@
 async def run_entry(
     settings: entry_settings.Settings, file: pathlib.Path
 ) -> None:
-    """Run until the planned stop is complete.
+    """Run an entry VM until its graceful shutdown is complete.
 
-    :param file: where the settings are from; it is read again on SIGHUP
+    :param file: settings file, which is read again on SIGHUP
     """
     import_controllers()
     board = boards.Blackboard(settings, uuid.uuid4().hex[:12])
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -1,4 +1,4 @@
-"""A caller's request, decoded."""
+"""Decoded requests of callers."""
 
 from __future__ import annotations
 
@@ -12,18 +12,22 @@
 
 @attrs.define(eq=False)
 class Request:
-    """A whole request of a caller.
-
-    :param target: path and query as they were sent
-    :param host: without port, in lower case
-    :param authority: host and port as they were sent
-    :param headers: those that go on to the endpoint, as sent
-    :param deadline: when the caller stops waiting, or the route's timeout
-    :param start_by: when the caller leaves if no event came
-    :param model: base model, if the request is for an engine
-    :param adapter: adapter of the model, if it names one
-    :param prompt_tokens: size of the prompt
-    :param output_tokens: most tokens of the answer
+    """A completely received request of a caller.
+
+    :param identity: request id
+    :param target: path and query as received
+    :param host: host name without port, in lower case
+    :param authority: host and port as received
+    :param headers: headers to forward to the endpoint, as received
+    :param arrived: arrival time
+    :param deadline: time at which the caller stops waiting or the timeout of
+        the route ends, whichever is first
+    :param start_by: time at which the caller leaves without a first event
+    :param model: base model, empty if the request needs no engine
+    :param adapter: adapter of the base model, empty if none is named
+    :param prompt_tokens: number of tokens of the prompt
+    :param output_tokens: maximum number of tokens of the answer
+    :param last_event_id: id of the event after which a stream is resumed
     """
 
     identity: str
@@ -45,12 +49,12 @@
     start_by: float = float("inf")
 
     def bind(self, route: routes.Route) -> None:
-        """Take the bounds of the route that the request is for."""
+        """Set the route and limit the deadlines by its timeouts."""
         self.route = route
         self.deadline = min(self.deadline, self.arrived + route.timeout_s)
         self.start_by = min(self.deadline, self.arrived + route.patience_s)
 
     @property
     def need(self) -> tuple[str, str] | None:
-        """Model and adapter that the endpoint must hold."""
+        """Model and adapter that the endpoint must hold, if any."""
         return (self.model, self.adapter) if self.model else None
--- a/src/bronzetrack/entry/roles.py
+++ b/src/bronzetrack/entry/roles.py
@@ -19,9 +19,11 @@
 
 @attrs.frozen
 class Ports:
-    """The edges that controllers carry out effects through.
+    """Interfaces through which controllers act on the outside.
 
-    :param read_settings: reads the settings file; raises what it cannot read
+    :param engines: client for orders to engines
+    :param read_settings: reads the settings file; raises `SettingsError` if
+        the file is invalid
     """
 
     store: stores.Store
@@ -30,7 +32,10 @@
 
 
 class Controller(controllers.BaseController):
-    """A controller of an entry VM; its clock reads seconds."""
+    """Base class of the controllers of an entry VM.
+
+    :param read_clock: returns the current time in seconds
+    """
 
     board: boards.Blackboard
     ports: Ports
--- a/src/bronzetrack/entry/settings.py
+++ b/src/bronzetrack/entry/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry VM, from an INI file."""
+"""Settings of an entry VM, read from an INI file."""
 
 from __future__ import annotations
 
@@ -12,7 +12,10 @@
 
 
 class SettingsError(errors.BronzetrackError):
-    """Settings that cannot be used; all mistakes are listed."""
+    """Settings that are invalid.
+
+    :param mistakes: every mistake that was found
+    """
 
     def __init__(self, mistakes: list[str]) -> None:
         super().__init__("; ".join(mistakes))
@@ -21,17 +24,23 @@
 
 @attrs.frozen
 class Settings:
-    """What a VM is told at its start.
-
-    :param front: address for callers
-    :param readiness: address for checks whether the VM is ready
-    :param directory: address that tells callers which VMs to use
-    :param operators: address for the state dump
-    :param metrics: address for metrics
-    :param peer_port: UDP port for the other VMs
+    """Settings of one entry VM.
+
+    :param front: listen address for callers
+    :param readiness: listen address for readiness checks
+    :param directory: listen address of the directory of entry VMs
+    :param operators: listen address for the state dump
+    :param metrics: listen address for metrics
+    :param peer_ip: IP address for datagrams of the other VMs
+    :param peer_port: UDP port for datagrams of the other VMs
+    :param store: address of the store
     :param grace_s: time from the signal to stop until the process is killed
-    :param retry_ratio: repeats for each request, over all VMs
-    :param retry_slack: repeats besides, over all VMs
+    :param lease_s: duration of the lease of the VM that gives orders
+    :param retry_ratio: retries allowed per request, over all VMs
+    :param retry_slack: retries allowed in addition, over all VMs
+    :param retry_window_s: length of the sliding window of the retry budget
+    :param entry_ttl_s: longest time for which callers may keep an answer of
+        the directory
     :param engines_check_tokens: whether engines refuse orders with a fencing
         token lower than one that they have seen
     """
@@ -57,13 +66,14 @@
 
     @property
     def peer_address(self) -> str:
-        """Address for the other VMs."""
+        """Address for datagrams of the other VMs."""
         return f"{self.peer_ip}:{self.peer_port}"
 
 
-# Settings that a reload puts in force; others need a restart. VMs that differ
-# in the time of the lease could hold it together.
-LIVE_FIELDS = (
+# Settings that a reload applies; all others need a restart. Among the latter
+# is the duration of the lease: two VMs with different durations could hold the
+# lease at the same time.
+RELOADABLE_FIELDS = (
     "grace_s",
     "retry_ratio",
     "retry_slack",
@@ -76,33 +86,38 @@
 def merge_reloaded(
     current: Settings, found: Settings
 ) -> tuple[Settings, list[str]]:
-    """Return the settings in force after a reload.
+    """Merge reloaded settings into the current ones.
 
-    :param found: the settings of the file now
-    :returns: the settings, and the names of changes that need a restart
+    :param found: settings that were read from the file
+    :returns: the merged settings, and the names of changed settings that need
+        a restart
     """
-    live = {name: getattr(found, name) for name in LIVE_FIELDS}
-    merged = attrs.evolve(current, **live)
-    waiting = [
+    reloaded = {name: getattr(found, name) for name in RELOADABLE_FIELDS}
+    merged = attrs.evolve(current, **reloaded)
+    need_restart = [
         field.name
         for field in attrs.fields(Settings)
         if getattr(merged, field.name) != getattr(found, field.name)
     ]
-    return merged, waiting
+    return merged, need_restart
 
 
-def _parse_switch(raw: str = "false") -> bool:
-    """Return a setting that is on or off."""
-    states = configparser.ConfigParser.BOOLEAN_STATES
-    if raw.lower() not in states:
-        raise ValueError(f"neither true nor false: {raw!r}")
-    return states[raw.lower()]
+def _parse_bool(raw: str = "false") -> bool:
+    """Parse a boolean setting.
+
+    :raises ValueError: the text is no boolean
+    """
+    booleans = configparser.ConfigParser.BOOLEAN_STATES
+    if raw.lower() not in booleans:
+        raise ValueError(f"not a boolean: {raw!r}")
+    return booleans[raw.lower()]
 
 
 def load_settings(file: pathlib.Path) -> Settings:
-    """Return the settings in a file.
+    """Load the settings from a file.
 
-    :raises SettingsError: with every mistake
+    :raises SettingsError: the file cannot be read or has mistakes, which are
+        all listed
     """
     try:
         text = file.read_text(encoding="utf-8")
@@ -112,9 +127,9 @@
 
 
 def parse_settings(text: str) -> Settings:
-    """Return the settings in a text.
+    """Parse the settings in a text.
 
-    :raises SettingsError: with every mistake
+    :raises SettingsError: the text has mistakes, which are all listed
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -123,7 +138,7 @@
         raise SettingsError([str(error)]) from error
     mistakes: list[str] = []
 
-    def take(
+    def read_option(
         section: str, key: str, kind: Callable[..., object], default: str = ""
     ) -> object:
         raw = parser.get(section, key, fallback="").strip() or default
@@ -135,30 +150,30 @@
             mistakes.append(f"[{section}] {key}: {error}")
             return kind()
 
-    ports = str(take("peers", "ports", str)).split(",")
+    ports = str(read_option("peers", "ports", str)).split(",")
     values = {
-        "vm": take("vm", "name", str),
-        "zone": take("vm", "availability_zone", str),
-        "region": take("vm", "region", str),
-        "front": take("listen", "callers", str),
-        "readiness": take("listen", "readiness", str),
-        "directory": take("listen", "directory", str),
-        "operators": take("listen", "operators", str),
-        "metrics": take("listen", "metrics", str),
-        "peer_ip": take("peers", "ip", str),
-        "store": take("store", "address", str),
-        "grace_s": take("limits", "grace_s", float),
-        "lease_s": take("limits", "lease_ms", float) / 1000,
-        "retry_ratio": take("limits", "retry_ratio", float),
-        "retry_slack": take("limits", "retry_slack", float),
-        "retry_window_s": take("limits", "retry_window_s", float),
-        "entry_ttl_s": take("limits", "entry_ttl_s", float),
-        "engines_check_tokens": take(
-            "limits", "engines_check_tokens", _parse_switch, "false"
+        "vm": read_option("vm", "name", str),
+        "zone": read_option("vm", "availability_zone", str),
+        "region": read_option("vm", "region", str),
+        "front": read_option("listen", "callers", str),
+        "readiness": read_option("listen", "readiness", str),
+        "directory": read_option("listen", "directory", str),
+        "operators": read_option("listen", "operators", str),
+        "metrics": read_option("listen", "metrics", str),
+        "peer_ip": read_option("peers", "ip", str),
+        "store": read_option("store", "address", str),
+        "grace_s": read_option("limits", "grace_s", float),
+        "lease_s": read_option("limits", "lease_ms", float) / 1000,
+        "retry_ratio": read_option("limits", "retry_ratio", float),
+        "retry_slack": read_option("limits", "retry_slack", float),
+        "retry_window_s": read_option("limits", "retry_window_s", float),
+        "entry_ttl_s": read_option("limits", "entry_ttl_s", float),
+        "engines_check_tokens": read_option(
+            "limits", "engines_check_tokens", _parse_bool, "false"
         ),
     }
     if not ports[0].strip().isdigit():
-        mistakes.append("[peers] ports: not a port")
+        mistakes.append("[peers] ports: the first item is not a port number")
     if mistakes:
         raise SettingsError(mistakes)
     return Settings(peer_port=int(ports[0]), **values)
