Reword the sending, relaying and logging of requests

Cause: Verbs such as note, judge and tell stood for changes of state. Change: Plain docstrings; _note_outcome, _note_rejection, _note_loss, _exchange, _judge, _is_whole, _streams, _measure, ELSEWHERE_S and LONG_WAIT_S get names that state what they do. No behaviour changes.

--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -1,4 +1,4 @@
-"""Relays one endpoint's answer to the caller."""
+"""Relay of an endpoint's answer to the caller."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 
 
 class Outcome(enum.Enum):
-    """What became of one send.
+    """Result of sending a request to one endpoint.
 
-    REJECTED means that the endpoint said that it has not run the request.
+    REJECTED means that the endpoint stated that it has not run the request.
     """
 
     DELIVERED = "delivered"
@@ -28,7 +28,7 @@
 
 
 def select_headers(headers: heads.Headers) -> heads.Headers:
-    """Return the headers of an answer that go on to the caller."""
+    """Return the headers of an answer without the hop-by-hop headers."""
     return [
         (name, value)
         for name, value in headers
@@ -37,9 +37,13 @@
 
 
 class Relay:
-    """Receives an answer; streams go on at once, others when complete.
+    """Receives an answer of an endpoint.
 
-    :param buffer: cuts a stream that may be resumed into whole events
+    Streamed data is forwarded to the caller at once. Other answers are
+    collected until they are complete.
+
+    :param buffer: splits a resumable stream into complete events, `None` for
+        other answers
     """
 
     def __init__(
@@ -61,7 +65,7 @@
         self._buffer = buffer
         self._read_clock = read_clock
         self._parts: list[bytes] = []
-        self._streams = False
+        self._is_stream = False
         self._tail = b""
 
     @property
@@ -71,22 +75,22 @@
 
     @property
     def status(self) -> int:
-        """Status of the answer, 0 without one."""
+        """HTTP status of the answer, 0 if none was received."""
         return self.head.status if self.head else 0
 
     def find_header(self, name: bytes) -> bytes | None:
-        """Return a header of the answer."""
+        """Return the value of a header of the answer, `None` if absent."""
         return self.head.find(name) if self.head else None
 
     def on_head(self, head: heads.AnswerHead) -> None:
-        """Start a stream, or collect the answer."""
+        """Store the head and start the caller's answer if it is a stream."""
         self.head = head
         self.first_byte_at = self._read_clock()
         route = self._request.route
-        self._streams = (
+        self._is_stream = (
             head.status == 200 and route is not None and route.streams
         )
-        if self._streams:
+        if self._is_stream:
             self._exchange.on_drain = self._control_flow
             if not self._exchange.started:
                 self._exchange.start(200, select_headers(head.headers))
@@ -98,8 +102,8 @@
             self._connection.pause()
 
     def on_data(self, data: bytes) -> None:
-        """Pass a part on, or keep it."""
-        if not self._streams:
+        """Forward a part of a stream, or collect a part of another answer."""
+        if not self._is_stream:
             self._parts.append(data)
             return
         if self._buffer is not None:
@@ -110,17 +114,19 @@
             self._exchange.write(data)
 
     def on_end(self, end: connections.End) -> None:
-        """Tell what became of the send."""
+        """Set the outcome of the send."""
         if not self.done.done():
-            self.done.set_result(self._judge(end))
+            self.done.set_result(self._classify_end(end))
 
-    def _judge(self, end: connections.End) -> Outcome:
+    def _classify_end(self, end: connections.End) -> Outcome:
         if end is connections.End.MALFORMED:
             return Outcome.MALFORMED
         if end is connections.End.CUT or self.head is None:
             return Outcome.LOST
-        if self._streams:
-            return Outcome.DELIVERED if self._is_whole() else Outcome.LOST
+        if self._is_stream:
+            return (
+                Outcome.DELIVERED if self._may_be_complete() else Outcome.LOST
+            )
         if (
             self.head.status == 421
             or self.head.find(names.NOT_EXECUTED) is not None
@@ -128,11 +134,11 @@
             return Outcome.REJECTED
         return Outcome.ANSWERED
 
-    def _is_whole(self) -> bool:
+    def _may_be_complete(self) -> bool:
         """Return whether a stream that ended may be complete.
 
-        Without a length, the end of the connection is the end of the answer,
-        also if the endpoint broke off within an event.
+        An answer without a length ends with its connection, so that a
+        connection lost within an event looks like a normal end.
         """
         if self.head is None or self.head.framed:
             return True
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -1,4 +1,4 @@
-"""Log lines and counters about single requests."""
+"""Log lines and metrics about single requests."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
     from bronzetrack.entry import board as boards
 
 LOG = logging.getLogger(__name__)
-# A first send that waited less has no line of its own.
-LONG_WAIT_S = 0.1
-# Part of a rejection's body that its line holds.
+# The first send of a request is logged only after a wait of at least this.
+LOGGED_WAIT_S = 0.1
+# Bytes of the body of a rejection that are logged.
 DETAIL_BYTES = 120
 
 
@@ -31,11 +31,12 @@
     endpoint: endpoints.Endpoint,
     now: float,
 ) -> None:
-    """State what decided a send.
+    """Log the state on which the choice of an endpoint was based.
 
-    The line at the end says it for a first send that did not wait.
+    A first send with a short wait is not logged here; the line at the end of
+    the request covers it.
     """
-    if progress.sends == 1 and (progress.waited_s or 0.0) < LONG_WAIT_S:
+    if progress.sends == 1 and (progress.waited_s or 0.0) < LOGGED_WAIT_S:
         return
     need = request.need or arrivals.NO_NEED
     placed_at = endpoint.placed_at.get(need)
@@ -60,7 +61,7 @@
     endpoint: endpoints.Endpoint,
     relay: relays.Relay,
 ) -> None:
-    """State why an endpoint did not run a request."""
+    """Count and log the rejection of a request by an endpoint."""
     meters.REJECTIONS.labels(relay.status).inc()
     event = logevents.RequestRejected(
         request_id=request.identity,
@@ -78,7 +79,7 @@
     outcome: str,
     status: int = 0,
 ) -> None:
-    """State why other endpoints are preferred to one from now on."""
+    """Log why an endpoint is given a lower preference from now on."""
     event = logevents.EndpointFailing(
         request.identity, endpoint.identity, outcome, status
     )
@@ -91,11 +92,11 @@
     failure: failures.Failure | None,
     now: float,
 ) -> None:
-    """State and count what became of a request."""
-    # A request that was refused at once has no progress.
+    """Log the result of a request and update the metrics."""
+    # A request that failed before its service was chosen has no progress.
     progress = progress or progresses.Progress(service="")
     total_s = now - request.arrived
-    _measure(progress, failure, total_s)
+    _update_metrics(progress, failure, total_s)
     event = logevents.RequestEnded(
         request_id=request.identity,
         route=request.route.name if request.route else "",
@@ -113,7 +114,7 @@
     logevents.log(LOG, event)
 
 
-def _measure(
+def _update_metrics(
     progress: progresses.Progress,
     failure: failures.Failure | None,
     total_s: float,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -1,4 +1,4 @@
-"""Sends requests to endpoints, and notes how that went."""
+"""Sending of requests to endpoints and recording of the outcomes."""
 
 from __future__ import annotations
 
@@ -21,14 +21,15 @@
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
 
-# A request that an engine broke off waits this long for another engine.
-ELSEWHERE_S = 0.6
-# Outcome in log lines of a send that found no connection.
+# Time that a request waits for another engine after an engine closed the
+# connection early.
+FAILOVER_WAIT_S = 0.6
+# Logged outcome of a send for which no connection could be opened.
 UNREACHABLE = "unreachable"
 
 
 class Sender:
-    """Keeps the connections to endpoints and sends over them."""
+    """Manages the connection pools of endpoints and sends requests."""
 
     def __init__(
         self, board: boards.Blackboard, read_clock: Callable[[], float]
@@ -38,7 +39,10 @@
         self._pools: dict[str, connections.Pool] = {}
 
     def retain(self, identities: set[str]) -> None:
-        """Close the idle connections to endpoints that are not listed."""
+        """Remove the pools of other endpoints and close idle connections.
+
+        :param identities: ids of the endpoints whose pools are kept
+        """
         for identity in set(self._pools) - identities:
             self._pools.pop(identity).close()
 
@@ -49,7 +53,11 @@
         progress: progresses.Progress,
         endpoint: endpoints.Endpoint,
     ) -> relays.Relay | None:
-        """Send a request to an endpoint; nothing if it took no connection."""
+        """Send a request to an endpoint.
+
+        :returns: the relay of the answer, `None` if no connection could be
+            opened
+        """
         traffic = self.board.traffic.value.find(endpoint.identity)
         need = request.need
         traffic.start(need)
@@ -64,7 +72,7 @@
                 progress.unreachable = endpoint.identity
                 progress.asked_at = 0.0
                 return None
-            return await self._exchange(
+            return await self._send_on_connection(
                 exchange, request, progress, endpoint, pool, connection
             )
         finally:
@@ -77,7 +85,7 @@
             self._pools[endpoint.identity] = pool
         return pool
 
-    async def _exchange(
+    async def _send_on_connection(
         self,
         exchange: server.Exchange,
         request: requests.Request,
@@ -121,19 +129,19 @@
             pool.drop(connection)
         else:
             pool.put_back(connection, self.read_clock())
-        self._note_outcome(request, progress, endpoint, relay, outcome)
+        self._record_outcome(request, progress, endpoint, relay, outcome)
         return relay
 
     def _get_version(
         self, request: requests.Request, endpoint: endpoints.Endpoint
     ) -> int | None:
-        """Return the adapter version to insist on, if one was named."""
+        """Return the adapter version to require if a version was published."""
         need = request.need
         if need is None or need not in self.board.rules.value.versions:
             return None
         return endpoint.adapters.get(need)
 
-    def _note_outcome(
+    def _record_outcome(
         self,
         request: requests.Request,
         progress: progresses.Progress,
@@ -150,13 +158,13 @@
         failing = False
         if outcome is relays.Outcome.REJECTED:
             progress.ran -= 1
-            failing = self._note_rejection(
+            failing = self._record_rejection(
                 request, progress, endpoint, relay, now
             )
         elif outcome is relays.Outcome.LOST:
             failing = traffic.note_failure(now)
-            progress.elsewhere_until = now + ELSEWHERE_S
-            self._note_loss(request, now)
+            progress.elsewhere_until = now + FAILOVER_WAIT_S
+            self._report_loss(request, now)
         elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
             failing = traffic.note_failure(now)
         elif relay.first_byte_at is not None:
@@ -167,7 +175,7 @@
                 request, endpoint, outcome.value, relay.status
             )
 
-    def _note_rejection(
+    def _record_rejection(
         self,
         request: requests.Request,
         progress: progresses.Progress,
@@ -175,7 +183,10 @@
         relay: relays.Relay,
         now: float,
     ) -> bool:
-        """Take in a rejection; return whether the endpoint began to fail."""
+        """Record a rejection.
+
+        :returns: whether the endpoint is newly considered failing
+        """
         requestlog.log_rejection(request, endpoint, relay)
         traffic = self.board.traffic.value.find(endpoint.identity)
         other = relay.find_header(names.INSTANCE)
@@ -191,7 +202,7 @@
             )
         return False
 
-    def _note_loss(self, request: requests.Request, now: float) -> None:
+    def _report_loss(self, request: requests.Request, now: float) -> None:
         suspect = suspects.identify(request.path, request.body)
         self.board.suspects.value.note_loss(suspect, now)
         if suspect:
