Reword the controllers of the configuration and of discovery

Cause: Constants such as GAP_S and RETURN_S did not say what they bound. Change: Plain docstrings; private names say that the intervals and waits are those of reads. No behaviour changes.

--- a/src/bronzetrack/entry/controllers/__init__.py
+++ b/src/bronzetrack/entry/controllers/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of an entry VM, one module each."""
+"""Controllers of an entry VM, one per module."""
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -1,4 +1,4 @@
-"""Keeps the configuration in force."""
+"""Controller that keeps the configuration up to date."""
 
 from __future__ import annotations
 
@@ -12,24 +12,27 @@
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
-# A change is in force within two seconds of its acknowledgement, also where
-# a connection fell silent; one call may take this long.
-WAIT_S = 1.0
+# Longest wait of one read. A change must be applied within two seconds of its
+# acknowledgement, even if a connection no longer delivers data.
+READ_WAIT_S = 1.0
 
 
 @roles.CONTROLLERS.register("configuration")
 class ConfigurationController(roles.Controller):
-    """Follows what operators publish."""
+    """Follows the operator topic and applies its records."""
 
     name = "configuration"
 
     async def run(self) -> None:
-        """Take in one change after the other."""
-        following = follower.Follower(
-            self.ports.store, names.OPERATOR_TOPIC, WAIT_S, self.read_clock
+        """Read and apply changes until cancelled."""
+        operator_follower = follower.Follower(
+            self.ports.store,
+            names.OPERATOR_TOPIC,
+            READ_WAIT_S,
+            self.read_clock,
         )
         while True:
-            change = await following.read()
+            change = await operator_follower.read()
             self.write(self.board.contact, self.read_clock())
             applied = [self._apply(record) for record in change.records]
             if any(applied):
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -1,4 +1,4 @@
-"""Keeps the table of endpoints."""
+"""Controller that keeps the table of endpoints up to date."""
 
 from __future__ import annotations
 
@@ -17,60 +17,69 @@
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
-# Endpoints write about once a second each. Reading them in turns of this
-# length costs few calls and keeps well within the time in which a leaving
-# endpoint must get no more work.
-GAP_S = 1.0
-WAIT_S = 0.5
-# The same while entries return after an outage of the store.
-RETURN_GAP_S = 0.1
-# Entries that lapsed while the store was away return in about this time.
-RETURN_S = 2.0
+# Time between two reads. Each endpoint writes about once a second. This
+# interval needs few calls and is well below the time within which a leaving
+# endpoint must get no more requests.
+READ_INTERVAL_S = 1.0
+# Longest wait of one read.
+READ_WAIT_S = 0.5
+# Time between two reads while entries return after an outage of the store.
+RECOVERY_INTERVAL_S = 0.1
+# Entries that expired during an outage of the store return within about this
+# time.
+RECOVERY_S = 2.0
 
 
 @roles.CONTROLLERS.register("discovery")
 class DiscoveryController(roles.Controller):
-    """Follows the entries of the endpoints and the orders of the holder."""
+    """Follows the entries of endpoints and the placements of the holder."""
 
     name = "discovery"
     _recovered_at = float("-inf")
 
     async def run(self) -> None:
-        """Take in entries and placements."""
+        """Apply entries and placements until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow_entries)
             group.start_soon(self._follow_placements)
 
     async def _follow_entries(self) -> None:
-        following = follower.Follower(
-            self.ports.store, names.SERVERS_TOPIC, WAIT_S, self.read_clock
+        entry_follower = follower.Follower(
+            self.ports.store, names.SERVERS_TOPIC, READ_WAIT_S, self.read_clock
         )
         started_at = self.read_clock()
         while True:
-            change = await following.read()
+            change = await entry_follower.read()
             now = self.read_clock()
             if change.recovered:
                 self._recovered_at = now
             if change.snapshot:
-                self._drop_missing({item.key for item in change.records}, now)
+                self._mark_missing_removed(
+                    {item.key for item in change.records}, now
+                )
             for record in change.records:
                 self._apply(record, now)
             self._expire(now)
             self._notify()
-            await anyio.sleep(self._choose_gap(started_at, now))
+            await anyio.sleep(self._choose_interval(started_at, now))
 
-    def _choose_gap(self, started_at: float, now: float) -> float:
+    def _choose_interval(self, started_at: float, now: float) -> float:
         """Return the time until the next read.
 
-        A VM that has just started does not know of an outage before, after
-        which entries are still to return; a service without any shows it.
+        A VM that has just started did not see an earlier outage, after which
+        entries may still return. A service without any entry indicates one.
         """
-        returning = now - self._recovered_at < RETURN_S
-        starting = now - started_at < RETURN_S and self._lacks_entries()
-        return RETURN_GAP_S if returning or starting else GAP_S
+        returning = now - self._recovered_at < RECOVERY_S
+        starting = now - started_at < RECOVERY_S and self._lacks_entries()
+        return (
+            RECOVERY_INTERVAL_S if returning or starting else READ_INTERVAL_S
+        )
 
     def _lacks_entries(self) -> bool:
-        """Return whether a service has no endpoint at all."""
+        """Return whether a service has no endpoint.
+
+        Without a configuration, this is assumed.
+        """
         configuration = self.board.rules.value.configuration
         if configuration is None:
             return True
@@ -136,11 +145,13 @@
         known = self.board.endpoints.value.by_identity.get(identity)
         if known is None or known.removed_at is not None:
             return
-        returning = now - self._recovered_at < RETURN_S
-        known.removed_at = self._recovered_at + RETURN_S if returning else now
+        returning = now - self._recovered_at < RECOVERY_S
+        known.removed_at = (
+            self._recovered_at + RECOVERY_S if returning else now
+        )
         _log(logevents.EndpointRemoved, known)
 
-    def _drop_missing(self, present: set[str], now: float) -> None:
+    def _mark_missing_removed(self, present: set[str], now: float) -> None:
         for identity in set(self.board.endpoints.value.by_identity) - present:
             self._mark_removed(identity, now)
 
@@ -149,7 +160,8 @@
         gone = [
             item.identity
             for item in table.by_identity.values()
-            if item.removed_at is not None and now > item.removed_at + RETURN_S
+            if item.removed_at is not None
+            and now > item.removed_at + RECOVERY_S
         ]
         for identity in gone:
             table.remove(identity)
@@ -165,7 +177,7 @@
 def is_other_start(
     known: endpoints.Endpoint, found: documents.Announcement
 ) -> bool:
-    """Return whether an entry is of another start than the known one."""
+    """Return whether an entry belongs to another start of an endpoint."""
     return (
         known.started_ms != found.started_ms
         or known.address != found.address
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -27,19 +27,19 @@
 ):
     """Guards against calls of the store that no caller gains from."""
     board.endpoints.value.add(make_endpoint("e"))
-    assert reader._choose_gap(now, now) >= USUAL_GAP_S
+    assert reader._choose_interval(now, now) >= USUAL_GAP_S
 
 
 def test_start_with_a_service_without_entries_reads_faster(reader, now):
     """Guards against idle endpoints after an outage that was not seen."""
     soon = now + RETURN_S / 2
-    assert reader._choose_gap(now, soon) <= CLOSE_GAP_S
+    assert reader._choose_interval(now, soon) <= CLOSE_GAP_S
 
 
 def test_service_that_stays_empty_is_not_read_faster_for_ever(reader, now):
     """Guards against ten calls a second for a service that is gone."""
     later = now + RETURN_S
-    assert reader._choose_gap(now, later) >= USUAL_GAP_S
+    assert reader._choose_interval(now, later) >= USUAL_GAP_S
 
 
 def test_return_of_the_store_is_followed_closely(
@@ -50,4 +50,4 @@
     reader._recovered_at = now
     started_at = now - 60
     soon = now + RETURN_S / 2
-    assert reader._choose_gap(started_at, soon) <= CLOSE_GAP_S
+    assert reader._choose_interval(started_at, soon) <= CLOSE_GAP_S
