Reword the controllers of loading and membership

Cause: Docstrings and constants used figures (crowds, turns, rests, hears) and vague names (SILENT_S, USES_S, tick). Change: Plain docstrings and private names; the comments state what each constant bounds. No behaviour changes.

--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -1,4 +1,4 @@
-"""Gives orders to the engines while this VM holds the lease."""
+"""Controller that gives orders to engines while this VM holds the lease."""
 
 from __future__ import annotations
 
@@ -21,33 +21,37 @@
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 
-TICK_S = 0.05
-# The same while no adapter is in use or asked for.
-IDLE_TICK_S = 0.25
-# VMs without the lease have nothing to plan.
-FOLLOWER_TICK_S = 1.0
-# How often the holder drops what it need not know any more.
-FORGET_S = 1.0
-# A demand that nobody repeated for this time is forgotten.
-DEMAND_S = 1.0
+# Longest time between two turns of planning.
+BUSY_INTERVAL_S = 0.05
+# The same while no adapter is in use or in demand.
+IDLE_INTERVAL_S = 0.25
+# The same on VMs without the lease, which plan nothing.
+FOLLOWER_INTERVAL_S = 1.0
+# Time between two removals of outdated state.
+CLEANUP_INTERVAL_S = 1.0
+# A demand that no VM repeats within this time is dropped.
+DEMAND_TTL_S = 1.0
 # An engine that a VM could not reach gets no orders for this time.
-SILENT_S = 0.6
-# Turns follow each other no faster than this; wants come in crowds.
-TURN_S = 0.004
-# A load that took longer than expected is looked at again after this time.
+UNREACHABLE_S = 0.6
+# Shortest pause between two turns, because demands arrive in bursts.
+TURN_PAUSE_S = 0.004
+# A load that takes longer than expected is announced again after this time.
 LOAD_RECHECK_S = 0.06
-# Added to the mean load, so that a few requests make no engine a busy one.
-IDLE_REQUESTS = 4.0
+# Added to the mean number of requests, so that a few requests do not make an
+# engine count as busy.
+LOAD_OFFSET_REQUESTS = 4.0
+# Period over which loads of base models are rate-limited.
 MODEL_LOAD_WINDOW_S = 5.0
+# Share of the rate of the weight store that loads of base models may use.
 MODEL_LOAD_SHARE = 0.6
-# A model that was ordered is not ordered again within this many times its
-# load time.
+# An engine that loads its base model gets no further order within this many
+# times the stated load time.
 MODEL_LOAD_FACTOR = 3.0
 
 
 @roles.CONTROLLERS.register("loading")
 class LoadingController(roles.Controller):
-    """Loads what the VMs ask for."""
+    """Plans loads of base models and adapters."""
 
     name = "loading"
 
@@ -61,7 +65,7 @@
         )
 
     async def run(self) -> None:
-        """Plan in turns while the lease is held."""
+        """Run turns of planning until cancelled."""
         section = self.board.loading
         async with anyio.create_task_group() as group:
             while True:
@@ -69,13 +73,13 @@
                     self.board.wanted.is_filled(),
                     section.is_newer(section.revision),
                     self.board.lease.is_newer(self.board.lease.revision),
-                    timeout_ms=self._measure_pause_ms(self.read_clock()),
+                    timeout_ms=self._compute_pause_ms(self.read_clock()),
                 )
                 self._run_turn(group, self.read_clock())
-                await anyio.sleep(TURN_S)
+                await anyio.sleep(TURN_PAUSE_S)
 
-    def _measure_pause_ms(self, now: float) -> int:
-        """Return the time until a load, a report or a turn is due."""
+    def _compute_pause_ms(self, now: float) -> int:
+        """Return the time until a load, a report or a turn is due, in ms."""
         engines = self._state.engines.values()
         held = self.board.lease.value.is_held(now)
         loads = (engine.pending.values() for engine in engines)
@@ -85,11 +89,13 @@
             if held and engine.check_at is not None and not engine.ordering
         )
         due = min(itertools.chain(*loads, reports), default=math.inf)
-        tick_s = self._choose_tick(now) if held else FOLLOWER_TICK_S
-        return math.ceil(1000 * max(0.0, min(tick_s, due - now)))
+        interval_s = (
+            self._choose_interval(now) if held else FOLLOWER_INTERVAL_S
+        )
+        return math.ceil(1000 * max(0.0, min(interval_s, due - now)))
 
-    def _choose_tick(self, now: float) -> float:
-        """Return the longest time between two turns of the holder."""
+    def _choose_interval(self, now: float) -> float:
+        """Return the longest time between two turns of the lease holder."""
         members = self.board.membership.value.members
         in_use = any(
             item.uses
@@ -98,7 +104,11 @@
                 members.list_alive(now),
             )
         )
-        return TICK_S if in_use or self._state.demands else IDLE_TICK_S
+        return (
+            BUSY_INTERVAL_S
+            if in_use or self._state.demands
+            else IDLE_INTERVAL_S
+        )
 
     @property
     def _state(self) -> loadstate.LoadingState:
@@ -110,20 +120,20 @@
             self._end_term(now)
             return
         if self._state.ended:
-            # Another VM may have given orders since.
+            # Another VM may have given orders in the meantime.
             self.write(self.board.loading, loadstate.LoadingState())
         if self._state.started_at is None:
             self._state.started_at = now
         for want in wants:
-            self._note_want(want, now)
-        self._note_uses(now)
+            self._record_want(want, now)
+        self._record_uses(now)
         self._finish_loads(now)
         self._plan(group, now)
-        if now - self._state.forgot_at > FORGET_S:
+        if now - self._state.forgot_at > CLEANUP_INTERVAL_S:
             self._state.forget(now)
 
     def _end_term(self, now: float) -> None:
-        """Announce the loads that are on their way, then forget all."""
+        """Announce loads that complete, and reset the state after the last."""
         if self._state.started_at is None:
             return
         self._state.ended = True
@@ -131,12 +141,12 @@
         if not any(item.pending for item in self._state.engines.values()):
             self.write(self.board.loading, loadstate.LoadingState())
 
-    def _note_want(self, want: messages.Want, now: float) -> None:
+    def _record_want(self, want: messages.Want, now: float) -> None:
         need = (want.model, want.adapter)
         if want.unreachable:
-            self._note_unreachable(want.unreachable, now)
+            self._mark_unreachable(want.unreachable, now)
         if want.missing:
-            self._note_missing(want, need, now)
+            self._handle_missing(want, need, now)
         key = (want.service, need)
         demand = self._state.demands.get(key)
         if demand is None:
@@ -157,13 +167,13 @@
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
 
-    def _note_unreachable(self, identity: str, now: float) -> None:
+    def _mark_unreachable(self, identity: str, now: float) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is not None:
             state = self._state.find_engine(endpoint)
-            state.silent_until = now + SILENT_S
+            state.silent_until = now + UNREACHABLE_S
 
-    def _note_missing(
+    def _handle_missing(
         self, want: messages.Want, need: endpoints.Need, now: float
     ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
@@ -180,7 +190,7 @@
             state.check_at = now + ordering.REPORT_LAG_S
         self._orderer.publish(endpoint, need, 0)
 
-    def _note_uses(self, now: float) -> None:
+    def _record_uses(self, now: float) -> None:
         uses: collections.Counter[tuple[str, endpoints.Need]] = (
             collections.Counter()
         )
@@ -212,7 +222,7 @@
         engine: routes.Engine,
         now: float,
     ) -> None:
-        """Start loads for those who wait the longest, while engines can."""
+        """Start loads of adapters by urgency while engines can take them."""
         state = self._state
         candidates = self.board.endpoints.value.list_service(service)
         able = [
@@ -221,7 +231,7 @@
             if loading.can_order(item, state, now)
             and loading.has_room(item, state, engine, now)
         ]
-        loads = self._measure_loads(candidates)
+        loads = self._compute_relative_loads(candidates)
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
@@ -229,10 +239,10 @@
         for demand in loading.order_demands(demands, margin_s, now):
             key = (service, demand.need)
             holders = loading.list_holders(candidates, demand, state, now)
-            if now - demand.last_at > DEMAND_S:
+            if now - demand.last_at > DEMAND_TTL_S:
                 del state.demands[key]
             elif len(holders) >= demand.copies:
-                self._publish_held(holders, demand)
+                self._republish_holders(holders, demand)
                 del state.demands[key]
             elif able:
                 fitting = loading.prefer_warm(
@@ -246,10 +256,13 @@
                     able.remove(plan.endpoint)
                     group.start_soon(self._orderer.carry_out, plan)
 
-    def _publish_held(
+    def _republish_holders(
         self, holders: list[endpoints.Endpoint], demand: loadstate.Demand
     ) -> None:
-        """Tell again what the VM that asked seems not to know."""
+        """Publish again which engines hold an adapter.
+
+        The VM that asked for the adapter seems unaware of them.
+        """
         for endpoint in holders:
             known = self._state.find_engine(endpoint)
             if demand.need not in known.pending:
@@ -257,17 +270,19 @@
                     endpoint, demand.need, known.held[demand.need]
                 )
 
-    def _measure_loads(
+    def _compute_relative_loads(
         self, candidates: list[endpoints.Endpoint]
     ) -> dict[str, float]:
-        """Return the requests in progress at each engine against the mean."""
+        """Return the requests in progress by engine, relative to the mean."""
         view = placement.View(
             self.board.traffic.value, self.board.membership.value.active, "", 0
         )
         active = {
             item.identity: view.count_active(item) for item in candidates
         }
-        mean = sum(active.values()) / max(1, len(active)) + IDLE_REQUESTS
+        mean = (
+            sum(active.values()) / max(1, len(active)) + LOAD_OFFSET_REQUESTS
+        )
         return {identity: count / mean for identity, count in active.items()}
 
     def _plan_models(
@@ -277,7 +292,7 @@
         engine: routes.Engine,
         now: float,
     ) -> None:
-        """Load the base model where it is missing, within the store's rate."""
+        """Load the base model on engines without it, within the rate limit."""
         if not engine.models:
             return
         model = engine.models[0]
@@ -302,7 +317,7 @@
             group.start_soon(self._orderer.load_model, endpoint, model.name)
 
     def _finish_loads(self, now: float) -> None:
-        """Announce adapters that are expected to be there now."""
+        """Announce the adapters whose loads are expected to be complete."""
         for identity, state in self._state.engines.items():
             ready = [need for need, due in state.pending.items() if due <= now]
             endpoint = self.board.endpoints.value.by_identity.get(identity)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -1,4 +1,4 @@
-"""Announces this VM, finds the others and exchanges heartbeats."""
+"""Controller that discovers the other VMs and exchanges heartbeats."""
 
 from __future__ import annotations
 
@@ -18,44 +18,47 @@
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
-HEARTBEAT_S = 0.3
-# The holder of the lease hears of adapters in use at least this often.
-USES_S = 0.05
-# The same while nothing is in progress.
-IDLE_USES_S = 0.1
-# Announcements are kept for ever, so that they are rarely read.
-WAIT_S = 20.0
+# Longest time between two heartbeats.
+HEARTBEAT_INTERVAL_S = 0.3
+# Time between two reports of the adapters in use to the holder of the lease.
+USES_INTERVAL_S = 0.05
+# The same while no adapter is in use.
+IDLE_USES_INTERVAL_S = 0.1
+# Longest wait of one read. Announcements never expire, so that long waits
+# suffice.
+READ_WAIT_S = 20.0
+# Delay after a failed announcement.
 RETRY_S = 0.5
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    """Receives datagrams and hands them to the controller."""
+    """Datagram protocol that passes datagrams to the controller."""
 
     def __init__(self, controller: MembershipController) -> None:
         self._controller = controller
         self.transport: Any = None
 
     def connection_made(self, transport: Any) -> None:
-        """Keep the transport."""
+        """Store the transport."""
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Deliver a datagram."""
+        """Pass a datagram to the controller."""
         self._controller.receive(data, addr)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore that a VM does not listen; heartbeats show that."""
+        """Ignore errors; missing heartbeats show that a VM does not listen."""
 
 
 @roles.CONTROLLERS.register("membership")
 class MembershipController(roles.Controller):
-    """Knows the other VMs."""
+    """Maintains the state of the other VMs."""
 
     name = "membership"
     _datagrams: Datagrams
 
     async def run(self) -> None:
-        """Listen, announce, and send heartbeats."""
+        """Listen for datagrams, announce this VM and send heartbeats."""
         settings = self.board.settings
         loop = asyncio.get_running_loop()
         _, self._datagrams = await loop.create_datagram_endpoint(
@@ -89,11 +92,11 @@
                 await anyio.sleep(RETRY_S)
 
     async def _follow(self) -> None:
-        following = follower.Follower(
-            self.ports.store, names.STATUS_TOPIC, WAIT_S, self.read_clock
+        status_follower = follower.Follower(
+            self.ports.store, names.STATUS_TOPIC, READ_WAIT_S, self.read_clock
         )
         while True:
-            change = await following.read()
+            change = await status_follower.read()
             for record in change.records:
                 self._apply(record)
             self._notify()
@@ -119,7 +122,10 @@
         )
 
     def receive(self, data: bytes, addr: Any) -> None:
-        """Take in a datagram."""
+        """Decode and apply a datagram.
+
+        :param addr: address of the sender
+        """
         try:
             message = messages.decode(data)
         except messages.MessageError as error:
@@ -137,21 +143,25 @@
             case messages.Placed():
                 self.board.placed.post(message)
 
-    def _apply_heartbeat(self, beat: messages.Heartbeat, addr: Any) -> None:
+    def _apply_heartbeat(
+        self, heartbeat: messages.Heartbeat, addr: Any
+    ) -> None:
         now = self.read_clock()
         membership = self.board.membership.value
-        peer = membership.members.peers.get(beat.vm)
+        peer = membership.members.peers.get(heartbeat.vm)
         if peer is None or peer.address != addr:
-            peer = members.Peer(beat.vm, beat.front, addr, beat.zone, now)
-            membership.members.peers[beat.vm] = peer
+            peer = members.Peer(
+                heartbeat.vm, heartbeat.front, addr, heartbeat.zone, now
+            )
+            membership.members.peers[heartbeat.vm] = peer
         peer.heard_at = now
-        peer.ready = beat.ready
-        peer.stopping = beat.stopping
-        peer.incarnation = beat.incarnation
-        peer.active = beat.active
-        peer.lease_end = beat.lease_end
-        peer.holder = beat.holder
-        peer.lease_released = beat.lease_released
+        peer.ready = heartbeat.ready
+        peer.stopping = heartbeat.stopping
+        peer.incarnation = heartbeat.incarnation
+        peer.active = heartbeat.active
+        peer.lease_end = heartbeat.lease_end
+        peer.holder = heartbeat.holder
+        peer.lease_released = heartbeat.lease_released
         self._sum_active(now)
         self._notify()
 
@@ -176,25 +186,25 @@
                 if peer.is_worth_telling(now):
                     self._send(data, peer.address)
             self._sum_active(now)
-            # A change of the lease goes out at once: demands follow the
-            # holder, and a released lease waits for the next one.
+            # A change of the lease is sent at once, because demands are sent
+            # to the holder and a released lease waits for its next holder.
             await blackboard.wait_any(
                 self.board.lease.is_newer(self.board.lease.revision),
-                timeout_ms=int(1000 * HEARTBEAT_S),
+                timeout_ms=int(1000 * HEARTBEAT_INTERVAL_S),
             )
 
     def _make_heartbeat(self) -> messages.Heartbeat:
         board = self.board
         lease = board.lease.value
-        life = board.lifecycle.value
+        lifecycle = board.lifecycle.value
         by_identity = board.traffic.value.by_identity
         return messages.Heartbeat(
             vm=board.settings.vm,
             incarnation=board.incarnation,
             front=board.settings.front,
             zone=board.settings.zone,
-            ready=life.ready,
-            stopping=life.stopping_since is not None,
+            ready=lifecycle.ready,
+            stopping=lifecycle.stopping_since is not None,
             lease_end=lease.end,
             holder=lease.holder,
             lease_released=lease.released,
@@ -208,7 +218,9 @@
     async def _send_uses(self) -> None:
         sent: dict[str, dict[str, list[str]]] = {}
         while True:
-            await anyio.sleep(USES_S if sent else IDLE_USES_S)
+            await anyio.sleep(
+                USES_INTERVAL_S if sent else IDLE_USES_INTERVAL_S
+            )
             uses = self._collect_uses()
             if uses or sent:
                 self._send_to_holder(
