Reword the tests of the entry VM's controllers

Cause: Test names and docstrings were figurative (trusts nothing, rests, hears). Change: Names and docstrings state the failure and how it comes about.

--- a/tests/entry/controllers/conftest.py
+++ b/tests/entry/controllers/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the entry VM's controllers."""
+"""Fixtures for tests of the controllers of an entry VM."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @pytest.fixture
 def make_controller(board, ports, now) -> Callable[[str], roles.Controller]:
-    """Makes the controller of a name."""
+    """Factory for the controller with a given name."""
     process.import_controllers()
     return lambda name: roles.CONTROLLERS.lookup(name)(
         board, ports, lambda: now
@@ -21,6 +21,6 @@
 
 @pytest.fixture
 def controller(make_controller, board, now) -> roles.Controller:
-    """Controller that gives orders, of a VM that holds the lease."""
+    """Loading controller of a VM that holds the lease."""
     board.lease.value.note_renewed(0, now, "vm-1")
     return make_controller("loading")
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -1,4 +1,4 @@
-"""How often the list of endpoints is read."""
+"""Tests of the interval at which the entries of endpoints are read."""
 
 from __future__ import annotations
 
@@ -7,47 +7,52 @@
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 
-# Entries that lapsed with the store are back within this time.
-RETURN_S = 2.0
-CLOSE_GAP_S = 0.1
-USUAL_GAP_S = 1.0
+# Entries that expired during an outage return within this time.
+RECOVERY_S = 2.0
+RECOVERY_INTERVAL_S = 0.1
+NORMAL_INTERVAL_S = 1.0
 
 
 @pytest.fixture
-def reader(make_controller, board) -> roles.Controller:
-    """Controller of a VM whose configuration names one service."""
+def discovery(make_controller, board) -> roles.Controller:
+    """Discovery controller of a VM whose configuration has one service."""
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": routes.Service("s", "/h", 10)}
     )
     return make_controller("discovery")
 
 
-def test_start_with_a_whole_list_reads_no_faster(
-    reader, board, make_endpoint, now
+def test_start_with_all_entries_uses_the_normal_interval(
+    discovery, board, make_endpoint, now
 ):
-    """Guards against calls of the store that no caller gains from."""
+    """Guards against frequent calls of the store that help no caller."""
     board.endpoints.value.add(make_endpoint("e"))
-    assert reader._choose_interval(now, now) >= USUAL_GAP_S
+    assert discovery._choose_interval(now, now) >= NORMAL_INTERVAL_S
 
 
-def test_start_with_a_service_without_entries_reads_faster(reader, now):
-    """Guards against idle endpoints after an outage that was not seen."""
-    soon = now + RETURN_S / 2
-    assert reader._choose_interval(now, soon) <= CLOSE_GAP_S
+def test_start_with_an_empty_service_uses_the_short_interval(discovery, now):
+    """Guards against idle endpoints after an outage before the start.
 
+    A VM that starts after an outage of the store did not see it.
+    """
+    soon = now + RECOVERY_S / 2
+    assert discovery._choose_interval(now, soon) <= RECOVERY_INTERVAL_S
 
-def test_service_that_stays_empty_is_not_read_faster_for_ever(reader, now):
-    """Guards against ten calls a second for a service that is gone."""
-    later = now + RETURN_S
-    assert reader._choose_interval(now, later) >= USUAL_GAP_S
+
+def test_service_that_stays_empty_returns_to_the_normal_interval(
+    discovery, now
+):
+    """Guards against ten calls per second for a service without endpoints."""
+    later = now + RECOVERY_S
+    assert discovery._choose_interval(now, later) >= NORMAL_INTERVAL_S
 
 
-def test_return_of_the_store_is_followed_closely(
-    reader, board, make_endpoint, now
+def test_recovery_of_the_store_uses_the_short_interval(
+    discovery, board, make_endpoint, now
 ):
-    """Guards against entries that returned and are not used."""
+    """Guards against idle endpoints whose entries returned after an outage."""
     board.endpoints.value.add(make_endpoint("e"))
-    reader._recovered_at = now
+    discovery._recovered_at = now
     started_at = now - 60
-    soon = now + RETURN_S / 2
-    assert reader._choose_interval(started_at, soon) <= CLOSE_GAP_S
+    soon = now + RECOVERY_S / 2
+    assert discovery._choose_interval(started_at, soon) <= RECOVERY_INTERVAL_S
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -1,4 +1,4 @@
-"""Turns of the controller that gives orders."""
+"""Tests of the planning turns of the loading controller."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 NEED = ("m", "a1")
 
 
-def test_vm_that_takes_the_lease_again_trusts_nothing_from_before(
+def test_vm_that_acquires_the_lease_again_discards_its_old_state(
     controller, board, make_endpoint, now
 ):
     """Guards against orders that overfill an engine.
 
-    Another holder may have used the places meanwhile.
+    Another holder of the lease may have used its adapter slots meanwhile.
     """
     controller._run_turn(None, now)
     known = board.loading.value.find_engine(make_endpoint("e"))
@@ -25,10 +25,10 @@
     assert board.loading.value.engines == {}
 
 
-def test_vm_that_gave_the_lease_up_announces_its_last_loads(
+def test_vm_that_gave_up_the_lease_announces_its_last_loads(
     controller, board, make_endpoint, now
 ):
-    """Guards against requests that wait for a load that nobody announces."""
+    """Guards against requests that wait for a load that no VM announces."""
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
     controller._run_turn(None, now)
@@ -43,12 +43,12 @@
     assert board.loading.value.engines == {}
 
 
-def test_load_that_another_holder_ordered_may_come_late(
+def test_late_load_of_another_holder_stays_pending(
     controller, board, make_endpoint, now
 ):
-    """Guards against a holder that ends over a load of its predecessor.
+    """Guards against a crash over a load that a former holder ordered.
 
-    The kind of such a load is not known here.
+    The kind of such a load is unknown to this VM.
     """
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
@@ -60,22 +60,22 @@
     assert now < known.pending[NEED] < now + 0.2
 
 
-def test_idle_holder_rests_until_something_is_due(
+def test_idle_holder_pauses_until_the_next_due_time(
     controller, board, make_endpoint, now
 ):
-    """Guards against processor time spent while nothing is asked for."""
+    """Guards against CPU time spent while no adapter is in demand."""
     endpoint = make_endpoint("e")
     known = board.loading.value.find_engine(endpoint)
     known.check_at = None
-    assert controller._measure_pause_ms(now) > 200
+    assert controller._compute_pause_ms(now) > 200
     known.check_at = now + 0.1
-    assert 90 <= controller._measure_pause_ms(now) <= 101
+    assert 90 <= controller._compute_pause_ms(now) <= 101
     known.pending[NEED] = now + 0.05
-    assert controller._measure_pause_ms(now) <= 51
+    assert controller._compute_pause_ms(now) <= 51
     known.pending.clear()
     known.check_at = None
     board.traffic.value.find("e").start(NEED)
-    assert controller._measure_pause_ms(now) <= 51
+    assert controller._compute_pause_ms(now) <= 51
     board.lease.value.give_up()
     known.check_at = now
-    assert controller._measure_pause_ms(now) > 200
+    assert controller._compute_pause_ms(now) > 200
--- a/tests/entry/controllers/test_membership.py
+++ b/tests/entry/controllers/test_membership.py
@@ -1,4 +1,4 @@
-"""What other VMs say, as the controller takes it in."""
+"""Tests of datagrams and announcements that the controller receives."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from bronzetrack.platform import store as stores
 
 PEER = ("127.0.0.1", 9)
-FIELDS = {"h": 10, "u": 2, "w": 9, "p": 4, "l": 1}
+FIELD_COUNTS = {"h": 10, "u": 2, "w": 9, "p": 4, "l": 1}
 VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def membership(make_controller, board) -> roles.Controller:
-    """Controller that hears of other VMs."""
+    """Membership controller of a VM that is ready."""
     board.lifecycle.value.ready = True
     return make_controller("membership")
 
@@ -37,18 +37,21 @@
     suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture]
 )
 @hypothesis.given(
-    strategies.sampled_from(sorted(FIELDS)).flatmap(
+    strategies.sampled_from(sorted(FIELD_COUNTS)).flatmap(
         lambda tag: strategies.lists(
-            VALUES, min_size=FIELDS[tag], max_size=FIELDS[tag]
+            VALUES, min_size=FIELD_COUNTS[tag], max_size=FIELD_COUNTS[tag]
         ).map(lambda fields: [tag, *fields])
     )
 )
-def test_fields_of_any_kind_do_not_end_the_process(membership, now, message):
-    """Guards against an exception in the callback of a datagram."""
-    beat = messages.Heartbeat(
+def test_fields_of_any_type_do_not_end_the_process(membership, now, message):
+    """Guards against an exception in the datagram callback.
+
+    It would end the process.
+    """
+    heartbeat = messages.Heartbeat(
         "vm-2", "i", "f:1", "z", True, False, 3, "v", False, {"e": 1}
     )
-    membership.receive(messages.encode(beat), PEER)
+    membership.receive(messages.encode(heartbeat), PEER)
     membership.receive(msgpack.packb(message), PEER)
     membership._sum_active(now)
     peer = membership.board.membership.value.members.peers["vm-2"]
@@ -60,14 +63,14 @@
     "value",
     [b"", b"\xc1", *map(msgpack.packb, (3, [1], ["f", 4, 5, "z"]))],
 )
-def test_announcement_of_any_kind_is_left_out(membership, value):
-    """Guards against one VM's entry that ends the process of another."""
+def test_invalid_announcement_is_ignored(membership, value):
+    """Guards against one VM's announcement that ends another's process."""
     membership._apply(stores.KeyedRecord("vm-2", value, 0))
     assert not membership.board.membership.value.members.peers
 
 
-def test_announced_vm_is_known(membership):
-    """Guards against a check that leaves good announcements out."""
+def test_announced_vm_becomes_a_peer(membership):
+    """Guards against a check that rejects valid announcements."""
     value = msgpack.packb(["f:1", "127.0.0.1", 9, "z"])
     membership._apply(stores.KeyedRecord("vm-2", value, 0))
     peer = membership.board.membership.value.members.peers["vm-2"]
