Reword the tests and the test deployment of the entry VM

Cause: Test names and docstrings were figurative (said goodbye, lives only as long, believe to be alone) or fragments. Change: Names and docstrings state the failure and how it comes about. Same tests, parameters, assertions and bounds.

--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -1,4 +1,4 @@
-"""A small site: store, engines, a plain service and entry VMs."""
+"""Test deployment with a store, engines, a plain service and entry VMs."""
 
 from __future__ import annotations
 
@@ -136,11 +136,13 @@
     peers: int = 3,
     store: str = "127.0.0.1:4",
 ) -> str:
-    """Return the text of a correct settings file.
+    """Return the text of a valid settings file.
 
+    :param name: name of the VM
     :param front: port for callers
-    :param control: port of all other listeners
-    :param peers: port for the other VMs
+    :param control: port of all other HTTP listeners
+    :param peers: UDP port for the other VMs
+    :param store: address of the store
     """
     return SETTINGS.format(
         name=name, front=front, control=control, peers=peers, store=store
@@ -149,7 +151,11 @@
 
 @attrs.define
 class Answer:
-    """A caller's view of an answer."""
+    """An answer as received by a caller.
+
+    :param headers: values by name in lower case
+    :param whole: whether the framing shows that the answer is complete
+    """
 
     status: int
     headers: dict[str, str]
@@ -165,7 +171,11 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
 ) -> Answer:
-    """Send a request on a new connection and read the answer to its end."""
+    """Send a request on a new connection and read the answer to its end.
+
+    :param port: port for callers of an entry VM
+    :param identity: request id
+    """
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     lines = [
         f"{method} {path} HTTP/1.1",
@@ -189,7 +199,10 @@
 
 
 def parse_answer(data: bytes) -> Answer:
-    """Return an answer, and whether its framing says that it is whole."""
+    """Parse an answer and determine whether it is complete.
+
+    :param data: all bytes received on the connection
+    """
     head, _, rest = data.partition(b"\r\n\r\n")
     if not head:
         return Answer(0, {}, b"", False)
@@ -215,22 +228,26 @@
 
 @attrs.define
 class Vm:
-    """A running entry VM."""
+    """A running entry VM.
+
+    :param front: port for callers
+    :param control: port of all other HTTP listeners
+    """
 
     front: int
     control: int
     process: asyncio.subprocess.Process
 
     async def get(self, path: str) -> Answer:
-        """Read from the addresses that are not for callers."""
+        """Send a GET request to the control port."""
         return await send(self.control, path, "", method="GET")
 
     async def await_listening(self) -> None:
-        """Wait until the VM takes connections, though it may refuse all."""
+        """Wait until the VM accepts connections, even if it is not ready."""
         await self._await_status(200, 503)
 
     async def await_ready(self) -> None:
-        """Wait until the VM takes requests."""
+        """Wait until the VM is ready for requests."""
         await self._await_status(200)
 
     async def _await_status(self, *expected: int) -> None:
@@ -244,7 +261,7 @@
                 await asyncio.sleep(0.05)
 
     async def stop(self) -> int:
-        """Stop the process as planned and return its exit code."""
+        """Stop the process gracefully and return its exit code."""
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGTERM)
         return await asyncio.wait_for(self.process.wait(), 10)
@@ -252,7 +269,12 @@
 
 @attrs.define
 class Site:
-    """Everything around the entry VMs."""
+    """A store, endpoints and entry VMs.
+
+    :param folder: folder of the settings files and logs of the VMs
+    :param store: address of the store
+    :param engines: stand-in of each endpoint, by id
+    """
 
     folder: pathlib.Path
     log: logstore.LogStore = attrs.field(factory=logstore.LogStore)
@@ -263,7 +285,7 @@
     vms: list[Vm] = attrs.field(factory=list)
 
     async def start_store(self) -> None:
-        """Start the store."""
+        """Start the server of the store."""
         server = rawhttp.RawServer(self.log.handle)
         self.servers.append(server)
         self.store = await server.start()
@@ -271,7 +293,7 @@
     async def add_server(
         self, identity: str, service: str, **fields: object
     ) -> wireengine.WireEngine:
-        """Start an endpoint and enter it in the store."""
+        """Start an endpoint and write its entry to the store."""
         engine = wireengine.WireEngine(identity, service, **fields)
         server = rawhttp.RawServer(engine.handle)
         self.servers.append(server)
@@ -282,7 +304,7 @@
         return engine
 
     def announce(self, identity: str, **fields: object) -> None:
-        """Write the entry of an endpoint."""
+        """Write the entry of an endpoint to the store."""
         entry = self.engines[identity].describe(
             self.addresses[identity], **fields
         )
@@ -291,7 +313,7 @@
     def configure(self, version: int = 3, model_load_s: float = 0.1) -> None:
         """Publish the configuration.
 
-        :param model_load_s: stated time of a load of the base model
+        :param model_load_s: stated load time of the base model
         """
         document = copy.deepcopy(CONFIGURATION) | {"version": version}
         runtime = document["services"][1]["runtime"]
@@ -299,7 +321,7 @@
         self.log.put_json("keyed.op", "config", document)
 
     async def start_vm(self, name: str) -> Vm:
-        """Start an entry VM as a process of its own."""
+        """Start an entry VM as a separate process."""
         front, control, peers = (daemons.find_port(HOST) for _ in range(3))
         file = self.folder / f"{name}.ini"
         file.write_text(make_settings(name, front, control, peers, self.store))
@@ -321,7 +343,7 @@
         return vm
 
     async def stop(self) -> None:
-        """End all processes and servers that the site started."""
+        """Stop all processes and servers of the deployment."""
         for vm in self.vms:
             if vm.process.returncode is None:
                 vm.process.kill()
@@ -338,6 +360,6 @@
                 await asyncio.sleep(0.05)
 
     def read_events(self, name: str) -> list[dict]:
-        """Return the log lines of a VM."""
+        """Return the decoded log lines of a VM."""
         text = (self.folder / f"{name}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line]
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between entry VMs."""
+"""Tests of the encoding of datagrams between entry VMs."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 
 
 @pytest.mark.parametrize("message", SAMPLES, ids=lambda item: item.__class__)
-def test_message_survives_the_wire(message):
-    """Guards against fields that are dropped or exchanged."""
+def test_message_is_unchanged_by_encoding_and_decoding(message):
+    """Guards against fields that are lost or swapped."""
     assert messages.decode(messages.encode(message)) == message
 
 
 @hypothesis.given(strategies.binary(max_size=64))
-def test_any_bytes_give_a_message_or_an_error(data):
+def test_any_bytes_decode_or_raise_a_message_error(data):
     """Guards against a datagram that ends the process."""
     try:
         messages.decode(data)
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -1,4 +1,4 @@
-"""Entry VMs as processes, from callers to endpoints."""
+"""Tests of entry VMs as processes, from callers to endpoints."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
 
 @pytest.fixture
 def anyio_backend() -> str:
-    """Run on the loop of the product."""
+    """Use the same event loop as the entry VM."""
     return "asyncio"
 
 
 @pytest.fixture
 async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
-    """Site with a store, two engines and two plain endpoints."""
+    """Deployment with a store, two engines and two plain endpoints."""
     site = sites.Site(tmp_path)
     await site.start_store()
     for identity, service in (
@@ -41,7 +41,7 @@
 
 @pytest.fixture
 async def vm(site: sites.Site) -> sites.Vm:
-    """Entry VM that takes requests."""
+    """Entry VM that is ready for requests."""
     site.configure()
     vm = await site.start_vm("vm-1")
     await vm.await_ready()
@@ -49,12 +49,12 @@
 
 
 def count_runs(site: sites.Site) -> int:
-    """Return how often any request ran at all endpoints."""
+    """Return the number of runs of requests at all endpoints."""
     return sum(len(engine.runs) for engine in site.engines.values())
 
 
 async def test_request_before_any_configuration_is_not_a_404(site):
-    """Guards against a refusal for good while nothing is known yet."""
+    """Guards against a permanent failure before a configuration is loaded."""
     vm = await site.start_vm("vm-1")
     async with asyncio.timeout(10):
         while True:
@@ -69,24 +69,25 @@
 
 
 async def test_request_waits_for_the_first_configuration(site):
-    """Guards against refusals for as long as a restarted VM knows nothing.
+    """Guards against failures while a restarted VM has no configuration.
 
-    All VMs lost power while the store was away, which came back soon after.
+    All VMs lost power while the store was unavailable. The store returned soon
+    afterwards.
     """
     vm = await site.start_vm("vm-1")
     await vm.await_listening()
     assert (await vm.get("/api/ready")).status == 503
-    pending = asyncio.ensure_future(
+    answer_task = asyncio.ensure_future(
         sites.send(vm.front, "/once/x", "r1", body=b"data")
     )
     await asyncio.sleep(0.3)
     site.configure()
-    answer = await pending
+    answer = await answer_task
     assert (answer.status, answer.body) == (200, b"whole")
 
 
 async def test_plain_requests_are_answered(site, vm):
-    """Guards against answers that differ from the endpoint's."""
+    """Guards against answers that differ from those of the endpoint."""
     answer = await sites.send(vm.front, "/once/x", "r1", body=b"data")
     assert (answer.status, answer.body, answer.whole) == (200, b"whole", True)
     assert answer.headers["x-server-signature"] in ("p1", "p2")
@@ -105,10 +106,10 @@
     assert orders[0]["fence"] > 0
 
 
-async def test_engine_serves_as_soon_as_its_base_model_is_there(tmp_path):
-    """Guards against engines left idle after a restart.
+async def test_engine_serves_as_soon_as_its_base_model_is_loaded(tmp_path):
+    """Guards against engines that stay idle after a restart.
 
-    A load from the engine's own disk takes far less than the stated time.
+    A load from the engine's own disk takes far less than the stated load time.
     """
     site = sites.Site(tmp_path)
     await site.start_store()
@@ -125,7 +126,7 @@
     assert len(site.engines["e1"].orders) - len(models) == 1
 
 
-async def test_more_adapters_than_places_overflow_no_engine(site, vm):
+async def test_more_adapters_than_slots_overflow_no_engine(site, vm):
     """Guards against orders that crash an engine."""
     answers = await asyncio.gather(
         *(
@@ -145,8 +146,8 @@
     assert count_runs(site) == len(served)
 
 
-async def test_request_that_may_run_once_is_not_repeated(site, vm):
-    """Guards against a launch entry that is written twice."""
+async def test_request_that_may_run_once_is_not_retried(site, vm):
+    """Guards against a write, such as of a launch entry, that runs twice."""
     for identity in ("p1", "p2"):
         site.engines[identity].status = 500
     answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
@@ -155,8 +156,8 @@
     assert count_runs(site) == 1
 
 
-async def test_safe_request_is_repeated_elsewhere(site, vm):
-    """Guards against a failure that another endpoint would not have."""
+async def test_safe_request_is_retried_at_another_endpoint(site, vm):
+    """Guards against a failure that a retry elsewhere would avoid."""
     site.engines["p1"].status = 500
     for number in range(6):
         answer = await sites.send(
@@ -165,8 +166,8 @@
         assert answer.status == 200
 
 
-async def test_broken_stream_does_not_look_complete(site, vm):
-    """Guards against half a stream that a caller takes for the whole."""
+async def test_interrupted_stream_does_not_look_complete(site, vm):
+    """Guards against a partial stream that looks complete to the caller."""
     for identity in ("e1", "e2"):
         site.engines[identity].cut_after = 1
     answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
@@ -174,8 +175,10 @@
     assert count_runs(site) == 1
 
 
-async def test_broken_resumable_stream_goes_on_elsewhere(site, vm):
-    """Guards against events that are lost, doubled or joined."""
+async def test_interrupted_resumable_stream_resumes_at_another_engine(
+    site, vm
+):
+    """Guards against events that are lost, duplicated or merged."""
     await sites.send(vm.front, "/resumable/x", "warm", headers=ADAPTER)
     for engine in (site.engines["e1"], site.engines["e2"]):
         engine.cut_after = 1 if "warm" in engine.runs else None
@@ -183,8 +186,8 @@
     assert (answer.body, answer.whole) == (STREAM, True)
 
 
-async def test_leaving_endpoint_gets_no_new_work(site, vm):
-    """Guards against work at an endpoint that is about to stop."""
+async def test_leaving_endpoint_gets_no_new_requests(site, vm):
+    """Guards against requests to an endpoint that is about to stop."""
     site.announce("p1", state="draining", sequence=2)
     await asyncio.sleep(1.5)
     before = len(site.engines["p1"].runs)
@@ -193,8 +196,8 @@
     assert len(site.engines["p1"].runs) == before
 
 
-async def test_reused_address_runs_nothing(site, vm):
-    """Guards against a request at a server that took over an address."""
+async def test_server_at_a_reused_address_runs_no_request(site, vm):
+    """Guards against a run at another server that reuses an address."""
     for identity in ("p1", "p2"):
         site.engines[identity].identity = "other"
     answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
@@ -203,7 +206,7 @@
 
 
 async def test_new_version_of_an_adapter_is_loaded(site, vm):
-    """Guards against a request that begins on an old version."""
+    """Guards against a request that runs with an old adapter version."""
     await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
     version = {"model": "m", "adapter": "a1", "version": 2}
     site.log.put_json("keyed.op", "version/m.a1", version)
@@ -219,8 +222,8 @@
     assert loads[-1]["version"] == 2
 
 
-async def test_store_outage_stops_nothing_that_is_known(site, vm):
-    """Guards against a system that lives only as long as the store."""
+async def test_store_outage_does_not_stop_known_services(site, vm):
+    """Guards against a system that fails together with the store."""
     await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
     site.log.failing = 503
     await asyncio.sleep(1.2)
@@ -237,8 +240,8 @@
     assert loaded.status == 200
 
 
-async def check_returning_engine(site, vm):
-    """Check that an engine serves soon after its entry has returned."""
+async def check_engine_after_outage(site, vm):
+    """Check that an engine serves requests soon after its entry returns."""
     await vm.await_ready()
     await asyncio.sleep(0.2)
     site.announce("e1")
@@ -251,7 +254,7 @@
 async def test_entries_that_return_with_the_store_are_used_at_once(site):
     """Guards against idle endpoints in the seconds after an outage.
 
-    A VM started while the store was away, with which all entries lapsed.
+    A VM started during an outage of the store, in which all entries expired.
     """
     site.configure()
     site.log.failing = 503
@@ -262,40 +265,41 @@
     await asyncio.sleep(0.5)
     site.log.failing = None
     site.announce("p1")
-    await check_returning_engine(site, vm)
+    await check_engine_after_outage(site, vm)
 
 
 async def test_vm_that_starts_after_an_outage_uses_entries_at_once(site):
-    """Guards against idle endpoints where a VM did not see the outage.
+    """Guards against idle endpoints if a VM starts after an outage.
 
-    All entries lapsed before it started, and return after that.
+    The VM did not see the outage. All entries expired before its start and
+    return after it.
     """
     site.configure()
     for identity in site.engines:
         site.log.put("keyed.servers", identity, None)
     site.announce("p1")
     vm = await site.start_vm("vm-1")
-    await check_returning_engine(site, vm)
+    await check_engine_after_outage(site, vm)
 
 
-async def test_planned_stop_answers_what_it_took(site, vm):
-    """Guards against a stop that cuts a request."""
+async def test_graceful_shutdown_answers_accepted_requests(site, vm):
+    """Guards against a shutdown that interrupts a request."""
     for engine in site.engines.values():
         engine.load_s = 0.3
-    pending = asyncio.ensure_future(
+    answer_task = asyncio.ensure_future(
         sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
     )
     await asyncio.sleep(0.1)
-    stopping = asyncio.ensure_future(vm.stop())
+    stop_task = asyncio.ensure_future(vm.stop())
     await asyncio.sleep(0.2)
     assert (await vm.get("/api/ready")).status == 503
-    answer = await pending
+    answer = await answer_task
     assert (answer.status, answer.whole) == (200, True)
-    assert await stopping == 0
+    assert await stop_task == 0
 
 
-async def test_vms_find_each_other_and_share_the_holder(site, vm):
-    """Guards against VMs that each believe to be alone."""
+async def test_vms_discover_each_other_and_agree_on_the_holder(site, vm):
+    """Guards against VMs that do not discover each other."""
     second = await site.start_vm("vm-2")
     await second.await_ready()
     await asyncio.sleep(1.0)
@@ -312,8 +316,8 @@
     assert len(fences) == 1
 
 
-async def test_killed_holder_is_succeeded_with_a_higher_token(site, vm):
-    """Guards against orders that stop with one VM, or that overlap."""
+async def test_successor_of_a_killed_holder_has_a_higher_token(site, vm):
+    """Guards against orders that end with the holder or that overlap."""
     await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
     second = await site.start_vm("vm-2")
     await second.await_ready()
@@ -332,8 +336,8 @@
     assert max(fences) > min(fences)
 
 
-async def test_stopped_holder_is_succeeded_at_once(site, vm):
-    """Guards against a lease that lapses although its holder said goodbye."""
+async def test_successor_of_a_stopped_holder_takes_over_at_once(site, vm):
+    """Guards against a successor that waits for a lease that was released."""
     other = await site.start_vm("vm-2")
     await other.await_ready()
     await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
@@ -354,8 +358,10 @@
     assert 0 <= taken_s < 0.25
 
 
-async def test_reload_takes_good_settings_and_survives_bad_ones(site, vm):
-    """Guards against a process that ends over a mistake in its settings."""
+async def test_reload_applies_valid_settings_and_ignores_invalid_ones(
+    site, vm
+):
+    """Guards against a process that exits on invalid settings."""
     file = site.folder / "vm-1.ini"
     text = file.read_text()
     file.write_text(text.replace("entry_ttl_s = 5", "entry_ttl_s = 1"))
@@ -373,7 +379,7 @@
 
 
 async def test_state_and_metrics_are_served(site, vm):
-    """Guards against an operator who cannot look into a process."""
+    """Guards against a process whose state operators cannot inspect."""
     await sites.send(vm.front, "/once/x", "r1", body=b"x")
     state = json.loads((await vm.get("/state")).body)
     assert state["configuration"] == 3
@@ -383,8 +389,8 @@
     assert "bronzetrack_entry_ready 1.0" in metrics
 
 
-async def test_log_tells_what_became_of_a_request(site, vm):
-    """Guards against a failed request that nobody can explain."""
+async def test_log_records_the_outcome_of_a_request(site, vm):
+    """Guards against a failed request without a logged cause."""
     for identity in ("p1", "p2"):
         site.engines[identity].status = 503
     await sites.send(vm.front, "/once/x", "r-77", body=b"x")
@@ -400,30 +406,30 @@
     assert lines[-1]["sends"] == 1
 
 
-async def test_stopping_vm_still_serves_callers_that_know_it(site, vm):
-    """Guards against a planned stop that refuses callers at once.
+async def test_stopping_vm_accepts_requests_for_a_while(site, vm):
+    """Guards against a graceful shutdown that refuses callers at once.
 
-    Callers keep an address for seconds and have one more try. A day with a
-    rolling restart showed 16 to 52 refusals in two seconds.
+    Callers keep an address for seconds and retry once. On a day with a rolling
+    restart, 16 to 52 requests were refused within two seconds.
     """
-    stopping = asyncio.ensure_future(vm.stop())
+    stop_task = asyncio.ensure_future(vm.stop())
     await asyncio.sleep(0.3)
     answer = await sites.send(vm.front, "/once/x", "r1", body=b"x")
     assert answer.status == 200
     assert answer.headers["connection"] == "close"
-    assert await stopping == 0
+    assert await stop_task == 0
 
 
 async def test_killed_holder_that_restarts_gives_orders_at_once(site, vm):
-    """Guards against waiting for a lease that is one's own."""
+    """Guards against a VM that waits for the expiry of its own lease."""
     await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
     vm.process.kill()
     await vm.process.wait()
-    again = await site.start_vm("vm-1")
-    await again.await_ready()
+    restarted_vm = await site.start_vm("vm-1")
+    await restarted_vm.await_ready()
     started = asyncio.get_running_loop().time()
     answer = await sites.send(
-        again.front, "/stream/x", "r2", headers={"X-Model": "m/a3"}
+        restarted_vm.front, "/stream/x", "r2", headers={"X-Model": "m/a3"}
     )
     assert answer.status == 200
     assert asyncio.get_running_loop().time() - started < 0.8
