Name the local variables of the entry controllers by their content

Cause: known, found, suspect, last and at stood for endpoints, announcements, digests, records and offsets. No behaviour changes.

--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -54,24 +54,24 @@
         return False
 
     def _apply_configuration(self, value: bytes) -> bool:
-        found = documents.decode_configuration(value)
+        published = documents.decode_configuration(value)
         rules = self.board.rules.value
         current = rules.configuration
-        if current is not None and found.version <= current.version:
+        if current is not None and published.version <= current.version:
             return False
-        rules.configuration = found
-        logevents.log(LOG, logevents.ConfigurationApplied(found.version))
+        rules.configuration = published
+        logevents.log(LOG, logevents.ConfigurationApplied(published.version))
         return True
 
     def _apply_version(self, value: bytes) -> bool:
-        found = documents.decode_version(value)
+        published = documents.decode_version(value)
         versions = self.board.rules.value.versions
-        key = (found.model, found.adapter)
-        if versions.get(key, 0) >= found.version:
+        key = (published.model, published.adapter)
+        if versions.get(key, 0) >= published.version:
             return False
-        versions[key] = found.version
+        versions[key] = published.version
         event = logevents.AdapterVersionNamed(
-            found.model, found.adapter, found.version
+            published.model, published.adapter, published.version
         )
         logevents.log(LOG, event)
         return True
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -101,55 +101,60 @@
             self._mark_removed(record.key, now)
             return
         try:
-            found = documents.decode_announcement(record.key, record.value)
+            announcement = documents.decode_announcement(
+                record.key, record.value
+            )
         except documents.DocumentError as error:
             event = logevents.EntryRejected(record.key, str(error))
             logevents.log(LOG, event)
             return
-        self._apply_announcement(found, now)
+        self._apply_announcement(announcement, now)
 
     def _apply_announcement(
-        self, found: documents.Announcement, now: float
+        self, announcement: documents.Announcement, now: float
     ) -> None:
         table = self.board.endpoints.value
-        known = table.by_identity.get(found.identity)
-        if known is None or is_other_start(known, found):
-            if known is not None and found.started_ms < known.started_ms:
+        endpoint = table.by_identity.get(announcement.identity)
+        if endpoint is None or is_other_start(endpoint, announcement):
+            if (
+                endpoint is not None
+                and announcement.started_ms < endpoint.started_ms
+            ):
                 return
-            known = found.make_endpoint()
-            table.add(known)
-            _log(logevents.EndpointSeen, known)
-        if found.announced < known.announced:
+            endpoint = announcement.make_endpoint()
+            table.add(endpoint)
+            _log(logevents.EndpointSeen, endpoint)
+        if announcement.announced < endpoint.announced:
             return
-        known.announced = found.announced
-        known.removed_at = None
-        known.zone = found.zone
-        known.capacity = found.capacity
-        if found.draining and known.leaving_since is None:
-            known.leaving_since = now
-            _log(logevents.EndpointLeaving, known)
-        elif not found.draining:
-            known.leaving_since = None
-        if found.leaves_in_s is not None:
-            known.gone_at = now + found.leaves_in_s
-        known.announce(found.models, found.adapters, now)
+        endpoint.announced = announcement.announced
+        endpoint.removed_at = None
+        endpoint.zone = announcement.zone
+        endpoint.capacity = announcement.capacity
+        if announcement.draining and endpoint.leaving_since is None:
+            endpoint.leaving_since = now
+            _log(logevents.EndpointLeaving, endpoint)
+        elif not announcement.draining:
+            endpoint.leaving_since = None
+        if announcement.leaves_in_s is not None:
+            endpoint.gone_at = now + announcement.leaves_in_s
+        endpoint.announce(announcement.models, announcement.adapters, now)
 
     def _apply_placement(self, placed: messages.Placed) -> None:
-        known = self.board.endpoints.value.by_identity.get(placed.identity)
-        if known is not None:
+        endpoint = self.board.endpoints.value.by_identity.get(placed.identity)
+        if endpoint is not None:
             need = (placed.model, placed.adapter)
-            known.place(need, placed.version, self.read_clock())
+            endpoint.place(need, placed.version, self.read_clock())
             self.board.arrivals.change(need)
 
     def _mark_removed(self, identity: str, now: float) -> None:
-        known = self.board.endpoints.value.by_identity.get(identity)
-        if known is None or known.removed_at is not None:
+        endpoint = self.board.endpoints.value.by_identity.get(identity)
+        if endpoint is None or endpoint.removed_at is not None:
             return
         returning = now - self._recovered_at < RECOVERY_S
-        known.removed_at = (
+        endpoint.removed_at = (
             self._recovered_at + RECOVERY_S if returning else now
         )
-        _log(logevents.EndpointRemoved, known)
+        _log(logevents.EndpointRemoved, endpoint)
 
     def _mark_missing_removed(self, present: set[str], now: float) -> None:
         for identity in set(self.board.endpoints.value.by_identity) - present:
@@ -175,11 +180,11 @@
 
 
 def is_other_start(
-    known: endpoints.Endpoint, found: documents.Announcement
+    endpoint: endpoints.Endpoint, announcement: documents.Announcement
 ) -> bool:
     """Return whether an entry belongs to another start of an endpoint."""
     return (
-        known.started_ms != found.started_ms
-        or known.address != found.address
-        or known.service != found.service
+        endpoint.started_ms != announcement.started_ms
+        or endpoint.address != announcement.address
+        or endpoint.service != announcement.service
     )
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -69,17 +69,17 @@
             self.listener.bounds = configuration.limits
         self._adjust_budgets()
         self.listener.expire(now)
-        known = set(self.board.endpoints.value.by_identity)
-        self.board.traffic.value.retain(known)
-        self._sender.retain(known)
+        identities = set(self.board.endpoints.value.by_identity)
+        self.board.traffic.value.retain(identities)
+        self._sender.retain(identities)
 
     def _adjust_budgets(self) -> None:
         """Apply reloaded settings to the existing retry budgets."""
         settings = self.board.settings
-        for found in self.board.budgets.value.by_service.values():
-            found.ratio = settings.retry_ratio
-            found.slack = settings.retry_slack
-            found.window_s = settings.retry_window_s
+        for retry_budget in self.board.budgets.value.by_service.values():
+            retry_budget.ratio = settings.retry_ratio
+            retry_budget.slack = settings.retry_slack
+            retry_budget.window_s = settings.retry_window_s
 
     async def serve(self, exchange: server.Exchange) -> None:
         """Forward a request of a caller and answer it."""
@@ -95,8 +95,8 @@
             self._end(exchange, request, None, route)
             return
         request.bind(route)
-        suspect = suspects.identify(request.path, request.body)
-        if self._is_suspected(suspect, now):
+        digest = suspects.identify(request.path, request.body)
+        if self._is_suspected(digest, now):
             failure = failures.Failure(
                 failures.Reason.SUSPECTED,
                 "each endpoint that ran this request lost its connection",
@@ -144,11 +144,11 @@
             exchange, request, progress, failures.Failure(reason, "timeout")
         )
 
-    def _is_suspected(self, suspect: str, now: float) -> bool:
-        known = self.board.suspects.value
+    def _is_suspected(self, digest: str, now: float) -> bool:
+        known_suspects = self.board.suspects.value
         for loss in self.board.losses.take():
-            known.note_loss(loss.identity, now)
-        return known.is_refused(suspect, now)
+            known_suspects.note_loss(loss.identity, now)
+        return known_suspects.is_refused(digest, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
         """Wait for a limited time for the first configuration."""
@@ -191,15 +191,15 @@
 
     def _find_budget(self, service: str) -> budget.RetryBudget:
         by_service = self.board.budgets.value.by_service
-        found = by_service.get(service)
-        if found is None:
+        retry_budget = by_service.get(service)
+        if retry_budget is None:
             settings = self.board.settings
-            found = by_service[service] = budget.RetryBudget(
+            retry_budget = by_service[service] = budget.RetryBudget(
                 settings.retry_ratio,
                 settings.retry_slack,
                 settings.retry_window_s,
             )
-        return found
+        return retry_budget
 
     async def _forward(
         self,
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -77,9 +77,9 @@
 
     def _make_situation(self, now: float) -> leases.Situation:
         settings = self.board.settings
-        known = self.board.membership.value.members
-        alive = known.list_alive(now)
-        holder = known.peers.get(self.board.lease.value.holder)
+        others = self.board.membership.value.members
+        alive = others.list_alive(now)
+        holder = others.peers.get(self.board.lease.value.holder)
         return leases.Situation(
             rank=sum(
                 peer.vm < settings.vm and not peer.stopping for peer in alive
@@ -109,11 +109,11 @@
         except stores.StoreError as error:
             await self._back_off(error)
             return
-        last = batch.records[-1] if batch.records else b""
+        last_record = batch.records[-1] if batch.records else b""
         lease.note_last(
             batch.end,
-            last == self.board.settings.vm.encode(),
-            last == names.LEASE_RELEASED,
+            last_record == self.board.settings.vm.encode(),
+            last_record == names.LEASE_RELEASED,
             self.read_clock(),
         )
         self.write(self.board.lease, lease)
@@ -142,10 +142,10 @@
         sent_at = self.read_clock()
         vm = self.board.settings.vm
         held = lease.is_held(sent_at)
-        at = max(0, lease.end)
+        expected_end = max(0, lease.end)
         try:
             offset = await self.ports.store.append(
-                names.LEASE_TOPIC, [vm.encode()], at
+                names.LEASE_TOPIC, [vm.encode()], expected_end
             )
         except stores.OffsetConflictError as error:
             lease.note_end(error.end, "", self.read_clock())
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -111,14 +111,14 @@
     def _reload(self) -> None:
         """Apply changed settings that need no restart."""
         try:
-            found = self.ports.read_settings()
+            new_settings = self.ports.read_settings()
         except entry_settings.SettingsError as error:
             logevents.log(LOG, logevents.ReloadFailed(error.mistakes))
             return
-        self.board.settings, waiting = entry_settings.merge_reloaded(
-            self.board.settings, found
+        self.board.settings, need_restart = entry_settings.merge_reloaded(
+            self.board.settings, new_settings
         )
-        logevents.log(LOG, logevents.SettingsReloaded(waiting))
+        logevents.log(LOG, logevents.SettingsReloaded(need_restart))
 
     def _begin_stop(self) -> None:
         lifecycle = self.board.lifecycle.value
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -23,11 +23,12 @@
 
 # Longest time between two turns of planning.
 BUSY_INTERVAL_S = 0.05
-# The same while no adapter is in use or in demand.
+# Longest time between two turns while no adapter is in use or in demand.
 IDLE_INTERVAL_S = 0.25
-# The same on VMs without the lease, which plan nothing.
+# Longest time between two turns of a VM without the lease, which plans
+# nothing.
 FOLLOWER_INTERVAL_S = 1.0
-# Time between two removals of outdated state.
+# Time between two removals of outdated state by the holder of the lease.
 CLEANUP_INTERVAL_S = 1.0
 # A demand that no VM repeats within this time is dropped.
 DEMAND_TTL_S = 1.0
@@ -225,13 +226,13 @@
         """Start loads of adapters by urgency while engines can take them."""
         state = self._state
         candidates = self.board.endpoints.value.list_service(service)
-        able = [
+        available = [
             item
             for item in candidates
             if loading.can_order(item, state, now)
             and loading.has_room(item, state, engine, now)
         ]
-        loads = self._compute_relative_loads(candidates)
+        relative_loads = self._compute_relative_loads(candidates)
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
@@ -244,16 +245,16 @@
             elif len(holders) >= demand.copies:
                 self._republish_holders(holders, demand)
                 del state.demands[key]
-            elif able:
+            elif available:
                 fitting = loading.prefer_warm(
-                    able, candidates, holders, demand, state, now
+                    available, candidates, holders, demand, state, now
                 )
                 plan = loading.plan_load(
-                    fitting, demand, state, loads, engine, now
+                    fitting, demand, state, relative_loads, engine, now
                 )
                 if plan is not None:
                     state.find_engine(plan.endpoint).ordering = True
-                    able.remove(plan.endpoint)
+                    available.remove(plan.endpoint)
                     group.start_soon(self._orderer.carry_out, plan)
 
     def _republish_holders(
@@ -264,10 +265,10 @@
         The VM that asked for the adapter seems unaware of them.
         """
         for endpoint in holders:
-            known = self._state.find_engine(endpoint)
-            if demand.need not in known.pending:
+            state = self._state.find_engine(endpoint)
+            if demand.need not in state.pending:
                 self._orderer.publish(
-                    endpoint, demand.need, known.held[demand.need]
+                    endpoint, demand.need, state.held[demand.need]
                 )
 
     def _compute_relative_loads(
@@ -319,9 +320,11 @@
     def _finish_loads(self, now: float) -> None:
         """Announce the adapters whose loads are expected to be complete."""
         for identity, state in self._state.engines.items():
-            ready = [need for need, due in state.pending.items() if due <= now]
+            completed = [
+                need for need, due in state.pending.items() if due <= now
+            ]
             endpoint = self.board.endpoints.value.by_identity.get(identity)
-            for need in ready:
+            for need in completed:
                 del state.pending[need]
                 if endpoint is not None:
                     if state.loaded_at.get(need, 0.0) < now - loading.FRESH_S:
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -22,7 +22,7 @@
 HEARTBEAT_INTERVAL_S = 0.3
 # Time between two reports of the adapters in use to the holder of the lease.
 USES_INTERVAL_S = 0.05
-# The same while no adapter is in use.
+# Time between two such reports while no adapter is in use.
 IDLE_USES_INTERVAL_S = 0.1
 # Longest wait of one read. Announcements never expire, so that long waits
 # suffice.
@@ -105,20 +105,20 @@
         if record.value is None or record.key == self.board.settings.vm:
             return
         try:
-            found = messages.decode_contact(record.value)
+            contact = messages.decode_contact(record.value)
         except messages.MessageError as error:
             event = logevents.AnnouncementRejected(record.key, str(error))
             logevents.log(LOG, event)
             return
         peers = self.board.membership.value.members.peers
-        known = peers.get(record.key)
+        peer = peers.get(record.key)
         now = self.read_clock()
-        address = (found.host, found.port)
-        if known is not None and known.address == address:
-            known.announced_at = now
+        address = (contact.host, contact.port)
+        if peer is not None and peer.address == address:
+            peer.announced_at = now
             return
         peers[record.key] = members.Peer(
-            record.key, found.front, address, found.zone, now
+            record.key, contact.front, address, contact.zone, now
         )
 
     def receive(self, data: bytes, addr: Any) -> None:
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -189,10 +189,10 @@
         """
         requestlog.log_rejection(request, endpoint, relay)
         traffic = self.board.traffic.value.find(endpoint.identity)
-        other = relay.find_header(names.INSTANCE)
+        instance = relay.find_header(names.INSTANCE)
         if relay.status != 421:
             return traffic.note_failure(now)
-        if other is not None and other != endpoint.identity.encode():
+        if instance is not None and instance != endpoint.identity.encode():
             return traffic.note_unreachable(now)
         if request.need is not None:
             progress.missing = endpoint.identity
@@ -203,7 +203,7 @@
         return False
 
     def _report_loss(self, request: requests.Request, now: float) -> None:
-        suspect = suspects.identify(request.path, request.body)
-        self.board.suspects.value.note_loss(suspect, now)
-        if suspect:
-            self.board.outgoing.post(messages.Loss(suspect))
+        digest = suspects.identify(request.path, request.body)
+        self.board.suspects.value.note_loss(digest, now)
+        if digest:
+            self.board.outgoing.post(messages.Loss(digest))
