Describe the address for callers as an announced address

Cause: The reworded docstring only named the listener. Change: The docstring says that the address is announced to callers, too.

--- a/src/bronzetrack/entry/settings.py
+++ b/src/bronzetrack/entry/settings.py
@@ -26,7 +26,7 @@
 class Settings:
     """Settings of one entry VM.
 
-    :param front: listen address for callers
+    :param front: listen address for callers, which is also announced to them
     :param readiness: listen address for readiness checks
     :param directory: listen address of the directory of entry VMs
     :param operators: listen address for the state dump
