--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -1,4 +1,4 @@
-"""Keeps the table of endpoints."""
+"""Controller that keeps the table of endpoints up to date."""
 
 from __future__ import annotations
 
@@ -17,60 +17,69 @@
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
-# Endpoints write about once a second each. Reading them in turns of this
-# length costs few calls and keeps well within the time in which a leaving
-# endpoint must get no more work.
-GAP_S = 1.0
-WAIT_S = 0.5
-# The same while entries return after an outage of the store.
-RETURN_GAP_S = 0.1
-# Entries that lapsed while the store was away return in about this time.
-RETURN_S = 2.0
+# Time between two reads. Each endpoint writes about once a second. This
+# interval needs few calls and is well below the time within which a leaving
+# endpoint must get no more requests.
+READ_INTERVAL_S = 1.0
+# Longest wait of one read.
+READ_WAIT_S = 0.5
+# Time between two reads while entries return after an outage of the store.
+RECOVERY_INTERVAL_S = 0.1
+# Entries that expired during an outage of the store return within about this
+# time.
+RECOVERY_S = 2.0
 
 
 @roles.CONTROLLERS.register("discovery")
 class DiscoveryController(roles.Controller):
-    """Follows the entries of the endpoints and the orders of the holder."""
+    """Follows the entries of endpoints and the placements of the holder."""
 
     name = "discovery"
     _recovered_at = float("-inf")
 
     async def run(self) -> None:
-        """Take in entries and placements."""
+        """Apply entries and placements until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow_entries)
             group.start_soon(self._follow_placements)
 
     async def _follow_entries(self) -> None:
-        following = follower.Follower(
-            self.ports.store, names.SERVERS_TOPIC, WAIT_S, self.read_clock
+        entry_follower = follower.Follower(
+            self.ports.store, names.SERVERS_TOPIC, READ_WAIT_S, self.read_clock
         )
         started_at = self.read_clock()
         while True:
-            change = await following.read()
+            change = await entry_follower.read()
             now = self.read_clock()
             if change.recovered:
                 self._recovered_at = now
             if change.snapshot:
-                self._drop_missing({item.key for item in change.records}, now)
+                self._mark_missing_removed(
+                    {item.key for item in change.records}, now
+                )
             for record in change.records:
                 self._apply(record, now)
             self._expire(now)
             self._notify()
-            await anyio.sleep(self._choose_gap(started_at, now))
+            await anyio.sleep(self._choose_interval(started_at, now))
 
-    def _choose_gap(self, started_at: float, now: float) -> float:
+    def _choose_interval(self, started_at: float, now: float) -> float:
         """Return the time until the next read.
 
-        A VM that has just started does not know of an outage before, after
-        which entries are still to return; a service without any shows it.
+        A VM that has just started did not see an earlier outage, after which
+        entries may still return. A service without any entry indicates one.
         """
-        returning = now - self._recovered_at < RETURN_S
-        starting = now - started_at < RETURN_S and self._lacks_entries()
-        return RETURN_GAP_S if returning or starting else GAP_S
+        returning = now - self._recovered_at < RECOVERY_S
+        starting = now - started_at < RECOVERY_S and self._lacks_entries()
+        return (
+            RECOVERY_INTERVAL_S if returning or starting else READ_INTERVAL_S
+        )
 
     def _lacks_entries(self) -> bool:
-        """Return whether a service has no endpoint at all."""
+        """Return whether a service has no endpoint.
+
+        Without a configuration, this is assumed.
+        """
         configuration = self.board.rules.value.configuration
         if configuration is None:
             return True
@@ -92,55 +101,62 @@
             self._mark_removed(record.key, now)
             return
         try:
-            found = documents.decode_announcement(record.key, record.value)
+            announcement = documents.decode_announcement(
+                record.key, record.value
+            )
         except documents.DocumentError as error:
             event = logevents.EntryRejected(record.key, str(error))
             logevents.log(LOG, event)
             return
-        self._apply_announcement(found, now)
+        self._apply_announcement(announcement, now)
 
     def _apply_announcement(
-        self, found: documents.Announcement, now: float
+        self, announcement: documents.Announcement, now: float
     ) -> None:
         table = self.board.endpoints.value
-        known = table.by_identity.get(found.identity)
-        if known is None or is_other_start(known, found):
-            if known is not None and found.started_ms < known.started_ms:
+        endpoint = table.by_identity.get(announcement.identity)
+        if endpoint is None or is_other_start(endpoint, announcement):
+            if (
+                endpoint is not None
+                and announcement.started_ms < endpoint.started_ms
+            ):
                 return
-            known = found.make_endpoint()
-            table.add(known)
-            _log(logevents.EndpointSeen, known)
-        if found.announced < known.announced:
+            endpoint = announcement.make_endpoint()
+            table.add(endpoint)
+            _log(logevents.EndpointSeen, endpoint)
+        if announcement.announced < endpoint.announced:
             return
-        known.announced = found.announced
-        known.removed_at = None
-        known.zone = found.zone
-        known.capacity = found.capacity
-        if found.draining and known.leaving_since is None:
-            known.leaving_since = now
-            _log(logevents.EndpointLeaving, known)
-        elif not found.draining:
-            known.leaving_since = None
-        if found.leaves_in_s is not None:
-            known.gone_at = now + found.leaves_in_s
-        known.announce(found.models, found.adapters, now)
+        endpoint.announced = announcement.announced
+        endpoint.removed_at = None
+        endpoint.zone = announcement.zone
+        endpoint.capacity = announcement.capacity
+        if announcement.draining and endpoint.leaving_since is None:
+            endpoint.leaving_since = now
+            _log(logevents.EndpointLeaving, endpoint)
+        elif not announcement.draining:
+            endpoint.leaving_since = None
+        if announcement.leaves_in_s is not None:
+            endpoint.gone_at = now + announcement.leaves_in_s
+        endpoint.announce(announcement.models, announcement.adapters, now)
 
     def _apply_placement(self, placed: messages.Placed) -> None:
-        known = self.board.endpoints.value.by_identity.get(placed.identity)
-        if known is not None:
+        endpoint = self.board.endpoints.value.by_identity.get(placed.identity)
+        if endpoint is not None:
             need = (placed.model, placed.adapter)
-            known.place(need, placed.version, self.read_clock())
+            endpoint.place(need, placed.version, self.read_clock())
             self.board.arrivals.change(need)
 
     def _mark_removed(self, identity: str, now: float) -> None:
-        known = self.board.endpoints.value.by_identity.get(identity)
-        if known is None or known.removed_at is not None:
+        endpoint = self.board.endpoints.value.by_identity.get(identity)
+        if endpoint is None or endpoint.removed_at is not None:
             return
-        returning = now - self._recovered_at < RETURN_S
-        known.removed_at = self._recovered_at + RETURN_S if returning else now
-        _log(logevents.EndpointRemoved, known)
+        returning = now - self._recovered_at < RECOVERY_S
+        endpoint.removed_at = (
+            self._recovered_at + RECOVERY_S if returning else now
+        )
+        _log(logevents.EndpointRemoved, endpoint)
 
-    def _drop_missing(self, present: set[str], now: float) -> None:
+    def _mark_missing_removed(self, present: set[str], now: float) -> None:
         for identity in set(self.board.endpoints.value.by_identity) - present:
             self._mark_removed(identity, now)
 
@@ -149,7 +165,8 @@
         gone = [
             item.identity
             for item in table.by_identity.values()
-            if item.removed_at is not None and now > item.removed_at + RETURN_S
+            if item.removed_at is not None
+            and now > item.removed_at + RECOVERY_S
         ]
         for identity in gone:
             table.remove(identity)
@@ -163,11 +180,11 @@
 
 
 def is_other_start(
-    known: endpoints.Endpoint, found: documents.Announcement
+    endpoint: endpoints.Endpoint, announcement: documents.Announcement
 ) -> bool:
-    """Return whether an entry is of another start than the known one."""
+    """Return whether an entry belongs to another start of an endpoint."""
     return (
-        known.started_ms != found.started_ms
-        or known.address != found.address
-        or known.service != found.service
+        endpoint.started_ms != announcement.started_ms
+        or endpoint.address != announcement.address
+        or endpoint.service != announcement.service
     )
