Reword the ownership module and its tests

Cause: Comments and names of the ownership code used private or figurative words. Change: Docstrings, comments, assertion texts, private functions, constants that only this folder uses, locals, fixtures and some test names use the terms of the field. Behaviour is unchanged.

--- a/src/bronzetrack/ownership/__init__.py
+++ b/src/bronzetrack/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""Which VM owns which endpoint."""
+"""Ownership of endpoints by VMs: leases, claims and handover."""
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -1,7 +1,7 @@
-"""Leases, owners, and what they allow.
+"""Leases and owners of endpoints, and the actions that they permit.
 
-Times are monotonic times of this VM. A time is never compared with one of
-another VM, and no record holds a time.
+All times are monotonic times of this VM. They are never compared with times
+of another VM, and log records contain no times.
 """
 
 from __future__ import annotations
@@ -17,22 +17,26 @@
 RENEWAL_INTERVAL_MS = 3_000
 CLOCK_MARGIN_MS = 1_000
 ORDER_LIFE_MS = 5_000
-# A VM that was paused has to judge its standing anew; it does so four times a
-# second. A successor may claim only after the margin.
-STANDING_LIFE_MS = 1_000
-# VMs that renewed within this time before the log was lost may have a lease
-# again. One that was replaced meanwhile counts as silent for as long.
-KNOWN_MS = 600_000
-# After this time without a record no holder has a lease or an order on its
-# way.
-QUIET_MS = LEASE_MS + CLOCK_MARGIN_MS + ORDER_LIFE_MS
+# A VM that was paused has to evaluate its standing again before it dispatches.
+# Evaluation runs four times a second. A successor may claim only after the
+# clock margin.
+STANDING_VALIDITY_MS = 1_000
+# VMs that renewed within this time before the log became unreachable may hold
+# a lease again. A VM that was replaced meanwhile counts as silent for the same
+# time.
+RECENT_RENEWAL_MS = 600_000
+# After this time without a record in the stream, no holder has a lease or an
+# order in flight.
+QUIET_PERIOD_MS = LEASE_MS + CLOCK_MARGIN_MS + ORDER_LIFE_MS
 NO_SEQUENCE = -1
 
 
 @attrs.frozen
 class Lease:
-    """The newest renewal of an incarnation.
+    """The most recent lease renewal of an incarnation.
 
+    :param vm: name of the VM that renewed the lease
+    :param sequence: sequence number of the renewal
     :param read_ms: monotonic time at which this VM read the renewal
     """
 
@@ -43,9 +47,11 @@
 
 @attrs.frozen
 class Ownership:
-    """Who owns an endpoint.
+    """The owner of an endpoint.
 
-    :param fencing: offset of the claim
+    :param vm: name of the owning VM
+    :param incarnation: incarnation of the daemon that made the claim
+    :param fencing: fencing number, which is the log offset of the claim
     :param claimed_ms: monotonic time at which this VM read the claim
     """
 
@@ -56,11 +62,12 @@
 
 
 class Standing(enum.Enum):
-    """Whether a VM without the log and without a lease has a successor.
+    """Whether a VM without access to the log may have a successor.
 
-    SOLE has none: the lease holds, or no VM can have claimed. DOUBTFUL may
-    have one, as far as too few VMs say otherwise. SUPERSEDED may have one,
-    since a VM said that it could claim.
+    SOLE: there is no successor, since the lease is still valid or no VM can
+    have claimed. DOUBTFUL: there may be a successor, since too few VMs
+    reported that they cannot claim. SUPERSEDED: there may be a successor,
+    since a VM reported that it can claim or that it owns one of the endpoints.
     """
 
     SOLE = "sole"
@@ -72,28 +79,32 @@
 class OwnershipState:
     """The section of the ownership controller.
 
-    :param next_offset: the log position that is read next
-    :param leases: newest lease by incarnation
+    :param next_offset: offset at which the next read of the stream starts
+    :param leases: most recent lease by incarnation
     :param renewed_ms: monotonic time at which a lease was last read, by VM;
-        unlike the leases not dropped for VMs without endpoints
+        unlike `leases`, entries of VMs without endpoints are kept
     :param owners: owner by endpoint
-    :param complete: whether the replay lacks no record that counts
-    :param caught_up: whether it is complete and has read to the end
+    :param complete: whether the replay has every record that affects the
+        owners
+    :param caught_up: whether the replay is complete and has reached the end
+        of the stream
     :param log_reachable: whether the last read of the stream succeeded
-    :param changed_offset: position after the last record that was no lease
-    :param retained: the retained range and the newest holding record
+    :param changed_offset: offset after the last record that can change the
+        owners; leases and holding records do not count
+    :param retained: the retained range and the most recent holding record
     :param read_ms: monotonic time at which the last record was read
-    :param sent: monotonic time before the append of each lease of this VM
-        that was not read back yet, by sequence
+    :param sent: monotonic time just before the append of each recent lease
+        renewal of this VM, by sequence number
     :param held_until_ms: monotonic time until which this VM holds its lease
-    :param held_since_ms: monotonic time since when it has held a lease
-        without a break
-    :param standing: whether others may have taken over what this VM owns
-    :param judged_ms: monotonic time at which the standing was judged; not
-        kept up while the log is reachable
-    :param draining: own endpoints that get no new work, to be handed over
-    :param given_up: endpoints that this VM decided to release; it stops to
-        act as their owner before it sends the record
+    :param held_since_ms: monotonic time since which this VM has held a lease
+        without interruption
+    :param standing: whether other VMs may have taken over endpoints of this VM
+    :param judged_ms: monotonic time at which the standing was last evaluated;
+        not updated while the log is reachable
+    :param draining: own endpoints that get no new work because they are about
+        to be handed over
+    :param given_up: endpoints that this VM decided to release; it stops acting
+        as their owner before it appends the release record
     """
 
     next_offset: int = 0
@@ -116,15 +127,19 @@
 
 
 def get_sequence(state: OwnershipState, incarnation: str) -> int:
-    """Return the newest lease sequence of an incarnation."""
+    """Return the most recent lease sequence number of an incarnation.
+
+    :returns: `NO_SEQUENCE` if no lease of the incarnation is known
+    """
     lease = state.leases.get(incarnation)
     return NO_SEQUENCE if lease is None else lease.sequence
 
 
 def is_lapsed(state: OwnershipState, endpoint: str, now_ms: int) -> bool:
-    """Return whether a follower may state the lease of a holder as lapsed.
+    """Return whether a follower may declare the lease of an owner lapsed.
 
-    A holder without a known lease gets the time of one from its claim on.
+    For an owner without a known lease, the lease time counts from the moment
+    at which the claim was read.
     """
     owner = state.owners[endpoint]
     lease = state.leases.get(owner.incarnation)
@@ -133,10 +148,12 @@
 
 
 def lacks_lease(state: OwnershipState, incarnation: str, now_ms: int) -> bool:
-    """Return whether a VM has no lease although the log takes renewals.
+    """Return whether an incarnation has no lease although it could renew.
 
-    After an outage all leases have lapsed, and the VM that renews first would
-    take the endpoints of those that are about to.
+    This VM has to have held its own lease for the length of a lease first:
+    after an outage of the log all leases have lapsed, and the VM that renews
+    first would otherwise take over the endpoints of VMs that are about to
+    renew.
     """
     if now_ms - state.held_since_ms < LEASE_MS:
         return False
@@ -152,9 +169,10 @@
 
 
 def list_owned(state: OwnershipState, incarnation: str) -> list[str]:
-    """Return the endpoints that an incarnation owns and has not given up.
+    """Return the sorted endpoints that an incarnation owns.
 
-    Only the own incarnation has endpoints that are given up.
+    Endpoints that are given up are left out. Only this VM's own incarnation
+    has such endpoints.
     """
     return sorted(
         endpoint
@@ -172,9 +190,12 @@
 ) -> bool:
     """Return whether this VM may send an exclusive order to an endpoint.
 
-    An order has to end within the lease. An endpoint that ignores fencing
-    numbers may still receive an order of the predecessor for the life of an
-    order after the claim.
+    An endpoint that checks fencing numbers needs no further condition. For
+    one that ignores them, an order has to end within the lease. Such an
+    endpoint may also still receive an order from the previous owner until
+    `ORDER_LIFE_MS` after the claim, so that no order is sent before.
+
+    :param checks_fencing: whether the endpoint rejects old fencing numbers
     """
     owner = state.owners.get(endpoint)
     if owner is None or owner.incarnation != incarnation:
@@ -183,23 +204,24 @@
         return False
     if checks_fencing:
         return True
-    settled_ms = owner.claimed_ms + ORDER_LIFE_MS
-    return settled_ms <= now_ms <= state.held_until_ms - ORDER_LIFE_MS
+    safe_from_ms = owner.claimed_ms + ORDER_LIFE_MS
+    return safe_from_ms <= now_ms <= state.held_until_ms - ORDER_LIFE_MS
 
 
 def may_dispatch(state: OwnershipState, now_ms: int) -> bool:
-    """Return whether this VM may start idempotent work on what it owns.
+    """Return whether this VM may start idempotent work on its endpoints.
 
-    A holder that was paused may not, until it has read whether there is a
-    successor, which may evict what the work needs. In an outage of the log
-    there can be no successor; a holder that alone is cut off from the log may
-    have one.
+    After a pause, a holder may not dispatch until it has read the log and
+    knows whether there is a successor, since a successor may evict adapters
+    that the work needs. During an outage of the log there can be no
+    successor. A holder that is the only one cut off from the log may have
+    one.
     """
     if now_ms < state.held_until_ms:
         return True
     if state.log_reachable or state.standing is not Standing.SOLE:
         return False
-    return now_ms - state.judged_ms <= STANDING_LIFE_MS
+    return now_ms - state.judged_ms <= STANDING_VALIDITY_MS
 
 
 def may_dispatch_once(
--- a/src/bronzetrack/ownership/planner.py
+++ b/src/bronzetrack/ownership/planner.py
@@ -1,4 +1,4 @@
-"""What a VM appends to the ownership stream next."""
+"""Planning of the records that a VM appends to the ownership stream."""
 
 from __future__ import annotations
 
@@ -17,11 +17,14 @@
 
 @attrs.frozen
 class Site:
-    """What the planner knows of its surroundings.
+    """Input of the planner: this VM, the endpoints and the candidate VMs.
 
+    :param vm: name of this VM
+    :param incarnation: incarnation of this run of the daemon
+    :param endpoints: every endpoint of the inventory by name
     :param vm_zones: availability zone of every VM that may own endpoints
-    :param idle: own endpoints without work and without an order on its way
-    :param stopping: whether this VM gives up everything
+    :param idle: own endpoints without work and without an order in flight
+    :param stopping: whether this VM is to release all of its endpoints
     """
 
     vm: str
@@ -35,33 +38,42 @@
 def choose_owner(
     name: str, endpoint: inventories.Endpoint, vm_zones: Mapping[str, str]
 ) -> str | None:
-    """Return the VM that should own an endpoint, near it if possible."""
-    near = [
+    """Return the VM that should own an endpoint.
+
+    VMs in the availability zone of the endpoint are preferred.
+
+    :returns: None if there is no candidate VM
+    """
+    same_zone = [
         vm
         for vm, zone in vm_zones.items()
         if zone == endpoint.availability_zone
     ]
-    ranked = rendezvous.rank_nodes(name, near or vm_zones)
+    ranked = rendezvous.rank_nodes(name, same_zone or vm_zones)
     return ranked[0] if ranked else None
 
 
 def plan_claim(
     state: leases.OwnershipState, site: Site, now_ms: int
 ) -> records.ClaimRecord | None:
-    """Return the claim that this VM should make now."""
+    """Return the claim that this VM should append now, None if there is none.
+
+    This VM claims each endpoint without a valid owner for which rendezvous
+    hashing chooses this VM.
+    """
     if site.stopping:
         return None
-    wanted = [
+    claimable = [
         name
         for name, endpoint in sorted(site.endpoints.items())
         if _is_free(state, name, site.incarnation, now_ms)
         and choose_owner(name, endpoint, site.vm_zones) == site.vm
     ]
-    if not wanted:
+    if not claimable:
         return None
     holders = {
         state.owners[name].incarnation
-        for name in wanted
+        for name in claimable
         if name in state.owners
     }
     lapsed = {
@@ -69,7 +81,7 @@
         for holder in sorted(holders)
     }
     return records.ClaimRecord(
-        site.vm, site.incarnation, tuple(wanted), lapsed
+        site.vm, site.incarnation, tuple(claimable), lapsed
     )
 
 
@@ -90,20 +102,20 @@
 def plan_handover(
     state: leases.OwnershipState, site: Site
 ) -> leases.OwnershipState:
-    """Return the state with the endpoints that drain and are given up.
+    """Return the state with updated sets of draining and given-up endpoints.
 
-    An endpoint moves when it is idle. At most one that has work drains at a
-    time, unless the VM stops, so that a joining VM takes little capacity out
-    of service.
+    An endpoint is given up once it is idle. At most one busy endpoint drains
+    at a time unless this VM is stopping, so that a joining VM takes little
+    capacity out of service.
     """
     owned = leases.list_owned(state, site.incarnation)
     moving = [name for name in owned if _is_misplaced(name, site)]
     given_up = {name for name in moving if name in site.idle}
     busy = [name for name in moving if name not in given_up]
-    # The order keeps an endpoint that drains already in first place.
+    # Endpoints that are already draining sort first, so that they continue.
     busy.sort(key=lambda name: (name not in state.draining, name))
     draining = busy if site.stopping else busy[:1]
-    still_owned = {
+    unreleased = {
         name
         for name in state.given_up
         if name in state.owners
@@ -112,7 +124,7 @@
     return attrs.evolve(
         state,
         draining=frozenset(draining),
-        given_up=frozenset(given_up | still_owned),
+        given_up=frozenset(given_up | unreleased),
     )
 
 
@@ -126,7 +138,10 @@
 def plan_release(
     state: leases.OwnershipState, site: Site
 ) -> records.ReleaseRecord | None:
-    """Return the release of what was given up and is not released yet."""
+    """Return the release of the given-up endpoints that this VM still owns.
+
+    :returns: None if there is nothing to release
+    """
     endpoints = {
         name: state.owners[name].fencing
         for name in sorted(state.given_up)
@@ -141,7 +156,7 @@
 def plan_copy(
     state: leases.OwnershipState, site: Site, now_ms: int
 ) -> records.HoldingRecord | records.ResetRecord | None:
-    """Return the record from which later replays can start, if it is due."""
+    """Return the record from which later replays can start, if one is due."""
     if not state.complete:
         return _plan_reset(state, now_ms)
     if not state.caught_up:
@@ -159,17 +174,17 @@
 def _plan_reset(
     state: leases.OwnershipState, now_ms: int
 ) -> records.ResetRecord | None:
-    # A VM whose replay is complete answers a truncation with a holding
-    # record, and VMs renew their leases only when their replay is complete.
-    # A stream that stays quiet therefore has no holder.
+    # After a truncation, a VM with a complete replay appends a holding record.
+    # VMs renew their leases only while their replay is complete. A stream
+    # without new records therefore has no holder.
     at_end = state.next_offset >= state.retained.end
-    if not at_end or now_ms - state.read_ms <= leases.QUIET_MS:
+    if not at_end or now_ms - state.read_ms <= leases.QUIET_PERIOD_MS:
         return None
     return records.ResetRecord(state.next_offset)
 
 
 def make_holding(state: leases.OwnershipState) -> records.HoldingRecord:
-    """Return the record that repeats all claims in effect."""
+    """Return a holding record with all claims in effect."""
     claims: dict[str, dict[str, Any]] = {}
     vms: dict[str, str] = {}
     for name, owner in sorted(state.owners.items()):
--- a/src/bronzetrack/ownership/records.py
+++ b/src/bronzetrack/ownership/records.py
@@ -14,9 +14,9 @@
 @records.RECORDS.register("lease")
 @attrs.frozen
 class LeaseRecord:
-    """Renews the lease of one run of a daemon.
+    """Renews the lease of one incarnation of a daemon.
 
-    :param sequence: counts the renewals of the incarnation from 0
+    :param sequence: number of the renewal, counted from 0 per incarnation
     """
 
     vm: str
@@ -27,10 +27,10 @@
 @records.RECORDS.register("claim")
 @attrs.frozen
 class ClaimRecord:
-    """Claims endpoints; its offset is the fencing number.
+    """Claims endpoints. The offset of the record is the fencing number.
 
-    :param lapsed: newest lease sequence that the claimant saw, by the
-        incarnation of a holder whose lease it states as lapsed
+    :param lapsed: most recent lease sequence that the claimant read, by
+        incarnation of each holder whose lease the claimant declares lapsed
     """
 
     vm: str
@@ -41,9 +41,10 @@
 
 @attrs.frozen
 class Holder:
-    """The claims of one incarnation that are in effect.
+    """The claims in effect of one incarnation.
 
-    :param sequence: its newest lease, NO_SEQUENCE if there is none
+    :param sequence: most recent lease sequence of the incarnation,
+        `NO_SEQUENCE` if there is none
     :param endpoints: fencing number by endpoint
     """
 
@@ -55,14 +56,14 @@
 @records.RECORDS.register("holding")
 @attrs.frozen
 class HoldingRecord:
-    """Repeats all claims in effect before retention drops them.
+    """Repeats all claims in effect before log retention drops them.
 
-    It is effective if only leases were appended since its author read the
-    stream. To a replay that has read everything it brings nothing new; a
-    replay that lacks earlier records starts from it.
+    The record is effective if only leases were appended after its author read
+    the stream. It adds no owners to a complete replay; a replay that lacks
+    earlier records starts from it.
 
-    :param through: the position up to which its author had read
-    :param holders: by incarnation
+    :param through: offset up to which the author had read the stream
+    :param holders: claims in effect by incarnation
     """
 
     through: int
@@ -72,12 +73,12 @@
 @records.RECORDS.register("reset")
 @attrs.frozen
 class ResetRecord:
-    """Voids all claims, after retention dropped them and no holder is left.
+    """Voids all claims after retention dropped them and no holder is left.
 
-    It is effective only if nothing was appended since its author read the
-    stream, so that a holder that comes back first voids it.
+    The record is effective only if nothing was appended after its author read
+    the stream, so that an append by a returning holder invalidates it.
 
-    :param through: the position up to which its author had read
+    :param through: offset up to which the author had read the stream
     """
 
     through: int
@@ -86,10 +87,10 @@
 @records.RECORDS.register("release")
 @attrs.frozen
 class ReleaseRecord:
-    """Gives up endpoints.
+    """Releases endpoints.
 
-    :param endpoints: fencing number of the claim that is given up, so that a
-        late copy of the record does not end a later claim
+    :param endpoints: fencing number of the released claim by endpoint, so
+        that a delayed duplicate of the record does not end a later claim
     """
 
     vm: str
--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -1,7 +1,7 @@
 """Replay of the ownership stream.
 
-Every replay that is complete comes to the same owners at the same position,
-wherever it started.
+All complete replays have the same owners at the same offset, regardless of the
+offset at which they started.
 """
 
 from __future__ import annotations
@@ -27,10 +27,11 @@
 ) -> leases.OwnershipState:
     """Return the state after one read of the stream.
 
-    :param start: the earliest offset that is retained
-    :param end: the offset that the next append gets
-    :param items: offsets and records; those read before are skipped
-    :param incarnation: the own one
+    :param start: the earliest retained offset
+    :param end: the offset of the next append
+    :param items: offsets and records; records that were read before are
+        skipped
+    :param incarnation: incarnation of this run of the daemon
     :param now_ms: monotonic time at which the batch was read
     """
     retained = attrs.evolve(state.retained, start=start, end=end)
@@ -40,10 +41,10 @@
         state = skip_records(state, first, now_ms)
     for offset, record in fresh:
         state = apply_record(state, offset, record, now_ms)
-        state = _note_own(state, record, incarnation, now_ms)
+        state = _apply_own_record(state, record, incarnation, now_ms)
     at_end = state.next_offset >= end
     caught_up = state.complete and (state.caught_up or at_end)
-    # A read that stops before the end does not tell of every successor.
+    # A read that stops before the end may miss the claim of a successor.
     standing = leases.Standing.SOLE if at_end else state.standing
     return attrs.evolve(
         state, caught_up=caught_up, log_reachable=True, standing=standing
@@ -53,9 +54,9 @@
 def note_outage(
     state: leases.OwnershipState, now_ms: int
 ) -> leases.OwnershipState:
-    """Return the state after a read failed.
+    """Return the state after a read of the stream failed.
 
-    A stream that could not be read does not count as quiet.
+    Time during which the stream cannot be read does not count as quiet.
     """
     state = attrs.evolve(state, log_reachable=False)
     return state if state.complete else attrs.evolve(state, read_ms=now_ms)
@@ -64,7 +65,10 @@
 def skip_records(
     state: leases.OwnershipState, offset: int, now_ms: int
 ) -> leases.OwnershipState:
-    """Return the state after records were dropped before they were read."""
+    """Return the state after the log dropped records that were not yet read.
+
+    :param offset: offset at which the replay continues
+    """
     return attrs.evolve(
         state,
         next_offset=offset,
@@ -95,7 +99,7 @@
             return _apply_holding(state, offset, record, now_ms)
         case records.ResetRecord():
             if record.through == offset:
-                state = _start_empty(state, offset, now_ms)
+                state = _apply_reset(state, offset, now_ms)
         case records.ClaimRecord() if before.complete:
             state = _apply_claim(state, offset, record, now_ms)
         case records.ReleaseRecord() if before.complete:
@@ -113,25 +117,25 @@
         state,
         leases={**state.leases, record.incarnation: lease},
         renewed_ms={
-            **_list_known(state, record.vm, now_ms),
+            **_prune_renewals(state, record.vm, now_ms),
             record.vm: now_ms,
         },
     )
 
 
-def _list_known(
+def _prune_renewals(
     state: leases.OwnershipState, vm: str, now_ms: int
 ) -> Mapping[str, int]:
-    """Return when VMs renewed, without old ones if the map is to grow.
+    """Return the renewal times, without old ones if the map would grow.
 
-    With each record it took two thirds of its replay among 400 VMs.
+    Pruning for every record took two thirds of the replay time with 400 VMs.
     """
     if vm in state.renewed_ms:
         return state.renewed_ms
     return {
         name: read_ms
         for name, read_ms in state.renewed_ms.items()
-        if now_ms - read_ms <= leases.KNOWN_MS
+        if now_ms - read_ms <= leases.RECENT_RENEWAL_MS
     }
 
 
@@ -159,9 +163,9 @@
         return True
     if owner.incarnation == record.incarnation:
         return False
-    stated = record.lapsed.get(owner.incarnation)
+    declared = record.lapsed.get(owner.incarnation)
     newest = leases.get_sequence(state, owner.incarnation)
-    return stated is not None and stated >= newest
+    return declared is not None and declared >= newest
 
 
 def _apply_release(
@@ -185,10 +189,10 @@
     if record.through < max(state.changed_offset, state.retained.copy):
         return state
     if not state.complete:
-        state = _start_from(state, record, now_ms)
-    # Leases of incarnations without endpoints would pile up with restarts.
-    # Each replay drops them here, since whether a claim is effective depends
-    # on them.
+        state = _restore_holding(state, record, now_ms)
+    # Leases of incarnations without endpoints would accumulate with restarts.
+    # Every replay drops them at this record, since they affect whether a claim
+    # is effective and all replays have to agree.
     holders = {owner.incarnation for owner in state.owners.values()}
     kept = {
         incarnation: lease
@@ -201,7 +205,7 @@
     return attrs.evolve(state, leases=kept, retained=retained, complete=True)
 
 
-def _start_from(
+def _restore_holding(
     state: leases.OwnershipState, record: records.HoldingRecord, now_ms: int
 ) -> leases.OwnershipState:
     owners = {
@@ -209,17 +213,17 @@
         for incarnation, holder in record.holders.items()
         for endpoint, fencing in holder.endpoints.items()
     }
-    stated = {
+    declared = {
         incarnation: leases.Lease(holder.vm, holder.sequence, now_ms)
         for incarnation, holder in record.holders.items()
         if holder.sequence > leases.get_sequence(state, incarnation)
     }
     return attrs.evolve(
-        state, owners=owners, leases={**state.leases, **stated}
+        state, owners=owners, leases={**state.leases, **declared}
     )
 
 
-def _start_empty(
+def _apply_reset(
     state: leases.OwnershipState, offset: int, now_ms: int
 ) -> leases.OwnershipState:
     retained = attrs.evolve(state.retained, copy=offset, copy_ms=now_ms)
@@ -234,10 +238,13 @@
     )
 
 
-def _note_own(
+def _apply_own_record(
     state: leases.OwnershipState, record: Any, incarnation: str, now_ms: int
 ) -> leases.OwnershipState:
-    """Return the state after a record of this VM was read back."""
+    """Return the state after this VM read back one of its own records.
+
+    Records of other incarnations leave the state unchanged.
+    """
     if getattr(record, "incarnation", None) != incarnation:
         return state
     match record:
@@ -250,11 +257,11 @@
                 held_since_ms=now_ms if lapsed else state.held_since_ms,
             )
         case records.ReleaseRecord():
-            gone = frozenset(record.endpoints)
+            released = frozenset(record.endpoints)
             return attrs.evolve(
                 state,
-                given_up=state.given_up - gone,
-                draining=state.draining - gone,
+                given_up=state.given_up - released,
+                draining=state.draining - released,
             )
     return state
 
@@ -262,14 +269,14 @@
 def note_sent(
     state: leases.OwnershipState, sequence: int, now_ms: int
 ) -> leases.OwnershipState:
-    """Return the state before a lease is appended.
+    """Return the state after recording that a lease is about to be appended.
 
-    The lease counts from before the append, so that it ends here before any
-    reader of the record sees it end.
+    The lease counts from before the append, so that it expires on this VM
+    before any reader of the record sees it expire.
     """
-    young = {
+    recent = {
         other: sent_ms
         for other, sent_ms in state.sent.items()
         if now_ms - sent_ms < leases.LEASE_MS
     }
-    return attrs.evolve(state, sent={**young, sequence: now_ms})
+    return attrs.evolve(state, sent={**recent, sequence: now_ms})
--- a/src/bronzetrack/ownership/standing.py
+++ b/src/bronzetrack/ownership/standing.py
@@ -1,4 +1,4 @@
-"""Whether an owner that cannot read the log may have a successor."""
+"""Evaluation of whether an owner without log access may have a successor."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 
 from bronzetrack.ownership import leases
 
-# Several times the interval at which a VM judges its standing.
-JUDGE_GAP_MS = 2_000
+# A VM that did not evaluate its standing for longer counts as paused. The
+# value is several times the interval of the evaluation.
+MAX_EVALUATION_GAP_MS = 2_000
 
 
 def judge(
@@ -18,29 +19,31 @@
     claimants: Mapping[str, bool],
     now_ms: int,
 ) -> leases.OwnershipState:
-    """Return the state with the standing that the other VMs' words give it.
+    """Return the state with a standing computed from reports of other VMs.
 
-    A successor has read the log after the lease of this VM lapsed. That no VM
-    can do so is believed if more than half of the VMs, this one included, say
-    so, and none says the contrary: in an outage a few VMs may be down, while
-    an owner that is cut off hears from few others or from none.
+    A successor must have read the log after the lease of this VM lapsed. This
+    VM assumes that no VM can do so if more than half of the VMs, this one
+    included, report that they cannot claim, and none reports the contrary. In
+    an outage of the log a few VMs may be down, while an owner that is cut off
+    receives heartbeats from few other VMs or from none.
 
-    Once there was doubt, all of them have to say so. That is also so for a VM
-    that did not judge for a while after its lease, as it was paused: it has
-    not heard what the others said meanwhile.
+    Once the standing was doubtful, all VMs have to report that they cannot
+    claim. The same holds if this VM was paused and did not evaluate its
+    standing for a while after its lease: it has missed the heartbeats of that
+    time.
 
     :param vm: name of this VM
-    :param claimants: whether it could claim, or owns what this VM owned, by
-        VM that was heard recently
+    :param claimants: by VM with a recent heartbeat, whether that VM could
+        claim, or owns an endpoint that this VM owned
     """
     if state.log_reachable:
-        # The standing was set when the log was read.
+        # The replay sets the standing whenever it reads the log to its end.
         return state
-    standing = _find_standing(state, vm, claimants, now_ms)
+    standing = _evaluate_standing(state, vm, claimants, now_ms)
     return attrs.evolve(state, standing=standing, judged_ms=now_ms)
 
 
-def _find_standing(
+def _evaluate_standing(
     state: leases.OwnershipState,
     vm: str,
     claimants: Mapping[str, bool],
@@ -48,13 +51,13 @@
 ) -> leases.Standing:
     if now_ms < state.held_until_ms:
         return leases.Standing.SOLE
-    # Only the log says what became of the endpoints of a superseded VM.
+    # Only the log shows who owns the endpoints of a superseded VM now.
     superseded = state.standing is leases.Standing.SUPERSEDED
     if superseded or any(claimants.values()):
         return leases.Standing.SUPERSEDED
     others = list_others(state, vm)
     agreeing = 1 + len(others & claimants.keys())
-    paused = now_ms - state.judged_ms > JUDGE_GAP_MS
+    paused = now_ms - state.judged_ms > MAX_EVALUATION_GAP_MS
     if paused or state.standing is leases.Standing.DOUBTFUL:
         enough = agreeing == 1 + len(others)
     else:
@@ -63,8 +66,11 @@
 
 
 def list_others(state: leases.OwnershipState, vm: str) -> set[str]:
-    """Return the VMs that renewed not long before the log was last read."""
-    oldest_ms = state.read_ms - leases.KNOWN_MS
+    """Return the other VMs that renewed recently when the log was last read.
+
+    :param vm: name of this VM, which is left out
+    """
+    oldest_ms = state.read_ms - leases.RECENT_RENEWAL_MS
     return {
         other
         for other, read_ms in state.renewed_ms.items()
--- a/tests/ownership/naive.py
+++ b/tests/ownership/naive.py
@@ -1,4 +1,4 @@
-"""A naive replay of the whole ownership stream, without truncation."""
+"""Reference replay of the whole ownership stream, without truncation."""
 
 from __future__ import annotations
 
@@ -9,13 +9,16 @@
 
 @attrs.define
 class Replay:
-    """Owners as (incarnation, fencing number) by endpoint."""
+    """Reference model of the owners.
+
+    Owners are stored as (incarnation, fencing number) by endpoint.
+    """
 
     owners: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     newest: dict[str, int] = attrs.field(factory=dict)
     changed: int = 0
     copied: int = 0
-    # The owners at each position of the stream.
+    # The owners at each offset of the stream.
     history: list[dict[str, tuple[str, int]]] = attrs.field(
         factory=lambda: [{}]
     )
@@ -34,8 +37,8 @@
             if record.through >= max(self.changed, self.copied):
                 self.copied = record.through
                 holders = {holder for holder, _ in self.owners.values()}
-                for gone in set(self.newest) - holders:
-                    del self.newest[gone]
+                for unused in set(self.newest) - holders:
+                    del self.newest[unused]
             return
         self.changed = offset + 1
         if kind == "ResetRecord" and record.through == offset:
@@ -47,9 +50,9 @@
         if kind == "ClaimRecord":
             for name in record.endpoints:
                 holder = self.owners.get(name, (None, 0))[0]
-                stated = record.lapsed.get(holder, -2)
+                declared = record.lapsed.get(holder, -2)
                 if holder is None or (
                     holder != record.incarnation
-                    and stated >= self.newest.get(holder, -1)
+                    and declared >= self.newest.get(holder, -1)
                 ):
                     self.owners[name] = (record.incarnation, offset)
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -1,4 +1,4 @@
-"""Several replicas of the ownership decisions over a log with faults."""
+"""Stateful test of ownership on several replicas with faults of the log."""
 
 from __future__ import annotations
 
@@ -24,24 +24,27 @@
     for name in ("e1", "e2", "e3")
 }
 VMS = ("a", "b", "c")
-# Clocks of VMs run at different rates and start at different times.
+# The clocks of the VMs start at different times and run at different rates.
 CLOCKS = {"a": (5_000, 1.0), "b": (900_000, 1.02), "c": (77_000, 0.98)}
 NAMES = sorted(ENDPOINTS)
 
 
 @attrs.frozen
 class Faults:
-    """What goes wrong while the replicas run.
+    """The faults that are injected while the replicas run.
+
+    A field that names a VM is empty if no VM has the fault.
 
     :param asleep: a VM that does nothing
     :param blind: a VM that does not read the log
-    :param late_leases: a VM whose renewals arrive later, if at all
-    :param late_claims: a VM whose other records arrive later, if at all
-    :param unseen: a VM that is not seen as serving
-    :param sees_itself: whether this VM sees itself all the same
+    :param late_leases: a VM whose renewals are appended late or never
+    :param late_claims: a VM whose other records are appended late or never
+    :param unseen: a VM that is not considered as serving
+    :param sees_itself: whether the unseen VM still considers itself serving
     :param idle: endpoints without work
-    :param cut: a VM that does not reach the log
-    :param isolated: whether the VM that is cut hears no other VM either
+    :param cut: a VM that cannot reach the log
+    :param isolated: whether the VM that is cut off from the log receives no
+        heartbeats either
     """
 
     asleep: str = ""
@@ -87,7 +90,7 @@
 
 
 class OwnershipMachine(stateful.RuleBasedStateMachine):
-    """Draws faults and compares each replica with the naive replay."""
+    """Draws faults and compares each replica with the reference replay."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -96,7 +99,7 @@
         self.naive = naive.Replay()
         self.start = 0
         self.down = False
-        # Whether the VM whose turn it is does not reach the log.
+        # Whether the VM that currently runs cannot reach the log.
         self.cut = False
         self.late: list[object] = []
         self.runs = 0
@@ -192,7 +195,7 @@
                 self.append(record, late)
 
     def run_seconds(self, seconds: int, faults: Faults = NO_FAULTS) -> None:
-        """Let all replicas that are not paused run."""
+        """Run all replicas that are not paused, one step per second."""
         for _ in range(seconds):
             self.now_ms += 1_000
             for vm, replica in self.replicas.items():
@@ -211,7 +214,10 @@
                 self.check_evictions()
 
     def judge(self, replica: Replica, faults: Faults) -> None:
-        """Let a replica hear the others, those that do nothing excepted."""
+        """Evaluate the standing of a replica from the state of the others.
+
+        Replicas that are paused or asleep report nothing.
+        """
         owned = leases.list_owned(replica.state, replica.incarnation)
         claimants = {
             vm: leases.may_claim(other.state, other.read_clock(self.now_ms))
@@ -298,7 +304,11 @@
         } == self.naive.history[replica.state.next_offset]
 
     def check_orders(self) -> None:
-        """Let each replica that may do so send an exclusive order."""
+        """Send an exclusive order from each replica that may do so.
+
+        Check that orders of two owners don't overlap and that fencing numbers
+        don't decrease.
+        """
         for name, replica in itertools.product(
             ENDPOINTS, self.replicas.values()
         ):
@@ -313,14 +323,14 @@
             fencing = replica.state.owners[name].fencing
             newest, until_ms = self.orders.get(name, (-1, 0))
             if fencing != newest:
-                assert until_ms <= self.now_ms, "two VMs send orders"
-                assert fencing > newest, "a fencing number fell"
+                assert until_ms <= self.now_ms, "orders of two VMs overlap"
+                assert fencing > newest, "a fencing number decreased"
             self.orders[name] = (fencing, self.now_ms + leases.ORDER_LIFE_MS)
 
     def check_evictions(self) -> None:
-        """Check that an owner that may evict knows of all work that began.
+        """Check that an owner that may evict can see all running work.
 
-        What began before its last load report was made is shown there.
+        The load report shows work that started before the report was made.
         """
         for name, replica in itertools.product(
             ENDPOINTS, self.replicas.values()
@@ -340,12 +350,12 @@
                     and vm != replica.vm
                     and self.now_ms - started_ms < reports.REPORT_LAG_MS
                 }
-                assert not others, "work began that a successor cannot see"
+                assert not others, "a successor cannot see work of another VM"
             if leases.may_dispatch(replica.state, now_ms):
                 self.started[name, replica.vm] = self.now_ms
 
     def teardown(self) -> None:
-        """Every endpoint gets an owner that lives when the faults end."""
+        """Check that each endpoint has a live owner after the faults end."""
         self.down = False
         for replica in self.replicas.values():
             replica.paused = False
@@ -356,7 +366,7 @@
 
 
 def test_one_vm_orders_under_faults():
-    """Guards against two owners, lost owners and replicas that disagree."""
+    """Guards against two owners, no owner and replicas that disagree."""
     stateful.run_state_machine_as_test(
         OwnershipMachine,
         settings=effort.make_settings(150, stateful_step_count=30),
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -1,4 +1,4 @@
-"""Tests of claims, handover and copies."""
+"""Tests of claims, handovers, holding records and resets."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 @pytest.fixture
 def site() -> planner.Site:
-    """Thirty endpoints, seen by VM a, which runs alone."""
+    """Return a site with thirty idle endpoints and VM a as the only VM."""
     endpoint = inventories.Endpoint("127.0.0.1", 1, "zone-a")
     return planner.Site(
         "a", "i1", dict.fromkeys(NAMES, endpoint), {"a": "zone-a"}, NAMES
@@ -24,8 +24,8 @@
 
 
 @pytest.fixture
-def owning(site) -> leases.OwnershipState:
-    """The state of VM a after it claimed everything."""
+def owning_state(site) -> leases.OwnershipState:
+    """Return the state of VM a after it claimed every endpoint."""
     state = leases.OwnershipState()
     lease = records.LeaseRecord("a", "i1", 0)
     claim = planner.plan_claim(state, site, 0)
@@ -37,33 +37,36 @@
     return attrs.evolve(site, vm_zones=zones, **changes)
 
 
-def test_joining_vm_gets_a_share(owning, site):
-    """Guards against the VM that starts first keeping everything."""
-    state = planner.plan_handover(owning, add_vm(site))
+def test_joining_vm_gets_a_share(owning_state, site):
+    """Guards against a first VM that keeps all endpoints."""
+    state = planner.plan_handover(owning_state, add_vm(site))
     assert 5 < len(state.given_up) < 25
     assert not state.draining
     release = planner.plan_release(state, add_vm(site))
     assert set(release.endpoints) == state.given_up
 
 
-def test_busy_endpoint_drains_alone(owning, site):
-    """Guards against a handover in the middle of work, or of many at once."""
-    state = planner.plan_handover(owning, add_vm(site, idle=()))
+def test_busy_endpoint_drains_alone(owning_state, site):
+    """Guards against handover of busy endpoints and many draining at once."""
+    state = planner.plan_handover(owning_state, add_vm(site, idle=()))
     assert not state.given_up
     assert len(state.draining) == 1
     again = planner.plan_handover(state, add_vm(site, idle=()))
     assert again.draining == state.draining
 
 
-def test_drain_ends_when_the_vm_goes(owning, site):
-    """Guards against an endpoint that never gets work again."""
-    state = planner.plan_handover(owning, add_vm(site, idle=()))
+def test_drain_ends_when_the_new_vm_leaves(owning_state, site):
+    """Guards against an endpoint that drains forever.
+
+    The VM that was to take over the endpoint leaves before the handover.
+    """
+    state = planner.plan_handover(owning_state, add_vm(site, idle=()))
     assert not planner.plan_handover(state, site).draining
 
 
-def test_given_up_endpoint_gets_no_order(owning, site):
-    """Guards against orders by a holder that reads its release late."""
-    state = attrs.evolve(owning, held_until_ms=100_000)
+def test_given_up_endpoint_gets_no_order(owning_state, site):
+    """Guards against orders between the release and its read-back."""
+    state = attrs.evolve(owning_state, held_until_ms=100_000)
     name = sorted(planner.plan_handover(state, add_vm(site)).given_up)[0]
     assert leases.may_order(state, name, "i1", False, 10_000)
     state = planner.plan_handover(state, add_vm(site))
@@ -71,26 +74,26 @@
 
 
 def test_lease_counts_from_before_the_append(site):
-    """Guards against a holder that outlives its lease at the followers."""
+    """Guards against a holder that acts after followers see its lease end."""
     state = replay.note_sent(leases.OwnershipState(), 0, 1_000)
     lease = records.LeaseRecord("a", "i1", 0)
     state = replay.apply_batch(state, 0, 1, [(0, lease)], "i1", 9_000)
     assert state.held_until_ms == 1_000 + leases.LEASE_MS
 
 
-def test_truncated_replay_ignores_stale_copy(owning, site):
-    """Guards against a replay that starts from claims that have changed."""
-    holding = planner.make_holding(owning)
+def test_truncated_replay_ignores_stale_copy(owning_state, site):
+    """Guards against a replay that starts from outdated claims."""
+    holding = planner.make_holding(owning_state)
     release = records.ReleaseRecord("a", "i1", {"e0": 1})
     items = [(2, release), (3, holding)]
     late = replay.apply_batch(leases.OwnershipState(), 2, 4, items, "i2", 0)
     assert not late.complete
 
 
-def test_truncated_replay_voids_claims_of_unknown_owners(owning, site):
-    """Guards against a claim that wins because its owner was dropped."""
+def test_truncated_replay_ignores_claims_before_holding(owning_state, site):
+    """Guards against a claim that wins because the owner's was dropped."""
     claim = records.ClaimRecord("b", "i2", ("e0",))
-    state = replay.apply_batch(owning, 0, 3, [(2, claim)], "i1", 0)
+    state = replay.apply_batch(owning_state, 0, 3, [(2, claim)], "i1", 0)
     holding = planner.make_holding(state)
     late = replay.apply_batch(
         leases.OwnershipState(), 2, 4, [(2, claim), (3, holding)], "i3", 0
@@ -100,37 +103,40 @@
     assert late.owners["e0"].fencing == 1
 
 
-def test_reset_is_void_after_any_record(owning):
-    """Guards against claims voided while their holder lives."""
+def test_reset_is_void_after_any_record(owning_state):
+    """Guards against a reset that voids claims of a live holder."""
     lease = records.LeaseRecord("a", "i1", 1)
     items = [(2, lease), (3, records.ResetRecord(2))]
-    state = replay.apply_batch(owning, 0, 4, items, "i1", 0)
+    state = replay.apply_batch(owning_state, 0, 4, items, "i1", 0)
     assert state.owners
     reset = records.ResetRecord(4)
     state = replay.apply_batch(state, 0, 5, [(4, reset)], "i1", 0)
     assert not state.owners
 
 
-def test_quiet_time_excludes_an_outage(owning, site):
-    """Guards against a reset right after an outage of the log."""
+def test_quiet_time_excludes_an_outage(owning_state, site):
+    """Guards against a reset right after an outage of the log.
+
+    Time without access to the log must not count as a quiet period.
+    """
     state = replay.apply_batch(leases.OwnershipState(), 5, 5, [], "i2", 0)
-    late_ms = leases.QUIET_MS + 1
+    late_ms = leases.QUIET_PERIOD_MS + 1
     assert planner.plan_copy(state, site, late_ms) == records.ResetRecord(5)
     state = replay.note_outage(state, late_ms)
     assert planner.plan_copy(state, site, late_ms) is None
 
 
-def test_late_copy_of_release_is_void(owning):
-    """Guards against a resent release that ends a later claim."""
+def test_late_copy_of_release_is_void(owning_state):
+    """Guards against a duplicate release that ends a later claim."""
     release = records.ReleaseRecord("a", "i1", {"e0": 1})
     claim = records.ClaimRecord("a", "i1", ("e0",))
     items = [(2, release), (3, claim), (4, release)]
-    state = replay.apply_batch(owning, 0, 5, items, "i1", 0)
+    state = replay.apply_batch(owning_state, 0, 5, items, "i1", 0)
     assert state.owners["e0"].fencing == 3
 
 
-def test_holder_without_known_lease_gets_time(owning):
-    """Guards against a claim against a holder whose lease was dropped."""
-    state = attrs.evolve(owning, leases={})
+def test_holder_without_known_lease_keeps_lease_time(owning_state):
+    """Guards against an early takeover from a holder without known lease."""
+    state = attrs.evolve(owning_state, leases={})
     assert not leases.is_lapsed(state, "e0", leases.LEASE_MS)
     assert leases.is_lapsed(state, "e0", 2 * leases.LEASE_MS)
