Reword the membership module and its tests

Cause: Comments and names of the membership code used private or figurative words. Change: Docstrings, comments, constants and a class that only this folder uses, locals and some test names use the terms of the field. Behaviour is unchanged.

--- a/src/bronzetrack/membership/__init__.py
+++ b/src/bronzetrack/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which VMs live and which are leaving."""
+"""Membership of VMs: heartbeats, status and the view of other VMs."""
--- a/src/bronzetrack/membership/changes.py
+++ b/src/bronzetrack/membership/changes.py
@@ -1,8 +1,9 @@
-"""Heartbeats as differences, to save bytes.
+"""Heartbeats sent as differences from the previous one, to save bytes.
 
-Numbers tie changes to their base: changes with number n turn the heartbeat
-n - 1 into the heartbeat n, whichever session carried the two. A receiver that
-does not hold n - 1 leaves its view alone and asks for a whole heartbeat.
+The sequence number ties changes to their base: changes with number n turn
+heartbeat n - 1 into heartbeat n, regardless of the session that carried either
+of them. A receiver that does not hold heartbeat n - 1 keeps its view unchanged
+and requests a whole heartbeat.
 """
 
 from __future__ import annotations
@@ -15,14 +16,18 @@
 from bronzetrack.membership import messages
 
 DEFAULT_SUMMARY = messages.EndpointSummary()
-FIELDS = tuple(field.name for field in attrs.fields(messages.EndpointSummary))
+SUMMARY_FIELDS = tuple(
+    field.name for field in attrs.fields(messages.EndpointSummary)
+)
 
 
 @attrs.frozen
-class Beat:
-    """Who gets which form of a heartbeat.
+class HeartbeatPlan:
+    """The peers that get a heartbeat in whole or as changes.
 
-    :param changes: None if nobody gets them
+    :param whole: peers that get the whole heartbeat
+    :param partial: peers that get the changes
+    :param changes: the changes to send, None if `partial` is empty
     """
 
     whole: frozenset[str]
@@ -33,35 +38,36 @@
 def plan_beat(
     before: messages.Heartbeat | None,
     after: messages.Heartbeat,
-    carried: Mapping[str, int],
+    last_queued: Mapping[str, int],
     peers: Collection[str],
-    readers: Collection[str],
-) -> Beat:
-    """Return what to send to each peer.
-
-    :param before: the heartbeat with the number before, if there was one
-    :param carried: number of the last heartbeat that the present session
-        took, by peer
+    changes_peers: Collection[str],
+) -> HeartbeatPlan:
+    """Return which form of a heartbeat to send to each peer.
+
+    :param before: the heartbeat with the previous number, None for the first
+    :param after: the heartbeat to send
+    :param last_queued: number of the last heartbeat that was queued on the
+        current session, by peer
     :param peers: the peers with a session
-    :param readers: the peers that read changes
+    :param changes_peers: the peers whose version reads `HeartbeatChanges`
     """
     partial = frozenset(
         peer
         for peer in peers
         if before is not None
-        and peer in readers
-        and carried.get(peer) == before.number
+        and peer in changes_peers
+        and last_queued.get(peer) == before.number
     )
     changes = None
     if before is not None and partial:
         changes = find_changes(before, after)
-    return Beat(frozenset(peers) - partial, partial, changes)
+    return HeartbeatPlan(frozenset(peers) - partial, partial, changes)
 
 
 def find_changes(
     before: messages.Heartbeat, after: messages.Heartbeat
 ) -> messages.HeartbeatChanges:
-    """Return what turns a heartbeat into the next one."""
+    """Return the changes that turn a heartbeat into the next one."""
     changed = {
         name: _find_change(before.endpoints.get(name), summary)
         for name, summary in after.endpoints.items()
@@ -88,13 +94,13 @@
 def _find_change(
     before: messages.EndpointSummary | None, after: messages.EndpointSummary
 ) -> messages.EndpointChange:
-    known = _list_fields(before or DEFAULT_SUMMARY)
+    previous = _list_fields(before or DEFAULT_SUMMARY)
     fields = _list_fields(after)
     return messages.EndpointChange(
         **{
             name: value
             for name, value in fields.items()
-            if known[name] != value
+            if previous[name] != value
         }
     )
 
@@ -103,7 +109,10 @@
     endpoints: Mapping[str, messages.EndpointSummary],
     changes: messages.HeartbeatChanges,
 ) -> dict[str, messages.EndpointSummary]:
-    """Return the summaries after changes to those of the number before."""
+    """Return the summaries that result from applying changes.
+
+    :param endpoints: summaries of the heartbeat with the previous number
+    """
     kept = {
         name: summary
         for name, summary in endpoints.items()
@@ -129,4 +138,4 @@
 def _list_fields(
     item: messages.EndpointSummary | messages.EndpointChange,
 ) -> dict[str, object]:
-    return {name: getattr(item, name) for name in FIELDS}
+    return {name: getattr(item, name) for name in SUMMARY_FIELDS}
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about VMs."""
+"""Peer messages about the status of VMs."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class VmStatus(enum.Enum):
-    """The state of life of a daemon."""
+    """The lifecycle status of a daemon."""
 
     STARTING = "starting"
     SERVING = "serving"
@@ -26,8 +26,9 @@
 class Hello:
     """Opens a session.
 
-    :param incarnation: random value of this run of the daemon
-    :param reads_changes: whether this version reads `HeartbeatChanges`
+    :param version: protocol version of the sender
+    :param incarnation: random value that identifies this run of the daemon
+    :param reads_changes: whether the sender can read `HeartbeatChanges`
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -44,13 +45,15 @@
 
 @attrs.frozen
 class EndpointSummary:
-    """What an owner tells the others about one endpoint.
-
-    :param free_slots: slots neither running nor reserved
-    :param queued: requests that wait there
-    :param warm: adapter versions that are loaded, `name@version`
-    :param slow: whether the endpoint answers slower than its peers
-    :param chunk_ms: time between the chunks of a stream, 0 if not known
+    """State of one endpoint as its owner reports it to the other VMs.
+
+    :param free_slots: slots that are neither running work nor reserved
+    :param queued: number of requests in the queue of the endpoint
+    :param warm: adapter versions that are loaded, as `name@version`
+    :param slow: whether the endpoint answers more slowly than its peers
+    :param chunk_ms: time between the chunks of a stream, 0 if unknown
+    :param leaving: whether the endpoint gets no new work
+    :param reachable: whether the owner reaches the endpoint
     """
 
     free_slots: int = 0
@@ -69,10 +72,11 @@
 
     :param endpoints: summaries of the endpoints that the VM owns
     :param usage: recent cost by member, decayed, of the work it dispatched
-    :param number: counts the heartbeats of an incarnation from 1 on; 0 from a
-        version that does not count
-    :param may_claim: whether the VM reads the log and holds its lease
-    :param listed_leaving: VMs and endpoints that its list calls leaving
+    :param number: sequence number, counted from 1 per incarnation; 0 from a
+        version that does not number its heartbeats
+    :param may_claim: whether the VM can read the log and holds its lease
+    :param listed_leaving: VMs and endpoints that are marked as leaving in the
+        VM list that the sender read
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -90,7 +94,7 @@
 
 @attrs.frozen
 class EndpointChange:
-    """The fields of a summary that changed, None for the others."""
+    """The changed fields of an `EndpointSummary`, None for the others."""
 
     free_slots: int | None = None
     queued: int | None = None
@@ -104,12 +108,13 @@
 @messages.MESSAGES.register("heartbeat_changes")
 @attrs.frozen
 class HeartbeatChanges:
-    """A heartbeat as the difference to the one with the number before.
+    """A heartbeat as the difference from the one with the previous number.
 
-    :param endpoints: changes by endpoint; a new one differs from a summary
-        with defaults
+    :param endpoints: changes by endpoint; those of a new endpoint are relative
+        to a summary with default values
     :param removed: endpoints that the VM no longer owns
-    :param usage: None if it did not change, like `listed_leaving`
+    :param usage: None if unchanged
+    :param listed_leaving: None if unchanged
     """
 
     mailbox: ClassVar[str] = "membership"
@@ -129,20 +134,20 @@
 @messages.MESSAGES.register("fetch_heartbeat")
 @attrs.frozen
 class FetchHeartbeat:
-    """Asks for a whole heartbeat, after changes to one that is not known."""
+    """Requests a whole heartbeat after changes with an unknown base."""
 
     mailbox: ClassVar[str] = "membership"
 
     vm: str
 
 
-# The next two are posted locally and are not registered, so that no peer can
-# send them.
+# The two classes below are posted locally only. They are not registered, so
+# that no peer can send them.
 
 
 @attrs.frozen
 class SessionOpened:
-    """A session towards a peer is open."""
+    """A session to a peer was opened."""
 
     mailbox: ClassVar[str] = "membership"
 
@@ -152,7 +157,7 @@
 
 @attrs.frozen
 class SessionClosed:
-    """The session towards a peer ended."""
+    """The session to a peer was closed."""
 
     mailbox: ClassVar[str] = "membership"
 
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -1,4 +1,4 @@
-"""What this VM tells its peers of itself."""
+"""Heartbeats and endpoint summaries that this VM sends to its peers."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 def make_heartbeat(
     board: boards.Blackboard, number: int, now_ms: int
 ) -> messages.Heartbeat:
-    """Return the heartbeat of the present state."""
+    """Return a heartbeat with the current state of this VM."""
     return messages.Heartbeat(
         vm=board.vm,
         incarnation=board.incarnation,
@@ -53,8 +53,9 @@
 ) -> messages.EndpointSummary:
     """Return the summary of one owned endpoint.
 
-    :param draining: whether it gets no new work, for a handover or since
-        another VM may own it
+    :param slots: number of requests that the endpoint runs at once
+    :param draining: whether the endpoint gets no new work, because of a
+        handover or because another VM may own the endpoint
     """
     return messages.EndpointSummary(
         free_slots=max(0, slots - len(queue.running)),
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -1,4 +1,4 @@
-"""What this VM knows of the others, and decisions about it."""
+"""View of the other VMs, and decisions based on the view."""
 
 from __future__ import annotations
 
@@ -12,24 +12,27 @@
 
 HEARTBEAT_INTERVAL_MS = 1_000
 SUSPECT_AFTER_MS = 3_000
-GONE_AFTER_MS = 10_000
-# A VM that has just joined gets endpoints of others only after this time, so
-# that one that starts and fails again moves nothing.
+EXPIRE_AFTER_MS = 10_000
+# A VM that has just joined takes over endpoints of other VMs only after this
+# time, so that a VM that fails right after its start causes no handovers.
 SETTLED_AFTER_MS = 3_000
 
 
 @attrs.frozen
 class VmState:
-    """The last that was heard of a VM.
-
-    :param heard_ms: monotonic time of the last message
-    :param serving_ms: monotonic time since when it says that it serves
-    :param connected: whether a session towards it is open
-    :param number: of the heartbeat that the fields are from
-    :param reads_changes: whether it reads heartbeats as changes
-    :param may_claim: whether it could claim endpoints, None before its first
-        heartbeat
-    :param listed_leaving: VMs and endpoints that its list calls leaving
+    """The last known state of another VM.
+
+    :param heard_ms: monotonic time at which the last hello or heartbeat was
+        received
+    :param serving_ms: monotonic time at which the reported status last
+        changed; for a VM that serves, the time since which it serves
+    :param connected: whether a session to the VM is open
+    :param number: number of the last applied heartbeat, 0 before the first
+    :param reads_changes: whether the VM can read `HeartbeatChanges`
+    :param may_claim: whether the VM could claim endpoints, None before its
+        first heartbeat
+    :param listed_leaving: VMs and endpoints that are marked as leaving in the
+        VM list that the other VM read
     """
 
     vm: str
@@ -58,9 +61,10 @@
     """The section of the membership controller.
 
     :param vms: known VMs by name, without this one
-    :param own_listed: VMs and endpoints that the list of this VM calls leaving
-    :param listed_leaving: those and the ones that lists of other VMs do, since
-        the lists lag and may disagree
+    :param own_listed: VMs and endpoints that are marked as leaving in the VM
+        list that this VM read
+    :param listed_leaving: union of `own_listed` and the same sets of the other
+        VMs, since the lists lag and may disagree
     """
 
     vms: Mapping[str, VmState] = attrs.field(factory=dict)
@@ -71,7 +75,10 @@
 def record_list(
     view: MembershipView, leaving: frozenset[str]
 ) -> MembershipView:
-    """Return the view after this VM read its list."""
+    """Return the view after this VM read the VM list.
+
+    :param leaving: VMs and endpoints that the list marks as leaving
+    """
     if leaving == view.own_listed:
         return view
     return _merge_lists(attrs.evolve(view, own_listed=leaving))
@@ -85,7 +92,10 @@
 def record_hello(
     view: MembershipView, hello: messages.Hello, now_ms: int
 ) -> MembershipView:
-    """Return the view after a session was opened."""
+    """Return the view after the hello message of a peer.
+
+    A new incarnation replaces the state of the previous one.
+    """
     known = view.vms.get(hello.vm)
     if known is not None and known.incarnation == hello.incarnation:
         state = attrs.evolve(known, heard_ms=now_ms)
@@ -110,22 +120,22 @@
 def record_heartbeat(
     view: MembershipView, heartbeat: messages.Heartbeat, now_ms: int
 ) -> MembershipView:
-    """Return the view after a heartbeat; a late one is void.
+    """Return the view after a heartbeat. Late heartbeats are ignored.
 
-    It is late if it is of an old incarnation, or came on an old session after
-    a newer one.
+    A heartbeat is late if it is from an old incarnation, or if it arrived on
+    an old session after a newer heartbeat.
     """
     known = view.vms.get(heartbeat.vm)
     if known is None or known.incarnation != heartbeat.incarnation:
         return view
     if 0 < heartbeat.number <= known.number:
         return view
-    still = known.status is heartbeat.status
+    status_unchanged = known.status is heartbeat.status
     state = attrs.evolve(
         known,
         status=heartbeat.status,
         heard_ms=now_ms,
-        serving_ms=known.serving_ms if still else now_ms,
+        serving_ms=known.serving_ms if status_unchanged else now_ms,
         configuration_offset=heartbeat.configuration_offset,
         endpoints=heartbeat.endpoints,
         usage=heartbeat.usage,
@@ -142,7 +152,11 @@
 def lacks_base(
     view: MembershipView, changes: messages.HeartbeatChanges
 ) -> bool:
-    """Return whether a whole heartbeat is needed to make use of changes."""
+    """Return whether a whole heartbeat has to be fetched for changes.
+
+    This is the case if the VM is known, but the heartbeat that the changes are
+    based on was not received.
+    """
     known = view.vms.get(changes.vm)
     return (
         known is not None
@@ -154,10 +168,10 @@
 def record_changes(
     view: MembershipView, changes: messages.HeartbeatChanges, now_ms: int
 ) -> MembershipView:
-    """Return the view after changes; those to another base are void.
+    """Return the view after changes. Changes to another base are ignored.
 
-    They do not count as heard either, since the age of figures is counted
-    from there.
+    Ignored changes don't update `heard_ms` either, since the age of the
+    reported figures counts from that time.
     """
     known = view.vms.get(changes.vm)
     if known is None or not known.number:
@@ -185,7 +199,7 @@
 def record_session(
     view: MembershipView, vm: str, incarnation: str, connected: bool
 ) -> MembershipView:
-    """Return the view after the session towards a VM opened or ended."""
+    """Return the view after the session to a VM was opened or closed."""
     known = view.vms.get(vm)
     if known is None or known.incarnation != incarnation:
         return view
@@ -194,11 +208,11 @@
 
 
 def expire_vms(view: MembershipView, now_ms: int) -> MembershipView:
-    """Return the view without VMs that were not heard for too long."""
+    """Return the view without VMs that have been silent for too long."""
     kept = {
         name: state
         for name, state in view.vms.items()
-        if now_ms - state.heard_ms < GONE_AFTER_MS
+        if now_ms - state.heard_ms < EXPIRE_AFTER_MS
     }
     if len(kept) == len(view.vms):
         return view
@@ -217,9 +231,13 @@
 def list_claimants(
     view: MembershipView, owned: Collection[str], now_ms: int
 ) -> dict[str, bool]:
-    """Return by VM that was heard recently whether it may be a successor.
+    """Return whether each VM that was heard recently may be a successor.
+
+    A VM may be a successor if it could claim endpoints or reports an endpoint
+    of this VM as its own.
 
-    :param owned: the endpoints of this VM, as far as it has read
+    :param owned: the endpoints of this VM according to the log records that
+        it has read
     """
     return {
         name: state.may_claim or not state.endpoints.keys().isdisjoint(owned)
@@ -230,7 +248,7 @@
 
 
 def list_serving(view: MembershipView, now_ms: int) -> list[VmState]:
-    """Return the VMs that serve and are not leaving, in order of name."""
+    """Return the reachable VMs that serve and are not leaving, by name."""
     return [
         state
         for _, state in sorted(view.vms.items())
--- a/tests/membership/test_changes.py
+++ b/tests/membership/test_changes.py
@@ -41,15 +41,15 @@
     may_claim=strategies.booleans(),
     listed_leaving=strategies.sampled_from(((), ("e1",), ("e1", "vm-9"))),
 )
-MOSTLY = strategies.sampled_from((True, True, True, False))
+MOSTLY_TRUE = strategies.sampled_from((True, True, True, False))
 COUNTS = strategies.integers(1, 4)
 
 
 class ChangesMachine(stateful.RuleBasedStateMachine):
-    """One sender and one receiver, with sessions that are lost or late.
+    """Models a sender and a receiver with lost and delayed sessions.
 
-    The history keeps the whole heartbeat of each number, so that the view can
-    be compared with what whole heartbeats would have shown.
+    The history holds the whole heartbeat of each number, so that the view can
+    be compared with the view that whole heartbeats would give.
     """
 
     def __init__(self) -> None:
@@ -66,14 +66,14 @@
 
     @stateful.rule(noticed=strategies.booleans())
     def open_session(self, noticed: bool) -> None:
-        """Open a session; the sender may not have read of it yet."""
+        """Open a session, possibly without the sender noticing yet."""
         self.sessions.append([HELLO])
         if noticed:
             self.carried.clear()
 
-    @stateful.rule(heartbeat=HEARTBEATS, has_room=MOSTLY)
+    @stateful.rule(heartbeat=HEARTBEATS, has_room=MOSTLY_TRUE)
     def send(self, heartbeat: messages.Heartbeat, has_room: bool) -> None:
-        """Send on the newest session, whose queue may be full."""
+        """Send a heartbeat on the newest session, whose queue may be full."""
         number = len(self.history) + 1
         heartbeat = attrs.evolve(heartbeat, number=number)
         before = self.history[-1] if self.history else None
@@ -87,7 +87,7 @@
 
     @stateful.rule(heartbeat=HEARTBEATS)
     def beat(self, heartbeat: messages.Heartbeat) -> None:
-        """Send a heartbeat that arrives, as nearly all do."""
+        """Send a heartbeat that is received at once, the common case."""
         self.send(heartbeat, has_room=True)
         self.receive(len(self.sessions) - 1, len(self.sessions[-1]))
 
@@ -100,7 +100,7 @@
 
     @stateful.rule(place=strategies.integers(0, 9), count=COUNTS)
     def receive(self, place: int, count: int) -> None:
-        """Receive the next messages of a session that was not lost."""
+        """Receive messages of one session; lost sessions hold none."""
         items = self.sessions[place % len(self.sessions)]
         for message in items[:count]:
             self.accept(message)
@@ -108,13 +108,13 @@
 
     @stateful.rule(noticed=strategies.booleans())
     def lose_session(self, noticed: bool) -> None:
-        """Lose what is on the way, and open another session."""
+        """Drop the messages in flight and open another session."""
         self.sessions[-1].clear()
         self.open_session(noticed)
 
     @stateful.rule(restarts=strategies.booleans())
     def forget(self, restarts: bool) -> None:
-        """Forget everything; a restart also loses the sessions."""
+        """Clear the view; a restart also closes all sessions."""
         self.view = views.MembershipView()
         if restarts:
             self.sessions.clear()
@@ -151,7 +151,7 @@
                 assert not state.endpoints
 
     def teardown(self) -> None:
-        """Check that a session without loss ends at the newest state."""
+        """Check that a lossless session leaves the view up to date."""
         for items in self.sessions:
             for message in items:
                 self.accept(message)
@@ -167,7 +167,7 @@
 
 
 def test_view_equals_whole_heartbeats():
-    """Guards against changes applied to a state that they do not fit."""
+    """Guards against changes that are applied to the wrong base."""
     stateful.run_state_machine_as_test(
         ChangesMachine,
         settings=hypothesis.settings(
@@ -177,7 +177,7 @@
 
 
 def test_version_without_changes_gets_whole_heartbeats():
-    """Guards against a roll-out during which old daemons end sessions."""
+    """Guards against old daemons that close sessions during an upgrade."""
     first = messages.Heartbeat("b", "b1", messages.VmStatus.SERVING, 1)
     first = attrs.evolve(first, number=1)
     second = attrs.evolve(first, number=2)
@@ -188,8 +188,8 @@
 
 
 @pytest.mark.parametrize("number", [3, 4])
-def test_changes_without_base_are_not_heard(number):
-    """Guards against old figures that count as fresh."""
+def test_changes_without_base_do_not_update_heard_ms(number):
+    """Guards against outdated figures that count as fresh."""
     whole = attrs.evolve(
         messages.Heartbeat("b", "b1", messages.VmStatus.SERVING, 1), number=2
     )
@@ -203,8 +203,8 @@
     assert views.lacks_base(view, later) is (number == 4)
 
 
-def test_changes_to_nothing_are_void():
-    """Guards against a VM that is routed to before its first heartbeat."""
+def test_changes_before_first_heartbeat_are_ignored():
+    """Guards against routing to a VM before its first heartbeat."""
     view = views.record_hello(views.MembershipView(), HELLO, 0)
     for number in (1, 2):
         first = messages.HeartbeatChanges(
--- a/tests/membership/test_lifecycle.py
+++ b/tests/membership/test_lifecycle.py
@@ -17,12 +17,12 @@
         (32_000, 0, True, False),
     ],
 )
-def test_stop_serves_callers_with_an_old_answer(
+def test_stop_serves_callers_with_a_cached_answer(
     stopping_ms, idle_ms, refuses, finished
 ):
-    """Guards against a caller turned away by the VM that it was told to use.
+    """Guards against refusing callers whose cached answer is still valid.
 
-    Also guards against a stop that callers with too old answers prevent.
+    Also guards against callers with expired answers that delay the stop.
     """
     state = lifecycle.decide_stop(stopping_ms, idle_ms, 1_000, 30)
     assert state.stop_requested
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -14,7 +14,7 @@
 
 @pytest.fixture
 def view() -> views.MembershipView:
-    """VM b serves and was heard at 1,000 ms."""
+    """Return a view in which VM b serves and was heard at 1,000 ms."""
     view = views.record_hello(views.MembershipView(), HELLO, 0)
     view = views.record_session(view, "b", "b1", True)
     return views.record_heartbeat(view, SERVING, 1_000)
@@ -26,7 +26,7 @@
     assert not views.list_serving(view, 1_000 + views.SUSPECT_AFTER_MS)
 
 
-def test_vm_that_hears_but_cannot_be_reached_gets_no_work(view):
+def test_vm_without_session_to_it_gets_no_work(view):
     """Guards against a one-way partition that looks healthy."""
     view = views.record_session(view, "b", "b1", False)
     view = views.record_heartbeat(view, SERVING, 2_000)
@@ -34,8 +34,8 @@
 
 
 @pytest.mark.parametrize("source", ["heartbeat", "list"])
-def test_leaving_vm_gets_no_work_whoever_says_so(view, source):
-    """Guards against a VM that is told off by one source only."""
+def test_vm_marked_leaving_by_any_source_gets_no_work(view, source):
+    """Guards against work for a VM that only one source marks as leaving."""
     if source == "list":
         view = attrs.evolve(view, listed_leaving=frozenset({"b"}))
     else:
@@ -44,29 +44,29 @@
     assert not views.list_serving(view, 1_200)
 
 
-def test_restart_under_the_same_name_starts_afresh(view):
-    """Guards against the state of a dead run that outlives it."""
+def test_restart_under_the_same_name_resets_state(view):
+    """Guards against keeping the state of a previous incarnation."""
     restarted = attrs.evolve(HELLO, incarnation="b2")
     view = views.record_hello(view, restarted, 2_000)
     assert not views.list_serving(view, 2_000)
-    # Late words of the former run change nothing.
+    # Late messages of the previous incarnation change nothing.
     late = views.record_heartbeat(view, SERVING, 2_100)
     late = views.record_session(late, "b", "b1", True)
     assert late == view
 
 
-def test_vm_that_comes_back_is_known_again(view):
-    """Guards against a VM that stays unknown after a partition."""
-    gone = views.expire_vms(view, 1_000 + views.GONE_AFTER_MS)
-    assert not gone.vms
-    back = views.record_hello(gone, HELLO, 20_000)
+def test_vm_that_comes_back_is_added_again(view):
+    """Guards against a VM that is not added again after a partition."""
+    expired = views.expire_vms(view, 1_000 + views.EXPIRE_AFTER_MS)
+    assert not expired.vms
+    back = views.record_hello(expired, HELLO, 20_000)
     back = views.record_session(back, "b", "b1", True)
     back = views.record_heartbeat(back, SERVING, 20_100)
     assert views.list_serving(back, 20_100)
 
 
 def test_owner_of_the_same_endpoint_may_be_a_successor(view):
-    """Guards against a successor that is overlooked once the log is out."""
+    """Guards against missing a successor while the log is unreachable."""
     summaries = {"e1": messages.EndpointSummary()}
     heartbeat = attrs.evolve(SERVING, endpoints=summaries, may_claim=False)
     view = views.record_heartbeat(view, heartbeat, 1_000)
@@ -77,13 +77,13 @@
 
 
 def test_lists_that_disagree_are_merged(view):
-    """Guards against work for what the list of another VM calls leaving."""
-    told = attrs.evolve(SERVING, listed_leaving=("e1",))
+    """Guards against ignoring leaving entries of another VM's list."""
+    heartbeat = attrs.evolve(SERVING, listed_leaving=("e1",))
     view = views.record_list(view, frozenset({"e2"}))
-    view = views.record_heartbeat(view, told, 1_000)
+    view = views.record_heartbeat(view, heartbeat, 1_000)
     assert view.listed_leaving == {"e1", "e2"}
-    gone = views.expire_vms(view, 1_000 + views.GONE_AFTER_MS)
-    assert gone.listed_leaving == {"e2"}
+    expired = views.expire_vms(view, 1_000 + views.EXPIRE_AFTER_MS)
+    assert expired.listed_leaving == {"e2"}
     restarted = views.record_hello(
         view, attrs.evolve(HELLO, incarnation="b2"), 1_000
     )
