Reword the configuration module and its tests

Cause: Comments and error messages of the configuration code were fragments or used private words. Change: Docstrings, comments, validation errors, rejection reasons and a few private names use the terms of the field. No test or program matches the changed error messages. Behaviour is otherwise unchanged.

--- a/src/bronzetrack/configuration/__init__.py
+++ b/src/bronzetrack/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""What operators publish: inventory and rules."""
+"""Configuration that operators publish: the inventory and the rules."""
--- a/src/bronzetrack/configuration/inventory.py
+++ b/src/bronzetrack/configuration/inventory.py
@@ -1,4 +1,4 @@
-"""What operators list: members, models, adapters, endpoints, services."""
+"""The inventory: members, base models, adapters, endpoints and services."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class EndpointKind(enum.Enum):
-    """What runs at an endpoint."""
+    """The kind of back end that an endpoint runs."""
 
     ENGINE = "engine"
     SERVICE = "service"
@@ -19,8 +19,10 @@
 class Adapter:
     """A LoRA adapter and its versions.
 
-    :param owner: the member that the adapter belongs to
-    :param current: the version that a request without a version gets
+    :param owner: the member that owns the adapter
+    :param base_model: the base model that the adapter extends
+    :param versions: the available versions
+    :param current: version for requests that specify none
     """
 
     owner: str
@@ -31,12 +33,12 @@
 
 @attrs.frozen
 class Endpoint:
-    """A back end at one address.
+    """A back end at one network address.
 
-    :param slots: requests it runs at once
-    :param adapter_slots: adapter versions it holds at once
-    :param checks_fencing: whether it refuses an old fencing number
-    :param leaving: whether operators want no new work on it
+    :param slots: maximum number of concurrent requests
+    :param adapter_slots: maximum number of loaded adapter versions
+    :param checks_fencing: whether the endpoint rejects old fencing numbers
+    :param leaving: whether operators want the endpoint to get no new work
     """
 
     host: str
@@ -51,20 +53,22 @@
 
     @property
     def is_engine(self) -> bool:
+        """Whether the endpoint is an inference engine."""
         return self.kind is EndpointKind.ENGINE
 
     def runs_model(self, base_model: str) -> bool:
-        """Return whether it is an engine of a base model."""
+        """Return whether the endpoint is an engine with a base model."""
         return self.is_engine and self.base_model == base_model
 
 
 @attrs.frozen
 class Service:
-    """A plain service that is routed to by a path prefix.
+    """A plain service to which requests are routed by path prefix.
 
-    :param owner: the member that the service belongs to
+    :param owner: the member that owns the service
     :param prefix: path prefix, such as `/services/updates`
-    :param repeatable_methods: HTTP methods that may run more than once
+    :param endpoints: names of the endpoints that run the service
+    :param repeatable_methods: HTTP methods that may be executed more than once
     """
 
     owner: str
@@ -75,7 +79,7 @@
 
 @attrs.frozen
 class Inventory:
-    """Everything that operators list, by name."""
+    """All entries that operators publish, by name."""
 
     members: tuple[str, ...] = ()
     base_models: tuple[str, ...] = ()
--- a/src/bronzetrack/configuration/messages.py
+++ b/src/bronzetrack/configuration/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about configuration."""
+"""Peer messages that transfer the configuration."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 @messages.MESSAGES.register("fetch_configuration")
 @attrs.frozen
 class FetchConfiguration:
-    """Asks a peer for its configuration.
+    """Requests the configuration of a peer.
 
-    :param offset: what the asking VM has in force; a peer with a lower
-        offset does not answer
+    :param offset: offset of the configuration that the requesting VM has in
+        force; a peer with a lower offset does not answer
     """
 
     mailbox: ClassVar[str] = "configuration"
@@ -28,9 +28,11 @@
 class ConfigurationSnapshot:
     """One part of an encoded configuration.
 
-    :param offset: of the publication that brought the configuration
-    :param through: the position up to which the peer had read the stream
-    :param part: counts from 0
+    :param offset: offset of the publication that set the configuration
+    :param through: offset up to which the peer had read the stream
+    :param part: index of the part, counted from 0
+    :param parts: number of parts
+    :param data: content of the part
     """
 
     mailbox: ClassVar[str] = "configuration"
--- a/src/bronzetrack/configuration/records.py
+++ b/src/bronzetrack/configuration/records.py
@@ -18,12 +18,13 @@
     """A new inventory or rule set.
 
     :param kind: `inventory` or `rules`
-    :param base: the offset in force that the author started from
-    :param author: who publishes, for the history
-    :param delta: whether the document holds only changed entries
-    :param document: the whole document, or changed entries by section with
+    :param base: offset of the configuration in force on which the author based
+        the document
+    :param document: the whole document, or the changed entries by section with
         None for a removed entry
-    :param token: a random value by which the author finds the record again
+    :param author: name of the publisher, for the history
+    :param delta: whether the document holds only changed entries
+    :param token: random value by which the author identifies the record
     """
 
     kind: str
@@ -37,16 +38,16 @@
 @records.RECORDS.register("snapshot")
 @attrs.frozen
 class SnapshotRecord:
-    """A copy of the configuration in force, so that retention drops none.
+    """A copy of the configuration in force, which log retention would drop.
 
-    It is effective if nothing was published since its author read the
-    stream. To a replay that has read everything it brings nothing new; a
-    replay that lacks earlier records starts from it.
+    The record is effective if nothing was published after its author read the
+    stream. It doesn't change the configuration of a complete replay; a replay
+    that lacks earlier records starts from it.
 
-    :param offset: of the publication that brought the configuration
-    :param through: the position up to which its author had read
-    :param data: the encoded configuration, which a replay that has read
-        everything need not decode
+    :param offset: offset of the publication that set the configuration
+    :param through: offset up to which the author had read the stream
+    :param data: the encoded configuration, which a complete replay need not
+        decode
     """
 
     offset: int
--- a/src/bronzetrack/configuration/replay.py
+++ b/src/bronzetrack/configuration/replay.py
@@ -1,7 +1,7 @@
 """Replay of the configuration stream.
 
-The decision about a record depends on earlier records alone, so that every
-daemon and every operator's tool comes to the same result.
+Whether a record is accepted depends only on earlier records, so that every
+daemon and every operator tool obtains the same result.
 """
 
 from __future__ import annotations
@@ -19,22 +19,27 @@
 from bronzetrack.core import failures
 from bronzetrack.core import retention
 
-KEPT_VERDICTS = 64
+MAX_VERDICTS = 64
 
 
 class DocumentReader(Protocol):
-    """Converts the documents of records."""
+    """Converts documents and encoded configurations from records."""
 
     def read_document(self, kind: str, document: Any) -> Any:
-        """Return an inventory, a rule set, or a failure."""
+        """Return the parsed inventory or rule set, or a failure."""
 
     def apply_delta(
         self, kind: str, current: Any, delta: Mapping[str, Any]
     ) -> Any:
-        """Return a changed inventory or rule set, or a failure."""
+        """Return the inventory or rule set with changes applied, or a failure.
+
+        :param kind: `inventory` or `rules`
+        :param current: the inventory or rule set in force
+        :param delta: changed entries by section, None for a removed entry
+        """
 
     def decode_configuration(self, data: bytes) -> Any:
-        """Return a configuration, or a failure."""
+        """Return the decoded configuration, or a failure."""
 
 
 def apply_batch(
@@ -47,9 +52,11 @@
 ) -> states.ConfigurationState:
     """Return the state after one read of the stream.
 
-    :param start: the earliest offset that is retained
-    :param end: the offset that the next append gets
-    :param items: offsets and records; those read before are skipped
+    :param start: the earliest retained offset
+    :param end: the offset of the next append
+    :param items: offsets and records; records that were read before are
+        skipped
+    :param reader: converter for the documents of the records
     :param now_ms: monotonic time at which the batch was read
     """
     retained = attrs.evolve(state.retained, start=start, end=end)
@@ -82,10 +89,11 @@
 ) -> states.ConfigurationState:
     """Return the state after a peer sent its configuration.
 
-    The peer's replay was complete, so that the replay goes on from its
-    position as the peer does. A lower offset is never adopted.
+    The replay of the peer was complete, so the replay of this VM can continue
+    from the offset that the peer had reached. A configuration with a lower
+    offset than the one in force is never adopted.
 
-    :param through: the position up to which the peer had read
+    :param through: offset up to which the peer had read the stream
     """
     if configuration.offset < state.configuration.offset:
         return state
@@ -105,7 +113,7 @@
 ) -> bool:
     """Return whether this VM should append a snapshot now.
 
-    :param rank: place of this VM among those that could append one
+    :param rank: rank of this VM among the VMs that could append one
     """
     if state.configuration.offset == states.NO_OFFSET:
         return False
@@ -153,7 +161,7 @@
     )
     if accepted:
         state = attrs.evolve(state, configuration=result)
-    verdicts = (*state.verdicts, verdict)[-KEPT_VERDICTS:]
+    verdicts = (*state.verdicts, verdict)[-MAX_VERDICTS:]
     return attrs.evolve(state, verdicts=verdicts)
 
 
@@ -163,16 +171,17 @@
     record: records.PublicationRecord,
     reader: DocumentReader,
 ) -> states.Configuration | failures.Failure:
-    """Return the configuration that a publication brings, or a failure."""
+    """Return the configuration after a publication, or why it is rejected."""
     if record.base != current.offset:
         return failures.Failure(
             failures.Reason.CONFIGURATION_CONFLICT,
-            f"based on {record.base}, in force is {current.offset}",
+            f"based on offset {record.base}, "
+            f"but offset {current.offset} is in force",
         )
     if record.kind not in ("inventory", "rules"):
         return failures.Failure(
             failures.Reason.CONFIGURATION_INVALID,
-            f"unknown kind {record.kind!r}",
+            f"unknown document kind {record.kind!r}",
         )
     if record.delta:
         value = reader.apply_delta(
--- a/src/bronzetrack/configuration/resolver.py
+++ b/src/bronzetrack/configuration/resolver.py
@@ -1,4 +1,4 @@
-"""Resolution of the names that requests use."""
+"""Resolution of the model names and service paths of requests."""
 
 from __future__ import annotations
 
@@ -11,10 +11,11 @@
 
 @attrs.frozen
 class ResolvedModel:
-    """An adapter version and the endpoints that could run it.
+    """An adapter version and the endpoints that can run it.
 
-    :param adapter: `name@version`
+    :param adapter: adapter version as `name@version`
     :param member: the member that owns the adapter
+    :param endpoints: names of the engines with the base model of the adapter
     """
 
     adapter: str
@@ -24,7 +25,10 @@
 
 @attrs.frozen
 class ResolvedService:
-    """A plain service and the path at its endpoints."""
+    """A plain service and the request path to use at its endpoints.
+
+    :param path: path without the prefix of the service
+    """
 
     service: inventories.Service
     path: str
@@ -33,7 +37,7 @@
 def resolve_model(
     configuration: state.Configuration, model: str
 ) -> ResolvedModel | failures.Failure:
-    """Return the adapter version that a request names.
+    """Return the adapter version that a model name refers to.
 
     :param model: `adapter@version`, or `adapter` for its current version
     """
@@ -68,7 +72,7 @@
 def resolve_service(
     configuration: state.Configuration, path: str
 ) -> ResolvedService | failures.Failure:
-    """Return the service with the longest prefix of a path."""
+    """Return the service whose prefix is the longest match for a path."""
     matching = [
         service
         for service in configuration.inventory.services.values()
@@ -76,7 +80,7 @@
     ]
     if not matching:
         return failures.Failure(
-            failures.Reason.UNKNOWN_SERVICE, f"no service at {path}"
+            failures.Reason.UNKNOWN_SERVICE, f"no service matches path {path}"
         )
     service = max(matching, key=lambda item: len(item.prefix))
     return ResolvedService(service, path.removeprefix(service.prefix) or "/")
--- a/src/bronzetrack/configuration/rules.py
+++ b/src/bronzetrack/configuration/rules.py
@@ -1,4 +1,4 @@
-"""What members vote on."""
+"""Rules that members vote on: limits of members and of work classes."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 @attrs.frozen
 class MemberRule:
-    """The voted limits of one member.
+    """The limits of one member, as voted.
 
-    :param weight: share of capacity relative to the other members
-    :param warm_adapters: adapter versions it may keep loaded in total
+    :param weight: weight of the capacity share relative to other members
+    :param warm_adapters: maximum number of loaded adapter versions in total
     """
 
     weight: float = 1.0
@@ -21,11 +21,13 @@
 
 @attrs.frozen
 class ClassRule:
-    """The voted rank of one work class.
+    """The priority and limits of one work class, as voted.
 
-    :param rank: lower ranks run first
-    :param slot_share: the largest part of the slots of an endpoint, 0 to 1
-    :param queue_timeout_ms: how long a request may wait before it is refused
+    :param rank: priority of the class; lower ranks run first
+    :param slot_share: maximum share of the slots of an endpoint, more than 0
+        and at most 1
+    :param queue_timeout_ms: maximum time that a request waits in a queue
+        before it is refused
     """
 
     rank: int = 1
@@ -35,7 +37,12 @@
 
 @attrs.frozen
 class Rules:
-    """All voted rules."""
+    """All voted rules.
+
+    :param members: rules by member
+    :param classes: rules by work class
+    :param default_class: work class of requests that specify none
+    """
 
     members: Mapping[str, MemberRule] = attrs.field(factory=dict)
     classes: Mapping[str, ClassRule] = attrs.field(
--- a/src/bronzetrack/configuration/state.py
+++ b/src/bronzetrack/configuration/state.py
@@ -1,4 +1,4 @@
-"""The configuration in force."""
+"""State of the configuration controller."""
 
 from __future__ import annotations
 
@@ -13,9 +13,10 @@
 
 @attrs.frozen
 class Configuration:
-    """The configuration in force and the log offset that brought it.
+    """The configuration in force and the log offset that set it.
 
-    :param offset: offset of the accepted publication, NO_OFFSET before any
+    :param offset: offset of the last accepted publication, `NO_OFFSET` before
+        the first
     """
 
     offset: int = NO_OFFSET
@@ -27,13 +28,13 @@
 
 @attrs.frozen
 class Verdict:
-    """How one publication was decided.
+    """The decision about one publication.
 
     :param offset: offset of the publication
-    :param accepted: whether it is or was in force
-    :param reason: why it was not accepted
-    :param author: who published it, as the record states
-    :param token: by which the author finds the decision again
+    :param accepted: whether the publication came into force
+    :param reason: why the publication was rejected, empty if accepted
+    :param author: name of the publisher, as stated in the record
+    :param token: value by which the author identifies the publication
     """
 
     offset: int
@@ -47,15 +48,15 @@
 class ConfigurationState:
     """The section of the configuration controller.
 
-    :param configuration: what is in force
-    :param next_offset: the log position that is read next
+    :param configuration: the configuration in force
+    :param next_offset: offset at which the next read of the stream starts
     :param verdicts: the latest decisions, oldest first
     :param log_reachable: whether the last read of the stream succeeded
-    :param failed_reads: how many reads have failed since one succeeded
-    :param complete: whether the replay lacks no publication; if it does, the
-        configuration stays in force and no publication is accepted
-    :param changed_offset: position after the last publication
-    :param retained: the retained range and the newest snapshot record
+    :param failed_reads: number of failed reads since the last successful one
+    :param complete: whether the replay has every publication; while it lacks
+        one, the configuration stays in force and no publication is accepted
+    :param changed_offset: offset after the last publication
+    :param retained: the retained range and the most recent snapshot record
     """
 
     configuration: Configuration = attrs.field(factory=Configuration)
--- a/src/bronzetrack/configuration/transfer.py
+++ b/src/bronzetrack/configuration/transfer.py
@@ -1,4 +1,4 @@
-"""Transfer of a configuration between peers in parts."""
+"""Transfer of an encoded configuration between peers in parts."""
 
 from __future__ import annotations
 
@@ -9,18 +9,26 @@
 from bronzetrack.configuration import messages
 from bronzetrack.configuration import state as states
 
-# Half of the largest frame between peers, since other fields need room.
+# Half of the maximum frame size between peers, to leave room for the other
+# fields of the message.
 PART_BYTES = 524_288
-# 32 MiB; 18,000 adapters need 4 parts.
+# Limits a transfer to 32 MiB. 18,000 adapters need 4 parts.
 MAX_PARTS = 64
-# A replay that keeps up with the log is never behind for so long.
+# A replay that keeps up with the log never lags behind a peer for this long.
 FETCH_AFTER_MS = 2_000
 FETCH_INTERVAL_MS = 5_000
 
 
 @attrs.frozen
 class Transfer:
-    """The parts that have arrived from one peer."""
+    """A partly received configuration of one peer.
+
+    :param sender: name of the VM that sends the parts
+    :param offset: offset of the publication that set the configuration
+    :param through: offset up to which the sender had read the stream
+    :param parts: number of parts
+    :param received: received data by index of the part
+    """
 
     sender: str
     offset: int
@@ -30,7 +38,7 @@
 
     @property
     def data(self) -> bytes | None:
-        """The whole, once every part is there."""
+        """The encoded configuration, None while a part is missing."""
         if len(self.received) < self.parts:
             return None
         return b"".join(self.received[part] for part in range(self.parts))
@@ -39,7 +47,7 @@
 def split(
     state: states.ConfigurationState, data: bytes
 ) -> list[messages.ConfigurationSnapshot]:
-    """Return the messages that carry an encoded configuration."""
+    """Return the messages that transfer an encoded configuration."""
     starts = range(0, len(data), PART_BYTES)
     return [
         messages.ConfigurationSnapshot(
@@ -61,13 +69,16 @@
     """Return the transfer with one more part.
 
     A part of another configuration or from another peer starts a new
-    transfer; a part that makes no sense is dropped.
+    transfer. A part with an invalid index or part count is dropped.
+
+    :param transfer: the transfer so far, None before the first part
+    :param sender: name of the VM that sent the part
     """
     if not 0 <= message.part < message.parts <= MAX_PARTS:
         return transfer
-    fresh = Transfer(sender, message.offset, message.through, message.parts)
-    if transfer is None or fresh != attrs.evolve(transfer, received={}):
-        transfer = fresh
+    empty = Transfer(sender, message.offset, message.through, message.parts)
+    if transfer is None or empty != attrs.evolve(transfer, received={}):
+        transfer = empty
     received = {**transfer.received, message.part: message.data}
     return attrs.evolve(transfer, received=received)
 
@@ -75,10 +86,11 @@
 def choose_source(
     state: states.ConfigurationState, offsets: Mapping[str, int], tries: int
 ) -> str | None:
-    """Return the peer to fetch from, None if there is nothing to fetch.
+    """Return the peer to fetch a configuration from.
 
-    :param offsets: offset in force by peer
-    :param tries: how often this VM has asked, so that peers take turns
+    :param offsets: offset of the configuration in force, by peer
+    :param tries: number of requests sent so far, by which peers take turns
+    :returns: None if there is nothing to fetch
     """
     newest = max(offsets.values(), default=states.NO_OFFSET)
     own = state.configuration.offset
--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -1,4 +1,4 @@
-"""Checks between the entries of a configuration."""
+"""Validation of the entries of a configuration and their references."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 from bronzetrack.configuration import rules as rule_sets
 
 T = TypeVar("T")
-# Names stand in the headers of answers.
-NAME_RULE = "a name has printable ASCII characters, is not empty"
+# Names are written to headers of answers.
+NAME_RULE = "a name must be printable ASCII and not blank"
 
 
 def list_mistakes(
@@ -23,10 +23,10 @@
     rules: rule_sets.Rules,
     delta: Mapping[str, Any] | None = None,
 ) -> tuple[str, ...]:
-    """Return every mistake, one line each.
+    """Return every validation error, one line each.
 
-    :param delta: the change that made a valid inventory into this one; only
-        what it can have made wrong is checked
+    :param delta: the change that turned a valid inventory into this one; only
+        entries that the change can have made invalid are checked
     """
     return (
         *list_inventory_mistakes(inventory, delta),
@@ -39,11 +39,18 @@
     inventory: inventories.Inventory,
     delta: Mapping[str, Any] | None = None,
 ) -> tuple[str, ...]:
-    """Return the mistakes that an inventory alone shows."""
-    # Members and base models are referred to from everywhere.
+    """Return the validation errors within an inventory.
+
+    :param delta: see `list_mistakes`
+    """
+    # Any entry may refer to members and base models.
     if delta is not None and not {"members", "base_models"} & delta.keys():
-        adapters = _pick(inventory.adapters, delta.get("adapters", ()))
-        endpoints = _pick(inventory.endpoints, delta.get("endpoints", ()))
+        adapters = _select_entries(
+            inventory.adapters, delta.get("adapters", ())
+        )
+        endpoints = _select_entries(
+            inventory.endpoints, delta.get("endpoints", ())
+        )
     else:
         adapters = inventory.adapters
         endpoints = inventory.endpoints
@@ -56,12 +63,14 @@
     )
 
 
-def _pick(entries: Mapping[str, T], names: Iterable[str]) -> dict[str, T]:
+def _select_entries(
+    entries: Mapping[str, T], names: Iterable[str]
+) -> dict[str, T]:
     return {name: entries[name] for name in names if name in entries}
 
 
 def list_rule_mistakes(rules: rule_sets.Rules) -> tuple[str, ...]:
-    """Return the mistakes that a rule set alone shows."""
+    """Return the validation errors within a rule set."""
     return tuple(_check_rules(rules))
 
 
@@ -74,13 +83,16 @@
     for name, adapter in adapters.items():
         place = f"adapters.{name}"
         if not _is_name(name) or "@" in name:
-            yield f"{place}: {NAME_RULE}, and has no '@'"
+            yield f"{place}: {NAME_RULE}, without '@'"
         if not all(map(_is_name, adapter.versions)):
             yield f"{place}.versions: {NAME_RULE}"
         if adapter.owner not in members:
             yield f"{place}.owner: unknown member {adapter.owner!r}"
         if adapter.base_model not in models:
-            yield f"{place}.base_model: unknown {adapter.base_model!r}"
+            yield (
+                f"{place}.base_model: "
+                f"unknown base model {adapter.base_model!r}"
+            )
         if adapter.current not in adapter.versions:
             yield f"{place}.current: {adapter.current!r} is not in versions"
 
@@ -96,15 +108,18 @@
         if not _is_ip(endpoint.host):
             yield f"{place}.host: {endpoint.host!r} is not an IP address"
         if not 0 < endpoint.port < 65_536:
-            yield f"{place}.port: {endpoint.port} is not a port"
+            yield f"{place}.port: {endpoint.port} is not a valid port"
         if endpoint.slots < 1:
-            yield f"{place}.slots: at least 1"
+            yield f"{place}.slots: must be at least 1"
         if not endpoint.is_engine:
             continue
         if endpoint.base_model not in inventory.base_models:
-            yield f"{place}.base_model: unknown {endpoint.base_model!r}"
+            yield (
+                f"{place}.base_model: "
+                f"unknown base model {endpoint.base_model!r}"
+            )
         if endpoint.adapter_slots < 1:
-            yield f"{place}.adapter_slots: at least 1"
+            yield f"{place}.adapter_slots: must be at least 1"
 
 
 def _check_services(inventory: inventories.Inventory) -> Iterator[str]:
@@ -134,14 +149,14 @@
         yield f"default_class: unknown class {rules.default_class!r}"
     for name, member in rules.members.items():
         if not member.weight > 0:
-            yield f"members.{name}.weight: more than 0"
+            yield f"members.{name}.weight: must be more than 0"
         if member.warm_adapters < 0:
-            yield f"members.{name}.warm_adapters: 0 or more"
+            yield f"members.{name}.warm_adapters: must be 0 or more"
     for name, rule in rules.classes.items():
         if not 0 < rule.slot_share <= 1:
-            yield f"classes.{name}.slot_share: more than 0, at most 1"
+            yield f"classes.{name}.slot_share: must be more than 0, at most 1"
         if rule.queue_timeout_ms <= 0:
-            yield f"classes.{name}.queue_timeout_ms: more than 0"
+            yield f"classes.{name}.queue_timeout_ms: must be more than 0"
 
 
 def _is_name(text: str) -> bool:
--- a/tests/configuration/naive.py
+++ b/tests/configuration/naive.py
@@ -1,4 +1,4 @@
-"""A naive replay of the whole configuration stream, without truncation."""
+"""Reference replay of the whole configuration stream, without truncation."""
 
 from __future__ import annotations
 
@@ -14,7 +14,11 @@
 
 @attrs.define
 class Replay:
-    """The plain documents in force at each position of the stream."""
+    """Reference model of the documents in force.
+
+    The history holds the offset and the plain documents in force at each
+    offset of the stream.
+    """
 
     offset: int = -1
     plain: dict[str, Any] = attrs.field(
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -1,4 +1,4 @@
-"""Several replicas of the configuration decisions over a log with faults."""
+"""Tests of the configuration on several replicas with faults of the log."""
 
 from __future__ import annotations
 
@@ -84,7 +84,7 @@
 
 
 class ConfigurationMachine(stateful.RuleBasedStateMachine):
-    """Draws faults and compares each replica with the naive replay."""
+    """Draws faults and compares each replica with the reference replay."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -163,7 +163,7 @@
 
     @stateful.rule(vm=SOME_VM, delta=DELTA, late=strategies.booleans())
     def publish(self, vm: str, delta: dict, late: bool) -> None:
-        """An operator publishes from what one replica has in force."""
+        """Publish a change based on the configuration of one replica."""
         self.tokens += 1
         base = self.replicas[vm].state.configuration.offset
         record = records.PublicationRecord(
@@ -179,7 +179,7 @@
     @stateful.precondition(lambda self: self.late and not self.down)
     @stateful.rule(data=strategies.data())
     def take_late(self, data: strategies.DataObject) -> None:
-        """A record lands late, and perhaps once more."""
+        """Append a delayed record, which may be appended again later."""
         index = data.draw(strategies.integers(0, len(self.late) - 1))
         self.append(self.late[index])
         if data.draw(strategies.booleans()):
@@ -244,7 +244,7 @@
             assert verdict.accepted == (verdict.offset in accepted)
 
     def teardown(self) -> None:
-        """One complete replica brings all others to what is in force."""
+        """Check that all replicas converge once one of them is complete."""
         self.down = False
         self.read_all(list(VMS))
         complete = [vm for vm in VMS if self.replicas[vm].state.complete]
@@ -258,7 +258,7 @@
 
 
 def test_replicas_agree_under_faults():
-    """Guards against replicas that disagree or revert, and lost copies."""
+    """Guards against replicas that disagree, revert or lose the snapshot."""
     stateful.run_state_machine_as_test(
         ConfigurationMachine,
         settings=effort.make_settings(150, stateful_step_count=30),
@@ -269,7 +269,7 @@
     data=strategies.binary(max_size=40), size=strategies.integers(1, 9)
 )
 def test_transfer_restores_parts_in_any_order(data, size):
-    """Guards against a configuration put together from mixed parts."""
+    """Guards against a configuration assembled from mixed parts."""
     state = states.ConfigurationState(next_offset=7)
     before = transfer.PART_BYTES
     transfer.PART_BYTES = size
@@ -286,7 +286,10 @@
 
 
 def test_stale_snapshot_starts_no_replay():
-    """Guards against a replay that misses a publication for good."""
+    """Guards against a replay that misses a publication forever.
+
+    A snapshot from before the publication must not make the replay complete.
+    """
     state = states.ConfigurationState()
     whole = records.PublicationRecord("inventory", -1, WHOLE)
     state = replay.apply_batch(state, 0, 1, [(0, whole)], documents, 0)
@@ -308,7 +311,7 @@
 
 
 def test_removed_member_is_checked_everywhere():
-    """Guards against a small change that leaves a reference dangling."""
+    """Guards against a delta that leaves a dangling reference."""
     state = states.ConfigurationState()
     whole = records.PublicationRecord("inventory", -1, WHOLE)
     change = records.PublicationRecord(
