--- a/src/bronzetrack/configuration/records.py
+++ b/src/bronzetrack/configuration/records.py
@@ -38,7 +38,7 @@
 @records.RECORDS.register("snapshot")
 @attrs.frozen
 class SnapshotRecord:
-    """A copy of the configuration in force, which log retention would drop.
+    """A copy of the configuration in force that survives log retention.
 
     The record is effective if nothing was published after its author read the
     stream. It doesn't change the configuration of a complete replay; a replay
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -81,10 +81,10 @@
     """
     if leaving == view.own_listed:
         return view
-    return _merge_lists(attrs.evolve(view, own_listed=leaving))
+    return _merge_leaving_lists(attrs.evolve(view, own_listed=leaving))
 
 
-def _merge_lists(view: MembershipView) -> MembershipView:
+def _merge_leaving_lists(view: MembershipView) -> MembershipView:
     others = (state.listed_leaving for state in view.vms.values())
     return attrs.evolve(view, listed_leaving=view.own_listed.union(*others))
 
@@ -114,7 +114,7 @@
     view = attrs.evolve(view, vms={**view.vms, hello.vm: state})
     if known is None or not known.listed_leaving:
         return view
-    return _merge_lists(view)
+    return _merge_leaving_lists(view)
 
 
 def record_heartbeat(
@@ -146,7 +146,7 @@
     view = attrs.evolve(view, vms={**view.vms, heartbeat.vm: state})
     if known.listed_leaving == heartbeat.listed_leaving:
         return view
-    return _merge_lists(view)
+    return _merge_leaving_lists(view)
 
 
 def lacks_base(
@@ -216,7 +216,7 @@
     }
     if len(kept) == len(view.vms):
         return view
-    return _merge_lists(attrs.evolve(view, vms=kept))
+    return _merge_leaving_lists(attrs.evolve(view, vms=kept))
 
 
 def is_reachable(state: VmState, now_ms: int) -> bool:
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -148,7 +148,7 @@
 
 
 def lacks_lease(state: OwnershipState, incarnation: str, now_ms: int) -> bool:
-    """Return whether an incarnation has no lease although it could renew.
+    """Return whether an incarnation lacks a lease while the log is available.
 
     This VM has to have held its own lease for the length of a lease first:
     after an outage of the log all leases have lapsed, and the VM that renews
@@ -190,10 +190,10 @@
 ) -> bool:
     """Return whether this VM may send an exclusive order to an endpoint.
 
-    An endpoint that checks fencing numbers needs no further condition. For
-    one that ignores them, an order has to end within the lease. Such an
-    endpoint may also still receive an order from the previous owner until
-    `ORDER_LIFE_MS` after the claim, so that no order is sent before.
+    An owner may always send orders to an endpoint that checks fencing numbers.
+    For an endpoint that ignores them, an order has to end within the lease.
+    Such an endpoint may still receive orders from the previous owner until
+    `ORDER_LIFE_MS` after the claim, so the new owner sends none before then.
 
     :param checks_fencing: whether the endpoint rejects old fencing numbers
     """
--- a/src/bronzetrack/ownership/planner.py
+++ b/src/bronzetrack/ownership/planner.py
@@ -66,7 +66,7 @@
     claimable = [
         name
         for name, endpoint in sorted(site.endpoints.items())
-        if _is_free(state, name, site.incarnation, now_ms)
+        if _can_claim(state, name, site.incarnation, now_ms)
         and choose_owner(name, endpoint, site.vm_zones) == site.vm
     ]
     if not claimable:
@@ -85,7 +85,7 @@
     )
 
 
-def _is_free(
+def _can_claim(
     state: leases.OwnershipState,
     endpoint: str,
     incarnation: str,
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -207,13 +207,13 @@
                 self.cut = vm == faults.cut
                 self.renew(replica, vm == faults.late_leases)
                 self.read(replica, 0 if vm == faults.blind else 1_000)
-                self.judge(replica, faults)
+                self.evaluate_standing(replica, faults)
                 self.plan(replica, seen, faults.idle, vm == faults.late_claims)
                 self.cut = False
                 self.check_orders()
                 self.check_evictions()
 
-    def judge(self, replica: Replica, faults: Faults) -> None:
+    def evaluate_standing(self, replica: Replica, faults: Faults) -> None:
         """Evaluate the standing of a replica from the state of the others.
 
         Replicas that are paused or asleep report nothing.
