--- a/tests/membership/test_changes.py
+++ b/tests/membership/test_changes.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.history: list[messages.Heartbeat] = []
-        self.carried: dict[str, int] = {}
+        self.last_queued: dict[str, int] = {}
         self.sessions: list[list] = []
         self.view = views.MembershipView()
         self.wants_whole = False
@@ -69,7 +69,7 @@
         """Open a session, possibly without the sender noticing yet."""
         self.sessions.append([HELLO])
         if noticed:
-            self.carried.clear()
+            self.last_queued.clear()
 
     @stateful.rule(heartbeat=HEARTBEATS, has_room=MOSTLY_TRUE)
     def send(self, heartbeat: messages.Heartbeat, has_room: bool) -> None:
@@ -77,13 +77,15 @@
         number = len(self.history) + 1
         heartbeat = attrs.evolve(heartbeat, number=number)
         before = self.history[-1] if self.history else None
-        beat = changes.plan_beat(before, heartbeat, self.carried, {"a"}, {"a"})
+        beat = changes.plan_beat(
+            before, heartbeat, self.last_queued, {"a"}, {"a"}
+        )
         self.history.append(heartbeat)
-        self.carried.clear()
+        self.last_queued.clear()
         if has_room:
             sent = heartbeat if beat.whole else beat.changes
             self.sessions[-1].append(sent)
-            self.carried["a"] = number
+            self.last_queued["a"] = number
 
     @stateful.rule(heartbeat=HEARTBEATS)
     def beat(self, heartbeat: messages.Heartbeat) -> None:
@@ -95,7 +97,7 @@
     @stateful.rule()
     def answer_fetch(self) -> None:
         self.sessions[-1].append(self.history[-1])
-        self.carried["a"] = len(self.history)
+        self.last_queued["a"] = len(self.history)
         self.wants_whole = False
 
     @stateful.rule(place=strategies.integers(0, 9), count=COUNTS)
@@ -181,8 +183,8 @@
     first = messages.Heartbeat("b", "b1", messages.VmStatus.SERVING, 1)
     first = attrs.evolve(first, number=1)
     second = attrs.evolve(first, number=2)
-    carried = {"old": 1, "new": 1}
-    beat = changes.plan_beat(first, second, carried, carried, {"new"})
+    last_queued = {"old": 1, "new": 1}
+    beat = changes.plan_beat(first, second, last_queued, last_queued, {"new"})
     assert beat.whole == {"old"}
     assert beat.partial == {"new"}
 
