--- a/src/bronzetrack/platform/__init__.py
+++ b/src/bronzetrack/platform/__init__.py
@@ -1,5 +1,5 @@
-"""Adapter to the users' platform: its names, documents and calls.
+"""Adapter to the users' platform: its wire names, documents and calls.
 
-The folder lies inside the package because a top-level package named
-`platform` would hide the module of the standard library.
+This package is nested in `bronzetrack` because a top-level package named
+`platform` would shadow the standard library module of that name.
 """
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -1,4 +1,7 @@
-"""Documents of the store, decoded once into the product's types."""
+"""Decoders of the platform's JSON documents.
+
+Each document is decoded once, into an internal type.
+"""
 
 from __future__ import annotations
 
@@ -11,15 +14,16 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import routes
 
-# Callers leave a stream after the longest of: this gap, so many times the
-# target, so many times the allowed pause.
-STREAM_GAP_S = 2.0
-TARGET_GAPS = 4.0
-PAUSE_GAPS = 8.0
+# Callers abandon a stream after the longest of these times: MIN_PATIENCE_S,
+# TARGET_FACTOR times the target time (`aim_ms`), and GAP_TARGET_FACTOR times
+# the allowed gap between events (`gap_target_ms`).
+MIN_PATIENCE_S = 2.0
+TARGET_FACTOR = 4.0
+GAP_TARGET_FACTOR = 8.0
 READY = "ready"
 DRAINING = "draining"
-# What Python raises over values of the wrong kind.
-MALFORMED = (
+# Exceptions that Python raises when a field has a value of the wrong type.
+DECODE_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
@@ -29,15 +33,15 @@
 
 
 class DocumentError(errors.BronzetrackError):
-    """A document that cannot be read, with the reason."""
+    """A document cannot be decoded; the message gives the reason."""
 
 
 @attrs.frozen
 class Announcement:
-    """What an endpoint last said of itself in the store.
+    """The latest entry that an endpoint published in the store.
 
-    :param announced: count of its announcements since it started
-    :param leaves_in_s: time until it is stopped, if it said so
+    :param announced: number of announcements since the endpoint started
+    :param leaves_in_s: time until the endpoint is stopped, if announced
     """
 
     identity: str
@@ -53,7 +57,7 @@
     leaves_in_s: float | None = None
 
     def make_endpoint(self) -> endpoints.Endpoint:
-        """Return a new endpoint as announced."""
+        """Return a new endpoint with the announced attributes."""
         return endpoints.Endpoint(
             identity=self.identity,
             service=self.service,
@@ -68,11 +72,11 @@
 
 @attrs.frozen
 class Report:
-    """What an engine says of itself when it is asked.
+    """The state that an engine returns to a report call.
 
-    :param sequence: orders that it has accepted since its start
+    :param sequence: number of orders accepted since the engine started
     :param busy: whether an order for a base model is in progress
-    :param pending: adapters on their way from the weight store
+    :param pending: adapters that are being loaded from the weight store
     """
 
     sequence: int
@@ -85,54 +89,58 @@
 
 @attrs.frozen
 class AdapterVersion:
-    """The newest version of an adapter, as operators named it."""
+    """The newest version of an adapter, as published by operators."""
 
     model: str
     adapter: str
     version: int
 
 
-def _load(data: bytes) -> dict[str, Any]:
+def _parse_object(data: bytes) -> dict[str, Any]:
     try:
         document = json.loads(data)
     except ValueError as error:
-        raise DocumentError(f"not JSON: {error}") from error
+        raise DocumentError(
+            f"the document is not valid JSON: {error}"
+        ) from error
     if not isinstance(document, dict):
-        raise DocumentError("not an object")
+        raise DocumentError("the document is not a JSON object")
     return document
 
 
-def _take(document: dict[str, Any], name: str, kind: type) -> Any:
+def _require_field(
+    document: dict[str, Any], name: str, expected_type: type
+) -> Any:
     value = document.get(name)
-    if isinstance(value, bool) and kind is not bool:
-        raise DocumentError(f"{name} is not of type {kind.__name__}")
-    if kind is float and isinstance(value, int):
+    if isinstance(value, bool) and expected_type is not bool:
+        raise DocumentError(f"{name} is not of type {expected_type.__name__}")
+    if expected_type is float and isinstance(value, int):
         return float(value)
-    if not isinstance(value, kind):
-        raise DocumentError(f"{name} is not of type {kind.__name__}")
+    if not isinstance(value, expected_type):
+        raise DocumentError(f"{name} is not of type {expected_type.__name__}")
     return value
 
 
 def decode_configuration(data: bytes) -> routes.Configuration:
-    """Return the configuration in a record.
+    """Decode the value of a configuration record.
 
-    :raises DocumentError: it cannot be read
+    :raises DocumentError: the configuration is malformed
     """
-    document = _load(data)
+    document = _parse_object(data)
     try:
-        found = [_decode_route(item) for item in document.get("routes", ())]
+        decoded = [_decode_route(item) for item in document.get("routes", ())]
         services = {
             item["name"]: _decode_service(item)
             for item in document.get("services", ())
         }
         limits = _decode_limits(document.get("limits") or {})
-    except MALFORMED as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(f"malformed configuration: {error!r}") from error
     by_host: dict[str, dict[str, routes.Route]] = {}
-    for route in found:
+    for route in decoded:
         by_host.setdefault(route.host, {})[route.prefix] = route
     return routes.Configuration(
-        version=_take(document, "version", int),
+        version=_require_field(document, "version", int),
         routes=by_host,
         services=services,
         limits=limits,
@@ -144,15 +152,17 @@
     streams = kind == "streaming"
     resumable = streams and bool(item.get("resumable", False))
     shares = tuple(
-        routes.Share(_take(part, "service", str), float(part["weight"]))
+        routes.Share(
+            _require_field(part, "service", str), float(part["weight"])
+        )
         for part in item.get("split") or ()
     ) or (
-        routes.Share(_take(item, "service", str), 1.0),
+        routes.Share(_require_field(item, "service", str), 1.0),
     )
     return routes.Route(
         name=item.get("name", ""),
-        host=_take(item, "hostname", str).lower(),
-        prefix=_take(item, "path_prefix", str),
+        host=_require_field(item, "hostname", str).lower(),
+        prefix=_require_field(item, "path_prefix", str),
         shares=shares,
         repeat=routes.Repeat.SAFE if kind == "safe" else routes.Repeat.ONCE,
         streams=streams,
@@ -167,9 +177,9 @@
 
 def _decode_patience(item: dict[str, Any]) -> float:
     return max(
-        STREAM_GAP_S,
-        TARGET_GAPS * float(item.get("aim_ms", 0)) / 1000,
-        PAUSE_GAPS * float(item.get("gap_target_ms", 0)) / 1000,
+        MIN_PATIENCE_S,
+        TARGET_FACTOR * float(item.get("aim_ms", 0)) / 1000,
+        GAP_TARGET_FACTOR * float(item.get("gap_target_ms", 0)) / 1000,
     )
 
 
@@ -207,31 +217,32 @@
     return routes.Limits(
         header_bytes=int(item.get("max_header_bytes", default.header_bytes)),
         body_bytes=int(item.get("max_body_bytes", default.body_bytes)),
-        header_timeout_s=_seconds(
+        header_timeout_s=_decode_seconds(
             item, "header_timeout_ms", default.header_timeout_s
         ),
-        idle_timeout_s=_seconds(
+        idle_timeout_s=_decode_seconds(
             item, "idle_timeout_ms", default.idle_timeout_s
         ),
     )
 
 
-def _seconds(item: dict[str, Any], name: str, default: float) -> float:
+def _decode_seconds(item: dict[str, Any], name: str, default: float) -> float:
     return float(item[name]) / 1000 if name in item else default
 
 
 def decode_announcement(identity: str, data: bytes) -> Announcement:
-    """Return what an endpoint's entry says.
+    """Decode an endpoint's entry in the store.
 
     Entries may come from other writers, so every field is checked.
 
-    :raises DocumentError: it names no endpoint to use
+    :param identity: key of the entry, which identifies the endpoint
+    :raises DocumentError: the entry does not describe a usable endpoint
     """
-    document = _load(data)
-    state = _take(document, "state", str)
+    document = _parse_object(data)
+    state = _require_field(document, "state", str)
     if state not in (READY, DRAINING):
         raise DocumentError(f"unknown state {state!r}")
-    address = _take(document, "address", str)
+    address = _require_field(document, "address", str)
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise DocumentError(f"malformed address {address!r}")
@@ -239,13 +250,13 @@
     models, adapters = decode_models(document.get("models") or ())
     return Announcement(
         identity=identity,
-        service=_take(document, "service", str),
+        service=_require_field(document, "service", str),
         address=address,
-        zone=_take(document, "zone", str),
-        capacity=_take(document, "capacity", int),
+        zone=_require_field(document, "zone", str),
+        capacity=_require_field(document, "capacity", int),
         draining=state == DRAINING,
-        started_ms=_decode_start(document),
-        # In an entry this counts announcements; in a report, orders.
+        started_ms=_decode_start_time(document),
+        # `sequence` counts announcements in an entry, but orders in a report.
         announced=_decode_count(document, "sequence"),
         models=models,
         adapters=adapters,
@@ -258,15 +269,15 @@
 
 
 def decode_report(data: bytes) -> Report:
-    """Return an engine's report.
+    """Decode an engine's report.
 
-    :raises DocumentError: it cannot be read
+    :raises DocumentError: the report is malformed
     """
-    document = _load(data)
+    document = _parse_object(data)
     models, adapters = decode_models(document.get("models") or ())
     return Report(
         sequence=_decode_count(document, "sequence"),
-        started_ms=_decode_start(document),
+        started_ms=_decode_start_time(document),
         models=models,
         adapters=adapters,
         busy=document.get("busy") is True,
@@ -275,17 +286,17 @@
 
 
 def _decode_pending(items: Any) -> frozenset[tuple[str, str]]:
-    """Return adapters that are listed as MODEL/NAME@VERSION."""
+    """Return model and adapter of each item written MODEL/NAME@VERSION."""
     try:
         parts = [item.partition("/") for item in items]
         return frozenset(
             (model, split_version(adapter)[0]) for model, _, adapter in parts
         )
-    except MALFORMED as error:
-        raise DocumentError(f"malformed loads: {error!r}") from error
+    except DECODE_ERRORS as error:
+        raise DocumentError(f"malformed pending loads: {error!r}") from error
 
 
-def _decode_start(document: dict[str, Any]) -> int:
+def _decode_start_time(document: dict[str, Any]) -> int:
     value = document.get("born", 0)
     return value if isinstance(value, int) else 0
 
@@ -298,8 +309,9 @@
 def decode_models(
     items: Any,
 ) -> tuple[dict[str, int], dict[tuple[str, str], int]]:
-    """Return the versions of the models and adapters that are held.
+    """Return the versions of the loaded models and adapters.
 
+    :returns: versions by model, and by model and adapter
     :raises DocumentError: the list is malformed
     """
     models: dict[str, int] = {}
@@ -309,28 +321,28 @@
             name = item["name"]
             models[name] = int(item.get("version", 1))
             for adapter in item.get("adapters") or ():
-                bare, version = split_version(adapter)
-                adapters[(name, bare)] = version
-    except MALFORMED as error:
+                adapter_name, version = split_version(adapter)
+                adapters[(name, adapter_name)] = version
+    except DECODE_ERRORS as error:
         raise DocumentError(f"malformed models: {error!r}") from error
     return models, adapters
 
 
 def split_version(text: str) -> tuple[str, int]:
-    """Return name and version of an adapter written NAME@VERSION."""
+    """Split an adapter written NAME@VERSION; the default version is 1."""
     name, separator, version = text.partition("@")
     return name, int(version) if separator else 1
 
 
 def decode_version(data: bytes) -> AdapterVersion:
-    """Return a new version of an adapter.
+    """Decode a record that publishes a new version of an adapter.
 
-    :raises DocumentError: it cannot be read
+    :raises DocumentError: the record is malformed
     """
-    document = _load(data)
+    document = _parse_object(data)
     adapter = document.get("adapter")
     return AdapterVersion(
-        model=_take(document, "model", str),
+        model=_require_field(document, "model", str),
         adapter=adapter if isinstance(adapter, str) else "",
-        version=_take(document, "version", int),
+        version=_require_field(document, "version", int),
     )
