Reword the store, orders, requests and names of the platform

Cause: Docstrings, errors and private names were figurative or vague; a local variable in milliseconds was named deadline_s. No behaviour changes.

--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -1,4 +1,4 @@
-"""Follows a topic with keys, past outages and dropped history."""
+"""Follower of a keyed topic that handles outages and expired records."""
 
 from __future__ import annotations
 
@@ -12,16 +12,17 @@
 from bronzetrack.platform import store as stores
 
 LOG = logging.getLogger(__name__)
-FIRST_DELAY_S = 0.1
-LONGEST_DELAY_S = 0.5
+INITIAL_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 0.5
 
 
 @attrs.frozen
 class Change:
-    """Records that were read.
+    """Records returned by one read.
 
-    :param snapshot: they are the newest of all keys; others are gone
-    :param recovered: the store could not be read before
+    :param snapshot: whether the records are the newest of all keys, so that
+        a key without a record here no longer exists
+    :param recovered: whether the previous read of the store failed
     """
 
     records: list[stores.KeyedRecord]
@@ -30,9 +31,9 @@
 
 
 class Follower:
-    """Reads a topic from its newest records on.
+    """Reads the newest record of each key, then the records that follow.
 
-    :param wait_s: longest wait of one call
+    :param wait_s: longest time that one call waits for records, in seconds
     """
 
     def __init__(
@@ -46,53 +47,60 @@
         self._topic = topic
         self._wait_s = wait_s
         self._read_clock = read_clock
-        self._next: int | None = None
+        self._next_offset: int | None = None
         self._failing_since: float | None = None
 
     async def read(self) -> Change:
-        """Wait for records, or for the time of one call."""
-        delay_s = FIRST_DELAY_S
+        """Return the next records, or none after the wait of one call.
+
+        Failed calls are retried with exponential backoff. If the records at
+        the current offset have expired, the newest record of each key is
+        read again.
+        """
+        delay_s = INITIAL_RETRY_DELAY_S
         while True:
             try:
                 change = await self._read_once()
             except stores.RecordsExpiredError:
-                self._next = None
+                self._next_offset = None
             except stores.StoreError as error:
-                self._note_failure(error)
+                self._record_failure(error)
                 await anyio.sleep(delay_s)
-                delay_s = min(LONGEST_DELAY_S, 2 * delay_s)
+                delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
             else:
-                self._note_success()
+                self._record_success()
                 return change
 
     async def _read_once(self) -> Change:
         recovered = self._failing_since is not None
-        if self._next is None:
-            newest, self._next = await self._store.list_newest(self._topic)
+        if self._next_offset is None:
+            newest, self._next_offset = await self._store.list_newest(
+                self._topic
+            )
             return Change(newest, True, recovered)
         wait_s = 0.0 if recovered else self._wait_s
-        batch = await self._store.read(self._topic, self._next, wait_s)
-        first = self._next
-        self._next = first + len(batch.records)
+        batch = await self._store.read(self._topic, self._next_offset, wait_s)
+        first_offset = self._next_offset
+        self._next_offset = first_offset + len(batch.records)
         decoded = (
-            stores.decode_keyed(record, first + index)
+            stores.decode_keyed(record, first_offset + index)
             for index, record in enumerate(batch.records)
         )
         records = [record for record in decoded if record is not None]
         return Change(records, False, recovered)
 
-    def _note_failure(self, error: stores.StoreError) -> None:
+    def _record_failure(self, error: stores.StoreError) -> None:
         if self._failing_since is None:
             self._failing_since = self._read_clock()
             event = logevents.StoreLost(self._topic, str(error))
             logevents.log(LOG, event)
 
-    def _note_success(self) -> None:
+    def _record_success(self) -> None:
         if self._failing_since is None:
             return
-        away_s = self._read_clock() - self._failing_since
+        outage_s = self._read_clock() - self._failing_since
         self._failing_since = None
         event = logevents.StoreRegained(
-            self._topic, logevents.round_time(away_s)
+            self._topic, logevents.round_time(outage_s)
         )
         logevents.log(LOG, event)
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -1,4 +1,7 @@
-"""Names of headers and calls on the wire, in lower case where compared."""
+"""Wire names: headers, paths, topics and keys.
+
+Headers that are compared are in lower case, those that are sent are not.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
 TOKENS = b"x-token-usage"
 INSTANCE = b"x-instance-id"
 
-# The system alone may set these towards an endpoint.
+# Request headers that only the system may set; a caller's are dropped.
 RESERVED = frozenset(
     {
         b"x-deadline-ms",
@@ -29,7 +32,7 @@
         b"kv-from",
     }
 )
-# These concern one connection only.
+# Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -46,8 +49,8 @@
         b"host",
     }
 )
-# Never dropped, even if a Connection header lists them.
-ESSENTIAL = frozenset(
+# Headers that are forwarded even if a Connection header lists them.
+ALWAYS_FORWARDED = frozenset(
     {
         REQUEST_ID,
         MODEL,
@@ -72,8 +75,8 @@
 SERVERS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 LEASE_TOPIC = "leases"
-# Record of the lease topic after which nobody holds the lease. No VM has this
-# name.
+# Record of the lease topic that releases the lease: no VM holds the lease
+# after it. No VM has this name.
 LEASE_RELEASED = b"\0released"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines, and their reports."""
+"""Client for the order and report calls of engines."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Verdict(enum.Enum):
-    """What an engine said of an order."""
+    """Result of an order, as derived from the engine's response."""
 
     STARTED = "started"
     DONE = "done"
@@ -31,7 +31,7 @@
     UNKNOWN = "unknown"
 
 
-VERDICTS = {
+VERDICTS_BY_STATUS = {
     202: Verdict.STARTED,
     200: Verdict.DONE,
     409: Verdict.CONFLICT,
@@ -44,8 +44,11 @@
 class Order:
     """An order to load or unload a model or an adapter.
 
-    :param sequence: orders that the engine must have accepted before
-    :param version: version to load, the newest if none
+    :param load: whether to load; otherwise the order unloads
+    :param adapter: adapter name, or empty for an order on the base model
+    :param sequence: number of orders that the engine must have accepted
+        before this one
+    :param version: version to load, or None for the newest
     """
 
     load: bool
@@ -56,7 +59,10 @@
 
 
 class Engines:
-    """Sends orders and asks for reports."""
+    """Sends orders to engines and fetches their reports.
+
+    :param holder: name of this VM, which orders state as the lease holder
+    """
 
     def __init__(self, caller: calls.Caller, holder: str) -> None:
         self._caller = caller
@@ -65,9 +71,12 @@
     async def order(
         self, address: str, identity: str, order: Order, token: int
     ) -> Verdict:
-        """Give an order to the engine with an identity.
+        """Send an order to an engine.
 
+        :param address: address of the engine
+        :param identity: instance that must execute the order
         :param token: fencing token of the lease
+        :returns: the result, UNKNOWN if no complete response arrived
         """
         document: dict[str, Any] = {
             "operation": "load" if order.load else "unload",
@@ -90,12 +99,16 @@
         )
         if answer is None:
             return Verdict.UNKNOWN
-        return VERDICTS.get(answer.status, Verdict.REFUSED)
+        return VERDICTS_BY_STATUS.get(answer.status, Verdict.REFUSED)
 
     async def report(
         self, address: str, identity: str
     ) -> documents.Report | None:
-        """Return what an engine reports, or nothing without an answer."""
+        """Fetch an engine's report.
+
+        :param identity: instance that must return the report
+        :returns: the report, or None without a valid response
+        """
         answer = await self._caller.call(
             address,
             "GET",
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -1,4 +1,4 @@
-"""Callers' requests as they come, and as endpoints get them."""
+"""Codec of requests: decodes callers' and encodes those to endpoints."""
 
 from __future__ import annotations
 
@@ -19,68 +19,76 @@
 def decode_request(
     head: heads.Head, body: bytes, now: float
 ) -> requests.Request:
-    """Return the request that a caller sent.
+    """Decode a caller's request and drop headers not to be forwarded.
 
-    :param now: when its last byte arrived
+    :param now: time at which the last byte of the request arrived
     """
-    dropped = _list_connection_headers(head)
+    connection_headers = _list_connection_headers(head)
     forwarded: list[tuple[bytes, bytes]] = []
-    found: dict[bytes, bytes] = {}
+    first_values: dict[bytes, bytes] = {}
     for name, value in head.headers:
-        lower = name.lower()
-        found.setdefault(lower, value)
-        if lower in names.HOP_BY_HOP or lower in names.RESERVED:
+        lower_name = name.lower()
+        first_values.setdefault(lower_name, value)
+        if lower_name in names.HOP_BY_HOP or lower_name in names.RESERVED:
             continue
-        if lower in dropped:
+        if lower_name in connection_headers:
             continue
         forwarded.append((name, value))
     host, path = head.split_target()
     model, _, adapter = (
-        found.get(names.MODEL, b"").decode("latin-1").partition("/")
+        first_values.get(names.MODEL, b"").decode("latin-1").partition("/")
     )
-    prompt, output = _decode_tokens(found.get(names.TOKENS, b""))
-    deadline_s = _decode_number(found.get(b"x-deadline-ms", b""))
+    prompt, output = _decode_token_counts(first_values.get(names.TOKENS, b""))
+    deadline_ms = _decode_non_negative(first_values.get(b"x-deadline-ms", b""))
     return requests.Request(
-        identity=found.get(names.REQUEST_ID, b"").decode("latin-1"),
+        identity=first_values.get(names.REQUEST_ID, b"").decode("latin-1"),
         method=head.method,
         target=head.target,
         host=host,
-        authority=found.get(b"host", host.encode("latin-1")),
+        authority=first_values.get(b"host", host.encode("latin-1")),
         path=path,
         headers=forwarded,
         body=body,
         arrived=now,
         deadline=now
-        + (DEFAULT_DEADLINE_S if deadline_s is None else deadline_s / 1000),
+        + (DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000),
         model=model,
         adapter=adapter,
         prompt_tokens=prompt,
         output_tokens=output,
-        last_event_id=_decode_number(found.get(b"last-event-id", b"")),
+        last_event_id=_decode_non_negative(
+            first_values.get(b"last-event-id", b"")
+        ),
     )
 
 
 def _list_connection_headers(head: heads.Head) -> set[bytes]:
-    """Return headers that a Connection header confines to one hop."""
-    listed = {
+    """Return headers that Connection headers declare hop-by-hop.
+
+    Headers in ALWAYS_FORWARDED are left out.
+    """
+    listed_names = {
         item.strip().lower()
         for name, value in head.headers
         if name.lower() == b"connection"
         for item in value.split(b",")
     }
-    return listed - names.ESSENTIAL
+    return listed_names - names.ALWAYS_FORWARDED
 
 
-def _decode_number(value: bytes) -> int | None:
+def _decode_non_negative(value: bytes) -> int | None:
     try:
         return max(0, int(value))
     except ValueError:
         return None
 
 
-def _decode_tokens(value: bytes) -> tuple[int, int]:
+def _decode_token_counts(value: bytes) -> tuple[int, int]:
     prompt, _, output = value.partition(b",")
-    return _decode_number(prompt) or 0, _decode_number(output) or 0
+    return (
+        _decode_non_negative(prompt) or 0,
+        _decode_non_negative(output) or 0,
+    )
 
 
 def encode_request(
@@ -90,11 +98,11 @@
     version: int | None = None,
     resume_after: int | None = None,
 ) -> bytes:
-    """Return a request as the endpoint gets it.
+    """Encode a request for an endpoint.
 
-    :param remaining_s: time left until the caller stops waiting
-    :param version: adapter version that the endpoint must hold
-    :param resume_after: last event that the caller already has
+    :param remaining_s: time left until the caller stops waiting, in seconds
+    :param version: adapter version that the endpoint must have loaded
+    :param resume_after: id of the last event that the caller has received
     """
     route = request.route
     remaining_ms = max(MIN_DEADLINE_MS, int(remaining_s * 1000))
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -1,7 +1,7 @@
-"""The one client of the platform's store.
+"""Client of the platform's store.
 
-Records are raw bytes. A call that got no answer may have been executed, and
-may still be executed later.
+All access to the store goes through this module. Records are raw bytes. A
+call without a response may have been executed, or may be executed later.
 """
 
 from __future__ import annotations
@@ -21,43 +21,46 @@
 if TYPE_CHECKING:
     from bronzetrack.transport import calls
 
-LENGTH = struct.Struct(">I")
-OFFSETS = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+BATCH_HEADER = struct.Struct(">QQ")
 CALL_TIMEOUT_S = 1.0
-# A long poll may be answered this much later than its longest wait.
-POLL_SLACK_S = 0.8
+# The response to a long poll may arrive this much later than its longest wait.
+LONG_POLL_MARGIN_S = 0.8
 
 
 class StoreError(errors.BronzetrackError):
-    """A call of the store failed."""
+    """A call to the store failed."""
 
 
 class StoreUncertainError(StoreError):
-    """No answer came; the call may have been or may yet be executed."""
+    """No valid response arrived; the call may be executed, now or later."""
 
 
 class StoreRefusedError(StoreError):
-    """The store refused a call, which did nothing."""
+    """The store rejected a call, which had no effect."""
 
 
 class OffsetConflictError(StoreRefusedError):
-    """The partition did not end where a conditional append said.
+    """A conditional append expected another end of the partition.
 
-    :param end: offset at which it ends
+    :param end: offset at which the partition ends
     """
 
     def __init__(self, end: int) -> None:
-        super().__init__(f"the partition ends at {end}")
+        super().__init__(f"the partition ends at offset {end}")
         self.end = end
 
 
 class RecordsExpiredError(StoreRefusedError):
-    """The records asked for are no longer kept."""
+    """The requested records are no longer retained."""
 
 
 @attrs.frozen
 class KeyedRecord:
-    """A record of a topic with keys; no value means that it was removed."""
+    """A record of a keyed topic.
+
+    :param value: value of the key, or None if the key was removed
+    """
 
     key: str
     value: bytes | None
@@ -66,7 +69,7 @@
 
 @attrs.frozen
 class Batch:
-    """Records that were read.
+    """Records returned by one read.
 
     :param first: offset of the first record
     :param end: offset after the last record of the partition
@@ -78,10 +81,10 @@
 
 
 class Store:
-    """Calls of the store over connections that are kept open.
+    """Client of the store that keeps its connections open.
 
-    :param caller: sends one call
-    :param address: address of the store
+    :param caller: HTTP client that sends the calls
+    :param address: address of the store, as HOST:PORT
     """
 
     def __init__(self, caller: calls.Caller, address: str) -> None:
@@ -93,31 +96,35 @@
     ) -> int:
         """Append records and return the offset of the first.
 
-        :param at: append only if the partition ends there
-        :raises OffsetConflictError: it ends elsewhere
-        :raises StoreError: another failure
+        :param at: append only if the partition ends at this offset
+        :raises OffsetConflictError: the partition ends at another offset
+        :raises StoreError: the call failed for another reason
         """
         query = {"topic": topic, "part": 0}
         if at is not None:
             query["at"] = at
-        body = b"".join(LENGTH.pack(len(item)) + item for item in records)
+        body = b"".join(
+            RECORD_LENGTH.pack(len(item)) + item for item in records
+        )
         answer = await self._call("POST", names.APPEND_PATH, query, body)
         if answer.status == 412:
-            raise OffsetConflictError(_take_number(answer.body, "end"))
-        self._check(answer)
-        return _take_number(answer.body, "offset")
+            raise OffsetConflictError(_decode_number(answer.body, "end"))
+        self._check_status(answer)
+        return _decode_number(answer.body, "offset")
 
     async def put(self, topic: str, key: str, value: bytes | None) -> int:
-        """Write the value of a key, or remove the key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + (value or b"")
+        """Write the value of a key, or remove the key if value is None."""
+        encoded_key = key.encode()
+        record = bytes([len(encoded_key)]) + encoded_key + (value or b"")
         return await self.append(topic, [record])
 
     async def read(self, topic: str, first: int, max_wait_s: float) -> Batch:
-        """Wait for records from an offset on.
+        """Read records from an offset with a long poll.
 
-        :raises RecordsExpiredError: the offset is no longer kept
-        :raises StoreError: another failure
+        :param first: offset of the first record to return
+        :param max_wait_s: longest time to wait for a record, in seconds
+        :raises RecordsExpiredError: the offset is no longer retained
+        :raises StoreError: the call failed for another reason
         """
         query = {
             "topic": topic,
@@ -126,33 +133,36 @@
             "max_wait_ms": int(max_wait_s * 1000),
         }
         answer = await self._call(
-            "GET", names.READ_PATH, query, b"", max_wait_s + POLL_SLACK_S
+            "GET", names.READ_PATH, query, b"", max_wait_s + LONG_POLL_MARGIN_S
         )
         if answer.status == 410:
-            raise RecordsExpiredError(f"{topic} from {first}")
-        self._check(answer)
+            raise RecordsExpiredError(
+                f"topic {topic} no longer retains offset {first}"
+            )
+        self._check_status(answer)
         return decode_batch(answer.body, first)
 
     async def list_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
-        """Return the newest record of each key, and where to read on.
+        """Return the newest record of each key, and the next offset to read.
 
-        Pages are no snapshot: reading goes on from the end that the first
-        page stated, so that a change between pages is read again.
+        The pages are not a consistent snapshot. The next offset is therefore
+        the end of the partition that the first page states, so that records
+        written between two pages are read again.
 
-        :raises StoreError: a page failed
+        :raises StoreError: a page could not be read
         """
-        found: list[KeyedRecord] = []
-        start: int | None = None
+        newest: list[KeyedRecord] = []
+        next_offset: int | None = None
         after: str | None = None
         while True:
             query = {"topic": topic, "part": 0}
             if after is not None:
                 query["after"] = after
             answer = await self._call("GET", names.NEWEST_PATH, query, b"")
-            self._check(answer)
+            self._check_status(answer)
             try:
                 page = json.loads(answer.body)
-                found.extend(
+                newest.extend(
                     KeyedRecord(
                         item["key"],
                         base64.b64decode(item["value"]),
@@ -160,12 +170,16 @@
                     )
                     for item in page["items"]
                 )
-                start = int(page["end"]) if start is None else start
+                next_offset = (
+                    int(page["end"]) if next_offset is None else next_offset
+                )
                 if not page.get("has_more"):
-                    return found, start
+                    return newest, next_offset
                 after = page["items"][-1]["key"]
             except (ValueError, KeyError, TypeError, IndexError) as error:
-                raise StoreRefusedError(f"bad page: {error!r}") from error
+                raise StoreRefusedError(
+                    f"malformed page: {error!r}"
+                ) from error
 
     async def _call(
         self,
@@ -182,45 +196,47 @@
         status = answer.status if answer else 0
         meters.STORE_CALLS.labels(path.rpartition("/")[2], status).inc()
         if answer is None:
-            raise StoreUncertainError(f"no answer to {method} {path}")
+            raise StoreUncertainError(f"no response to {method} {path}")
         return answer
 
-    def _check(self, answer: calls.Answer) -> None:
+    def _check_status(self, answer: calls.Answer) -> None:
         if answer.status != 200:
             raise StoreRefusedError(
-                f"status {answer.status}: {answer.body[:200]!r}"
+                f"the store returned status {answer.status}:"
+                f" {answer.body[:200]!r}"
             )
 
 
-def _take_number(body: bytes, name: str) -> int:
+def _decode_number(body: bytes, name: str) -> int:
     try:
         return int(json.loads(body)[name])
     except (ValueError, KeyError, TypeError) as error:
-        raise StoreUncertainError(f"bad answer: {error!r}") from error
+        raise StoreUncertainError(f"malformed response: {error!r}") from error
 
 
 def decode_batch(data: bytes, first: int) -> Batch:
-    """Return the records of an answer.
+    """Decode the response to a read.
 
-    :raises StoreRefusedError: the answer is malformed
+    :param first: offset of the first record
+    :raises StoreRefusedError: the response is malformed
     """
-    if len(data) < OFFSETS.size:
-        raise StoreRefusedError("an answer is shorter than its header")
-    end, _ = OFFSETS.unpack_from(data)
+    if len(data) < BATCH_HEADER.size:
+        raise StoreRefusedError("the response is shorter than its header")
+    end, _ = BATCH_HEADER.unpack_from(data)
     records = []
-    position = OFFSETS.size
-    while position + LENGTH.size <= len(data):
-        (size,) = LENGTH.unpack_from(data, position)
-        position += LENGTH.size
+    position = BATCH_HEADER.size
+    while position + RECORD_LENGTH.size <= len(data):
+        (size,) = RECORD_LENGTH.unpack_from(data, position)
+        position += RECORD_LENGTH.size
         if position + size > len(data):
-            raise StoreRefusedError("a record is cut off")
+            raise StoreRefusedError("the last record is truncated")
         records.append(data[position : position + size])
         position += size
     return Batch(records, first, end)
 
 
 def decode_keyed(record: bytes, offset: int) -> KeyedRecord | None:
-    """Return key and value of a record, or nothing if it has no key."""
+    """Decode a record of a keyed topic, or return None without a valid key."""
     if not record or len(record) < 1 + record[0]:
         return None
     end = 1 + record[0]
