Reword the HTTP client connections and calls

Cause: Docstrings and private names were figurative or vague. Change: Reword comments and docstrings; rename private attributes, local variables and calls.Collector, which only its own test uses elsewhere.

--- a/src/bronzetrack/transport/__init__.py
+++ b/src/bronzetrack/transport/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP/1.1 towards callers and endpoints, on the transports of the loop."""
+"""HTTP/1.1 server for callers and client for endpoints, on asyncio."""
--- a/src/bronzetrack/transport/calls.py
+++ b/src/bronzetrack/transport/calls.py
@@ -1,4 +1,7 @@
-"""Calls whose whole answer is read: store, orders and reports."""
+"""HTTP client for calls whose whole response is collected.
+
+It is used for the store and for the orders and reports of engines.
+"""
 
 from __future__ import annotations
 
@@ -13,36 +16,39 @@
 
 @attrs.frozen
 class Answer:
-    """A whole answer."""
+    """A complete response."""
 
     status: int
     body: bytes
 
 
 @attrs.define(eq=False)
-class Collector:
-    """Receives one whole answer."""
+class ResponseCollector:
+    """Receiver that collects one response.
+
+    :param done: resolves when the response ends
+    """
 
     done: asyncio.Future[connections.End]
     head: heads.AnswerHead | None = None
     parts: list[bytes] = attrs.field(factory=list)
 
     def on_head(self, head: heads.AnswerHead) -> None:
-        """Keep the head."""
+        """Store the status line and headers."""
         self.head = head
 
     def on_data(self, data: bytes) -> None:
-        """Keep a part."""
+        """Append a part of the body."""
         self.parts.append(data)
 
     def on_end(self, end: connections.End) -> None:
-        """Wake the caller."""
+        """Resolve the future with the way in which the response ended."""
         if not self.done.done():
             self.done.set_result(end)
 
 
 class Caller:
-    """Sends calls over pools by address."""
+    """HTTP client with one connection pool for each address."""
 
     def __init__(self, read_clock: Callable[[], float]) -> None:
         self._read_clock = read_clock
@@ -57,7 +63,13 @@
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> Answer | None:
-        """Return the answer, or nothing where it is unknown or none came."""
+        """Send a request and return the response.
+
+        :param target: path and query
+        :param timeout_s: longest time for the whole call, in seconds
+        :returns: the response, or None if no complete one arrived in time,
+            in which case the call may have been executed
+        """
         pool = self._pools.get(address)
         if pool is None:
             pool = connections.Pool(address)
@@ -92,7 +104,7 @@
         ]
         data = b"\r\n".join(lines) + b"\r\n\r\n" + body
         future = asyncio.get_running_loop().create_future()
-        collector = Collector(future)
+        collector = ResponseCollector(future)
         connection.send(data, collector, b"", False)
         try:
             end = await future
--- a/src/bronzetrack/transport/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -1,8 +1,8 @@
-"""Connections to endpoints and to the store.
+"""Client connections to endpoints and to the store.
 
-httpcore is not used here: it gives no sign of bytes that follow an answer,
-and took 325 us of processor time for each relayed chunk together with
-uvicorn.
+httpcore is not used here: it does not report bytes that follow a response,
+and together with uvicorn it took 325 us of processor time for each relayed
+chunk.
 """
 
 from __future__ import annotations
@@ -21,21 +21,21 @@
 from bronzetrack.transport import heads
 
 CONNECT_TIMEOUT_S = 0.4
-# Unacknowledged bytes end a connection after this time, also where the other
-# side fell silent for good.
-USER_TIMEOUT_MS = 1_500
+# A connection is closed if sent bytes stay unacknowledged for this time, for
+# instance because the peer is no longer reachable.
+TCP_USER_TIMEOUT_MS = 1_500
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# An idle connection is not used again in this time before the other side
-# would close it.
+# An idle connection is not reused within this time before the peer's stated
+# idle timeout.
 IDLE_MARGIN_S = 0.6
-# Longest idle time where the other side states none.
+# Longest idle time of a connection whose peer states no idle timeout.
 DEFAULT_IDLE_S = 1.5
 
 
 class End(enum.Enum):
-    """How an answer ended."""
+    """How a response ended."""
 
     COMPLETE = "complete"
     CUT = "cut"
@@ -43,59 +43,59 @@
 
 
 class Receiver(Protocol):
-    """Takes the parts of one answer as they arrive."""
+    """Callbacks for the parts of one response as they arrive."""
 
     def on_head(self, head: heads.AnswerHead) -> None:
-        """Take the head."""
+        """Receive the status line and headers."""
 
     def on_data(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Receive a part of the body."""
 
     def on_end(self, end: End) -> None:
-        """Take the end; nothing follows."""
+        """Receive the end of the response; no callback follows."""
 
 
 class Connection(asyncio.Protocol):
-    """One connection, on which one request is in progress at a time."""
+    """Client connection with at most one request in progress."""
 
     def __init__(self) -> None:
         self.transport: Any = None
         self.receiver: Receiver | None = None
         self.idle_since = 0.0
-        self.idle_limit_s = DEFAULT_IDLE_S
+        self.max_idle_s = DEFAULT_IDLE_S
         self.closed = False
         self.reusable = True
         self._parser = httptools.HttpResponseParser(self)
         self._headers: heads.Headers = []
         self._request_id = b""
-        self._no_body = False
+        self._expects_no_body = False
         self._framed = False
-        self._skipped = False
-        self._in_answer = False
-        self._eof = False
+        self._is_stale = False
+        self._in_response = False
+        self._peer_closed = False
 
-    # Transport.
+    # Callbacks of the transport.
 
     def connection_made(self, transport: Any) -> None:
-        """Set the options that detect a silent peer."""
+        """Set the socket options that detect an unreachable peer."""
         self.transport = transport
-        raw = transport.get_extra_info("socket")
-        if raw is None:
+        tcp_socket = transport.get_extra_info("socket")
+        if tcp_socket is None:
             return
         options = (
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         )
         for option in options:
             with contextlib.suppress(OSError):
-                raw.setsockopt(*option)
+                tcp_socket.setsockopt(*option)
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes; any outside an answer make the connection useless."""
+        """Parse bytes; abort the connection if no response is expected."""
         if self.receiver is None:
             self.abort()
             return
@@ -107,39 +107,46 @@
             self._finish(End.MALFORMED)
 
     def eof_received(self) -> bool:
-        """Note that the peer closed in an orderly way."""
-        self._eof = True
+        """Record that the peer closed the connection in an orderly way."""
+        self._peer_closed = True
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the answer in progress."""
+        """End the response in progress.
+
+        A response without a length or chunks is complete when the peer closes
+        the connection in an orderly way. Any other response ends with CUT.
+        """
         self.closed = True
-        clean = self._eof and exc is None
-        whole = self._in_answer and not self._framed and clean
-        if self.receiver is not None and not self._skipped:
-            self._finish(End.COMPLETE if whole else End.CUT)
+        closed_cleanly = self._peer_closed and exc is None
+        is_complete = self._in_response and not self._framed and closed_cleanly
+        if self.receiver is not None and not self._is_stale:
+            self._finish(End.COMPLETE if is_complete else End.CUT)
         elif self.receiver is not None:
             self._finish(End.CUT)
 
     # Requests.
 
     def send(
-        self, data: bytes, receiver: Receiver, request_id: bytes, head: bool
+        self, data: bytes, receiver: Receiver, request_id: bytes, is_head: bool
     ) -> None:
         """Send a request.
 
-        :param request_id: id that the answer echoes, to tell it from a late
-            answer to an earlier request
-        :param head: the answer has no body
+        :param data: the encoded request
+        :param receiver: callbacks for the response
+        :param request_id: id that the response echoes, which distinguishes it
+            from a late response to an earlier request
+        :param is_head: whether the method is HEAD, so that the response has
+            no body
         """
         self.receiver = receiver
         self._request_id = request_id
-        self._no_body = head
-        self._in_answer = False
+        self._expects_no_body = is_head
+        self._in_response = False
         self.transport.write(data)
 
     def abort(self) -> None:
-        """Close at once; the peer drops the request in progress."""
+        """Close at once, so that the peer drops the request in progress."""
         self.receiver = None
         self.reusable = False
         if not self.closed and self.transport is not None:
@@ -147,91 +154,97 @@
             self.transport.abort()
 
     def is_reusable(self, now: float) -> bool:
-        """Return whether another request may be sent."""
+        """Return whether another request may be sent on the connection."""
         return (
             self.reusable
             and not self.closed
-            and not self._eof
+            and not self._peer_closed
             and not self.transport.is_closing()
-            and now - self.idle_since < self.idle_limit_s
+            and now - self.idle_since < self.max_idle_s
         )
 
     def pause(self) -> None:
-        """Read no more until `resume`."""
+        """Stop reading from the connection until `resume` is called."""
         if not self.closed:
             self.transport.pause_reading()
 
     def resume(self) -> None:
-        """Read on."""
+        """Continue reading from the connection after `pause`."""
         if not self.closed and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    # Parser.
+    # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start an answer; a second one makes the connection useless."""
+        """Start a response; an unexpected one prevents reuse."""
         self._headers = []
         self._framed = False
         if self.receiver is None:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Add a header of the response."""
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Deliver the head, unless it belongs to another request."""
+        """Deliver the status line and headers to the receiver.
+
+        Interim responses, and those to an earlier request, are not delivered.
+        """
         if self.receiver is None:
             return
         status = self._parser.get_status_code()
         if status < 200:
             return
-        found = {name.lower(): value for name, value in self._headers}
-        echoed = found.get(names.REQUEST_ID)
-        self._skipped = (
+        headers_by_name = {
+            name.lower(): value for name, value in self._headers
+        }
+        echoed_id = headers_by_name.get(names.REQUEST_ID)
+        self._is_stale = (
             bool(self._request_id)
-            and echoed is not None
-            and echoed != self._request_id
+            and echoed_id is not None
+            and echoed_id != self._request_id
         )
-        if self._skipped:
+        if self._is_stale:
             self.reusable = False
             return
         self._framed = (
-            b"content-length" in found or b"transfer-encoding" in found
+            b"content-length" in headers_by_name
+            or b"transfer-encoding" in headers_by_name
         ) or status in (204, 304)
-        self._in_answer = True
-        self._note_keep_alive(found)
+        self._in_response = True
+        self._apply_keep_alive(headers_by_name)
         self.receiver.on_head(
             heads.AnswerHead(status, self._headers, self._framed)
         )
-        if self._no_body and self.receiver is not None:
+        if self._expects_no_body and self.receiver is not None:
             self.reusable = False
             self._finish(End.COMPLETE)
 
-    def _note_keep_alive(self, found: dict[bytes, bytes]) -> None:
-        if b"close" in found.get(b"connection", b"").lower():
+    def _apply_keep_alive(self, headers_by_name: dict[bytes, bytes]) -> None:
+        if b"close" in headers_by_name.get(b"connection", b"").lower():
             self.reusable = False
-        for item in found.get(b"keep-alive", b"").split(b","):
+        for item in headers_by_name.get(b"keep-alive", b"").split(b","):
             name, _, value = item.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
-                self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
+                self.max_idle_s = max(0.0, int(value) - IDLE_MARGIN_S)
 
     def on_body(self, data: bytes) -> None:
-        """Deliver a part of the body."""
-        if self.receiver is not None and not self._skipped:
+        """Deliver a part of the body to the receiver."""
+        if self.receiver is not None and not self._is_stale:
             self.receiver.on_data(data)
 
     def on_message_complete(self) -> None:
-        """End the answer, unless it was interim or another request's."""
+        """End the response, unless it is interim or to an earlier request."""
         if self.receiver is None or self._parser.get_status_code() < 200:
             return
-        if self._skipped:
-            self._skipped = False
+        if self._is_stale:
+            self._is_stale = False
             return
         if not self._parser.should_keep_alive():
             self.reusable = False
         if self.transport.get_write_buffer_size():
-            # The rest of the request is still due on this connection.
+            # Part of the request is still to be sent on this connection.
             self.reusable = False
         self._finish(End.COMPLETE)
 
@@ -245,13 +258,16 @@
 
 @attrs.define(eq=False)
 class Pool:
-    """Connections to one address that wait for the next request."""
+    """Pool of idle connections to one address."""
 
     address: str
     idle: list[Connection] = attrs.field(factory=list)
 
     def take_idle(self, now: float) -> Connection | None:
-        """Return a connection that may be used again, the newest first."""
+        """Return the last reusable connection that was put back, if any.
+
+        Connections that cannot be reused are closed.
+        """
         while self.idle:
             connection = self.idle.pop()
             if connection.is_reusable(now):
@@ -260,7 +276,10 @@
         return None
 
     def put_back(self, connection: Connection, now: float) -> None:
-        """Keep a connection whose answer is complete."""
+        """Return a connection to the pool after a complete response.
+
+        The connection is closed if it cannot be reused.
+        """
         connection.idle_since = now
         if connection.is_reusable(now) and connection.receiver is None:
             self.idle.append(connection)
@@ -268,7 +287,7 @@
             connection.abort()
 
     def drop(self, connection: Connection) -> None:
-        """Close a connection that is in use."""
+        """Close a connection that was taken from the pool."""
         connection.abort()
 
     def close(self) -> None:
@@ -280,7 +299,10 @@
     async def connect(
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> Connection | None:
-        """Return a new connection, or nothing if none can be had."""
+        """Open a connection, or return None on an error or a timeout.
+
+        :param timeout_s: longest time to connect, in seconds
+        """
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -36,7 +36,7 @@
     pool = connections.Pool(await server.start())
     connection = await pool.connect()
     future = asyncio.get_running_loop().create_future()
-    collector = calls.Collector(future)
+    collector = calls.ResponseCollector(future)
     connection.send(REQUEST, collector, b"mine", False)
     async with asyncio.timeout(2):
         end = await future
