Reword the HTTP server and the message heads

Cause: Docstrings, error details and private names were figurative or vague. Change: Reword comments, docstrings and the details of rejected requests; rename private attributes, constants and heads.find_fault, which only the server uses.

--- a/src/bronzetrack/transport/heads.py
+++ b/src/bronzetrack/transport/heads.py
@@ -1,4 +1,7 @@
-"""Heads of requests and answers, and what makes a request unacceptable."""
+"""Heads of requests and responses, and the check of a request's framing.
+
+A head is the first line of a message and its headers.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,7 @@
 import attrs
 
 Headers = list[tuple[bytes, bytes]]
-REASONS = {
+REASON_PHRASES = {
     100: b"Continue",
     200: b"OK",
     400: b"Bad Request",
@@ -23,7 +26,12 @@
 
 @attrs.define(eq=False)
 class Head:
-    """The head of a request as it was sent."""
+    """The head of a request as the caller sent it.
+
+    :param target: as in the request line
+    :param version: HTTP version without the prefix `HTTP/`
+    :param keep_alive: whether the connection may stay open afterwards
+    """
 
     method: bytes = b""
     target: bytes = b""
@@ -41,7 +49,7 @@
         )
 
     def split_target(self) -> tuple[str, str]:
-        """Return host without port, in lower case, and path."""
+        """Return the host without port, in lower case, and the path."""
         target = self.target.decode("latin-1")
         authority = (self.find(b"host") or b"").decode("latin-1")
         if not target.startswith("/"):
@@ -55,29 +63,30 @@
         return host, target.partition("?")[0]
 
 
-def find_fault(head: Head) -> str | None:
-    """Return why a request could be read in two ways, if it could."""
+def find_framing_error(head: Head) -> str | None:
+    """Return why a request's framing or host is ambiguous, or None."""
     lengths = [v for k, v in head.headers if k.lower() == b"content-length"]
     codings = [v for k, v in head.headers if k.lower() == b"transfer-encoding"]
     hosts = [v for k, v in head.headers if k.lower() == b"host"]
     if lengths and codings:
-        return "both a length and a transfer coding"
+        return "both Content-Length and Transfer-Encoding are set"
     if len(lengths) > 1 or any(not item.isdigit() for item in lengths):
-        return "more than one length, or not a number"
+        return "Content-Length is repeated or not a number"
     if len(codings) > 1 or any(
         item.strip().lower() != b"chunked" for item in codings
     ):
-        return "a transfer coding other than chunked"
+        return "Transfer-Encoding is repeated or not chunked"
     if len(hosts) != 1 and head.version == "1.1":
-        return "not exactly one host"
+        return "the number of Host headers is not one"
     return None
 
 
 @attrs.define(eq=False)
 class AnswerHead:
-    """The head of an answer as it came.
+    """The head of a response as it was received.
 
-    :param framed: a length or chunks tell where the body ends
+    :param framed: whether a length, chunks or the status determine where the
+        body ends
     """
 
     status: int
@@ -95,9 +104,9 @@
 
 
 def encode_head(status: int, headers: Headers) -> bytes:
-    """Return status line and headers, with the empty line."""
+    """Encode a status line and headers, with the empty line at the end."""
     lines = [
-        b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Status")),
+        b"HTTP/1.1 %d %s" % (status, REASON_PHRASES.get(status, b"Status")),
         *(name + b": " + value for name, value in headers),
     ]
     return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -1,7 +1,8 @@
-"""Connections from callers.
+"""HTTP/1.1 server for connections from callers.
 
-uvicorn is not used here: it has no bound on the time of a head, and took most
-of the 325 us of processor time for each relayed chunk together with httpcore.
+uvicorn is not used here: it does not limit the time in which a request head
+must arrive, and together with httpcore it took most of the 325 us of processor
+time for each relayed chunk.
 """
 
 from __future__ import annotations
@@ -22,20 +23,22 @@
 from bronzetrack.transport import heads
 
 LOG = logging.getLogger(__name__)
-# Requests that a caller may send before the answer to the first.
-PIPELINE_REQUESTS = 8
-BACKLOG = 512
-USER_TIMEOUT_MS = 5_000
+# Requests that a caller may send before the response to the first.
+MAX_PIPELINED_REQUESTS = 8
+LISTEN_BACKLOG = 512
+TCP_USER_TIMEOUT_MS = 5_000
 
 
 @attrs.define(eq=False)
 class Listener:
-    """Connections of one listening address.
-
-    :param serve: handles one request
-    :param bounds: what callers may send; replaced with the configuration
-    :param closing: answers end their connections
-    :param stopped: no new connections are taken
+    """Server of one listening address and its connections.
+
+    :param serve: handler of one request
+    :param read_clock: returns the time in seconds
+    :param bounds: limits of callers' requests; replaced when the configuration
+        changes
+    :param closing: whether each connection is closed after its next response
+    :param stopped: whether the listener no longer accepts connections
     """
 
     serve: Callable[[Exchange], Awaitable[None]]
@@ -47,14 +50,17 @@
     server: Any = None
 
     async def open(self, address: str) -> None:
-        """Listen on an address."""
+        """Listen on an address given as HOST:PORT."""
         host, _, port = address.rpartition(":")
         self.server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=BACKLOG
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
         )
 
     def stop_listening(self) -> None:
-        """Take no new connections, and close those that are idle."""
+        """Accept no new connections and close idle ones."""
         if self.server is not None:
             self.server.close()
         self.closing = True
@@ -63,17 +69,20 @@
             connection.close_if_idle()
 
     def count_busy(self) -> int:
-        """Return the connections with a request in progress."""
+        """Return the number of connections with a request in progress."""
         return sum(1 for item in self.connections if item.is_busy())
 
     def expire(self, now: float) -> None:
-        """Close connections that are idle or slow for too long."""
+        """Close connections that exceed the idle or the header timeout."""
         for connection in list(self.connections):
             connection.expire(now)
 
 
 class Exchange:
-    """One request of a caller, and the way to answer it."""
+    """One request of a caller and the methods that send its response.
+
+    `on_drain` is called with whether more of the response may be written.
+    """
 
     def __init__(self, connection: CallerConnection, head: heads.Head) -> None:
         self.head = head
@@ -88,26 +97,26 @@
     def respond(
         self, status: int, headers: heads.Headers, body: bytes
     ) -> None:
-        """Send a whole answer."""
-        keep = self._connection.may_continue(self)
+        """Send a complete response."""
+        keep_open = self._connection.can_keep_open(self)
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        if not keep:
+        if not keep_open:
             headers.append((b"Connection", b"close"))
         data = heads.encode_head(status, headers)
         if self.head.method != b"HEAD":
             data += body
         self.started = True
         self._connection.write(data)
-        self._finish(keep)
+        self._finish(keep_open)
 
     def start(self, status: int, headers: heads.Headers) -> None:
-        """Send the head of an answer whose body follows in parts."""
+        """Send the head of a response whose body follows in parts."""
         self.started = True
         self._chunked = self.head.version == "1.1"
         headers = list(headers)
         if self._chunked:
             headers.append((b"Transfer-Encoding", b"chunked"))
-        if not self._connection.may_continue(self) or not self._chunked:
+        if not self._connection.can_keep_open(self) or not self._chunked:
             headers.append((b"Connection", b"close"))
         self._connection.write(heads.encode_head(status, headers))
 
@@ -118,79 +127,82 @@
         self._connection.write(data)
 
     def finish(self) -> None:
-        """End an answer that was sent in parts."""
+        """End a response that was sent in parts."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
-        self._finish(self._chunked and self._connection.may_continue(self))
+        self._finish(self._chunked and self._connection.can_keep_open(self))
 
     def abort(self) -> None:
-        """End the connection, so that the answer cannot look complete."""
+        """Abort the connection, so that the response cannot look complete."""
         self.finished = True
         self._connection.abort()
 
-    def _finish(self, keep: bool) -> None:
+    def _finish(self, keep_open: bool) -> None:
         self.finished = True
-        self._connection.end_exchange(keep)
+        self._connection.end_exchange(keep_open)
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller; requests are served one after the other."""
+    """Server side of a caller's connection.
+
+    Pipelined requests are served one after the other.
+    """
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
         self._transport: Any = None
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting: list[Exchange] = []
+        self._queued: list[Exchange] = []
         self._current: Exchange | None = None
         self._reading: Exchange | None = None
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body_parts: list[bytes] = []
+        self._body_size = 0
         self._head_bytes = 0
-        self._head_since: float | None = None
+        self._head_started_at: float | None = None
         self._idle_since = 0.0
         self._task: asyncio.Task[None] | None = None
-        self._refused = False
+        self._input_closed = False
         self._closed = False
 
-    # Transport.
+    # Callbacks of the transport.
 
     def connection_made(self, transport: Any) -> None:
-        """Enter the connection."""
+        """Register the connection and set its socket options."""
         self._transport = transport
         self._idle_since = self._listener.read_clock()
         self._listener.connections.add(self)
-        raw = transport.get_extra_info("socket")
+        tcp_socket = transport.get_extra_info("socket")
         for option in (
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
         ):
             with contextlib.suppress(OSError):
-                raw.setsockopt(*option)
+                tcp_socket.setsockopt(*option)
 
     def data_received(self, data: bytes) -> None:
-        """Parse requests."""
-        if self._refused:
+        """Parse requests and reject those that exceed the limits."""
+        if self._input_closed:
             return
-        if self._reading is None and self._head_since is None:
-            self._head_since = self._listener.read_clock()
-        if self._head_since is not None:
+        if self._reading is None and self._head_started_at is None:
+            self._head_started_at = self._listener.read_clock()
+        if self._head_started_at is not None:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrades are not supported")
+            self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
-            self._refuse(400, f"not HTTP: {error}")
+            self._reject(400, f"malformed HTTP request: {error}")
         if (
-            self._head_since is not None
+            self._head_started_at is not None
             and self._head_bytes > self._listener.bounds.header_bytes
         ):
-            self._refuse(431, "the head is too long")
-        if len(self._waiting) > PIPELINE_REQUESTS:
-            self._refuse(400, "too many requests in a row")
+            self._reject(431, "the request head is too long")
+        if len(self._queued) > MAX_PIPELINED_REQUESTS:
+            self._reject(400, "too many pipelined requests")
 
     def eof_received(self) -> bool:
-        """Treat an orderly close like any other."""
+        """Close the connection also when the caller half-closes it."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -199,39 +211,39 @@
         self._listener.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
-        self._waiting.clear()
+        self._queued.clear()
 
     def pause_writing(self) -> None:
-        """Tell the sender of an answer to pause."""
+        """Make the sender of the current response pause."""
         if self._current is not None and self._current.on_drain is not None:
             self._current.on_drain(False)
 
     def resume_writing(self) -> None:
-        """Tell the sender of an answer to go on."""
+        """Make the sender of the current response continue."""
         if self._current is not None and self._current.on_drain is not None:
             self._current.on_drain(True)
 
-    # Parser.
+    # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reading = Exchange(self, heads.Head())
-        self._parts = []
-        self._size = 0
+        self._body_parts = []
+        self._body_size = 0
 
     def on_url(self, url: bytes) -> None:
-        """Take a part of the target."""
+        """Append a part of the request target."""
         if self._reading is not None:
             self._reading.head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Add a header of the request."""
         if self._reading is not None:
             self._reading.head.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Check the head before the body is read."""
-        self._head_since = None
+        """Check the request head before the body is read."""
+        self._head_started_at = None
         self._head_bytes = 0
         if self._reading is None:
             return
@@ -239,45 +251,45 @@
         head.method = self._parser.get_method()
         head.version = self._parser.get_http_version()
         head.keep_alive = self._parser.should_keep_alive()
-        fault = heads.find_fault(head)
-        if fault is not None:
-            self._refuse(400, fault)
+        framing_error = heads.find_framing_error(head)
+        if framing_error is not None:
+            self._reject(400, framing_error)
             return
         length = head.find(b"content-length")
         if length and int(length) > self._listener.bounds.body_bytes:
-            self._refuse(413, "the body is too long")
+            self._reject(413, "the body is too long")
             return
-        expected = head.find(b"expect")
-        if expected and expected.lower() == b"100-continue":
+        expectation = head.find(b"expect")
+        if expectation and expectation.lower() == b"100-continue":
             self.write(heads.encode_head(100, []))
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
-        if self._refused:
+        """Append a part of the body, up to the size limit."""
+        if self._input_closed:
             return
-        self._size += len(data)
-        if self._size > self._listener.bounds.body_bytes:
-            self._refuse(413, "the body is too long")
+        self._body_size += len(data)
+        if self._body_size > self._listener.bounds.body_bytes:
+            self._reject(413, "the body is too long")
             return
-        self._parts.append(data)
+        self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Serve the request, after those before it."""
+        """Queue the request after those that arrived before it."""
         exchange, self._reading = self._reading, None
-        if exchange is None or self._refused:
+        if exchange is None or self._input_closed:
             return
-        exchange.body = b"".join(self._parts)
+        exchange.body = b"".join(self._body_parts)
         exchange.arrived = self._listener.read_clock()
-        self._parts = []
-        self._waiting.append(exchange)
+        self._body_parts = []
+        self._queued.append(exchange)
         self._serve_next()
 
     # Requests.
 
     def _serve_next(self) -> None:
-        if self._current is not None or not self._waiting or self._closed:
+        if self._current is not None or not self._queued or self._closed:
             return
-        self._current = self._waiting.pop(0)
+        self._current = self._queued.pop(0)
         self._task = asyncio.get_running_loop().create_task(
             self._serve(self._current)
         )
@@ -286,29 +298,33 @@
         try:
             await self._listener.serve(exchange)
         except Exception as error:
-            # The caller gets a closed connection, which promises nothing.
+            # The connection is closed, which does not state whether the
+            # request was executed.
             logevents.log(LOG, logevents.RequestFailed(), error)
         if not exchange.finished:
             exchange.abort()
 
-    def end_exchange(self, keep: bool) -> None:
-        """Go on to the next request, or close."""
+    def end_exchange(self, keep_open: bool) -> None:
+        """Serve the next request, or close the connection.
+
+        :param keep_open: whether the connection stays open
+        """
         self._current = None
         self._task = None
         self._idle_since = self._listener.read_clock()
-        if not keep:
-            self._refused = True
+        if not keep_open:
+            self._input_closed = True
             self._transport.close()
             return
-        if self._waiting:
+        if self._queued:
             self._serve_next()
 
-    def may_continue(self, exchange: Exchange) -> bool:
-        """Return whether the connection stays open after an answer."""
+    def can_keep_open(self, exchange: Exchange) -> bool:
+        """Return whether the connection may stay open after a response."""
         return (
             exchange.head.keep_alive
             and not self._listener.closing
-            and not self._refused
+            and not self._input_closed
         )
 
     def is_busy(self) -> bool:
@@ -317,28 +333,32 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not self.is_busy() and self._head_since is None:
+        if not self.is_busy() and self._head_started_at is None:
             self._transport.close()
 
     def expire(self, now: float) -> None:
-        """Close the connection if it is idle or its head is late."""
+        """Close the connection if it exceeds the idle or header timeout."""
         bounds = self._listener.bounds
         if (
-            self._head_since is not None
-            and now - self._head_since > bounds.header_timeout_s
+            self._head_started_at is not None
+            and now - self._head_started_at > bounds.header_timeout_s
         ):
-            self._refuse(408, "the head came too slowly")
+            self._reject(408, "the request head did not arrive in time")
         elif (
             not self.is_busy()
             and now - self._idle_since > bounds.idle_timeout_s
         ):
             self._transport.close()
 
-    def _refuse(self, status: int, detail: str) -> None:
-        """Answer a request that cannot be read, and close."""
-        if self._refused:
+    def _reject(self, status: int, detail: str) -> None:
+        """Stop reading requests; send an error and close the connection.
+
+        While another request is in progress, no error is sent, and the
+        connection is closed after the response to that request.
+        """
+        if self._input_closed:
             return
-        self._refused = True
+        self._input_closed = True
         if self._current is None:
             body = detail.encode()
             headers = [
@@ -349,12 +369,12 @@
             self._transport.close()
 
     def write(self, data: bytes) -> None:
-        """Send bytes unless the connection is gone."""
+        """Send bytes unless the connection is closed or closing."""
         if not self._closed and not self._transport.is_closing():
             self._transport.write(data)
 
     def abort(self) -> None:
-        """End the connection at once."""
-        self._refused = True
+        """Abort the connection without sending buffered bytes."""
+        self._input_closed = True
         if not self._closed:
             self._transport.abort()
