--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the adapter: a store that a test controls."""
+"""Fixtures of the platform adapter: a fake store and its client."""
 
 from __future__ import annotations
 
@@ -15,19 +15,19 @@
 
 @pytest.fixture
 def anyio_backend() -> str:
-    """Run on the loop of the product."""
+    """Run async tests on asyncio, as the software does."""
     return "asyncio"
 
 
 @pytest.fixture
 def log() -> logstore.LogStore:
-    """Contents and faults of the store."""
+    """Fake store, whose contents and faults the test sets."""
     return logstore.LogStore()
 
 
 @pytest.fixture
 async def store(log: logstore.LogStore) -> AsyncIterator[stores.Store]:
-    """Client of a running store."""
+    """Client of the fake store, which runs behind an HTTP server."""
     server = rawhttp.RawServer(log.handle)
     address = await server.start()
     yield stores.Store(calls.Caller(time.monotonic), address)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,4 +1,4 @@
-"""Documents of operators and endpoints."""
+"""Tests of the decoders of operators' and endpoints' documents."""
 
 from __future__ import annotations
 
@@ -36,18 +36,18 @@
 }
 
 
-def encode(document):
-    """Return a document as it lies in the store."""
+def encode_document(document):
+    """Return a document as it is stored."""
     return json.dumps(document).encode()
 
 
-def test_entry_is_decoded_once():
-    """Guards against fields that are mistaken for others."""
-    found = documents.decode_announcement("i-1", encode(ENTRY))
-    assert found.announced == 3
-    assert found.started_ms == 17
-    assert found.adapters == {("m", "a1"): 2, ("m", "a2"): 1}
-    assert not found.draining
+def test_entry_fields_are_decoded():
+    """Guards against a field that is decoded from the wrong key."""
+    decoded = documents.decode_announcement("i-1", encode_document(ENTRY))
+    assert decoded.announced == 3
+    assert decoded.started_ms == 17
+    assert decoded.adapters == {("m", "a1"): 2, ("m", "a2"): 1}
+    assert not decoded.draining
 
 
 @pytest.mark.parametrize(
@@ -65,23 +65,26 @@
         {"models": [{"name": "m", "adapters": ["a@x"]}]},
     ],
 )
-def test_foreign_entry_names_no_endpoint(change):
-    """Guards against an entry of another writer that is used."""
+def test_malformed_entry_is_rejected(change):
+    """Guards against a malformed entry of another writer that is used."""
     with pytest.raises(documents.DocumentError):
-        documents.decode_announcement("i-1", encode(ENTRY | change))
+        documents.decode_announcement("i-1", encode_document(ENTRY | change))
 
 
 @pytest.mark.parametrize("name", ["service", "address", "zone", "state"])
-def test_entry_without_a_field_names_no_endpoint(name):
-    """Guards against a default where an entry says nothing."""
+def test_entry_without_a_required_field_is_rejected(name):
+    """Guards against a default for a required field that is missing."""
     entry = {key: value for key, value in ENTRY.items() if key != name}
     with pytest.raises(documents.DocumentError):
-        documents.decode_announcement("i-1", encode(entry))
+        documents.decode_announcement("i-1", encode_document(entry))
 
 
 @hypothesis.given(strategies.binary(max_size=60))
 def test_any_bytes_give_a_document_or_an_error(data):
-    """Guards against bytes that end a controller."""
+    """Guards against bytes whose decoding raises another exception.
+
+    Such an exception ends the controller that reads the document.
+    """
     for decode in (
         documents.decode_configuration,
         documents.decode_version,
@@ -95,10 +98,10 @@
 
 
 def test_configuration_gives_routes_by_host_and_prefix():
-    """Guards against hosts that are compared with their case."""
-    data = encode({"version": 7, "routes": [ROUTE], "services": []})
-    found = documents.decode_configuration(data)
-    route = routes.find_route(found, "host.example", "/p/x")
+    """Guards against host names that are compared case-sensitively."""
+    data = encode_document({"version": 7, "routes": [ROUTE], "services": []})
+    decoded = documents.decode_configuration(data)
+    route = routes.find_route(decoded, "host.example", "/p/x")
     assert route is not None
     assert route.resumable
     assert route.idempotent
@@ -106,10 +109,10 @@
     assert route.patience_s == 4.0
 
 
-def test_stream_that_may_not_be_resumed_runs_once():
-    """Guards against a second run of a stream."""
+def test_stream_that_is_not_resumable_is_not_idempotent():
+    """Guards against a stream that runs twice though it isn't resumable."""
     document = ROUTE | {"resumable": False}
-    data = encode({"version": 7, "routes": [document]})
+    data = encode_document({"version": 7, "routes": [document]})
     route = routes.find_route(
         documents.decode_configuration(data), "host.example", "/p/"
     )
@@ -120,7 +123,9 @@
     """Guards against a split that sends everything to one service."""
     split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     document = {key: ROUTE[key] for key in ROUTE if key != "service"}
-    data = encode({"version": 7, "routes": [document | {"split": split}]})
+    data = encode_document(
+        {"version": 7, "routes": [document | {"split": split}]}
+    )
     route = routes.find_route(
         documents.decode_configuration(data), "host.example", "/p/"
     )
@@ -131,21 +136,21 @@
 
 
 def test_malformed_configuration_is_an_error():
-    """Guards against half a configuration in force."""
-    data = encode({"version": 7, "routes": [{"hostname": "h"}]})
+    """Guards against a configuration that is applied in part."""
+    data = encode_document({"version": 7, "routes": [{"hostname": "h"}]})
     with pytest.raises(documents.DocumentError):
         documents.decode_configuration(data)
 
 
-def test_report_lists_what_is_on_its_way():
-    """Guards against places that are counted as free."""
-    data = encode(ENTRY | {"pending": ["m/a3@1"], "busy": False})
+def test_report_lists_pending_adapters():
+    """Guards against adapter slots of pending loads counted as free."""
+    data = encode_document(ENTRY | {"pending": ["m/a3@1"], "busy": False})
     report = documents.decode_report(data)
     assert report.pending == {("m", "a3")}
     assert report.sequence == 3
 
 
-JSON = strategies.recursive(
+JSON_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
@@ -190,12 +195,13 @@
 def test_any_value_of_a_field_gives_a_document_or_an_error(
     decode, document, data
 ):
-    """Guards against one bad field that ends a controller.
+    """Guards against one malformed field that ends a controller.
 
-    A report whose list of loads held no text ended the holder of the lease.
+    A report whose list of pending loads held values other than strings ended
+    the lease holder.
     """
     name = data.draw(strategies.sampled_from(sorted(document)))
-    changed = document | {name: data.draw(JSON)}
+    changed = document | {name: data.draw(JSON_VALUES)}
     try:
         decode(json.dumps(changed).encode())
     except documents.DocumentError:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,4 +1,4 @@
-"""Callers' requests as endpoints get them."""
+"""Tests of callers' requests as they are forwarded to endpoints."""
 
 from __future__ import annotations
 
@@ -14,12 +14,15 @@
 
 @pytest.fixture
 def endpoint() -> endpoints.Endpoint:
-    """Endpoint that a request goes to."""
+    """Endpoint to which the request is forwarded."""
     return endpoints.Endpoint("i-1", "s", "10.0.0.1:80", "z", 4)
 
 
-def encode(headers, endpoint, body=b"", **fields):
-    """Return a request as the endpoint gets it."""
+def reencode_request(headers, endpoint, body=b"", **fields):
+    """Decode a caller's request and encode it for the endpoint.
+
+    :returns: the decoded and the encoded request
+    """
     head = heads.Head(
         b"POST", b"/p/x?q=1", headers=[(b"Host", b"H.example:80"), *headers]
     )
@@ -30,9 +33,11 @@
     )
 
 
-def test_path_query_and_body_stay_unchanged(endpoint):
-    """Guards against a request that differs from the caller's."""
-    request, data = encode([(b"X-Request-Id", b"ab")], endpoint, b"body")
+def test_path_query_and_body_are_forwarded_unchanged(endpoint):
+    """Guards against a forwarded request that differs from the caller's."""
+    request, data = reencode_request(
+        [(b"X-Request-Id", b"ab")], endpoint, b"body"
+    )
     assert data.startswith(b"POST /p/x?q=1 HTTP/1.1\r\nHost: H.example:80\r\n")
     assert data.endswith(b"Content-Length: 4\r\n\r\nbody")
     assert b"X-Request-Id: ab\r\n" in data
@@ -55,15 +60,21 @@
         b"TE",
     ],
 )
-def test_headers_of_the_system_and_of_one_hop_are_dropped(endpoint, name):
-    """Guards against callers who set what only the system may set."""
-    _, data = encode([(name, b"forged")], endpoint)
+def test_reserved_and_hop_by_hop_headers_are_dropped(endpoint, name):
+    """Guards against forwarding headers that only the system may set.
+
+    Headers that apply to one connection must not be forwarded either.
+    """
+    _, data = reencode_request([(name, b"forged")], endpoint)
     assert b"forged" not in data
 
 
-def test_headers_that_a_connection_header_lists_are_dropped(endpoint):
-    """Guards against headers of one hop, but keeps what a request needs."""
-    _, data = encode(
+def test_headers_listed_by_connection_are_dropped(endpoint):
+    """Guards against hop-by-hop headers that are forwarded.
+
+    A Connection header must not remove headers that a request needs.
+    """
+    _, data = reencode_request(
         [
             (b"Connection", b"close, X-Odd, X-Model"),
             (b"X-Odd", b"1"),
@@ -76,24 +87,24 @@
     assert b"X-Request-Priority: 2" in data
 
 
-def test_model_and_adapter_are_read(endpoint):
-    """Guards against a request that runs on the base model alone."""
+def test_model_and_adapter_are_decoded(endpoint):
+    """Guards against a request that runs without its adapter."""
     headers = [(b"X-Model", b"m/a1"), (b"X-Token-Usage", b"10,20")]
-    request, _ = encode(headers, endpoint)
+    request, _ = reencode_request(headers, endpoint)
     assert request.need == ("m", "a1")
     assert (request.prompt_tokens, request.output_tokens) == (10, 20)
 
 
 def test_resumed_stream_names_its_last_event_once(endpoint):
-    """Guards against two different positions in one request."""
+    """Guards against two different resume positions in one request."""
     headers = [(b"Last-Event-Id", b"3")]
-    _, data = encode(headers, endpoint, resume_after=9)
+    _, data = reencode_request(headers, endpoint, resume_after=9)
     assert data.count(b"Last-Event-Id") == 1
     assert b"Last-Event-Id: 9" in data
 
 
 @pytest.mark.parametrize("value", [b"", b"x", b"-5", b"1.5"])
-def test_bad_deadline_gives_the_default(endpoint, value):
-    """Guards against a malformed header that ends in an exception."""
-    request, _ = encode([(b"X-Deadline-Ms", value)], endpoint)
+def test_malformed_deadline_does_not_raise(endpoint, value):
+    """Guards against a malformed header that raises an exception."""
+    request, _ = reencode_request([(b"X-Deadline-Ms", value)], endpoint)
     assert request.deadline >= 100.0
