Name HTTP responses by the usual term in calls and store

Cause: The client code called a response an answer. Change: Rename calls.Answer, which only the store uses, to Response, the local variables with it, and names.TOKENS to TOKEN_USAGE after its header.

--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -15,7 +15,7 @@
 NOT_EXECUTED = b"x-not-executed"
 SIGNATURE = b"x-server-signature"
 MODEL = b"x-model"
-TOKENS = b"x-token-usage"
+TOKEN_USAGE = b"x-token-usage"
 INSTANCE = b"x-instance-id"
 
 # Request headers that only the system may set; a caller's are dropped.
@@ -54,7 +54,7 @@
     {
         REQUEST_ID,
         MODEL,
-        TOKENS,
+        TOKEN_USAGE,
         b"x-prompt-prefix",
         b"x-length-hint",
         b"last-event-id",
--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -89,7 +89,7 @@
             document["adapter"] = order.adapter
         if order.version is not None:
             document["version"] = order.version
-        answer = await self._caller.call(
+        response = await self._caller.call(
             address,
             "POST",
             names.ORDER_PATH,
@@ -97,9 +97,9 @@
             ORDER_TIMEOUT_S,
             ((names.EXPECT_INSTANCE, identity.encode()), *JSON_HEADERS),
         )
-        if answer is None:
+        if response is None:
             return Verdict.UNKNOWN
-        return VERDICTS_BY_STATUS.get(answer.status, Verdict.REFUSED)
+        return VERDICTS_BY_STATUS.get(response.status, Verdict.REFUSED)
 
     async def report(
         self, address: str, identity: str
@@ -109,7 +109,7 @@
         :param identity: instance that must return the report
         :returns: the report, or None without a valid response
         """
-        answer = await self._caller.call(
+        response = await self._caller.call(
             address,
             "GET",
             names.REPORT_PATH,
@@ -117,9 +117,9 @@
             ORDER_TIMEOUT_S,
             ((names.EXPECT_INSTANCE, identity.encode()),),
         )
-        if answer is None or answer.status != 200:
+        if response is None or response.status != 200:
             return None
         try:
-            return documents.decode_report(answer.body)
+            return documents.decode_report(response.body)
         except documents.DocumentError:
             return None
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -38,7 +38,9 @@
     model, _, adapter = (
         first_values.get(names.MODEL, b"").decode("latin-1").partition("/")
     )
-    prompt, output = _decode_token_counts(first_values.get(names.TOKENS, b""))
+    prompt, output = _decode_token_counts(
+        first_values.get(names.TOKEN_USAGE, b"")
+    )
     deadline_ms = _decode_non_negative(first_values.get(b"x-deadline-ms", b""))
     return requests.Request(
         identity=first_values.get(names.REQUEST_ID, b"").decode("latin-1"),
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -106,11 +106,11 @@
         body = b"".join(
             RECORD_LENGTH.pack(len(item)) + item for item in records
         )
-        answer = await self._call("POST", names.APPEND_PATH, query, body)
-        if answer.status == 412:
-            raise OffsetConflictError(_decode_number(answer.body, "end"))
-        self._check_status(answer)
-        return _decode_number(answer.body, "offset")
+        response = await self._call("POST", names.APPEND_PATH, query, body)
+        if response.status == 412:
+            raise OffsetConflictError(_decode_number(response.body, "end"))
+        self._check_status(response)
+        return _decode_number(response.body, "offset")
 
     async def put(self, topic: str, key: str, value: bytes | None) -> int:
         """Write the value of a key, or remove the key if value is None."""
@@ -132,15 +132,15 @@
             "from": first,
             "max_wait_ms": int(max_wait_s * 1000),
         }
-        answer = await self._call(
+        response = await self._call(
             "GET", names.READ_PATH, query, b"", max_wait_s + LONG_POLL_MARGIN_S
         )
-        if answer.status == 410:
+        if response.status == 410:
             raise RecordsExpiredError(
                 f"topic {topic} no longer retains offset {first}"
             )
-        self._check_status(answer)
-        return decode_batch(answer.body, first)
+        self._check_status(response)
+        return decode_batch(response.body, first)
 
     async def list_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key, and the next offset to read.
@@ -158,10 +158,10 @@
             query = {"topic": topic, "part": 0}
             if after is not None:
                 query["after"] = after
-            answer = await self._call("GET", names.NEWEST_PATH, query, b"")
-            self._check_status(answer)
+            response = await self._call("GET", names.NEWEST_PATH, query, b"")
+            self._check_status(response)
             try:
-                page = json.loads(answer.body)
+                page = json.loads(response.body)
                 newest.extend(
                     KeyedRecord(
                         item["key"],
@@ -188,22 +188,22 @@
         query: dict[str, object],
         body: bytes,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> calls.Answer:
+    ) -> calls.Response:
         target = f"{path}?{parse.urlencode(query)}"
-        answer = await self._caller.call(
+        response = await self._caller.call(
             self._address, method, target, body, timeout_s
         )
-        status = answer.status if answer else 0
+        status = response.status if response else 0
         meters.STORE_CALLS.labels(path.rpartition("/")[2], status).inc()
-        if answer is None:
+        if response is None:
             raise StoreUncertainError(f"no response to {method} {path}")
-        return answer
+        return response
 
-    def _check_status(self, answer: calls.Answer) -> None:
-        if answer.status != 200:
+    def _check_status(self, response: calls.Response) -> None:
+        if response.status != 200:
             raise StoreRefusedError(
-                f"the store returned status {answer.status}:"
-                f" {answer.body[:200]!r}"
+                f"the store returned status {response.status}:"
+                f" {response.body[:200]!r}"
             )
 
 
--- a/src/bronzetrack/transport/calls.py
+++ b/src/bronzetrack/transport/calls.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen
-class Answer:
+class Response:
     """A complete response."""
 
     status: int
@@ -62,7 +62,7 @@
         body: bytes,
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> Answer | None:
+    ) -> Response | None:
         """Send a request and return the response.
 
         :param target: path and query
@@ -95,7 +95,7 @@
         target: str,
         body: bytes,
         headers: tuple[tuple[bytes, bytes], ...],
-    ) -> Answer | None:
+    ) -> Response | None:
         lines = [
             f"{method} {target} HTTP/1.1".encode(),
             b"Host: " + pool.address.encode(),
@@ -115,4 +115,4 @@
             pool.drop(connection)
             return None
         pool.put_back(connection, self._read_clock())
-        return Answer(collector.head.status, b"".join(collector.parts))
+        return Response(collector.head.status, b"".join(collector.parts))
