Reword retries and their tests

Cause: comments and names of the retry policy and the suspect table were figurative or private to the project, such as a cap that was called a floor. Change: comments, docstrings, constants, local names and test names only.

--- a/src/bronzetrack/retries/__init__.py
+++ b/src/bronzetrack/retries/__init__.py
@@ -1,1 +1,1 @@
-"""Retries, and requests that crash endpoints."""
+"""Retry policy and tracking of requests that crash endpoints."""
--- a/src/bronzetrack/retries/events.py
+++ b/src/bronzetrack/retries/events.py
@@ -1,4 +1,4 @@
-"""What runs report to the suspects controller."""
+"""Events that runs of attempts post to the suspects controller."""
 
 from __future__ import annotations
 
@@ -7,11 +7,13 @@
 
 @attrs.frozen
 class CrashSeen:
-    """An endpoint crashed.
+    """A run observed the crash of an endpoint.
 
-    :param boot: the run of the engine that crashed, empty if it has none
-    :param fingerprints: of the requests that ran there
-    :param started_ms: Unix time at which the run that saw it started
+    :param boot: boot value of the engine that crashed, empty if the endpoint
+        has none
+    :param fingerprints: fingerprints of the requests that ran on the endpoint
+    :param started_ms: Unix time in milliseconds at which the run that
+        observed the crash started
     """
 
     endpoint: str
@@ -22,7 +24,11 @@
 
 @attrs.frozen
 class CrashesCarried:
-    """A suspect is about to run, with the crashes that its entry VM knows."""
+    """A suspect is about to run, and its entry VM sent crashes with it.
+
+    :param crashes: crashes that the request may have caused, as far as the
+        entry VM knows them
+    """
 
     fingerprint: str
     crashes: tuple[str, ...]
@@ -30,7 +36,7 @@
 
 @attrs.frozen
 class SuspectCompleted:
-    """A suspect ran alone to its end.
+    """A suspect completed while it ran alone on its endpoint.
 
     :param crashes: the crashes it was suspected of when it started
     """
--- a/src/bronzetrack/retries/messages.py
+++ b/src/bronzetrack/retries/messages.py
@@ -13,7 +13,10 @@
 @messages.MESSAGES.register("suspect_notice")
 @attrs.frozen
 class SuspectNotice:
-    """A record that will be in the log, for when that is slow or down."""
+    """A crash or clearance record, sent to peers before it is in the log.
+
+    The notice reaches the peers even while the log is slow or unavailable.
+    """
 
     mailbox: ClassVar[str] = "suspects"
 
--- a/src/bronzetrack/retries/policy.py
+++ b/src/bronzetrack/retries/policy.py
@@ -1,4 +1,4 @@
-"""What follows an attempt that failed."""
+"""Retry policy: the choice of what to do after a failed attempt."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from bronzetrack.core import failures
 from bronzetrack.streaming import outcomes
 
-BUDGET_PART = 0.1
-BUDGET_FLOOR = 10.0
-ATTEMPTS = 4
-RESUMES = 3
+TOKENS_PER_REQUEST = 0.1
+MAX_BUDGET_TOKENS = 10.0
+MAX_ATTEMPTS = 4
+MAX_RESUMES = 3
 
-RETRIED = frozenset(
+RETRYABLE_REASONS = frozenset(
     {
         failures.Reason.PEER_UNREACHABLE,
         failures.Reason.NO_OWNER,
@@ -34,11 +34,12 @@
 
 
 class Recovery(enum.Enum):
-    """What is done after a failed attempt.
+    """The action that follows a failed attempt.
 
-    RETRY starts again, WAIT does so after a pause, RESUME goes on at the
-    engine at the caller's position, and SETTLE leaves the answer to the
-    records of the key.
+    RETRY starts another attempt from the first chunk, and WAIT does so after
+    a pause. RESUME reads the rest of the stream from the engine, starting at
+    the caller's position. SETTLE leaves the answer to the log records of the
+    idempotency key. END ends the request with the failure.
     """
 
     RETRY = "retry"
@@ -50,16 +51,18 @@
 
 @attrs.frozen
 class RetryBudget:
-    """Retries that are allowed, as a part of the requests.
+    """Retry budget that grows with the number of requests.
 
-    :param tokens: retries that may be made now
+    :param tokens: number of retries that may be made now
     """
 
-    tokens: float = BUDGET_FLOOR
+    tokens: float = MAX_BUDGET_TOKENS
 
     def credit(self) -> RetryBudget:
-        """Return the budget after a new request."""
-        return RetryBudget(min(BUDGET_FLOOR, self.tokens + BUDGET_PART))
+        """Return the budget after a new request, up to its maximum."""
+        return RetryBudget(
+            min(MAX_BUDGET_TOKENS, self.tokens + TOKENS_PER_REQUEST)
+        )
 
     def debit(self) -> RetryBudget:
         """Return the budget after a retry."""
@@ -68,16 +71,16 @@
 
 @attrs.frozen
 class FailedAttempt:
-    """What the choice depends on.
+    """A failed attempt, with everything that the retry policy depends on.
 
     :param lost: whether the answer was lost between VMs, so that the
         endpoint may still run the work
     :param repeatable: whether the request may run more than once
     :param resumable: whether the endpoint can resume the answer
-    :param isolated: whether the request has to run alone
-    :param attempts: attempts made from the start
-    :param resumes: how often the answer was resumed
-    :param chunks_passed: chunks that the caller already has
+    :param isolated: whether the request has to run alone on its endpoint
+    :param attempts: number of attempts that started from the first chunk
+    :param resumes: number of times that the answer was resumed
+    :param chunks_passed: number of chunks that were passed to the caller
     """
 
     outcome: outcomes.Outcome
@@ -92,19 +95,24 @@
 
 
 def decide_recovery(failed: FailedAttempt, budget: RetryBudget) -> Recovery:
-    """Return what is done after a failed attempt."""
+    """Return the action that follows a failed attempt."""
     if failed.lost and failed.resumable and failed.chunks_passed:
-        # Nothing runs a second time, so this is allowed under a key too.
-        if failed.resumes < RESUMES and budget.tokens >= 1:
+        # A resume runs nothing a second time, so it is also allowed for a
+        # request with an idempotency key.
+        if failed.resumes < MAX_RESUMES and budget.tokens >= 1:
             return Recovery.RESUME
     if not failed.repeatable:
-        decided = failed.outcome is outcomes.Outcome.IN_PROGRESS
-        if failed.lost or decided:
+        in_progress = failed.outcome is outcomes.Outcome.IN_PROGRESS
+        if failed.lost or in_progress:
             return Recovery.SETTLE
     refused = failed.outcome is outcomes.Outcome.REFUSED
-    if refused and failed.isolated and failed.failure.reason in RETRIED:
-        # All VMs send a suspect to one endpoint, so that trying another one
-        # in place of waiting could cost two endpoints at once.
+    if (
+        refused
+        and failed.isolated
+        and failed.failure.reason in RETRYABLE_REASONS
+    ):
+        # All VMs send a suspect to the same endpoint. Trying another endpoint
+        # instead of waiting could crash two endpoints at once.
         return Recovery.WAIT
     if may_retry(failed, budget):
         return Recovery.RETRY
@@ -112,18 +120,18 @@
 
 
 def may_retry(failed: FailedAttempt, budget: RetryBudget) -> bool:
-    """Return whether another attempt may be made from the start.
+    """Return whether another attempt may start from the first chunk.
 
-    An attempt that was refused did nothing, so that work under a key may be
-    tried again after it and only after it. It cost no endpoint anything
-    either, so it takes nothing from the budget: an endpoint that leaves hands
-    back its whole queue at once.
+    A refused attempt did nothing. Work under an idempotency key may therefore
+    be retried after a refusal, and only then. A refusal also cost no endpoint
+    anything, so its retry takes no token from the budget: an endpoint that
+    leaves refuses its whole queue at once.
     """
     refused = failed.outcome is outcomes.Outcome.REFUSED
     return (
         (failed.repeatable or (refused and not failed.lost))
         and failed.chunks_passed == 0
-        and failed.attempts < ATTEMPTS
-        and failed.failure.reason in RETRIED
+        and failed.attempts < MAX_ATTEMPTS
+        and failed.failure.reason in RETRYABLE_REASONS
         and (refused or budget.tokens >= 1)
     )
--- a/src/bronzetrack/retries/records.py
+++ b/src/bronzetrack/retries/records.py
@@ -14,8 +14,10 @@
 class CrashRecord:
     """An endpoint crashed while it ran requests.
 
-    :param crash: identifies the crash, since it is also sent to peers
-    :param fingerprints: of all the requests that ran there
+    :param crash: identity of the crash; the record reaches other VMs both
+        through the log and as a peer message, and has to count once
+    :param fingerprints: fingerprints of the requests that ran on the endpoint
+    :param wall_ms: Unix time in milliseconds at which the record was made
     """
 
     crash: str
@@ -27,9 +29,10 @@
 @records.RECORDS.register("clearance")
 @attrs.frozen
 class ClearanceRecord:
-    """A suspect completed alone.
+    """A suspect completed while it ran alone on its endpoint.
 
-    :param crashes: the crashes that it did not cause
+    :param crashes: the crashes that the suspect did not cause
+    :param wall_ms: Unix time in milliseconds at which the record was made
     """
 
     fingerprint: str
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -1,4 +1,4 @@
-"""Requests that may crash the endpoints that run them."""
+"""Table of suspects: requests that may crash the endpoints that run them."""
 
 from __future__ import annotations
 
@@ -13,23 +13,26 @@
 from bronzetrack.retries import records
 
 CRASH_LIMIT = 2
-MEMORY_MS = 3_600_000
-# About 3 MB; a crash adds as many as the endpoint has slots.
-SUSPECTS = 8_192
-# A service has no boot value. Its runs fail within this of each other.
-GATHER_MS = 5_000
+RETENTION_MS = 3_600_000
+# A full table takes about 3 MB. A crash adds as many entries as the endpoint
+# has slots.
+MAX_SUSPECTS = 8_192
+# A service has no boot value that identifies the crashed process. The runs
+# that one crash ends fail within this time of each other.
+SAME_CRASH_MS = 5_000
 
 
 @attrs.frozen
 class Suspect:
-    """Crashes that a fingerprint was present at.
+    """Crashes during which requests with one fingerprint were running.
 
     Both sets only grow, so that the order in which records arrive from peers
     and from the log does not matter.
 
     :param crashes: identities of the crashes
-    :param cleared: those that it did not cause
-    :param seen_ms: monotonic time of the latest
+    :param cleared: identities of the crashes that the request did not cause
+    :param seen_ms: monotonic time in milliseconds of the latest crash or
+        clearance
     """
 
     crashes: frozenset[str] = frozenset()
@@ -38,34 +41,40 @@
 
     @property
     def suspected(self) -> frozenset[str]:
-        """Crashes that it may have caused."""
+        """Crashes that the request may have caused."""
         return self.crashes - self.cleared
 
 
 @attrs.frozen
 class SuspectTable:
-    """The section of the suspects controller, by fingerprint."""
+    """Suspects by fingerprint, the section of the suspects controller.
+
+    :param next_offset: offset of the next log record to read
+    """
 
     next_offset: int = 0
     suspects: Mapping[str, Suspect] = attrs.field(factory=dict)
 
     def list_crashes(
-        self, fingerprint: str, carried: Iterable[str] = ()
+        self, fingerprint: str, reported: Iterable[str] = ()
     ) -> frozenset[str]:
         """Return the crashes that a request may have caused.
 
-        :param carried: crashes that another VM knew of, whose notice may not
-            have reached this VM
+        :param reported: crashes that another VM sent with the request; their
+            notices may not have reached this VM yet
         """
-        known = self.suspects.get(fingerprint, Suspect())
-        return known.suspected | (frozenset(carried) - known.cleared)
+        suspect = self.suspects.get(fingerprint, Suspect())
+        return suspect.suspected | (frozenset(reported) - suspect.cleared)
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether a request has to run alone."""
+        """Return whether a request has to run alone on its endpoint."""
         return bool(self.list_crashes(fingerprint))
 
     def is_banned(self, fingerprint: str) -> bool:
-        """Return whether a request is refused."""
+        """Return whether a request is refused everywhere.
+
+        That is the case once it may have caused `CRASH_LIMIT` crashes.
+        """
         return len(self.list_crashes(fingerprint)) >= CRASH_LIMIT
 
 
@@ -73,13 +82,14 @@
     table: SuspectTable,
     fingerprint: str,
     isolated: bool,
-    carried: Iterable[str] = (),
+    reported: Iterable[str] = (),
 ) -> failures.Failure | None:
-    """Return why a request may not be dispatched, None if it may.
+    """Return the failure that prevents the dispatch of a request, if any.
 
-    :param carried: crashes that the entry VM knew of
+    :param isolated: whether the request would run alone on its endpoint
+    :param reported: crashes that the entry VM sent with the request
     """
-    suspected = table.list_crashes(fingerprint, carried)
+    suspected = table.list_crashes(fingerprint, reported)
     if len(suspected) >= CRASH_LIMIT:
         return describe_ban()
     if suspected and not isolated:
@@ -104,21 +114,24 @@
     started_ms: int,
     now_ms: int,
 ) -> str:
-    """Return the identity of a crash, the same for all its witnesses.
+    """Return the identity of a crash, the same for all runs that observe it.
 
-    A run that started after a crash of a service was seen ran in a later
-    process: a service that is back within a second may crash again.
+    A run of a service that started after a crash was observed ran in a later
+    process, and its failure is a new crash: a service that is back within a
+    second may crash again.
 
-    :param earlier: identities of earlier crashes of a service
-    :param started_ms: Unix time at which the run that saw it started
-    :param now_ms: Unix time
+    :param boot: boot value of the engine that crashed, empty for a service
+    :param earlier: identities of earlier crashes of services
+    :param started_ms: Unix time in milliseconds at which the run that
+        observed the crash started
+    :param now_ms: present Unix time in milliseconds
     """
     if boot:
         return f"{endpoint}/{boot}"
-    oldest_ms = max(started_ms, now_ms - GATHER_MS + 1)
+    oldest_ms = max(started_ms, now_ms - SAME_CRASH_MS + 1)
     for crash in earlier:
-        name, _, time_ms = crash.rpartition("/")
-        if name == endpoint and int(time_ms) >= oldest_ms:
+        crashed, _, time_ms = crash.rpartition("/")
+        if crashed == endpoint and int(time_ms) >= oldest_ms:
             return crash
     return f"{endpoint}/{now_ms}"
 
@@ -126,11 +139,13 @@
 def apply_record(
     table: SuspectTable, record: Any, age_ms: int, now_ms: int
 ) -> SuspectTable:
-    """Return the table after a record of the stream or of a peer.
+    """Return the table after a record from the log or from a peer.
 
-    :param age_ms: how long ago it was made
+    :param age_ms: age of the record; a record beyond the retention time
+        changes nothing
+    :param now_ms: monotonic time
     """
-    if age_ms >= MEMORY_MS:
+    if age_ms >= RETENTION_MS:
         return table
     match record:
         case records.CrashRecord():
@@ -143,62 +158,78 @@
 def record_crash(
     table: SuspectTable, record: records.CrashRecord, now_ms: int
 ) -> SuspectTable:
-    """Return the table after a crash; one seen before changes nothing."""
+    """Return the table after a crash.
+
+    A crash that the table already has is not added a second time.
+
+    :param now_ms: monotonic time of the crash
+    """
     changed = {}
     for fingerprint in record.fingerprints:
-        known = table.suspects.get(fingerprint, Suspect())
+        suspect = table.suspects.get(fingerprint, Suspect())
         changed[fingerprint] = attrs.evolve(
-            known,
-            crashes=known.crashes | {record.crash},
-            seen_ms=max(known.seen_ms, now_ms),
+            suspect,
+            crashes=suspect.crashes | {record.crash},
+            seen_ms=max(suspect.seen_ms, now_ms),
         )
-    return _replace(table, changed, now_ms)
+    return _update_suspects(table, changed, now_ms)
 
 
 def learn_crashes(
     table: SuspectTable, fingerprint: str, crashes: Iterable[str], now_ms: int
 ) -> SuspectTable:
-    """Return the table after a request came with crashes it may have caused.
+    """Return the table with the crashes that a request was sent with.
+
+    All VMs send a suspect to the same endpoint. The owner of that endpoint
+    has to have every crash in its table, since an entry VM that sends the
+    request again may have only the latest.
 
-    A suspect has one endpoint in the eyes of all VMs. Its owner has to know
-    every crash, as an entry VM that sends the request again may know only the
-    latest.
+    :param crashes: crashes that the request may have caused
+    :param now_ms: monotonic time
     """
-    known = table.suspects.get(fingerprint, Suspect())
-    learnt = attrs.evolve(
-        known,
-        crashes=known.crashes | set(crashes),
-        seen_ms=max(known.seen_ms, now_ms),
+    suspect = table.suspects.get(fingerprint, Suspect())
+    updated = attrs.evolve(
+        suspect,
+        crashes=suspect.crashes | set(crashes),
+        seen_ms=max(suspect.seen_ms, now_ms),
     )
-    return _replace(table, {fingerprint: learnt}, now_ms)
+    return _update_suspects(table, {fingerprint: updated}, now_ms)
 
 
 def clear_suspect(
     table: SuspectTable, record: records.ClearanceRecord, now_ms: int
 ) -> SuspectTable:
-    """Return the table after a suspect completed alone."""
-    known = table.suspects.get(record.fingerprint, Suspect())
-    cleared = attrs.evolve(
-        known,
-        cleared=known.cleared | set(record.crashes),
-        seen_ms=max(known.seen_ms, now_ms),
+    """Return the table after a suspect completed while it ran alone.
+
+    :param now_ms: monotonic time of the clearance
+    """
+    suspect = table.suspects.get(record.fingerprint, Suspect())
+    updated = attrs.evolve(
+        suspect,
+        cleared=suspect.cleared | set(record.crashes),
+        seen_ms=max(suspect.seen_ms, now_ms),
     )
-    return _replace(table, {record.fingerprint: cleared}, now_ms)
+    return _update_suspects(table, {record.fingerprint: updated}, now_ms)
 
 
-def _replace(
+def _update_suspects(
     table: SuspectTable, changed: Mapping[str, Suspect], now_ms: int
 ) -> SuspectTable:
-    """Return the table with changes, and without what is old or too much."""
+    """Return the table with changed suspects, within its time and size limits.
+
+    Suspects past the retention time are dropped, then as many as exceed
+    `MAX_SUSPECTS`.
+    """
     merged = {**table.suspects, **changed}
     kept = {
         fingerprint: suspect
         for fingerprint, suspect in merged.items()
-        if now_ms - suspect.seen_ms < MEMORY_MS
+        if now_ms - suspect.seen_ms < RETENTION_MS
     }
-    excess = len(kept) - SUSPECTS
+    excess = len(kept) - MAX_SUSPECTS
     if excess > 0:
-        # Those with the fewest crashes go first, then the oldest.
+        # Evicts the suspects with the fewest suspected crashes first, and
+        # the oldest first among equals.
         ranked = sorted(
             kept,
             key=lambda name: (len(kept[name].suspected), kept[name].seen_ms),
--- a/tests/retries/test_policy.py
+++ b/tests/retries/test_policy.py
@@ -1,4 +1,4 @@
-"""Tests of what follows an attempt that failed."""
+"""Tests of the retry policy."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from bronzetrack.retries import policy
 from bronzetrack.streaming import outcomes
 
-SPENT = policy.RetryBudget(0.0)
+EMPTY_BUDGET = policy.RetryBudget(0.0)
 
 
 @pytest.fixture
 def failed() -> policy.FailedAttempt:
-    """A repeatable attempt that ran and failed before its first chunk."""
+    """A repeatable attempt whose endpoint crashed before the first chunk."""
     return policy.FailedAttempt(
         outcome=outcomes.Outcome.FAILED,
         failure=failures.Failure(failures.Reason.ENDPOINT_CRASHED),
@@ -29,7 +29,8 @@
 
 
 @pytest.fixture
-def handed_back(failed) -> policy.FailedAttempt:
+def refused(failed) -> policy.FailedAttempt:
+    """A repeatable attempt that a leaving endpoint refused."""
     return attrs.evolve(
         failed,
         outcome=outcomes.Outcome.REFUSED,
@@ -37,36 +38,45 @@
     )
 
 
-def test_failed_run_needs_budget(failed):
-    """Guards against retries that multiply the load of a failing site."""
+def test_retry_of_failed_run_needs_budget(failed):
+    """Guards against retries that multiply the load while endpoints fail."""
     decide = policy.decide_recovery
     assert decide(failed, policy.RetryBudget(1.0)) is policy.Recovery.RETRY
-    assert decide(failed, SPENT) is policy.Recovery.END
+    assert decide(failed, EMPTY_BUDGET) is policy.Recovery.END
 
 
-def test_handed_back_work_needs_no_budget(handed_back):
-    """Guards against callers refused for the queue of a leaving endpoint."""
-    recovery = policy.decide_recovery(handed_back, SPENT)
+def test_retry_of_refused_work_needs_no_budget(refused):
+    """Guards against a failed request because an endpoint left.
+
+    An endpoint that leaves refuses its whole queue at once, which would use
+    up the retry budget.
+    """
+    recovery = policy.decide_recovery(refused, EMPTY_BUDGET)
     assert recovery is policy.Recovery.RETRY
 
 
-def test_attempts_are_bounded(handed_back):
-    """Guards against a request that is handed back for ever."""
-    last = attrs.evolve(handed_back, attempts=policy.ATTEMPTS)
-    assert policy.decide_recovery(last, SPENT) is policy.Recovery.END
+def test_attempts_are_bounded(refused):
+    """Guards against a request that is refused and retried without end."""
+    exhausted = attrs.evolve(refused, attempts=policy.MAX_ATTEMPTS)
+    assert (
+        policy.decide_recovery(exhausted, EMPTY_BUDGET) is policy.Recovery.END
+    )
 
 
 @pytest.mark.parametrize("lost", [False, True])
-def test_dispatched_work_under_a_key_is_not_tried_again(failed, lost):
-    """Guards against a second run of an update staging."""
+def test_dispatched_work_with_a_key_is_not_retried(failed, lost):
+    """Guards against a second run of work with an idempotency key.
+
+    The work may have an effect, such as an update that it stages.
+    """
     keyed = attrs.evolve(failed, repeatable=False, lost=lost)
     budget = policy.RetryBudget()
     recovery = policy.decide_recovery(keyed, budget)
     assert recovery in {policy.Recovery.SETTLE, policy.Recovery.END}
 
 
-def test_answer_that_has_begun_is_not_started_anew(failed):
-    """Guards against an answer that holds the beginning of two runs."""
-    begun = attrs.evolve(failed, chunks_passed=3)
-    recovery = policy.decide_recovery(begun, policy.RetryBudget())
+def test_started_answer_is_not_retried(failed):
+    """Guards against an answer that mixes the first chunks of two runs."""
+    started = attrs.evolve(failed, chunks_passed=3)
+    recovery = policy.decide_recovery(started, policy.RetryBudget())
     assert recovery is policy.Recovery.END
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -1,4 +1,4 @@
-"""Tests of requests that crash the endpoints that run them."""
+"""Tests of the tracking of requests that crash endpoints."""
 
 from __future__ import annotations
 
@@ -21,7 +21,16 @@
 
 @attrs.define
 class Site:
-    """Tables of several VMs and what runs at the endpoints they own."""
+    """Suspect tables of several VMs, and the work at their endpoints.
+
+    :param waiting: by endpoint, the fingerprint of each queued request and
+        the crashes that its entry VM sent with it
+    :param running: by endpoint, the fingerprint of each running request and
+        the crashes that were known when it started
+    :param crashes: number of crashes so far
+    :param suspect_crashes: number of crashes caused by a request that was a
+        suspect when it started
+    """
 
     tables: list[suspects.SuspectTable] = attrs.field(
         factory=lambda: [suspects.SuspectTable() for _ in range(VMS)]
@@ -34,7 +43,7 @@
         factory=lambda: {name: [] for name in ENDPOINTS}
     )
     crashes: int = 0
-    aware_crashes: int = 0
+    suspect_crashes: int = 0
     answered: int = 0
 
     def submit(self, vm: int, fingerprint: str, endpoint: str) -> None:
@@ -57,33 +66,33 @@
         vm = get_owner(endpoint)
         owner = self.tables[vm]
         if not suspects.check_run(owner, fingerprint, bool(crashes), crashes):
-            aware = owner.list_crashes(fingerprint, crashes)
-            running.append((fingerprint, aware))
+            known_crashes = owner.list_crashes(fingerprint, crashes)
+            running.append((fingerprint, known_crashes))
             self.tables[vm] = suspects.learn_crashes(
                 owner, fingerprint, crashes, 0
             )
 
     def finish(self, endpoint: str) -> None:
-        """The oldest run ends; a bad one takes the endpoint down."""
+        """End the oldest run, or crash the endpoint if it runs a bad one."""
         running = self.running[endpoint]
         if not running:
             return
-        fingerprint, aware = running[0]
+        fingerprint, known_crashes = running[0]
         if any(name == BAD for name, _ in running):
             self._crash(endpoint)
             return
         del running[0]
         self.answered += 1
-        if aware:
-            cleared = tuple(sorted(aware))
+        if known_crashes:
+            cleared = tuple(sorted(known_crashes))
             record = records.ClearanceRecord(fingerprint, cleared, 0)
             self._publish(get_owner(endpoint), record)
 
     def _crash(self, endpoint: str) -> None:
         running = self.running[endpoint]
         self.crashes += 1
-        self.aware_crashes += any(
-            aware for name, aware in running if name == BAD
+        self.suspect_crashes += any(
+            known_crashes for name, known_crashes in running if name == BAD
         )
         names = tuple(sorted({name for name, _ in running}))
         record = records.CrashRecord(f"c{self.crashes}", endpoint, names, 0)
@@ -98,7 +107,7 @@
         self.tables[vm] = suspects.apply_record(self.tables[vm], record, 0, 0)
 
     def deliver(self, number: int) -> None:
-        """A notice arrives, in any order and perhaps a second time."""
+        """Deliver a notice, in any order and perhaps a second time."""
         if self.notices:
             self._apply(*self.notices[number % len(self.notices)])
 
@@ -121,11 +130,11 @@
 
 @effort.make_settings(300)
 @given(STEPS)
-def test_request_costs_two_endpoints_at_most(steps):
-    """Guards against a request that takes one endpoint after another.
+def test_request_crashes_two_endpoints_at_most(steps):
+    """Guards against a request that crashes one endpoint after another.
 
-    Runs that start before any crash is known to the VMs on their way cannot
-    be stopped. After that one more endpoint may be lost.
+    Runs that start before any crash is known at their entry VM or owner
+    cannot be prevented. After that, one more endpoint may crash.
     """
     site = Site()
     for step, number, fingerprint, endpoint in steps:
@@ -139,24 +148,27 @@
                 site.start(endpoint)
             case "deliver":
                 site.deliver(number)
-    assert site.aware_crashes <= suspects.CRASH_LIMIT - 1
+    assert site.suspect_crashes <= suspects.CRASH_LIMIT - 1
 
 
 def test_owner_keeps_the_crashes_that_came_with_a_request():
-    """Guards against a third endpoint lost to a VM that knows one crash.
+    """Guards against a third crash after a retry by another entry VM.
 
-    The second crash came from a run whose entry VM knew the first. The VM that
-    sends the request again has heard of the second only.
+    The second crash came from a run whose entry VM knew of the first. The VM
+    that sends the request again received the notice of the second only.
     """
     table = suspects.learn_crashes(suspects.SuspectTable(), BAD, ["c1"], 0)
     second = records.CrashRecord("c2", "e1", (BAD,), 0)
     table = suspects.record_crash(table, second, 0)
-    unfit = suspects.check_run(table, BAD, True, ["c2"])
-    assert unfit.reason is failures.Reason.CRASHES_ENDPOINTS
+    failure = suspects.check_run(table, BAD, True, ["c2"])
+    assert failure.reason is failures.Reason.CRASHES_ENDPOINTS
 
 
-def test_records_in_any_order_give_one_table():
-    """Guards against a suspect that is cleared at some VMs only."""
+def test_records_in_any_order_give_the_same_table():
+    """Guards against a suspect that is cleared at some VMs only.
+
+    Records reach the VMs through the log and as notices, in any order.
+    """
     crash = records.CrashRecord("c1", "e0", ("a", "b"), 0)
     clearance = records.ClearanceRecord("a", ("c1",), 0)
     tables = []
@@ -170,9 +182,9 @@
     assert tables[0].is_suspect("b")
 
 
-def test_table_is_bounded_and_forgets(monkeypatch):
-    """Guards against memory that grows with the crashes of a bad day."""
-    monkeypatch.setattr(suspects, "SUSPECTS", 3)
+def test_table_is_bounded_in_size_and_age(monkeypatch):
+    """Guards against memory that grows with the number of crashes."""
+    monkeypatch.setattr(suspects, "MAX_SUSPECTS", 3)
     table = suspects.SuspectTable()
     for number in range(5):
         names = ("bad", f"good-{number}")
@@ -181,12 +193,15 @@
     assert set(table.suspects) == {"bad", "good-3", "good-4"}
     assert table.is_banned("bad")
     later = records.CrashRecord("c9", "e0", ("new",), 0)
-    table = suspects.record_crash(table, later, suspects.MEMORY_MS + 9)
+    table = suspects.record_crash(table, later, suspects.RETENTION_MS + 9)
     assert set(table.suspects) == {"new"}
 
 
-def test_witnesses_of_one_crash_agree_on_its_identity():
-    """Guards against one crash that counts twice."""
+def test_observers_of_one_crash_derive_the_same_identity():
+    """Guards against one crash that counts twice.
+
+    Each run that a crash ends reports the crash by itself.
+    """
     assert suspects.make_crash_id("e0", "b1", (), 0, 5) == (
         suspects.make_crash_id("e0", "b1", (), 0, 9_000)
     )
@@ -195,17 +210,21 @@
     assert suspects.make_crash_id("s0", "", (first,), 0, 90_000) != first
 
 
-def test_crash_of_a_service_that_came_back_counts_again():
-    """Guards against a service lost four times in the time of one crash."""
+def test_crash_of_a_restarted_service_counts_again():
+    """Guards against crashes of a restarted service that count as one.
+
+    A service that came back within seconds crashed four times in the time in
+    which failures were taken for a single crash.
+    """
     first = suspects.make_crash_id("s0", "", (), 0, 5)
     second = suspects.make_crash_id("s0", "", (first,), 6, 900)
     assert second != first
-    witness = suspects.make_crash_id("s0", "", (first, second), 7, 901)
-    assert witness == second
+    third = suspects.make_crash_id("s0", "", (first, second), 7, 901)
+    assert third == second
 
 
-def test_owner_counts_crashes_that_the_entry_vm_knows():
-    """Guards against a third endpoint lost while a notice is under way."""
+def test_owner_counts_crashes_that_came_from_the_entry_vm():
+    """Guards against a third crash while a notice is still in transit."""
     record = records.CrashRecord("c2", "e0", (BAD,), 0)
     table = suspects.record_crash(suspects.SuspectTable(), record, 0)
     assert suspects.check_run(table, BAD, True) is None
