Reword idempotency keys and their tests

Cause: docstrings spoke of what a caller is told and what the log says, and names such as judge_claim and verdict had no usual meaning. Change: comments, docstrings, private and local names, test names, and names of rules and parameters of the state machine only.

--- a/src/bronzetrack/idempotency/__init__.py
+++ b/src/bronzetrack/idempotency/__init__.py
@@ -1,1 +1,1 @@
-"""At most one run of each idempotency key."""
+"""Idempotency keys, each of which runs at most once."""
--- a/src/bronzetrack/idempotency/claims.py
+++ b/src/bronzetrack/idempotency/claims.py
@@ -1,4 +1,4 @@
-"""What the claimant of a key does next, given the table."""
+"""Decides the next step of a claimant from the replayed state of its key."""
 
 from __future__ import annotations
 
@@ -12,12 +12,17 @@
 from bronzetrack.idempotency import table as tables
 from bronzetrack.streaming import outcomes
 
-# Longer than one append that times out and its repetition.
+# Longer than an append that times out and its retry together.
 CLAIM_TIMEOUT_MS = 5_000
 
 
-class ClaimVerdict(enum.Enum):
-    """What the log says of the claim of an attempt."""
+class ClaimStatus(enum.Enum):
+    """Status of the claim of an attempt, according to the log.
+
+    PENDING means that the log decided nothing about the key yet. WON and LOST
+    mean that this or another attempt claimed the key, VOID that the key never
+    runs, and ENDED that a run of the key has a recorded result.
+    """
 
     PENDING = "pending"
     WON = "won"
@@ -27,9 +32,10 @@
 
 
 class ClaimStep(enum.Enum):
-    """What the claimant does next.
+    """Next step of a claimant.
 
-    VOID asks for a void of the attempt; END gives the attempt up.
+    VOID appends a void record for the attempt, and END ends the attempt
+    without a dispatch.
     """
 
     WAIT = "wait"
@@ -40,11 +46,13 @@
 
 @attrs.frozen
 class Claim:
-    """The claim of one attempt that has not been dispatched.
+    """The claim of an attempt that has not been dispatched.
 
-    :param issued_ms: Unix time at which the caller issued the key
-    :param deadline_ms: monotonic time until which the present step may last
-    :param voiding: whether a void of the attempt was asked for
+    :param issued_ms: Unix time in milliseconds at which the caller issued the
+        key
+    :param deadline_ms: monotonic time in milliseconds until which the present
+        step may last
+    :param voiding: whether a void of the attempt was requested
     """
 
     attempt: str
@@ -53,16 +61,21 @@
     voiding: bool = False
 
 
-def judge_claim(entry: tables.KeyEntry | None, attempt: str) -> ClaimVerdict:
-    """Return the verdict on the claim of an attempt."""
+def get_claim_status(
+    entry: tables.KeyEntry | None, attempt: str
+) -> ClaimStatus:
+    """Return the status of the claim of an attempt.
+
+    :param entry: the state of the key, None if the log has no record of it
+    """
     if entry is None:
-        return ClaimVerdict.PENDING
+        return ClaimStatus.PENDING
     match entry.phase:
         case tables.KeyPhase.VOID:
-            return ClaimVerdict.VOID
+            return ClaimStatus.VOID
         case tables.KeyPhase.ENDED:
-            return ClaimVerdict.ENDED
-    return ClaimVerdict.WON if entry.attempt == attempt else ClaimVerdict.LOST
+            return ClaimStatus.ENDED
+    return ClaimStatus.WON if entry.attempt == attempt else ClaimStatus.LOST
 
 
 def decide_claim(
@@ -73,15 +86,15 @@
 ) -> ClaimStep:
     """Return the next step of a claimant.
 
-    :param entry: the key in the claimant's own table
+    :param entry: the state of the key in the claimant's own table
     :param may_run: whether the claimant may still dispatch the work
     """
     if not keys.is_decidable(claim.issued_ms, now.wall_ms):
         return ClaimStep.END
-    verdict = judge_claim(entry, claim.attempt)
-    if verdict is ClaimVerdict.WON and not claim.voiding:
+    status = get_claim_status(entry, claim.attempt)
+    if status is ClaimStatus.WON and not claim.voiding:
         return ClaimStep.DISPATCH if may_run else ClaimStep.VOID
-    if verdict not in (ClaimVerdict.WON, ClaimVerdict.PENDING):
+    if status not in (ClaimStatus.WON, ClaimStatus.PENDING):
         return ClaimStep.END
     if now.monotonic_ms < claim.deadline_ms:
         return ClaimStep.WAIT
@@ -91,15 +104,15 @@
 def describe_end(
     claim: Claim, entry: tables.KeyEntry | None, now: clock.Instant
 ) -> tuple[outcomes.Outcome, failures.Failure]:
-    """Return the outcome of an attempt that was given up undispatched."""
+    """Return the outcome of an attempt that ended without a dispatch."""
     if not keys.is_decidable(claim.issued_ms, now.wall_ms):
         return outcomes.Outcome.REFUSED, failures.Failure(
             failures.Reason.KEY_EXPIRED, "the key expired in the queue"
         )
-    match judge_claim(entry, claim.attempt):
-        case ClaimVerdict.VOID:
+    match get_claim_status(entry, claim.attempt):
+        case ClaimStatus.VOID:
             return outcomes.Outcome.NOT_RUN, describe_void()
-        case ClaimVerdict.LOST | ClaimVerdict.ENDED:
+        case ClaimStatus.LOST | ClaimStatus.ENDED:
             return outcomes.Outcome.IN_PROGRESS, describe_in_progress()
     return outcomes.Outcome.REFUSED, failures.Failure(
         failures.Reason.LOG_UNAVAILABLE,
@@ -109,7 +122,7 @@
 
 
 def describe_void() -> failures.Failure:
-    """Return the failure for a key that never ran and never will."""
+    """Return the failure for a key that never ran and never will run."""
     return failures.Failure(
         failures.Reason.KEY_VOID, "send the work under a new key"
     )
--- a/src/bronzetrack/idempotency/keys.py
+++ b/src/bronzetrack/idempotency/keys.py
@@ -1,4 +1,4 @@
-"""Checks of the idempotency keys that callers send."""
+"""Validation of the idempotency keys that callers send."""
 
 from __future__ import annotations
 
@@ -9,24 +9,27 @@
 
 from bronzetrack.core import failures
 
-KEY_LENGTH = 255
-ISSUED_DIGITS = 15
+MAX_KEY_LENGTH = 255
+MAX_ISSUED_DIGITS = 15
 WINDOW_MS = 3_600_000
 FUTURE_SKEW_MS = 60_000
-# A key is kept for longer than it is accepted, since the clocks of two VMs
-# may differ by the skew in either direction.
+# A key is retained for longer than it is accepted, since the wall clocks of
+# two VMs may differ by FUTURE_SKEW_MS in either direction.
 KEPT_MS = WINDOW_MS + 2 * FUTURE_SKEW_MS
-# A VM decides nothing from its table in the last part of KEPT_MS, so that a
-# wall clock that is set back does not make it use a table that was trimmed.
-DECIDED_MS = WINDOW_MS + FUTURE_SKEW_MS
+# During the last part of KEPT_MS, a VM bases no decision on its table.
+# Otherwise, a wall clock that is set back could make the VM use a table from
+# which the key was already trimmed.
+DECIDABLE_MS = WINDOW_MS + FUTURE_SKEW_MS
 
 
 @attrs.frozen
 class IdempotencyKey:
-    """A checked key.
+    """A validated idempotency key.
 
-    :param digest: digest of member and key, as the log has it
-    :param issued_ms: Unix time at which the caller issued it
+    :param digest: digest of member and key, which identifies the key in the
+        log
+    :param issued_ms: Unix time in milliseconds at which the caller issued the
+        key
     """
 
     digest: str
@@ -36,14 +39,18 @@
 def check_key(
     member: str, key: str, issued_header: str | None, now_wall_ms: int
 ) -> IdempotencyKey | failures.Failure:
-    """Return the checked key or why it cannot be served at most once.
+    """Return the validated key, or the failure that refuses it.
 
-    :param issued_header: value of the header `Idempotency-Issued-At`
+    A key is refused unless this VM can guarantee at most one run of it.
+
+    :param issued_header: value of the header `Idempotency-Issued-At`, None
+        if the request does not have it
+    :param now_wall_ms: present Unix time in milliseconds
     """
-    if not 0 < len(key) <= KEY_LENGTH or not key.isprintable():
+    if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isprintable():
         return failures.Failure(
             failures.Reason.KEY_INVALID,
-            f"a key has 1 to {KEY_LENGTH} printable characters",
+            f"a key has 1 to {MAX_KEY_LENGTH} printable characters",
         )
     issued_ms = _read_issue_time(key, issued_header)
     if isinstance(issued_ms, failures.Failure):
@@ -65,16 +72,19 @@
 
 
 def is_decidable(issued_ms: int, now_wall_ms: int) -> bool:
-    """Return whether the table of this VM still decides about a key."""
-    return now_wall_ms <= issued_ms + DECIDED_MS
+    """Return whether a decision on a key may rely on the table of this VM.
+
+    :param issued_ms: Unix time in milliseconds at which the key was issued
+    """
+    return now_wall_ms <= issued_ms + DECIDABLE_MS
 
 
 def _read_issue_time(
     key: str, issued_header: str | None
 ) -> int | failures.Failure:
     if issued_header is not None:
-        digits = issued_header.isascii() and issued_header.isdigit()
-        if digits and len(issued_header) <= ISSUED_DIGITS:
+        is_number = issued_header.isascii() and issued_header.isdigit()
+        if is_number and len(issued_header) <= MAX_ISSUED_DIGITS:
             return int(issued_header)
         return failures.Failure(
             failures.Reason.KEY_INVALID,
--- a/src/bronzetrack/idempotency/records.py
+++ b/src/bronzetrack/idempotency/records.py
@@ -14,12 +14,15 @@
 @records.RECORDS.register("key_claim")
 @attrs.frozen
 class KeyClaim:
-    """Claims the only run of a key.
+    """Claims the only run of a key for an attempt.
 
     :param key: digest of member and idempotency key
-    :param attempt: the attempt that may be dispatched if the claim is first
+    :param vm: the VM of the claimant
+    :param attempt: the attempt that may be dispatched if this is the first
+        record of the key
     :param fingerprint: digest of the request, to detect a reused key
-    :param issued_ms: Unix time at which the caller issued the key
+    :param issued_ms: Unix time in milliseconds at which the caller issued the
+        key
     """
 
     key: str
@@ -33,11 +36,12 @@
 @records.RECORDS.register("key_void")
 @attrs.frozen
 class KeyVoid:
-    """Makes sure that a key that was not dispatched never will be.
+    """Prevents every later dispatch of a key that was not dispatched.
 
-    :param attempt: the attempt that is given up
-    :param incarnation: the claimant that withdraws its own claim, which it
-        has not dispatched and never will; `NOT_CLAIMANT` from an entry VM
+    :param attempt: the attempt that must not be dispatched any more
+    :param incarnation: incarnation of the claimant that withdraws its own
+        claim, which it has not dispatched and never will dispatch;
+        `NOT_CLAIMANT` if an entry VM appends the record
     """
 
     key: str
@@ -49,12 +53,14 @@
 @records.RECORDS.register("key_result")
 @attrs.frozen
 class KeyResult:
-    """How the run of a key ended.
+    """The result of the run of a key.
 
-    :param outcome: an `streaming.outcomes.Outcome` value
+    :param outcome: a value of `streaming.outcomes.Outcome`
     :param status: HTTP status of the answer
-    :param answer: the whole answer if it is small enough, else None
-    :param vm: the VM that dispatched it, for the headers of a stored answer
+    :param answer: the whole answer if the run completed and the answer has at
+        most `STORED_ANSWER_BYTES`, else None
+    :param vm: the VM that dispatched the work, for the headers of a stored
+        answer
     """
 
     key: str
--- a/src/bronzetrack/idempotency/requests.py
+++ b/src/bronzetrack/idempotency/requests.py
@@ -1,4 +1,4 @@
-"""What other controllers ask of the keys controller."""
+"""Requests that other controllers send to the keys controller."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 @attrs.frozen
 class AppendKey:
-    """Append a record, trying again until the service confirms it."""
+    """Append a record and retry until the log service confirms it."""
 
     record: records.KeyClaim | records.KeyVoid | records.KeyResult
 
 
 @attrs.frozen
 class WithdrawClaim:
-    """Stop trying to append the claim of an attempt."""
+    """Stop retrying to append the claim of an attempt."""
 
     attempt: str
--- a/src/bronzetrack/idempotency/settlement.py
+++ b/src/bronzetrack/idempotency/settlement.py
@@ -1,4 +1,4 @@
-"""What a caller is told of a key that the log has decided."""
+"""Answers to callers that follow from the log records of a key."""
 
 from __future__ import annotations
 
@@ -11,17 +11,19 @@
 from bronzetrack.idempotency import table as tables
 from bronzetrack.streaming import outcomes
 
-# Long enough for most answers; a caller that is told `in_progress` asks again.
+# Long enough for most answers. A caller that gets `in_progress` asks again.
 RESULT_WAIT_MS = 30_000
-# Two appends that time out, after which a void is taken as unconfirmed.
+# The time of two appends that time out. A void that is not in the table by
+# then counts as unconfirmed.
 VOID_WAIT_MS = 7_000
 
 
 @attrs.frozen
 class Settlement:
-    """The answer to a caller whose request was not dispatched for it.
+    """The answer to a caller, derived from the key instead of an attempt.
 
-    :param result: the stored answer, if the caller gets it
+    :param failure: the failure that the caller gets, if any
+    :param result: the record with the stored answer, if the caller gets it
     """
 
     outcome: outcomes.Outcome
@@ -30,7 +32,12 @@
 
 
 def check_ready(table: tables.KeyTable) -> failures.Failure | None:
-    """Return why work under a key that is not in the table is refused."""
+    """Return the failure that refuses new keys until the table is current.
+
+    A key that is missing from a table may still be in the part of the log
+    that was not read. None is returned once the table has caught up and the
+    log is reachable.
+    """
     if table.caught_up and table.log_reachable:
         return None
     detail = (
@@ -51,18 +58,21 @@
     expired: bool,
     now_wall_ms: int,
 ) -> Settlement | None:
-    """Return what the caller is told, None while it has to wait.
+    """Return the answer to the caller, None while the caller has to wait.
 
+    :param entry: the state of the key, None if the log has no record of it
     :param digest: digest of the caller's request
-    :param claimant_gone: whether the claimant can no longer answer
+    :param claimant_gone: whether the claimant can no longer record a result
     :param expired: whether the caller has waited for as long as it may
+    :param now_wall_ms: present Unix time in milliseconds
     """
     if not keys.is_decidable(key.issued_ms, now_wall_ms):
-        # The table may have dropped the key, so it shows nothing any more.
-        return _settle_unknown("the key expired during the wait")
+        # The key may have been trimmed from the table, so its absence proves
+        # nothing.
+        return _make_unknown("the key expired during the wait")
     if entry is None:
         if expired:
-            return _settle_unknown("no record of the key was read")
+            return _make_unknown("no record of the key was read")
         return None
     if entry.phase is tables.KeyPhase.VOID:
         return Settlement(outcomes.Outcome.NOT_RUN, claims.describe_void())
@@ -75,9 +85,9 @@
             ),
         )
     if entry.result is not None:
-        return _settle_result(entry.result)
+        return _make_from_result(entry.result)
     if claimant_gone:
-        return _settle_unknown(f"claimant {entry.incarnation} is gone")
+        return _make_unknown(f"claimant {entry.incarnation} is gone")
     if expired:
         return Settlement(
             outcomes.Outcome.IN_PROGRESS, claims.describe_in_progress()
@@ -85,18 +95,18 @@
     return None
 
 
-def _settle_unknown(detail: str) -> Settlement:
+def _make_unknown(detail: str) -> Settlement:
     return Settlement(
         outcomes.Outcome.UNKNOWN,
         failures.Failure(failures.Reason.OUTCOME_UNKNOWN, detail),
     )
 
 
-def _settle_result(result: records.KeyResult) -> Settlement:
+def _make_from_result(result: records.KeyResult) -> Settlement:
     outcome = outcomes.Outcome(result.outcome)
     if outcome is not outcomes.Outcome.COMPLETED:
         detail = "the run of the key ended without a known result"
-        return attrs.evolve(_settle_unknown(detail), outcome=outcome)
+        return attrs.evolve(_make_unknown(detail), outcome=outcome)
     if result.answer is not None:
         return Settlement(outcome, result=result)
     return Settlement(
--- a/src/bronzetrack/idempotency/table.py
+++ b/src/bronzetrack/idempotency/table.py
@@ -1,4 +1,4 @@
-"""Replay of the keys stream: the first record of a key decides."""
+"""Replay of the keys stream, in which the first record of a key decides."""
 
 from __future__ import annotations
 
@@ -15,7 +15,11 @@
 
 
 class KeyPhase(enum.Enum):
-    """What the log says about a key."""
+    """Phase of a key, according to the log.
+
+    CLAIMED means that an attempt may run or has run, VOID that the key never
+    runs, and ENDED that its run has a recorded result.
+    """
 
     CLAIMED = "claimed"
     VOID = "void"
@@ -24,11 +28,15 @@
 
 @attrs.frozen
 class KeyEntry:
-    """The decided state of a key.
-
-    :param offset: offset of the deciding record
-    :param incarnation: the claimant, empty for a key void from the start
-    :param result: the result record, once read
+    """The state of a key after the replay of its records.
+
+    :param offset: offset of the first record, which decided the key
+    :param issued_ms: Unix time in milliseconds at which the caller issued the
+        key
+    :param incarnation: incarnation of the claimant, empty for a key that was
+        voided before any claim
+    :param fingerprint: digest of the claimed request
+    :param result: the result record, None until it is read
     """
 
     phase: KeyPhase
@@ -44,12 +52,14 @@
 class KeyTable:
     """The section of the keys controller.
 
-    The mapping is changed in place by its controller, since a copy of an
-    hour of keys for each record would cost more than everything else.
+    The controller changes the mapping in place: copying the keys of an hour
+    for each record would cost more than everything else.
 
-    :param next_offset: the log position that is read next
-    :param caught_up: whether the whole window up to the end has been read
-    :param log_reachable: whether the last read of the stream succeeded
+    :param next_offset: offset of the next log record to read
+    :param caught_up: whether the whole window up to the end of the stream has
+        been read
+    :param log_reachable: whether the latest read of the stream succeeded
+    :param entries: state of each key by its digest
     """
 
     next_offset: int = 0
@@ -61,7 +71,7 @@
 def trim_entries(
     entries: Mapping[str, KeyEntry], now_wall_ms: int
 ) -> dict[str, KeyEntry]:
-    """Return the entries of keys that may still be sent."""
+    """Return the entries of the keys that callers may still send."""
     oldest_ms = now_wall_ms - keys.KEPT_MS
     return {
         key: entry
@@ -73,24 +83,27 @@
 def apply_record(
     entries: Mapping[str, KeyEntry], offset: int, record: Any
 ) -> KeyEntry | None:
-    """Return the new entry of the record's key, None if nothing changes."""
+    """Return the new entry of a record's key, None if nothing changes.
+
+    :param offset: offset of the record in the stream
+    """
     if not isinstance(record, KEY_RECORDS):
         return None
-    known = entries.get(record.key)
+    entry = entries.get(record.key)
     match record:
         case records.KeyClaim():
-            return _apply_claim(known, offset, record)
+            return _apply_claim(entry, offset, record)
         case records.KeyVoid():
-            return _apply_void(known, offset, record)
+            return _apply_void(entry, offset, record)
         case records.KeyResult():
-            return _apply_result(known, record)
+            return _apply_result(entry, record)
     return None
 
 
 def _apply_claim(
-    known: KeyEntry | None, offset: int, record: records.KeyClaim
+    entry: KeyEntry | None, offset: int, record: records.KeyClaim
 ) -> KeyEntry | None:
-    if known is not None:
+    if entry is not None:
         return None
     return KeyEntry(
         phase=KeyPhase.CLAIMED,
@@ -103,28 +116,28 @@
 
 
 def _apply_void(
-    known: KeyEntry | None, offset: int, record: records.KeyVoid
+    entry: KeyEntry | None, offset: int, record: records.KeyVoid
 ) -> KeyEntry | None:
-    if known is None:
+    if entry is None:
         return KeyEntry(
             phase=KeyPhase.VOID,
             offset=offset,
             issued_ms=record.issued_ms,
             attempt=record.attempt,
         )
-    own = (
-        known.phase is KeyPhase.CLAIMED
-        and known.incarnation == record.incarnation
-        and known.attempt == record.attempt
+    withdrawn = (
+        entry.phase is KeyPhase.CLAIMED
+        and entry.incarnation == record.incarnation
+        and entry.attempt == record.attempt
     )
-    return attrs.evolve(known, phase=KeyPhase.VOID) if own else None
+    return attrs.evolve(entry, phase=KeyPhase.VOID) if withdrawn else None
 
 
 def _apply_result(
-    known: KeyEntry | None, record: records.KeyResult
+    entry: KeyEntry | None, record: records.KeyResult
 ) -> KeyEntry | None:
-    if known is None or known.phase is not KeyPhase.CLAIMED:
+    if entry is None or entry.phase is not KeyPhase.CLAIMED:
         return None
-    if known.attempt != record.attempt:
+    if entry.attempt != record.attempt:
         return None
-    return attrs.evolve(known, phase=KeyPhase.ENDED, result=record)
+    return attrs.evolve(entry, phase=KeyPhase.ENDED, result=record)
--- a/tests/idempotency/conftest.py
+++ b/tests/idempotency/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for claims of keys."""
+"""Fixtures for tests of idempotency keys."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def claimed() -> tables.KeyEntry:
-    """A key claimed by attempt t1 of incarnation i1."""
+    """The entry of a key that attempt t1 of incarnation i1 claimed."""
     return tables.KeyEntry(
         tables.KeyPhase.CLAIMED, 0, ISSUED_MS, "i1", "t1", "d"
     )
--- a/tests/idempotency/machine.py
+++ b/tests/idempotency/machine.py
@@ -1,4 +1,4 @@
-"""Claimants of a few keys that share a log with drawn faults."""
+"""State machine of VMs that claim keys in a shared log with random faults."""
 
 from __future__ import annotations
 
@@ -25,15 +25,17 @@
 VM = strategies.integers(0, VMS - 1)
 KEY = strategies.integers(0, KEYS - 1)
 PICK = strategies.integers(0, 7)
-FATES = ("kept", "kept", "answer lost", "delayed", "dropped", "twice")
+APPEND_RESULTS = ("kept", "kept", "answer lost", "delayed", "dropped", "twice")
 RARE = strategies.integers(0, 3).map(lambda drawn: drawn == 3)
 
 
 @attrs.define
 class Log:
-    """All records ever appended; the first ones may be out of reach.
+    """All records ever appended, of which the first may be trimmed.
 
-    :param in_flight: appends that may still arrive
+    :param times_ms: time at which each record was appended
+    :param start: offset of the first record that can still be read
+    :param in_flight: batches of delayed appends that may still arrive
     """
 
     records: list[Any] = attrs.field(factory=list)
@@ -48,7 +50,14 @@
 
 @attrs.define
 class Vm:
-    """One daemon: its table, its unconfirmed appends and its claims."""
+    """State of one daemon.
+
+    :param skew_ms: offset of its wall clock
+    :param position: offset of the next record to read
+    :param pending: records whose append was not confirmed
+    :param claims: key and claim of each attempt that was not dispatched
+    :param running: key of each dispatched attempt that has not ended
+    """
 
     skew_ms: int
     incarnation: str = attrs.field(factory=lambda: uuid.uuid4().hex)
@@ -60,7 +69,7 @@
 
 
 class KeyMachine(stateful.RuleBasedStateMachine):
-    """Draws what happens to VMs that claim, void and settle keys."""
+    """Draws events for VMs that claim, void and settle keys."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -68,8 +77,8 @@
         self.log = Log()
         self.vms = [Vm(skew) for skew in SKEWS_MS]
         self.issued: dict[str, keys.IdempotencyKey] = {}
-        self.current = [self._issue() for _ in range(KEYS)]
-        self.names: list[tuple[str, str]] = []
+        self.current_keys = [self._issue() for _ in range(KEYS)]
+        self.attempts: list[tuple[str, str]] = []
         self.dispatched: list[tuple[str, str]] = []
         self.not_run: set[str] = set()
         self.refused: set[str] = set()
@@ -84,20 +93,20 @@
 
     @stateful.rule(index=KEY)
     def issue(self, index: int) -> None:
-        """A caller gives up an expired key."""
-        issued_ms = self.issued[self.current[index]].issued_ms
+        """Replace an expired key by a new one, as its caller would."""
+        issued_ms = self.issued[self.current_keys[index]].issued_ms
         if self.now_ms > issued_ms + RETENTION_MS:
-            self.current[index] = self._issue()
+            self.current_keys[index] = self._issue()
 
     @stateful.rule(number=VM, index=KEY)
     def start(self, number: int, index: int) -> None:
-        """A run begins, however late after the key was accepted."""
+        """Start an attempt, however late after the key was accepted."""
         vm = self.vms[number]
-        key = self.current[index]
+        key = self.current_keys[index]
         if key in vm.entries:
             return
-        attempt = f"t{len(self.names)}"
-        self.names.append((attempt, key))
+        attempt = f"t{len(self.attempts)}"
+        self.attempts.append((attempt, key))
         issued_ms = self.issued[key].issued_ms
         deadline_ms = self.now_ms + claims.CLAIM_TIMEOUT_MS
         claim = claims.Claim(attempt, issued_ms, deadline_ms)
@@ -110,27 +119,36 @@
 
     @stateful.rule(
         number=VM,
-        fate=strategies.sampled_from(FATES),
+        append_result=strategies.sampled_from(APPEND_RESULTS),
         count=strategies.sampled_from((99, 99, 1, 0)),
-        unreached=RARE,
+        unreachable=RARE,
         lapsed=RARE,
     )
     def work(
-        self, number: int, fate: str, count: int, unreached: bool, lapsed: bool
+        self,
+        number: int,
+        append_result: str,
+        count: int,
+        unreachable: bool,
+        lapsed: bool,
     ) -> None:
-        """A VM that is not paused appends, reads some records and acts.
+        """Let a VM append, read some records and advance its claims.
+
+        A VM for which this rule is not drawn behaves as if it were paused.
 
-        :param unreached: whether the endpoint refuses the connection
+        :param append_result: what happens to the append and its answer
+        :param count: maximum number of records to read
+        :param unreachable: whether the endpoint refuses the connection
         :param lapsed: whether the lease of the VM has lapsed
         """
         vm = self.vms[number]
-        self._append(vm, fate)
+        self._append(vm, append_result)
         self._read(vm, count)
         now = self.read_clock(vm)
         for attempt, (key, claim) in list(vm.claims.items()):
             entry = vm.entries.get(key)
             match claims.decide_claim(claim, entry, not lapsed, now):
-                case claims.ClaimStep.DISPATCH if not unreached:
+                case claims.ClaimStep.DISPATCH if not unreachable:
                     del vm.claims[attempt]
                     self.dispatched.append((attempt, key))
                     vm.running[attempt] = key
@@ -139,7 +157,7 @@
                 case claims.ClaimStep.END:
                     del vm.claims[attempt]
                     outcome, _ = claims.describe_end(claim, entry, now)
-                    self._note_outcome(attempt, key, outcome)
+                    self._record_outcome(attempt, key, outcome)
 
     def _void(
         self, vm: Vm, attempt: str, key: str, claim: claims.Claim
@@ -158,7 +176,7 @@
             records.KeyVoid(key, vm.incarnation, attempt, claim.issued_ms)
         )
 
-    def _note_outcome(
+    def _record_outcome(
         self, attempt: str, key: str, outcome: outcomes.Outcome
     ) -> None:
         if outcome is outcomes.Outcome.NOT_RUN:
@@ -168,7 +186,7 @@
 
     @stateful.rule(number=VM, pick=PICK)
     def finish(self, number: int, pick: int) -> None:
-        """A run ends with a result."""
+        """End a run with a result."""
         vm = self.vms[number]
         if not vm.running:
             return
@@ -179,14 +197,15 @@
         )
 
     @stateful.rule(number=VM, pick=PICK)
-    def lose_owner(self, number: int, pick: int) -> None:
-        """An entry VM voids an attempt that it gave to another VM or itself.
+    def void_as_entry_vm(self, number: int, pick: int) -> None:
+        """Void an attempt as an entry VM that lost contact with its owner.
 
-        Its own run may claim, wait or be dispatched at that moment.
+        The owner may be another VM or the entry VM itself. Its run may be
+        claiming, waiting or dispatched at that moment.
         """
-        if not self.names:
+        if not self.attempts:
             return
-        attempt, key = self.names[pick % len(self.names)]
+        attempt, key = self.attempts[pick % len(self.attempts)]
         vm = self.vms[number]
         issued_ms = self.issued[key].issued_ms
         vm.pending.append(
@@ -195,9 +214,9 @@
 
     @stateful.rule(number=VM, index=KEY, expired=strategies.booleans())
     def settle(self, number: int, index: int, expired: bool) -> None:
-        """An entry VM tells its caller what the log says."""
+        """Settle a key at an entry VM and record the caller's outcome."""
         vm = self.vms[number]
-        key = self.current[index]
+        key = self.current_keys[index]
         settled = settlement.settle_key(
             vm.entries.get(key),
             self.issued[key],
@@ -207,27 +226,27 @@
             self.read_clock(vm).wall_ms,
         )
         if settled is not None:
-            self._note_outcome("", key, settled.outcome)
+            self._record_outcome("", key, settled.outcome)
 
-    def _append(self, vm: Vm, fate: str) -> None:
-        """Append with what becomes of the records and of the answer."""
+    def _append(self, vm: Vm, append_result: str) -> None:
+        """Append the pending records with a drawn fault, if any."""
         batch = list(vm.pending)
-        if fate in ("kept", "answer lost", "twice"):
+        if append_result in ("kept", "answer lost", "twice"):
             self.log.append(batch, self.now_ms)
-        if fate in ("delayed", "twice"):
+        if append_result in ("delayed", "twice"):
             self.log.in_flight.append(batch)
-        if fate == "kept":
+        if append_result == "kept":
             vm.pending.clear()
 
     @stateful.rule(pick=PICK)
-    def land(self, pick: int) -> None:
-        """A delayed append arrives, perhaps after its sender is gone."""
+    def deliver_append(self, pick: int) -> None:
+        """Deliver a delayed append, perhaps after its sender was killed."""
         if self.log.in_flight:
             batch = self.log.in_flight.pop(pick % len(self.log.in_flight))
             self.log.append(batch, self.now_ms)
 
     def _read(self, vm: Vm, count: int) -> None:
-        """Read some records; a VM that fell behind skips the lost ones."""
+        """Read some records; a VM that fell behind skips trimmed ones."""
         vm.position = max(vm.position, self.log.start)
         for record in self.log.records[vm.position :][:count]:
             entry = tables.apply_record(vm.entries, vm.position, record)
@@ -237,7 +256,7 @@
 
     @stateful.rule(number=VM, killed=RARE)
     def restart(self, number: int, killed: bool) -> None:
-        """A VM is killed and another one starts empty in its place."""
+        """Kill a VM and start an empty one in its place."""
         if killed:
             self.vms[number] = Vm(self.vms[number].skew_ms)
 
@@ -247,7 +266,7 @@
         )
     )
     def pass_time(self, delay_ms: int) -> None:
-        """Time passes, for paused VMs too; tables and the log shrink."""
+        """Advance the time of all VMs, and trim the tables and the log."""
         self.now_ms += delay_ms
         for vm in self.vms:
             wall_ms = self.read_clock(vm).wall_ms
@@ -272,10 +291,10 @@
 
     @stateful.invariant()
     def check_phases(self) -> None:
-        """Each table agrees with a naive reading of the whole log."""
+        """Check each table against a naive reading of the log."""
         for vm in self.vms:
             wall_ms = self.read_clock(vm).wall_ms
-            for key in self.current:
+            for key in self.current_keys:
                 issued = self.issued[key]
                 if keys.is_decidable(issued.issued_ms, wall_ms):
                     entry = vm.entries.get(key)
@@ -285,17 +304,19 @@
 
 
 def find_phase(seen: list[Any], key: str) -> tables.KeyPhase | None:
-    """Return the phase of a key, found by looking at all its records."""
-    mine = [record for record in seen if record.key == key]
-    decisive = [
-        record for record in mine if not isinstance(record, records.KeyResult)
+    """Return the phase of a key from a scan of all records that were read."""
+    key_records = [record for record in seen if record.key == key]
+    claims_and_voids = [
+        record
+        for record in key_records
+        if not isinstance(record, records.KeyResult)
     ]
-    if not decisive:
+    if not claims_and_voids:
         return None
-    first = decisive[0]
+    first = claims_and_voids[0]
     if isinstance(first, records.KeyVoid):
         return tables.KeyPhase.VOID
-    for record in mine[mine.index(first) + 1 :]:
+    for record in key_records[key_records.index(first) + 1 :]:
         if record.attempt != first.attempt:
             continue
         if isinstance(record, records.KeyResult):
--- a/tests/idempotency/test_table.py
+++ b/tests/idempotency/test_table.py
@@ -29,13 +29,13 @@
 
 
 def test_first_claim_decides(apply, claim):
-    """Guards against two VMs that both dispatch under one key."""
+    """Guards against two VMs that both dispatch work with one key."""
     other = records.KeyClaim("k", "b", "i2", "t2", "f", 0)
     assert apply(claim, other).attempt == "t1"
 
 
 def test_void_before_claim_is_final(apply, claim):
-    """Guards against a late claim that runs what was said not to run."""
+    """Guards against a late claim that runs a key after "not run"."""
     void = records.KeyVoid("k", "i2", "t1", 0)
     assert apply(void, claim).phase is tables.KeyPhase.VOID
 
@@ -46,8 +46,8 @@
     assert apply(claim, void).phase is tables.KeyPhase.CLAIMED
 
 
-def test_claimant_may_void(apply, claim):
-    """Guards against a key left in progress by a claimant that gave up."""
+def test_claimant_may_void_its_claim(apply, claim):
+    """Guards against a key in progress after its claimant gave it up."""
     void = records.KeyVoid("k", "i1", "t1", 0)
     assert apply(claim, void).phase is tables.KeyPhase.VOID
 
