Reword streaming and its tests

Cause: docstrings described the state of requests and answers in figures of speech, and left out units and the meaning of most fields.

--- a/src/bronzetrack/streaming/__init__.py
+++ b/src/bronzetrack/streaming/__init__.py
@@ -1,1 +1,1 @@
-"""Work, answers and their order."""
+"""Requests of callers, and the delivery of their answers in order."""
--- a/src/bronzetrack/streaming/calls.py
+++ b/src/bronzetrack/streaming/calls.py
@@ -1,4 +1,4 @@
-"""Checked requests of callers."""
+"""Validated requests of callers."""
 
 from __future__ import annotations
 
@@ -9,15 +9,19 @@
 
 @attrs.frozen
 class CallerRequest:
-    """A checked request of a caller.
+    """A validated request of a caller.
 
-    :param member: the member that is charged
+    :param request: id of the request
+    :param member: the member that is charged for the request
     :param adapter: `name@version`, empty for a plain service
-    :param fingerprint: digest of adapter, version and content, the same
-        whatever ids the request has
-    :param digest: of the request as its caller sent it
-    :param endpoints: endpoints that could run it
-    :param repeatable: whether it may run more than once
+    :param cost: estimated cost in tokens
+    :param fingerprint: digest of adapter, version and content, which does
+        not depend on the ids of the request
+    :param digest: digest of the request as its caller sent it
+    :param endpoints: endpoints that could run the request
+    :param repeatable: whether the request may run more than once
+    :param key: the idempotency key, None if the caller sent none
+    :param deadline_ms: monotonic time in milliseconds of the deadline
     """
 
     request: str
--- a/src/bronzetrack/streaming/losses.py
+++ b/src/bronzetrack/streaming/losses.py
@@ -1,4 +1,4 @@
-"""How an entry VM finds out that an answer was lost between VMs."""
+"""Detection, at the entry VM, of answers that were lost between VMs."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 from bronzetrack.core import failures
 from bronzetrack.streaming import progress as progresses
 
-# A chunk that overtook another on a new stream arrives well within this.
+# A chunk that was overtaken by a later one on a new stream arrives well within
+# this time.
 GAP_WAIT_MS = 500
-# Longer than the time between two chunks, so that only work that waits and
-# answers in one piece are asked about.
+# Longer than the time between two chunks, so that only queued work and answers
+# that arrive in one piece are probed.
 PROBE_INTERVAL_MS = 3_000
 PROBED_ATTEMPTS = 1_000
 
@@ -24,10 +25,12 @@
     incarnations: Mapping[str, str],
     now_ms: int,
 ) -> failures.Failure | None:
-    """Return why the rest of the present attempt is lost, if it is.
+    """Return the failure if the rest of the present attempt is lost.
 
-    :param sessions: VMs that a stream is open to
-    :param incarnations: the run of each VM that was heard from recently
+    :param sessions: VMs to which a stream is open
+    :param incarnations: current incarnation of each VM that sent a message
+        recently
+    :param now_ms: monotonic time in milliseconds
     """
     if progress.gap_ms is not None and (
         now_ms - progress.gap_ms >= GAP_WAIT_MS
@@ -53,10 +56,14 @@
 def list_silent(
     open_requests: Iterable[progresses.Progress], own_vm: str, now_ms: int
 ) -> dict[str, list[progresses.Progress]]:
-    """Return by owner the requests whose attempt has been silent.
+    """Return the requests to probe, grouped by the owner of their attempt.
 
-    An attempt that resumes a stream at this VM is in no queue, so that its
-    owner could not tell that it runs.
+    They are the requests that wait for an attempt of which no message came
+    for `PROBE_INTERVAL_MS`. An attempt that resumes a stream at this VM is
+    left out: it is in no queue, so its owner would answer the probe as if the
+    attempt did not run.
+
+    :param now_ms: monotonic time in milliseconds
     """
     silent: dict[str, list[progresses.Progress]] = {}
     for progress in open_requests:
--- a/src/bronzetrack/streaming/messages.py
+++ b/src/bronzetrack/streaming/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages that carry work to an owner and its answer back."""
+"""Peer messages that carry work to an owner and return its answer."""
 
 from __future__ import annotations
 
@@ -16,19 +16,24 @@
 class SubmitWork:
     """One attempt of a request, sent to the owner of an endpoint.
 
-    :param attempt: identifies the attempt, also towards the endpoint
-    :param member: the member that is charged
+    :param attempt: id of the attempt, which is also sent to the endpoint
+    :param request: id of the request
+    :param member: the member that is charged for the request
     :param adapter: `name@version`, empty for a plain service
     :param path: path at the endpoint
-    :param timeout_ms: time left until the caller's deadline
+    :param timeout_ms: time in milliseconds until the caller's deadline
     :param cost: estimated cost in tokens
     :param fingerprint: digest of the adapter, version and body
-    :param key: digest of the idempotency key, None if the work may repeat
-    :param digest: of the request as its caller sent it, to detect a reused key
-    :param isolated: whether it must run alone on the endpoint
+    :param key: digest of the idempotency key, None if the work may run more
+        than once
+    :param digest: digest of the request as its caller sent it, to detect a
+        reused key
+    :param issued_ms: Unix time in milliseconds at which the key was issued
+    :param isolated: whether the work must run alone on the endpoint
     :param crashes: crashes that the request may have caused
-    :param resume_of: attempt to resume at the endpoint, None to start anew
-    :param resume_from: number of the first chunk wanted
+    :param resume_of: attempt to resume at the endpoint, None to start a new
+        run
+    :param resume_from: number of the first chunk to send
     """
 
     mailbox: ClassVar[str] = "work"
@@ -59,7 +64,10 @@
 @messages.MESSAGES.register("answer_started")
 @attrs.frozen
 class AnswerStarted:
-    """The endpoint began to answer."""
+    """The endpoint started to answer.
+
+    :param status: HTTP status of the answer
+    """
 
     mailbox: ClassVar[str] = "answers"
 
@@ -73,8 +81,8 @@
 class AnswerChunk:
     """One chunk of an answer.
 
-    :param number: counts the chunks of the attempt from 0
-    :param last: whether it holds the end marker of the endpoint
+    :param number: number of the chunk in its attempt, from 0
+    :param last: whether the chunk holds the end marker of the endpoint
     """
 
     mailbox: ClassVar[str] = "answers"
@@ -90,7 +98,8 @@
 class AnswerEnd:
     """The end of an attempt.
 
-    :param chunks: how many chunks the whole answer has
+    :param chunks: number of chunks of the whole answer
+    :param failure: why the attempt failed, None if it completed
     """
 
     mailbox: ClassVar[str] = "answers"
@@ -104,7 +113,7 @@
 @messages.MESSAGES.register("cancel_work")
 @attrs.frozen
 class CancelWork:
-    """The caller of an attempt no longer wants it."""
+    """Cancels an attempt whose answer is no longer needed."""
 
     mailbox: ClassVar[str] = "work"
 
@@ -114,9 +123,10 @@
 @messages.MESSAGES.register("probe_work")
 @attrs.frozen
 class ProbeWork:
-    """Asks an owner about attempts that it has been silent about.
+    """Asks an owner for the state of attempts without recent messages.
 
-    Messages are lost when a session breaks or its queue is full.
+    The messages may have been lost, which happens when a session breaks or
+    its queue is full.
     """
 
     mailbox: ClassVar[str] = "answers"
@@ -127,10 +137,10 @@
 @messages.MESSAGES.register("work_unknown")
 @attrs.frozen
 class WorkUnknown:
-    """The attempts of a probe that neither wait nor run.
+    """The attempts of a probe that are neither queued nor running.
 
-    It follows their ends on the same stream. A VM that has not received the
-    end of such an attempt has lost it.
+    The message follows the ends of these attempts on the same stream. If the
+    receiver has not got the end of such an attempt, that end was lost.
     """
 
     mailbox: ClassVar[str] = "answers"
--- a/src/bronzetrack/streaming/outcomes.py
+++ b/src/bronzetrack/streaming/outcomes.py
@@ -1,4 +1,4 @@
-"""How a request can end."""
+"""Outcomes of requests."""
 
 from __future__ import annotations
 
@@ -8,8 +8,10 @@
 class Outcome(enum.Enum):
     """The outcome of a request, as callers see it.
 
-    REFUSED says that this attempt did nothing; NOT_RUN that the key never
-    ran and never will; UNKNOWN that it was dispatched with no known result.
+    REFUSED means that this attempt did nothing, and NOT_RUN that the key
+    never ran and never will run. IN_PROGRESS means that another attempt with
+    the same key was dispatched. UNKNOWN means that the request was dispatched
+    and its result is not known.
     """
 
     COMPLETED = "completed"
--- a/src/bronzetrack/streaming/output.py
+++ b/src/bronzetrack/streaming/output.py
@@ -1,4 +1,4 @@
-"""What the caller of one request gets, until it has read it."""
+"""Buffer for the answer to one request until its caller reads it."""
 
 from __future__ import annotations
 
@@ -10,15 +10,19 @@
 from bronzetrack.core import failures
 from bronzetrack.streaming import outcomes
 
-# Bounds the memory that one request may take. An answer of 64k tokens as
-# server-sent events stays below it.
+# Limits the memory that one request may take. An answer of 64k tokens, sent
+# as server-sent events, stays below the limit.
 ANSWER_BYTES = 16_777_216
 OUTPUT_EVENTS = 262_144
 
 
 @attrs.frozen
 class Started:
-    """The answer begins."""
+    """The start of the answer.
+
+    :param vm: the VM that dispatched the request
+    :param status: HTTP status of the answer
+    """
 
     endpoint: str
     vm: str
@@ -35,14 +39,17 @@
 
 @attrs.frozen
 class Ended:
-    """The answer ended."""
+    """The end of the answer.
+
+    :param failure: why the request failed, None if it completed
+    """
 
     outcome: outcomes.Outcome
     failure: failures.Failure | None = None
 
 
 class Output:
-    """Events of one answer that wait for a slow caller.
+    """Queue of the events of one answer that its caller has not read.
 
     :param request: id of the request
     """
@@ -54,8 +61,9 @@
         self._unread_bytes = 0
 
     def post_chunk(self, data: bytes) -> bool:
-        """Add a chunk; return whether there was room for it."""
-        # One place is kept for the start and one for the end of the answer.
+        """Add a chunk and return whether it fitted."""
+        # One place is reserved for the start and one for the end of the
+        # answer.
         if len(self._events) >= OUTPUT_EVENTS - 2:
             return False
         if self._unread_bytes + len(data) > ANSWER_BYTES:
@@ -64,11 +72,11 @@
         return self._events.post(Chunk(data))
 
     def post(self, event: Started | Ended) -> bool:
-        """Add the start or the end of the answer."""
+        """Add the start or end of the answer and return whether it fitted."""
         return self._events.post(event)
 
     async def take(self) -> list[Any]:
-        """Wait for events, remove and return them."""
+        """Wait for events, and remove and return all of them."""
         await self._events.wait_items()
         self._unread_bytes = 0
         return self._events.take()
--- a/src/bronzetrack/streaming/progress.py
+++ b/src/bronzetrack/streaming/progress.py
@@ -1,4 +1,4 @@
-"""Where a request of a caller stands."""
+"""State of a request in progress at its entry VM."""
 
 from __future__ import annotations
 
@@ -14,10 +14,11 @@
 
 
 class Stage(enum.Enum):
-    """What a request waits for.
+    """Stage of a request in progress.
 
-    ROUTING waits for an endpoint, RUNNING for an attempt that was submitted,
-    SETTLING for what the log says about the key.
+    In ROUTING, the request waits for an endpoint. In RUNNING, it waits for an
+    attempt that was submitted. In SETTLING, it waits for the log records of
+    its idempotency key.
     """
 
     ROUTING = "routing"
@@ -27,24 +28,33 @@
 
 @attrs.define
 class Progress:
-    """A request in progress at the VM that its caller uses.
-
-    :param arrived_ms: monotonic time of arrival
-    :param due_ms: monotonic time at which to route again
-    :param owner_incarnation: the run of the owner that has the attempt
-    :param engine_attempt: the attempt that the endpoint knows, which differs
-        from the present one when that one resumes a stream
+    """A request in progress at the VM that its caller uses, the entry VM.
+
+    Times are monotonic and in milliseconds.
+
+    :param arrived_ms: time of arrival
+    :param due_ms: time at which to route the request again
+    :param owner: the VM that the present attempt was submitted to
+    :param owner_incarnation: incarnation of the owner that has the attempt
+    :param engine_attempt: the attempt under which the endpoint runs the
+        request, which differs from the present attempt if that one resumes a
+        stream
+    :param attempts: number of attempts that started from the first chunk
+    :param resumes: number of times that the answer was resumed
     :param excluded: endpoints on which an attempt failed
-    :param considered: endpoints that the latest choice was made from
-    :param may_have_run: whether an endpoint may have got an earlier attempt
-    :param isolated: whether it runs alone because an endpoint crashed with it
+    :param considered: candidate endpoints of the latest choice
+    :param failure: the latest failure, if any
+    :param may_have_run: whether an endpoint may have received an earlier
+        attempt
+    :param isolated: whether the request has to run alone because an endpoint
+        crashed while it ran
     :param head: start of the answer of the present attempt
-    :param begun: whether the caller got the start of an answer
-    :param parts: an answer that the caller gets in one piece
-    :param heard_ms: monotonic time of the last message about the attempt
-    :param gap_ms: monotonic time since when a chunk is missing
-    :param settling_ms: monotonic time since when the log decides
-    :param settle_until_ms: monotonic time until which the log may decide
+    :param begun: whether the start of an answer was passed to the caller
+    :param parts: chunks of an answer that the caller gets in one piece
+    :param heard_ms: time of the latest message about the attempt
+    :param gap_ms: time since which a chunk is missing, None if none is
+    :param settling_ms: time at which the request entered SETTLING
+    :param settle_until_ms: time at which the wait in SETTLING expires
     """
 
     request: calls.CallerRequest
@@ -75,7 +85,7 @@
 
     @property
     def attempt(self) -> str:
-        """The present attempt, empty before the first."""
+        """The present attempt, empty before the first attempt."""
         return self.assembler.attempt
 
     @property
@@ -90,24 +100,24 @@
 
     @property
     def chunks_passed(self) -> int:
-        """Chunks that the caller got; none of an answer in one piece."""
+        """Number of chunks passed to the caller, 0 without streaming."""
         return self.assembler.next_number if self.request.stream else 0
 
     def start_attempt(self, attempt: str, now_ms: int) -> None:
-        """Begin an attempt from the first chunk on."""
+        """Start an attempt that runs the request from the first chunk on."""
         self.assembler.restart(attempt)
         self.parts.clear()
         self.engine_attempt = attempt
         self.attempts += 1
-        self._submit(now_ms)
+        self._enter_running(now_ms)
 
     def resume_attempt(self, attempt: str, now_ms: int) -> None:
-        """Begin an attempt that goes on at the caller's position."""
+        """Start an attempt that resumes the answer after the passed chunks."""
         self.assembler.resume(attempt)
         self.resumes += 1
-        self._submit(now_ms)
+        self._enter_running(now_ms)
 
-    def _submit(self, now_ms: int) -> None:
+    def _enter_running(self, now_ms: int) -> None:
         self.head = None
         self.gap_ms = None
         self.heard_ms = now_ms
--- a/src/bronzetrack/streaming/requests.py
+++ b/src/bronzetrack/streaming/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers and the table of those in progress at this VM."""
+"""Requests from callers, and the table of requests at their entry VM."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class Exchange:
-    """A request with the place where its caller gets the answer."""
+    """A request and the output from which its caller reads the answer."""
 
     request: calls.CallerRequest
     output: outputs.Output
@@ -33,7 +33,9 @@
 class Refusal:
     """A request that was refused on arrival.
 
-    :param adapter: as far as it is known, else empty
+    :param wall_ms: Unix time in milliseconds of the refusal
+    :param adapter: adapter version, empty if the request was refused before
+        its adapter was known
     """
 
     request: str
@@ -45,11 +47,12 @@
 
 @attrs.frozen
 class RequestEntry:
-    """How a request ended.
+    """Summary of a request that ended.
 
-    :param attempts: attempts made, with the endpoint and owner of the latest
-    :param failure: why the latest attempt failed
-    :param considered: endpoints that the latest choice was made from
+    :param attempt: the latest attempt, as are its endpoint and owner
+    :param attempts: number of attempts
+    :param failure: why the latest attempt failed, None if it completed
+    :param considered: candidate endpoints of the latest choice
     """
 
     request: str
@@ -69,12 +72,12 @@
 class RequestTable:
     """The section of the requests controller.
 
-    It is changed in place, since a copy of all requests in progress for each
-    message would cost more than the message.
+    The table is changed in place: copying all requests in progress for each
+    message would cost more than the message itself.
 
-    :param open: requests in progress by id
+    :param open: requests in progress by request id
     :param recent: the latest requests that ended, oldest first
-    :param refusals: the latest that were refused on arrival, oldest first
+    :param refusals: the latest refusals on arrival, oldest first
     """
 
     open: dict[str, progresses.Progress] = attrs.field(factory=dict)
@@ -87,7 +90,7 @@
     outcome: outcomes.Outcome,
     failure: failures.Failure | None,
 ) -> RequestEntry:
-    """Return what is kept of a request that ended."""
+    """Return the summary of a request that ended."""
     request = progress.request
     return RequestEntry(
         request=request.request,
--- a/tests/streaming/conftest.py
+++ b/tests/streaming/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for answers."""
+"""Fixtures for tests of answers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 @pytest.fixture
-def joined() -> assembler.Assembler:
+def answer() -> assembler.Assembler:
     return assembler.Assembler("a1")
 
 
--- a/tests/streaming/test_losses.py
+++ b/tests/streaming/test_losses.py
@@ -1,4 +1,4 @@
-"""Tests of how an entry VM finds out that an answer was lost."""
+"""Tests of the detection of lost answers at the entry VM."""
 
 from __future__ import annotations
 
@@ -20,31 +20,37 @@
     return progress
 
 
-def find(progress, sessions=("vm-2",), incarnation="i2", now_ms=0):
+def find_loss(progress, sessions=("vm-2",), incarnation="i2", now_ms=0):
     return losses.find_loss(
         progress, "vm-1", sessions, {"vm-2": incarnation}, now_ms
     )
 
 
 def test_gap_is_a_loss_only_after_a_wait(running):
-    """Guards against a resume for each chunk that another overtook."""
+    """Guards against a resume for each chunk that a later one overtook."""
     running.gap_ms = 100
-    assert find(running, now_ms=99 + losses.GAP_WAIT_MS) is None
-    found = find(running, now_ms=100 + losses.GAP_WAIT_MS)
+    assert find_loss(running, now_ms=99 + losses.GAP_WAIT_MS) is None
+    found = find_loss(running, now_ms=100 + losses.GAP_WAIT_MS)
     assert found.reason is failures.Reason.ANSWER_INCOMPLETE
 
 
-def test_lost_owner_is_a_loss(running):
-    """Guards against a request that waits for a VM that is gone."""
-    assert find(running) is None
-    for found in (find(running, ()), find(running, incarnation="i3")):
+def test_lost_owner_means_a_lost_answer(running):
+    """Guards against a request that waits for a VM that is down.
+
+    The owner has no session any more, or runs as another incarnation.
+    """
+    assert find_loss(running) is None
+    for found in (
+        find_loss(running, ()),
+        find_loss(running, incarnation="i3"),
+    ):
         assert found.reason is failures.Reason.PEER_UNREACHABLE
     running.owner = "vm-1"
-    assert find(running, ()) is None
+    assert find_loss(running, ()) is None
 
 
-def test_silent_attempts_are_asked_about(running):
-    """Guards against a lost end that nobody asks about."""
+def test_silent_attempts_are_probed(running):
+    """Guards against a request that waits for an end that was lost."""
     own = attrs.evolve(running, owner="vm-1")
     settling = attrs.evolve(running, stage=progresses.Stage.SETTLING)
     found = [running, own, settling]
@@ -52,6 +58,6 @@
     assert losses.list_silent(found, "vm-1", at_ms - 1) == {}
     silent = losses.list_silent(found, "vm-1", at_ms)
     assert silent == {"vm-2": [running], "vm-1": [own]}
-    # An own attempt that resumes a stream is in no queue.
+    # An attempt at the entry VM itself that resumes a stream is in no queue.
     own.resume_attempt("a2", 0)
     assert "vm-1" not in losses.list_silent([own], "vm-1", at_ms)
--- a/tests/streaming/test_output.py
+++ b/tests/streaming/test_output.py
@@ -1,4 +1,4 @@
-"""Tests of the bounds on what a slow caller leaves unread."""
+"""Tests of the limits on the unread output of a slow caller."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 def test_full_output_has_room_for_the_end(monkeypatch):
-    """Guards against a caller that is never told that its answer ended."""
+    """Guards against a caller that never gets the end of its answer."""
     monkeypatch.setattr(outputs, "OUTPUT_EVENTS", 6)
     output = outputs.Output("r1")
     assert output.post(outputs.Started("engine-0", "vm-1", 200, ""))
