Reword traces and their tests

Cause: docstrings spoke of decisions that traces are replayed through and of outcomes that are stated, without saying what the outcomes of a core are. Change: comments, docstrings, private names, one parameter and test names only.

--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -1,4 +1,4 @@
-"""The decisions that traces are replayed through, by stream or subject."""
+"""Replay of traces through the decision code of each stream."""
 
 from __future__ import annotations
 
@@ -28,16 +28,21 @@
 class Core(Protocol):
     """Replays the events of one trace.
 
-    :param events: the classes of the events by name
+    :param events: classes of the events by their registered names
     """
 
     events: ClassVar[registry.Registry[Any]]
 
     def apply(self, at_ms: int, offset: int, record: Any) -> None:
-        """Take in one event."""
+        """Apply one event to the replayed state.
+
+        :param at_ms: monotonic time of the event
+        :param offset: offset of the event's record in the stream
+        :param record: the structured record or event
+        """
 
     def read_outcomes(self) -> Mapping[str, Any]:
-        """Return every outcome so far by name."""
+        """Return all outcomes of the events so far by name."""
 
 
 CORES: registry.Registry[type[Core]] = registry.Registry("trace cores")
@@ -45,14 +50,14 @@
 
 
 def list_streams() -> list[str]:
-    """Return the streams of the log that can be recorded."""
+    """Return the names of the log streams that can be recorded."""
     return sorted(
         name for name, core in CORES.items() if core.events is records.RECORDS
     )
 
 
 class StreamCore:
-    """A core whose events are the records of a stream."""
+    """Base class of cores whose events are the records of a log stream."""
 
     events: ClassVar[registry.Registry[Any]] = records.RECORDS
 
@@ -60,7 +65,10 @@
 @CORES.register(key_records.STREAM)
 @attrs.define
 class KeysCore(StreamCore):
-    """Outcomes: phase and attempt of each key."""
+    """Replays idempotency keys.
+
+    The outcomes are the phase and the attempt of each key.
+    """
 
     entries: dict[str, key_table.KeyEntry] = attrs.field(factory=dict)
 
@@ -79,7 +87,10 @@
 @CORES.register(ownership_records.STREAM)
 @attrs.define
 class OwnershipCore(StreamCore):
-    """Outcomes: owner and fencing number of each endpoint."""
+    """Replays the ownership of endpoints.
+
+    The outcomes are the owner and the fencing number of each endpoint.
+    """
 
     state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
 
@@ -98,7 +109,11 @@
 @CORES.register(configuration_records.STREAM)
 @attrs.define
 class ConfigurationCore(StreamCore):
-    """Outcomes: offset in force, and whether each offset was accepted."""
+    """Replays configuration publications.
+
+    The outcomes are the offset of the configuration in force, and whether the
+    record at each offset was accepted.
+    """
 
     state: configuration_state.ConfigurationState = attrs.field(
         factory=configuration_state.ConfigurationState
@@ -120,7 +135,10 @@
 @CORES.register(crash_records.STREAM)
 @attrs.define
 class CrashesCore(StreamCore):
-    """Outcomes: whether each fingerprint is a suspect or is refused."""
+    """Replays crashes and clearances.
+
+    The outcome of each fingerprint is whether it is a suspect or refused.
+    """
 
     table: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
 
--- a/src/bronzetrack/traces/dispatch.py
+++ b/src/bronzetrack/traces/dispatch.py
@@ -1,4 +1,4 @@
-"""Replay of arrivals and faults through the decisions of one owner."""
+"""Replay of arrivals and faults through the dispatch decisions of an owner."""
 
 from __future__ import annotations
 
@@ -23,17 +23,20 @@
 from bronzetrack.streaming import messages
 
 NAME = "dispatch"
-# A trace follows one endpoint and the VM that owns it.
+# A dispatch trace covers one endpoint and the VM that owns it.
 ENDPOINT = "endpoint"
 OWNER = "owner"
 LOAD_PERMITS = 2
 
 
 class Event(Protocol):
-    """Something that happens to the owner or to its endpoint."""
+    """An event at the owner or at its endpoint."""
 
     def apply(self, core: DispatchCore, at_ms: int) -> None:
-        """Change the state of the owner."""
+        """Apply the event to the replayed state of the owner.
+
+        :param at_ms: monotonic time of the event
+        """
 
 
 EVENTS: registry.Registry[type[Event]] = registry.Registry(
@@ -43,7 +46,14 @@
 
 @attrs.define
 class DispatchCore:
-    """Outcomes: each attempt, each adapter version and all orders."""
+    """Replays the dispatch to one endpoint.
+
+    The outcomes are the state or end of each attempt, the phase of each
+    resident adapter version, and the list of all orders.
+
+    :param ended: outcome of each attempt that ended
+    :param orders: orders in the sequence in which they were given
+    """
 
     events: ClassVar[registry.Registry[type[Event]]] = EVENTS
 
@@ -51,7 +61,7 @@
         factory=lambda: inventories.Endpoint("", 0, "")
     )
     ownership: leases.OwnershipState = attrs.field(
-        factory=lambda: claim_at(leases.OwnershipState(), 0)
+        factory=lambda: claim_endpoint(leases.OwnershipState(), 0)
     )
     queue: states.EndpointQueue = attrs.field(factory=states.EndpointQueue)
     ended: dict[str, str] = attrs.field(factory=dict)
@@ -59,7 +69,7 @@
 
     def apply(self, at_ms: int, offset: int, record: Event) -> None:
         record.apply(self, at_ms)
-        self._advance(at_ms)
+        self._apply_plan(at_ms)
 
     def read_outcomes(self) -> Mapping[str, Any]:
         waiting = {item.work.attempt: "waiting" for item in self.queue.waiting}
@@ -76,8 +86,8 @@
             "orders": self.orders,
         }
 
-    def _advance(self, now_ms: int) -> None:
-        """Carry out the plan as the dispatch controller does."""
+    def _apply_plan(self, now_ms: int) -> None:
+        """Carry out the dispatch plan as the dispatch controller does."""
         plan = planner.plan_endpoint(
             self.queue, self._make_context(now_ms), now_ms
         )
@@ -87,10 +97,10 @@
         self.queue = transitions.remove_waiting(self.queue, refused)
         if plan.fence is not None:
             self.queue = transitions.send_fence(self.queue, now_ms)
-            self._order(now_ms, "fence", plan.fence)
+            self._record_order(now_ms, "fence", plan.fence)
         for attempt in plan.start:
             self.queue = transitions.start(self.queue, attempt, now_ms)
-            self._order(now_ms, "start", attempt)
+            self._record_order(now_ms, "start", attempt)
         for kind, adapters, phase in (
             ("load", plan.loads.load, states.ResidentPhase.LOADING),
             ("unload", plan.loads.unload, states.ResidentPhase.UNLOADING),
@@ -99,9 +109,9 @@
                 self.queue = transitions.set_resident(
                     self.queue, adapter, phase, now_ms
                 )
-                self._order(now_ms, kind, adapter)
+                self._record_order(now_ms, kind, adapter)
 
-    def _order(self, now_ms: int, kind: str, name: str) -> None:
+    def _record_order(self, now_ms: int, kind: str, name: str) -> None:
         self.orders.append(f"{now_ms} {kind} {name}")
 
     def _make_context(self, now_ms: int) -> contexts.EndpointContext:
@@ -142,13 +152,16 @@
             adapter_slots=self.adapter_slots,
             checks_fencing=self.checks_fencing,
         )
-        core.ownership = claim_at(core.ownership, at_ms)
+        core.ownership = claim_endpoint(core.ownership, at_ms)
 
 
 @EVENTS.register("lease")
 @attrs.frozen
 class Lease:
-    """The owner renewed its lease, or learned whether the log is out."""
+    """The lease of the owner or the reachability of the log changed.
+
+    :param held_until_ms: monotonic time until which the lease is held
+    """
 
     held_until_ms: int
     log_reachable: bool = True
@@ -164,7 +177,11 @@
 @EVENTS.register("arrival")
 @attrs.frozen
 class Arrival:
-    """Work reached the owner."""
+    """Work arrived at the owner.
+
+    :param adapter: adapter version, empty for a plain service
+    :param isolated: whether the work has to run alone on the endpoint
+    """
 
     attempt: str
     adapter: str = ""
@@ -192,7 +209,10 @@
 @EVENTS.register("report")
 @attrs.frozen
 class Report:
-    """A load report was read; another boot value shows a restart."""
+    """The owner read a load report of the endpoint.
+
+    :param boot: boot value of the engine; a new value means a restart
+    """
 
     boot: str
     loaded: tuple[str, ...] = ()
@@ -212,7 +232,7 @@
 @EVENTS.register("lost")
 @attrs.frozen
 class Lost:
-    """The endpoint did not answer when its report was read."""
+    """The endpoint did not answer when the owner read its load report."""
 
     def apply(self, core: DispatchCore, at_ms: int) -> None:
         failure = failures.Failure(failures.Reason.ENDPOINT_UNREACHABLE)
@@ -224,7 +244,7 @@
 class RunEnded:
     """A run ended, or its end arrived late.
 
-    :param reason: why it did not complete, None if it did
+    :param reason: why the run did not complete, None if it completed
     """
 
     attempt: str
@@ -243,7 +263,10 @@
 @EVENTS.register("load_ended")
 @attrs.frozen
 class LoadEnded:
-    """An order to load ended."""
+    """An order to load an adapter ended.
+
+    :param reason: why the order failed, None if it succeeded
+    """
 
     adapter: str
     reason: failures.Reason | None = None
@@ -258,7 +281,10 @@
 @EVENTS.register("unload_ended")
 @attrs.frozen
 class UnloadEnded:
-    """An order to unload ended."""
+    """An order to unload an adapter ended.
+
+    :param reason: why the order failed, None if it succeeded
+    """
 
     adapter: str
     reason: failures.Reason | None = None
@@ -273,20 +299,20 @@
 @EVENTS.register("time")
 @attrs.frozen
 class TimePassed:
-    """Nothing but time passed."""
+    """Time passed without any other event."""
 
     def apply(self, core: DispatchCore, at_ms: int) -> None:
-        """Change nothing."""
+        """Do nothing, so that only the passed time has an effect."""
 
 
 def make_failure(
     reason: failures.Reason | None,
 ) -> failures.Failure | None:
-    """Return the failure of a reason, if there is one."""
+    """Return a failure with the reason, None if there is no reason."""
     return None if reason is None else failures.Failure(reason)
 
 
-def claim_at(
+def claim_endpoint(
     state: leases.OwnershipState, now_ms: int
 ) -> leases.OwnershipState:
     """Return the state after the owner claimed the endpoint."""
--- a/src/bronzetrack/traces/model.py
+++ b/src/bronzetrack/traces/model.py
@@ -1,4 +1,4 @@
-"""A recorded trace: events in order, and the outcomes they must have."""
+"""Model of a recorded trace: its events in order, and expected outcomes."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 
 @attrs.frozen
 class TraceEvent:
-    """One record of a stream, or one event, as a daemon took it in.
+    """One record of a stream, or one event, as a daemon processed it.
 
-    :param at_ms: monotonic time at which it did
+    :param at_ms: monotonic time in milliseconds at which the daemon did so
     :param record: registered name and fields of the record or event
-    :param offset: offset of a record
+    :param offset: offset of the record in its stream, 0 for an event
     """
 
     at_ms: int
@@ -27,10 +27,10 @@
     """A trace of one stream, or of the dispatch to one endpoint.
 
     :param stream: the stream that was recorded, or `dispatch`
-    :param description: what happened, for a person
-    :param events: records in the order in which they were read
-    :param outcomes: what the replay has to come to, by name; names that are
-        not stated are not compared
+    :param events: records or events in the order in which they were processed
+    :param description: what happened, for readers of the trace
+    :param outcomes: expected outcomes of the replay by name; outcomes that
+        are not listed are not compared
     """
 
     stream: str
@@ -41,7 +41,12 @@
 
 @attrs.frozen
 class Difference:
-    """An outcome that is not as stated."""
+    """An outcome of the replay that differs from the trace.
+
+    :param name: name of the outcome
+    :param stated: the outcome that the trace expects
+    :param replayed: the outcome of the replay, None if it has none
+    """
 
     name: str
     stated: Any
--- a/src/bronzetrack/traces/replay.py
+++ b/src/bronzetrack/traces/replay.py
@@ -1,4 +1,4 @@
-"""Replay of a trace through the decisions of its stream."""
+"""Replay, reading and writing of traces."""
 
 from __future__ import annotations
 
@@ -16,7 +16,10 @@
 def replay_trace(
     trace: model.Trace,
 ) -> tuple[model.Difference, ...] | failures.Failure:
-    """Return the outcomes that differ from the stated ones, or a failure."""
+    """Replay a trace and return the outcomes that differ from the expected.
+
+    :returns: the differences, or a failure if the trace is invalid
+    """
     try:
         core = cores.CORES.lookup(trace.stream)()
         for event in trace.events:
@@ -35,10 +38,10 @@
 
 
 def _read_record(
-    event: model.TraceEvent, known: registry.Registry[type]
+    event: model.TraceEvent, classes: registry.Registry[type]
 ) -> Any:
     name, fields = event.record
-    cls = known.lookup(name)
+    cls = classes.lookup(name)
     try:
         return converter.JSON.structure(fields, cls)
     # Corrupt input makes cattrs raise many kinds of error.
@@ -49,7 +52,10 @@
 
 
 def read_trace(text: str) -> model.Trace | failures.Failure:
-    """Return the trace in the text of a file, or a failure."""
+    """Parse the text of a trace file.
+
+    :returns: the trace, or a failure if the text is invalid
+    """
     try:
         return converter.JSON.loads(text, model.Trace)
     # Corrupt input makes json and cattrs raise many kinds of error.
@@ -63,7 +69,7 @@
 
 
 def make_event(at_ms: int, offset: int, record: Any) -> model.TraceEvent:
-    """Return the event of a record that was read."""
+    """Return the trace event of a record that was read from the log."""
     names = {cls: name for name, cls in records.RECORDS.items()}
     fields = converter.JSON.unstructure(record)
     return model.TraceEvent(at_ms, (names[type(record)], fields), offset)
--- a/tests/traces/test_replay.py
+++ b/tests/traces/test_replay.py
@@ -1,4 +1,4 @@
-"""Tests that recorded traces come to their stated outcomes."""
+"""Tests of the replay of recorded traces."""
 
 from __future__ import annotations
 
@@ -10,15 +10,15 @@
 from bronzetrack.traces import replay
 
 
-def test_trace_has_stated_outcomes(trace_text):
-    """Guards against a decision that changes for a recorded incident."""
+def test_trace_has_expected_outcomes(trace_text):
+    """Guards against a changed decision in a recorded incident."""
     trace = replay.read_trace(trace_text)
     assert trace.outcomes
     assert replay.replay_trace(trace) == ()
 
 
-def test_trace_reports_other_outcome(trace_text):
-    """Guards against a comparison that passes whatever is stated."""
+def test_replay_reports_different_outcome(trace_text):
+    """Guards against a comparison that passes with any expected outcome."""
     trace = replay.read_trace(trace_text)
     name = next(iter(trace.outcomes))
     wrong = attrs.evolve(trace, outcomes={name: "something else"})
@@ -32,8 +32,8 @@
 
 
 @pytest.mark.parametrize("text", ["", "[]", '{"stream": 1}', "{" * 5_000])
-def test_bad_trace_is_a_failure(text):
-    """Guards against a traceback for a damaged file."""
+def test_invalid_trace_is_a_failure(text):
+    """Guards against a traceback for a corrupt trace file."""
     found = replay.read_trace(text)
     assert isinstance(found, failures.Failure)
     assert found.reason is failures.Reason.TRACE_INVALID
@@ -49,8 +49,8 @@
         ("keys", "key_void", {"key": "k"}),
     ],
 )
-def test_bad_event_is_a_failure(stream, name, fields):
-    """Guards against a traceback for a mistake in a written event."""
+def test_invalid_event_is_a_failure(stream, name, fields):
+    """Guards against a traceback for an event with a wrong name or field."""
     trace = model.Trace(stream, (model.TraceEvent(0, (name, fields)),))
     found = replay.replay_trace(trace)
     assert isinstance(found, failures.Failure)
