Reword the docstrings of the core package and the blackboard

Cause: comments and docstrings used figurative or incomplete sentences. Change: comments, docstrings and messages of log events in usual terms; units and defaults of parameters are stated. The private constants of the copy delay are named RANK_DELAY_SHARE and MAX_DELAYED_RANK.

--- a/src/bronzetrack/board.py
+++ b/src/bronzetrack/board.py
@@ -1,4 +1,4 @@
-"""The blackboard: the whole state of a daemon."""
+"""The blackboard, which holds the whole state of a daemon."""
 
 from __future__ import annotations
 
@@ -22,8 +22,9 @@
 
 MAILBOX_ITEMS = 65_536
 
-# The reading controllers are dispatch (work, runs), requests (answers,
-# intake), and for the others the controller of the same name.
+# The dispatch controller reads `work` and `runs`, and the requests controller
+# reads `answers` and `intake`. Every other mailbox is read by the controller
+# of the same name.
 MAILBOXES = (
     "work",
     "runs",
@@ -40,10 +41,11 @@
 def _make_section(
     name: str, factory: Callable[[], Any], writer: str | None = None
 ) -> Any:
-    """Return a field for a section.
+    """Return the attrs field of a section.
 
-    :param writer: the controller that writes it, by default the one of the
-        same name
+    :param factory: builds the initial value
+    :param writer: name of the controller that writes the section; defaults to
+        the name of the section
     """
     return attrs.field(
         factory=lambda: blackboard.Section(name, writer or name, factory())
@@ -52,10 +54,10 @@
 
 @attrs.define
 class Blackboard:
-    """Sections with one writer each, and mailboxes with one reader each.
+    """Holds sections with one writer and mailboxes with one reader each.
 
-    :param settings: fixed at the start
-    :param incarnation: random value of this run of the daemon
+    :param settings: settings of the daemon, read once at the start
+    :param incarnation: random value that identifies this run of the daemon
     """
 
     settings: model.Settings
@@ -100,7 +102,10 @@
         return self.settings.vm.name
 
     def deliver(self, delivery: messages.Delivery) -> bool:
-        """Put a message into the mailbox that its class names."""
+        """Post a message to the mailbox that its class names.
+
+        :returns: whether the mailbox had room for the message
+        """
         return self.mailboxes[delivery.message.mailbox].post(delivery)
 
     def list_sections(self) -> list[blackboard.Section[Any]]:
--- a/src/bronzetrack/core/__init__.py
+++ b/src/bronzetrack/core/__init__.py
@@ -1,1 +1,1 @@
-"""Blackboard, registries, failures and other foundations."""
+"""Blackboard, registries, failures and other shared modules."""
--- a/src/bronzetrack/core/blackboard.py
+++ b/src/bronzetrack/core/blackboard.py
@@ -1,4 +1,4 @@
-"""Sections and mailboxes of which the state of a process consists."""
+"""Sections and mailboxes, which make up the state of a process."""
 
 from __future__ import annotations
 
@@ -16,17 +16,17 @@
 
 
 class Source:
-    """Something whose changes can be waited for."""
+    """Sets the events that watch it whenever it changes."""
 
     def __init__(self) -> None:
         self._watchers: set[anyio.Event] = set()
 
     def watch(self, event: anyio.Event) -> None:
-        """Set an event with each change, until `unwatch`."""
+        """Set an event on each change until `unwatch` removes it."""
         self._watchers.add(event)
 
     def unwatch(self, event: anyio.Event) -> None:
-        """Leave an event alone from now on."""
+        """Stop setting an event on changes."""
         self._watchers.discard(event)
 
     def _notify(self) -> None:
@@ -36,7 +36,11 @@
 
 @attrs.frozen
 class Condition:
-    """A condition that can come true only when its source changes."""
+    """A condition that can become true only when its source changes.
+
+    :param source: the object whose changes trigger a new check
+    :param holds: returns whether the condition is met
+    """
 
     source: Source
     holds: Callable[[], bool]
@@ -45,12 +49,12 @@
 async def wait_any(
     *conditions: Condition, timeout_ms: int | None = None
 ) -> None:
-    """Wait until any of several conditions holds or a time has passed.
+    """Wait until any of several conditions holds or a timeout expires.
 
-    All conditions share one event. A task for each of them took four times
-    the processor time.
+    All conditions share one event. One task for each condition took four
+    times the CPU time.
 
-    :param timeout_ms: the longest wait
+    :param timeout_ms: the longest wait in milliseconds, None for no limit
     """
     delay = None if timeout_ms is None else max(0, timeout_ms) / 1000
     with anyio.move_on_after(delay):
@@ -74,7 +78,7 @@
 
     :param name: name of the section, also in the state dump
     :param writer: name of the only controller that may write it
-    :param value: the first value
+    :param value: the initial value
     """
 
     def __init__(self, name: str, writer: str, value: T) -> None:
@@ -90,13 +94,14 @@
 
     @property
     def revision(self) -> int:
-        """How often the section was written."""
+        """Number of times that the section was written."""
         return self._revision
 
     def write(self, writer: str, value: T) -> None:
-        """Replace the value and wake those who wait for a change.
+        """Replace the value and wake the tasks that wait for a change.
 
-        :raises errors.WriterError: the section belongs to another writer
+        :param writer: name of the controller that writes the value
+        :raises errors.WriterError: another controller owns the section
         """
         if writer != self.writer:
             raise errors.WriterError(self.name, writer)
@@ -109,13 +114,13 @@
         return Condition(self, lambda: check(self._value))
 
     def is_newer(self, revision: int) -> Condition:
-        """Return the condition that the section was written since."""
+        """Return the condition that the section is newer than a revision."""
         return Condition(self, lambda: self._revision > revision)
 
     async def wait_change(self, revision: int) -> int:
         """Wait until the section is newer than a revision.
 
-        :returns: the present revision
+        :returns: the current revision
         """
         await wait_any(self.is_newer(revision))
         return self._revision
@@ -125,7 +130,7 @@
     """A bounded queue with many senders and one reading controller.
 
     :param name: name of the mailbox, also in the state dump
-    :param capacity: how many items it holds
+    :param capacity: the most items that it holds
     """
 
     def __init__(self, name: str, capacity: int) -> None:
@@ -138,7 +143,10 @@
         return len(self._items)
 
     def post(self, item: T) -> bool:
-        """Add an item; return whether there was room."""
+        """Add an item unless the mailbox is full.
+
+        :returns: whether the item was added
+        """
         if len(self._items) >= self.capacity:
             return False
         self._items.append(item)
@@ -146,11 +154,11 @@
         return True
 
     def is_filled(self) -> Condition:
-        """Return the condition that the mailbox holds an item."""
+        """Return the condition that the mailbox is not empty."""
         return Condition(self, lambda: bool(self._items))
 
     async def wait_items(self) -> None:
-        """Wait until the mailbox holds at least one item."""
+        """Wait until the mailbox is not empty."""
         await wait_any(self.is_filled())
 
     def take(self) -> list[T]:
--- a/src/bronzetrack/core/clock.py
+++ b/src/bronzetrack/core/clock.py
@@ -1,4 +1,4 @@
-"""The time, read only by controllers and edges."""
+"""Clock readings, which only controllers and I/O code may take."""
 
 from __future__ import annotations
 
@@ -9,10 +9,12 @@
 
 @attrs.frozen
 class Instant:
-    """One reading of both clocks of a process.
+    """One reading of the monotonic clock and the wall clock.
 
-    :param monotonic_ms: for durations within this process
-    :param wall_ms: Unix time, for times that others stated
+    :param monotonic_ms: monotonic time in milliseconds, for durations within
+        this process
+    :param wall_ms: Unix time in milliseconds, to compare with timestamps
+        from other processes
     """
 
     monotonic_ms: int
@@ -20,7 +22,7 @@
 
 
 def read_clock() -> Instant:
-    """Read both clocks."""
+    """Return the current time of both clocks."""
     return Instant(
         monotonic_ms=time.monotonic_ns() // 1_000_000,
         wall_ms=time.time_ns() // 1_000_000,
--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class Ports:
-    """The edges that controllers carry out effects through."""
+    """The clients through which controllers perform I/O."""
 
     log: logservice.LogClient
     vms: vmlist.VmListClient
@@ -31,11 +31,13 @@
 
 
 class BaseController:
-    """Reads sections of a blackboard and writes its own.
+    """Base class of controllers.
+
+    A controller reads any section of a blackboard and writes only its own.
 
     :param board: the state of this process
-    :param ports: the edges
-    :param read_clock: reads the present time
+    :param ports: the clients for I/O
+    :param read_clock: returns the current time
     """
 
     name: ClassVar[str]
@@ -51,16 +53,16 @@
         self.read_clock = read_clock
 
     async def run(self) -> None:
-        """Run until cancelled."""
+        """Run the controller until its task is cancelled."""
         raise NotImplementedError
 
     def write(self, section: Any, value: Any) -> None:
-        """Write a section as this controller."""
+        """Write a section under the name of this controller."""
         section.write(self.name, value)
 
 
 class Controller(BaseController):
-    """A controller of the daemon with the project's own interface."""
+    """Base class of the controllers of a daemon, with typed attributes."""
 
     board: boards.Blackboard
     ports: Ports
--- a/src/bronzetrack/core/errors.py
+++ b/src/bronzetrack/core/errors.py
@@ -9,11 +9,11 @@
 
 
 class BronzetrackError(Exception):
-    """Base of all exceptions of the project."""
+    """Base class of all exceptions of the project."""
 
 
 class UnknownEntryError(BronzetrackError):
-    """A registry has no entry for a key."""
+    """Raised when a registry has no entry for a key."""
 
     def __init__(
         self, registry: str, key: str, known: tuple[str, ...]
@@ -27,7 +27,7 @@
 
 
 class DuplicateEntryError(BronzetrackError):
-    """A registry key was registered twice."""
+    """Raised when a key is registered twice in a registry."""
 
     def __init__(self, registry: str, key: str) -> None:
         super().__init__(f"{registry} already has an entry {key!r}")
@@ -36,16 +36,18 @@
 
 
 class WriterError(BronzetrackError):
-    """A section was written by a controller that does not own it."""
+    """Raised when a controller writes a section that it does not own."""
 
     def __init__(self, section: str, writer: str) -> None:
-        super().__init__(f"{writer} does not write the section {section}")
+        super().__init__(
+            f"controller {writer} may not write section {section}"
+        )
         self.section = section
         self.writer = writer
 
 
 class FailureError(BronzetrackError):
-    """Carries a failure through code that can only raise."""
+    """Carries a failure through code that can only raise exceptions."""
 
     def __init__(self, failure: failures.Failure) -> None:
         super().__init__(f"{failure.reason.value}: {failure.detail}")
--- a/src/bronzetrack/core/failures.py
+++ b/src/bronzetrack/core/failures.py
@@ -1,4 +1,4 @@
-"""Typed failures that decisions return in place of a value."""
+"""Typed failures, which functions return in place of a value."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 
 class Reason(enum.Enum):
-    """Why something was refused or went wrong."""
+    """Why a request or an operation was refused or failed."""
 
-    # A caller's request.
+    # Requests of callers.
     BAD_REQUEST = "bad_request"
     UNKNOWN_ADAPTER = "unknown_adapter"
     UNKNOWN_VERSION = "unknown_version"
@@ -71,12 +71,14 @@
 
 @attrs.frozen
 class Failure:
-    """A typed failure.
+    """A failure that is returned as a value.
 
-    :param reason: what went wrong
-    :param detail: the specific cause, for a person
-    :param retry_after_ms: how long to wait before another try, if one helps
-    :param limit: the name of the voted or configured limit that was met
+    :param reason: the type of the failure
+    :param detail: the specific cause, as text for people
+    :param retry_after_ms: milliseconds to wait before a retry, if a retry can
+        help
+    :param limit: name of the limit that was reached, from the voted rules or
+        the settings
     """
 
     reason: Reason
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -1,7 +1,7 @@
-"""Typed log lines: what each states, and its fields.
+"""Typed log events, their messages and their fields.
 
-Only the programs of the entry VM log through this module; it is in `core`
-because the adapter and the transport log, too.
+Only the programs of the entry VM log through this module. It is in `core`
+because the platform adapter and the transport log through it as well.
 """
 
 from __future__ import annotations
@@ -18,10 +18,11 @@
 
 @attrs.frozen
 class LogEvent:
-    """What one log line states.
+    """Base class of log events, whose fields become fields of the log line.
 
-    :param event: its name in the line
-    :param message: the same for people
+    :param event: name of the event in the log line
+    :param message: description of the event for people
+    :param level: level that the line is logged at
     """
 
     event: ClassVar[str]
@@ -36,7 +37,12 @@
 def register(
     event: str, message: str, level: int = logging.INFO
 ) -> Callable[[E], E]:
-    """Return a decorator that names a class of log lines."""
+    """Return a decorator that registers a class of log events.
+
+    :param event: name of the event
+    :param message: description of the event for people
+    :param level: level that the line is logged at
+    """
 
     def decorate(target: E) -> E:
         target.event = event
@@ -53,9 +59,9 @@
     event: LogEvent,
     error: BaseException | None = None,
 ) -> None:
-    """Write the line of an event.
+    """Write the log line of an event.
 
-    :param error: its stack is part of the line
+    :param error: exception whose traceback is part of the line
     """
     if not logger.isEnabledFor(event.level):
         return
@@ -72,7 +78,7 @@
 
 
 def round_time(seconds: float | None) -> float | None:
-    """Return a time with the digits that a log line needs."""
+    """Return a time in seconds, rounded to four decimals."""
     return None if seconds is None else round(seconds, 4)
 
 
@@ -82,13 +88,15 @@
 @register("sent", "a request was sent")
 @attrs.frozen
 class RequestSent(LogEvent):
-    """A send that waited or was not the first, and what decided it.
+    """A send that waited or was not the first, with the state it relied on.
 
-    :param version: version of the adapter at the endpoint, as believed
-    :param placed_age_s: since the holder of the lease said that it is there
-    :param store_age_s: since the store was last read
+    :param version: last known version of the adapter at the endpoint
+    :param placed_age_s: seconds since the lease holder reported the adapter
+        as loaded there
+    :param store_age_s: seconds since the last read of the store
     :param send: number of the send, from 1
-    :param holder: VM that gives orders, as believed
+    :param waited_s: seconds from the arrival to this send
+    :param holder: VM that is last known to hold the lease and give orders
     """
 
     request_id: str
@@ -105,7 +113,7 @@
 @register("rejected", "an endpoint rejected a request without running it")
 @attrs.frozen
 class RequestRejected(LogEvent):
-    """An endpoint's answer that the request did not run there."""
+    """An answer of an endpoint that states that the request did not run."""
 
     request_id: str
     endpoint: str
@@ -117,14 +125,16 @@
 @register("request", "a request ended")
 @attrs.frozen
 class RequestEnded(LogEvent):
-    """What became of a request.
+    """The outcome of a request.
 
     :param endpoint: endpoint of the last send
     :param outcome: how the last send ended
-    :param status: status of the endpoint's last answer, 0 for none
-    :param reason: why this VM answered itself, empty if it did not
-    :param waited_s: from the arrival to the last send
-    :param first_byte_s: from the arrival to the first byte of the answer
+    :param status: HTTP status of the last answer of an endpoint, 0 for none
+    :param reason: why this VM answered the request itself, empty if it did
+        not
+    :param waited_s: seconds from the arrival to the last send
+    :param first_byte_s: seconds from the arrival to the first byte of the
+        answer
     """
 
     request_id: str
@@ -144,7 +154,7 @@
 @register("request_failed", "a request could not be served", logging.ERROR)
 @attrs.frozen
 class RequestFailed(LogEvent):
-    """A fault of the program; the connection of the caller is closed."""
+    """An internal error, after which the caller's connection is closed."""
 
 
 # Endpoints.
@@ -159,31 +169,31 @@
     address: str
 
 
-@register("endpoint_seen", "an endpoint is new or has started again")
+@register("endpoint_seen", "an endpoint is new or has restarted")
 @attrs.frozen
 class EndpointSeen(EndpointEvent):
     """An endpoint that new work may be sent to."""
 
 
-@register("endpoint_leaving", "an endpoint takes no new work")
+@register("endpoint_leaving", "an endpoint accepts no new work")
 @attrs.frozen
 class EndpointLeaving(EndpointEvent):
     """An endpoint that is about to stop."""
 
 
-@register("endpoint_removed", "an endpoint is listed no more")
+@register("endpoint_removed", "an endpoint is no longer listed")
 @attrs.frozen
 class EndpointRemoved(EndpointEvent):
-    """An endpoint that stopped, or whose entry lapsed."""
+    """An endpoint that has stopped or whose entry has expired."""
 
 
-@register("endpoint_failing", "an endpoint fails; others are preferred")
+@register("endpoint_failing", "an endpoint is failing; others are preferred")
 @attrs.frozen
 class EndpointFailing(LogEvent):
-    """A failure after a time without any.
+    """The first failure of an endpoint after a time without failures.
 
     :param outcome: how the send ended, `unreachable` without a connection
-    :param status: status of its answer, 0 for none
+    :param status: HTTP status of the answer, 0 for none
     """
 
     request_id: str
@@ -193,7 +203,7 @@
 
 
 @register(
-    "entry_rejected", "an entry names no endpoint to use", logging.WARNING
+    "entry_rejected", "the entry of an endpoint is invalid", logging.WARNING
 )
 @attrs.frozen
 class EntryRejected(LogEvent):
@@ -209,10 +219,10 @@
 @register("order", "an order was answered")
 @attrs.frozen
 class OrderAnswered(LogEvent):
-    """An order to an engine and its answer.
+    """An order to an engine and the answer to it.
 
-    :param version: version of the adapter that the order insists on
-    :param sequence: number of the order
+    :param version: version of the adapter that the order requires
+    :param sequence: sequence number of the order
     :param token: fencing token of the lease
     """
 
@@ -226,16 +236,16 @@
     verdict: str
 
 
-@register("engine_checked", "an engine was asked for a report")
+@register("engine_checked", "the report of an engine was requested")
 @attrs.frozen
 class EngineChecked(LogEvent):
-    """The report of an engine, without fields if none came.
+    """The report of an engine; its fields are None if no report arrived.
 
-    :param sequence: orders that it has accepted
-    :param busy: whether it loads a base model
-    :param held: adapters that it holds
-    :param pending: adapters on their way to it
-    :param expected: orders that this VM believed to be accepted
+    :param sequence: number of orders that the engine has accepted
+    :param busy: whether the engine is loading a base model
+    :param held: number of adapters that the engine has loaded
+    :param pending: number of adapters that are being loaded
+    :param expected: number of accepted orders that this VM expected
     """
 
     endpoint: str
@@ -249,7 +259,7 @@
 @register("lease_taken", "the lease was taken")
 @attrs.frozen
 class LeaseTaken(LogEvent):
-    """This VM gives the orders from now on."""
+    """This VM starts to give orders."""
 
     token: int
 
@@ -257,7 +267,7 @@
 @register("lease_lapsed", "the lease lapsed before it was renewed")
 @attrs.frozen
 class LeaseLapsed(LogEvent):
-    """This VM gives no orders until it has the lease again."""
+    """This VM gives no orders until it holds the lease again."""
 
     token: int
 
@@ -265,17 +275,19 @@
 @register("lease_released", "the lease was released")
 @attrs.frozen
 class LeaseReleased(LogEvent):
-    """Another VM may take the lease at once."""
+    """Another VM may take the lease without waiting for it to lapse."""
 
     token: int
 
 
 @register(
-    "lease_failed", "the store did not answer on the lease", logging.WARNING
+    "lease_failed",
+    "a call to the store about the lease failed",
+    logging.WARNING,
 )
 @attrs.frozen
 class LeaseCallFailed(LogEvent):
-    """A call about the lease that failed or was not answered."""
+    """A call to the store about the lease that failed or timed out."""
 
     detail: str
 
@@ -286,15 +298,15 @@
 @register("configuration", "a configuration is in force")
 @attrs.frozen
 class ConfigurationApplied(LogEvent):
-    """A document of the operators is in force."""
+    """A configuration document of the operators has taken effect."""
 
     version: int
 
 
-@register("adapter_version", "a new version of an adapter is named")
+@register("adapter_version", "a new version of an adapter is required")
 @attrs.frozen
 class AdapterVersionNamed(LogEvent):
-    """Requests for an adapter need this version or a later one."""
+    """Requests for an adapter require this version or a later one."""
 
     model: str
     adapter: str
@@ -308,9 +320,9 @@
 )
 @attrs.frozen
 class DocumentRejected(LogEvent):
-    """A document that changes nothing.
+    """An invalid document, which has no effect.
 
-    :param offset: its place in the topic
+    :param offset: offset of the document in the topic
     """
 
     key: str
@@ -321,7 +333,7 @@
 @register("store_lost", "a topic cannot be read", logging.WARNING)
 @attrs.frozen
 class StoreLost(LogEvent):
-    """The store refuses reads or does not answer them."""
+    """The store rejects reads of a topic or does not answer them."""
 
     topic: str
     detail: str
@@ -330,9 +342,9 @@
 @register("store_regained", "a topic can be read again")
 @attrs.frozen
 class StoreRegained(LogEvent):
-    """The first read after a loss.
+    """The first successful read of a topic after an outage.
 
-    :param away_s: since the loss was seen
+    :param away_s: seconds since the outage was detected
     """
 
     topic: str
@@ -342,7 +354,7 @@
 @register("announce_failed", "this VM could not be announced", logging.WARNING)
 @attrs.frozen
 class AnnounceFailed(LogEvent):
-    """Others do not know this VM until a later try."""
+    """Other VMs do not know this VM until a later attempt succeeds."""
 
     detail: str
 
@@ -374,27 +386,27 @@
 @register("starting", "starting")
 @attrs.frozen
 class Starting(LogEvent):
-    """The process begins; it takes no requests yet."""
+    """The process starts; it accepts no requests yet."""
 
     incarnation: str
 
 
-@register("ready", "requests are taken")
+@register("ready", "this VM accepts requests")
 @attrs.frozen
 class Ready(LogEvent):
-    """The readiness address answers 200 from now on."""
+    """The readiness address starts to answer 200."""
 
 
-@register("not_ready", "requests are better sent to other VMs")
+@register("not_ready", "requests should be sent to other VMs")
 @attrs.frozen
 class NotReady(LogEvent):
-    """The readiness address answers 503 from now on."""
+    """The readiness address starts to answer 503."""
 
 
 @register("resolve_empty", "no entry VM is ready")
 @attrs.frozen
 class ResolveEmpty(LogEvent):
-    """A caller asked which VM to use, and got none.
+    """A caller asked for a VM to use, and no VM was ready.
 
     :param zone: availability zone of the caller
     """
@@ -402,12 +414,13 @@
     zone: str
 
 
-@register("reload", "settings were read again")
+@register("reload", "settings were reloaded")
 @attrs.frozen
 class SettingsReloaded(LogEvent):
-    """Settings are in force.
+    """Reloaded settings have taken effect.
 
-    :param need_restart: changed settings that are not
+    :param need_restart: changed settings that take effect only after a
+        restart
     """
 
     need_restart: list[str]
@@ -415,12 +428,12 @@
 
 @register(
     "reload_failed",
-    "the settings cannot be used; the old ones stay",
+    "the settings are invalid; the previous ones stay in force",
     logging.ERROR,
 )
 @attrs.frozen
 class ReloadFailed(LogEvent):
-    """A settings file with mistakes."""
+    """A settings file with mistakes, which was not applied."""
 
     mistakes: list[str]
 
@@ -428,15 +441,15 @@
 @register("stopping", "stopping")
 @attrs.frozen
 class Stopping(LogEvent):
-    """A planned stop has begun."""
+    """A planned stop has started."""
 
 
 @register("stopped", "stopped")
 @attrs.frozen
 class Stopped(LogEvent):
-    """A planned stop is over.
+    """A planned stop has finished.
 
-    :param unfinished: requests that are cut off
+    :param unfinished: number of requests that were cut off
     """
 
     unfinished: int
@@ -445,6 +458,6 @@
 @register("controller_failed", "a controller failed", logging.CRITICAL)
 @attrs.frozen
 class ControllerFailed(LogEvent):
-    """A fault of the program, which ends the process."""
+    """An internal error of a controller, which ends the process."""
 
     controller: str
--- a/src/bronzetrack/core/messages.py
+++ b/src/bronzetrack/core/messages.py
@@ -9,8 +9,8 @@
 from bronzetrack.core import failures
 from bronzetrack.core import registry
 
-# Reasons for which a message is never sent: no frame can hold it, whatever
-# becomes of the session and its queue.
+# Failures with these reasons are permanent: no frame can hold the message,
+# whatever the state of the session and its queue.
 UNSENDABLE = frozenset(
     {failures.Reason.FRAME_TOO_LARGE, failures.Reason.PEER_PROTOCOL}
 )
@@ -20,10 +20,10 @@
 
 @attrs.frozen
 class Delivery:
-    """A message that arrived, with the VM that sent it.
+    """A received message and the VM that sent it.
 
-    Each message class names the mailbox of the blackboard that takes it in
-    its class attribute `mailbox`.
+    Each message class names the mailbox that receives its messages in the
+    class attribute `mailbox`.
     """
 
     sender: str
--- a/src/bronzetrack/core/records.py
+++ b/src/bronzetrack/core/records.py
@@ -1,4 +1,4 @@
-"""Registry of the records that the system keeps in the platform's log."""
+"""Registry of the records that are stored in the platform's log."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/core/registry.py
+++ b/src/bronzetrack/core/registry.py
@@ -1,4 +1,4 @@
-"""Mappings that decorators fill."""
+"""Registries, which are filled by decorators."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 class Registry(Generic[T]):
     """A named mapping from a key to a registered object.
 
-    :param name: what the registry holds, used in error messages
+    :param name: description of the registered objects, for error messages
     """
 
     def __init__(self, name: str) -> None:
@@ -23,9 +23,9 @@
         self._entries: dict[str, T] = {}
 
     def register(self, key: str) -> Callable[[T], T]:
-        """Return a decorator that enters its target under a key.
+        """Return a decorator that registers its target under a key.
 
-        :raises errors.DuplicateEntryError: the key is taken
+        :raises errors.DuplicateEntryError: the key is already registered
         """
 
         def decorate(target: T) -> T:
@@ -39,7 +39,7 @@
     def lookup(self, key: str) -> T:
         """Return the object registered under a key.
 
-        :raises errors.UnknownEntryError: nothing has this key
+        :raises errors.UnknownEntryError: the key is not registered
         """
         try:
             return self._entries[key]
@@ -55,5 +55,5 @@
         return iter(self._entries)
 
     def items(self) -> Iterator[tuple[str, T]]:
-        """Iterate over keys and registered objects."""
+        """Return an iterator over the keys and the registered objects."""
         return iter(self._entries.items())
--- a/src/bronzetrack/core/rendezvous.py
+++ b/src/bronzetrack/core/rendezvous.py
@@ -6,13 +6,16 @@
 import functools
 import hashlib
 
-# Popular adapters are ranked again and again over the same endpoints. With
-# 140 endpoints this many rankings take about 1 MB.
+# Size of the cache of rankings, since popular adapters are ranked repeatedly
+# over the same endpoints. With 140 endpoints a full cache takes about 1 MB.
 CACHED_RANKINGS = 1_024
 
 
 def score(key: str, node: str) -> int:
-    """Return the weight of a node for a key, the same in every process."""
+    """Return the weight of a node for a key.
+
+    The weight is the same in every process.
+    """
     digest = hashlib.blake2b(
         f"{key}\x00{node}".encode(), digest_size=8
     ).digest()
@@ -20,7 +23,7 @@
 
 
 def rank_nodes(key: str, nodes: Iterable[str]) -> list[str]:
-    """Return nodes from the highest to the lowest weight for a key."""
+    """Return the nodes in descending order of their weight for a key."""
     return list(_rank(key, tuple(nodes)))
 
 
--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -1,4 +1,4 @@
-"""When state that the log keeps has to be copied to its end."""
+"""Decides when a copy of the state has to be appended to the log."""
 
 from __future__ import annotations
 
@@ -7,23 +7,24 @@
 
 import attrs
 
-# The log service has to retain records for at least twice this time.
+# The log service has to retain records for at least twice this interval.
 COPY_INTERVAL_MS = 1_800_000
-# Copies are harmless but not free: lower ranks wait, so that normally one VM
-# makes the copy and the others see it in time.
-RANK_PART = 0.05
-RANKS = 8
+# Redundant copies are harmless but have a cost. VMs with a higher rank number
+# wait longer, by this share of the interval for each rank, so that normally
+# one VM appends the copy and the others read it in time.
+RANK_DELAY_SHARE = 0.05
+MAX_DELAYED_RANK = 8
 
 
 @attrs.frozen
 class Retained:
-    """The range that the log retains, and the newest copy of the state.
+    """The retained range of the log and the newest copy of the state.
 
     :param start: the earliest offset that is retained
     :param end: the offset that the next append gets
-    :param copy: offset of the newest copy, 0 before any
-    :param copy_ms: monotonic time at which this VM read the copy, or started
-        to follow the stream
+    :param copy: offset of the newest copy, 0 if there is none yet
+    :param copy_ms: monotonic time in milliseconds at which this VM read the
+        copy, or started to follow the stream
     """
 
     start: int = 0
@@ -35,9 +36,10 @@
 def find_fresh(
     next_offset: int, start: int, items: Iterable[tuple[int, Any]]
 ) -> tuple[int, list[tuple[int, Any]]]:
-    """Return where a reader goes on, and the records it has not read.
+    """Return the offset at which a reader continues, and its unread records.
 
-    It goes on above its position if the log has dropped records in between.
+    The offset is above the reader's position if the log has dropped records
+    in between.
 
     :param next_offset: position of the reader
     :param start: the earliest offset that is retained
@@ -54,19 +56,22 @@
     now_ms: int,
     interval_ms: int = COPY_INTERVAL_MS,
 ) -> bool:
-    """Return whether this VM should append a copy now.
+    """Return whether this VM should append a copy of the state now.
 
-    A copy is due when the last one was dropped, when it lies in the older
-    half of what is retained, or when it is old.
+    A copy is due when the log has dropped the newest copy, when the newest
+    copy lies in the older half of the retained range, or when the interval
+    has passed since it was read.
 
-    :param rank: place of this VM among those that could make the copy
+    :param rank: position of this VM among those that can append the copy
+    :param now_ms: the current monotonic time in milliseconds
+    :param interval_ms: the longest time between two copies, in milliseconds
     """
     if retained.copy < retained.start:
         return True
-    delay = RANK_PART * min(rank, RANKS)
+    delay = RANK_DELAY_SHARE * min(rank, MAX_DELAYED_RANK)
     if now_ms - retained.copy_ms >= interval_ms * (1 + delay):
         return True
-    kept = retained.end - retained.start
-    return retained.start > 0 and retained.copy - retained.start < kept * (
+    span = retained.end - retained.start
+    return retained.start > 0 and retained.copy - retained.start < span * (
         0.5 - delay
     )
