Reword the docstrings of the wire package

Cause: names and docstrings were figurative (sparsely, refuse) or had pronouns without a noun. Change: docstrings and comments in usual terms; private functions are named after what they do (_omit_defaults, _reject_wrong_types, _check_strings, _split_entries, _encode_latin1, _get_sections_by_name).

--- a/src/bronzetrack/wire/__init__.py
+++ b/src/bronzetrack/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Wire formats."""
+"""Encodings of messages, records, documents and the state dump."""
--- a/src/bronzetrack/wire/converter.py
+++ b/src/bronzetrack/wire/converter.py
@@ -1,4 +1,4 @@
-"""Conversion between attrs classes and plain values for wire formats."""
+"""Converters between attrs classes and plain values for wire formats."""
 
 from __future__ import annotations
 
@@ -17,29 +17,29 @@
     return hasattr(get_origin(cls) or cls, "__attrs_attrs__")
 
 
-def _write_sparsely(converter: Any) -> Any:
-    """Make a converter leave out fields that have their default."""
+def _omit_defaults(converter: Any) -> Any:
+    """Make a converter omit fields that have their default value."""
 
-    def unstructure_sparse(cls: type) -> Any:
+    def make_hook(cls: type) -> Any:
         return gen.make_dict_unstructure_fn(
             cls, converter, _cattrs_omit_if_default=True
         )
 
-    converter.register_unstructure_hook_factory(_is_attrs, unstructure_sparse)
+    converter.register_unstructure_hook_factory(_is_attrs, make_hook)
     return converter
 
 
-def _refuse_conversions(converter: Any) -> Any:
-    """Make a converter take no value of another type in place of a scalar.
+def _reject_wrong_types(converter: Any) -> Any:
+    """Make a converter reject scalars of a wrong type, not convert them.
 
-    Without this, the text "false" would count as true and a version 1.10
-    that an export wrote as a number would become "1.1".
+    Otherwise the text "false" would become true, and a version 1.10 that an
+    export wrote as a number would become "1.1".
     """
     for cls in (str, int, bool):
         converter.register_structure_hook(cls, _check_scalar)
     converter.register_structure_hook(float, _check_number)
     converter.register_structure_hook_func(
-        lambda wanted: wanted == tuple[str, ...], _check_texts
+        lambda wanted: wanted == tuple[str, ...], _check_strings
     )
     return converter
 
@@ -56,32 +56,35 @@
     return float(value)
 
 
-def _check_texts(value: Any, cls: Any) -> tuple[str, ...]:
+def _check_strings(value: Any, cls: Any) -> tuple[str, ...]:
     if not isinstance(value, (list, tuple)):
         raise TypeError(f"{value!r} is not a list")
     return tuple(_check_scalar(item, str) for item in value)
 
 
 # Messages and records ignore unknown fields, so that two versions of the
-# daemon can run side by side; documents that people write do not.
-WIRE = _write_sparsely(cattrs.preconf.msgpack.make_converter())
-DOCUMENTS = _refuse_conversions(
-    _write_sparsely(
+# daemon can run side by side. Documents, which people write, reject them.
+WIRE = _omit_defaults(cattrs.preconf.msgpack.make_converter())
+DOCUMENTS = _reject_wrong_types(
+    _omit_defaults(
         cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
     )
 )
-JSON = _refuse_conversions(
-    _write_sparsely(cattrs.preconf.json.make_converter(forbid_extra_keys=True))
+JSON = _reject_wrong_types(
+    _omit_defaults(cattrs.preconf.json.make_converter(forbid_extra_keys=True))
 )
 
 
 def explain_error(error: BaseException) -> tuple[str, ...]:
-    """Return one line for each mistake that a structuring error holds."""
+    """Return one line for each mistake that a structuring error contains."""
     return tuple(cattrs.transform_error(error))
 
 
 def describe_failure(
     reason: failures.Reason, error: BaseException
 ) -> failures.Failure:
-    """Return a failure for a structuring error."""
+    """Return a failure that describes a structuring error.
+
+    :param reason: reason of the failure
+    """
     return failures.Failure(reason, "; ".join(explain_error(error)))
--- a/src/bronzetrack/wire/documents.py
+++ b/src/bronzetrack/wire/documents.py
@@ -1,4 +1,4 @@
-"""Conversion of inventories and rule sets to and from plain documents."""
+"""Converts inventories and rule sets to and from plain documents."""
 
 from __future__ import annotations
 
@@ -25,25 +25,30 @@
 
 
 def write_document(item: Any) -> dict[str, Any]:
-    """Return the plain document of an inventory, a rule set or a part."""
+    """Return an inventory, a rule set or a part of one as a document."""
     return converter.DOCUMENTS.unstructure(item)
 
 
 def read_document(kind: str, document: Any) -> Any | failures.Failure:
-    """Return the inventory or rule set of a document, or a failure."""
+    """Return the inventory or rule set in a document, or a failure.
+
+    :param kind: key of DOCUMENT_CLASSES
+    """
     return _structure(document, DOCUMENT_CLASSES[kind])
 
 
 def apply_delta(
     kind: str, current: Any, delta: Mapping[str, Any]
 ) -> Any | failures.Failure:
-    """Return a copy of an inventory or rule set with entries changed.
+    """Return a copy of an inventory or rule set with a delta applied.
 
     Only the changed entries are converted, since whole inventories are
     large and changes are frequent.
 
-    :param delta: changed entries by section, None for a removed entry; a
-        section that is no mapping is replaced as a whole
+    :param kind: key of DOCUMENT_CLASSES
+    :param delta: by section, the changed entries by name, with None for a
+        removed entry; a section that is not a mapping is replaced as a whole
+    :returns: the copy, or a failure if the delta is invalid
     """
     cls = DOCUMENT_CLASSES[kind]
     hints = typing.get_type_hints(cls)
@@ -54,13 +59,13 @@
                 failures.Reason.CONFIGURATION_INVALID,
                 f"unknown section {section!r}",
             )
-        by_name = isinstance(getattr(current, section), Mapping)
-        if isinstance(changed, Mapping) != by_name:
+        is_mapping = isinstance(getattr(current, section), Mapping)
+        if isinstance(changed, Mapping) != is_mapping:
             return failures.Failure(
                 failures.Reason.CONFIGURATION_INVALID,
                 (
                     f"{section}: entries by name expected"
-                    if by_name
+                    if is_mapping
                     else f"{section}: a whole value expected"
                 ),
             )
@@ -77,7 +82,7 @@
 
 
 def make_delta(before: Any, after: Any) -> dict[str, Any]:
-    """Return the delta that turns an inventory or a rule set into another."""
+    """Return the delta that turns one inventory or rule set into another."""
     delta: dict[str, Any] = {}
     for field in attrs.fields(type(before)):
         old = getattr(before, field.name)
@@ -108,7 +113,7 @@
 def _structure(document: Any, cls: Any) -> Any | failures.Failure:
     try:
         return converter.DOCUMENTS.structure(document, cls)
-    # Corrupt input makes cattrs raise many kinds of error.
+    # cattrs raises many types of exceptions for corrupt input.
     except Exception as error:
         return converter.describe_failure(
             failures.Reason.CONFIGURATION_INVALID, error
@@ -120,8 +125,8 @@
 ) -> Iterator[bytes]:
     """Iterate over the pieces of an encoded configuration.
 
-    The whole takes about 100 ms for 18,000 adapters, so that a caller in the
-    event loop lets others run between the pieces.
+    Encoding all of it takes about 100 ms for 18,000 adapters. A caller in the
+    event loop lets other tasks run between the pieces.
     """
     packer = msgpack.Packer()
     yield packer.pack_map_header(3)
@@ -136,7 +141,7 @@
         yield packer.pack(field.name)
         if isinstance(value, Mapping):
             yield packer.pack_map_header(len(value))
-            for entries in _cut(value):
+            for entries in _split_entries(value):
                 yield b"".join(
                     packer.pack(name) + packer.pack(write_document(entry))
                     for name, entry in entries
@@ -145,7 +150,9 @@
             yield packer.pack(write_document(value))
 
 
-def _cut(entries: Mapping[str, Any]) -> Iterator[list[tuple[str, Any]]]:
+def _split_entries(
+    entries: Mapping[str, Any],
+) -> Iterator[list[tuple[str, Any]]]:
     items = iter(entries.items())
     while piece := list(itertools.islice(items, PIECE_ENTRIES)):
         yield piece
@@ -154,7 +161,10 @@
 def decode_configuration(
     data: bytes,
 ) -> states.Configuration | failures.Failure:
-    """Return the configuration of joined pieces, or a failure."""
+    """Decode the joined pieces of an encoded configuration.
+
+    :returns: the configuration or a failure
+    """
     try:
         fields = msgpack.unpackb(data)
         inventory = read_document("inventory", fields["inventory"])
--- a/src/bronzetrack/wire/dump.py
+++ b/src/bronzetrack/wire/dump.py
@@ -1,4 +1,4 @@
-"""The state dump: registered sections, converted to what JSON can hold."""
+"""The state dump, which converts sections of the state for JSON."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     from bronzetrack.core import blackboard
     from bronzetrack.core import clock
 
-# A dump runs on the event loop. 1,000 keys out of 400,000 took 7 ms.
+# A dump blocks the event loop: 1,000 keys out of 400,000 took 7 ms.
 DEFAULT_LIMIT = 1_000
 LONGEST_LIMIT = 100_000
 OMITTED = "..."
@@ -29,9 +29,10 @@
 
 @attrs.frozen
 class DumpRequest:
-    """What a section is made from.
+    """The input from which a section is dumped.
 
-    :param limit: the most entries of one mapping or list
+    :param now: the current time
+    :param limit: the most entries that are dumped of one mapping or list
     """
 
     board: boards.Blackboard
@@ -53,12 +54,12 @@
 
 
 def dump_section(request: DumpRequest, name: str) -> dict[str, Any] | None:
-    """Return one section, None if there is none of this name.
+    """Return one section of the dump, None if no section has this name.
 
-    A section of the blackboard without a registered function is converted
+    A section of the blackboard that has no registered function is converted
     field by field.
     """
-    sections = _map_sections(request.board)
+    sections = _get_sections_by_name(request.board)
     if name not in SECTIONS and name not in sections:
         return None
     section = sections.get(name)
@@ -73,14 +74,14 @@
 
 
 def dump_board(request: DumpRequest) -> dict[str, Any]:
-    """Return every section."""
+    """Return all sections of the dump by name."""
     return {
         name: dump_section(request, name)
         for name in list_sections(request.board)
     }
 
 
-def _map_sections(
+def _get_sections_by_name(
     board: boards.Blackboard,
 ) -> dict[str, blackboard.Section[Any]]:
     return {section.name: section for section in board.list_sections()}
@@ -88,7 +89,7 @@
 
 @SECTIONS.register("vm")
 def dump_vm(request: DumpRequest) -> Any:
-    """Return which process this is."""
+    """Return the identity and the clocks of this process."""
     board = request.board
     return {
         "name": board.vm,
@@ -107,7 +108,7 @@
 
 @SECTIONS.register("mailboxes")
 def dump_mailboxes(request: DumpRequest) -> Any:
-    """Return how many items each mailbox holds."""
+    """Return the number of items in each mailbox."""
     return {
         name: len(mailbox) for name, mailbox in request.board.mailboxes.items()
     }
@@ -115,7 +116,7 @@
 
 @SECTIONS.register("status")
 def dump_status(request: DumpRequest) -> Any:
-    """Return the short state of this VM that the tool tabulates."""
+    """Return the summary of this VM that `bronzetrack status` tabulates."""
     board = request.board
     ownership = board.ownership.value
     configuration = board.configuration.value
@@ -145,9 +146,9 @@
 
 @SECTIONS.register("keys")
 def dump_keys(request: DumpRequest) -> Any:
-    """Return the newest keys and how many there are.
+    """Return the newest idempotency keys and the number of all keys.
 
-    The table holds every key of the last hour; entries stand in the order
+    The table holds every key of the last hour. Its entries are in the order
     in which their keys were first seen.
     """
     table = request.board.keys.value
@@ -162,10 +163,10 @@
 
 
 def dump_value(value: Any, limit: int) -> Any:
-    """Return a value that JSON can hold.
+    """Return a value converted to types that JSON can hold.
 
-    :param limit: entries of a mapping or list after which the number of
-        the omitted ones stands
+    :param limit: the most entries of a mapping or list; the number of
+        omitted entries follows them
     """
     if value is None or isinstance(value, (str, int)):
         return value
@@ -192,7 +193,7 @@
 
 @functools.cache
 def _list_fields(cls: type) -> tuple[str, ...] | None:
-    """Return the names of the fields of an attrs class, None for others."""
+    """Return the field names of an attrs class, None for other classes."""
     if not attrs.has(cls):
         return None
     return tuple(field.name for field in attrs.fields(cls))
--- a/src/bronzetrack/wire/frames.py
+++ b/src/bronzetrack/wire/frames.py
@@ -17,7 +17,7 @@
 
 
 def encode_frame(payload: bytes) -> bytes:
-    """Return a payload with its length in front.
+    """Return a payload prefixed with its length.
 
     :raises errors.FailureError: the payload exceeds FRAME_BYTES
     """
--- a/src/bronzetrack/wire/httpclient.py
+++ b/src/bronzetrack/wire/httpclient.py
@@ -1,4 +1,4 @@
-"""HTTP requests that return failures in place of exceptions."""
+"""HTTP client whose `fetch` returns failures in place of exceptions."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class HttpResponse:
-    """A whole response."""
+    """A response whose body was read to the end."""
 
     status: int
     headers: Mapping[str, str]
@@ -31,9 +31,9 @@
 
 
 def make_pool(connections: int) -> httpcore.AsyncConnectionPool:
-    """Return a connection pool.
+    """Return a pool of HTTP connections.
 
-    :param connections: the most connections open at once
+    :param connections: the most connections that are open at once
     """
     return httpcore.AsyncConnectionPool(
         max_connections=connections,
@@ -53,18 +53,18 @@
 
 
 def read_headers(response: httpcore.Response) -> dict[str, str]:
-    """Return the headers with names in lower case."""
+    """Return the headers of a response with names in lower case."""
     return {
         name.decode("latin-1").lower(): value.decode("latin-1")
         for name, value in response.headers
     }
 
 
-def _encode(text: str) -> bytes:
-    """Return text as it stands in a header or request line.
+def _encode_latin1(text: str) -> bytes:
+    """Return text encoded for a header or a request line.
 
-    :raises httpcore.LocalProtocolError: no request can hold the text; the
-        library would raise a TypeError
+    :raises httpcore.LocalProtocolError: the text is not Latin-1, for which
+        httpcore would raise a TypeError
     """
     try:
         return text.encode("latin-1")
@@ -75,13 +75,13 @@
 
 
 def _parse_url(url: str) -> httpcore.URL:
-    """Return a URL for the library.
+    """Return a URL that is parsed for httpcore.
 
-    :raises httpcore.LocalProtocolError: the text is no URL; the library
-        would raise a ValueError
+    :raises httpcore.LocalProtocolError: the text is not a valid URL, for
+        which httpcore would raise a ValueError
     """
     try:
-        return httpcore.URL(_encode(url))
+        return httpcore.URL(_encode_latin1(url))
     except ValueError as error:
         raise httpcore.LocalProtocolError(f"{url!a}: {error}") from None
 
@@ -95,16 +95,19 @@
     body: bytes = b"",
     headers: Mapping[str, str] | None = None,
 ) -> AsyncIterator[httpcore.Response]:
-    """Open a streamed response; raises the errors in ERRORS.
+    """Send a request and open its streamed response.
 
-    :param timeout_ms: for each read, not for the whole response
+    The exceptions in ERRORS are raised to the caller.
+
+    :param timeout_ms: limit for each read, not for the whole response
     """
     sent = {"Content-Length": str(len(body)), **(headers or {})}
     async with pool.stream(
-        _encode(method),
+        _encode_latin1(method),
         _parse_url(url),
         headers=[
-            (_encode(name), _encode(value)) for name, value in sent.items()
+            (_encode_latin1(name), _encode_latin1(value))
+            for name, value in sent.items()
         ],
         content=body,
         extensions={"timeout": _make_timeouts(timeout_ms)},
@@ -115,7 +118,10 @@
 async def read_body(
     response: httpcore.Response, limit_bytes: int | None
 ) -> bytes | None:
-    """Return the body of a response, None if it exceeds a limit."""
+    """Return the body of a response, None if it exceeds a limit.
+
+    :param limit_bytes: the largest body that is read, None for no limit
+    """
     body = bytearray()
     async for part in response.aiter_stream():
         body += part
@@ -136,7 +142,9 @@
 ) -> HttpResponse | failures.Failure:
     """Send a request and return its whole response or a failure.
 
-    :param limit_bytes: the largest body that is read
+    :param timeout_ms: limit for each read, not for the whole response
+    :param failure_reason: reason of the failures that are returned
+    :param limit_bytes: the largest body that is read, None for no limit
     """
     try:
         async with open_stream(
--- a/src/bronzetrack/wire/tagged.py
+++ b/src/bronzetrack/wire/tagged.py
@@ -1,4 +1,4 @@
-"""msgpack encoding of registered classes with their registered name."""
+"""msgpack codec that tags objects with the registered name of a class."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 
 
 class TaggedCodec:
-    """Encodes objects of the classes in a registry.
+    """Encodes and decodes objects of the classes in a registry.
 
     The encoding is a msgpack array of the registered name and the fields.
 
     :param registry: the classes by name
-    :param failure_reason: reason of the failures for bad input
+    :param failure_reason: reason of the failures for invalid input
     """
 
     def __init__(
@@ -31,10 +31,10 @@
         self._names: dict[type, str] = {}
 
     def encode(self, item: Any) -> bytes:
-        """Return the encoded object.
+        """Return the encoding of an object.
 
-        :raises errors.FailureError: msgpack cannot hold a value, such as a
-            number of more than 64 bits
+        :raises errors.FailureError: msgpack cannot encode a value, such as an
+            integer of more than 64 bits
         """
         cls = type(item)
         if cls not in self._names:
@@ -49,14 +49,14 @@
             ) from error
 
     def decode(self, data: bytes) -> Any:
-        """Return the object or a failure."""
+        """Return the object that some bytes encode, or a failure."""
         try:
             name, fields = msgpack.unpackb(data, raw=False)
             cls = self.registry.lookup(name)
             return converter.WIRE.structure(fields, cls)
         except errors.UnknownEntryError as error:
             return failures.Failure(self.failure_reason, str(error))
-        # Corrupt input makes msgpack and cattrs raise many kinds of error.
+        # msgpack and cattrs raise many types of exceptions for corrupt input.
         except Exception as error:
             return failures.Failure(
                 self.failure_reason, f"{type(error).__name__}: {error}"
