Reword the messages and docstrings of the settings package

Cause: messages for operators and docstrings used colloquial or figurative words (told, stands, nearest known one). Private names say what they hold or do. Texts of the settings reference stay.

--- a/src/bronzetrack/settings/__init__.py
+++ b/src/bronzetrack/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Settings of the daemon."""
+"""Settings of a daemon and their checks."""
--- a/src/bronzetrack/settings/checks.py
+++ b/src/bronzetrack/settings/checks.py
@@ -1,4 +1,4 @@
-"""Checks between settings."""
+"""Checks that compare settings with each other."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from bronzetrack.settings import mistakes
 from bronzetrack.settings import model
 
-# Values by section and key; those that are invalid by themselves are absent.
+# Values by section and key. Values that are invalid by themselves are absent.
 Values = Mapping[tuple[str, str], Any]
 Check = Callable[[Values], Iterator[mistakes.Mistake]]
 
@@ -22,7 +22,7 @@
 
 
 def find_conflicts(values: Values) -> list[mistakes.Mistake]:
-    """Return the mistakes that values make together."""
+    """Return the mistakes in combinations of valid values."""
     return [
         mistake for _, check in CHECKS.items() for mistake in check(values)
     ]
@@ -38,7 +38,7 @@
 
 @CHECKS.register("listeners_differ")
 def check_listeners(values: Values) -> Iterator[mistakes.Mistake]:
-    """Find an address that two listeners use."""
+    """Find addresses that more than one listener uses."""
     seen: dict[str, str] = {}
     for key, address in _list_listeners(values).items():
         if address in seen:
@@ -54,55 +54,56 @@
 
 @CHECKS.register("listeners_reachable")
 def check_hosts(values: Values) -> Iterator[mistakes.Mistake]:
-    """Find an address that others could not connect to.
+    """Find addresses that callers and peers could not connect to.
 
-    These addresses are told to callers and peers as they stand in the file.
+    These addresses are advertised to callers and peers as they are written in
+    the file.
     """
-    told = {
+    advertised = {
         ("listen", key): address
         for key, address in _list_listeners(values).items()
     }
     if values.get(("peers", "address")):
-        told["peers", "address"] = values["peers", "address"]
-    for (section, key), address in told.items():
+        advertised["peers", "address"] = values["peers", "address"]
+    for (section, key), address in advertised.items():
         host = ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
         if host.is_unspecified or host.is_multicast:
             yield mistakes.make_invalid(
                 section,
                 key,
                 address,
-                "callers and peers are told this address;"
+                "this address is advertised to callers and peers;"
                 " it must be the address of one interface",
             )
 
 
 @CHECKS.register("join_peers_only")
 def check_join(values: Values) -> Iterator[mistakes.Mistake]:
-    """Find addresses to join that are not those of peers, or repeated."""
+    """Find addresses to join that belong to this VM or are repeated."""
     join = values.get(("peers", "join"), ())
     own = {
         address: key
         for key, address in _list_listeners(values).items()
         if key != "peers"
     }
-    for place, address in enumerate(join):
+    for index, address in enumerate(join):
         if address in own:
             yield mistakes.make_invalid(
                 "peers",
                 "join",
                 address,
                 f"is [listen] {own[address]} of this VM;"
-                " give the peers' addresses of other VMs",
+                " specify the peer addresses of other VMs",
             )
-        if address in join[:place]:
+        if address in join[:index]:
             yield mistakes.make_invalid(
-                "peers", "join", address, "given twice; give it once"
+                "peers", "join", address, "given twice; remove one of them"
             )
 
 
 @CHECKS.register("platform_elsewhere")
 def check_platform(values: Values) -> Iterator[mistakes.Mistake]:
-    """Find a platform service at an address of this daemon."""
+    """Find platform services with an address of this daemon."""
     own = {address: key for key, address in _list_listeners(values).items()}
     for key in ("log_url", "vm_list_url"):
         url = values.get(("platform", key), "")
@@ -113,16 +114,17 @@
                 key,
                 url,
                 f"is the address of [listen] {own[address]};"
-                " give that of the platform's service",
+                " specify the address of the platform's service",
             )
 
 
 @CHECKS.register("store_divides")
 def check_store(values: Values) -> Iterator[mistakes.Mistake]:
-    """Find more VMs than loads that may be in flight.
+    """Find a number of VMs that exceeds the number of loads in flight.
 
-    Each VM has a whole share of the loads in flight. A share of less than
-    one load would either stop all loads or exceed the limit of the store.
+    Each VM gets a whole number as its share of the loads in flight. A share
+    of less than one load would either stop all loads or exceed the limit of
+    the store.
     """
     store = model.StoreSettings()
     in_flight = values.get(("weight_store", "in_flight"), store.in_flight)
@@ -132,5 +134,5 @@
             "weight_store",
             "expected_vms",
             str(vms),
-            f"at most [weight_store] in_flight, which is {in_flight}",
+            f"must be at most [weight_store] in_flight, which is {in_flight}",
         )
--- a/src/bronzetrack/settings/loader.py
+++ b/src/bronzetrack/settings/loader.py
@@ -19,7 +19,7 @@
 
 
 def list_sections() -> dict[str, type]:
-    """Return the class of each section by name."""
+    """Return the class of each section by the name of the section."""
     hints = typing.get_type_hints(model.Settings)
     return {
         field.name: hints[field.name] for field in attrs.fields(model.Settings)
@@ -29,7 +29,7 @@
 def read_settings(
     file: pathlib.Path,
 ) -> model.Settings | list[mistakes.Mistake]:
-    """Return the settings in a file, or every mistake in it."""
+    """Return the settings in a file, or every mistake in the file."""
     try:
         with file.open("rb") as opened:
             data = opened.read(FILE_BYTES + 1)
@@ -49,7 +49,7 @@
 
 
 def load_settings(text: str) -> model.Settings | list[mistakes.Mistake]:
-    """Return the settings, or every mistake in the text of a file."""
+    """Return the settings in the text of a file, or every mistake in it."""
     parsed = parsing.parse_text(text)
     classes = list_sections()
     found = list(
@@ -91,7 +91,10 @@
 ) -> list[mistakes.Mistake]:
     return [
         mistakes.make_unknown(
-            name, "", "", f"unknown section; {_name_nearest(name, classes)}"
+            name,
+            "",
+            "",
+            f"unknown section; {_describe_closest(name, classes)}",
         )
         for name in sections
         if name not in classes
@@ -104,7 +107,7 @@
     fields = attrs.fields_dict(cls)
     unknown = [
         mistakes.make_unknown(
-            name, key, value, f"unknown key; {_name_nearest(key, fields)}"
+            name, key, value, f"unknown key; {_describe_closest(key, fields)}"
         )
         for key, value in given.items()
         if key not in fields
@@ -139,7 +142,7 @@
 
 
 def _parse_section(cls: type, given: dict[str, str]) -> dict[str, Any]:
-    """Return the valid values of a section, given or by default."""
+    """Return the valid values of a section, with defaults for absent keys."""
     defaults = {
         field.name: field.default
         for field in attrs.fields(cls)
@@ -153,6 +156,6 @@
     return {**defaults, **valid}
 
 
-def _name_nearest(given: str, known: typing.Iterable[str]) -> str:
-    nearest = difflib.get_close_matches(given, known, n=1, cutoff=0.0)
-    return f"the nearest known one is {nearest[0]!r}"
+def _describe_closest(given: str, known: typing.Iterable[str]) -> str:
+    closest = difflib.get_close_matches(given, known, n=1, cutoff=0.0)
+    return f"the closest known name is {closest[0]!r}"
--- a/src/bronzetrack/settings/mistakes.py
+++ b/src/bronzetrack/settings/mistakes.py
@@ -6,15 +6,18 @@
 
 from bronzetrack.core import failures
 
-SHOWN_CHARACTERS = 200
+MAX_VALUE_CHARACTERS = 200
 
 
 @attrs.frozen
 class Mistake:
     """One mistake in a settings file.
 
-    :param section: empty for a mistake of the file as a whole
-    :param value: as it stands in the file, empty if there is none
+    :param section: name of the section, empty for a mistake that concerns the
+        whole file
+    :param key: name of the key, empty for a mistake that concerns the section
+    :param value: value as written in the file, empty if there is none
+    :param failure: reason and description of the mistake
     """
 
     section: str
@@ -23,14 +26,18 @@
     failure: failures.Failure
 
     def __str__(self) -> str:
-        place = f"[{self.section}] {self.key}".rstrip() if self.section else ""
-        value = f" = {self.value[:SHOWN_CHARACTERS]!r}" if self.value else ""
+        location = (
+            f"[{self.section}] {self.key}".rstrip() if self.section else ""
+        )
+        value = (
+            f" = {self.value[:MAX_VALUE_CHARACTERS]!r}" if self.value else ""
+        )
         detail = self.failure.detail
-        return f"{place}{value}: {detail}" if place else detail
+        return f"{location}{value}: {detail}" if location else detail
 
 
 def make_invalid(section: str, key: str, value: str, detail: str) -> Mistake:
-    """Return a mistake about something known."""
+    """Return a mistake about a known section or key, or the whole file."""
     failure = failures.Failure(failures.Reason.SETTING_INVALID, detail)
     return Mistake(section, key, value, failure)
 
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -11,7 +11,7 @@
 
 
 class LogLevel(enum.Enum):
-    """How much is logged."""
+    """The lowest level of the lines that are logged."""
 
     DEBUG = "debug"
     INFO = "info"
@@ -21,10 +21,12 @@
 
 @attrs.frozen
 class Kind:
-    """How the text of a setting becomes a value.
+    """The type of the values of a setting.
 
-    :param allowed: what is allowed, for messages and the reference
-    :param parse: raises ValueError for anything else
+    :param allowed: description of the allowed values, for error messages and
+        the reference
+    :param parse: converts the text of a setting to its value and raises
+        ValueError for any other text
     """
 
     allowed: str
@@ -32,15 +34,21 @@
 
 
 def parse_name(text: str) -> str:
-    """Return a name that is safe in paths, logs and headers."""
-    known = text.isascii() and text.replace("-", "a").isalnum()
-    if not known or len(text) > 63:
+    """Return a name that is safe in paths, logs and headers.
+
+    :raises ValueError: the text is not such a name
+    """
+    is_safe = text.isascii() and text.replace("-", "a").isalnum()
+    if not is_safe or len(text) > 63:
         raise ValueError(text)
     return text
 
 
 def parse_address(text: str) -> str:
-    """Return an `IP:port` address; brackets enclose an IPv6 address."""
+    """Return an `IP:port` address, with an IPv6 address in brackets.
+
+    :raises ValueError: the text is not such an address
+    """
     host, _, port = text.rpartition(":")
     if host.startswith("[") and host.endswith("]"):
         ipaddress.IPv6Address(host[1:-1])
@@ -54,14 +62,20 @@
 
 
 def parse_addresses(text: str) -> tuple[str, ...]:
-    """Return addresses separated by commas or white space."""
+    """Return the addresses in a list separated by commas or white space.
+
+    :raises ValueError: an item is not an address
+    """
     return tuple(
         parse_address(item) for item in text.replace(",", " ").split()
     )
 
 
 def parse_url(text: str) -> str:
-    """Return a base URL whose host is an IP address."""
+    """Return a base URL whose host is an IP address.
+
+    :raises ValueError: the text is not such a URL
+    """
     scheme, separator, rest = text.partition("://")
     if scheme != "http" or not separator:
         raise ValueError(text)
@@ -70,7 +84,7 @@
 
 
 def make_number(low: int, high: int) -> Kind:
-    """Return the kind of a whole number within a range."""
+    """Return the kind of a whole number from `low` to `high`."""
 
     def parse(text: str) -> int:
         value = int(text)
@@ -82,7 +96,7 @@
 
 
 def make_fraction(low: float, high: float) -> Kind:
-    """Return the kind of a number within a range."""
+    """Return the kind of a number from `low` to `high`."""
 
     def parse(text: str) -> float:
         value = float(text)
@@ -104,7 +118,11 @@
 
 
 def setting(kind: Kind, description: str, default: Any = attrs.NOTHING) -> Any:
-    """Return a field of a section with what the reference says of it."""
+    """Return the attrs field of a setting.
+
+    :param description: meaning of the setting, for the reference
+    :param default: default value; without one the setting is required
+    """
     return attrs.field(
         default=default,
         metadata={"kind": kind, "description": description},
@@ -174,8 +192,8 @@
 class LimitSettings:
     """Bounds of this process."""
 
-    # A body grows to three times its size at most when it is written as
-    # ASCII for the endpoint, and has to fit a frame of 1 MiB between VMs.
+    # A body grows to at most three times its size when it is encoded as ASCII
+    # for the endpoint, and has to fit into a frame of 1 MiB between VMs.
     body_bytes: int = setting(
         make_number(1_024, 327_680), "Largest body of a request.", 262_144
     )
@@ -204,8 +222,8 @@
         "Longest time from the head of a request to the end of its body.",
         30_000,
     )
-    # Chunks are due every 52 ms. An engine may work 1.5 s on a long prompt
-    # without one, and 7.5 s when it is slowed fivefold.
+    # Chunks are due every 52 ms. An engine may work on a long prompt for 1.5 s
+    # without sending a chunk, or for 7.5 s when it runs five times slower.
     stream_silence_ms: int = setting(
         make_number(500, 600_000),
         "Time without a byte after which a streamed answer counts as lost.",
--- a/src/bronzetrack/settings/parsing.py
+++ b/src/bronzetrack/settings/parsing.py
@@ -1,4 +1,4 @@
-"""Text of an INI file to sections, past every mistake of syntax."""
+"""Parses the text of an INI file and collects all syntax mistakes."""
 
 from __future__ import annotations
 
@@ -8,33 +8,33 @@
 
 from bronzetrack.settings import mistakes
 
-# Each mistake of syntax costs one more parse of the file.
-MOST_MISTAKES = 100
+# Each syntax mistake requires one more parse of the file.
+MAX_MISTAKES = 100
 
 
 @attrs.frozen
 class ParsedFile:
-    """Keys and values by section, and what is wrong with the syntax."""
+    """Keys and values by section, and the syntax mistakes in the file."""
 
     sections: dict[str, dict[str, str]]
     mistakes: tuple[mistakes.Mistake, ...]
 
 
 def parse_text(text: str) -> ParsedFile:
-    """Return the sections of a file.
+    """Return the sections and the syntax mistakes in the text of a file.
 
     The parser of the standard library stops at the first repeated key or
-    section, so the lines that it rejects are blanked until it accepts the
-    rest.
+    section. The lines that it rejects are therefore blanked until it accepts
+    the rest.
     """
     lines = text.split("\n")
     found: list[mistakes.Mistake] = []
-    while len(found) < MOST_MISTAKES:
+    while len(found) < MAX_MISTAKES:
         parser = _make_parser()
         try:
             parser.read_string("\n".join(lines))
         except configparser.Error as error:
-            found.extend(_reject(error, lines))
+            found.extend(_blank_rejected_lines(error, lines))
             continue
         sections = {name: dict(parser[name]) for name in parser.sections()}
         return ParsedFile(sections, tuple(found))
@@ -42,17 +42,17 @@
 
 
 def _make_parser() -> configparser.ConfigParser:
-    # No header can have the empty name, so that there is no section whose
-    # keys count for all the others.
+    # No section header can have an empty name, so no section provides default
+    # values for all the others.
     return configparser.ConfigParser(
         interpolation=None, strict=True, default_section=""
     )
 
 
-def _reject(
+def _blank_rejected_lines(
     error: configparser.Error, lines: list[str]
 ) -> list[mistakes.Mistake]:
-    """Blank the lines that an error names and return the mistakes."""
+    """Blank the lines that a parser error names and return the mistakes."""
     match error:
         case configparser.DuplicateOptionError():
             line = lines[error.lineno - 1]
@@ -72,12 +72,18 @@
             return [mistakes.make_invalid(error.section, "", "", detail)]
         case configparser.MissingSectionHeaderError():
             lines[error.lineno - 1] = ""
-            return [_make_line(error.lineno, "it stands before any section")]
+            return [
+                _make_line_mistake(
+                    error.lineno, "it precedes the first section header"
+                )
+            ]
         case configparser.ParsingError():
             for number, _ in error.errors:
                 lines[number - 1] = ""
             return [
-                _make_line(number, "neither 'key = value' nor '[section]'")
+                _make_line_mistake(
+                    number, "neither 'key = value' nor '[section]'"
+                )
                 for number, _ in error.errors
             ]
     lines.clear()
@@ -89,9 +95,9 @@
 
 
 def _blank_section(lines: list[str], first: int) -> None:
-    """Blank the lines from a header to the next one.
+    """Blank the lines of a section from its header to the next header.
 
-    :param first: number of the header, counted from 1
+    :param first: line number of the header, counted from 1
     """
     lines[first - 1] = ""
     for index in range(first, len(lines)):
@@ -100,5 +106,5 @@
         lines[index] = ""
 
 
-def _make_line(number: int, detail: str) -> mistakes.Mistake:
+def _make_line_mistake(number: int, detail: str) -> mistakes.Mistake:
     return mistakes.make_invalid("", "", "", f"line {number}: {detail}")
--- a/src/bronzetrack/settings/reference.py
+++ b/src/bronzetrack/settings/reference.py
@@ -1,4 +1,4 @@
-"""The reference of all settings, made from their classes."""
+"""Generates the reference of all settings from their classes."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def write_reference() -> str:
-    """Return the page in Markdown."""
+    """Return the reference of all settings in Markdown."""
     lines = [HEADER]
     for name, cls in loader.list_sections().items():
         lines.extend(_write_section(name, cls))
