Reword the docstrings of the endpoint client

Cause: docstrings lacked units and used vague words. Change: docstrings and comments state units, results and causes; _order is named _send_order, _split_events _iterate_events. Texts on the wire stay.

--- a/src/bronzetrack/endpoints/__init__.py
+++ b/src/bronzetrack/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""Client of engines and plain services."""
+"""Client of endpoints, which are engines or plain services."""
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -1,4 +1,4 @@
-"""Client of endpoints: engines and plain services."""
+"""Client of endpoints, which are engines or plain services."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
 SERVER_SENT_EVENTS = "text/event-stream"
 END_MARKER = b"data: [DONE]"
 ANSWER_BYTES = 16_777_216
-# 1,000 adapters with names of 100 characters, which a load report may list
-# twice, take about 200 KB.
+# A load report may list each adapter twice. With 1,000 adapters whose names
+# have 100 characters this takes about 200 KB.
 REPORT_BYTES = 1_048_576
 QUOTED_CHARACTERS = 200
 RETURNED_STATUS = range(200, 500)
@@ -36,7 +36,10 @@
 
 @attrs.frozen
 class EndpointRequest:
-    """An HTTP request to an endpoint."""
+    """An HTTP request to an endpoint.
+
+    :param path: path and query on the endpoint
+    """
 
     method: str
     path: str
@@ -53,7 +56,7 @@
 
 @PROTOCOLS.register("engine")
 def make_engine_request(work: messages.SubmitWork) -> EndpointRequest:
-    """Return the request that starts or resumes work at an engine."""
+    """Return the HTTP request that starts or resumes work at an engine."""
     headers = {"Request-Id": work.attempt}
     if work.resume_of is not None:
         path = f"/v1/requests/{work.resume_of}/resume?from={work.resume_from}"
@@ -64,17 +67,19 @@
 
 @PROTOCOLS.register("service")
 def make_service_request(work: messages.SubmitWork) -> EndpointRequest:
-    """Return the request for a plain service."""
+    """Return the HTTP request that starts work at a plain service."""
     headers = {"Request-Id": work.attempt, "Content-Type": work.content_type}
     return EndpointRequest(work.method, work.path, work.body, headers)
 
 
 class EndpointAnswer:
-    """The answer of an endpoint as it arrives.
+    """The answer of an endpoint, which is read as it arrives.
+
+    `status` is the HTTP status, `content_type` is the content type of the
+    body, and `has_ended` states whether the end marker was passed on.
 
-    :param status: HTTP status
-    :param content_type: of the body
-    :param has_ended: whether the end marker was passed on
+    :param response: the open response
+    :param work: the work that the endpoint answers
     """
 
     def __init__(self, response: httpcore.Response, work: messages.SubmitWork):
@@ -87,7 +92,7 @@
 
     @property
     def refusal(self) -> failures.Failure | None:
-        """Why the caller does not get this answer, None if it does."""
+        """Failure that replaces this answer, None if the caller gets it."""
         if self.status == 404 and self._work.adapter:
             return failures.Failure(
                 failures.Reason.LOAD_FAILED,
@@ -101,10 +106,10 @@
         )
 
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
-        """Iterate over server-sent events, or the parts of another body.
+        """Iterate over the server-sent events or the parts of another body.
 
         :raises errors.FailureError: the answer ended without its end marker,
-            is too large or comes from another adapter
+            is malformed or too large, or comes from another adapter
         """
         if not self.content_type.startswith(SERVER_SENT_EVENTS):
             body = await self._read_body()
@@ -113,12 +118,12 @@
             for start in range(0, len(body), assembler.CHUNK_BYTES):
                 yield body[start : start + assembler.CHUNK_BYTES]
             return
-        # The adapter of a resumed answer was checked at its beginning.
-        checked = self._work.resume_from > 0
-        async for event in _split_events(self._response.aiter_stream()):
-            if not checked:
+        # The adapter of a resumed answer was checked at its start.
+        is_checked = self._work.resume_from > 0
+        async for event in _iterate_events(self._response.aiter_stream()):
+            if not is_checked:
                 self._check_adapter(event.removeprefix(b"data: "))
-                checked = True
+                is_checked = True
             self.has_ended = event.startswith(END_MARKER)
             yield event
             if self.has_ended:
@@ -151,11 +156,14 @@
 
 
 def _quote(value: Any) -> str:
-    """Return a value of an endpoint for a detail, which a peer gets too."""
+    """Return a value from an endpoint as short ASCII text.
+
+    The text becomes part of a failure detail, which is also sent to peers.
+    """
     return ascii(value)[:QUOTED_CHARACTERS]
 
 
-async def _split_events(
+async def _iterate_events(
     parts: AsyncIterator[bytes],
 ) -> AsyncIterator[bytes]:
     pending = b""
@@ -177,7 +185,9 @@
 class EndpointClient:
     """Sends requests and orders to endpoints.
 
-    :param silence_ms: time without a byte after which a stream is lost
+    :param pool: pool of HTTP connections
+    :param silence_ms: milliseconds without a byte after which a stream counts
+        as lost
     """
 
     def __init__(
@@ -190,11 +200,11 @@
     async def open_answer(
         self, endpoint: inventories.Endpoint, work: messages.SubmitWork
     ) -> AsyncIterator[EndpointAnswer]:
-        """Send work and give access to its answer.
+        """Send work to an endpoint and open the answer.
 
         :raises errors.FailureError: ENDPOINT_UNREACHABLE when no byte was
-            sent, ENDPOINT_SILENT when a stream was silent for too long,
-            ANSWER_INCOMPLETE when another answer was not there in time,
+            sent, ENDPOINT_SILENT when no byte of a stream arrived for too
+            long, ANSWER_INCOMPLETE when another answer timed out, or
             ENDPOINT_CRASHED when the connection broke
         """
         request = PROTOCOLS.lookup(endpoint.kind.value)(work)
@@ -236,16 +246,24 @@
     async def load_adapter(
         self, endpoint: inventories.Endpoint, adapter: str, fencing: int
     ) -> failures.Failure | None:
-        """Order an engine to load an adapter version."""
-        return await self._order(
+        """Order an engine to load an adapter version.
+
+        :param fencing: fencing token of the order
+        :returns: a failure, None on success
+        """
+        return await self._send_order(
             endpoint, "/v1/load_lora_adapter", {"lora_name": adapter}, fencing
         )
 
     async def unload_adapter(
         self, endpoint: inventories.Endpoint, adapter: str, fencing: int
     ) -> failures.Failure | None:
-        """Order an engine to unload an adapter version."""
-        return await self._order(
+        """Order an engine to unload an adapter version.
+
+        :param fencing: fencing token of the order
+        :returns: a failure, None on success
+        """
+        return await self._send_order(
             endpoint,
             "/v1/unload_lora_adapter",
             {"lora_name": adapter},
@@ -255,15 +273,18 @@
     async def cancel(
         self, endpoint: inventories.Endpoint, attempt: str
     ) -> failures.Failure | None:
-        """Ask an engine to cancel a request."""
-        return await self._order(
+        """Ask an engine to cancel an attempt of a request.
+
+        :returns: a failure, None on success
+        """
+        return await self._send_order(
             endpoint, f"/v1/requests/{attempt}/cancel", {}, None
         )
 
     async def read_report(
         self, endpoint: inventories.Endpoint
     ) -> reports.LoadReport | failures.Failure:
-        """Return the load report of an engine."""
+        """Return the load report of an engine, or a failure."""
         answer = await httpclient.fetch(
             self._pool,
             "GET",
@@ -277,13 +298,13 @@
             return converter.WIRE.structure(
                 json.loads(answer.body), reports.LoadReport
             )
-        # Corrupt input makes cattrs raise many kinds of error.
+        # cattrs raises many types of exceptions for corrupt input.
         except Exception as error:
             return converter.describe_failure(
                 failures.Reason.ENDPOINT_PROTOCOL, error
             )
 
-    async def _order(
+    async def _send_order(
         self,
         endpoint: inventories.Endpoint,
         path: str,
--- a/src/bronzetrack/endpoints/reports.py
+++ b/src/bronzetrack/endpoints/reports.py
@@ -1,4 +1,4 @@
-"""What endpoints report of themselves."""
+"""Load reports of endpoints."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 
 import attrs
 
-# Longest time between the making of a report and its reading. Engines
-# publish late; one that is later than this would let an adapter in use be
-# taken as idle.
+# Longest time between the production of a report and its reading. Engines
+# publish late. With a longer delay, an adapter in use could be taken for idle.
 REPORT_LAG_MS = 5_000
 
 
 @attrs.frozen
 class LoadReport:
-    """A load report of an engine, possibly late.
+    """A load report of an engine, which may be out of date.
 
-    :param boot: random value of this run of the engine
-    :param produced_ms: Unix time at which the engine made the report
-    :param running: running requests by adapter version
+    :param boot: random value that identifies this run of the engine
+    :param produced_ms: Unix time in milliseconds at which the engine produced
+        the report
+    :param running: number of running requests by adapter version
     :param loaded: adapter versions that are loaded
     """
 
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of the endpoint client with answers that are too large."""
+"""Tests of the endpoint client with answers that are too large or wrong."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class CountingStream(httpcore.AsyncMockStream):
-    """Counts the bytes that are read."""
+    """Mock stream that counts the bytes that are read."""
 
     read_bytes = 0
 
@@ -32,8 +32,8 @@
         return data
 
 
-class Backend(httpcore.AsyncMockBackend):
-    """Connects to streams that count."""
+class CountingBackend(httpcore.AsyncMockBackend):
+    """Mock network backend that connects to counting streams."""
 
     async def connect_tcp(self, *arguments, **options) -> CountingStream:
         return CountingStream(list(self._buffer))
@@ -41,14 +41,17 @@
 
 @pytest.fixture
 def make_client() -> Callable[[bytes], endpoint_client.EndpointClient]:
-    """Return a client of an endpoint that answers with a body."""
+    """Return a function that makes a client with a mock endpoint.
+
+    The endpoint answers each request with the given body.
+    """
 
     def make(body: bytes) -> endpoint_client.EndpointClient:
         head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
         size = b"Content-Length: %d\r\n\r\n" % len(body)
         parts = [body[at : at + 65_536] for at in range(0, len(body), 65_536)]
         CountingStream.read_bytes = 0
-        backend = Backend([head + size, *parts])
+        backend = CountingBackend([head + size, *parts])
         pool = httpcore.AsyncConnectionPool(network_backend=backend)
         return endpoint_client.EndpointClient(pool, 5_000)
 
@@ -56,8 +59,8 @@
 
 
 @pytest.mark.parametrize("call", ["read_report", "load_adapter"])
-def test_large_answer_to_an_order_is_not_read(make_client, call):
-    """Guards against memory that grows with what an endpoint sends."""
+def test_large_report_or_answer_to_order_is_not_read_whole(make_client, call):
+    """Guards against memory use that grows with an endpoint's answer."""
     client = make_client(b" " * 50_000_000)
     arguments = ["a@1", 1] if call == "load_adapter" else []
     failure = anyio.run(getattr(client, call), ENGINE, *arguments)
@@ -69,7 +72,7 @@
 def read_answer(
     client: endpoint_client.EndpointClient, work: messages.SubmitWork
 ) -> failures.Failure:
-    """Return the failure that reading an answer ends with."""
+    """Return the failure that the reading of an answer raises."""
 
     async def read() -> None:
         async with client.open_answer(ENGINE, work) as answer:
@@ -81,16 +84,16 @@
     return raised.value.failure
 
 
-def test_large_answer_in_one_piece_is_a_failure(make_client):
-    """Guards against memory that grows with the answer of one request."""
+def test_large_unstreamed_answer_is_a_failure(make_client):
+    """Guards against memory use that grows with the answer to a request."""
     failure = read_answer(make_client(b" " * 50_000_000), WORK)
     assert failure.reason is failures.Reason.ENDPOINT_PROTOCOL
     assert CountingStream.read_bytes < 18_000_000
 
 
 @pytest.mark.parametrize("model", ["b" * 2_000_000, "\ud800", ["b"]])
-def test_wrong_adapter_is_quoted_in_part(make_client, model):
-    """Guards against a failure whose text no message can hold."""
+def test_name_of_wrong_adapter_is_truncated(make_client, model):
+    """Guards against a failure detail that does not fit into a message."""
     body = json.dumps({"model": model}).encode()
     failure = read_answer(make_client(body), WORK)
     assert failure.reason is failures.Reason.WRONG_ADAPTER
