Reword the docstrings of the metrics package

Cause: docstrings used vague words (note, what gauges are read from). Change: docstrings in usual terms. Docstrings of the functions that read a gauge stay, since they are the help texts of metrics.

--- a/src/bronzetrack/metrics/counters.py
+++ b/src/bronzetrack/metrics/counters.py
@@ -1,4 +1,4 @@
-"""Counters and histograms, changed once for a request or an order."""
+"""Counters and histograms, updated once for each request or order."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
     from bronzetrack.streaming import outcomes
 
 NO_REASON = "none"
-# The targets are 0.37 s for the first token and a load of 0.25 s.
+# The targets are 0.37 s for the first token and 0.25 s for a load.
 FIRST_CHUNK_BUCKETS_S = (
     0.01,
     0.02,
@@ -58,17 +58,17 @@
 
 
 def count_load(failure: failures.Failure | None) -> None:
-    """Count a load that ended."""
+    """Count an order to load an adapter version that ended."""
     LOADS.labels(_get_reason(failure)).inc()
 
 
 def count_eviction(failure: failures.Failure | None) -> None:
-    """Count an eviction that ended."""
+    """Count an order to unload an adapter version that ended."""
     EVICTIONS.labels(_get_reason(failure)).inc()
 
 
 def observe_first_chunk(work_class: str, waited_ms: int) -> None:
-    """Note how long a caller waited for the first chunk."""
+    """Record how long a caller waited for the first chunk of an answer."""
     FIRST_CHUNK.labels(work_class).observe(waited_ms / 1000)
 
 
--- a/src/bronzetrack/metrics/gauges.py
+++ b/src/bronzetrack/metrics/gauges.py
@@ -1,6 +1,7 @@
-"""Gauges, read from the blackboard when they are scraped.
+"""Gauges, which are read from the blackboard at each scrape.
 
-They cost nothing on the data path.
+They add no cost to the data path. The docstring of the function that reads a
+gauge becomes the help text of the gauge.
 """
 
 from __future__ import annotations
@@ -27,13 +28,13 @@
 
 @attrs.frozen
 class Scrape:
-    """What gauges are read from."""
+    """The input from which gauges are read."""
 
     board: boards.Blackboard
     now: clock.Instant
 
 
-# Values by label; the empty label stands for a gauge without one.
+# Returns values by label value, with an empty one for a gauge without a label.
 Gauge = Callable[[Scrape], dict[str, float]]
 
 
@@ -41,7 +42,9 @@
 class GaugeEntry:
     """A gauge that is read from the blackboard.
 
-    :param label: name of its label, empty if it has none
+    :param label: name of the label of the gauge, empty if it has none
+    :param read: function that reads the values, with the help text as its
+        docstring
     """
 
     label: str
@@ -56,7 +59,11 @@
 
 
 def register_gauge(name: str, label: str = "") -> Callable[[Gauge], Gauge]:
-    """Return a decorator that registers a gauge."""
+    """Return a decorator that registers the function that reads a gauge.
+
+    :param name: name of the metric
+    :param label: name of the label, empty if the gauge has none
+    """
 
     def decorate(read: Gauge) -> Gauge:
         GAUGES.register(name)(GaugeEntry(label, read))
@@ -169,7 +176,7 @@
 
 
 class BoardCollector(collectors.Collector):
-    """Reads the gauges when metrics are scraped."""
+    """Reads all gauges at each scrape."""
 
     def __init__(
         self,
@@ -182,10 +189,10 @@
     def collect(self) -> Iterator[core.Metric]:
         scrape = Scrape(self._board, self._read_clock())
         for name, entry in GAUGES.items():
-            yield _make_family(name, entry, entry.read(scrape))
+            yield _make_metric(name, entry, entry.read(scrape))
 
 
-def _make_family(
+def _make_metric(
     name: str, entry: GaugeEntry, values: dict[str, Any]
 ) -> core.Metric:
     labels = [entry.label] if entry.label else []
--- a/tests/metrics/test_gauges.py
+++ b/tests/metrics/test_gauges.py
@@ -18,7 +18,7 @@
 
 
 def test_each_gauge_is_written_with_help(board):
-    """Guards against a gauge that fails or that nobody can interpret."""
+    """Guards against a gauge that fails or has no help text."""
     text = gauges.write_metrics(board, read_clock).decode()
     for name in gauges.GAUGES:
         assert re.search(rf"^# HELP {name} \S", text, re.MULTILINE)
@@ -34,7 +34,7 @@
 
 
 def test_refusals_are_counted_by_reason(board):
-    """Guards against refusals whose cause no alert can tell."""
+    """Guards against refusals whose reason is missing from the metrics."""
     failure = failures.Failure(failures.Reason.WARM_QUOTA)
     counters.count_request(outcomes.Outcome.REFUSED, failure)
     counters.count_request(outcomes.Outcome.COMPLETED, None)
