Reword the docstrings of the log service clients

Cause: docstrings and names were figurative (evidence, known, bad lists). Change: docstrings and comments in usual terms; the constants of decoding errors and of the timeout of a call are named after their use.

--- a/src/bronzetrack/logservice/__init__.py
+++ b/src/bronzetrack/logservice/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform services."""
+"""Clients of the platform's log service and list of VMs."""
--- a/src/bronzetrack/logservice/follower.py
+++ b/src/bronzetrack/logservice/follower.py
@@ -1,4 +1,4 @@
-"""Follows a stream of the log from an offset on."""
+"""Follows a stream of the log from an offset onwards."""
 
 from __future__ import annotations
 
@@ -10,11 +10,13 @@
 from bronzetrack.core import failures
 from bronzetrack.logservice import logservice
 
-# A stream that grows seldom. A read that waits ends when another stream's read
-# fails; with the time-out of a read, a connection that broke unnoticed delays
-# a record by 6 s at most, within the 7 s for a configuration change.
+# Wait of a read of a stream to which records are rarely appended. A waiting
+# read ends when a read of another stream fails. With the timeout of a read, a
+# connection that broke unnoticed delays a record by at most 6 s, within the
+# 7 s for a configuration change.
 WAIT_MS = 3_000
-# The read of one stream, which shows an outage of the log to the others.
+# Shorter wait of the reads of one stream, which detect an outage of the log
+# for the other streams.
 PROBE_WAIT_MS = 1_000
 RETRY_MS = 250
 
@@ -22,9 +24,12 @@
 async def follow_stream(
     log: logservice.LogClient, stream: str, offset: int = 0
 ) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
-    """Iterate over the batches of a stream, and the failures to read it.
+    """Iterate over the batches of a stream and the failures of its reads.
 
-    A reader that fell below the retained range goes on at its start.
+    A reader whose position is below the retained range continues at the start
+    of that range.
+
+    :param offset: the first offset to read
     """
     async for batch in follow_position(log, stream, lambda: offset):
         if isinstance(batch, failures.Failure):
@@ -43,18 +48,19 @@
     read_position: Callable[[], int],
     probes: bool = False,
 ) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
-    """Iterate like `follow_stream`, with the position kept by the reader.
+    """Iterate like `follow_stream`, but let the reader keep the position.
 
-    A reader that fell below the retained range gets a batch without records,
-    whose start is above its position.
+    A reader whose position is below the retained range gets a batch without
+    records, whose start is above the position.
 
     :param read_position: returns the offset to read next
-    :param probes: whether reads are short and show an outage to others, and
-        are not ended by a failure of another stream
+    :param probes: whether reads have a short wait, so that they detect an
+        outage for other streams, and do not end when a read of another stream
+        fails
     """
     wait_ms = PROBE_WAIT_MS if probes else WAIT_MS
-    # At the start and after a failure a success is shown at once, also without
-    # a record: a reader has caught up only when it knows the end.
+    # The first read and the read after a failure do not wait for a record,
+    # since a reader has caught up only when it knows the end of the stream.
     at_once = True
     while True:
         batch = await log.read(
@@ -67,7 +73,7 @@
             isinstance(batch, failures.Failure)
             and batch.reason is failures.Reason.LOG_TRUNCATED
         ):
-            # A read beyond the end names the retained range.
+            # A read beyond the end returns the retained range.
             batch = await log.read(stream, logservice.BEYOND_END)
         at_once = isinstance(batch, failures.Failure)
         yield batch
--- a/src/bronzetrack/logservice/logservice.py
+++ b/src/bronzetrack/logservice/logservice.py
@@ -16,22 +16,22 @@
 from bronzetrack.wire import tagged
 
 READ_LIMIT = 1_000
-# A read from here returns no records but names both ends of the stream.
+# A read from this offset returns no records, but both ends of the stream.
 BEYOND_END = 1 << 62
-APPEND_TIMEOUT_MS = 3_000
-BAD_ANSWERS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
+CALL_TIMEOUT_MS = 3_000
+DECODING_ERRORS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
 
 CODEC = tagged.TaggedCodec(records.RECORDS, failures.Reason.LOG_UNAVAILABLE)
 
 
 @attrs.frozen
 class LogBatch:
-    """Records that one read returned.
+    """The result of one read of a stream.
 
     :param start: the earliest offset that is retained
     :param end: the offset that the next append gets
-    :param records: offsets and records; a Failure stands for a record that
-        this version cannot decode
+    :param records: offsets and records, with a Failure in place of a record
+        that this version cannot decode
     """
 
     start: int
@@ -40,9 +40,10 @@
 
 
 class LogClient:
-    """Appends to and reads from streams.
+    """Appends records to streams of the log service and reads them.
 
     :param url: base URL of the service
+    :param pool: pool of HTTP connections
     """
 
     def __init__(self, url: str, pool: httpcore.AsyncConnectionPool) -> None:
@@ -53,25 +54,25 @@
     async def append(
         self, stream: str, items: Sequence[Any]
     ) -> int | failures.Failure:
-        """Append records in one call.
+        """Append records to a stream in one call.
 
-        :returns: offset of the first, or a failure; APPEND_UNCERTAIN when
-            the records may have been appended
+        :returns: offset of the first record, or a failure, which has the
+            reason APPEND_UNCERTAIN when the records may have been appended
         """
         body = msgpack.packb([CODEC.encode(item) for item in items])
         answer = await httpclient.fetch(
             self._pool,
             "POST",
             f"{self._url}/streams/{stream}",
-            APPEND_TIMEOUT_MS,
+            CALL_TIMEOUT_MS,
             body,
             failure_reason=failures.Reason.APPEND_UNCERTAIN,
         )
         if isinstance(answer, failures.Failure):
             return answer
         if answer.status != 200:
-            return _describe_append(answer)
-        return _read_offset(answer.body)
+            return _make_append_failure(answer)
+        return _decode_offset(answer.body)
 
     async def read(
         self,
@@ -81,13 +82,14 @@
         limit: int = READ_LIMIT,
         interruptible: bool = False,
     ) -> LogBatch | failures.Failure:
-        """Read records from an offset on.
+        """Read records of a stream from an offset onwards.
 
-        :param wait_ms: how long the service may wait for a record
+        :param wait_ms: milliseconds that the service may wait for a record
+        :param limit: the most records to return
         :param interruptible: whether this read fails as soon as any other
-            read finds the service unavailable
-        :returns: a batch, or a failure; LOG_TRUNCATED when the offset is
-            below the retained range
+            read fails because the service is unavailable
+        :returns: a batch, or a failure, which has the reason LOG_TRUNCATED
+            when the offset is below the retained range
         """
         scope = anyio.CancelScope()
         if interruptible:
@@ -118,28 +120,28 @@
             "GET",
             f"{self._url}/streams/{stream}"
             f"?from={offset}&limit={limit}&wait_ms={wait_ms}",
-            wait_ms + APPEND_TIMEOUT_MS,
+            wait_ms + CALL_TIMEOUT_MS,
             failure_reason=failures.Reason.LOG_UNAVAILABLE,
         )
         if isinstance(answer, failures.Failure):
             return answer
         if answer.status != 200:
-            return _describe_status(answer)
+            return _make_status_failure(answer)
         return _decode_batch(answer.body)
 
 
-def _describe_append(answer: httpclient.HttpResponse) -> failures.Failure:
-    # An overload or an outage refuses an append; other errors of a server
-    # may come after the append took effect.
+def _make_append_failure(answer: httpclient.HttpResponse) -> failures.Failure:
+    # In an overload or an outage the service rejects an append. Other server
+    # errors may come after the append took effect.
     if answer.status >= 500 and answer.status != 503:
         return failures.Failure(
             failures.Reason.APPEND_UNCERTAIN,
             f"the log answered {answer.status}",
         )
-    return _describe_status(answer)
+    return _make_status_failure(answer)
 
 
-def _describe_status(answer: httpclient.HttpResponse) -> failures.Failure:
+def _make_status_failure(answer: httpclient.HttpResponse) -> failures.Failure:
     reasons = {
         410: failures.Reason.LOG_TRUNCATED,
         429: failures.Reason.LOG_RATE_LIMITED,
@@ -148,10 +150,10 @@
     return failures.Failure(reason, f"the log answered {answer.status}")
 
 
-def _read_offset(body: bytes) -> int | failures.Failure:
+def _decode_offset(body: bytes) -> int | failures.Failure:
     try:
         return int(msgpack.unpackb(body)["offset"])
-    except BAD_ANSWERS as error:
+    except DECODING_ERRORS as error:
         return failures.Failure(
             failures.Reason.APPEND_UNCERTAIN,
             f"bad answer: {type(error).__name__}: {error}",
@@ -169,7 +171,7 @@
                 for offset, data in fields["records"]
             ),
         )
-    except BAD_ANSWERS as error:
+    except DECODING_ERRORS as error:
         return failures.Failure(
             failures.Reason.LOG_UNAVAILABLE, f"bad answer: {error}"
         )
--- a/src/bronzetrack/logservice/vmlist.py
+++ b/src/bronzetrack/logservice/vmlist.py
@@ -11,7 +11,7 @@
 from bronzetrack.wire import httpclient
 
 LIST_TIMEOUT_MS = 2_000
-BAD_LISTS = (
+DECODING_ERRORS = (
     ValueError,
     KeyError,
     TypeError,
@@ -22,9 +22,10 @@
 
 @attrs.frozen
 class ListedVm:
-    """One row of the list, which lags behind the truth.
+    """A VM in the list, which may be out of date.
 
-    :param address: peer address, empty for the VM of an endpoint
+    :param address: peer address, empty for a VM that hosts an endpoint
+    :param leaving: whether the list states that the VM is leaving
     """
 
     name: str
@@ -36,6 +37,7 @@
     """Reads the list of VMs.
 
     :param url: base URL of the service
+    :param pool: pool of HTTP connections
     """
 
     def __init__(self, url: str, pool: httpcore.AsyncConnectionPool) -> None:
@@ -43,7 +45,7 @@
         self._pool = pool
 
     async def list_vms(self) -> tuple[ListedVm, ...] | failures.Failure:
-        """Return the list or a failure."""
+        """Return the VMs in the list, or a failure."""
         answer = await httpclient.fetch(
             self._pool,
             "GET",
@@ -62,7 +64,7 @@
                 )
                 for row in json.loads(answer.body)
             )
-        except BAD_LISTS as error:
+        except DECODING_ERRORS as error:
             return failures.Failure(
                 failures.Reason.VM_LIST_UNAVAILABLE, f"bad list: {error}"
             )
--- a/tests/logservice/test_bad_answers.py
+++ b/tests/logservice/test_bad_answers.py
@@ -1,4 +1,4 @@
-"""Tests of the clients with answers that no service should give."""
+"""Tests of the clients of services with invalid answers."""
 
 from __future__ import annotations
 
@@ -51,8 +51,8 @@
 
 
 @pytest.fixture
-def answer_with(monkeypatch):
-    """Make every HTTP request return a status and a body."""
+def set_answer_to_requests(monkeypatch):
+    """Return a function that sets the answer to every HTTP request."""
 
     def set_answer(body: bytes, status: int = 200) -> None:
         async def fetch(*arguments, **options) -> httpclient.HttpResponse:
@@ -63,40 +63,40 @@
     return set_answer
 
 
-def test_any_list_of_vms_is_read_or_refused(answer_with):
-    """Guards against a list that ends every daemon at once."""
+def test_any_list_of_vms_is_read_or_rejected(set_answer_to_requests):
+    """Guards against a list of VMs that crashes every daemon."""
     client = vmlist.VmListClient("http://127.0.0.1:1", None)
 
     @hypothesis.given(JSON_BODIES)
     def check(body: bytes) -> None:
-        answer_with(body)
+        set_answer_to_requests(body)
         found = anyio.run(client.list_vms)
         assert isinstance(found, (tuple, failures.Failure))
 
     check()
 
 
-def test_any_load_report_is_read_or_refused(answer_with):
-    """Guards against a report that ends the owner of an endpoint."""
+def test_any_load_report_is_read_or_rejected(set_answer_to_requests):
+    """Guards against a report that crashes the owner of an endpoint."""
     client = endpoint_client.EndpointClient(None, 5_000)
     endpoint = inventories.Endpoint("127.0.0.1", 1, "zone-a")
 
     @hypothesis.given(JSON_BODIES)
     def check(body: bytes) -> None:
-        answer_with(body)
+        set_answer_to_requests(body)
         found = anyio.run(client.read_report, endpoint)
         assert isinstance(found, (reports.LoadReport, failures.Failure))
 
     check()
 
 
-def test_any_answer_of_the_log_is_read_or_refused(answer_with):
-    """Guards against an answer of the log that ends every daemon."""
+def test_any_answer_of_the_log_is_read_or_rejected(set_answer_to_requests):
+    """Guards against an answer of the log that crashes every daemon."""
     client = logservice.LogClient("http://127.0.0.1:1", None)
 
     @hypothesis.given(PACKED_BODIES, strategies.sampled_from([200, 410, 503]))
     def check(body: bytes, status: int) -> None:
-        answer_with(body, status)
+        set_answer_to_requests(body, status)
         batch = anyio.run(client.read, "keys", 0)
         assert isinstance(batch, (logservice.LogBatch, failures.Failure))
         offset = anyio.run(client.append, "keys", [])
--- a/tests/logservice/test_follower.py
+++ b/tests/logservice/test_follower.py
@@ -14,8 +14,8 @@
 DOWN = failures.Failure(failures.Reason.LOG_UNAVAILABLE, "down")
 
 
-class Service:
-    """Answers long polls of empty streams, or fails when it is down."""
+class FakeLogService:
+    """Log service with empty streams that answers long polls or is down."""
 
     def __init__(self):
         self.reads = []
@@ -33,10 +33,10 @@
 
 @pytest.fixture
 def service(monkeypatch):
-    """Answer the requests of every log client."""
-    made = Service()
-    monkeypatch.setattr(httpclient, "fetch", made.fetch)
-    return made
+    """Return a log service that answers the requests of every client."""
+    fake = FakeLogService()
+    monkeypatch.setattr(httpclient, "fetch", fake.fetch)
+    return fake
 
 
 async def collect(log, stream, seen, probes=False):
@@ -46,7 +46,7 @@
 
 
 async def follow_outage(service):
-    """Return what a follower saw in an outage, and then after it."""
+    """Return the batches of a follower during an outage and after it."""
     log = logservice.LogClient("http://127.0.0.1:9", None)
     seen = []
     async with anyio.create_task_group() as group:
@@ -64,11 +64,12 @@
     return outage, recovery
 
 
-def test_outage_ends_waiting_reads(service):
-    """Guards against an outage of the log that is noticed late.
+def test_outage_ends_waiting_reads_of_other_streams(service):
+    """Guards against an outage of the log that is detected late.
 
-    A follower that waits long has to see it when the probe does, and has to
-    see the end of it without a record.
+    A follower with a long wait has to detect the outage together with the
+    probe. It has to detect the end of the outage even if no record is
+    appended.
     """
     outage, recovery = anyio.run(follow_outage, service)
     assert outage
@@ -82,15 +83,18 @@
             return batch
 
 
-def test_empty_stream_is_known_at_once(service):
-    """Guards against a VM that refuses keys while it waits for a record."""
+def test_first_read_of_empty_stream_does_not_wait(service):
+    """Guards against a VM that refuses keys while it waits for a record.
+
+    A VM refuses idempotency keys until it has reached the end of the stream.
+    """
     log = logservice.LogClient("http://127.0.0.1:9", None)
     batch = anyio.run(find_first_batch, log)
     assert batch.end == 0
 
 
 async def read_beside_failure(service):
-    """Return the answer to a read that must not end with others."""
+    """Return the result of a probe during which another read fails."""
     log = logservice.LogClient("http://127.0.0.1:9", None)
     found = []
 
@@ -106,11 +110,11 @@
     return found[0]
 
 
-def test_probe_depends_on_its_own_evidence(service):
+def test_failed_read_of_another_stream_does_not_end_probe(service):
     """Guards against an owner that takes one failed read for an outage.
 
-    In an outage an owner without a lease dispatches, since nobody can succeed
-    it; a failed read of another stream is no proof of that.
+    In an outage an owner without a lease dispatches, since no other VM can
+    succeed it. A failed read of another stream does not prove an outage.
     """
     answer = anyio.run(read_beside_failure, service)
     assert isinstance(answer, logservice.LogBatch)
