Name the handshake and the sessions of peers in usual terms

Cause: names such as _greet, _hand_over, _forget and _end_quietly were figurative. Change: private names of the hub are _send_hello, _deliver_when_possible, _remove_session and _contain_session_errors; docstrings and log messages are reworded. Events and fields of log lines stay.

--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -1,8 +1,8 @@
 """Sessions between daemons.
 
-Each daemon opens one stream to each peer and sends on it only; it receives
-on the streams that its peers open. Neither side has to agree on which of two
-streams to keep.
+Each daemon opens one stream to each peer and uses it only to send. It receives
+on the streams that its peers open. The two sides therefore need not agree on
+which of two streams to keep.
 """
 
 from __future__ import annotations
@@ -33,11 +33,11 @@
 LOG = logging.getLogger(__name__)
 QUEUE_MESSAGES = 1_024
 QUEUE_BYTES = 16_777_216
-GREETING_TIMEOUT_S = 3.0
+HANDSHAKE_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 30.0
-# Controllers empty a mailbox whenever they run, so that a full one has room
-# again at once unless its controller hangs.
+# Controllers empty their mailboxes whenever they run, so a full mailbox has
+# room again at once unless its controller hangs.
 DELIVER_TIMEOUT_S = 2.0
 DELIVER_RETRY_S = 0.005
 STREAM_ERRORS = (
@@ -54,10 +54,13 @@
 
 @attrs.define
 class Session:
-    """An open stream towards a peer.
+    """An open stream to a peer.
 
-    :param queue: encoded frames that were not written yet
-    :param queued_bytes: their size
+    :param peer: the hello message of the peer
+    :param address: address of the peer, as `IP:port`
+    :param queue: encoded frames that have not been written yet
+    :param scope: cancels the session
+    :param queued_bytes: size of the queued frames
     """
 
     peer: membership_messages.Hello
@@ -67,7 +70,10 @@
     queued_bytes: int = 0
 
     def post(self, frame: bytes) -> bool:
-        """Queue a frame; return whether there was room."""
+        """Queue a frame unless the queue is full.
+
+        :returns: whether the frame was queued
+        """
         if self.queued_bytes + len(frame) > QUEUE_BYTES:
             return False
         if not self.queue.post(frame):
@@ -76,7 +82,7 @@
         return True
 
     async def write_forever(self, stream: abc.ByteStream) -> None:
-        """Write what is queued, until the stream breaks."""
+        """Write queued frames to the stream until it breaks."""
         while True:
             await self.queue.wait_items()
             data = b"".join(self.queue.take())
@@ -88,33 +94,38 @@
 
 
 class PeerHub:
-    """Sends messages to peers and delivers those that arrive.
+    """Sends messages to peers and delivers received messages.
 
-    :param greeting: what this VM says of itself
-    :param deliver: takes each message that arrived; returns whether there
-        was room for it
+    :param own_hello: the hello message that this VM sends in each handshake
+    :param deliver: delivers a received message to its mailbox and returns
+        whether the mailbox had room
     """
 
     def __init__(
         self,
-        greeting: membership_messages.Hello,
+        own_hello: membership_messages.Hello,
         deliver: Callable[[messages.Delivery], bool],
     ) -> None:
-        self._greeting = greeting
+        self._own_hello = own_hello
         self._deliver = deliver
         self._sessions: dict[str, Session] = {}
 
     def send(self, vm: str, message: Any) -> bool:
-        """Queue a message; return False if it cannot reach the VM now."""
+        """Queue a message to a VM.
+
+        :returns: whether the message was queued
+        """
         return self.post(vm, message) is None
 
     def post(self, vm: str, message: Any) -> failures.Failure | None:
-        """Queue a message; return why it cannot reach the VM.
+        """Queue a message to a VM.
+
+        A failure with a reason in `messages.UNSENDABLE` is permanent. Other
+        failures pass once the session is open again or its queue has room.
 
-        A failure with a reason in `messages.UNSENDABLE` is final. Others
-        pass when the session is open again or its queue has room.
+        :returns: None, or the failure if the message was not queued
         """
-        if vm == self._greeting.vm:
+        if vm == self._own_hello.vm:
             if self._deliver(messages.Delivery(vm, message)):
                 return None
             return failures.Failure(
@@ -135,9 +146,9 @@
         )
 
     def send_each(self, vms: Collection[str], message: Any) -> frozenset[str]:
-        """Queue a message to several peers, encoded once.
+        """Queue a message, which is encoded once, to several peers.
 
-        :returns: the peers with room in their queue
+        :returns: the peers to which the message was queued
         """
         frame = _encode(message) if vms else b""
         if isinstance(frame, failures.Failure):
@@ -149,38 +160,42 @@
         )
 
     def list_sessions(self) -> dict[str, str]:
-        """Return the address of each VM that a stream is open to."""
+        """Return the addresses of the VMs with an open session, by VM."""
         return {vm: item.address for vm, item in self._sessions.items()}
 
     def close(self, vm: str) -> None:
-        """Close the stream to a VM, if one is open."""
+        """Close the session with a VM, if one is open."""
         session = self._sessions.pop(vm, None)
         if session is not None:
             session.scope.cancel()
 
     async def serve(self, stream: abc.ByteStream) -> None:
-        """Receive on a stream that a peer opened until it ends."""
+        """Receive messages on a stream that a peer opened, until it ends."""
         async with stream:
-            with _end_quietly("a peer"):
+            with _contain_session_errors("a peer"):
                 await self._receive(stream)
 
     async def _receive(self, stream: abc.ByteStream) -> None:
         reader = frames.FrameReader(stream)
-        with anyio.fail_after(GREETING_TIMEOUT_S):
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
             hello = await self._read_hello(reader)
-            await self._greet(stream)
-        await self._hand_over(messages.Delivery(hello.vm, hello))
+            await self._send_hello(stream)
+        await self._deliver_when_possible(messages.Delivery(hello.vm, hello))
         while True:
-            # A peer that vanished without closing its stream is not waited
-            # for; a living one sends a heartbeat every second.
+            # A live peer sends a heartbeat every second. The timeout ends the
+            # session of a peer that vanished without closing its stream.
             with anyio.fail_after(IDLE_TIMEOUT_S):
                 frame = await reader.read_frame()
-            await self._hand_over(messages.Delivery(hello.vm, _decode(frame)))
+            await self._deliver_when_possible(
+                messages.Delivery(hello.vm, _decode(frame))
+            )
 
-    async def _hand_over(self, delivery: messages.Delivery) -> None:
-        """Deliver a message that arrived, waiting for room in its mailbox.
+    async def _deliver_when_possible(
+        self, delivery: messages.Delivery
+    ) -> None:
+        """Deliver a received message, waiting for room in its mailbox.
 
-        Nothing more is read from the peer meanwhile.
+        Meanwhile nothing more is read from the peer.
         """
         with anyio.move_on_after(DELIVER_TIMEOUT_S):
             while not self._deliver(delivery):
@@ -191,7 +206,7 @@
     def _deliver_or_log(self, delivery: messages.Delivery) -> None:
         if not self._deliver(delivery):
             LOG.error(
-                "mailbox is full",
+                "a message was dropped because its mailbox is full",
                 extra={
                     "event": "mailbox_full",
                     "mailbox": delivery.message.mailbox,
@@ -200,8 +215,8 @@
             )
 
     async def connect(self, address: str) -> None:
-        """Open a stream to an address and send on it until it breaks."""
-        with _end_quietly(address):
+        """Open a stream to a peer and send messages on it until it breaks."""
+        with _contain_session_errors(address):
             # Addresses come from peers and from the platform.
             host, _, port = model.parse_address(address).rpartition(":")
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -211,15 +226,15 @@
 
     async def _run_session(self, stream: abc.ByteStream, address: str) -> None:
         reader = frames.FrameReader(stream)
-        with anyio.fail_after(GREETING_TIMEOUT_S):
-            await self._greet(stream)
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+            await self._send_hello(stream)
             hello = await self._read_hello(reader)
         known = self._sessions.get(hello.vm)
-        if hello.vm == self._greeting.vm:
+        if hello.vm == self._own_hello.vm:
             return
         if known is not None and known.peer.incarnation == hello.incarnation:
             return
-        # A VM that was replaced may have left a stream that never closed.
+        # A VM that was replaced may have left a stream that was never closed.
         self.close(hello.vm)
         async with anyio.create_task_group() as group:
             session = Session(
@@ -228,19 +243,19 @@
                 blackboard.Mailbox(hello.vm, QUEUE_MESSAGES),
                 group.cancel_scope,
             )
-            self._open(session)
-            group.start_soon(_watch_close, stream, group.cancel_scope)
+            self._add_session(session)
+            group.start_soon(_cancel_on_close, stream, group.cancel_scope)
             group.start_soon(session.write_forever, stream)
-        self._forget(session)
+        self._remove_session(session)
 
-    def _open(self, session: Session) -> None:
+    def _add_session(self, session: Session) -> None:
         peer = session.peer
         self._sessions[peer.vm] = session
         opened = membership_messages.SessionOpened(peer.vm, peer.incarnation)
         self._deliver_or_log(messages.Delivery(peer.vm, peer))
         self._deliver_or_log(messages.Delivery(peer.vm, opened))
 
-    def _forget(self, session: Session) -> None:
+    def _remove_session(self, session: Session) -> None:
         peer = session.peer
         if self._sessions.get(peer.vm) is session:
             del self._sessions[peer.vm]
@@ -257,25 +272,29 @@
             raise _make_error(f"protocol version {hello.version}")
         return hello
 
-    async def _greet(self, stream: abc.ByteStream) -> None:
-        await stream.send(frames.encode_frame(CODEC.encode(self._greeting)))
+    async def _send_hello(self, stream: abc.ByteStream) -> None:
+        await stream.send(frames.encode_frame(CODEC.encode(self._own_hello)))
 
 
 @contextlib.contextmanager
-def _end_quietly(peer: str) -> Iterator[None]:
-    """End a session whose stream broke or whose peer sent nonsense."""
+def _contain_session_errors(peer: str) -> Iterator[None]:
+    """Contain the errors that end one session.
+
+    The errors are a broken stream, an invalid address and a violation of the
+    protocol. The last two are logged.
+    """
     try:
         yield
     except STREAM_ERRORS:
         return
     except ValueError:
         LOG.warning(
-            "address of a peer is not IP:port",
+            "the address of a peer is not IP:port",
             extra={"event": "peer_address_invalid", "address": peer},
         )
     except errors.FailureError as error:
         LOG.warning(
-            "session ended for a protocol error",
+            "a session ended because of a protocol error",
             extra={
                 "event": "peer_protocol_error",
                 "peer": peer,
@@ -284,10 +303,10 @@
         )
 
 
-async def _watch_close(
+async def _cancel_on_close(
     stream: abc.ByteStream, scope: anyio.CancelScope
 ) -> None:
-    """Cancel a scope when the peer closes a stream it never writes to."""
+    """Cancel a scope when the peer closes a stream it does not write to."""
     try:
         await stream.receive()
     except (anyio.EndOfStream, anyio.BrokenResourceError):
@@ -300,7 +319,7 @@
         return frames.encode_frame(CODEC.encode(message))
     except errors.FailureError as error:
         LOG.error(
-            "message cannot be sent to a peer",
+            "a message cannot be encoded for a peer",
             extra={
                 "event": "message_unsendable",
                 "type": type(message).__name__,
--- a/tests/peer/test_bad_frames.py
+++ b/tests/peer/test_bad_frames.py
@@ -1,4 +1,4 @@
-"""Tests of the peers' listener with bytes that no daemon sends."""
+"""Tests of the peer hub with invalid bytes on a connection."""
 
 from __future__ import annotations
 
@@ -20,19 +20,22 @@
 
 @pytest.fixture
 def serve():
-    """Let a hub receive some bytes; return what it delivered."""
+    """Return a function that lets a hub receive bytes.
+
+    The function returns the messages that the hub delivered.
+    """
 
     def run(data: bytes) -> list:
         delivered: list = []
 
-        def keep(delivery) -> bool:
+        def deliver(delivery) -> bool:
             delivered.append(delivery)
             return True
 
-        greeting = messages.Hello(
+        own_hello = messages.Hello(
             messages.PROTOCOL_VERSION, "vm-1", "i", "zone-a", "", ""
         )
-        receiver = hub.PeerHub(greeting, keep)
+        receiver = hub.PeerHub(own_hello, deliver)
         anyio.run(send_bytes, receiver, data)
         return delivered
 
@@ -40,7 +43,7 @@
 
 
 async def send_bytes(receiver: hub.PeerHub, data: bytes) -> None:
-    """Serve one connection that sends some bytes and closes."""
+    """Let a hub serve one connection that sends bytes and closes."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     served = anyio.Event()
@@ -67,21 +70,21 @@
 
 
 def test_any_bytes_leave_the_hub_serving(serve):
-    """Guards against a connection that ends the whole daemon."""
+    """Guards against a connection that crashes the whole daemon."""
     payloads = strategies.binary(max_size=40)
     framed = strategies.lists(payloads.map(frames.encode_frame), max_size=3)
     data = strategies.one_of(payloads, framed.map(b"".join))
 
     @hypothesis.given(strategies.booleans(), data)
     @hypothesis.settings(max_examples=50)
-    def check(greeted: bool, data: bytes) -> None:
-        delivered = serve((encode(HELLO) if greeted else b"") + data)
+    def check(sends_hello: bool, data: bytes) -> None:
+        delivered = serve((encode(HELLO) if sends_hello else b"") + data)
         assert len(delivered) <= 1
 
     check()
 
 
-def test_oversized_frame_is_refused_by_its_prefix(serve, caplog):
+def test_oversized_frame_is_rejected_by_its_prefix(serve, caplog):
     """Guards against a peer that makes a daemon buffer gigabytes."""
     with caplog.at_level(logging.WARNING):
         assert serve(b"\xff\xff\xff\xff" + b"x" * 100) == []
--- a/tests/peer/test_sessions.py
+++ b/tests/peer/test_sessions.py
@@ -19,9 +19,10 @@
 
 @attrs.define
 class Peer:
-    """A hub that listens, and what it delivered.
+    """A hub that listens, and the messages that it delivered.
 
-    :param refusals: by type of message, how often there is no room for it
+    :param refusals: by type of message, how many more deliveries are refused
+        for lack of room
     """
 
     hub: hub.PeerHub
@@ -41,7 +42,7 @@
 
     refusals: collections.Counter = collections.Counter()
 
-    def keep(delivery) -> bool:
+    def deliver(delivery) -> bool:
         name = type(delivery.message).__name__
         if refusals[name] > 0:
             refusals[name] -= 1
@@ -49,13 +50,13 @@
         delivered.append(delivery)
         return True
 
-    made = hub.PeerHub(make_hello(vm, incarnation), keep)
+    peer_hub = hub.PeerHub(make_hello(vm, incarnation), deliver)
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     with anyio.fail_after(10):
         async with listener, anyio.create_task_group() as group:
-            group.start_soon(listener.serve, made.serve)
-            yield Peer(made, f"127.0.0.1:{port}", delivered, refusals)
+            group.start_soon(listener.serve, peer_hub.serve)
+            yield Peer(peer_hub, f"127.0.0.1:{port}", delivered, refusals)
             group.cancel_scope.cancel()
 
 
@@ -66,15 +67,15 @@
 
 @contextlib.asynccontextmanager
 async def connect_peers():
-    """Run two peers, the first of which has a session with the second."""
+    """Run two peers and open a session from the first to the second."""
     async with (
-        run_peer("a", "a1") as one,
-        run_peer("b", "b1") as other,
+        run_peer("a", "a1") as sender,
+        run_peer("b", "b1") as receiver,
         anyio.create_task_group() as group,
     ):
-        group.start_soon(one.hub.connect, other.address)
-        await wait_until(one.hub.list_sessions)
-        yield one, other
+        group.start_soon(sender.hub.connect, receiver.address)
+        await wait_until(sender.hub.list_sessions)
+        yield sender, receiver
         group.cancel_scope.cancel()
 
 
@@ -82,28 +83,28 @@
     return [type(item.message).__name__ for item in peer.delivered]
 
 
-def test_restarted_vm_replaces_a_session_that_never_closed():
+def test_restarted_vm_replaces_its_unclosed_session():
     """Guards against a VM that stays unreachable after its replacement."""
 
     async def check() -> None:
         async with (
-            run_peer("a", "a1") as one,
+            run_peer("a", "a1") as sender,
             run_peer("b", "b1") as old,
             run_peer("b", "b2") as new,
             anyio.create_task_group() as group,
         ):
-            group.start_soon(one.hub.connect, old.address)
-            await wait_until(one.hub.list_sessions)
-            group.start_soon(one.hub.connect, new.address)
-            await wait_until(lambda: "SessionClosed" in list_types(one))
-            assert one.hub.list_sessions() == {"b": new.address}
+            group.start_soon(sender.hub.connect, old.address)
+            await wait_until(sender.hub.list_sessions)
+            group.start_soon(sender.hub.connect, new.address)
+            await wait_until(lambda: "SessionClosed" in list_types(sender))
+            assert sender.hub.list_sessions() == {"b": new.address}
             opened = [
                 item.message.incarnation
-                for item in one.delivered
+                for item in sender.delivered
                 if isinstance(item.message, messages.SessionOpened)
             ]
             assert opened == ["b1", "b2"]
-            closed = one.delivered[-1].message
+            closed = sender.delivered[-1].message
             assert closed == messages.SessionClosed("b", "b1")
             group.cancel_scope.cancel()
 
@@ -111,20 +112,23 @@
 
 
 def test_peer_that_reads_nothing_fills_only_its_own_queue():
-    """Guards against memory that grows, or waits, for one frozen peer."""
+    """Guards against memory that grows, or a send that waits, for one peer.
+
+    The peer is frozen and does not read from its stream.
+    """
 
     async def check() -> None:
-        async with connect_peers() as (one, other):
+        async with connect_peers() as (sender, receiver):
             part = configuration_messages.ConfigurationSnapshot(
                 1, 1, 0, 1, b"x" * 500_000
             )
-            sent = [one.hub.send("b", part) for _ in range(100)]
+            sent = [sender.hub.send("b", part) for _ in range(100)]
             assert 1 < sum(sent) < 40
             too_large = attrs.evolve(part, data=b"x" * 2_000_000)
-            assert not one.hub.send("b", too_large)
-            names = list_types(other)
-            await wait_until(lambda: len(list_types(other)) > len(names))
-            assert one.hub.list_sessions()
+            assert not sender.hub.send("b", too_large)
+            names = list_types(receiver)
+            await wait_until(lambda: len(list_types(receiver)) > len(names))
+            assert sender.hub.list_sessions()
 
     anyio.run(check)
 
@@ -132,38 +136,44 @@
 @pytest.mark.parametrize(
     "address", ["", "nonsense", "127.0.0.1:99999", "host:80", "127.0.0.1:1"]
 )
-def test_bad_address_ends_only_the_attempt(address):
-    """Guards against a peer or a list that ends the daemon."""
+def test_invalid_address_ends_only_the_connection_attempt(address):
+    """Guards against an invalid address that crashes the daemon.
+
+    The address comes from a peer or from the list of VMs.
+    """
 
     async def check() -> None:
-        async with run_peer("a", "a1") as one:
-            await one.hub.connect(address)
-            assert not one.hub.list_sessions()
+        async with run_peer("a", "a1") as sender:
+            await sender.hub.connect(address)
+            assert not sender.hub.list_sessions()
 
     anyio.run(check)
 
 
 def test_full_mailbox_delays_the_messages_of_a_peer():
-    """Guards against answers dropped when many arrive at once."""
+    """Guards against messages that are dropped when many arrive at once."""
 
     async def check() -> None:
-        async with connect_peers() as (one, other):
-            other.refusals["ProbeWork"] = 3
-            sent = [answers.ProbeWork((str(place),)) for place in range(4)]
-            assert all(one.hub.send("b", message) for message in sent)
-            await wait_until(lambda: len(other.delivered) >= 5)
-            assert [item.message for item in other.delivered[1:]] == sent
+        async with connect_peers() as (sender, receiver):
+            receiver.refusals["ProbeWork"] = 3
+            sent = [answers.ProbeWork((str(number),)) for number in range(4)]
+            assert all(sender.hub.send("b", message) for message in sent)
+            await wait_until(lambda: len(receiver.delivered) >= 5)
+            assert [item.message for item in receiver.delivered[1:]] == sent
 
     anyio.run(check)
 
 
-def test_full_mailbox_is_told_to_its_own_vm():
-    """Guards against chunks of an own endpoint that are taken for sent."""
+def test_send_to_own_vm_reports_full_mailbox():
+    """Guards against chunks that are lost though they count as sent.
+
+    A VM sends the chunks of its own endpoints to itself.
+    """
 
     async def check() -> None:
-        async with run_peer("a", "a1") as one:
-            one.refusals["ProbeWork"] = 1
-            sent = [one.hub.send("a", answers.ProbeWork(())) for _ in "ab"]
+        async with run_peer("a", "a1") as sender:
+            sender.refusals["ProbeWork"] = 1
+            sent = [sender.hub.send("a", answers.ProbeWork(())) for _ in "ab"]
             assert sent == [False, True]
 
     anyio.run(check)
@@ -176,18 +186,18 @@
         ("\ud800", failures.Reason.PEER_PROTOCOL),
     ],
 )
-def test_message_that_no_frame_holds_leaves_the_others(name, reason):
-    """Guards against a session closed, or messages lost, for one message."""
+def test_unsendable_message_does_not_affect_others(name, reason):
+    """Guards against one message that closes the session or drops others."""
 
     async def check() -> None:
-        async with connect_peers() as (one, other):
+        async with connect_peers() as (sender, receiver):
             sent = [answers.ProbeWork((text,)) for text in ("1", name, "2")]
-            found = [one.hub.post("b", message) for message in sent]
+            found = [sender.hub.post("b", message) for message in sent]
             assert found[0] is None and found[2] is None
             assert found[1].reason is reason
-            await wait_until(lambda: len(other.delivered) >= 3)
-            received = [item.message for item in other.delivered[1:]]
+            await wait_until(lambda: len(receiver.delivered) >= 3)
+            received = [item.message for item in receiver.delivered[1:]]
             assert received == [sent[0], sent[2]]
-            assert "SessionClosed" not in list_types(one)
+            assert "SessionClosed" not in list_types(sender)
 
     anyio.run(check)
