Reword the tests of the core and wire packages

Cause: test names and docstrings were figurative (refused, noticed, quoted). Change: names and docstrings state the checked behaviour and the guarded failure. Assertions and parameters stay.

--- a/tests/core/test_logevents.py
+++ b/tests/core/test_logevents.py
@@ -1,4 +1,4 @@
-"""Typed log lines."""
+"""Tests of typed log events."""
 
 from __future__ import annotations
 
@@ -13,23 +13,23 @@
 
 
 @pytest.mark.parametrize("name, event", sorted(logevents.EVENTS.items()))
-def test_event_states_its_name_and_text(name, event):
-    """Guards against lines that cannot be searched for."""
+def test_event_has_name_and_message(name, event):
+    """Guards against log lines without a name or a description."""
     assert event.event == name
     assert event.message
     assert event.__doc__
 
 
 @pytest.mark.parametrize("name, event", sorted(logevents.EVENTS.items()))
-def test_fields_do_not_hide_those_of_every_line(name, event):
-    """Guards against a field that logging refuses with an exception."""
+def test_fields_do_not_clash_with_log_record_attributes(name, event):
+    """Guards against a field name for which `logging` raises an exception."""
     record = logging.LogRecord("", 0, "", 0, "", None, None)
     reserved = {*vars(record), "message", "asctime", "event"}
     assert not reserved & {item.name for item in attrs.fields(event)}
 
 
 def test_line_has_the_fields_of_its_event(caplog):
-    """Guards against fields that are lost on the way to the line."""
+    """Guards against fields of an event that the log line lacks."""
     caplog.set_level(logging.INFO)
     logevents.log(LOG, logevents.StoreRegained("topic-1", 0.5))
     [line] = caplog.records
@@ -40,8 +40,8 @@
     )
 
 
-def test_line_of_a_fault_has_its_stack(caplog):
-    """Guards against a fault whose place is not known."""
+def test_line_of_an_error_has_its_traceback(caplog):
+    """Guards against an internal error that is logged without a traceback."""
     error = ValueError("broken")
     logevents.log(LOG, logevents.RequestFailed(), error)
     [line] = caplog.records
@@ -50,7 +50,7 @@
 
 
 def test_disabled_level_writes_nothing(caplog):
-    """Guards against work for lines that nobody reads."""
+    """Guards against log lines below the configured level."""
     caplog.set_level(logging.ERROR)
     logevents.log(LOG, logevents.Stopping())
     assert not caplog.records
--- a/tests/wire/test_bad_bytes.py
+++ b/tests/wire/test_bad_bytes.py
@@ -1,4 +1,4 @@
-"""Tests of messages, records and documents that nobody should send."""
+"""Tests of invalid messages, records and documents."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 def make_fields(cls: type) -> strategies.SearchStrategy:
-    """Return mappings that have the field names of a class."""
+    """Return a strategy for mappings with the field names of a class."""
     names = [field.name for field in cls.__attrs_attrs__]
     return strategies.fixed_dictionaries(
         {}, optional={name: VALUES for name in names}
@@ -52,7 +52,10 @@
 
 
 def make_encoded(registry) -> strategies.SearchStrategy:
-    """Return bytes, many of them close to those of registered classes."""
+    """Return a strategy for bytes that often resemble encoded objects.
+
+    The objects are those of the classes in a registry.
+    """
     named = [
         make_fields(cls).map(lambda fields, name=name: (name, fields))
         for name, cls in registry.items()
@@ -73,7 +76,7 @@
     ids=["messages", "records"],
 )
 def test_any_bytes_give_an_object_or_a_failure(codec, registry):
-    """Guards against bytes of a peer or of the log that end a daemon."""
+    """Guards against bytes of a peer or of the log that crash a daemon."""
     classes = tuple(cls for _, cls in registry.items())
 
     @hypothesis.given(make_encoded(registry))
@@ -88,7 +91,7 @@
 
 
 def test_any_record_can_be_replayed():
-    """Guards against a record in the wrong stream that ends a daemon."""
+    """Guards against a record in the wrong stream that crashes a daemon."""
 
     @hypothesis.given(make_encoded(records.RECORDS))
     def check(data: bytes) -> None:
@@ -107,8 +110,8 @@
 
 
 @pytest.mark.parametrize("kind", ["inventory", "rules"])
-def test_any_document_is_read_or_refused(kind):
-    """Guards against a publication that ends every daemon that reads it."""
+def test_any_document_is_read_or_rejected(kind):
+    """Guards against a publication that crashes each daemon that reads it."""
     cls = documents.DOCUMENT_CLASSES[kind]
 
     @hypothesis.given(make_documents(kind), strategies.booleans())
@@ -130,8 +133,11 @@
 
 @pytest.mark.parametrize("name", ["é", "a\nb", "a b\x00", ""])
 @pytest.mark.parametrize("section", ["adapters", "endpoints", "versions"])
-def test_name_that_no_header_can_carry_is_refused(name, section):
-    """Guards against an inventory whose names make each answer fail."""
+def test_name_that_is_invalid_in_a_header_is_rejected(name, section):
+    """Guards against an inventory with a name that makes each answer fail.
+
+    The name is sent in a header of the answer.
+    """
     version = name if section == "versions" else "1"
     adapter = inventories.Adapter("trust", "base", (version,), version)
     endpoint = inventories.Endpoint("127.0.0.1", 1, "a", base_model="base")
@@ -150,8 +156,8 @@
     assert isinstance(decided, failures.Failure)
 
 
-def test_number_beyond_64_bits_is_a_typed_error():
-    """Guards against a value that ends the sender of a message."""
+def test_integer_beyond_64_bits_is_a_typed_error():
+    """Guards against a value that crashes the sender of a message."""
     message = streaming_messages.AnswerStarted("a", 1 << 70, "text/plain")
     with pytest.raises(errors.FailureError):
         hub.CODEC.encode(message)
--- a/tests/wire/test_converter.py
+++ b/tests/wire/test_converter.py
@@ -1,4 +1,4 @@
-"""Tests of the conversion of documents that people write."""
+"""Tests of the converter for documents that people write."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
         {"versions": ["1"], "current": "1", "ownr": "trust"},
     ],
 )
-def test_inventory_converts_no_types(adapter):
-    """Guards against version 1.10 that becomes 1.1 by way of a number."""
+def test_inventory_with_values_of_wrong_type_is_rejected(adapter):
+    """Guards against version 1.10 that is read as a number and becomes 1.1."""
     fields = {"owner": "trust", "base_model": "base", **adapter}
     found = documents.read_document("inventory", {"adapters": {"a": fields}})
     assert isinstance(found, failures.Failure)
@@ -26,7 +26,7 @@
 
 
 def test_failure_names_every_mistake():
-    """Guards against one round of publishing for each mistake."""
+    """Guards against a failure that names only the first mistake."""
     found = documents.read_document(
         "rules", {"members": {"a": {"weight": "1"}, "b": {"wait": 1}}}
     )
--- a/tests/wire/test_dump.py
+++ b/tests/wire/test_dump.py
@@ -13,19 +13,19 @@
 
 @pytest.fixture
 def request_dump(board):
-    """Return a section, with lists bounded at 10 entries."""
+    """Return a function that dumps a section, with lists of 10 entries."""
     request = dump.DumpRequest(board, clock.Instant(0, 0), limit=10)
     return lambda name: dump.dump_section(request, name)
 
 
 def test_every_section_is_json(board, request_dump):
-    """Guards against a value that breaks the dump when it is needed."""
+    """Guards against a value in a section that JSON cannot encode."""
     for name in dump.list_sections(board):
         json.dumps(request_dump(name), allow_nan=False)
 
 
 def test_keys_section_is_bounded(board, request_dump):
-    """Guards against a dump that stalls the daemon with an hour of keys."""
+    """Guards against a dump of all keys that blocks the daemon."""
     for number in range(100):
         board.keys.value.entries[f"key-{number}"] = table.KeyEntry(
             table.KeyPhase.CLAIMED, number, 0
@@ -36,7 +36,7 @@
     assert len(value["newest"]) == 10
 
 
-def test_long_lists_say_what_they_omit():
-    """Guards against a shortened list that looks whole."""
+def test_truncated_list_states_number_of_omitted_items():
+    """Guards against a truncated list that looks complete."""
     found = dump.dump_value(list(range(30)), 10)
     assert found == [*range(10), "... 20 more"]
--- a/tests/wire/test_httpclient.py
+++ b/tests/wire/test_httpclient.py
@@ -11,7 +11,7 @@
 
 
 class SearchRecorder:
-    """Finder that notes which modules were searched for."""
+    """Import finder that records the modules that are searched for."""
 
     def __init__(self):
         self.names = []
@@ -27,8 +27,8 @@
     return await httpclient.fetch(pool, "GET", "http://127.0.0.1:9/", 500)
 
 
-def test_request_searches_for_no_module(monkeypatch):
-    """Guards against a search of the import path with each request."""
+def test_second_request_searches_for_no_module(monkeypatch):
+    """Guards against a search of the import path for each request."""
     recorder = SearchRecorder()
     answer = anyio.run(fetch_twice, recorder, monkeypatch)
     assert isinstance(answer, failures.Failure)
