Polish docstrings of the core and wire packages

Cause: some reworded docstrings were imprecise about units and results. Change: clocks, sources, copy interval and codec are described precisely.

--- a/src/bronzetrack/core/blackboard.py
+++ b/src/bronzetrack/core/blackboard.py
@@ -16,7 +16,7 @@
 
 
 class Source:
-    """Sets the events that watch it whenever it changes."""
+    """An object that sets the events of its watchers at each change."""
 
     def __init__(self) -> None:
         self._watchers: set[anyio.Event] = set()
--- a/src/bronzetrack/core/clock.py
+++ b/src/bronzetrack/core/clock.py
@@ -1,4 +1,4 @@
-"""Clock readings, which only controllers and I/O code may take."""
+"""Readings of the clocks, which only controllers and I/O code take."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/core/controllers.py
+++ b/src/bronzetrack/core/controllers.py
@@ -1,4 +1,4 @@
-"""Registry and base class of the controllers."""
+"""Registry and base classes of the controllers."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -287,7 +287,7 @@
 )
 @attrs.frozen
 class LeaseCallFailed(LogEvent):
-    """A call to the store about the lease that failed or timed out."""
+    """A call to the store about the lease that failed or got no answer."""
 
     detail: str
 
--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -64,7 +64,8 @@
 
     :param rank: position of this VM among those that can append the copy
     :param now_ms: the current monotonic time in milliseconds
-    :param interval_ms: the longest time between two copies, in milliseconds
+    :param interval_ms: age in milliseconds at which a VM of rank 0 appends a
+        new copy
     """
     if retained.copy < retained.start:
         return True
--- a/src/bronzetrack/wire/converter.py
+++ b/src/bronzetrack/wire/converter.py
@@ -30,7 +30,7 @@
 
 
 def _reject_wrong_types(converter: Any) -> Any:
-    """Make a converter reject scalars of a wrong type, not convert them.
+    """Make a converter reject values of a wrong type, not convert them.
 
     Otherwise the text "false" would become true, and a version 1.10 that an
     export wrote as a number would become "1.1".
--- a/src/bronzetrack/wire/tagged.py
+++ b/src/bronzetrack/wire/tagged.py
@@ -1,4 +1,4 @@
-"""msgpack codec that tags objects with the registered name of a class."""
+"""msgpack codec that tags each object with its registered class name."""
 
 from __future__ import annotations
 
