--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -229,10 +229,13 @@
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
             await self._send_hello(stream)
             hello = await self._read_hello(reader)
-        known = self._sessions.get(hello.vm)
+        existing = self._sessions.get(hello.vm)
         if hello.vm == self._own_hello.vm:
             return
-        if known is not None and known.peer.incarnation == hello.incarnation:
+        if (
+            existing is not None
+            and existing.peer.incarnation == hello.incarnation
+        ):
             return
         # A VM that was replaced may have left a stream that was never closed.
         self.close(hello.vm)
