Reword the HTTP listeners and their tests

Cause: Comments and names of the HTTP listeners used figurative and project-private words (hold, totals, abandon, voted rank).

--- a/src/bronzetrack/http/__init__.py
+++ b/src/bronzetrack/http/__init__.py
@@ -1,1 +1,1 @@
-"""Listeners for callers and operators."""
+"""HTTP listeners for callers and operators."""
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -1,4 +1,4 @@
-"""The listener for callers."""
+"""The HTTP listener for callers."""
 
 from __future__ import annotations
 
@@ -37,8 +37,8 @@
     from bronzetrack import board as boards
 
 LOG = logging.getLogger(__name__)
-# A model name may be as long as a body; the record of a refusal is bounded.
-NOTED_CHARACTERS = 200
+# A model name may be as long as a body; this bounds the record of a refusal.
+MAX_RECORDED_CHARACTERS = 200
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 
@@ -52,13 +52,17 @@
     def build(self) -> identities.IdentityMiddleware:
         """Return the ASGI application."""
         limits = self.board.settings.limits
-        totals = holds.Totals(limits.open_requests, limits.open_body_bytes)
+        totals = holds.UsageTotals(
+            limits.open_requests, limits.open_body_bytes
+        )
         application = applications.Starlette(
             routes=self.list_routes(),
-            middleware=[middleware.Middleware(holds.HoldMiddleware, totals)],
+            middleware=[
+                middleware.Middleware(holds.AdmissionMiddleware, totals)
+            ],
             exception_handlers={
                 exceptions.HTTPException: faults.answer_http_error,
-                Exception: faults.answer_fault,
+                Exception: faults.answer_internal_error,
             },
         )
         # Not every client repeats the body after a redirect.
@@ -66,7 +70,7 @@
         return identities.IdentityMiddleware(application)
 
     def list_routes(self) -> list[routing.Route]:
-        """Return the paths and their handlers."""
+        """Return the routes with their handlers."""
         return [
             routing.Route("/v1/entry", self.get_entry),
             routing.Route("/v1/models", self.list_models),
@@ -84,7 +88,7 @@
     async def get_entry(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Answer which VMs a caller should use."""
+        """Return the VMs that a caller should use for a model, best first."""
         model = self._resolve(request.query_params.get("model", ""))
         now_ms = self.read_clock().monotonic_ms
         view = self.board.membership.value
@@ -97,7 +101,7 @@
         }
         if self.board.lifecycle.value.status is messages.VmStatus.SERVING:
             addresses[self.board.vm] = self.board.settings.listen.callers
-            if self._is_warm_here(model):
+            if self._is_warm_locally(model):
                 warm.add(self.board.vm)
         ranked = entries.rank_entries(addresses, warm, model)
         return responses.JSONResponse(
@@ -115,7 +119,7 @@
         )
 
     def _resolve(self, model: str) -> str:
-        """Return the adapter version that a look-up means, if there is one."""
+        """Return the adapter version of a model, or the name if unknown."""
         resolved = resolver.resolve_model(
             self.board.configuration.value.configuration, model
         )
@@ -123,7 +127,8 @@
             return model
         return resolved.adapter
 
-    def _is_warm_here(self, model: str) -> bool:
+    def _is_warm_locally(self, model: str) -> bool:
+        """Return whether a model is resident on an endpoint of this VM."""
         return any(
             model in queue.residents
             for queue in self.board.dispatch.value.endpoints.values()
@@ -132,7 +137,7 @@
     async def list_models(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """List the adapters."""
+        """Return the adapters in the format of the OpenAI models list."""
         inventory = self.board.configuration.value.configuration.inventory
         return responses.JSONResponse(
             {
@@ -147,7 +152,7 @@
     async def complete(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Answer a completions or chat call."""
+        """Handle a completions or chat completions call."""
         body = await self._read_body(request)
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
@@ -165,7 +170,7 @@
     async def call_service(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Answer a call to a plain service."""
+        """Handle a call to a plain service."""
         body = await self._read_body(request)
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
@@ -187,6 +192,7 @@
         request: http_requests.Request,
         checked: calls.CallerRequest | failures.Failure,
     ) -> responses.Response:
+        """Post a checked request to the requests controller and respond."""
         if isinstance(checked, failures.Failure):
             return self._refuse(request, checked)
         if self.board.lifecycle.value.refuses_calls:
@@ -196,9 +202,9 @@
                 retry_after_ms=1_000,
             )
             return self._refuse(request, failure, checked)
-        unsendable = targets.check_sendable(checked)
-        if unsendable is not None:
-            return self._refuse(request, unsendable, checked)
+        failure_to_send = targets.check_sendable(checked)
+        if failure_to_send is not None:
+            return self._refuse(request, failure_to_send, checked)
         output = outputs.Output(checked.request)
         intake_box = self.board.mailboxes["intake"]
         if not intake_box.post(requests.Exchange(checked, output)):
@@ -209,11 +215,11 @@
             )
             return self._refuse(request, failure, checked)
 
-        def abandon() -> None:
+        def cancel() -> None:
             intake_box.post(requests.Abandoned(checked.request))
 
-        return await answers.make_answer(
-            checked, output, abandon, request.receive
+        return await answers.make_response(
+            checked, output, cancel, request.receive
         )
 
     def _refuse(
@@ -222,13 +228,13 @@
         failure: failures.Failure,
         checked: calls.CallerRequest | None = None,
     ) -> responses.Response:
-        """Answer and record a request that is refused on arrival."""
+        """Record a request refused on arrival and return the response."""
         counters.count_request(outcomes.Outcome.REFUSED, failure)
-        detail = failure.detail[:NOTED_CHARACTERS]
+        detail = failure.detail[:MAX_RECORDED_CHARACTERS]
         refusal = requests.Refusal(
             request=identities.get_request_id(request),
             wall_ms=self.read_clock().wall_ms,
-            path=request.scope["path"][:NOTED_CHARACTERS],
+            path=request.scope["path"][:MAX_RECORDED_CHARACTERS],
             adapter="" if checked is None else checked.adapter,
             failure=attrs.evolve(failure, detail=detail),
         )
@@ -242,22 +248,22 @@
                 "detail": detail,
             },
         )
-        return answers.make_refusal(failure, request=checked)
+        return answers.make_error_response(failure, request=checked)
 
     async def _read_body(
         self, request: http_requests.Request
     ) -> bytes | failures.Failure:
-        """Return the body, or why there is no room for the request."""
-        hold: holds.Hold = request.scope[holds.SCOPE_KEY]
+        """Return the body, or a failure if it cannot be read in full."""
+        reservation: holds.Reservation = request.scope[holds.SCOPE_KEY]
         limit = self.board.settings.limits.body_bytes
         timeout_ms = self.board.settings.limits.body_timeout_ms
         body = bytearray()
-        failure = hold.admit()
+        failure = reservation.admit()
         try:
             with anyio.fail_after(timeout_ms / 1000):
                 async for part in request.stream():
                     body += part
-                    failure = failure or hold.grow(len(part))
+                    failure = failure or reservation.grow(len(part))
                     if len(body) > limit:
                         failure = failures.Failure(
                             failures.Reason.BODY_TOO_LARGE,
--- a/src/bronzetrack/http/faults.py
+++ b/src/bronzetrack/http/faults.py
@@ -1,4 +1,4 @@
-"""Answers to what no handler answers."""
+"""Exception handlers of the listener for callers."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 async def answer_http_error(
     request: http_requests.Request, error: Exception
 ) -> responses.Response:
-    """Answer a path or method that is not served."""
+    """Return the response for an unknown path or an unsupported method."""
     assert isinstance(error, exceptions.HTTPException)
     failure = failures.Failure(
         failures.Reason.BAD_REQUEST, f"{request.method}: {error.detail}"
@@ -32,15 +32,15 @@
     )
 
 
-async def answer_fault(
+async def answer_internal_error(
     request: http_requests.Request, error: Exception
 ) -> responses.Response:
-    """Answer a request that met a fault of ours.
+    """Return the response for an unhandled exception in a handler.
 
-    The server logs the exception itself.
+    The HTTP server logs the exception with its traceback.
     """
     LOG.error(
-        "request failed for a fault of the daemon",
+        "request failed because of an internal error",
         extra={
             "event": "request_fault",
             "path": request.scope["path"],
--- a/src/bronzetrack/http/identities.py
+++ b/src/bronzetrack/http/identities.py
@@ -1,4 +1,4 @@
-"""Gives each call an id that its answer, the logs and the dumps share."""
+"""Assigns the request ids that responses, logs and state dumps share."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 
 
 class IdentityMiddleware:
-    """Names each call before anything can refuse it.
+    """Assigns a request id before any other part can refuse the request.
 
-    It stands around the whole application, since the answer to a fault is
-    sent from outside the middleware of the framework.
+    It wraps the whole application, since the framework sends the response
+    to an unhandled exception from outside its own middleware.
 
-    :param application: the ASGI application around which it stands
+    :param application: the wrapped ASGI application
     """
 
     def __init__(self, application: Any) -> None:
@@ -29,15 +29,15 @@
         scope[SCOPE_KEY] = request
         header = (HEADER.lower().encode(), request.encode())
 
-        async def send_named(message: MutableMapping[str, Any]) -> None:
+        async def send_with_id(message: MutableMapping[str, Any]) -> None:
             if message["type"] == "http.response.start":
                 headers = (*message.get("headers", ()), header)
                 message = {**message, "headers": headers}
             await send(message)
 
-        await self._application(scope, receive, send_named)
+        await self._application(scope, receive, send_with_id)
 
 
 def get_request_id(request: http_requests.Request) -> str:
-    """Return the id of a call."""
+    """Return the id of a request."""
     return request.scope[SCOPE_KEY]
--- a/src/bronzetrack/http/intake.py
+++ b/src/bronzetrack/http/intake.py
@@ -1,4 +1,4 @@
-"""Checks of callers' HTTP requests."""
+"""Parsing and validation of callers' HTTP requests."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
 KEY_HEADER = "idempotency-key"
 ISSUED_HEADER = "idempotency-issued-at"
 DEFAULT_COST_TOKENS = 256
-# These differ between copies of a request and do not change what it does to
-# an engine.
-IDENTITY_FIELDS = frozenset(
+# These may differ between copies of a request and do not change its effect on
+# an engine, so they are left out of its fingerprint.
+FINGERPRINT_EXCLUDED_FIELDS = frozenset(
     {"model", "request_id", "user", "metadata", "priority"}
     | {"stream", "stream_options"}
 )
@@ -41,11 +41,11 @@
         return fields
     model = fields.get("model")
     if not isinstance(model, str):
-        return _refuse("model is missing or not a string")
+        return _make_bad_request("model is missing or not a string")
     resolved = resolver.resolve_model(configuration, model)
     if isinstance(resolved, failures.Failure):
         return resolved
-    work_class = _read_class(configuration, headers)
+    work_class = _read_work_class(configuration, headers)
     if isinstance(work_class, failures.Failure):
         return work_class
     key = _read_key(resolved.member, headers, now)
@@ -53,8 +53,10 @@
         return key
     cost = fields.get("max_tokens", DEFAULT_COST_TOKENS)
     if not isinstance(cost, int) or isinstance(cost, bool) or cost < 1:
-        return _refuse("max_tokens is not a positive whole number")
-    sent = _write_body(fields, resolved.adapter, configuration, work_class)
+        return _make_bad_request("max_tokens is not a positive whole number")
+    engine_body = _write_engine_body(
+        fields, resolved.adapter, configuration, work_class
+    )
     return calls.CallerRequest(
         request=request,
         member=resolved.member,
@@ -62,7 +64,7 @@
         work_class=work_class,
         method="POST",
         path=path,
-        body=sent,
+        body=engine_body,
         content_type="application/json",
         stream=fields.get("stream") is True,
         cost=cost,
@@ -100,7 +102,7 @@
             failures.Reason.KEY_REQUIRED,
             f"{method} at this service needs an Idempotency-Key",
         )
-    work_class = _read_class(configuration, headers)
+    work_class = _read_work_class(configuration, headers)
     if isinstance(work_class, failures.Failure):
         return work_class
     digest = _digest(f"{method} {path}?{query}", body)
@@ -129,13 +131,13 @@
     try:
         fields = json.loads(body)
     except (ValueError, RecursionError) as error:
-        return _refuse(f"the body is not JSON: {error}")
+        return _make_bad_request(f"the body is not JSON: {error}")
     if not isinstance(fields, dict):
-        return _refuse("the body is not a JSON object")
+        return _make_bad_request("the body is not a JSON object")
     return fields
 
 
-def _read_class(
+def _read_work_class(
     configuration: state.Configuration, headers: Mapping[str, str]
 ) -> str | failures.Failure:
     rules = configuration.rules
@@ -157,29 +159,30 @@
     return keys.check_key(member, key, headers.get(ISSUED_HEADER), now.wall_ms)
 
 
-def _write_body(
+def _write_engine_body(
     fields: Mapping[str, Any],
     adapter: str,
     configuration: state.Configuration,
     work_class: str,
 ) -> bytes:
-    """Return the body that the engine gets.
+    """Return the body that is sent to the engine.
 
-    The version is fixed here, so that one published while the request waits
-    does not change what it runs on. The priority is the voted rank, whatever
-    the caller asks for.
+    The adapter version is fixed here, so that a version published while the
+    request waits does not change which one it runs on. The priority is the
+    rank of the work class in the rules; the caller's value is ignored.
     """
     rank = configuration.rules.classes[work_class].rank
-    sent = {**fields, "model": adapter, "priority": rank}
-    return json.dumps(sent).encode()
+    engine_body = {**fields, "model": adapter, "priority": rank}
+    return json.dumps(engine_body).encode()
 
 
 def _dump_content(fields: Mapping[str, Any]) -> bytes:
+    """Return the part of a request that its fingerprint covers."""
     return _dump_sorted(
         {
             name: value
             for name, value in fields.items()
-            if name not in IDENTITY_FIELDS
+            if name not in FINGERPRINT_EXCLUDED_FIELDS
         }
     )
 
@@ -193,5 +196,5 @@
     return digest.hexdigest()
 
 
-def _refuse(detail: str) -> failures.Failure:
+def _make_bad_request(detail: str) -> failures.Failure:
     return failures.Failure(failures.Reason.BAD_REQUEST, detail)
--- a/src/bronzetrack/http/operators.py
+++ b/src/bronzetrack/http/operators.py
@@ -1,4 +1,4 @@
-"""The listener for operators: metrics, the state dump and planned stops."""
+"""The HTTP listener for operators: metrics, state dump, planned stops."""
 
 from __future__ import annotations
 
@@ -54,41 +54,43 @@
     async def get_state(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Return every section of the dump."""
-        dump_request = self._read_request(request)
+        """Return all sections of the state dump."""
+        dump_request = self._read_dump_request(request)
         if dump_request is None:
-            return _refuse_limit()
+            return _make_limit_error()
         return responses.JSONResponse(dump.dump_board(dump_request))
 
     async def get_section(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Return one section of the dump."""
-        dump_request = self._read_request(request)
+        """Return one section of the state dump."""
+        dump_request = self._read_dump_request(request)
         if dump_request is None:
-            return _refuse_limit()
+            return _make_limit_error()
         name = request.path_params["section"]
         section = dump.dump_section(dump_request, name)
         if section is None:
             known = ", ".join(sorted(dump.list_sections(self.board)))
-            return _make_error(404, "unknown_section", f"known: {known}")
+            return _make_error_response(
+                404, "unknown_section", f"known: {known}"
+            )
         return responses.JSONResponse(section)
 
     async def drain(
         self, request: http_requests.Request
     ) -> responses.Response:
-        """Begin a planned stop; one that has begun goes on."""
+        """Request a planned stop; a stop that has begun continues."""
         client = request.client
         origin = "unknown" if client is None else client.host
         stop = lifecycle.StopRequest(origin)
         if not self.board.mailboxes["lifecycle"].post(stop):
-            return _make_error(503, "queue_full", "try again")
+            return _make_error_response(503, "queue_full", "try again")
         return responses.JSONResponse({"vm": self.board.vm}, status_code=202)
 
-    def _read_request(
+    def _read_dump_request(
         self, request: http_requests.Request
     ) -> dump.DumpRequest | None:
-        """Return what to dump, None if the limit is invalid."""
+        """Return the dump request, or None if its limit is invalid."""
         text = request.query_params.get("limit", str(dump.DEFAULT_LIMIT))
         if not (text.isascii() and text.isdigit() and len(text) < 10):
             return None
@@ -98,12 +100,14 @@
         return dump.DumpRequest(self.board, self.read_clock(), limit)
 
 
-def _refuse_limit() -> responses.Response:
+def _make_limit_error() -> responses.Response:
     detail = f"limit is a whole number from 1 to {dump.LONGEST_LIMIT}"
-    return _make_error(400, "bad_request", detail)
+    return _make_error_response(400, "bad_request", detail)
 
 
-def _make_error(status: int, reason: str, detail: str) -> responses.Response:
+def _make_error_response(
+    status: int, reason: str, detail: str
+) -> responses.Response:
     return responses.JSONResponse(
         {"error": {"type": reason, "message": detail}}, status_code=status
     )
--- a/src/bronzetrack/http/statuses.py
+++ b/src/bronzetrack/http/statuses.py
@@ -1,4 +1,4 @@
-"""HTTP status of each failure."""
+"""HTTP status codes of failures."""
 
 from __future__ import annotations
 
@@ -39,5 +39,5 @@
 
 
 def get_status(failure: failures.Failure) -> int:
-    """Return the HTTP status of a failure."""
+    """Return the HTTP status code for a failure."""
     return STATUSES.get(failure.reason, DEFAULT_STATUS)
--- a/src/bronzetrack/http/targets.py
+++ b/src/bronzetrack/http/targets.py
@@ -1,4 +1,4 @@
-"""What of a caller's request can be passed on to an endpoint."""
+"""Checks whether a caller's request can be forwarded to an endpoint."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 from bronzetrack.core import failures
 from bronzetrack.streaming import calls
 
-# Larger numbers do not fit a message to a peer, and no engine has them.
-LARGEST_COST_TOKENS = 1_000_000
+# Larger numbers do not fit a message to a peer, and no engine supports them.
+MAX_COST_TOKENS = 1_000_000
 
 
 def read_target(request: http_requests.Request) -> str:
     """Return the path as the caller sent it, still percent-encoded.
 
-    A decoded path could not be told apart from one with a query, and may
-    hold characters that no request line can.
+    A decoded path could be confused with a path that has a query, and may
+    contain characters that are not allowed in a request line.
     """
     raw = request.scope.get("raw_path")
     if raw is None:
@@ -28,11 +28,11 @@
 def check_sendable(
     checked: calls.CallerRequest,
 ) -> failures.Failure | None:
-    """Return why a request could not be passed on to an endpoint."""
-    if checked.cost > LARGEST_COST_TOKENS:
+    """Return a failure if a request cannot be forwarded to an endpoint."""
+    if checked.cost > MAX_COST_TOKENS:
         return failures.Failure(
             failures.Reason.BAD_REQUEST,
-            f"max_tokens exceeds {LARGEST_COST_TOKENS}",
+            f"max_tokens exceeds {MAX_COST_TOKENS}",
         )
     for name, text in (
         ("path", checked.path),
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -1,4 +1,4 @@
-"""The callers' listener without a socket, with a controller that answers."""
+"""The HTTP listeners called without a socket, with a stub controller."""
 
 from __future__ import annotations
 
@@ -53,7 +53,12 @@
 
 @attrs.frozen
 class Reply:
-    """An answer, and how many bytes of the body were read for it."""
+    """A response, and what was read and recorded for it.
+
+    :param read_bytes: how many bytes of the request body were read
+    :param served: requests that reached the requests controller
+    :param refused: refusals that were recorded
+    """
 
     status: int
     headers: dict[str, str]
@@ -68,7 +73,7 @@
 
 @pytest.fixture
 def configured(board) -> boards.Blackboard:
-    """Blackboard with one adapter and one service."""
+    """Return a blackboard with one adapter and one service."""
     inventory = documents.read_document("inventory", INVENTORY)
     configuration = state.Configuration(offset=0, inventory=inventory)
     board.configuration.write(
@@ -79,14 +84,14 @@
 
 @pytest.fixture
 def call(configured) -> Call:
-    """Call the callers' listener."""
+    """Return a function that calls the callers' listener."""
     application = callers.CallersApplication(configured, clock.read_clock)
     return make_call(configured, application.build())
 
 
 @pytest.fixture
 def operate(configured) -> Call:
-    """Call the operators' listener."""
+    """Return a function that calls the operators' listener."""
     application = operators.OperatorsApplication(configured, clock.read_clock)
     return make_call(configured, application.build())
 
@@ -115,9 +120,10 @@
     body: Iterable[Any],
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Reply:
-    """Call an application.
+    """Send one request to an ASGI application and return the reply.
 
-    :param body: parts; None is a disconnect, ... a caller that stalls
+    :param body: parts of the body; None stands for a disconnect and ... for
+        a caller that stalls
     """
     path, _, query = target.partition(b"?")
     scope = {
@@ -142,7 +148,7 @@
     async def receive() -> dict[str, Any]:
         nonlocal read_bytes, body_ended
         if body_ended:
-            # A server has nothing more to say until the caller disconnects.
+            # A server sends no further message until the caller disconnects.
             await anyio.sleep_forever()
         part = next(parts, b"")
         if part is ...:
@@ -184,7 +190,7 @@
 
 
 async def answer_requests(board: boards.Blackboard, taken: list[Any]) -> None:
-    """Complete each request, in place of the requests controller."""
+    """Complete each request, as a stub for the requests controller."""
     intake = board.mailboxes["intake"]
     while True:
         await intake.wait_items()
--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Tests of the listeners with input that no client should send."""
+"""Tests of the HTTP listeners with malformed and hostile input."""
 
 from __future__ import annotations
 
@@ -65,8 +65,8 @@
 )
 
 
-def check_typed(reply) -> None:
-    """Check that an answer is whole, or an error with a known reason."""
+def check_reply(reply) -> None:
+    """Check that a reply is a success, or a refusal with a known reason."""
     if reply.status == 200:
         return
     error = json.loads(reply.body)["error"]
@@ -77,17 +77,17 @@
 
 
 def test_any_completion_call_is_answered(call):
-    """Guards against a body or header that ends in a fault of ours."""
+    """Guards against a body or header that causes an internal error."""
 
     @hypothesis.given(BODIES, HEADERS)
     def check(body, headers) -> None:
-        check_typed(call("POST", COMPLETIONS, [body], headers))
+        check_reply(call("POST", COMPLETIONS, [body], headers))
 
     check()
 
 
 def test_any_service_call_is_answered(call):
-    """Guards against a path, query or header that no endpoint could get."""
+    """Guards against forwarding a target or header that is not ASCII."""
     methods = strategies.sampled_from(["GET", "POST", "DELETE", "TRACE", "x"])
     tails = strategies.binary(max_size=30)
 
@@ -95,7 +95,7 @@
     def check(method, tail, headers) -> None:
         target = b"/services/updates/" + tail
         reply = call(method, target, [b"body"], headers)
-        check_typed(reply)
+        check_reply(reply)
         for request in reply.served:
             assert request.path.isascii()
             assert request.content_type.isascii()
@@ -104,12 +104,12 @@
 
 
 def test_any_lookup_is_answered(call):
-    """Guards against an entry look-up that fails for an odd name."""
+    """Guards against an entry look-up that fails for an odd model name."""
 
     @hypothesis.given(strategies.binary(max_size=60), HEADERS)
     def check(query, headers) -> None:
         assert call("GET", b"/v1/entry?" + query, (), headers).status == 200
-        check_typed(call("GET", b"/" + query, (), headers))
+        check_reply(call("GET", b"/" + query, (), headers))
 
     check()
 
@@ -135,21 +135,21 @@
     ],
 )
 def test_hostile_body_is_refused(call, body):
-    """Guards against single requests that ended a whole daemon.
+    """Guards against a single request that stops the whole daemon.
 
-    A number of 400 digits in `max_tokens` did so in the fair share and in
-    the message to a peer.
+    A number of 400 digits in `max_tokens` did so in the fair-share
+    computation and in the message to a peer.
     """
     reply = call("POST", COMPLETIONS, [body])
     assert reply.status in (400, 404)
-    check_typed(reply)
+    check_reply(reply)
 
 
 def test_hostile_headers_are_refused(call):
-    """Guards against single requests that ended a whole daemon.
+    """Guards against a single request that stops the whole daemon.
 
-    A non-ASCII `Content-Type` did so in the client of the endpoint; an issue
-    time of 5,000 digits was answered with 500.
+    A non-ASCII `Content-Type` did so in the endpoint client. An issue time
+    of 5,000 digits was answered with status 500.
     """
     target = b"/services/updates/a"
     kind = call("GET", target, (), [(b"content-type", b"\xe9")])
@@ -159,13 +159,13 @@
 
 
 def test_service_path_is_passed_on_encoded(call):
-    """Guards against a path that changes its meaning on the way."""
+    """Guards against a path that is decoded before it is forwarded."""
     reply = call("GET", b"/services/updates/a%2Fb%20c%3Fd?e=%26")
     assert reply.served[0].path == "/a%2Fb%20c%3Fd?e=%26"
 
 
 def test_oversized_body_is_read_to_the_limit_only(call, configured):
-    """Guards against a caller that fills the memory of a VM."""
+    """Guards against one caller that exhausts the memory of a VM."""
     part = b"x" * 65_536
     limit = configured.settings.limits.body_bytes
     reply = call("POST", COMPLETIONS, itertools.repeat(part))
@@ -173,12 +173,12 @@
     assert reply.read_bytes <= limit + len(part)
 
 
-def test_stalled_body_is_given_up(call, configured):
-    """Guards against callers that hold a place in a VM without an end."""
+def test_stalled_body_times_out(call, configured):
+    """Guards against stalled callers that occupy a VM without a time limit."""
     limits = attrs.evolve(configured.settings.limits, body_timeout_ms=100)
     configured.settings = attrs.evolve(configured.settings, limits=limits)
     reply = call("POST", COMPLETIONS, [b'{"model"', ...])
-    check_typed(reply)
+    check_reply(reply)
     assert reply.status == 408
     assert reply.headers["connection"] == "close"
 
@@ -191,16 +191,16 @@
     assert reply.headers["bronzetrack-request-id"] == refusal.request
 
 
-def test_disconnect_within_the_body_is_no_fault(call):
+def test_disconnect_within_the_body_is_cancelled(call):
     """Guards against a traceback in the log for each impatient caller."""
     reply = call("POST", COMPLETIONS, [b"{", None])
     assert json.loads(reply.body)["error"]["type"] == "cancelled"
 
 
 def test_bodies_in_progress_are_bounded():
-    """Guards against many callers that fill the memory of a VM together."""
-    totals = holds.Totals(most_requests=2, most_body_bytes=100)
-    first, second, third = (holds.Hold(totals) for _ in range(3))
+    """Guards against many callers that together exhaust a VM's memory."""
+    totals = holds.UsageTotals(max_requests=2, max_body_bytes=100)
+    first, second, third = (holds.Reservation(totals) for _ in range(3))
     assert first.admit() is None and second.admit() is None
     assert third.admit().limit == "limits.open_requests"
     assert first.grow(60) is None
@@ -210,8 +210,11 @@
     assert third.admit() is None
 
 
-def test_hold_ends_with_the_answer(call, configured):
-    """Guards against a VM that refuses everything after enough requests."""
+def test_reservation_ends_with_the_response(call, configured):
+    """Guards against reservations that are never released.
+
+    The VM would refuse every request once the limit is used up.
+    """
     limits = configured.settings.limits
     body = b'{"model": "launch-log", "prompt": "%s"}' % (b"x" * 200_000)
     for _ in range(limits.open_body_bytes // len(body) + 1):
@@ -220,15 +223,15 @@
 
 
 def test_errors_of_the_router_have_the_same_shape(call):
-    """Guards against a client that cannot parse a 404 or a 405."""
+    """Guards against a 404 or 405 whose body clients cannot parse."""
     for method, target in (("GET", b"/nowhere"), ("GET", COMPLETIONS)):
         reply = call(method, target)
         assert reply.status in (404, 405)
-        check_typed(reply)
+        check_reply(reply)
 
 
 def test_each_status_is_an_error():
-    """Guards against a failure that looks like a success."""
+    """Guards against a failure that is sent with a success status."""
     for reason in failures.Reason:
         status = statuses.get_status(failures.Failure(reason))
         assert 400 <= status <= 599
--- a/tests/http/test_intake.py
+++ b/tests/http/test_intake.py
@@ -1,4 +1,4 @@
-"""Tests of what a call becomes before it is routed."""
+"""Tests of parsing a completion call before it is routed."""
 
 from __future__ import annotations
 
@@ -44,12 +44,12 @@
 
 
 def test_version_is_fixed_on_arrival(read):
-    """Guards against a version published while the request waits."""
+    """Guards against a change of version while the request waits."""
     found = read()
     assert found.adapter == "launch-log@2"
     assert json.loads(found.body)["model"] == "launch-log@2"
 
 
-def test_engine_gets_the_voted_rank(read):
-    """Guards against a caller that raises its own priority."""
+def test_engine_gets_the_rank_of_the_class(read):
+    """Guards against a caller that sets its own priority."""
     assert json.loads(read(priority=-100).body)["priority"] == 0
