Reword the daemon's assembly, command line and logs

Cause: Docstrings and log lines were terse or figurative (edges, quiet server, "that was logged"). Run: pytest -n 2 tests/daemon/test_exits.py tests/daemon/test_logs.py: 4 passed; flake8 clean.

--- a/src/bronzetrack/daemon/__main__.py
+++ b/src/bronzetrack/daemon/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the daemon as a module."""
+"""Entry point of `python -m bronzetrack.daemon`."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/daemon/exits.py
+++ b/src/bronzetrack/daemon/exits.py
@@ -6,9 +6,9 @@
 
 
 class ExitCode(enum.IntEnum):
-    """How a daemon ended; docs/OPERATIONS.md says what to do about each.
+    """Reason why a daemon exited; docs/OPERATIONS.md lists the remedies.
 
-    A daemon that ends by itself is meant to be started again, except after
+    A supervisor should restart a daemon that exits by itself, except after
     PLANNED_STOP and BAD_SETTINGS.
     """
 
--- a/src/bronzetrack/daemon/logs.py
+++ b/src/bronzetrack/daemon/logs.py
@@ -12,7 +12,7 @@
 ) | {"message", "asctime", "taskName", "color_message"}
 
 
-# Every line has these fields. Lines of libraries have no event of ours.
+# Defaults of the fields that every line has. Libraries log without an event.
 COMMON_FIELDS: dict[str, Any] = {
     "event": "library",
     "request_id": None,
@@ -23,7 +23,7 @@
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object.
 
-    :param fields: fields of every line, such as the VM
+    :param fields: constant fields of every line, such as the VM
     """
 
     def __init__(self, fields: dict[str, str]) -> None:
@@ -31,6 +31,7 @@
         self._fields = fields
 
     def format(self, record: logging.LogRecord) -> str:
+        """Return a record as a JSON object on one line."""
         extra = {
             name: value
             for name, value in vars(record).items()
@@ -56,7 +57,13 @@
     availability_zone: str,
     stream: Any = None,
 ) -> None:
-    """Send all logs to a stream as JSON lines, by default standard error."""
+    """Configure logging of JSON lines to a stream.
+
+    :param level: lowest level that is logged
+    :param vm: name of the VM, a field of every line
+    :param availability_zone: zone of the VM, a field of every line
+    :param stream: where lines are written, by default standard error
+    """
     handler = logging.StreamHandler(stream or sys.stderr)
     fields = {"vm": vm, "availability_zone": availability_zone}
     handler.setFormatter(JsonFormatter(fields))
--- a/src/bronzetrack/daemon/main.py
+++ b/src/bronzetrack/daemon/main.py
@@ -29,7 +29,7 @@
     """Run a bronzetrack daemon.
 
     Exits with 0 after a planned stop, 2 for bad settings, 3 after the
-    failure of a controller, 4 if an address cannot be listened on and 5
+    failure of a controller, 4 if a listen address is unavailable and 5
     after any other error.
     """
     settings = loader.read_settings(config)
@@ -46,22 +46,22 @@
 
 
 def run(settings: model.Settings) -> exits.ExitCode:
-    """Run a daemon and return how it ended."""
+    """Run a daemon and return its exit code."""
     try:
         anyio.run(process.run_daemon, settings)
     except Exception as error:
-        return report_error(error)
+        return log_error(error)
     return exits.ExitCode.PLANNED_STOP
 
 
-def report_error(error: BaseException) -> exits.ExitCode:
-    """Return the exit code for an error; log it unless that was done."""
+def log_error(error: BaseException) -> exits.ExitCode:
+    """Return the exit code of an error, and log errors not logged before."""
     if find_error(error, process.ControllerFailedError):
         return exits.ExitCode.CONTROLLER_FAILED
     if find_error(error, process.AddressUnavailableError):
         return exits.ExitCode.ADDRESS_UNAVAILABLE
     LOG.critical(
-        "the daemon failed",
+        "daemon failed with an unexpected error",
         exc_info=error,
         extra={"event": "daemon_failed"},
     )
@@ -69,12 +69,12 @@
 
 
 def find_error(
-    error: BaseException, wanted: type[BaseException]
+    error: BaseException, error_type: type[BaseException]
 ) -> BaseException | None:
-    """Return an error of a type, also from within a group of errors."""
-    if isinstance(error, wanted):
+    """Return the first error of a type, searching exception groups too."""
+    if isinstance(error, error_type):
         return error
     if not isinstance(error, BaseExceptionGroup):
         return None
-    found = (find_error(item, wanted) for item in error.exceptions)
+    found = (find_error(item, error_type) for item in error.exceptions)
     return next((item for item in found if item is not None), None)
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -1,4 +1,4 @@
-"""Assembly of a daemon from its controllers and edges."""
+"""Assembly of a daemon from its controllers, listeners and clients."""
 
 from __future__ import annotations
 
@@ -36,28 +36,28 @@
 
 
 class ControllerFailedError(errors.BronzetrackError):
-    """A controller ended; that was logged."""
+    """A controller ended; the failure has already been logged."""
 
 
 class AddressUnavailableError(errors.BronzetrackError):
-    """A listener could not be opened; that was logged."""
+    """A listen address is unavailable; this has already been logged."""
 
 
 def import_controllers() -> None:
-    """Import every controller module, so that each is registered."""
+    """Import all controller modules, which registers the controllers."""
     for module in pkgutil.iter_modules(controller_package.__path__):
         importlib.import_module(f"{controller_package.__name__}.{module.name}")
 
 
 def make_board(settings: model.Settings) -> boards.Blackboard:
-    """Return the blackboard of a new run."""
+    """Return a blackboard with a new incarnation."""
     return boards.Blackboard(settings=settings, incarnation=uuid.uuid4().hex)
 
 
 def make_ports(board: boards.Blackboard) -> controllers.Ports:
-    """Return the edges of a daemon."""
+    """Return the clients and the peer hub that the controllers use."""
     settings = board.settings
-    greeting = membership_messages.Hello(
+    hello = membership_messages.Hello(
         version=membership_messages.PROTOCOL_VERSION,
         vm=settings.vm.name,
         incarnation=board.incarnation,
@@ -72,7 +72,7 @@
     return controllers.Ports(
         log=logservice.LogClient(settings.platform.log_url, platform_pool),
         vms=vmlist.VmListClient(settings.platform.vm_list_url, platform_pool),
-        peers=peer_hub.PeerHub(greeting, board.deliver),
+        peers=peer_hub.PeerHub(hello, board.deliver),
         endpoints=endpoint_client.EndpointClient(
             httpclient.make_pool(ENDPOINT_CONNECTIONS),
             settings.limits.stream_silence_ms,
@@ -81,10 +81,12 @@
 
 
 async def run_daemon(settings: model.Settings) -> None:
-    """Run a daemon until its planned stop has ended.
+    """Run a daemon until its planned stop is complete.
 
-    :raises AddressUnavailableError: nothing was started
-    :raises ControllerFailedError: within a group
+    :raises AddressUnavailableError: a listen address is unavailable; nothing
+        was started
+    :raises ControllerFailedError: a controller ended; raised within an
+        exception group
     """
     import_controllers()
     board = make_board(settings)
@@ -110,8 +112,8 @@
     )
     async with anyio.create_task_group() as group:
         for name, controller in controllers.CONTROLLERS.items():
-            running = controller(board, ports, clock.read_clock)
-            group.start_soon(_run_controller, name, running)
+            instance = controller(board, ports, clock.read_clock)
+            group.start_soon(_run_controller, name, instance)
         group.start_soon(peers_listener.serve, ports.peers.serve)
         group.start_soon(operators_server.serve, [operators_socket])
         await _serve_callers(board, callers_server, callers_socket)
@@ -122,10 +124,10 @@
 async def _run_controller(
     name: str, controller: controllers.Controller
 ) -> None:
-    """Run a controller; one that ends takes the whole process with it.
+    """Run a controller and end the whole process when it ends.
 
     A daemon without one of its controllers would still hold its lease and
-    take requests that nothing carries on.
+    accept requests that it never completes.
     """
     try:
         await controller.run()
@@ -137,7 +139,7 @@
         )
         raise ControllerFailedError(name) from error
     LOG.critical(
-        "controller returned",
+        "controller returned unexpectedly",
         extra={"event": "controller_failed", "controller": name},
     )
     raise ControllerFailedError(name)
@@ -145,10 +147,10 @@
 
 async def _serve_callers(
     board: boards.Blackboard,
-    server: servers.QuietServer,
+    server: servers.EmbeddedServer,
     listener: socket.socket,
 ) -> None:
-    """Serve callers until the planned stop may end the process."""
+    """Serve callers until the planned stop is complete."""
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve, [listener])
         while not board.lifecycle.value.finished:
@@ -157,25 +159,36 @@
 
 
 def _listen(address: str) -> socket.socket:
+    """Return a socket that listens on an address.
+
+    :raises AddressUnavailableError: the address is unavailable
+    """
     try:
         return servers.open_socket(address)
     except OSError as error:
-        raise _report_address(address, error) from error
+        raise _log_listen_failure(address, error) from error
 
 
 async def _listen_peers(address: str) -> abc.Listener[abc.SocketStream]:
+    """Return a listener for the connections of peers.
+
+    :raises AddressUnavailableError: the address is unavailable
+    """
     host, port = servers.split_address(address)
     try:
         return await anyio.create_tcp_listener(
             local_host=host, local_port=port
         )
     except OSError as error:
-        raise _report_address(address, error) from error
+        raise _log_listen_failure(address, error) from error
 
 
-def _report_address(address: str, error: OSError) -> AddressUnavailableError:
+def _log_listen_failure(
+    address: str, error: OSError
+) -> AddressUnavailableError:
+    """Log why an address is unavailable and return the error to raise."""
     LOG.critical(
-        "cannot listen at an address",
+        "cannot listen on address",
         extra={
             "event": "listen_failed",
             "address": address,
--- a/src/bronzetrack/daemon/servers.py
+++ b/src/bronzetrack/daemon/servers.py
@@ -1,4 +1,4 @@
-"""HTTP servers inside the one event loop."""
+"""HTTP servers that share the event loop of the daemon."""
 
 from __future__ import annotations
 
@@ -13,17 +13,21 @@
 KEEP_ALIVE_S = 30
 
 
-class QuietServer(uvicorn.Server):
-    """A server that leaves signals to the lifecycle controller."""
+class EmbeddedServer(uvicorn.Server):
+    """A server without signal handlers.
+
+    The lifecycle controller handles the signals of the process.
+    """
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers."""
         yield
 
 
-def make_server(application: Any) -> QuietServer:
+def make_server(application: Any) -> EmbeddedServer:
     """Return a server for an ASGI application."""
-    return QuietServer(
+    return EmbeddedServer(
         uvicorn.Config(
             application,
             log_config=None,
@@ -35,15 +39,15 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an `IP:port` address."""
+    """Return the host and the port of an `IP:port` address."""
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
 
 
 def open_socket(address: str) -> socket.socket:
-    """Return a socket that listens at an `IP:port` address.
+    """Return a socket that listens on an `IP:port` address.
 
-    :raises OSError: the address cannot be listened on
+    :raises OSError: the address is unavailable
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
