Reword the client library and the command-line tool

Cause: Docstrings, help texts and messages were terse or figurative (story, order, broke off, as stated).

--- a/src/bronzetrack/client/__init__.py
+++ b/src/bronzetrack/client/__init__.py
@@ -1,1 +1,1 @@
-"""Client side of the system: publishing, look-ups and requests."""
+"""Client library: requests, look-ups, publishing and inspection."""
--- a/src/bronzetrack/client/asker.py
+++ b/src/bronzetrack/client/asker.py
@@ -1,4 +1,4 @@
-"""Sends one request and reports how it went."""
+"""Sends one request and reports its result."""
 
 from __future__ import annotations
 
@@ -19,14 +19,18 @@
 
 NEW_KEY = "new"
 COMPLETED = "completed"
-HEADER_FIELDS = ("request-id", "adapter", "version", "endpoint", "vm")
+REPORTED_HEADERS = ("request-id", "adapter", "version", "endpoint", "vm")
 
 
 @attrs.frozen
-class Order:
-    """What to send.
-
-    :param timeout_ms: for each read of the answer
+class OutgoingRequest:
+    """A request that is ready to be sent.
+
+    :param model: model name, for the look-up of the VM
+    :param path: path of the HTTP request
+    :param body: body of the HTTP request
+    :param headers: headers of the HTTP request
+    :param timeout_ms: timeout of each read of the answer
     """
 
     model: str
@@ -38,9 +42,14 @@
 
 @attrs.frozen
 class Report:
-    """How a request went.
-
-    :param fields: adapter, version, endpoint and VM, empty if not known
+    """The result of a request.
+
+    :param status: HTTP status code
+    :param outcome: outcome as the VM states it, or `unknown`
+    :param fields: request id, adapter, version, endpoint and VM, each empty
+        if not known
+    :param text: generated text
+    :param error: the error in the answer, if there is one
     """
 
     status: int
@@ -53,9 +62,9 @@
 def make_headers(
     work_class: str | None, key: str | None, issued_ms: int
 ) -> dict[str, str]:
-    """Return the headers that state class and key.
+    """Return the headers for the work class and the idempotency key.
 
-    :param key: the key, or NEW_KEY to make one
+    :param key: the key, or NEW_KEY to generate one
     :param issued_ms: Unix time at which the key was first sent
     """
     headers = {}
@@ -70,7 +79,7 @@
         )
         return headers
     headers["Idempotency-Key"] = key
-    if not identifiers.states_time(key):
+    if not identifiers.contains_issue_time(key):
         headers["Idempotency-Issued-At"] = str(issued_ms)
     return headers
 
@@ -78,7 +87,7 @@
 def make_body(
     model: str, prompt: str, chat: bool, stream: bool, max_tokens: int
 ) -> bytes:
-    """Return the body of a completions or chat call."""
+    """Return the body of a completions or chat completions call."""
     fields: dict[str, Any] = {
         "model": model,
         "max_tokens": max_tokens,
@@ -94,27 +103,31 @@
 async def send(
     pool: httpcore.AsyncConnectionPool,
     addresses: Sequence[str],
-    order: Order,
-    show: Callable[[str], None],
+    request: OutgoingRequest,
+    on_text: Callable[[str], None],
 ) -> Report | failures.Failure:
-    """Send an order to the best VM that is reached."""
-    entries = await sender.look_up(pool, addresses, order.model)
+    """Send a request to the best VM that can be reached.
+
+    :param addresses: callers' addresses, which are used for the look-up
+    :param on_text: called with each part of the text as it arrives
+    """
+    entries = await sender.look_up(pool, addresses, request.model)
     if isinstance(entries, failures.Failure):
         return entries
     failure = failures.Failure(failures.Reason.PEER_UNREACHABLE)
     for entry in entries:
-        shown: list[str] = []
+        delivered: list[str] = []
 
-        def show_and_keep(text: str) -> None:
-            shown.append(text)
-            show(text)
+        def deliver(text: str) -> None:
+            delivered.append(text)
+            on_text(text)
 
         try:
-            return await receive(pool, entry.address, order, show_and_keep)
+            return await receive(pool, entry.address, request, deliver)
         except errors.FailureError as error:
             failure = error.failure
-        if shown:
-            # Another answer would be printed after the part of this one.
+        if delivered:
+            # Another attempt would append its text to the part already shown.
             return attrs.evolve(
                 failure, reason=failures.Reason.ANSWER_INCOMPLETE
             )
@@ -124,49 +137,50 @@
 async def receive(
     pool: httpcore.AsyncConnectionPool,
     address: str,
-    order: Order,
-    show: Callable[[str], None],
+    request: OutgoingRequest,
+    on_text: Callable[[str], None],
 ) -> Report:
-    """Return how the answer of one VM ended.
+    """Send a request to one VM and return the result.
 
-    :raises errors.FailureError: the VM was not reached or broke off
+    :raises errors.FailureError: the VM was not reached or the connection
+        broke
     """
     async with sender.open_answer(
         pool,
         address,
-        order.path,
-        order.body,
-        order.headers,
-        order.timeout_ms,
+        request.path,
+        request.body,
+        request.headers,
+        request.timeout_ms,
     ) as answer:
         fields = {
             name: answer.headers.get(f"bronzetrack-{name}", "")
-            for name in HEADER_FIELDS
+            for name in REPORTED_HEADERS
         }
         outcome = answer.headers.get("bronzetrack-outcome", "unknown")
         if not answer.is_streamed:
             body = b"".join([part async for part in answer.parts])
-            found = events.read_object(body)
-            text = events.extract_text(found)
-            show(text)
-            error = found.get("error")
+            answer_fields = events.read_object(body)
+            text = events.extract_text(answer_fields)
+            on_text(text)
+            error = answer_fields.get("error")
             return Report(answer.status, outcome, fields, text, error)
         reader = events.EventReader()
         parts = []
         async for part in answer.parts:
             parts.append(reader.read(part))
-            show(parts[-1])
+            on_text(parts[-1])
         return Report(
             answer.status,
-            judge_stream(reader),
+            determine_stream_outcome(reader),
             fields,
             "".join(parts),
             reader.error,
         )
 
 
-def judge_stream(reader: events.EventReader) -> str:
-    """Return the outcome of a stream, whose headers cannot tell it."""
+def determine_stream_outcome(reader: events.EventReader) -> str:
+    """Return the outcome of a stream, which follows its headers."""
     if reader.error is not None:
         return str(reader.error.get("outcome", "failed"))
     return COMPLETED if reader.ended else "unknown"
--- a/src/bronzetrack/client/differences.py
+++ b/src/bronzetrack/client/differences.py
@@ -1,4 +1,4 @@
-"""Differences between the configuration in force and a document."""
+"""Comparison of the configuration in force with a document."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
     :param entry: section and name, such as `adapters.launch-log`
     :param change: `added`, `removed` or `changed`
-    :param detail: the fields that change, with the value before and after
+    :param detail: the changed fields with their old and new values
     """
 
     entry: str
@@ -23,7 +23,7 @@
 
 
 def list_differences(before: Any, after: Any) -> list[Difference]:
-    """Return what differs between two inventories or two rule sets."""
+    """Return the differences between two inventories or two rule sets."""
     found: list[Difference] = []
     for field in attrs.fields(type(before)):
         old = getattr(before, field.name)
--- a/src/bronzetrack/client/events.py
+++ b/src/bronzetrack/client/events.py
@@ -1,4 +1,4 @@
-"""The text, end and errors in the body of an answer."""
+"""Parsing of answer bodies: text, end marker and errors."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 import attrs
 
 DATA_PREFIX = b"data: "
-END = b"[DONE]"
-EVENT_BYTES = 1_048_576
+END_MARKER = b"[DONE]"
+MAX_EVENT_BYTES = 1_048_576
 
 
 @attrs.define
 class EventReader:
-    """Reads server-sent events from the parts of a body.
+    """Parses server-sent events from the parts of a body.
 
     :param ended: whether the end marker was read
     :param error: the error that ended the answer, if one did
@@ -25,11 +25,11 @@
     _pending: bytes = b""
 
     def read(self, part: bytes) -> str:
-        """Return the text of the events that a part completes."""
-        *whole, self._pending = (self._pending + part).split(b"\n\n")
-        # An event without end would otherwise grow without bound.
-        self._pending = self._pending[:EVENT_BYTES]
-        return "".join(self._read_event(event) for event in whole)
+        """Add a part of the body and return the text of completed events."""
+        *complete, self._pending = (self._pending + part).split(b"\n\n")
+        # Bounds the memory that an event without an end can use.
+        self._pending = self._pending[:MAX_EVENT_BYTES]
+        return "".join(self._read_event(event) for event in complete)
 
     def _read_event(self, event: bytes) -> str:
         data = b"\n".join(
@@ -37,7 +37,7 @@
             for line in event.split(b"\n")
             if line.startswith(DATA_PREFIX)
         )
-        if data == END:
+        if data == END_MARKER:
             self.ended = True
             return ""
         fields = read_object(data)
@@ -48,7 +48,7 @@
 
 
 def read_object(data: bytes) -> dict[str, Any]:
-    """Return a JSON object, empty for anything else."""
+    """Return the JSON object in some data, or an empty one if invalid."""
     try:
         fields = json.loads(data)
     except (ValueError, RecursionError):
@@ -57,22 +57,26 @@
 
 
 def extract_text(fields: dict[str, Any]) -> str:
-    """Return the generated text of a whole answer or of one event."""
+    """Return the generated text of a complete answer or of one event."""
     choices = fields.get("choices")
     if not isinstance(choices, list):
         return ""
     return "".join(
-        _extract_choice(choice) for choice in choices if _is_map(choice)
+        _extract_choice(choice) for choice in choices if _is_object(choice)
     )
 
 
 def _extract_choice(choice: dict[str, Any]) -> str:
     if isinstance(choice.get("text"), str):
         return choice["text"]
-    holders = (choice.get("delta"), choice.get("message"))
-    found = (holder.get("content") for holder in holders if _is_map(holder))
+    containers = (choice.get("delta"), choice.get("message"))
+    found = (
+        container.get("content")
+        for container in containers
+        if _is_object(container)
+    )
     return "".join(text for text in found if isinstance(text, str))
 
 
-def _is_map(value: Any) -> bool:
+def _is_object(value: Any) -> bool:
     return isinstance(value, dict)
--- a/src/bronzetrack/client/identifiers.py
+++ b/src/bronzetrack/client/identifiers.py
@@ -1,4 +1,4 @@
-"""Idempotency keys that state their time of issue."""
+"""Idempotency keys that contain their time of issue."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def make_uuid7(wall_ms: int, random: int) -> uuid.UUID:
-    """Return a UUID of version 7; Python has none before 3.14.
+    """Return a UUID of version 7, which Python lacks before 3.14.
 
     :param wall_ms: Unix time of issue
     :param random: at least RANDOM_BITS random bits
@@ -19,8 +19,8 @@
     return uuid.UUID(int=value | 7 << 76 | high << 64 | 2 << 62 | low)
 
 
-def states_time(key: str) -> bool:
-    """Return whether a key is a UUID that states its time of issue."""
+def contains_issue_time(key: str) -> bool:
+    """Return whether a key is a UUID that contains its time of issue."""
     try:
         return uuid.UUID(key).version == 7
     except ValueError:
--- a/src/bronzetrack/client/inspector.py
+++ b/src/bronzetrack/client/inspector.py
@@ -1,4 +1,4 @@
-"""Reads the state of daemons and asks them to stop."""
+"""Reads the state of daemons and requests their planned stop."""
 
 from __future__ import annotations
 
@@ -14,17 +14,17 @@
 from bronzetrack.wire import httpclient
 
 TIMEOUT_MS = 5_000
-LIMIT = 100_000
+MAX_LIMIT = 100_000
 
 
 @attrs.frozen
 class SiteStatus:
-    """What all VMs say of themselves.
+    """The status of all VMs of a site.
 
     :param vms: the status section of each VM that answered
-    :param unreachable: why the others did not answer, by VM
-    :param owners: owner and fencing number by endpoint, as the VM that was
-        asked first reads the log
+    :param unreachable: why each other VM did not answer, by VM name
+    :param owners: owner and fencing number by endpoint, from the log as read
+        by the first VM that answered
     """
 
     vms: tuple[dict[str, Any], ...]
@@ -36,25 +36,32 @@
     pool: httpcore.AsyncConnectionPool,
     addresses: Sequence[str],
     section: str = "",
-    limit: int = LIMIT,
+    limit: int = MAX_LIMIT,
 ) -> Any | failures.Failure:
-    """Return the dump or one section from the first VM that answers.
+    """Return the state dump or a section of it from the first VM that answers.
 
-    :param addresses: operators' addresses
+    :param addresses: operators' addresses, which are tried in turn
+    :param section: name of the section, empty for the whole dump
+    :param limit: most entries of each list
     """
     path = f"/state/{section}" if section else "/state"
     found = await _call(pool, "GET", addresses, f"{path}?limit={limit}")
     if isinstance(found, failures.Failure) or "value" in found or not section:
         return found
     return failures.Failure(
-        failures.Reason.PEER_PROTOCOL, "the answer is no state dump"
+        failures.Reason.PEER_PROTOCOL, "the answer is not a state dump"
     )
 
 
 async def begin_drain(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], vm: str
 ) -> Any | failures.Failure:
-    """Ask a VM that one of the operators' addresses knows for a stop."""
+    """Request the planned stop of a VM.
+
+    :param addresses: operators' addresses of VMs, one of which has to know
+        the VM
+    :param vm: name of the VM
+    """
     known = await find_operators(pool, addresses)
     if isinstance(known, failures.Failure):
         return known
@@ -69,7 +76,10 @@
 async def find_operators(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str]
 ) -> dict[str, str] | failures.Failure:
-    """Return the operators' address of each VM that one of them knows."""
+    """Return the operators' addresses of all VMs, by VM name.
+
+    The first VM that answers provides the list.
+    """
     failure = failures.Failure(
         failures.Reason.PEER_UNREACHABLE, "no address was given"
     )
@@ -93,7 +103,7 @@
 async def read_status(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str]
 ) -> SiteStatus | failures.Failure:
-    """Return the status of every VM that one of the addresses knows."""
+    """Return the status of all VMs that the first VM to answer knows."""
     operators = await find_operators(pool, addresses)
     if isinstance(operators, failures.Failure):
         return operators
@@ -130,7 +140,7 @@
     addresses: Sequence[str],
     path: str,
 ) -> Any | failures.Failure:
-    """Return the JSON of the first address that answers."""
+    """Return the JSON object from the first address that answers."""
     failure = failures.Failure(
         failures.Reason.PEER_UNREACHABLE, "no address was given"
     )
@@ -159,18 +169,22 @@
     if not isinstance(fields, dict):
         return failures.Failure(
             failures.Reason.PEER_PROTOCOL,
-            f"{address} answered {answer.status} without a JSON object",
+            f"{address} returned {answer.status} without a JSON object",
         )
     if answer.status >= 400:
         return failures.Failure(
             failures.Reason.BAD_REQUEST,
-            f"{address} answered {answer.status}: {fields.get('error')}",
+            f"{address} returned {answer.status}: {fields.get('error')}",
         )
     return fields
 
 
 def list_orphans(status: SiteStatus) -> dict[str, Any]:
-    """Return the claims in the log that no VM that answered confirms."""
+    """Return the claims in the log that no answering VM confirms.
+
+    A VM confirms a claim if its status lists the endpoint with the fencing
+    number of the claim.
+    """
     held = {
         (name, counts["fencing"])
         for vm in status.vms
--- a/src/bronzetrack/client/publisher.py
+++ b/src/bronzetrack/client/publisher.py
@@ -1,4 +1,4 @@
-"""Publishes configuration through the platform's log."""
+"""Publishes configuration documents through the platform's log."""
 
 from __future__ import annotations
 
@@ -15,12 +15,16 @@
 from bronzetrack.logservice import logservice
 from bronzetrack.wire import documents
 
-APPEND_TRIES = 3
+MAX_APPEND_ATTEMPTS = 3
 
 
 @attrs.frozen
 class Publication:
-    """A decided publication."""
+    """A publication with its verdict.
+
+    :param verdict: whether the publication was accepted, and why not
+    :param configuration: the configuration in force after the verdict
+    """
 
     verdict: states.Verdict
     configuration: states.Configuration
@@ -29,14 +33,14 @@
 async def read_configuration(
     log: logservice.LogClient,
 ) -> states.ConfigurationState | failures.Failure:
-    """Replay the retained stream up to its present end."""
+    """Replay the retained part of the stream up to its current end."""
     first = await log.read(records.STREAM, logservice.BEYOND_END)
     if isinstance(first, failures.Failure):
         return first
     state = replay.apply_batch(
         states.ConfigurationState(), first.start, first.end, (), documents, 0
     )
-    state = await _read_on(log, state)
+    state = await _replay_until(log, state)
     if isinstance(state, failures.Failure) or state.complete:
         return state
     return failures.Failure(
@@ -47,12 +51,15 @@
     )
 
 
-async def _read_on(
+async def _replay_until(
     log: logservice.LogClient,
     state: states.ConfigurationState,
     token: str = "",
 ) -> states.ConfigurationState | failures.Failure:
-    """Replay from a state to the end, or until a token was decided."""
+    """Replay from a state to the end of the stream.
+
+    :param token: token of a publication; its verdict ends the replay early
+    """
     while True:
         batch = await log.read(records.STREAM, state.next_offset)
         if isinstance(batch, failures.Failure):
@@ -79,11 +86,11 @@
     author: str,
     base: int | None = None,
 ) -> Publication | failures.Failure:
-    """Publish a document and return how it was decided.
+    """Publish a document and return the verdict on it.
 
     :param kind: `inventory` or `rules`
-    :param base: the offset that the document was made from, by default the
-        one in force
+    :param base: offset of the configuration that the document was made from,
+        by default the one in force
     """
     before = await read_configuration(log)
     if isinstance(before, failures.Failure):
@@ -106,7 +113,10 @@
     author: str,
     base: int | None,
 ) -> records.PublicationRecord | failures.Failure:
-    """Return the publication of only what differs from what is in force."""
+    """Return a publication of the changes to the configuration in force.
+
+    The first publication of all holds the whole document.
+    """
     value = documents.read_document(kind, document)
     if isinstance(value, failures.Failure):
         return value
@@ -128,22 +138,23 @@
     state: states.ConfigurationState,
     record: records.PublicationRecord,
 ) -> Publication | failures.Failure:
-    """Append a record until its decision is read.
+    """Append a record, with retries, until its verdict is read.
 
-    It may land several times when answers are lost. All copies have the same
-    base, so at most the first is accepted, and the first decides.
+    The record may be appended several times when answers of the log are
+    lost. All copies have the same base, so at most the first one is accepted,
+    and its verdict is the result.
     """
     uncertain = ""
-    for _ in range(APPEND_TRIES):
+    for _ in range(MAX_APPEND_ATTEMPTS):
         offset = await log.append(records.STREAM, [record])
         if isinstance(offset, failures.Failure):
-            certain = offset.reason is not failures.Reason.APPEND_UNCERTAIN
-            if certain and not uncertain:
+            is_certain = offset.reason is not failures.Reason.APPEND_UNCERTAIN
+            if is_certain and not uncertain:
                 return offset
             uncertain = f"{offset.reason.value}: {offset.detail}"
         else:
             uncertain = f"appended at {offset}"
-        after = await _read_on(log, state, record.token)
+        after = await _replay_until(log, state, record.token)
         if isinstance(after, failures.Failure):
             uncertain = f"{uncertain}; {after.detail}"
             continue
@@ -153,5 +164,5 @@
             return Publication(verdict, state.configuration)
     return failures.Failure(
         failures.Reason.APPEND_UNCERTAIN,
-        f"the decision could not be read; look at the history: {uncertain}",
+        f"the verdict could not be read; check the history: {uncertain}",
     )
--- a/src/bronzetrack/client/recorder.py
+++ b/src/bronzetrack/client/recorder.py
@@ -1,4 +1,4 @@
-"""Records the retained part of a stream as a trace."""
+"""Records the retained part of a log stream as a trace."""
 
 from __future__ import annotations
 
@@ -14,25 +14,26 @@
 ) -> model.Trace | failures.Failure:
     """Return a trace of a stream, with the outcomes of its replay.
 
-    The log keeps no times, so all events have time 0. A person who checks
-    the outcomes of an incident edits them before the trace becomes a test.
+    The log stores no times, so all events have time 0. The recorded outcomes
+    of an incident should be reviewed and corrected before the trace is used
+    as a test.
     """
-    beyond = await log.read(stream, logservice.BEYOND_END)
-    if isinstance(beyond, failures.Failure):
-        return beyond
+    end_batch = await log.read(stream, logservice.BEYOND_END)
+    if isinstance(end_batch, failures.Failure):
+        return end_batch
     core = cores.CORES.lookup(stream)()
     events: list[model.TraceEvent] = []
-    offset = beyond.start
-    while offset < beyond.end:
+    offset = end_batch.start
+    while offset < end_batch.end:
         batch = await log.read(stream, offset)
         if isinstance(batch, failures.Failure):
             return batch
-        for found, record in batch.records:
-            offset = found + 1
+        for record_offset, record in batch.records:
+            offset = record_offset + 1
             if isinstance(record, failures.Failure):
                 continue
-            core.apply(0, found, record)
-            events.append(replay.make_event(0, found, record))
+            core.apply(0, record_offset, record)
+            events.append(replay.make_event(0, record_offset, record))
     return model.Trace(
         stream, tuple(events), description, core.read_outcomes()
     )
--- a/src/bronzetrack/client/sender.py
+++ b/src/bronzetrack/client/sender.py
@@ -23,7 +23,11 @@
 
 @attrs.frozen
 class Entry:
-    """An address that a caller may use."""
+    """A VM that a caller may send requests to.
+
+    :param address: callers' address of the VM
+    :param reason: why the VM is listed
+    """
 
     vm: str
     address: str
@@ -32,9 +36,10 @@
 
 @attrs.frozen
 class Answer:
-    """A whole answer.
+    """An answer that was read to its end.
 
-    :param whole: whether its end marker arrived
+    :param whole: whether the answer is complete; a stream is complete if its
+        end marker arrived
     """
 
     status: int
@@ -45,7 +50,7 @@
 
 @attrs.frozen
 class OpenAnswer:
-    """An answer whose body still arrives."""
+    """An answer whose body is still being received."""
 
     status: int
     headers: Mapping[str, str]
@@ -61,7 +66,7 @@
 async def look_up(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], model: str
 ) -> list[Entry] | failures.Failure:
-    """Ask VMs in turn which addresses to use."""
+    """Return the VMs to use for a model, from the first VM that lists any."""
     query = parse.urlencode({"model": model})
     failure = failures.Failure(
         failures.Reason.PEER_UNREACHABLE, "no address was given"
@@ -84,7 +89,7 @@
             entries
             if isinstance(entries, failures.Failure)
             else failures.Failure(
-                failures.Reason.NO_CONFIGURATION, "no VM serves yet"
+                failures.Reason.NO_CONFIGURATION, "no VM is serving yet"
             )
         )
     return failure
@@ -99,7 +104,7 @@
     except (ValueError, KeyError, TypeError) as error:
         return failures.Failure(
             failures.Reason.PEER_PROTOCOL,
-            f"bad answer of {address}: {type(error).__name__}: {error}",
+            f"invalid answer from {address}: {type(error).__name__}: {error}",
         )
 
 
@@ -112,10 +117,10 @@
     timeout_ms: int,
     method: str = "POST",
 ) -> Answer | failures.Failure:
-    """Send a request, through another VM if one breaks off.
+    """Send a request, trying the next VM if one fails.
 
-    Work with an `Idempotency-Key` may be sent again as well, since the key
-    keeps it from running twice.
+    A request with an `Idempotency-Key` may be sent again as well, since the
+    key prevents a second run.
     """
     failure = failures.Failure(
         failures.Reason.PEER_UNREACHABLE, "no address was given"
@@ -130,7 +135,8 @@
         if answer.whole:
             return answer
         failure = failures.Failure(
-            failures.Reason.ANSWER_INCOMPLETE, f"from {address}"
+            failures.Reason.ANSWER_INCOMPLETE,
+            f"answer from {address} has no end marker",
         )
     return failure
 
@@ -144,7 +150,7 @@
     timeout_ms: int,
     method: str = "POST",
 ) -> Answer | failures.Failure:
-    """Send a request to one VM."""
+    """Send a request to one VM and read the whole answer."""
     answer = await httpclient.fetch(
         pool,
         method,
@@ -171,10 +177,11 @@
     headers: Mapping[str, str],
     timeout_ms: int,
 ) -> AsyncIterator[OpenAnswer]:
-    """Send a request to one VM and give access to its answer.
+    """Send a request to one VM and yield the answer while it is received.
 
-    :param timeout_ms: for each read, not for the whole answer
-    :raises errors.FailureError: the VM was not reached or broke off
+    :param timeout_ms: timeout of each read, not of the whole answer
+    :raises errors.FailureError: the VM was not reached or the connection
+        broke
     """
     try:
         async with httpclient.open_stream(
--- a/src/bronzetrack/console/__main__.py
+++ b/src/bronzetrack/console/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the command-line tool as a module."""
+"""Entry point of `python -m bronzetrack.console`."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/console/application.py
+++ b/src/bronzetrack/console/application.py
@@ -1,4 +1,4 @@
-"""The command-line tool."""
+"""Root command of the command-line tool."""
 
 from __future__ import annotations
 
@@ -13,17 +13,17 @@
 @click.group()
 @click.version_option(package_name="bronzetrack")
 def application() -> None:
-    """Operate and call a bronzetrack site."""
+    """Operate a bronzetrack site and send requests to it."""
 
 
 def add_commands() -> None:
-    """Add the command of each module in the commands package."""
+    """Register the command of each module in the commands package."""
     for module in pkgutil.iter_modules(commands.__path__):
         found = importlib.import_module(f"{commands.__name__}.{module.name}")
         application.add_command(found.command)
 
 
 def main() -> None:
-    """Run the tool."""
+    """Run the command-line tool."""
     add_commands()
     application()
--- a/src/bronzetrack/console/commands/__init__.py
+++ b/src/bronzetrack/console/commands/__init__.py
@@ -1,1 +1,1 @@
-"""One module for each command."""
+"""Commands of the command-line tool, one module for each."""
--- a/src/bronzetrack/console/commands/config.py
+++ b/src/bronzetrack/console/commands/config.py
@@ -29,18 +29,18 @@
 @click.option(
     "--kind",
     type=click.Choice(sorted(documents.DOCUMENT_CLASSES)),
-    help="What FILE holds; default: seen from its sections.",
+    help="Kind of document in FILE; default: inferred from its sections.",
 )
 @options.output_format
 def diff(
     file: pathlib.Path, log_url: str, kind: str | None, output_format: str
 ) -> None:
-    """List what publishing FILE would change."""
+    """List the changes that publishing FILE would make."""
     document = publishing.read_file(file)
-    kind = kind or guess_kind(document)
+    kind = kind or infer_kind(document)
     if kind is None:
         raise click.UsageError(
-            f"{file} may be an inventory or rules; say which with --kind"
+            f"{file} may be an inventory or rules; specify --kind"
         )
     value = documents.read_document(kind, document)
     if isinstance(value, failures.Failure):
@@ -54,8 +54,11 @@
     options.print_rows([attrs.asdict(item) for item in found], output_format)
 
 
-def guess_kind(document: object) -> str | None:
-    """Return the only kind that has all sections of a document."""
+def infer_kind(document: object) -> str | None:
+    """Return the kind of a document, or None if its sections are ambiguous.
+
+    A kind matches if it has all sections of the document.
+    """
     if not isinstance(document, dict):
         return None
     kinds = [
@@ -70,7 +73,7 @@
 @options.log_url
 @options.output_format
 def history(log_url: str, output_format: str) -> None:
-    """List the latest publications and how each was decided."""
+    """List the latest publications and their verdicts."""
     state = runner.run_with_log(log_url, publisher.read_configuration)
     if isinstance(state, failures.Failure):
         options.fail(state)
--- a/src/bronzetrack/console/commands/drain.py
+++ b/src/bronzetrack/console/commands/drain.py
@@ -19,9 +19,11 @@
 @click.argument("vm")
 @options.operators
 def command(vm: str, operators: tuple[str, ...]) -> None:
-    """Begin the planned stop of VM; requests in progress are finished."""
+    """Begin the planned stop of VM; requests in progress complete first."""
     work = functools.partial(inspector.begin_drain, addresses=operators, vm=vm)
     found = runner.run_with_pool(work)
     if isinstance(found, failures.Failure):
         options.fail(found)
-    click.echo(f"{vm} stops; watch it with: bronzetrack status")
+    click.echo(
+        f"{vm} is stopping; follow its progress with: bronzetrack status"
+    )
--- a/src/bronzetrack/console/commands/explain.py
+++ b/src/bronzetrack/console/commands/explain.py
@@ -15,15 +15,18 @@
 @click.argument("request_id")
 @click.argument("files", nargs=-1, type=click.File("r"))
 def command(request_id: str, files: tuple[TextIO, ...]) -> None:
-    """Tell the story of a request from the log lines of all VMs.
+    """Print the timeline of a request from the log lines of all VMs.
 
     Without FILES, lines are read from standard input. Lines about the
-    adapter and the endpoints of the request are shown around its time.
+    adapter and the endpoints of the request are included for the time
+    around it.
     """
     sources = files or (click.get_text_stream("stdin"),)
     lines = [line for source in sources for line in source]
-    story = explainer.explain_request(lines, request_id)
-    if not story:
-        raise click.ClickException(f"no line names the request {request_id}")
-    for entry in story:
+    timeline = explainer.explain_request(lines, request_id)
+    if not timeline:
+        raise click.ClickException(
+            f"no log line has the request id {request_id}"
+        )
+    for entry in timeline:
         click.echo(entry)
--- a/src/bronzetrack/console/commands/request.py
+++ b/src/bronzetrack/console/commands/request.py
@@ -16,10 +16,10 @@
 from bronzetrack.core import failures
 
 OUTCOME_HINTS = {
-    "refused": "nothing was done; correct it, or send it again later",
-    "not_run": "it never ran; send it under a new key",
-    "in_progress": "ask again under the same key",
-    "unknown": "it may have run; ask again under the same key, if it had one",
+    "refused": "it did not run; correct it, or send it again later",
+    "not_run": "it did not run; send it again with a new key",
+    "in_progress": "it is still running; send it again with the same key",
+    "unknown": "it may have run; send it again with the same key, if any",
     "failed": "it ran and failed; see the log of the VM",
 }
 
@@ -32,11 +32,15 @@
 @click.argument("model")
 @options.addresses
 @click.option("--prompt", required=True, help="Text to complete.")
-@click.option("--chat", is_flag=True, help="Send it as a chat message.")
-@click.option("--class", "work_class", help="Work class; default: by rules.")
+@click.option(
+    "--chat", is_flag=True, help="Send the prompt as a chat message."
+)
+@click.option(
+    "--class", "work_class", help="Work class; default: set by the rules."
+)
 @click.option(
     "--key",
-    help=f"Idempotency key; '{asker.NEW_KEY}' makes a UUIDv7 and prints it.",
+    help=f"Idempotency key; '{asker.NEW_KEY}' prints a new UUIDv7.",
 )
 @click.option(
     "--issued-ms",
@@ -50,14 +54,14 @@
     type=click.IntRange(min=1),
     default=64,
     show_default=True,
-    help="Longest answer.",
+    help="Most tokens of the answer.",
 )
 @click.option(
     "--timeout-s",
     type=click.FloatRange(0.1, 3_600),
     default=60.0,
     show_default=True,
-    help="Longest wait for the next part of the answer.",
+    help="Timeout for each part of the answer.",
 )
 @click.option(
     "--format",
@@ -65,7 +69,7 @@
     type=click.Choice(["text", "json"]),
     default="text",
     show_default=True,
-    help="Text as it arrives, or one JSON object at the end.",
+    help="Print text as it arrives, or one JSON object at the end.",
 )
 def command(
     model: str,
@@ -83,14 +87,14 @@
     """Send a request for MODEL, which is ADAPTER or ADAPTER@VERSION.
 
     The answer goes to standard output; adapter, version, endpoint, VM and
-    outcome go to standard error. Ends with 1 unless the outcome is
+    outcome go to standard error. The exit code is 1 unless the outcome is
     "completed".
     """
     now_ms = time.time_ns() // 1_000_000
     headers = asker.make_headers(
         work_class, key, now_ms if issued_ms is None else issued_ms
     )
-    order = asker.Order(
+    request = asker.OutgoingRequest(
         model=model,
         path="/v1/chat/completions" if chat else "/v1/completions",
         body=asker.make_body(model, prompt, chat, stream, max_tokens),
@@ -104,7 +108,7 @@
 
     async def work(pool: httpcore.AsyncConnectionPool) -> Any:
         return await asker.send(
-            pool, addresses, order, write if as_text else _drop
+            pool, addresses, request, print_part if as_text else _discard
         )
 
     report = runner.run_with_pool(work)
@@ -115,13 +119,13 @@
         raise SystemExit(options.EXIT_FAILURE)
 
 
-def write(text: str) -> None:
-    """Print a part of the answer at once."""
+def print_part(text: str) -> None:
+    """Print a part of the answer without a line break."""
     click.echo(text, nl=False)
 
 
-def _drop(text: str) -> None:
-    """Print nothing; the text stands in the report."""
+def _discard(text: str) -> None:
+    """Discard a part of the answer; the report contains the whole text."""
 
 
 def print_report(report: asker.Report, as_text: bool) -> None:
@@ -131,10 +135,10 @@
         return
     if report.text:
         click.echo()
-    places = [
+    origin = [
         f"{name} {value or '-'}" for name, value in report.fields.items()
     ]
-    click.echo(f"outcome {report.outcome}, {', '.join(places)}", err=True)
+    click.echo(f"outcome {report.outcome}, {', '.join(origin)}", err=True)
     if report.error is not None:
         reason = report.error.get("type", "unknown")
         hint = OUTCOME_HINTS.get(report.outcome, "see docs/protocols.md")
--- a/src/bronzetrack/console/commands/settings.py
+++ b/src/bronzetrack/console/commands/settings.py
@@ -13,7 +13,7 @@
 
 @click.group("settings")
 def command() -> None:
-    """Check a settings file and print what is allowed in one."""
+    """Check a settings file and print the reference of all settings."""
 
 
 @command.command(
@@ -32,5 +32,5 @@
 
 @command.command("reference", epilog="Example: bronzetrack settings reference")
 def print_reference() -> None:
-    """Print docs/settings.md, made from the classes of the settings."""
+    """Print docs/settings.md, generated from the settings classes."""
     click.echo(reference.write_reference(), nl=False)
--- a/src/bronzetrack/console/commands/state.py
+++ b/src/bronzetrack/console/commands/state.py
@@ -23,10 +23,10 @@
 @options.operators
 @click.option(
     "--limit",
-    type=click.IntRange(1, inspector.LIMIT),
+    type=click.IntRange(1, inspector.MAX_LIMIT),
     default=1_000,
     show_default=True,
-    help="Most entries of one list to ask for.",
+    help="Most entries to print of each list.",
 )
 @options.output_format
 def command(
@@ -43,20 +43,20 @@
         click.echo(json.dumps(found, indent=2))
         return
     rows = [
-        {"field": place, "value": value}
-        for place, value in flatten(found["value"] if section else found)
+        {"field": path, "value": value}
+        for path, value in flatten(found["value"] if section else found)
     ]
     options.print_rows(rows, output_format)
 
 
-def flatten(value: Any, place: str = "") -> Iterator[tuple[str, Any]]:
-    """Iterate over the leaves of a JSON value with their places."""
+def flatten(value: Any, path: str = "") -> Iterator[tuple[str, Any]]:
+    """Iterate over the leaves of a JSON value with their dotted paths."""
     if isinstance(value, dict) and value:
         items: Any = value.items()
     elif isinstance(value, list) and value:
         items = enumerate(value)
     else:
-        yield place, value
+        yield path, value
         return
     for name, item in items:
-        yield from flatten(item, f"{place}.{name}" if place else str(name))
+        yield from flatten(item, f"{path}.{name}" if path else str(name))
--- a/src/bronzetrack/console/commands/status.py
+++ b/src/bronzetrack/console/commands/status.py
@@ -23,9 +23,10 @@
 @options.operators
 @options.output_format
 def command(operators: tuple[str, ...], output_format: str) -> None:
-    """List every VM, its lease, configuration and endpoints.
+    """List all VMs with their lease, configuration and endpoints.
 
-    Ends with 1 if a VM did not answer or an endpoint has no owner that did.
+    The exit code is 1 if a VM did not answer or if no VM that answered
+    confirms that it owns an endpoint.
     """
     work = functools.partial(inspector.read_status, addresses=operators)
     found = runner.run_with_pool(work)
@@ -53,7 +54,7 @@
 
 @attrs.frozen
 class Row:
-    """One line of the table: an endpoint, or a VM that owns none."""
+    """One row of the table: an endpoint, or a VM that owns none."""
 
     vm: str
     zone: str = ""
@@ -68,7 +69,7 @@
 
 
 def make_rows(status: inspector.SiteStatus) -> Iterator[dict[str, Any]]:
-    """Iterate over the lines of the table."""
+    """Iterate over the rows of the table."""
     for vm in status.vms:
         row = Row(
             vm=vm["vm"],
--- a/src/bronzetrack/console/commands/trace.py
+++ b/src/bronzetrack/console/commands/trace.py
@@ -17,7 +17,7 @@
 
 @click.group("trace")
 def command() -> None:
-    """Record streams of the log and replay recordings."""
+    """Record streams of the log and replay the recorded traces."""
 
 
 @command.command(
@@ -25,7 +25,7 @@
 )
 @click.argument("stream", type=click.Choice(cores.list_streams()))
 @options.log_url
-@click.option("--description", default="", help="What happened.")
+@click.option("--description", default="", help="Description of the incident.")
 def record(stream: str, log_url: str, description: str) -> None:
     """Print the retained part of STREAM as a trace."""
     work = functools.partial(
@@ -45,7 +45,7 @@
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
 )
 def replay_file(file: pathlib.Path) -> None:
-    """Replay FILE and report outcomes that are not as stated."""
+    """Replay FILE and report outcomes that differ from the recorded ones."""
     trace = replay.read_trace(file.read_text(encoding="utf-8"))
     if isinstance(trace, failures.Failure):
         options.fail(trace)
@@ -54,9 +54,9 @@
         options.fail(differences)
     for item in differences:
         click.echo(
-            f"{item.name}: stated {item.stated}, replayed {item.replayed}",
+            f"{item.name}: recorded {item.stated}, replayed {item.replayed}",
             err=True,
         )
     if differences:
         raise SystemExit(options.EXIT_FAILURE)
-    click.echo(f"{file}: {len(trace.outcomes)} outcomes as stated")
+    click.echo(f"{file}: all {len(trace.outcomes)} outcomes match")
--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -1,4 +1,4 @@
-"""Options and errors that several commands share."""
+"""Options, error messages and output that several commands share."""
 
 from __future__ import annotations
 
@@ -18,9 +18,10 @@
 
 
 class KindType(click.ParamType):
-    """A parameter of the same kind as a setting.
+    """A command-line parameter that is validated like a setting.
 
-    :param kind: parses the text and says what is allowed
+    :param kind: kind of setting; it parses the text and describes the allowed
+        values
     """
 
     def __init__(self, name: str, kind: model.Kind) -> None:
@@ -28,6 +29,7 @@
         self.kind = kind
 
     def convert(self, value: Any, param: Any, ctx: Any) -> Any:
+        """Return the parsed value; fail if it is not allowed."""
         try:
             return self.kind.parse(value)
         except ValueError:
@@ -67,13 +69,13 @@
     type=click.Choice(["table", "json"]),
     default="table",
     show_default=True,
-    help="How to print what is listed.",
+    help="Output format.",
 )
 author = click.option(
     "--author",
     envvar="USER",
     default="operator",
-    help="Who publishes, for the history.",
+    help="Name of the author, recorded in the history.",
 )
 
 HINTS: dict[failures.Reason, str] = {
@@ -88,16 +90,16 @@
     ),
     failures.Reason.NO_CONFIGURATION: "publish an inventory and rules",
     failures.Reason.ANSWER_INCOMPLETE: (
-        "send it again, under the same key if it had one"
+        "send the request again, with the same key if it had one"
     ),
-    failures.Reason.PEER_PROTOCOL: "check that the address is that of a VM",
+    failures.Reason.PEER_PROTOCOL: "check that the address belongs to a VM",
     failures.Reason.PEER_UNREACHABLE: "check the addresses of the VMs",
     failures.Reason.SETTING_INVALID: "see docs/settings.md",
 }
 
 
 def fail(failure: failures.Failure) -> NoReturn:
-    """End the command with one line: the cause and what to do."""
+    """Print the cause and a remedy in one line and exit with a failure."""
     hint = HINTS.get(failure.reason, "see docs/OPERATIONS.md")
     detail = " ".join(failure.detail.split())
     click.echo(f"error: {failure.reason.value}: {detail}; {hint}", err=True)
@@ -107,7 +109,7 @@
 def report_mistakes(
     file: pathlib.Path, mistakes: Sequence[Any], output_format: str
 ) -> None:
-    """Print the mistakes of a file; end the command if there are any."""
+    """Print the mistakes in a file and exit with a failure if it has any."""
     lines = [str(mistake) for mistake in mistakes]
     if output_format == "json":
         rows = [{"file": str(file), "mistake": line} for line in lines]
--- a/src/bronzetrack/console/publishing.py
+++ b/src/bronzetrack/console/publishing.py
@@ -1,4 +1,4 @@
-"""The check, publish and show commands of a kind of document."""
+"""The `check`, `publish` and `show` commands of a kind of document."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 def read_file(file: pathlib.Path) -> Any:
-    """Return the JSON document of a file, or end the command."""
+    """Return the JSON document in a file, or exit with a failure."""
     try:
         return json.loads(file.read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as error:
@@ -35,7 +35,7 @@
 
 
 def check_document(kind: str, document: Any) -> list[str]:
-    """Return the mistakes that the document alone shows."""
+    """Return the mistakes that can be found in the document alone."""
     value = documents.read_document(kind, document)
     if isinstance(value, failures.Failure):
         return value.detail.split("; ")
@@ -57,7 +57,7 @@
     @FILE
     @options.output_format
     def check(file: pathlib.Path, output_format: str) -> None:
-        """Report every mistake in FILE and publish nothing."""
+        """Report every mistake in FILE without publishing it."""
         mistakes = check_document(kind, read_file(file))
         options.report_mistakes(file, mistakes, output_format)
 
@@ -71,12 +71,13 @@
         "--base",
         type=int,
         default=None,
-        help="Offset in force that FILE was made from; default: the present.",
+        help="Offset of the configuration that FILE is based on; default: the"
+        " one in force.",
     )
     def publish(
         file: pathlib.Path, log_url: str, author: str, base: int | None
     ) -> None:
-        """Publish FILE; it takes effect everywhere within seconds."""
+        """Publish FILE; it takes effect on all VMs within seconds."""
         work = functools.partial(
             publisher.publish,
             kind=kind,
@@ -99,7 +100,7 @@
     @group.command("show", epilog=f"Example: bronzetrack {kind} show")
     @options.log_url
     def show(log_url: str) -> None:
-        """Print what is in force as JSON."""
+        """Print the document in force as JSON."""
         state = runner.run_with_log(log_url, publisher.read_configuration)
         if isinstance(state, failures.Failure):
             options.fail(state)
--- a/src/bronzetrack/console/runner.py
+++ b/src/bronzetrack/console/runner.py
@@ -1,4 +1,4 @@
-"""Runs asynchronous work for a command."""
+"""Runs the asynchronous functions of commands."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 def run_with_pool(
     work: Callable[[httpcore.AsyncConnectionPool], Awaitable[Any]],
 ) -> Any:
-    """Run work with a connection pool and return its result."""
+    """Call a function with a connection pool and return its result."""
 
     async def run() -> Any:
         async with httpclient.make_pool(CONNECTIONS) as pool:
@@ -30,5 +30,5 @@
 def run_with_log(
     url: str, work: Callable[[logservice.LogClient], Awaitable[Any]]
 ) -> Any:
-    """Run work with a log client and return its result."""
+    """Call a function with a log client and return its result."""
     return run_with_pool(lambda pool: work(logservice.LogClient(url, pool)))
--- a/src/bronzetrack/daemon/process.py
+++ b/src/bronzetrack/daemon/process.py
@@ -150,7 +150,7 @@
     server: servers.EmbeddedServer,
     listener: socket.socket,
 ) -> None:
-    """Serve callers until the planned stop is complete."""
+    """Serve callers until a planned stop allows the process to exit."""
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve, [listener])
         while not board.lifecycle.value.finished:
