Reword the tests of the client and the command-line tool

Cause: Some docstrings and names were figurative (fates, racer, loser). Assertions and parameters are unchanged.

--- a/tests/client/test_events.py
+++ b/tests/client/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the reader of streamed answers."""
+"""Tests of the parser of streamed answers."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 
 
 def test_text_does_not_depend_on_the_parts():
-    """Guards against tokens that are lost where two parts meet."""
+    """Guards against tokens lost at the boundary of two parts."""
 
     @hypothesis.given(strategies.sets(strategies.integers(0, len(BODY))))
-    def check(places) -> None:
-        bounds = [0, *sorted(places), len(BODY)]
+    def check(cuts) -> None:
+        bounds = [0, *sorted(cuts), len(BODY)]
         reader = events.EventReader()
         text = "".join(
             reader.read(BODY[start:end])
@@ -34,7 +34,7 @@
 
 
 def test_any_bytes_are_read():
-    """Guards against a traceback in the tool for a broken answer."""
+    """Guards against a traceback for a malformed answer."""
 
     @hypothesis.given(strategies.lists(strategies.binary(max_size=40)))
     def check(parts) -> None:
--- a/tests/client/test_identifiers.py
+++ b/tests/client/test_identifiers.py
@@ -1,4 +1,4 @@
-"""Tests of keys that state their time of issue."""
+"""Tests of keys that contain their time of issue."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 def test_daemon_reads_the_time_of_a_key():
-    """Guards against keys whose window starts at a wrong time."""
+    """Guards against keys whose validity window starts at a wrong time."""
     wall_ms = 1_790_000_000_123
     random = (1 << identifiers.RANDOM_BITS) - 1
     key = str(identifiers.make_uuid7(wall_ms, random))
--- a/tests/client/test_publisher.py
+++ b/tests/client/test_publisher.py
@@ -1,4 +1,4 @@
-"""Tests of publishing through a log that loses answers."""
+"""Tests of publishing through a log that loses responses."""
 
 from __future__ import annotations
 
@@ -28,26 +28,31 @@
 
 @attrs.define
 class MemoryLog:
-    """A log in memory.
+    """A stub of the log that keeps its records in memory.
 
-    :param fates: what happens to the next appends
-    :param racer: a record of another operator that lands before the next
+    :param append_results: results of the next appends: `taken`, `refused`,
+        `lost` (stored, but reported as uncertain) or `dropped` (not stored,
+        and reported as uncertain)
+    :param competing_record: a record of another operator that is stored
+        before the next append
     """
 
     items: list[object] = attrs.field(factory=list)
-    fates: list[str] = attrs.field(factory=list)
-    racer: object = None
+    append_results: list[str] = attrs.field(factory=list)
+    competing_record: object = None
 
     async def append(self, stream, items):
-        fate = self.fates.pop(0) if self.fates else "taken"
-        if fate == "refused":
+        append_result = (
+            self.append_results.pop(0) if self.append_results else "taken"
+        )
+        if append_result == "refused":
             return failures.Failure(failures.Reason.LOG_UNAVAILABLE)
-        if self.racer is not None:
-            self.items.append(self.racer)
-            self.racer = None
-        if fate != "dropped":
+        if self.competing_record is not None:
+            self.items.append(self.competing_record)
+            self.competing_record = None
+        if append_result != "dropped":
             self.items.extend(items)
-        if fate != "taken":
+        if append_result != "taken":
             return failures.Failure(failures.Reason.APPEND_UNCERTAIN)
         return len(self.items) - len(items)
 
@@ -58,7 +63,7 @@
 
 @pytest.fixture
 def log() -> MemoryLog:
-    """A log in which the sample inventory is in force at offset 0."""
+    """Return a log in which the sample inventory is in force at offset 0."""
     log = MemoryLog()
     publish(log, INVENTORY)
     return log
@@ -70,14 +75,14 @@
     )
 
 
-def change(**adapters):
+def change_adapters(**adapters):
     return {**INVENTORY, "adapters": {**INVENTORY["adapters"], **adapters}}
 
 
 def test_small_change_is_published_as_delta(log):
-    """Guards against a megabyte in the log for one changed adapter."""
+    """Guards against publishing a megabyte for one changed adapter."""
     added = {**INVENTORY["adapters"]["a"], "versions": ["1", "2"]}
-    document = change(a=added)
+    document = change_adapters(a=added)
     del document["adapters"]["b"]
     result = publish(log, document)
     assert result.verdict.accepted
@@ -87,38 +92,41 @@
 
 
 @pytest.mark.parametrize(
-    "fates", [["lost"], ["dropped"], ["dropped", "lost"], ["lost", "refused"]]
+    "append_results",
+    [["lost"], ["dropped"], ["dropped", "lost"], ["lost", "refused"]],
 )
-def test_lost_answer_is_resolved(log, fates):
-    """Guards against a publication that is reported wrongly or doubled."""
-    log.fates = list(fates)
-    result = publish(log, change(d=INVENTORY["adapters"]["a"]))
+def test_lost_response_is_resolved(log, append_results):
+    """Guards against a wrong result or a duplicate after a lost response."""
+    log.append_results = list(append_results)
+    result = publish(log, change_adapters(d=INVENTORY["adapters"]["a"]))
     assert result.verdict.accepted
     assert "d" in result.configuration.inventory.adapters
 
 
-def test_uncertain_append_is_said_to_be(log):
-    """Guards against "refused" for a record that may land later."""
-    log.fates = ["dropped", "refused", "refused"]
-    result = publish(log, change(d=INVENTORY["adapters"]["a"]))
+def test_uncertain_append_is_reported(log):
+    """Guards against "refused" for a record that may still be appended."""
+    log.append_results = ["dropped", "refused", "refused"]
+    result = publish(log, change_adapters(d=INVENTORY["adapters"]["a"]))
     assert result.reason is failures.Reason.APPEND_UNCERTAIN
 
 
-@pytest.mark.parametrize("fates", [["taken"], ["lost"], ["dropped", "lost"]])
-def test_loser_of_a_race_is_told(log, fates):
-    """Guards against two operators who both believe that they won."""
-    log.racer = records.PublicationRecord(
+@pytest.mark.parametrize(
+    "append_results", [["taken"], ["lost"], ["dropped", "lost"]]
+)
+def test_conflicting_publication_is_reported(log, append_results):
+    """Guards against reporting success to both of two operators."""
+    log.competing_record = records.PublicationRecord(
         "inventory", 0, {"members": ["trust", "papyros"]}, delta=True
     )
-    log.fates = list(fates)
-    result = publish(log, change(d=INVENTORY["adapters"]["a"]))
+    log.append_results = list(append_results)
+    result = publish(log, change_adapters(d=INVENTORY["adapters"]["a"]))
     assert not result.verdict.accepted
     assert "configuration_conflict" in result.verdict.reason
 
 
 def test_stale_base_is_refused_at_once(log):
-    """Guards against an append that cannot be accepted."""
-    publish(log, change(d=INVENTORY["adapters"]["a"]))
+    """Guards against appending a record that cannot be accepted."""
+    publish(log, change_adapters(d=INVENTORY["adapters"]["a"]))
     result = publish(log, INVENTORY, base=0)
     assert result.reason is failures.Reason.CONFIGURATION_CONFLICT
     assert len(log.items) == 2
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -1,4 +1,4 @@
-"""A running site and a runner of the tool."""
+"""Fixtures: a running site and functions that run the tool."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory) -> Iterator[sites.Site]:
+    """Yield a site of two VMs with two engines and one service."""
     folder = tmp_path_factory.mktemp("site")
     with sites.run_site(folder, vms=2, engines=2) as running:
         sites.publish_samples(running)
@@ -26,7 +27,7 @@
 
 @pytest.fixture(scope="session")
 def run() -> Run:
-    """Run the tool with some arguments."""
+    """Return a function that runs the tool with some arguments."""
     application.add_commands()
     runner = testing.CliRunner()
     return lambda *arguments: runner.invoke(
@@ -36,7 +37,7 @@
 
 @pytest.fixture(scope="module")
 def call(site, run) -> Run:
-    """Run a `request` command at the first VM."""
+    """Return a function that runs `request` at the first VM."""
     address = site.vms["vm-0"].callers
     return lambda *arguments: run(
         "request", "--address", address, "--prompt", "tow", *arguments
@@ -45,6 +46,6 @@
 
 @pytest.fixture(scope="module")
 def inspect(site, run) -> Run:
-    """Run a command that needs an operators' address."""
+    """Return a function that runs a command with an operators' address."""
     address = site.vms["vm-0"].operators
     return lambda *arguments: run(*arguments, "--operators", address)
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -1,4 +1,4 @@
-"""Tests of the commands at a running site."""
+"""Tests of the commands against a running site."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 
 def list_commands(group: click.Group, path: tuple[str, ...] = ()):
+    """Iterate over the paths of all commands of a group."""
     for name, command in group.commands.items():
         if isinstance(command, click.Group):
             yield from list_commands(command, (*path, name))
@@ -20,7 +21,7 @@
 
 
 def test_each_help_has_an_example(run):
-    """Guards against a command that an operator cannot guess how to use."""
+    """Guards against a command whose help does not show its use."""
     for path in list_commands(application.application):
         result = run(*path, "--help")
         assert result.exit_code == 0
@@ -30,7 +31,7 @@
 
 
 def test_streamed_request_shows_where_it_ran(call):
-    """Guards against an answer that nobody can trace to an endpoint."""
+    """Guards against an answer that cannot be traced to an endpoint."""
     result = call("trust-1@1", "--stream", "--max-tokens", "3")
     assert result.exit_code == 0, result.output
     assert result.stdout == "token0 token1 token2 \n"
@@ -39,7 +40,7 @@
 
 
 def test_request_with_new_key(call):
-    """Guards against a key that the daemon refuses for want of a time."""
+    """Guards against a key that is refused for a missing issue time."""
     result = call("trust-2", "--key", "new", "--chat", "--format", "json")
     assert result.exit_code == 0, result.output
     assert json.loads(result.stdout)["outcome"] == "completed"
@@ -47,14 +48,14 @@
 
 
 def test_refused_request_fails_in_one_line(call):
-    """Guards against a refusal that scripts take for success."""
+    """Guards against a refusal that exits with the code for success."""
     result = call("absent")
     assert result.exit_code == 1
     assert "error: unknown_adapter" in result.stderr
 
 
 def test_status_lists_each_endpoint_once(inspect):
-    """Guards against a table that hides an endpoint or its owner."""
+    """Guards against a status that omits an endpoint or its owner."""
     result = inspect("status", "--format", "json")
     assert result.exit_code == 0, result.output
     found = json.loads(result.stdout)
@@ -65,14 +66,14 @@
 
 
 def test_state_prints_one_section(inspect):
-    """Guards against a dump that cannot be read without a JSON tool."""
+    """Guards against a state dump that is readable only as JSON."""
     result = inspect("state", "vm")
     assert result.exit_code == 0, result.output
     assert "availability_zone" in result.stdout
 
 
 def test_state_shows_considered_endpoints(site, inspect):
-    """Guards against a choice of endpoint that no one can explain."""
+    """Guards against routing decisions that leave no record."""
     assert site.send("trust-4").status == 200
     result = inspect("state", "requests", "--format", "json")
     newest = json.loads(result.stdout)["value"]["recent"][-1]
@@ -82,14 +83,14 @@
 
 
 def test_state_shows_refusals(site, inspect):
-    """Guards against a refusal that leaves no trace at the VM."""
+    """Guards against a refusal that the VM does not record."""
     assert site.send("absent").status == 404
 
     def read_refusals():
         result = inspect("state", "requests", "--format", "json")
         return json.loads(result.stdout)["value"]["refusals"]
 
-    # The controller takes a refusal in with its next step, after the answer.
+    # The controller records a refusal in its next step, after the response.
     site.wait(read_refusals)
     newest = read_refusals()[-1]
     assert newest["failure"]["reason"] == "unknown_adapter"
@@ -97,18 +98,18 @@
 
 
 def test_metrics_count_a_request(site):
-    """Guards against counters that no controller changes any more."""
+    """Guards against counters that no controller updates."""
     vm = site.vms["vm-0"]
     assert site.send("trust-5@1", stream=True, max_tokens=2).status == 200
     assert site.send("absent").status == 404
-    site.wait(lambda: count(site, "loads_total", "none") > 0)
-    assert count(site, "requests_total", "completed", vm) > 0
-    assert count(site, "requests_total", "unknown_adapter", vm) > 0
-    assert count(site, "first_chunk_seconds_count", "normal", vm) > 0
+    site.wait(lambda: sum_metric(site, "loads_total", "none") > 0)
+    assert sum_metric(site, "requests_total", "completed", vm) > 0
+    assert sum_metric(site, "requests_total", "unknown_adapter", vm) > 0
+    assert sum_metric(site, "first_chunk_seconds_count", "normal", vm) > 0
 
 
-def count(site, name, label, vm=None) -> float:
-    """Return the sum of a metric with a label over some VMs."""
+def sum_metric(site, name, label, vm=None) -> float:
+    """Return the sum of a metric with a label value, over one or all VMs."""
     total = 0.0
     for item in [vm] if vm else site.vms.values():
         answer = httpcore.request("GET", f"http://{item.operators}/metrics")
@@ -121,15 +122,15 @@
     return total
 
 
-def test_unknown_section_names_the_known(inspect):
-    """Guards against a dead end after a mistyped section."""
+def test_unknown_section_lists_the_valid_ones(inspect):
+    """Guards against an error that does not list the valid sections."""
     result = inspect("state", "leases")
     assert result.exit_code == 1
     assert "ownership" in result.stderr
 
 
 def test_diff_lists_changed_entries(site, run, tmp_path):
-    """Guards against a publication that changes more than its author saw."""
+    """Guards against a diff that omits changes of a publication."""
     inventory = site.make_inventory()
     inventory["adapters"]["trust-0"]["current"] = "1"
     del inventory["adapters"]["trust-1"]
@@ -148,7 +149,7 @@
 
 
 def test_history_shows_verdicts(site, run):
-    """Guards against a lost race that its loser cannot see."""
+    """Guards against publications whose verdict cannot be looked up."""
     result = run("config", "history", "--log-url", site.platform_url)
     assert result.exit_code == 0, result.output
     assert result.stdout.count("True") >= 2
@@ -163,8 +164,8 @@
         ("request", "x", "--address", "127.0.0.1:1"),
     ],
 )
-def test_bad_use_ends_with_2(run, arguments):
-    """Guards against scripts that take a mistyped command for a failure."""
+def test_usage_error_exits_with_2(run, arguments):
+    """Guards against the exit code of a failure for a mistyped command."""
     assert run(*arguments).exit_code == 2
 
 
@@ -179,7 +180,7 @@
     ],
 )
 def test_failure_is_one_line(run, arguments):
-    """Guards against a traceback in place of a cause and a remedy."""
+    """Guards against a traceback instead of a cause and a remedy."""
     result = run(*arguments)
     assert result.exit_code == 1
     assert result.stderr.startswith("error: ")
@@ -189,7 +190,8 @@
 def test_drain_ends_the_daemon(site, inspect):
     """Guards against a planned stop that never begins or never ends.
 
-    It stands last, since it takes a VM out of the site.
+    This test runs after all others that use the site, since it removes a VM
+    from it.
     """
     result = inspect("drain", "vm-1")
     assert result.exit_code == 0, result.output
@@ -206,7 +208,7 @@
     ],
 )
 def test_check_lists_mistakes_as_json(run, tmp_path, group, text):
-    """Guards against mistakes that a script has to cut out of sentences."""
+    """Guards against mistakes that scripts can only parse from text."""
     path = tmp_path / "file"
     path.write_text(text)
     result = run(group, "check", str(path), "--format", "json")
@@ -217,7 +219,7 @@
 
 
 def test_check_of_a_correct_file_lists_nothing(run, good, tmp_path):
-    """Guards against a correct file that a script takes for a wrong one."""
+    """Guards against a correct file that is reported as invalid."""
     path = tmp_path / "vm.ini"
     path.write_text(good)
     result = run("settings", "check", str(path), "--format", "json")
