--- a/src/bronzetrack/console/commands/request.py
+++ b/src/bronzetrack/console/commands/request.py
@@ -40,7 +40,7 @@
 )
 @click.option(
     "--key",
-    help=f"Idempotency key; '{asker.NEW_KEY}' prints a new UUIDv7.",
+    help=f"Idempotency key; '{asker.NEW_KEY}' generates and prints a UUIDv7.",
 )
 @click.option(
     "--issued-ms",
--- a/src/bronzetrack/console/commands/trace.py
+++ b/src/bronzetrack/console/commands/trace.py
@@ -45,7 +45,7 @@
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
 )
 def replay_file(file: pathlib.Path) -> None:
-    """Replay FILE and report outcomes that differ from the recorded ones."""
+    """Replay FILE and report outcomes that differ from the expected ones."""
     trace = replay.read_trace(file.read_text(encoding="utf-8"))
     if isinstance(trace, failures.Failure):
         options.fail(trace)
@@ -54,7 +54,7 @@
         options.fail(differences)
     for item in differences:
         click.echo(
-            f"{item.name}: recorded {item.stated}, replayed {item.replayed}",
+            f"{item.name}: expected {item.stated}, replayed {item.replayed}",
             err=True,
         )
     if differences:
