Reword key claiming, results and settling

Cause: Comments and private names used figurative words. Change: Plain docstrings; private names after what they do (_wait_until_decided, _is_claimant_gone).

--- a/src/bronzetrack/controllers/claiming.py
+++ b/src/bronzetrack/controllers/claiming.py
@@ -1,4 +1,4 @@
-"""Claims the key of one run before its dispatch."""
+"""Claim of an idempotency key before the work under it is dispatched."""
 
 from __future__ import annotations
 
@@ -25,16 +25,18 @@
 
 @attrs.frozen
 class Refusal:
-    """Why an attempt is not dispatched."""
+    """Outcome and reason of an attempt that is not dispatched."""
 
     outcome: outcomes.Outcome
     failure: failures.Failure
 
 
 class KeyClaimer:
-    """Claims a key, or gives the claim up.
+    """Claims an idempotency key through the log, or voids the claim.
 
-    :param key: digest of the key of the work
+    :param read_clock: returns the current time
+    :param work: the work to be dispatched under the key
+    :param key: digest of the idempotency key of the work
     """
 
     def __init__(
@@ -51,8 +53,12 @@
         self._claim = claims.Claim(work.attempt, work.issued_ms, 0)
 
     async def claim(self) -> Refusal | None:
-        """Return None if the work may be dispatched once, now."""
-        refusal = self._check_before()
+        """Append a claim of the key and wait for its result.
+
+        :returns: None if the work may be dispatched now, and only once;
+            otherwise why it may not
+        """
+        refusal = self._check_preconditions()
         if refusal is not None:
             return refusal
         self._post(
@@ -66,32 +72,35 @@
             )
         )
         self._set_deadline()
-        return await self._advance()
+        return await self._wait_until_decided()
 
     async def void(self) -> Refusal:
-        """Give up a claim that was won and not dispatched."""
+        """Void a claim that was won if its work was not dispatched.
+
+        :returns: the outcome of the attempt
+        """
         self._start_void()
-        refusal = await self._advance()
+        refusal = await self._wait_until_decided()
         if refusal is None:
-            raise AssertionError("a claim was dispatched after its void")
+            raise AssertionError("a voided claim was dispatched")
         return refusal
 
-    def _check_before(self) -> Refusal | None:
+    def _check_preconditions(self) -> Refusal | None:
         now = self._read_clock()
         entry = self._get_entry()
-        if not self._may_run(now):
+        if not self._may_dispatch(now):
             failure = failures.Failure(
                 failures.Reason.LEASE_LAPSED, "the lease of the owner lapsed"
             )
             return Refusal(outcomes.Outcome.REFUSED, failure)
         if entry is not None:
             return Refusal(*claims.describe_end(self._claim, entry, now))
-        unready = settlement.check_ready(self._board.keys.value)
-        if unready is not None:
-            return Refusal(outcomes.Outcome.REFUSED, unready)
+        not_ready = settlement.check_ready(self._board.keys.value)
+        if not_ready is not None:
+            return Refusal(outcomes.Outcome.REFUSED, not_ready)
         return None
 
-    def _may_run(self, now: clock.Instant) -> bool:
+    def _may_dispatch(self, now: clock.Instant) -> bool:
         return leases.may_dispatch_once(
             self._board.ownership.value,
             self._work.endpoint,
@@ -108,33 +117,39 @@
             self._claim, deadline_ms=now_ms + claims.CLAIM_TIMEOUT_MS
         )
 
-    async def _advance(self) -> Refusal | None:
+    async def _wait_until_decided(self) -> Refusal | None:
         while True:
             revision = self._board.keys.revision
             now = self._read_clock()
             entry = self._get_entry()
             step = claims.decide_claim(
-                self._claim, entry, self._may_run(now), now
+                self._claim, entry, self._may_dispatch(now), now
             )
             match step:
                 case claims.ClaimStep.DISPATCH:
                     return None
                 case claims.ClaimStep.END:
-                    ended = claims.describe_end(self._claim, entry, now)
-                    return Refusal(*ended)
+                    end = claims.describe_end(self._claim, entry, now)
+                    return Refusal(*end)
                 case claims.ClaimStep.VOID:
                     self._start_void()
                 case claims.ClaimStep.WAIT:
-                    await self._wait_change(revision, now)
+                    await self._wait_for_change(revision, now)
 
-    async def _wait_change(self, revision: int, now: clock.Instant) -> None:
+    async def _wait_for_change(
+        self, revision: int, now: clock.Instant
+    ) -> None:
         await blackboard.wait_any(
             self._board.keys.is_newer(revision),
             timeout_ms=self._claim.deadline_ms - now.monotonic_ms,
         )
 
     def _start_void(self) -> None:
-        """Ask for a void, so that a claim still under way has no effect."""
+        """Append a void of the attempt, and withdraw its pending claim.
+
+        A claim of the attempt that is still being appended then has no
+        effect.
+        """
         self._claim = attrs.evolve(self._claim, voiding=True)
         self._set_deadline()
         self._board.mailboxes["keys"].post(
--- a/src/bronzetrack/controllers/settling.py
+++ b/src/bronzetrack/controllers/settling.py
@@ -1,4 +1,4 @@
-"""Requests whose outcome is left to the records of their key."""
+"""Settlement of requests by the records of their idempotency key."""
 
 from __future__ import annotations
 
@@ -20,21 +20,22 @@
     now_ms: int,
     void: bool,
 ) -> None:
-    """Wait for the records of the key from now on.
+    """Put a request into the stage that waits for the records of its key.
 
-    :param void: whether a claim that is not in the log yet is prevented
+    :param void: whether to append a void, so that a claim that is not in the
+        log yet has no effect
     """
     key = progress.request.key
     if key is None:
         return
     progress.stage = progresses.Stage.SETTLING
     progress.settling_ms = now_ms
-    left_ms = max(0, progress.request.deadline_ms - now_ms)
-    wait_ms = min(settlement.RESULT_WAIT_MS, left_ms)
+    remaining_ms = max(0, progress.request.deadline_ms - now_ms)
+    wait_ms = min(settlement.RESULT_WAIT_MS, remaining_ms)
     if void:
         wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
-        # This VM may be the claimant too, and its run may be dispatched by
-        # now. Only the run itself knows whether its claim can be withdrawn.
+        # The claimant may be this VM, and its run may already be dispatched.
+        # Only the run itself can determine whether its claim can be withdrawn.
         record = records.KeyVoid(
             key=key.digest,
             incarnation=records.NOT_CLAIMANT,
@@ -51,7 +52,7 @@
     now_ms: int,
     wall_ms: int,
 ) -> settlement.Settlement | None:
-    """Return how the request ended, None while that is open."""
+    """Return the settlement of a request, None while it is undecided."""
     request = progress.request
     if request.key is None:
         return None
@@ -61,13 +62,13 @@
         request.key,
         request.digest,
         entry is not None
-        and _is_gone(board, entry.incarnation, progress, now_ms),
+        and _is_claimant_gone(board, entry.incarnation, progress, now_ms),
         now_ms >= progress.settle_until_ms,
         wall_ms,
     )
 
 
-def _is_gone(
+def _is_claimant_gone(
     board: boards.Blackboard,
     incarnation: str,
     progress: progresses.Progress,
@@ -75,11 +76,13 @@
 ) -> bool:
     """Return whether a claimant can no longer record a result.
 
-    A VM that has just started has not heard from all others yet.
+    During the first `views.SUSPECT_AFTER_MS` of the wait no claimant counts as
+    gone, because a VM that has just started has not received heartbeats from
+    all other VMs.
     """
     if now_ms - progress.settling_ms < views.SUSPECT_AFTER_MS:
         return False
-    living = {board.incarnation} | {
+    live_incarnations = {board.incarnation} | {
         state.incarnation for state in board.membership.value.vms.values()
     }
-    return incarnation not in living
+    return incarnation not in live_incarnations
