--- a/src/bronzetrack/controllers/__init__.py
+++ b/src/bronzetrack/controllers/__init__.py
@@ -1,1 +1,1 @@
-"""The controllers of a daemon, one module each."""
+"""Controllers of the daemon, one module for each."""
--- a/src/bronzetrack/controllers/configuration.py
+++ b/src/bronzetrack/controllers/configuration.py
@@ -1,4 +1,4 @@
-"""Keeps the configuration in force."""
+"""Controller that maintains the effective configuration."""
 
 from __future__ import annotations
 
@@ -20,12 +20,17 @@
 
 LOG = logging.getLogger(__name__)
 CHECK_INTERVAL_MS = 1_000
-COPY_RETRY_MS = 10_000
+SNAPSHOT_CHECK_INTERVAL_MS = 10_000
 
 
 @controllers.CONTROLLERS.register("configuration")
 class ConfigurationController(controllers.Controller):
-    """Replays the publications, copies them, and helps peers without log."""
+    """Replays the configuration stream and maintains the configuration.
+
+    The controller appends snapshots of the configuration to the log. It sends
+    the configuration to peers that cannot read the log, and fetches it from a
+    peer when this VM is behind.
+    """
 
     name = "configuration"
 
@@ -34,19 +39,19 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._receive)
-            group.start_soon(self._fetch)
-            group.start_soon(self._copy)
+            group.start_soon(self._fetch_from_peers)
+            group.start_soon(self._append_snapshots)
 
     @property
     def _state(self) -> states.ConfigurationState:
         return self.board.configuration.value
 
     def _set_state(self, state: states.ConfigurationState) -> None:
-        before = self._state.configuration.offset
+        previous_offset = self._state.configuration.offset
         self.write(self.board.configuration, state)
-        if state.configuration.offset != before:
+        if state.configuration.offset != previous_offset:
             LOG.info(
-                "configuration in force",
+                "new configuration in effect",
                 extra={
                     "event": "configuration_in_force",
                     "offset": state.configuration.offset,
@@ -77,22 +82,22 @@
         while True:
             await mailbox.wait_items()
             for delivery in mailbox.take():
-                await self._handle(delivery.sender, delivery.message)
+                await self._handle_message(delivery.sender, delivery.message)
 
-    async def _handle(self, sender: str, message: Any) -> None:
+    async def _handle_message(self, sender: str, message: Any) -> None:
         match message:
             case messages.FetchConfiguration():
-                await self._answer(sender, message.offset)
+                await self._send_configuration(sender, message.offset)
             case messages.ConfigurationSnapshot():
                 self._transfer = transfers.add_part(
                     self._transfer, sender, message
                 )
-                self._adopt()
+                self._adopt_transfer()
 
-    async def _answer(self, sender: str, offset: int) -> None:
+    async def _send_configuration(self, sender: str, offset: int) -> None:
         state = self._state
-        configured = state.configuration.offset != states.NO_OFFSET
-        if not state.complete or not configured:
+        has_configuration = state.configuration.offset != states.NO_OFFSET
+        if not state.complete or not has_configuration:
             return
         if state.configuration.offset < offset:
             return
@@ -100,45 +105,51 @@
         for part in transfers.split(state, data):
             self.ports.peers.send(sender, part)
 
-    def _adopt(self) -> None:
+    def _adopt_transfer(self) -> None:
         transfer = self._transfer
         if transfer is None or transfer.data is None:
             return
         self._transfer = None
-        found = documents.decode_configuration(transfer.data)
-        if isinstance(found, failures.Failure):
+        decoded = documents.decode_configuration(transfer.data)
+        if isinstance(decoded, failures.Failure):
             LOG.warning(
-                "peer sent a bad configuration",
+                "rejected an invalid configuration from a peer",
                 extra={
                     "event": "bad_configuration",
                     "peer": transfer.sender,
-                    "detail": found.detail,
+                    "detail": decoded.detail,
                 },
             )
             return
-        self._set_state(replay.adopt(self._state, found, transfer.through))
+        self._set_state(replay.adopt(self._state, decoded, transfer.through))
+
+    async def _fetch_from_peers(self) -> None:
+        """Fetch the configuration from peers while this VM is behind them.
 
-    async def _fetch(self) -> None:
-        """Ask peers while they have had a newer offset for some time."""
-        tries = 0
-        behind_ms = asked_ms = None
+        The first request is sent after a peer has been ahead for
+        `FETCH_AFTER_MS`. Requests are at least `FETCH_INTERVAL_MS` apart.
+        """
+        request_count = 0
+        behind_since_ms = requested_ms = None
         while True:
             await anyio.sleep(CHECK_INTERVAL_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
             source = transfers.choose_source(
-                self._state, self._list_offsets(now_ms), tries
+                self._state, self._list_peer_offsets(now_ms), request_count
             )
             if source is None:
-                behind_ms = None
+                behind_since_ms = None
                 continue
-            behind_ms = now_ms if behind_ms is None else behind_ms
-            if now_ms - behind_ms < transfers.FETCH_AFTER_MS:
+            behind_since_ms = (
+                now_ms if behind_since_ms is None else behind_since_ms
+            )
+            if now_ms - behind_since_ms < transfers.FETCH_AFTER_MS:
                 continue
-            if asked_ms is None or (
-                now_ms - asked_ms >= transfers.FETCH_INTERVAL_MS
+            if requested_ms is None or (
+                now_ms - requested_ms >= transfers.FETCH_INTERVAL_MS
             ):
-                asked_ms = now_ms
-                tries += 1
+                requested_ms = now_ms
+                request_count += 1
                 self.ports.peers.send(
                     source,
                     messages.FetchConfiguration(
@@ -146,28 +157,28 @@
                     ),
                 )
 
-    def _list_offsets(self, now_ms: int) -> dict[str, int]:
+    def _list_peer_offsets(self, now_ms: int) -> dict[str, int]:
         return {
             vm: state.configuration_offset
             for vm, state in self.board.membership.value.vms.items()
             if views.is_reachable(state, now_ms)
         }
 
-    async def _copy(self) -> None:
+    async def _append_snapshots(self) -> None:
         while True:
-            await anyio.sleep(COPY_RETRY_MS / 1000)
+            await anyio.sleep(SNAPSHOT_CHECK_INTERVAL_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
-            rank = self._get_rank(now_ms)
+            rank = self._compute_rank(now_ms)
             if replay.is_copy_due(self._state, rank, now_ms):
-                await self._append_copy(self._state)
+                await self._append_snapshot(self._state)
 
-    def _get_rank(self, now_ms: int) -> int:
+    def _compute_rank(self, now_ms: int) -> int:
         serving = views.list_serving(self.board.membership.value, now_ms)
         return sum(vm.vm < self.board.vm for vm in serving)
 
-    async def _append_copy(self, state: states.ConfigurationState) -> None:
+    async def _append_snapshot(self, state: states.ConfigurationState) -> None:
         LOG.info(
-            "repeating the configuration in the log",
+            "appending a snapshot of the configuration to the log",
             extra={"event": "configuration_copy"},
         )
         configuration = state.configuration
--- a/src/bronzetrack/controllers/keys.py
+++ b/src/bronzetrack/controllers/keys.py
@@ -1,4 +1,4 @@
-"""Keeps the table of idempotency keys."""
+"""Controller that maintains the table of idempotency keys."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from bronzetrack.logservice import follower
 from bronzetrack.logservice import logservice
 
-GATHER_MS = 5
-RETRY_MS = 200
+BATCH_DELAY_MS = 5
+APPEND_RETRY_MS = 200
 TRIM_INTERVAL_S = 60
 
 
 @controllers.CONTROLLERS.register("keys")
 class KeysController(controllers.Controller):
-    """Replays the keys stream and appends records in batches."""
+    """Replays the keys stream and appends its records in batches."""
 
     name = "keys"
 
@@ -30,7 +30,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._append)
-            group.start_soon(self._trim)
+            group.start_soon(self._trim_entries)
 
     async def _follow(self) -> None:
         batches = follower.follow_stream(self.ports.log, records.STREAM)
@@ -65,23 +65,24 @@
         while True:
             if not self._pending:
                 await mailbox.wait_items()
-                await anyio.sleep(GATHER_MS / 1000)
+                await anyio.sleep(BATCH_DELAY_MS / 1000)
             for request in mailbox.take():
-                self._note_request(request)
+                self._handle_request(request)
             if not self._pending:
                 continue
             batch = list(self._pending)
             offset = await self.ports.log.append(records.STREAM, batch)
             if isinstance(offset, failures.Failure):
-                # The records may be in the log all the same. A second copy
-                # changes nothing, since the first record of a key decides.
-                await anyio.sleep(RETRY_MS / 1000)
+                # The failed append may still have stored the records.
+                # Duplicates have no effect, because the first record of a key
+                # decides.
+                await anyio.sleep(APPEND_RETRY_MS / 1000)
                 continue
             self._pending = [
                 record for record in self._pending if record not in batch
             ]
 
-    def _note_request(self, request: Any) -> None:
+    def _handle_request(self, request: Any) -> None:
         if isinstance(request, requests.AppendKey):
             self._pending.append(request.record)
             return
@@ -92,7 +93,7 @@
             or record.attempt != request.attempt
         ]
 
-    async def _trim(self) -> None:
+    async def _trim_entries(self) -> None:
         while True:
             await anyio.sleep(TRIM_INTERVAL_S)
             table = self.board.keys.value
