--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -1,4 +1,4 @@
-"""Holds the lease of this VM, claims endpoints and hands them over."""
+"""Controller of the lease of this VM and of its claims of endpoints."""
 
 from __future__ import annotations
 
@@ -22,25 +22,29 @@
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
-# Less than the margin, after which a successor may claim.
-JUDGE_INTERVAL_MS = 250
-# A copy that the log did not take is tried again after this time.
-COPY_RETRY_MS = 5_000
+# Less than the clock margin after which a successor may claim.
+STANDING_CHECK_INTERVAL_MS = 250
+# A snapshot that could not be appended is retried after this time.
+SNAPSHOT_RETRY_MS = 5_000
 
 
 @controllers.CONTROLLERS.register("ownership")
 class OwnershipController(controllers.Controller):
-    """Replays the ownership stream, renews the lease, claims, releases."""
+    """Replays the ownership stream and maintains the ownership of this VM.
+
+    The controller renews the lease, claims and releases endpoints, and appends
+    snapshots or resets of the ownership to the log.
+    """
 
     name = "ownership"
 
     async def run(self) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
-            group.start_soon(self._renew)
+            group.start_soon(self._renew_lease)
             group.start_soon(self._plan)
-            group.start_soon(self._judge_forever)
-            group.start_soon(self._copy)
+            group.start_soon(self._check_standing)
+            group.start_soon(self._append_snapshots)
 
     def _now_ms(self) -> int:
         return self.read_clock().monotonic_ms
@@ -56,23 +60,25 @@
             state = self.board.ownership.value
             if isinstance(batch, failures.Failure):
                 state = replay.note_outage(state, self._now_ms())
-                state = self._judge(state)
+                state = self._update_standing(state)
             else:
                 state = self._apply_batch(state, batch)
             self.write(self.board.ownership, state)
 
-    async def _judge_forever(self) -> None:
-        """Keep up the standing while the log cannot be read."""
+    async def _check_standing(self) -> None:
+        """Update the standing periodically while the log is unreachable."""
         while True:
             await blackboard.wait_any(
                 self.board.ownership.meets(lambda it: not it.log_reachable)
             )
-            state = self._judge(self.board.ownership.value)
+            state = self._update_standing(self.board.ownership.value)
             if state is not self.board.ownership.value:
                 self.write(self.board.ownership, state)
-            await anyio.sleep(JUDGE_INTERVAL_MS / 1000)
+            await anyio.sleep(STANDING_CHECK_INTERVAL_MS / 1000)
 
-    def _judge(self, state: leases.OwnershipState) -> leases.OwnershipState:
+    def _update_standing(
+        self, state: leases.OwnershipState
+    ) -> leases.OwnershipState:
         now_ms = self._now_ms()
         claimants = views.list_claimants(
             self.board.membership.value,
@@ -82,7 +88,7 @@
         after = standing.judge(state, self.board.vm, claimants, now_ms)
         if after.standing is not state.standing:
             LOG.warning(
-                "standing as an owner changed",
+                "ownership standing changed",
                 extra={
                     "event": "ownership_standing",
                     "standing": after.standing.value,
@@ -103,7 +109,7 @@
         )
         if state.complete != after.complete:
             LOG.warning(
-                "ownership replay changed its completeness",
+                "completeness of the ownership replay changed",
                 extra={
                     "event": "ownership_replay",
                     "complete": after.complete,
@@ -112,7 +118,7 @@
             )
         return after
 
-    async def _renew(self) -> None:
+    async def _renew_lease(self) -> None:
         sequence = 0
         while True:
             started_ms = self._now_ms()
@@ -136,18 +142,20 @@
 
     async def _plan(self) -> None:
         while True:
-            await self._wait_owners()
+            await self._wait_for_change()
             state = self.board.ownership.value
             now_ms = self._now_ms()
             if not state.caught_up or now_ms >= state.held_until_ms:
                 continue
-            settled = self._make_site(now_ms, views.SETTLED_AFTER_MS)
-            state = planner.plan_handover(state, settled)
+            site = self._make_site(now_ms, views.SETTLED_AFTER_MS)
+            state = planner.plan_handover(state, site)
             if state != self.board.ownership.value:
                 self.write(self.board.ownership, state)
-            release = planner.plan_release(state, settled)
+            release = planner.plan_release(state, site)
             if release is not None:
-                await self._announce("releasing", release, release.endpoints)
+                await self._append_and_wait(
+                    "releasing", release, release.endpoints
+                )
             if self._is_serving():
                 await self._claim(now_ms)
 
@@ -156,13 +164,13 @@
             self.board.ownership.value, self._make_site(now_ms, 0), now_ms
         )
         if claim is not None:
-            await self._announce("claiming", claim, claim.endpoints)
+            await self._append_and_wait("claiming", claim, claim.endpoints)
 
-    async def _wait_owners(self) -> None:
-        """Wait until owners or the status changed, or for an interval.
+    async def _wait_for_change(self) -> None:
+        """Wait until the owners or the status change, or for an interval.
 
-        A release is followed by a claim at once. Renewals, which change the
-        section far more often, start no plan.
+        A release can thereby be followed by a claim at once. Lease renewals
+        change the section far more often, and do not end the wait.
         """
         owners = self.board.ownership.value.owners
         await blackboard.wait_any(
@@ -175,19 +183,21 @@
         status = self.board.lifecycle.value.status
         return status is membership_messages.VmStatus.SERVING
 
-    def _make_site(self, now_ms: int, settled_ms: int) -> planner.Site:
-        """Return the surroundings.
+    def _make_site(self, now_ms: int, min_serving_ms: int) -> planner.Site:
+        """Return the input of the planner.
 
-        :param settled_ms: for how long other VMs have to have served
+        :param min_serving_ms: time that another VM has to have been serving
+            to be considered
         """
         view = self.board.membership.value
         state = self.board.ownership.value
-        # A VM that is cut off from the log alone still says that it serves,
-        # and would keep its place while nobody can take it.
+        # A VM that cannot reach the log but reaches its peers still reports
+        # that it is serving. It would stay the chosen owner of endpoints that
+        # it cannot claim and that no other VM would claim.
         zones = {
             vm.vm: vm.availability_zone
             for vm in views.list_serving(view, now_ms)
-            if now_ms - vm.serving_ms >= settled_ms
+            if now_ms - vm.serving_ms >= min_serving_ms
             and not leases.lacks_lease(state, vm.incarnation, now_ms)
         }
         if self.board.vm not in view.listed_leaving or not zones:
@@ -213,25 +223,28 @@
             if name not in queues or queues[name].is_releasable
         }
 
-    async def _copy(self) -> None:
+    async def _append_snapshots(self) -> None:
         while True:
-            copy = planner.plan_copy(
+            snapshot = planner.plan_copy(
                 self.board.ownership.value,
                 self._make_site(self._now_ms(), 0),
                 self._now_ms(),
             )
-            if copy is not None:
+            if snapshot is not None:
                 LOG.info(
-                    "repeating ownership in the log",
+                    "appending an ownership snapshot or reset to the log",
                     extra={"event": "ownership_copy"},
                 )
-                await self._append(copy)
-            await anyio.sleep(COPY_RETRY_MS / 1000)
+                await self._append(snapshot)
+            await anyio.sleep(SNAPSHOT_RETRY_MS / 1000)
 
-    async def _announce(
+    async def _append_and_wait(
         self, action: str, record: Any, endpoints: Any
     ) -> None:
-        """Append a record and wait until the replay has passed it."""
+        """Append a claim or release and wait until the replay has read it.
+
+        :param action: name of the log event
+        """
         LOG.info(
             "%s endpoints",
             action,
