--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -1,4 +1,4 @@
-"""Queues, loads, evicts and dispatches on the endpoints of this VM."""
+"""Controller that queues and dispatches work and loads adapters."""
 
 from __future__ import annotations
 
@@ -35,45 +35,53 @@
 
 @controllers.CONTROLLERS.register("dispatch")
 class DispatchController(controllers.Controller):
-    """Runs the queue of each endpoint that this VM owns."""
+    """Manages the queue of each endpoint that this VM owns.
+
+    The controller admits work, loads and evicts adapter versions, and
+    dispatches the work to the endpoints.
+    """
 
     name = "dispatch"
 
     async def run(self) -> None:
-        self._scopes: dict[str, anyio.CancelScope] = {}
-        self._refilled_ms = self.read_clock().monotonic_ms
+        self._cancel_scopes: dict[str, anyio.CancelScope] = {}
+        self._decayed_ms = self.read_clock().monotonic_ms
         self._placements = placements.Placements(self.board)
         self._permits = permits.LoadPermits(self.board, self.ports, self.name)
         async with anyio.create_task_group() as group:
             self._group = group
             self._orders = orders.EndpointOrders(self.board, self.ports, group)
             group.start_soon(self._orders.poll_reports)
-            await self._step_forever()
+            await self._run_steps()
 
-    async def _step_forever(self) -> None:
+    async def _run_steps(self) -> None:
         work = self.board.mailboxes["work"]
-        runs_box = self.board.mailboxes["runs"]
+        run_mailbox = self.board.mailboxes["runs"]
         while True:
-            await self._wait_step()
+            await self._wait_until_due()
             now_ms = self.read_clock().monotonic_ms
-            self._refill(now_ms)
-            self._follow_ownership()
+            self._refill_and_decay(now_ms)
+            self._update_queues()
             self._placements.refresh(now_ms)
             for delivery in work.take():
                 self._receive(delivery, now_ms)
-            for event in runs_box.take():
+            for event in run_mailbox.take():
                 self._apply_event(event, now_ms)
-            remote = usage.sum_usage(
+            remote_usage = usage.sum_usage(
                 vm.usage for vm in self.board.membership.value.vms.values()
             )
             short = sum(
-                self._advance(name, remote, now_ms).short
+                self._plan_and_execute(name, remote_usage, now_ms).short
                 for name in list(self.board.dispatch.value.endpoints)
             )
             self._permits.request(short, now_ms)
 
-    async def _wait_step(self) -> None:
-        """Wait until something is due, or changed that decides what is."""
+    async def _wait_until_due(self) -> None:
+        """Wait until a step may be due.
+
+        That is the case when messages or events have arrived, when owners,
+        leaving VMs or the configuration changed, or after a time-out.
+        """
         owners = self.board.ownership.value.owners
         leaving = self.board.membership.value.listed_leaving
         configuration = self.board.configuration.value.configuration
@@ -94,16 +102,19 @@
             ),
         )
 
-    def _refill(self, now_ms: int) -> None:
+    def _refill_and_decay(self, now_ms: int) -> None:
         self._permits.refill(now_ms)
         state = self.board.dispatch.value
-        decayed = usage.decay(state.usage, now_ms - self._refilled_ms)
-        self._refilled_ms = now_ms
+        decayed = usage.decay(state.usage, now_ms - self._decayed_ms)
+        self._decayed_ms = now_ms
         if decayed != state.usage:
             self.write(self.board.dispatch, attrs.evolve(state, usage=decayed))
 
-    def _follow_ownership(self) -> None:
-        """Add queues of endpoints gained; drop idle ones that were lost."""
+    def _update_queues(self) -> None:
+        """Add queues for newly owned endpoints, and drop those of lost ones.
+
+        The queue of a lost endpoint is kept while it is busy.
+        """
         owned = set(
             leases.list_owned(
                 self.board.ownership.value, self.board.incarnation
@@ -115,13 +126,13 @@
             for name, queue in state.endpoints.items()
             if name in owned or queue.is_busy
         }
-        gained = {name: states.EndpointQueue() for name in owned - kept.keys()}
-        if gained or len(kept) != len(state.endpoints):
-            state = attrs.evolve(state, endpoints={**kept, **gained})
+        added = {name: states.EndpointQueue() for name in owned - kept.keys()}
+        if added or len(kept) != len(state.endpoints):
+            state = attrs.evolve(state, endpoints={**kept, **added})
             self.write(self.board.dispatch, state)
-        # Nothing is loaded before the first report, and the next round of
-        # reports may be a second away.
-        for name in gained:
+        # No adapter is loaded before the first load report, and the next poll
+        # may be a second away.
+        for name in added:
             self._group.start_soon(self._orders.read_report, name)
 
     def _set_queue(self, name: str, queue: states.EndpointQueue) -> None:
@@ -152,14 +163,14 @@
             self._start_run(work, sender, endpoint)
             return
         queue = self.board.dispatch.value.endpoints.get(work.endpoint)
-        failure = self._check_acceptance(work, queue)
+        failure = self._check_admission(work, queue)
         if queue is None or failure is not None:
             self._refuse(work, sender, failure)
             return
         item = states.Waiting(work, sender, now_ms)
         self._set_queue(work.endpoint, transitions.enqueue(queue, item))
 
-    def _check_acceptance(
+    def _check_admission(
         self, work: messages.SubmitWork, queue: states.EndpointQueue | None
     ) -> failures.Failure | None:
         endpoint = self._get_endpoint(work.endpoint)
@@ -189,7 +200,7 @@
         self.ports.peers.send(sender, end)
 
     def _cancel(self, attempt: str) -> None:
-        scope = self._scopes.get(attempt)
+        scope = self._cancel_scopes.get(attempt)
         if scope is not None:
             scope.cancel()
             return
@@ -202,7 +213,7 @@
 
     def _apply_event(self, event: Any, now_ms: int) -> None:
         if isinstance(event, events.RunEnded):
-            self._scopes.pop(event.attempt, None)
+            self._cancel_scopes.pop(event.attempt, None)
         queue = self.board.dispatch.value.endpoints.get(event.endpoint)
         if queue is None:
             return
@@ -236,12 +247,13 @@
         owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
         return transitions.apply_report(queue, event.report, owned_ms, now_ms)
 
-    def _advance(
-        self, name: str, remote: dict[str, float], now_ms: int
+    def _plan_and_execute(
+        self, name: str, remote_usage: dict[str, float], now_ms: int
     ) -> loads.LoadPlan:
-        """Carry out what is due; return what was due of loads.
+        """Plan the work of an endpoint and execute the plan.
 
-        :param remote: recent cost by member over the other VMs
+        :param remote_usage: recent cost by member, summed over the other VMs
+        :returns: the planned loads and evictions
         """
         endpoint = self._get_endpoint(name)
         if endpoint is None:
@@ -254,21 +266,25 @@
         )
         if queue is not self.board.dispatch.value.endpoints[name]:
             self._set_queue(name, queue)
-        context = self._make_context(name, endpoint, remote, now_ms)
+        context = self._make_context(name, endpoint, remote_usage, now_ms)
         plan = planner.plan_endpoint(queue, context, now_ms)
-        self._carry_out_refusals(name, plan)
+        self._send_refusals(name, plan)
         if plan.fence is not None:
             queue = self.board.dispatch.value.endpoints[name]
             self._set_queue(name, transitions.send_fence(queue, now_ms))
             self._orders.fence(name, endpoint, plan.fence)
         for attempt in plan.start:
-            self._start(name, endpoint, attempt, now_ms)
+            self._start_attempt(name, endpoint, attempt, now_ms)
         for adapter in plan.loads.load:
-            self._mark(name, adapter, states.ResidentPhase.LOADING, now_ms)
+            self._set_phase(
+                name, adapter, states.ResidentPhase.LOADING, now_ms
+            )
             self._permits.take()
             self._orders.load(name, endpoint, adapter)
         for adapter in plan.loads.unload:
-            self._mark(name, adapter, states.ResidentPhase.UNLOADING, now_ms)
+            self._set_phase(
+                name, adapter, states.ResidentPhase.UNLOADING, now_ms
+            )
             self._orders.unload(name, endpoint, adapter)
         return plan.loads
 
@@ -276,7 +292,7 @@
         self,
         name: str,
         endpoint: inventories.Endpoint,
-        remote: dict[str, float],
+        remote_usage: dict[str, float],
         now_ms: int,
     ) -> contexts.EndpointContext:
         state = self.board.dispatch.value
@@ -300,18 +316,22 @@
             placement=self._placements.get(name),
             quotas=self._placements.quotas,
             may_prefetch=self.board.permits.value.may_prefetch(),
-            usage=usage.sum_usage((state.usage, remote)),
+            usage=usage.sum_usage((state.usage, remote_usage)),
         )
 
     def _is_leaving(self, name: str, endpoint: inventories.Endpoint) -> bool:
-        """Return whether any of the sources says that an endpoint leaves."""
+        """Return whether an endpoint is leaving according to any source.
+
+        The sources are the configuration, the load reports and the platform's
+        list.
+        """
         return (
             endpoint.leaving
             or self.board.dispatch.value.endpoints[name].leaving
             or name in self.board.membership.value.listed_leaving
         )
 
-    def _carry_out_refusals(self, name: str, plan: planner.Plan) -> None:
+    def _send_refusals(self, name: str, plan: planner.Plan) -> None:
         queue = self.board.dispatch.value.endpoints[name]
         items = {item.work.attempt: item for item in queue.waiting}
         for attempt, failure in plan.refuse:
@@ -321,7 +341,7 @@
         if refused:
             self._set_queue(name, transitions.remove_waiting(queue, refused))
 
-    def _start(
+    def _start_attempt(
         self,
         name: str,
         endpoint: inventories.Endpoint,
@@ -348,20 +368,20 @@
         endpoint: inventories.Endpoint,
     ) -> None:
         scope = anyio.CancelScope()
-        self._scopes[work.attempt] = scope
+        self._cancel_scopes[work.attempt] = scope
         run = runs.Run(
             self.board, self.ports, self.read_clock, work, sender, endpoint
         )
         self._group.start_soon(run.execute, scope)
 
-    def _mark(
+    def _set_phase(
         self,
         name: str,
         adapter: str,
         phase: states.ResidentPhase,
         now_ms: int,
     ) -> None:
-        """Note the phase of an adapter before its order is sent."""
+        """Set the phase of an adapter before its order is sent."""
         queue = self.board.dispatch.value.endpoints[name]
         self._set_queue(
             name, transitions.set_resident(queue, adapter, phase, now_ms)
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -1,4 +1,4 @@
-"""Orders to endpoints and the reading of their load reports."""
+"""Orders to endpoints, and polling of the load reports of engines."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class EndpointOrders:
-    """Sends orders and posts how they ended to the mailbox `runs`."""
+    """Sends orders to endpoints and posts their results to `runs`."""
 
     def __init__(
         self,
@@ -72,7 +72,11 @@
     def fence(
         self, name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Show an engine the fencing number by a load that is done."""
+        """Send the fencing number to an engine.
+
+        The order repeats the load of an adapter version that is already
+        loaded.
+        """
         self._send(
             self._ports.endpoints.load_adapter,
             functools.partial(events.FenceEnded, name),
@@ -92,10 +96,10 @@
         owner = self._board.ownership.value.owners.get(name)
         fencing = 0 if owner is None else owner.fencing
         self._group.start_soon(
-            self._wait_end, send, make_event, endpoint, adapter, fencing
+            self._execute_order, send, make_event, endpoint, adapter, fencing
         )
 
-    async def _wait_end(
+    async def _execute_order(
         self,
         send: OrderSender,
         make_event: EventMaker,
@@ -106,7 +110,7 @@
         failure = await send(endpoint, adapter, fencing)
         if failure is not None:
             LOG.warning(
-                "order failed",
+                "order to an endpoint failed",
                 extra={
                     "event": "order_failed",
                     "adapter": adapter,
@@ -117,7 +121,7 @@
         self._board.mailboxes["runs"].post(make_event(failure))
 
     async def poll_reports(self) -> None:
-        """Read the load reports of all owned engines at an interval."""
+        """Poll the load reports of all owned engines."""
         while True:
             async with anyio.create_task_group() as group:
                 for name in self._board.dispatch.value.endpoints:
@@ -125,7 +129,7 @@
             await anyio.sleep(REPORT_INTERVAL_MS / 1000)
 
     async def read_report(self, name: str) -> None:
-        """Read the load report of one endpoint, if it is an engine."""
+        """Read the load report of an endpoint if it is an engine."""
         inventory = self._board.configuration.value.configuration.inventory
         endpoint = inventory.endpoints.get(name)
         if endpoint is None:
--- a/src/bronzetrack/controllers/permits.py
+++ b/src/bronzetrack/controllers/permits.py
@@ -1,4 +1,4 @@
-"""Permits of this VM for loads from the weight store."""
+"""Permits of this VM for loads of adapters from the weight store."""
 
 from __future__ import annotations
 
@@ -16,9 +16,9 @@
 
 
 class LoadPermits:
-    """Keeps the section `permits` for the dispatch controller.
+    """Maintains the section `permits` for the dispatch controller.
 
-    :param writer: name of the controller
+    :param writer: name of the controller that writes the section
     """
 
     def __init__(
@@ -28,30 +28,33 @@
         self._ports = ports
         self._writer = writer
         self._store = board.settings.weight_store
-        self._needed = 0
+        self._needed_tokens = 0
 
     def _write(self, permits: transfers.Permits) -> None:
         self._board.permits.write(self._writer, permits)
 
     def refill(self, now_ms: int) -> None:
-        """Add the tokens that time has brought."""
+        """Add the tokens that have accrued since the last refill."""
         share = self._store.loads_per_s / self._store.expected_vms
         permits = self._board.permits.value
         bucket = permits.bucket.refill(share, max(1.0, share), now_ms)
         self._write(permits.change(bucket))
 
     def take(self) -> None:
-        """Use a token for a load."""
+        """Take one token for a load."""
         permits = self._board.permits.value
         self._write(permits.change(permits.bucket.take(1)))
 
     def count(self) -> int:
-        """Return how many loads may start now."""
+        """Return the number of loads that may start now."""
         whole = math.floor(self._board.permits.value.bucket.tokens)
-        return max(0, min(self.count_places(), whole))
+        return max(0, min(self.count_free_concurrency(), whole))
 
-    def count_places(self) -> int:
-        """Return how many loads may start if tokens are at hand."""
+    def count_free_concurrency(self) -> int:
+        """Return the number of loads that the concurrency limit leaves.
+
+        The tokens are not considered.
+        """
         loading = sum(
             resident.phase is states.ResidentPhase.LOADING
             for queue in self._board.dispatch.value.endpoints.values()
@@ -60,31 +63,32 @@
         share = self._store.in_flight // self._store.expected_vms
         return max(0, share - loading)
 
-    def request(self, short: int, now_ms: int) -> None:
-        """Ask a peer for the tokens that waiting loads lack.
+    def request(self, waiting_loads: int, now_ms: int) -> None:
+        """Request the tokens that waiting loads lack from a peer.
 
-        :param short: loads that wait for a permit only
+        :param waiting_loads: number of loads that wait only for a permit
         """
-        self._needed = min(short, self.count_places())
-        permits, question = transfers.ask(
+        self._needed_tokens = min(waiting_loads, self.count_free_concurrency())
+        permits, outgoing = transfers.ask(
             self._board.permits.value,
             self._board.vm,
             self._ports.peers.list_sessions(),
-            self._needed,
+            self._needed_tokens,
             now_ms,
         )
         self._write(permits)
-        if question is not None:
-            self._ports.peers.send(question.peer, question.request)
+        if outgoing is not None:
+            self._ports.peers.send(outgoing.peer, outgoing.request)
 
     def receive(self, sender: str, message: Any) -> None:
-        """Grant tokens to a peer or accept those of a peer."""
+        """Grant tokens to a peer, or accept tokens that a peer granted."""
         permits = self._board.permits.value
         match message:
             case messages.TokenRequest():
-                # Another round of the peer finds what a failed send lost.
+                # If the send fails, its tokens are lost, and the peer asks
+                # again in its next round.
                 permits, answer = transfers.grant(
-                    permits, message, self._needed
+                    permits, message, self._needed_tokens
                 )
                 self._write(permits)
                 self._ports.peers.send(sender, answer)
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -1,4 +1,4 @@
-"""What the dispatch controller knows of demand at other VMs and here."""
+"""Adapter placements and quotas, computed from demand and heartbeats."""
 
 from __future__ import annotations
 
@@ -18,14 +18,15 @@
 
 
 class Placements:
-    """Placement of adapters by owned endpoint, renewed at an interval.
+    """Placement of adapters by owned endpoint, refreshed at an interval.
 
-    The sample of demand is the latest requests that this VM took in.
+    The demand is sampled from the recent and open requests that arrived at
+    this VM.
     """
 
     def __init__(self, board: boards.Blackboard) -> None:
         self._board = board
-        self._renewed_ms: int | None = None
+        self._refreshed_ms: int | None = None
         self._placements: dict[str, placement.Placement] = {}
         self.quotas = quota_views.QuotaView()
 
@@ -34,22 +35,22 @@
         return self._placements.get(name, placement.Placement())
 
     def refresh(self, now_ms: int) -> None:
-        """Work the placements out again if the interval has passed."""
-        if self._renewed_ms is not None:
-            if now_ms - self._renewed_ms < REFRESH_INTERVAL_MS:
+        """Recompute placements and quotas if the interval has passed."""
+        if self._refreshed_ms is not None:
+            if now_ms - self._refreshed_ms < REFRESH_INTERVAL_MS:
                 return
-        self._renewed_ms = now_ms
+        self._refreshed_ms = now_ms
         table = self._board.requests.value
         entries = (*table.recent, *table.open.values())
         demand = placement.count_demand(entry.adapter for entry in entries)
         known = self._list_summaries()
-        self.quotas = self._judge_quotas()
+        self.quotas = self._compute_quotas()
         self._placements = {
-            name: self._place(name, demand, known)
+            name: self._compute_placement(name, demand, known)
             for name in self._board.dispatch.value.endpoints
         }
 
-    def _place(
+    def _compute_placement(
         self,
         name: str,
         demand: dict[str, float],
@@ -66,27 +67,29 @@
             if other in inventory.endpoints
             and inventory.endpoints[other].runs_model(model)
         }
-        of_model = {
-            adapter: part
-            for adapter, part in demand.items()
+        model_demand = {
+            adapter: share
+            for adapter, share in demand.items()
             if _get_model(inventory, adapter) == model
         }
-        normal = [
+        eligible = [
             other
             for other, summary in others.items()
             if not summary.slow and not summary.leaving
         ]
         others.pop(name, None)
-        elsewhere = frozenset(
+        warm_elsewhere = frozenset(
             itertools.chain(*(summary.warm for summary in others.values()))
         )
         return placement.Placement(
-            placement.list_wanted(name, normal, of_model, elsewhere),
-            elsewhere,
+            placement.list_wanted(
+                name, eligible, model_demand, warm_elsewhere
+            ),
+            warm_elsewhere,
             tuple(summary.chunk_ms for summary in others.values()),
         )
 
-    def _judge_quotas(self) -> quota_views.QuotaView:
+    def _compute_quotas(self) -> quota_views.QuotaView:
         configuration = self._board.configuration.value.configuration
         loaded = {
             vm.vm: [
