--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -1,4 +1,4 @@
-"""Carries the requests that callers bring to this VM to their answers."""
+"""Controller of the requests that callers send to this VM."""
 
 from __future__ import annotations
 
@@ -29,17 +29,23 @@
 
 LOG = logging.getLogger(__name__)
 STEP_INTERVAL_MS = 250
-# A wake-up costs more than a chunk, so chunks of other streams that arrive
-# meanwhile are taken along; 52 ms are allowed between tokens.
-GATHER_MS = 2
+# A wake-up costs more than a chunk. Chunks of other streams that arrive within
+# this delay are therefore processed in the same step. The limit between tokens
+# is 52 ms.
+BATCH_DELAY_MS = 2
 ROUTE_RETRY_MS = 250
-# A suspect may run at one endpoint only and waits for it to come back.
+# A suspected request may run at only one endpoint, and waits until that
+# endpoint is available again.
 ISOLATED_RETRY_MS = 1_000
 
 
 @controllers.CONTROLLERS.register("requests")
 class RequestsController(controllers.Controller):
-    """Routes attempts, assembles answers, retries and settles keys."""
+    """Routes attempts, assembles answers, and retries failed attempts.
+
+    Requests with an idempotency key whose outcome is uncertain are settled by
+    the records of the key.
+    """
 
     name = "requests"
 
@@ -47,47 +53,47 @@
         self._outputs: dict[str, outputs.Output] = {}
         self._attempts: dict[str, progresses.Progress] = {}
         self._budget = retry_policy.RetryBudget()
-        self._swept_ms = 0
+        self._last_sweep_ms = 0
         while True:
-            await self._wait_event()
-            await anyio.sleep(GATHER_MS / 1000)
+            await self._wait_until_due()
+            await anyio.sleep(BATCH_DELAY_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
             for item in self.board.mailboxes["intake"].take():
-                self._take_in(item, now_ms)
+                self._handle_intake(item, now_ms)
             for delivery in self.board.mailboxes["answers"].take():
                 self._receive(delivery, now_ms)
-            self._settle_all(now_ms)
-            if now_ms - self._swept_ms >= STEP_INTERVAL_MS:
+            self._check_settling(now_ms)
+            if now_ms - self._last_sweep_ms >= STEP_INTERVAL_MS:
                 self._sweep(now_ms)
 
     @property
-    def _open(self) -> dict[str, progresses.Progress]:
+    def _open_requests(self) -> dict[str, progresses.Progress]:
         return self.board.requests.value.open
 
-    async def _wait_event(self) -> None:
+    async def _wait_until_due(self) -> None:
         waits = [
             self.board.mailboxes["intake"].is_filled(),
             self.board.mailboxes["answers"].is_filled(),
         ]
         if any(
             progress.stage is progresses.Stage.SETTLING
-            for progress in self._open.values()
+            for progress in self._open_requests.values()
         ):
             revision = self.board.keys.revision
             waits.append(self.board.keys.is_newer(revision))
-        # Without open requests there is nothing that time brings about.
-        timeout_ms = STEP_INTERVAL_MS if self._open else None
+        # Without open requests no deadline or interval can expire.
+        timeout_ms = STEP_INTERVAL_MS if self._open_requests else None
         await blackboard.wait_any(*waits, timeout_ms=timeout_ms)
 
     def _sweep(self, now_ms: int) -> None:
-        """Act on what only time brings about."""
-        self._swept_ms = now_ms
+        """Handle deadlines, lost answers, due retries and silent attempts."""
+        self._last_sweep_ms = now_ms
         sessions = self.ports.peers.list_sessions()
         incarnations = {
             name: state.incarnation
             for name, state in self.board.membership.value.vms.items()
         }
-        for progress in list(self._open.values()):
+        for progress in list(self._open_requests.values()):
             if progress.stage is progresses.Stage.SETTLING:
                 continue
             if now_ms >= progress.request.deadline_ms:
@@ -97,23 +103,25 @@
                     progress, self.board.vm, sessions, incarnations, now_ms
                 )
                 if loss is not None:
-                    self._lose(progress, loss, now_ms)
+                    self._recover_lost(progress, loss, now_ms)
             elif now_ms >= progress.due_ms:
                 self._route(progress, now_ms)
         self._probe(now_ms)
 
     def _probe(self, now_ms: int) -> None:
-        silent = losses.list_silent(self._open.values(), self.board.vm, now_ms)
-        for owner, found in silent.items():
-            chosen = found[: losses.PROBED_ATTEMPTS]
+        silent = losses.list_silent(
+            self._open_requests.values(), self.board.vm, now_ms
+        )
+        for owner, silent_requests in silent.items():
+            chosen = silent_requests[: losses.PROBED_ATTEMPTS]
             attempts = tuple(progress.attempt for progress in chosen)
             self.ports.peers.send(owner, messages.ProbeWork(attempts))
             for progress in chosen:
                 progress.heard_ms = now_ms
 
-    def _take_in(self, item: Any, now_ms: int) -> None:
+    def _handle_intake(self, item: Any, now_ms: int) -> None:
         if isinstance(item, requests.Abandoned):
-            progress = self._open.get(item.request)
+            progress = self._open_requests.get(item.request)
             if progress is not None:
                 self._abandon(progress)
             return
@@ -122,9 +130,9 @@
             return
         progress = progresses.Progress(item.request, arrived_ms=now_ms)
         self._outputs[item.request.request] = item.output
-        self._open[item.request.request] = progress
+        self._open_requests[item.request.request] = progress
         self._budget = self._budget.credit()
-        self._note()
+        self._notify_change()
         self._route(progress, now_ms)
 
     def _abandon(self, progress: progresses.Progress) -> None:
@@ -136,7 +144,10 @@
         )
 
     def _cancel(self, progress: progresses.Progress) -> None:
-        """Cancel the present attempt, unless its result may be asked for."""
+        """Cancel the current attempt unless it runs under a key.
+
+        The result of an attempt under a key may still be requested.
+        """
         running = progress.stage is progresses.Stage.RUNNING
         if running and progress.request.key is None:
             cancel = messages.CancelWork(progress.attempt)
@@ -148,7 +159,7 @@
                 self._answer_probe(delivery.sender, attempts)
             case messages.WorkUnknown(attempts=attempts):
                 for attempt in attempts:
-                    self._lose_unknown(attempt, delivery.sender, now_ms)
+                    self._recover_unknown(attempt, delivery.sender, now_ms)
             case message:
                 progress = self._attempts.get(message.attempt)
                 if progress is not None:
@@ -168,7 +179,7 @@
         if unknown:
             self.ports.peers.send(sender, messages.WorkUnknown(unknown))
 
-    def _lose_unknown(self, attempt: str, sender: str, now_ms: int) -> None:
+    def _recover_unknown(self, attempt: str, sender: str, now_ms: int) -> None:
         progress = self._attempts.get(attempt)
         if progress is None or progress.owner != sender:
             return
@@ -177,7 +188,7 @@
                 failures.Reason.ANSWER_INCOMPLETE,
                 f"{sender} no longer has the work",
             )
-            self._lose(progress, loss, now_ms)
+            self._recover_lost(progress, loss, now_ms)
 
     def _apply_answer(
         self, progress: progresses.Progress, message: Any, now_ms: int
@@ -192,13 +203,14 @@
                         now_ms - progress.arrived_ms,
                     )
                 for data in progress.assembler.accept(message):
-                    if not self._pass_on(progress, data):
-                        self._overflow(progress)
+                    if not self._forward_chunk(progress, data):
+                        self._close_overflowed(progress)
                         return
             case messages.AnswerEnd(failure=None):
                 progress.assembler.end(message)
             case messages.AnswerEnd(outcome=outcome, failure=failure):
-                # While the log decides, only a whole answer counts.
+                # While the request waits for the records of its key, only a
+                # complete answer has an effect.
                 if progress.stage is progresses.Stage.RUNNING:
                     self._recover(progress, outcome, failure, False, now_ms)
                 return
@@ -209,15 +221,17 @@
         elif progress.gap_ms is None:
             progress.gap_ms = now_ms
 
-    def _pass_on(self, progress: progresses.Progress, data: bytes) -> bool:
+    def _forward_chunk(
+        self, progress: progresses.Progress, data: bytes
+    ) -> bool:
         if progress.request.stream:
-            self._begin(progress)
+            self._start_output(progress)
             return self._get_output(progress).post_chunk(data)
         progress.parts.append(data)
         size = sum(len(part) for part in progress.parts)
         return size <= outputs.ANSWER_BYTES
 
-    def _begin(self, progress: progresses.Progress) -> None:
+    def _start_output(self, progress: progresses.Progress) -> None:
         if progress.begun or progress.head is None:
             return
         progress.begun = True
@@ -233,7 +247,7 @@
     def _get_output(self, progress: progresses.Progress) -> outputs.Output:
         return self._outputs[progress.request.request]
 
-    def _overflow(self, progress: progresses.Progress) -> None:
+    def _close_overflowed(self, progress: progresses.Progress) -> None:
         self._cancel(progress)
         failure = failures.Failure(
             failures.Reason.ANSWER_INCOMPLETE,
@@ -241,13 +255,13 @@
         )
         self._close(progress, outcomes.Outcome.UNKNOWN, failure)
 
-    def _lose(
+    def _recover_lost(
         self,
         progress: progresses.Progress,
         failure: failures.Failure,
         now_ms: int,
     ) -> None:
-        """Act on an answer that was lost between VMs."""
+        """Recover from the loss of an answer between VMs."""
         self._recover(
             progress, outcomes.Outcome.UNKNOWN, failure, True, now_ms
         )
@@ -260,7 +274,11 @@
         lost: bool,
         now_ms: int,
     ) -> None:
-        """Retry, resume, settle or end after a failed attempt."""
+        """Retry, resume, settle or end a request after a failed attempt.
+
+        :param lost: whether the answer was lost between VMs, so that the
+            endpoint may still run the work
+        """
         progress.failure = failure
         refused = outcome is outcomes.Outcome.REFUSED
         if progress.request.repeatable and not refused:
@@ -321,7 +339,11 @@
             self._close(progress, outcomes.Outcome.UNKNOWN, failure)
 
     def _route(self, progress: progresses.Progress, now_ms: int) -> None:
-        """Submit an attempt if the key and an endpoint allow it."""
+        """Submit an attempt if the key and an available endpoint permit it.
+
+        A banned request is refused. Without an endpoint the request is routed
+        again after `ROUTE_RETRY_MS`.
+        """
         request = progress.request
         suspects = self.board.suspects.value
         if suspects.is_banned(request.fingerprint):
@@ -333,9 +355,9 @@
             if request.key.digest in table.entries:
                 self._settle(progress, now_ms, void=False)
                 return
-            unready = settlement.check_ready(table)
-            if unready is not None:
-                self._close(progress, outcomes.Outcome.REFUSED, unready)
+            not_ready = settlement.check_ready(table)
+            if not_ready is not None:
+                self._close(progress, outcomes.Outcome.REFUSED, not_ready)
                 return
         chosen = submission.choose_endpoint(self.board, progress, now_ms)
         if isinstance(chosen, failures.Failure):
@@ -354,21 +376,21 @@
         work = submission.make_work(
             self.board, progress, attempt, chosen.endpoint, now_ms
         )
-        unsent = self.ports.peers.post(chosen.owner, work)
-        if unsent is not None:
-            if unsent.reason in core_messages.UNSENDABLE:
-                self._close(progress, outcomes.Outcome.REFUSED, unsent)
+        send_failure = self.ports.peers.post(chosen.owner, work)
+        if send_failure is not None:
+            if send_failure.reason in core_messages.UNSENDABLE:
+                self._close(progress, outcomes.Outcome.REFUSED, send_failure)
                 return
-            progress.failure = unsent
+            progress.failure = send_failure
             progress.due_ms = now_ms + ROUTE_RETRY_MS
             return
         self._attempts.pop(progress.attempt, None)
         progress.start_attempt(attempt, now_ms)
         progress.endpoint = chosen.endpoint
-        self._follow_attempt(progress, chosen.owner)
+        self._track_attempt(progress, chosen.owner)
 
     def _resume(self, progress: progresses.Progress, now_ms: int) -> None:
-        """Read the rest of a stream from the engine through this VM."""
+        """Resume the rest of a stream at the engine through this VM."""
         self._budget = self._budget.debit()
         attempt = uuid.uuid4().hex
         work = submission.make_work(
@@ -390,28 +412,29 @@
             return
         self._attempts.pop(progress.attempt, None)
         progress.resume_attempt(attempt, now_ms)
-        self._follow_attempt(progress, self.board.vm)
+        self._track_attempt(progress, self.board.vm)
 
-    def _follow_attempt(self, progress: progresses.Progress, vm: str) -> None:
-        """Expect the answers of the present attempt from a VM."""
+    def _track_attempt(self, progress: progresses.Progress, vm: str) -> None:
+        """Register the current attempt, which a VM answers."""
         self._attempts[progress.attempt] = progress
         progress.owner = vm
         progress.owner_incarnation = submission.get_incarnation(self.board, vm)
-        self._note()
+        self._notify_change()
 
     def _settle(
         self, progress: progresses.Progress, now_ms: int, void: bool
     ) -> None:
-        """Leave the answer to the records of the key.
+        """Wait for the records of the key, which determine the outcome.
 
-        :param void: whether a claim that is not in the log yet is prevented
+        :param void: whether to append a void, so that a claim that is not in
+            the log yet has no effect
         """
         settling.begin(self.board, progress, now_ms, void)
-        self._note()
+        self._notify_change()
 
-    def _settle_all(self, now_ms: int) -> None:
+    def _check_settling(self, now_ms: int) -> None:
         wall_ms = self.read_clock().wall_ms
-        for progress in list(self._open.values()):
+        for progress in list(self._open_requests.values()):
             if progress.stage is not progresses.Stage.SETTLING:
                 continue
             settled = settling.check(self.board, progress, now_ms, wall_ms)
@@ -443,13 +466,13 @@
         outcome: outcomes.Outcome,
         failure: failures.Failure | None,
     ) -> None:
-        """Tell the caller how the request ended."""
+        """End a request and post its outcome to the caller."""
         output = self._get_output(progress)
         if outcome is outcomes.Outcome.REFUSED and progress.may_have_run:
-            # "Refused" promises that nothing ran, also by earlier attempts.
+            # "Refused" guarantees that no attempt ran, including earlier ones.
             outcome = outcomes.Outcome.FAILED
         if failure is None:
-            self._begin(progress)
+            self._start_output(progress)
             for data in progress.parts:
                 output.post_chunk(data)
         output.post(outputs.Ended(outcome, failure))
@@ -460,7 +483,7 @@
         del table.open[progress.request.request]
         entry = requests.describe_end(progress, outcome, failure)
         table.recent = (*table.recent, entry)[-requests.RECENT_REQUESTS :]
-        self._note()
+        self._notify_change()
         LOG.info(
             "request ended",
             extra={
@@ -477,7 +500,7 @@
         table = self.board.requests.value
         refusals = (*table.refusals, refusal)
         table.refusals = refusals[-requests.RECENT_REQUESTS :]
-        self._note()
+        self._notify_change()
 
-    def _note(self) -> None:
+    def _notify_change(self) -> None:
         self.write(self.board.requests, self.board.requests.value)
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint for an attempt, and the work that is sent there."""
+"""Selection of an endpoint for an attempt, and creation of its work."""
 
 from __future__ import annotations
 
@@ -19,13 +19,18 @@
 def choose_endpoint(
     board: boards.Blackboard, progress: progresses.Progress, now_ms: int
 ) -> candidates.Candidate | failures.Failure:
-    """Return the endpoint for the next attempt of a request."""
+    """Return the endpoint for the next attempt of a request.
+
+    The considered candidates are sampled into `progress.considered`.
+
+    :returns: the chosen candidate, or why there is none
+    """
     request = progress.request
     inventory = board.configuration.value.configuration.inventory
     isolated = is_isolated(board, progress)
 
-    def note(found: list[candidates.Candidate]) -> None:
-        progress.considered = candidates.sample_candidates(found)
+    def record_considered(considered: list[candidates.Candidate]) -> None:
+        progress.considered = candidates.sample_candidates(considered)
 
     return choice.choose_endpoint(
         {
@@ -47,7 +52,7 @@
         board.settings.vm.availability_zone,
         progress.excluded,
         request.fingerprint if isolated else None,
-        note=note,
+        note=record_considered,
     )
 
 
@@ -56,7 +61,8 @@
 ) -> bool:
     """Return whether a request has to run alone.
 
-    An attempt can fail here before the notice of the crash arrives.
+    The flag of the request is checked too, because the failure of an attempt
+    can arrive before the notice of the crash.
     """
     suspects = board.suspects.value
     return progress.isolated or suspects.is_suspect(
@@ -75,7 +81,7 @@
 
 
 def get_incarnation(board: boards.Blackboard, vm: str) -> str:
-    """Return the known run of a VM, empty for an unknown VM."""
+    """Return the incarnation of a VM, or an empty string if unknown."""
     if vm == board.vm:
         return board.incarnation
     state = board.membership.value.vms.get(vm)
@@ -85,7 +91,7 @@
 def can_resume(
     board: boards.Blackboard, progress: progresses.Progress
 ) -> bool:
-    """Return whether the endpoint can resume the answer."""
+    """Return whether the endpoint can resume the answer of a request."""
     inventory = board.configuration.value.configuration.inventory
     endpoint = inventory.endpoints.get(progress.endpoint)
     return (
@@ -100,7 +106,7 @@
     endpoint: str,
     now_ms: int,
 ) -> messages.SubmitWork:
-    """Return the work of an attempt that starts anew."""
+    """Return the work of an attempt that starts from the first chunk."""
     request = progress.request
     return messages.SubmitWork(
         attempt=attempt,
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -1,4 +1,4 @@
-"""Keeps the table of requests that may crash endpoints."""
+"""Controller of the table of requests that may crash endpoints."""
 
 from __future__ import annotations
 
@@ -16,24 +16,25 @@
 from bronzetrack.retries import suspects
 
 APPEND_RETRY_MS = 500
-# During a long outage the oldest are dropped; the peers have them.
+# During a long outage of the log the oldest records are dropped. The peers
+# have them, since each record is also sent as a notice.
 PENDING_RECORDS = 1_024
 
 
 @controllers.CONTROLLERS.register("suspects")
 class SuspectsController(controllers.Controller):
-    """Replays the stream of crashes, and records those seen here."""
+    """Replays the stream of crashes, and records crashes seen here."""
 
     name = "suspects"
 
     async def run(self) -> None:
         self._pending: list[Any] = []
-        self._unsent = anyio.Event()
+        self._pending_added = anyio.Event()
         self._service_crashes: list[str] = []
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._receive)
-            group.start_soon(self._watch_boots)
+            group.start_soon(self._watch_restarts)
             group.start_soon(self._append)
 
     async def _follow(self) -> None:
@@ -67,7 +68,7 @@
                     case events.CrashSeen():
                         self._record_crash(item)
                     case events.CrashesCarried():
-                        self._learn_crashes(item)
+                        self._add_carried_crashes(item)
                     case events.SuspectCompleted():
                         self._record_clearance(item)
                     case _:
@@ -78,30 +79,30 @@
             if record is not None:
                 self._apply(record)
 
-    def _record_crash(self, seen: events.CrashSeen) -> None:
+    def _record_crash(self, crash_seen: events.CrashSeen) -> None:
         now = self.read_clock()
         crash = suspects.make_crash_id(
-            seen.endpoint,
-            seen.boot,
+            crash_seen.endpoint,
+            crash_seen.boot,
             self._service_crashes,
-            seen.started_ms,
+            crash_seen.started_ms,
             now.wall_ms,
         )
-        if not seen.boot and crash not in self._service_crashes:
+        if not crash_seen.boot and crash not in self._service_crashes:
             self._service_crashes = [*self._service_crashes[-63:], crash]
         known = self.board.suspects.value.suspects
-        fresh = tuple(
+        new_fingerprints = tuple(
             name
-            for name in seen.fingerprints
+            for name in crash_seen.fingerprints
             if name not in known or crash not in known[name].crashes
         )
-        if fresh:
+        if new_fingerprints:
             record = records.CrashRecord(
-                crash, seen.endpoint, fresh, now.wall_ms
+                crash, crash_seen.endpoint, new_fingerprints, now.wall_ms
             )
             self._publish(record, messages.SuspectNotice(crash=record))
 
-    def _learn_crashes(self, carried: events.CrashesCarried) -> None:
+    def _add_carried_crashes(self, carried: events.CrashesCarried) -> None:
         table = suspects.learn_crashes(
             self.board.suspects.value,
             carried.fingerprint,
@@ -110,9 +111,9 @@
         )
         self.write(self.board.suspects, table)
 
-    def _record_clearance(self, done: events.SuspectCompleted) -> None:
+    def _record_clearance(self, completed: events.SuspectCompleted) -> None:
         record = records.ClearanceRecord(
-            done.fingerprint, done.crashes, self.read_clock().wall_ms
+            completed.fingerprint, completed.crashes, self.read_clock().wall_ms
         )
         self._publish(record, messages.SuspectNotice(clearance=record))
 
@@ -121,38 +122,44 @@
         for vm in self.ports.peers.list_sessions():
             self.ports.peers.send(vm, notice)
         self._pending = [*self._pending[1 - PENDING_RECORDS :], record]
-        self._unsent.set()
+        self._pending_added.set()
 
     async def _append(self) -> None:
         while True:
-            await self._unsent.wait()
+            await self._pending_added.wait()
             batch = list(self._pending)
             offset = await self.ports.log.append(records.STREAM, batch)
             if isinstance(offset, failures.Failure):
-                # A second copy of a record changes nothing.
+                # A duplicate of a record has no effect.
                 await anyio.sleep(APPEND_RETRY_MS / 1000)
                 continue
             self._pending = [
                 record for record in self._pending if record not in batch
             ]
             if not self._pending:
-                self._unsent = anyio.Event()
+                self._pending_added = anyio.Event()
 
-    async def _watch_boots(self) -> None:
-        """Record engines that restarted while requests ran there."""
+    async def _watch_restarts(self) -> None:
+        """Record a crash when an engine restarted while requests ran on it."""
         boots: dict[str, str] = {}
         revision = -1
         while True:
             revision = await self.board.dispatch.wait_change(revision)
             queues = self.board.dispatch.value.endpoints
             for name, queue in queues.items():
-                before = boots.get(name, "")
-                if before and queue.boot != before and queue.running:
-                    ran = (
+                previous_boot = boots.get(name, "")
+                if (
+                    previous_boot
+                    and queue.boot != previous_boot
+                    and queue.running
+                ):
+                    fingerprints = (
                         item.work.fingerprint
                         for item in queue.running.values()
                     )
                     self._record_crash(
-                        events.CrashSeen(name, before, tuple(ran))
+                        events.CrashSeen(
+                            name, previous_boot, tuple(fingerprints)
+                        )
                     )
             boots = {name: queue.boot for name, queue in queues.items()}
