Reword runs and the delivery of answers

Cause: Comments and private names used figurative words. Change: Plain docstrings; the reader of an answer is called its recipient in private names.

--- a/src/bronzetrack/controllers/delivery.py
+++ b/src/bronzetrack/controllers/delivery.py
@@ -1,4 +1,4 @@
-"""Passes an answer on to the VM that wants it."""
+"""Delivery of the answer of an endpoint to the VM that requested it."""
 
 from __future__ import annotations
 
@@ -23,17 +23,20 @@
     from bronzetrack.core import clock
 
 LOG = logging.getLogger(__name__)
-# A broken session is usually open again after 0.5 s, and a full queue of a
-# living peer is sent within a second.
+# A broken session is usually open again after 0.5 s, and the full send queue
+# of a live peer drains within a second.
 SEND_TIMEOUT_MS = 5_000
 SEND_RETRY_MS = 20
 
 
 class AnswerDelivery:
-    """Sends the parts and the end of one answer.
+    """Sends the parts and the end of one answer to a VM.
 
-    :param reader: the VM that gets the answer
-    :param resumable: whether the reader can ask the endpoint for the rest
+    :param read_clock: returns the current time
+    :param work: the work that is answered
+    :param recipient: the VM that receives the answer
+    :param resumable: whether the recipient can resume the rest of the answer
+        at the endpoint
     """
 
     def __init__(
@@ -42,80 +45,95 @@
         ports: controllers.Ports,
         read_clock: Callable[[], clock.Instant],
         work: messages.SubmitWork,
-        reader: str,
+        recipient: str,
         resumable: bool,
     ) -> None:
         self._board = board
         self._ports = ports
         self._read_clock = read_clock
         self._work = work
-        self._reader = reader
-        self._incarnation = submission.get_incarnation(board, reader)
+        self._recipient = recipient
+        self._incarnation = submission.get_incarnation(board, recipient)
         self._resumable = resumable
-        self._lost_ms = 0
-        self._unsent: failures.Failure | None = None
+        self._undelivered_since_ms = 0
+        self._send_failure: failures.Failure | None = None
 
     async def send_part(self, message: Any) -> failures.Failure | None:
-        """Send a part of the answer, unless an earlier one was not taken.
+        """Send a part of the answer.
 
-        :returns: why nobody reads the rest, if that is so
+        After the first part that could not be sent, all later parts are
+        skipped.
+
+        :returns: why the rest of the answer has no recipient, None while it
+            may have one
         """
-        if self._unsent is None:
+        if self._send_failure is None:
             now_ms = self._read_clock().monotonic_ms
-            self._unsent = await self._deliver(message)
-            if self._unsent is None:
+            self._send_failure = await self._deliver(message)
+            if self._send_failure is None:
                 return None
-            self._lost_ms = now_ms
-        return self._unsent if self._is_reader_gone() else None
+            self._undelivered_since_ms = now_ms
+        return self._send_failure if self._is_recipient_gone() else None
 
     async def send_end(
         self,
         outcome: outcomes.Outcome,
-        number: int,
+        chunk_count: int,
         failure: failures.Failure | None,
     ) -> None:
-        """Send the end, if the reader took what came before.
+        """Send the end of the answer.
+
+        The end is not sent if an earlier part was not delivered, unless the
+        reason was that no frame can hold that part. If no frame can hold the
+        end because of the detail of its failure, the detail is left out.
 
-        :param number: how many chunks the answer has
+        :param chunk_count: number of chunks in the answer
         """
-        if self._unsent is not None and not self._is_unsendable():
+        if self._send_failure is not None and not self._is_unsendable():
             return
-        end = messages.AnswerEnd(self._work.attempt, outcome, number, failure)
-        unsent = await self._deliver(end)
-        if failure is None or unsent is None:
+        end = messages.AnswerEnd(
+            self._work.attempt, outcome, chunk_count, failure
+        )
+        send_failure = await self._deliver(end)
+        if failure is None or send_failure is None:
             return
-        if unsent.reason in core_messages.UNSENDABLE:
-            bare = failures.Failure(failure.reason, "the detail is left out")
-            await self._deliver(attrs.evolve(end, failure=bare))
+        if send_failure.reason in core_messages.UNSENDABLE:
+            without_detail = failures.Failure(
+                failure.reason, "the detail is left out"
+            )
+            await self._deliver(attrs.evolve(end, failure=without_detail))
 
     def _is_unsendable(self) -> bool:
         return (
-            self._unsent is not None
-            and self._unsent.reason in core_messages.UNSENDABLE
+            self._send_failure is not None
+            and self._send_failure.reason in core_messages.UNSENDABLE
         )
 
-    def _is_reader_gone(self) -> bool:
+    def _is_recipient_gone(self) -> bool:
         return self._is_unsendable() or readers.is_reader_gone(
             self._board.ownership.value,
             self._incarnation,
             self._resumable,
-            self._lost_ms,
+            self._undelivered_since_ms,
             self._read_clock().monotonic_ms,
         )
 
     async def _deliver(self, message: Any) -> failures.Failure | None:
-        """Send a message, waiting while the queue of the peer is full.
+        """Send a message, and retry while the peer does not accept it.
 
-        :returns: why it was not sent
+        :returns: why the message was not sent, None if it was sent
         """
         deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
         while True:
-            unsent = self._ports.peers.post(self._reader, message)
-            if unsent is None or unsent.reason in core_messages.UNSENDABLE:
-                return unsent
+            send_failure = self._ports.peers.post(self._recipient, message)
+            if (
+                send_failure is None
+                or send_failure.reason in core_messages.UNSENDABLE
+            ):
+                return send_failure
             if self._read_clock().monotonic_ms >= deadline_ms:
                 LOG.warning(
-                    "answer has no reader",
+                    "answer dropped, its recipient does not accept it",
                     extra={
                         "event": "answer_dropped",
                         "request_id": self._work.request,
@@ -124,6 +142,6 @@
                 )
                 return failures.Failure(
                     failures.Reason.PEER_UNREACHABLE,
-                    f"{self._reader} does not take the answer",
+                    f"{self._recipient} does not take the answer",
                 )
             await anyio.sleep(SEND_RETRY_MS / 1000)
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -1,4 +1,4 @@
-"""One run of work at an endpoint."""
+"""Execution of one attempt at an endpoint."""
 
 from __future__ import annotations
 
@@ -33,23 +33,28 @@
     from bronzetrack.endpoints import client as endpoint_client
 
 LOG = logging.getLogger(__name__)
-# A silence that is noticed this much too late was a pause of this VM, which
-# closes streams whose next chunks wait in the socket.
+# A silence that is detected later than its limit by more than this margin was
+# caused by a pause of this VM. Such a pause closes streams whose next chunks
+# wait in the socket.
 PAUSE_MARGIN_MS = 500
-PAUSES = 3
+MAX_PAUSES = 3
 CANCEL_RETRY_MS = 500
 CANCEL_ATTEMPTS = 60
-CRASH_NOTE_TIMEOUT_MS = 1_000
-# The endpoint got no byte, or lacked the adapter version.
-NOT_RUN = frozenset(
+CRASH_RECORD_TIMEOUT_MS = 1_000
+# Reasons for which an attempt did not run: the endpoint received no byte, or
+# lacked the adapter version.
+NOT_RUN_REASONS = frozenset(
     {failures.Reason.ENDPOINT_UNREACHABLE, failures.Reason.LOAD_FAILED}
 )
 
 
 class Run:
-    """Claims the key if there is one, dispatches, and relays the answer.
+    """Executes one attempt: claims its key, dispatches it, relays the answer.
 
-    :param sender: the VM that gets the answer
+    :param read_clock: returns the current time
+    :param work: the work of the attempt; without a key nothing is claimed
+    :param sender: the VM that receives the answer
+    :param endpoint: the endpoint that the work is dispatched to
     """
 
     def __init__(
@@ -67,7 +72,7 @@
         self._work = work
         self._endpoint = endpoint
         self._next_number = work.resume_from
-        self._heard_ms = 0
+        self._last_data_ms = 0
         self._first_chunk_ms: int | None = None
         self._dispatched = False
         self._sent_wall_ms = 0
@@ -90,14 +95,17 @@
             )
 
     async def execute(self, scope: anyio.CancelScope) -> None:
-        """Run until the answer has ended or the scope is cancelled."""
+        """Execute the attempt until its answer ended or it is cancelled.
+
+        The result is posted to the mailbox `runs`.
+        """
         failure: failures.Failure | None = None
         with scope:
             failure = await self._check_and_dispatch()
         if scope.cancelled_caught:
             failure = failures.Failure(failures.Reason.CANCELLED)
             with anyio.CancelScope(shield=True):
-                await self._clean_up()
+                await self._clean_up_cancelled()
         self._board.mailboxes["runs"].post(
             events.RunEnded(
                 self._work.endpoint,
@@ -108,15 +116,15 @@
         )
 
     async def _check_and_dispatch(self) -> failures.Failure | None:
-        unfit = suspects.check_run(
+        rejection = suspects.check_run(
             self._board.suspects.value,
             self._work.fingerprint,
             self._work.isolated,
             self._work.crashes,
         )
-        if unfit is not None and self._work.resume_of is None:
-            await self._send_end(outcomes.Outcome.REFUSED, unfit)
-            return unfit
+        if rejection is not None and self._work.resume_of is None:
+            await self._send_end(outcomes.Outcome.REFUSED, rejection)
+            return rejection
         if self._work.crashes:
             carried = crash_events.CrashesCarried(
                 self._work.fingerprint, self._work.crashes
@@ -136,9 +144,9 @@
         try:
             await self._read_answer(sent.monotonic_ms)
         except errors.FailureError as error:
-            failure = await self._end_failed(error.failure)
+            failure = await self._end_with_failure(error.failure)
             if failure.reason is failures.Reason.ENDPOINT_SILENT:
-                # The work may still run there.
+                # The endpoint may still run the work.
                 await self._cancel_at_engine()
             return failure
         if self._work.isolated and self._crashes:
@@ -151,17 +159,18 @@
         return None
 
     async def _read_answer(self, sent_ms: int) -> None:
-        """Relay the answer; after a silence, resume it where it stopped.
+        """Relay the answer, and resume it at an engine after a silence.
 
-        A stream that brings nothing more when it is resumed is lost, unless
-        this VM was paused meanwhile.
+        A stream that yields no further chunk after it was resumed is lost,
+        unless this VM was paused in the meantime.
 
-        :raises errors.FailureError: the answer did not end
+        :param sent_ms: monotonic time of the dispatch
+        :raises errors.FailureError: the answer was not completed
         """
         work = self._work
         pauses = 0
         while True:
-            self._heard_ms = self._read_clock().monotonic_ms
+            self._last_data_ms = self._read_clock().monotonic_ms
             try:
                 async with self._ports.endpoints.open_answer(
                     self._endpoint, work
@@ -175,7 +184,7 @@
                 if not self._endpoint.is_engine:
                     raise
                 if self._next_number == work.resume_from:
-                    if pauses == PAUSES or not self._was_paused():
+                    if pauses == MAX_PAUSES or not self._was_paused():
                         raise
                     pauses += 1
             self._resumed = True
@@ -186,18 +195,18 @@
             )
 
     def _was_paused(self) -> bool:
-        silent_ms = self._read_clock().monotonic_ms - self._heard_ms
-        bound_ms = self._board.settings.limits.stream_silence_ms
-        return silent_ms > bound_ms + PAUSE_MARGIN_MS
+        silent_ms = self._read_clock().monotonic_ms - self._last_data_ms
+        limit_ms = self._board.settings.limits.stream_silence_ms
+        return silent_ms > limit_ms + PAUSE_MARGIN_MS
 
     @property
     def _engine_attempt(self) -> str:
-        """The attempt that the endpoint knows."""
+        """The attempt under which the endpoint runs the work."""
         return self._work.resume_of or self._work.attempt
 
     def _log_silence(self) -> None:
         LOG.warning(
-            "endpoint is silent within an answer",
+            "endpoint stopped sending within an answer",
             extra={
                 "event": "endpoint_silent",
                 "request_id": self._work.request,
@@ -219,14 +228,14 @@
         await self._relay_message(started)
         timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
-            self._heard_ms = self._read_clock().monotonic_ms
-            chunk_ms = timer.note_chunk(self._heard_ms)
+            self._last_data_ms = self._read_clock().monotonic_ms
+            chunk_ms = timer.note_chunk(self._last_data_ms)
             if chunk_ms is not None:
                 self._board.mailboxes["runs"].post(
                     events.ChunksPassed(self._work.endpoint, chunk_ms)
                 )
             if self._first_chunk_ms is None:
-                self._first_chunk_ms = self._heard_ms - sent_ms
+                self._first_chunk_ms = self._last_data_ms - sent_ms
             self._result.add(data)
             chunk = messages.AnswerChunk(
                 self._work.attempt, self._next_number, data, answer.has_ended
@@ -234,13 +243,19 @@
             await self._relay_message(chunk)
             self._next_number += 1
 
-    async def _end_failed(self, failure: failures.Failure) -> failures.Failure:
-        """Tell the entry VM what a failure says about the run."""
-        # What a resume meets says nothing of the run before it.
-        if failure.reason in NOT_RUN and not self._resumed:
+    async def _end_with_failure(
+        self, failure: failures.Failure
+    ) -> failures.Failure:
+        """Send the end of a failed attempt to the entry VM.
+
+        :returns: the failure, with a refined reason if a crash was ruled out
+        """
+        # A failure to resume gives no evidence that the original run did not
+        # start.
+        if failure.reason in NOT_RUN_REASONS and not self._resumed:
             return await self._end_not_run(failure)
         if failure.reason is failures.Reason.ENDPOINT_CRASHED:
-            failure = await self._examine_break(failure)
+            failure = await self._classify_crash(failure)
         outcome = (
             outcomes.Outcome.FAILED
             if self._work.key is None
@@ -253,7 +268,7 @@
     async def _end_not_run(
         self, failure: failures.Failure
     ) -> failures.Failure:
-        """End a run that the endpoint did not begin."""
+        """End an attempt that the endpoint did not start to run."""
         self._dispatched = False
         if self._claimer is None:
             await self._send_end(outcomes.Outcome.REFUSED, failure)
@@ -262,10 +277,15 @@
         await self._send_end(refusal.outcome, refusal.failure)
         return failure
 
-    async def _examine_break(
+    async def _classify_crash(
         self, failure: failures.Failure
     ) -> failures.Failure:
-        """Tell a crash from a connection that broke."""
+        """Determine whether the engine crashed or only the connection broke.
+
+        A crash is posted to the mailbox `suspects`.
+
+        :returns: the failure with its final reason
+        """
         if self._boot:
             report = await self._ports.endpoints.read_report(self._endpoint)
             if (
@@ -275,16 +295,16 @@
                 return failures.Failure(
                     failures.Reason.ANSWER_INCOMPLETE, failure.detail
                 )
-        seen = crash_events.CrashSeen(
+        crash = crash_events.CrashSeen(
             self._work.endpoint,
             self._boot,
             self._list_running(),
             self._sent_wall_ms,
         )
-        self._board.mailboxes["suspects"].post(seen)
-        # The slot is given back only after the crash is known here, so that
-        # the next run at this endpoint is checked against it.
-        with anyio.move_on_after(CRASH_NOTE_TIMEOUT_MS / 1000):
+        self._board.mailboxes["suspects"].post(crash)
+        # The slot is released only after the crash is in the suspect table of
+        # this VM, so that the next run at this endpoint is checked against it.
+        with anyio.move_on_after(CRASH_RECORD_TIMEOUT_MS / 1000):
             while self._list_crashes() <= self._crashes:
                 await self._board.suspects.wait_change(
                     self._board.suspects.revision
@@ -292,7 +312,7 @@
         return failure
 
     def _list_running(self) -> tuple[str, ...]:
-        """Return the fingerprints that ran in the same run of the engine."""
+        """Return the fingerprints that ran in the same boot of the engine."""
         queue = self._get_queue()
         if queue.boot != self._boot:
             return (self._work.fingerprint,)
@@ -307,8 +327,13 @@
         queues = self._board.dispatch.value.endpoints
         return queues.get(self._work.endpoint, states.EndpointQueue())
 
-    async def _clean_up(self) -> None:
-        """End what a cancelled run left behind."""
+    async def _clean_up_cancelled(self) -> None:
+        """Clean up after a cancelled attempt.
+
+        Before the dispatch the claim is voided. After the dispatch the result
+        of the key is recorded as unknown, and the work is cancelled at the
+        engine.
+        """
         if not self._dispatched:
             if self._claimer is not None:
                 await self._claimer.void()
@@ -318,11 +343,11 @@
         await self._cancel_at_engine()
 
     async def _cancel_at_engine(self) -> None:
-        """Cancel the work until an engine confirms it."""
+        """Send cancels until the engine confirms one, or the tries run out."""
         if not self._endpoint.is_engine:
             return
-        # The slot and the pin are kept until the engine confirms. One that
-        # cannot be reached for the whole time has been given up by then.
+        # The slot and the pin are kept until the engine confirms. An engine
+        # that is unreachable for the whole time has been given up by then.
         for _ in range(CANCEL_ATTEMPTS):
             failure = await self._ports.endpoints.cancel(
                 self._endpoint, self._engine_attempt
@@ -343,14 +368,14 @@
         await self._delivery.send_end(outcome, self._next_number, failure)
 
     async def _relay_message(self, message: Any) -> None:
-        """Send a part of the answer.
+        """Send a part of the answer to the entry VM.
 
-        :raises errors.FailureError: nobody takes the answer, and nobody can
-            ask for it later
+        :raises errors.FailureError: the answer has no recipient, and without a
+            key it cannot be requested later
         """
-        unread = await self._delivery.send_part(message)
-        if unread is not None and self._work.key is None:
+        send_failure = await self._delivery.send_part(message)
+        if send_failure is not None and self._work.key is None:
             await self._ports.endpoints.cancel(
                 self._endpoint, self._engine_attempt
             )
-            raise errors.FailureError(unread)
+            raise errors.FailureError(send_failure)
