Reword the tests of controllers

Cause: Docstrings and test names were hard to understand. Change: Docstrings name the failure that a test guards against; test names name the checked behaviour. Assertions are unchanged.

--- a/tests/controllers/conftest.py
+++ b/tests/controllers/conftest.py
@@ -1,4 +1,4 @@
-"""Controllers of one VM between edges that only record."""
+"""Fixtures that run controllers of one VM with fake ports."""
 
 from __future__ import annotations
 
@@ -31,8 +31,11 @@
 
 
 @attrs.define
-class Entry:
-    """The requests controller of a VM, and the time that it reads."""
+class EntryVm:
+    """An entry VM with a requests controller under test.
+
+    :param now_ms: time that the controller reads from its clock
+    """
 
     board: boards.Blackboard
     peers: edges.Peers
@@ -50,7 +53,7 @@
             )
 
     async def wait_sent(self, cls: type) -> Any:
-        """Wait until a message of a class was sent and return it."""
+        """Wait until a message of a class was sent, and return it."""
         while True:
             found = self.peers.take(cls)
             if found:
@@ -86,7 +89,10 @@
 
 @pytest.fixture
 def run_entry(board, monkeypatch):
-    """Run a check beside a controller that sends its work to vm-2."""
+    """Return a function that runs a check beside a requests controller.
+
+    The controller sends all of its work to vm-2.
+    """
     chosen = candidates.Candidate(
         "engine-0", "vm-2", 8, True, 8, 0, 0, report_age_ms=0
     )
@@ -105,8 +111,8 @@
         "configuration", attrs.evolve(state, configuration=configuration)
     )
 
-    def run(check: Callable[[Entry], Any]) -> None:
-        entry = Entry(board, edges.Peers())
+    def run(check: Callable[[EntryVm], Any]) -> None:
+        entry = EntryVm(board, edges.Peers())
         controller = request_controllers.RequestsController(
             board,
             controllers.Ports(None, None, entry.peers, None),
@@ -127,9 +133,10 @@
 
 @pytest.fixture
 def run_work(board):
-    """Run work of vm-2 at an engine with some answers; return its edges.
+    """Return a function that runs work of vm-2 at a fake engine.
 
-    Each reading of the clock is `step_ms` later than the one before.
+    The function returns the fake peers and the fake endpoints. Each reading of
+    the clock is `step_ms` later than the previous one.
     """
 
     def run(
@@ -151,7 +158,7 @@
             stream=True,
         )
         times = itertools.count(1_000_000, step_ms)
-        made = runs.Run(
+        attempt_run = runs.Run(
             board,
             controllers.Ports(None, None, peers, endpoints),
             lambda: clock.Instant(next(times), 0),
@@ -162,7 +169,7 @@
 
         async def execute() -> None:
             with anyio.fail_after(3):
-                await made.execute(anyio.CancelScope())
+                await attempt_run.execute(anyio.CancelScope())
 
         anyio.run(execute)
         return peers, endpoints
--- a/tests/controllers/edges.py
+++ b/tests/controllers/edges.py
@@ -1,4 +1,4 @@
-"""Edges of controllers that only record what they are asked for."""
+"""Fake ports for controllers, which record the calls to them."""
 
 from __future__ import annotations
 
@@ -15,9 +15,12 @@
 
 @attrs.define
 class Peers:
-    """Keeps what is sent; encodes it as the hub does for another VM.
+    """Fake peer hub that records the messages that are sent.
 
-    :param refusals: how many messages find the queue full
+    Messages are encoded as the hub encodes them for another VM, so that a
+    message that no frame can hold fails in the same way.
+
+    :param refusals: number of messages that are refused with a full queue
     """
 
     sent: list[Any] = attrs.field(factory=list)
@@ -41,7 +44,7 @@
         return {"vm-2": ""}
 
     def take(self, cls: type) -> list[Any]:
-        """Remove and return the messages of a class."""
+        """Remove and return the sent messages of a class."""
         found = [item for item in self.sent if isinstance(item, cls)]
         self.sent = [item for item in self.sent if not isinstance(item, cls)]
         return found
@@ -49,7 +52,11 @@
 
 @attrs.define
 class Answer:
-    """An answer of an endpoint."""
+    """Fake answer of an endpoint.
+
+    :param refusal: failure instead of an answer
+    :param failure: failure after the last chunk
+    """
 
     chunks: list[bytes]
     status: int = 200
@@ -70,10 +77,11 @@
 
 @attrs.define
 class Endpoints:
-    """Gives its answers one after the other and records cancels.
+    """Fake endpoint client that returns prepared answers in order.
 
-    :param answers: the last is repeated
-    :param opened: work that was sent
+    :param answers: answers to return; the last one is repeated
+    :param opened: work that was dispatched
+    :param cancelled: attempts that were cancelled
     """
 
     answers: list[Answer]
@@ -83,8 +91,8 @@
     @contextlib.asynccontextmanager
     async def open_answer(self, endpoint, work):
         self.opened.append(work)
-        place = min(len(self.opened), len(self.answers)) - 1
-        yield self.answers[place]
+        index = min(len(self.opened), len(self.answers)) - 1
+        yield self.answers[index]
 
     async def cancel(self, endpoint, attempt: str) -> None:
         self.cancelled.append(attempt)
--- a/tests/controllers/test_requests.py
+++ b/tests/controllers/test_requests.py
@@ -1,4 +1,4 @@
-"""Tests of requests in progress whose messages are lost."""
+"""Tests of requests in progress whose messages are lost or too large."""
 
 from __future__ import annotations
 
@@ -10,8 +10,11 @@
 from bronzetrack.wire import frames
 
 
-def test_work_beyond_a_frame_is_refused(run_entry, make_request):
-    """Guards against a request tried until its deadline, or a lost peer."""
+def test_work_larger_than_a_frame_is_refused(run_entry, make_request):
+    """Guards against retries until the deadline, or a broken peer session.
+
+    Work that is larger than a frame can never be sent to the owner.
+    """
 
     async def check(entry) -> None:
         large = make_request(body=b"x" * frames.FRAME_BYTES)
@@ -25,8 +28,8 @@
     run_entry(check)
 
 
-def test_gap_in_the_chunks_is_closed_by_a_resume(run_entry, make_request):
-    """Guards against an answer that waits for a chunk that was lost."""
+def test_missing_chunk_is_recovered_by_a_resume(run_entry, make_request):
+    """Guards against an answer that waits forever for a lost chunk."""
 
     async def check(entry) -> None:
         output = entry.submit(make_request())
@@ -55,8 +58,8 @@
     run_entry(check)
 
 
-def test_lost_end_is_found_by_a_probe(run_entry, make_request):
-    """Guards against a request that waits for an end that was lost."""
+def test_lost_answer_end_is_detected_by_a_probe(run_entry, make_request):
+    """Guards against a request that waits forever for a lost answer end."""
 
     async def check(entry) -> None:
         output = entry.submit(make_request(stream=False))
@@ -64,7 +67,7 @@
         entry.now_ms += losses.PROBE_INTERVAL_MS
         probe = await entry.wait_sent(messages.ProbeWork)
         assert probe.attempts == (work.attempt,)
-        # Another VM knows nothing of the attempt, and may say so.
+        # Only the owner may report the attempt as unknown; vm-3 is ignored.
         entry.receive(messages.WorkUnknown(probe.attempts), sender="vm-3")
         entry.now_ms += losses.PROBE_INTERVAL_MS
         probe = await entry.wait_sent(messages.ProbeWork)
@@ -85,8 +88,8 @@
     run_entry(check)
 
 
-def test_probe_names_only_the_work_that_is_unknown(run_entry):
-    """Guards against work given up that still waits or runs."""
+def test_probe_reply_lists_only_unknown_attempts(run_entry):
+    """Guards against giving up work that is still queued or running."""
 
     async def check(entry) -> None:
         work = messages.SubmitWork(
--- a/tests/controllers/test_runs.py
+++ b/tests/controllers/test_runs.py
@@ -11,8 +11,12 @@
 from bronzetrack.wire import frames
 
 
-def test_chunk_beyond_a_frame_ends_the_answer(run_work):
-    """Guards against an answer that waits for a queue that cannot help."""
+def test_chunk_larger_than_a_frame_fails_the_answer(run_work):
+    """Guards against retries of a chunk that can never be sent.
+
+    A chunk that is larger than a frame is not sent later either, when the
+    queue of the peer has drained.
+    """
     chunks = [b"0", b"x" * frames.FRAME_BYTES, b"2"]
     peers, endpoints = run_work(edges.Answer(chunks))
     [end] = peers.take(messages.AnswerEnd)
@@ -22,8 +26,11 @@
 
 
 @pytest.mark.parametrize("detail", ["x" * frames.FRAME_BYTES, "\ud800"])
-def test_end_that_no_frame_holds_keeps_its_reason(run_work, detail):
-    """Guards against an end that is lost because of its text."""
+def test_unsendable_end_keeps_its_reason(run_work, detail):
+    """Guards against an end that is lost because of its failure detail.
+
+    The detail is too large for a frame, or cannot be encoded.
+    """
     failure = failures.Failure(failures.Reason.WRONG_ADAPTER, detail)
     peers, _ = run_work(edges.Answer([b"0"], failure=failure))
     [end] = peers.take(messages.AnswerEnd)
@@ -31,7 +38,7 @@
 
 
 def test_full_queue_delays_chunks_and_keeps_their_order(run_work):
-    """Guards against chunks dropped while the queue of a peer is full."""
+    """Guards against chunks dropped while the send queue is full."""
     chunks = [b"%d" % number for number in range(5)]
     peers, _ = run_work(edges.Answer(chunks), refusals=3)
     sent = peers.take(messages.AnswerChunk)
@@ -44,8 +51,8 @@
 SILENT = failures.Failure(failures.Reason.ENDPOINT_SILENT)
 
 
-def test_silence_is_resumed_where_the_stream_stopped(run_work):
-    """Guards against chunks sent twice, or left out, after a silence."""
+def test_answer_is_resumed_after_a_silence(run_work):
+    """Guards against duplicate or missing chunks after a silence."""
     peers, endpoints = run_work(
         edges.Answer([b"0", b"1"], failure=SILENT), edges.Answer([b"2"])
     )
@@ -59,8 +66,8 @@
     assert (resumed.resume_of, resumed.resume_from) == ("a1", 2)
 
 
-def test_resume_that_brings_nothing_ends_the_answer(run_work):
-    """Guards against a stream that is resumed for ever."""
+def test_resume_without_chunks_fails_the_answer(run_work):
+    """Guards against a silent stream that is resumed forever."""
     peers, endpoints = run_work(
         edges.Answer([b"0"], failure=SILENT), edges.Answer([], failure=SILENT)
     )
@@ -70,8 +77,8 @@
     assert endpoints.cancelled == ["a1"]
 
 
-def test_lost_work_met_by_a_resume_is_not_called_not_run(run_work):
-    """Guards against "refused" for work whose first part was answered."""
+def test_failed_resume_does_not_refuse_the_work(run_work):
+    """Guards against "refused" for work that has partly been answered."""
     refusal = failures.Failure(failures.Reason.LOAD_FAILED)
     peers, _ = run_work(
         edges.Answer([b"0"], failure=SILENT), edges.Answer([], refusal=refusal)
@@ -80,8 +87,8 @@
     assert end.outcome is outcomes.Outcome.FAILED
 
 
-def test_pause_of_the_vm_is_not_a_silence_of_the_endpoint(run_work):
-    """Guards against streams given up because their reader stood still."""
+def test_pause_of_the_vm_does_not_fail_the_answer(run_work):
+    """Guards against streams that fail because the VM itself was paused."""
     peers, endpoints = run_work(
         edges.Answer([], failure=SILENT), edges.Answer([b"0"]), step_ms=6_000
     )
@@ -90,8 +97,8 @@
     assert endpoints.opened[1].resume_from == 0
 
 
-def test_pauses_do_not_resume_a_stream_for_ever(run_work):
-    """Guards against a silent endpoint that a slow VM never gives up."""
+def test_resumes_after_pauses_are_limited(run_work):
+    """Guards against endless resumes of a silent endpoint by a slow VM."""
     peers, endpoints = run_work(
         edges.Answer([], failure=SILENT), step_ms=6_000
     )
