Call the fake ports of the controller tests fakes

Cause: the module name edges was private to this project. Change: tests/controllers/edges.py is now fakes.py; only this folder imports it.

--- a/tests/controllers/conftest.py
+++ b/tests/controllers/conftest.py
@@ -8,7 +8,7 @@
 
 import anyio
 import attrs
-from controllers import edges
+from controllers import fakes
 import pytest
 
 from bronzetrack import board as boards
@@ -38,7 +38,7 @@
     """
 
     board: boards.Blackboard
-    peers: edges.Peers
+    peers: fakes.Peers
     now_ms: int = 1_000_000
 
     def submit(self, request: calls.CallerRequest) -> outputs.Output:
@@ -112,7 +112,7 @@
     )
 
     def run(check: Callable[[EntryVm], Any]) -> None:
-        entry = EntryVm(board, edges.Peers())
+        entry = EntryVm(board, fakes.Peers())
         controller = request_controllers.RequestsController(
             board,
             controllers.Ports(None, None, entry.peers, None),
@@ -140,10 +140,10 @@
     """
 
     def run(
-        *answers: edges.Answer, refusals: int = 0, step_ms: int = 1
-    ) -> tuple[edges.Peers, edges.Endpoints]:
-        peers = edges.Peers(refusals=refusals)
-        endpoints = edges.Endpoints(list(answers))
+        *answers: fakes.Answer, refusals: int = 0, step_ms: int = 1
+    ) -> tuple[fakes.Peers, fakes.Endpoints]:
+        peers = fakes.Peers(refusals=refusals)
+        endpoints = fakes.Endpoints(list(answers))
         work = messages.SubmitWork(
             attempt="a1",
             request="r1",
--- a/tests/controllers/test_runs.py
+++ b/tests/controllers/test_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from controllers import edges
+from controllers import fakes
 import pytest
 
 from bronzetrack.core import failures
@@ -18,7 +18,7 @@
     queue of the peer has drained.
     """
     chunks = [b"0", b"x" * frames.FRAME_BYTES, b"2"]
-    peers, endpoints = run_work(edges.Answer(chunks))
+    peers, endpoints = run_work(fakes.Answer(chunks))
     [end] = peers.take(messages.AnswerEnd)
     assert end.outcome is outcomes.Outcome.FAILED
     assert end.failure.reason is failures.Reason.FRAME_TOO_LARGE
@@ -32,7 +32,7 @@
     The detail is too large for a frame, or cannot be encoded.
     """
     failure = failures.Failure(failures.Reason.WRONG_ADAPTER, detail)
-    peers, _ = run_work(edges.Answer([b"0"], failure=failure))
+    peers, _ = run_work(fakes.Answer([b"0"], failure=failure))
     [end] = peers.take(messages.AnswerEnd)
     assert end.failure.reason is failures.Reason.WRONG_ADAPTER
 
@@ -40,7 +40,7 @@
 def test_full_queue_delays_chunks_and_keeps_their_order(run_work):
     """Guards against chunks dropped while the send queue is full."""
     chunks = [b"%d" % number for number in range(5)]
-    peers, _ = run_work(edges.Answer(chunks), refusals=3)
+    peers, _ = run_work(fakes.Answer(chunks), refusals=3)
     sent = peers.take(messages.AnswerChunk)
     assert [chunk.data for chunk in sent] == chunks
     assert [chunk.number for chunk in sent] == list(range(5))
@@ -54,7 +54,7 @@
 def test_answer_is_resumed_after_a_silence(run_work):
     """Guards against duplicate or missing chunks after a silence."""
     peers, endpoints = run_work(
-        edges.Answer([b"0", b"1"], failure=SILENT), edges.Answer([b"2"])
+        fakes.Answer([b"0", b"1"], failure=SILENT), fakes.Answer([b"2"])
     )
     sent = peers.take(messages.AnswerChunk)
     assert [(item.number, item.data) for item in sent] == [
@@ -69,7 +69,7 @@
 def test_resume_without_chunks_fails_the_answer(run_work):
     """Guards against a silent stream that is resumed forever."""
     peers, endpoints = run_work(
-        edges.Answer([b"0"], failure=SILENT), edges.Answer([], failure=SILENT)
+        fakes.Answer([b"0"], failure=SILENT), fakes.Answer([], failure=SILENT)
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.failure.reason is failures.Reason.ENDPOINT_SILENT
@@ -81,7 +81,7 @@
     """Guards against "refused" for work that has partly been answered."""
     refusal = failures.Failure(failures.Reason.LOAD_FAILED)
     peers, _ = run_work(
-        edges.Answer([b"0"], failure=SILENT), edges.Answer([], refusal=refusal)
+        fakes.Answer([b"0"], failure=SILENT), fakes.Answer([], refusal=refusal)
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.outcome is outcomes.Outcome.FAILED
@@ -90,7 +90,7 @@
 def test_pause_of_the_vm_does_not_fail_the_answer(run_work):
     """Guards against streams that fail because the VM itself was paused."""
     peers, endpoints = run_work(
-        edges.Answer([], failure=SILENT), edges.Answer([b"0"]), step_ms=6_000
+        fakes.Answer([], failure=SILENT), fakes.Answer([b"0"]), step_ms=6_000
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.outcome is outcomes.Outcome.COMPLETED
@@ -100,7 +100,7 @@
 def test_resumes_after_pauses_are_limited(run_work):
     """Guards against endless resumes of a silent endpoint by a slow VM."""
     peers, endpoints = run_work(
-        edges.Answer([], failure=SILENT), step_ms=6_000
+        fakes.Answer([], failure=SILENT), step_ms=6_000
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.failure.reason is failures.Reason.ENDPOINT_SILENT
