Name locals of the controllers after what they hold

Cause: locals such as known, done, carried and short were vague. Change: renamed them; reworded a few comments and docstrings of this pass.

--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -70,11 +70,11 @@
             remote_usage = usage.sum_usage(
                 vm.usage for vm in self.board.membership.value.vms.values()
             )
-            short = sum(
+            waiting_loads = sum(
                 self._plan_and_execute(name, remote_usage, now_ms).short
                 for name in list(self.board.dispatch.value.endpoints)
             )
-            self._permits.request(short, now_ms)
+            self._permits.request(waiting_loads, now_ms)
 
     async def _wait_until_due(self) -> None:
         """Wait until a step may be due.
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -22,7 +22,8 @@
 
 LOG = logging.getLogger(__name__)
 PLAN_INTERVAL_MS = 500
-# Less than the clock margin after which a successor may claim.
+# The interval has to be shorter than the clock margin after a lease, since a
+# successor may claim when that margin has passed.
 STANDING_CHECK_INTERVAL_MS = 250
 # A snapshot that could not be appended is retried after this time.
 SNAPSHOT_RETRY_MS = 5_000
@@ -225,17 +226,17 @@
 
     async def _append_snapshots(self) -> None:
         while True:
-            snapshot = planner.plan_copy(
+            record = planner.plan_copy(
                 self.board.ownership.value,
                 self._make_site(self._now_ms(), 0),
                 self._now_ms(),
             )
-            if snapshot is not None:
+            if record is not None:
                 LOG.info(
                     "appending an ownership snapshot or reset to the log",
                     extra={"event": "ownership_copy"},
                 )
-                await self._append(snapshot)
+                await self._append(record)
             await anyio.sleep(SNAPSHOT_RETRY_MS / 1000)
 
     async def _append_and_wait(
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -43,10 +43,10 @@
         table = self._board.requests.value
         entries = (*table.recent, *table.open.values())
         demand = placement.count_demand(entry.adapter for entry in entries)
-        known = self._list_summaries()
+        endpoint_summaries = self._list_summaries()
         self.quotas = self._compute_quotas()
         self._placements = {
-            name: self._compute_placement(name, demand, known)
+            name: self._compute_placement(name, demand, endpoint_summaries)
             for name in self._board.dispatch.value.endpoints
         }
 
@@ -54,7 +54,7 @@
         self,
         name: str,
         demand: dict[str, float],
-        known: dict[str, messages.EndpointSummary],
+        endpoint_summaries: dict[str, messages.EndpointSummary],
     ) -> placement.Placement:
         inventory = self._board.configuration.value.configuration.inventory
         endpoint = inventory.endpoints.get(name)
@@ -63,7 +63,7 @@
         model = endpoint.base_model
         others = {
             other: summary
-            for other, summary in known.items()
+            for other, summary in endpoint_summaries.items()
             if other in inventory.endpoints
             and inventory.endpoints[other].runs_model(model)
         }
@@ -125,5 +125,5 @@
 
 
 def _get_model(inventory: inventories.Inventory, adapter: str) -> str | None:
-    known = inventory.adapters.get(adapter.rpartition("@")[0])
-    return None if known is None else known.base_model
+    entry = inventory.adapters.get(adapter.rpartition("@")[0])
+    return None if entry is None else entry.base_model
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -167,7 +167,7 @@
                     self._apply_answer(progress, message, now_ms)
 
     def _answer_probe(self, sender: str, attempts: tuple[str, ...]) -> None:
-        known = {
+        known_attempts = {
             attempt
             for queue in self.board.dispatch.value.endpoints.values()
             for attempt in (
@@ -175,9 +175,13 @@
                 *(item.work.attempt for item in queue.waiting),
             )
         }
-        unknown = tuple(name for name in attempts if name not in known)
-        if unknown:
-            self.ports.peers.send(sender, messages.WorkUnknown(unknown))
+        unknown_attempts = tuple(
+            name for name in attempts if name not in known_attempts
+        )
+        if unknown_attempts:
+            self.ports.peers.send(
+                sender, messages.WorkUnknown(unknown_attempts)
+            )
 
     def _recover_unknown(self, attempt: str, sender: str, now_ms: int) -> None:
         progress = self._attempts.get(attempt)
@@ -415,7 +419,7 @@
         self._track_attempt(progress, self.board.vm)
 
     def _track_attempt(self, progress: progresses.Progress, vm: str) -> None:
-        """Register the current attempt, which a VM answers."""
+        """Register the current attempt and the VM that answers it."""
         self._attempts[progress.attempt] = progress
         progress.owner = vm
         progress.owner_incarnation = submission.get_incarnation(self.board, vm)
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -86,7 +86,7 @@
             resumable=work.stream and endpoint.is_engine,
         )
         self._boot = self._get_queue().boot
-        self._crashes = self._list_crashes()
+        self._initial_crashes = self._list_crashes()
         self._result = results.ResultCollector(work, board.vm)
         self._claimer: claiming.KeyClaimer | None = None
         if work.key is not None and work.resume_of is None:
@@ -126,10 +126,10 @@
             await self._send_end(outcomes.Outcome.REFUSED, rejection)
             return rejection
         if self._work.crashes:
-            carried = crash_events.CrashesCarried(
+            crashes_carried = crash_events.CrashesCarried(
                 self._work.fingerprint, self._work.crashes
             )
-            self._board.mailboxes["suspects"].post(carried)
+            self._board.mailboxes["suspects"].post(crashes_carried)
         if self._claimer is not None:
             refusal = await self._claimer.claim()
             if refusal is not None:
@@ -149,11 +149,11 @@
                 # The endpoint may still run the work.
                 await self._cancel_at_engine()
             return failure
-        if self._work.isolated and self._crashes:
-            done = crash_events.SuspectCompleted(
-                self._work.fingerprint, tuple(sorted(self._crashes))
+        if self._work.isolated and self._initial_crashes:
+            suspect_completed = crash_events.SuspectCompleted(
+                self._work.fingerprint, tuple(sorted(self._initial_crashes))
             )
-            self._board.mailboxes["suspects"].post(done)
+            self._board.mailboxes["suspects"].post(suspect_completed)
         self._record_result(outcomes.Outcome.COMPLETED)
         await self._send_end(outcomes.Outcome.COMPLETED, None)
         return None
@@ -305,14 +305,14 @@
         # The slot is released only after the crash is in the suspect table of
         # this VM, so that the next run at this endpoint is checked against it.
         with anyio.move_on_after(CRASH_RECORD_TIMEOUT_MS / 1000):
-            while self._list_crashes() <= self._crashes:
+            while self._list_crashes() <= self._initial_crashes:
                 await self._board.suspects.wait_change(
                     self._board.suspects.revision
                 )
         return failure
 
     def _list_running(self) -> tuple[str, ...]:
-        """Return the fingerprints that ran in the same boot of the engine."""
+        """Return the fingerprints of the requests that ran in this boot."""
         queue = self._get_queue()
         if queue.boot != self._boot:
             return (self._work.fingerprint,)
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -16,14 +16,14 @@
 from bronzetrack.retries import suspects
 
 APPEND_RETRY_MS = 500
-# During a long outage of the log the oldest records are dropped. The peers
-# have them, since each record is also sent as a notice.
+# During a long outage of the log the oldest pending records are dropped. The
+# peers have them, since each record is also sent as a notice.
 PENDING_RECORDS = 1_024
 
 
 @controllers.CONTROLLERS.register("suspects")
 class SuspectsController(controllers.Controller):
-    """Replays the stream of crashes, and records crashes seen here."""
+    """Replays the stream of crashes, and records crashes that this VM sees."""
 
     name = "suspects"
 
@@ -90,11 +90,12 @@
         )
         if not crash_seen.boot and crash not in self._service_crashes:
             self._service_crashes = [*self._service_crashes[-63:], crash]
-        known = self.board.suspects.value.suspects
+        known_suspects = self.board.suspects.value.suspects
         new_fingerprints = tuple(
             name
             for name in crash_seen.fingerprints
-            if name not in known or crash not in known[name].crashes
+            if name not in known_suspects
+            or crash not in known_suspects[name].crashes
         )
         if new_fingerprints:
             record = records.CrashRecord(
