--- a/tests/controllers/conftest.py
+++ b/tests/controllers/conftest.py
@@ -1,4 +1,4 @@
-"""Controllers of one VM between edges that only record."""
+"""Fixtures that run controllers of one VM with fake ports."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import anyio
 import attrs
-from controllers import edges
+from controllers import fakes
 import pytest
 
 from bronzetrack import board as boards
@@ -31,11 +31,14 @@
 
 
 @attrs.define
-class Entry:
-    """The requests controller of a VM, and the time that it reads."""
+class EntryVm:
+    """An entry VM with a requests controller under test.
+
+    :param now_ms: time that the controller reads from its clock
+    """
 
     board: boards.Blackboard
-    peers: edges.Peers
+    peers: fakes.Peers
     now_ms: int = 1_000_000
 
     def submit(self, request: calls.CallerRequest) -> outputs.Output:
@@ -50,7 +53,7 @@
             )
 
     async def wait_sent(self, cls: type) -> Any:
-        """Wait until a message of a class was sent and return it."""
+        """Wait until a message of a class was sent, and return it."""
         while True:
             found = self.peers.take(cls)
             if found:
@@ -86,7 +89,10 @@
 
 @pytest.fixture
 def run_entry(board, monkeypatch):
-    """Run a check beside a controller that sends its work to vm-2."""
+    """Return a function that runs a check beside a requests controller.
+
+    The controller sends all of its work to vm-2.
+    """
     chosen = candidates.Candidate(
         "engine-0", "vm-2", 8, True, 8, 0, 0, report_age_ms=0
     )
@@ -105,8 +111,8 @@
         "configuration", attrs.evolve(state, configuration=configuration)
     )
 
-    def run(check: Callable[[Entry], Any]) -> None:
-        entry = Entry(board, edges.Peers())
+    def run(check: Callable[[EntryVm], Any]) -> None:
+        entry = EntryVm(board, fakes.Peers())
         controller = request_controllers.RequestsController(
             board,
             controllers.Ports(None, None, entry.peers, None),
@@ -127,16 +133,17 @@
 
 @pytest.fixture
 def run_work(board):
-    """Run work of vm-2 at an engine with some answers; return its edges.
+    """Return a function that runs work of vm-2 at a fake engine.
 
-    Each reading of the clock is `step_ms` later than the one before.
+    The function returns the fake peers and the fake endpoints. Each reading of
+    the clock is `step_ms` later than the previous one.
     """
 
     def run(
-        *answers: edges.Answer, refusals: int = 0, step_ms: int = 1
-    ) -> tuple[edges.Peers, edges.Endpoints]:
-        peers = edges.Peers(refusals=refusals)
-        endpoints = edges.Endpoints(list(answers))
+        *answers: fakes.Answer, refusals: int = 0, step_ms: int = 1
+    ) -> tuple[fakes.Peers, fakes.Endpoints]:
+        peers = fakes.Peers(refusals=refusals)
+        endpoints = fakes.Endpoints(list(answers))
         work = messages.SubmitWork(
             attempt="a1",
             request="r1",
@@ -151,7 +158,7 @@
             stream=True,
         )
         times = itertools.count(1_000_000, step_ms)
-        made = runs.Run(
+        attempt_run = runs.Run(
             board,
             controllers.Ports(None, None, peers, endpoints),
             lambda: clock.Instant(next(times), 0),
@@ -162,7 +169,7 @@
 
         async def execute() -> None:
             with anyio.fail_after(3):
-                await made.execute(anyio.CancelScope())
+                await attempt_run.execute(anyio.CancelScope())
 
         anyio.run(execute)
         return peers, endpoints
