Reword the tests of running daemons

Cause: Docstrings, comments and some names were figurative (told, brings, hasty, stands still, innocents). Assertions, bounds and the values of parameters are unchanged.

--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,4 +1,4 @@
-"""A site of separate processes."""
+"""Fixtures: sites whose daemons run as separate processes."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory) -> Iterator[sites.Site]:
+    """Yield a settled site that the tests of one module share."""
     folder = tmp_path_factory.mktemp("site")
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
@@ -22,7 +23,7 @@
 
 @pytest.fixture
 def service_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs, one of which owns a plain service."""
+    """Yield two VMs, one of which owns a plain service."""
     with sites.run_site(tmp_path, vms=2, engines=0, services=1) as running:
         sites.publish_samples(running)
         yield pairs.find_pair(running)
@@ -30,7 +31,7 @@
 
 @pytest.fixture
 def engine_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs, one of which owns an engine."""
+    """Yield two VMs, one of which owns an engine."""
     with sites.run_site(
         tmp_path, vms=2, engines=1, services=0, token_ms=20.0
     ) as running:
@@ -40,7 +41,7 @@
 
 @pytest.fixture
 def narrow_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs, one of which owns an engine with a single slot."""
+    """Yield two VMs, one of which owns an engine with a single slot."""
     with sites.run_site(
         tmp_path, vms=2, engines=1, services=0, token_ms=20.0, slots=1
     ) as running:
@@ -50,7 +51,7 @@
 
 @pytest.fixture
 def healthy_site(site) -> Iterator[sites.Site]:
-    """The site with every fault switched off before and after a test."""
+    """Yield the shared site without injected faults, and remove them after."""
     site.set_faults()
     yield site
     site.set_faults()
--- a/tests/daemon/test_answers.py
+++ b/tests/daemon/test_answers.py
@@ -1,4 +1,4 @@
-"""Tests of whole answers with daemons and engines that fail."""
+"""Tests of answers while daemons, engines and callers fail."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def read_until(parts, text: bytes) -> bytes:
-    """Return what arrives until a text is part of it."""
+    """Return the body up to the part that completes a text."""
     body = b""
     while text not in body:
         body += next(parts)
@@ -21,7 +21,7 @@
 
 
 def test_stream_survives_the_death_of_the_owner(engine_pair):
-    """Guards against an answer cut off, or run twice, with its owner."""
+    """Guards against a truncated or repeated answer when the owner dies."""
     with engine_pair.open_stream(max_tokens=100) as answer:
         parts = answer.iter_stream()
         body = read_until(parts, b"token3 ")
@@ -35,8 +35,8 @@
     assert engine_pair.site.count_runs("long") == 1
 
 
-def test_whole_answer_survives_the_death_of_the_owner(engine_pair):
-    """Guards against an error for work that may be run again."""
+def test_unstreamed_answer_survives_the_death_of_the_owner(engine_pair):
+    """Guards against an error for work that may be retried."""
     call = engine_pair.threads.submit(
         engine_pair.site.send, "trust-1", engine_pair.entry, max_tokens=100
     )
@@ -47,8 +47,8 @@
     assert answer.content.count(b"token") > 100
 
 
-def test_crash_in_mid_stream_is_told(engine_pair):
-    """Guards against a cut-off answer that looks whole."""
+def test_crash_in_mid_stream_is_reported(engine_pair):
+    """Guards against a truncated answer that looks complete."""
     engine = engine_pair.site.endpoints["engine-0"]
     with engine_pair.open_stream(max_tokens=500) as answer:
         parts = answer.iter_stream()
@@ -63,7 +63,7 @@
 
 
 def test_disconnect_frees_the_slot_after_the_engine_stopped(engine_pair):
-    """Guards against work that runs on for a caller that is gone."""
+    """Guards against work that continues after its caller disconnects."""
     engine = engine_pair.site.endpoints["engine-0"]
     url = f"http://{engine.host}:{engine.port}/load"
     with engine_pair.open_stream(max_tokens=100_000) as answer:
@@ -74,7 +74,7 @@
 
 
 def test_disconnect_before_the_answer_frees_the_slot(engine_pair):
-    """Guards against a disconnect that is seen only with the first byte."""
+    """Guards against a disconnect noticed only at the first byte."""
     try:
         engine_pair.site.send(
             "trust-1", engine_pair.entry, timeout_s=2.0, max_tokens=100_000
@@ -85,7 +85,7 @@
 
 
 def test_equal_requests_get_their_own_answers(site):
-    """Guards against answers mixed up by equal bodies."""
+    """Guards against answers that are swapped between equal requests."""
     vms = list(site.vms.values()) * 4
     with pairs.futures.ThreadPoolExecutor(len(vms)) as threads:
         answers = list(
@@ -102,7 +102,7 @@
 
 
 def test_slow_reader_gets_everything(engine_pair):
-    """Guards against chunks dropped while a caller does not read."""
+    """Guards against chunks dropped while a caller reads slowly."""
     table = "requests"
     with engine_pair.open_stream(max_tokens=400) as answer:
         parts = answer.iter_stream()
--- a/tests/daemon/test_cuts.py
+++ b/tests/daemon/test_cuts.py
@@ -1,4 +1,4 @@
-"""Tests of whole daemons while the network between them is cut."""
+"""Tests of running daemons while the network between them is cut."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 
 from standins import site as sites
 
-# Longer than an owner waits for its entry VM before it gives the answer up.
+# Takes longer than an owner waits for the entry VM before it drops the answer.
 STREAM_TOKENS = 450
-# Longer than it takes until a VM that is silent counts as gone.
+# Takes longer than the timeout after which a silent VM is considered lost.
 LONG_STREAM_TOKENS = 700
 END = b"data: [DONE]\n\n"
 
 
 @contextlib.contextmanager
 def run_pair(folder: pathlib.Path, **options: int) -> Iterator[pairs.Pair]:
-    """Run two VMs with links between them, one of which owns an engine."""
+    """Run two VMs connected by links, one of which owns an engine."""
     with sites.run_site(
         folder,
         vms=2,
@@ -39,14 +39,14 @@
 
 @pytest.fixture
 def cut_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """A pair whose engine runs two requests at once."""
+    """Yield a pair whose engine runs two requests at once."""
     with run_pair(tmp_path, slots=2) as pair:
         yield pair
 
 
 @pytest.fixture
 def evicting_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """A pair whose engine holds two adapters at once."""
+    """Yield a pair whose engine holds two adapters at once."""
     with run_pair(tmp_path, adapter_slots=2) as pair:
         yield pair
 
@@ -60,7 +60,7 @@
 def send(
     pair: pairs.Pair, prompt: str, tokens: int, **headers: str
 ) -> futures.Future[httpcore.Response]:
-    """Send a request that is answered in one piece, in the background."""
+    """Send a request without streaming, in the background."""
     return pair.threads.submit(
         pair.site.send,
         "trust-1",
@@ -76,7 +76,7 @@
 def open_streams(
     pair: pairs.Pair, tokens: int, count: int
 ) -> Iterator[list[futures.Future[bytes]]]:
-    """Read streams that have begun to their ends, in the background."""
+    """Open streams and read them to their ends in the background."""
     with contextlib.ExitStack() as stack:
         answers = [
             stack.enter_context(pair.open_stream(max_tokens=tokens))
@@ -86,12 +86,13 @@
 
 
 def count_waiting(pair: pairs.Pair) -> int:
+    """Return how many requests wait in the queues of the owner."""
     queues = pair.site.get_state(pair.owner, "dispatch")["endpoints"]
     return sum(len(queue["waiting"]) for queue in queues.values())
 
 
 def check_stream(body: bytes, tokens: int) -> None:
-    """Check that each chunk is there once, in order, with the end."""
+    """Check that a stream has each token once, in order, and its end."""
     expected = [b"token%d " % index for index in range(tokens)]
     found = [
         part.partition(b'"text": "')[2].partition(b'"')[0]
@@ -102,7 +103,7 @@
 
 
 def is_healed(pair: pairs.Pair) -> bool:
-    """Return whether the VMs see each other and nothing is in progress."""
+    """Return whether each VM sees the other serving, and both are idle."""
     return all(
         pair.site.is_serving(vm.name)
         and not pair.site.get_state(vm, "requests")["open"]
@@ -117,7 +118,7 @@
 
 
 def test_broken_network_between_entry_and_owner(cut_pair):
-    """Guards against work lost or run twice when peers cannot connect."""
+    """Guards against work lost or run twice while peers cannot connect."""
     with open_streams(cut_pair, STREAM_TOKENS, 1) as streams:
         running = send(cut_pair, "runs", 100, **pairs.make_key("k1"))
         cut_pair.site.wait(lambda: cut_pair.site.count_runs("runs") == 1)
@@ -125,10 +126,10 @@
         plain = send(cut_pair, "repeatable", 5)
         cut_pair.site.wait(lambda: count_waiting(cut_pair) == 2)
         set_links(cut_pair, "refuse")
-        # The claim of the first is in the log, and its result follows.
+        # The first request has its claim in the log, and its result follows.
         assert pairs.read_outcome(running.result()) == "completed"
         assert running.result().content.count(b"token") > 100
-        # The second is void before its owner can claim it.
+        # The second one is voided before the owner can claim its key.
         assert pairs.read_outcome(keyed.result()) == "not_run"
         check_stream(streams[0].result(), STREAM_TOKENS)
         assert not plain.done()
@@ -141,14 +142,14 @@
 
 
 def test_silent_network_between_entry_and_owner(cut_pair):
-    """Guards against chunks that come twice when a cut network heals."""
+    """Guards against duplicate chunks after a cut network heals."""
     with open_streams(cut_pair, LONG_STREAM_TOKENS, 2) as streams:
         keyed = send(cut_pair, "queued", 5, **pairs.make_key("k"))
         plain = send(cut_pair, "repeatable", 5)
         cut_pair.site.wait(lambda: count_waiting(cut_pair) == 2)
         set_links(cut_pair, "hold")
         assert pairs.read_outcome(keyed.result()) == "not_run"
-        # What the links hold arrives after the streams were resumed.
+        # The held messages arrive after the streams were resumed.
         assert not any(stream.done() for stream in streams)
         set_links(cut_pair, "forward")
         for stream in streams:
@@ -166,19 +167,20 @@
 
 
 def list_residents(pair: pairs.Pair, vm: sites.Vm) -> dict[str, object]:
+    """Return the adapters that a VM knows on the engine, by name."""
     queues = pair.site.get_state(vm, "dispatch")["endpoints"]
     return queues.get("engine-0", {"residents": {}})["residents"]
 
 
 def test_owner_cut_off_from_the_log_is_succeeded(evicting_pair):
-    """Guards against work that a successor's eviction breaks."""
+    """Guards against evicting an adapter that the former owner's work uses."""
     pair = evicting_pair
     former, successor = pair.owner, pair.entry
     for model in ("trust-1@1", "trust-2@1"):
         assert pair.site.send(model, former).status == 200
     pair.site.set_link(f"platform-{former.name}", "hold")
     pair.site.wait(lambda: owns(pair, successor))
-    # The successor may evict what it has inherited and finds idle.
+    # The successor may evict inherited adapters that it finds idle.
     pair.site.wait(
         lambda: list_residents(pair, successor)
         and not any(
@@ -209,5 +211,6 @@
 
 
 def owns(pair: pairs.Pair, vm: sites.Vm) -> bool:
+    """Return whether a VM owns the engine, by its own ownership state."""
     owners = pair.site.get_state(vm, "ownership")["owners"]
     return owners["engine-0"]["vm"] == vm.name
--- a/tests/daemon/test_exits.py
+++ b/tests/daemon/test_exits.py
@@ -1,4 +1,4 @@
-"""Tests of how a daemon ends and what it logs."""
+"""Tests of the exit codes of a daemon and of its last log lines."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from bronzetrack.daemon import exits
 from standins import site as sites
 
-BROKEN = """
+FAILING_CONTROLLER = """
 import anyio
 from bronzetrack.core import controllers
 from bronzetrack.daemon import main
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def settings_file(tmp_path, good) -> pathlib.Path:
-    """Settings with free ports and a platform that does not answer."""
+    """Return a settings file with free ports and an unreachable platform."""
     text = good
     for port in ("8000", "8001", "8002", "9000"):
         text = text.replace(f":{port}", f":{sites.find_port('127.0.0.1')}")
@@ -40,7 +40,10 @@
 
 @pytest.fixture
 def run_daemon(settings_file, monkeypatch):
-    """Run a daemon to its end; return the exit code and its log lines."""
+    """Return a function that runs a daemon until it exits.
+
+    The function returns the exit code and the parsed log lines.
+    """
     source = pathlib.Path(sites.TESTS).parent / "src"
     monkeypatch.setenv("PYTHONPATH", str(source))
 
@@ -58,8 +61,8 @@
 
 
 def test_failed_controller_ends_the_process(run_daemon):
-    """Guards against a daemon that lives on without one of its parts."""
-    code, lines = run_daemon("-c", BROKEN)
+    """Guards against a daemon that keeps running without a controller."""
+    code, lines = run_daemon("-c", FAILING_CONTROLLER)
     assert code == exits.ExitCode.CONTROLLER_FAILED
     (line,) = [item for item in lines if item["level"] == "critical"]
     assert line["event"] == "controller_failed"
@@ -68,8 +71,8 @@
     assert "first line\nsecond line" in line["exception"]
 
 
-def test_used_address_is_named(run_daemon, settings_file):
-    """Guards against a daemon that serves at two of its three addresses."""
+def test_address_in_use_is_logged(run_daemon, settings_file):
+    """Guards against a daemon that listens on some of its addresses only."""
     address = settings_file.read_text().partition("operators = ")[2]
     host, _, port = address.partition("\n")[0].rpartition(":")
     with sites.socket.create_server((host, int(port))):
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -1,4 +1,4 @@
-"""Tests of whole daemons while parts of the site fail."""
+"""Tests of running daemons while parts of the site fail."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 @pytest.fixture(scope="module")
 def failing_site(tmp_path_factory) -> Iterator[sites.Site]:
+    """Yield a site that the tests of this module share and change."""
     folder = tmp_path_factory.mktemp("failing-site")
     with sites.run_site(folder) as running:
         sites.publish_samples(running)
@@ -25,7 +26,7 @@
 
 
 def list_owners(site: sites.Site, vm: sites.Vm) -> dict[str, tuple[str, int]]:
-    """Return owner and fencing number by endpoint as one VM sees them."""
+    """Return owner and fencing number by endpoint, as read by one VM."""
     owners = site.get_state(vm, "ownership")["owners"]
     return {
         name: (owner["vm"], owner["fencing"]) for name, owner in owners.items()
@@ -33,7 +34,10 @@
 
 
 def wait_settled(site: sites.Site, names: set[str]) -> None:
-    """Wait until all VMs see the same owners, all of them among some VMs."""
+    """Wait until some VMs agree on the owners, all of which are among them.
+
+    :param names: names of the VMs
+    """
 
     def is_settled() -> bool:
         seen = [list_owners(site, site.vms[name]) for name in names]
@@ -48,7 +52,7 @@
 
 
 def test_joining_vms_get_a_share(failing_site):
-    """Guards against the VM that starts first keeping all endpoints."""
+    """Guards against the first VM keeping all endpoints."""
     first = failing_site.vms["vm-0"]
 
     def holds_one_each() -> bool:
@@ -59,7 +63,7 @@
 
 
 def test_vm_started_in_an_outage_serves(failing_site):
-    """Guards against a VM that waits for the log, or loses what it had."""
+    """Guards against a VM that needs the log to start, or loses its state."""
     site = failing_site
     wait_settled(site, set(site.vms))
     before = site.get_state(site.vms["vm-0"], "configuration")
@@ -77,8 +81,8 @@
     wait_settled(site, set(site.vms))
 
 
-def test_truncated_stream_brings_the_same_owners(failing_site):
-    """Guards against a new VM that takes endpoints which have owners."""
+def test_truncated_stream_yields_the_same_owners(failing_site):
+    """Guards against a new VM that claims endpoints which have owners."""
     site = failing_site
     wait_settled(site, set(site.vms))
     before = list_owners(site, site.vms["vm-0"])
@@ -95,8 +99,8 @@
     assert configuration["complete"]
 
 
-def test_paused_owner_acts_no_longer(failing_site):
-    """Guards against an owner that resumes after its lease and goes on."""
+def test_paused_owner_loses_its_endpoints(failing_site):
+    """Guards against an owner that acts on after its lease has expired."""
     site = failing_site
     wait_settled(site, set(site.vms))
     before = list_owners(site, site.vms["vm-0"])
@@ -117,7 +121,7 @@
 
 
 def test_each_vm_in_turn_stops_and_comes_back(failing_site):
-    """Guards against a planned stop that cuts off or strands work."""
+    """Guards against a planned stop that interrupts or loses work."""
     site = failing_site
     for vm in list(site.vms.values()):
         others = [other for other in site.vms.values() if other is not vm]
@@ -132,15 +136,15 @@
         site.wait(lambda: get_status(site, vm) == "serving")
 
 
-def test_vm_that_the_list_calls_leaving_hands_over(failing_site):
-    """Guards against new work for a VM that only the platform retires."""
+def test_vm_listed_as_leaving_hands_over(failing_site):
+    """Guards against a VM that keeps endpoints while the list retires it."""
     site = failing_site
     wait_settled(site, set(site.vms))
     names = set(site.vms)
     row = {"name": "vm-1", "address": "", "state": "leaving"}
     sites.fetch("PUT", f"{site.platform_url}/vms", [row])
     wait_settled(site, names - {"vm-1"})
-    # What the list said last stays while it is down.
+    # The last state from the list stays in effect while the list is down.
     site.set_faults(list_down=True)
     before = list_owners(site, site.vms["vm-0"])
     answer = site.send("trust-3@1", vm=site.vms["vm-0"], max_tokens=2)
--- a/tests/daemon/test_frozen_entry.py
+++ b/tests/daemon/test_frozen_entry.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose entry VM stands still for a while."""
+"""Tests of streams whose entry VM is suspended for a while."""
 
 from __future__ import annotations
 
@@ -14,15 +14,16 @@
 from standins import site as sites
 
 STREAMS = 160
-# Streams of which none brings anything for this time have lost their end.
+# If no stream receives anything for this time, the open ones have lost their
+# end.
 SILENCE_S = 10
-# The chunks of all streams are more than a mailbox holds.
+# The chunks of all streams together exceed the capacity of a mailbox.
 TOKENS = 450
 
 
 @pytest.fixture
 def fast_pair(tmp_path) -> Iterator[pairs.Pair]:
-    """Two VMs, one of which owns an engine with a slot for each stream."""
+    """Yield two VMs, one of which owns an engine with a slot per stream."""
     with sites.run_site(
         tmp_path, vms=2, engines=1, services=0, token_ms=2.0, slots=STREAMS
     ) as running:
@@ -33,7 +34,10 @@
 def read_stream(
     pair: pairs.Pair, body: bytearray, may_read: threading.Event
 ) -> None:
-    """Add what a streamed answer of the owner brings to a body."""
+    """Append the parts of a streamed response from the owner to a body.
+
+    :param may_read: set when the body may be read
+    """
     fields = {"model": "trust-1", "stream": True, "max_tokens": TOKENS}
     with httpcore.stream(
         "POST",
@@ -49,31 +53,33 @@
 def wait_streams(
     reads: list[pairs.futures.Future[None]], bodies: list[bytearray]
 ) -> set[pairs.futures.Future[None]]:
-    """Wait until all streams ended, or none goes on; return the others.
+    """Wait until all streams ended or none progresses; return the open ones.
 
-    How long all of them take depends on what else the machine does.
+    There is no total timeout, since the duration depends on the load of the
+    machine.
     """
     received = -1
-    late = set(reads)
-    while late and received != (received := sum(map(len, bodies))):
-        _, late = pairs.futures.wait(reads, timeout=SILENCE_S)
-    return late
+    unfinished = set(reads)
+    while unfinished and received != (received := sum(map(len, bodies))):
+        _, unfinished = pairs.futures.wait(reads, timeout=SILENCE_S)
+    return unfinished
 
 
 def is_idle(engine: sites.EndpointProcess) -> bool:
-    """Return whether an engine reports that nothing runs."""
+    """Return whether an engine reports no running requests."""
     report = sites.fetch("GET", f"{engine.url}/load")
     return report is not None and report["running"] == {}
 
 
 def test_frozen_vm_loses_no_chunk_of_its_own_endpoint(fast_pair):
-    """Guards against chunks dropped, or an end never told, after a pause.
+    """Guards against chunks or ends lost while the entry VM is suspended.
 
-    What the engine sent meanwhile arrives at once and overfills a mailbox.
+    The chunks that the engine sent meanwhile arrive at once and overflow a
+    mailbox.
     """
     engine = fast_pair.site.endpoints["engine-0"]
-    # The adapter is loaded before the engine stands still, and no chunk is
-    # relayed before the VM does.
+    # The adapter is loaded before the engine is suspended, and no chunk is
+    # relayed before the VM is.
     assert fast_pair.site.send("trust-1", fast_pair.owner).status == 200
     engine.process.send_signal(signal.SIGSTOP)
     may_read = threading.Event()
@@ -85,8 +91,9 @@
         ]
         try:
             fast_pair.site.wait(lambda: fast_pair.count_running() == STREAMS)
-            # A run counts before its request is written to the engine, which
-            # takes a few turns of the loop that these calls go through too.
+            # A run is counted before its request is written to the engine.
+            # That takes a few iterations of the event loop, which also handles
+            # these calls.
             for _ in range(20):
                 fast_pair.count_running()
             fast_pair.signal_owner(signal.SIGSTOP)
@@ -97,10 +104,10 @@
             )
             fast_pair.signal_owner(signal.SIGCONT)
             may_read.set()
-            late = wait_streams(reads, bodies)
+            unfinished = wait_streams(reads, bodies)
             whole = [body.count(b"token") == TOKENS for body in bodies]
         finally:
-            # A caller that still waits would keep its thread.
+            # A caller that still waits would block its thread.
             may_read.set()
             fast_pair.signal_owner(signal.SIGKILL)
-    assert (len(late), whole.count(False)) == (0, 0)
+    assert (len(unfinished), whole.count(False)) == (0, 0)
--- a/tests/daemon/test_key_log.py
+++ b/tests/daemon/test_key_log.py
@@ -1,4 +1,4 @@
-"""Tests of keys while the log fails around their claims, or shrinks."""
+"""Tests of idempotency keys while the log fails or is truncated."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 @pytest.fixture(scope="module")
 def shared_pair(tmp_path_factory) -> Iterator[pairs.Pair]:
-    """Two VMs, one of which owns a plain service, for the whole module."""
+    """Yield two VMs, one of which owns a plain service, for the module."""
     folder = tmp_path_factory.mktemp("log")
     with sites.run_site(folder, vms=2, engines=0, services=1) as running:
         sites.publish_samples(running)
@@ -24,8 +24,8 @@
         yield pairs.find_pair(running)
 
 
-def test_refused_claims_run_once_when_the_log_takes_them(shared_pair):
-    """Guards against a run without a claim, or a claim given up too early."""
+def test_refused_claims_run_once_when_the_log_accepts_them(shared_pair):
+    """Guards against a run without a claim, or a claim dropped too early."""
     pair = shared_pair
     pair.set_faults(refused_stream="keys")
     call = pair.threads.submit(pair.call_service, "refused", body="refused")
@@ -38,7 +38,7 @@
 
 
 def test_log_lost_within_an_append_and_back_in_time(shared_pair):
-    """Guards against two runs of a claim that was appended twice."""
+    """Guards against two runs for a claim that was appended twice."""
     pair = shared_pair
     call = break_log_within_claim(pair, "back in time")
     pair.set_faults()
@@ -47,14 +47,14 @@
 
 
 def test_log_lost_within_an_append_for_longer_than_a_claim(shared_pair):
-    """Guards against a run after "refused" of a claim that is in the log."""
+    """Guards against a run after "refused" if the claim is in the log."""
     pair = shared_pair
     call = break_log_within_claim(pair, "lost for long")
     answer = call.result()
     assert pairs.read_outcome(answer) == "refused"
     assert b"log_unavailable" in answer.content
     pair.set_faults()
-    # The claimant withdraws the claim, which nobody else may do.
+    # The claimant voids its claim, which no other VM may do.
     pair.site.wait(
         lambda: pairs.read_outcome(
             pair.call_service("lost for long", body="lost for long")
@@ -70,13 +70,13 @@
 
 
 def test_truncation_within_the_window_keeps_known_keys(shared_pair):
-    """Guards against a second run of a key whose records are dropped."""
+    """Guards against a rerun of a key whose records were truncated."""
     pair = shared_pair
     first = pair.call_service("kept", body="kept")
     assert pairs.read_outcome(first) == "completed"
     wait_read(pair)
     truncate_keys(pair)
-    # Both VMs have read the new start of the stream with this key.
+    # Once both VMs have read this key, they know the new start of the stream.
     fresh = pair.call_service("after truncation", body="after truncation")
     assert pairs.read_outcome(fresh) == "completed"
     wait_read(pair)
@@ -88,7 +88,7 @@
 
 
 def test_truncation_after_the_window_expires_keys(shared_pair):
-    """Guards against a second run of a key that nothing remembers."""
+    """Guards against a rerun of a key that is no longer stored."""
     pair = shared_pair
     issued_ms = int(time.time() * 1000) - keys.WINDOW_MS + EXPIRY_MS
     headers = pairs.make_key("expiring") | {
@@ -106,7 +106,7 @@
 
 
 def break_log_within_claim(pair, name):
-    """Start a call whose claim takes the log down, once it is in the log."""
+    """Start a call and break the log once it has stored the claim."""
     wait_ended(pair)
     before = pair.count_records("keys")
     pair.set_faults(broken_stream="keys")
@@ -116,9 +116,9 @@
 
 
 def wait_ended(pair):
-    """Wait until both VMs have read the end of every run.
+    """Wait until both VMs have read the results of all earlier runs.
 
-    The record of an earlier run would take the log down in place of the claim.
+    A late record of an earlier run would break the log instead of the claim.
     """
 
     def has_ended(vm):
@@ -131,14 +131,14 @@
 
 
 def truncate_keys(pair):
-    """Let retention drop all records of keys."""
+    """Truncate the stream of keys, as retention does, dropping all records."""
     start = pair.count_records("keys")
     url = f"{pair.site.platform_url}/streams/keys/truncate"
     assert sites.fetch("POST", url, {"start": start}) is not None
 
 
 def wait_read(pair):
-    """Wait until both VMs have read all records of keys."""
+    """Wait until both VMs have read the whole stream of keys."""
     for vm in (pair.entry, pair.owner):
         pair.site.wait(
             lambda vm=vm: pair.site.get_state(vm, "keys")["next_offset"]
--- a/tests/daemon/test_keys.py
+++ b/tests/daemon/test_keys.py
@@ -1,4 +1,4 @@
-"""Tests of keys with whole daemons that fail around the dispatch."""
+"""Tests of idempotency keys with daemons that fail around the dispatch."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def test_key_sent_to_all_vms_at_once_runs_once(site):
-    """Guards against two VMs that both dispatch under one key."""
+    """Guards against two VMs that both dispatch work for one key."""
     calls = [
         (vm, "all-at-once", "install everywhere")
         for vm in site.vms.values()
@@ -24,7 +24,7 @@
 
 
 def test_reused_key_is_refused_through_any_vm(site):
-    """Guards against the answer of one request given to another."""
+    """Guards against replaying the answer of one request to another."""
     first, *others = site.vms.values()
     assert pairs.call_service(first, "reused", "one").status == 200
     for vm in others:
@@ -34,7 +34,7 @@
 
 
 def test_lost_append_answers_do_not_double_a_run(service_pair):
-    """Guards against a second dispatch when an append is sent again."""
+    """Guards against a second dispatch when an append is retried."""
     service_pair.set_faults(lose_answers=4)
     assert pairs.read_outcome(service_pair.call_service("k")) == "completed"
     assert pairs.read_outcome(
@@ -44,7 +44,7 @@
 
 
 def test_log_outage_refuses_and_a_resend_runs_once(service_pair):
-    """Guards against work under a key that the log cannot protect."""
+    """Guards against keyed work that runs without a claim in the log."""
     service_pair.set_faults(log_down=True)
     for vm in (service_pair.entry, service_pair.owner):
         service_pair.site.wait(
@@ -68,7 +68,7 @@
 
 
 def test_killed_claimant_leaves_its_key_unknown(service_pair):
-    """Guards against a rerun, or "not run", after a claim in the log."""
+    """Guards against a rerun, or "not run", after a claim was appended."""
     service_pair.set_faults(read_delay_s=2.0)
     call = service_pair.start_call("k")
     service_pair.wait_claim()
@@ -80,13 +80,13 @@
 
 
 def test_paused_claimant_is_the_only_one_that_may_run(service_pair):
-    """Guards against a run beside that of a claimant that wakes up."""
+    """Guards against a second run beside that of a resumed claimant."""
     service_pair.set_faults(read_delay_s=2.0)
     call = service_pair.start_call("k")
     service_pair.wait_claim()
     service_pair.signal_owner(signal.SIGSTOP)
     service_pair.set_faults()
-    # The entry VM has given the owner up, and has taken its endpoints.
+    # The entry VM considers the owner lost and has claimed its endpoints.
     assert pairs.read_outcome(call.result()) == "unknown"
     service_pair.signal_owner(signal.SIGCONT)
     # The claimant finds that its lease has lapsed and voids its claim.
@@ -97,7 +97,7 @@
 
 
 def test_claimant_killed_in_its_run_is_not_replaced(engine_pair):
-    """Guards against a second run of work whose result was lost."""
+    """Guards against a rerun of work whose result was lost."""
     headers = pairs.make_key("k")
     fields = {"max_tokens": 200, "prompt": "flash the device"}
     call = engine_pair.threads.submit(
--- a/tests/daemon/test_leaving.py
+++ b/tests/daemon/test_leaving.py
@@ -12,8 +12,8 @@
 SENDS = 6
 
 
-def send_from_each(site, model):
-    """Return which endpoints answered one request from each VM."""
+def send_to_each(site, model):
+    """Send one request to each VM and return the endpoints that answered."""
     answers = [site.send(model, vm=vm) for vm in site.vms.values()]
     refusals = [item.content for item in answers if item.status != 200]
     assert refusals == []
@@ -21,22 +21,21 @@
 
 
 def read_endpoint(answer):
+    """Return the endpoint in the headers of a response."""
     return dict(answer.headers)[b"bronzetrack-endpoint"].decode()
 
 
 def check_avoided(site, model, endpoint):
-    """Check that new work goes elsewhere after a few seconds, and stays."""
-    site.wait(
-        lambda: endpoint not in send_from_each(site, model), FEW_SECONDS_S
-    )
+    """Check that an endpoint gets no new work after a few seconds."""
+    site.wait(lambda: endpoint not in send_to_each(site, model), FEW_SECONDS_S)
     for _ in range(SENDS):
-        assert endpoint not in send_from_each(site, model)
+        assert endpoint not in send_to_each(site, model)
 
 
 def clear_list(site, url):
-    """List nothing as leaving, and wait until every VM has read that.
+    """Clear the VM list and wait until every VM has read it.
 
-    An owner that reads the list later refuses work for its endpoint.
+    An owner that still has the former list refuses work for its endpoint.
     """
     sites.fetch("PUT", f"{url}/vms", [])
     site.wait(
@@ -48,14 +47,14 @@
 
 
 def test_endpoint_that_reports_leaving_is_avoided(site):
-    """Guards against work for an endpoint whose own report says it leaves."""
+    """Guards against work for an endpoint that reports itself as leaving."""
     endpoint = read_endpoint(site.send("trust-4"))
     sites.fetch("POST", f"{site.endpoints[endpoint].url}/leave")
     check_avoided(site, "trust-4", endpoint)
 
 
 def test_endpoint_listed_as_leaving_is_avoided(site):
-    """Guards against work for an endpoint that the VM list says leaves."""
+    """Guards against work for an endpoint listed as leaving in the VM list."""
     endpoint = read_endpoint(site.send("trust-5"))
     row = {"name": endpoint, "address": "", "state": "leaving"}
     sites.fetch("PUT", f"{site.platform_url}/vms", [row])
@@ -64,7 +63,7 @@
 
 
 def test_endpoint_leaving_in_inventory_is_avoided(site):
-    """Guards against work for an endpoint that operators marked."""
+    """Guards against work for an endpoint marked as leaving by operators."""
     endpoint = read_endpoint(site.send("trust-6"))
     inventory = site.make_inventory()
     inventory["endpoints"][endpoint]["leaving"] = True
@@ -74,7 +73,7 @@
 
 @pytest.fixture
 def disagreeing_site(tmp_path) -> Iterator[sites.Site]:
-    """A site whose VMs read different lists."""
+    """Yield a site whose VMs read different VM lists."""
     with sites.run_site(
         tmp_path, engines=2, services=0, own_lists=True
     ) as running:
@@ -83,9 +82,11 @@
         yield running
 
 
-@pytest.mark.parametrize("told", ["owner", "another"])
-def test_endpoint_that_one_vm_sees_leaving_is_avoided(disagreeing_site, told):
-    """Guards against new work through VMs whose list lags behind."""
+@pytest.mark.parametrize("informed", ["owner", "another"])
+def test_endpoint_that_one_vm_sees_leaving_is_avoided(
+    disagreeing_site, informed
+):
+    """Guards against new work through VMs whose VM list is outdated."""
     site = disagreeing_site
     endpoint = read_endpoint(site.send("trust-4"))
     owners = site.get_state(site.vms["vm-0"], "ownership")["owners"]
@@ -93,7 +94,7 @@
     vm = next(
         vm
         for name, vm in site.vms.items()
-        if (name == owner) == (told == "owner")
+        if (name == owner) == (informed == "owner")
     )
     row = {"name": endpoint, "address": "", "state": "leaving"}
     sites.fetch("PUT", f"{vm.vm_list_url}/vms", [row])
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -1,4 +1,4 @@
-"""Tests of the log lines."""
+"""Tests of the JSON log lines."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def format_record():
-    """Return the parsed line of a log call."""
+    """Return a function that formats a log call and parses its line."""
     fields = {"vm": "vm-1", "availability_zone": "zone-a"}
     formatter = logs.JsonFormatter(fields)
 
@@ -33,7 +33,7 @@
 
 
 def test_each_line_has_the_common_fields(format_record):
-    """Guards against lines that a search by field does not find."""
+    """Guards against lines that lack the fields used for searching."""
     assert COMMON <= format_record("of a library").keys()
     line = format_record("two\nlines", event="request_ended", request_id="r")
     assert line["event"] == "request_ended"
@@ -42,6 +42,7 @@
 
 
 def list_log_calls() -> Iterator[tuple[str, ast.Call]]:
+    """Iterate over the logging calls of the source with their places."""
     for path in SOURCE.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if (
@@ -54,7 +55,7 @@
 
 
 def test_each_log_call_names_its_event():
-    """Guards against a line that can be told apart by its wording only."""
+    """Guards against a line that is identified only by its wording."""
     calls = list(list_log_calls())
     assert len(calls) >= 10
     for place, call in calls:
--- a/tests/daemon/test_peer_input.py
+++ b/tests/daemon/test_peer_input.py
@@ -1,4 +1,4 @@
-"""Test of a daemon that gets messages with odd values from a peer."""
+"""Test of a daemon that receives messages with odd values from a peer."""
 
 from __future__ import annotations
 
@@ -29,19 +29,20 @@
 
 @pytest.fixture
 def vm(tmp_path) -> Iterator[sites.Vm]:
-    """The only daemon of a site."""
+    """Yield the only VM of a site, and check at the end that it serves."""
     with sites.run_site(tmp_path, vms=1, engines=1) as site:
         sites.publish_samples(site)
         site.wait(lambda: site.count_owned() == 2)
         vm = site.vms["vm-0"]
         yield vm
-        # Odd work may hold every slot, so no request is sent here.
+        # Odd work may occupy every slot, so a look-up is sent and no request.
         answer = sites.fetch("GET", f"http://{vm.callers}/v1/entry?model=a")
         assert "vm-0" in [entry["vm"] for entry in answer["entries"]]
 
 
 @contextlib.contextmanager
 def open_session(vm: sites.Vm) -> Iterator[socket.socket]:
+    """Connect to the peer listener of a VM and introduce a peer."""
     host, _, port = vm.peers.rpartition(":")
     with socket.create_connection((host, int(port)), 5) as connection:
         hello = membership_messages.Hello(
@@ -52,7 +53,10 @@
 
 
 def make_messages(cls: type) -> strategies.SearchStrategy:
-    """Return messages of a class, some with names that the site knows."""
+    """Return a strategy for messages of a class.
+
+    Some of their texts are names that exist in the site.
+    """
     for nested in (
         membership_messages.EndpointSummary,
         membership_messages.EndpointChange,
@@ -65,7 +69,7 @@
 
 
 def test_odd_messages_leave_the_daemon_serving(vm):
-    """Guards against a peer of another version that ends every daemon.
+    """Guards against a peer of another version that stops every daemon.
 
     An address without a port in a Hello and a path without a slash in a
     SubmitWork did so.
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -1,4 +1,4 @@
-"""Tests of whole daemons as separate processes."""
+"""Tests of requests to daemons that run as separate processes."""
 
 from __future__ import annotations
 
@@ -9,21 +9,21 @@
 
 
 def test_request_runs_on_named_version(site):
-    """Guards against an answer of another version than the one named."""
+    """Guards against an answer from a version other than the one requested."""
     answer = site.send("trust-1@1", max_tokens=4)
     assert answer.status == 200
     assert json.loads(answer.content)["model"] == "trust-1@1"
 
 
 def test_stream_ends_with_marker(site):
-    """Guards against a stream that loses its end on the way."""
+    """Guards against a stream that arrives without its end marker."""
     answer = site.send("trust-2", max_tokens=5, stream=True)
     assert answer.content.endswith(b"data: [DONE]\n\n")
     assert answer.content.count(b"token") == 5
 
 
 def test_resent_key_runs_once(site):
-    """Guards against a doubled update when a caller sends it again."""
+    """Guards against a duplicate run when a caller sends a request again."""
     headers = {
         "Idempotency-Key": "stage-1",
         "Idempotency-Issued-At": str(int(time.time() * 1000)),
@@ -43,7 +43,7 @@
 
 
 def test_lookup_names_the_owner_of_the_warm_endpoint(site):
-    """Guards against an extra hop for a caller that names no version."""
+    """Guards against an extra hop for a model name without a version."""
     answer = site.send("trust-1", max_tokens=4)
     warm = dict(answer.headers)[b"bronzetrack-vm"].decode()
 
--- a/tests/daemon/test_rolling_restart.py
+++ b/tests/daemon/test_rolling_restart.py
@@ -1,4 +1,4 @@
-"""Tests of planned stops of whole daemons under load."""
+"""Tests of planned stops of running daemons under load."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 
 def is_refused(reply):
-    """Return whether a stopping VM told its caller to use another."""
+    """Return whether a stopping VM refused a request."""
     outcome = reply.headers.get("bronzetrack-outcome")
     return reply.status == 503 and outcome == "refused"
 
 
 async def stream_until(site, stopped, replies, caller):
-    """Send long streams to one VM after another until told to stop."""
+    """Send long streams to one VM after another until an event is set."""
     async with httpclient.make_pool(1) as pool:
         for vm in itertools.cycle(site.vms.values()):
             if stopped.is_set():
@@ -47,8 +47,8 @@
         site.wait(site.is_settled)
 
 
-def test_rolling_restart_cuts_no_stream(site):
-    """Guards against a planned stop that cuts a stream in progress."""
+def test_rolling_restart_interrupts_no_stream(site):
+    """Guards against a planned stop that interrupts a stream."""
     replies = []
 
     async def run():
@@ -60,12 +60,12 @@
             stopped.set()
 
     anyio.run(run)
-    cut = [
+    incomplete = [
         (reply.status, reply.body[-200:])
         for reply in replies
         if reply.status != 200 or not reply.is_whole
     ]
-    assert not cut
+    assert not incomplete
     assert len(replies) > CALLERS
     assert {len(traffic.read_events(reply.body)) for reply in replies} == {
         TOKENS
--- a/tests/daemon/test_silent_endpoint.py
+++ b/tests/daemon/test_silent_endpoint.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose endpoint falls silent without closing anything."""
+"""Tests of streams whose endpoint stops sending but stays connected."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 
 from standins import site as sites
 
-# The daemons of this module count a stream as lost after 1 s.
-ENDED_S = 6.0
+# The daemon of this module considers a stream lost after 1 s of silence.
+END_TIMEOUT_S = 6.0
 
 
 @pytest.fixture(scope="module")
-def short_silence(tmp_path_factory) -> Iterator[sites.Site]:
-    """One VM with two engines and a short bound on silence."""
+def short_timeout_site(tmp_path_factory) -> Iterator[sites.Site]:
+    """Yield one VM with two engines and a short silence timeout."""
     with sites.run_site(
         tmp_path_factory.mktemp("site"),
         vms=1,
@@ -36,6 +36,7 @@
 
 @contextlib.contextmanager
 def open_stream(site: sites.Site, model: str) -> Iterator[httpcore.Response]:
+    """Send a streamed request to the only VM and yield its response."""
     body = {"model": model, "prompt": "x", "stream": True, "max_tokens": 60}
     with httpcore.stream(
         "POST",
@@ -49,19 +50,20 @@
 def get_engine(
     site: sites.Site, answer: httpcore.Response
 ) -> sites.EndpointProcess:
-    """Return the engine that an answer names."""
+    """Return the engine in the headers of a response."""
     headers = dict(answer.headers)
     return site.endpoints[headers[b"bronzetrack-endpoint"].decode()]
 
 
 def count_events(site: sites.Site, event: str) -> int:
+    """Return how often the log of the VM has an event."""
     log = (site.folder / "vm-0.log").read_text()
     return log.count(f'"event": "{event}"')
 
 
-def test_stream_goes_on_after_a_silence(short_silence):
-    """Guards against an answer cut off by a pause of its endpoint."""
-    site = short_silence
+def test_stream_continues_after_a_silence(short_timeout_site):
+    """Guards against an answer that is truncated when its endpoint pauses."""
+    site = short_timeout_site
     with open_stream(site, "trust-1") as answer:
         parts = answer.iter_stream()
         body = next(parts)
@@ -78,9 +80,9 @@
     assert body.endswith(b"data: [DONE]\n\n")
 
 
-def test_silence_before_the_first_chunk_is_retried(short_silence):
-    """Guards against a request that waits for a host that died silently."""
-    site = short_silence
+def test_silence_before_the_first_chunk_is_retried(short_timeout_site):
+    """Guards against a request that hangs on a host that died silently."""
+    site = short_timeout_site
     with open_stream(site, "trust-2") as answer:
         engine = get_engine(site, answer)
         assert b"[DONE]" in b"".join(answer.iter_stream())
@@ -92,12 +94,12 @@
             assert b"[DONE]" in b"".join(answer.iter_stream())
     finally:
         engine.process.send_signal(signal.SIGCONT)
-    assert time.monotonic() - began < ENDED_S
+    assert time.monotonic() - began < END_TIMEOUT_S
 
 
-def test_silence_for_ever_ends_the_stream(short_silence):
-    """Guards against a stream held open by a host that died silently."""
-    site = short_silence
+def test_endless_silence_ends_the_stream(short_timeout_site):
+    """Guards against a stream left open by a host that died silently."""
+    site = short_timeout_site
     with open_stream(site, "trust-3") as answer:
         parts = answer.iter_stream()
         next(parts)
@@ -106,8 +108,9 @@
         try:
             began = time.monotonic()
             rest = b"".join(parts)
-            assert time.monotonic() - began < ENDED_S
-            # The slot and the pin stay until the engine confirms the end.
+            assert time.monotonic() - began < END_TIMEOUT_S
+            # The slot and the pinned adapter are kept until the engine
+            # confirms the end.
             queues = site.get_state(site.vms["vm-0"], "dispatch")["endpoints"]
             assert len(queues[engine.name]["running"]) == 1
         finally:
--- a/tests/daemon/test_site.py
+++ b/tests/daemon/test_site.py
@@ -1,4 +1,4 @@
-"""The site that the other tests of this folder run on."""
+"""Tests of the test site that the other tests of this folder use."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 def test_site_starts_with_answers_from_all_vms(tmp_path):
-    """Guards against tests that read from a daemon before it listens."""
+    """Guards against tests that call a daemon before it listens."""
     with sites.run_site(tmp_path, vms=2, engines=0, services=0) as site:
         names = [site.get_state(vm, "vm")["name"] for vm in site.vms.values()]
     assert names == list(site.vms)
 
 
-def test_stopped_vm_is_told_from_a_condition_that_fails(tmp_path):
-    """Guards against a read of a stopped daemon that passes for a value."""
+def test_read_of_a_stopped_vm_raises(tmp_path):
+    """Guards against a stopped daemon that reads like an unmet condition."""
     with sites.run_site(tmp_path, vms=1, engines=0, services=0) as site:
         [vm] = site.vms.values()
         vm.process.kill()
@@ -30,8 +30,8 @@
             site.get_state(vm, "vm")
 
 
-def test_pair_names_the_owner_that_lasts(tmp_path):
-    """Guards against tests that watch a VM whose endpoint still moves."""
+def test_pair_has_the_stable_owner(tmp_path):
+    """Guards against tests that start before the owner is stable."""
     with sites.run_site(tmp_path, vms=2, engines=1, services=0) as site:
         near, far = site.vms.values()
         near.process.send_signal(signal.SIGSTOP)
@@ -43,7 +43,7 @@
 
 @pytest.fixture
 def echo_link(tmp_path) -> Iterator[tuple[sites.Site, socket.socket]]:
-    """A site, and a connection through a link to a server that echoes."""
+    """Yield a site and a connection through a link to an echo server."""
     with (
         sites.run_site(
             tmp_path, vms=0, engines=0, services=0, forwarded=True
@@ -61,6 +61,7 @@
 
 
 def echo(connection: socket.socket) -> None:
+    """Send back everything that is received, until the connection ends."""
     try:
         while data := connection.recv(100):
             connection.sendall(data)
@@ -68,8 +69,8 @@
         pass
 
 
-def test_held_link_passes_bytes_on_when_it_heals(echo_link):
-    """Guards against a cut that lets bytes through, or that loses some."""
+def test_held_link_forwards_bytes_when_it_heals(echo_link):
+    """Guards against a held link that forwards bytes, or that loses some."""
     site, near = echo_link
     near.sendall(b"1")
     assert near.recv(1) == b"1"
@@ -83,8 +84,8 @@
     assert near.recv(1) == b"2"
 
 
-def test_refused_link_breaks_and_takes_nothing(echo_link):
-    """Guards against a refusal that leaves connections as they were."""
+def test_refusing_link_breaks_and_accepts_nothing(echo_link):
+    """Guards against a refusing link that keeps its open connections."""
     site, near = echo_link
     address = near.getpeername()
     site.set_link("echo", "refuse")
--- a/tests/daemon/test_timeouts.py
+++ b/tests/daemon/test_timeouts.py
@@ -1,4 +1,4 @@
-"""Tests of work under a key whose time runs out at each step."""
+"""Tests of work under an idempotency key that times out at each step."""
 
 from __future__ import annotations
 
@@ -16,8 +16,11 @@
 
 
 @pytest.fixture(scope="module")
-def hasty_pair(tmp_path_factory) -> Iterator[pairs.Pair]:
-    """A pair with a short deadline, an engine with one slot and a class."""
+def short_deadline_pair(tmp_path_factory) -> Iterator[pairs.Pair]:
+    """Yield a pair with a short deadline and one slot.
+
+    Its rules have a work class with a short queue timeout.
+    """
     with sites.run_site(
         tmp_path_factory.mktemp("hasty"),
         vms=2,
@@ -36,9 +39,11 @@
         yield pairs.find_pair(running)
 
 
-def test_queue_timeout_before_the_claim_leaves_the_key_usable(hasty_pair):
-    """Guards against a key used up, or run later, by work that gave up."""
-    pair = hasty_pair
+def test_queue_timeout_before_the_claim_leaves_the_key_usable(
+    short_deadline_pair,
+):
+    """Guards against a key consumed, or run later, by timed-out work."""
+    pair = short_deadline_pair
     headers = pairs.make_key("in-queue") | {"Bronzetrack-Class": "brief"}
     with pair.open_stream(max_tokens=1_000) as answer:
         parts = answer.iter_stream()
@@ -56,12 +61,12 @@
 
 
 @pytest.mark.parametrize("role", ["entry", "owner"])
-def test_deadline_while_the_claim_is_in_flight(hasty_pair, role):
-    """Guards against "not run" for a claim that is in the log unread.
+def test_deadline_while_the_claim_is_in_flight(short_deadline_pair, role):
+    """Guards against "not run" for a claim that is appended but not read.
 
     The claim is read back after the deadline of the request.
     """
-    pair = hasty_pair
+    pair = short_deadline_pair
     headers = pairs.make_key(f"in-flight-{role}")
     prompt = f"claimed late through {role}"
     pair.set_faults(read_delay_s=DEADLINE_MS / 1_000 + 0.5)
@@ -72,13 +77,13 @@
 
 
 @pytest.mark.parametrize("role", ["entry", "owner"])
-def test_deadline_after_the_dispatch(hasty_pair, role):
+def test_deadline_after_the_dispatch(short_deadline_pair, role):
     """Guards against "not run" for work that runs past its deadline.
 
-    The owner may itself be the entry VM, which must not void the claim of
-    its own run.
+    The owner may also be the entry VM, which must not void the claim of its
+    own run.
     """
-    pair = hasty_pair
+    pair = short_deadline_pair
     vm = getattr(pair, role)
     headers = pairs.make_key(f"dispatched-{role}")
     prompt = f"dispatched through {role}"
@@ -96,7 +101,7 @@
 
 
 def send_keyed(pair, vm, headers, prompt, **fields):
-    """Send work under a key and return its answer."""
+    """Send a request with a key and return its response."""
     return pair.site.send(
         "trust-1", vm, headers, pairs.TIMEOUTS["read"], prompt=prompt, **fields
     )
--- a/tests/daemon/test_versions.py
+++ b/tests/daemon/test_versions.py
@@ -1,4 +1,4 @@
-"""Tests that work runs on the version it named, whatever changes meanwhile."""
+"""Tests that work runs on the version that was fixed on its arrival."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 
 @pytest.fixture
 def busy_pair(narrow_pair):
-    """A pair whose only slot is taken, and a request that waits for it.
+    """Yield a pair with its only slot in use, and a request that waits for it.
 
     The request named no version and arrived while version 2 was current.
-    Its version is loaded, so that it lacks nothing but the slot.
+    Its version is loaded, so that it waits only for the slot.
     """
     with narrow_pair.open_stream(model="trust-0", max_tokens=5_000) as answer:
         parts = answer.iter_stream()
@@ -27,7 +27,7 @@
 
 
 def test_publication_does_not_change_waiting_work(busy_pair):
-    """Guards against an answer of a version published after the arrival."""
+    """Guards against an answer from a version published after arrival."""
     pair, call, blocker = busy_pair
     document = pair.site.make_inventory()
     # Version 2 is not only replaced but withdrawn.
@@ -43,9 +43,9 @@
 
 
 def test_engine_emptied_between_load_and_dispatch(busy_pair):
-    """Guards against work sent to an engine that forgot its version.
+    """Guards against failed work on an engine that lost its adapters.
 
-    The restart ends the work in the slot at once and shows in the load
+    The restart ends the work in the slot at once, but appears in the load
     report only later, so that the owner dispatches to an empty engine.
     """
     pair, call, _ = busy_pair
@@ -58,7 +58,7 @@
 
 
 def is_loaded(pair, adapter):
-    """Return whether work waits, and its adapter version is loaded."""
+    """Return whether work waits while its adapter version is loaded."""
     [queue] = pair.site.get_state(pair.owner, "dispatch")["endpoints"].values()
     resident = queue["residents"].get(adapter)
     ready = resident is not None and resident["phase"] == "ready"
@@ -66,6 +66,7 @@
 
 
 def get_current(pair, vm):
+    """Return the current version of the adapter, as known to a VM."""
     state = pair.site.get_state(vm, "configuration")
     inventory = state["configuration"]["inventory"]
     return inventory["adapters"]["trust-1"]["current"]
