Rename the field whole of the client's answer to complete

Cause: "complete" is the usual term for an answer whose end arrived. Change: Rename the field, which is used in client/sender.py only. Run: pytest -n 2 tests/client tests/console: all passed; flake8 clean.

--- a/src/bronzetrack/client/sender.py
+++ b/src/bronzetrack/client/sender.py
@@ -38,14 +38,14 @@
 class Answer:
     """An answer that was read to its end.
 
-    :param whole: whether the answer is complete; a stream is complete if its
+    :param complete: whether the body arrived; a stream is complete if its
         end marker arrived
     """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
-    whole: bool
+    complete: bool
 
 
 @attrs.frozen
@@ -132,7 +132,7 @@
         if isinstance(answer, failures.Failure):
             failure = answer
             continue
-        if answer.whole:
+        if answer.complete:
             return answer
         failure = failures.Failure(
             failures.Reason.ANSWER_INCOMPLETE,
@@ -164,8 +164,8 @@
         return answer
     content_type = answer.headers.get("content-type", "")
     streamed = content_type.startswith(EVENT_STREAM)
-    whole = not streamed or END_MARKER in answer.body
-    return Answer(answer.status, answer.headers, answer.body, whole)
+    complete = not streamed or END_MARKER in answer.body
+    return Answer(answer.status, answer.headers, answer.body, complete)
 
 
 @contextlib.asynccontextmanager
