Rename Need to ModelKey in the entry VM

Cause: "Need" names a key of model and adapter after the reason for which it is looked up. New engineers took it for a demand. Change: Need -> ModelKey; parameters, locals and fields need -> model_key; NO_NEED -> NO_MODEL_KEY; Arrivals.by_need -> by_model_key; NEED in tests/entry/controllers/test_loading.py -> MODEL_KEY; needs in scripts/plan_cost.py -> model_keys.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -61,10 +61,10 @@
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
         known = board.loading.value.find_engine(endpoint)
         known.check_at = None
-        needs = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
-        known.held = dict.fromkeys(needs, 1)
+        model_keys = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
+        known.held = dict.fromkeys(model_keys, 1)
         uses = board.traffic.value.find(endpoint.identity).uses
-        uses.update(dict.fromkeys(needs[1:], 1))
+        uses.update(dict.fromkeys(model_keys[1:], 1))
 
 
 def measure(engines: int, demands: int) -> float:
--- a/src/bronzetrack/entry/arrivals.py
+++ b/src/bronzetrack/entry/arrivals.py
@@ -7,8 +7,8 @@
 from bronzetrack.core import blackboard
 from bronzetrack.entry import endpoints
 
-# Key for requests that need no model.
-NO_NEED: endpoints.Need = ("", "")
+# Key for requests that are not for a model.
+NO_MODEL_KEY: endpoints.ModelKey = ("", "")
 
 
 class Arrival(blackboard.Source):
@@ -40,28 +40,28 @@
 class Arrivals:
     """Change sources that requests wait on, by model and adapter."""
 
-    by_need: dict[endpoints.Need, Arrival] = attrs.field(factory=dict)
+    by_model_key: dict[endpoints.ModelKey, Arrival] = attrs.field(factory=dict)
 
-    def join(self, need: endpoints.Need) -> Arrival:
+    def join(self, model_key: endpoints.ModelKey) -> Arrival:
         """Register a waiting request and return the source to wait on.
 
         Each call must be paired with a call of `leave`.
         """
-        arrival = self.by_need.get(need)
+        arrival = self.by_model_key.get(model_key)
         if arrival is None:
-            arrival = self.by_need[need] = Arrival()
+            arrival = self.by_model_key[model_key] = Arrival()
         arrival.waiting += 1
         return arrival
 
-    def leave(self, need: endpoints.Need) -> None:
+    def leave(self, model_key: endpoints.ModelKey) -> None:
         """Unregister a waiting request; the last one removes the source."""
-        arrival = self.by_need[need]
+        arrival = self.by_model_key[model_key]
         arrival.waiting -= 1
         if not arrival.waiting:
-            del self.by_need[need]
+            del self.by_model_key[model_key]
 
-    def change(self, need: endpoints.Need) -> None:
+    def change(self, model_key: endpoints.ModelKey) -> None:
         """Wake the requests that wait for a model or an adapter."""
-        arrival = self.by_need.get(need)
+        arrival = self.by_model_key.get(model_key)
         if arrival is not None:
             arrival.change()
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -142,9 +142,9 @@
     def _apply_placement(self, placed: messages.Placed) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(placed.identity)
         if endpoint is not None:
-            need = (placed.model, placed.adapter)
-            endpoint.place(need, placed.version, self.read_clock())
-            self.board.arrivals.change(need)
+            model_key = (placed.model, placed.adapter)
+            endpoint.place(model_key, placed.version, self.read_clock())
+            self.board.arrivals.change(model_key)
 
     def _mark_removed(self, identity: str, now: float) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -143,17 +143,17 @@
             self.write(self.board.loading, loadstate.LoadingState())
 
     def _record_want(self, want: messages.Want, now: float) -> None:
-        need = (want.model, want.adapter)
+        model_key = (want.model, want.adapter)
         if want.unreachable:
             self._mark_unreachable(want.unreachable, now)
         if want.missing:
-            self._handle_missing(want, need, now)
-        key = (want.service, need)
+            self._handle_missing(want, model_key, now)
+        key = (want.service, model_key)
         demand = self._state.demands.get(key)
         if demand is None:
             demand = loadstate.Demand(
                 want.service,
-                need,
+                model_key,
                 want.version,
                 want.copies,
                 due=-math.inf,
@@ -175,29 +175,29 @@
             state.silent_until = now + UNREACHABLE_S
 
     def _handle_missing(
-        self, want: messages.Want, need: endpoints.Need, now: float
+        self, want: messages.Want, model_key: endpoints.ModelKey, now: float
     ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
         if endpoint is None:
             return
         state = self._state.find_engine(endpoint)
-        loaded_at = state.loaded_at.get(need)
+        loaded_at = state.loaded_at.get(model_key)
         if loaded_at is not None and now - loaded_at < loading.FRESH_S:
             self._state.times.note_early(
-                state.kinds.get(need, loadtimes.UNKNOWN_KIND)
+                state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
             )
-            state.pending[need] = now + LOAD_RECHECK_S
-        elif need in state.held and state.check_at is None:
+            state.pending[model_key] = now + LOAD_RECHECK_S
+        elif model_key in state.held and state.check_at is None:
             state.check_at = now + ordering.REPORT_LAG_S
-        self._orderer.publish(endpoint, need, 0)
+        self._orderer.publish(endpoint, model_key, 0)
 
     def _record_uses(self, now: float) -> None:
-        uses: collections.Counter[tuple[str, endpoints.Need]] = (
+        uses: collections.Counter[tuple[str, endpoints.ModelKey]] = (
             collections.Counter()
         )
         for identity, item in self.board.traffic.value.by_identity.items():
-            for need in item.uses:
-                uses[(identity, need)] += 1
+            for model_key in item.uses:
+                uses[(identity, model_key)] += 1
         members = self.board.membership.value.members
         for peer in members.list_alive(now):
             for identity, model, adapter in peer.uses:
@@ -238,7 +238,7 @@
         ]
         margin_s = state.measure_margin()
         for demand in loading.order_demands(demands, margin_s, now):
-            key = (service, demand.need)
+            key = (service, demand.model_key)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_TTL_S:
                 del state.demands[key]
@@ -266,9 +266,9 @@
         """
         for endpoint in holders:
             state = self._state.find_engine(endpoint)
-            if demand.need not in state.pending:
+            if demand.model_key not in state.pending:
                 self._orderer.publish(
-                    endpoint, demand.need, state.held[demand.need]
+                    endpoint, demand.model_key, state.held[demand.model_key]
                 )
 
     def _compute_relative_loads(
@@ -321,19 +321,24 @@
         """Announce the adapters whose loads are expected to be complete."""
         for identity, state in self._state.engines.items():
             completed = [
-                need for need, due in state.pending.items() if due <= now
+                model_key
+                for model_key, due in state.pending.items()
+                if due <= now
             ]
             endpoint = self.board.endpoints.value.by_identity.get(identity)
-            for need in completed:
-                del state.pending[need]
+            for model_key in completed:
+                del state.pending[model_key]
                 if endpoint is not None:
-                    if state.loaded_at.get(need, 0.0) < now - loading.FRESH_S:
+                    if (
+                        state.loaded_at.get(model_key, 0.0)
+                        < now - loading.FRESH_S
+                    ):
                         self._state.times.note_announced(
-                            state.kinds.get(need, loadtimes.UNKNOWN_KIND)
+                            state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
                         )
-                    state.loaded_at[need] = now
+                    state.loaded_at[model_key] = now
                     self._orderer.publish(
-                        endpoint, need, state.held.get(need, 1)
+                        endpoint, model_key, state.held.get(model_key, 1)
                     )
 
     def _start_checks(self, group: abc.TaskGroup, now: float) -> None:
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -6,7 +6,7 @@
 
 # Model and adapter that a request is for. The adapter is empty where the
 # request is for the base model.
-Need = tuple[str, str]
+ModelKey = tuple[str, str]
 
 # Announcements reach this VM with at most about this delay.
 MAX_ANNOUNCEMENT_DELAY_S = 3.0
@@ -36,11 +36,11 @@
     started_ms: int = 0
     announced: int = 0
     models: dict[str, int] = attrs.field(factory=dict)
-    adapters: dict[Need, int] = attrs.field(factory=dict)
+    adapters: dict[ModelKey, int] = attrs.field(factory=dict)
     leaving_since: float | None = None
     removed_at: float | None = None
     gone_at: float | None = None
-    placed_at: dict[Need, float] = attrs.field(factory=dict)
+    placed_at: dict[ModelKey, float] = attrs.field(factory=dict)
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the endpoint."""
@@ -48,28 +48,28 @@
             return False
         return self.removed_at is None or now < self.removed_at
 
-    def holds(self, need: Need, version: int) -> bool:
+    def holds(self, model_key: ModelKey, version: int) -> bool:
         """Return whether the endpoint holds a model or an adapter.
 
         :param version: oldest version of the adapter that may be used
         """
-        model, adapter = need
+        model, adapter = model_key
         if not adapter:
             return model in self.models
-        return self.adapters.get(need, 0) >= version
+        return self.adapters.get(model_key, 0) >= version
 
-    def place(self, need: Need, version: int, now: float) -> None:
+    def place(self, model_key: ModelKey, version: int, now: float) -> None:
         """Apply a report of the lease holder about a model or an adapter.
 
         :param version: version held, 0 for none
         """
-        self.placed_at[need] = now
-        self._set_version(need, version)
+        self.placed_at[model_key] = now
+        self._set_version(model_key, version)
 
     def announce(
         self,
         models: dict[str, int],
-        adapters: dict[Need, int],
+        adapters: dict[ModelKey, int],
         now: float,
     ) -> None:
         """Apply the models and adapters that the endpoint announced.
@@ -78,28 +78,31 @@
         lease sent within that delay are newer and take precedence.
         """
         self.placed_at = {
-            need: at
-            for need, at in self.placed_at.items()
+            model_key: at
+            for model_key, at in self.placed_at.items()
             if now - at < MAX_ANNOUNCEMENT_DELAY_S
         }
-        kept = {need: self._get_version(need) for need in self.placed_at}
+        kept = {
+            model_key: self._get_version(model_key)
+            for model_key in self.placed_at
+        }
         self.models = dict(models)
         self.adapters = dict(adapters)
-        for need, version in kept.items():
-            self._set_version(need, version)
+        for model_key, version in kept.items():
+            self._set_version(model_key, version)
 
-    def _get_version(self, need: Need) -> int:
-        model, adapter = need
+    def _get_version(self, model_key: ModelKey) -> int:
+        model, adapter = model_key
         if adapter:
-            return self.adapters.get(need, 0)
+            return self.adapters.get(model_key, 0)
         return self.models.get(model, 0)
 
-    def _set_version(self, need: Need, version: int) -> None:
-        model, adapter = need
+    def _set_version(self, model_key: ModelKey, version: int) -> None:
+        model, adapter = model_key
         if adapter and version:
-            self.adapters[need] = version
+            self.adapters[model_key] = version
         elif adapter:
-            self.adapters.pop(need, None)
+            self.adapters.pop(model_key, None)
         elif version:
             self.models[model] = version
         else:
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -57,17 +57,17 @@
     """
 
     endpoint: endpoints.Endpoint
-    need: endpoints.Need
+    model_key: endpoints.ModelKey
     version: int
-    victim: endpoints.Need | None = None
+    victim: endpoints.ModelKey | None = None
 
 
-def compute_hash_weight(need: endpoints.Need, identity: str) -> int:
+def compute_hash_weight(model_key: endpoints.ModelKey, identity: str) -> int:
     """Return the rendezvous hash of an adapter and an engine.
 
     The value is the same on all VMs.
     """
-    text = f"{need[0]}/{need[1]}/{identity}".encode()
+    text = f"{model_key[0]}/{model_key[1]}/{identity}".encode()
     digest = hashlib.blake2b(text, digest_size=8).digest()
     return int.from_bytes(digest, "big")
 
@@ -88,7 +88,7 @@
     """
     ranked = sorted(
         candidates,
-        key=lambda item: compute_hash_weight(demand.need, item.identity),
+        key=lambda item: compute_hash_weight(demand.model_key, item.identity),
         reverse=True,
     )
     best: tuple[float, Plan] | None = None
@@ -112,52 +112,57 @@
     now: float,
 ) -> tuple[float, Plan] | None:
     """Return the cost and plan of a load at an engine, if it is possible."""
-    if demand.need[0] not in endpoint.models:
+    if demand.model_key[0] not in endpoint.models:
         return None
     engine_state = state.find_engine(endpoint)
     if len(engine_state.pending) >= MAX_PENDING:
         return None
-    if demand.need in engine_state.held:
+    if demand.model_key in engine_state.held:
         # A new version occupies a slot of its own until the old version is
         # unloaded, so the old version is unloaded first.
-        if _is_evictable(endpoint, demand.need, engine_state, state, now):
+        if _is_evictable(endpoint, demand.model_key, engine_state, state, now):
             return -1.0, Plan(
-                endpoint, demand.need, demand.version, demand.need
+                endpoint, demand.model_key, demand.version, demand.model_key
             )
         return None
     if len(engine_state.held) < engine.places:
-        return 0.0, Plan(endpoint, demand.need, demand.version)
+        return 0.0, Plan(endpoint, demand.model_key, demand.version)
     evictable = [
-        need
-        for need in engine_state.held
-        if _is_evictable(endpoint, need, engine_state, state, now)
+        model_key
+        for model_key in engine_state.held
+        if _is_evictable(endpoint, model_key, engine_state, state, now)
     ]
     if not evictable:
         return None
     victim = min(
         evictable,
-        key=lambda need: _make_eviction_key(endpoint, need, state, now),
+        key=lambda model_key: _make_eviction_key(
+            endpoint, model_key, state, now
+        ),
     )
     decayed_use = state.measure_decayed_use(victim, now)
     return DECAYED_USE_WEIGHT * decayed_use, Plan(
-        endpoint, demand.need, demand.version, victim
+        endpoint, demand.model_key, demand.version, victim
     )
 
 
 def _is_evictable(
     endpoint: endpoints.Endpoint,
-    need: endpoints.Need,
+    model_key: endpoints.ModelKey,
     engine_state: loadstate.EngineState,
     state: loadstate.LoadingState,
     now: float,
 ) -> bool:
     """Return whether an adapter may be evicted from an engine."""
-    if need in engine_state.pending or need in engine_state.unloading:
+    if (
+        model_key in engine_state.pending
+        or model_key in engine_state.unloading
+    ):
         return False
     if state.started_at is None or now - state.started_at < USE_COLLECTION_S:
         return False
-    used_at = state.used_at.get((endpoint.identity, need), 0.0)
-    loaded_at = engine_state.loaded_at.get(need, 0.0)
+    used_at = state.used_at.get((endpoint.identity, model_key), 0.0)
+    loaded_at = engine_state.loaded_at.get(model_key, 0.0)
     if used_at < loaded_at and now - loaded_at < KEEP_LOADED_S:
         return False
     return now - used_at >= IDLE_S
@@ -165,13 +170,13 @@
 
 def _make_eviction_key(
     endpoint: endpoints.Endpoint,
-    need: endpoints.Need,
+    model_key: endpoints.ModelKey,
     state: loadstate.LoadingState,
     now: float,
 ) -> tuple[float, float]:
     return (
-        state.measure_decayed_use(need, now),
-        state.used_at.get((endpoint.identity, need), 0.0),
+        state.measure_decayed_use(model_key, now),
+        state.used_at.get((endpoint.identity, model_key), 0.0),
     )
 
 
@@ -227,8 +232,8 @@
     """Return whether an engine has a free slot or an evictable adapter."""
     engine_state = state.find_engine(endpoint)
     return len(engine_state.held) < engine.places or any(
-        _is_evictable(endpoint, need, engine_state, state, now)
-        for need in engine_state.held
+        _is_evictable(endpoint, model_key, engine_state, state, now)
+        for model_key in engine_state.held
     )
 
 
@@ -259,7 +264,7 @@
         item.identity
         for item in candidates
         if item.is_usable(now)
-        and state.find_engine(item).is_cached(demand.need)
+        and state.find_engine(item).is_cached(demand.model_key)
         and now >= state.find_engine(item).silent_until
         and item not in holders
     }
@@ -288,6 +293,6 @@
 ) -> bool:
     return (
         now >= engine_state.silent_until
-        and engine_state.held.get(demand.need, 0) >= demand.version
-        and demand.need not in engine_state.unloading
+        and engine_state.held.get(demand.model_key, 0) >= demand.version
+        and demand.model_key not in engine_state.unloading
     )
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -47,33 +47,35 @@
 
     started_ms: int
     sequence: int = 0
-    held: dict[endpoints.Need, int] = attrs.field(factory=dict)
-    cached: dict[endpoints.Need, None] = attrs.field(factory=dict)
-    pending: dict[endpoints.Need, float] = attrs.field(factory=dict)
-    unloading: set[endpoints.Need] = attrs.field(factory=set)
-    loaded_at: dict[endpoints.Need, float] = attrs.field(factory=dict)
-    kinds: dict[endpoints.Need, loadtimes.LoadKind] = attrs.field(factory=dict)
+    held: dict[endpoints.ModelKey, int] = attrs.field(factory=dict)
+    cached: dict[endpoints.ModelKey, None] = attrs.field(factory=dict)
+    pending: dict[endpoints.ModelKey, float] = attrs.field(factory=dict)
+    unloading: set[endpoints.ModelKey] = attrs.field(factory=set)
+    loaded_at: dict[endpoints.ModelKey, float] = attrs.field(factory=dict)
+    kinds: dict[endpoints.ModelKey, loadtimes.LoadKind] = attrs.field(
+        factory=dict
+    )
     ordering: bool = False
     silent_until: float = 0.0
     check_at: float | None = 0.0
     loading_until: float = 0.0
 
-    def record_cached(self, need: endpoints.Need) -> None:
+    def record_cached(self, model_key: endpoints.ModelKey) -> None:
         """Record that the engine holds an adapter."""
-        self.cached.pop(need, None)
-        self.cached[need] = None
+        self.cached.pop(model_key, None)
+        self.cached[model_key] = None
         while len(self.cached) > MAX_CACHED:
             del self.cached[next(iter(self.cached))]
 
-    def is_cached(self, need: endpoints.Need) -> bool:
+    def is_cached(self, model_key: endpoints.ModelKey) -> bool:
         """Return whether the engine probably has an adapter's weights."""
-        return need in self.cached
+        return model_key in self.cached
 
     def forget(self) -> None:
         """Discard load times and kinds of adapters that occupy no slot."""
         for times in (self.loaded_at, self.kinds):
-            for need in set(times) - set(self.held):
-                del times[need]
+            for model_key in set(times) - set(self.held):
+                del times[model_key]
 
 
 @attrs.define(eq=False)
@@ -89,7 +91,7 @@
     """
 
     service: str
-    need: endpoints.Need
+    model_key: endpoints.ModelKey
     version: int
     copies: int
     due: float
@@ -131,13 +133,13 @@
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
-    demands: dict[tuple[str, endpoints.Need], Demand] = attrs.field(
+    demands: dict[tuple[str, endpoints.ModelKey], Demand] = attrs.field(
         factory=dict
     )
-    decayed_use: dict[endpoints.Need, tuple[float, float]] = attrs.field(
+    decayed_use: dict[endpoints.ModelKey, tuple[float, float]] = attrs.field(
         factory=dict
     )
-    used_at: dict[tuple[str, endpoints.Need], float] = attrs.field(
+    used_at: dict[tuple[str, endpoints.ModelKey], float] = attrs.field(
         factory=dict
     )
     uses_updated_at: float = 0.0
@@ -156,7 +158,7 @@
         return state
 
     def note_uses(
-        self, uses: Mapping[tuple[str, endpoints.Need], int], now: float
+        self, uses: Mapping[tuple[str, endpoints.ModelKey], int], now: float
     ) -> None:
         """Record which adapters are in use now.
 
@@ -164,28 +166,33 @@
         """
         elapsed = min(1.0, max(0.0, now - self.uses_updated_at))
         self.uses_updated_at = now
-        for (identity, need), count in uses.items():
-            self.used_at[(identity, need)] = now
-            decayed_use = self.measure_decayed_use(need, now) + count * elapsed
-            self.decayed_use[need] = (decayed_use, now)
-
-    def measure_decayed_use(self, need: endpoints.Need, now: float) -> float:
+        for (identity, model_key), count in uses.items():
+            self.used_at[(identity, model_key)] = now
+            decayed_use = (
+                self.measure_decayed_use(model_key, now) + count * elapsed
+            )
+            self.decayed_use[model_key] = (decayed_use, now)
+
+    def measure_decayed_use(
+        self, model_key: endpoints.ModelKey, now: float
+    ) -> float:
         """Return the decayed use of an adapter in requests times seconds."""
-        value, at = self.decayed_use.get(need, (0.0, now))
+        value, at = self.decayed_use.get(model_key, (0.0, now))
         return value * 0.5 ** ((now - at) / USE_HALF_LIFE_S)
 
     def forget(self, now: float) -> None:
         """Discard entries that no longer affect any decision."""
         self.forgot_at = now
         self.used_at = {
-            (identity, need): at
-            for (identity, need), at in self.used_at.items()
-            if identity in self.engines and need in self.engines[identity].held
+            (identity, model_key): at
+            for (identity, model_key), at in self.used_at.items()
+            if identity in self.engines
+            and model_key in self.engines[identity].held
         }
         self.decayed_use = {
-            need: found
-            for need, found in self.decayed_use.items()
-            if self.measure_decayed_use(need, now) > MIN_DECAYED_USE
+            model_key: found
+            for model_key, found in self.decayed_use.items()
+            if self.measure_decayed_use(model_key, now) > MIN_DECAYED_USE
         }
         for engine in self.engines.values():
             engine.forget()
@@ -195,10 +202,10 @@
         return self.times.estimate(loadtimes.UNKNOWN_KIND) + FIRST_EVENT_S
 
     def classify_load(
-        self, engine: EngineState, need: endpoints.Need
+        self, engine: EngineState, model_key: endpoints.ModelKey
     ) -> loadtimes.LoadKind:
         """Return the kind of a load that an engine starts now."""
         in_flight = sum(len(item.pending) for item in self.engines.values())
         return loadtimes.LoadKind(
-            engine.is_cached(need), in_flight // IN_FLIGHT_STEP
+            engine.is_cached(model_key), in_flight // IN_FLIGHT_STEP
         )
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -105,7 +105,10 @@
             ),
             "requests_waiting": (
                 "Requests that wait for an engine.",
-                sum(item.waiting for item in board.arrivals.by_need.values()),
+                sum(
+                    item.waiting
+                    for item in board.arrivals.by_model_key.values()
+                ),
             ),
             "requests_active": (
                 "Requests in progress at endpoints.",
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -85,7 +85,7 @@
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
-        victim: endpoints.Need,
+        victim: endpoints.ModelKey,
     ) -> bool:
         """Order an engine to unload an adapter.
 
@@ -112,35 +112,39 @@
     ) -> None:
         version = plan.version if plan.version > 1 else None
         # The slot counts as occupied before the answer, which may be lost.
-        state.held[plan.need] = max(1, plan.version)
-        state.pending[plan.need] = math.inf
+        state.held[plan.model_key] = max(1, plan.version)
+        state.pending[plan.model_key] = math.inf
         try:
             verdict = await self._send_order(
-                endpoint, state, True, plan.need, version
+                endpoint, state, True, plan.model_key, version
             )
         finally:
-            del state.pending[plan.need]
+            del state.pending[plan.model_key]
         now = self._read_clock()
         if verdict is orders.Verdict.STARTED:
-            kind = self._state.classify_load(state, plan.need)
-            state.kinds[plan.need] = kind
-            state.record_cached(plan.need)
-            state.pending[plan.need] = now + self._state.times.estimate(kind)
+            kind = self._state.classify_load(state, plan.model_key)
+            state.kinds[plan.model_key] = kind
+            state.record_cached(plan.model_key)
+            state.pending[plan.model_key] = now + self._state.times.estimate(
+                kind
+            )
         elif verdict is orders.Verdict.DONE:
-            self.publish(endpoint, plan.need, state.held[plan.need])
+            self.publish(endpoint, plan.model_key, state.held[plan.model_key])
 
     async def _send_order(
         self,
         endpoint: endpoints.Endpoint,
         state: loadstate.EngineState,
         load: bool,
-        need: endpoints.Need,
+        model_key: endpoints.ModelKey,
         version: int | None = None,
     ) -> orders.Verdict:
         lease = self._board.lease.value
         if not lease.is_held(self._read_clock()):
             return orders.Verdict.REFUSED
-        order = orders.Order(load, need[0], need[1], state.sequence, version)
+        order = orders.Order(
+            load, model_key[0], model_key[1], state.sequence, version
+        )
         # A renewal during the call raises the token of the lease.
         token = lease.token
         verdict = await self._engines.order(
@@ -160,8 +164,8 @@
         event = logevents.OrderAnswered(
             endpoint=endpoint.identity,
             operation=operation,
-            model=need[0],
-            adapter=need[1],
+            model=model_key[0],
+            adapter=model_key[1],
             version=version,
             sequence=order.sequence,
             token=token,
@@ -173,14 +177,14 @@
     def publish(
         self,
         endpoint: endpoints.Endpoint,
-        need: endpoints.Need,
+        model_key: endpoints.ModelKey,
         version: int,
     ) -> None:
         """Announce which version of a model or an adapter an engine holds.
 
         :param version: version held, 0 for none
         """
-        placed = messages.Placed(endpoint.identity, *need, version)
+        placed = messages.Placed(endpoint.identity, *model_key, version)
         self._board.placed.post(placed)
         self._board.outgoing.post(placed)
 
@@ -216,11 +220,11 @@
         state.held = dict.fromkeys(report.pending, 1) | report.adapters
         state.unloading &= set(state.held)
         state.pending = {
-            need: state.pending.get(need, now + REPORT_LAG_S)
-            for need in report.pending
+            model_key: state.pending.get(model_key, now + REPORT_LAG_S)
+            for model_key in report.pending
         }
-        for need in state.held:
-            state.record_cached(need)
+        for model_key in state.held:
+            state.record_cached(model_key)
         self._publish_report(endpoint, state, report)
 
     def _publish_report(
@@ -230,13 +234,13 @@
         report: documents.Report,
     ) -> None:
         """Announce to all VMs where a report differs from earlier ones."""
-        for need in set(endpoint.adapters) - set(report.adapters):
-            self.publish(endpoint, need, 0)
-        for need, version in report.adapters.items():
-            if need in state.unloading or need in state.pending:
+        for model_key in set(endpoint.adapters) - set(report.adapters):
+            self.publish(endpoint, model_key, 0)
+        for model_key, version in report.adapters.items():
+            if model_key in state.unloading or model_key in state.pending:
                 continue
-            if endpoint.adapters.get(need) != version:
-                self.publish(endpoint, need, version)
+            if endpoint.adapters.get(model_key) != version:
+                self.publish(endpoint, model_key, version)
         for model, version in report.models.items():
             if model not in endpoint.models:
                 self.publish(endpoint, (model, ""), version)
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -104,7 +104,7 @@
 
 def list_holders(
     candidates: list[endpoints.Endpoint],
-    need: tuple[str, str],
+    model_key: tuple[str, str],
     version: int,
     view: View,
 ) -> list[endpoints.Endpoint]:
@@ -117,7 +117,7 @@
         for item in candidates
         if item.is_usable(view.now)
         and view.is_reachable(item)
-        and item.holds(need, version)
+        and item.holds(model_key, version)
     ]
 
 
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -38,13 +38,13 @@
     """
     if progress.sends == 1 and (progress.waited_s or 0.0) < LOGGED_WAIT_S:
         return
-    need = request.need or arrivals.NO_NEED
-    placed_at = endpoint.placed_at.get(need)
+    model_key = request.model_key or arrivals.NO_MODEL_KEY
+    placed_at = endpoint.placed_at.get(model_key)
     event = logevents.RequestSent(
         request_id=request.identity,
         endpoint=endpoint.identity,
         adapter=request.adapter,
-        version=endpoint.adapters.get(need),
+        version=endpoint.adapters.get(model_key),
         placed_age_s=logevents.round_time(
             None if placed_at is None else now - placed_at
         ),
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -55,6 +55,6 @@
         self.start_by = min(self.deadline, self.arrived + route.patience_s)
 
     @property
-    def need(self) -> tuple[str, str] | None:
+    def model_key(self) -> tuple[str, str] | None:
         """Model and adapter that the endpoint must hold, if any."""
         return (self.model, self.adapter) if self.model else None
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -66,7 +66,7 @@
 
         :returns: the endpoint, or the reason why the request is refused
         """
-        key = request.need or arrivals.NO_NEED
+        key = request.model_key or arrivals.NO_MODEL_KEY
         arrival = self.board.arrivals.join(key)
         try:
             while True:
@@ -143,17 +143,17 @@
             now,
             self._limit_own_requests(progress.service, now),
         )
-        need = request.need
-        if need is None or not self._has_engine(progress.service):
+        model_key = request.model_key
+        if model_key is None or not self._has_engine(progress.service):
             return placement.choose_endpoint(
                 candidates, frozenset(progress.tried), view
             )
-        version = self.board.rules.value.versions.get(need, FIRST_VERSION)
-        holders = placement.list_holders(candidates, need, version, view)
+        version = self.board.rules.value.versions.get(model_key, FIRST_VERSION)
+        holders = placement.list_holders(candidates, model_key, version, view)
         if not holders:
             self._request_load(request, progress, version, 1, now)
             return None
-        if need[1] and self._is_copy_needed(
+        if model_key[1] and self._is_copy_needed(
             progress, holders, candidates, view
         ):
             self._request_load(
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -59,8 +59,8 @@
             opened
         """
         traffic = self.board.traffic.value.find(endpoint.identity)
-        need = request.need
-        traffic.start(need)
+        model_key = request.model_key
+        traffic.start(model_key)
         try:
             pool = self._find_pool(endpoint)
             connection = pool.take_idle(self.read_clock())
@@ -76,7 +76,7 @@
                 exchange, request, progress, endpoint, pool, connection
             )
         finally:
-            traffic.end(need)
+            traffic.end(model_key)
 
     def _find_pool(self, endpoint: endpoints.Endpoint) -> connections.Pool:
         pool = self._pools.get(endpoint.identity)
@@ -136,10 +136,13 @@
         self, request: requests.Request, endpoint: endpoints.Endpoint
     ) -> int | None:
         """Return the adapter version to require if a version was published."""
-        need = request.need
-        if need is None or need not in self.board.rules.value.versions:
+        model_key = request.model_key
+        if (
+            model_key is None
+            or model_key not in self.board.rules.value.versions
+        ):
             return None
-        return endpoint.adapters.get(need)
+        return endpoint.adapters.get(model_key)
 
     def _record_outcome(
         self,
@@ -194,11 +197,11 @@
             return traffic.note_failure(now)
         if instance is not None and instance != endpoint.identity.encode():
             return traffic.note_unreachable(now)
-        if request.need is not None:
+        if request.model_key is not None:
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
             self.board.placed.post(
-                messages.Placed(endpoint.identity, *request.need, 0)
+                messages.Placed(endpoint.identity, *request.model_key, 0)
             )
         return False
 
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -30,22 +30,22 @@
     failed_at: float = 0.0
     unreachable_until: float = 0.0
 
-    def start(self, need: tuple[str, str] | None) -> None:
+    def start(self, model_key: tuple[str, str] | None) -> None:
         """Count a request that is being sent."""
         self.active += 1
-        if need is not None:
-            self.uses[need] = self.uses.get(need, 0) + 1
+        if model_key is not None:
+            self.uses[model_key] = self.uses.get(model_key, 0) + 1
 
-    def end(self, need: tuple[str, str] | None) -> None:
+    def end(self, model_key: tuple[str, str] | None) -> None:
         """Remove a request that has ended from the count."""
         self.active -= 1
-        if need is None:
+        if model_key is None:
             return
-        left = self.uses.get(need, 0) - 1
+        left = self.uses.get(model_key, 0) - 1
         if left > 0:
-            self.uses[need] = left
+            self.uses[model_key] = left
         else:
-            self.uses.pop(need, None)
+            self.uses.pop(model_key, None)
 
     def measure_failures(self, now: float) -> float:
         """Return the decayed number of recent failures."""
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -4,7 +4,7 @@
 
 from bronzetrack.entry import messages
 
-NEED = ("m", "a1")
+MODEL_KEY = ("m", "a1")
 
 
 def test_vm_that_acquires_the_lease_again_discards_its_old_state(
@@ -16,7 +16,7 @@
     """
     controller._run_turn(None, now)
     known = board.loading.value.find_engine(make_endpoint("e"))
-    known.pending = {NEED: now + 1}
+    known.pending = {MODEL_KEY: now + 1}
     board.lease.value.give_up()
     controller._run_turn(None, now)
     assert board.loading.value.engines == {"e": known}
@@ -33,8 +33,8 @@
     board.endpoints.value.add(endpoint)
     controller._run_turn(None, now)
     known = board.loading.value.find_engine(endpoint)
-    known.held = {NEED: 1}
-    known.pending = {NEED: now + 0.2}
+    known.held = {MODEL_KEY: 1}
+    known.pending = {MODEL_KEY: now + 0.2}
     board.lease.value.give_up()
     controller._run_turn(None, now)
     assert len(board.placed) == 0
@@ -53,11 +53,11 @@
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
     known = board.loading.value.find_engine(endpoint)
-    known.loaded_at[NEED] = now
-    want = messages.Want("v", "s", *NEED, 1, 1, "e", "", 100)
+    known.loaded_at[MODEL_KEY] = now
+    want = messages.Want("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
     board.wanted.post(want)
     controller._run_turn(None, now)
-    assert now < known.pending[NEED] < now + 0.2
+    assert now < known.pending[MODEL_KEY] < now + 0.2
 
 
 def test_idle_holder_pauses_until_the_next_due_time(
@@ -70,11 +70,11 @@
     assert controller._compute_pause_ms(now) > 200
     known.check_at = now + 0.1
     assert 90 <= controller._compute_pause_ms(now) <= 101
-    known.pending[NEED] = now + 0.05
+    known.pending[MODEL_KEY] = now + 0.05
     assert controller._compute_pause_ms(now) <= 51
     known.pending.clear()
     known.check_at = None
-    board.traffic.value.find("e").start(NEED)
+    board.traffic.value.find("e").start(MODEL_KEY)
     assert controller._compute_pause_ms(now) <= 51
     board.lease.value.give_up()
     known.check_at = now
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -177,11 +177,11 @@
     endpoint = make_endpoint("e", "held")
     engine_state = apply_first_report(state, endpoint, now)
     for number in range(3_000):
-        need = ("m", f"a{number}")
-        state.note_uses({("e", need): 1}, now + 0.01 * number)
-        engine_state.record_cached(need)
-        engine_state.loaded_at[need] = now
-        engine_state.kinds[need] = loadtimes.UNKNOWN_KIND
+        model_key = ("m", f"a{number}")
+        state.note_uses({("e", model_key): 1}, now + 0.01 * number)
+        engine_state.record_cached(model_key)
+        engine_state.loaded_at[model_key] = now
+        engine_state.kinds[model_key] = loadtimes.UNKNOWN_KIND
     state.note_uses({("e", ("m", "held")): 1}, now + 500)
     state.forget(now + 500)
     assert set(state.used_at) == {("e", ("m", "held"))}
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -91,7 +91,7 @@
     """Guards against a request that runs without its adapter."""
     headers = [(b"X-Model", b"m/a1"), (b"X-Token-Usage", b"10,20")]
     request, _ = reencode_request(headers, endpoint)
-    assert request.need == ("m", "a1")
+    assert request.model_key == ("m", "a1")
     assert (request.prompt_tokens, request.output_tokens) == (10, 20)
 
 
