Name the lease operations by their effect

Cause: note_* and give_up described what the VM does with a fact instead of the change of the lease; Situation and its field fenced said neither what is decided nor that engines check tokens. Change: Situation -> StepConditions, its field fenced -> engines_check_tokens (the setting of that name), locals situation -> conditions, _make_situation -> _make_step_conditions; note_end -> update_end; note_last -> apply_last_record; note_renewed -> apply_renewal; note_lapse -> mark_lapsed; give_up -> relinquish. Tests named after the old words are renamed too.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -73,13 +73,13 @@
     ports = roles.Ports(None, None, None)
     now = 1_000.0
     controller = roles.CONTROLLERS.lookup("loading")(board, ports, lambda: now)
-    board.lease.value.note_renewed(0, now, "vm-1")
+    board.lease.value.apply_renewal(0, now, "vm-1")
     controller._run_turn(NoEffects(), now)
     fill_engines(board)
     started = time.process_time()
     for _ in range(TURNS):
         now += TURN_S
-        board.lease.value.note_renewed(0, now, "vm-1")
+        board.lease.value.apply_renewal(0, now, "vm-1")
         for number in range(demands):
             board.wanted.post(
                 messages.Want(
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -34,11 +34,11 @@
             lease = self.board.lease.value
             self._apply_heartbeats(now)
             self._apply_refusals(lease)
-            if lease.note_lapse(now):
+            if lease.mark_lapsed(now):
                 self.write(self.board.lease, lease)
                 logevents.log(LOG, logevents.LeaseLapsed(lease.token))
             step, due = leases.decide_step(
-                lease, self._make_situation(now), now
+                lease, self._make_step_conditions(now), now
             )
             match step:
                 case leases.Step.APPEND:
@@ -63,29 +63,29 @@
         lease = self.board.lease.value
         for peer in self.board.membership.value.members.peers.values():
             newer = peer.lease_end > lease.end
-            lease.note_end(
+            lease.update_end(
                 peer.lease_end, peer.holder, now, peer.lease_released
             )
             if newer:
                 self.write(self.board.lease, lease)
 
     def _apply_refusals(self, lease: leases.Lease) -> None:
-        """Give up the lease if an engine refused its token as too old."""
+        """Relinquish the lease if an engine refused its token as too old."""
         for token in self.board.fenced.take():
             if token == lease.token:
-                lease.give_up()
+                lease.relinquish()
 
-    def _make_situation(self, now: float) -> leases.Situation:
+    def _make_step_conditions(self, now: float) -> leases.StepConditions:
         settings = self.board.settings
         others = self.board.membership.value.members
         alive = others.list_alive(now)
         holder = others.peers.get(self.board.lease.value.holder)
-        return leases.Situation(
+        return leases.StepConditions(
             rank=sum(
                 peer.vm < settings.vm and not peer.stopping for peer in alive
             ),
             stopping=self.board.lifecycle.value.stopping_since is not None,
-            fenced=settings.engines_check_tokens,
+            engines_check_tokens=settings.engines_check_tokens,
             has_successor=any(
                 peer.ready and not peer.stopping for peer in alive
             ),
@@ -110,7 +110,7 @@
             await self._back_off(error)
             return
         last_record = batch.records[-1] if batch.records else b""
-        lease.note_last(
+        lease.apply_last_record(
             batch.end,
             last_record == self.board.settings.vm.encode(),
             last_record == names.LEASE_RELEASED,
@@ -125,7 +125,7 @@
 
     async def _release(self, lease: leases.Lease) -> None:
         """Release the lease so that another VM can acquire it early."""
-        lease.give_up()
+        lease.relinquish()
         try:
             offset = await self.ports.store.append(
                 names.LEASE_TOPIC, [names.LEASE_RELEASED], lease.end
@@ -134,7 +134,7 @@
             # The lease expires on its own.
             logevents.log(LOG, logevents.LeaseCallFailed(str(error)))
             return
-        lease.note_end(offset + 1, "", self.read_clock(), released=True)
+        lease.update_end(offset + 1, "", self.read_clock(), released=True)
         self.write(self.board.lease, lease)
         logevents.log(LOG, logevents.LeaseReleased(lease.token))
 
@@ -148,12 +148,12 @@
                 names.LEASE_TOPIC, [vm.encode()], expected_end
             )
         except stores.OffsetConflictError as error:
-            lease.note_end(error.end, "", self.read_clock())
+            lease.update_end(error.end, "", self.read_clock())
         except stores.StoreError as error:
             await self._back_off(error)
             return
         else:
-            lease.note_renewed(offset, sent_at, vm)
+            lease.apply_renewal(offset, sent_at, vm)
             if not held:
                 logevents.log(LOG, logevents.LeaseTaken(lease.token))
         self.write(self.board.lease, lease)
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -72,7 +72,7 @@
         """Return whether this VM may give orders."""
         return now < self.valid_until
 
-    def note_end(
+    def update_end(
         self, end: int, holder: str, now: float, released: bool = False
     ) -> None:
         """Record the end of the log that another VM or the log reported."""
@@ -85,7 +85,7 @@
             self.holder = self.holder or holder
             self.released = self.released or released
 
-    def note_last(
+    def apply_last_record(
         self, end: int, own: bool, released: bool, now: float
     ) -> None:
         """Record the last record of the log, read after the start of this VM.
@@ -97,14 +97,14 @@
         :param released: whether the record releases the lease
         """
         self.checked = True
-        self.note_end(end, "", now)
+        self.update_end(end, "", now)
         if end != self.end:
             return
         self.released = released
         if own:
             self.changed_at = now - 2 * self.ttl_s
 
-    def note_renewed(self, offset: int, sent_at: float, vm: str) -> None:
+    def apply_renewal(self, offset: int, sent_at: float, vm: str) -> None:
         """Record that this VM appended the last record.
 
         :param offset: offset of the record
@@ -119,7 +119,7 @@
         self.released = False
         self.checked = True
 
-    def note_lapse(self, now: float) -> bool:
+    def mark_lapsed(self, now: float) -> bool:
         """Mark the lease as released if this VM's own lease has lapsed.
 
         Other VMs may be informed of the lapse.
@@ -132,21 +132,22 @@
         self.released = True
         return True
 
-    def give_up(self) -> None:
+    def relinquish(self) -> None:
         """End this VM's right to give orders."""
         self.valid_until = 0.0
 
 
 @attrs.frozen
-class Situation:
+class StepConditions:
     """Conditions besides the lease that determine the next step.
 
     :param rank: position of this VM among the live candidates. Candidates with
         a higher rank wait longer, so that not all of them append at once.
     :param stopping: whether this VM is shutting down as planned
-    :param fenced: whether engines refuse orders with an older token. Only
-        then may a successor start before the lease expires, because engines
-        refuse orders of the former holder that are still in flight.
+    :param engines_check_tokens: whether engines refuse orders with an older
+        token. Only then may a successor start before the lease expires,
+        because engines refuse orders of the former holder that are still in
+        flight.
     :param has_successor: whether another VM can take the lease
     :param holder_silent: whether heartbeats arrive from other VMs but not from
         the holder
@@ -154,46 +155,50 @@
 
     rank: int = 0
     stopping: bool = False
-    fenced: bool = False
+    engines_check_tokens: bool = False
     has_successor: bool = False
     holder_silent: bool = False
 
 
 def decide_step(
-    lease: Lease, situation: Situation, now: float
+    lease: Lease, conditions: StepConditions, now: float
 ) -> tuple[Step, float]:
     """Return the next step and the time at which to decide again.
 
     :param now: present time in seconds
     """
     if lease.is_held(now):
-        return _decide_as_holder(lease, situation, now)
-    if situation.stopping:
+        return _decide_as_holder(lease, conditions, now)
+    if conditions.stopping:
         return Step.WAIT, now + lease.ttl_s
     if lease.end < 0:
         return Step.APPEND, now
     if not lease.checked:
         return Step.READ, now
-    wait = _measure_wait(lease, situation) + RANK_DELAY * situation.rank
+    wait = _measure_wait(lease, conditions) + RANK_DELAY * conditions.rank
     due = lease.changed_at + lease.ttl_s * wait
     return (Step.APPEND, now) if now >= due else (Step.WAIT, due)
 
 
 def _decide_as_holder(
-    lease: Lease, situation: Situation, now: float
+    lease: Lease, conditions: StepConditions, now: float
 ) -> tuple[Step, float]:
-    if situation.stopping and situation.fenced and situation.has_successor:
+    if (
+        conditions.stopping
+        and conditions.engines_check_tokens
+        and conditions.has_successor
+    ):
         return Step.RELEASE, now
     due = lease.renewed_at + lease.ttl_s * RENEW_AFTER
-    if now >= due and not situation.stopping:
+    if now >= due and not conditions.stopping:
         return Step.APPEND, now
     return Step.WAIT, max(due, now + 0.05)
 
 
-def _measure_wait(lease: Lease, situation: Situation) -> float:
+def _measure_wait(lease: Lease, conditions: StepConditions) -> float:
     """Return the fraction of the duration for which a candidate waits."""
-    if not situation.fenced:
+    if not conditions.engines_check_tokens:
         return CANDIDATE_WAIT
     if lease.released:
         return 0.0
-    return SILENT_WAIT if situation.holder_silent else CANDIDATE_WAIT
+    return SILENT_WAIT if conditions.holder_silent else CANDIDATE_WAIT
--- a/tests/entry/controllers/conftest.py
+++ b/tests/entry/controllers/conftest.py
@@ -22,5 +22,5 @@
 @pytest.fixture
 def controller(make_controller, board, now) -> roles.Controller:
     """Loading controller of a VM that holds the lease."""
-    board.lease.value.note_renewed(0, now, "vm-1")
+    board.lease.value.apply_renewal(0, now, "vm-1")
     return make_controller("loading")
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -17,15 +17,15 @@
     controller._run_turn(None, now)
     known = board.loading.value.find_engine(make_endpoint("e"))
     known.pending = {MODEL_KEY: now + 1}
-    board.lease.value.give_up()
+    board.lease.value.relinquish()
     controller._run_turn(None, now)
     assert board.loading.value.engines == {"e": known}
-    board.lease.value.note_renewed(5, now, "vm-1")
+    board.lease.value.apply_renewal(5, now, "vm-1")
     controller._run_turn(None, now)
     assert board.loading.value.engines == {}
 
 
-def test_vm_that_gave_up_the_lease_announces_its_last_loads(
+def test_vm_that_relinquished_the_lease_announces_its_last_loads(
     controller, board, make_endpoint, now
 ):
     """Guards against requests that wait for a load that no VM announces."""
@@ -35,7 +35,7 @@
     known = board.loading.value.find_engine(endpoint)
     known.held = {MODEL_KEY: 1}
     known.pending = {MODEL_KEY: now + 0.2}
-    board.lease.value.give_up()
+    board.lease.value.relinquish()
     controller._run_turn(None, now)
     assert len(board.placed) == 0
     controller._run_turn(None, now + 0.3)
@@ -76,6 +76,6 @@
     known.check_at = None
     board.traffic.value.find("e").start(MODEL_KEY)
     assert controller._compute_pause_ms(now) <= 51
-    board.lease.value.give_up()
+    board.lease.value.relinquish()
     known.check_at = now
     assert controller._compute_pause_ms(now) > 200
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -11,15 +11,20 @@
 
 TTL_S = 3.0
 RELEASED = "released"
-RANKS = [leases.Situation(rank=rank, fenced=True) for rank in range(4)]
-LEAVING = leases.Situation(stopping=True, fenced=True, has_successor=True)
-SILENT = leases.Situation(fenced=True, holder_silent=True)
+RANKS = [
+    leases.StepConditions(rank=rank, engines_check_tokens=True)
+    for rank in range(4)
+]
+LEAVING = leases.StepConditions(
+    stopping=True, engines_check_tokens=True, has_successor=True
+)
+SILENT = leases.StepConditions(engines_check_tokens=True, holder_silent=True)
 
 
 def test_candidate_waits_for_the_whole_lease(now):
     """Guards against two holders at once."""
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "other", now)
+    lease.update_end(7, "other", now)
     step, due = leases.decide_step(lease, RANKS[0], now + 0.9 * TTL_S)
     assert step is leases.Step.WAIT
     assert due > now + TTL_S
@@ -30,7 +35,7 @@
 def test_lease_starts_when_the_call_was_sent(now):
     """Guards against a holder that was paused until its renewal's answer."""
     lease = leases.Lease(TTL_S)
-    lease.note_renewed(4, now, "me")
+    lease.apply_renewal(4, now, "me")
     assert lease.token == 5
     assert not lease.is_held(now + TTL_S)
 
@@ -38,30 +43,30 @@
 def test_stopping_holder_does_not_renew(now):
     """Guards against a VM that renews the lease and then stops."""
     lease = leases.Lease(TTL_S)
-    lease.note_renewed(4, now, "me")
-    stopping = leases.Situation(stopping=True)
+    lease.apply_renewal(4, now, "me")
+    stopping = leases.StepConditions(stopping=True)
     step, _ = leases.decide_step(lease, stopping, now + 0.5 * TTL_S)
     assert step is leases.Step.WAIT
 
 
-def test_stopping_holder_releases_a_fenced_lease(now):
+def test_stopping_holder_releases_a_lease_with_token_checks(now):
     """Guards against seconds without loads around a planned stop."""
     lease = leases.Lease(TTL_S)
-    lease.note_renewed(4, now, "me")
+    lease.apply_renewal(4, now, "me")
     step, _ = leases.decide_step(lease, LEAVING, now)
     assert step is leases.Step.RELEASE
-    lease.give_up()
+    lease.relinquish()
     assert not lease.is_held(now)
     step, _ = leases.decide_step(lease, LEAVING, now)
     assert step is leases.Step.WAIT
 
 
-def test_lease_is_kept_to_its_end_without_fencing(now):
+def test_lease_is_kept_to_its_end_without_token_checks(now):
     """Guards against an engine that accepts the orders of two holders."""
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "other", now, released=True)
-    unfenced = leases.Situation(holder_silent=True)
-    step, due = leases.decide_step(lease, unfenced, now + 0.9 * TTL_S)
+    lease.update_end(7, "other", now, released=True)
+    without_checks = leases.StepConditions(holder_silent=True)
+    step, due = leases.decide_step(lease, without_checks, now + 0.9 * TTL_S)
     assert step is leases.Step.WAIT
     assert due > now + TTL_S
 
@@ -72,7 +77,7 @@
     Reproduces incident kst-launchlog bd26: two holders froze in turn.
     """
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "other", now)
+    lease.update_end(7, "other", now)
     step, due = leases.decide_step(lease, SILENT, now)
     assert step is leases.Step.WAIT
     assert TTL_S * leases.RENEW_AFTER < due - now < 0.7 * TTL_S
@@ -81,17 +86,17 @@
 def test_holder_that_cannot_renew_reports_the_lapse(now):
     """Guards against waiting for a holder that cannot reach the store."""
     lease = leases.Lease(TTL_S)
-    lease.note_renewed(4, now, "me")
-    assert not lease.note_lapse(now + 0.5 * TTL_S)
-    assert lease.note_lapse(now + 0.9 * TTL_S)
+    lease.apply_renewal(4, now, "me")
+    assert not lease.mark_lapsed(now + 0.5 * TTL_S)
+    assert lease.mark_lapsed(now + 0.9 * TTL_S)
     assert lease.released
-    assert not lease.note_lapse(now + 0.9 * TTL_S)
+    assert not lease.mark_lapsed(now + 0.9 * TTL_S)
 
 
 def test_candidates_take_a_released_lease_by_rank(now):
     """Guards against waiting for a holder that announced its stop."""
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "", now, released=True)
+    lease.update_end(7, "", now, released=True)
     assert leases.decide_step(lease, RANKS[0], now)[0] is leases.Step.APPEND
     step, due = leases.decide_step(lease, RANKS[1], now)
     assert step is leases.Step.WAIT
@@ -101,8 +106,8 @@
 def test_candidate_waits_again_for_a_record_after_a_release(now):
     """Guards against two holders after a lease was released and taken."""
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "", now, released=True)
-    lease.note_end(8, "other", now)
+    lease.update_end(7, "", now, released=True)
+    lease.update_end(8, "other", now)
     step, due = leases.decide_step(lease, RANKS[0], now)
     assert step is leases.Step.WAIT
     assert due > now + TTL_S
@@ -111,7 +116,7 @@
 def test_later_candidates_wait_longer(now):
     """Guards against all candidates appending at the same moment."""
     lease = leases.Lease(TTL_S, checked=True)
-    lease.note_end(7, "other", now)
+    lease.update_end(7, "other", now)
     first = leases.decide_step(lease, RANKS[0], now)[1]
     second = leases.decide_step(lease, RANKS[1], now)[1]
     assert second > first
@@ -124,9 +129,9 @@
     conditional append still fails if another VM appended in between.
     """
     lease = leases.Lease(TTL_S)
-    lease.note_end(7, "", now)
+    lease.update_end(7, "", now)
     assert leases.decide_step(lease, RANKS[3], now)[0] is leases.Step.READ
-    lease.note_last(7, True, False, now)
+    lease.apply_last_record(7, True, False, now)
     assert leases.decide_step(lease, RANKS[3], now)[0] is leases.Step.APPEND
 
 
@@ -139,10 +144,10 @@
     """
     lease = leases.Lease(TTL_S)
     assert leases.decide_step(lease, RANKS[0], now)[0] is leases.Step.APPEND
-    lease.note_end(7, "", now)
+    lease.update_end(7, "", now)
     step, _ = leases.decide_step(lease, RANKS[0], now + 0.1)
     assert step is leases.Step.READ
-    lease.note_last(7, True, False, now + 0.1)
+    lease.apply_last_record(7, True, False, now + 0.1)
     step, _ = leases.decide_step(lease, RANKS[0], now + 0.1)
     assert step is leases.Step.APPEND
 
@@ -186,31 +191,31 @@
     ) -> None:
         """Let a VM decide and carry out its next step."""
         lease = self.leases[vm]
-        lease.note_lapse(self.now)
-        situation = leases.Situation(vm, stopping, True, True, silent)
-        step, _ = leases.decide_step(lease, situation, self.now)
-        reachable = attrs.evolve(situation, holder_silent=False)
+        lease.mark_lapsed(self.now)
+        conditions = leases.StepConditions(vm, stopping, True, True, silent)
+        step, _ = leases.decide_step(lease, conditions, self.now)
+        reachable = attrs.evolve(conditions, holder_silent=False)
         if step is not leases.decide_step(lease, reachable, self.now)[0]:
             # The former holder may be paused until its lease has expired.
             self.overlap_allowed = True
         match step:
             case leases.Step.READ if answered:
-                lease.note_last(
+                lease.apply_last_record(
                     len(self.records),
                     self.records[-1] == str(vm),
                     self.records[-1] == RELEASED,
                     self.now,
                 )
             case leases.Step.RELEASE:
-                lease.give_up()
+                lease.relinquish()
                 if self._append(lease, RELEASED, answered, took):
                     end = len(self.records)
-                    lease.note_end(end, "", self.now, released=True)
+                    lease.update_end(end, "", self.now, released=True)
             case leases.Step.APPEND:
                 sent_at = self.now
                 if self._append(lease, str(vm), answered, took):
                     offset = len(self.records) - 1
-                    lease.note_renewed(offset, sent_at, str(vm))
+                    lease.apply_renewal(offset, sent_at, str(vm))
                     self._check_token(lease)
 
     def _append(
@@ -219,7 +224,7 @@
         """Append conditionally; return whether the VM knows of its success."""
         if max(0, lease.end) != len(self.records):
             if answered:
-                lease.note_end(len(self.records), "", self.now + took)
+                lease.update_end(len(self.records), "", self.now + took)
             return False
         self.records.append(record)
         if answered:
@@ -243,7 +248,7 @@
     def gossip(self, sender: int, receiver: int) -> None:
         """Deliver a heartbeat from one VM to another."""
         source = self.leases[sender]
-        self.leases[receiver].note_end(
+        self.leases[receiver].update_end(
             source.end, source.holder, self.now, source.released
         )
 
