Rename the order executor and the decisions on loads

Cause: Orderer reads like a sort; ordering and silent_until name neither what is pending nor what is unreachable; prefer_warm returns candidates; FRESH_S is a limit for early rejections. Change: Orderer -> OrderExecutor, its methods carry_out -> execute and check -> refresh_state, LoadingController._orderer -> _order_executor; EngineState.ordering -> order_pending, silent_until -> unreachable_until; order_demands -> sort_demands; can_order -> accepts_orders; prefer_warm -> select_load_candidates; has_room -> has_available_slot (a slot with an evictable adapter counts); FRESH_S -> EARLY_REJECTION_S.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -88,7 +88,7 @@
             )
         controller._run_turn(NoEffects(), now)
         for known in board.loading.value.engines.values():
-            known.ordering = False
+            known.order_pending = False
     return (time.process_time() - started) / TURNS
 
 
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -58,7 +58,7 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self._orderer = ordering.Orderer(
+        self._order_executor = ordering.OrderExecutor(
             self.board,
             self.ports.engines,
             self.read_clock,
@@ -87,7 +87,9 @@
         reports = (
             engine.check_at
             for engine in engines
-            if held and engine.check_at is not None and not engine.ordering
+            if held
+            and engine.check_at is not None
+            and not engine.order_pending
         )
         due = min(itertools.chain(*loads, reports), default=math.inf)
         interval_s = (
@@ -172,7 +174,7 @@
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is not None:
             state = self._state.find_engine(endpoint)
-            state.silent_until = now + UNREACHABLE_S
+            state.unreachable_until = now + UNREACHABLE_S
 
     def _handle_missing(
         self, want: messages.Want, model_key: endpoints.ModelKey, now: float
@@ -182,14 +184,17 @@
             return
         state = self._state.find_engine(endpoint)
         loaded_at = state.loaded_at.get(model_key)
-        if loaded_at is not None and now - loaded_at < loading.FRESH_S:
+        if (
+            loaded_at is not None
+            and now - loaded_at < loading.EARLY_REJECTION_S
+        ):
             self._state.times.note_early(
                 state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
             )
             state.pending[model_key] = now + LOAD_RECHECK_S
         elif model_key in state.held and state.check_at is None:
             state.check_at = now + ordering.REPORT_LAG_S
-        self._orderer.publish(endpoint, model_key, 0)
+        self._order_executor.publish(endpoint, model_key, 0)
 
     def _record_uses(self, now: float) -> None:
         uses: collections.Counter[tuple[str, endpoints.ModelKey]] = (
@@ -229,15 +234,15 @@
         available = [
             item
             for item in candidates
-            if loading.can_order(item, state, now)
-            and loading.has_room(item, state, engine, now)
+            if loading.accepts_orders(item, state, now)
+            and loading.has_available_slot(item, state, engine, now)
         ]
         relative_loads = self._compute_relative_loads(candidates)
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
         margin_s = state.measure_margin()
-        for demand in loading.order_demands(demands, margin_s, now):
+        for demand in loading.sort_demands(demands, margin_s, now):
             key = (service, demand.model_key)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_TTL_S:
@@ -246,16 +251,16 @@
                 self._republish_holders(holders, demand)
                 del state.demands[key]
             elif available:
-                fitting = loading.prefer_warm(
+                fitting = loading.select_load_candidates(
                     available, candidates, holders, demand, state, now
                 )
                 plan = loading.plan_load(
                     fitting, demand, state, relative_loads, engine, now
                 )
                 if plan is not None:
-                    state.find_engine(plan.endpoint).ordering = True
+                    state.find_engine(plan.endpoint).order_pending = True
                     available.remove(plan.endpoint)
-                    group.start_soon(self._orderer.carry_out, plan)
+                    group.start_soon(self._order_executor.execute, plan)
 
     def _republish_holders(
         self, holders: list[endpoints.Endpoint], demand: loadstate.Demand
@@ -267,7 +272,7 @@
         for endpoint in holders:
             state = self._state.find_engine(endpoint)
             if demand.model_key not in state.pending:
-                self._orderer.publish(
+                self._order_executor.publish(
                     endpoint, demand.model_key, state.held[demand.model_key]
                 )
 
@@ -305,7 +310,7 @@
         self._state.model_loads = recent
         allowed = engine.loads_per_s * MODEL_LOAD_WINDOW_S * MODEL_LOAD_SHARE
         for endpoint in self.board.endpoints.value.list_service(service.name):
-            if endpoint.models or not loading.can_order(
+            if endpoint.models or not loading.accepts_orders(
                 endpoint, self._state, now
             ):
                 continue
@@ -313,9 +318,11 @@
                 return
             recent.append(now)
             state = self._state.find_engine(endpoint)
-            state.ordering = True
+            state.order_pending = True
             state.loading_until = now + MODEL_LOAD_FACTOR * model.load_s
-            group.start_soon(self._orderer.load_model, endpoint, model.name)
+            group.start_soon(
+                self._order_executor.load_model, endpoint, model.name
+            )
 
     def _finish_loads(self, now: float) -> None:
         """Announce the adapters whose loads are expected to be complete."""
@@ -331,13 +338,13 @@
                 if endpoint is not None:
                     if (
                         state.loaded_at.get(model_key, 0.0)
-                        < now - loading.FRESH_S
+                        < now - loading.EARLY_REJECTION_S
                     ):
                         self._state.times.note_announced(
                             state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
                         )
                     state.loaded_at[model_key] = now
-                    self._orderer.publish(
+                    self._order_executor.publish(
                         endpoint, model_key, state.held.get(model_key, 1)
                     )
 
@@ -350,7 +357,9 @@
             elif (
                 state.check_at is not None
                 and state.check_at <= now
-                and not state.ordering
+                and not state.order_pending
             ):
-                state.ordering = True
-                group.start_soon(self._orderer.check, endpoint, state)
+                state.order_pending = True
+                group.start_soon(
+                    self._order_executor.refresh_state, endpoint, state
+                )
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -42,7 +42,7 @@
 USE_COLLECTION_S = 0.4
 # A rejection this soon after a load was announced means that the load takes
 # longer than expected.
-FRESH_S = 1.0
+EARLY_REJECTION_S = 1.0
 # A loaded adapter is kept for the requests that wait for it until the first of
 # them uses it, but no longer than this time.
 KEEP_LOADED_S = 1.0
@@ -180,7 +180,7 @@
     )
 
 
-def can_order(
+def accepts_orders(
     endpoint: endpoints.Endpoint, state: loadstate.LoadingState, now: float
 ) -> bool:
     """Return whether an engine accepts an order now."""
@@ -192,14 +192,14 @@
         return False
     return (
         endpoint.is_usable(now)
-        and not engine_state.ordering
+        and not engine_state.order_pending
         and engine_state.check_at is None
-        and now >= engine_state.silent_until
+        and now >= engine_state.unreachable_until
         and now >= engine_state.loading_until
     )
 
 
-def order_demands(
+def sort_demands(
     demands: Iterable[loadstate.Demand], margin_s: float, now: float
 ) -> list[loadstate.Demand]:
     """Return demands in the order in which they are served.
@@ -223,7 +223,7 @@
     )
 
 
-def has_room(
+def has_available_slot(
     endpoint: endpoints.Endpoint,
     state: loadstate.LoadingState,
     engine: routes.Engine,
@@ -237,7 +237,7 @@
     )
 
 
-def prefer_warm(
+def select_load_candidates(
     available: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
     holders: list[endpoints.Endpoint],
@@ -265,7 +265,7 @@
         for item in candidates
         if item.is_usable(now)
         and state.find_engine(item).is_cached(demand.model_key)
-        and now >= state.find_engine(item).silent_until
+        and now >= state.find_engine(item).unreachable_until
         and item not in holders
     }
     if not warm:
@@ -292,7 +292,7 @@
     engine_state: loadstate.EngineState, demand: loadstate.Demand, now: float
 ) -> bool:
     return (
-        now >= engine_state.silent_until
+        now >= engine_state.unreachable_until
         and engine_state.held.get(demand.model_key, 0) >= demand.version
         and demand.model_key not in engine_state.unloading
     )
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -38,8 +38,8 @@
     :param unloading: adapters that the engine unloads once their requests end
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
-    :param ordering: whether an order or a check has not been answered yet
-    :param silent_until: until when the engine counts as unreachable
+    :param order_pending: whether an order or a check has not been answered yet
+    :param unreachable_until: until when the engine counts as unreachable
     :param check_at: when to request a report, which has to precede the next
         order; None if no report is needed
     :param loading_until: until when a base model may still be loading
@@ -55,8 +55,8 @@
     kinds: dict[endpoints.ModelKey, loadtimes.LoadKind] = attrs.field(
         factory=dict
     )
-    ordering: bool = False
-    silent_until: float = 0.0
+    order_pending: bool = False
+    unreachable_until: float = 0.0
     check_at: float | None = 0.0
     loading_until: float = 0.0
 
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -27,7 +27,7 @@
 MODEL_CHECK_S = 0.25
 
 
-class Orderer:
+class OrderExecutor:
     """Sends orders while the lease is held and updates the engines' state.
 
     :param notify: called when the state of the engines has changed
@@ -59,7 +59,7 @@
                 endpoint, state, True, (model, "")
             )
         finally:
-            state.ordering = False
+            state.order_pending = False
         if verdict is orders.Verdict.STARTED:
             state.check_at = self._read_clock() + MODEL_CHECK_S
             return
@@ -67,7 +67,7 @@
         if verdict is orders.Verdict.DONE:
             self.publish(endpoint, (model, ""), 1)
 
-    async def carry_out(self, plan: loading.Plan) -> None:
+    async def execute(self, plan: loading.Plan) -> None:
         """Unload the victim of a plan, if any, and load its adapter."""
         endpoint = plan.endpoint
         state = self._state.find_engine(endpoint)
@@ -78,7 +78,7 @@
                 return
             await self._load_adapter(endpoint, state, plan)
         finally:
-            state.ordering = False
+            state.order_pending = False
             self._notify()
 
     async def _unload(
@@ -188,7 +188,7 @@
         self._board.placed.post(placed)
         self._board.outgoing.post(placed)
 
-    async def check(
+    async def refresh_state(
         self, endpoint: endpoints.Endpoint, state: loadstate.EngineState
     ) -> None:
         """Replace the state of an engine by the content of its report."""
@@ -197,7 +197,7 @@
                 endpoint.address, endpoint.identity
             )
         finally:
-            state.ordering = False
+            state.order_pending = False
         now = self._read_clock()
         event = logevents.EngineChecked(
             endpoint=endpoint.identity,
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -103,7 +103,9 @@
     demand = make_demand("a", copies=2)
     engines = [holder, other]
     holders = loading.list_holders(engines, demand, state, now)
-    chosen = loading.prefer_warm(engines, engines, holders, demand, state, now)
+    chosen = loading.select_load_candidates(
+        engines, engines, holders, demand, state, now
+    )
     assert chosen == [other]
 
 
@@ -123,7 +125,7 @@
     demand = make_demand("a", copies=2)
     candidates = [holder, earlier, other]
     holders = loading.list_holders(candidates, demand, state, now)
-    chosen = loading.prefer_warm(
+    chosen = loading.select_load_candidates(
         candidates, candidates, holders, demand, state, now
     )
     assert chosen == [earlier]
@@ -153,13 +155,13 @@
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     demand = make_demand("new")
-    assert not loading.has_room(endpoint, state, engine, now)
+    assert not loading.has_available_slot(endpoint, state, engine, now)
     assert (
         loading.plan_load([endpoint], demand, state, LOADS, engine, now)
         is None
     )
     later = now + 2 * loading.USE_COLLECTION_S
-    assert loading.has_room(endpoint, state, engine, later)
+    assert loading.has_available_slot(endpoint, state, engine, later)
 
 
 def test_engine_is_asked_for_a_report_before_its_first_order(
@@ -167,9 +169,9 @@
 ):
     """Guards against orders with an unconfirmed sequence number."""
     endpoint = make_endpoint("e")
-    assert not loading.can_order(endpoint, state, now)
+    assert not loading.accepts_orders(endpoint, state, now)
     apply_first_report(state, endpoint, now)
-    assert loading.can_order(endpoint, state, now)
+    assert loading.accepts_orders(endpoint, state, now)
 
 
 def test_state_of_a_long_lease_stays_bounded(make_endpoint, state, now):
@@ -212,7 +214,7 @@
     engine_state = apply_first_report(state, endpoint, now)
     demand = make_demand("a")
     assert loading.list_holders([endpoint], demand, state, now)
-    engine_state.silent_until = now + 1
+    engine_state.unreachable_until = now + 1
     assert not loading.list_holders([endpoint], demand, state, now)
 
 
@@ -228,7 +230,7 @@
     urgent = make_demand("urgent", due=now + 0.5)
     relaxed = make_demand("relaxed", due=now + 0.9)
     copy = make_demand("copy", due=now + 0.5, copies=2)
-    ordered = loading.order_demands(
+    ordered = loading.sort_demands(
         [lost, copy, late, relaxed, urgent], margin_s, now
     )
     assert ordered == [urgent, relaxed, late, lost, copy]
@@ -279,18 +281,20 @@
     apply_first_report(state, cold, now)
     demand = make_demand("a")
     engines = [warm, cold]
-    assert not loading.prefer_warm([cold], engines, [], demand, state, now)
-    assert loading.prefer_warm(engines, engines, [], demand, state, now) == [
-        warm
-    ]
+    assert not loading.select_load_candidates(
+        [cold], engines, [], demand, state, now
+    )
+    assert loading.select_load_candidates(
+        engines, engines, [], demand, state, now
+    ) == [warm]
     later = now + 2 * loading.WARM_WAIT_S
-    assert loading.prefer_warm([cold], engines, [], demand, state, later) == [
-        cold
-    ]
+    assert loading.select_load_candidates(
+        [cold], engines, [], demand, state, later
+    ) == [cold]
     other = make_demand("b")
-    assert loading.prefer_warm([cold], engines, [], other, state, now) == [
-        cold
-    ]
+    assert loading.select_load_candidates(
+        [cold], engines, [], other, state, now
+    ) == [cold]
 
 
 def test_demand_that_is_requested_often_becomes_urgent(make_demand, now):
@@ -305,9 +309,9 @@
         hot.note_due(now + 0.8 + 0.1 * step, now + 0.4)
     assert hot.due == now + 0.8
     later = now + 0.2
-    assert loading.order_demands([hot, rare], 0.4, later)[0] is rare
+    assert loading.sort_demands([hot, rare], 0.4, later)[0] is rare
     hot.note_due(later + 0.45, later + 0.4)
-    assert loading.order_demands([rare, hot], 0.4, later) == [hot, rare]
+    assert loading.sort_demands([rare, hot], 0.4, later) == [hot, rare]
     assert hot.due == later + 0.45
 
 
