Rename the state updates of the loading state

Cause: forget, note_* and measure_* read like acts of mind; due and margin did not say that they are a deadline and the delay of the first event. Change: forget -> prune; forgot_at -> pruned_at; note_due -> update_deadline; Demand.due -> deadline; note_uses -> record_uses; measure_margin -> estimate_first_event_delay, locals margin_s -> first_event_delay_s; measure_decayed_use -> compute_decayed_use; note_early -> record_early; note_announced -> record_timely.

--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -132,8 +132,8 @@
         self._record_uses(now)
         self._finish_loads(now)
         self._plan(group, now)
-        if now - self._state.forgot_at > CLEANUP_INTERVAL_S:
-            self._state.forget(now)
+        if now - self._state.pruned_at > CLEANUP_INTERVAL_S:
+            self._state.prune(now)
 
     def _end_term(self, now: float) -> None:
         """Announce loads that complete, and reset the state after the last."""
@@ -158,14 +158,15 @@
                 model_key,
                 want.version,
                 want.copies,
-                due=-math.inf,
+                deadline=-math.inf,
                 last_at=now,
                 since=now,
             )
             self._state.demands[key] = demand
         demand.last_at = now
-        demand.note_due(
-            now + want.slack_ms / 1000, now + self._state.measure_margin()
+        demand.update_deadline(
+            now + want.slack_ms / 1000,
+            now + self._state.estimate_first_event_delay(),
         )
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
@@ -188,7 +189,7 @@
             loaded_at is not None
             and now - loaded_at < loading.EARLY_REJECTION_S
         ):
-            self._state.times.note_early(
+            self._state.times.record_early(
                 state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
             )
             state.pending[model_key] = now + LOAD_RECHECK_S
@@ -207,7 +208,7 @@
         for peer in members.list_alive(now):
             for identity, model, adapter in peer.uses:
                 uses[(identity, (model, adapter))] += 1
-        self._state.note_uses(uses, now)
+        self._state.record_uses(uses, now)
 
     def _plan(self, group: abc.TaskGroup, now: float) -> None:
         configuration = self.board.rules.value.configuration
@@ -241,8 +242,8 @@
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
-        margin_s = state.measure_margin()
-        for demand in loading.sort_demands(demands, margin_s, now):
+        first_event_delay_s = state.estimate_first_event_delay()
+        for demand in loading.sort_demands(demands, first_event_delay_s, now):
             key = (service, demand.model_key)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_TTL_S:
@@ -340,7 +341,7 @@
                         state.loaded_at.get(model_key, 0.0)
                         < now - loading.EARLY_REJECTION_S
                     ):
-                        self._state.times.note_announced(
+                        self._state.times.record_timely(
                             state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
                         )
                     state.loaded_at[model_key] = now
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -140,7 +140,7 @@
             endpoint, model_key, state, now
         ),
     )
-    decayed_use = state.measure_decayed_use(victim, now)
+    decayed_use = state.compute_decayed_use(victim, now)
     return DECAYED_USE_WEIGHT * decayed_use, Plan(
         endpoint, demand.model_key, demand.version, victim
     )
@@ -175,7 +175,7 @@
     now: float,
 ) -> tuple[float, float]:
     return (
-        state.measure_decayed_use(model_key, now),
+        state.compute_decayed_use(model_key, now),
         state.used_at.get((endpoint.identity, model_key), 0.0),
     )
 
@@ -200,7 +200,7 @@
 
 
 def sort_demands(
-    demands: Iterable[loadstate.Demand], margin_s: float, now: float
+    demands: Iterable[loadstate.Demand], first_event_delay_s: float, now: float
 ) -> list[loadstate.Demand]:
     """Return demands in the order in which they are served.
 
@@ -210,15 +210,15 @@
     their arrival, every request would be late. Demands for additional copies
     come after all others.
 
-    :param margin_s: time in seconds from an order to the first event
+    :param first_event_delay_s: time from an order to the first event
     """
-    soonest = now + margin_s
+    soonest = now + first_event_delay_s
     return sorted(
         demands,
         key=lambda item: (
             item.copies > 1,
-            item.due < soonest,
-            abs(item.due - soonest),
+            item.deadline < soonest,
+            abs(item.deadline - soonest),
         ),
     )
 
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -71,7 +71,7 @@
         """Return whether the engine probably has an adapter's weights."""
         return model_key in self.cached
 
-    def forget(self) -> None:
+    def prune(self) -> None:
         """Discard load times and kinds of adapters that occupy no slot."""
         for times in (self.loaded_at, self.kinds):
             for model_key in set(times) - set(self.held):
@@ -84,8 +84,8 @@
 
     :param version: oldest version of the adapter that may be used
     :param copies: number of engines that should hold the adapter
-    :param due: deadline of the most urgent request that can still be met on
-        time, or the latest deadline if none can
+    :param deadline: deadline of the most urgent request that can still be met
+        on time, or the latest deadline if none can
     :param last_at: when the adapter was last requested
     :param since: when the adapter was first requested
     """
@@ -94,24 +94,24 @@
     model_key: endpoints.ModelKey
     version: int
     copies: int
-    due: float
+    deadline: float
     last_at: float
     since: float
 
-    def note_due(self, due: float, soonest: float) -> None:
+    def update_deadline(self, deadline: float, soonest: float) -> None:
         """Update the deadline for one more request.
 
         The deadline of a newer request must not replace that of an older one.
         Otherwise a demand that is requested repeatedly would never become
         urgent.
 
-        :param due: deadline of the request
+        :param deadline: deadline of the request
         :param soonest: earliest possible time of a first event
         """
-        if self.due >= soonest and due >= soonest:
-            self.due = min(self.due, due)
+        if self.deadline >= soonest and deadline >= soonest:
+            self.deadline = min(self.deadline, deadline)
         else:
-            self.due = max(self.due, due)
+            self.deadline = max(self.deadline, deadline)
 
 
 @attrs.define(eq=False)
@@ -129,7 +129,7 @@
         last loads
     :param times: expected durations of loads
     :param model_loads: times of recent orders to load a base model
-    :param forgot_at: when obsolete entries were last discarded
+    :param pruned_at: when obsolete entries were last discarded
     """
 
     engines: dict[str, EngineState] = attrs.field(factory=dict)
@@ -147,7 +147,7 @@
     ended: bool = False
     times: loadtimes.LoadTimes = attrs.field(factory=loadtimes.LoadTimes)
     model_loads: list[float] = attrs.field(factory=list)
-    forgot_at: float = 0.0
+    pruned_at: float = 0.0
 
     def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
         """Return the state of an engine, which is reset when it restarts."""
@@ -157,7 +157,7 @@
             self.engines[endpoint.identity] = state
         return state
 
-    def note_uses(
+    def record_uses(
         self, uses: Mapping[tuple[str, endpoints.ModelKey], int], now: float
     ) -> None:
         """Record which adapters are in use now.
@@ -169,20 +169,20 @@
         for (identity, model_key), count in uses.items():
             self.used_at[(identity, model_key)] = now
             decayed_use = (
-                self.measure_decayed_use(model_key, now) + count * elapsed
+                self.compute_decayed_use(model_key, now) + count * elapsed
             )
             self.decayed_use[model_key] = (decayed_use, now)
 
-    def measure_decayed_use(
+    def compute_decayed_use(
         self, model_key: endpoints.ModelKey, now: float
     ) -> float:
         """Return the decayed use of an adapter in requests times seconds."""
         value, at = self.decayed_use.get(model_key, (0.0, now))
         return value * 0.5 ** ((now - at) / USE_HALF_LIFE_S)
 
-    def forget(self, now: float) -> None:
+    def prune(self, now: float) -> None:
         """Discard entries that no longer affect any decision."""
-        self.forgot_at = now
+        self.pruned_at = now
         self.used_at = {
             (identity, model_key): at
             for (identity, model_key), at in self.used_at.items()
@@ -192,12 +192,12 @@
         self.decayed_use = {
             model_key: found
             for model_key, found in self.decayed_use.items()
-            if self.measure_decayed_use(model_key, now) > MIN_DECAYED_USE
+            if self.compute_decayed_use(model_key, now) > MIN_DECAYED_USE
         }
         for engine in self.engines.values():
-            engine.forget()
+            engine.prune()
 
-    def measure_margin(self) -> float:
+    def estimate_first_event_delay(self) -> float:
         """Return the expected seconds from an order to the first event."""
         return self.times.estimate(loadtimes.UNKNOWN_KIND) + FIRST_EVENT_S
 
--- a/src/bronzetrack/entry/loadtimes.py
+++ b/src/bronzetrack/entry/loadtimes.py
@@ -50,12 +50,12 @@
             return WARM_LOAD_SHARE * self.estimate(LoadKind(False, 0))
         return INITIAL_LOAD_S
 
-    def note_early(self, kind: LoadKind) -> None:
+    def record_early(self, kind: LoadKind) -> None:
         """Raise the estimate after a load that was announced too early."""
         raised = min(MAX_LOAD_S, self.estimate(kind) * EARLY_LOAD_FACTOR)
         self.by_kind[kind] = raised
 
-    def note_announced(self, kind: LoadKind) -> None:
+    def record_timely(self, kind: LoadKind) -> None:
         """Lower the estimate after a load was announced."""
         lowered = max(MIN_LOAD_S, self.estimate(kind) * TIMELY_LOAD_FACTOR)
         self.by_kind[kind] = lowered
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -79,13 +79,13 @@
 
 @pytest.fixture
 def make_demand(now: float) -> Callable[..., loadstate.Demand]:
-    """Return a factory of demands that are due in a second."""
+    """Return a factory of demands with a deadline in a second."""
 
     def make(adapter: str, **fields: object) -> loadstate.Demand:
         values = {
             "version": 1,
             "copies": 1,
-            "due": now + 1,
+            "deadline": now + 1,
             "last_at": now,
             "since": now,
         }
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -38,7 +38,7 @@
     """Guards against evicting an adapter that serves a request."""
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
-    state.note_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
+    state.record_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
     plan = loading.plan_load(
         [endpoint], make_demand("new"), state, LOADS, engine, now
     )
@@ -180,12 +180,12 @@
     engine_state = apply_first_report(state, endpoint, now)
     for number in range(3_000):
         model_key = ("m", f"a{number}")
-        state.note_uses({("e", model_key): 1}, now + 0.01 * number)
+        state.record_uses({("e", model_key): 1}, now + 0.01 * number)
         engine_state.record_cached(model_key)
         engine_state.loaded_at[model_key] = now
         engine_state.kinds[model_key] = loadtimes.UNKNOWN_KIND
-    state.note_uses({("e", ("m", "held")): 1}, now + 500)
-    state.forget(now + 500)
+    state.record_uses({("e", ("m", "held")): 1}, now + 500)
+    state.prune(now + 500)
     assert set(state.used_at) == {("e", ("m", "held"))}
     assert set(state.decayed_use) == {("m", "held")}
     assert len(engine_state.cached) == loadstate.MAX_CACHED
@@ -224,14 +224,14 @@
     At the peak of the demand, more adapters are requested than slots become
     free, and the oldest demands can no longer be met on time.
     """
-    margin_s = 0.4
-    late = make_demand("late", due=now - 1.0)
-    lost = make_demand("lost", due=now - 2.0)
-    urgent = make_demand("urgent", due=now + 0.5)
-    relaxed = make_demand("relaxed", due=now + 0.9)
-    copy = make_demand("copy", due=now + 0.5, copies=2)
+    first_event_delay_s = 0.4
+    late = make_demand("late", deadline=now - 1.0)
+    lost = make_demand("lost", deadline=now - 2.0)
+    urgent = make_demand("urgent", deadline=now + 0.5)
+    relaxed = make_demand("relaxed", deadline=now + 0.9)
+    copy = make_demand("copy", deadline=now + 0.5, copies=2)
     ordered = loading.sort_demands(
-        [lost, copy, late, relaxed, urgent], margin_s, now
+        [lost, copy, late, relaxed, urgent], first_event_delay_s, now
     )
     assert ordered == [urgent, relaxed, late, lost, copy]
 
@@ -245,9 +245,9 @@
     for _ in range(2_000):
         if times.estimate(kind) < actual_s:
             early_count += 1
-            times.note_early(kind)
+            times.record_early(kind)
         else:
-            times.note_announced(kind)
+            times.record_timely(kind)
     assert abs(times.estimate(kind) - actual_s) < 0.1 * actual_s
     assert early_count < 100
 
@@ -303,22 +303,22 @@
     In a burst for a new version of a hot adapter, each new request postponed
     the deadline of the demand, and no request was served.
     """
-    hot = make_demand("hot", due=now + 0.8)
-    rare = make_demand("rare", due=now + 0.7)
+    hot = make_demand("hot", deadline=now + 0.8)
+    rare = make_demand("rare", deadline=now + 0.7)
     for step in range(5):
-        hot.note_due(now + 0.8 + 0.1 * step, now + 0.4)
-    assert hot.due == now + 0.8
+        hot.update_deadline(now + 0.8 + 0.1 * step, now + 0.4)
+    assert hot.deadline == now + 0.8
     later = now + 0.2
     assert loading.sort_demands([hot, rare], 0.4, later)[0] is rare
-    hot.note_due(later + 0.45, later + 0.4)
+    hot.update_deadline(later + 0.45, later + 0.4)
     assert loading.sort_demands([rare, hot], 0.4, later) == [hot, rare]
-    assert hot.due == later + 0.45
+    assert hot.deadline == later + 0.45
 
 
 def test_late_demand_takes_the_latest_deadline(make_demand, now):
     """Guards against a demand that stays late after a newer request."""
-    demand = make_demand("a", due=now - 1.0)
-    demand.note_due(now + 0.9, now + 0.4)
-    assert demand.due == now + 0.9
-    demand.note_due(now - 2.0, now + 0.4)
-    assert demand.due == now + 0.9
+    demand = make_demand("a", deadline=now - 1.0)
+    demand.update_deadline(now + 0.9, now + 0.4)
+    assert demand.deadline == now + 0.9
+    demand.update_deadline(now - 2.0, now + 0.4)
+    assert demand.deadline == now + 0.9
