Rename the placement and announcement fields of endpoints

Cause: place, places, gone_at, leaves_in_s and announced left open who does what and when; "places" are adapters that fit into an engine. Change: Engine.places -> adapter_capacity (PLACES in scripts/plan_cost.py -> ADAPTER_SLOTS, which is the argument that it gives); Endpoint.place -> apply_placement; announce -> apply_announcement; placed_at -> placement_reported_at; gone_at -> stops_at; announced -> announcement_count, also in Announcement; Announcement.leaves_in_s -> stops_in_s. The log field placed_age_s stays.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,7 +1,7 @@
 """Processor time of the holder of the lease for one turn of planning.
 
-All places but one of each engine are in use and the given number of adapters
-is asked for, as at the crest of a swing.
+All adapter slots but one of each engine are in use and the given number of
+adapters is asked for, as at the crest of a swing.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 from bronzetrack.entry import routes  # noqa: E402
 from bronzetrack.entry import settings  # noqa: E402
 
-PLACES = 17
+ADAPTER_SLOTS = 17
 TURNS = 100
 TURN_S = 0.004
 ENGINES = (6, 45, 400)
@@ -42,7 +42,7 @@
     text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
-    engine = routes.Engine((model,), 128, 17_000.0, PLACES, 4.3)
+    engine = routes.Engine((model,), 128, 17_000.0, ADAPTER_SLOTS, 4.3)
     service = routes.Service("s", "/h", 600, engine)
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": service}
@@ -61,7 +61,10 @@
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
         known = board.loading.value.find_engine(endpoint)
         known.check_at = None
-        model_keys = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
+        model_keys = [
+            ("m", f"a{number * ADAPTER_SLOTS + i}")
+            for i in range(ADAPTER_SLOTS)
+        ]
         known.held = dict.fromkeys(model_keys, 1)
         uses = board.traffic.value.find(endpoint.identity).uses
         uses.update(dict.fromkeys(model_keys[1:], 1))
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -124,9 +124,9 @@
             endpoint = announcement.make_endpoint()
             table.add(endpoint)
             _log(logevents.EndpointSeen, endpoint)
-        if announcement.announced < endpoint.announced:
+        if announcement.announcement_count < endpoint.announcement_count:
             return
-        endpoint.announced = announcement.announced
+        endpoint.announcement_count = announcement.announcement_count
         endpoint.removed_at = None
         endpoint.zone = announcement.zone
         endpoint.capacity = announcement.capacity
@@ -135,15 +135,19 @@
             _log(logevents.EndpointLeaving, endpoint)
         elif not announcement.draining:
             endpoint.leaving_since = None
-        if announcement.leaves_in_s is not None:
-            endpoint.gone_at = now + announcement.leaves_in_s
-        endpoint.announce(announcement.models, announcement.adapters, now)
+        if announcement.stops_in_s is not None:
+            endpoint.stops_at = now + announcement.stops_in_s
+        endpoint.apply_announcement(
+            announcement.models, announcement.adapters, now
+        )
 
     def _apply_placement(self, placed: messages.Placed) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(placed.identity)
         if endpoint is not None:
             model_key = (placed.model, placed.adapter)
-            endpoint.place(model_key, placed.version, self.read_clock())
+            endpoint.apply_placement(
+                model_key, placed.version, self.read_clock()
+            )
             self.board.arrivals.change(model_key)
 
     def _mark_removed(self, identity: str, now: float) -> None:
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -18,14 +18,14 @@
 
     :param identity: id of the endpoint, which changes with most starts
     :param started_ms: Unix time of the endpoint's start, in milliseconds
-    :param announced: number of the latest announcement
+    :param announcement_count: number of the latest announcement
     :param models: version of each base model held, by name
     :param adapters: version of each adapter held, by model and name
     :param leaving_since: when this VM first knew that the endpoint is leaving
     :param removed_at: time from which the endpoint counts as removed
-    :param gone_at: when the endpoint will be stopped, if that was announced
-    :param placed_at: when the holder of the lease last reported whether the
-        endpoint holds a model or an adapter
+    :param stops_at: when the endpoint will be stopped, if that was announced
+    :param placement_reported_at: when the holder of the lease last reported
+        whether the endpoint holds a model or an adapter
     """
 
     identity: str
@@ -34,13 +34,13 @@
     zone: str
     capacity: int
     started_ms: int = 0
-    announced: int = 0
+    announcement_count: int = 0
     models: dict[str, int] = attrs.field(factory=dict)
     adapters: dict[ModelKey, int] = attrs.field(factory=dict)
     leaving_since: float | None = None
     removed_at: float | None = None
-    gone_at: float | None = None
-    placed_at: dict[ModelKey, float] = attrs.field(factory=dict)
+    stops_at: float | None = None
+    placement_reported_at: dict[ModelKey, float] = attrs.field(factory=dict)
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the endpoint."""
@@ -58,15 +58,17 @@
             return model in self.models
         return self.adapters.get(model_key, 0) >= version
 
-    def place(self, model_key: ModelKey, version: int, now: float) -> None:
+    def apply_placement(
+        self, model_key: ModelKey, version: int, now: float
+    ) -> None:
         """Apply a report of the lease holder about a model or an adapter.
 
         :param version: version held, 0 for none
         """
-        self.placed_at[model_key] = now
+        self.placement_reported_at[model_key] = now
         self._set_version(model_key, version)
 
-    def announce(
+    def apply_announcement(
         self,
         models: dict[str, int],
         adapters: dict[ModelKey, int],
@@ -77,14 +79,14 @@
         An announcement arrives with a delay. Reports that the holder of the
         lease sent within that delay are newer and take precedence.
         """
-        self.placed_at = {
+        self.placement_reported_at = {
             model_key: at
-            for model_key, at in self.placed_at.items()
+            for model_key, at in self.placement_reported_at.items()
             if now - at < MAX_ANNOUNCEMENT_DELAY_S
         }
         kept = {
             model_key: self._get_version(model_key)
-            for model_key in self.placed_at
+            for model_key in self.placement_reported_at
         }
         self.models = dict(models)
         self.adapters = dict(adapters)
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -125,7 +125,7 @@
                 endpoint, demand.model_key, demand.version, demand.model_key
             )
         return None
-    if len(engine_state.held) < engine.places:
+    if len(engine_state.held) < engine.adapter_capacity:
         return 0.0, Plan(endpoint, demand.model_key, demand.version)
     evictable = [
         model_key
@@ -186,8 +186,8 @@
     """Return whether an engine accepts an order now."""
     engine_state = state.find_engine(endpoint)
     if (
-        endpoint.gone_at is not None
-        and endpoint.gone_at - now < MIN_REMAINING_S
+        endpoint.stops_at is not None
+        and endpoint.stops_at - now < MIN_REMAINING_S
     ):
         return False
     return (
@@ -231,7 +231,7 @@
 ) -> bool:
     """Return whether an engine has a free slot or an evictable adapter."""
     engine_state = state.find_engine(endpoint)
-    return len(engine_state.held) < engine.places or any(
+    return len(engine_state.held) < engine.adapter_capacity or any(
         _is_evictable(endpoint, model_key, engine_state, state, now)
         for model_key in engine_state.held
     )
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -39,14 +39,16 @@
     if progress.sends == 1 and (progress.waited_s or 0.0) < LOGGED_WAIT_S:
         return
     model_key = request.model_key or arrivals.NO_MODEL_KEY
-    placed_at = endpoint.placed_at.get(model_key)
+    placement_reported_at = endpoint.placement_reported_at.get(model_key)
     event = logevents.RequestSent(
         request_id=request.identity,
         endpoint=endpoint.identity,
         adapter=request.adapter,
         version=endpoint.adapters.get(model_key),
         placed_age_s=logevents.round_time(
-            None if placed_at is None else now - placed_at
+            None
+            if placement_reported_at is None
+            else now - placement_reported_at
         ),
         store_age_s=logevents.round_time(now - board.contact.value),
         send=progress.sends,
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -90,7 +90,7 @@
     loads_per_s: float
 
     @property
-    def places(self) -> int:
+    def adapter_capacity(self) -> int:
         """Number of adapters that fit beside the first model.
 
         Both the number of slots and the size of the memory limit it.
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -40,8 +40,9 @@
 class Announcement:
     """The latest entry that an endpoint published in the store.
 
-    :param announced: number of announcements since the endpoint started
-    :param leaves_in_s: time until the endpoint is stopped, if announced
+    :param announcement_count: number of announcements since the endpoint
+        started
+    :param stops_in_s: time until the endpoint is stopped, if announced
     """
 
     identity: str
@@ -51,10 +52,10 @@
     capacity: int
     draining: bool
     started_ms: int
-    announced: int
+    announcement_count: int
     models: dict[str, int]
     adapters: dict[tuple[str, str], int]
-    leaves_in_s: float | None = None
+    stops_in_s: float | None = None
 
     def make_endpoint(self) -> endpoints.Endpoint:
         """Return a new endpoint with the announced attributes."""
@@ -257,10 +258,10 @@
         draining=state == DRAINING,
         started_ms=_decode_start_time(document),
         # `sequence` counts announcements in an entry, but orders in a report.
-        announced=_decode_count(document, "sequence"),
+        announcement_count=_decode_count(document, "sequence"),
         models=models,
         adapters=adapters,
-        leaves_in_s=(
+        stops_in_s=(
             remaining_ms / 1000
             if isinstance(remaining_ms, (int, float))
             else None
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -34,11 +34,13 @@
 
 
 @pytest.mark.parametrize(
-    ("weights_mb", "adapter_mb", "places"),
+    ("weights_mb", "adapter_mb", "adapter_capacity"),
     [(200.0, 1.0, 17), (105.0, 1.0, 5), (90.0, 1.0, 0), (200.0, 0.0, 17)],
 )
-def test_adapters_fit_by_number_and_by_size(weights_mb, adapter_mb, places):
+def test_adapters_fit_by_number_and_by_size(
+    weights_mb, adapter_mb, adapter_capacity
+):
     """Guards against orders that exceed the memory of an engine."""
     model = routes.Model("m", 100.0, 1.0, 10, adapter_mb)
     engine = routes.Engine((model,), 8, weights_mb, 17, 4.0)
-    assert engine.places == places
+    assert engine.adapter_capacity == adapter_capacity
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -44,7 +44,7 @@
 def test_entry_fields_are_decoded():
     """Guards against a field that is decoded from the wrong key."""
     decoded = documents.decode_announcement("i-1", encode_document(ENTRY))
-    assert decoded.announced == 3
+    assert decoded.announcement_count == 3
     assert decoded.started_ms == 17
     assert decoded.adapters == {("m", "a1"): 2, ("m", "a2"): 1}
     assert not decoded.draining
