Rename the input of the load balancing and the traffic updates

Cause: View, ran, elsewhere_until and find hid that the class is the input of a choice, that runs are only possible, that a request fails over and that the entry is created; note_* read like an act of mind. Change: placement.View -> BalancingInput, locals view -> balancing_input; wants_copy -> needs_copy; Progress.asked_at -> load_requested_at; elsewhere_until -> failover_until; ran -> possible_runs; Traffic.note_failure -> record_failure; note_unreachable -> record_unreachable; note_answer -> record_success; TrafficTable.find -> get_or_create; TrafficTable.retain and Sender.retain -> discard_unlisted.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -66,7 +66,7 @@
             for i in range(ADAPTER_SLOTS)
         ]
         known.held = dict.fromkeys(model_keys, 1)
-        uses = board.traffic.value.find(endpoint.identity).uses
+        uses = board.traffic.value.get_or_create(endpoint.identity).uses
         uses.update(dict.fromkeys(model_keys[1:], 1))
 
 
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -70,8 +70,8 @@
         self._adjust_budgets()
         self.listener.expire(now)
         identities = set(self.board.endpoints.value.by_identity)
-        self.board.traffic.value.retain(identities)
-        self._sender.retain(identities)
+        self.board.traffic.value.discard_unlisted(identities)
+        self._sender.discard_unlisted(identities)
 
     def _adjust_budgets(self) -> None:
         """Apply reloaded settings to the existing retry budgets."""
@@ -137,7 +137,7 @@
             self._end(exchange, request, progress, failure)
             return
         reason = failures.Reason.DEADLINE
-        if not progress.ran:
+        if not progress.possible_runs:
             # The status of OVERLOADED states that no endpoint ran the request.
             reason = failures.Reason.OVERLOADED
         self._end(
@@ -285,7 +285,10 @@
         if progress.sends >= MAX_SENDS:
             return False
         if outcome is not relays.Outcome.REJECTED:
-            if not route.idempotent or progress.ran >= route.max_attempts:
+            if (
+                not route.idempotent
+                or progress.possible_runs >= route.max_attempts
+            ):
                 return False
             if exchange.started and progress.buffer is None:
                 return False
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -281,11 +281,12 @@
         self, candidates: list[endpoints.Endpoint]
     ) -> dict[str, float]:
         """Return the requests in progress by engine, relative to the mean."""
-        view = placement.View(
+        balancing_input = placement.BalancingInput(
             self.board.traffic.value, self.board.membership.value.active, "", 0
         )
         active = {
-            item.identity: view.count_active(item) for item in candidates
+            item.identity: balancing_input.count_active(item)
+            for item in candidates
         }
         mean = (
             sum(active.values()) / max(1, len(active)) + LOAD_OFFSET_REQUESTS
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -31,7 +31,7 @@
 
 
 @attrs.frozen
-class View:
+class BalancingInput:
     """Input of a choice between endpoints.
 
     :param traffic: requests and failures of this VM by endpoint
@@ -84,7 +84,7 @@
 def choose_endpoint(
     candidates: list[endpoints.Endpoint],
     tried: frozenset[str],
-    view: View,
+    balancing_input: BalancingInput,
 ) -> endpoints.Endpoint | None:
     """Return the usable endpoint with the lowest load.
 
@@ -96,17 +96,20 @@
     usable = [
         item
         for item in candidates
-        if item.is_usable(view.now) and view.is_reachable(item)
+        if item.is_usable(balancing_input.now)
+        and balancing_input.is_reachable(item)
     ]
     untried = [item for item in usable if item.identity not in tried]
-    return min(untried or usable, key=view.measure_load, default=None)
+    return min(
+        untried or usable, key=balancing_input.measure_load, default=None
+    )
 
 
 def list_holders(
     candidates: list[endpoints.Endpoint],
     model_key: tuple[str, str],
     version: int,
-    view: View,
+    balancing_input: BalancingInput,
 ) -> list[endpoints.Endpoint]:
     """Return the reachable engines that hold a model or an adapter.
 
@@ -115,25 +118,27 @@
     return [
         item
         for item in candidates
-        if item.is_usable(view.now)
-        and view.is_reachable(item)
+        if item.is_usable(balancing_input.now)
+        and balancing_input.is_reachable(item)
         and item.holds(model_key, version)
     ]
 
 
-def wants_copy(
+def needs_copy(
     holders: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
-    view: View,
+    balancing_input: BalancingInput,
 ) -> bool:
     """Return whether one more engine should hold an adapter.
 
     Load pattern: one adapter gets a fifth of all requests. The only engine
     that holds it answers late while the other engines have little load.
     """
-    usable = [item for item in candidates if item.is_usable(view.now)]
+    usable = [
+        item for item in candidates if item.is_usable(balancing_input.now)
+    ]
     if not holders or len(holders) >= len(usable):
         return False
-    mean = sum(map(view.count_active, usable)) / len(usable)
+    mean = sum(map(balancing_input.count_active, usable)) / len(usable)
     bound = max(COPY_REQUESTS, COPY_FACTOR * mean)
-    return all(view.count_active(item) > bound for item in holders)
+    return all(balancing_input.count_active(item) > bound for item in holders)
--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -14,15 +14,15 @@
     :param service: service that the request is routed to
     :param tried: ids of the endpoints that were tried
     :param sends: number of times that the request was sent
-    :param ran: number of sends after which an endpoint may have run the
-        request
+    :param possible_runs: number of sends after which an endpoint may have run
+        the request
     :param status: status of the endpoint's last answer, 0 without one
     :param endpoint: id of the endpoint that the request was last sent to
     :param buffer: buffer of incomplete events where the stream may be resumed
     :param waited_s: seconds from the arrival to the last send
     :param first_byte_s: seconds from the arrival to the answer's first byte
-    :param asked_at: when a load was last requested for the request
-    :param elsewhere_until: until when the request waits for an engine at which
+    :param load_requested_at: when a load was last requested for the request
+    :param failover_until: until when the request waits for an engine at which
         it was not interrupted
     :param missing: id of the endpoint that lacked the model or adapter
     :param unreachable: id of the endpoint that accepted no connection
@@ -31,14 +31,14 @@
     service: str
     tried: set[str] = attrs.field(factory=set)
     sends: int = 0
-    ran: int = 0
+    possible_runs: int = 0
     outcome: str = ""
     status: int = 0
     endpoint: str = ""
     buffer: events.EventBuffer | None = None
     waited_s: float | None = None
     first_byte_s: float | None = None
-    asked_at: float = 0.0
-    elsewhere_until: float = 0.0
+    load_requested_at: float = 0.0
+    failover_until: float = 0.0
     missing: str = ""
     unreachable: str = ""
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -136,7 +136,7 @@
         candidates: list[endpoints.Endpoint],
         now: float,
     ) -> endpoints.Endpoint | None:
-        view = placement.View(
+        balancing_input = placement.BalancingInput(
             self.board.traffic.value,
             self.board.membership.value.active,
             self.board.settings.zone,
@@ -146,23 +146,25 @@
         model_key = request.model_key
         if model_key is None or not self._has_engine(progress.service):
             return placement.choose_endpoint(
-                candidates, frozenset(progress.tried), view
+                candidates, frozenset(progress.tried), balancing_input
             )
         version = self.board.rules.value.versions.get(model_key, FIRST_VERSION)
-        holders = placement.list_holders(candidates, model_key, version, view)
+        holders = placement.list_holders(
+            candidates, model_key, version, balancing_input
+        )
         if not holders:
             self._request_load(request, progress, version, 1, now)
             return None
         if model_key[1] and self._is_copy_needed(
-            progress, holders, candidates, view
+            progress, holders, candidates, balancing_input
         ):
             self._request_load(
                 request, progress, version, len(holders) + 1, now
             )
-            if now < progress.elsewhere_until:
+            if now < progress.failover_until:
                 return None
         return placement.choose_endpoint(
-            holders, frozenset(progress.tried), view
+            holders, frozenset(progress.tried), balancing_input
         )
 
     def _limit_own_requests(self, service: str, now: float) -> float:
@@ -182,21 +184,21 @@
         progress: progresses.Progress,
         holders: list[endpoints.Endpoint],
         candidates: list[endpoints.Endpoint],
-        view: placement.View,
+        balancing_input: placement.BalancingInput,
     ) -> bool:
         """Return whether one more engine should hold an adapter.
 
         A request that was interrupted at all engines that hold its adapter
         continues at another engine if one can load the adapter soon.
         """
-        if view.now < progress.elsewhere_until:
+        if balancing_input.now < progress.failover_until:
             if any(item.identity not in progress.tried for item in holders):
-                progress.elsewhere_until = 0.0
+                progress.failover_until = 0.0
             elif len(holders) < len(candidates):
                 return True
             else:
-                progress.elsewhere_until = 0.0
-        return placement.wants_copy(holders, candidates, view)
+                progress.failover_until = 0.0
+        return placement.needs_copy(holders, candidates, balancing_input)
 
     def _has_engine(self, service: str) -> bool:
         found = self._find_service(service)
@@ -215,9 +217,9 @@
         now: float,
     ) -> None:
         """Request a load of a model or an adapter from the lease holder."""
-        if now - progress.asked_at < LOAD_REQUEST_INTERVAL_S:
+        if now - progress.load_requested_at < LOAD_REQUEST_INTERVAL_S:
             return
-        progress.asked_at = now
+        progress.load_requested_at = now
         want = messages.Want(
             self.board.settings.vm,
             progress.service,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -38,7 +38,7 @@
         self.read_clock = read_clock
         self._pools: dict[str, connections.Pool] = {}
 
-    def retain(self, identities: set[str]) -> None:
+    def discard_unlisted(self, identities: set[str]) -> None:
         """Remove the pools of other endpoints and close idle connections.
 
         :param identities: ids of the endpoints whose pools are kept
@@ -58,7 +58,7 @@
         :returns: the relay of the answer, `None` if no connection could be
             opened
         """
-        traffic = self.board.traffic.value.find(endpoint.identity)
+        traffic = self.board.traffic.value.get_or_create(endpoint.identity)
         model_key = request.model_key
         traffic.start(model_key)
         try:
@@ -67,10 +67,10 @@
             if connection is None:
                 connection = await pool.connect()
             if connection is None:
-                if traffic.note_unreachable(self.read_clock()):
+                if traffic.record_unreachable(self.read_clock()):
                     requestlog.log_failing(request, endpoint, UNREACHABLE)
                 progress.unreachable = endpoint.identity
-                progress.asked_at = 0.0
+                progress.load_requested_at = 0.0
                 return None
             return await self._send_on_connection(
                 exchange, request, progress, endpoint, pool, connection
@@ -111,7 +111,7 @@
         )
         progress.waited_s = sent_at - request.arrived
         progress.sends += 1
-        progress.ran += 1
+        progress.possible_runs += 1
         progress.endpoint = endpoint.identity
         requestlog.log_send(self.board, request, progress, endpoint, sent_at)
         connection.send(
@@ -153,26 +153,26 @@
         outcome: relays.Outcome,
     ) -> None:
         now = self.read_clock()
-        traffic: traffic_tables.Traffic = self.board.traffic.value.find(
-            endpoint.identity
+        traffic: traffic_tables.Traffic = (
+            self.board.traffic.value.get_or_create(endpoint.identity)
         )
         progress.tried.add(endpoint.identity)
         progress.status = relay.status
         failing = False
         if outcome is relays.Outcome.REJECTED:
-            progress.ran -= 1
+            progress.possible_runs -= 1
             failing = self._record_rejection(
                 request, progress, endpoint, relay, now
             )
         elif outcome is relays.Outcome.LOST:
-            failing = traffic.note_failure(now)
-            progress.elsewhere_until = now + FAILOVER_WAIT_S
+            failing = traffic.record_failure(now)
+            progress.failover_until = now + FAILOVER_WAIT_S
             self._report_loss(request, now)
         elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
-            failing = traffic.note_failure(now)
+            failing = traffic.record_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
-            traffic.note_answer(now)
+            traffic.record_success(now)
         if failing:
             requestlog.log_failing(
                 request, endpoint, outcome.value, relay.status
@@ -191,15 +191,15 @@
         :returns: whether the endpoint is newly considered failing
         """
         requestlog.log_rejection(request, endpoint, relay)
-        traffic = self.board.traffic.value.find(endpoint.identity)
+        traffic = self.board.traffic.value.get_or_create(endpoint.identity)
         instance = relay.find_header(names.INSTANCE)
         if relay.status != 421:
-            return traffic.note_failure(now)
+            return traffic.record_failure(now)
         if instance is not None and instance != endpoint.identity.encode():
-            return traffic.note_unreachable(now)
+            return traffic.record_unreachable(now)
         if request.model_key is not None:
             progress.missing = endpoint.identity
-            progress.asked_at = 0.0
+            progress.load_requested_at = 0.0
             self.board.placed.post(
                 messages.Placed(endpoint.identity, *request.model_key, 0)
             )
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -54,7 +54,7 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
-    def note_failure(self, now: float) -> bool:
+    def record_failure(self, now: float) -> bool:
         """Count a failure that the endpoint caused.
 
         :returns: whether earlier failures are negligible, so that this one is
@@ -65,15 +65,15 @@
         self.failed_at = now
         return earlier < NEGLIGIBLE_FAILURES
 
-    def note_unreachable(self, now: float) -> bool:
+    def record_unreachable(self, now: float) -> bool:
         """Count a connection that could not be opened as a failure.
 
         :returns: whether earlier failures are negligible
         """
         self.unreachable_until = now + UNREACHABLE_BACKOFF_S
-        return self.note_failure(now)
+        return self.record_failure(now)
 
-    def note_answer(self, now: float) -> None:
+    def record_success(self, now: float) -> None:
         """Reduce the effect of earlier failures after a good answer."""
         self.failures = self.measure_failures(now) * SUCCESS_DECAY_FACTOR
         self.failed_at = now
@@ -85,14 +85,14 @@
 
     by_identity: dict[str, Traffic] = attrs.field(factory=dict)
 
-    def find(self, identity: str) -> Traffic:
+    def get_or_create(self, identity: str) -> Traffic:
         """Return the traffic of an endpoint, creating it if needed."""
         traffic = self.by_identity.get(identity)
         if traffic is None:
             traffic = self.by_identity[identity] = Traffic()
         return traffic
 
-    def retain(self, identities: set[str]) -> None:
+    def discard_unlisted(self, identities: set[str]) -> None:
         """Discard idle endpoints whose ids are not listed."""
         for identity in set(self.by_identity) - identities:
             if not self.by_identity[identity].active:
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -59,9 +59,9 @@
 
 
 @pytest.fixture
-def view(now: float) -> placement.View:
-    """Return a view without any request in progress."""
-    return placement.View(traffic.TrafficTable(), {}, "z", now)
+def balancing_input(now: float) -> placement.BalancingInput:
+    """Return a balancing input without any request in progress."""
+    return placement.BalancingInput(traffic.TrafficTable(), {}, "z", now)
 
 
 @pytest.fixture
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -74,7 +74,7 @@
     assert controller._compute_pause_ms(now) <= 51
     known.pending.clear()
     known.check_at = None
-    board.traffic.value.find("e").start(MODEL_KEY)
+    board.traffic.value.get_or_create("e").start(MODEL_KEY)
     assert controller._compute_pause_ms(now) <= 51
     board.lease.value.relinquish()
     known.check_at = now
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -8,91 +8,121 @@
 from bronzetrack.entry import placement
 
 
-def test_requests_of_other_vms_count(make_endpoint, view):
+def test_requests_of_other_vms_count(make_endpoint, balancing_input):
     """Guards against all VMs choosing the same endpoint."""
     first, second = make_endpoint("a"), make_endpoint("b")
-    busy = attrs.evolve(view, peers_active={"a": 3})
+    busy = attrs.evolve(balancing_input, peers_active={"a": 3})
     assert placement.choose_endpoint([first, second], frozenset(), busy) is (
         second
     )
 
 
-def test_failing_endpoint_is_avoided_for_a_while(make_endpoint, view, now):
+def test_failing_endpoint_is_avoided_for_a_while(
+    make_endpoint, balancing_input, now
+):
     """Guards against an endpoint that fails fast and so appears idle."""
     first, second = make_endpoint("a"), make_endpoint("b")
     for _ in range(2):
-        view.traffic.find("a").note_failure(now)
+        balancing_input.traffic.get_or_create("a").record_failure(now)
     assert (
-        placement.choose_endpoint([first, second], frozenset(), view) is second
+        placement.choose_endpoint(
+            [first, second], frozenset(), balancing_input
+        )
+        is second
     )
-    later = attrs.evolve(view, now=now + 60, peers_active={"b": 1})
+    later = attrs.evolve(balancing_input, now=now + 60, peers_active={"b": 1})
     assert (
         placement.choose_endpoint([first, second], frozenset(), later) is first
     )
 
 
-def test_own_zone_comes_first_until_it_is_fuller(make_endpoint, view):
+def test_own_zone_comes_first_until_it_is_fuller(
+    make_endpoint, balancing_input
+):
     """Guards against unnecessary traffic between availability zones."""
     near = make_endpoint("near")
     far = make_endpoint("far", zone="other")
-    assert placement.choose_endpoint([far, near], frozenset(), view) is near
-    loaded = attrs.evolve(view, peers_active={"near": 3})
+    assert (
+        placement.choose_endpoint([far, near], frozenset(), balancing_input)
+        is near
+    )
+    loaded = attrs.evolve(balancing_input, peers_active={"near": 3})
     assert placement.choose_endpoint([far, near], frozenset(), loaded) is far
 
 
-def test_vm_keeps_to_its_share_of_the_connections(make_endpoint, view):
+def test_vm_keeps_to_its_share_of_the_connections(
+    make_endpoint, balancing_input
+):
     """Guards against a VM that makes an endpoint reset connections of all."""
     near, far = make_endpoint("near"), make_endpoint("far", zone="other")
-    limited = attrs.evolve(view, max_own_requests=2)
+    limited = attrs.evolve(balancing_input, max_own_requests=2)
     for _ in range(2):
-        view.traffic.find("near").start(None)
+        balancing_input.traffic.get_or_create("near").start(None)
     busy = attrs.evolve(limited, peers_active={"far": 9})
     assert placement.choose_endpoint([near, far], frozenset(), busy) is far
     assert placement.choose_endpoint([near], frozenset(), limited) is None
-    view.traffic.find("near").end(None)
+    balancing_input.traffic.get_or_create("near").end(None)
     assert placement.choose_endpoint([near], frozenset(), limited) is near
 
 
-def test_tried_endpoint_comes_last(make_endpoint, view):
+def test_tried_endpoint_comes_last(make_endpoint, balancing_input):
     """Guards against a retry at the endpoint where the request failed."""
     first, second = make_endpoint("a"), make_endpoint("b")
     tried = frozenset({"a"})
-    assert placement.choose_endpoint([first, second], tried, view) is second
-    assert placement.choose_endpoint([first], tried, view) is first
+    assert (
+        placement.choose_endpoint([first, second], tried, balancing_input)
+        is second
+    )
+    assert placement.choose_endpoint([first], tried, balancing_input) is first
 
 
 @pytest.mark.parametrize("field", ["leaving_since", "removed_at"])
-def test_leaving_endpoint_gets_no_requests(make_endpoint, view, now, field):
+def test_leaving_endpoint_gets_no_requests(
+    make_endpoint, balancing_input, now, field
+):
     """Guards against new requests at an endpoint that is leaving."""
     endpoint = make_endpoint("a", **{field: now - 0.1})
-    assert placement.choose_endpoint([endpoint], frozenset(), view) is None
-    assert not placement.list_holders([endpoint], ("m", ""), 1, view)
+    assert (
+        placement.choose_endpoint([endpoint], frozenset(), balancing_input)
+        is None
+    )
+    assert not placement.list_holders(
+        [endpoint], ("m", ""), 1, balancing_input
+    )
 
 
-def test_unreachable_engine_is_no_holder(make_endpoint, view, now):
+def test_unreachable_engine_is_no_holder(make_endpoint, balancing_input, now):
     """Guards against repeated connection attempts to a crashed engine."""
     endpoint = make_endpoint("a", "x")
-    view.traffic.find("a").note_unreachable(now)
-    assert not placement.list_holders([endpoint], ("m", "x"), 1, view)
-    later = attrs.evolve(view, now=now + 5)
+    balancing_input.traffic.get_or_create("a").record_unreachable(now)
+    assert not placement.list_holders(
+        [endpoint], ("m", "x"), 1, balancing_input
+    )
+    later = attrs.evolve(balancing_input, now=now + 5)
     assert placement.list_holders([endpoint], ("m", "x"), 1, later)
 
 
-def test_older_version_does_not_count(make_endpoint, view):
+def test_older_version_does_not_count(make_endpoint, balancing_input):
     """Guards against a request that starts on an old adapter version."""
     endpoint = make_endpoint("a", "x")
-    assert placement.list_holders([endpoint], ("m", "x"), 1, view)
-    assert not placement.list_holders([endpoint], ("m", "x"), 2, view)
+    assert placement.list_holders([endpoint], ("m", "x"), 1, balancing_input)
+    assert not placement.list_holders(
+        [endpoint], ("m", "x"), 2, balancing_input
+    )
 
 
-def test_adapter_that_nobody_holds_has_no_holder(make_endpoint, view):
+def test_adapter_that_nobody_holds_has_no_holder(
+    make_endpoint, balancing_input
+):
     """Guards against a request to an engine that lacks its adapter."""
     endpoint = make_endpoint("a", "x")
-    assert not placement.list_holders([endpoint], ("m", "y"), 1, view)
+    assert not placement.list_holders(
+        [endpoint], ("m", "y"), 1, balancing_input
+    )
 
 
-def test_copy_is_wanted_when_holders_have_more_than_the_rest(
-    make_endpoint, view
+def test_copy_is_needed_when_holders_have_more_than_the_rest(
+    make_endpoint, balancing_input
 ):
     """Guards against one engine that serves a hot adapter alone.
 
@@ -102,22 +132,22 @@
     holder = make_endpoint("hot", "x")
     others = [make_endpoint(f"e{index}") for index in range(5)]
     engines = [holder, *others]
-    assert not placement.wants_copy([holder], engines, view)
+    assert not placement.needs_copy([holder], engines, balancing_input)
     active = {"hot": 65, "e0": 12, "e1": 19, "e2": 30, "e3": 25, "e4": 18}
-    busy = attrs.evolve(view, peers_active=active)
-    assert placement.wants_copy([holder], engines, busy)
-    assert not placement.wants_copy([holder, others[0]], engines, busy)
+    busy = attrs.evolve(balancing_input, peers_active=active)
+    assert placement.needs_copy([holder], engines, busy)
+    assert not placement.needs_copy([holder, others[0]], engines, busy)
 
 
-def test_few_requests_are_no_reason_for_a_copy(make_endpoint, view):
+def test_few_requests_are_no_reason_for_a_copy(make_endpoint, balancing_input):
     """Guards against copies that occupy slots while no engine is busy."""
     holder, other = make_endpoint("a", "x"), make_endpoint("b")
-    light = attrs.evolve(view, peers_active={"a": 4})
-    assert not placement.wants_copy([holder], [holder, other], light)
+    light = attrs.evolve(balancing_input, peers_active={"a": 4})
+    assert not placement.needs_copy([holder], [holder, other], light)
 
 
-def test_no_copy_beyond_the_last_engine(make_endpoint, view):
+def test_no_copy_beyond_the_last_engine(make_endpoint, balancing_input):
     """Guards against a demand that no engine can meet."""
     holder = make_endpoint("a", "x")
-    busy = attrs.evolve(view, peers_active={"a": 50})
-    assert not placement.wants_copy([holder], [holder], busy)
+    busy = attrs.evolve(balancing_input, peers_active={"a": 50})
+    assert not placement.needs_copy([holder], [holder], busy)
--- a/tests/entry/test_traffic.py
+++ b/tests/entry/test_traffic.py
@@ -17,19 +17,19 @@
     endpoint_traffic, now
 ):
     """Guards against a log line for each of many failures, or for none."""
-    assert endpoint_traffic.note_failure(now)
-    assert not endpoint_traffic.note_failure(now + 1)
-    assert not endpoint_traffic.note_unreachable(now + 2)
-    assert endpoint_traffic.note_failure(
+    assert endpoint_traffic.record_failure(now)
+    assert not endpoint_traffic.record_failure(now + 1)
+    assert not endpoint_traffic.record_unreachable(now + 2)
+    assert endpoint_traffic.record_failure(
         now + 2 + 5 * traffic.FAILURE_HALF_LIFE_S
     )
 
 
 def test_answers_make_failures_negligible_earlier(endpoint_traffic, now):
     """Guards against an endpoint that is avoided after it has recovered."""
-    endpoint_traffic.note_failure(now)
+    endpoint_traffic.record_failure(now)
     for _ in range(4):
-        endpoint_traffic.note_answer(now)
+        endpoint_traffic.record_success(now)
     assert endpoint_traffic.measure_failures(now) < traffic.NEGLIGIBLE_FAILURES
 
 
@@ -37,7 +37,7 @@
     endpoint_traffic, now
 ):
     """Guards against a connection attempt per request to a dead address."""
-    endpoint_traffic.note_unreachable(now)
+    endpoint_traffic.record_unreachable(now)
     assert (
         endpoint_traffic.unreachable_until
         == now + traffic.UNREACHABLE_BACKOFF_S
