Rename the retry budget, suspects and planning pass

Cause: note_*, identify and spend did not say what is counted, computed or taken; a "turn" of the loading controller is a planning pass.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,4 +1,4 @@
-"""Processor time of the holder of the lease for one turn of planning.
+"""Processor time of the holder of the lease for one planning pass.
 
 All adapter slots but one of each engine are in use and the given number of
 adapters is asked for, as at the crest of a swing.
@@ -24,8 +24,8 @@
 from bronzetrack.entry import settings  # noqa: E402
 
 ADAPTER_SLOTS = 17
-TURNS = 100
-TURN_S = 0.004
+PASSES = 100
+PASS_S = 0.004
 ENGINES = (6, 45, 400)
 DEMANDS = (0, 60)
 
@@ -71,17 +71,17 @@
 
 
 def measure(engines: int, demands: int) -> float:
-    """Return the processor time of a turn, in seconds."""
+    """Return the processor time of a planning pass, in seconds."""
     board = make_board(engines)
     ports = roles.Ports(None, None, None)
     now = 1_000.0
     controller = roles.CONTROLLERS.lookup("loading")(board, ports, lambda: now)
     board.lease.value.apply_renewal(0, now, "vm-1")
-    controller._run_turn(NoEffects(), now)
+    controller._run_planning_pass(NoEffects(), now)
     fill_engines(board)
     started = time.process_time()
-    for _ in range(TURNS):
-        now += TURN_S
+    for _ in range(PASSES):
+        now += PASS_S
         board.lease.value.apply_renewal(0, now, "vm-1")
         for number in range(demands):
             board.wanted.post(
@@ -89,10 +89,10 @@
                     "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
                 )
             )
-        controller._run_turn(NoEffects(), now)
+        controller._run_planning_pass(NoEffects(), now)
         for known in board.loading.value.engines.values():
             known.order_pending = False
-    return (time.process_time() - started) / TURNS
+    return (time.process_time() - started) / PASSES
 
 
 def main() -> None:
@@ -102,7 +102,7 @@
         for demands in DEMANDS:
             cost_ms = 1_000 * measure(engines, demands)
             print(
-                f"turn, {engines} engines, {demands} demands: "
+                f"planning pass, {engines} engines, {demands} demands: "
                 f"{cost_ms:.2f} ms"
             )
 
--- a/src/bronzetrack/entry/budget.py
+++ b/src/bronzetrack/entry/budget.py
@@ -35,12 +35,12 @@
     requests: collections.deque[float] = attrs.field(factory=collections.deque)
     retries: collections.deque[float] = attrs.field(factory=collections.deque)
 
-    def note_request(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """Count a request that arrived from a caller."""
         self._expire(now)
         self.requests.append(now)
 
-    def spend(self, now: float, vms: int) -> bool:
+    def take_retry(self, now: float, vms: int) -> bool:
         """Take one retry from the budget if one is left.
 
         :param vms: number of VMs that share the slack
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -95,7 +95,7 @@
             self._end(exchange, request, None, route)
             return
         request.bind(route)
-        digest = suspects.identify(request.path, request.body)
+        digest = suspects.fingerprint_request(request.path, request.body)
         if self._is_suspected(digest, now):
             failure = failures.Failure(
                 failures.Reason.SUSPECTED,
@@ -106,7 +106,7 @@
         progress = progresses.Progress(self._choose_service(route))
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
-        self._find_budget(progress.service).note_request(now)
+        self._find_budget(progress.service).record_request(now)
         with self._log_disconnect(request, progress):
             await self._run(exchange, request, progress)
 
@@ -147,7 +147,7 @@
     def _is_suspected(self, digest: str, now: float) -> bool:
         known_suspects = self.board.suspects.value
         for loss in self.board.losses.take():
-            known_suspects.note_loss(loss.identity, now)
+            known_suspects.record_loss(loss.identity, now)
         return known_suspects.is_refused(digest, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
@@ -296,8 +296,8 @@
         if request.deadline - now < 0.02:
             return False
         vms = self.board.membership.value.members.count_vms(now)
-        allowed = self._find_budget(progress.service).spend(now, vms)
-        meters.REPEATS.labels(str(allowed).lower()).inc()
+        allowed = self._find_budget(progress.service).take_retry(now, vms)
+        meters.RETRIES.labels(str(allowed).lower()).inc()
         return allowed
 
     def _end(
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -21,12 +21,13 @@
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 
-# Longest time between two turns of planning.
+# Longest time between two planning passes.
 BUSY_INTERVAL_S = 0.05
-# Longest time between two turns while no adapter is in use or in demand.
+# Longest time between two planning passes while no adapter is in use or in
+# demand.
 IDLE_INTERVAL_S = 0.25
-# Longest time between two turns of a VM without the lease, which plans
-# nothing.
+# Longest time between two planning passes of a VM without the lease, which
+# plans nothing.
 FOLLOWER_INTERVAL_S = 1.0
 # Time between two removals of outdated state by the holder of the lease.
 CLEANUP_INTERVAL_S = 1.0
@@ -34,8 +35,8 @@
 DEMAND_TTL_S = 1.0
 # An engine that a VM could not reach gets no orders for this time.
 UNREACHABLE_S = 0.6
-# Shortest pause between two turns, because demands arrive in bursts.
-TURN_PAUSE_S = 0.004
+# Shortest pause between two planning passes, because demands arrive in bursts.
+PLANNING_PAUSE_S = 0.004
 # A load that takes longer than expected is announced again after this time.
 LOAD_RECHECK_S = 0.06
 # Added to the mean number of requests, so that a few requests do not make an
@@ -66,7 +67,7 @@
         )
 
     async def run(self) -> None:
-        """Run turns of planning until cancelled."""
+        """Run planning passes until cancelled."""
         section = self.board.loading
         async with anyio.create_task_group() as group:
             while True:
@@ -76,11 +77,11 @@
                     self.board.lease.is_newer(self.board.lease.revision),
                     timeout_ms=self._compute_pause_ms(self.read_clock()),
                 )
-                self._run_turn(group, self.read_clock())
-                await anyio.sleep(TURN_PAUSE_S)
+                self._run_planning_pass(group, self.read_clock())
+                await anyio.sleep(PLANNING_PAUSE_S)
 
     def _compute_pause_ms(self, now: float) -> int:
-        """Return the time until a load, a report or a turn is due, in ms."""
+        """Return the time until a load, a report or a pass is due, in ms."""
         engines = self._state.engines.values()
         held = self.board.lease.value.is_held(now)
         loads = (engine.pending.values() for engine in engines)
@@ -98,7 +99,7 @@
         return math.ceil(1000 * max(0.0, min(interval_s, due - now)))
 
     def _choose_interval(self, now: float) -> float:
-        """Return the longest time between two turns of the lease holder."""
+        """Return the longest time between two passes of the lease holder."""
         members = self.board.membership.value.members
         in_use = any(
             item.uses
@@ -117,7 +118,7 @@
     def _state(self) -> loadstate.LoadingState:
         return self.board.loading.value
 
-    def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
+    def _run_planning_pass(self, group: abc.TaskGroup, now: float) -> None:
         wants = self.board.wanted.take()
         if not self.board.lease.value.is_held(now):
             self._end_term(now)
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -31,7 +31,7 @@
     ["status"],
     registry=REGISTRY,
 )
-REPEATS = prometheus_client.Counter(
+RETRIES = prometheus_client.Counter(
     "bronzetrack_entry_repeats",
     "Sends beyond the first, by whether the retry budget allowed them.",
     ["allowed"],
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -206,7 +206,7 @@
         return False
 
     def _report_loss(self, request: requests.Request, now: float) -> None:
-        digest = suspects.identify(request.path, request.body)
-        self.board.suspects.value.note_loss(digest, now)
+        digest = suspects.fingerprint_request(request.path, request.body)
+        self.board.suspects.value.record_loss(digest, now)
         if digest:
             self.board.outgoing.post(messages.Loss(digest))
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -1,4 +1,4 @@
-"""Tests of the planning turns of the loading controller."""
+"""Tests of the planning passes of the loading controller."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
     Another holder of the lease may have used its adapter slots meanwhile.
     """
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     known = board.loading.value.find_engine(make_endpoint("e"))
     known.pending = {MODEL_KEY: now + 1}
     board.lease.value.relinquish()
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     assert board.loading.value.engines == {"e": known}
     board.lease.value.apply_renewal(5, now, "vm-1")
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     assert board.loading.value.engines == {}
 
 
@@ -31,14 +31,14 @@
     """Guards against requests that wait for a load that no VM announces."""
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     known = board.loading.value.find_engine(endpoint)
     known.held = {MODEL_KEY: 1}
     known.pending = {MODEL_KEY: now + 0.2}
     board.lease.value.relinquish()
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     assert len(board.placed) == 0
-    controller._run_turn(None, now + 0.3)
+    controller._run_planning_pass(None, now + 0.3)
     assert [item.adapter for item in board.placed.take()] == ["a1"]
     assert board.loading.value.engines == {}
 
@@ -56,7 +56,7 @@
     known.loaded_at[MODEL_KEY] = now
     want = messages.Want("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
     board.wanted.post(want)
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     assert now < known.pending[MODEL_KEY] < now + 0.2
 
 
--- a/tests/entry/test_budget.py
+++ b/tests/entry/test_budget.py
@@ -35,9 +35,9 @@
     for vm, is_request, passed in events:
         now += passed
         if is_request:
-            budgets[vm].note_request(now)
+            budgets[vm].record_request(now)
             requests.append(now)
-        elif budgets[vm].spend(now, vms):
+        elif budgets[vm].take_retry(now, vms):
             retries.append(now)
         recent = [at for at in retries if at >= now - WINDOW_S]
         served = [at for at in requests if at >= now - 2 * WINDOW_S]
@@ -47,10 +47,10 @@
 def test_budget_is_refilled_after_the_window(now):
     """Guards against a budget that is never refilled."""
     retry_budget = make_budget()
-    while retry_budget.spend(now, 7):
+    while retry_budget.take_retry(now, 7):
         pass
-    assert not retry_budget.spend(now + 0.9 * WINDOW_S, 7)
-    assert retry_budget.spend(now + 1.1 * WINDOW_S, 7)
+    assert not retry_budget.take_retry(now + 0.9 * WINDOW_S, 7)
+    assert retry_budget.take_retry(now + 1.1 * WINDOW_S, 7)
 
 
 def test_restarted_vm_stays_within_the_slack(now):
@@ -58,6 +58,6 @@
     spent = 0
     for _ in range(2):
         retry_budget = make_budget()
-        while retry_budget.spend(now, 1):
+        while retry_budget.take_retry(now, 1):
             spent += 1
     assert spent <= SLACK
