Rename route policies and the request id

Cause: Share, Repeat and patience did not say that they are a weighted service, a policy for runs and a timeout of the caller; Request.identity is the request id, unlike Endpoint.identity. Change: routes.Share -> WeightedService, Route.shares -> weighted_services; Repeat -> RunPolicy, Route.repeat -> run_policy (values stay); Route.patience_s -> caller_timeout_s; documents._decode_patience -> _decode_caller_timeout, MIN_PATIENCE_S -> MIN_CALLER_TIMEOUT_S; Request.bind -> set_route; Request.identity -> request_id.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -94,7 +94,7 @@
         if isinstance(route, failures.Failure):
             self._end(exchange, request, None, route)
             return
-        request.bind(route)
+        request.set_route(route)
         digest = suspects.fingerprint_request(request.path, request.body)
         if self._is_suspected(digest, now):
             failure = failures.Failure(
@@ -172,7 +172,7 @@
             return failures.Failure(
                 failures.Reason.STOPPING, "this VM is shutting down", 0.0
             )
-        if not request.identity:
+        if not request.request_id:
             return failures.Failure(
                 failures.Reason.NO_IDENTITY, "the request has no id"
             )
@@ -184,10 +184,10 @@
         return route
 
     def _choose_service(self, route: routes.Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return random.choices(route.shares, weights)[0].service
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        weights = [item.weight for item in route.weighted_services]
+        return random.choices(route.weighted_services, weights)[0].service
 
     def _find_budget(self, service: str) -> budget.RetryBudget:
         by_service = self.board.budgets.value.by_service
@@ -321,7 +321,7 @@
     ) -> None:
         headers = [
             (b"Content-Type", b"text/plain"),
-            (names.REQUEST_ID_HEADER, request.identity.encode("latin-1")),
+            (names.REQUEST_ID_HEADER, request.request_id.encode("latin-1")),
         ]
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -41,7 +41,7 @@
     model_key = request.model_key or arrivals.NO_MODEL_KEY
     placement_reported_at = endpoint.placement_reported_at.get(model_key)
     event = logevents.RequestSent(
-        request_id=request.identity,
+        request_id=request.request_id,
         endpoint=endpoint.identity,
         adapter=request.adapter,
         version=endpoint.adapters.get(model_key),
@@ -66,7 +66,7 @@
     """Count and log the rejection of a request by an endpoint."""
     meters.REJECTIONS.labels(relay.status).inc()
     event = logevents.RequestRejected(
-        request_id=request.identity,
+        request_id=request.request_id,
         endpoint=endpoint.identity,
         status=relay.status,
         adapter=request.adapter,
@@ -83,7 +83,7 @@
 ) -> None:
     """Log why an endpoint is given a lower preference from now on."""
     event = logevents.EndpointFailing(
-        request.identity, endpoint.identity, outcome, status
+        request.request_id, endpoint.identity, outcome, status
     )
     logevents.log(LOG, event)
 
@@ -100,7 +100,7 @@
     total_s = now - request.arrived
     _update_metrics(progress, failure, total_s)
     event = logevents.RequestEnded(
-        request_id=request.identity,
+        request_id=request.request_id,
         route=request.route.name if request.route else "",
         adapter=request.adapter,
         endpoint=progress.endpoint,
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -14,7 +14,7 @@
 class Request:
     """A completely received request of a caller.
 
-    :param identity: request id
+    :param request_id: id of the request
     :param target: path and query as received
     :param host: host name without port, in lower case
     :param authority: host and port as received
@@ -30,7 +30,7 @@
     :param last_event_id: id of the event after which a stream is resumed
     """
 
-    identity: str
+    request_id: str
     method: bytes
     target: bytes
     host: str
@@ -48,11 +48,13 @@
     route: routes.Route | None = None
     start_by: float = float("inf")
 
-    def bind(self, route: routes.Route) -> None:
+    def set_route(self, route: routes.Route) -> None:
         """Set the route and limit the deadlines by its timeouts."""
         self.route = route
         self.deadline = min(self.deadline, self.arrived + route.timeout_s)
-        self.start_by = min(self.deadline, self.arrived + route.patience_s)
+        self.start_by = min(
+            self.deadline, self.arrived + route.caller_timeout_s
+        )
 
     @property
     def model_key(self) -> tuple[str, str] | None:
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -7,7 +7,7 @@
 import attrs
 
 
-class Repeat(enum.Enum):
+class RunPolicy(enum.Enum):
     """Whether a request of a route may run more than once."""
 
     SAFE = "safe"
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen(eq=False)
-class Share:
+class WeightedService:
     """Service that receives a weighted share of a route's requests."""
 
     service: str
@@ -26,35 +26,35 @@
 class Route:
     """Services of one host and path prefix, and what callers expect.
 
-    :param shares: services that the requests are distributed over
-    :param repeat: whether a request may run more than once
+    :param weighted_services: services that the requests are distributed over
+    :param run_policy: whether a request may run more than once
     :param streams: whether the answer is a stream of events
     :param resumable: whether a broken stream may continue at another endpoint
     :param max_attempts: number of endpoints that may run one request
     :param timeout_s: longest time until the final answer, in seconds
     :param target_s: time in seconds within which an answer is on time
     :param priority: priority of the requests, 0 is the most urgent
-    :param patience_s: time in seconds after which callers that have received
-        no answer disconnect
+    :param caller_timeout_s: time in seconds after which callers that have
+        received no answer disconnect
     """
 
     name: str
     host: str
     prefix: str
-    shares: tuple[Share, ...]
-    repeat: Repeat = Repeat.ONCE
+    weighted_services: tuple[WeightedService, ...]
+    run_policy: RunPolicy = RunPolicy.ONCE
     streams: bool = False
     resumable: bool = False
     max_attempts: int = 1
     timeout_s: float = 30.0
     target_s: float = 1.0
     priority: int = 5
-    patience_s: float = float("inf")
+    caller_timeout_s: float = float("inf")
 
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.repeat is Repeat.SAFE or self.resumable
+        return self.run_policy is RunPolicy.SAFE or self.resumable
 
 
 @attrs.frozen(eq=False)
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -117,7 +117,7 @@
         connection.send(
             data,
             relay,
-            request.identity.encode("latin-1"),
+            request.request_id.encode("latin-1"),
             request.method == b"HEAD",
         )
         try:
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -14,10 +14,10 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import routes
 
-# Callers abandon a stream after the longest of these times: MIN_PATIENCE_S,
-# TARGET_FACTOR times the target time (`aim_ms`), and GAP_TARGET_FACTOR times
-# the allowed gap between events (`gap_target_ms`).
-MIN_PATIENCE_S = 2.0
+# Callers abandon a stream after the longest of these times:
+# MIN_CALLER_TIMEOUT_S, TARGET_FACTOR times the target time (`aim_ms`), and
+# GAP_TARGET_FACTOR times the allowed gap between events (`gap_target_ms`).
+MIN_CALLER_TIMEOUT_S = 2.0
 TARGET_FACTOR = 4.0
 GAP_TARGET_FACTOR = 8.0
 READY = "ready"
@@ -152,33 +152,37 @@
     kind = item["route_kind"]
     streams = kind == "streaming"
     resumable = streams and bool(item.get("resumable", False))
-    shares = tuple(
-        routes.Share(
+    weighted_services = tuple(
+        routes.WeightedService(
             _require_field(part, "service", str), float(part["weight"])
         )
         for part in item.get("split") or ()
     ) or (
-        routes.Share(_require_field(item, "service", str), 1.0),
+        routes.WeightedService(_require_field(item, "service", str), 1.0),
     )
     return routes.Route(
         name=item.get("name", ""),
         host=_require_field(item, "hostname", str).lower(),
         prefix=_require_field(item, "path_prefix", str),
-        shares=shares,
-        repeat=routes.Repeat.SAFE if kind == "safe" else routes.Repeat.ONCE,
+        weighted_services=weighted_services,
+        run_policy=(
+            routes.RunPolicy.SAFE if kind == "safe" else routes.RunPolicy.ONCE
+        ),
         streams=streams,
         resumable=resumable,
         max_attempts=int(item.get("max_attempts", 1)),
         timeout_s=float(item.get("timeout_ms", 30_000)) / 1000,
         target_s=float(item.get("aim_ms", 1_000)) / 1000,
         priority=int(item.get("priority", 5)),
-        patience_s=_decode_patience(item) if streams else float("inf"),
+        caller_timeout_s=(
+            _decode_caller_timeout(item) if streams else float("inf")
+        ),
     )
 
 
-def _decode_patience(item: dict[str, Any]) -> float:
+def _decode_caller_timeout(item: dict[str, Any]) -> float:
     return max(
-        MIN_PATIENCE_S,
+        MIN_CALLER_TIMEOUT_S,
         TARGET_FACTOR * float(item.get("aim_ms", 0)) / 1000,
         GAP_TARGET_FACTOR * float(item.get("gap_target_ms", 0)) / 1000,
     )
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -43,7 +43,7 @@
     )
     deadline_ms = _decode_non_negative(first_values.get(b"x-deadline-ms", b""))
     return requests.Request(
-        identity=first_values.get(names.REQUEST_ID, b"").decode("latin-1"),
+        request_id=first_values.get(names.REQUEST_ID, b"").decode("latin-1"),
         method=head.method,
         target=head.target,
         host=host,
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -9,7 +9,9 @@
 
 def make_route(prefix):
     """Return a route with the given prefix."""
-    return routes.Route(prefix, "h", prefix, (routes.Share("s", 1.0),))
+    return routes.Route(
+        prefix, "h", prefix, (routes.WeightedService("s", 1.0),)
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -106,7 +106,7 @@
     assert route.resumable
     assert route.idempotent
     assert route.timeout_s == 15.0
-    assert route.patience_s == 4.0
+    assert route.caller_timeout_s == 4.0
 
 
 def test_stream_that_is_not_resumable_is_not_idempotent():
@@ -129,7 +129,7 @@
     route = routes.find_route(
         documents.decode_configuration(data), "host.example", "/p/"
     )
-    assert [(s.service, s.weight) for s in route.shares] == [
+    assert [(s.service, s.weight) for s in route.weighted_services] == [
         ("a", 90.0),
         ("b", 10.0),
     ]
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -9,7 +9,9 @@
 from bronzetrack.platform import requests as wire_requests
 from bronzetrack.transport import heads
 
-ROUTE = routes.Route("r", "h", "/", (routes.Share("s", 1.0),), priority=2)
+ROUTE = routes.Route(
+    "r", "h", "/", (routes.WeightedService("s", 1.0),), priority=2
+)
 
 
 @pytest.fixture
@@ -27,7 +29,7 @@
         b"POST", b"/p/x?q=1", headers=[(b"Host", b"H.example:80"), *headers]
     )
     request = wire_requests.decode_request(head, body, 100.0)
-    request.bind(ROUTE)
+    request.set_route(ROUTE)
     return request, wire_requests.encode_request(
         request, endpoint, 1.5, **fields
     )
