--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -183,7 +183,7 @@
             now = self.read_clock()
             data = messages.encode(self._make_heartbeat())
             for peer in self.board.membership.value.members.peers.values():
-                if peer.is_worth_telling(now):
+                if peer.receives_heartbeats(now):
                     self._send(data, peer.address)
             self._sum_active(now)
             # A change of the lease is sent at once, because demands are sent
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -50,7 +50,7 @@
             self.heard_at is not None and now - self.heard_at < ALIVE_TIMEOUT_S
         )
 
-    def is_worth_telling(self, now: float) -> bool:
+    def receives_heartbeats(self, now: float) -> bool:
         """Return whether heartbeats are still sent to the VM."""
         latest = max(self.announced_at, self.heard_at or 0.0)
         return now - latest < PEER_EXPIRY_S
@@ -69,7 +69,7 @@
     def count_vms(self, now: float) -> int:
         """Return the number of VMs that may be running, including this one."""
         return 1 + sum(
-            1 for peer in self.peers.values() if peer.is_worth_telling(now)
+            1 for peer in self.peers.values() if peer.receives_heartbeats(now)
         )
 
 
