--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,7 +1,7 @@
-"""Processor time of the holder of the lease for one turn of planning.
+"""Processor time of the holder of the lease for one planning pass.
 
-All places but one of each engine are in use and the given number of adapters
-is asked for, as at the crest of a swing.
+All adapter slots but one of each engine are in use and the given number of
+adapters is asked for, as at the crest of a swing.
 """
 
 from __future__ import annotations
@@ -23,9 +23,9 @@
 from bronzetrack.entry import routes  # noqa: E402
 from bronzetrack.entry import settings  # noqa: E402
 
-PLACES = 17
-TURNS = 100
-TURN_S = 0.004
+ADAPTER_SLOTS = 17
+PASSES = 100
+PASS_S = 0.004
 ENGINES = (6, 45, 400)
 DEMANDS = (0, 60)
 
@@ -42,7 +42,7 @@
     text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
-    engine = routes.Engine((model,), 128, 17_000.0, PLACES, 4.3)
+    engine = routes.Engine((model,), 128, 17_000.0, ADAPTER_SLOTS, 4.3)
     service = routes.Service("s", "/h", 600, engine)
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": service}
@@ -61,35 +61,38 @@
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
         known = board.loading.value.find_engine(endpoint)
         known.check_at = None
-        needs = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
-        known.held = dict.fromkeys(needs, 1)
-        uses = board.traffic.value.find(endpoint.identity).uses
-        uses.update(dict.fromkeys(needs[1:], 1))
+        model_keys = [
+            ("m", f"a{number * ADAPTER_SLOTS + i}")
+            for i in range(ADAPTER_SLOTS)
+        ]
+        known.held = dict.fromkeys(model_keys, 1)
+        uses = board.traffic.value.get_or_create(endpoint.identity).uses
+        uses.update(dict.fromkeys(model_keys[1:], 1))
 
 
 def measure(engines: int, demands: int) -> float:
-    """Return the processor time of a turn, in seconds."""
+    """Return the processor time of a planning pass, in seconds."""
     board = make_board(engines)
     ports = roles.Ports(None, None, None)
     now = 1_000.0
     controller = roles.CONTROLLERS.lookup("loading")(board, ports, lambda: now)
-    board.lease.value.note_renewed(0, now, "vm-1")
-    controller._run_turn(NoEffects(), now)
+    board.lease.value.apply_renewal(0, now, "vm-1")
+    controller._run_planning_pass(NoEffects(), now)
     fill_engines(board)
     started = time.process_time()
-    for _ in range(TURNS):
-        now += TURN_S
-        board.lease.value.note_renewed(0, now, "vm-1")
+    for _ in range(PASSES):
+        now += PASS_S
+        board.lease.value.apply_renewal(0, now, "vm-1")
         for number in range(demands):
             board.wanted.post(
                 messages.Want(
                     "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
                 )
             )
-        controller._run_turn(NoEffects(), now)
+        controller._run_planning_pass(NoEffects(), now)
         for known in board.loading.value.engines.values():
-            known.ordering = False
-    return (time.process_time() - started) / TURNS
+            known.order_pending = False
+    return (time.process_time() - started) / PASSES
 
 
 def main() -> None:
@@ -99,7 +102,7 @@
         for demands in DEMANDS:
             cost_ms = 1_000 * measure(engines, demands)
             print(
-                f"turn, {engines} engines, {demands} demands: "
+                f"planning pass, {engines} engines, {demands} demands: "
                 f"{cost_ms:.2f} ms"
             )
 
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -70,8 +70,8 @@
         self._adjust_budgets()
         self.listener.expire(now)
         identities = set(self.board.endpoints.value.by_identity)
-        self.board.traffic.value.retain(identities)
-        self._sender.retain(identities)
+        self.board.traffic.value.discard_unlisted(identities)
+        self._sender.discard_unlisted(identities)
 
     def _adjust_budgets(self) -> None:
         """Apply reloaded settings to the existing retry budgets."""
@@ -94,8 +94,8 @@
         if isinstance(route, failures.Failure):
             self._end(exchange, request, None, route)
             return
-        request.bind(route)
-        digest = suspects.identify(request.path, request.body)
+        request.set_route(route)
+        digest = suspects.fingerprint_request(request.path, request.body)
         if self._is_suspected(digest, now):
             failure = failures.Failure(
                 failures.Reason.SUSPECTED,
@@ -106,7 +106,7 @@
         progress = progresses.Progress(self._choose_service(route))
         if route.resumable:
             progress.buffer = events.EventBuffer(request.last_event_id)
-        self._find_budget(progress.service).note_request(now)
+        self._find_budget(progress.service).record_request(now)
         with self._log_disconnect(request, progress):
             await self._run(exchange, request, progress)
 
@@ -137,7 +137,7 @@
             self._end(exchange, request, progress, failure)
             return
         reason = failures.Reason.DEADLINE
-        if not progress.ran:
+        if not progress.possible_runs:
             # The status of OVERLOADED states that no endpoint ran the request.
             reason = failures.Reason.OVERLOADED
         self._end(
@@ -147,7 +147,7 @@
     def _is_suspected(self, digest: str, now: float) -> bool:
         known_suspects = self.board.suspects.value
         for loss in self.board.losses.take():
-            known_suspects.note_loss(loss.identity, now)
+            known_suspects.record_loss(loss.identity, now)
         return known_suspects.is_refused(digest, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
@@ -172,7 +172,7 @@
             return failures.Failure(
                 failures.Reason.STOPPING, "this VM is shutting down", 0.0
             )
-        if not request.identity:
+        if not request.request_id:
             return failures.Failure(
                 failures.Reason.NO_IDENTITY, "the request has no id"
             )
@@ -184,10 +184,10 @@
         return route
 
     def _choose_service(self, route: routes.Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return random.choices(route.shares, weights)[0].service
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        weights = [item.weight for item in route.weighted_services]
+        return random.choices(route.weighted_services, weights)[0].service
 
     def _find_budget(self, service: str) -> budget.RetryBudget:
         by_service = self.board.budgets.value.by_service
@@ -285,7 +285,10 @@
         if progress.sends >= MAX_SENDS:
             return False
         if outcome is not relays.Outcome.REJECTED:
-            if not route.idempotent or progress.ran >= route.max_attempts:
+            if (
+                not route.idempotent
+                or progress.possible_runs >= route.max_attempts
+            ):
                 return False
             if exchange.started and progress.buffer is None:
                 return False
@@ -293,8 +296,8 @@
         if request.deadline - now < 0.02:
             return False
         vms = self.board.membership.value.members.count_vms(now)
-        allowed = self._find_budget(progress.service).spend(now, vms)
-        meters.REPEATS.labels(str(allowed).lower()).inc()
+        allowed = self._find_budget(progress.service).take_retry(now, vms)
+        meters.RETRIES.labels(str(allowed).lower()).inc()
         return allowed
 
     def _end(
@@ -318,7 +321,7 @@
     ) -> None:
         headers = [
             (b"Content-Type", b"text/plain"),
-            (names.REQUEST_ID_HEADER, request.identity.encode("latin-1")),
+            (names.REQUEST_ID_HEADER, request.request_id.encode("latin-1")),
         ]
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -21,12 +21,13 @@
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 
-# Longest time between two turns of planning.
+# Longest time between two planning passes.
 BUSY_INTERVAL_S = 0.05
-# Longest time between two turns while no adapter is in use or in demand.
+# Longest time between two planning passes while no adapter is in use or in
+# demand.
 IDLE_INTERVAL_S = 0.25
-# Longest time between two turns of a VM without the lease, which plans
-# nothing.
+# Longest time between two planning passes of a VM without the lease, which
+# plans nothing.
 FOLLOWER_INTERVAL_S = 1.0
 # Time between two removals of outdated state by the holder of the lease.
 CLEANUP_INTERVAL_S = 1.0
@@ -34,8 +35,8 @@
 DEMAND_TTL_S = 1.0
 # An engine that a VM could not reach gets no orders for this time.
 UNREACHABLE_S = 0.6
-# Shortest pause between two turns, because demands arrive in bursts.
-TURN_PAUSE_S = 0.004
+# Shortest pause between two planning passes, because demands arrive in bursts.
+PLANNING_PAUSE_S = 0.004
 # A load that takes longer than expected is announced again after this time.
 LOAD_RECHECK_S = 0.06
 # Added to the mean number of requests, so that a few requests do not make an
@@ -58,7 +59,7 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        self._orderer = ordering.Orderer(
+        self._order_executor = ordering.OrderExecutor(
             self.board,
             self.ports.engines,
             self.read_clock,
@@ -66,7 +67,7 @@
         )
 
     async def run(self) -> None:
-        """Run turns of planning until cancelled."""
+        """Run planning passes until cancelled."""
         section = self.board.loading
         async with anyio.create_task_group() as group:
             while True:
@@ -76,18 +77,20 @@
                     self.board.lease.is_newer(self.board.lease.revision),
                     timeout_ms=self._compute_pause_ms(self.read_clock()),
                 )
-                self._run_turn(group, self.read_clock())
-                await anyio.sleep(TURN_PAUSE_S)
+                self._run_planning_pass(group, self.read_clock())
+                await anyio.sleep(PLANNING_PAUSE_S)
 
     def _compute_pause_ms(self, now: float) -> int:
-        """Return the time until a load, a report or a turn is due, in ms."""
+        """Return the time until a load, a report or a pass is due, in ms."""
         engines = self._state.engines.values()
         held = self.board.lease.value.is_held(now)
         loads = (engine.pending.values() for engine in engines)
         reports = (
             engine.check_at
             for engine in engines
-            if held and engine.check_at is not None and not engine.ordering
+            if held
+            and engine.check_at is not None
+            and not engine.order_pending
         )
         due = min(itertools.chain(*loads, reports), default=math.inf)
         interval_s = (
@@ -96,7 +99,7 @@
         return math.ceil(1000 * max(0.0, min(interval_s, due - now)))
 
     def _choose_interval(self, now: float) -> float:
-        """Return the longest time between two turns of the lease holder."""
+        """Return the longest time between two passes of the lease holder."""
         members = self.board.membership.value.members
         in_use = any(
             item.uses
@@ -115,7 +118,7 @@
     def _state(self) -> loadstate.LoadingState:
         return self.board.loading.value
 
-    def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
+    def _run_planning_pass(self, group: abc.TaskGroup, now: float) -> None:
         wants = self.board.wanted.take()
         if not self.board.lease.value.is_held(now):
             self._end_term(now)
@@ -130,8 +133,8 @@
         self._record_uses(now)
         self._finish_loads(now)
         self._plan(group, now)
-        if now - self._state.forgot_at > CLEANUP_INTERVAL_S:
-            self._state.forget(now)
+        if now - self._state.pruned_at > CLEANUP_INTERVAL_S:
+            self._state.prune(now)
 
     def _end_term(self, now: float) -> None:
         """Announce loads that complete, and reset the state after the last."""
@@ -143,27 +146,28 @@
             self.write(self.board.loading, loadstate.LoadingState())
 
     def _record_want(self, want: messages.Want, now: float) -> None:
-        need = (want.model, want.adapter)
+        model_key = (want.model, want.adapter)
         if want.unreachable:
             self._mark_unreachable(want.unreachable, now)
         if want.missing:
-            self._handle_missing(want, need, now)
-        key = (want.service, need)
+            self._handle_missing(want, model_key, now)
+        key = (want.service, model_key)
         demand = self._state.demands.get(key)
         if demand is None:
             demand = loadstate.Demand(
                 want.service,
-                need,
+                model_key,
                 want.version,
                 want.copies,
-                due=-math.inf,
+                deadline=-math.inf,
                 last_at=now,
                 since=now,
             )
             self._state.demands[key] = demand
         demand.last_at = now
-        demand.note_due(
-            now + want.slack_ms / 1000, now + self._state.measure_margin()
+        demand.update_deadline(
+            now + want.slack_ms / 1000,
+            now + self._state.estimate_first_event_delay(),
         )
         demand.version = max(demand.version, want.version)
         demand.copies = max(demand.copies, want.copies)
@@ -172,37 +176,40 @@
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is not None:
             state = self._state.find_engine(endpoint)
-            state.silent_until = now + UNREACHABLE_S
+            state.unreachable_until = now + UNREACHABLE_S
 
     def _handle_missing(
-        self, want: messages.Want, need: endpoints.Need, now: float
+        self, want: messages.Want, model_key: endpoints.ModelKey, now: float
     ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
         if endpoint is None:
             return
         state = self._state.find_engine(endpoint)
-        loaded_at = state.loaded_at.get(need)
-        if loaded_at is not None and now - loaded_at < loading.FRESH_S:
-            self._state.times.note_early(
-                state.kinds.get(need, loadtimes.UNKNOWN_KIND)
+        loaded_at = state.loaded_at.get(model_key)
+        if (
+            loaded_at is not None
+            and now - loaded_at < loading.EARLY_REJECTION_S
+        ):
+            self._state.times.record_early(
+                state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
             )
-            state.pending[need] = now + LOAD_RECHECK_S
-        elif need in state.held and state.check_at is None:
+            state.pending[model_key] = now + LOAD_RECHECK_S
+        elif model_key in state.held and state.check_at is None:
             state.check_at = now + ordering.REPORT_LAG_S
-        self._orderer.publish(endpoint, need, 0)
+        self._order_executor.publish(endpoint, model_key, 0)
 
     def _record_uses(self, now: float) -> None:
-        uses: collections.Counter[tuple[str, endpoints.Need]] = (
+        uses: collections.Counter[tuple[str, endpoints.ModelKey]] = (
             collections.Counter()
         )
         for identity, item in self.board.traffic.value.by_identity.items():
-            for need in item.uses:
-                uses[(identity, need)] += 1
+            for model_key in item.uses:
+                uses[(identity, model_key)] += 1
         members = self.board.membership.value.members
         for peer in members.list_alive(now):
             for identity, model, adapter in peer.uses:
                 uses[(identity, (model, adapter))] += 1
-        self._state.note_uses(uses, now)
+        self._state.record_uses(uses, now)
 
     def _plan(self, group: abc.TaskGroup, now: float) -> None:
         configuration = self.board.rules.value.configuration
@@ -229,16 +236,16 @@
         available = [
             item
             for item in candidates
-            if loading.can_order(item, state, now)
-            and loading.has_room(item, state, engine, now)
+            if loading.accepts_orders(item, state, now)
+            and loading.has_available_slot(item, state, engine, now)
         ]
         relative_loads = self._compute_relative_loads(candidates)
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
-        margin_s = state.measure_margin()
-        for demand in loading.order_demands(demands, margin_s, now):
-            key = (service, demand.need)
+        first_event_delay_s = state.estimate_first_event_delay()
+        for demand in loading.sort_demands(demands, first_event_delay_s, now):
+            key = (service, demand.model_key)
             holders = loading.list_holders(candidates, demand, state, now)
             if now - demand.last_at > DEMAND_TTL_S:
                 del state.demands[key]
@@ -246,16 +253,16 @@
                 self._republish_holders(holders, demand)
                 del state.demands[key]
             elif available:
-                fitting = loading.prefer_warm(
+                fitting = loading.select_load_candidates(
                     available, candidates, holders, demand, state, now
                 )
                 plan = loading.plan_load(
                     fitting, demand, state, relative_loads, engine, now
                 )
                 if plan is not None:
-                    state.find_engine(plan.endpoint).ordering = True
+                    state.find_engine(plan.endpoint).order_pending = True
                     available.remove(plan.endpoint)
-                    group.start_soon(self._orderer.carry_out, plan)
+                    group.start_soon(self._order_executor.execute, plan)
 
     def _republish_holders(
         self, holders: list[endpoints.Endpoint], demand: loadstate.Demand
@@ -266,20 +273,21 @@
         """
         for endpoint in holders:
             state = self._state.find_engine(endpoint)
-            if demand.need not in state.pending:
-                self._orderer.publish(
-                    endpoint, demand.need, state.held[demand.need]
+            if demand.model_key not in state.pending:
+                self._order_executor.publish(
+                    endpoint, demand.model_key, state.held[demand.model_key]
                 )
 
     def _compute_relative_loads(
         self, candidates: list[endpoints.Endpoint]
     ) -> dict[str, float]:
         """Return the requests in progress by engine, relative to the mean."""
-        view = placement.View(
+        balancing_input = placement.BalancingInput(
             self.board.traffic.value, self.board.membership.value.active, "", 0
         )
         active = {
-            item.identity: view.count_active(item) for item in candidates
+            item.identity: balancing_input.count_active(item)
+            for item in candidates
         }
         mean = (
             sum(active.values()) / max(1, len(active)) + LOAD_OFFSET_REQUESTS
@@ -305,7 +313,7 @@
         self._state.model_loads = recent
         allowed = engine.loads_per_s * MODEL_LOAD_WINDOW_S * MODEL_LOAD_SHARE
         for endpoint in self.board.endpoints.value.list_service(service.name):
-            if endpoint.models or not loading.can_order(
+            if endpoint.models or not loading.accepts_orders(
                 endpoint, self._state, now
             ):
                 continue
@@ -313,27 +321,34 @@
                 return
             recent.append(now)
             state = self._state.find_engine(endpoint)
-            state.ordering = True
+            state.order_pending = True
             state.loading_until = now + MODEL_LOAD_FACTOR * model.load_s
-            group.start_soon(self._orderer.load_model, endpoint, model.name)
+            group.start_soon(
+                self._order_executor.load_model, endpoint, model.name
+            )
 
     def _finish_loads(self, now: float) -> None:
         """Announce the adapters whose loads are expected to be complete."""
         for identity, state in self._state.engines.items():
             completed = [
-                need for need, due in state.pending.items() if due <= now
+                model_key
+                for model_key, due in state.pending.items()
+                if due <= now
             ]
             endpoint = self.board.endpoints.value.by_identity.get(identity)
-            for need in completed:
-                del state.pending[need]
+            for model_key in completed:
+                del state.pending[model_key]
                 if endpoint is not None:
-                    if state.loaded_at.get(need, 0.0) < now - loading.FRESH_S:
-                        self._state.times.note_announced(
-                            state.kinds.get(need, loadtimes.UNKNOWN_KIND)
+                    if (
+                        state.loaded_at.get(model_key, 0.0)
+                        < now - loading.EARLY_REJECTION_S
+                    ):
+                        self._state.times.record_timely(
+                            state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
                         )
-                    state.loaded_at[need] = now
-                    self._orderer.publish(
-                        endpoint, need, state.held.get(need, 1)
+                    state.loaded_at[model_key] = now
+                    self._order_executor.publish(
+                        endpoint, model_key, state.held.get(model_key, 1)
                     )
 
     def _start_checks(self, group: abc.TaskGroup, now: float) -> None:
@@ -345,7 +360,9 @@
             elif (
                 state.check_at is not None
                 and state.check_at <= now
-                and not state.ordering
+                and not state.order_pending
             ):
-                state.ordering = True
-                group.start_soon(self._orderer.check, endpoint, state)
+                state.order_pending = True
+                group.start_soon(
+                    self._order_executor.refresh_state, endpoint, state
+                )
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -42,7 +42,7 @@
 USE_COLLECTION_S = 0.4
 # A rejection this soon after a load was announced means that the load takes
 # longer than expected.
-FRESH_S = 1.0
+EARLY_REJECTION_S = 1.0
 # A loaded adapter is kept for the requests that wait for it until the first of
 # them uses it, but no longer than this time.
 KEEP_LOADED_S = 1.0
@@ -57,17 +57,17 @@
     """
 
     endpoint: endpoints.Endpoint
-    need: endpoints.Need
+    model_key: endpoints.ModelKey
     version: int
-    victim: endpoints.Need | None = None
+    victim: endpoints.ModelKey | None = None
 
 
-def compute_hash_weight(need: endpoints.Need, identity: str) -> int:
+def compute_hash_weight(model_key: endpoints.ModelKey, identity: str) -> int:
     """Return the rendezvous hash of an adapter and an engine.
 
     The value is the same on all VMs.
     """
-    text = f"{need[0]}/{need[1]}/{identity}".encode()
+    text = f"{model_key[0]}/{model_key[1]}/{identity}".encode()
     digest = hashlib.blake2b(text, digest_size=8).digest()
     return int.from_bytes(digest, "big")
 
@@ -88,7 +88,7 @@
     """
     ranked = sorted(
         candidates,
-        key=lambda item: compute_hash_weight(demand.need, item.identity),
+        key=lambda item: compute_hash_weight(demand.model_key, item.identity),
         reverse=True,
     )
     best: tuple[float, Plan] | None = None
@@ -112,52 +112,57 @@
     now: float,
 ) -> tuple[float, Plan] | None:
     """Return the cost and plan of a load at an engine, if it is possible."""
-    if demand.need[0] not in endpoint.models:
+    if demand.model_key[0] not in endpoint.models:
         return None
     engine_state = state.find_engine(endpoint)
     if len(engine_state.pending) >= MAX_PENDING:
         return None
-    if demand.need in engine_state.held:
+    if demand.model_key in engine_state.held:
         # A new version occupies a slot of its own until the old version is
         # unloaded, so the old version is unloaded first.
-        if _is_evictable(endpoint, demand.need, engine_state, state, now):
+        if _is_evictable(endpoint, demand.model_key, engine_state, state, now):
             return -1.0, Plan(
-                endpoint, demand.need, demand.version, demand.need
+                endpoint, demand.model_key, demand.version, demand.model_key
             )
         return None
-    if len(engine_state.held) < engine.places:
-        return 0.0, Plan(endpoint, demand.need, demand.version)
+    if len(engine_state.held) < engine.adapter_capacity:
+        return 0.0, Plan(endpoint, demand.model_key, demand.version)
     evictable = [
-        need
-        for need in engine_state.held
-        if _is_evictable(endpoint, need, engine_state, state, now)
+        model_key
+        for model_key in engine_state.held
+        if _is_evictable(endpoint, model_key, engine_state, state, now)
     ]
     if not evictable:
         return None
     victim = min(
         evictable,
-        key=lambda need: _make_eviction_key(endpoint, need, state, now),
+        key=lambda model_key: _make_eviction_key(
+            endpoint, model_key, state, now
+        ),
     )
-    decayed_use = state.measure_decayed_use(victim, now)
+    decayed_use = state.compute_decayed_use(victim, now)
     return DECAYED_USE_WEIGHT * decayed_use, Plan(
-        endpoint, demand.need, demand.version, victim
+        endpoint, demand.model_key, demand.version, victim
     )
 
 
 def _is_evictable(
     endpoint: endpoints.Endpoint,
-    need: endpoints.Need,
+    model_key: endpoints.ModelKey,
     engine_state: loadstate.EngineState,
     state: loadstate.LoadingState,
     now: float,
 ) -> bool:
     """Return whether an adapter may be evicted from an engine."""
-    if need in engine_state.pending or need in engine_state.unloading:
+    if (
+        model_key in engine_state.pending
+        or model_key in engine_state.unloading
+    ):
         return False
     if state.started_at is None or now - state.started_at < USE_COLLECTION_S:
         return False
-    used_at = state.used_at.get((endpoint.identity, need), 0.0)
-    loaded_at = engine_state.loaded_at.get(need, 0.0)
+    used_at = state.used_at.get((endpoint.identity, model_key), 0.0)
+    loaded_at = engine_state.loaded_at.get(model_key, 0.0)
     if used_at < loaded_at and now - loaded_at < KEEP_LOADED_S:
         return False
     return now - used_at >= IDLE_S
@@ -165,37 +170,37 @@
 
 def _make_eviction_key(
     endpoint: endpoints.Endpoint,
-    need: endpoints.Need,
+    model_key: endpoints.ModelKey,
     state: loadstate.LoadingState,
     now: float,
 ) -> tuple[float, float]:
     return (
-        state.measure_decayed_use(need, now),
-        state.used_at.get((endpoint.identity, need), 0.0),
+        state.compute_decayed_use(model_key, now),
+        state.used_at.get((endpoint.identity, model_key), 0.0),
     )
 
 
-def can_order(
+def accepts_orders(
     endpoint: endpoints.Endpoint, state: loadstate.LoadingState, now: float
 ) -> bool:
     """Return whether an engine accepts an order now."""
     engine_state = state.find_engine(endpoint)
     if (
-        endpoint.gone_at is not None
-        and endpoint.gone_at - now < MIN_REMAINING_S
+        endpoint.stops_at is not None
+        and endpoint.stops_at - now < MIN_REMAINING_S
     ):
         return False
     return (
         endpoint.is_usable(now)
-        and not engine_state.ordering
+        and not engine_state.order_pending
         and engine_state.check_at is None
-        and now >= engine_state.silent_until
+        and now >= engine_state.unreachable_until
         and now >= engine_state.loading_until
     )
 
 
-def order_demands(
-    demands: Iterable[loadstate.Demand], margin_s: float, now: float
+def sort_demands(
+    demands: Iterable[loadstate.Demand], first_event_delay_s: float, now: float
 ) -> list[loadstate.Demand]:
     """Return demands in the order in which they are served.
 
@@ -205,20 +210,20 @@
     their arrival, every request would be late. Demands for additional copies
     come after all others.
 
-    :param margin_s: time in seconds from an order to the first event
+    :param first_event_delay_s: time from an order to the first event
     """
-    soonest = now + margin_s
+    soonest = now + first_event_delay_s
     return sorted(
         demands,
         key=lambda item: (
             item.copies > 1,
-            item.due < soonest,
-            abs(item.due - soonest),
+            item.deadline < soonest,
+            abs(item.deadline - soonest),
         ),
     )
 
 
-def has_room(
+def has_available_slot(
     endpoint: endpoints.Endpoint,
     state: loadstate.LoadingState,
     engine: routes.Engine,
@@ -226,13 +231,13 @@
 ) -> bool:
     """Return whether an engine has a free slot or an evictable adapter."""
     engine_state = state.find_engine(endpoint)
-    return len(engine_state.held) < engine.places or any(
-        _is_evictable(endpoint, need, engine_state, state, now)
-        for need in engine_state.held
+    return len(engine_state.held) < engine.adapter_capacity or any(
+        _is_evictable(endpoint, model_key, engine_state, state, now)
+        for model_key in engine_state.held
     )
 
 
-def prefer_warm(
+def select_load_candidates(
     available: list[endpoints.Endpoint],
     candidates: list[endpoints.Endpoint],
     holders: list[endpoints.Endpoint],
@@ -259,8 +264,8 @@
         item.identity
         for item in candidates
         if item.is_usable(now)
-        and state.find_engine(item).is_cached(demand.need)
-        and now >= state.find_engine(item).silent_until
+        and state.find_engine(item).is_cached(demand.model_key)
+        and now >= state.find_engine(item).unreachable_until
         and item not in holders
     }
     if not warm:
@@ -287,7 +292,7 @@
     engine_state: loadstate.EngineState, demand: loadstate.Demand, now: float
 ) -> bool:
     return (
-        now >= engine_state.silent_until
-        and engine_state.held.get(demand.need, 0) >= demand.version
-        and demand.need not in engine_state.unloading
+        now >= engine_state.unreachable_until
+        and engine_state.held.get(demand.model_key, 0) >= demand.version
+        and demand.model_key not in engine_state.unloading
     )
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -38,15 +38,17 @@
     """
     if progress.sends == 1 and (progress.waited_s or 0.0) < LOGGED_WAIT_S:
         return
-    need = request.need or arrivals.NO_NEED
-    placed_at = endpoint.placed_at.get(need)
+    model_key = request.model_key or arrivals.NO_MODEL_KEY
+    placement_reported_at = endpoint.placement_reported_at.get(model_key)
     event = logevents.RequestSent(
-        request_id=request.identity,
+        request_id=request.request_id,
         endpoint=endpoint.identity,
         adapter=request.adapter,
-        version=endpoint.adapters.get(need),
+        version=endpoint.adapters.get(model_key),
         placed_age_s=logevents.round_time(
-            None if placed_at is None else now - placed_at
+            None
+            if placement_reported_at is None
+            else now - placement_reported_at
         ),
         store_age_s=logevents.round_time(now - board.contact.value),
         send=progress.sends,
@@ -64,7 +66,7 @@
     """Count and log the rejection of a request by an endpoint."""
     meters.REJECTIONS.labels(relay.status).inc()
     event = logevents.RequestRejected(
-        request_id=request.identity,
+        request_id=request.request_id,
         endpoint=endpoint.identity,
         status=relay.status,
         adapter=request.adapter,
@@ -81,7 +83,7 @@
 ) -> None:
     """Log why an endpoint is given a lower preference from now on."""
     event = logevents.EndpointFailing(
-        request.identity, endpoint.identity, outcome, status
+        request.request_id, endpoint.identity, outcome, status
     )
     logevents.log(LOG, event)
 
@@ -98,7 +100,7 @@
     total_s = now - request.arrived
     _update_metrics(progress, failure, total_s)
     event = logevents.RequestEnded(
-        request_id=request.identity,
+        request_id=request.request_id,
         route=request.route.name if request.route else "",
         adapter=request.adapter,
         endpoint=progress.endpoint,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -38,7 +38,7 @@
         self.read_clock = read_clock
         self._pools: dict[str, connections.Pool] = {}
 
-    def retain(self, identities: set[str]) -> None:
+    def discard_unlisted(self, identities: set[str]) -> None:
         """Remove the pools of other endpoints and close idle connections.
 
         :param identities: ids of the endpoints whose pools are kept
@@ -58,25 +58,25 @@
         :returns: the relay of the answer, `None` if no connection could be
             opened
         """
-        traffic = self.board.traffic.value.find(endpoint.identity)
-        need = request.need
-        traffic.start(need)
+        traffic = self.board.traffic.value.get_or_create(endpoint.identity)
+        model_key = request.model_key
+        traffic.start(model_key)
         try:
             pool = self._find_pool(endpoint)
             connection = pool.take_idle(self.read_clock())
             if connection is None:
                 connection = await pool.connect()
             if connection is None:
-                if traffic.note_unreachable(self.read_clock()):
+                if traffic.record_unreachable(self.read_clock()):
                     requestlog.log_failing(request, endpoint, UNREACHABLE)
                 progress.unreachable = endpoint.identity
-                progress.asked_at = 0.0
+                progress.load_requested_at = 0.0
                 return None
             return await self._send_on_connection(
                 exchange, request, progress, endpoint, pool, connection
             )
         finally:
-            traffic.end(need)
+            traffic.end(model_key)
 
     def _find_pool(self, endpoint: endpoints.Endpoint) -> connections.Pool:
         pool = self._pools.get(endpoint.identity)
@@ -111,13 +111,13 @@
         )
         progress.waited_s = sent_at - request.arrived
         progress.sends += 1
-        progress.ran += 1
+        progress.possible_runs += 1
         progress.endpoint = endpoint.identity
         requestlog.log_send(self.board, request, progress, endpoint, sent_at)
         connection.send(
             data,
             relay,
-            request.identity.encode("latin-1"),
+            request.request_id.encode("latin-1"),
             request.method == b"HEAD",
         )
         try:
@@ -136,10 +136,13 @@
         self, request: requests.Request, endpoint: endpoints.Endpoint
     ) -> int | None:
         """Return the adapter version to require if a version was published."""
-        need = request.need
-        if need is None or need not in self.board.rules.value.versions:
+        model_key = request.model_key
+        if (
+            model_key is None
+            or model_key not in self.board.rules.value.versions
+        ):
             return None
-        return endpoint.adapters.get(need)
+        return endpoint.adapters.get(model_key)
 
     def _record_outcome(
         self,
@@ -150,26 +153,26 @@
         outcome: relays.Outcome,
     ) -> None:
         now = self.read_clock()
-        traffic: traffic_tables.Traffic = self.board.traffic.value.find(
-            endpoint.identity
+        traffic: traffic_tables.Traffic = (
+            self.board.traffic.value.get_or_create(endpoint.identity)
         )
         progress.tried.add(endpoint.identity)
         progress.status = relay.status
         failing = False
         if outcome is relays.Outcome.REJECTED:
-            progress.ran -= 1
+            progress.possible_runs -= 1
             failing = self._record_rejection(
                 request, progress, endpoint, relay, now
             )
         elif outcome is relays.Outcome.LOST:
-            failing = traffic.note_failure(now)
-            progress.elsewhere_until = now + FAILOVER_WAIT_S
+            failing = traffic.record_failure(now)
+            progress.failover_until = now + FAILOVER_WAIT_S
             self._report_loss(request, now)
         elif outcome is relays.Outcome.MALFORMED or relay.status >= 500:
-            failing = traffic.note_failure(now)
+            failing = traffic.record_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived
-            traffic.note_answer(now)
+            traffic.record_success(now)
         if failing:
             requestlog.log_failing(
                 request, endpoint, outcome.value, relay.status
@@ -188,22 +191,22 @@
         :returns: whether the endpoint is newly considered failing
         """
         requestlog.log_rejection(request, endpoint, relay)
-        traffic = self.board.traffic.value.find(endpoint.identity)
+        traffic = self.board.traffic.value.get_or_create(endpoint.identity)
         instance = relay.find_header(names.INSTANCE)
         if relay.status != 421:
-            return traffic.note_failure(now)
+            return traffic.record_failure(now)
         if instance is not None and instance != endpoint.identity.encode():
-            return traffic.note_unreachable(now)
-        if request.need is not None:
+            return traffic.record_unreachable(now)
+        if request.model_key is not None:
             progress.missing = endpoint.identity
-            progress.asked_at = 0.0
+            progress.load_requested_at = 0.0
             self.board.placed.post(
-                messages.Placed(endpoint.identity, *request.need, 0)
+                messages.Placed(endpoint.identity, *request.model_key, 0)
             )
         return False
 
     def _report_loss(self, request: requests.Request, now: float) -> None:
-        digest = suspects.identify(request.path, request.body)
-        self.board.suspects.value.note_loss(digest, now)
+        digest = suspects.fingerprint_request(request.path, request.body)
+        self.board.suspects.value.record_loss(digest, now)
         if digest:
             self.board.outgoing.post(messages.Loss(digest))
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -14,10 +14,10 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import routes
 
-# Callers abandon a stream after the longest of these times: MIN_PATIENCE_S,
-# TARGET_FACTOR times the target time (`aim_ms`), and GAP_TARGET_FACTOR times
-# the allowed gap between events (`gap_target_ms`).
-MIN_PATIENCE_S = 2.0
+# Callers abandon a stream after the longest of these times:
+# MIN_CALLER_TIMEOUT_S, TARGET_FACTOR times the target time (`aim_ms`), and
+# GAP_TARGET_FACTOR times the allowed gap between events (`gap_target_ms`).
+MIN_CALLER_TIMEOUT_S = 2.0
 TARGET_FACTOR = 4.0
 GAP_TARGET_FACTOR = 8.0
 READY = "ready"
@@ -40,8 +40,9 @@
 class Announcement:
     """The latest entry that an endpoint published in the store.
 
-    :param announced: number of announcements since the endpoint started
-    :param leaves_in_s: time until the endpoint is stopped, if announced
+    :param announcement_count: number of announcements since the endpoint
+        started
+    :param stops_in_s: time until the endpoint is stopped, if announced
     """
 
     identity: str
@@ -51,10 +52,10 @@
     capacity: int
     draining: bool
     started_ms: int
-    announced: int
+    announcement_count: int
     models: dict[str, int]
     adapters: dict[tuple[str, str], int]
-    leaves_in_s: float | None = None
+    stops_in_s: float | None = None
 
     def make_endpoint(self) -> endpoints.Endpoint:
         """Return a new endpoint with the announced attributes."""
@@ -151,33 +152,37 @@
     kind = item["route_kind"]
     streams = kind == "streaming"
     resumable = streams and bool(item.get("resumable", False))
-    shares = tuple(
-        routes.Share(
+    weighted_services = tuple(
+        routes.WeightedService(
             _require_field(part, "service", str), float(part["weight"])
         )
         for part in item.get("split") or ()
     ) or (
-        routes.Share(_require_field(item, "service", str), 1.0),
+        routes.WeightedService(_require_field(item, "service", str), 1.0),
     )
     return routes.Route(
         name=item.get("name", ""),
         host=_require_field(item, "hostname", str).lower(),
         prefix=_require_field(item, "path_prefix", str),
-        shares=shares,
-        repeat=routes.Repeat.SAFE if kind == "safe" else routes.Repeat.ONCE,
+        weighted_services=weighted_services,
+        run_policy=(
+            routes.RunPolicy.SAFE if kind == "safe" else routes.RunPolicy.ONCE
+        ),
         streams=streams,
         resumable=resumable,
         max_attempts=int(item.get("max_attempts", 1)),
         timeout_s=float(item.get("timeout_ms", 30_000)) / 1000,
         target_s=float(item.get("aim_ms", 1_000)) / 1000,
         priority=int(item.get("priority", 5)),
-        patience_s=_decode_patience(item) if streams else float("inf"),
+        caller_timeout_s=(
+            _decode_caller_timeout(item) if streams else float("inf")
+        ),
     )
 
 
-def _decode_patience(item: dict[str, Any]) -> float:
+def _decode_caller_timeout(item: dict[str, Any]) -> float:
     return max(
-        MIN_PATIENCE_S,
+        MIN_CALLER_TIMEOUT_S,
         TARGET_FACTOR * float(item.get("aim_ms", 0)) / 1000,
         GAP_TARGET_FACTOR * float(item.get("gap_target_ms", 0)) / 1000,
     )
@@ -257,10 +262,10 @@
         draining=state == DRAINING,
         started_ms=_decode_start_time(document),
         # `sequence` counts announcements in an entry, but orders in a report.
-        announced=_decode_count(document, "sequence"),
+        announcement_count=_decode_count(document, "sequence"),
         models=models,
         adapters=adapters,
-        leaves_in_s=(
+        stops_in_s=(
             remaining_ms / 1000
             if isinstance(remaining_ms, (int, float))
             else None
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -59,9 +59,9 @@
 
 
 @pytest.fixture
-def view(now: float) -> placement.View:
-    """Return a view without any request in progress."""
-    return placement.View(traffic.TrafficTable(), {}, "z", now)
+def balancing_input(now: float) -> placement.BalancingInput:
+    """Return a balancing input without any request in progress."""
+    return placement.BalancingInput(traffic.TrafficTable(), {}, "z", now)
 
 
 @pytest.fixture
@@ -79,13 +79,13 @@
 
 @pytest.fixture
 def make_demand(now: float) -> Callable[..., loadstate.Demand]:
-    """Return a factory of demands that are due in a second."""
+    """Return a factory of demands with a deadline in a second."""
 
     def make(adapter: str, **fields: object) -> loadstate.Demand:
         values = {
             "version": 1,
             "copies": 1,
-            "due": now + 1,
+            "deadline": now + 1,
             "last_at": now,
             "since": now,
         }
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -1,10 +1,10 @@
-"""Tests of the planning turns of the loading controller."""
+"""Tests of the planning passes of the loading controller."""
 
 from __future__ import annotations
 
 from bronzetrack.entry import messages
 
-NEED = ("m", "a1")
+MODEL_KEY = ("m", "a1")
 
 
 def test_vm_that_acquires_the_lease_again_discards_its_old_state(
@@ -14,31 +14,31 @@
 
     Another holder of the lease may have used its adapter slots meanwhile.
     """
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     known = board.loading.value.find_engine(make_endpoint("e"))
-    known.pending = {NEED: now + 1}
-    board.lease.value.give_up()
-    controller._run_turn(None, now)
+    known.pending = {MODEL_KEY: now + 1}
+    board.lease.value.relinquish()
+    controller._run_planning_pass(None, now)
     assert board.loading.value.engines == {"e": known}
-    board.lease.value.note_renewed(5, now, "vm-1")
-    controller._run_turn(None, now)
+    board.lease.value.apply_renewal(5, now, "vm-1")
+    controller._run_planning_pass(None, now)
     assert board.loading.value.engines == {}
 
 
-def test_vm_that_gave_up_the_lease_announces_its_last_loads(
+def test_vm_that_relinquished_the_lease_announces_its_last_loads(
     controller, board, make_endpoint, now
 ):
     """Guards against requests that wait for a load that no VM announces."""
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
-    controller._run_turn(None, now)
+    controller._run_planning_pass(None, now)
     known = board.loading.value.find_engine(endpoint)
-    known.held = {NEED: 1}
-    known.pending = {NEED: now + 0.2}
-    board.lease.value.give_up()
-    controller._run_turn(None, now)
+    known.held = {MODEL_KEY: 1}
+    known.pending = {MODEL_KEY: now + 0.2}
+    board.lease.value.relinquish()
+    controller._run_planning_pass(None, now)
     assert len(board.placed) == 0
-    controller._run_turn(None, now + 0.3)
+    controller._run_planning_pass(None, now + 0.3)
     assert [item.adapter for item in board.placed.take()] == ["a1"]
     assert board.loading.value.engines == {}
 
@@ -53,11 +53,11 @@
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
     known = board.loading.value.find_engine(endpoint)
-    known.loaded_at[NEED] = now
-    want = messages.Want("v", "s", *NEED, 1, 1, "e", "", 100)
+    known.loaded_at[MODEL_KEY] = now
+    want = messages.Want("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
     board.wanted.post(want)
-    controller._run_turn(None, now)
-    assert now < known.pending[NEED] < now + 0.2
+    controller._run_planning_pass(None, now)
+    assert now < known.pending[MODEL_KEY] < now + 0.2
 
 
 def test_idle_holder_pauses_until_the_next_due_time(
@@ -70,12 +70,12 @@
     assert controller._compute_pause_ms(now) > 200
     known.check_at = now + 0.1
     assert 90 <= controller._compute_pause_ms(now) <= 101
-    known.pending[NEED] = now + 0.05
+    known.pending[MODEL_KEY] = now + 0.05
     assert controller._compute_pause_ms(now) <= 51
     known.pending.clear()
     known.check_at = None
-    board.traffic.value.find("e").start(NEED)
+    board.traffic.value.get_or_create("e").start(MODEL_KEY)
     assert controller._compute_pause_ms(now) <= 51
-    board.lease.value.give_up()
+    board.lease.value.relinquish()
     known.check_at = now
     assert controller._compute_pause_ms(now) > 200
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -44,7 +44,7 @@
 def test_entry_fields_are_decoded():
     """Guards against a field that is decoded from the wrong key."""
     decoded = documents.decode_announcement("i-1", encode_document(ENTRY))
-    assert decoded.announced == 3
+    assert decoded.announcement_count == 3
     assert decoded.started_ms == 17
     assert decoded.adapters == {("m", "a1"): 2, ("m", "a2"): 1}
     assert not decoded.draining
@@ -106,7 +106,7 @@
     assert route.resumable
     assert route.idempotent
     assert route.timeout_s == 15.0
-    assert route.patience_s == 4.0
+    assert route.caller_timeout_s == 4.0
 
 
 def test_stream_that_is_not_resumable_is_not_idempotent():
@@ -129,7 +129,7 @@
     route = routes.find_route(
         documents.decode_configuration(data), "host.example", "/p/"
     )
-    assert [(s.service, s.weight) for s in route.shares] == [
+    assert [(s.service, s.weight) for s in route.weighted_services] == [
         ("a", 90.0),
         ("b", 10.0),
     ]
