Name the messages between entry VMs after their content

Cause: the message classes and some of their fields had figurative or vague names. Change: Want -> LoadRequest and its locals want(s) -> load_request(s), _record_want -> _record_load_request; Blackboard.wanted -> load_requests; Loss -> ConnectionLoss, its field identity -> fingerprint, and the parameter identity of Suspects likewise; Placed -> HoldingChange, locals placed -> holding_change; Uses -> UsageReport; Contact -> VmAddresses, encode_contact -> encode_vm_addresses, decode_contact -> decode_vm_addresses, locals contact -> addresses; front -> caller_address in Peer, Heartbeat and VmAddresses; list_fronts -> list_caller_addresses, locals fronts -> addresses. Tags, order of fields, names of mailboxes and Settings.front stay.

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -81,8 +81,8 @@
         now += TURN_S
         board.lease.value.note_renewed(0, now, "vm-1")
         for number in range(demands):
-            board.wanted.post(
-                messages.Want(
+            board.load_requests.post(
+                messages.LoadRequest(
                     "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
                 )
             )
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -115,17 +115,17 @@
             "suspects", "forwarding", suspects.Suspects()
         )
     )
-    losses: blackboard.Mailbox[messages.Loss] = attrs.field(
+    losses: blackboard.Mailbox[messages.ConnectionLoss] = attrs.field(
         factory=lambda: blackboard.Mailbox("losses", MAILBOX_ITEMS)
     )
     fenced: blackboard.Mailbox[int] = attrs.field(
         factory=lambda: blackboard.Mailbox("fenced", MAILBOX_ITEMS)
     )
     arrivals: arrivals.Arrivals = attrs.field(factory=arrivals.Arrivals)
-    placed: blackboard.Mailbox[messages.Placed] = attrs.field(
+    placed: blackboard.Mailbox[messages.HoldingChange] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
     )
-    wanted: blackboard.Mailbox[messages.Want] = attrs.field(
+    load_requests: blackboard.Mailbox[messages.LoadRequest] = attrs.field(
         factory=lambda: blackboard.Mailbox("wanted", MAILBOX_ITEMS)
     )
     outgoing: blackboard.Mailbox[Any] = attrs.field(
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -90,8 +90,8 @@
         mailbox = self.board.placed
         while True:
             await blackboard.wait_any(mailbox.is_filled())
-            for placed in mailbox.take():
-                self._apply_placement(placed)
+            for holding_change in mailbox.take():
+                self._apply_placement(holding_change)
 
     def _notify(self) -> None:
         self.write(self.board.endpoints, self.board.endpoints.value)
@@ -139,11 +139,13 @@
             endpoint.gone_at = now + announcement.leaves_in_s
         endpoint.announce(announcement.models, announcement.adapters, now)
 
-    def _apply_placement(self, placed: messages.Placed) -> None:
-        endpoint = self.board.endpoints.value.by_identity.get(placed.identity)
+    def _apply_placement(self, holding_change: messages.HoldingChange) -> None:
+        endpoint = self.board.endpoints.value.by_identity.get(
+            holding_change.identity
+        )
         if endpoint is not None:
-            need = (placed.model, placed.adapter)
-            endpoint.place(need, placed.version, self.read_clock())
+            need = (holding_change.model, holding_change.adapter)
+            endpoint.place(need, holding_change.version, self.read_clock())
             self.board.arrivals.change(need)
 
     def _mark_removed(self, identity: str, now: float) -> None:
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -147,7 +147,7 @@
     def _is_suspected(self, digest: str, now: float) -> bool:
         known_suspects = self.board.suspects.value
         for loss in self.board.losses.take():
-            known_suspects.note_loss(loss.identity, now)
+            known_suspects.note_loss(loss.fingerprint, now)
         return known_suspects.is_refused(digest, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -181,16 +181,16 @@
         now = self.read_clock()
         others = self.board.membership.value.members
         isolated = members.is_isolated(others, self.board.contact.value, now)
-        fronts = members.list_fronts(
+        addresses = members.list_caller_addresses(
             others,
             now,
             self.board.settings.front,
             self.board.lifecycle.value.ready,
         )
-        if isolated or not fronts:
+        if isolated or not addresses:
             logevents.log(LOG, logevents.ResolveEmpty(zone))
             exchange.respond(503, [], b"")
             return
         ttl_s = self.board.settings.entry_ttl_s * ENTRY_TTL_SHARE
-        body = json.dumps({"addresses": fronts, "ttl_s": ttl_s}).encode()
+        body = json.dumps({"addresses": addresses, "ttl_s": ttl_s}).encode()
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -71,7 +71,7 @@
         async with anyio.create_task_group() as group:
             while True:
                 await blackboard.wait_any(
-                    self.board.wanted.is_filled(),
+                    self.board.load_requests.is_filled(),
                     section.is_newer(section.revision),
                     self.board.lease.is_newer(self.board.lease.revision),
                     timeout_ms=self._compute_pause_ms(self.read_clock()),
@@ -116,7 +116,7 @@
         return self.board.loading.value
 
     def _run_turn(self, group: abc.TaskGroup, now: float) -> None:
-        wants = self.board.wanted.take()
+        load_requests = self.board.load_requests.take()
         if not self.board.lease.value.is_held(now):
             self._end_term(now)
             return
@@ -125,8 +125,8 @@
             self.write(self.board.loading, loadstate.LoadingState())
         if self._state.started_at is None:
             self._state.started_at = now
-        for want in wants:
-            self._record_want(want, now)
+        for load_request in load_requests:
+            self._record_load_request(load_request, now)
         self._record_uses(now)
         self._finish_loads(now)
         self._plan(group, now)
@@ -142,20 +142,22 @@
         if not any(item.pending for item in self._state.engines.values()):
             self.write(self.board.loading, loadstate.LoadingState())
 
-    def _record_want(self, want: messages.Want, now: float) -> None:
-        need = (want.model, want.adapter)
-        if want.unreachable:
-            self._mark_unreachable(want.unreachable, now)
-        if want.missing:
-            self._handle_missing(want, need, now)
-        key = (want.service, need)
+    def _record_load_request(
+        self, load_request: messages.LoadRequest, now: float
+    ) -> None:
+        need = (load_request.model, load_request.adapter)
+        if load_request.unreachable:
+            self._mark_unreachable(load_request.unreachable, now)
+        if load_request.missing:
+            self._handle_missing(load_request, need, now)
+        key = (load_request.service, need)
         demand = self._state.demands.get(key)
         if demand is None:
             demand = loadstate.Demand(
-                want.service,
+                load_request.service,
                 need,
-                want.version,
-                want.copies,
+                load_request.version,
+                load_request.copies,
                 due=-math.inf,
                 last_at=now,
                 since=now,
@@ -163,10 +165,11 @@
             self._state.demands[key] = demand
         demand.last_at = now
         demand.note_due(
-            now + want.slack_ms / 1000, now + self._state.measure_margin()
+            now + load_request.slack_ms / 1000,
+            now + self._state.measure_margin(),
         )
-        demand.version = max(demand.version, want.version)
-        demand.copies = max(demand.copies, want.copies)
+        demand.version = max(demand.version, load_request.version)
+        demand.copies = max(demand.copies, load_request.copies)
 
     def _mark_unreachable(self, identity: str, now: float) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
@@ -175,9 +178,14 @@
             state.silent_until = now + UNREACHABLE_S
 
     def _handle_missing(
-        self, want: messages.Want, need: endpoints.Need, now: float
+        self,
+        load_request: messages.LoadRequest,
+        need: endpoints.Need,
+        now: float,
     ) -> None:
-        endpoint = self.board.endpoints.value.by_identity.get(want.missing)
+        endpoint = self.board.endpoints.value.by_identity.get(
+            load_request.missing
+        )
         if endpoint is None:
             return
         state = self._state.find_engine(endpoint)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -74,13 +74,13 @@
 
     async def _announce(self) -> None:
         settings = self.board.settings
-        contact = messages.Contact(
-            front=settings.front,
+        addresses = messages.VmAddresses(
+            caller_address=settings.front,
             host=settings.peer_ip,
             port=settings.peer_port,
             zone=settings.zone,
         )
-        value = messages.encode_contact(contact)
+        value = messages.encode_vm_addresses(addresses)
         while True:
             try:
                 await self.ports.store.put(
@@ -105,7 +105,7 @@
         if record.value is None or record.key == self.board.settings.vm:
             return
         try:
-            contact = messages.decode_contact(record.value)
+            addresses = messages.decode_vm_addresses(record.value)
         except messages.MessageError as error:
             event = logevents.AnnouncementRejected(record.key, str(error))
             logevents.log(LOG, event)
@@ -113,12 +113,12 @@
         peers = self.board.membership.value.members.peers
         peer = peers.get(record.key)
         now = self.read_clock()
-        address = (contact.host, contact.port)
+        address = (addresses.host, addresses.port)
         if peer is not None and peer.address == address:
             peer.announced_at = now
             return
         peers[record.key] = members.Peer(
-            record.key, contact.front, address, contact.zone, now
+            record.key, addresses.caller_address, address, addresses.zone, now
         )
 
     def receive(self, data: bytes, addr: Any) -> None:
@@ -134,13 +134,13 @@
         match message:
             case messages.Heartbeat():
                 self._apply_heartbeat(message, addr)
-            case messages.Uses():
+            case messages.UsageReport():
                 self._apply_uses(message)
-            case messages.Want():
-                self.board.wanted.post(message)
-            case messages.Loss():
+            case messages.LoadRequest():
+                self.board.load_requests.post(message)
+            case messages.ConnectionLoss():
                 self.board.losses.post(message)
-            case messages.Placed():
+            case messages.HoldingChange():
                 self.board.placed.post(message)
 
     def _apply_heartbeat(
@@ -151,7 +151,11 @@
         peer = membership.members.peers.get(heartbeat.vm)
         if peer is None or peer.address != addr:
             peer = members.Peer(
-                heartbeat.vm, heartbeat.front, addr, heartbeat.zone, now
+                heartbeat.vm,
+                heartbeat.caller_address,
+                addr,
+                heartbeat.zone,
+                now,
             )
             membership.members.peers[heartbeat.vm] = peer
         peer.heard_at = now
@@ -165,7 +169,7 @@
         self._sum_active(now)
         self._notify()
 
-    def _apply_uses(self, message: messages.Uses) -> None:
+    def _apply_uses(self, message: messages.UsageReport) -> None:
         peer = self.board.membership.value.members.peers.get(message.vm)
         if peer is not None:
             peer.uses = set(message.list_uses())
@@ -201,7 +205,7 @@
         return messages.Heartbeat(
             vm=board.settings.vm,
             incarnation=board.incarnation,
-            front=board.settings.front,
+            caller_address=board.settings.front,
             zone=board.settings.zone,
             ready=lifecycle.ready,
             stopping=lifecycle.stopping_since is not None,
@@ -224,7 +228,7 @@
             uses = self._collect_uses()
             if uses or sent:
                 self._send_to_holder(
-                    messages.Uses(self.board.settings.vm, uses)
+                    messages.UsageReport(self.board.settings.vm, uses)
                 )
             sent = uses
 
@@ -251,7 +255,7 @@
                 self._send_message(message)
 
     def _send_message(self, message: Any) -> None:
-        if isinstance(message, messages.Want):
+        if isinstance(message, messages.LoadRequest):
             self._send_to_holder(message)
             return
         peers = self.board.membership.value.members.peers
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/members.py
@@ -16,7 +16,7 @@
     """Another entry VM with the content of its last heartbeats.
 
     :param vm: name of the VM
-    :param front: address that callers connect to
+    :param caller_address: address that callers connect to
     :param address: address that heartbeats are sent to
     :param announced_at: when the VM last announced itself in the store, or
         when its first heartbeat arrived
@@ -30,7 +30,7 @@
     """
 
     vm: str
-    front: str
+    caller_address: str
     address: tuple[str, int]
     zone: str
     announced_at: float
@@ -73,7 +73,7 @@
         )
 
 
-def list_fronts(
+def list_caller_addresses(
     members: Members, now: float, own: str, own_ready: bool
 ) -> list[str]:
     """Return the addresses to which callers may connect.
@@ -84,14 +84,14 @@
     :param own: address of this VM
     :param own_ready: whether this VM is ready
     """
-    fronts = [
-        peer.front
+    addresses = [
+        peer.caller_address
         for peer in members.list_alive(now)
         if peer.ready and not peer.stopping
     ]
     if own_ready:
-        fronts.append(own)
-    return sorted(fronts)
+        addresses.append(own)
+    return sorted(addresses)
 
 
 # The store counts as unreachable after this time without a successful read.
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -101,7 +101,7 @@
 class Heartbeat:
     """Periodic report of a VM about its own state.
 
-    :param front: address for callers
+    :param caller_address: address for callers
     :param lease_end: end offset of the lease log, as far as the VM knows
     :param holder: the VM that last appended to the lease log
     :param lease_released: whether that record releases the lease
@@ -110,7 +110,7 @@
 
     vm: str = text_field()
     incarnation: str = text_field()
-    front: str = text_field()
+    caller_address: str = text_field()
     zone: str = text_field()
     ready: bool = bool_field()
     stopping: bool = bool_field()
@@ -122,7 +122,7 @@
 
 @MESSAGES.register("u")
 @attrs.frozen
-class Uses:
+class UsageReport:
     """Adapters in use by a VM, sent to the holder of the lease.
 
     :param uses: adapters of requests in progress, by endpoint and model
@@ -143,7 +143,7 @@
 
 @MESSAGES.register("w")
 @attrs.frozen
-class Want:
+class LoadRequest:
     """Demand of a VM for a model or an adapter at any engine of a service.
 
     :param copies: minimum number of engines that should hold it
@@ -165,7 +165,7 @@
 
 @MESSAGES.register("p")
 @attrs.frozen
-class Placed:
+class HoldingChange:
     """Change of the version of a model or an adapter at an engine.
 
     :param version: version that the engine now holds, 0 for none
@@ -179,45 +179,45 @@
 
 @MESSAGES.register("l")
 @attrs.frozen
-class Loss:
+class ConnectionLoss:
     """Loss of the connection to an endpoint while it ran a request.
 
-    :param identity: digest of the path and body of the request
+    :param fingerprint: digest of the path and body of the request
     """
 
-    identity: str = text_field()
+    fingerprint: str = text_field()
 
 
 TAGS = {cls: tag for tag, cls in MESSAGES.items()}
 
 
 @attrs.frozen
-class Contact:
+class VmAddresses:
     """Addresses of a VM, as it announces them in the store.
 
-    :param front: address for callers
+    :param caller_address: address for callers
     :param host: IP address for datagrams of other VMs
     :param port: UDP port for datagrams of other VMs
     """
 
-    front: str = text_field()
+    caller_address: str = text_field()
     host: str = text_field()
     port: int = int_field()
     zone: str = text_field()
 
 
-def encode_contact(contact: Contact) -> bytes:
+def encode_vm_addresses(addresses: VmAddresses) -> bytes:
     """Return the encoded announcement of a VM."""
-    return msgpack.packb(list(attrs.astuple(contact)))
+    return msgpack.packb(list(attrs.astuple(addresses)))
 
 
-def decode_contact(value: bytes) -> Contact:
+def decode_vm_addresses(value: bytes) -> VmAddresses:
     """Decode the announcement of a VM.
 
     :raises MessageError: the value is not a valid announcement
     """
     try:
-        return _check_fields(Contact(*msgpack.unpackb(value)))
+        return _check_fields(VmAddresses(*msgpack.unpackb(value)))
     except DECODE_ERRORS as error:
         raise MessageError(f"invalid announcement: {error!r}") from error
 
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -180,9 +180,11 @@
 
         :param version: version held, 0 for none
         """
-        placed = messages.Placed(endpoint.identity, *need, version)
-        self._board.placed.post(placed)
-        self._board.outgoing.post(placed)
+        holding_change = messages.HoldingChange(
+            endpoint.identity, *need, version
+        )
+        self._board.placed.post(holding_change)
+        self._board.outgoing.post(holding_change)
 
     async def check(
         self, endpoint: endpoints.Endpoint, state: loadstate.EngineState
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -218,7 +218,7 @@
         if now - progress.asked_at < LOAD_REQUEST_INTERVAL_S:
             return
         progress.asked_at = now
-        want = messages.Want(
+        load_request = messages.LoadRequest(
             self.board.settings.vm,
             progress.service,
             request.model,
@@ -232,6 +232,6 @@
         progress.missing = ""
         progress.unreachable = ""
         if self.board.lease.value.is_held(now):
-            self.board.wanted.post(want)
+            self.board.load_requests.post(load_request)
         else:
-            self.board.outgoing.post(want)
+            self.board.outgoing.post(load_request)
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -198,7 +198,7 @@
             progress.missing = endpoint.identity
             progress.asked_at = 0.0
             self.board.placed.post(
-                messages.Placed(endpoint.identity, *request.need, 0)
+                messages.HoldingChange(endpoint.identity, *request.need, 0)
             )
         return False
 
@@ -206,4 +206,4 @@
         digest = suspects.identify(request.path, request.body)
         self.board.suspects.value.note_loss(digest, now)
         if digest:
-            self.board.outgoing.post(messages.Loss(digest))
+            self.board.outgoing.post(messages.ConnectionLoss(digest))
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -38,22 +38,22 @@
 
     losses: dict[str, list[float]] = attrs.field(factory=dict)
 
-    def note_loss(self, identity: str, now: float) -> None:
+    def note_loss(self, fingerprint: str, now: float) -> None:
         """Count an endpoint that was lost while it ran a request."""
-        if not identity:
+        if not fingerprint:
             return
         if len(self.losses) >= MAX_SUSPECTS:
             self.losses.pop(next(iter(self.losses)))
-        recent = self._list_recent(identity, now)
-        self.losses[identity] = [*recent, now]
+        recent = self._list_recent(fingerprint, now)
+        self.losses[fingerprint] = [*recent, now]
 
-    def is_refused(self, identity: str, now: float) -> bool:
+    def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is refused because of its losses."""
-        return len(self._list_recent(identity, now)) >= MAX_LOSSES
+        return len(self._list_recent(fingerprint, now)) >= MAX_LOSSES
 
-    def _list_recent(self, identity: str, now: float) -> list[float]:
+    def _list_recent(self, fingerprint: str, now: float) -> list[float]:
         return [
             at
-            for at in self.losses.get(identity, ())
+            for at in self.losses.get(fingerprint, ())
             if now - at < LOSS_RETENTION_S
         ]
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -54,8 +54,8 @@
     board.endpoints.value.add(endpoint)
     known = board.loading.value.find_engine(endpoint)
     known.loaded_at[NEED] = now
-    want = messages.Want("v", "s", *NEED, 1, 1, "e", "", 100)
-    board.wanted.post(want)
+    load_request = messages.LoadRequest("v", "s", *NEED, 1, 1, "e", "", 100)
+    board.load_requests.post(load_request)
     controller._run_turn(None, now)
     assert now < known.pending[NEED] < now + 0.2
 
--- a/tests/entry/controllers/test_membership.py
+++ b/tests/entry/controllers/test_membership.py
@@ -74,4 +74,4 @@
     value = msgpack.packb(["f:1", "127.0.0.1", 9, "z"])
     membership._apply(stores.KeyedRecord("vm-2", value, 0))
     peer = membership.board.membership.value.members.peers["vm-2"]
-    assert (peer.front, peer.address, peer.zone) == ("f:1", PEER, "z")
+    assert (peer.caller_address, peer.address, peer.zone) == ("f:1", PEER, "z")
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -25,8 +25,11 @@
             "d": make_peer("d", now - 0.1, ready=False),
         }
     )
-    assert members.list_fronts(found, now, "me:1", True) == ["a:1", "me:1"]
-    assert members.list_fronts(found, now, "me:1", False) == ["a:1"]
+    assert members.list_caller_addresses(found, now, "me:1", True) == [
+        "a:1",
+        "me:1",
+    ]
+    assert members.list_caller_addresses(found, now, "me:1", False) == ["a:1"]
 
 
 def test_vm_that_reaches_nobody_is_isolated(now):
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -12,10 +12,10 @@
     messages.Heartbeat(
         "v", "i", "f:1", "z", True, False, 3, "v", False, {"e": 1}
     ),
-    messages.Uses("v", {"e": {"m": ["a", "b"]}}),
-    messages.Want("v", "s", "m", "a", 1, 1, "", "", 500),
-    messages.Placed("e", "m", "a", 1),
-    messages.Loss("ab"),
+    messages.UsageReport("v", {"e": {"m": ["a", "b"]}}),
+    messages.LoadRequest("v", "s", "m", "a", 1, 1, "", "", 500),
+    messages.HoldingChange("e", "m", "a", 1),
+    messages.ConnectionLoss("ab"),
 ]
 
 
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -304,8 +304,8 @@
     await second.await_ready()
     await asyncio.sleep(1.0)
     answer = await second.get("/api/resolve?name=h&zone=z")
-    fronts = json.loads(answer.body)["addresses"]
-    assert sorted(fronts) == sorted(
+    addresses = json.loads(answer.body)["addresses"]
+    assert sorted(addresses) == sorted(
         [f"127.0.0.1:{vm.front}", f"127.0.0.1:{second.front}"]
     )
     loaded = await sites.send(second.front, "/stream/x", "r1", headers=ADAPTER)
