Name the blackboard sections and notifiers of the entry VM after their content

Cause: "contact", "fenced" and "arrivals" did not say what they hold. Change: Blackboard.contact -> store_read_at; Blackboard.fenced -> refused_tokens; MAILBOX_ITEMS of entry/board.py -> MAILBOX_CAPACITY; module entry/arrivals -> notifiers; Arrival -> HolderNotifier, locals arrival -> notifier; Arrivals -> HolderNotifiers; Blackboard.arrivals -> holder_notifiers. The names of sections and mailboxes stay as strings.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -7,19 +7,19 @@
 import attrs
 
 from bronzetrack.core import blackboard
-from bronzetrack.entry import arrivals
 from bronzetrack.entry import budget
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import leases
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
+from bronzetrack.entry import notifiers
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
 from bronzetrack.entry import suspects
 from bronzetrack.entry import traffic
 
-MAILBOX_ITEMS = 4_096
+MAILBOX_CAPACITY = 4_096
 
 
 @attrs.define(eq=False)
@@ -69,8 +69,8 @@
     """Sections with one writer each, and mailboxes with one reader each.
 
     :param incarnation: random identifier of this run of the process
-    :param contact: time of the last successful read of the store
-    :param fenced: fencing tokens that an engine refused as too old
+    :param store_read_at: time of the last successful read of the store
+    :param refused_tokens: fencing tokens that an engine refused as too old
     """
 
     settings: entry_settings.Settings
@@ -106,7 +106,7 @@
             "loading", "loading", loadstate.LoadingState()
         )
     )
-    contact: blackboard.Section[float] = attrs.field(
+    store_read_at: blackboard.Section[float] = attrs.field(
         factory=lambda: blackboard.Section("contact", "configuration", 0.0)
     )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
@@ -116,20 +116,22 @@
         )
     )
     losses: blackboard.Mailbox[messages.ConnectionLoss] = attrs.field(
-        factory=lambda: blackboard.Mailbox("losses", MAILBOX_ITEMS)
+        factory=lambda: blackboard.Mailbox("losses", MAILBOX_CAPACITY)
     )
-    fenced: blackboard.Mailbox[int] = attrs.field(
-        factory=lambda: blackboard.Mailbox("fenced", MAILBOX_ITEMS)
+    refused_tokens: blackboard.Mailbox[int] = attrs.field(
+        factory=lambda: blackboard.Mailbox("fenced", MAILBOX_CAPACITY)
+    )
+    holder_notifiers: notifiers.HolderNotifiers = attrs.field(
+        factory=notifiers.HolderNotifiers
     )
-    arrivals: arrivals.Arrivals = attrs.field(factory=arrivals.Arrivals)
     placed: blackboard.Mailbox[messages.HoldingChange] = attrs.field(
-        factory=lambda: blackboard.Mailbox("placed", MAILBOX_ITEMS)
+        factory=lambda: blackboard.Mailbox("placed", MAILBOX_CAPACITY)
     )
     load_requests: blackboard.Mailbox[messages.LoadRequest] = attrs.field(
-        factory=lambda: blackboard.Mailbox("wanted", MAILBOX_ITEMS)
+        factory=lambda: blackboard.Mailbox("wanted", MAILBOX_CAPACITY)
     )
     outgoing: blackboard.Mailbox[Any] = attrs.field(
-        factory=lambda: blackboard.Mailbox("outgoing", MAILBOX_ITEMS)
+        factory=lambda: blackboard.Mailbox("outgoing", MAILBOX_CAPACITY)
     )
 
     def __attrs_post_init__(self) -> None:
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -33,7 +33,7 @@
         )
         while True:
             change = await operator_follower.read()
-            self.write(self.board.contact, self.read_clock())
+            self.write(self.board.store_read_at, self.read_clock())
             applied = [self._apply(record) for record in change.records]
             if any(applied):
                 self.write(self.board.rules, self.board.rules.value)
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -146,7 +146,7 @@
         if endpoint is not None:
             need = (holding_change.model, holding_change.adapter)
             endpoint.place(need, holding_change.version, self.read_clock())
-            self.board.arrivals.change(need)
+            self.board.holder_notifiers.change(need)
 
     def _mark_removed(self, identity: str, now: float) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -55,7 +55,7 @@
         await blackboard.wait_any(
             board.membership.is_newer(board.membership.revision),
             board.lifecycle.is_newer(board.lifecycle.revision),
-            board.fenced.is_filled(),
+            board.refused_tokens.is_filled(),
             timeout_ms=int(1000 * min(1.0, max(0.05, delay_s))),
         )
 
@@ -71,7 +71,7 @@
 
     def _apply_refusals(self, lease: leases.Lease) -> None:
         """Give up the lease if an engine refused its token as too old."""
-        for token in self.board.fenced.take():
+        for token in self.board.refused_tokens.take():
             if token == lease.token:
                 lease.give_up()
 
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -180,7 +180,9 @@
         zone = query.get("zone", [""])[0]
         now = self.read_clock()
         others = self.board.membership.value.members
-        isolated = members.is_isolated(others, self.board.contact.value, now)
+        isolated = members.is_isolated(
+            others, self.board.store_read_at.value, now
+        )
         addresses = members.list_caller_addresses(
             others,
             now,
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -105,7 +105,10 @@
             ),
             "requests_waiting": (
                 "Requests that wait for an engine.",
-                sum(item.waiting for item in board.arrivals.by_need.values()),
+                sum(
+                    item.waiting
+                    for item in board.holder_notifiers.by_need.values()
+                ),
             ),
             "requests_active": (
                 "Requests in progress at endpoints.",
@@ -116,7 +119,7 @@
             ),
             "store_age_seconds": (
                 "Time since the store was last read.",
-                now - board.contact.value,
+                now - board.store_read_at.value,
             ),
             "configuration_version": (
                 "Version of the configuration in force, 0 for none.",
--- a/src/bronzetrack/entry/arrivals.py
+++ b/src/bronzetrack/entry/notifiers.py
@@ -11,7 +11,7 @@
 NO_NEED: endpoints.Need = ("", "")
 
 
-class Arrival(blackboard.Source):
+class HolderNotifier(blackboard.Source):
     """Source of changes to the engines that hold one model or adapter.
 
     :ivar count: number of changes so far
@@ -37,31 +37,31 @@
 
 
 @attrs.define(eq=False)
-class Arrivals:
+class HolderNotifiers:
     """Change sources that requests wait on, by model and adapter."""
 
-    by_need: dict[endpoints.Need, Arrival] = attrs.field(factory=dict)
+    by_need: dict[endpoints.Need, HolderNotifier] = attrs.field(factory=dict)
 
-    def join(self, need: endpoints.Need) -> Arrival:
+    def join(self, need: endpoints.Need) -> HolderNotifier:
         """Register a waiting request and return the source to wait on.
 
         Each call must be paired with a call of `leave`.
         """
-        arrival = self.by_need.get(need)
-        if arrival is None:
-            arrival = self.by_need[need] = Arrival()
-        arrival.waiting += 1
-        return arrival
+        notifier = self.by_need.get(need)
+        if notifier is None:
+            notifier = self.by_need[need] = HolderNotifier()
+        notifier.waiting += 1
+        return notifier
 
     def leave(self, need: endpoints.Need) -> None:
         """Unregister a waiting request; the last one removes the source."""
-        arrival = self.by_need[need]
-        arrival.waiting -= 1
-        if not arrival.waiting:
+        notifier = self.by_need[need]
+        notifier.waiting -= 1
+        if not notifier.waiting:
             del self.by_need[need]
 
     def change(self, need: endpoints.Need) -> None:
         """Wake the requests that wait for a model or an adapter."""
-        arrival = self.by_need.get(need)
-        if arrival is not None:
-            arrival.change()
+        notifier = self.by_need.get(need)
+        if notifier is not None:
+            notifier.change()
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from bronzetrack.core import logevents
-from bronzetrack.entry import arrivals
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import failures
 from bronzetrack.entry import meters
+from bronzetrack.entry import notifiers
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import relays
 from bronzetrack.entry import requests
@@ -38,7 +38,7 @@
     """
     if progress.sends == 1 and (progress.waited_s or 0.0) < LOGGED_WAIT_S:
         return
-    need = request.need or arrivals.NO_NEED
+    need = request.need or notifiers.NO_NEED
     placed_at = endpoint.placed_at.get(need)
     event = logevents.RequestSent(
         request_id=request.identity,
@@ -48,7 +48,7 @@
         placed_age_s=logevents.round_time(
             None if placed_at is None else now - placed_at
         ),
-        store_age_s=logevents.round_time(now - board.contact.value),
+        store_age_s=logevents.round_time(now - board.store_read_at.value),
         send=progress.sends,
         waited_s=logevents.round_time(progress.waited_s),
         holder=board.lease.value.holder,
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from bronzetrack.core import blackboard
-from bronzetrack.entry import arrivals
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import failures
 from bronzetrack.entry import members
 from bronzetrack.entry import messages
+from bronzetrack.entry import notifiers
 from bronzetrack.entry import placement
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import requests
@@ -66,20 +66,20 @@
 
         :returns: the endpoint, or the reason why the request is refused
         """
-        key = request.need or arrivals.NO_NEED
-        arrival = self.board.arrivals.join(key)
+        key = request.need or notifiers.NO_NEED
+        notifier = self.board.holder_notifiers.join(key)
         try:
             while True:
-                count = arrival.count
+                count = notifier.count
                 found = self._find_endpoint(request, progress)
                 if found is not None:
                     return found
                 await blackboard.wait_any(
-                    arrival.is_newer(count),
+                    notifier.is_newer(count),
                     timeout_ms=int(1000 * RECHECK_INTERVAL_S),
                 )
         finally:
-            self.board.arrivals.leave(key)
+            self.board.holder_notifiers.leave(key)
 
     def _find_endpoint(
         self, request: requests.Request, progress: progresses.Progress
@@ -126,7 +126,7 @@
     def _is_isolated(self, now: float) -> bool:
         board = self.board
         return members.is_isolated(
-            board.membership.value.members, board.contact.value, now
+            board.membership.value.members, board.store_read_at.value, now
         )
 
     def _choose_endpoint(
