Name the table of the other VMs after its content

Cause: "members" are the users of the system; the module held the other VMs. Change: module entry/members -> peers, tests/entry/test_members.py -> test_peers.py; Members -> PeerTable; Membership.members -> peer_table, locals members and others that hold it -> peer_table; is_worth_telling -> needs_heartbeats; heard_at -> last_heartbeat_at. The membership controller imports the module as peer_tables, because it has locals named peers. The key "heard_at" of the state dump stays.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -11,9 +11,9 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import leases
 from bronzetrack.entry import loadstate
-from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import notifiers
+from bronzetrack.entry import peers
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
 from bronzetrack.entry import suspects
@@ -53,7 +53,7 @@
     :param active: requests in progress of all other VMs, by endpoint
     """
 
-    members: members.Members = attrs.field(factory=members.Members)
+    peer_table: peers.PeerTable = attrs.field(factory=peers.PeerTable)
     active: dict[str, int] = attrs.field(factory=dict)
 
 
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -291,7 +291,7 @@
         now = self.read_clock()
         if request.deadline - now < 0.02:
             return False
-        vms = self.board.membership.value.members.count_vms(now)
+        vms = self.board.membership.value.peer_table.count_vms(now)
         allowed = self._find_budget(progress.service).spend(now, vms)
         meters.REPEATS.labels(str(allowed).lower()).inc()
         return allowed
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -61,7 +61,7 @@
 
     def _apply_heartbeats(self, now: float) -> None:
         lease = self.board.lease.value
-        for peer in self.board.membership.value.members.peers.values():
+        for peer in self.board.membership.value.peer_table.peers.values():
             newer = peer.lease_end > lease.end
             lease.note_end(
                 peer.lease_end, peer.holder, now, peer.lease_released
@@ -77,9 +77,9 @@
 
     def _make_situation(self, now: float) -> leases.Situation:
         settings = self.board.settings
-        others = self.board.membership.value.members
-        alive = others.list_alive(now)
-        holder = others.peers.get(self.board.lease.value.holder)
+        peer_table = self.board.membership.value.peer_table
+        alive = peer_table.list_alive(now)
+        holder = peer_table.peers.get(self.board.lease.value.holder)
         return leases.Situation(
             rank=sum(
                 peer.vm < settings.vm and not peer.stopping for peer in alive
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -13,8 +13,8 @@
 from bronzetrack.core import blackboard
 from bronzetrack.core import logevents
 from bronzetrack.entry import dump
-from bronzetrack.entry import members
 from bronzetrack.entry import meters
+from bronzetrack.entry import peers
 from bronzetrack.entry import roles
 from bronzetrack.entry import settings as entry_settings
 from bronzetrack.platform import names
@@ -179,12 +179,12 @@
         query = parse.parse_qs(parse.urlsplit(target).query)
         zone = query.get("zone", [""])[0]
         now = self.read_clock()
-        others = self.board.membership.value.members
-        isolated = members.is_isolated(
-            others, self.board.store_read_at.value, now
+        peer_table = self.board.membership.value.peer_table
+        isolated = peers.is_isolated(
+            peer_table, self.board.store_read_at.value, now
         )
-        addresses = members.list_caller_addresses(
-            others,
+        addresses = peers.list_caller_addresses(
+            peer_table,
             now,
             self.board.settings.front,
             self.board.lifecycle.value.ready,
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -97,12 +97,12 @@
 
     def _choose_interval(self, now: float) -> float:
         """Return the longest time between two turns of the lease holder."""
-        members = self.board.membership.value.members
+        peer_table = self.board.membership.value.peer_table
         in_use = any(
             item.uses
             for item in itertools.chain(
                 self.board.traffic.value.by_identity.values(),
-                members.list_alive(now),
+                peer_table.list_alive(now),
             )
         )
         return (
@@ -206,8 +206,8 @@
         for identity, item in self.board.traffic.value.by_identity.items():
             for need in item.uses:
                 uses[(identity, need)] += 1
-        members = self.board.membership.value.members
-        for peer in members.list_alive(now):
+        peer_table = self.board.membership.value.peer_table
+        for peer in peer_table.list_alive(now):
             for identity, model, adapter in peer.uses:
                 uses[(identity, (model, adapter))] += 1
         self._state.note_uses(uses, now)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -10,8 +10,8 @@
 
 from bronzetrack.core import blackboard
 from bronzetrack.core import logevents
-from bronzetrack.entry import members
 from bronzetrack.entry import messages
+from bronzetrack.entry import peers as peer_tables
 from bronzetrack.entry import roles
 from bronzetrack.platform import follower
 from bronzetrack.platform import names
@@ -110,14 +110,14 @@
             event = logevents.AnnouncementRejected(record.key, str(error))
             logevents.log(LOG, event)
             return
-        peers = self.board.membership.value.members.peers
+        peers = self.board.membership.value.peer_table.peers
         peer = peers.get(record.key)
         now = self.read_clock()
         address = (addresses.host, addresses.port)
         if peer is not None and peer.address == address:
             peer.announced_at = now
             return
-        peers[record.key] = members.Peer(
+        peers[record.key] = peer_tables.Peer(
             record.key, addresses.caller_address, address, addresses.zone, now
         )
 
@@ -148,17 +148,17 @@
     ) -> None:
         now = self.read_clock()
         membership = self.board.membership.value
-        peer = membership.members.peers.get(heartbeat.vm)
+        peer = membership.peer_table.peers.get(heartbeat.vm)
         if peer is None or peer.address != addr:
-            peer = members.Peer(
+            peer = peer_tables.Peer(
                 heartbeat.vm,
                 heartbeat.caller_address,
                 addr,
                 heartbeat.zone,
                 now,
             )
-            membership.members.peers[heartbeat.vm] = peer
-        peer.heard_at = now
+            membership.peer_table.peers[heartbeat.vm] = peer
+        peer.last_heartbeat_at = now
         peer.ready = heartbeat.ready
         peer.stopping = heartbeat.stopping
         peer.incarnation = heartbeat.incarnation
@@ -170,14 +170,14 @@
         self._notify()
 
     def _apply_uses(self, message: messages.UsageReport) -> None:
-        peer = self.board.membership.value.members.peers.get(message.vm)
+        peer = self.board.membership.value.peer_table.peers.get(message.vm)
         if peer is not None:
             peer.uses = set(message.list_uses())
 
     def _sum_active(self, now: float) -> None:
         membership = self.board.membership.value
         total: dict[str, int] = {}
-        for peer in membership.members.list_alive(now):
+        for peer in membership.peer_table.list_alive(now):
             for identity, count in peer.active.items():
                 total[identity] = total.get(identity, 0) + count
         membership.active = total
@@ -186,8 +186,8 @@
         while True:
             now = self.read_clock()
             data = messages.encode(self._make_heartbeat())
-            for peer in self.board.membership.value.members.peers.values():
-                if peer.is_worth_telling(now):
+            for peer in self.board.membership.value.peer_table.peers.values():
+                if peer.needs_heartbeats(now):
                     self._send(data, peer.address)
             self._sum_active(now)
             # A change of the lease is sent at once, because demands are sent
@@ -242,7 +242,7 @@
         return uses
 
     def _send_to_holder(self, message: Any) -> None:
-        peers = self.board.membership.value.members.peers
+        peers = self.board.membership.value.peer_table.peers
         holder = peers.get(self.board.lease.value.holder)
         if holder is not None:
             self._send(messages.encode(message), holder.address)
@@ -258,7 +258,7 @@
         if isinstance(message, messages.LoadRequest):
             self._send_to_holder(message)
             return
-        peers = self.board.membership.value.members.peers
+        peers = self.board.membership.value.peer_table.peers
         data = messages.encode(message)
         now = self.read_clock()
         for peer in peers.values():
--- a/src/bronzetrack/entry/dump.py
+++ b/src/bronzetrack/entry/dump.py
@@ -38,7 +38,11 @@
             for item in board.endpoints.value.by_identity.values()
         ],
         "peers": [
-            {"vm": peer.vm, "ready": peer.ready, "heard_at": peer.heard_at}
-            for peer in board.membership.value.members.peers.values()
+            {
+                "vm": peer.vm,
+                "ready": peer.ready,
+                "heard_at": peer.last_heartbeat_at,
+            }
+            for peer in board.membership.value.peer_table.peers.values()
         ],
     }
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -94,7 +94,7 @@
             ),
             "peers_alive": (
                 "Other VMs that were heard lately.",
-                len(board.membership.value.members.list_alive(now)),
+                len(board.membership.value.peer_table.list_alive(now)),
             ),
             "endpoints_usable": (
                 "Endpoints that new work may be sent to.",
--- a/src/bronzetrack/entry/members.py
+++ b/src/bronzetrack/entry/peers.py
@@ -20,7 +20,8 @@
     :param address: address that heartbeats are sent to
     :param announced_at: when the VM last announced itself in the store, or
         when its first heartbeat arrived
-    :param heard_at: when its last heartbeat arrived, None before the first
+    :param last_heartbeat_at: when its last heartbeat arrived, None before the
+        first
     :param incarnation: id of the VM's current run
     :param lease_end: end of the lease log that the VM knows, -1 if unknown
     :param holder: holder of the lease that the VM knows
@@ -34,7 +35,7 @@
     address: tuple[str, int]
     zone: str
     announced_at: float
-    heard_at: float | None = None
+    last_heartbeat_at: float | None = None
     ready: bool = False
     stopping: bool = False
     incarnation: str = ""
@@ -47,17 +48,18 @@
     def is_alive(self, now: float) -> bool:
         """Return whether a heartbeat of the VM arrived recently."""
         return (
-            self.heard_at is not None and now - self.heard_at < ALIVE_TIMEOUT_S
+            self.last_heartbeat_at is not None
+            and now - self.last_heartbeat_at < ALIVE_TIMEOUT_S
         )
 
-    def is_worth_telling(self, now: float) -> bool:
+    def needs_heartbeats(self, now: float) -> bool:
         """Return whether heartbeats are still sent to the VM."""
-        latest = max(self.announced_at, self.heard_at or 0.0)
+        latest = max(self.announced_at, self.last_heartbeat_at or 0.0)
         return now - latest < PEER_EXPIRY_S
 
 
 @attrs.define(eq=False)
-class Members:
+class PeerTable:
     """All other known entry VMs by name."""
 
     peers: dict[str, Peer] = attrs.field(factory=dict)
@@ -69,12 +71,12 @@
     def count_vms(self, now: float) -> int:
         """Return the number of VMs that may be running, including this one."""
         return 1 + sum(
-            1 for peer in self.peers.values() if peer.is_worth_telling(now)
+            1 for peer in self.peers.values() if peer.needs_heartbeats(now)
         )
 
 
 def list_caller_addresses(
-    members: Members, now: float, own: str, own_ready: bool
+    peer_table: PeerTable, now: float, own: str, own_ready: bool
 ) -> list[str]:
     """Return the addresses to which callers may connect.
 
@@ -86,7 +88,7 @@
     """
     addresses = [
         peer.caller_address
-        for peer in members.list_alive(now)
+        for peer in peer_table.list_alive(now)
         if peer.ready and not peer.stopping
     ]
     if own_ready:
@@ -98,7 +100,9 @@
 STORE_UNREACHABLE_S = 2.5
 
 
-def is_isolated(members: Members, store_read_at: float, now: float) -> bool:
+def is_isolated(
+    peer_table: PeerTable, store_read_at: float, now: float
+) -> bool:
     """Return whether this VM reaches neither the store nor another VM.
 
     Callers of an isolated VM are better served by the other VMs.
@@ -106,7 +110,7 @@
     :param store_read_at: time of the last successful read from the store
     """
     return (
-        bool(members.peers)
+        bool(peer_table.peers)
         and now - store_read_at > STORE_UNREACHABLE_S
-        and not members.list_alive(now)
+        and not peer_table.list_alive(now)
     )
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -9,9 +9,9 @@
 from bronzetrack.core import blackboard
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import failures
-from bronzetrack.entry import members
 from bronzetrack.entry import messages
 from bronzetrack.entry import notifiers
+from bronzetrack.entry import peers
 from bronzetrack.entry import placement
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import requests
@@ -125,8 +125,8 @@
 
     def _is_isolated(self, now: float) -> bool:
         board = self.board
-        return members.is_isolated(
-            board.membership.value.members, board.store_read_at.value, now
+        return peers.is_isolated(
+            board.membership.value.peer_table, board.store_read_at.value, now
         )
 
     def _choose_endpoint(
@@ -174,7 +174,7 @@
         found = self._find_service(service)
         if found is None:
             return math.inf
-        vms = self.board.membership.value.members.count_vms(now)
+        vms = self.board.membership.value.peer_table.count_vms(now)
         return max(1, found.max_connections // vms)
 
     def _is_copy_needed(
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_peers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from bronzetrack.entry import members
+from bronzetrack.entry import peers
 
 
-def make_peer(name, heard_at, **fields):
+def make_peer(name, last_heartbeat_at, **fields):
     """Return a ready peer whose last heartbeat arrived at the given time."""
-    peer = members.Peer(name, f"{name}:1", ("127.0.0.1", 1), "z", 0.0)
-    peer.heard_at = heard_at
+    peer = peers.Peer(name, f"{name}:1", ("127.0.0.1", 1), "z", 0.0)
+    peer.last_heartbeat_at = last_heartbeat_at
     peer.ready = True
     for key, value in fields.items():
         setattr(peer, key, value)
@@ -17,7 +17,7 @@
 
 def test_silent_and_stopping_vms_are_left_out(now):
     """Guards against callers that are sent to a VM that has stopped."""
-    found = members.Members(
+    found = peers.PeerTable(
         {
             "a": make_peer("a", now - 0.1),
             "b": make_peer("b", now - 10),
@@ -25,18 +25,18 @@
             "d": make_peer("d", now - 0.1, ready=False),
         }
     )
-    assert members.list_caller_addresses(found, now, "me:1", True) == [
+    assert peers.list_caller_addresses(found, now, "me:1", True) == [
         "a:1",
         "me:1",
     ]
-    assert members.list_caller_addresses(found, now, "me:1", False) == ["a:1"]
+    assert peers.list_caller_addresses(found, now, "me:1", False) == ["a:1"]
 
 
 def test_vm_that_reaches_nobody_is_isolated(now):
     """Guards against a partitioned VM that keeps its callers."""
-    silent = members.Members({"a": make_peer("a", now - 10)})
-    heard = members.Members({"a": make_peer("a", now - 0.1)})
-    assert members.is_isolated(silent, now - 10, now)
-    assert not members.is_isolated(silent, now - 0.1, now)
-    assert not members.is_isolated(heard, now - 10, now)
-    assert not members.is_isolated(members.Members(), now - 10, now)
+    silent = peers.PeerTable({"a": make_peer("a", now - 10)})
+    heard = peers.PeerTable({"a": make_peer("a", now - 0.1)})
+    assert peers.is_isolated(silent, now - 10, now)
+    assert not peers.is_isolated(silent, now - 0.1, now)
+    assert not peers.is_isolated(heard, now - 10, now)
+    assert not peers.is_isolated(peers.PeerTable(), now - 10, now)
