Name the clients of engines and of the store after what they do

Cause: the names were vague or shared with other things. Change: Engines -> EngineClient; Engines.order -> send_order; Engines.report -> fetch_report; Ports.engines and the parameter of Orderer -> engine_client; Verdict of platform/orders -> OrderResult, VERDICTS_BY_STATUS -> RESULTS_BY_STATUS, locals verdict -> result; Store.append parameter at -> expected_end; Store.list_newest -> read_newest; add_server of tests/entry/sites.py -> add_endpoint. The log field and metric label "verdict", the values and the query key "at" stay.

--- a/scripts/entry_cost.py
+++ b/scripts/entry_cost.py
@@ -31,8 +31,8 @@
     """Print all figures."""
     site = sites.Site(folder)
     await site.start_store()
-    await site.add_server("e1", "engines")
-    await site.add_server("p1", "plain")
+    await site.add_endpoint("e1", "engines")
+    await site.add_endpoint("p1", "plain")
     site.configure()
     started = time.monotonic()
     vm = await site.start_vm("vm-1")
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -60,7 +60,7 @@
         super().__init__(*args)
         self._orderer = ordering.Orderer(
             self.board,
-            self.ports.engines,
+            self.ports.engine_client,
             self.read_clock,
             lambda: self.write(self.board.loading, self._state),
         )
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -36,12 +36,12 @@
     def __init__(
         self,
         board: boards.Blackboard,
-        engines: orders.Engines,
+        engine_client: orders.EngineClient,
         read_clock: Callable[[], float],
         notify: Callable[[], None],
     ) -> None:
         self._board = board
-        self._engines = engines
+        self._engine_client = engine_client
         self._read_clock = read_clock
         self._notify = notify
 
@@ -55,16 +55,14 @@
         """Order an engine to load a base model."""
         state = self._state.find_engine(endpoint)
         try:
-            verdict = await self._send_order(
-                endpoint, state, True, (model, "")
-            )
+            result = await self._send_order(endpoint, state, True, (model, ""))
         finally:
             state.ordering = False
-        if verdict is orders.Verdict.STARTED:
+        if result is orders.OrderResult.STARTED:
             state.check_at = self._read_clock() + MODEL_CHECK_S
             return
         state.loading_until = 0.0
-        if verdict is orders.Verdict.DONE:
+        if result is orders.OrderResult.DONE:
             self.publish(endpoint, (model, ""), 1)
 
     async def carry_out(self, plan: loading.Plan) -> None:
@@ -94,12 +92,12 @@
         # The other VMs are informed first, so that no request for the adapter
         # is in flight to the engine when the engine no longer holds it.
         self.publish(endpoint, victim, 0)
-        verdict = await self._send_order(endpoint, state, False, victim)
-        if verdict is orders.Verdict.DONE:
+        result = await self._send_order(endpoint, state, False, victim)
+        if result is orders.OrderResult.DONE:
             state.held.pop(victim, None)
             state.record_cached(victim)
             return True
-        if verdict is orders.Verdict.STARTED:
+        if result is orders.OrderResult.STARTED:
             state.unloading.add(victim)
             state.check_at = self._read_clock() + REPORT_LAG_S
         return False
@@ -115,18 +113,18 @@
         state.held[plan.need] = max(1, plan.version)
         state.pending[plan.need] = math.inf
         try:
-            verdict = await self._send_order(
+            result = await self._send_order(
                 endpoint, state, True, plan.need, version
             )
         finally:
             del state.pending[plan.need]
         now = self._read_clock()
-        if verdict is orders.Verdict.STARTED:
+        if result is orders.OrderResult.STARTED:
             kind = self._state.classify_load(state, plan.need)
             state.kinds[plan.need] = kind
             state.record_cached(plan.need)
             state.pending[plan.need] = now + self._state.times.estimate(kind)
-        elif verdict is orders.Verdict.DONE:
+        elif result is orders.OrderResult.DONE:
             self.publish(endpoint, plan.need, state.held[plan.need])
 
     async def _send_order(
@@ -136,26 +134,26 @@
         load: bool,
         need: endpoints.Need,
         version: int | None = None,
-    ) -> orders.Verdict:
+    ) -> orders.OrderResult:
         lease = self._board.lease.value
         if not lease.is_held(self._read_clock()):
-            return orders.Verdict.REFUSED
+            return orders.OrderResult.REFUSED
         order = orders.Order(load, need[0], need[1], state.sequence, version)
         # A renewal during the call raises the token of the lease.
         token = lease.token
-        verdict = await self._engines.order(
+        result = await self._engine_client.send_order(
             endpoint.address, endpoint.identity, order, token
         )
         now = self._read_clock()
-        if verdict is orders.Verdict.STARTED or (
-            verdict is orders.Verdict.DONE and not load
+        if result is orders.OrderResult.STARTED or (
+            result is orders.OrderResult.DONE and not load
         ):
             state.sequence += 1
-        elif verdict is not orders.Verdict.DONE:
+        elif result is not orders.OrderResult.DONE:
             state.check_at = now + REPORT_LAG_S
         operation = "load" if load else "unload"
-        meters.ORDERS.labels(operation, verdict.value).inc()
-        if verdict is orders.Verdict.FENCED:
+        meters.ORDERS.labels(operation, result.value).inc()
+        if result is orders.OrderResult.FENCED:
             self._board.fenced.post(token)
         event = logevents.OrderAnswered(
             endpoint=endpoint.identity,
@@ -165,10 +163,10 @@
             version=version,
             sequence=order.sequence,
             token=token,
-            verdict=verdict.value,
+            verdict=result.value,
         )
         logevents.log(LOG, event)
-        return verdict
+        return result
 
     def publish(
         self,
@@ -191,7 +189,7 @@
     ) -> None:
         """Replace the state of an engine by the content of its report."""
         try:
-            report = await self._engines.report(
+            report = await self._engine_client.fetch_report(
                 endpoint.address, endpoint.identity
             )
         finally:
--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -53,7 +53,7 @@
     http_client = calls.HttpClient(read_clock)
     ports = roles.Ports(
         store.Store(http_client, settings.store),
-        orders.Engines(http_client, settings.vm),
+        orders.EngineClient(http_client, settings.vm),
         lambda: entry_settings.load_settings(file),
     )
     running: dict[str, Any] = {
--- a/src/bronzetrack/entry/roles.py
+++ b/src/bronzetrack/entry/roles.py
@@ -21,13 +21,13 @@
 class Ports:
     """Interfaces through which controllers act on the outside.
 
-    :param engines: client for orders to engines
+    :param engine_client: client for orders to engines
     :param read_settings: reads the settings file; raises `SettingsError` if
         the file is invalid
     """
 
     store: stores.Store
-    engines: orders.Engines
+    engine_client: orders.EngineClient
     read_settings: Callable[[], entry_settings.Settings]
 
 
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -74,7 +74,7 @@
     async def _read_once(self) -> Change:
         recovered = self._failing_since is not None
         if self._next_offset is None:
-            newest, self._next_offset = await self._store.list_newest(
+            newest, self._next_offset = await self._store.read_newest(
                 self._topic
             )
             return Change(newest, True, recovered)
--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -19,7 +19,7 @@
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 
 
-class Verdict(enum.Enum):
+class OrderResult(enum.Enum):
     """Result of an order, as derived from the engine's response."""
 
     STARTED = "started"
@@ -31,12 +31,12 @@
     UNKNOWN = "unknown"
 
 
-VERDICTS_BY_STATUS = {
-    202: Verdict.STARTED,
-    200: Verdict.DONE,
-    409: Verdict.CONFLICT,
-    412: Verdict.FENCED,
-    421: Verdict.WRONG_ENDPOINT,
+RESULTS_BY_STATUS = {
+    202: OrderResult.STARTED,
+    200: OrderResult.DONE,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.WRONG_ENDPOINT,
 }
 
 
@@ -58,7 +58,7 @@
     version: int | None = None
 
 
-class Engines:
+class EngineClient:
     """Sends orders to engines and fetches their reports.
 
     :param holder: name of this VM, which orders state as the lease holder
@@ -68,9 +68,9 @@
         self._http_client = http_client
         self._holder = holder
 
-    async def order(
+    async def send_order(
         self, address: str, identity: str, order: Order, token: int
-    ) -> Verdict:
+    ) -> OrderResult:
         """Send an order to an engine.
 
         :param address: address of the engine
@@ -98,10 +98,10 @@
             ((names.EXPECT_INSTANCE, identity.encode()), *JSON_HEADERS),
         )
         if response is None:
-            return Verdict.UNKNOWN
-        return VERDICTS_BY_STATUS.get(response.status, Verdict.REFUSED)
+            return OrderResult.UNKNOWN
+        return RESULTS_BY_STATUS.get(response.status, OrderResult.REFUSED)
 
-    async def report(
+    async def fetch_report(
         self, address: str, identity: str
     ) -> documents.Report | None:
         """Fetch an engine's report.
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -92,17 +92,17 @@
         self._address = address
 
     async def append(
-        self, topic: str, records: list[bytes], at: int | None = None
+        self, topic: str, records: list[bytes], expected_end: int | None = None
     ) -> int:
         """Append records and return the offset of the first.
 
-        :param at: append only if the partition ends at this offset
+        :param expected_end: append only if the partition ends at this offset
         :raises OffsetConflictError: the partition ends at another offset
         :raises StoreError: the call failed for another reason
         """
         query = {"topic": topic, "part": 0}
-        if at is not None:
-            query["at"] = at
+        if expected_end is not None:
+            query["at"] = expected_end
         body = b"".join(
             RECORD_LENGTH.pack(len(item)) + item for item in records
         )
@@ -142,7 +142,7 @@
         self._check_status(response)
         return decode_batch(response.body, first)
 
-    async def list_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
+    async def read_newest(self, topic: str) -> tuple[list[KeyedRecord], int]:
         """Return the newest record of each key, and the next offset to read.
 
         The pages are not a consistent snapshot. The next offset is therefore
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -290,7 +290,7 @@
         self.servers.append(server)
         self.store = await server.start()
 
-    async def add_server(
+    async def add_endpoint(
         self, identity: str, service: str, **fields: object
     ) -> wireengine.WireEngine:
         """Start an endpoint and write its entry to the store."""
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -34,7 +34,7 @@
         ("p1", "plain"),
         ("p2", "plain"),
     ):
-        await site.add_server(identity, service)
+        await site.add_endpoint(identity, service)
     yield site
     await site.stop()
 
@@ -113,7 +113,7 @@
     """
     site = sites.Site(tmp_path)
     await site.start_store()
-    await site.add_server("e1", "engines", loaded=False, model_load_s=0.3)
+    await site.add_endpoint("e1", "engines", loaded=False, model_load_s=0.3)
     site.configure(model_load_s=4.0)
     vm = await site.start_vm("vm-1")
     await vm.await_ready()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,9 +20,9 @@
 
 async def test_conflicting_append_reports_the_end_of_the_log(store):
     """Guards against two VMs that both succeed in appending at one offset."""
-    assert await store.append("leases", [b"a"], at=0) == 0
+    assert await store.append("leases", [b"a"], expected_end=0) == 0
     with pytest.raises(stores.OffsetConflictError) as caught:
-        await store.append("leases", [b"b"], at=0)
+        await store.append("leases", [b"b"], expected_end=0)
     assert caught.value.end == 1
 
 
@@ -40,7 +40,7 @@
     for number in range(2 * logstore.PAGE_ITEMS + 1):
         await store.put(TOPIC, f"k{number}", b"v%d" % number)
     await store.put(TOPIC, "k0", None)
-    records, end = await store.list_newest(TOPIC)
+    records, end = await store.read_newest(TOPIC)
     assert [item.key for item in records] == [f"k{n}" for n in range(1, 7)]
     assert end == 8
 
@@ -55,7 +55,7 @@
     monkeypatch.setattr(stores, "CALL_TIMEOUT_S", 0.2)
     log.lost = 1
     with pytest.raises(stores.StoreUncertainError):
-        await store.append("leases", [b"a"], at=0)
+        await store.append("leases", [b"a"], expected_end=0)
     assert log.topics["leases"] == [b"a"]
 
 
@@ -103,7 +103,7 @@
         calls.HttpClient(time.monotonic), await server.start()
     )
     with pytest.raises(stores.StoreUncertainError):
-        await unresponsive.list_newest(TOPIC)
+        await unresponsive.read_newest(TOPIC)
     await server.stop()
 
 
