Name dispatch, limits and routing functions in plain terms

Cause: several names of the dispatch, limits and routing packages were figurative or vague. Change: judge_pace -> classify_pace; note_answer (dispatch.transitions) -> update_reachability; send_fence -> record_fence_sent; judge_quotas -> compute_quota_view, likewise _judge_quotas in bench; note_chunk -> record_chunk; pace.PART_MS -> PACE_REPORT_INTERVAL_MS; find_wait -> get_step_timeout; has_rival -> has_waiting_competitor; LoadPlan.short and parameter waiting_loads -> permit_shortfall; ChunksPassed -> ChunksForwarded; ReportRead -> ReportReadEnded; is_reader_gone -> is_recipient_gone; module dispatch.readers -> recipients; parameter note of choose_endpoint -> on_candidates; Permits.change -> replace_bucket; transfers.ask, grant, accept -> request_tokens, grant_tokens, accept_grant, likewise in bench.permits; locals question and outgoing -> addressed; admission.check -> check_admission.

--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -54,14 +54,14 @@
             site.queues[name] = attrs.evolve(queue, pace=seen)
         watch(site, name)
 
-    site.call_later(paces.PART_MS, act)
+    site.call_later(paces.PACE_REPORT_INTERVAL_MS, act)
 
 
 def _place(site: sites.Site, vm: sites.Vm) -> None:
     """Decide which adapters the endpoints of a VM should hold."""
     if site.is_naive:
         return
-    vm.quotas = _judge_quotas(site, vm)
+    vm.quotas = _compute_quota_view(site, vm)
     demand = placement.count_demand(vm.recent)
     normal = [
         name
@@ -87,7 +87,9 @@
         )
 
 
-def _judge_quotas(site: sites.Site, vm: sites.Vm) -> quota_views.QuotaView:
+def _compute_quota_view(
+    site: sites.Site, vm: sites.Vm
+) -> quota_views.QuotaView:
     loaded = {
         other.name: [
             adapter
@@ -101,7 +103,7 @@
         for name in site.list_owned(vm)
         for adapter in site.queues[name].residents
     ]
-    return quota_views.judge_quotas(
+    return quota_views.compute_quota_view(
         site.rules.members, loaded, site.members, vm.name
     )
 
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -55,7 +55,7 @@
             outcome.stalled_ms = 0.0
         work = self._make_work(outcome)
         if not site.is_naive:
-            failure = admission.check(
+            failure = admission.check_admission(
                 admission.Admission(
                     work,
                     queue,
@@ -97,7 +97,7 @@
         permits.refresh(site, vm)
         now_ms = int(site.timeline.now_ms)
         if not site.is_naive:
-            site.queues[name] = transitions.judge_pace(
+            site.queues[name] = transitions.classify_pace(
                 site.queues[name],
                 vm.placements.get(name, NO_PLACEMENT).paces,
                 site.endpoints[name].slots,
@@ -120,7 +120,7 @@
             self.advance(name)
             return
         vm.plans[name] = plan.loads
-        permits.ask(site, vm, self.advance)
+        permits.request_tokens(site, vm, self.advance)
 
     def _make_context(
         self, name: str, vm: sites.Vm
@@ -188,7 +188,7 @@
         )
         site.queues[name] = queue
         item = queue.running[attempt]
-        contended = queue.has_rival(item.work.member)
+        contended = queue.has_waiting_competitor(item.work.member)
         if contended:
             vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
         outcome = site.outcomes[int(attempt)]
@@ -229,7 +229,7 @@
             states.ResidentPhase.LOADING,
             int(site.timeline.now_ms),
         )
-        vm.permits = vm.permits.change(vm.permits.bucket.take(1))
+        vm.permits = vm.permits.replace_bucket(vm.permits.bucket.take(1))
         site.store.load(lambda: self._end_load(name, adapter))
 
     def _end_load(self, name: str, adapter: str) -> None:
--- a/bench/permits.py
+++ b/bench/permits.py
@@ -19,7 +19,7 @@
     now_ms = int(site.timeline.now_ms)
     share = site.workload.loads_per_s / EXPECTED_VMS
     bucket = vm.permits.bucket.refill(share, max(1.0, share), now_ms)
-    vm.permits = vm.permits.change(bucket)
+    vm.permits = vm.permits.replace_bucket(bucket)
     vm.usage = usage.decay(vm.usage, now_ms - int(vm.used_ms))
     vm.used_ms = site.timeline.now_ms
 
@@ -34,7 +34,7 @@
     return max(0, site.workload.store_limit // EXPECTED_VMS - loading)
 
 
-def ask(
+def request_tokens(
     site: sites.Site, vm: sites.Vm, advance: Callable[[str], None]
 ) -> None:
     """Ask a peer for tokens when some are lacking.
@@ -43,25 +43,29 @@
     """
     if site.is_naive:
         return
-    short = sum(plan.short for plan in vm.plans.values())
-    vm.needed = min(short, count_places(site, vm)) if short else 0
+    permit_shortfall = sum(plan.permit_shortfall for plan in vm.plans.values())
+    vm.needed = (
+        min(permit_shortfall, count_places(site, vm))
+        if permit_shortfall
+        else 0
+    )
     peers = [name for name in site.vms if name != vm.name]
-    vm.permits, question = transfers.ask(
+    vm.permits, addressed = transfers.request_tokens(
         vm.permits, vm.name, peers, vm.needed, int(site.timeline.now_ms)
     )
-    if question is None:
+    if addressed is None:
         return
-    peer = site.vms[question.peer]
+    peer = site.vms[addressed.peer]
 
     def receive() -> None:
         refresh(site, peer)
-        peer.permits, answer = transfers.grant(
-            peer.permits, question.request, peer.needed
+        peer.permits, answer = transfers.grant_tokens(
+            peer.permits, addressed.request, peer.needed
         )
-        site.call_later(sites.HOP_MS, lambda: accept(answer))
+        site.call_later(sites.HOP_MS, lambda: accept_grant(answer))
 
-    def accept(answer: messages.TokenGrant) -> None:
-        vm.permits = transfers.accept(vm.permits, answer)
+    def accept_grant(answer: messages.TokenGrant) -> None:
+        vm.permits = transfers.accept_grant(vm.permits, answer)
         for name in site.list_owned(vm):
             advance(name)
 
--- a/src/bronzetrack/controllers/delivery.py
+++ b/src/bronzetrack/controllers/delivery.py
@@ -14,7 +14,7 @@
 from bronzetrack.core import controllers
 from bronzetrack.core import failures
 from bronzetrack.core import messages as core_messages
-from bronzetrack.dispatch import readers
+from bronzetrack.dispatch import recipients
 from bronzetrack.streaming import messages
 from bronzetrack.streaming import outcomes
 
@@ -110,7 +110,7 @@
         )
 
     def _is_recipient_gone(self) -> bool:
-        return self._is_unsendable() or readers.is_reader_gone(
+        return self._is_unsendable() or recipients.is_recipient_gone(
             self._board.ownership.value,
             self._incarnation,
             self._resumable,
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -70,11 +70,13 @@
             remote_usage = usage.sum_usage(
                 vm.usage for vm in self.board.membership.value.vms.values()
             )
-            waiting_loads = sum(
-                self._plan_and_execute(name, remote_usage, now_ms).short
+            permit_shortfall = sum(
+                self._plan_and_execute(
+                    name, remote_usage, now_ms
+                ).permit_shortfall
                 for name in list(self.board.dispatch.value.endpoints)
             )
-            self._permits.request(waiting_loads, now_ms)
+            self._permits.request(permit_shortfall, now_ms)
 
     async def _wait_until_due(self) -> None:
         """Wait until a step may be due.
@@ -95,7 +97,7 @@
             self.board.configuration.meets(
                 lambda it: it.configuration is not configuration
             ),
-            timeout_ms=deadlines.find_wait(
+            timeout_ms=deadlines.get_step_timeout(
                 self.board.dispatch.value,
                 self.board.permits.value,
                 self.read_clock().monotonic_ms,
@@ -178,7 +180,7 @@
             return failures.Failure(
                 failures.Reason.NO_OWNER, "not the owner of the endpoint"
             )
-        return admission.check(
+        return admission.check_admission(
             admission.Admission(
                 work,
                 queue,
@@ -220,7 +222,7 @@
         match event:
             case events.RunEnded():
                 queue = transitions.end_run(queue, event, now_ms)
-            case events.ChunksPassed():
+            case events.ChunksForwarded():
                 pace = paces.observe(queue.pace, event.chunk_ms, now_ms)
                 queue = attrs.evolve(queue, pace=pace)
             case events.LoadEnded():
@@ -231,18 +233,18 @@
                 queue = transitions.end_unload(queue, event, now_ms)
             case events.FenceEnded():
                 queue = transitions.end_fence(queue, event)
-            case events.ReportRead():
+            case events.ReportReadEnded():
                 queue = self._apply_report(queue, event, now_ms)
         self._set_queue(event.endpoint, queue)
 
     def _apply_report(
         self,
         queue: states.EndpointQueue,
-        event: events.ReportRead,
+        event: events.ReportReadEnded,
         now_ms: int,
     ) -> states.EndpointQueue:
         if isinstance(event.report, failures.Failure):
-            return transitions.note_answer(queue, event.report)
+            return transitions.update_reachability(queue, event.report)
         owner = self.board.ownership.value.owners.get(event.endpoint)
         owned_ms = 0 if owner is None else now_ms - owner.claimed_ms
         return transitions.apply_report(queue, event.report, owned_ms, now_ms)
@@ -258,7 +260,7 @@
         endpoint = self._get_endpoint(name)
         if endpoint is None:
             return loads.LoadPlan()
-        queue = transitions.judge_pace(
+        queue = transitions.classify_pace(
             self.board.dispatch.value.endpoints[name],
             self._placements.get(name).paces,
             endpoint.slots,
@@ -271,7 +273,7 @@
         self._send_refusals(name, plan)
         if plan.fence is not None:
             queue = self.board.dispatch.value.endpoints[name]
-            self._set_queue(name, transitions.send_fence(queue, now_ms))
+            self._set_queue(name, transitions.record_fence_sent(queue, now_ms))
             self._orders.fence(name, endpoint, plan.fence)
         for attempt in plan.start:
             self._start_attempt(name, endpoint, attempt, now_ms)
@@ -353,7 +355,7 @@
         )
         self._set_queue(name, queue)
         item = queue.running[attempt]
-        if queue.has_rival(item.work.member):
+        if queue.has_waiting_competitor(item.work.member):
             state = self.board.dispatch.value
             charged = usage.charge(
                 state.usage, item.work.member, item.work.cost
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -137,4 +137,6 @@
         if not endpoint.is_engine:
             return
         report = await self._ports.endpoints.read_report(endpoint)
-        self._board.mailboxes["runs"].post(events.ReportRead(name, report))
+        self._board.mailboxes["runs"].post(
+            events.ReportReadEnded(name, report)
+        )
--- a/src/bronzetrack/controllers/permits.py
+++ b/src/bronzetrack/controllers/permits.py
@@ -38,12 +38,12 @@
         share = self._store.loads_per_s / self._store.expected_vms
         permits = self._board.permits.value
         bucket = permits.bucket.refill(share, max(1.0, share), now_ms)
-        self._write(permits.change(bucket))
+        self._write(permits.replace_bucket(bucket))
 
     def take(self) -> None:
         """Take one token for a load."""
         permits = self._board.permits.value
-        self._write(permits.change(permits.bucket.take(1)))
+        self._write(permits.replace_bucket(permits.bucket.take(1)))
 
     def count(self) -> int:
         """Return the number of loads that may start now."""
@@ -63,13 +63,15 @@
         share = self._store.in_flight // self._store.expected_vms
         return max(0, share - loading)
 
-    def request(self, waiting_loads: int, now_ms: int) -> None:
+    def request(self, permit_shortfall: int, now_ms: int) -> None:
         """Request the tokens that waiting loads lack from a peer.
 
-        :param waiting_loads: number of loads that wait only for a permit
+        :param permit_shortfall: number of loads that wait only for a permit
         """
-        self._needed_tokens = min(waiting_loads, self.count_free_concurrency())
-        permits, outgoing = transfers.ask(
+        self._needed_tokens = min(
+            permit_shortfall, self.count_free_concurrency()
+        )
+        permits, addressed = transfers.request_tokens(
             self._board.permits.value,
             self._board.vm,
             self._ports.peers.list_sessions(),
@@ -77,8 +79,8 @@
             now_ms,
         )
         self._write(permits)
-        if outgoing is not None:
-            self._ports.peers.send(outgoing.peer, outgoing.request)
+        if addressed is not None:
+            self._ports.peers.send(addressed.peer, addressed.request)
 
     def receive(self, sender: str, message: Any) -> None:
         """Grant tokens to a peer, or accept tokens that a peer granted."""
@@ -87,10 +89,10 @@
             case messages.TokenRequest():
                 # If the send fails, its tokens are lost, and the peer asks
                 # again in its next round.
-                permits, answer = transfers.grant(
+                permits, answer = transfers.grant_tokens(
                     permits, message, self._needed_tokens
                 )
                 self._write(permits)
                 self._ports.peers.send(sender, answer)
             case messages.TokenGrant():
-                self._write(transfers.accept(permits, message))
+                self._write(transfers.accept_grant(permits, message))
--- a/src/bronzetrack/controllers/placements.py
+++ b/src/bronzetrack/controllers/placements.py
@@ -110,7 +110,7 @@
             for version in itertools.chain(*loaded.values())
             if version.rpartition("@")[0] in adapters
         }
-        return quota_views.judge_quotas(
+        return quota_views.compute_quota_view(
             configuration.rules.members, loaded, members, self._board.vm
         )
 
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -229,10 +229,10 @@
         timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
             self._last_data_ms = self._read_clock().monotonic_ms
-            chunk_ms = timer.note_chunk(self._last_data_ms)
+            chunk_ms = timer.record_chunk(self._last_data_ms)
             if chunk_ms is not None:
                 self._board.mailboxes["runs"].post(
-                    events.ChunksPassed(self._work.endpoint, chunk_ms)
+                    events.ChunksForwarded(self._work.endpoint, chunk_ms)
                 )
             if self._first_chunk_ms is None:
                 self._first_chunk_ms = self._last_data_ms - sent_ms
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -52,7 +52,7 @@
         board.settings.vm.availability_zone,
         progress.excluded,
         request.fingerprint if isolated else None,
-        note=record_considered,
+        on_candidates=record_considered,
     )
 
 
--- a/src/bronzetrack/dispatch/deadlines.py
+++ b/src/bronzetrack/dispatch/deadlines.py
@@ -12,7 +12,7 @@
 IDLE_INTERVAL_MS = 1_000
 
 
-def find_wait(
+def get_step_timeout(
     state: states.DispatchState, permits: transfers.Permits, now_ms: int
 ) -> int:
     """Return the maximum time until the next step in milliseconds.
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -24,7 +24,7 @@
 
 
 @attrs.frozen
-class ChunksPassed:
+class ChunksForwarded:
     """A stream forwarded some chunks.
 
     :param chunk_ms: mean time between the chunks in milliseconds
@@ -61,7 +61,7 @@
 
 
 @attrs.frozen
-class ReportRead:
+class ReportReadEnded:
     """An attempt to read the load report of an endpoint ended."""
 
     endpoint: str
--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -20,12 +20,12 @@
 
     :param load: adapters to load
     :param unload: adapters to evict
-    :param short: number of loads that lack only a permit
+    :param permit_shortfall: number of loads that lack only a permit
     """
 
     load: tuple[str, ...] = ()
     unload: tuple[str, ...] = ()
-    short: int = 0
+    permit_shortfall: int = 0
 
 
 def plan_loads(
--- a/src/bronzetrack/dispatch/pace.py
+++ b/src/bronzetrack/dispatch/pace.py
@@ -18,7 +18,7 @@
 SMOOTHING_FACTOR = 0.6
 OBSERVATION_TTL_MS = 1_000
 # Interval at which a stream reports the time between its chunks.
-PART_MS = 250
+PACE_REPORT_INTERVAL_MS = 250
 # An engine may process a long prompt for this time without sending a chunk.
 MAX_SILENCE_MS = 1_500
 MIN_PEERS = 2
@@ -140,7 +140,7 @@
     started_ms: int | None = None
     chunks: int = 0
 
-    def note_chunk(self, now_ms: int) -> float | None:
+    def record_chunk(self, now_ms: int) -> float | None:
         """Record a chunk.
 
         :returns: mean time between chunks in milliseconds when an interval is
@@ -151,7 +151,7 @@
             return None
         self.chunks += 1
         passed_ms = now_ms - self.started_ms
-        if passed_ms < PART_MS:
+        if passed_ms < PACE_REPORT_INTERVAL_MS:
             return None
         mean_ms = passed_ms / self.chunks
         self.started_ms, self.chunks = now_ms, 0
--- a/src/bronzetrack/dispatch/readers.py
+++ b/src/bronzetrack/dispatch/recipients.py
@@ -1,18 +1,18 @@
-"""Detection of answers that no entry VM will read any more."""
+"""Detection of answers that no entry VM will receive any more."""
 
 from __future__ import annotations
 
 from bronzetrack.ownership import leases
 
 
-def is_reader_gone(
+def is_recipient_gone(
     ownership: leases.OwnershipState,
     incarnation: str,
     resumable: bool,
     lost_ms: int,
     now_ms: int,
 ) -> bool:
-    """Return whether no entry VM will read the rest of an answer.
+    """Return whether no entry VM will receive the rest of an answer.
 
     An entry VM that cannot reach the owner resumes a stream at the engine. If
     the owner cancelled the run or released its pin, the resumed stream would
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -126,7 +126,7 @@
         resident = self.residents.get(adapter)
         return resident is not None and resident.phase is ResidentPhase.READY
 
-    def has_rival(self, member: str) -> bool:
+    def has_waiting_competitor(self, member: str) -> bool:
         """Return whether work of another member lacks only a slot."""
         return any(
             item.work.member != member and self.is_ready(item.work.adapter)
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -187,7 +187,7 @@
     queue: states.EndpointQueue, event: events.LoadEnded, now_ms: int
 ) -> states.EndpointQueue:
     """Return the queue after a load order ended."""
-    queue = note_answer(queue, event.failure)
+    queue = update_reachability(queue, event.failure)
     queue = _record_order_end(queue, event.adapter, now_ms)
     if event.failure is not None:
         return delay_load(queue, event.adapter, now_ms + LOAD_RETRY_MS)
@@ -208,7 +208,7 @@
     return attrs.evolve(queue, ordered_ms={**recent, adapter: now_ms})
 
 
-def note_answer(
+def update_reachability(
     queue: states.EndpointQueue, failure: failures.Failure | None
 ) -> states.EndpointQueue:
     """Return the queue with the reachability after an order or a report."""
@@ -219,7 +219,7 @@
     return attrs.evolve(queue, reachable=reachable)
 
 
-def send_fence(
+def record_fence_sent(
     queue: states.EndpointQueue, now_ms: int
 ) -> states.EndpointQueue:
     """Return the queue with the retry time after a fence was sent."""
@@ -250,7 +250,7 @@
     )
 
 
-def judge_pace(
+def classify_pace(
     queue: states.EndpointQueue,
     peers: Sequence[float],
     slots: int,
--- a/src/bronzetrack/limits/admission.py
+++ b/src/bronzetrack/limits/admission.py
@@ -38,7 +38,7 @@
 RULES: registry.Registry[AdmissionRule] = registry.Registry("admission rules")
 
 
-def check(admission: Admission) -> failures.Failure | None:
+def check_admission(admission: Admission) -> failures.Failure | None:
     """Return the reason to refuse the work, None if it is admitted."""
     refusals = (rule(admission) for _, rule in RULES.items())
     return next((item for item in refusals if item is not None), None)
--- a/src/bronzetrack/limits/quotas.py
+++ b/src/bronzetrack/limits/quotas.py
@@ -39,7 +39,7 @@
         return [name for name in adapters if self.members.get(name) == member]
 
 
-def judge_quotas(
+def compute_quota_view(
     rules: Mapping[str, rule_sets.MemberRule],
     loaded: Mapping[str, Iterable[str]],
     members: Mapping[str, str],
--- a/src/bronzetrack/limits/transfers.py
+++ b/src/bronzetrack/limits/transfers.py
@@ -40,7 +40,7 @@
     open_until_ms: int | None = None
     pause_until_ms: int = 0
 
-    def change(self, bucket: tokens.TokenBucket) -> Permits:
+    def replace_bucket(self, bucket: tokens.TokenBucket) -> Permits:
         """Return the permits with the bucket replaced."""
         return attrs.evolve(self, bucket=bucket)
 
@@ -61,7 +61,7 @@
     request: messages.TokenRequest
 
 
-def ask(
+def request_tokens(
     permits: Permits,
     vm: str,
     peers: Collection[str],
@@ -105,7 +105,7 @@
     )
 
 
-def grant(
+def grant_tokens(
     permits: Permits, request: messages.TokenRequest, reserved: int
 ) -> tuple[Permits, messages.TokenGrant]:
     """Return the permits without the granted tokens, and the answer.
@@ -122,12 +122,12 @@
         shortfall = request.tokens - (math.ceil(request.tokens) - 1)
         granted = shortfall if shortfall <= held - math.floor(held) else 0.0
     return (
-        permits.change(permits.bucket.take(granted)),
+        permits.replace_bucket(permits.bucket.take(granted)),
         messages.TokenGrant(request.number, granted),
     )
 
 
-def accept(permits: Permits, answer: messages.TokenGrant) -> Permits:
+def accept_grant(permits: Permits, answer: messages.TokenGrant) -> Permits:
     """Return the permits with the tokens of a grant for the open request.
 
     Other grants are ignored. A grant that arrives after the time-out is still
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -80,7 +80,7 @@
     excluded: Collection[str],
     isolated_key: str | None = None,
     policy: str = "balanced",
-    note: Callable[[list[candidates.Candidate]], None] | None = None,
+    on_candidates: Callable[[list[candidates.Candidate]], None] | None = None,
 ) -> candidates.Candidate | failures.Failure:
     """Return the endpoint for an attempt, or a failure if there is none.
 
@@ -95,13 +95,14 @@
     :param isolated_key: fingerprint of a suspect request, which all VMs have
         to send to the same endpoint
     :param policy: name of the routing policy
-    :param note: callback that receives all candidates, for the state dump
+    :param on_candidates: callback that receives all candidates, for the state
+        dump
     """
     found = candidates.list_candidates(
         endpoints, reports, adapter, in_flight, leaving, zone
     )
-    if note is not None:
-        note(found)
+    if on_candidates is not None:
+        on_candidates(found)
     if not found:
         return failures.Failure(
             failures.Reason.NO_OWNER,
--- a/src/bronzetrack/traces/dispatch.py
+++ b/src/bronzetrack/traces/dispatch.py
@@ -96,7 +96,7 @@
         refused = [attempt for attempt, _ in plan.refuse]
         self.queue = transitions.remove_waiting(self.queue, refused)
         if plan.fence is not None:
-            self.queue = transitions.send_fence(self.queue, now_ms)
+            self.queue = transitions.record_fence_sent(self.queue, now_ms)
             self._record_order(now_ms, "fence", plan.fence)
         for attempt in plan.start:
             self.queue = transitions.start(self.queue, attempt, now_ms)
@@ -236,7 +236,7 @@
 
     def apply(self, core: DispatchCore, at_ms: int) -> None:
         failure = failures.Failure(failures.Reason.ENDPOINT_UNREACHABLE)
-        core.queue = transitions.note_answer(core.queue, failure)
+        core.queue = transitions.update_reachability(core.queue, failure)
 
 
 @EVENTS.register("run_ended")
--- a/tests/dispatch/test_deadlines.py
+++ b/tests/dispatch/test_deadlines.py
@@ -68,7 +68,7 @@
 
 
 def plan(queue, context, now_ms):
-    classified = transitions.judge_pace(queue, (20.0, 20.0), 8, now_ms)
+    classified = transitions.classify_pace(queue, (20.0, 20.0), 8, now_ms)
     return classified, planner.plan_endpoint(classified, context, now_ms)
 
 
@@ -95,15 +95,15 @@
     """Guards against usage in heartbeats that stops decaying."""
     state = states.DispatchState(endpoints={"e": states.EndpointQueue()})
     state = attrs.evolve(state, **change)
-    assert deadlines.find_wait(state, FULL_PERMITS, NOW_MS) == wait_ms
+    assert deadlines.get_step_timeout(state, FULL_PERMITS, NOW_MS) == wait_ms
 
 
 def test_waiting_work_and_missing_tokens_need_steps(make_waiting):
     """Guards against work that waits beyond its time-out."""
     queue = states.EndpointQueue(waiting=(make_waiting("a"),))
     state = states.DispatchState(endpoints={"e": queue})
-    wait_ms = deadlines.find_wait(state, FULL_PERMITS, NOW_MS)
+    wait_ms = deadlines.get_step_timeout(state, FULL_PERMITS, NOW_MS)
     assert wait_ms == deadlines.STEP_INTERVAL_MS
     empty = transfers.Permits()
-    wait_ms = deadlines.find_wait(states.DispatchState(), empty, NOW_MS)
+    wait_ms = deadlines.get_step_timeout(states.DispatchState(), empty, NOW_MS)
     assert wait_ms == deadlines.STEP_INTERVAL_MS
--- a/tests/dispatch/test_pace.py
+++ b/tests/dispatch/test_pace.py
@@ -10,10 +10,10 @@
 
 def _observe_chunks(pace, chunk_ms, start_ms, count):
     for index in range(count):
-        now_ms = start_ms + index * paces.PART_MS
+        now_ms = start_ms + index * paces.PACE_REPORT_INTERVAL_MS
         pace = paces.observe(pace, chunk_ms, now_ms)
         pace = paces.classify(pace, PEERS, start_ms, SLOTS, now_ms)
-    return pace, start_ms + count * paces.PART_MS
+    return pace, start_ms + count * paces.PACE_REPORT_INTERVAL_MS
 
 
 def test_slow_endpoint_is_found_within_a_second():
@@ -63,6 +63,6 @@
 def test_timer_excludes_the_first_chunk():
     """Guards against prompt processing time that counts as a slow chunk."""
     timer = paces.ChunkTimer()
-    assert timer.note_chunk(5_000) is None
-    means = [timer.note_chunk(5_000 + 20 * index) for index in range(1, 20)]
+    assert timer.record_chunk(5_000) is None
+    means = [timer.record_chunk(5_000 + 20 * index) for index in range(1, 20)]
     assert [mean for mean in means if mean is not None] == [20.0]
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_recipients.py
@@ -1,11 +1,11 @@
-"""Tests of the detection of answers without a reader."""
+"""Tests of the detection of answers without a recipient."""
 
 from __future__ import annotations
 
 import attrs
 import pytest
 
-from bronzetrack.dispatch import readers
+from bronzetrack.dispatch import recipients
 from bronzetrack.ownership import leases
 
 LOST_MS = 50_000
@@ -20,7 +20,9 @@
 
 
 def is_gone(ownership, now_ms, resumable=True):
-    return readers.is_reader_gone(ownership, "i1", resumable, LOST_MS, now_ms)
+    return recipients.is_recipient_gone(
+        ownership, "i1", resumable, LOST_MS, now_ms
+    )
 
 
 def test_stream_continues_while_its_entry_vm_may_be_up(ownership):
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -29,7 +29,7 @@
             waiting=(states.Waiting(work, "vm", 0),) * waiting,
             pace=paces.Pace(chunk_ms=20.0),
         )
-        return admission.check(
+        return admission.check_admission(
             admission.Admission(work, queue, RULES, 4, limit)
         )
 
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -16,7 +16,7 @@
 @pytest.fixture
 def compute_view():
     def run(loaded, vm="vm-0"):
-        return quotas.judge_quotas(RULES, loaded, MEMBERS, vm)
+        return quotas.compute_quota_view(RULES, loaded, MEMBERS, vm)
 
     return run
 
@@ -47,7 +47,9 @@
     copies = [name for names in loaded.values() for name in names]
     total = sum(MEMBERS[name] == "trust" for name in copies)
     evicted = sum(
-        quotas.judge_quotas(RULES, loaded, MEMBERS, vm).excess.get("trust", 0)
+        quotas.compute_quota_view(RULES, loaded, MEMBERS, vm).excess.get(
+            "trust", 0
+        )
         for vm in loaded
     )
     assert evicted == max(0, total - 3)
--- a/tests/limits/test_transfers.py
+++ b/tests/limits/test_transfers.py
@@ -39,7 +39,7 @@
         vm = VMS[index]
         if action == "ask":
             peers = [name for name in VMS if name != vm]
-            states[vm], addressed = transfers.ask(
+            states[vm], addressed = transfers.request_tokens(
                 states[vm], vm, peers, needed, now_ms
             )
             if addressed is not None:
@@ -52,12 +52,14 @@
             if action == "deliver":
                 in_transit.pop(place)
             if isinstance(message, messages.TokenRequest):
-                states[receiver], answer = transfers.grant(
+                states[receiver], answer = transfers.grant_tokens(
                     states[receiver], message, needed
                 )
                 in_transit.append((receiver, sender, answer))
             else:
-                states[receiver] = transfers.accept(states[receiver], message)
+                states[receiver] = transfers.accept_grant(
+                    states[receiver], message
+                )
         held = sum(state.bucket.tokens for state in states.values())
         assert held <= sum(amounts) / 4 + 1e-9
         assert all(state.bucket.tokens >= 0 for state in states.values())
@@ -65,9 +67,13 @@
 
 def test_grant_covers_the_whole_request_without_message_loss(make_permits):
     """Guards against tokens that are lost in a transfer without faults."""
-    requester, addressed = transfers.ask(make_permits(0.25), "a", ["b"], 1, 0)
-    granter, answer = transfers.grant(make_permits(2.0), addressed.request, 1)
-    requester = transfers.accept(requester, answer)
+    requester, addressed = transfers.request_tokens(
+        make_permits(0.25), "a", ["b"], 1, 0
+    )
+    granter, answer = transfers.grant_tokens(
+        make_permits(2.0), addressed.request, 1
+    )
+    requester = transfers.accept_grant(requester, answer)
     assert requester.bucket.tokens == pytest.approx(1.0)
     assert granter.bucket.tokens == pytest.approx(1.25)
 
@@ -85,7 +91,7 @@
     fraction that completes no token of the requesting VM.
     """
     request = messages.TokenRequest(1, lacking)
-    granter, answer = transfers.grant(make_permits(held), request, 2)
+    granter, answer = transfers.grant_tokens(make_permits(held), request, 2)
     assert answer.tokens == pytest.approx(granted)
     assert granter.bucket.tokens == pytest.approx(held - granted)
 
@@ -94,10 +100,12 @@
     """Guards against repeated requests to a peer without tokens."""
     permits, asked, now_ms = make_permits(0.0), [], 0
     for _ in range(5):
-        permits, addressed = transfers.ask(permits, "a", ["b", "c"], 1, now_ms)
+        permits, addressed = transfers.request_tokens(
+            permits, "a", ["b", "c"], 1, now_ms
+        )
         if addressed is not None:
             asked.append(addressed.peer)
-            permits = transfers.accept(
+            permits = transfers.accept_grant(
                 permits, messages.TokenGrant(addressed.request.number, 0.0)
             )
     assert sorted(asked) == ["b", "c"]
