--- a/src/bronzetrack/configuration/replay.py
+++ b/src/bronzetrack/configuration/replay.py
@@ -63,17 +63,17 @@
     state = attrs.evolve(
         state, retained=retained, log_reachable=True, failed_reads=0
     )
-    first, fresh = retention.find_fresh(state.next_offset, start, items)
+    first, unread = retention.find_unread(state.next_offset, start, items)
     if first > state.next_offset:
         state = attrs.evolve(
             state, next_offset=first, changed_offset=first, complete=False
         )
-    for offset, record in fresh:
+    for offset, record in unread:
         state = apply_record(state, offset, record, reader, now_ms)
     return state
 
 
-def note_failure(
+def record_failed_read(
     state: states.ConfigurationState,
 ) -> states.ConfigurationState:
     """Return the state after a read of the stream failed."""
@@ -82,7 +82,7 @@
     )
 
 
-def adopt(
+def adopt_configuration(
     state: states.ConfigurationState,
     configuration: states.Configuration,
     through: int,
@@ -108,7 +108,7 @@
     )
 
 
-def is_copy_due(
+def is_snapshot_due(
     state: states.ConfigurationState, rank: int, now_ms: int
 ) -> bool:
     """Return whether this VM should append a snapshot now.
@@ -119,7 +119,7 @@
         return False
     if not state.complete or not state.log_reachable:
         return False
-    return retention.is_copy_due(state.retained, rank, now_ms)
+    return retention.is_snapshot_due(state.retained, rank, now_ms)
 
 
 def apply_record(
@@ -195,12 +195,10 @@
     names = None
     if record.delta and record.kind == "inventory":
         names = record.document
-    mistakes = validation.list_mistakes(
-        changed.inventory, changed.rules, names
-    )
-    if mistakes:
+    errors = validation.list_errors(changed.inventory, changed.rules, names)
+    if errors:
         return failures.Failure(
-            failures.Reason.CONFIGURATION_INVALID, "; ".join(mistakes)
+            failures.Reason.CONFIGURATION_INVALID, "; ".join(errors)
         )
     return changed
 
--- a/src/bronzetrack/configuration/transfer.py
+++ b/src/bronzetrack/configuration/transfer.py
@@ -15,7 +15,7 @@
 # Limits a transfer to 32 MiB. 18,000 adapters need 4 parts.
 MAX_PARTS = 64
 # A replay that keeps up with the log never lags behind a peer for this long.
-FETCH_AFTER_MS = 2_000
+FETCH_DELAY_MS = 2_000
 FETCH_INTERVAL_MS = 5_000
 
 
@@ -44,7 +44,7 @@
         return b"".join(self.received[part] for part in range(self.parts))
 
 
-def split(
+def split_configuration(
     state: states.ConfigurationState, data: bytes
 ) -> list[messages.ConfigurationSnapshot]:
     """Return the messages that transfer an encoded configuration."""
--- a/src/bronzetrack/configuration/validation.py
+++ b/src/bronzetrack/configuration/validation.py
@@ -18,7 +18,7 @@
 NAME_RULE = "a name must be printable ASCII and not blank"
 
 
-def list_mistakes(
+def list_errors(
     inventory: inventories.Inventory,
     rules: rule_sets.Rules,
     delta: Mapping[str, Any] | None = None,
@@ -29,19 +29,19 @@
         entries that the change can have made invalid are checked
     """
     return (
-        *list_inventory_mistakes(inventory, delta),
-        *list_rule_mistakes(rules),
+        *list_inventory_errors(inventory, delta),
+        *list_rule_errors(rules),
         *_check_members(inventory, rules),
     )
 
 
-def list_inventory_mistakes(
+def list_inventory_errors(
     inventory: inventories.Inventory,
     delta: Mapping[str, Any] | None = None,
 ) -> tuple[str, ...]:
     """Return the validation errors within an inventory.
 
-    :param delta: see `list_mistakes`
+    :param delta: see `list_errors`
     """
     # Any entry may refer to members and base models.
     if delta is not None and not {"members", "base_models"} & delta.keys():
@@ -69,7 +69,7 @@
     return {name: entries[name] for name in names if name in entries}
 
 
-def list_rule_mistakes(rules: rule_sets.Rules) -> tuple[str, ...]:
+def list_rule_errors(rules: rule_sets.Rules) -> tuple[str, ...]:
     """Return the validation errors within a rule set."""
     return tuple(_check_rules(rules))
 
--- a/src/bronzetrack/console/publishing.py
+++ b/src/bronzetrack/console/publishing.py
@@ -40,8 +40,8 @@
     if isinstance(value, failures.Failure):
         return value.detail.split("; ")
     if kind == "inventory":
-        return list(validation.list_inventory_mistakes(value))
-    return list(validation.list_rule_mistakes(value))
+        return list(validation.list_inventory_errors(value))
+    return list(validation.list_rule_errors(value))
 
 
 def make_group(kind: str, example: str) -> click.Group:
--- a/src/bronzetrack/controllers/configuration.py
+++ b/src/bronzetrack/controllers/configuration.py
@@ -64,7 +64,7 @@
         )
         async for batch in batches:
             if isinstance(batch, failures.Failure):
-                self._set_state(replay.note_failure(self._state))
+                self._set_state(replay.record_failed_read(self._state))
                 continue
             self._set_state(
                 replay.apply_batch(
@@ -102,7 +102,7 @@
         if state.configuration.offset < offset:
             return
         data = await _encode(state.configuration)
-        for part in transfers.split(state, data):
+        for part in transfers.split_configuration(state, data):
             self.ports.peers.send(sender, part)
 
     def _adopt_transfer(self) -> None:
@@ -121,13 +121,15 @@
                 },
             )
             return
-        self._set_state(replay.adopt(self._state, decoded, transfer.through))
+        self._set_state(
+            replay.adopt_configuration(self._state, decoded, transfer.through)
+        )
 
     async def _fetch_from_peers(self) -> None:
         """Fetch the configuration from peers while this VM is behind them.
 
         The first request is sent after a peer has been ahead for
-        `FETCH_AFTER_MS`. Requests are at least `FETCH_INTERVAL_MS` apart.
+        `FETCH_DELAY_MS`. Requests are at least `FETCH_INTERVAL_MS` apart.
         """
         request_count = 0
         behind_since_ms = requested_ms = None
@@ -143,7 +145,7 @@
             behind_since_ms = (
                 now_ms if behind_since_ms is None else behind_since_ms
             )
-            if now_ms - behind_since_ms < transfers.FETCH_AFTER_MS:
+            if now_ms - behind_since_ms < transfers.FETCH_DELAY_MS:
                 continue
             if requested_ms is None or (
                 now_ms - requested_ms >= transfers.FETCH_INTERVAL_MS
@@ -169,7 +171,7 @@
             await anyio.sleep(SNAPSHOT_CHECK_INTERVAL_MS / 1000)
             now_ms = self.read_clock().monotonic_ms
             rank = self._compute_rank(now_ms)
-            if replay.is_copy_due(self._state, rank, now_ms):
+            if replay.is_snapshot_due(self._state, rank, now_ms):
                 await self._append_snapshot(self._state)
 
     def _compute_rank(self, now_ms: int) -> int:
--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -84,7 +84,7 @@
         message: messages.HeartbeatChanges,
         now_ms: int,
     ) -> views.MembershipView:
-        if views.lacks_base(view, message):
+        if views.needs_whole_heartbeat(view, message):
             request = messages.FetchHeartbeat(self.board.vm)
             self.ports.peers.send(message.vm, request)
         return views.record_changes(view, message, now_ms)
@@ -104,7 +104,7 @@
         heartbeat = summaries.make_heartbeat(
             self.board, number, self.read_clock().monotonic_ms
         )
-        plan = changes.plan_beat(
+        plan = changes.plan_heartbeat(
             before,
             heartbeat,
             self._last_sent_numbers,
@@ -117,7 +117,7 @@
         )
         sent = self.ports.peers.send_each(plan.whole, heartbeat)
         if plan.changes is not None:
-            sent |= self.ports.peers.send_each(plan.partial, plan.changes)
+            sent |= self.ports.peers.send_each(plan.as_changes, plan.changes)
         self._last_sent_numbers = dict.fromkeys(sent, number)
         self._last_heartbeat = heartbeat
 
@@ -154,7 +154,7 @@
                 self._listed_addresses = {row.address for row in listed} - {""}
                 leaving = frozenset(row.name for row in listed if row.leaving)
                 view = self.board.membership.value
-                after = views.record_list(view, leaving)
+                after = views.record_vm_list(view, leaving)
                 if after is not view:
                     self.write(self.board.membership, after)
             await anyio.sleep(LIST_POLL_INTERVAL_MS / 1000)
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -60,7 +60,7 @@
         async for batch in batches:
             state = self.board.ownership.value
             if isinstance(batch, failures.Failure):
-                state = replay.note_outage(state, self._now_ms())
+                state = replay.record_outage(state, self._now_ms())
                 state = self._update_standing(state)
             else:
                 state = self._apply_batch(state, batch)
@@ -86,7 +86,9 @@
             leases.list_owned(state, self.board.incarnation),
             now_ms,
         )
-        after = standing.judge(state, self.board.vm, claimants, now_ms)
+        after = standing.update_standing(
+            state, self.board.vm, claimants, now_ms
+        )
         if after.standing is not state.standing:
             LOG.warning(
                 "ownership standing changed",
@@ -124,7 +126,7 @@
         while True:
             started_ms = self._now_ms()
             if self.board.ownership.value.caught_up:
-                state = replay.note_sent(
+                state = replay.record_renewal(
                     self.board.ownership.value, sequence, started_ms
                 )
                 self.write(self.board.ownership, state)
@@ -148,11 +150,13 @@
             now_ms = self._now_ms()
             if not state.caught_up or now_ms >= state.held_until_ms:
                 continue
-            site = self._make_site(now_ms, views.SETTLED_AFTER_MS)
-            state = planner.plan_handover(state, site)
+            planner_input = self._make_planner_input(
+                now_ms, views.JOIN_DELAY_MS
+            )
+            state = planner.plan_handover(state, planner_input)
             if state != self.board.ownership.value:
                 self.write(self.board.ownership, state)
-            release = planner.plan_release(state, site)
+            release = planner.plan_release(state, planner_input)
             if release is not None:
                 await self._append_and_wait(
                     "releasing", release, release.endpoints
@@ -162,7 +166,9 @@
 
     async def _claim(self, now_ms: int) -> None:
         claim = planner.plan_claim(
-            self.board.ownership.value, self._make_site(now_ms, 0), now_ms
+            self.board.ownership.value,
+            self._make_planner_input(now_ms, 0),
+            now_ms,
         )
         if claim is not None:
             await self._append_and_wait("claiming", claim, claim.endpoints)
@@ -184,7 +190,9 @@
         status = self.board.lifecycle.value.status
         return status is membership_messages.VmStatus.SERVING
 
-    def _make_site(self, now_ms: int, min_serving_ms: int) -> planner.Site:
+    def _make_planner_input(
+        self, now_ms: int, min_serving_ms: int
+    ) -> planner.PlannerInput:
         """Return the input of the planner.
 
         :param min_serving_ms: time that another VM has to have been serving
@@ -204,7 +212,7 @@
         if self.board.vm not in view.listed_leaving or not zones:
             zones[self.board.vm] = self.board.settings.vm.availability_zone
         configuration = self.board.configuration.value.configuration
-        return planner.Site(
+        return planner.PlannerInput(
             vm=self.board.vm,
             incarnation=self.board.incarnation,
             endpoints=configuration.inventory.endpoints,
@@ -226,9 +234,9 @@
 
     async def _append_snapshots(self) -> None:
         while True:
-            record = planner.plan_copy(
+            record = planner.plan_snapshot(
                 self.board.ownership.value,
-                self._make_site(self._now_ms(), 0),
+                self._make_planner_input(self._now_ms(), 0),
                 self._now_ms(),
             )
             if record is not None:
--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -1,4 +1,4 @@
-"""Decides when a copy of the state has to be appended to the log."""
+"""Decides when a snapshot of the state has to be appended to the log."""
 
 from __future__ import annotations
 
@@ -8,23 +8,23 @@
 import attrs
 
 # The log service has to retain records for at least twice this interval.
-COPY_INTERVAL_MS = 1_800_000
-# Redundant copies are harmless but have a cost. VMs with a higher rank number
-# wait longer, by this share of the interval for each rank, so that normally
-# one VM appends the copy and the others read it in time.
+SNAPSHOT_INTERVAL_MS = 1_800_000
+# Redundant snapshots are harmless but have a cost. VMs with a higher rank
+# number wait longer, by this share of the interval for each rank, so that
+# normally one VM appends the snapshot and the others read it in time.
 RANK_DELAY_SHARE = 0.05
 MAX_DELAYED_RANK = 8
 
 
 @attrs.frozen
 class Retained:
-    """The retained range of the log and the newest copy of the state.
+    """The retained range of the log and the newest snapshot of the state.
 
     :param start: the earliest offset that is retained
     :param end: the offset that the next append gets
-    :param copy: offset of the newest copy, 0 if there is none yet
+    :param copy: offset of the newest snapshot, 0 if there is none yet
     :param copy_ms: monotonic time in milliseconds at which this VM read the
-        copy, or started to follow the stream
+        snapshot, or started to follow the stream
     """
 
     start: int = 0
@@ -33,7 +33,7 @@
     copy_ms: int = 0
 
 
-def find_fresh(
+def find_unread(
     next_offset: int, start: int, items: Iterable[tuple[int, Any]]
 ) -> tuple[int, list[tuple[int, Any]]]:
     """Return the offset at which a reader continues, and its unread records.
@@ -45,27 +45,27 @@
     :param start: the earliest offset that is retained
     :param items: offsets and records of one read
     """
-    fresh = [item for item in items if item[0] >= next_offset]
-    first = fresh[0][0] if fresh else max(start, next_offset)
-    return first, fresh
+    unread = [item for item in items if item[0] >= next_offset]
+    first = unread[0][0] if unread else max(start, next_offset)
+    return first, unread
 
 
-def is_copy_due(
+def is_snapshot_due(
     retained: Retained,
     rank: int,
     now_ms: int,
-    interval_ms: int = COPY_INTERVAL_MS,
+    interval_ms: int = SNAPSHOT_INTERVAL_MS,
 ) -> bool:
-    """Return whether this VM should append a copy of the state now.
+    """Return whether this VM should append a snapshot of the state now.
 
-    A copy is due when the log has dropped the newest copy, when the newest
-    copy lies in the older half of the retained range, or when the interval
-    has passed since it was read.
+    A snapshot is due when the log has dropped the newest one, when the newest
+    one lies in the older half of the retained range, or when the interval has
+    passed since it was read.
 
-    :param rank: position of this VM among those that can append the copy
+    :param rank: position of this VM among those that can append it
     :param now_ms: the current monotonic time in milliseconds
     :param interval_ms: age in milliseconds at which a VM of rank 0 appends a
-        new copy
+        new snapshot
     """
     if retained.copy < retained.start:
         return True
--- a/src/bronzetrack/membership/changes.py
+++ b/src/bronzetrack/membership/changes.py
@@ -26,16 +26,16 @@
     """The peers that get a heartbeat in whole or as changes.
 
     :param whole: peers that get the whole heartbeat
-    :param partial: peers that get the changes
-    :param changes: the changes to send, None if `partial` is empty
+    :param as_changes: peers that get the changes
+    :param changes: the changes to send, None if `as_changes` is empty
     """
 
     whole: frozenset[str]
-    partial: frozenset[str]
+    as_changes: frozenset[str]
     changes: messages.HeartbeatChanges | None
 
 
-def plan_beat(
+def plan_heartbeat(
     before: messages.Heartbeat | None,
     after: messages.Heartbeat,
     last_queued: Mapping[str, int],
@@ -51,7 +51,7 @@
     :param peers: the peers with a session
     :param changes_peers: the peers whose version reads `HeartbeatChanges`
     """
-    partial = frozenset(
+    as_changes = frozenset(
         peer
         for peer in peers
         if before is not None
@@ -59,9 +59,9 @@
         and last_queued.get(peer) == before.number
     )
     changes = None
-    if before is not None and partial:
+    if before is not None and as_changes:
         changes = find_changes(before, after)
-    return HeartbeatPlan(frozenset(peers) - partial, partial, changes)
+    return HeartbeatPlan(frozenset(peers) - as_changes, as_changes, changes)
 
 
 def find_changes(
--- a/src/bronzetrack/membership/view.py
+++ b/src/bronzetrack/membership/view.py
@@ -15,7 +15,7 @@
 EXPIRE_AFTER_MS = 10_000
 # A VM that has just joined takes over endpoints of other VMs only after this
 # time, so that a VM that fails right after its start causes no handovers.
-SETTLED_AFTER_MS = 3_000
+JOIN_DELAY_MS = 3_000
 
 
 @attrs.frozen
@@ -72,7 +72,7 @@
     listed_leaving: frozenset[str] = frozenset()
 
 
-def record_list(
+def record_vm_list(
     view: MembershipView, leaving: frozenset[str]
 ) -> MembershipView:
     """Return the view after this VM read the VM list.
@@ -149,7 +149,7 @@
     return _merge_leaving_lists(view)
 
 
-def lacks_base(
+def needs_whole_heartbeat(
     view: MembershipView, changes: messages.HeartbeatChanges
 ) -> bool:
     """Return whether a whole heartbeat has to be fetched for changes.
--- a/src/bronzetrack/ownership/planner.py
+++ b/src/bronzetrack/ownership/planner.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen
-class Site:
+class PlannerInput:
     """Input of the planner: this VM, the endpoints and the candidate VMs.
 
     :param vm: name of this VM
@@ -54,20 +54,21 @@
 
 
 def plan_claim(
-    state: leases.OwnershipState, site: Site, now_ms: int
+    state: leases.OwnershipState, planner_input: PlannerInput, now_ms: int
 ) -> records.ClaimRecord | None:
     """Return the claim that this VM should append now, None if there is none.
 
     This VM claims each endpoint without a valid owner for which rendezvous
     hashing chooses this VM.
     """
-    if site.stopping:
+    if planner_input.stopping:
         return None
     claimable = [
         name
-        for name, endpoint in sorted(site.endpoints.items())
-        if _can_claim(state, name, site.incarnation, now_ms)
-        and choose_owner(name, endpoint, site.vm_zones) == site.vm
+        for name, endpoint in sorted(planner_input.endpoints.items())
+        if _can_claim(state, name, planner_input.incarnation, now_ms)
+        and choose_owner(name, endpoint, planner_input.vm_zones)
+        == planner_input.vm
     ]
     if not claimable:
         return None
@@ -81,7 +82,7 @@
         for holder in sorted(holders)
     }
     return records.ClaimRecord(
-        site.vm, site.incarnation, tuple(claimable), lapsed
+        planner_input.vm, planner_input.incarnation, tuple(claimable), lapsed
     )
 
 
@@ -100,7 +101,7 @@
 
 
 def plan_handover(
-    state: leases.OwnershipState, site: Site
+    state: leases.OwnershipState, planner_input: PlannerInput
 ) -> leases.OwnershipState:
     """Return the state with updated sets of draining and given-up endpoints.
 
@@ -108,18 +109,18 @@
     at a time unless this VM is stopping, so that a joining VM takes little
     capacity out of service.
     """
-    owned = leases.list_owned(state, site.incarnation)
-    moving = [name for name in owned if _is_misplaced(name, site)]
-    given_up = {name for name in moving if name in site.idle}
+    owned = leases.list_owned(state, planner_input.incarnation)
+    moving = [name for name in owned if _is_misplaced(name, planner_input)]
+    given_up = {name for name in moving if name in planner_input.idle}
     busy = [name for name in moving if name not in given_up]
     # Endpoints that are already draining sort first, so that they continue.
     busy.sort(key=lambda name: (name not in state.draining, name))
-    draining = busy if site.stopping else busy[:1]
+    draining = busy if planner_input.stopping else busy[:1]
     unreleased = {
         name
         for name in state.given_up
         if name in state.owners
-        and state.owners[name].incarnation == site.incarnation
+        and state.owners[name].incarnation == planner_input.incarnation
     }
     return attrs.evolve(
         state,
@@ -128,15 +129,17 @@
     )
 
 
-def _is_misplaced(name: str, site: Site) -> bool:
-    if site.stopping or name not in site.endpoints:
+def _is_misplaced(name: str, planner_input: PlannerInput) -> bool:
+    if planner_input.stopping or name not in planner_input.endpoints:
         return True
-    owner = choose_owner(name, site.endpoints[name], site.vm_zones)
-    return owner is not None and owner != site.vm
+    owner = choose_owner(
+        name, planner_input.endpoints[name], planner_input.vm_zones
+    )
+    return owner is not None and owner != planner_input.vm
 
 
 def plan_release(
-    state: leases.OwnershipState, site: Site
+    state: leases.OwnershipState, planner_input: PlannerInput
 ) -> records.ReleaseRecord | None:
     """Return the release of the given-up endpoints that this VM still owns.
 
@@ -146,15 +149,17 @@
         name: state.owners[name].fencing
         for name in sorted(state.given_up)
         if name in state.owners
-        and state.owners[name].incarnation == site.incarnation
+        and state.owners[name].incarnation == planner_input.incarnation
     }
     if not endpoints:
         return None
-    return records.ReleaseRecord(site.vm, site.incarnation, endpoints)
+    return records.ReleaseRecord(
+        planner_input.vm, planner_input.incarnation, endpoints
+    )
 
 
-def plan_copy(
-    state: leases.OwnershipState, site: Site, now_ms: int
+def plan_snapshot(
+    state: leases.OwnershipState, planner_input: PlannerInput, now_ms: int
 ) -> records.HoldingRecord | records.ResetRecord | None:
     """Return the record from which later replays can start, if one is due."""
     if not state.complete:
@@ -163,10 +168,10 @@
         return None
     ranked = sorted(
         {owner.incarnation for owner in state.owners.values()}
-        | {site.incarnation}
+        | {planner_input.incarnation}
     )
-    rank = ranked.index(site.incarnation)
-    if not retention.is_copy_due(state.retained, rank, now_ms):
+    rank = ranked.index(planner_input.incarnation)
+    if not retention.is_snapshot_due(state.retained, rank, now_ms):
         return None
     return make_holding(state)
 
--- a/src/bronzetrack/ownership/replay.py
+++ b/src/bronzetrack/ownership/replay.py
@@ -36,10 +36,10 @@
     """
     retained = attrs.evolve(state.retained, start=start, end=end)
     state = attrs.evolve(state, retained=retained)
-    first, fresh = retention.find_fresh(state.next_offset, start, items)
+    first, unread = retention.find_unread(state.next_offset, start, items)
     if first > state.next_offset:
         state = skip_records(state, first, now_ms)
-    for offset, record in fresh:
+    for offset, record in unread:
         state = apply_record(state, offset, record, now_ms)
         state = _apply_own_record(state, record, incarnation, now_ms)
     at_end = state.next_offset >= end
@@ -51,7 +51,7 @@
     )
 
 
-def note_outage(
+def record_outage(
     state: leases.OwnershipState, now_ms: int
 ) -> leases.OwnershipState:
     """Return the state after a read of the stream failed.
@@ -266,7 +266,7 @@
     return state
 
 
-def note_sent(
+def record_renewal(
     state: leases.OwnershipState, sequence: int, now_ms: int
 ) -> leases.OwnershipState:
     """Return the state after recording that a lease is about to be appended.
--- a/src/bronzetrack/ownership/standing.py
+++ b/src/bronzetrack/ownership/standing.py
@@ -13,7 +13,7 @@
 MAX_EVALUATION_GAP_MS = 2_000
 
 
-def judge(
+def update_standing(
     state: leases.OwnershipState,
     vm: str,
     claimants: Mapping[str, bool],
--- a/tests/configuration/naive.py
+++ b/tests/configuration/reference.py
@@ -62,4 +62,4 @@
         return False
     if isinstance(rules, failures.Failure):
         return False
-    return not validation.list_mistakes(inventory, rules)
+    return not validation.list_errors(inventory, rules)
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import attrs
-from configuration import naive
+from configuration import reference
 import effort
 import hypothesis
 from hypothesis import stateful
@@ -90,7 +90,7 @@
         super().__init__()
         self.now_ms = 0
         self.history: list[object] = []
-        self.naive = naive.Replay()
+        self.reference = reference.Replay()
         self.start = 0
         self.down = False
         self.late: list[object] = []
@@ -107,12 +107,12 @@
             self.late.append(record)
         elif not self.down:
             self.history.append(record)
-            self.naive.add(record)
+            self.reference.add(record)
 
     def read(self, vm: str, count: int, again: int = 0) -> None:
         replica = self.replicas[vm]
         if self.down:
-            replica.state = replay.note_failure(replica.state)
+            replica.state = replay.record_failed_read(replica.state)
             return
         first = max(self.start, replica.state.next_offset - again)
         items = self.history[first : first + count + again]
@@ -130,9 +130,9 @@
         for vm in vms:
             self.read(vm, len(self.history))
 
-    def copy(self, vm: str, late: bool) -> None:
+    def append_snapshot(self, vm: str, late: bool) -> None:
         state = self.replicas[vm].state
-        if not replay.is_copy_due(state, VMS.index(vm), self.now_ms):
+        if not replay.is_snapshot_due(state, VMS.index(vm), self.now_ms):
             return
         found = state.configuration
         self.append(
@@ -151,7 +151,7 @@
         self.now_ms += 5_000
         self.read_all(vms)
         for vm in vms:
-            self.copy(vm, late)
+            self.append_snapshot(vm, late)
 
     @stateful.rule(
         vm=SOME_VM,
@@ -203,7 +203,9 @@
         replica = self.replicas[vm]
         found = documents.decode_configuration(encoded)
         assert not isinstance(found, failures.Failure)
-        replica.state = replay.adopt(replica.state, found, through)
+        replica.state = replay.adopt_configuration(
+            replica.state, found, through
+        )
         self.check(replica)
 
     @stateful.rule(vm=SOME_VM)
@@ -222,12 +224,12 @@
         state = replica.state
         assert state.configuration.offset >= replica.highest, "reverted"
         replica.highest = state.configuration.offset
-        expected, plain = self.naive.history[state.next_offset]
+        expected, plain = self.reference.history[state.next_offset]
         if state.complete:
             assert state.configuration.offset == expected
         else:
             assert state.configuration.offset <= expected
-            expected, plain = self.naive.history[
+            expected, plain = self.reference.history[
                 state.configuration.offset + 1
             ]
         if expected >= 0:
@@ -237,7 +239,7 @@
             assert state.configuration.inventory == inventory
         accepted = {
             offset
-            for offset, (after, _) in enumerate(self.naive.history[1:])
+            for offset, (after, _) in enumerate(self.reference.history[1:])
             if after == offset
         }
         for verdict in state.verdicts:
@@ -254,7 +256,7 @@
             self.read_and_copy(list(VMS), False)
         for replica in self.replicas.values():
             assert replica.state.complete
-            assert replica.state.configuration.offset == self.naive.offset
+            assert replica.state.configuration.offset == self.reference.offset
 
 
 def test_replicas_agree_under_faults():
@@ -274,7 +276,7 @@
     before = transfer.PART_BYTES
     transfer.PART_BYTES = size
     try:
-        parts = transfer.split(state, data)
+        parts = transfer.split_configuration(state, data)
     finally:
         transfer.PART_BYTES = before
     collected = None
--- a/tests/membership/test_changes.py
+++ b/tests/membership/test_changes.py
@@ -77,13 +77,13 @@
         number = len(self.history) + 1
         heartbeat = attrs.evolve(heartbeat, number=number)
         before = self.history[-1] if self.history else None
-        beat = changes.plan_beat(
+        plan = changes.plan_heartbeat(
             before, heartbeat, self.last_queued, {"a"}, {"a"}
         )
         self.history.append(heartbeat)
         self.last_queued.clear()
         if has_room:
-            sent = heartbeat if beat.whole else beat.changes
+            sent = heartbeat if plan.whole else plan.changes
             self.sessions[-1].append(sent)
             self.last_queued["a"] = number
 
@@ -131,7 +131,7 @@
             case messages.Heartbeat():
                 self.view = views.record_heartbeat(self.view, message, 0)
             case messages.HeartbeatChanges():
-                if views.lacks_base(self.view, message):
+                if views.needs_whole_heartbeat(self.view, message):
                     self.wants_whole = True
                 self.view = views.record_changes(self.view, message, 0)
 
@@ -184,9 +184,11 @@
     first = attrs.evolve(first, number=1)
     second = attrs.evolve(first, number=2)
     last_queued = {"old": 1, "new": 1}
-    beat = changes.plan_beat(first, second, last_queued, last_queued, {"new"})
-    assert beat.whole == {"old"}
-    assert beat.partial == {"new"}
+    plan = changes.plan_heartbeat(
+        first, second, last_queued, last_queued, {"new"}
+    )
+    assert plan.whole == {"old"}
+    assert plan.as_changes == {"new"}
 
 
 @pytest.mark.parametrize("number", [3, 4])
@@ -202,7 +204,7 @@
     )
     view = views.record_changes(view, later, 2_000)
     assert view.vms["b"].heard_ms == (2_000 if number == 3 else 1_000)
-    assert views.lacks_base(view, later) is (number == 4)
+    assert views.needs_whole_heartbeat(view, later) is (number == 4)
 
 
 def test_changes_before_first_heartbeat_are_ignored():
@@ -213,4 +215,4 @@
             "b", "b1", messages.VmStatus.SERVING, 1, number
         )
         assert views.record_changes(view, first, 1_000) == view
-        assert views.lacks_base(view, first)
+        assert views.needs_whole_heartbeat(view, first)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -79,7 +79,7 @@
 def test_lists_that_disagree_are_merged(view):
     """Guards against ignoring leaving entries of another VM's list."""
     heartbeat = attrs.evolve(SERVING, listed_leaving=("e1",))
-    view = views.record_list(view, frozenset({"e2"}))
+    view = views.record_vm_list(view, frozenset({"e2"}))
     view = views.record_heartbeat(view, heartbeat, 1_000)
     assert view.listed_leaving == {"e1", "e2"}
     expired = views.expire_vms(view, 1_000 + views.EXPIRE_AFTER_MS)
@@ -89,4 +89,6 @@
     )
     assert restarted.listed_leaving == {"e2"}
     view = views.record_heartbeat(view, SERVING, 1_100)
-    assert views.record_list(view, frozenset()).listed_leaving == frozenset()
+    assert (
+        views.record_vm_list(view, frozenset()).listed_leaving == frozenset()
+    )
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -8,7 +8,7 @@
 import effort
 from hypothesis import stateful
 from hypothesis import strategies
-from ownership import naive
+from ownership import reference
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.dispatch import transitions
@@ -96,7 +96,7 @@
         super().__init__()
         self.now_ms = 0
         self.history: list[object] = []
-        self.naive = naive.Replay()
+        self.reference = reference.Replay()
         self.start = 0
         self.down = False
         # Whether the VM that currently runs cannot reach the log.
@@ -121,12 +121,12 @@
             self.late.append(record)
         elif not self.down:
             self.history.append(record)
-            self.naive.add(record)
+            self.reference.add(record)
 
     def read(self, replica: Replica, count: int, again: int = 0) -> None:
         now_ms = replica.read_clock(self.now_ms)
         if self.down or self.cut:
-            replica.state = replay.note_outage(replica.state, now_ms)
+            replica.state = replay.record_outage(replica.state, now_ms)
             return
         first = max(self.start, replica.state.next_offset - again)
         items = self.history[first : first + count + again]
@@ -145,7 +145,7 @@
         if self.now_ms < due_ms or not replica.state.caught_up:
             return
         now_ms = replica.read_clock(self.now_ms)
-        replica.state = replay.note_sent(
+        replica.state = replay.record_renewal(
             replica.state, replica.sequence, now_ms
         )
         record = records.LeaseRecord(
@@ -171,25 +171,25 @@
                 replica.state, self.replicas[vm].incarnation, now_ms
             )
         }
-        site = planner.Site(
+        planner_input = planner.PlannerInput(
             replica.vm,
             replica.incarnation,
             ENDPOINTS,
             dict.fromkeys(able, "zone-a"),
             idle,
         )
-        copy = planner.plan_copy(replica.state, site, now_ms)
-        if copy is not None and self.now_ms >= replica.copied_ms + 5_000:
+        snapshot = planner.plan_snapshot(replica.state, planner_input, now_ms)
+        if snapshot is not None and self.now_ms >= replica.copied_ms + 5_000:
             replica.copied_ms = self.now_ms
-            self.append(copy, late)
+            self.append(snapshot, late)
         if not replica.state.caught_up:
             return
         if now_ms >= replica.state.held_until_ms:
             return
-        replica.state = planner.plan_handover(replica.state, site)
+        replica.state = planner.plan_handover(replica.state, planner_input)
         for record in (
-            planner.plan_release(replica.state, site),
-            planner.plan_claim(replica.state, site, now_ms),
+            planner.plan_release(replica.state, planner_input),
+            planner.plan_claim(replica.state, planner_input, now_ms),
         ):
             if record is not None:
                 self.append(record, late)
@@ -230,7 +230,7 @@
             and not (self.cut and faults.isolated)
         }
         now_ms = replica.read_clock(self.now_ms)
-        replica.state = standing.judge(
+        replica.state = standing.update_standing(
             replica.state, replica.vm, claimants, now_ms
         )
 
@@ -301,7 +301,7 @@
         assert {
             name: (owner.incarnation, owner.fencing)
             for name, owner in replica.state.owners.items()
-        } == self.naive.history[replica.state.next_offset]
+        } == self.reference.history[replica.state.next_offset]
 
     def check_orders(self) -> None:
         """Send an exclusive order from each replica that may do so.
@@ -361,8 +361,10 @@
             replica.paused = False
         self.run_seconds(60)
         living = {item.incarnation for item in self.replicas.values()}
-        assert set(self.naive.owners) == set(ENDPOINTS)
-        assert {holder for holder, _ in self.naive.owners.values()} <= living
+        assert set(self.reference.owners) == set(ENDPOINTS)
+        assert {
+            holder for holder, _ in self.reference.owners.values()
+        } <= living
 
 
 def test_one_vm_orders_under_faults():
--- a/tests/ownership/test_standing.py
+++ b/tests/ownership/test_standing.py
@@ -22,15 +22,15 @@
     VM a and three others renewed their leases at 0 ms. VM a last evaluated its
     standing while it still held its lease.
     """
-    state = replay.note_sent(leases.OwnershipState(), 0, 0)
+    state = replay.record_renewal(leases.OwnershipState(), 0, 0)
     renewals = [records.LeaseRecord(vm, f"{vm}1", 0) for vm in VMS]
     state = replay.apply_batch(state, 0, 4, enumerate(renewals), "a1", 0)
-    state = replay.note_outage(state, 4_000)
-    return standing.judge(state, "a", NO_CLAIMANTS, LAPSED_MS - 1)
+    state = replay.record_outage(state, 4_000)
+    return standing.update_standing(state, "a", NO_CLAIMANTS, LAPSED_MS - 1)
 
 
 def evaluate(state, claimants, now_ms=LAPSED_MS):
-    return standing.judge(state, "a", claimants, now_ms)
+    return standing.update_standing(state, "a", claimants, now_ms)
 
 
 def may_dispatch(state, claimants, now_ms=LAPSED_MS):
@@ -52,10 +52,10 @@
 
 def test_lone_vm_serves_in_an_outage():
     """Guards against a site of one VM that stops when the log is down."""
-    state = replay.note_sent(leases.OwnershipState(), 0, 0)
+    state = replay.record_renewal(leases.OwnershipState(), 0, 0)
     lease = records.LeaseRecord("a", "a1", 0)
     state = replay.apply_batch(state, 0, 1, [(0, lease)], "a1", 0)
-    assert may_dispatch(replay.note_outage(state, 4_000), {})
+    assert may_dispatch(replay.record_outage(state, 4_000), {})
 
 
 def test_valid_lease_needs_no_other_vm(cut_off):
@@ -86,7 +86,7 @@
 def test_vms_removed_before_the_outage_are_ignored(cut_off):
     """Guards against replaced VMs that count as silent forever."""
     later_ms = leases.RECENT_RENEWAL_MS + 1
-    state = replay.note_sent(cut_off, 1, later_ms)
+    state = replay.record_renewal(cut_off, 1, later_ms)
     renewal = records.LeaseRecord("a", "a1", 1)
     state = replay.apply_batch(state, 0, 5, [(4, renewal)], "a1", later_ms)
     assert standing.list_others(cut_off, "a") == {"b", "c", "d"}
@@ -109,7 +109,7 @@
     """Guards against the first VM to renew taking over all endpoints."""
     assert cut_off.held_since_ms == 0
     for sequence, sent_ms in ((1, 9_000), (2, 40_000)):
-        cut_off = replay.note_sent(cut_off, sequence, sent_ms)
+        cut_off = replay.record_renewal(cut_off, sequence, sent_ms)
         item = (3 + sequence, records.LeaseRecord("a", "a1", sequence))
         cut_off = replay.apply_batch(cut_off, 0, 9, [item], "a1", sent_ms)
         assert cut_off.held_since_ms == (0 if sequence == 1 else sent_ms)
@@ -119,10 +119,10 @@
     """Guards against a VM that resumes before it reads a successor's claim."""
     doubtful = evaluate(cut_off, {"b": True})
     behind = replay.apply_batch(doubtful, 0, 6, [], "a1", LAPSED_MS)
-    again = replay.note_outage(behind, LAPSED_MS)
+    again = replay.record_outage(behind, LAPSED_MS)
     assert not may_dispatch(again, NO_CLAIMANTS)
     at_end = replay.apply_batch(doubtful, 0, 4, [], "a1", LAPSED_MS)
-    again = replay.note_outage(at_end, LAPSED_MS)
+    again = replay.record_outage(at_end, LAPSED_MS)
     assert may_dispatch(again, NO_CLAIMANTS)
 
 
