Name retries and idempotency functions in plain terms

Cause: several names of the retries and idempotency packages were figurative or vague. Change: CrashSeen -> CrashObserved; CrashesCarried -> CrashesReceived, with the locals and methods that repeat them; learn_crashes -> add_crashes; check_run -> check_dispatch; is_banned -> is_refused; describe_ban -> make_refusal_failure; idempotency.claims.describe_end -> make_end_outcome; RESULT_WAIT_MS -> RESULT_TIMEOUT_MS; VOID_WAIT_MS -> VOID_TIMEOUT_MS; keys.WINDOW_MS -> ACCEPTANCE_WINDOW_MS; KEPT_MS -> KEY_RETENTION_MS.

--- a/scripts/slope_requests.py
+++ b/scripts/slope_requests.py
@@ -137,4 +137,4 @@
             suspects.SuspectTable(), logservice.CODEC.decode(crash), 1
         ),
     )
-    slope_reports.report("window of keys", keys.KEPT_MS / 1000, "s")
+    slope_reports.report("window of keys", keys.KEY_RETENTION_MS / 1000, "s")
--- a/src/bronzetrack/controllers/claiming.py
+++ b/src/bronzetrack/controllers/claiming.py
@@ -94,7 +94,7 @@
             )
             return Refusal(outcomes.Outcome.REFUSED, failure)
         if entry is not None:
-            return Refusal(*claims.describe_end(self._claim, entry, now))
+            return Refusal(*claims.make_end_outcome(self._claim, entry, now))
         not_ready = settlement.check_ready(self._board.keys.value)
         if not_ready is not None:
             return Refusal(outcomes.Outcome.REFUSED, not_ready)
@@ -129,7 +129,7 @@
                 case claims.ClaimStep.DISPATCH:
                     return None
                 case claims.ClaimStep.END:
-                    end = claims.describe_end(self._claim, entry, now)
+                    end = claims.make_end_outcome(self._claim, entry, now)
                     return Refusal(*end)
                 case claims.ClaimStep.VOID:
                     self._start_void()
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -345,13 +345,13 @@
     def _route(self, progress: progresses.Progress, now_ms: int) -> None:
         """Submit an attempt if the key and an available endpoint permit it.
 
-        A banned request is refused. Without an endpoint the request is routed
-        again after `ROUTE_RETRY_MS`.
+        A request that crashed endpoints is refused. Without an endpoint the
+        request is routed again after `ROUTE_RETRY_MS`.
         """
         request = progress.request
         suspects = self.board.suspects.value
-        if suspects.is_banned(request.fingerprint):
-            failure = suspect_tables.describe_ban()
+        if suspects.is_refused(request.fingerprint):
+            failure = suspect_tables.make_refusal_failure()
             self._close(progress, outcomes.Outcome.REFUSED, failure)
             return
         if request.key is not None:
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -116,7 +116,7 @@
         )
 
     async def _check_and_dispatch(self) -> failures.Failure | None:
-        rejection = suspects.check_run(
+        rejection = suspects.check_dispatch(
             self._board.suspects.value,
             self._work.fingerprint,
             self._work.isolated,
@@ -126,10 +126,10 @@
             await self._send_end(outcomes.Outcome.REFUSED, rejection)
             return rejection
         if self._work.crashes:
-            crashes_carried = crash_events.CrashesCarried(
+            crashes_received = crash_events.CrashesReceived(
                 self._work.fingerprint, self._work.crashes
             )
-            self._board.mailboxes["suspects"].post(crashes_carried)
+            self._board.mailboxes["suspects"].post(crashes_received)
         if self._claimer is not None:
             refusal = await self._claimer.claim()
             if refusal is not None:
@@ -295,7 +295,7 @@
                 return failures.Failure(
                     failures.Reason.ANSWER_INCOMPLETE, failure.detail
                 )
-        crash = crash_events.CrashSeen(
+        crash = crash_events.CrashObserved(
             self._work.endpoint,
             self._boot,
             self._list_running(),
--- a/src/bronzetrack/controllers/settling.py
+++ b/src/bronzetrack/controllers/settling.py
@@ -31,9 +31,9 @@
     progress.stage = progresses.Stage.SETTLING
     progress.settling_ms = now_ms
     remaining_ms = max(0, progress.request.deadline_ms - now_ms)
-    wait_ms = min(settlement.RESULT_WAIT_MS, remaining_ms)
+    timeout_ms = min(settlement.RESULT_TIMEOUT_MS, remaining_ms)
     if void:
-        wait_ms = max(settlement.VOID_WAIT_MS, wait_ms)
+        timeout_ms = max(settlement.VOID_TIMEOUT_MS, timeout_ms)
         # The claimant may be this VM, and its run may already be dispatched.
         # Only the run itself can determine whether its claim can be withdrawn.
         record = records.KeyVoid(
@@ -43,7 +43,7 @@
             issued_ms=key.issued_ms,
         )
         board.mailboxes["keys"].post(requests.AppendKey(record))
-    progress.settle_until_ms = now_ms + wait_ms
+    progress.settle_until_ms = now_ms + timeout_ms
 
 
 def check(
--- a/src/bronzetrack/controllers/suspects.py
+++ b/src/bronzetrack/controllers/suspects.py
@@ -65,10 +65,10 @@
             await mailbox.wait_items()
             for item in mailbox.take():
                 match item:
-                    case events.CrashSeen():
+                    case events.CrashObserved():
                         self._record_crash(item)
-                    case events.CrashesCarried():
-                        self._add_carried_crashes(item)
+                    case events.CrashesReceived():
+                        self._add_received_crashes(item)
                     case events.SuspectCompleted():
                         self._record_clearance(item)
                     case _:
@@ -79,35 +79,35 @@
             if record is not None:
                 self._apply(record)
 
-    def _record_crash(self, crash_seen: events.CrashSeen) -> None:
+    def _record_crash(self, crash_observed: events.CrashObserved) -> None:
         now = self.read_clock()
         crash = suspects.make_crash_id(
-            crash_seen.endpoint,
-            crash_seen.boot,
+            crash_observed.endpoint,
+            crash_observed.boot,
             self._service_crashes,
-            crash_seen.started_ms,
+            crash_observed.started_ms,
             now.wall_ms,
         )
-        if not crash_seen.boot and crash not in self._service_crashes:
+        if not crash_observed.boot and crash not in self._service_crashes:
             self._service_crashes = [*self._service_crashes[-63:], crash]
         known_suspects = self.board.suspects.value.suspects
         new_fingerprints = tuple(
             name
-            for name in crash_seen.fingerprints
+            for name in crash_observed.fingerprints
             if name not in known_suspects
             or crash not in known_suspects[name].crashes
         )
         if new_fingerprints:
             record = records.CrashRecord(
-                crash, crash_seen.endpoint, new_fingerprints, now.wall_ms
+                crash, crash_observed.endpoint, new_fingerprints, now.wall_ms
             )
             self._publish(record, messages.SuspectNotice(crash=record))
 
-    def _add_carried_crashes(self, carried: events.CrashesCarried) -> None:
-        table = suspects.learn_crashes(
+    def _add_received_crashes(self, received: events.CrashesReceived) -> None:
+        table = suspects.add_crashes(
             self.board.suspects.value,
-            carried.fingerprint,
-            carried.crashes,
+            received.fingerprint,
+            received.crashes,
             self.read_clock().monotonic_ms,
         )
         self.write(self.board.suspects, table)
@@ -159,7 +159,7 @@
                         for item in queue.running.values()
                     )
                     self._record_crash(
-                        events.CrashSeen(
+                        events.CrashObserved(
                             name, previous_boot, tuple(fingerprints)
                         )
                     )
--- a/src/bronzetrack/idempotency/claims.py
+++ b/src/bronzetrack/idempotency/claims.py
@@ -101,7 +101,7 @@
     return ClaimStep.END if claim.voiding else ClaimStep.VOID
 
 
-def describe_end(
+def make_end_outcome(
     claim: Claim, entry: tables.KeyEntry | None, now: clock.Instant
 ) -> tuple[outcomes.Outcome, failures.Failure]:
     """Return the outcome of an attempt that ended without a dispatch."""
--- a/src/bronzetrack/idempotency/keys.py
+++ b/src/bronzetrack/idempotency/keys.py
@@ -11,15 +11,15 @@
 
 MAX_KEY_LENGTH = 255
 MAX_ISSUED_DIGITS = 15
-WINDOW_MS = 3_600_000
+ACCEPTANCE_WINDOW_MS = 3_600_000
 FUTURE_SKEW_MS = 60_000
 # A key is retained for longer than it is accepted, since the wall clocks of
 # two VMs may differ by FUTURE_SKEW_MS in either direction.
-KEPT_MS = WINDOW_MS + 2 * FUTURE_SKEW_MS
-# During the last part of KEPT_MS, a VM bases no decision on its table.
-# Otherwise, a wall clock that is set back could make the VM use a table from
-# which the key was already trimmed.
-DECIDABLE_MS = WINDOW_MS + FUTURE_SKEW_MS
+KEY_RETENTION_MS = ACCEPTANCE_WINDOW_MS + 2 * FUTURE_SKEW_MS
+# During the last part of KEY_RETENTION_MS, a VM bases no decision on its
+# table. Otherwise, a wall clock that is set back could make the VM use a table
+# from which the key was already trimmed.
+DECIDABLE_MS = ACCEPTANCE_WINDOW_MS + FUTURE_SKEW_MS
 
 
 @attrs.frozen
@@ -60,10 +60,10 @@
             failures.Reason.KEY_IN_FUTURE,
             f"issued {issued_ms - now_wall_ms} ms in the future",
         )
-    if issued_ms < now_wall_ms - WINDOW_MS:
+    if issued_ms < now_wall_ms - ACCEPTANCE_WINDOW_MS:
         return failures.Failure(
             failures.Reason.KEY_EXPIRED,
-            f"issued more than {WINDOW_MS} ms ago",
+            f"issued more than {ACCEPTANCE_WINDOW_MS} ms ago",
         )
     digest = hashlib.blake2b(
         f"{member}\x00{key}".encode(), digest_size=16
--- a/src/bronzetrack/idempotency/settlement.py
+++ b/src/bronzetrack/idempotency/settlement.py
@@ -12,10 +12,10 @@
 from bronzetrack.streaming import outcomes
 
 # Long enough for most answers. A caller that gets `in_progress` asks again.
-RESULT_WAIT_MS = 30_000
+RESULT_TIMEOUT_MS = 30_000
 # The time of two appends that time out. A void that is not in the table by
 # then counts as unconfirmed.
-VOID_WAIT_MS = 7_000
+VOID_TIMEOUT_MS = 7_000
 
 
 @attrs.frozen
--- a/src/bronzetrack/idempotency/table.py
+++ b/src/bronzetrack/idempotency/table.py
@@ -72,7 +72,7 @@
     entries: Mapping[str, KeyEntry], now_wall_ms: int
 ) -> dict[str, KeyEntry]:
     """Return the entries of the keys that callers may still send."""
-    oldest_ms = now_wall_ms - keys.KEPT_MS
+    oldest_ms = now_wall_ms - keys.KEY_RETENTION_MS
     return {
         key: entry
         for key, entry in entries.items()
--- a/src/bronzetrack/retries/events.py
+++ b/src/bronzetrack/retries/events.py
@@ -6,7 +6,7 @@
 
 
 @attrs.frozen
-class CrashSeen:
+class CrashObserved:
     """A run observed the crash of an endpoint.
 
     :param boot: boot value of the engine that crashed, empty if the endpoint
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class CrashesCarried:
+class CrashesReceived:
     """A suspect is about to run, and its entry VM sent crashes with it.
 
     :param crashes: crashes that the request may have caused, as far as the
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -70,7 +70,7 @@
         """Return whether a request has to run alone on its endpoint."""
         return bool(self.list_crashes(fingerprint))
 
-    def is_banned(self, fingerprint: str) -> bool:
+    def is_refused(self, fingerprint: str) -> bool:
         """Return whether a request is refused everywhere.
 
         That is the case once it may have caused `CRASH_LIMIT` crashes.
@@ -78,7 +78,7 @@
         return len(self.list_crashes(fingerprint)) >= CRASH_LIMIT
 
 
-def check_run(
+def check_dispatch(
     table: SuspectTable,
     fingerprint: str,
     isolated: bool,
@@ -91,7 +91,7 @@
     """
     suspected = table.list_crashes(fingerprint, reported)
     if len(suspected) >= CRASH_LIMIT:
-        return describe_ban()
+        return make_refusal_failure()
     if suspected and not isolated:
         return failures.Failure(
             failures.Reason.ENDPOINT_REFUSED, "the request has to run alone"
@@ -99,7 +99,7 @@
     return None
 
 
-def describe_ban() -> failures.Failure:
+def make_refusal_failure() -> failures.Failure:
     """Return the failure for a request that is refused everywhere."""
     return failures.Failure(
         failures.Reason.CRASHES_ENDPOINTS,
@@ -175,7 +175,7 @@
     return _update_suspects(table, changed, now_ms)
 
 
-def learn_crashes(
+def add_crashes(
     table: SuspectTable, fingerprint: str, crashes: Iterable[str], now_ms: int
 ) -> SuspectTable:
     """Return the table with the crashes that a request was sent with.
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -148,7 +148,7 @@
     def read_outcomes(self) -> Mapping[str, Any]:
         return {
             fingerprint: (
-                "refused" if self.table.is_banned(fingerprint) else "suspect"
+                "refused" if self.table.is_refused(fingerprint) else "suspect"
             )
             for fingerprint in self.table.suspects
         }
--- a/tests/daemon/test_key_log.py
+++ b/tests/daemon/test_key_log.py
@@ -90,7 +90,7 @@
 def test_truncation_after_the_window_expires_keys(shared_pair):
     """Guards against a second run of a key that nothing remembers."""
     pair = shared_pair
-    issued_ms = int(time.time() * 1000) - keys.WINDOW_MS + EXPIRY_MS
+    issued_ms = int(time.time() * 1000) - keys.ACCEPTANCE_WINDOW_MS + EXPIRY_MS
     headers = pairs.make_key("expiring") | {
         "Idempotency-Issued-At": str(issued_ms)
     }
--- a/tests/idempotency/machine.py
+++ b/tests/idempotency/machine.py
@@ -19,7 +19,7 @@
 
 KEYS = 2
 VMS = 3
-RETENTION_MS = 2 * keys.WINDOW_MS
+RETENTION_MS = 2 * keys.ACCEPTANCE_WINDOW_MS
 SKEWS_MS = (0, 25_000, -25_000)
 
 VM = strategies.integers(0, VMS - 1)
@@ -156,7 +156,7 @@
                     self._void(vm, attempt, key, claim)
                 case claims.ClaimStep.END:
                     del vm.claims[attempt]
-                    outcome, _ = claims.describe_end(claim, entry, now)
+                    outcome, _ = claims.make_end_outcome(claim, entry, now)
                     self._record_outcome(attempt, key, outcome)
 
     def _void(
@@ -262,7 +262,14 @@
 
     @stateful.rule(
         delay_ms=strategies.sampled_from(
-            (1_000, 6_000, 6_000, 6_000, keys.KEPT_MS, keys.WINDOW_MS)
+            (
+                1_000,
+                6_000,
+                6_000,
+                6_000,
+                keys.KEY_RETENTION_MS,
+                keys.ACCEPTANCE_WINDOW_MS,
+            )
         )
     )
     def pass_time(self, delay_ms: int) -> None:
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -48,7 +48,7 @@
 
     def submit(self, vm: int, fingerprint: str, endpoint: str) -> None:
         table = self.tables[vm]
-        if table.is_banned(fingerprint):
+        if table.is_refused(fingerprint):
             return
         crashes = table.list_crashes(fingerprint)
         if crashes:
@@ -65,10 +65,12 @@
         del self.waiting[endpoint][0]
         vm = get_owner(endpoint)
         owner = self.tables[vm]
-        if not suspects.check_run(owner, fingerprint, bool(crashes), crashes):
+        if not suspects.check_dispatch(
+            owner, fingerprint, bool(crashes), crashes
+        ):
             known_crashes = owner.list_crashes(fingerprint, crashes)
             running.append((fingerprint, known_crashes))
-            self.tables[vm] = suspects.learn_crashes(
+            self.tables[vm] = suspects.add_crashes(
                 owner, fingerprint, crashes, 0
             )
 
@@ -157,10 +159,10 @@
     The second crash came from a run whose entry VM knew of the first. The VM
     that sends the request again received the notice of the second only.
     """
-    table = suspects.learn_crashes(suspects.SuspectTable(), BAD, ["c1"], 0)
+    table = suspects.add_crashes(suspects.SuspectTable(), BAD, ["c1"], 0)
     second = records.CrashRecord("c2", "e1", (BAD,), 0)
     table = suspects.record_crash(table, second, 0)
-    failure = suspects.check_run(table, BAD, True, ["c2"])
+    failure = suspects.check_dispatch(table, BAD, True, ["c2"])
     assert failure.reason is failures.Reason.CRASHES_ENDPOINTS
 
 
@@ -191,7 +193,7 @@
         record = records.CrashRecord(f"c{number}", "e0", names, 0)
         table = suspects.record_crash(table, record, number)
     assert set(table.suspects) == {"bad", "good-3", "good-4"}
-    assert table.is_banned("bad")
+    assert table.is_refused("bad")
     later = records.CrashRecord("c9", "e0", ("new",), 0)
     table = suspects.record_crash(table, later, suspects.RETENTION_MS + 9)
     assert set(table.suspects) == {"new"}
@@ -227,6 +229,6 @@
     """Guards against a third crash while a notice is still in transit."""
     record = records.CrashRecord("c2", "e0", (BAD,), 0)
     table = suspects.record_crash(suspects.SuspectTable(), record, 0)
-    assert suspects.check_run(table, BAD, True) is None
-    failure = suspects.check_run(table, BAD, True, ("c1",))
+    assert suspects.check_dispatch(table, BAD, True) is None
+    failure = suspects.check_dispatch(table, BAD, True, ("c1",))
     assert failure.reason is failures.Reason.CRASHES_ENDPOINTS
