Name streaming and traces functions in plain terms

Cause: several names of the streaming and traces packages were figurative or vague. Change: streaming.requests.describe_end -> make_request_entry; Abandoned -> CallerDisconnected, with _abandon -> _close_disconnected in its controller; streaming.requests.Exchange -> SubmittedRequest; list_silent -> group_silent_requests; PROBED_ATTEMPTS -> MAX_PROBED_ATTEMPTS; streaming.output.ANSWER_BYTES -> MAX_UNREAD_BYTES; streaming.assembler. EVENT_BYTES -> MAX_EVENT_BYTES, CHUNK_BYTES -> MAX_CHUNK_BYTES; Assembler.end -> set_total; traces.model.Difference.stated -> expected; read_outcomes -> get_outcomes.

--- a/src/bronzetrack/client/recorder.py
+++ b/src/bronzetrack/client/recorder.py
@@ -34,6 +34,4 @@
                 continue
             core.apply(0, record_offset, record)
             events.append(replay.make_event(0, record_offset, record))
-    return model.Trace(
-        stream, tuple(events), description, core.read_outcomes()
-    )
+    return model.Trace(stream, tuple(events), description, core.get_outcomes())
--- a/src/bronzetrack/console/commands/trace.py
+++ b/src/bronzetrack/console/commands/trace.py
@@ -54,7 +54,7 @@
         options.fail(differences)
     for item in differences:
         click.echo(
-            f"{item.name}: expected {item.stated}, replayed {item.replayed}",
+            f"{item.name}: expected {item.expected}, replayed {item.replayed}",
             err=True,
         )
     if differences:
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -109,21 +109,21 @@
         self._probe(now_ms)
 
     def _probe(self, now_ms: int) -> None:
-        silent = losses.list_silent(
+        silent = losses.group_silent_requests(
             self._open_requests.values(), self.board.vm, now_ms
         )
         for owner, silent_requests in silent.items():
-            chosen = silent_requests[: losses.PROBED_ATTEMPTS]
+            chosen = silent_requests[: losses.MAX_PROBED_ATTEMPTS]
             attempts = tuple(progress.attempt for progress in chosen)
             self.ports.peers.send(owner, messages.ProbeWork(attempts))
             for progress in chosen:
                 progress.heard_ms = now_ms
 
     def _handle_intake(self, item: Any, now_ms: int) -> None:
-        if isinstance(item, requests.Abandoned):
+        if isinstance(item, requests.CallerDisconnected):
             progress = self._open_requests.get(item.request)
             if progress is not None:
-                self._abandon(progress)
+                self._close_disconnected(progress)
             return
         if isinstance(item, requests.Refusal):
             self._record_refusal(item)
@@ -135,7 +135,7 @@
         self._notify_change()
         self._route(progress, now_ms)
 
-    def _abandon(self, progress: progresses.Progress) -> None:
+    def _close_disconnected(self, progress: progresses.Progress) -> None:
         self._cancel(progress)
         self._close(
             progress,
@@ -211,7 +211,7 @@
                         self._close_overflowed(progress)
                         return
             case messages.AnswerEnd(failure=None):
-                progress.assembler.end(message)
+                progress.assembler.set_total(message)
             case messages.AnswerEnd(outcome=outcome, failure=failure):
                 # While the request waits for the records of its key, only a
                 # complete answer has an effect.
@@ -233,7 +233,7 @@
             return self._get_output(progress).post_chunk(data)
         progress.parts.append(data)
         size = sum(len(part) for part in progress.parts)
-        return size <= outputs.ANSWER_BYTES
+        return size <= outputs.MAX_UNREAD_BYTES
 
     def _start_output(self, progress: progresses.Progress) -> None:
         if progress.begun or progress.head is None:
@@ -255,7 +255,7 @@
         self._cancel(progress)
         failure = failures.Failure(
             failures.Reason.ANSWER_INCOMPLETE,
-            f"the caller left {outputs.ANSWER_BYTES} bytes unread",
+            f"the caller left {outputs.MAX_UNREAD_BYTES} bytes unread",
         )
         self._close(progress, outcomes.Outcome.UNKNOWN, failure)
 
@@ -485,7 +485,7 @@
         counters.count_request(outcome, failure)
         table = self.board.requests.value
         del table.open[progress.request.request]
-        entry = requests.describe_end(progress, outcome, failure)
+        entry = requests.make_request_entry(progress, outcome, failure)
         table.recent = (*table.recent, entry)[-requests.RECENT_REQUESTS :]
         self._notify_change()
         LOG.info(
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -115,8 +115,8 @@
             body = await self._read_body()
             if self.status == 200 and self._work.adapter:
                 self._check_adapter(body)
-            for start in range(0, len(body), assembler.CHUNK_BYTES):
-                yield body[start : start + assembler.CHUNK_BYTES]
+            for start in range(0, len(body), assembler.MAX_CHUNK_BYTES):
+                yield body[start : start + assembler.MAX_CHUNK_BYTES]
             return
         # The adapter of a resumed answer was checked at its start.
         is_checked = self._work.resume_from > 0
@@ -171,10 +171,10 @@
         *events, pending = (pending + part).split(b"\n\n")
         for event in events:
             yield event + b"\n\n"
-        if len(pending) > assembler.EVENT_BYTES:
+        if len(pending) > assembler.MAX_EVENT_BYTES:
             raise _make_error(
                 failures.Reason.ENDPOINT_PROTOCOL,
-                f"an event exceeds {assembler.EVENT_BYTES} bytes",
+                f"an event exceeds {assembler.MAX_EVENT_BYTES} bytes",
             )
 
 
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -207,7 +207,7 @@
             return self._refuse(request, failure_to_send, checked)
         output = outputs.Output(checked.request)
         intake_box = self.board.mailboxes["intake"]
-        if not intake_box.post(requests.Exchange(checked, output)):
+        if not intake_box.post(requests.SubmittedRequest(checked, output)):
             failure = failures.Failure(
                 failures.Reason.QUEUE_FULL,
                 "too many requests wait at this VM",
@@ -216,7 +216,7 @@
             return self._refuse(request, failure, checked)
 
         def cancel() -> None:
-            intake_box.post(requests.Abandoned(checked.request))
+            intake_box.post(requests.CallerDisconnected(checked.request))
 
         return await answers.make_response(
             checked, output, cancel, request.receive
--- a/src/bronzetrack/streaming/assembler.py
+++ b/src/bronzetrack/streaming/assembler.py
@@ -8,8 +8,8 @@
 
 # A message between daemons has at most 1 MiB, and a full queue of 1,024
 # messages has to fit into memory.
-CHUNK_BYTES = 65_536
-EVENT_BYTES = 262_144
+MAX_CHUNK_BYTES = 65_536
+MAX_EVENT_BYTES = 262_144
 # Streams between daemons preserve order. A chunk is early, that is, ahead of
 # the next expected chunk, only if a chunk before it was lost or is delayed
 # because the daemons changed to another stream.
@@ -65,7 +65,7 @@
         self._early[chunk.number] = chunk.data
         self._early_bytes = size
 
-    def end(self, end: messages.AnswerEnd) -> None:
+    def set_total(self, end: messages.AnswerEnd) -> None:
         """Record the total number of chunks from the end of the attempt."""
         if end.attempt == self.attempt:
             self.total = end.chunks
--- a/src/bronzetrack/streaming/losses.py
+++ b/src/bronzetrack/streaming/losses.py
@@ -15,7 +15,7 @@
 # Longer than the time between two chunks, so that only queued work and answers
 # that arrive in one piece are probed.
 PROBE_INTERVAL_MS = 3_000
-PROBED_ATTEMPTS = 1_000
+MAX_PROBED_ATTEMPTS = 1_000
 
 
 def find_loss(
@@ -53,7 +53,7 @@
     return None
 
 
-def list_silent(
+def group_silent_requests(
     open_requests: Iterable[progresses.Progress], own_vm: str, now_ms: int
 ) -> dict[str, list[progresses.Progress]]:
     """Return the requests to probe, grouped by the owner of their attempt.
--- a/src/bronzetrack/streaming/output.py
+++ b/src/bronzetrack/streaming/output.py
@@ -12,7 +12,7 @@
 
 # Limits the memory that one request may take. An answer of 64k tokens, sent
 # as server-sent events, stays below the limit.
-ANSWER_BYTES = 16_777_216
+MAX_UNREAD_BYTES = 16_777_216
 OUTPUT_EVENTS = 262_144
 
 
@@ -66,7 +66,7 @@
         # answer.
         if len(self._events) >= OUTPUT_EVENTS - 2:
             return False
-        if self._unread_bytes + len(data) > ANSWER_BYTES:
+        if self._unread_bytes + len(data) > MAX_UNREAD_BYTES:
             return False
         self._unread_bytes += len(data)
         return self._events.post(Chunk(data))
--- a/src/bronzetrack/streaming/requests.py
+++ b/src/bronzetrack/streaming/requests.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen
-class Exchange:
+class SubmittedRequest:
     """A request and the output from which its caller reads the answer."""
 
     request: calls.CallerRequest
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class Abandoned:
+class CallerDisconnected:
     """The caller of a request disconnected."""
 
     request: str
@@ -85,7 +85,7 @@
     refusals: tuple[Refusal, ...] = ()
 
 
-def describe_end(
+def make_request_entry(
     progress: progresses.Progress,
     outcome: outcomes.Outcome,
     failure: failures.Failure | None,
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -41,7 +41,7 @@
         :param record: the structured record or event
         """
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         """Return all outcomes of the events so far by name."""
 
 
@@ -77,7 +77,7 @@
         if entry is not None:
             self.entries[record.key] = entry
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         return {
             key: {"phase": entry.phase.value, "attempt": entry.attempt}
             for key, entry in self.entries.items()
@@ -99,7 +99,7 @@
             self.state, offset, record, at_ms
         )
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         return {
             endpoint: {"vm": owner.vm, "fencing": owner.fencing}
             for endpoint, owner in self.state.owners.items()
@@ -124,7 +124,7 @@
             self.state, offset, record, documents
         )
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         accepted = {
             str(verdict.offset): verdict.accepted
             for verdict in self.state.verdicts
@@ -145,7 +145,7 @@
     def apply(self, at_ms: int, offset: int, record: Any) -> None:
         self.table = suspects.apply_record(self.table, record, 0, at_ms)
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         return {
             fingerprint: (
                 "refused" if self.table.is_refused(fingerprint) else "suspect"
--- a/src/bronzetrack/traces/dispatch.py
+++ b/src/bronzetrack/traces/dispatch.py
@@ -71,7 +71,7 @@
         record.apply(self, at_ms)
         self._apply_plan(at_ms)
 
-    def read_outcomes(self) -> Mapping[str, Any]:
+    def get_outcomes(self) -> Mapping[str, Any]:
         waiting = {item.work.attempt: "waiting" for item in self.queue.waiting}
         running = dict.fromkeys(self.queue.running, "running")
         residents = {
--- a/src/bronzetrack/traces/model.py
+++ b/src/bronzetrack/traces/model.py
@@ -44,10 +44,10 @@
     """An outcome of the replay that differs from the trace.
 
     :param name: name of the outcome
-    :param stated: the outcome that the trace expects
+    :param expected: the outcome that the trace expects
     :param replayed: the outcome of the replay, None if it has none
     """
 
     name: str
-    stated: Any
+    expected: Any
     replayed: Any
--- a/src/bronzetrack/traces/replay.py
+++ b/src/bronzetrack/traces/replay.py
@@ -29,11 +29,11 @@
         return failures.Failure(failures.Reason.TRACE_INVALID, str(error))
     except errors.FailureError as error:
         return error.failure
-    replayed = core.read_outcomes()
+    replayed = core.get_outcomes()
     return tuple(
-        model.Difference(name, stated, replayed.get(name))
-        for name, stated in trace.outcomes.items()
-        if replayed.get(name) != stated
+        model.Difference(name, expected, replayed.get(name))
+        for name, expected in trace.outcomes.items()
+        if replayed.get(name) != expected
     )
 
 
--- a/tests/controllers/conftest.py
+++ b/tests/controllers/conftest.py
@@ -43,7 +43,9 @@
 
     def submit(self, request: calls.CallerRequest) -> outputs.Output:
         output = outputs.Output(request.request)
-        self.board.mailboxes["intake"].post(requests.Exchange(request, output))
+        self.board.mailboxes["intake"].post(
+            requests.SubmittedRequest(request, output)
+        )
         return output
 
     def receive(self, *received: Any, sender: str = "vm-2") -> None:
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -183,7 +183,7 @@
         [
             item.request
             for item in taken
-            if isinstance(item, requests.Exchange)
+            if isinstance(item, requests.SubmittedRequest)
         ],
         [item for item in taken if isinstance(item, requests.Refusal)],
     )
@@ -196,7 +196,7 @@
         await intake.wait_items()
         for item in intake.take():
             taken.append(item)
-            if not isinstance(item, requests.Exchange):
+            if not isinstance(item, requests.SubmittedRequest):
                 continue
             item.output.post(
                 outputs.Started("engine-0", "vm-1", 200, "text/plain")
--- a/tests/streaming/test_assembler.py
+++ b/tests/streaming/test_assembler.py
@@ -17,7 +17,9 @@
     passed = []
     for position, number in enumerate(numbers):
         if position == end_at:
-            answer.end(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 8))
+            answer.set_total(
+                messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 8)
+            )
         chunk = messages.AnswerChunk("a1", number, b"%d" % number)
         passed += answer.accept(chunk) + answer.accept(chunk)
         assert not answer.is_whole or len(passed) == 8
@@ -40,7 +42,7 @@
 def test_assembler_is_not_whole_with_a_gap(answer, make_chunk):
     """Guards against an end of the answer that overtakes a lost chunk."""
     answer.accept(make_chunk(0))
-    answer.end(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 2))
+    answer.set_total(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 2))
     assert not answer.is_whole
 
 
@@ -54,9 +56,9 @@
     assert answer.accept(make_chunk(1)) == []
     passed = [answer.accept(make_chunk(n, "a2")) for n in (0, 1, 2, 3)]
     assert passed == [[], [b"1"], [b"2"], [b"3"]]
-    answer.end(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 9))
+    answer.set_total(messages.AnswerEnd("a1", outcomes.Outcome.COMPLETED, 9))
     assert not answer.is_whole and not answer.has_gap
-    answer.end(messages.AnswerEnd("a2", outcomes.Outcome.COMPLETED, 4))
+    answer.set_total(messages.AnswerEnd("a2", outcomes.Outcome.COMPLETED, 4))
     assert answer.is_whole
 
 
@@ -71,8 +73,8 @@
 
 def test_early_chunks_are_bounded_in_bytes(answer):
     """Guards against memory that grows with the size of early chunks."""
-    data = b"x" * assembler.EVENT_BYTES
-    capacity = assembler.EARLY_BYTES // assembler.EVENT_BYTES
+    data = b"x" * assembler.MAX_EVENT_BYTES
+    capacity = assembler.EARLY_BYTES // assembler.MAX_EVENT_BYTES
     for number in range(1, capacity + 3):
         answer.accept(messages.AnswerChunk("a1", number, data))
     ready = answer.accept(messages.AnswerChunk("a1", 0, data))
--- a/tests/streaming/test_losses.py
+++ b/tests/streaming/test_losses.py
@@ -55,9 +55,9 @@
     settling = attrs.evolve(running, stage=progresses.Stage.SETTLING)
     found = [running, own, settling]
     at_ms = losses.PROBE_INTERVAL_MS
-    assert losses.list_silent(found, "vm-1", at_ms - 1) == {}
-    silent = losses.list_silent(found, "vm-1", at_ms)
+    assert losses.group_silent_requests(found, "vm-1", at_ms - 1) == {}
+    silent = losses.group_silent_requests(found, "vm-1", at_ms)
     assert silent == {"vm-2": [running], "vm-1": [own]}
     # An attempt at the entry VM itself that resumes a stream is in no queue.
     own.resume_attempt("a2", 0)
-    assert "vm-1" not in losses.list_silent([own], "vm-1", at_ms)
+    assert "vm-1" not in losses.group_silent_requests([own], "vm-1", at_ms)
--- a/tests/streaming/test_output.py
+++ b/tests/streaming/test_output.py
@@ -18,7 +18,7 @@
 
 def test_unread_bytes_are_bounded(output):
     """Guards against memory that grows with a caller that does not read."""
-    data = b"x" * (outputs.ANSWER_BYTES // 4)
+    data = b"x" * (outputs.MAX_UNREAD_BYTES // 4)
     assert [output.post_chunk(data) for _ in range(5)] == [True] * 4 + [False]
     assert output.post(ENDED)
     assert anyio.run(output.take) == [outputs.Chunk(data)] * 4 + [ENDED]
