Name core, settings and peer functions in plain terms

Cause: several names of the core, settings, wire, peer, logservice and endpoints packages were figurative or vague. Change: Mailbox.is_filled -> is_not_empty; Section.meets -> satisfies; rendezvous.score -> compute_weight; StoreLost -> StoreUnavailable; StoreRegained -> StoreRecovered (event names and fields stay); dump.LONGEST_LIMIT -> MAX_LIMIT; settings.model.setting -> make_setting, Kind -> ValueType, with the parameters and locals of settings that hold one (the metadata key kind stays); PeerHub.send_each -> send_to_all, post -> try_send; parameter probes -> is_probe; EndpointAnswer.refusal -> replacement_failure, likewise in the fake.

--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -24,7 +24,7 @@
         values
     """
 
-    def __init__(self, name: str, kind: model.Kind) -> None:
+    def __init__(self, name: str, kind: model.ValueType) -> None:
         self.name = name
         self.kind = kind
 
--- a/src/bronzetrack/controllers/delivery.py
+++ b/src/bronzetrack/controllers/delivery.py
@@ -125,7 +125,7 @@
         """
         deadline_ms = self._read_clock().monotonic_ms + SEND_TIMEOUT_MS
         while True:
-            send_failure = self._ports.peers.post(self._recipient, message)
+            send_failure = self._ports.peers.try_send(self._recipient, message)
             if (
                 send_failure is None
                 or send_failure.reason in core_messages.UNSENDABLE
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -88,13 +88,13 @@
         leaving = self.board.membership.value.listed_leaving
         configuration = self.board.configuration.value.configuration
         await blackboard.wait_any(
-            self.board.mailboxes["work"].is_filled(),
-            self.board.mailboxes["runs"].is_filled(),
-            self.board.ownership.meets(lambda it: it.owners is not owners),
-            self.board.membership.meets(
+            self.board.mailboxes["work"].is_not_empty(),
+            self.board.mailboxes["runs"].is_not_empty(),
+            self.board.ownership.satisfies(lambda it: it.owners is not owners),
+            self.board.membership.satisfies(
                 lambda it: it.listed_leaving is not leaving
             ),
-            self.board.configuration.meets(
+            self.board.configuration.satisfies(
                 lambda it: it.configuration is not configuration
             ),
             timeout_ms=deadlines.get_step_timeout(
--- a/src/bronzetrack/controllers/lifecycle.py
+++ b/src/bronzetrack/controllers/lifecycle.py
@@ -58,7 +58,7 @@
             # Only a stop request changes the status of a VM that is serving.
             is_serving = state.status is messages.VmStatus.SERVING
             await blackboard.wait_any(
-                mailbox.is_filled(),
+                mailbox.is_not_empty(),
                 timeout_ms=None if is_serving else STEP_INTERVAL_MS,
             )
 
--- a/src/bronzetrack/controllers/membership.py
+++ b/src/bronzetrack/controllers/membership.py
@@ -115,9 +115,9 @@
                 if state.reads_changes
             },
         )
-        sent = self.ports.peers.send_each(plan.whole, heartbeat)
+        sent = self.ports.peers.send_to_all(plan.whole, heartbeat)
         if plan.changes is not None:
-            sent |= self.ports.peers.send_each(plan.as_changes, plan.changes)
+            sent |= self.ports.peers.send_to_all(plan.as_changes, plan.changes)
         self._last_sent_numbers = dict.fromkeys(sent, number)
         self._last_heartbeat = heartbeat
 
--- a/src/bronzetrack/controllers/ownership.py
+++ b/src/bronzetrack/controllers/ownership.py
@@ -55,7 +55,7 @@
             self.ports.log,
             records.STREAM,
             lambda: self.board.ownership.value.next_offset,
-            probes=True,
+            is_probe=True,
         )
         async for batch in batches:
             state = self.board.ownership.value
@@ -70,7 +70,7 @@
         """Update the standing periodically while the log is unreachable."""
         while True:
             await blackboard.wait_any(
-                self.board.ownership.meets(lambda it: not it.log_reachable)
+                self.board.ownership.satisfies(lambda it: not it.log_reachable)
             )
             state = self._update_standing(self.board.ownership.value)
             if state is not self.board.ownership.value:
@@ -181,7 +181,7 @@
         """
         owners = self.board.ownership.value.owners
         await blackboard.wait_any(
-            self.board.ownership.meets(lambda it: it.owners is not owners),
+            self.board.ownership.satisfies(lambda it: it.owners is not owners),
             self.board.lifecycle.is_newer(self.board.lifecycle.revision),
             timeout_ms=PLAN_INTERVAL_MS,
         )
--- a/src/bronzetrack/controllers/requests.py
+++ b/src/bronzetrack/controllers/requests.py
@@ -72,8 +72,8 @@
 
     async def _wait_until_due(self) -> None:
         waits = [
-            self.board.mailboxes["intake"].is_filled(),
-            self.board.mailboxes["answers"].is_filled(),
+            self.board.mailboxes["intake"].is_not_empty(),
+            self.board.mailboxes["answers"].is_not_empty(),
         ]
         if any(
             progress.stage is progresses.Stage.SETTLING
@@ -380,7 +380,7 @@
         work = submission.make_work(
             self.board, progress, attempt, chosen.endpoint, now_ms
         )
-        send_failure = self.ports.peers.post(chosen.owner, work)
+        send_failure = self.ports.peers.try_send(chosen.owner, work)
         if send_failure is not None:
             if send_failure.reason in core_messages.UNSENDABLE:
                 self._close(progress, outcomes.Outcome.REFUSED, send_failure)
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -219,8 +219,8 @@
     async def _relay(
         self, answer: endpoint_client.EndpointAnswer, sent_ms: int
     ) -> None:
-        if answer.refusal is not None:
-            raise errors.FailureError(answer.refusal)
+        if answer.replacement_failure is not None:
+            raise errors.FailureError(answer.replacement_failure)
         self._result.start(answer.status, answer.content_type)
         started = messages.AnswerStarted(
             self._work.attempt, answer.status, answer.content_type
--- a/src/bronzetrack/core/blackboard.py
+++ b/src/bronzetrack/core/blackboard.py
@@ -109,7 +109,7 @@
         self._revision += 1
         self._notify()
 
-    def meets(self, check: Callable[[T], bool]) -> Condition:
+    def satisfies(self, check: Callable[[T], bool]) -> Condition:
         """Return the condition that the value passes a check."""
         return Condition(self, lambda: check(self._value))
 
@@ -153,13 +153,13 @@
         self._notify()
         return True
 
-    def is_filled(self) -> Condition:
+    def is_not_empty(self) -> Condition:
         """Return the condition that the mailbox is not empty."""
         return Condition(self, lambda: bool(self._items))
 
     async def wait_items(self) -> None:
         """Wait until the mailbox is not empty."""
-        await wait_any(self.is_filled())
+        await wait_any(self.is_not_empty())
 
     def take(self) -> list[T]:
         """Remove and return all items."""
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -332,7 +332,7 @@
 
 @register("store_lost", "a topic cannot be read", logging.WARNING)
 @attrs.frozen
-class StoreLost(LogEvent):
+class StoreUnavailable(LogEvent):
     """The store rejects reads of a topic or does not answer them."""
 
     topic: str
@@ -341,7 +341,7 @@
 
 @register("store_regained", "a topic can be read again")
 @attrs.frozen
-class StoreRegained(LogEvent):
+class StoreRecovered(LogEvent):
     """The first successful read of a topic after an outage.
 
     :param away_s: seconds since the outage was detected
--- a/src/bronzetrack/core/rendezvous.py
+++ b/src/bronzetrack/core/rendezvous.py
@@ -11,7 +11,7 @@
 CACHED_RANKINGS = 1_024
 
 
-def score(key: str, node: str) -> int:
+def compute_weight(key: str, node: str) -> int:
     """Return the weight of a node for a key.
 
     The weight is the same in every process.
@@ -29,4 +29,6 @@
 
 @functools.lru_cache(maxsize=CACHED_RANKINGS)
 def _rank(key: str, nodes: tuple[str, ...]) -> tuple[str, ...]:
-    return tuple(sorted(nodes, key=lambda node: (-score(key, node), node)))
+    return tuple(
+        sorted(nodes, key=lambda node: (-compute_weight(key, node), node))
+    )
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -91,7 +91,7 @@
         self.has_ended = False
 
     @property
-    def refusal(self) -> failures.Failure | None:
+    def replacement_failure(self) -> failures.Failure | None:
         """Failure that replaces this answer, None if the caller gets it."""
         if self.status == 404 and self._work.adapter:
             return failures.Failure(
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -89,7 +89,7 @@
     async def _follow_placements(self) -> None:
         mailbox = self.board.placed
         while True:
-            await blackboard.wait_any(mailbox.is_filled())
+            await blackboard.wait_any(mailbox.is_not_empty())
             for placed in mailbox.take():
                 self._apply_placement(placed)
 
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -154,7 +154,9 @@
         """Wait for a limited time for the first configuration."""
         wait_s = selection.limit_startup_wait(request)
         await blackboard.wait_any(
-            self.board.rules.meets(lambda rules: bool(rules.configuration)),
+            self.board.rules.satisfies(
+                lambda rules: bool(rules.configuration)
+            ),
             timeout_ms=int(1000 * wait_s),
         )
 
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -55,7 +55,7 @@
         await blackboard.wait_any(
             board.membership.is_newer(board.membership.revision),
             board.lifecycle.is_newer(board.lifecycle.revision),
-            board.fenced.is_filled(),
+            board.fenced.is_not_empty(),
             timeout_ms=int(1000 * min(1.0, max(0.05, delay_s))),
         )
 
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -71,7 +71,7 @@
         async with anyio.create_task_group() as group:
             while True:
                 await blackboard.wait_any(
-                    self.board.wanted.is_filled(),
+                    self.board.wanted.is_not_empty(),
                     section.is_newer(section.revision),
                     self.board.lease.is_newer(self.board.lease.revision),
                     timeout_ms=self._compute_pause_ms(self.read_clock()),
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -246,7 +246,7 @@
     async def _send_outgoing(self) -> None:
         mailbox = self.board.outgoing
         while True:
-            await blackboard.wait_any(mailbox.is_filled())
+            await blackboard.wait_any(mailbox.is_not_empty())
             for message in mailbox.take():
                 self._send_message(message)
 
--- a/src/bronzetrack/http/operators.py
+++ b/src/bronzetrack/http/operators.py
@@ -95,13 +95,13 @@
         if not (text.isascii() and text.isdigit() and len(text) < 10):
             return None
         limit = int(text)
-        if not 0 < limit <= dump.LONGEST_LIMIT:
+        if not 0 < limit <= dump.MAX_LIMIT:
             return None
         return dump.DumpRequest(self.board, self.read_clock(), limit)
 
 
 def _make_limit_error() -> responses.Response:
-    detail = f"limit is a whole number from 1 to {dump.LONGEST_LIMIT}"
+    detail = f"limit is a whole number from 1 to {dump.MAX_LIMIT}"
     return _make_error_response(400, "bad_request", detail)
 
 
--- a/src/bronzetrack/logservice/follower.py
+++ b/src/bronzetrack/logservice/follower.py
@@ -46,7 +46,7 @@
     log: logservice.LogClient,
     stream: str,
     read_position: Callable[[], int],
-    probes: bool = False,
+    is_probe: bool = False,
 ) -> AsyncIterator[logservice.LogBatch | failures.Failure]:
     """Iterate like `follow_stream`, but let the reader keep the position.
 
@@ -54,11 +54,11 @@
     records, whose start is above the position.
 
     :param read_position: returns the offset to read next
-    :param probes: whether reads have a short wait, so that they detect an
+    :param is_probe: whether reads have a short wait, so that they detect an
         outage for other streams, and do not end when a read of another stream
         fails
     """
-    wait_ms = PROBE_WAIT_MS if probes else WAIT_MS
+    wait_ms = PROBE_WAIT_MS if is_probe else WAIT_MS
     # The first read and the read after a failure do not wait for a record,
     # since a reader has caught up only when it knows the end of the stream.
     at_once = True
@@ -67,7 +67,7 @@
             stream,
             read_position(),
             wait_ms=0 if at_once else wait_ms,
-            interruptible=not probes,
+            interruptible=not is_probe,
         )
         if (
             isinstance(batch, failures.Failure)
--- a/src/bronzetrack/peer/hub.py
+++ b/src/bronzetrack/peer/hub.py
@@ -115,9 +115,9 @@
 
         :returns: whether the message was queued
         """
-        return self.post(vm, message) is None
+        return self.try_send(vm, message) is None
 
-    def post(self, vm: str, message: Any) -> failures.Failure | None:
+    def try_send(self, vm: str, message: Any) -> failures.Failure | None:
         """Queue a message to a VM.
 
         A failure with a reason in `messages.UNSENDABLE` is permanent. Other
@@ -145,7 +145,9 @@
             failures.Reason.QUEUE_FULL, f"the queue towards {vm} is full"
         )
 
-    def send_each(self, vms: Collection[str], message: Any) -> frozenset[str]:
+    def send_to_all(
+        self, vms: Collection[str], message: Any
+    ) -> frozenset[str]:
         """Queue a message, which is encoded once, to several peers.
 
         :returns: the peers to which the message was queued
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -92,7 +92,7 @@
     def _record_failure(self, error: stores.StoreError) -> None:
         if self._failing_since is None:
             self._failing_since = self._read_clock()
-            event = logevents.StoreLost(self._topic, str(error))
+            event = logevents.StoreUnavailable(self._topic, str(error))
             logevents.log(LOG, event)
 
     def _record_success(self) -> None:
@@ -100,7 +100,7 @@
             return
         outage_s = self._read_clock() - self._failing_since
         self._failing_since = None
-        event = logevents.StoreRegained(
+        event = logevents.StoreRecovered(
             self._topic, logevents.round_time(outage_s)
         )
         logevents.log(LOG, event)
--- a/src/bronzetrack/settings/loader.py
+++ b/src/bronzetrack/settings/loader.py
@@ -114,14 +114,14 @@
     ]
     missing = [
         mistakes.make_invalid(
-            name, key, "", f"missing; must be {_get_kind(field).allowed}"
+            name, key, "", f"missing; must be {_get_value_type(field).allowed}"
         )
         for key, field in fields.items()
         if field.default is attrs.NOTHING and key not in given
     ]
     invalid = [
         mistakes.make_invalid(
-            name, key, given[key], f"must be {_get_kind(field).allowed}"
+            name, key, given[key], f"must be {_get_value_type(field).allowed}"
         )
         for key, field in fields.items()
         if key in given and not _is_valid(field, given[key])
@@ -129,13 +129,13 @@
     return unknown + missing + invalid
 
 
-def _get_kind(field: Any) -> model.Kind:
+def _get_value_type(field: Any) -> model.ValueType:
     return field.metadata["kind"]
 
 
 def _is_valid(field: Any, text: str) -> bool:
     try:
-        _get_kind(field).parse(text)
+        _get_value_type(field).parse(text)
     except ValueError:
         return False
     return True
@@ -149,7 +149,7 @@
         if field.default is not attrs.NOTHING and field.name not in given
     }
     valid = {
-        field.name: _get_kind(field).parse(given[field.name])
+        field.name: _get_value_type(field).parse(given[field.name])
         for field in attrs.fields(cls)
         if field.name in given and _is_valid(field, given[field.name])
     }
--- a/src/bronzetrack/settings/model.py
+++ b/src/bronzetrack/settings/model.py
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen
-class Kind:
+class ValueType:
     """The type of the values of a setting.
 
     :param allowed: description of the allowed values, for error messages and
@@ -83,8 +83,8 @@
     return text.rstrip("/")
 
 
-def make_number(low: int, high: int) -> Kind:
-    """Return the kind of a whole number from `low` to `high`."""
+def make_number(low: int, high: int) -> ValueType:
+    """Return the type of a whole number from `low` to `high`."""
 
     def parse(text: str) -> int:
         value = int(text)
@@ -92,11 +92,11 @@
             raise ValueError(text)
         return value
 
-    return Kind(f"a whole number from {low} to {high}", parse)
+    return ValueType(f"a whole number from {low} to {high}", parse)
 
 
-def make_fraction(low: float, high: float) -> Kind:
-    """Return the kind of a number from `low` to `high`."""
+def make_fraction(low: float, high: float) -> ValueType:
+    """Return the type of a number from `low` to `high`."""
 
     def parse(text: str) -> float:
         value = float(text)
@@ -104,20 +104,24 @@
             raise ValueError(text)
         return value
 
-    return Kind(f"a number from {low:g} to {high:g}", parse)
+    return ValueType(f"a number from {low:g} to {high:g}", parse)
 
 
-NAME = Kind("letters, digits and hyphens, 63 at most", parse_name)
-ADDRESS = Kind("an address IP:port or [IPv6]:port", parse_address)
-ADDRESSES = Kind("addresses IP:port, separated by commas", parse_addresses)
-URL = Kind("a base URL http://IP:port", parse_url)
-LEVEL = Kind(
+NAME = ValueType("letters, digits and hyphens, 63 at most", parse_name)
+ADDRESS = ValueType("an address IP:port or [IPv6]:port", parse_address)
+ADDRESSES = ValueType(
+    "addresses IP:port, separated by commas", parse_addresses
+)
+URL = ValueType("a base URL http://IP:port", parse_url)
+LEVEL = ValueType(
     "one of " + ", ".join(level.value for level in LogLevel),
     lambda text: LogLevel(text.lower()),
 )
 
 
-def setting(kind: Kind, description: str, default: Any = attrs.NOTHING) -> Any:
+def make_setting(
+    value_type: ValueType, description: str, default: Any = attrs.NOTHING
+) -> Any:
     """Return the attrs field of a setting.
 
     :param description: meaning of the setting, for the reference
@@ -125,7 +129,7 @@
     """
     return attrs.field(
         default=default,
-        metadata={"kind": kind, "description": description},
+        metadata={"kind": value_type, "description": description},
     )
 
 
@@ -133,27 +137,35 @@
 class VmSettings:
     """Which VM this is."""
 
-    name: str = setting(NAME, "Name of this VM, unique among the daemons.")
-    availability_zone: str = setting(NAME, "Availability zone of this VM.")
+    name: str = make_setting(
+        NAME, "Name of this VM, unique among the daemons."
+    )
+    availability_zone: str = make_setting(
+        NAME, "Availability zone of this VM."
+    )
 
 
 @attrs.frozen
 class ListenSettings:
     """Addresses that the daemon listens on."""
 
-    callers: str = setting(ADDRESS, "Callers' requests and entry look-ups.")
-    operators: str = setting(ADDRESS, "State dump, metrics and planned stops.")
-    peers: str = setting(ADDRESS, "Streams from other daemons.")
+    callers: str = make_setting(
+        ADDRESS, "Callers' requests and entry look-ups."
+    )
+    operators: str = make_setting(
+        ADDRESS, "State dump, metrics and planned stops."
+    )
+    peers: str = make_setting(ADDRESS, "Streams from other daemons.")
 
 
 @attrs.frozen
 class PeerSettings:
     """How the daemon finds the others."""
 
-    join: tuple[str, ...] = setting(
+    join: tuple[str, ...] = make_setting(
         ADDRESSES, "Peer addresses to join through.", ()
     )
-    address: str = setting(
+    address: str = make_setting(
         ADDRESS,
         "Address that peers are told, if they reach this VM at another than"
         " `[listen] peers`.",
@@ -165,23 +177,23 @@
 class PlatformSettings:
     """Services of the platform."""
 
-    log_url: str = setting(URL, "Base URL of the log service.")
-    vm_list_url: str = setting(URL, "Base URL of the list of VMs.")
+    log_url: str = make_setting(URL, "Base URL of the log service.")
+    vm_list_url: str = make_setting(URL, "Base URL of the list of VMs.")
 
 
 @attrs.frozen
 class StoreSettings:
     """Limits of the weight store."""
 
-    loads_per_s: float = setting(
+    loads_per_s: float = make_setting(
         make_fraction(0.1, 10_000), "Loads a second over all VMs.", 4.0
     )
-    in_flight: int = setting(
+    in_flight: int = make_setting(
         make_number(1, 100_000),
         "Loads in flight over all servers above which the store slows down.",
         16,
     )
-    expected_vms: int = setting(
+    expected_vms: int = make_setting(
         make_number(1, 10_000),
         "Daemons that share the limits, with room for one replacement.",
         8,
@@ -194,47 +206,47 @@
 
     # A body grows to at most three times its size when it is encoded as ASCII
     # for the endpoint, and has to fit into a frame of 1 MiB between VMs.
-    body_bytes: int = setting(
+    body_bytes: int = make_setting(
         make_number(1_024, 327_680), "Largest body of a request.", 262_144
     )
-    open_requests: int = setting(
+    open_requests: int = make_setting(
         make_number(1, 1_000_000),
         "Callers' requests that may be in progress at this VM.",
         4_096,
     )
-    open_body_bytes: int = setting(
+    open_body_bytes: int = make_setting(
         make_number(1_048_576, 1_073_741_824),
         "Bytes of bodies that requests in progress may hold at this VM.",
         67_108_864,
     )
-    queue_requests: int = setting(
+    queue_requests: int = make_setting(
         make_number(1, 100_000),
         "Requests that may wait for one endpoint.",
         256,
     )
-    request_timeout_ms: int = setting(
+    request_timeout_ms: int = make_setting(
         make_number(100, 3_600_000),
         "Longest time from arrival to the last byte.",
         600_000,
     )
-    body_timeout_ms: int = setting(
+    body_timeout_ms: int = make_setting(
         make_number(100, 3_600_000),
         "Longest time from the head of a request to the end of its body.",
         30_000,
     )
     # Chunks are due every 52 ms. An engine may work on a long prompt for 1.5 s
     # without sending a chunk, or for 7.5 s when it runs five times slower.
-    stream_silence_ms: int = setting(
+    stream_silence_ms: int = make_setting(
         make_number(500, 600_000),
         "Time without a byte after which a streamed answer counts as lost.",
         10_000,
     )
-    entry_ttl_s: int = setting(
+    entry_ttl_s: int = make_setting(
         make_number(1, 3_600),
         "How long callers may keep the answer which VM to use.",
         30,
     )
-    drain_ms: int = setting(
+    drain_ms: int = make_setting(
         make_number(0, 3_600_000),
         "Time without a request after which a stopping daemon exits.",
         1_000,
@@ -245,7 +257,7 @@
 class LogSettings:
     """What is logged."""
 
-    level: LogLevel = setting(LEVEL, "Lowest level.", LogLevel.INFO)
+    level: LogLevel = make_setting(LEVEL, "Lowest level.", LogLevel.INFO)
 
 
 @attrs.frozen
--- a/src/bronzetrack/settings/reference.py
+++ b/src/bronzetrack/settings/reference.py
@@ -47,9 +47,9 @@
     yield "| key | allowed | default | meaning |"
     yield "| --- | --- | --- | --- |"
     for field in attrs.fields(cls):
-        kind = field.metadata["kind"]
+        value_type = field.metadata["kind"]
         yield (
-            f"| `{field.name}` | {kind.allowed}"
+            f"| `{field.name}` | {value_type.allowed}"
             f" | {_write_default(field.default)}"
             f" | {field.metadata['description']} |"
         )
--- a/src/bronzetrack/wire/dump.py
+++ b/src/bronzetrack/wire/dump.py
@@ -23,7 +23,7 @@
 
 # A dump blocks the event loop: 1,000 keys out of 400,000 took 7 ms.
 DEFAULT_LIMIT = 1_000
-LONGEST_LIMIT = 100_000
+MAX_LIMIT = 100_000
 OMITTED = "..."
 
 
--- a/tests/controllers/fakes.py
+++ b/tests/controllers/fakes.py
@@ -26,7 +26,7 @@
     sent: list[Any] = attrs.field(factory=list)
     refusals: int = 0
 
-    def post(self, vm: str, message: Any) -> failures.Failure | None:
+    def try_send(self, vm: str, message: Any) -> failures.Failure | None:
         try:
             frames.encode_frame(hub.CODEC.encode(message))
         except errors.FailureError as error:
@@ -38,7 +38,7 @@
         return None
 
     def send(self, vm: str, message: Any) -> bool:
-        return self.post(vm, message) is None
+        return self.try_send(vm, message) is None
 
     def list_sessions(self) -> dict[str, str]:
         return {"vm-2": ""}
@@ -54,14 +54,14 @@
 class Answer:
     """Fake answer of an endpoint.
 
-    :param refusal: failure instead of an answer
+    :param replacement_failure: failure instead of an answer
     :param failure: failure after the last chunk
     """
 
     chunks: list[bytes]
     status: int = 200
     content_type: str = "text/event-stream"
-    refusal: failures.Failure | None = None
+    replacement_failure: failures.Failure | None = None
     failure: failures.Failure | None = None
     has_ended: bool = False
 
--- a/tests/controllers/test_runs.py
+++ b/tests/controllers/test_runs.py
@@ -79,9 +79,10 @@
 
 def test_failed_resume_does_not_refuse_the_work(run_work):
     """Guards against "refused" for work that has partly been answered."""
-    refusal = failures.Failure(failures.Reason.LOAD_FAILED)
+    replacement_failure = failures.Failure(failures.Reason.LOAD_FAILED)
     peers, _ = run_work(
-        fakes.Answer([b"0"], failure=SILENT), fakes.Answer([], refusal=refusal)
+        fakes.Answer([b"0"], failure=SILENT),
+        fakes.Answer([], replacement_failure=replacement_failure),
     )
     [end] = peers.take(messages.AnswerEnd)
     assert end.outcome is outcomes.Outcome.FAILED
--- a/tests/core/test_blackboard.py
+++ b/tests/core/test_blackboard.py
@@ -18,8 +18,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(
                 blackboard.wait_any,
-                section.meets(lambda value: value > 1),
-                mailbox.is_filled(),
+                section.satisfies(lambda value: value > 1),
+                mailbox.is_not_empty(),
             )
             await anyio.sleep(0.01)
             change()
@@ -47,12 +47,12 @@
     """Guards against a wake-up lost between a check and the wait."""
     section, mailbox = make_sources()
     mailbox.post("x")
-    waits = blackboard.wait_any, section.is_newer(0), mailbox.is_filled()
+    waits = blackboard.wait_any, section.is_newer(0), mailbox.is_not_empty()
     anyio.run(*waits)
 
 
 async def wait_until_timeout(section, mailbox):
-    waits = section.is_newer(0), mailbox.is_filled()
+    waits = section.is_newer(0), mailbox.is_not_empty()
     with anyio.fail_after(1):
         await blackboard.wait_any(*waits, timeout_ms=10)
     return [source._watchers for source in (section, mailbox)]
--- a/tests/core/test_logevents.py
+++ b/tests/core/test_logevents.py
@@ -31,7 +31,7 @@
 def test_line_has_the_fields_of_its_event(caplog):
     """Guards against fields of an event that the log line lacks."""
     caplog.set_level(logging.INFO)
-    logevents.log(LOG, logevents.StoreRegained("topic-1", 0.5))
+    logevents.log(LOG, logevents.StoreRecovered("topic-1", 0.5))
     [line] = caplog.records
     assert (line.event, line.topic, line.away_s) == (
         "store_regained",
--- a/tests/logservice/test_follower.py
+++ b/tests/logservice/test_follower.py
@@ -39,8 +39,8 @@
     return fake
 
 
-async def collect(log, stream, seen, probes=False):
-    batches = follower.follow_position(log, stream, lambda: 0, probes)
+async def collect(log, stream, seen, is_probe=False):
+    batches = follower.follow_position(log, stream, lambda: 0, is_probe)
     async for batch in batches:
         seen.append(batch)
 
--- a/tests/peer/test_sessions.py
+++ b/tests/peer/test_sessions.py
@@ -192,7 +192,7 @@
     async def check() -> None:
         async with connect_peers() as (sender, receiver):
             sent = [answers.ProbeWork((text,)) for text in ("1", name, "2")]
-            found = [sender.hub.post("b", message) for message in sent]
+            found = [sender.hub.try_send("b", message) for message in sent]
             assert found[0] is None and found[2] is None
             assert found[1].reason is reason
             await wait_until(lambda: len(receiver.delivered) >= 3)
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -72,6 +72,8 @@
     """Guards against a caller that modifies a cached ranking."""
     nodes = ["e1", "e2", "e3"]
     ranked = rendezvous.rank_nodes("a@1", nodes)
-    expected = sorted(nodes, key=lambda n: -rendezvous.score("a@1", n))
+    expected = sorted(
+        nodes, key=lambda n: -rendezvous.compute_weight("a@1", n)
+    )
     ranked.clear()
     assert rendezvous.rank_nodes("a@1", nodes) == expected
