--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -72,7 +72,7 @@
     def fence(
         self, name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Send the fencing number to an engine.
+        """Send the fencing token to an engine.
 
         The order repeats the load of an adapter version that is already
         loaded.
@@ -137,4 +137,6 @@
         if not endpoint.is_engine:
             return
         report = await self._ports.endpoints.read_report(endpoint)
-        self._board.mailboxes["runs"].post(events.ReportRead(name, report))
+        self._board.mailboxes["runs"].post(
+            events.ReportReadEnded(name, report)
+        )
--- a/src/bronzetrack/controllers/runs.py
+++ b/src/bronzetrack/controllers/runs.py
@@ -116,7 +116,7 @@
         )
 
     async def _check_and_dispatch(self) -> failures.Failure | None:
-        rejection = suspects.check_run(
+        rejection = suspects.check_dispatch(
             self._board.suspects.value,
             self._work.fingerprint,
             self._work.isolated,
@@ -126,10 +126,10 @@
             await self._send_end(outcomes.Outcome.REFUSED, rejection)
             return rejection
         if self._work.crashes:
-            crashes_carried = crash_events.CrashesCarried(
+            crashes_received = crash_events.CrashesReceived(
                 self._work.fingerprint, self._work.crashes
             )
-            self._board.mailboxes["suspects"].post(crashes_carried)
+            self._board.mailboxes["suspects"].post(crashes_received)
         if self._claimer is not None:
             refusal = await self._claimer.claim()
             if refusal is not None:
@@ -219,8 +219,8 @@
     async def _relay(
         self, answer: endpoint_client.EndpointAnswer, sent_ms: int
     ) -> None:
-        if answer.refusal is not None:
-            raise errors.FailureError(answer.refusal)
+        if answer.replacement_failure is not None:
+            raise errors.FailureError(answer.replacement_failure)
         self._result.start(answer.status, answer.content_type)
         started = messages.AnswerStarted(
             self._work.attempt, answer.status, answer.content_type
@@ -229,10 +229,10 @@
         timer = pace.ChunkTimer()
         async for data in answer.iterate_chunks():
             self._last_data_ms = self._read_clock().monotonic_ms
-            chunk_ms = timer.note_chunk(self._last_data_ms)
+            chunk_ms = timer.record_chunk(self._last_data_ms)
             if chunk_ms is not None:
                 self._board.mailboxes["runs"].post(
-                    events.ChunksPassed(self._work.endpoint, chunk_ms)
+                    events.ChunksForwarded(self._work.endpoint, chunk_ms)
                 )
             if self._first_chunk_ms is None:
                 self._first_chunk_ms = self._last_data_ms - sent_ms
@@ -295,7 +295,7 @@
                 return failures.Failure(
                     failures.Reason.ANSWER_INCOMPLETE, failure.detail
                 )
-        crash = crash_events.CrashSeen(
+        crash = crash_events.CrashObserved(
             self._work.endpoint,
             self._boot,
             self._list_running(),
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -24,7 +24,7 @@
 
 
 @attrs.frozen
-class ChunksPassed:
+class ChunksForwarded:
     """A stream forwarded some chunks.
 
     :param chunk_ms: mean time between the chunks in milliseconds
@@ -54,14 +54,14 @@
 
 @attrs.frozen
 class FenceEnded:
-    """A fence, an order that only transmits the fencing number, ended."""
+    """A fence, an order that only transmits the fencing token, ended."""
 
     endpoint: str
     failure: failures.Failure | None = None
 
 
 @attrs.frozen
-class ReportRead:
+class ReportReadEnded:
     """An attempt to read the load report of an endpoint ended."""
 
     endpoint: str
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -72,7 +72,7 @@
     :param ordered_ms: monotonic time at which the last order ended, by
         `name@version`; load reports reflect an order only after a lag
     :param boot: the run of the engine that the residents belong to
-    :param fenced: whether the engine has seen the fencing number of this VM
+    :param fenced: whether the engine has seen the fencing token of this VM
     :param fence_retry_ms: monotonic time before which no further fence is sent
     :param pace: observed speed of the endpoint
     :param leaving: whether the load report says that the endpoint is leaving
@@ -126,7 +126,7 @@
         resident = self.residents.get(adapter)
         return resident is not None and resident.phase is ResidentPhase.READY
 
-    def has_rival(self, member: str) -> bool:
+    def has_waiting_competitor(self, member: str) -> bool:
         """Return whether work of another member lacks only a slot."""
         return any(
             item.work.member != member and self.is_ready(item.work.adapter)
