Use plain terms in the planning of adapter loads

Cause: "warm" means loaded at another place elsewhere in the code, "loads" meant requests in progress in one function and adapter loads in the rest, and some names hid what they hold: a function that creates what it does not find, the time when a report is due, and the class of an engine's capacity.

Change: - LoadKind.warm -> cached, WARM_LOAD_SHARE -> CACHED_LOAD_SHARE, WARM_WAIT_S -> CACHED_WAIT_S, also the locals of the same meaning - LoadingState.find_engine -> get_or_create_engine - loads of plan_load -> relative_requests, LOADS of its tests -> RELATIVE_REQUESTS, _compute_relative_loads -> _compute_relative_requests - EngineState.check_at -> report_due_at, order_pending -> call_pending - routes.Engine -> EngineCapacity, with its parameters and the fixture engine -> engine_capacity, and _decode_engine -> _decode_engine_capacity

--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -42,8 +42,10 @@
     text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
-    engine = routes.Engine((model,), 128, 17_000.0, ADAPTER_SLOTS, 4.3)
-    service = routes.Service("s", "/h", 600, engine)
+    engine_capacity = routes.EngineCapacity(
+        (model,), 128, 17_000.0, ADAPTER_SLOTS, 4.3
+    )
+    service = routes.Service("s", "/h", 600, engine_capacity)
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": service}
     )
@@ -59,8 +61,8 @@
 def fill_engines(board: boards.Blackboard) -> None:
     """Let every engine hold adapters, all but one of them in use."""
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
-        known = board.loading.value.find_engine(endpoint)
-        known.check_at = None
+        known = board.loading.value.get_or_create_engine(endpoint)
+        known.report_due_at = None
         model_keys = [
             ("m", f"a{number * ADAPTER_SLOTS + i}")
             for i in range(ADAPTER_SLOTS)
@@ -91,7 +93,7 @@
             )
         controller._run_planning_pass(NoEffects(), now)
         for known in board.loading.value.engines.values():
-            known.order_pending = False
+            known.call_pending = False
     return (time.process_time() - started) / PASSES
 
 
--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -86,11 +86,11 @@
         held = self.board.lease.value.is_held(now)
         loads = (engine.pending.values() for engine in engines)
         reports = (
-            engine.check_at
+            engine.report_due_at
             for engine in engines
             if held
-            and engine.check_at is not None
-            and not engine.order_pending
+            and engine.report_due_at is not None
+            and not engine.call_pending
         )
         due = min(itertools.chain(*loads, reports), default=math.inf)
         interval_s = (
@@ -175,7 +175,7 @@
     def _mark_unreachable(self, identity: str, now: float) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is not None:
-            state = self._state.find_engine(endpoint)
+            state = self._state.get_or_create_engine(endpoint)
             state.unreachable_until = now + UNREACHABLE_S
 
     def _handle_missing(
@@ -184,7 +184,7 @@
         endpoint = self.board.endpoints.value.by_identity.get(want.missing)
         if endpoint is None:
             return
-        state = self._state.find_engine(endpoint)
+        state = self._state.get_or_create_engine(endpoint)
         loaded_at = state.loaded_at.get(model_key)
         if (
             loaded_at is not None
@@ -194,8 +194,8 @@
                 state.kinds.get(model_key, loadtimes.UNKNOWN_KIND)
             )
             state.pending[model_key] = now + LOAD_RECHECK_S
-        elif model_key in state.held and state.check_at is None:
-            state.check_at = now + ordering.REPORT_LAG_S
+        elif model_key in state.held and state.report_due_at is None:
+            state.report_due_at = now + ordering.REPORT_LAG_S
         self._order_executor.publish(endpoint, model_key, 0)
 
     def _record_uses(self, now: float) -> None:
@@ -227,7 +227,7 @@
         self,
         group: abc.TaskGroup,
         service: str,
-        engine: routes.Engine,
+        engine_capacity: routes.EngineCapacity,
         now: float,
     ) -> None:
         """Start loads of adapters by urgency while engines can take them."""
@@ -237,9 +237,9 @@
             item
             for item in candidates
             if loading.accepts_orders(item, state, now)
-            and loading.has_available_slot(item, state, engine, now)
+            and loading.has_available_slot(item, state, engine_capacity, now)
         ]
-        relative_loads = self._compute_relative_loads(candidates)
+        relative_requests = self._compute_relative_requests(candidates)
         demands = [
             item for item in state.demands.values() if item.service == service
         ]
@@ -257,10 +257,17 @@
                     available, candidates, holders, demand, state, now
                 )
                 plan = loading.plan_load(
-                    fitting, demand, state, relative_loads, engine, now
+                    fitting,
+                    demand,
+                    state,
+                    relative_requests,
+                    engine_capacity,
+                    now,
                 )
                 if plan is not None:
-                    state.find_engine(plan.endpoint).order_pending = True
+                    state.get_or_create_engine(plan.endpoint).call_pending = (
+                        True
+                    )
                     available.remove(plan.endpoint)
                     group.start_soon(self._order_executor.execute, plan)
 
@@ -272,13 +279,13 @@
         The VM that asked for the adapter seems unaware of them.
         """
         for endpoint in holders:
-            state = self._state.find_engine(endpoint)
+            state = self._state.get_or_create_engine(endpoint)
             if demand.model_key not in state.pending:
                 self._order_executor.publish(
                     endpoint, demand.model_key, state.held[demand.model_key]
                 )
 
-    def _compute_relative_loads(
+    def _compute_relative_requests(
         self, candidates: list[endpoints.Endpoint]
     ) -> dict[str, float]:
         """Return the requests in progress by engine, relative to the mean."""
@@ -298,20 +305,24 @@
         self,
         group: abc.TaskGroup,
         service: routes.Service,
-        engine: routes.Engine,
+        engine_capacity: routes.EngineCapacity,
         now: float,
     ) -> None:
         """Load the base model on engines without it, within the rate limit."""
-        if not engine.models:
+        if not engine_capacity.models:
             return
-        model = engine.models[0]
+        model = engine_capacity.models[0]
         recent = [
             at
             for at in self._state.model_loads
             if now - at < MODEL_LOAD_WINDOW_S
         ]
         self._state.model_loads = recent
-        allowed = engine.loads_per_s * MODEL_LOAD_WINDOW_S * MODEL_LOAD_SHARE
+        allowed = (
+            engine_capacity.loads_per_s
+            * MODEL_LOAD_WINDOW_S
+            * MODEL_LOAD_SHARE
+        )
         for endpoint in self.board.endpoints.value.list_service(service.name):
             if endpoint.models or not loading.accepts_orders(
                 endpoint, self._state, now
@@ -320,8 +331,8 @@
             if len(recent) + 1 > allowed:
                 return
             recent.append(now)
-            state = self._state.find_engine(endpoint)
-            state.order_pending = True
+            state = self._state.get_or_create_engine(endpoint)
+            state.call_pending = True
             state.loading_until = now + MODEL_LOAD_FACTOR * model.load_s
             group.start_soon(
                 self._order_executor.load_model, endpoint, model.name
@@ -358,11 +369,11 @@
             if endpoint is None:
                 del self._state.engines[identity]
             elif (
-                state.check_at is not None
-                and state.check_at <= now
-                and not state.order_pending
+                state.report_due_at is not None
+                and state.report_due_at <= now
+                and not state.call_pending
             ):
-                state.order_pending = True
+                state.call_pending = True
                 group.start_soon(
                     self._order_executor.refresh_state, endpoint, state
                 )
--- a/src/bronzetrack/entry/loading.py
+++ b/src/bronzetrack/entry/loading.py
@@ -32,7 +32,7 @@
 RANK_WEIGHT = 1.0
 # A demand waits this long for an engine that held the adapter before. A load
 # there takes a tenth of the time and fetches nothing from the weight store.
-WARM_WAIT_S = 0.25
+CACHED_WAIT_S = 0.25
 # Weight of the evicted adapter's decayed use against the load of the engine.
 DECAYED_USE_WEIGHT = 0.1
 # Engines that will be stopped in less than this time get no more orders.
@@ -76,14 +76,15 @@
     candidates: list[endpoints.Endpoint],
     demand: loadstate.Demand,
     state: loadstate.LoadingState,
-    loads: Mapping[str, float],
-    engine: routes.Engine,
+    relative_requests: Mapping[str, float],
+    engine_capacity: routes.EngineCapacity,
     now: float,
 ) -> Plan | None:
     """Return the engine that loads an adapter at the least cost.
 
     :param candidates: engines that accept an order now
-    :param loads: requests in progress at each engine, relative to the mean
+    :param relative_requests: requests in progress at each engine, relative to
+        the mean
     :returns: the plan, or None if no engine can load the adapter now
     """
     ranked = sorted(
@@ -93,11 +94,11 @@
     )
     best: tuple[float, Plan] | None = None
     for rank, endpoint in enumerate(ranked):
-        found = _plan_on_engine(endpoint, demand, state, engine, now)
+        found = _plan_on_engine(endpoint, demand, state, engine_capacity, now)
         if found is None:
             continue
         cost, plan = found
-        cost += loads.get(endpoint.identity, 0.0)
+        cost += relative_requests.get(endpoint.identity, 0.0)
         cost += RANK_WEIGHT * math.log1p(rank)
         if best is None or cost < best[0]:
             best = (cost, plan)
@@ -108,13 +109,13 @@
     endpoint: endpoints.Endpoint,
     demand: loadstate.Demand,
     state: loadstate.LoadingState,
-    engine: routes.Engine,
+    engine_capacity: routes.EngineCapacity,
     now: float,
 ) -> tuple[float, Plan] | None:
     """Return the cost and plan of a load at an engine, if it is possible."""
     if demand.model_key[0] not in endpoint.models:
         return None
-    engine_state = state.find_engine(endpoint)
+    engine_state = state.get_or_create_engine(endpoint)
     if len(engine_state.pending) >= MAX_PENDING:
         return None
     if demand.model_key in engine_state.held:
@@ -125,7 +126,7 @@
                 endpoint, demand.model_key, demand.version, demand.model_key
             )
         return None
-    if len(engine_state.held) < engine.adapter_capacity:
+    if len(engine_state.held) < engine_capacity.adapter_capacity:
         return 0.0, Plan(endpoint, demand.model_key, demand.version)
     evictable = [
         model_key
@@ -184,7 +185,7 @@
     endpoint: endpoints.Endpoint, state: loadstate.LoadingState, now: float
 ) -> bool:
     """Return whether an engine accepts an order now."""
-    engine_state = state.find_engine(endpoint)
+    engine_state = state.get_or_create_engine(endpoint)
     if (
         endpoint.stops_at is not None
         and endpoint.stops_at - now < MIN_REMAINING_S
@@ -192,8 +193,8 @@
         return False
     return (
         endpoint.is_usable(now)
-        and not engine_state.order_pending
-        and engine_state.check_at is None
+        and not engine_state.call_pending
+        and engine_state.report_due_at is None
         and now >= engine_state.unreachable_until
         and now >= engine_state.loading_until
     )
@@ -226,12 +227,12 @@
 def has_available_slot(
     endpoint: endpoints.Endpoint,
     state: loadstate.LoadingState,
-    engine: routes.Engine,
+    engine_capacity: routes.EngineCapacity,
     now: float,
 ) -> bool:
     """Return whether an engine has a free slot or an evictable adapter."""
-    engine_state = state.find_engine(endpoint)
-    return len(engine_state.held) < engine.adapter_capacity or any(
+    engine_state = state.get_or_create_engine(endpoint)
+    return len(engine_state.held) < engine_capacity.adapter_capacity or any(
         _is_evictable(endpoint, model_key, engine_state, state, now)
         for model_key in engine_state.held
     )
@@ -258,19 +259,19 @@
     """
     if holders:
         available = [item for item in available if item not in holders]
-    if now - demand.since > WARM_WAIT_S:
+    if now - demand.since > CACHED_WAIT_S:
         return available
-    warm = {
+    cached = {
         item.identity
         for item in candidates
         if item.is_usable(now)
-        and state.find_engine(item).is_cached(demand.model_key)
-        and now >= state.find_engine(item).unreachable_until
+        and state.get_or_create_engine(item).is_cached(demand.model_key)
+        and now >= state.get_or_create_engine(item).unreachable_until
         and item not in holders
     }
-    if not warm:
+    if not cached:
         return available
-    return [item for item in available if item.identity in warm]
+    return [item for item in available if item.identity in cached]
 
 
 def list_holders(
@@ -284,7 +285,7 @@
         item
         for item in candidates
         if item.is_usable(now)
-        and _will_hold(state.find_engine(item), demand, now)
+        and _will_hold(state.get_or_create_engine(item), demand, now)
     ]
 
 
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -38,10 +38,11 @@
     :param unloading: adapters that the engine unloads once their requests end
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
-    :param order_pending: whether an order or a check has not been answered yet
+    :param call_pending: whether an order or a request for a report has not
+        been answered yet
     :param unreachable_until: until when the engine counts as unreachable
-    :param check_at: when to request a report, which has to precede the next
-        order; None if no report is needed
+    :param report_due_at: when to request a report, which has to precede the
+        next order; None if no report is needed
     :param loading_until: until when a base model may still be loading
     """
 
@@ -55,9 +56,9 @@
     kinds: dict[endpoints.ModelKey, loadtimes.LoadKind] = attrs.field(
         factory=dict
     )
-    order_pending: bool = False
+    call_pending: bool = False
     unreachable_until: float = 0.0
-    check_at: float | None = 0.0
+    report_due_at: float | None = 0.0
     loading_until: float = 0.0
 
     def record_cached(self, model_key: endpoints.ModelKey) -> None:
@@ -149,7 +150,9 @@
     model_loads: list[float] = attrs.field(factory=list)
     pruned_at: float = 0.0
 
-    def find_engine(self, endpoint: endpoints.Endpoint) -> EngineState:
+    def get_or_create_engine(
+        self, endpoint: endpoints.Endpoint
+    ) -> EngineState:
         """Return the state of an engine, which is reset when it restarts."""
         state = self.engines.get(endpoint.identity)
         if state is None or state.started_ms != endpoint.started_ms:
--- a/src/bronzetrack/entry/loadtimes.py
+++ b/src/bronzetrack/entry/loadtimes.py
@@ -8,7 +8,7 @@
 INITIAL_LOAD_S = 0.3
 # A load from the engine's own memory takes a tenth of the time. The estimate
 # starts a little higher than that.
-WARM_LOAD_SHARE = 0.2
+CACHED_LOAD_SHARE = 0.2
 # Bounds of the learnt load times.
 MIN_LOAD_S = 0.01
 MAX_LOAD_S = 5.0
@@ -22,11 +22,11 @@
 class LoadKind:
     """Class of loads that take about the same time.
 
-    :param warm: whether the engine held the adapter before
+    :param cached: whether the engine held the adapter before
     :param in_flight_level: loads in progress over all engines, in steps
     """
 
-    warm: bool
+    cached: bool
     in_flight_level: int
 
 
@@ -45,9 +45,11 @@
         if learned_s is not None:
             return learned_s
         if kind.in_flight_level:
-            return self.estimate(LoadKind(kind.warm, kind.in_flight_level - 1))
-        if kind.warm:
-            return WARM_LOAD_SHARE * self.estimate(LoadKind(False, 0))
+            return self.estimate(
+                LoadKind(kind.cached, kind.in_flight_level - 1)
+            )
+        if kind.cached:
+            return CACHED_LOAD_SHARE * self.estimate(LoadKind(False, 0))
         return INITIAL_LOAD_S
 
     def record_early(self, kind: LoadKind) -> None:
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -53,15 +53,15 @@
         self, endpoint: endpoints.Endpoint, model: str
     ) -> None:
         """Order an engine to load a base model."""
-        state = self._state.find_engine(endpoint)
+        state = self._state.get_or_create_engine(endpoint)
         try:
             verdict = await self._send_order(
                 endpoint, state, True, (model, "")
             )
         finally:
-            state.order_pending = False
+            state.call_pending = False
         if verdict is orders.Verdict.STARTED:
-            state.check_at = self._read_clock() + MODEL_CHECK_S
+            state.report_due_at = self._read_clock() + MODEL_CHECK_S
             return
         state.loading_until = 0.0
         if verdict is orders.Verdict.DONE:
@@ -70,7 +70,7 @@
     async def execute(self, plan: loading.Plan) -> None:
         """Unload the victim of a plan, if any, and load its adapter."""
         endpoint = plan.endpoint
-        state = self._state.find_engine(endpoint)
+        state = self._state.get_or_create_engine(endpoint)
         try:
             if plan.victim is not None and not await self._unload(
                 endpoint, state, plan.victim
@@ -78,7 +78,7 @@
                 return
             await self._load_adapter(endpoint, state, plan)
         finally:
-            state.order_pending = False
+            state.call_pending = False
             self._notify()
 
     async def _unload(
@@ -101,7 +101,7 @@
             return True
         if verdict is orders.Verdict.STARTED:
             state.unloading.add(victim)
-            state.check_at = self._read_clock() + REPORT_LAG_S
+            state.report_due_at = self._read_clock() + REPORT_LAG_S
         return False
 
     async def _load_adapter(
@@ -156,7 +156,7 @@
         ):
             state.sequence += 1
         elif verdict is not orders.Verdict.DONE:
-            state.check_at = now + REPORT_LAG_S
+            state.report_due_at = now + REPORT_LAG_S
         operation = "load" if load else "unload"
         meters.ORDERS.labels(operation, verdict.value).inc()
         if verdict is orders.Verdict.FENCED:
@@ -197,7 +197,7 @@
                 endpoint.address, endpoint.identity
             )
         finally:
-            state.order_pending = False
+            state.call_pending = False
         now = self._read_clock()
         event = logevents.EngineChecked(
             endpoint=endpoint.identity,
@@ -209,13 +209,13 @@
         )
         logevents.log(LOG, event)
         if report is None:
-            state.check_at = now + REPORT_LAG_S
+            state.report_due_at = now + REPORT_LAG_S
             return
         if not report.models and now < state.loading_until:
-            state.check_at = now + MODEL_CHECK_S
+            state.report_due_at = now + MODEL_CHECK_S
             return
         state.loading_until = 0.0
-        state.check_at = None
+        state.report_due_at = None
         state.sequence = report.sequence
         state.held = dict.fromkeys(report.pending, 1) | report.adapters
         state.unloading &= set(state.held)
--- a/src/bronzetrack/entry/routes.py
+++ b/src/bronzetrack/entry/routes.py
@@ -74,7 +74,7 @@
 
 
 @attrs.frozen(eq=False)
-class Engine:
+class EngineCapacity:
     """Capacity of each engine of a service.
 
     :param weights_mb: memory for the weights of models and adapters
@@ -114,7 +114,7 @@
     name: str
     health_path: str
     max_connections: int
-    engine: Engine | None = None
+    engine: EngineCapacity | None = None
 
 
 @attrs.frozen(eq=False)
--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -194,12 +194,12 @@
         name=item["name"],
         health_path=item.get("health_path", "/"),
         max_connections=int(item.get("max_conns", 64)),
-        engine=_decode_engine(runtime) if runtime else None,
+        engine=_decode_engine_capacity(runtime) if runtime else None,
     )
 
 
-def _decode_engine(item: dict[str, Any]) -> routes.Engine:
-    return routes.Engine(
+def _decode_engine_capacity(item: dict[str, Any]) -> routes.EngineCapacity:
+    return routes.EngineCapacity(
         models=tuple(
             routes.Model(
                 name=model["name"],
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -65,10 +65,10 @@
 
 
 @pytest.fixture
-def engine() -> routes.Engine:
-    """Return an engine with two adapter slots."""
+def engine_capacity() -> routes.EngineCapacity:
+    """Return the capacity of an engine with two adapter slots."""
     model = routes.Model(MODEL, 100.0, 1.0, 10, 1.0)
-    return routes.Engine((model,), 10, 200.0, 2, 4.0)
+    return routes.EngineCapacity((model,), 10, 200.0, 2, 4.0)
 
 
 @pytest.fixture
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -15,7 +15,7 @@
     Another holder of the lease may have used its adapter slots meanwhile.
     """
     controller._run_planning_pass(None, now)
-    known = board.loading.value.find_engine(make_endpoint("e"))
+    known = board.loading.value.get_or_create_engine(make_endpoint("e"))
     known.pending = {MODEL_KEY: now + 1}
     board.lease.value.relinquish()
     controller._run_planning_pass(None, now)
@@ -32,7 +32,7 @@
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
     controller._run_planning_pass(None, now)
-    known = board.loading.value.find_engine(endpoint)
+    known = board.loading.value.get_or_create_engine(endpoint)
     known.held = {MODEL_KEY: 1}
     known.pending = {MODEL_KEY: now + 0.2}
     board.lease.value.relinquish()
@@ -52,7 +52,7 @@
     """
     endpoint = make_endpoint("e")
     board.endpoints.value.add(endpoint)
-    known = board.loading.value.find_engine(endpoint)
+    known = board.loading.value.get_or_create_engine(endpoint)
     known.loaded_at[MODEL_KEY] = now
     want = messages.Want("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
     board.wanted.post(want)
@@ -65,17 +65,17 @@
 ):
     """Guards against CPU time spent while no adapter is in demand."""
     endpoint = make_endpoint("e")
-    known = board.loading.value.find_engine(endpoint)
-    known.check_at = None
+    known = board.loading.value.get_or_create_engine(endpoint)
+    known.report_due_at = None
     assert controller._compute_pause_ms(now) > 200
-    known.check_at = now + 0.1
+    known.report_due_at = now + 0.1
     assert 90 <= controller._compute_pause_ms(now) <= 101
     known.pending[MODEL_KEY] = now + 0.05
     assert controller._compute_pause_ms(now) <= 51
     known.pending.clear()
-    known.check_at = None
+    known.report_due_at = None
     board.traffic.value.get_or_create("e").start(MODEL_KEY)
     assert controller._compute_pause_ms(now) <= 51
     board.lease.value.relinquish()
-    known.check_at = now
+    known.report_due_at = now
     assert controller._compute_pause_ms(now) > 200
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -6,19 +6,19 @@
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import loadtimes
 
-LOADS = {}
+RELATIVE_REQUESTS = {}
 
 
 def apply_first_report(state, endpoint, now):
     """Return the state of an engine after its first report."""
-    engine_state = state.find_engine(endpoint)
-    engine_state.check_at = None
+    engine_state = state.get_or_create_engine(endpoint)
+    engine_state.report_due_at = None
     engine_state.held = dict(endpoint.adapters)
     return engine_state
 
 
 def test_full_engine_evicts_the_least_used_idle_adapter(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against evicting hot adapters for rare ones."""
     endpoint = make_endpoint("e", "hot", "cold")
@@ -26,27 +26,37 @@
     state.decayed_use[("m", "hot")] = (5.0, now)
     state.decayed_use[("m", "cold")] = (0.1, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now,
     )
     assert plan is not None
     assert plan.victim == ("m", "cold")
 
 
 def test_adapter_in_use_is_never_evicted(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against evicting an adapter that serves a request."""
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     state.record_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now,
     )
     assert plan is None
 
 
 def test_adapters_being_loaded_occupy_slots(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against orders for more adapters than there are slots.
 
@@ -57,39 +67,54 @@
     engine_state.held = {("m", "x"): 1, ("m", "y"): 1}
     engine_state.pending = {("m", "x"): now + 0.2, ("m", "y"): now + 0.2}
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now,
     )
     assert plan is None
 
 
 def test_adapter_being_unloaded_occupies_a_slot(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against counting a slot as free while requests use it."""
     endpoint = make_endpoint("e", "a", "b")
     engine_state = apply_first_report(state, endpoint, now)
     engine_state.unloading = {("m", "a"), ("m", "b")}
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now,
     )
     assert plan is None
 
 
 def test_old_version_is_unloaded_for_a_new_one(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against a new version that needs a slot of its own."""
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("a", version=2), state, LOADS, engine, now
+        [endpoint],
+        make_demand("a", version=2),
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now,
     )
     assert plan is not None
     assert plan.victim == ("m", "a")
 
 
 def test_copy_is_loaded_where_the_adapter_is_not_held(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against a copy that is loaded again by its only holder.
 
@@ -99,7 +124,7 @@
     holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
     for item in (holder, other):
         apply_first_report(state, item, now)
-    state.find_engine(holder).record_cached(("m", "a"))
+    state.get_or_create_engine(holder).record_cached(("m", "a"))
     demand = make_demand("a", copies=2)
     engines = [holder, other]
     holders = loading.list_holders(engines, demand, state, now)
@@ -110,7 +135,7 @@
 
 
 def test_copy_waits_for_an_engine_that_had_the_adapter(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against a fetch of an adapter that an engine has in memory."""
     holder, earlier, other = (
@@ -121,7 +146,7 @@
     for item in (holder, earlier, other):
         apply_first_report(state, item, now)
     for item in (holder, earlier):
-        state.find_engine(item).record_cached(("m", "a"))
+        state.get_or_create_engine(item).record_cached(("m", "a"))
     demand = make_demand("a", copies=2)
     candidates = [holder, earlier, other]
     holders = loading.list_holders(candidates, demand, state, now)
@@ -132,7 +157,7 @@
 
 
 def test_loaded_adapter_is_kept_until_its_first_use(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against evicting an adapter before its request arrives."""
     endpoint = make_endpoint("e", "a", "b")
@@ -140,28 +165,36 @@
     engine_state.loaded_at = {("m", "a"): now - 0.1, ("m", "b"): now - 0.1}
     demand = make_demand("new")
     assert (
-        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        loading.plan_load(
+            [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, now
+        )
         is None
     )
     later = now + loading.KEEP_LOADED_S
-    assert loading.plan_load([endpoint], demand, state, LOADS, engine, later)
+    assert loading.plan_load(
+        [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, later
+    )
 
 
 def test_new_lease_holder_evicts_nothing_at_first(
-    make_endpoint, make_demand, engine, now
+    make_endpoint, make_demand, engine_capacity, now
 ):
     """Guards against evicting adapters whose use was not reported yet."""
     state = loadstate.LoadingState(started_at=now)
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     demand = make_demand("new")
-    assert not loading.has_available_slot(endpoint, state, engine, now)
+    assert not loading.has_available_slot(
+        endpoint, state, engine_capacity, now
+    )
     assert (
-        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        loading.plan_load(
+            [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, now
+        )
         is None
     )
     later = now + 2 * loading.USE_COLLECTION_S
-    assert loading.has_available_slot(endpoint, state, engine, later)
+    assert loading.has_available_slot(endpoint, state, engine_capacity, later)
 
 
 def test_engine_is_asked_for_a_report_before_its_first_order(
@@ -201,7 +234,7 @@
         state, make_endpoint("e", "a", started_ms=1), now
     )
     engine_state.sequence = 9
-    again = state.find_engine(make_endpoint("e", started_ms=2))
+    again = state.get_or_create_engine(make_endpoint("e", started_ms=2))
     assert again.sequence == 0
     assert not again.held
 
@@ -253,16 +286,23 @@
 
 
 def test_adapter_goes_back_to_the_engine_that_had_it(
-    make_endpoint, state, make_demand, engine, now
+    make_endpoint, state, make_demand, engine_capacity, now
 ):
     """Guards against fetching an adapter that an engine has in memory."""
     endpoints = [make_endpoint(f"e{index}") for index in range(6)]
     for endpoint in endpoints:
         apply_first_report(state, endpoint, now)
     demand = make_demand("a")
-    first = loading.plan_load(endpoints, demand, state, LOADS, engine, now)
+    first = loading.plan_load(
+        endpoints, demand, state, RELATIVE_REQUESTS, engine_capacity, now
+    )
     again = loading.plan_load(
-        endpoints[::-1], demand, state, LOADS, engine, now + 20
+        endpoints[::-1],
+        demand,
+        state,
+        RELATIVE_REQUESTS,
+        engine_capacity,
+        now + 20,
     )
     assert first is not None
     assert again is not None
@@ -276,25 +316,25 @@
 
     In one burst, 724 adapters were fetched 1,087 times.
     """
-    warm, cold = make_endpoint("warm"), make_endpoint("cold")
-    apply_first_report(state, warm, now).record_cached(("m", "a"))
-    apply_first_report(state, cold, now)
+    cached, uncached = make_endpoint("cached"), make_endpoint("uncached")
+    apply_first_report(state, cached, now).record_cached(("m", "a"))
+    apply_first_report(state, uncached, now)
     demand = make_demand("a")
-    engines = [warm, cold]
+    engines = [cached, uncached]
     assert not loading.select_load_candidates(
-        [cold], engines, [], demand, state, now
+        [uncached], engines, [], demand, state, now
     )
     assert loading.select_load_candidates(
         engines, engines, [], demand, state, now
-    ) == [warm]
-    later = now + 2 * loading.WARM_WAIT_S
+    ) == [cached]
+    later = now + 2 * loading.CACHED_WAIT_S
     assert loading.select_load_candidates(
-        [cold], engines, [], demand, state, later
-    ) == [cold]
+        [uncached], engines, [], demand, state, later
+    ) == [uncached]
     other = make_demand("b")
     assert loading.select_load_candidates(
-        [cold], engines, [], other, state, now
-    ) == [cold]
+        [uncached], engines, [], other, state, now
+    ) == [uncached]
 
 
 def test_demand_that_is_requested_often_becomes_urgent(make_demand, now):
--- a/tests/entry/test_routes.py
+++ b/tests/entry/test_routes.py
@@ -44,5 +44,5 @@
 ):
     """Guards against orders that exceed the memory of an engine."""
     model = routes.Model("m", 100.0, 1.0, 10, adapter_mb)
-    engine = routes.Engine((model,), 8, weights_mb, 17, 4.0)
-    assert engine.adapter_capacity == adapter_capacity
+    engine_capacity = routes.EngineCapacity((model,), 8, weights_mb, 17, 4.0)
+    assert engine_capacity.adapter_capacity == adapter_capacity
