--- a/bench/entry.py
+++ b/bench/entry.py
@@ -37,11 +37,15 @@
     def route(self, outcome: sites.Outcome, entry: sites.Vm) -> None:
         """Send a request to the endpoint that the policy chooses."""
         site = self._site
-        reports = {
-            name: self._get_report(name, entry) for name in site.endpoints
+        received_summaries = {
+            name: self._get_received_summary(name, entry)
+            for name in site.endpoints
         }
         chosen = self.pick(
-            entry, reports, outcome.arrival.adapter, outcome.excluded
+            entry,
+            received_summaries,
+            outcome.arrival.adapter,
+            outcome.excluded,
         )
         if isinstance(chosen, failures.Failure):
             outcome.refusal = chosen.reason.value
@@ -55,14 +59,16 @@
         hop_ms = 0.0 if chosen.owner == entry.name else sites.HOP_MS
         site.call_later(hop_ms, lambda: self._owner.accept(outcome, entry))
 
-    def _get_report(
+    def _get_received_summary(
         self, name: str, entry: sites.Vm
-    ) -> candidates.OwnerReport:
+    ) -> candidates.ReceivedSummary:
         site = self._site
         owner = site.owners[name]
         if owner is entry:
-            return candidates.OwnerReport(owner.name, sum_up(site, name), 0)
-        return candidates.OwnerReport(
+            return candidates.ReceivedSummary(
+                owner.name, sum_up(site, name), 0
+            )
+        return candidates.ReceivedSummary(
             owner.name,
             owner.reported[name],
             int(site.timeline.now_ms - owner.heartbeat_ms),
@@ -72,7 +78,7 @@
     def pick(
         self,
         entry: sites.Vm,
-        reports: dict[str, candidates.OwnerReport],
+        received_summaries: dict[str, candidates.ReceivedSummary],
         adapter: str,
         excluded: set[str],
     ) -> candidates.Candidate | failures.Failure:
@@ -81,7 +87,7 @@
         if site.policy == "round_robin":
             found = candidates.list_candidates(
                 site.endpoints,
-                reports,
+                received_summaries,
                 adapter,
                 entry.in_flight,
                 frozenset(),
@@ -90,7 +96,7 @@
             return found[next(self._turn) % len(found)]
         return choice.choose_endpoint(
             site.endpoints,
-            reports,
+            received_summaries,
             adapter,
             entry.in_flight,
             frozenset(),
--- a/bench/warmup.py
+++ b/bench/warmup.py
@@ -27,8 +27,8 @@
     }
     for rank in workloads.draw_ranks(site.chance, HISTORY):
         adapter = names[rank]
-        reports = {
-            name: candidates.OwnerReport(
+        received_summaries = {
+            name: candidates.ReceivedSummary(
                 site.owners[name].name,
                 membership.EndpointSummary(
                     site.chance.randrange(workloads.ENGINE_SLOTS),
@@ -39,7 +39,7 @@
             for name, loaded in recent.items()
         }
         entry = site.vms[site.chance.choice(vms)]
-        chosen = entry_role.pick(entry, reports, adapter, set())
+        chosen = entry_role.pick(entry, received_summaries, adapter, set())
         loaded = recent[chosen.endpoint]
         loaded[adapter] = None
         loaded.move_to_end(adapter)
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -262,7 +262,7 @@
                 for name in resolved.endpoints
                 if name in known
             },
-            choice.collect_reports(
+            choice.collect_summaries(
                 board.ownership.value,
                 board.membership.value,
                 summaries.summarize_owned(board),
--- a/src/bronzetrack/console/commands/settings.py
+++ b/src/bronzetrack/console/commands/settings.py
@@ -33,4 +33,4 @@
 @command.command("reference", epilog="Example: bronzetrack settings reference")
 def print_reference() -> None:
     """Print docs/settings.md, generated from the settings classes."""
-    click.echo(reference.write_reference(), nl=False)
+    click.echo(reference.render_reference(), nl=False)
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -38,7 +38,7 @@
             for name in request.endpoints
             if name in inventory.endpoints
         },
-        choice.collect_reports(
+        choice.collect_summaries(
             board.ownership.value,
             board.membership.value,
             summaries.summarize_owned(board),
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -305,7 +305,7 @@
 
 @register("adapter_version", "a new version of an adapter is required")
 @attrs.frozen
-class AdapterVersionNamed(LogEvent):
+class AdapterVersionRequired(LogEvent):
     """Requests for an adapter require this version or a later one."""
 
     model: str
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -70,7 +70,7 @@
         if versions.get(key, 0) >= published.version:
             return False
         versions[key] = published.version
-        event = logevents.AdapterVersionNamed(
+        event = logevents.AdapterVersionRequired(
             published.model, published.adapter, published.version
         )
         logevents.log(LOG, event)
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -47,7 +47,7 @@
 
 
 @attrs.frozen
-class OwnerReport:
+class ReceivedSummary:
     """The newest summary of an endpoint that this VM has received.
 
     :param owner: the VM that owns the endpoint
@@ -64,7 +64,7 @@
 
 def list_candidates(
     endpoints: Mapping[str, inventories.Endpoint],
-    reports: Mapping[str, OwnerReport],
+    received_summaries: Mapping[str, ReceivedSummary],
     adapter: str,
     in_flight: Mapping[str, int],
     leaving: frozenset[str],
@@ -75,34 +75,34 @@
     Endpoints that are leaving or no longer in the inventory are left out.
 
     :param endpoints: endpoints that may serve the request, by name
-    :param reports: newest summaries by endpoint
+    :param received_summaries: newest summaries by endpoint
     :param adapter: adapter version that the request needs
     :param in_flight: attempts of this VM that have not ended, by endpoint
     :param leaving: endpoints that are listed as leaving
     :param zone: availability zone of this VM
     """
     found = []
-    for name in sorted(reports):
-        endpoint, report = endpoints.get(name), reports[name]
+    for name in sorted(received_summaries):
+        endpoint, received = endpoints.get(name), received_summaries[name]
         if endpoint is None or endpoint.leaving or name in leaving:
             continue
-        summary = report.summary
+        summary = received.summary
         if summary.leaving:
             continue
         found.append(
             Candidate(
                 endpoint=name,
-                owner=report.owner,
+                owner=received.owner,
                 slots=endpoint.slots,
                 warm=adapter in summary.warm,
                 free_slots=summary.free_slots,
                 queued=summary.queued,
                 in_flight=in_flight.get(name, 0),
-                report_age_ms=report.age_ms,
+                report_age_ms=received.age_ms,
                 slow=summary.slow,
                 reachable=summary.reachable,
                 near=endpoint.availability_zone == zone,
-                senders=report.senders,
+                senders=received.senders,
             )
         )
     return found
--- a/src/bronzetrack/routing/choice.py
+++ b/src/bronzetrack/routing/choice.py
@@ -19,14 +19,14 @@
     from bronzetrack.configuration import inventory as inventories
 
 
-def collect_reports(
+def collect_summaries(
     ownership: leases.OwnershipState,
     view: views.MembershipView,
     own: Mapping[str, messages.EndpointSummary],
     vm: str,
     incarnation: str,
     now_ms: int,
-) -> dict[str, candidates.OwnerReport]:
+) -> dict[str, candidates.ReceivedSummary]:
     """Return the newest summary of each endpoint with a reachable owner.
 
     An owner that is leaving gets no new work, since it can release an
@@ -37,13 +37,15 @@
     :param vm: name of this VM
     :param incarnation: incarnation of this VM
     """
-    reports = {}
+    received_summaries = {}
     senders = 1 + len(views.list_serving(view, now_ms))
     sole = ownership.standing is leases.Standing.SOLE
     for name, owner in ownership.owners.items():
         if owner.incarnation == incarnation:
             if sole and name in own:
-                reports[name] = candidates.OwnerReport(vm, own[name], 0)
+                received_summaries[name] = candidates.ReceivedSummary(
+                    vm, own[name], 0
+                )
             continue
         state = view.vms.get(owner.vm)
         if state is None or state.incarnation != owner.incarnation:
@@ -51,7 +53,7 @@
         if state.status is messages.VmStatus.LEAVING:
             continue
         if views.is_reachable(state, now_ms):
-            reports[name] = candidates.OwnerReport(
+            received_summaries[name] = candidates.ReceivedSummary(
                 owner.vm,
                 state.endpoints.get(name, messages.EndpointSummary()),
                 now_ms - state.heard_ms,
@@ -65,14 +67,16 @@
             if views.is_reachable(state, now_ms):
                 age_ms = now_ms - state.heard_ms
                 for name, summary in state.endpoints.items():
-                    report = candidates.OwnerReport(state.vm, summary, age_ms)
-                    reports.setdefault(name, report)
-    return reports
+                    received = candidates.ReceivedSummary(
+                        state.vm, summary, age_ms
+                    )
+                    received_summaries.setdefault(name, received)
+    return received_summaries
 
 
 def choose_endpoint(
     endpoints: Mapping[str, inventories.Endpoint],
-    reports: Mapping[str, candidates.OwnerReport],
+    received_summaries: Mapping[str, candidates.ReceivedSummary],
     adapter: str,
     in_flight: Mapping[str, int],
     leaving: frozenset[str],
@@ -85,7 +89,7 @@
     """Return the endpoint for an attempt, or a failure if there is none.
 
     :param endpoints: endpoints that may serve the request, by name
-    :param reports: newest summaries by endpoint
+    :param received_summaries: newest summaries by endpoint
     :param adapter: adapter version that the request needs
     :param in_flight: attempts of this VM that have not ended, by endpoint
     :param leaving: endpoints that are listed as leaving
@@ -98,7 +102,7 @@
     :param note: callback that receives all candidates, for the state dump
     """
     found = candidates.list_candidates(
-        endpoints, reports, adapter, in_flight, leaving, zone
+        endpoints, received_summaries, adapter, in_flight, leaving, zone
     )
     if note is not None:
         note(found)
--- a/src/bronzetrack/settings/reference.py
+++ b/src/bronzetrack/settings/reference.py
@@ -33,15 +33,15 @@
 """
 
 
-def write_reference() -> str:
+def render_reference() -> str:
     """Return the reference of all settings in Markdown."""
     lines = [HEADER]
     for name, cls in loader.list_sections().items():
-        lines.extend(_write_section(name, cls))
+        lines.extend(_render_section(name, cls))
     return "\n".join(lines)
 
 
-def _write_section(name: str, cls: type) -> Iterator[str]:
+def _render_section(name: str, cls: type) -> Iterator[str]:
     yield f"## `[{name}]`\n"
     yield f"{cls.__doc__}\n"
     yield "| key | allowed | default | meaning |"
@@ -50,13 +50,13 @@
         kind = field.metadata["kind"]
         yield (
             f"| `{field.name}` | {kind.allowed}"
-            f" | {_write_default(field.default)}"
+            f" | {_render_default(field.default)}"
             f" | {field.metadata['description']} |"
         )
     yield ""
 
 
-def _write_default(value: Any) -> str:
+def _render_default(value: Any) -> str:
     if value is attrs.NOTHING:
         return "required"
     if isinstance(value, enum.Enum):
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -35,8 +35,8 @@
 
 
 def list_owners(ownership, view, own=OWN):
-    found = choice.collect_reports(ownership, view, own, "a", "a1", 0)
-    return {name: report.owner for name, report in found.items()}
+    found = choice.collect_summaries(ownership, view, own, "a", "a1", 0)
+    return {name: received.owner for name, received in found.items()}
 
 
 def test_released_endpoint_is_not_reported(ownership, view):
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -105,7 +105,7 @@
 
 def test_reference_page_is_current():
     """Guards against a reference page that differs from the classes."""
-    assert PAGE.read_text(encoding="utf-8") == reference.write_reference()
+    assert PAGE.read_text(encoding="utf-8") == reference.render_reference()
 
 
 def test_more_vms_than_loads_in_flight_are_rejected(good):
