Name the modules of requests, request ids and search bounds plainly

Cause: "asker", "identities" and "effort" did not tell what the modules hold, and Report, KindType and look_up did not tell of what they are.

Change: - client.sender.look_up -> look_up_entries - module http.identities -> http.requestids, IdentityMiddleware -> RequestIdMiddleware - module client.asker -> client.requester, Report -> RequestResult; its fields stay; in console.commands.request print_report -> print_result, and the local and the parameter report -> result - console.options.KindType -> SettingType - module tests/effort.py -> tests/searchbounds.py

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -62,7 +62,7 @@
     async def find_addresses(self, model: str) -> list[str]:
         """Ask the system which addresses to use for a model."""
         known = [vm.callers for vm in self.site.vms.values()]
-        found = await sender.look_up(self.pool, known, model)
+        found = await sender.look_up_entries(self.pool, known, model)
         if isinstance(found, failures.Failure):
             raise sites.SiteError(f"look-up of {model}: {found}")
         best = found[0]
--- a/src/bronzetrack/client/asker.py
+++ b/src/bronzetrack/client/requester.py
@@ -41,7 +41,7 @@
 
 
 @attrs.frozen
-class Report:
+class RequestResult:
     """The result of a request.
 
     :param status: HTTP status code
@@ -105,13 +105,13 @@
     addresses: Sequence[str],
     request: OutgoingRequest,
     on_text: Callable[[str], None],
-) -> Report | failures.Failure:
+) -> RequestResult | failures.Failure:
     """Send a request to the best VM that can be reached.
 
     :param addresses: callers' addresses, which are used for the look-up
     :param on_text: called with each part of the text as it arrives
     """
-    entries = await sender.look_up(pool, addresses, request.model)
+    entries = await sender.look_up_entries(pool, addresses, request.model)
     if isinstance(entries, failures.Failure):
         return entries
     failure = failures.Failure(failures.Reason.PEER_UNREACHABLE)
@@ -139,7 +139,7 @@
     address: str,
     request: OutgoingRequest,
     on_text: Callable[[str], None],
-) -> Report:
+) -> RequestResult:
     """Send a request to one VM and return the result.
 
     :raises errors.FailureError: the VM was not reached or the connection
@@ -164,13 +164,13 @@
             text = events.extract_text(answer_fields)
             on_text(text)
             error = answer_fields.get("error")
-            return Report(answer.status, outcome, fields, text, error)
+            return RequestResult(answer.status, outcome, fields, text, error)
         reader = events.EventReader()
         parts = []
         async for part in answer.parts:
             parts.append(reader.read(part))
             on_text(parts[-1])
-        return Report(
+        return RequestResult(
             answer.status,
             determine_stream_outcome(reader),
             fields,
--- a/src/bronzetrack/client/sender.py
+++ b/src/bronzetrack/client/sender.py
@@ -63,7 +63,7 @@
         return content_type.startswith(EVENT_STREAM)
 
 
-async def look_up(
+async def look_up_entries(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], model: str
 ) -> list[Entry] | failures.Failure:
     """Return the VMs to use for a model, from the first VM that lists any."""
--- a/src/bronzetrack/console/commands/entry.py
+++ b/src/bronzetrack/console/commands/entry.py
@@ -24,7 +24,9 @@
     model: str, addresses: tuple[str, ...], output_format: str
 ) -> None:
     """List the addresses to use for MODEL, best first."""
-    work = functools.partial(sender.look_up, addresses=addresses, model=model)
+    work = functools.partial(
+        sender.look_up_entries, addresses=addresses, model=model
+    )
     found = runner.run_with_pool(work)
     if isinstance(found, failures.Failure):
         options.fail(found)
--- a/src/bronzetrack/console/commands/request.py
+++ b/src/bronzetrack/console/commands/request.py
@@ -10,7 +10,7 @@
 import click
 import httpcore
 
-from bronzetrack.client import asker
+from bronzetrack.client import requester
 from bronzetrack.console import options
 from bronzetrack.console import runner
 from bronzetrack.core import failures
@@ -40,7 +40,8 @@
 )
 @click.option(
     "--key",
-    help=f"Idempotency key; '{asker.NEW_KEY}' generates and prints a UUIDv7.",
+    help=f"Idempotency key; '{requester.NEW_KEY}' generates and prints a"
+    " UUIDv7.",
 )
 @click.option(
     "--issued-ms",
@@ -91,13 +92,13 @@
     "completed".
     """
     now_ms = time.time_ns() // 1_000_000
-    headers = asker.make_headers(
+    headers = requester.make_headers(
         work_class, key, now_ms if issued_ms is None else issued_ms
     )
-    request = asker.OutgoingRequest(
+    request = requester.OutgoingRequest(
         model=model,
         path="/v1/chat/completions" if chat else "/v1/completions",
-        body=asker.make_body(model, prompt, chat, stream, max_tokens),
+        body=requester.make_body(model, prompt, chat, stream, max_tokens),
         headers=headers,
         timeout_ms=int(timeout_s * 1000),
     )
@@ -107,15 +108,15 @@
     as_text = output_format == "text"
 
     async def work(pool: httpcore.AsyncConnectionPool) -> Any:
-        return await asker.send(
+        return await requester.send(
             pool, addresses, request, print_part if as_text else _discard
         )
 
-    report = runner.run_with_pool(work)
-    if isinstance(report, failures.Failure):
-        options.fail(report)
-    print_report(report, as_text)
-    if report.outcome != asker.COMPLETED:
+    result = runner.run_with_pool(work)
+    if isinstance(result, failures.Failure):
+        options.fail(result)
+    print_result(result, as_text)
+    if result.outcome != requester.COMPLETED:
         raise SystemExit(options.EXIT_FAILURE)
 
 
@@ -125,24 +126,24 @@
 
 
 def _discard(text: str) -> None:
-    """Discard a part of the answer; the report contains the whole text."""
+    """Discard a part of the answer; the result contains the whole text."""
 
 
-def print_report(report: asker.Report, as_text: bool) -> None:
+def print_result(result: requester.RequestResult, as_text: bool) -> None:
     """Print the outcome and where the request ran."""
     if not as_text:
-        click.echo(json.dumps(attrs.asdict(report), indent=2))
+        click.echo(json.dumps(attrs.asdict(result), indent=2))
         return
-    if report.text:
+    if result.text:
         click.echo()
     origin = [
-        f"{name} {value or '-'}" for name, value in report.fields.items()
+        f"{name} {value or '-'}" for name, value in result.fields.items()
     ]
-    click.echo(f"outcome {report.outcome}, {', '.join(origin)}", err=True)
-    if report.error is not None:
-        reason = report.error.get("type", "unknown")
-        hint = OUTCOME_HINTS.get(report.outcome, "see docs/protocols.md")
+    click.echo(f"outcome {result.outcome}, {', '.join(origin)}", err=True)
+    if result.error is not None:
+        reason = result.error.get("type", "unknown")
+        hint = OUTCOME_HINTS.get(result.outcome, "see docs/protocols.md")
         click.echo(
-            f"error: {reason}: {report.error.get('message', '')}; {hint}",
+            f"error: {reason}: {result.error.get('message', '')}; {hint}",
             err=True,
         )
--- a/src/bronzetrack/console/options.py
+++ b/src/bronzetrack/console/options.py
@@ -17,7 +17,7 @@
 EXIT_FAILURE = 1
 
 
-class KindType(click.ParamType):
+class SettingType(click.ParamType):
     """A command-line parameter that is validated like a setting.
 
     :param kind: kind of setting; it parses the text and describes the allowed
@@ -36,11 +36,11 @@
             self.fail(f"{value!r} is not {self.kind.allowed}", param, ctx)
 
 
-ADDRESS = KindType("ip:port", model.ADDRESS)
+ADDRESS = SettingType("ip:port", model.ADDRESS)
 
 log_url = click.option(
     "--log-url",
-    type=KindType("url", model.URL),
+    type=SettingType("url", model.URL),
     envvar="BRONZETRACK_LOG_URL",
     required=True,
     help="Base URL of the platform's log service.",
--- a/src/bronzetrack/http/callers.py
+++ b/src/bronzetrack/http/callers.py
@@ -21,8 +21,8 @@
 from bronzetrack.http import answers
 from bronzetrack.http import faults
 from bronzetrack.http import holds
-from bronzetrack.http import identities
 from bronzetrack.http import intake
+from bronzetrack.http import requestids
 from bronzetrack.http import targets
 from bronzetrack.membership import messages
 from bronzetrack.membership import view as views
@@ -49,7 +49,7 @@
     board: boards.Blackboard
     read_clock: Callable[[], clock.Instant]
 
-    def build(self) -> identities.IdentityMiddleware:
+    def build(self) -> requestids.RequestIdMiddleware:
         """Return the ASGI application."""
         limits = self.board.settings.limits
         totals = holds.UsageTotals(
@@ -67,7 +67,7 @@
         )
         # Not every client repeats the body after a redirect.
         application.router.redirect_slashes = False
-        return identities.IdentityMiddleware(application)
+        return requestids.RequestIdMiddleware(application)
 
     def list_routes(self) -> list[routing.Route]:
         """Return the routes with their handlers."""
@@ -157,7 +157,7 @@
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
         checked = intake.read_completion(
-            identities.get_request_id(request),
+            requestids.get_request_id(request),
             self.board.configuration.value.configuration,
             request.scope["path"],
             request.headers,
@@ -175,7 +175,7 @@
         if isinstance(body, failures.Failure):
             return self._refuse(request, body)
         checked = intake.read_service_call(
-            identities.get_request_id(request),
+            requestids.get_request_id(request),
             self.board.configuration.value.configuration,
             request.method,
             targets.read_target(request),
@@ -232,7 +232,7 @@
         counters.count_request(outcomes.Outcome.REFUSED, failure)
         detail = failure.detail[:MAX_RECORDED_CHARACTERS]
         refusal = requests.Refusal(
-            request=identities.get_request_id(request),
+            request=requestids.get_request_id(request),
             wall_ms=self.read_clock().wall_ms,
             path=request.scope["path"][:MAX_RECORDED_CHARACTERS],
             adapter="" if checked is None else checked.adapter,
--- a/src/bronzetrack/http/identities.py
+++ b/src/bronzetrack/http/requestids.py
@@ -12,7 +12,7 @@
 HEADER = "Bronzetrack-Request-Id"
 
 
-class IdentityMiddleware:
+class RequestIdMiddleware:
     """Assigns a request id before any other part can refuse the request.
 
     It wraps the whole application, since the framework sends the response
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -4,10 +4,10 @@
 
 import attrs
 from configuration import naive
-import effort
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import searchbounds
 
 from bronzetrack.configuration import records
 from bronzetrack.configuration import replay
@@ -261,7 +261,7 @@
     """Guards against replicas that disagree, revert or lose the snapshot."""
     stateful.run_state_machine_as_test(
         ConfigurationMachine,
-        settings=effort.make_settings(150, stateful_step_count=30),
+        settings=searchbounds.make_settings(150, stateful_step_count=30),
     )
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,9 @@
 import os
 import pathlib
 
-import effort
 import hypothesis
 import pytest
+import searchbounds
 
 from bronzetrack import board as boards
 from bronzetrack.settings import loader
@@ -30,7 +30,10 @@
     "ci", derandomize=True, deadline=None, database=None
 )
 hypothesis.settings.register_profile(
-    "search", max_examples=100 * effort.FACTOR, deadline=None, database=None
+    "search",
+    max_examples=100 * searchbounds.FACTOR,
+    deadline=None,
+    database=None,
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import effort
 from hypothesis import stateful
 from idempotency import machine
+import searchbounds
 
 from bronzetrack.core import failures
 from bronzetrack.idempotency import claims
@@ -21,7 +21,7 @@
     """
     stateful.run_state_machine_as_test(
         machine.KeyMachine,
-        settings=effort.make_settings(300, stateful_step_count=50),
+        settings=searchbounds.make_settings(300, stateful_step_count=50),
     )
 
 
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -5,10 +5,10 @@
 import itertools
 
 import attrs
-import effort
 from hypothesis import stateful
 from hypothesis import strategies
 from ownership import naive
+import searchbounds
 
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.dispatch import transitions
@@ -369,5 +369,5 @@
     """Guards against two owners, no owner and replicas that disagree."""
     stateful.run_state_machine_as_test(
         OwnershipMachine,
-        settings=effort.make_settings(150, stateful_step_count=30),
+        settings=searchbounds.make_settings(150, stateful_step_count=30),
     )
--- a/tests/retries/test_suspects.py
+++ b/tests/retries/test_suspects.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import attrs
-import effort
 from hypothesis import given
 from hypothesis import strategies
+import searchbounds
 
 from bronzetrack.core import failures
 from bronzetrack.core import rendezvous
@@ -128,7 +128,7 @@
 )
 
 
-@effort.make_settings(300)
+@searchbounds.make_settings(300)
 @given(STEPS)
 def test_request_crashes_two_endpoints_at_most(steps):
     """Guards against a request that crashes one endpoint after another.
--- a/tests/effort.py
+++ b/tests/searchbounds.py
@@ -1,4 +1,4 @@
-"""How long the property tests search."""
+"""Number of examples that the property tests draw."""
 
 from __future__ import annotations
 
