Correct comments and private names that misled new readers

Cause: A reader who saw the code for the first time found comments that were wrong, incomplete or vague, and names that say something else than the code.

Change: Comments of candidates, load planning, pace, load state, leases, keys, delivery, orders, quotas, retention, traces and log events say what the code does. "fencing number" becomes "fencing token", the "load report" of an engine becomes its "status report". The log messages of the events `starting`, `stopping`, `stopped` and `answer_dropped` are whole sentences; the events keep their names. Renames: MIN_WAIT_MS -> WAIT_OFFSET_MS MAX_SAMPLED_CANDIDATES -> MAX_DUMPED_CANDIDATES sample_candidates -> limit_for_dump daemon.main.log_error -> report_error settlement._make_unknown -> _make_without_result quotas._count_members -> _count_adapters_by_member orders: parameter name -> endpoint_name loads: local wanted -> within_quota, to_prefetch

--- a/src/bronzetrack/client/asker.py
+++ b/src/bronzetrack/client/asker.py
@@ -106,9 +106,12 @@
     request: OutgoingRequest,
     on_text: Callable[[str], None],
 ) -> Report | failures.Failure:
-    """Send a request to the best VM that can be reached.
+    """Send a request to the listed VMs in order until one returns a result.
 
-    :param addresses: callers' addresses, which are used for the look-up
+    Once text was delivered, no other VM is tried.
+
+    :param addresses: addresses at which VMs accept callers; queried for the
+        VMs that serve the model
     :param on_text: called with each part of the text as it arrives
     """
     entries = await sender.look_up(pool, addresses, request.model)
@@ -180,7 +183,10 @@
 
 
 def determine_stream_outcome(reader: events.EventReader) -> str:
-    """Return the outcome of a stream, which follows its headers."""
+    """Return the outcome of a stream.
+
+    It is known only at the end of the body, so the headers cannot state it.
+    """
     if reader.error is not None:
         return str(reader.error.get("outcome", "failed"))
     return COMPLETED if reader.ended else "unknown"
--- a/src/bronzetrack/client/inspector.py
+++ b/src/bronzetrack/client/inspector.py
@@ -23,7 +23,7 @@
 
     :param vms: the status section of each VM that answered
     :param unreachable: why each other VM did not answer, by VM name
-    :param owners: owner and fencing number by endpoint, from the log as read
+    :param owners: owner and fencing token by endpoint, from the log as read
         by the first VM that answered
     """
 
--- a/src/bronzetrack/controllers/delivery.py
+++ b/src/bronzetrack/controllers/delivery.py
@@ -23,8 +23,8 @@
     from bronzetrack.core import clock
 
 LOG = logging.getLogger(__name__)
-# A broken session is usually open again after 0.5 s, and the full send queue
-# of a live peer drains within a second.
+# A broken session with a peer VM is usually open again after 0.5 s, and the
+# full send queue of a live peer empties within a second.
 SEND_TIMEOUT_MS = 5_000
 SEND_RETRY_MS = 20
 
@@ -64,8 +64,8 @@
         After the first part that could not be sent, all later parts are
         skipped.
 
-        :returns: why the rest of the answer has no recipient, None while it
-            may have one
+        :returns: the failure if the recipient can no longer receive the
+            answer, otherwise None
         """
         if self._send_failure is None:
             now_ms = self._read_clock().monotonic_ms
@@ -83,9 +83,10 @@
     ) -> None:
         """Send the end of the answer.
 
-        The end is not sent if an earlier part was not delivered, unless the
-        reason was that no frame can hold that part. If no frame can hold the
-        end because of the detail of its failure, the detail is left out.
+        If an earlier part failed because no frame can hold it, the end is
+        still sent. After any other failed part, it is not. If no frame can
+        hold the end because of the detail of its failure, the detail is left
+        out.
 
         :param chunk_count: number of chunks in the answer
         """
@@ -133,7 +134,8 @@
                 return send_failure
             if self._read_clock().monotonic_ms >= deadline_ms:
                 LOG.warning(
-                    "answer dropped, its recipient does not accept it",
+                    "the answer was dropped because the receiving VM did not "
+                    "accept it in time",
                     extra={
                         "event": "answer_dropped",
                         "request_id": self._work.request,
--- a/src/bronzetrack/controllers/dispatch.py
+++ b/src/bronzetrack/controllers/dispatch.py
@@ -130,8 +130,8 @@
         if added or len(kept) != len(state.endpoints):
             state = attrs.evolve(state, endpoints={**kept, **added})
             self.write(self.board.dispatch, state)
-        # No adapter is loaded before the first load report, and the next poll
-        # may be a second away.
+        # No adapter is loaded before the first status report, and the next
+        # poll may be a second away.
         for name in added:
             self._group.start_soon(self._orders.read_report, name)
 
@@ -322,8 +322,8 @@
     def _is_leaving(self, name: str, endpoint: inventories.Endpoint) -> bool:
         """Return whether an endpoint is leaving according to any source.
 
-        The sources are the configuration, the load reports and the platform's
-        list.
+        The sources are the configuration, the status reports and the
+        platform's list.
         """
         return (
             endpoint.leaving
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -1,4 +1,4 @@
-"""Orders to endpoints, and polling of the load reports of engines."""
+"""Orders to endpoints, and polling of the status reports of engines."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class EndpointOrders:
-    """Sends orders to endpoints and posts their results to `runs`."""
+    """Sends orders to endpoints and posts results to the mailbox `runs`."""
 
     def __init__(
         self,
@@ -46,41 +46,49 @@
         self._group = group
 
     def load(
-        self, name: str, endpoint: inventories.Endpoint, adapter: str
+        self, endpoint_name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Order an endpoint to load an adapter version."""
+        """Order an endpoint to load an adapter version.
+
+        :param adapter: adapter version as `name@version`
+        """
         self._send(
             self._ports.endpoints.load_adapter,
-            functools.partial(events.LoadEnded, name, adapter),
-            name,
+            functools.partial(events.LoadEnded, endpoint_name, adapter),
+            endpoint_name,
             endpoint,
             adapter,
         )
 
     def unload(
-        self, name: str, endpoint: inventories.Endpoint, adapter: str
+        self, endpoint_name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Order an endpoint to unload an adapter version."""
+        """Order an endpoint to unload an adapter version.
+
+        :param adapter: adapter version as `name@version`
+        """
         self._send(
             self._ports.endpoints.unload_adapter,
-            functools.partial(events.UnloadEnded, name, adapter),
-            name,
+            functools.partial(events.UnloadEnded, endpoint_name, adapter),
+            endpoint_name,
             endpoint,
             adapter,
         )
 
     def fence(
-        self, name: str, endpoint: inventories.Endpoint, adapter: str
+        self, endpoint_name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Send the fencing number to an engine.
+        """Send the fencing token to an engine.
 
         The order repeats the load of an adapter version that is already
         loaded.
+
+        :param adapter: adapter version as `name@version`
         """
         self._send(
             self._ports.endpoints.load_adapter,
-            functools.partial(events.FenceEnded, name),
-            name,
+            functools.partial(events.FenceEnded, endpoint_name),
+            endpoint_name,
             endpoint,
             adapter,
         )
@@ -89,11 +97,11 @@
         self,
         send: OrderSender,
         make_event: EventMaker,
-        name: str,
+        endpoint_name: str,
         endpoint: inventories.Endpoint,
         adapter: str,
     ) -> None:
-        owner = self._board.ownership.value.owners.get(name)
+        owner = self._board.ownership.value.owners.get(endpoint_name)
         fencing = 0 if owner is None else owner.fencing
         self._group.start_soon(
             self._execute_order, send, make_event, endpoint, adapter, fencing
@@ -121,20 +129,22 @@
         self._board.mailboxes["runs"].post(make_event(failure))
 
     async def poll_reports(self) -> None:
-        """Poll the load reports of all owned engines."""
+        """Poll the status reports (GET /load) of all owned engines."""
         while True:
             async with anyio.create_task_group() as group:
                 for name in self._board.dispatch.value.endpoints:
                     group.start_soon(self.read_report, name)
             await anyio.sleep(REPORT_INTERVAL_MS / 1000)
 
-    async def read_report(self, name: str) -> None:
-        """Read the load report of an endpoint if it is an engine."""
+    async def read_report(self, endpoint_name: str) -> None:
+        """Read the status report of an endpoint if it is an engine."""
         inventory = self._board.configuration.value.configuration.inventory
-        endpoint = inventory.endpoints.get(name)
+        endpoint = inventory.endpoints.get(endpoint_name)
         if endpoint is None:
             return
         if not endpoint.is_engine:
             return
         report = await self._ports.endpoints.read_report(endpoint)
-        self._board.mailboxes["runs"].post(events.ReportRead(name, report))
+        self._board.mailboxes["runs"].post(
+            events.ReportRead(endpoint_name, report)
+        )
--- a/src/bronzetrack/controllers/submission.py
+++ b/src/bronzetrack/controllers/submission.py
@@ -30,7 +30,7 @@
     isolated = is_isolated(board, progress)
 
     def record_considered(considered: list[candidates.Candidate]) -> None:
-        progress.considered = candidates.sample_candidates(considered)
+        progress.considered = candidates.limit_for_dump(considered)
 
     return choice.choose_endpoint(
         {
--- a/src/bronzetrack/core/errors.py
+++ b/src/bronzetrack/core/errors.py
@@ -1,4 +1,4 @@
-"""Exceptions that mark a programming or protocol error."""
+"""Exceptions of the project."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -1,7 +1,8 @@
 """Typed log events, their messages and their fields.
 
-Only the programs of the entry VM log through this module. It is in `core`
-because the platform adapter and the transport log through it as well.
+Only the processes of entry VMs, which accept the requests of callers, log
+through this module. It is in `core` because the platform client and the
+transport log through it as well.
 """
 
 from __future__ import annotations
@@ -88,7 +89,10 @@
 @register("sent", "a request was sent")
 @attrs.frozen
 class RequestSent(LogEvent):
-    """A send that waited or was not the first, with the state it relied on.
+    """Logged for a send that waited or is a retry.
+
+    The event `request` covers the other sends. The ages show how old the
+    routing data was.
 
     :param version: last known version of the adapter at the endpoint
     :param placed_age_s: seconds since the lease holder reported the adapter
@@ -192,7 +196,8 @@
 class EndpointFailing(LogEvent):
     """The first failure of an endpoint after a time without failures.
 
-    :param outcome: how the send ended, `unreachable` without a connection
+    :param outcome: how the send ended, `unreachable` if no connection
+        could be opened
     :param status: HTTP status of the answer, 0 for none
     """
 
@@ -383,7 +388,7 @@
 # The process itself.
 
 
-@register("starting", "starting")
+@register("starting", "the process is starting")
 @attrs.frozen
 class Starting(LogEvent):
     """The process starts; it accepts no requests yet."""
@@ -394,13 +399,13 @@
 @register("ready", "this VM accepts requests")
 @attrs.frozen
 class Ready(LogEvent):
-    """The readiness address starts to answer 200."""
+    """The readiness check of this VM starts to return 200."""
 
 
 @register("not_ready", "requests should be sent to other VMs")
 @attrs.frozen
 class NotReady(LogEvent):
-    """The readiness address starts to answer 503."""
+    """The readiness check of this VM starts to return 503."""
 
 
 @register("resolve_empty", "no entry VM is ready")
@@ -438,13 +443,13 @@
     mistakes: list[str]
 
 
-@register("stopping", "stopping")
+@register("stopping", "a planned stop has started")
 @attrs.frozen
 class Stopping(LogEvent):
     """A planned stop has started."""
 
 
-@register("stopped", "stopped")
+@register("stopped", "a planned stop has finished")
 @attrs.frozen
 class Stopped(LogEvent):
     """A planned stop has finished.
--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -9,9 +9,9 @@
 
 # The log service has to retain records for at least twice this interval.
 COPY_INTERVAL_MS = 1_800_000
-# Redundant copies are harmless but have a cost. VMs with a higher rank number
-# wait longer, by this share of the interval for each rank, so that normally
-# one VM appends the copy and the others read it in time.
+# Redundant copies are correct but add records to the log. VMs with a higher
+# rank number wait longer, by this share of the interval for each rank, so that
+# normally one VM appends the copy and the others read it in time.
 RANK_DELAY_SHARE = 0.05
 MAX_DELAYED_RANK = 8
 
@@ -60,7 +60,8 @@
 
     A copy is due when the log has dropped the newest copy, when the newest
     copy lies in the older half of the retained range, or when the interval
-    has passed since it was read.
+    has passed since it was read. The last two limits hold for rank 0; for
+    higher ranks both come later, see RANK_DELAY_SHARE.
 
     :param rank: position of this VM among those that can append the copy
     :param now_ms: the current monotonic time in milliseconds
--- a/src/bronzetrack/daemon/main.py
+++ b/src/bronzetrack/daemon/main.py
@@ -50,12 +50,12 @@
     try:
         anyio.run(process.run_daemon, settings)
     except Exception as error:
-        return log_error(error)
+        return report_error(error)
     return exits.ExitCode.PLANNED_STOP
 
 
-def log_error(error: BaseException) -> exits.ExitCode:
-    """Return the exit code of an error, and log errors not logged before."""
+def report_error(error: BaseException) -> exits.ExitCode:
+    """Log an error unless it was logged before, and return the exit code."""
     if find_error(error, process.ControllerFailedError):
         return exits.ExitCode.CONTROLLER_FAILED
     if find_error(error, process.AddressUnavailableError):
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class FenceEnded:
-    """A fence, an order that only transmits the fencing number, ended."""
+    """A fence, an order that only transmits the fencing token, ended."""
 
     endpoint: str
     failure: failures.Failure | None = None
@@ -62,7 +62,7 @@
 
 @attrs.frozen
 class ReportRead:
-    """An attempt to read the load report of an endpoint ended."""
+    """An attempt to read the status report of an endpoint ended."""
 
     endpoint: str
     report: reports.LoadReport | failures.Failure
--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -11,7 +11,7 @@
 
 # Added to the waiting time of each request, so that a request that has just
 # arrived counts too.
-MIN_WAIT_MS = 250
+WAIT_OFFSET_MS = 250
 
 
 @attrs.frozen
@@ -20,7 +20,7 @@
 
     :param load: adapters to load
     :param unload: adapters to evict
-    :param short: number of loads that lack only a permit
+    :param short: number of further loads that could start with more permits
     """
 
     load: tuple[str, ...] = ()
@@ -36,7 +36,8 @@
 ) -> LoadPlan:
     """Return the loads and evictions for waiting work.
 
-    Without any, adapters of the placement are prefetched if that is allowed.
+    If no adapter is missing and none has to be evicted, adapters of the
+    placement are prefetched if that is allowed.
     """
     if not context.may_load:
         return LoadPlan()
@@ -52,12 +53,12 @@
         return LoadPlan(unload=tuple(displaced))
     if not context.may_prefetch:
         return LoadPlan()
-    wanted = [
+    to_prefetch = [
         adapter
         for adapter in context.placement.wanted
         if _may_load(queue, adapter, now_ms)
     ]
-    return LoadPlan(*_choose_loads(queue, context, wanted[:1]))
+    return LoadPlan(*_choose_loads(queue, context, to_prefetch[:1]))
 
 
 def _apply_quotas(
@@ -77,14 +78,14 @@
     at_quota = {members[name] for name in missing} - {
         member for member in members.values() if view.has_room(member)
     }
-    wanted = [name for name in missing if members[name] not in at_quota]
+    within_quota = [name for name in missing if members[name] not in at_quota]
     if not context.may_unload:
-        return wanted, []
+        return within_quota, []
     evictions = {**{member: 1 for member in at_quota}, **view.excess}
     if not evictions:
-        return wanted, []
+        return within_quota, []
     evictable = list_evictable(queue)
-    return wanted, [
+    return within_quota, [
         name
         for member, count in evictions.items()
         for name in view.filter_adapters(evictable, member)[:count]
@@ -97,10 +98,10 @@
     adapter: str,
     member: str,
 ) -> bool:
-    """Return whether a load would exceed the quota of its member for good.
+    """Return whether a load would exceed the quota of its member.
 
-    It would not if the member has an adapter at this endpoint, which can be
-    evicted for the load.
+    It does not if the member has an adapter at this endpoint, which can be
+    evicted for the load first.
     """
     if not adapter or adapter in queue.residents:
         return False
@@ -123,7 +124,7 @@
     for item in waiting:
         adapter = item.work.adapter
         if adapter and _may_load(queue, adapter, now_ms):
-            waited_ms = now_ms - item.queued_ms + MIN_WAIT_MS
+            waited_ms = now_ms - item.queued_ms + WAIT_OFFSET_MS
             waits[adapter] = waits.get(adapter, 0) + waited_ms
     return sorted(waits, key=lambda adapter: -waits[adapter])
 
@@ -141,8 +142,9 @@
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """Return the adapters to load and those to evict for further loads.
 
-    Only loads with a permit cause evictions. An adapter that is evicted
-    earlier serves no request while the load waits for the weight store.
+    Only loads with a permit cause evictions. Evicting before a permit is
+    available would leave the slot empty while the load waits for the weight
+    store.
     """
     permitted = missing[: max(0, context.load_permits)]
     free = max(0, context.endpoint.adapter_slots - len(queue.residents))
--- a/src/bronzetrack/dispatch/pace.py
+++ b/src/bronzetrack/dispatch/pace.py
@@ -1,7 +1,7 @@
-"""Detection of endpoints that answer slower than their peers.
+"""Detection of endpoints that answer slower than the others of their model.
 
-Load reports show a slow endpoint late. The time between the chunks of its
-running streams shows it within half a second.
+The status reports of engines show a slow endpoint late. The time between the
+chunks of its running streams shows it within half a second.
 """
 
 from __future__ import annotations
@@ -12,12 +12,12 @@
 import attrs
 
 # A full batch takes about twice as long per token as a single request, so
-# twice the median of the peers does not indicate a fault.
+# twice the median of the other endpoints does not indicate a fault.
 SLOW_FACTOR = 2.5
 NORMAL_FACTOR = 1.8
 SMOOTHING_FACTOR = 0.6
 OBSERVATION_TTL_MS = 1_000
-# Interval at which a stream reports the time between its chunks.
+# Minimum length of one measurement of the time between chunks.
 PART_MS = 250
 # An engine may process a long prompt for this time without sending a chunk.
 MAX_SILENCE_MS = 1_500
@@ -34,7 +34,7 @@
     :param chunk_ms: smoothed time between the chunks of a stream, 0 if
         unknown
     :param observed_ms: monotonic time of the latest observation
-    :param slow: whether the endpoint is slower than its peers
+    :param slow: whether the endpoint is slower than the others of its model
     :param slow_since_ms: monotonic time at which the endpoint became slow
     :param pause_ms: time without observations after which a slow endpoint is
         tried again; doubles with each failed trial
@@ -70,7 +70,9 @@
     """Return the pace with the endpoint classified as slow or normal.
 
     An endpoint is slow if the time between its chunks exceeds a multiple of
-    the median of its peers, or if it has running streams but sends no chunk.
+    the median of the other endpoints, or if it has running streams but sends
+    no chunk for MAX_SILENCE_MS. With fewer than MIN_PEERS known values, it
+    counts as normal.
 
     :param peers: time between chunks at the other endpoints, 0 if unknown
     :param streaming_since_ms: monotonic start time of the oldest running
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -70,12 +70,12 @@
     :param load_retry_ms: monotonic time before which a failed load is not
         retried, by `name@version`
     :param ordered_ms: monotonic time at which the last order ended, by
-        `name@version`; load reports reflect an order only after a lag
+        `name@version`; status reports reflect an order only after a lag
     :param boot: the run of the engine that the residents belong to
-    :param fenced: whether the engine has seen the fencing number of this VM
+    :param fenced: whether the engine has seen the fencing token of this VM
     :param fence_retry_ms: monotonic time before which no further fence is sent
     :param pace: observed speed of the endpoint
-    :param leaving: whether the load report says that the endpoint is leaving
+    :param leaving: whether the status report says that the endpoint is leaving
     :param reachable: whether the endpoint answered the last order or report
     """
 
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -91,7 +91,7 @@
     """Return the queue after a run ended.
 
     An engine that restarted rejects requests for an adapter version before
-    its load report shows the restart. The resident is removed at once, since
+    its status report shows the restart. The resident is removed at once, since
     work would otherwise be sent to the engine until then.
     """
     item = queue.running.get(event.attempt)
@@ -239,7 +239,7 @@
     """Return the queue after an unload order ended.
 
     After a failure the adapter may or may not be loaded. It is assumed to be
-    loaded, so that its slot is not filled twice. A load report corrects a
+    loaded, so that its slot is not filled twice. A status report corrects a
     wrong assumption.
     """
     queue = _record_order_end(queue, event.adapter, now_ms)
@@ -277,7 +277,7 @@
     owned_ms: int,
     now_ms: int,
 ) -> states.EndpointQueue:
-    """Return the queue after a load report.
+    """Return the queue after a status report.
 
     :param owned_ms: how long this VM has owned the endpoint, in milliseconds.
         A report that is read more than `TAKEOVER_MS` after the claim was made
@@ -301,7 +301,7 @@
 def _reconcile_residents(
     queue: states.EndpointQueue, report: reports.LoadReport, now_ms: int
 ) -> states.EndpointQueue:
-    """Return the queue with its residents corrected by a load report.
+    """Return the queue with its residents corrected by a status report.
 
     The report stands in for the answers of orders that were lost. Adapters
     with an order within the lag of reports are left as they are.
--- a/src/bronzetrack/endpoints/client.py
+++ b/src/bronzetrack/endpoints/client.py
@@ -27,7 +27,7 @@
 SERVER_SENT_EVENTS = "text/event-stream"
 END_MARKER = b"data: [DONE]"
 ANSWER_BYTES = 16_777_216
-# A load report may list each adapter twice. With 1,000 adapters whose names
+# A status report may list each adapter twice. With 1,000 adapters whose names
 # have 100 characters this takes about 200 KB.
 REPORT_BYTES = 1_048_576
 QUOTED_CHARACTERS = 200
@@ -284,7 +284,7 @@
     async def read_report(
         self, endpoint: inventories.Endpoint
     ) -> reports.LoadReport | failures.Failure:
-        """Return the load report of an engine, or a failure."""
+        """Return the status report of an engine, or a failure."""
         answer = await httpclient.fetch(
             self._pool,
             "GET",
--- a/src/bronzetrack/endpoints/reports.py
+++ b/src/bronzetrack/endpoints/reports.py
@@ -1,4 +1,4 @@
-"""Load reports of endpoints."""
+"""Status reports of endpoints."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class LoadReport:
-    """A load report of an engine, which may be out of date.
+    """A status report of an engine, which may be out of date.
 
     :param boot: random value that identifies this run of the engine
     :param produced_ms: Unix time in milliseconds at which the engine produced
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -23,7 +23,7 @@
 
 @roles.CONTROLLERS.register("leadership")
 class LeadershipController(roles.Controller):
-    """Appends to the lease log when an append is due."""
+    """Acquires, renews and releases the lease, and tracks its holder."""
 
     name = "leadership"
 
@@ -70,7 +70,10 @@
                 self.write(self.board.lease, lease)
 
     def _apply_refusals(self, lease: leases.Lease) -> None:
-        """Relinquish the lease if an engine refused its token as too old."""
+        """Relinquish the lease if an engine refused its fencing token.
+
+        Engines refuse a token that is older than one they have seen.
+        """
         for token in self.board.fenced.take():
             if token == lease.token:
                 lease.relinquish()
@@ -104,6 +107,7 @@
                 names.LEASE_TOPIC, max(0, lease.end - 1), 0.0
             )
         except stores.RecordsExpiredError:
+            # The record is no longer retained, so no record is left to read.
             lease.checked = True
             return
         except stores.StoreError as error:
@@ -131,7 +135,7 @@
                 names.LEASE_TOPIC, [names.LEASE_RELEASED], lease.end
             )
         except stores.StoreError as error:
-            # The lease expires on its own.
+            # The lease lapses on its own.
             logevents.log(LOG, logevents.LeaseCallFailed(str(error)))
             return
         lease.update_end(offset + 1, "", self.read_clock(), released=True)
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -133,7 +133,10 @@
         return True
 
     def relinquish(self) -> None:
-        """End this VM's right to give orders."""
+        """End this VM's right to give orders, without announcing it.
+
+        A release also appends a record, so that other VMs need not wait.
+        """
         self.valid_until = 0.0
 
 
@@ -145,7 +148,7 @@
         a higher rank wait longer, so that not all of them append at once.
     :param stopping: whether this VM is shutting down as planned
     :param engines_check_tokens: whether engines refuse orders with an older
-        token. Only then may a successor start before the lease expires,
+        token. Only then may a successor start before the lease lapses,
         because engines refuse orders of the former holder that are still in
         flight.
     :param has_successor: whether another VM can take the lease
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -13,10 +13,11 @@
 USE_HALF_LIFE_S = 15.0
 # Decayed use below this, in requests times seconds, is discarded.
 MIN_DECAYED_USE = 0.001
-# Maximum number of adapters per engine that are recorded as held before.
-# Engines keep only the weights of the most recent ones in memory.
+# Maximum number of adapters per engine whose weights are assumed to be in its
+# memory. Engines keep only the weights of the most recent ones there.
 MAX_CACHED = 128
-# Time from the arrival of a request at an engine to the first event.
+# Time from the arrival of a request at an engine to the first server-sent
+# event of the answer.
 FIRST_EVENT_S = 0.15
 # Loads in progress are grouped in steps of this many, because concurrent loads
 # slow each other down.
@@ -38,7 +39,8 @@
     :param unloading: adapters that the engine unloads once their requests end
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
-    :param order_pending: whether an order or a check has not been answered yet
+    :param order_pending: whether an order or the request of a report has not
+        been answered yet
     :param unreachable_until: until when the engine counts as unreachable
     :param check_at: when to request a report, which has to precede the next
         order; None if no report is needed
@@ -72,7 +74,7 @@
         return model_key in self.cached
 
     def prune(self) -> None:
-        """Discard load times and kinds of adapters that occupy no slot."""
+        """Discard when and how adapters that occupy no slot were loaded."""
         for times in (self.loaded_at, self.kinds):
             for model_key in set(times) - set(self.held):
                 del times[model_key]
@@ -101,9 +103,9 @@
     def update_deadline(self, deadline: float, soonest: float) -> None:
         """Update the deadline for one more request.
 
-        The deadline of a newer request must not replace that of an older one.
-        Otherwise a demand that is requested repeatedly would never become
-        urgent.
+        Keeps the earlier deadline if both can be met, and the later one
+        otherwise. Taking the newest deadline each time would keep a demand
+        that is requested repeatedly from becoming urgent.
 
         :param deadline: deadline of the request
         :param soonest: earliest possible time of a first event
--- a/src/bronzetrack/idempotency/settlement.py
+++ b/src/bronzetrack/idempotency/settlement.py
@@ -11,10 +11,12 @@
 from bronzetrack.idempotency import table as tables
 from bronzetrack.streaming import outcomes
 
-# Long enough for most answers. A caller that gets `in_progress` asks again.
+# Maximum wait of a repeated request for the result of the first, long enough
+# for most answers. Afterwards the caller gets `in_progress` and may repeat the
+# request.
 RESULT_WAIT_MS = 30_000
-# The time of two appends that time out. A void that is not in the table by
-# then counts as unconfirmed.
+# Time for two appends that time out. A void record, after which the key never
+# runs, counts as unconfirmed if it was not read within this time.
 VOID_WAIT_MS = 7_000
 
 
@@ -32,7 +34,7 @@
 
 
 def check_ready(table: tables.KeyTable) -> failures.Failure | None:
-    """Return the failure that refuses new keys until the table is current.
+    """Return why new keys are refused, None if they are accepted.
 
     A key that is missing from a table may still be in the part of the log
     that was not read. None is returned once the table has caught up and the
@@ -69,10 +71,10 @@
     if not keys.is_decidable(key.issued_ms, now_wall_ms):
         # The key may have been trimmed from the table, so its absence proves
         # nothing.
-        return _make_unknown("the key expired during the wait")
+        return _make_without_result("the key expired during the wait")
     if entry is None:
         if expired:
-            return _make_unknown("no record of the key was read")
+            return _make_without_result("no record of the key was read")
         return None
     if entry.phase is tables.KeyPhase.VOID:
         return Settlement(outcomes.Outcome.NOT_RUN, claims.describe_void())
@@ -87,7 +89,7 @@
     if entry.result is not None:
         return _make_from_result(entry.result)
     if claimant_gone:
-        return _make_unknown(f"claimant {entry.incarnation} is gone")
+        return _make_without_result(f"claimant {entry.incarnation} is gone")
     if expired:
         return Settlement(
             outcomes.Outcome.IN_PROGRESS, claims.describe_in_progress()
@@ -95,7 +97,11 @@
     return None
 
 
-def _make_unknown(detail: str) -> Settlement:
+def _make_without_result(detail: str) -> Settlement:
+    """Return an answer without a stored result.
+
+    Its outcome is UNKNOWN, unless the caller of this function replaces it.
+    """
     return Settlement(
         outcomes.Outcome.UNKNOWN,
         failures.Failure(failures.Reason.OUTCOME_UNKNOWN, detail),
@@ -106,7 +112,7 @@
     outcome = outcomes.Outcome(result.outcome)
     if outcome is not outcomes.Outcome.COMPLETED:
         detail = "the run of the key ended without a known result"
-        return attrs.evolve(_make_unknown(detail), outcome=outcome)
+        return attrs.evolve(_make_without_result(detail), outcome=outcome)
     if result.answer is not None:
         return Settlement(outcome, result=result)
     return Settlement(
--- a/src/bronzetrack/idempotency/table.py
+++ b/src/bronzetrack/idempotency/table.py
@@ -35,7 +35,8 @@
         key
     :param incarnation: incarnation of the claimant, empty for a key that was
         voided before any claim
-    :param fingerprint: digest of the claimed request
+    :param fingerprint: digest of the claimed request as its caller sent it,
+        which is SubmitWork.digest and not SubmitWork.fingerprint
     :param result: the result record, None until it is read
     """
 
--- a/src/bronzetrack/limits/quotas.py
+++ b/src/bronzetrack/limits/quotas.py
@@ -54,7 +54,7 @@
     :param vm: name of the VM
     """
     counts = {
-        name: _count_members(adapters, members)
+        name: _count_adapters_by_member(adapters, members)
         for name, adapters in loaded.items()
     }
     totals = {
@@ -80,7 +80,7 @@
     )
 
 
-def _count_members(
+def _count_adapters_by_member(
     adapters: Iterable[str], members: Mapping[str, str]
 ) -> dict[str, int]:
     counts: dict[str, int] = {}
@@ -95,7 +95,7 @@
 ) -> str:
     """Return the VM that evicts for a member.
 
-    This is the VM with the most loaded copies of the member. If every VM
-    evicted the excess, the member would lose it once per VM.
+    This is the VM with the most loaded adapter copies of the member. If every
+    VM evicted, the excess would be evicted once per VM.
     """
     return max(counts, key=lambda vm: (counts[vm].get(member, 0), vm))
--- a/src/bronzetrack/limits/tokens.py
+++ b/src/bronzetrack/limits/tokens.py
@@ -1,4 +1,4 @@
-"""Token bucket that limits how many loads a VM requests from the store."""
+"""Token bucket that limits the loads of a VM from the weight store."""
 
 from __future__ import annotations
 
--- a/src/bronzetrack/membership/summaries.py
+++ b/src/bronzetrack/membership/summaries.py
@@ -54,8 +54,8 @@
     """Return the summary of one owned endpoint.
 
     :param slots: number of requests that the endpoint runs at once
-    :param draining: whether the endpoint gets no new work, because of a
-        handover or because another VM may own the endpoint
+    :param draining: whether the endpoint gets no new work, either because it
+        is handed over or because another VM may own it
     """
     return messages.EndpointSummary(
         free_slots=max(0, slots - len(queue.running)),
--- a/src/bronzetrack/retries/records.py
+++ b/src/bronzetrack/retries/records.py
@@ -14,7 +14,7 @@
 class CrashRecord:
     """An endpoint crashed while it ran requests.
 
-    :param crash: identity of the crash; the record reaches other VMs both
+    :param crash: id of the crash; the record reaches other VMs both
         through the log and as a peer message, and has to count once
     :param fingerprints: fingerprints of the requests that ran on the endpoint
     :param wall_ms: Unix time in milliseconds at which the record was made
@@ -29,7 +29,7 @@
 @records.RECORDS.register("clearance")
 @attrs.frozen
 class ClearanceRecord:
-    """A suspect completed while it ran alone on its endpoint.
+    """A request suspected of crashing endpoints completed while it ran alone.
 
     :param crashes: the crashes that the suspect did not cause
     :param wall_ms: Unix time in milliseconds at which the record was made
--- a/src/bronzetrack/routing/candidates.py
+++ b/src/bronzetrack/routing/candidates.py
@@ -10,7 +10,7 @@
 from bronzetrack.configuration import inventory as inventories
 from bronzetrack.membership import messages
 
-MAX_SAMPLED_CANDIDATES = 8
+MAX_DUMPED_CANDIDATES = 8
 
 
 @attrs.frozen
@@ -25,11 +25,12 @@
     :param in_flight: attempts that this VM sent to the endpoint and that have
         not ended
     :param report_age_ms: age of the owner's summary
-    :param slow: whether the endpoint answers slower than its peers
+    :param slow: whether the endpoint answers slower than the others of its
+        model
     :param reachable: whether the endpoint answers its owner
     :param near: whether the endpoint is in the availability zone of this VM
-    :param senders: VMs that may have sent work to the endpoint since the
-        summary
+    :param senders: number of VMs that may have sent work to the endpoint since
+        the summary
     """
 
     endpoint: str
@@ -52,8 +53,8 @@
 
     :param owner: the VM that owns the endpoint
     :param age_ms: age of the summary in milliseconds
-    :param senders: VMs that may have sent work to the endpoint since the
-        summary, including this one
+    :param senders: number of VMs that may have sent work to the endpoint since
+        the summary, including this one
     """
 
     owner: str
@@ -108,11 +109,11 @@
     return found
 
 
-def sample_candidates(
+def limit_for_dump(
     found: Sequence[Candidate],
 ) -> tuple[Candidate, ...]:
     """Return the candidates to keep in the state dump, warm ones first."""
-    if len(found) <= MAX_SAMPLED_CANDIDATES:
+    if len(found) <= MAX_DUMPED_CANDIDATES:
         return tuple(found)
     ranked = sorted(found, key=lambda item: not item.warm)
-    return tuple(ranked[:MAX_SAMPLED_CANDIDATES])
+    return tuple(ranked[:MAX_DUMPED_CANDIDATES])
--- a/src/bronzetrack/routing/policies.py
+++ b/src/bronzetrack/routing/policies.py
@@ -17,16 +17,18 @@
 # warm ones have two more batches of load, since loading an adapter waits for
 # the weight store.
 COLD_COST = 2.0
-# Makes all VMs copy an adapter to the same next endpoint. Without this cost,
-# each overflow loaded another copy; with 0.3 the first copies are overloaded.
+# Cost per position in the copy order, which is the rendezvous ranking of the
+# endpoints for an adapter. It makes all VMs choose the same endpoint for the
+# next copy. Without it, each VM whose warm endpoints were full loaded another
+# copy; with 0.3 the first copies are overloaded.
 COPY_ORDER_COST = 0.1
 SLOW_COST = 4.0
 # Within a second after a summary, 7 VMs sent up to 60 more requests to one
 # endpoint that the summary showed as idle. A half-life of 1 s allowed more of
 # these requests than 0.3 s.
 REPORT_HALF_LIFE_MS = 300
-# With more VMs than this, one request of this VM is too weak a basis for an
-# estimate of the others.
+# Upper limit of the number of VMs in the estimated load. With more VMs, one
+# request of this VM does not predict how many the others sent.
 MAX_SENDERS = 16
 OTHER_ZONE_COST = 0.06
 
--- a/src/bronzetrack/traces/dispatch.py
+++ b/src/bronzetrack/traces/dispatch.py
@@ -209,7 +209,7 @@
 @EVENTS.register("report")
 @attrs.frozen
 class Report:
-    """The owner read a load report of the endpoint.
+    """The owner read a status report of the endpoint.
 
     :param boot: boot value of the engine; a new value means a restart
     """
@@ -232,7 +232,7 @@
 @EVENTS.register("lost")
 @attrs.frozen
 class Lost:
-    """The endpoint did not answer when the owner read its load report."""
+    """The endpoint did not answer when the owner read its status report."""
 
     def apply(self, core: DispatchCore, at_ms: int) -> None:
         failure = failures.Failure(failures.Reason.ENDPOINT_UNREACHABLE)
--- a/src/bronzetrack/traces/model.py
+++ b/src/bronzetrack/traces/model.py
@@ -1,4 +1,4 @@
-"""Model of a recorded trace: its events in order, and expected outcomes."""
+"""Model of a recorded trace: its events in order, and expected results."""
 
 from __future__ import annotations
 
@@ -29,8 +29,8 @@
     :param stream: the stream that was recorded, or `dispatch`
     :param events: records or events in the order in which they were processed
     :param description: what happened, for readers of the trace
-    :param outcomes: expected outcomes of the replay by name; outcomes that
-        are not listed are not compared
+    :param outcomes: expected results of the replay by name; results that are
+        not listed are not compared
     """
 
     stream: str
@@ -41,11 +41,11 @@
 
 @attrs.frozen
 class Difference:
-    """An outcome of the replay that differs from the trace.
+    """A result of the replay that differs from the trace.
 
-    :param name: name of the outcome
-    :param stated: the outcome that the trace expects
-    :param replayed: the outcome of the replay, None if it has none
+    :param name: name of the result
+    :param stated: the result that the trace expects
+    :param replayed: the result of the replay, None if it has none
     """
 
     name: str
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -23,7 +23,7 @@
 from bronzetrack.transport import heads
 
 LOG = logging.getLogger(__name__)
-# Requests that a caller may send before the response to the first.
+# Maximum number of requests that wait behind the one being served.
 MAX_PIPELINED_REQUESTS = 8
 LISTEN_BACKLOG = 512
 TCP_USER_TIMEOUT_MS = 5_000
