Name test variables and tests after what they check

Cause: Several tests had names and docstrings that said something else than the test checks, or lacked a subject.

Change: No assertion changes but for the message "reverted", which is now "the configuration went back to an older offset". Renames: test_standing: doubtful -> superseded (second use) test_loading: LOADS -> NO_RELATIVE_REQUESTS, lost -> longest_overdue test_adapter_goes_back_to_the_engine_that_had_it -> test_choice_of_engine_does_not_depend_on_list_order test_burst_serves_those_that_can_be_on_time_first -> test_burst_serves_demands_that_can_be_on_time_first test_removed_member_is_checked_everywhere -> test_removal_of_a_referenced_member_is_rejected test_configuration_machine: late -> delayed_records, replayed; again -> reread_count; expected, plain -> expected_offset, expected_documents

--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -93,7 +93,7 @@
         self.naive = naive.Replay()
         self.start = 0
         self.down = False
-        self.late: list[object] = []
+        self.delayed_records: list[object] = []
         self.answers: list[tuple[str, bytes, int]] = []
         self.tokens = 0
         self.replicas = {vm: Replica() for vm in VMS}
@@ -104,18 +104,18 @@
 
     def append(self, record: object, late: bool = False) -> None:
         if late:
-            self.late.append(record)
+            self.delayed_records.append(record)
         elif not self.down:
             self.history.append(record)
             self.naive.add(record)
 
-    def read(self, vm: str, count: int, again: int = 0) -> None:
+    def read(self, vm: str, count: int, reread_count: int = 0) -> None:
         replica = self.replicas[vm]
         if self.down:
             replica.state = replay.note_failure(replica.state)
             return
-        first = max(self.start, replica.state.next_offset - again)
-        items = self.history[first : first + count + again]
+        first = max(self.start, replica.state.next_offset - reread_count)
+        items = self.history[first : first + count + reread_count]
         replica.state = replay.apply_batch(
             replica.state,
             self.start,
@@ -156,10 +156,10 @@
     @stateful.rule(
         vm=SOME_VM,
         count=strategies.integers(0, 4),
-        again=strategies.integers(0, 3),
+        reread_count=strategies.integers(0, 3),
     )
-    def read_some(self, vm: str, count: int, again: int) -> None:
-        self.read(vm, count, again)
+    def read_some(self, vm: str, count: int, reread_count: int) -> None:
+        self.read(vm, count, reread_count)
 
     @stateful.rule(vm=SOME_VM, delta=DELTA, late=strategies.booleans())
     def publish(self, vm: str, delta: dict, late: bool) -> None:
@@ -176,14 +176,16 @@
         record = records.PublicationRecord("inventory", base, WHOLE)
         self.append(record)
 
-    @stateful.precondition(lambda self: self.late and not self.down)
+    @stateful.precondition(lambda self: self.delayed_records and not self.down)
     @stateful.rule(data=strategies.data())
     def take_late(self, data: strategies.DataObject) -> None:
         """Append a delayed record, which may be appended again later."""
-        index = data.draw(strategies.integers(0, len(self.late) - 1))
-        self.append(self.late[index])
+        index = data.draw(
+            strategies.integers(0, len(self.delayed_records) - 1)
+        )
+        self.append(self.delayed_records[index])
         if data.draw(strategies.booleans()):
-            del self.late[index]
+            del self.delayed_records[index]
 
     @stateful.rule(vm=SOME_VM, peer=SOME_VM)
     def send_configuration(self, vm: str, peer: str) -> None:
@@ -219,20 +221,28 @@
         self.start = max(self.start, len(self.history) - kept)
 
     def check(self, replica: Replica) -> None:
+        """Compare a replica with the reference replay at the same offset.
+
+        The state of an incomplete replica may be older than the reference.
+        """
         state = replica.state
-        assert state.configuration.offset >= replica.highest, "reverted"
+        assert (
+            state.configuration.offset >= replica.highest
+        ), "the configuration went back to an older offset"
         replica.highest = state.configuration.offset
-        expected, plain = self.naive.history[state.next_offset]
+        expected_offset, expected_documents = self.naive.history[
+            state.next_offset
+        ]
         if state.complete:
-            assert state.configuration.offset == expected
+            assert state.configuration.offset == expected_offset
         else:
-            assert state.configuration.offset <= expected
-            expected, plain = self.naive.history[
+            assert state.configuration.offset <= expected_offset
+            expected_offset, expected_documents = self.naive.history[
                 state.configuration.offset + 1
             ]
-        if expected >= 0:
+        if expected_offset >= 0:
             inventory = documents.read_document(
-                "inventory", plain["inventory"]
+                "inventory", expected_documents["inventory"]
             )
             assert state.configuration.inventory == inventory
         accepted = {
@@ -269,7 +279,10 @@
     data=strategies.binary(max_size=40), size=strategies.integers(1, 9)
 )
 def test_transfer_restores_parts_in_any_order(data, size):
-    """Guards against a configuration assembled from mixed parts."""
+    """Guards against a configuration assembled from wrong parts.
+
+    These are parts of two senders, or parts in the wrong order.
+    """
     state = states.ConfigurationState(next_offset=7)
     before = transfer.PART_BYTES
     transfer.PART_BYTES = size
@@ -300,17 +313,17 @@
     stale = records.SnapshotRecord(0, 1, data)
     items = [(1, change), (2, stale)]
     fresh = states.ConfigurationState()
-    late = replay.apply_batch(fresh, 1, 3, items, documents, 0)
-    assert not late.complete
-    late = replay.apply_batch(fresh, 2, 3, items[1:], documents, 0)
-    assert not late.complete
+    replayed = replay.apply_batch(fresh, 1, 3, items, documents, 0)
+    assert not replayed.complete
+    replayed = replay.apply_batch(fresh, 2, 3, items[1:], documents, 0)
+    assert not replayed.complete
     current = records.SnapshotRecord(0, 1, data)
-    late = replay.apply_batch(fresh, 1, 2, [(1, current)], documents, 0)
-    assert late.complete
-    assert late.configuration == state.configuration
+    replayed = replay.apply_batch(fresh, 1, 2, [(1, current)], documents, 0)
+    assert replayed.complete
+    assert replayed.configuration == state.configuration
 
 
-def test_removed_member_is_checked_everywhere():
+def test_removal_of_a_referenced_member_is_rejected():
     """Guards against a delta that leaves a dangling reference."""
     state = states.ConfigurationState()
     whole = records.PublicationRecord("inventory", -1, WHOLE)
--- a/tests/dispatch/test_pace.py
+++ b/tests/dispatch/test_pace.py
@@ -17,7 +17,7 @@
 
 
 def test_slow_endpoint_is_found_within_a_second():
-    """Guards against slow endpoints that only late load reports show."""
+    """Guards against slow endpoints that only late status reports show."""
     pace, now_ms = _observe_chunks(paces.Pace(), 20.0, 0, 4)
     assert not pace.slow
     pace, _ = _observe_chunks(pace, 100.0, now_ms, 3)
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -6,7 +6,7 @@
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import loadtimes
 
-LOADS = {}
+NO_RELATIVE_REQUESTS = {}
 
 
 def apply_first_report(state, endpoint, now):
@@ -26,7 +26,12 @@
     state.decayed_use[("m", "hot")] = (5.0, now)
     state.decayed_use[("m", "cold")] = (0.1, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        NO_RELATIVE_REQUESTS,
+        engine,
+        now,
     )
     assert plan is not None
     assert plan.victim == ("m", "cold")
@@ -40,7 +45,12 @@
     apply_first_report(state, endpoint, now)
     state.record_uses({("e", ("m", "a")): 1, ("e", ("m", "b")): 1}, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        NO_RELATIVE_REQUESTS,
+        engine,
+        now,
     )
     assert plan is None
 
@@ -57,7 +67,12 @@
     engine_state.held = {("m", "x"): 1, ("m", "y"): 1}
     engine_state.pending = {("m", "x"): now + 0.2, ("m", "y"): now + 0.2}
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        NO_RELATIVE_REQUESTS,
+        engine,
+        now,
     )
     assert plan is None
 
@@ -70,7 +85,12 @@
     engine_state = apply_first_report(state, endpoint, now)
     engine_state.unloading = {("m", "a"), ("m", "b")}
     plan = loading.plan_load(
-        [endpoint], make_demand("new"), state, LOADS, engine, now
+        [endpoint],
+        make_demand("new"),
+        state,
+        NO_RELATIVE_REQUESTS,
+        engine,
+        now,
     )
     assert plan is None
 
@@ -78,11 +98,16 @@
 def test_old_version_is_unloaded_for_a_new_one(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against a new version that needs a slot of its own."""
+    """Guards against an old version that keeps its slot during the load."""
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     plan = loading.plan_load(
-        [endpoint], make_demand("a", version=2), state, LOADS, engine, now
+        [endpoint],
+        make_demand("a", version=2),
+        state,
+        NO_RELATIVE_REQUESTS,
+        engine,
+        now,
     )
     assert plan is not None
     assert plan.victim == ("m", "a")
@@ -91,10 +116,10 @@
 def test_copy_is_loaded_where_the_adapter_is_not_held(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against a copy that is loaded again by its only holder.
+    """Guards against a second copy ordered from the engine with the first.
 
-    A stream that was interrupted at that engine waited 0.6 s for another one,
-    but no other engine loaded the adapter.
+    A stream that was interrupted at that engine waited 0.6 s for another
+    engine, but no other engine loaded the adapter.
     """
     holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
     for item in (holder, other):
@@ -140,11 +165,15 @@
     engine_state.loaded_at = {("m", "a"): now - 0.1, ("m", "b"): now - 0.1}
     demand = make_demand("new")
     assert (
-        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        loading.plan_load(
+            [endpoint], demand, state, NO_RELATIVE_REQUESTS, engine, now
+        )
         is None
     )
     later = now + loading.KEEP_LOADED_S
-    assert loading.plan_load([endpoint], demand, state, LOADS, engine, later)
+    assert loading.plan_load(
+        [endpoint], demand, state, NO_RELATIVE_REQUESTS, engine, later
+    )
 
 
 def test_new_lease_holder_evicts_nothing_at_first(
@@ -157,7 +186,9 @@
     demand = make_demand("new")
     assert not loading.has_available_slot(endpoint, state, engine, now)
     assert (
-        loading.plan_load([endpoint], demand, state, LOADS, engine, now)
+        loading.plan_load(
+            [endpoint], demand, state, NO_RELATIVE_REQUESTS, engine, now
+        )
         is None
     )
     later = now + 2 * loading.USE_COLLECTION_S
@@ -218,7 +249,7 @@
     assert not loading.list_holders([endpoint], demand, state, now)
 
 
-def test_burst_serves_those_that_can_be_on_time_first(make_demand, now):
+def test_burst_serves_demands_that_can_be_on_time_first(make_demand, now):
     """Guards against a burst in which every request is served late.
 
     At the peak of the demand, more adapters are requested than slots become
@@ -226,14 +257,16 @@
     """
     first_event_delay_s = 0.4
     late = make_demand("late", deadline=now - 1.0)
-    lost = make_demand("lost", deadline=now - 2.0)
+    longest_overdue = make_demand("longest_overdue", deadline=now - 2.0)
     urgent = make_demand("urgent", deadline=now + 0.5)
     relaxed = make_demand("relaxed", deadline=now + 0.9)
     copy = make_demand("copy", deadline=now + 0.5, copies=2)
     ordered = loading.sort_demands(
-        [lost, copy, late, relaxed, urgent], first_event_delay_s, now
+        [longest_overdue, copy, late, relaxed, urgent],
+        first_event_delay_s,
+        now,
     )
-    assert ordered == [urgent, relaxed, late, lost, copy]
+    assert ordered == [urgent, relaxed, late, longest_overdue, copy]
 
 
 def test_load_times_are_learnt_from_early_and_timely_loads():
@@ -252,17 +285,22 @@
     assert early_count < 100
 
 
-def test_adapter_goes_back_to_the_engine_that_had_it(
+def test_choice_of_engine_does_not_depend_on_list_order(
     make_endpoint, state, make_demand, engine, now
 ):
-    """Guards against fetching an adapter that an engine has in memory."""
+    """Guards against a reload on another engine.
+
+    That engine would have to fetch the weights.
+    """
     endpoints = [make_endpoint(f"e{index}") for index in range(6)]
     for endpoint in endpoints:
         apply_first_report(state, endpoint, now)
     demand = make_demand("a")
-    first = loading.plan_load(endpoints, demand, state, LOADS, engine, now)
+    first = loading.plan_load(
+        endpoints, demand, state, NO_RELATIVE_REQUESTS, engine, now
+    )
     again = loading.plan_load(
-        endpoints[::-1], demand, state, LOADS, engine, now + 20
+        endpoints[::-1], demand, state, NO_RELATIVE_REQUESTS, engine, now + 20
     )
     assert first is not None
     assert again is not None
--- a/tests/ownership/test_standing.py
+++ b/tests/ownership/test_standing.py
@@ -1,4 +1,4 @@
-"""Tests of the standing of owners that cannot read the log."""
+"""Tests of whether an owner without log access may dispatch."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def test_owner_stops_when_another_vm_could_claim(cut_off):
-    """Guards against work that a successor cannot see."""
+    """Guards against dispatching to an endpoint that another VM took over."""
     assert may_dispatch(cut_off, NO_CLAIMANTS)
     assert not may_dispatch(cut_off, {**NO_CLAIMANTS, "c": True})
 
@@ -106,7 +106,10 @@
 
 
 def test_interrupted_lease_restarts_held_since(cut_off):
-    """Guards against the first VM to renew taking over all endpoints."""
+    """Guards against a takeover of all endpoints after an outage.
+
+    Otherwise the VM that renews its lease first would take them over.
+    """
     assert cut_off.held_since_ms == 0
     for sequence, sent_ms in ((1, 9_000), (2, 40_000)):
         cut_off = replay.note_sent(cut_off, sequence, sent_ms)
@@ -117,11 +120,11 @@
 
 def test_partial_read_does_not_reset_standing(cut_off):
     """Guards against a VM that resumes before it reads a successor's claim."""
-    doubtful = evaluate(cut_off, {"b": True})
-    behind = replay.apply_batch(doubtful, 0, 6, [], "a1", LAPSED_MS)
+    superseded = evaluate(cut_off, {"b": True})
+    behind = replay.apply_batch(superseded, 0, 6, [], "a1", LAPSED_MS)
     again = replay.note_outage(behind, LAPSED_MS)
     assert not may_dispatch(again, NO_CLAIMANTS)
-    at_end = replay.apply_batch(doubtful, 0, 4, [], "a1", LAPSED_MS)
+    at_end = replay.apply_batch(superseded, 0, 4, [], "a1", LAPSED_MS)
     again = replay.note_outage(at_end, LAPSED_MS)
     assert may_dispatch(again, NO_CLAIMANTS)
 
--- a/tests/retries/test_policy.py
+++ b/tests/retries/test_policy.py
@@ -46,7 +46,7 @@
 
 
 def test_retry_of_refused_work_needs_no_budget(refused):
-    """Guards against a failed request because an endpoint left.
+    """Guards against a request that fails because its endpoint is leaving.
 
     An endpoint that leaves refuses its whole queue at once, which would use
     up the retry budget.
@@ -67,7 +67,7 @@
 def test_dispatched_work_with_a_key_is_not_retried(failed, lost):
     """Guards against a second run of work with an idempotency key.
 
-    The work may have an effect, such as an update that it stages.
+    The work may already have had an effect.
     """
     keyed = attrs.evolve(failed, repeatable=False, lost=lost)
     budget = policy.RetryBudget()
--- a/tests/wire/test_httpclient.py
+++ b/tests/wire/test_httpclient.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP client."""
+"""Tests of the pooled HTTP client of `wire`."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def test_second_request_searches_for_no_module(monkeypatch):
-    """Guards against a search of the import path for each request."""
+    """Guards against imports in the request path that search for a module."""
     recorder = SearchRecorder()
     answer = anyio.run(fetch_twice, recorder, monkeypatch)
     assert isinstance(answer, failures.Failure)
