Use the same words for results, lapses and claims in comments

Change: Only comments and docstrings. Results of a replay are "results", a lease "lapses", other endpoints of a model are not "peers", and a VM that claims endpoints is the "claiming VM". The docstring of Lease.relinquish says how it differs from a release.

--- a/src/bronzetrack/dispatch/placement.py
+++ b/src/bronzetrack/dispatch/placement.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Placement:
-    """Holds the adapters for one endpoint and the state of its peers.
+    """Holds the adapters for one endpoint and data of other endpoints.
 
     :param wanted: adapters to load before a request waits for them, highest
         demand first
--- a/src/bronzetrack/entry/controllers/leadership.py
+++ b/src/bronzetrack/entry/controllers/leadership.py
@@ -72,7 +72,7 @@
     def _apply_refusals(self, lease: leases.Lease) -> None:
         """Relinquish the lease if an engine refused its fencing token.
 
-        Engines refuse a token that is older than one they have seen.
+        The mailbox holds the tokens that engines refused as too old.
         """
         for token in self.board.fenced.take():
             if token == lease.token:
--- a/src/bronzetrack/entry/leases.py
+++ b/src/bronzetrack/entry/leases.py
@@ -133,9 +133,9 @@
         return True
 
     def relinquish(self) -> None:
-        """End this VM's right to give orders, without announcing it.
+        """End this VM's right to give orders, in its own state only.
 
-        A release also appends a record, so that other VMs need not wait.
+        A release also appends a record that announces it to other VMs.
         """
         self.valid_until = 0.0
 
--- a/src/bronzetrack/membership/messages.py
+++ b/src/bronzetrack/membership/messages.py
@@ -50,7 +50,8 @@
     :param free_slots: slots that are neither running work nor reserved
     :param queued: number of requests in the queue of the endpoint
     :param warm: adapter versions that are loaded, as `name@version`
-    :param slow: whether the endpoint answers more slowly than its peers
+    :param slow: whether the endpoint answers slower than the others of its
+        model
     :param chunk_ms: time between the chunks of a stream, 0 if unknown
     :param leaving: whether the endpoint gets no new work
     :param reachable: whether the owner reaches the endpoint
--- a/src/bronzetrack/ownership/records.py
+++ b/src/bronzetrack/ownership/records.py
@@ -29,8 +29,8 @@
 class ClaimRecord:
     """Claims endpoints. The offset of the record is the fencing token.
 
-    :param lapsed: most recent lease sequence that the claimant read, by
-        incarnation of each holder whose lease the claimant declares lapsed
+    :param lapsed: most recent lease sequence that the claiming VM read, by
+        incarnation of each holder whose lease it declares lapsed
     """
 
     vm: str
--- a/src/bronzetrack/retries/suspects.py
+++ b/src/bronzetrack/retries/suspects.py
@@ -29,8 +29,8 @@
     Both sets only grow, so that the order in which records arrive from peers
     and from the log does not matter.
 
-    :param crashes: identities of the crashes
-    :param cleared: identities of the crashes that the request did not cause
+    :param crashes: ids of the crashes
+    :param cleared: ids of the crashes that the request did not cause
     :param seen_ms: monotonic time in milliseconds of the latest crash or
         clearance
     """
--- a/src/bronzetrack/traces/__init__.py
+++ b/src/bronzetrack/traces/__init__.py
@@ -1,1 +1,1 @@
-"""Recorded traces and their replay against stated outcomes."""
+"""Recorded traces and their replay against expected results."""
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -42,7 +42,7 @@
         """
 
     def read_outcomes(self) -> Mapping[str, Any]:
-        """Return all outcomes of the events so far by name."""
+        """Return all results of the events so far by name."""
 
 
 CORES: registry.Registry[type[Core]] = registry.Registry("trace cores")
@@ -67,7 +67,7 @@
 class KeysCore(StreamCore):
     """Replays idempotency keys.
 
-    The outcomes are the phase and the attempt of each key.
+    The results are the phase and the attempt of each key.
     """
 
     entries: dict[str, key_table.KeyEntry] = attrs.field(factory=dict)
@@ -89,7 +89,7 @@
 class OwnershipCore(StreamCore):
     """Replays the ownership of endpoints.
 
-    The outcomes are the owner and the fencing token of each endpoint.
+    The results are the owner and the fencing token of each endpoint.
     """
 
     state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
@@ -111,7 +111,7 @@
 class ConfigurationCore(StreamCore):
     """Replays configuration publications.
 
-    The outcomes are the offset of the configuration in force, and whether the
+    The results are the offset of the configuration in force, and whether the
     record at each offset was accepted.
     """
 
@@ -137,7 +137,7 @@
 class CrashesCore(StreamCore):
     """Replays crashes and clearances.
 
-    The outcome of each fingerprint is whether it is a suspect or refused.
+    The result of each fingerprint is whether it is a suspect or refused.
     """
 
     table: suspects.SuspectTable = attrs.field(factory=suspects.SuspectTable)
--- a/src/bronzetrack/traces/dispatch.py
+++ b/src/bronzetrack/traces/dispatch.py
@@ -48,7 +48,7 @@
 class DispatchCore:
     """Replays the dispatch to one endpoint.
 
-    The outcomes are the state or end of each attempt, the phase of each
+    The results are the state or end of each attempt, the phase of each
     resident adapter version, and the list of all orders.
 
     :param ended: outcome of each attempt that ended
--- a/src/bronzetrack/traces/replay.py
+++ b/src/bronzetrack/traces/replay.py
@@ -16,7 +16,7 @@
 def replay_trace(
     trace: model.Trace,
 ) -> tuple[model.Difference, ...] | failures.Failure:
-    """Replay a trace and return the outcomes that differ from the expected.
+    """Replay a trace and return the results that differ from the expected.
 
     :returns: the differences, or a failure if the trace is invalid
     """
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -279,10 +279,7 @@
     data=strategies.binary(max_size=40), size=strategies.integers(1, 9)
 )
 def test_transfer_restores_parts_in_any_order(data, size):
-    """Guards against a configuration assembled from wrong parts.
-
-    These are parts of two senders, or parts in the wrong order.
-    """
+    """Guards against joining parts of two senders or in the wrong order."""
     state = states.ConfigurationState(next_offset=7)
     before = transfer.PART_BYTES
     transfer.PART_BYTES = size
--- a/tests/entry/test_leases.py
+++ b/tests/entry/test_leases.py
@@ -196,7 +196,7 @@
         step, _ = leases.decide_step(lease, conditions, self.now)
         reachable = attrs.evolve(conditions, holder_silent=False)
         if step is not leases.decide_step(lease, reachable, self.now)[0]:
-            # The former holder may be paused until its lease has expired.
+            # The former holder may be paused until its lease has lapsed.
             self.overlap_allowed = True
         match step:
             case leases.Step.READ if answered:
