Say which store, address and record comments mean

Cause: "store" meant the weight store in places where it elsewhere means the record store, "callers' address" read as an address of callers, and "a void" was used as a noun.

Change: Only comments and docstrings of client/sender.py, controllers/settling.py, limits/transfers.py and tests/limits.

--- a/src/bronzetrack/client/sender.py
+++ b/src/bronzetrack/client/sender.py
@@ -25,7 +25,7 @@
 class Entry:
     """A VM that a caller may send requests to.
 
-    :param address: callers' address of the VM
+    :param address: address at which the VM accepts callers
     :param reason: why the VM is listed
     """
 
--- a/src/bronzetrack/controllers/settling.py
+++ b/src/bronzetrack/controllers/settling.py
@@ -22,8 +22,8 @@
 ) -> None:
     """Put a request into the stage that waits for the records of its key.
 
-    :param void: whether to append a void, so that a claim that is not in the
-        log yet has no effect
+    :param void: whether to append a void record, so that a claim that is not
+        in the log yet has no effect
     """
     key = progress.request.key
     if key is None:
--- a/src/bronzetrack/limits/transfers.py
+++ b/src/bronzetrack/limits/transfers.py
@@ -47,7 +47,7 @@
     def may_prefetch(self) -> bool:
         """Return whether a token is available for a prefetch.
 
-        VMs that lack tokens drain the buckets of all VMs, so a bucket is full
+        VMs that lack tokens empty the buckets of all VMs, so a bucket is full
         only if no load waits for a token at any VM.
         """
         return self.open_until_ms is None and self.bucket.tokens >= 1
--- a/tests/limits/test_transfers.py
+++ b/tests/limits/test_transfers.py
@@ -27,7 +27,7 @@
     strategies.lists(strategies.integers(0, 16), min_size=3, max_size=3),
 )
 def test_sum_of_tokens_never_rises(steps, amounts):
-    """Guards against loads above the store's rate after a lost message."""
+    """Guards against exceeding the weight store's rate after a loss."""
     states = {
         vm: transfers.Permits(tokens.TokenBucket(amount / 4))
         for vm, amount in zip(VMS, amounts)
