--- a/src/bronzetrack/core/retention.py
+++ b/src/bronzetrack/core/retention.py
@@ -9,8 +9,8 @@
 
 # The log service has to retain records for at least twice this interval.
 SNAPSHOT_INTERVAL_MS = 1_800_000
-# Redundant snapshots are harmless but have a cost. VMs with a higher rank
-# number wait longer, by this share of the interval for each rank, so that
+# Redundant snapshots are correct but add records to the log. VMs with a higher
+# rank number wait longer, by this share of the interval for each rank, so that
 # normally one VM appends the snapshot and the others read it in time.
 RANK_DELAY_SHARE = 0.05
 MAX_DELAYED_RANK = 8
@@ -60,7 +60,8 @@
 
     A snapshot is due when the log has dropped the newest one, when the newest
     one lies in the older half of the retained range, or when the interval has
-    passed since it was read.
+    passed since it was read. The last two limits hold for rank 0; for
+    higher ranks both come later, see RANK_DELAY_SHARE.
 
     :param rank: position of this VM among those that can append it
     :param now_ms: the current monotonic time in milliseconds
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -62,7 +62,7 @@
 
 @attrs.frozen
 class ReportReadEnded:
-    """An attempt to read the load report of an endpoint ended."""
+    """An attempt to read the status report of an endpoint ended."""
 
     endpoint: str
     report: reports.LoadReport | failures.Failure
--- a/src/bronzetrack/traces/__init__.py
+++ b/src/bronzetrack/traces/__init__.py
@@ -1,1 +1,1 @@
-"""Recorded traces and their replay against expected outcomes."""
+"""Recorded traces and their replay against expected results."""
--- a/tests/dispatch/test_transitions.py
+++ b/tests/dispatch/test_transitions.py
@@ -1,4 +1,4 @@
-"""Tests of the changes of a queue by orders and load reports."""
+"""Tests of the changes of a queue by orders and status reports."""
 
 from __future__ import annotations
 
--- a/tests/entry/test_loading.py
+++ b/tests/entry/test_loading.py
@@ -6,7 +6,7 @@
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import loadtimes
 
-RELATIVE_REQUESTS = {}
+NO_RELATIVE_REQUESTS = {}
 
 
 def apply_first_report(state, endpoint, now):
@@ -29,7 +29,7 @@
         [endpoint],
         make_demand("new"),
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now,
     )
@@ -48,7 +48,7 @@
         [endpoint],
         make_demand("new"),
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now,
     )
@@ -70,7 +70,7 @@
         [endpoint],
         make_demand("new"),
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now,
     )
@@ -88,7 +88,7 @@
         [endpoint],
         make_demand("new"),
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now,
     )
@@ -98,14 +98,14 @@
 def test_old_version_is_unloaded_for_a_new_one(
     make_endpoint, state, make_demand, engine_capacity, now
 ):
-    """Guards against a new version that needs a slot of its own."""
+    """Guards against an old version that keeps its slot during the load."""
     endpoint = make_endpoint("e", "a", "b")
     apply_first_report(state, endpoint, now)
     plan = loading.plan_load(
         [endpoint],
         make_demand("a", version=2),
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now,
     )
@@ -116,10 +116,10 @@
 def test_copy_is_loaded_where_the_adapter_is_not_held(
     make_endpoint, state, make_demand, engine_capacity, now
 ):
-    """Guards against a copy that is loaded again by its only holder.
+    """Guards against a second copy ordered from the engine with the first.
 
-    A stream that was interrupted at that engine waited 0.6 s for another one,
-    but no other engine loaded the adapter.
+    A stream that was interrupted at that engine waited 0.6 s for another
+    engine, but no other engine loaded the adapter.
     """
     holder, other = make_endpoint("e1", "a"), make_endpoint("e2")
     for item in (holder, other):
@@ -166,13 +166,18 @@
     demand = make_demand("new")
     assert (
         loading.plan_load(
-            [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, now
+            [endpoint],
+            demand,
+            state,
+            NO_RELATIVE_REQUESTS,
+            engine_capacity,
+            now,
         )
         is None
     )
     later = now + loading.KEEP_LOADED_S
     assert loading.plan_load(
-        [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, later
+        [endpoint], demand, state, NO_RELATIVE_REQUESTS, engine_capacity, later
     )
 
 
@@ -189,7 +194,12 @@
     )
     assert (
         loading.plan_load(
-            [endpoint], demand, state, RELATIVE_REQUESTS, engine_capacity, now
+            [endpoint],
+            demand,
+            state,
+            NO_RELATIVE_REQUESTS,
+            engine_capacity,
+            now,
         )
         is None
     )
@@ -251,7 +261,7 @@
     assert not loading.list_holders([endpoint], demand, state, now)
 
 
-def test_burst_serves_those_that_can_be_on_time_first(make_demand, now):
+def test_burst_serves_demands_that_can_be_on_time_first(make_demand, now):
     """Guards against a burst in which every request is served late.
 
     At the peak of the demand, more adapters are requested than slots become
@@ -259,14 +269,16 @@
     """
     first_event_delay_s = 0.4
     late = make_demand("late", deadline=now - 1.0)
-    lost = make_demand("lost", deadline=now - 2.0)
+    longest_overdue = make_demand("longest_overdue", deadline=now - 2.0)
     urgent = make_demand("urgent", deadline=now + 0.5)
     relaxed = make_demand("relaxed", deadline=now + 0.9)
     copy = make_demand("copy", deadline=now + 0.5, copies=2)
     ordered = loading.sort_demands(
-        [lost, copy, late, relaxed, urgent], first_event_delay_s, now
+        [longest_overdue, copy, late, relaxed, urgent],
+        first_event_delay_s,
+        now,
     )
-    assert ordered == [urgent, relaxed, late, lost, copy]
+    assert ordered == [urgent, relaxed, late, longest_overdue, copy]
 
 
 def test_load_times_are_learnt_from_early_and_timely_loads():
@@ -285,22 +297,25 @@
     assert early_count < 100
 
 
-def test_adapter_goes_back_to_the_engine_that_had_it(
+def test_choice_of_engine_does_not_depend_on_list_order(
     make_endpoint, state, make_demand, engine_capacity, now
 ):
-    """Guards against fetching an adapter that an engine has in memory."""
+    """Guards against a reload on another engine.
+
+    That engine would have to fetch the weights.
+    """
     endpoints = [make_endpoint(f"e{index}") for index in range(6)]
     for endpoint in endpoints:
         apply_first_report(state, endpoint, now)
     demand = make_demand("a")
     first = loading.plan_load(
-        endpoints, demand, state, RELATIVE_REQUESTS, engine_capacity, now
+        endpoints, demand, state, NO_RELATIVE_REQUESTS, engine_capacity, now
     )
     again = loading.plan_load(
         endpoints[::-1],
         demand,
         state,
-        RELATIVE_REQUESTS,
+        NO_RELATIVE_REQUESTS,
         engine_capacity,
         now + 20,
     )
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -330,7 +330,7 @@
     def check_evictions(self) -> None:
         """Check that an owner that may evict can see all running work.
 
-        The load report shows work that started before the report was made.
+        The status report shows work that started before the report was made.
         """
         for name, replica in itertools.product(
             ENDPOINTS, self.replicas.values()
