--- a/src/bronzetrack/dispatch/loads.py
+++ b/src/bronzetrack/dispatch/loads.py
@@ -20,7 +20,8 @@
 
     :param load: adapters to load
     :param unload: adapters to evict
-    :param permit_shortfall: number of further loads that could start with more permits
+    :param permit_shortfall: number of further loads that could start with
+        more permits
     """
 
     load: tuple[str, ...] = ()
