Name the other endpoints of a model instead of peers

Cause: "peer" is a VM everywhere else, and "writer error" says nothing about the fault. Each name is used in one folder only.

--- a/src/bronzetrack/core/blackboard.py
+++ b/src/bronzetrack/core/blackboard.py
@@ -101,10 +101,11 @@
         """Replace the value and wake the tasks that wait for a change.
 
         :param writer: name of the controller that writes the value
-        :raises errors.WriterError: another controller owns the section
+        :raises errors.SectionOwnershipError: another controller owns the
+            section
         """
         if writer != self.writer:
-            raise errors.WriterError(self.name, writer)
+            raise errors.SectionOwnershipError(self.name, writer)
         self._value = value
         self._revision += 1
         self._notify()
--- a/src/bronzetrack/core/errors.py
+++ b/src/bronzetrack/core/errors.py
@@ -35,7 +35,7 @@
         self.key = key
 
 
-class WriterError(BronzetrackError):
+class SectionOwnershipError(BronzetrackError):
     """Raised when a controller writes a section that it does not own."""
 
     def __init__(self, section: str, writer: str) -> None:
--- a/src/bronzetrack/dispatch/pace.py
+++ b/src/bronzetrack/dispatch/pace.py
@@ -21,7 +21,7 @@
 PART_MS = 250
 # An engine may process a long prompt for this time without sending a chunk.
 MAX_SILENCE_MS = 1_500
-MIN_PEERS = 2
+MIN_OTHER_ENDPOINTS = 2
 TRIAL_SLOTS = 2
 TRIAL_PAUSE_MS = 2_000
 MAX_PAUSE_MS = 16_000
@@ -62,7 +62,7 @@
 
 def classify(
     pace: Pace,
-    peers: Sequence[float],
+    other_chunk_ms: Sequence[float],
     streaming_since_ms: int | None,
     slots: int,
     now_ms: int,
@@ -71,16 +71,17 @@
 
     An endpoint is slow if the time between its chunks exceeds a multiple of
     the median of the other endpoints, or if it has running streams but sends
-    no chunk for MAX_SILENCE_MS. With fewer than MIN_PEERS known values, it
-    counts as normal.
+    no chunk for MAX_SILENCE_MS. With fewer than MIN_OTHER_ENDPOINTS known
+    values, it counts as normal.
 
-    :param peers: time between chunks at the other endpoints, 0 if unknown
+    :param other_chunk_ms: time between chunks at the other endpoints, 0 if
+        unknown
     :param streaming_since_ms: monotonic start time of the oldest running
         stream, None without one
     :param slots: number of slots of the endpoint
     """
-    known = [value for value in peers if value > 0]
-    if len(known) < MIN_PEERS:
+    known = [value for value in other_chunk_ms if value > 0]
+    if len(known) < MIN_OTHER_ENDPOINTS:
         return attrs.evolve(pace, slow=False, trial_slots=None)
     median_ms = statistics.median(known)
     observation_age_ms = now_ms - pace.observed_ms
--- a/src/bronzetrack/dispatch/transitions.py
+++ b/src/bronzetrack/dispatch/transitions.py
@@ -252,17 +252,18 @@
 
 def judge_pace(
     queue: states.EndpointQueue,
-    peers: Sequence[float],
+    other_chunk_ms: Sequence[float],
     slots: int,
     now_ms: int,
 ) -> states.EndpointQueue:
     """Return the queue with its endpoint classified as slow or normal.
 
-    :param peers: time between chunks in milliseconds at the other endpoints
+    :param other_chunk_ms: time between chunks in milliseconds at the other
+        endpoints
     :param slots: number of slots of the endpoint
     """
     classified = paces.classify(
-        queue.pace, peers, queue.streaming_since_ms, slots, now_ms
+        queue.pace, other_chunk_ms, queue.streaming_since_ms, slots, now_ms
     )
     return (
         queue
--- a/tests/dispatch/test_pace.py
+++ b/tests/dispatch/test_pace.py
@@ -4,7 +4,7 @@
 
 from bronzetrack.dispatch import pace as paces
 
-PEERS = (20.0, 22.0, 24.0)
+OTHER_CHUNK_MS = (20.0, 22.0, 24.0)
 SLOTS = 16
 
 
@@ -12,7 +12,7 @@
     for index in range(count):
         now_ms = start_ms + index * paces.PART_MS
         pace = paces.observe(pace, chunk_ms, now_ms)
-        pace = paces.classify(pace, PEERS, start_ms, SLOTS, now_ms)
+        pace = paces.classify(pace, OTHER_CHUNK_MS, start_ms, SLOTS, now_ms)
     return pace, start_ms + count * paces.PART_MS
 
 
@@ -40,15 +40,15 @@
     """Guards against an endpoint that sends no chunk and counts as normal."""
     pace, now_ms = _observe_chunks(paces.Pace(), 20.0, 0, 4)
     later_ms = now_ms + paces.MAX_SILENCE_MS + 1
-    assert paces.classify(pace, PEERS, 0, SLOTS, later_ms).slow
-    assert not paces.classify(pace, PEERS, None, SLOTS, later_ms).slow
+    assert paces.classify(pace, OTHER_CHUNK_MS, 0, SLOTS, later_ms).slow
+    assert not paces.classify(pace, OTHER_CHUNK_MS, None, SLOTS, later_ms).slow
 
 
 def test_trial_slots_grow_and_failed_trials_double_the_pause():
     """Guards against full load on an endpoint that is still slow."""
     pace, now_ms = _observe_chunks(paces.Pace(), 100.0, 0, 4)
     now_ms += pace.pause_ms
-    trial = paces.classify(pace, PEERS, None, SLOTS, now_ms)
+    trial = paces.classify(pace, OTHER_CHUNK_MS, None, SLOTS, now_ms)
     assert not trial.slow
     assert trial.trial_slots == paces.TRIAL_SLOTS
     failed, _ = _observe_chunks(trial, 100.0, now_ms, 1)
