--- a/src/bronzetrack/core/blackboard.py
+++ b/src/bronzetrack/core/blackboard.py
@@ -101,7 +101,8 @@
         """Replace the value and wake the tasks that wait for a change.
 
         :param writer: name of the controller that writes the value
-        :raises errors.SectionWriterError: another controller owns the section
+        :raises errors.SectionWriterError: another controller owns the
+            section
         """
         if writer != self.writer:
             raise errors.SectionWriterError(self.name, writer)
