Reword the texts of the scripts and rename their local names

Cause: Docstrings, comments, messages and local names of scripts/ used figurative or private words. Change: Plain technical wording; local names such as ANY, victim, kept, both and TURNS became WILDCARD, killed_vm, ordered, joined and CYCLES. plan_cost.py prints "planning cycle" and "adapter requests" instead of "turn" and "demands". Flags, keys and record layouts are unchanged. Run: pytest tests/scripts tests/docs: 16 passed. scripts/plan_cost.py and scripts/update_protocols.py ran, the latter left docs/ unchanged.

--- a/scripts/alter_site.py
+++ b/scripts/alter_site.py
@@ -1,9 +1,9 @@
-"""Writes an altered copy of a bench's site file.
+"""Writes an altered copy of a site file of the load bench.
 
-A variation changes figures of the site, so that a rule that holds only for
-the given figures shows. A list of kinds replaces the days by one day for each
-kind of impairment, so that its effect shows alone. Further seeds of each day
-tell a change of policy from chance.
+A variation changes parameters of the site, which exposes rules that hold only
+for the original parameters. A list of fault kinds replaces the days by one day
+for each kind, which isolates the effect of that kind. Further seeds of each
+day help to distinguish the effect of a policy change from random variation.
 """
 
 from __future__ import annotations
@@ -18,45 +18,46 @@
 import click
 import tomli_w
 
-ANY = "*"
-# Each kind strikes twice a day, in seconds from the start of traffic.
-FIRST_STRIKE_S = 6.0
-SECOND_STRIKE_S = 19.0
-DAY_SLOT = "trouble"
+WILDCARD = "*"
+# Each fault is injected twice a day, in seconds from the start of traffic.
+FIRST_FAULT_S = 6.0
+SECOND_FAULT_S = 19.0
+FAULT_DAY_SLOT = "trouble"
 
 
 class AlterationError(click.ClickException):
-    """An alteration that does not fit the site file."""
+    """An alteration cannot be applied to the site file."""
 
 
-def find_holders(
+def find_mappings(
     node: Any, path: list[str]
 ) -> Iterator[tuple[dict[str, Any], str]]:
-    """Yield each mapping that the path ends in, and the last key.
+    """Yield each mapping that holds the last key of a path, with that key.
 
-    :param path: keys from the root; `*` stands for each item of a list
+    :param path: keys from the root; `*` matches every item of a list
     """
     key, *rest = path
-    if key == ANY and isinstance(node, list):
+    if key == WILDCARD and isinstance(node, list):
         yield from itertools.chain.from_iterable(
-            find_holders(item, rest) for item in node
+            find_mappings(item, rest) for item in node
         )
     elif isinstance(node, dict) and key in node:
         if rest:
-            yield from find_holders(node[key], rest)
+            yield from find_mappings(node[key], rest)
         else:
             yield node, key
 
 
 def apply_change(site: dict[str, Any], change: dict[str, Any]) -> None:
-    """Set or scale the figures that a change names.
+    """Set or scale every value that the path of a change matches.
 
-    :raises AlterationError: if nothing in the site has the path
+    :param change: `path`, and either `value` to set or `times` as a factor
+    :raises AlterationError: if the path matches nothing in the site
     """
-    holders = list(find_holders(site, change["path"].split(".")))
-    if not holders:
-        raise AlterationError(f"the site has no {change['path']}")
-    for mapping, key in holders:
+    matches = list(find_mappings(site, change["path"].split(".")))
+    if not matches:
+        raise AlterationError(f"the site file has no key {change['path']}")
+    for mapping, key in matches:
         if "value" in change:
             mapping[key] = change["value"]
         else:
@@ -67,7 +68,7 @@
 def apply_variation(
     site: dict[str, Any], variation: dict[str, Any]
 ) -> dict[str, Any]:
-    """Return a copy of a site with each change of a variation."""
+    """Return a copy of a site with all changes of a variation applied."""
     altered = copy.deepcopy(site)
     altered["name"] = f"{site['name']}-{variation['name']}"
     for change in variation["changes"]:
@@ -78,7 +79,11 @@
 def resolve_placeholders(
     site: dict[str, Any], kind: dict[str, Any]
 ) -> dict[str, Any]:
-    """Return a kind with `@s0`, `@c1`, `@z0` replaced by the site's names."""
+    """Return a fault kind with its placeholders replaced.
+
+    `@s0`, `@c1` and `@z0` stand for the service, the work class and the
+    availability zone of that index in the site file.
+    """
     names = {
         f"@{letter}{index}": item["name"]
         for letter, items in (
@@ -94,27 +99,30 @@
 def make_days(
     site: dict[str, Any], kinds: list[dict[str, Any]]
 ) -> list[dict[str, Any]]:
-    """Return one day for each kind, at the traffic of a troubled day.
+    """Return one day for each fault kind, with the traffic of a fault day.
 
-    The marks of worth stay those of the given day and say nothing here.
+    The marks of worth are copied from the fault day of the site file; they
+    have no meaning for the days returned.
 
-    :raises AlterationError: if the site has no day with impairments
+    :raises AlterationError: if the site has no day with faults
     """
-    pattern = next(
-        (day for day in site["day"] if day["slot"] == DAY_SLOT), None
+    template = next(
+        (day for day in site["day"] if day["slot"] == FAULT_DAY_SLOT), None
     )
-    if pattern is None:
-        raise AlterationError(f"the site has no day of slot {DAY_SLOT}")
+    if template is None:
+        raise AlterationError(
+            f"the site file has no day of slot {FAULT_DAY_SLOT}"
+        )
     return [
-        _make_day(pattern, resolve_placeholders(site, kind), number)
+        _make_day(template, resolve_placeholders(site, kind), number)
         for number, kind in enumerate(kinds, 1)
     ]
 
 
 def _make_day(
-    pattern: dict[str, Any], kind: dict[str, Any], number: int
+    template: dict[str, Any], kind: dict[str, Any], number: int
 ) -> dict[str, Any]:
-    day = copy.deepcopy(pattern)
+    day = copy.deepcopy(template)
     day.pop("closing", None)
     variant = kind.get("how", "").replace(" ", "-")
     day["name"] = "-".join(
@@ -123,7 +131,7 @@
     day["seed"] = number
     day["plan"] = []
     day["faults"] = [
-        {"at": at, **kind} for at in (FIRST_STRIKE_S, SECOND_STRIKE_S)
+        {"at": at, **kind} for at in (FIRST_FAULT_S, SECOND_FAULT_S)
     ]
     return day
 
@@ -131,19 +139,19 @@
 def repeat_days(
     days: list[dict[str, Any]], names: list[str], seeds: int
 ) -> list[dict[str, Any]]:
-    """Return each day with further seeds.
+    """Return copies of each day that differ in seed and name.
 
-    :param names: days that are kept, all if empty
-    :param seeds: how often each day is played
+    :param names: names of the days to repeat; all days if empty
+    :param seeds: number of copies of each day
     """
-    chosen = [day for day in days if not names or day["name"] in names]
+    selected = [day for day in days if not names or day["name"] in names]
     return [
         {
             **day,
             "name": f"{day['name']}-{number}",
             "seed": day["seed"] + number,
         }
-        for day, number in itertools.product(chosen, range(seeds))
+        for day, number in itertools.product(selected, range(seeds))
     ]
 
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,7 @@
 """Runs a small site of separate processes and sends requests through it.
 
-Exits with 0 only if every answer was right, every idempotent request was
-answered although one daemon was killed, and every other daemon stopped
+Exits with 0 only if every answer was correct, every idempotent request was
+answered although one daemon was killed, and every other daemon shut down
 gracefully.
 """
 
@@ -36,16 +36,18 @@
 ENGINES = 4
 ENDPOINTS = ENGINES + 1
 CALLERS = 24
-CALLS_EACH = 6
+CALLS_PER_CALLER = 6
 KILL_AFTER_S = 0.7
 ANSWER_HEADERS = ("adapter", "version", "endpoint", "vm", "outcome")
 
 
 @attrs.define
 class Demo:
-    """The run: what was answered and what was wrong.
+    """State of one run of the demo.
 
-    :param site: the processes
+    :param site: processes that the demo runs against
+    :param replies: complete answers, in order of arrival
+    :param mistakes: descriptions of the checks that failed
     """
 
     site: sites.Site
@@ -53,18 +55,18 @@
     replies: list[traffic.Reply] = attrs.field(factory=list)
     mistakes: list[str] = attrs.field(factory=list)
 
-    def check(self, right: bool, mistake: str) -> None:
-        """Note a mistake unless something is right."""
-        if not right:
+    def check(self, condition: bool, mistake: str) -> None:
+        """Record and print a mistake if a condition does not hold."""
+        if not condition:
             self.mistakes.append(mistake)
             print(f"  WRONG: {mistake}")
 
     async def find_addresses(self, model: str) -> list[str]:
-        """Ask the system which addresses to use for a model."""
+        """Return the caller addresses for a model, the preferred one first."""
         known = [vm.callers for vm in self.site.vms.values()]
         found = await sender.look_up(self.pool, known, model)
         if isinstance(found, failures.Failure):
-            raise sites.SiteError(f"look-up of {model}: {found}")
+            raise sites.SiteError(f"look-up of {model} failed: {found}")
         best = found[0]
         print(f"{model}: use {best.vm} at {best.address} ({best.reason})")
         return [entry.address for entry in found]
@@ -72,10 +74,10 @@
     async def run_call(
         self, addresses: Sequence[str], call: traffic.Call
     ) -> traffic.Reply | None:
-        """Send a call, print its answer and keep its times."""
+        """Send a call, print its answer and record the reply."""
         reply = await traffic.send_until_whole(self.pool, addresses, call)
         if reply is None:
-            self.check(False, f"{call.kind}: no whole answer")
+            self.check(False, f"{call.kind}: no complete answer")
             return None
         self.replies.append(reply)
         served = " ".join(
@@ -88,17 +90,18 @@
 
 
 def shorten(body: bytes) -> str:
-    """Return the beginning and the end of a body on one line."""
+    """Return a body on one line, with its middle left out if it is long."""
     text = body.decode(errors="replace").strip().replace("\n", " ")
     return text if len(text) < 120 else f"{text[:70]} ... {text[-40:]}"
 
 
-def describe_mistakes(
+def find_mistakes(
     reply: traffic.Reply, model: str, tokens: int
 ) -> Iterator[str]:
-    """Iterate over what is wrong with the answer to a completions call.
+    """Iterate over the mistakes in the answer to a completions call.
 
-    :param model: the adapter version that had to answer
+    :param model: adapter version that is expected to answer
+    :param tokens: number of tokens that are expected in the answer
     """
     kind = reply.call.kind
     if reply.status != 200:
@@ -106,9 +109,9 @@
         return
     adapter, _, version = model.partition("@")
     if reply.headers.get("bronzetrack-adapter") != adapter:
-        yield f"{kind}: header names another adapter than {adapter}"
+        yield f"{kind}: header names an adapter other than {adapter}"
     if reply.headers.get("bronzetrack-version") != version:
-        yield f"{kind}: header names another version than {version}"
+        yield f"{kind}: header names a version other than {version}"
     streamed = reply.headers["content-type"].startswith("text/event-stream")
     events = (
         traffic.read_events(reply.body)
@@ -116,25 +119,32 @@
         else [json.loads(reply.body)]
     )
     if {event["model"] for event in events} != {model}:
-        yield f"{kind}: the answer is not of {model}"
+        yield f"{kind}: the answer does not come from {model}"
     text = "".join(event["choices"][0]["text"] for event in events)
     if text.split() != [f"token{index}" for index in range(tokens)]:
-        yield f"{kind}: {tokens} tokens in order expected, got {text[:80]!r}"
+        yield f"{kind}: expected {tokens} tokens in order, got {text[:80]!r}"
 
 
-async def ask(
+async def send_and_check(
     demo: Demo, model: str, adapter: str, call: traffic.Call, tokens: int
 ) -> None:
-    """Look up the addresses for a model, send a call, check the answer."""
+    """Look up the addresses for a model, send a call and check the answer.
+
+    :param adapter: adapter version that is expected to answer
+    """
     addresses = await demo.find_addresses(model)
     reply = await demo.run_call(addresses, call)
     if reply is not None:
-        for mistake in describe_mistakes(reply, adapter, tokens):
+        for mistake in find_mistakes(reply, adapter, tokens):
             demo.check(False, mistake)
 
 
-async def stage_twice(demo: Demo) -> None:
-    """Send one non-idempotent update staging twice under one key."""
+async def stage_with_one_key(demo: Demo) -> None:
+    """Send a non-idempotent request twice under one idempotency key.
+
+    The second answer has to equal the first, and the endpoint has to run the
+    request once only.
+    """
     marker = uuid.uuid4().hex
     call = traffic.Call(
         "update staging",
@@ -151,7 +161,7 @@
     second = await demo.run_call(addresses[1:], call)
     if first is None or second is None:
         return
-    demo.check(first.status == 200, f"staging: {first.status}")
+    demo.check(first.status == 200, f"staging: status {first.status}")
     demo.check(first.body == second.body, "staging: two different answers")
     runs = await anyio.to_thread.run_sync(demo.site.count_runs, marker)
     demo.check(runs == 1, f"staging ran {runs} times")
@@ -159,35 +169,37 @@
 
 
 async def run_load(demo: Demo) -> None:
-    """Kill a daemon during load; every request is answered all the same."""
+    """Kill a daemon under load and check that every request is answered."""
     model = "launch-log-0"
     addresses = await demo.find_addresses(model)
-    # The VM that served the launch log owns the endpoint where it is warm.
-    victim = demo.site.vms[demo.replies[0].headers["bronzetrack-vm"]]
+    # The VM that served the launch log owns the endpoint that has the adapter
+    # loaded.
+    killed_vm = demo.site.vms[demo.replies[0].headers["bronzetrack-vm"]]
     async with anyio.create_task_group() as group:
         for caller in range(CALLERS):
             group.start_soon(run_caller, demo, addresses, model, caller)
         await anyio.sleep(KILL_AFTER_S)
-        victim.process.kill()
-        print(f"  killed {victim.name}, entry VM and owner, during load")
+        killed_vm.process.kill()
+        print(f"  killed {killed_vm.name}, entry VM and owner, during load")
     loaded = [
         reply for reply in demo.replies if reply.call.kind.startswith("load")
     ]
     resent = sum(reply.sends - 1 for reply in loaded)
-    sent = CALLERS * CALLS_EACH
+    sent = CALLERS * CALLS_PER_CALLER
     print(f"  {len(loaded)} of {sent} answered, {resent} sent again")
 
 
 async def run_caller(
     demo: Demo, addresses: Sequence[str], model: str, caller: int
 ) -> None:
-    """Send calls one after another, half of them streamed.
+    """Send the calls of one caller in sequence, half of them streamed.
 
-    Callers start at different addresses, so that each VM is an entry VM.
+    Callers start at different addresses, so that every VM acts as an entry
+    VM.
     """
     start = caller % len(addresses)
-    kept = [*addresses[start:], *addresses[:start]]
-    for number in range(CALLS_EACH):
+    ordered = [*addresses[start:], *addresses[:start]]
+    for number in range(CALLS_PER_CALLER):
         streamed = (caller + number) % 2 == 0
         tokens = 40 if streamed else 8
         call = traffic.make_completion(
@@ -198,19 +210,19 @@
             streamed,
             f"caller {caller} call {number}",
         )
-        reply = await traffic.send_until_whole(demo.pool, kept, call)
+        reply = await traffic.send_until_whole(demo.pool, ordered, call)
         if reply is None:
-            demo.check(False, f"{call.kind}: no whole answer")
+            demo.check(False, f"{call.kind}: no complete answer")
             continue
-        used = (reply.sends - 1) % len(kept)
-        kept = [*kept[used:], *kept[:used]]
+        used = (reply.sends - 1) % len(ordered)
+        ordered = [*ordered[used:], *ordered[:used]]
         demo.replies.append(reply)
-        for mistake in describe_mistakes(reply, f"{model}@2", tokens):
+        for mistake in find_mistakes(reply, f"{model}@2", tokens):
             demo.check(False, mistake)
 
 
 def stop_daemons(demo: Demo) -> None:
-    """Stop every daemon that runs with SIGTERM and check its exit code."""
+    """Stop every running daemon with SIGTERM and check the exit codes."""
     running = [vm for vm in demo.site.vms.values() if sites.is_running(vm)]
     for vm in running:
         vm.process.send_signal(signal.SIGTERM)
@@ -221,7 +233,7 @@
 
 
 def make_documents(site: sites.Site) -> dict[str, dict[str, Any]]:
-    """Return the sample inventory and rules of two members."""
+    """Return the sample inventory and rules for two members."""
     inventory = site.make_inventory(adapters=0)
     inventory["members"] = ["trust", "papyros"]
     owners = {"launch-log": "trust", "safety-review": "trust"}
@@ -243,18 +255,20 @@
 
 
 async def run_requests(site: sites.Site) -> list[str]:
-    """Send every request of the demo; return what was wrong."""
+    """Send every request of the demo and return the mistakes found."""
     async with httpclient.make_pool(4 * CALLERS) as pool:
         demo = Demo(site, pool)
         call = traffic.make_completion(
             "launch log", "launch-log-0", "urgent", 12, False
         )
-        await ask(demo, "launch-log-0", "launch-log-0@2", call, 12)
+        await send_and_check(demo, "launch-log-0", "launch-log-0@2", call, 12)
         call = traffic.make_completion(
             "safety review", "safety-review-0@1", "long", 200, True
         )
-        await ask(demo, "safety-review-0@1", "safety-review-0@1", call, 200)
-        await stage_twice(demo)
+        await send_and_check(
+            demo, "safety-review-0@1", "safety-review-0@1", call, 200
+        )
+        await stage_with_one_key(demo)
         await run_load(demo)
         print(traffic.format_table(demo.replies))
     await anyio.to_thread.run_sync(stop_daemons, demo)
@@ -262,7 +276,7 @@
 
 
 def main() -> int:
-    """Return 0 if every answer was right."""
+    """Run the demo and return the exit code: 0 if there was no mistake."""
     sites.exit_on_signals()
     started_s = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
--- a/scripts/entry_cost.py
+++ b/scripts/entry_cost.py
@@ -1,7 +1,8 @@
-"""Processor time and memory of an entry VM, against stand-ins.
+"""Measures processor time and memory of an entry VM against stand-ins.
 
-Prints what a short request, a relayed event and an idle second cost one
-process, and how long it takes from start to ready.
+Prints the processor time that one process spends on a short request, on a
+relayed event and while idle, its resident memory, and the time from start to
+ready.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 
 
 async def measure(folder: pathlib.Path) -> None:
-    """Print all figures."""
+    """Run the measurements and print their results."""
     site = sites.Site(folder)
     await site.start_store()
     await site.add_server("e1", "engines")
@@ -69,7 +70,7 @@
 
 
 def main() -> None:
-    """Measure in a folder of its own."""
+    """Run the measurements in a temporary folder."""
     with tempfile.TemporaryDirectory() as folder:
         asyncio.run(measure(pathlib.Path(folder)))
 
--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,7 +1,7 @@
-"""Processor time of the holder of the lease for one turn of planning.
+"""Measures the processor time of one planning cycle of the lease holder.
 
-All places but one of each engine are in use and the given number of adapters
-is asked for, as at the crest of a swing.
+All adapter slots but one of each engine are in use, and the given number of
+other adapters is requested, as at a load peak.
 """
 
 from __future__ import annotations
@@ -23,26 +23,26 @@
 from bronzetrack.entry import routes  # noqa: E402
 from bronzetrack.entry import settings  # noqa: E402
 
-PLACES = 17
-TURNS = 100
-TURN_S = 0.004
+ADAPTER_SLOTS = 17
+CYCLES = 100
+CYCLE_S = 0.004
 ENGINES = (6, 45, 400)
-DEMANDS = (0, 60)
+REQUESTS = (0, 60)
 
 
 class NoEffects:
-    """Takes the place of the task group; nothing is carried out."""
+    """Stand-in for the task group that discards all effects."""
 
     def start_soon(self, *arguments: object) -> None:
-        """Drop an effect."""
+        """Discard an effect."""
 
 
 def make_board(engines: int) -> boards.Blackboard:
-    """Return the state of a VM that knows a service of engines."""
+    """Return the state of a VM with one service of the given engines."""
     text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
-    engine = routes.Engine((model,), 128, 17_000.0, PLACES, 4.3)
+    engine = routes.Engine((model,), 128, 17_000.0, ADAPTER_SLOTS, 4.3)
     service = routes.Service("s", "/h", 600, engine)
     board.rules.value.configuration = routes.Configuration(
         1, {}, {"s": service}
@@ -57,18 +57,21 @@
 
 
 def fill_engines(board: boards.Blackboard) -> None:
-    """Let every engine hold adapters, all but one of them in use."""
+    """Fill every engine with adapters, all but one of them in use."""
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
-        known = board.loading.value.find_engine(endpoint)
-        known.check_at = None
-        needs = [("m", f"a{number * PLACES + i}") for i in range(PLACES)]
-        known.held = dict.fromkeys(needs, 1)
+        state = board.loading.value.find_engine(endpoint)
+        state.check_at = None
+        adapters = [
+            ("m", f"a{number * ADAPTER_SLOTS + i}")
+            for i in range(ADAPTER_SLOTS)
+        ]
+        state.held = dict.fromkeys(adapters, 1)
         uses = board.traffic.value.find(endpoint.identity).uses
-        uses.update(dict.fromkeys(needs[1:], 1))
+        uses.update(dict.fromkeys(adapters[1:], 1))
 
 
-def measure(engines: int, demands: int) -> float:
-    """Return the processor time of a turn, in seconds."""
+def measure(engines: int, requests: int) -> float:
+    """Return the mean processor time of a planning cycle, in seconds."""
     board = make_board(engines)
     ports = roles.Ports(None, None, None)
     now = 1_000.0
@@ -77,29 +80,30 @@
     controller._run_turn(NoEffects(), now)
     fill_engines(board)
     started = time.process_time()
-    for _ in range(TURNS):
-        now += TURN_S
+    for _ in range(CYCLES):
+        now += CYCLE_S
         board.lease.value.note_renewed(0, now, "vm-1")
-        for number in range(demands):
+        for number in range(requests):
             board.wanted.post(
                 messages.Want(
                     "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
                 )
             )
         controller._run_turn(NoEffects(), now)
-        for known in board.loading.value.engines.values():
-            known.ordering = False
-    return (time.process_time() - started) / TURNS
+        for state in board.loading.value.engines.values():
+            state.ordering = False
+    return (time.process_time() - started) / CYCLES
 
 
 def main() -> None:
-    """Print the cost for some numbers of engines and demands."""
+    """Print the cost for several numbers of engines and adapter requests."""
     process.import_controllers()
     for engines in ENGINES:
-        for demands in DEMANDS:
-            cost_ms = 1_000 * measure(engines, demands)
+        for requests in REQUESTS:
+            cost_ms = 1_000 * measure(engines, requests)
             print(
-                f"turn, {engines} engines, {demands} demands: "
+                f"planning cycle, {engines} engines, "
+                f"{requests} adapter requests: "
                 f"{cost_ms:.2f} ms"
             )
 
--- a/scripts/relay_cost.py
+++ b/scripts/relay_cost.py
@@ -1,7 +1,7 @@
 """Measures the processor time of one relayed chunk in each process.
 
-Engine stand-ins stream to callers through one daemon, which is owner and
-entry VM, or through two, at a given rate of chunks.
+Engine stand-ins stream chunks to callers at a given rate. The chunks pass
+through one daemon that is both owner and entry VM, or through two daemons.
 """
 
 from __future__ import annotations
@@ -34,10 +34,13 @@
 
 @attrs.define
 class Counter:
-    """What the callers received."""
+    """Counts of what the callers received.
+
+    :param complete: streams that arrived complete
+    """
 
     chunks: int = 0
-    whole: int = 0
+    complete: int = 0
 
 
 async def read_stream(address: str, tokens: int, counter: Counter) -> None:
@@ -57,20 +60,20 @@
             while True:
                 data = await stream.receive()
                 # An event may be split between two reads.
-                both = tail + data
-                found = both.count(b"data: {")
+                joined = tail + data
+                found = joined.count(b"data: {")
                 received += found
                 counter.chunks += found
-                last = both.rfind(b"data: {")
-                tail = both[last + 7 :] if found else both[-1024:]
-    counter.whole += received == tokens and b"[DONE]" in tail
+                last = joined.rfind(b"data: {")
+                tail = joined[last + 7 :] if found else joined[-1024:]
+    counter.complete += received == tokens and b"[DONE]" in tail
 
 
 @contextlib.contextmanager
 def run_measured_site(
     folder: pathlib.Path, streams: int, profile: bool
 ) -> Iterator[sites.Site]:
-    """Run a site in which vm-0 owns every engine and vm-1 owns nothing."""
+    """Run a site in which vm-0 owns every engine and vm-1 owns none."""
     with sites.run_site(
         folder,
         vms=2,
@@ -90,7 +93,10 @@
 async def measure(
     site: sites.Site, entry: str, streams: int, window_s: float
 ) -> Counter:
-    """Stream through an entry VM and print the cost for each process."""
+    """Stream through an entry VM and print the cost per process.
+
+    :param window_s: length of the measurement
+    """
     counter = Counter()
     tokens = int(TOKENS_PER_S * (window_s + 2 * WARM_UP_S))
     address = site.vms[entry].callers
@@ -105,7 +111,7 @@
         chunks = counter.chunks
         started_s = anyio.current_time()
         await anyio.sleep(window_s)
-        passed_s = anyio.current_time() - started_s
+        elapsed_s = anyio.current_time() - started_s
         chunks = counter.chunks - chunks
         used = {
             name: processes.read_cpu_s(pid) - before[name]
@@ -114,17 +120,19 @@
     path = "owner = entry" if entry == "vm-0" else "owner -> entry"
     costs = ", ".join(
         f"{name} {used_s / max(1, chunks) * 1e6:.1f} us"
-        f" ({used_s / passed_s:.0%} of a core)"
+        f" ({used_s / elapsed_s:.0%} of a core)"
         for name, used_s in used.items()
     )
-    print(f"{path}: {chunks / passed_s:.0f} chunks/s; {costs}", flush=True)
-    if counter.whole != streams:
-        print(f"  INCOMPLETE: {counter.whole} of {streams} streams whole")
+    print(f"{path}: {chunks / elapsed_s:.0f} chunks/s; {costs}", flush=True)
+    if counter.complete != streams:
+        print(
+            f"  INCOMPLETE: {counter.complete} of {streams} streams complete"
+        )
     return counter
 
 
 def print_profile(site: sites.Site) -> None:
-    """Stop the daemons and print where their time went."""
+    """Stop the daemons and print the profile of each."""
     for vm in site.vms.values():
         vm.process.send_signal(signal.SIGTERM)
         vm.process.wait(sites.STOP_TIMEOUT_S)
@@ -134,7 +142,7 @@
 
 
 def main() -> int:
-    """Return 0 if every stream was whole."""
+    """Run the measurements and return 0 if every stream was complete."""
     sites.exit_on_signals()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--streams", type=int, default=160)
@@ -143,7 +151,7 @@
     parser.add_argument("--entry", choices=("vm-0", "vm-1"), default=None)
     arguments = parser.parse_args()
     entries = [arguments.entry] if arguments.entry else ["vm-0", "vm-1"]
-    whole = True
+    complete = True
     with tempfile.TemporaryDirectory() as folder:
         with run_measured_site(
             pathlib.Path(folder), arguments.streams, arguments.profile
@@ -157,10 +165,10 @@
                     arguments.streams,
                     arguments.seconds,
                 )
-                whole = whole and counter.whole == arguments.streams
+                complete = complete and counter.complete == arguments.streams
             if arguments.profile:
                 print_profile(site)
-    return 0 if whole else 1
+    return 0 if complete else 1
 
 
 if __name__ == "__main__":
--- a/scripts/slope_processes.py
+++ b/scripts/slope_processes.py
@@ -1,4 +1,4 @@
-"""Measures idle daemons that exchange heartbeats."""
+"""Measures traffic, processor time and memory of idle daemons."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class Sample:
-    """What the daemons had used at a moment."""
+    """Resource totals of all daemons at one time."""
 
     cpu_s: float
     sent_bytes: int
@@ -25,7 +25,7 @@
 
 
 def read_sent_bytes(site: sites.Site) -> int:
-    """Return what the daemons sent on their streams to peers."""
+    """Return the bytes that the daemons sent on connections to peers."""
     pids = {vm.process.pid for vm in site.vms.values()}
     peers = {vm.peers for vm in site.vms.values()}
     text = subprocess.run(
@@ -44,7 +44,7 @@
 
 
 def take_sample(site: sites.Site) -> Sample:
-    """Read the counters of the daemons."""
+    """Return the current resource totals of the daemons."""
     return Sample(
         cpu_s=sum(
             processes.read_cpu_s(vm.process.pid) for vm in site.vms.values()
@@ -55,13 +55,17 @@
 
 
 def measure_processes(count: int, window_s: float) -> None:
-    """Measure idle daemons that exchange heartbeats."""
+    """Measure idle daemons that exchange heartbeats.
+
+    :param count: number of daemons
+    :param window_s: length of the measurement
+    """
     with tempfile.TemporaryDirectory() as folder:
         with sites.run_site(
             pathlib.Path(folder), vms=count, engines=3, services=0
         ) as site:
             sites.publish_samples(site)
-            site.wait(lambda: is_meshed(site), 60.0)
+            site.wait(lambda: is_fully_connected(site), 60.0)
             before = take_sample(site)
             time.sleep(window_s)
             after = take_sample(site)
@@ -69,15 +73,15 @@
                 processes.read_memory_bytes(vm.process.pid)
                 for vm in site.vms.values()
             ]
-    passed_s = (after.at_s - before.at_s) * count
+    daemon_s = (after.at_s - before.at_s) * count
     slope_reports.report(
         f"{count} processes: sent to peers, each",
-        (after.sent_bytes - before.sent_bytes) / passed_s,
+        (after.sent_bytes - before.sent_bytes) / daemon_s,
         "bytes/s",
     )
     slope_reports.report(
         f"{count} processes: processor time, each",
-        (after.cpu_s - before.cpu_s) / passed_s * 100,
+        (after.cpu_s - before.cpu_s) / daemon_s * 100,
         "% of a core",
     )
     slope_reports.report(
@@ -87,8 +91,8 @@
     )
 
 
-def is_meshed(site: sites.Site) -> bool:
-    """Return whether every daemon hears every other."""
+def is_fully_connected(site: sites.Site) -> bool:
+    """Return whether every daemon lists every other one in its membership."""
     for vm in site.vms.values():
         view = site.get_state(vm, "membership")
         if len(view["vms"]) < len(site.vms) - 1:
--- a/scripts/slope_reports.py
+++ b/scripts/slope_reports.py
@@ -1,4 +1,4 @@
-"""Prints what one more item of a kind costs."""
+"""Measures and prints slopes: the cost of one more item of a kind."""
 
 from __future__ import annotations
 
@@ -11,13 +11,16 @@
 
 
 def report(name: str, value: float, unit: str) -> None:
-    """Print one slope."""
+    """Print one slope as a line of a table."""
     print(f"{name:<52} {value:>12,.1f} {unit}", flush=True)
 
 
 @contextlib.contextmanager
 def measure_memory(name: str, count: int) -> Iterator[None]:
-    """Report the memory that a block allocates for each of its items."""
+    """Report the memory that a block allocates, per item.
+
+    :param count: number of items that the block creates
+    """
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     try:
@@ -29,13 +32,17 @@
 
 
 def measure_time(
-    name: str, call: Callable[[], Any], least_s: float = 0.3
+    name: str, call: Callable[[], Any], min_s: float = 0.3
 ) -> float:
-    """Report the processor time of a call in microseconds."""
+    """Report and return the mean processor time of a call.
+
+    :param min_s: processor time for which the call is repeated
+    :returns: processor time of one call, in microseconds
+    """
     call()
     count = 0
     started_s = time.process_time()
-    while time.process_time() - started_s < least_s:
+    while time.process_time() - started_s < min_s:
         call()
         count += 1
     cost_us = (time.process_time() - started_s) / count * 1e6
--- a/scripts/slope_requests.py
+++ b/scripts/slope_requests.py
@@ -1,4 +1,4 @@
-"""Measures what streams, queued work and request keys cost."""
+"""Measures the cost of streams, work messages and idempotency keys."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 def measure_streams(state: configurations.ConfigurationState) -> None:
-    """Measure the state of open streams and their messages."""
+    """Measure the state of open streams and the size of their messages."""
     works = [
         slope_samples.make_work(index)
         for index in range(slope_samples.STREAMS)
@@ -81,7 +81,7 @@
 
 
 def measure_keys() -> None:
-    """Measure the key table and the streams of keys and crashes."""
+    """Measure the key table and the records of keys and crashes."""
     claims = [
         logservice.CODEC.encode(
             key_records.KeyClaim(
--- a/scripts/slope_samples.py
+++ b/scripts/slope_samples.py
@@ -1,4 +1,4 @@
-"""State of a site of the design size, to measure."""
+"""Builds sample state of a site of the design size for measurements."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def make_inventory(adapters: int, endpoints: int) -> dict[str, Any]:
-    """Return the document of an inventory."""
+    """Return an inventory document with the given numbers of items."""
     return {
         "members": ["trust", "papyros"],
         "base_models": [f"base-{index}" for index in range(BASE_MODELS)],
@@ -54,12 +54,15 @@
 
 
 def list_endpoints_of(vm: int, vms: int, endpoints: int) -> list[str]:
-    """Return the share of the endpoints that a VM owns."""
+    """Return the names of the endpoints that a VM owns.
+
+    :param vm: index of the VM among all VMs
+    """
     return [f"engine-{index:04}" for index in range(vm, endpoints, vms)]
 
 
 def make_heartbeat(vm: int, vms: int, endpoints: int) -> Any:
-    """Return the heartbeat of a peer that owns its share."""
+    """Return the heartbeat of a peer that owns its share of the endpoints."""
     return membership.Heartbeat(
         vm=f"vm-{vm}",
         incarnation=f"{vm:032x}",
@@ -82,7 +85,7 @@
 
 
 def make_hello(vm: int) -> membership.Hello:
-    """Return the greeting of a peer."""
+    """Return the hello message of a peer."""
     return membership.Hello(
         version=membership.PROTOCOL_VERSION,
         vm=f"vm-{vm}",
@@ -94,7 +97,7 @@
 
 
 def make_work(index: int) -> messages.SubmitWork:
-    """Return the work of a streamed request."""
+    """Return the work message of a streamed request."""
     return messages.SubmitWork(
         attempt=uuid.uuid4().hex,
         request=uuid.uuid4().hex,
@@ -112,12 +115,15 @@
 
 
 def encode(item: Any) -> bytes:
-    """Return the frame of a peer message."""
+    """Return a peer message as an encoded frame."""
     return frames.encode_frame(hub.CODEC.encode(item))
 
 
 def make_queue(waiting: int) -> dispatch.EndpointQueue:
-    """Return the queue of a busy endpoint."""
+    """Return the queue of a fully loaded endpoint.
+
+    :param waiting: number of requests that wait; all slots are in use
+    """
     works = [make_work(index) for index in range(waiting + SLOTS)]
     return dispatch.EndpointQueue(
         waiting=tuple(
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -1,6 +1,7 @@
-"""Measures what one more adapter, endpoint, peer, stream or record costs.
+"""Measures the cost of one more adapter, endpoint, peer, stream or record.
 
-Prints one line a slope. docs/CAPACITY.md works the design size out from them.
+Prints one line per slope. docs/CAPACITY.md derives the costs at the design
+size from them.
 """
 
 from __future__ import annotations
@@ -57,7 +58,7 @@
 
 
 def measure_changes(vms: int, endpoints: int) -> None:
-    """Measure heartbeats as changes, without any and with all figures new."""
+    """Measure delta heartbeats with no value and with all values changed."""
     before = attrs.evolve(
         slope_samples.make_heartbeat(1, vms, endpoints), number=10_000
     )
@@ -91,7 +92,10 @@
 
 
 def measure_configuration() -> configurations.ConfigurationState:
-    """Measure the inventory and its changes."""
+    """Measure the inventory and its changes.
+
+    :returns: the configuration state with the whole inventory
+    """
     whole = {}
     for name, adapters, endpoints in (
         ("adapter in the inventory", slope_samples.ADAPTERS, 0),
@@ -146,7 +150,10 @@
 
 
 def measure_members(vms: int, endpoints: int) -> views.MembershipView:
-    """Measure heartbeats and the view of the peers."""
+    """Measure whole heartbeats and the membership view.
+
+    :returns: the view of a VM that has received a heartbeat of every peer
+    """
     data = [
         hub.CODEC.encode(slope_samples.make_heartbeat(vm, vms, endpoints))
         for vm in range(vms)
@@ -177,7 +184,10 @@
 def measure_ownership(
     vms: int, endpoints: int
 ) -> tuple[leases.OwnershipState, list[bytes]]:
-    """Measure the ownership stream."""
+    """Measure the ownership stream.
+
+    :returns: the ownership state, and an encoded lease and claim record
+    """
     state = leases.OwnershipState()
     size = 0
     with slope_reports.measure_memory(f"owned endpoint, {vms} VMs", endpoints):
@@ -219,7 +229,7 @@
 
 
 def measure_board(state: configurations.ConfigurationState) -> None:
-    """Measure the own heartbeat, a plan and a routing decision."""
+    """Measure heartbeats, ownership and routing at two sizes of a site."""
     settings = loader.load_settings(SETTINGS)
     for vms, endpoints in (
         (slope_samples.VMS, slope_samples.ENDPOINTS),
@@ -250,7 +260,10 @@
 def measure_routing(
     board: boards.Blackboard, endpoints: int, scale: str
 ) -> None:
-    """Measure one routing decision as the requests controller makes it."""
+    """Measure one routing decision with the steps of the requests controller.
+
+    :param scale: size of the site, for the label
+    """
     current = board.configuration.value.configuration
     known = dict(list(current.inventory.endpoints.items())[:endpoints])
 
@@ -283,7 +296,7 @@
 
 
 def measure_plan(state: configurations.ConfigurationState) -> None:
-    """Measure the dispatch plan of one endpoint."""
+    """Measure planning the dispatch of one endpoint."""
     current = state.configuration
     for waiting in (0, slope_samples.WAITING):
         context = contexts.EndpointContext(
@@ -300,11 +313,11 @@
         )
 
 
-def print_appends(vms: int, changes: float, keyed: float) -> None:
-    """Report the appends a second that the constants lead to.
+def print_append_rates(vms: int, changes: float, keyed: float) -> None:
+    """Report the rates of log appends that follow from the constants.
 
-    :param changes: configuration changes a day
-    :param keyed: requests under keys a second
+    :param changes: configuration changes per day
+    :param keyed: requests with an idempotency key per second
     """
     renewals = vms * 1000 / leases.RENEWAL_INTERVAL_MS
     slope_reports.report(
@@ -319,7 +332,7 @@
 
 
 def main() -> int:
-    """Measure everything."""
+    """Run all measurements."""
     sites.exit_on_signals()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
@@ -340,7 +353,7 @@
     measure_plan(state)
     slope_requests.measure_streams(state)
     slope_requests.measure_keys()
-    print_appends(slope_samples.VMS, 41_000, 100)
+    print_append_rates(slope_samples.VMS, 41_000, 100)
     for count in arguments.daemons:
         slope_processes.measure_processes(count, arguments.seconds)
     return 0
--- a/scripts/traffic.py
+++ b/scripts/traffic.py
@@ -1,4 +1,4 @@
-"""Requests of callers that keep several addresses, with their times."""
+"""Sends requests as callers with several addresses and measures latencies."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 class Call:
     """A request as a caller sends it.
 
-    :param kind: the row of the table of measurements
+    :param kind: row of the latency table that the request is counted in
     """
 
     kind: str
@@ -40,13 +40,13 @@
 
 @attrs.frozen
 class Reply:
-    """An answer and when its parts arrived.
+    """An answer and the times at which its parts arrived.
 
     :param status: 0 if the connection broke before the headers arrived
     :param first_s: time to the first byte of the body
-    :param gaps_s: time between one token and the next, for streams
-    :param total_s: time to the last byte, resending included
-    :param sends: how often the request was sent
+    :param gaps_s: times between one token and the next, for streams
+    :param total_s: time to the last byte, including resends
+    :param sends: number of times that the request was sent
     :param broken: whether the connection broke before the end
     """
 
@@ -62,7 +62,7 @@
 
     @property
     def is_whole(self) -> bool:
-        """Whether the end marker is there, if the answer needs one."""
+        """Whether the answer is complete; a stream needs its end marker."""
         if self.broken:
             return False
         kind = self.headers.get("content-type", "")
@@ -78,7 +78,7 @@
     stream: bool,
     prompt: str = "hello",
 ) -> Call:
-    """Return a completions call."""
+    """Return a call of the completions API."""
     fields = {
         "model": model,
         "prompt": prompt,
@@ -95,7 +95,10 @@
 async def exchange(
     pool: httpcore.AsyncConnectionPool, address: str, call: Call
 ) -> Reply | None:
-    """Send a call once; return None if no connection could be made."""
+    """Send a call once.
+
+    :returns: the reply, None if no connection could be established
+    """
     started_s = time.monotonic()
     parts: list[bytes] = []
     times_s: list[float] = []
@@ -136,8 +139,8 @@
 ) -> Reply | None:
     """Send an idempotent call to one address after another.
 
-    :returns: the first whole answer that is not a passing refusal, None if
-        there was none before the deadline
+    :returns: the first complete answer whose status does not call for a
+        resend, None if there was none before the deadline
     """
     started_s = time.monotonic()
     for sends, address in enumerate(itertools.cycle(addresses), start=1):
@@ -153,7 +156,7 @@
 
 
 def read_events(body: bytes) -> list[Any]:
-    """Return the JSON values of a stream, without its end marker."""
+    """Return the JSON values of an event stream, without its end marker."""
     lines = [line for line in body.split(b"\n\n") if line]
     return [
         json.loads(line.removeprefix(b"data: "))
@@ -163,7 +166,7 @@
 
 
 def format_table(replies: Iterable[Reply]) -> str:
-    """Return the measured times by kind of call, in milliseconds."""
+    """Return a table of the latencies by kind of call, in milliseconds."""
     by_kind: dict[str, list[Reply]] = {}
     for reply in replies:
         by_kind.setdefault(reply.call.kind, []).append(reply)
--- a/scripts/update_protocols.py
+++ b/scripts/update_protocols.py
@@ -1,6 +1,7 @@
 """Rewrites the tables of messages and records in docs/protocols.md.
 
-Meanings that stand there are kept; new rows get the summary of the class.
+Existing descriptions are kept. The description of a new row is the summary
+line of the docstring of its class.
 """
 
 from __future__ import annotations
@@ -22,31 +23,34 @@
 from bronzetrack.daemon import process  # noqa: E402
 
 
-def write_rows(registry: registries.Registry[type], page: str) -> str:
-    """Return a row for each class, in order of module.
+def format_rows(registry: registries.Registry[type], page: str) -> str:
+    """Return a table row for each class, ordered by module.
 
-    :param page: the present page, whose meanings are kept
+    :param page: current text of the page, whose descriptions are kept
     """
     items = sorted(registry.items(), key=lambda item: item[1].__module__)
-    return "".join(write_row(name, cls, page) for name, cls in items)
+    return "".join(format_row(name, cls, page) for name, cls in items)
 
 
-def write_row(name: str, cls: type, page: str) -> str:
-    """Return the row of a message or record."""
-    known = re.search(
+def format_row(name: str, cls: type, page: str) -> str:
+    """Return the table row of a message or record."""
+    existing = re.search(
         rf"^\| `{name}` \| `[^|]*\| ([^|]+) \| ", page, re.MULTILINE
     )
     fields = ", ".join(f"`{field.name}`" for field in attrs.fields(cls))
-    summary = known[1] if known else (cls.__doc__ or "").splitlines()[0]
-    places = [f"`{cls.__module__.removeprefix('bronzetrack.')}`"]
+    summary = existing[1] if existing else (cls.__doc__ or "").splitlines()[0]
+    locations = [f"`{cls.__module__.removeprefix('bronzetrack.')}`"]
     stream = getattr(importlib.import_module(cls.__module__), "STREAM", None)
     if stream is not None:
-        places.insert(0, f"`{stream}`")
-    return f"| `{name}` | {fields} | {summary} | {', '.join(places)} |\n"
+        locations.insert(0, f"`{stream}`")
+    return f"| `{name}` | {fields} | {summary} | {', '.join(locations)} |\n"
 
 
 def replace_rows(page: str, title: str, rows: str) -> str:
-    """Return the page with the rows of the table of a title replaced."""
+    """Return the page with the rows of one table replaced.
+
+    :param title: heading of the first column of the table
+    """
     pattern = rf"(^\| {title} \| fields .*\n\| ---.*\n)(?:\|.*\n)*"
     return re.sub(
         pattern, lambda found: found[1] + rows, page, flags=re.MULTILINE
@@ -54,11 +58,11 @@
 
 
 def main() -> None:
-    """Rewrite the page."""
+    """Rewrite both tables of the page."""
     process.import_controllers()
     page = PAGE.read_text(encoding="utf-8")
-    page = replace_rows(page, "message", write_rows(messages.MESSAGES, page))
-    page = replace_rows(page, "record", write_rows(records.RECORDS, page))
+    page = replace_rows(page, "message", format_rows(messages.MESSAGES, page))
+    page = replace_rows(page, "record", format_rows(records.RECORDS, page))
     PAGE.write_text(page, encoding="utf-8")
 
 
--- a/scripts/worktree.py
+++ b/scripts/worktree.py
@@ -1,4 +1,4 @@
-"""Puts the code of this work tree before any installed package."""
+"""Prepends the code of this work tree to the module search path."""
 
 from __future__ import annotations
 
