Reword the benchmark and rename its internal names

Cause: bench/ and its tests used figurative names (crest, chance, beat, watch, act) and docstrings that were fragments. Change: Docstrings and comments are plain sentences. Internal names use usual terms: peak, rng, schedule_heartbeats, summarize, max_in_flight, starts. Two tests have clearer names; assertions are the same. Keys of results, choices of flags and scenario names are unchanged.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decisions under a seeded load."""
+"""Benchmarks of the scheduling decisions under a seeded simulated load."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs all policies over the same arrivals and writes the figures."""
+"""Runs all policies over the same arrivals and writes the measurements."""
 
 from __future__ import annotations
 
@@ -16,10 +16,10 @@
 from bench import studies
 from bench import workloads
 
-POLICIES = ("oracle", *sites.NAIVE, sites.OWN)
+POLICIES = ("oracle", *sites.NAIVE_POLICIES, sites.OWN_POLICY)
 SCENARIOS = ("load", "slowed", "crowded")
 SEEDS = range(5)
-# The machine is shared, so that only part of its cores are used.
+# The machine is shared, so only part of its cores are used.
 WORKERS = 4
 
 Results = dict[str, dict[str, dict[str, list[float]]]]
@@ -28,7 +28,10 @@
 def run_one(
     name: str, policy: str, scenario: str, seed: int
 ) -> dict[str, float]:
-    """Return the figures of one run."""
+    """Return the measurements of one run.
+
+    :param name: name of the workload
+    """
     workload = workloads.WORKLOADS[name]
     arrivals = workloads.make_arrivals(workload, seed, scenario == "crowded")
     if policy == "oracle":
@@ -39,7 +42,7 @@
             workload, policy, arrivals, seed, scenario == "slowed"
         )
     if scenario == "crowded":
-        run.run(rest_ms=0)
+        run.run(drain_ms=0)
         return measures.measure_shares(run)
     run.run()
     figures = measures.measure_load(run)
@@ -62,8 +65,8 @@
 ) -> list[tuple[str, str, str, int]]:
     """Return the arguments of all runs.
 
-    The oracle runs one scenario. Shares hardly depend on the routing of a
-    naive policy, so that one of them stands for all.
+    The oracle runs the load scenario only. The shares hardly depend on how a
+    naive policy routes, so only one naive policy runs the crowded scenario.
     """
     return [
         (name, policy, scenario, seed)
@@ -71,14 +74,14 @@
             names, POLICIES, SCENARIOS, seeds
         )
         if scenario == "load"
-        or policy == sites.OWN
+        or policy == sites.OWN_POLICY
         or (policy != "oracle" and scenario == "slowed")
         or policy == "least_load"
     ]
 
 
 def main() -> None:
-    """Run the measurements."""
+    """Run the benchmark."""
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("--output", type=pathlib.Path, default="build/bench")
     parser.add_argument("--workload", choices=list(workloads.WORKLOADS))
--- a/bench/charts.py
+++ b/bench/charts.py
@@ -1,4 +1,4 @@
-"""The table and the chart."""
+"""Formats the results as a table and as a bar chart."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from bench import measures
 
-CHARTED = (
+CHARTED_MEASURES = (
     "short_wait_p99_ms",
     "slowed_short_first_p99_ms",
     "crest_goodput_per_s",
@@ -22,7 +22,10 @@
 
 
 def make_table(results: Results) -> str:
-    """Return median, smallest and largest value by measure and policy."""
+    """Return a table of each measure by policy over the seeds.
+
+    Each cell holds the median, the smallest and the largest value.
+    """
     lines = []
     for workload, policies in results.items():
         lines.append(f"{workload}: median (smallest-largest) of the seeds")
@@ -45,13 +48,13 @@
 def _format(values: list[float] | None) -> str:
     if values is None:
         return "-"
-    middle, low, high = measures.sum_up(values)
+    median, low, high = measures.summarize(values)
     digits = 3 if high < 2 else 0 if high >= 100 else 1
-    return f"{middle:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
+    return f"{median:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
 
 
 def draw(results: Results) -> str:
-    """Return an SVG with one group of bars for each measure."""
+    """Return an SVG chart with one group of bars for each measure."""
     body = list(_draw_bars(results))
     height = len(body) * BAR_PX + BAR_PX
     rows = "\n".join(
@@ -67,17 +70,17 @@
 
 def _draw_bars(results: Results) -> Iterator[str]:
     for workload, policies in results.items():
-        for key in CHARTED:
+        for key in CHARTED_MEASURES:
             medians = {
-                name: measures.sum_up(figures[key])[0]
+                name: measures.summarize(figures[key])[0]
                 for name, figures in policies.items()
                 if key in figures
             }
-            most = max(medians.values(), default=0.0) or 1.0
+            largest = max(medians.values(), default=0.0) or 1.0
             yield f'<text x="4" y="{{y}}">{workload}: {key}</text>'
             for name, value in medians.items():
                 colour = COLOURS[list(policies).index(name)]
-                width = (WIDTH_PX - LABEL_PX) * value / most
+                width = (WIDTH_PX - LABEL_PX) * value / largest
                 yield (
                     f'<g transform="translate(0,{{y}})">'
                     f'<text x="24">{name}: {value:.4g}</text>'
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -1,4 +1,4 @@
-"""The entry role: sends each request to an endpoint."""
+"""The entry role, which routes each request to an endpoint."""
 
 from __future__ import annotations
 
@@ -20,15 +20,15 @@
     def __init__(self, site: sites.Site, owner: owners.OwnerRole) -> None:
         self._site = site
         self._owner = owner
-        self._turn = itertools.count()
+        self._next_index = itertools.count()
         owner.resend = self.route
 
     def schedule(self) -> None:
-        """Let each request arrive at a random VM."""
+        """Schedule the arrival of each request at a random VM."""
         site = self._site
         names = list(site.vms)
         for outcome in site.outcomes:
-            entry = site.vms[site.chance.choice(names)]
+            entry = site.vms[site.rng.choice(names)]
             site.timeline.call_at(
                 outcome.arrival.at_ms,
                 functools.partial(self.route, outcome, entry),
@@ -40,7 +40,7 @@
         reports = {
             name: self._get_report(name, entry) for name in site.endpoints
         }
-        chosen = self.pick(
+        chosen = self.choose_endpoint(
             entry, reports, outcome.arrival.adapter, outcome.excluded
         )
         if isinstance(chosen, failures.Failure):
@@ -61,7 +61,9 @@
         site = self._site
         owner = site.owners[name]
         if owner is entry:
-            return candidates.OwnerReport(owner.name, sum_up(site, name), 0)
+            return candidates.OwnerReport(
+                owner.name, summarize_endpoint(site, name), 0
+            )
         return candidates.OwnerReport(
             owner.name,
             owner.reported[name],
@@ -69,17 +71,20 @@
             len(site.vms),
         )
 
-    def pick(
+    def choose_endpoint(
         self,
         entry: sites.Vm,
         reports: dict[str, candidates.OwnerReport],
         adapter: str,
         excluded: set[str],
     ) -> candidates.Candidate | failures.Failure:
-        """Return the endpoint for one attempt."""
+        """Choose the endpoint for one attempt by the policy of the run.
+
+        :param excluded: endpoints that refused earlier attempts
+        """
         site = self._site
         if site.policy == "round_robin":
-            found = candidates.list_candidates(
+            options = candidates.list_candidates(
                 site.endpoints,
                 reports,
                 adapter,
@@ -87,7 +92,7 @@
                 frozenset(),
                 entry.zone,
             )
-            return found[next(self._turn) % len(found)]
+            return options[next(self._next_index) % len(options)]
         return choice.choose_endpoint(
             site.endpoints,
             reports,
@@ -100,8 +105,10 @@
         )
 
 
-def sum_up(site: sites.Site, name: str) -> membership.EndpointSummary:
-    """Return what the owner of an endpoint says of it."""
+def summarize_endpoint(
+    site: sites.Site, name: str
+) -> membership.EndpointSummary:
+    """Return the summary that the owner of an endpoint reports."""
     return summaries.summarize_endpoint(
         site.queues[name], site.endpoints[name].slots, draining=False
     )
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -1,4 +1,4 @@
-"""Small models of a batching engine and of the weight store."""
+"""Simplified models of a batching engine and of the weight store."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 import attrs
 
-# Time for one token of each running request is base + part * batch size.
+# Each running request gets a token every base + per-request part * batch size.
 TOKEN_BASE_MS = 12.0
-TOKEN_PART_MS = 0.8
+TOKEN_PER_REQUEST_MS = 0.8
 LOAD_MS = 250.0
 
 
 @attrs.define
 class Timeline:
-    """Simulated time."""
+    """Event queue with a simulated clock."""
 
     now_ms: float = 0.0
     _due: list[tuple[float, int, Callable[[], None]]] = attrs.field(
@@ -26,13 +26,13 @@
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
 
     def call_at(self, at_ms: float, action: Callable[[], None]) -> None:
-        """Run an action at a time."""
+        """Schedule an action, at the current time at the earliest."""
         heapq.heappush(
             self._due, (max(at_ms, self.now_ms), next(self._numbers), action)
         )
 
     def run(self, until_ms: float) -> None:
-        """Run the actions in order of time."""
+        """Run the actions that are due until a time, in order of time."""
         while self._due and self._due[0][0] <= until_ms:
             self.now_ms, _, action = heapq.heappop(self._due)
             action()
@@ -40,7 +40,12 @@
 
 @attrs.define
 class Job:
-    """A running request; positions are in tokens of engine progress."""
+    """A running request.
+
+    :param first_at: engine progress, in tokens, at which it gets its first
+        token
+    :param end_at: engine progress, in tokens, at which it ends
+    """
 
     first_at: float
     end_at: float
@@ -55,23 +60,28 @@
 
 @attrs.define
 class Engine:
-    """An engine whose token speed falls as its batch grows.
+    """An engine whose token rate falls as its batch grows.
 
-    :param slow: factor on the time of each token
+    :param slowdown: factor on the time per token
+    :param progress: tokens that a request in the batch from the start got
+    :param busy_ms: time with a running request
+    :param tokens: tokens generated for all requests
     """
 
     timeline: Timeline
-    slow: float = 1.0
+    slowdown: float = 1.0
     jobs: dict[str, Job] = attrs.field(factory=dict)
     progress: float = 0.0
     updated_ms: float = 0.0
     busy_ms: float = 0.0
     tokens: float = 0.0
-    _wake: int = 0
+    _timer_number: int = 0
 
     @property
     def token_ms(self) -> float:
-        return (TOKEN_BASE_MS + TOKEN_PART_MS * len(self.jobs)) * self.slow
+        return (
+            TOKEN_BASE_MS + TOKEN_PER_REQUEST_MS * len(self.jobs)
+        ) * self.slowdown
 
     def start(
         self,
@@ -94,35 +104,35 @@
         self.jobs.pop(name, None)
         self._schedule()
 
-    def set_slow(self, factor: float) -> None:
-        """Change the speed from now on."""
+    def set_slowdown(self, factor: float) -> None:
+        """Change the factor on the time per token from now on."""
         self.advance()
-        self.slow = factor
+        self.slowdown = factor
         self._schedule()
 
     def advance(self) -> None:
-        """Bring the progress up to now."""
-        passed_ms = self.timeline.now_ms - self.updated_ms
+        """Update the progress and the totals to the current time."""
+        elapsed_ms = self.timeline.now_ms - self.updated_ms
         self.updated_ms = self.timeline.now_ms
         if self.jobs:
-            made = passed_ms / self.token_ms
-            self.progress += made
-            self.tokens += made * len(self.jobs)
-            self.busy_ms += passed_ms
+            generated = elapsed_ms / self.token_ms
+            self.progress += generated
+            self.tokens += generated * len(self.jobs)
+            self.busy_ms += elapsed_ms
 
     def _schedule(self) -> None:
-        self._wake += 1
+        self._timer_number += 1
         if not self.jobs:
             return
-        wake = self._wake
+        timer_number = self._timer_number
         left = min(job.next_at for job in self.jobs.values()) - self.progress
         self.timeline.call_at(
             self.timeline.now_ms + max(0.0, left) * self.token_ms,
-            lambda: self._fire(wake),
+            lambda: self._handle_due(timer_number),
         )
 
-    def _fire(self, wake: int) -> None:
-        if wake != self._wake:
+    def _handle_due(self, timer_number: int) -> None:
+        if timer_number != self._timer_number:
             return
         self.advance()
         reached = self.progress + 1e-6
@@ -148,7 +158,9 @@
 class Store:
     """A weight store with a rate, a burst and a limit on loads in flight.
 
-    :param most: the most loads that were in flight at once
+    :param limit: loads in flight above which each load takes longer
+    :param max_in_flight: highest number of loads in flight so far
+    :param loads: loads started so far
     """
 
     timeline: Timeline
@@ -156,15 +168,15 @@
     burst: int
     limit: int
     in_flight: int = 0
-    most: int = 0
+    max_in_flight: int = 0
     loads: int = 0
     _starts: collections.deque[float] = attrs.field(factory=collections.deque)
 
     def load(self, on_end: Callable[[], None]) -> None:
-        """Start a load; one over the rate waits for its turn."""
+        """Start a load, delayed as far as the rate and the burst require."""
         self.in_flight += 1
         self.loads += 1
-        self.most = max(self.most, self.in_flight)
+        self.max_in_flight = max(self.max_in_flight, self.in_flight)
         now_ms = self.timeline.now_ms
         start_ms = now_ms
         if len(self._starts) == self.burst:
@@ -172,9 +184,9 @@
             start_ms = max(now_ms, earliest)
             self._starts.popleft()
         self._starts.append(start_ms)
-        slower = max(1.0, self.in_flight / self.limit)
+        slowdown = max(1.0, self.in_flight / self.limit)
         self.timeline.call_at(
-            start_ms + LOAD_MS * slower, lambda: self._finish(on_end)
+            start_ms + LOAD_MS * slowdown, lambda: self._finish(on_end)
         )
 
     def _finish(self, on_end: Callable[[], None]) -> None:
--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -1,6 +1,6 @@
-"""What VMs learn of each other and of the speed of their endpoints.
+"""Exchanges heartbeats between VMs and samples the pace of endpoints.
 
-It follows controllers.membership and controllers.placements.
+The module mirrors controllers.membership and controllers.placements.
 """
 
 from __future__ import annotations
@@ -17,51 +17,56 @@
 HEARTBEAT_MS = 1_000
 
 
-def beat(site: sites.Site, vm: sites.Vm, after_ms: float) -> None:
-    """Send a heartbeat after some time and then regularly."""
+def schedule_heartbeats(
+    site: sites.Site, vm: sites.Vm, after_ms: float
+) -> None:
+    """Schedule the heartbeats of a VM, the first after a delay."""
 
-    def act() -> None:
+    def run() -> None:
         vm.heartbeat_ms = site.timeline.now_ms
-        vm.reported = report(site, vm)
+        vm.reported = summarize_owned(site, vm)
         permits.refresh(site, vm)
         vm.reported_usage = dict(vm.usage)
-        _place(site, vm)
-        beat(site, vm, HEARTBEAT_MS)
+        _update_placements(site, vm)
+        schedule_heartbeats(site, vm, HEARTBEAT_MS)
 
-    site.call_later(after_ms, act)
+    site.call_later(after_ms, run)
 
 
-def report(site: sites.Site, vm: sites.Vm) -> dict:
-    """Return the summaries of all endpoints of a VM."""
-    return {name: entries.sum_up(site, name) for name in site.list_owned(vm)}
+def summarize_owned(site: sites.Site, vm: sites.Vm) -> dict:
+    """Return the summaries of all endpoints that a VM owns."""
+    return {
+        name: entries.summarize_endpoint(site, name)
+        for name in site.list_owned(vm)
+    }
 
 
-def watch(site: sites.Site, name: str) -> None:
-    """Tell the owner of the speed of the streams at an endpoint."""
+def schedule_samples(site: sites.Site, name: str) -> None:
+    """Schedule samples of the pace of an endpoint for its owner."""
     engine = site.engines[name]
     busy_ms, progress = engine.busy_ms, engine.progress
 
-    def act() -> None:
+    def run() -> None:
         engine.advance()
-        made = engine.progress - progress
-        if made > 0:
+        generated = engine.progress - progress
+        if generated > 0:
             queue = site.queues[name]
-            seen = paces.observe(
+            new_pace = paces.observe(
                 queue.pace,
-                (engine.busy_ms - busy_ms) / made,
+                (engine.busy_ms - busy_ms) / generated,
                 int(site.timeline.now_ms),
             )
-            site.queues[name] = attrs.evolve(queue, pace=seen)
-        watch(site, name)
+            site.queues[name] = attrs.evolve(queue, pace=new_pace)
+        schedule_samples(site, name)
 
-    site.call_later(paces.PART_MS, act)
+    site.call_later(paces.PART_MS, run)
 
 
-def _place(site: sites.Site, vm: sites.Vm) -> None:
-    """Decide which adapters the endpoints of a VM should hold."""
+def _update_placements(site: sites.Site, vm: sites.Vm) -> None:
+    """Update which adapters the endpoints of a VM should hold."""
     if site.is_naive:
         return
-    vm.quotas = _judge_quotas(site, vm)
+    vm.quotas = _evaluate_quotas(site, vm)
     demand = placement.count_demand(vm.recent)
     normal = [
         name
@@ -87,7 +92,7 @@
         )
 
 
-def _judge_quotas(site: sites.Site, vm: sites.Vm) -> quota_views.QuotaView:
+def _evaluate_quotas(site: sites.Site, vm: sites.Vm) -> quota_views.QuotaView:
     loaded = {
         other.name: [
             adapter
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -1,4 +1,4 @@
-"""The yardstick: one queue, exact knowledge and no loads."""
+"""The reference policy: one queue, exact knowledge and no adapter loads."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
     arrivals: list[workloads.Arrival],
     seed: int,
 ) -> sites.Site:
-    """Return a run with one queue, exact knowledge and no loads.
+    """Return a run with one queue, exact knowledge and no adapter loads.
 
-    Every adapter is loaded everywhere, and the request of the lowest rank
-    starts on the engine with the smallest batch.
+    Every adapter counts as loaded on every engine. The request whose class
+    has the lowest rank starts first, on the engine with the smallest batch.
     """
-    run = simulation.make_site(workload, sites.OWN, [], seed)
+    run = simulation.make_site(workload, sites.OWN_POLICY, [], seed)
     run.outcomes = [sites.Outcome(item) for item in arrivals]
     waiting: list[sites.Outcome] = []
 
@@ -41,7 +41,7 @@
         outcome.started_ms = run.timeline.now_ms
         arrival = outcome.arrival
 
-        def note_first() -> None:
+        def record_first() -> None:
             outcome.first_ms = run.timeline.now_ms
 
         def end() -> None:
@@ -52,7 +52,7 @@
             str(arrival.number),
             arrival.kind.prompt,
             arrival.output,
-            note_first,
+            record_first,
             end,
         )
 
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -1,6 +1,6 @@
-"""The owner role: queues, loads and dispatches.
+"""The owner role, which queues requests, loads adapters and dispatches.
 
-It follows controllers.dispatch.
+The module mirrors controllers.dispatch.
 """
 
 from __future__ import annotations
@@ -28,26 +28,26 @@
 
 
 class OwnerRole:
-    """Runs the queues of all VMs."""
+    """Runs the queues of the endpoints of all VMs."""
 
-    # The entry role, which gets back what an owner refuses.
+    # Set by the entry role, which retries requests that an owner refused.
     resend: Callable[[sites.Outcome, sites.Vm], None]
 
     def __init__(self, site: sites.Site) -> None:
         self._site = site
 
-    def step(self, vm: sites.Vm, after_ms: float) -> None:
-        """Look at the queues of a VM after some time and then regularly."""
+    def schedule_steps(self, vm: sites.Vm, after_ms: float) -> None:
+        """Schedule regular steps of a VM's queues, the first after a delay."""
 
-        def act() -> None:
+        def run() -> None:
             for name in self._site.list_owned(vm):
                 self.advance(name)
-            self.step(vm, STEP_MS)
+            self.schedule_steps(vm, STEP_MS)
 
-        self._site.call_later(after_ms, act)
+        self._site.call_later(after_ms, run)
 
     def accept(self, outcome: sites.Outcome, entry: sites.Vm) -> None:
-        """Queue a request or refuse it."""
+        """Admit a request to the queue of its endpoint or refuse it."""
         site = self._site
         name = outcome.endpoint
         queue = site.queues[name]
@@ -91,7 +91,7 @@
         )
 
     def advance(self, name: str) -> None:
-        """Carry out what is due at an endpoint."""
+        """Plan an endpoint and carry out the plan."""
         site = self._site
         vm = site.owners[name]
         permits.refresh(site, vm)
@@ -120,30 +120,32 @@
             self.advance(name)
             return
         vm.plans[name] = plan.loads
-        permits.ask(site, vm, self.advance)
+        permits.request_tokens(site, vm, self.advance)
 
     def _make_context(
         self, name: str, vm: sites.Vm
     ) -> contexts.EndpointContext:
         site = self._site
-        whole = int(vm.permits.bucket.tokens)
-        if whole > 0:
-            whole = min(permits.count_places(site, vm), whole)
-        known: dict[str, float] = {}
+        available_permits = int(vm.permits.bucket.tokens)
+        if available_permits > 0:
+            available_permits = min(
+                permits.count_free_loads(site, vm), available_permits
+            )
+        usage_by_member: dict[str, float] = {}
         if not site.is_naive:
             reported = (
                 other.reported_usage
                 for other in site.vms.values()
                 if other is not vm
             )
-            known = usage.sum_usage((vm.usage, *reported))
+            usage_by_member = usage.sum_usage((vm.usage, *reported))
         return contexts.EndpointContext(
             endpoint=site.endpoints[name],
             rules=site.rules,
             may_load=True,
             may_unload=True,
-            load_permits=max(0, whole),
-            usage=known,
+            load_permits=max(0, available_permits),
+            usage=usage_by_member,
             placement=vm.placements.get(name, NO_PLACEMENT),
             quotas=vm.quotas,
             may_prefetch=vm.permits.may_prefetch(),
@@ -193,7 +195,7 @@
             vm.usage = usage.charge(vm.usage, item.work.member, item.work.cost)
         outcome = site.outcomes[int(attempt)]
         outcome.started_ms = site.timeline.now_ms
-        site.served.append(
+        site.starts.append(
             sites.Start(
                 site.timeline.now_ms,
                 item.work.member,
@@ -202,7 +204,7 @@
             )
         )
 
-        def note_first() -> None:
+        def record_first() -> None:
             outcome.first_ms = site.timeline.now_ms
 
         def end() -> None:
@@ -217,7 +219,7 @@
             attempt,
             outcome.arrival.kind.prompt,
             outcome.arrival.output,
-            note_first,
+            record_first,
             end,
         )
 
--- a/bench/permits.py
+++ b/bench/permits.py
@@ -1,4 +1,4 @@
-"""Weight-store tokens of the VMs; follows controllers.permits."""
+"""Distributes weight-store tokens among VMs; mirrors controllers.permits."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def refresh(site: sites.Site, vm: sites.Vm) -> None:
-    """Bring the tokens and the usage of a VM up to now."""
+    """Update the tokens and the usage of a VM to the current time."""
     now_ms = int(site.timeline.now_ms)
     share = site.workload.loads_per_s / EXPECTED_VMS
     bucket = vm.permits.bucket.refill(share, max(1.0, share), now_ms)
@@ -24,8 +24,8 @@
     vm.used_ms = site.timeline.now_ms
 
 
-def count_places(site: sites.Site, vm: sites.Vm) -> int:
-    """Return the loads that may start besides those in flight."""
+def count_free_loads(site: sites.Site, vm: sites.Vm) -> int:
+    """Return how many loads may start in addition to those in flight."""
     loading = sum(
         resident.phase is states.ResidentPhase.LOADING
         for name in site.list_owned(vm)
@@ -34,29 +34,29 @@
     return max(0, site.workload.store_limit // EXPECTED_VMS - loading)
 
 
-def ask(
+def request_tokens(
     site: sites.Site, vm: sites.Vm, advance: Callable[[str], None]
 ) -> None:
-    """Ask a peer for tokens when some are lacking.
+    """Request tokens from a peer if the VM lacks some.
 
-    :param advance: takes each endpoint of the VM once there are more tokens
+    :param advance: called with each endpoint of the VM once a peer answered
     """
     if site.is_naive:
         return
     short = sum(plan.short for plan in vm.plans.values())
-    vm.needed = min(short, count_places(site, vm)) if short else 0
+    vm.needed = min(short, count_free_loads(site, vm)) if short else 0
     peers = [name for name in site.vms if name != vm.name]
-    vm.permits, question = transfers.ask(
+    vm.permits, query = transfers.ask(
         vm.permits, vm.name, peers, vm.needed, int(site.timeline.now_ms)
     )
-    if question is None:
+    if query is None:
         return
-    peer = site.vms[question.peer]
+    peer = site.vms[query.peer]
 
     def receive() -> None:
         refresh(site, peer)
         peer.permits, answer = transfers.grant(
-            peer.permits, question.request, peer.needed
+            peer.permits, query.request, peer.needed
         )
         site.call_later(sites.HOP_MS, lambda: accept(answer))
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,4 +1,4 @@
-"""Drives the decision code with simulated time."""
+"""Drives the decision code of the daemons in simulated time."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 from bronzetrack.limits import tokens
 from bronzetrack.limits import transfers
 
-SLOWED = (8_000, 18_000)
+SLOWED_PERIOD_MS = (8_000, 18_000)
 SLOW_FACTOR = 5.0
 # More than all adapter slots together.
 NO_QUOTA = 10_000
@@ -36,8 +36,8 @@
 ) -> sites.Site:
     """Return a run of one policy over some arrivals, ready to start.
 
-    :param slowed: whether a third of the engines is slow for a while
-    :param warm_adapters: warm quota of each member
+    :param slowed: whether a third of the engines is slow for some time
+    :param warm_adapters: warm quota of each member, in adapters
     """
     timeline = fakes.Timeline()
     endpoints = workload.list_endpoints()
@@ -46,7 +46,7 @@
         workload=workload,
         policy=policy,
         rules=_make_rules(workload, policy, warm_adapters),
-        chance=random.Random(seed),
+        rng=random.Random(seed),
         timeline=timeline,
         endpoints=endpoints,
         engines={name: fakes.Engine(timeline) for name in endpoints},
@@ -69,13 +69,15 @@
     warmup.warm_up(site, entry_role, seed)
     site.members = workloads.list_members(workload, seed)
     for vm in vms.values():
-        vm.reported = heartbeats.report(site, vm)
+        vm.reported = heartbeats.summarize_owned(site, vm)
     for index, vm in enumerate(vms.values()):
-        part = index / len(vms)
-        heartbeats.beat(site, vm, part * heartbeats.HEARTBEAT_MS)
-        owner_role.step(vm, part * owners.STEP_MS)
+        phase = index / len(vms)
+        heartbeats.schedule_heartbeats(
+            site, vm, phase * heartbeats.HEARTBEAT_MS
+        )
+        owner_role.schedule_steps(vm, phase * owners.STEP_MS)
     for name in endpoints:
-        heartbeats.watch(site, name)
+        heartbeats.schedule_samples(site, name)
     entry_role.schedule()
     if slowed:
         _slow_some(site)
@@ -96,7 +98,7 @@
 def _make_rules(
     workload: workloads.Workload, policy: str, warm_adapters: int
 ) -> rule_sets.Rules:
-    if policy in sites.NAIVE:
+    if policy in sites.NAIVE_POLICIES:
         classes = {
             name: attrs.evolve(rule, rank=0, slot_share=1.0)
             for name, rule in workload.classes.items()
@@ -110,23 +112,24 @@
 
 
 def _choose_owner(name: str, zone: str, vms: dict[str, sites.Vm]) -> sites.Vm:
-    near = [vm.name for vm in vms.values() if vm.zone == zone]
-    return vms[rendezvous.rank_nodes(name, near)[0]]
+    same_zone = [vm.name for vm in vms.values() if vm.zone == zone]
+    return vms[rendezvous.rank_nodes(name, same_zone)[0]]
 
 
 def _slow_some(site: sites.Site) -> None:
     for name in sorted(site.engines)[:: len(workloads.ZONES)]:
-        for at_ms, factor in zip(SLOWED, (SLOW_FACTOR, 1.0)):
+        for at_ms, factor in zip(SLOWED_PERIOD_MS, (SLOW_FACTOR, 1.0)):
             site.timeline.call_at(
                 at_ms,
-                functools.partial(site.engines[name].set_slow, factor),
+                functools.partial(site.engines[name].set_slowdown, factor),
             )
 
 
 def restart(site: sites.Site, name: str) -> None:
-    """Let an engine lose its adapters and what it runs.
+    """Restart an engine without its adapters and its running requests.
 
-    The callers of what ran there get an error; they are not sent again.
+    The callers of the running requests get an error, and the requests are
+    not retried. Loads in progress go on.
     """
     engine, queue = site.engines[name], site.queues[name]
     for attempt, item in queue.running.items():
--- a/bench/site.py
+++ b/bench/site.py
@@ -1,4 +1,4 @@
-"""The state of one run, which the roles read and write."""
+"""State of one run, which the entry and owner roles share."""
 
 from __future__ import annotations
 
@@ -22,14 +22,21 @@
 from bronzetrack.streaming import requests
 
 HOP_MS = 1.0
-# A naive owner keeps one queue in order of arrival and knows no shares.
-NAIVE = ("round_robin", "least_load", "locality")
-OWN = "balanced"
+# Owners under a naive policy keep one queue in order of arrival and ignore
+# the shares of members.
+NAIVE_POLICIES = ("round_robin", "least_load", "locality")
+OWN_POLICY = "balanced"
 
 
 @attrs.define
 class Outcome:
-    """What became of an arrival; times in milliseconds."""
+    """The outcome of an arrival; times in milliseconds.
+
+    :param stalled_ms: time that the request waited for its adapter to load,
+        None if it did not
+    :param refusal: reason of a refusal or failure, empty if there was none
+    :param excluded: endpoints that further attempts avoid
+    """
 
     arrival: workloads.Arrival
     endpoint: str = ""
@@ -44,7 +51,11 @@
 
 @attrs.define
 class Vm:
-    """One entry VM, which also owns endpoints."""
+    """A VM that is an entry VM and owns endpoints.
+
+    :param reported: endpoint summaries of its last heartbeat
+    :param reported_usage: usage by member of its last heartbeat
+    """
 
     name: str
     zone: str
@@ -71,7 +82,7 @@
 
 @attrs.frozen
 class Start:
-    """Work that got a slot.
+    """The start of a request in a slot of an endpoint.
 
     :param contended: whether ready work of another member waited there
     """
@@ -86,16 +97,16 @@
 class Site:
     """One run of one policy over one list of arrivals.
 
-    :param queues: by endpoint, as its owner sees it
-    :param owners: the VM of each endpoint
-    :param members: the member of each adapter
-    :param served: all starts in order of time
+    :param queues: state of the queue of each endpoint at its owner
+    :param owners: VM that owns each endpoint
+    :param members: member that owns each adapter
+    :param starts: all starts in order of time
     """
 
     workload: workloads.Workload
     policy: str
     rules: rule_sets.Rules
-    chance: random.Random
+    rng: random.Random
     timeline: fakes.Timeline
     endpoints: dict[str, inventories.Endpoint]
     engines: dict[str, fakes.Engine]
@@ -105,24 +116,24 @@
     owners: dict[str, Vm]
     queues: dict[str, states.EndpointQueue]
     members: dict[str, str] = attrs.field(factory=dict)
-    served: list[Start] = attrs.field(factory=list)
+    starts: list[Start] = attrs.field(factory=list)
 
     @property
     def is_naive(self) -> bool:
-        """Whether owners know neither shares nor transfers nor copies."""
-        return self.policy in NAIVE
+        """Whether owners use neither shares nor token transfers nor copies."""
+        return self.policy in NAIVE_POLICIES
 
     def list_owned(self, vm: Vm) -> list[str]:
-        """Return the endpoints of a VM."""
+        """Return the names of the endpoints that a VM owns."""
         return [name for name, owner in self.owners.items() if owner is vm]
 
     def call_later(self, after_ms: float, action: Callable[[], None]) -> None:
-        """Run an action after some time."""
+        """Schedule an action after a delay."""
         self.timeline.call_at(self.timeline.now_ms + after_ms, action)
 
-    def run(self, rest_ms: int = 10_000) -> None:
-        """Run to the end of the arrivals and of most of the work.
+    def run(self, drain_ms: int = 10_000) -> None:
+        """Run until all requests arrived and most of the work is done.
 
-        :param rest_ms: time after the last arrival
+        :param drain_ms: time to run on after the end of the arrivals
         """
-        self.timeline.run(self.workload.duration_ms + rest_ms)
+        self.timeline.run(self.workload.duration_ms + drain_ms)
--- a/bench/studies.py
+++ b/bench/studies.py
@@ -1,4 +1,4 @@
-"""Measurements that the default run leaves out."""
+"""Measurements that the default run does not include."""
 
 from __future__ import annotations
 
@@ -23,39 +23,41 @@
 STUDIES: registry.Registry[Study] = registry.Registry("studies")
 
 LOADS = (0.8, 1.0, 1.25, 1.5, 2.0)
-OVERLOAD_POLICIES = ("oracle", "round_robin", "least_load", sites.OWN)
-FLAT = ((4_000, 24_000),)
+OVERLOAD_POLICIES = ("oracle", "round_robin", "least_load", sites.OWN_POLICY)
+STEADY_PERIODS = ((4_000, 24_000),)
 QUOTAS = (simulation.NO_QUOTA, 64, 48, 32, 16)
 RESTART_MS = 11_000
 BIN_MS = 1_000
-# The extra stalls of a second count as over at this part of the usual ones.
-NORMAL_PART = 0.1
+# A restart counts as recovered from once the extra stalls per second are at
+# most this fraction of the usual ones.
+RECOVERED_FRACTION = 0.1
 
 
 @STUDIES.register("overload")
 def study_overload(
     pool: futures.Executor, names: list[str], seeds: range
 ) -> Iterator[str]:
-    """Offer a steady load around the capacity of the engines."""
+    """Measure goodput under steady loads around the engines' capacity."""
     runs = list(itertools.product(names, OVERLOAD_POLICIES, LOADS, seeds))
-    found = dict(zip(runs, pool.map(run_overload, *zip(*runs))))
+    results = dict(zip(runs, pool.map(run_overload, *zip(*runs))))
     for name, policy in itertools.product(names, OVERLOAD_POLICIES):
         yield f"{name} {policy}"
         for load in LOADS:
-            figures = [found[name, policy, load, seed] for seed in seeds]
+            figures = [results[name, policy, load, seed] for seed in seeds]
             yield f"  {load:4} x capacity: {_format(figures)}"
 
 
 def run_overload(
     name: str, policy: str, load: float, seed: int
 ) -> dict[str, float]:
-    """Return the goodput under a multiple of the capacity.
+    """Return the goodput at a load that is a multiple of the capacity.
 
-    The capacity is that of full batches, in tokens.
+    The capacity is the token rate of full batches.
     """
     base = workloads.WORKLOADS[name]
     full_ms = (
-        fakes.TOKEN_BASE_MS + fakes.TOKEN_PART_MS * workloads.ENGINE_SLOTS
+        fakes.TOKEN_BASE_MS
+        + fakes.TOKEN_PER_REQUEST_MS * workloads.ENGINE_SLOTS
     )
     capacity = base.engines * workloads.ENGINE_SLOTS * 1000 / full_ms
     offered = sum(
@@ -65,11 +67,11 @@
         attrs.evolve(
             kind,
             rate_per_s=kind.rate_per_s * load * capacity / offered,
-            crest=1.0,
+            peak_factor=1.0,
         )
         for kind in base.kinds
     )
-    workload = attrs.evolve(base, kinds=kinds, crests=FLAT)
+    workload = attrs.evolve(base, kinds=kinds, peaks=STEADY_PERIODS)
     arrivals = workloads.make_arrivals(workload, seed)
     if policy == "oracle":
         run = oracle.run_oracle(workload, arrivals, seed)
@@ -91,15 +93,18 @@
 def study_restart(
     pool: futures.Executor, names: list[str], seeds: range
 ) -> Iterator[str]:
-    """Restart one engine empty one second into the first crest."""
+    """Measure stalls after an engine restarts empty during a load peak.
+
+    The restart happens one second into the first peak.
+    """
     runs = list(itertools.product(names, (False, True), seeds))
-    found = dict(zip(runs, pool.map(run_restart, *zip(*runs))))
+    results = dict(zip(runs, pool.map(run_restart, *zip(*runs))))
     for name in names:
         usual, after = (
             [
                 statistics.mean(values)
                 for values in zip(
-                    *(found[name, restarted, seed] for seed in seeds)
+                    *(results[name, restarted, seed] for seed in seeds)
                 )
             ]
             for restarted in (False, True)
@@ -114,10 +119,10 @@
 
 
 def run_restart(name: str, restarted: bool, seed: int) -> list[int]:
-    """Return the stalls by second of arrival."""
+    """Return the number of stalled requests by second of arrival."""
     workload = workloads.WORKLOADS[name]
     arrivals = workloads.make_arrivals(workload, seed)
-    run = simulation.make_site(workload, sites.OWN, arrivals, seed)
+    run = simulation.make_site(workload, sites.OWN_POLICY, arrivals, seed)
     if restarted:
         run.timeline.call_at(
             RESTART_MS, lambda: simulation.restart(run, "engine-0")
@@ -131,37 +136,40 @@
 
 
 def _find_recovery(usual: list[float], extra: list[float]) -> int:
-    """Return the seconds until the mean of three is usual, and stays so."""
+    """Return the seconds until the stalls are back to normal and stay so.
+
+    The stalls are averaged over three seconds.
+    """
     start = RESTART_MS // BIN_MS
-    limit = NORMAL_PART * statistics.mean(usual[start:])
-    late = [
-        place
-        for place in range(start, len(extra) - 2)
-        if statistics.mean(extra[place : place + 3]) > limit
+    limit = RECOVERED_FRACTION * statistics.mean(usual[start:])
+    unrecovered = [
+        second
+        for second in range(start, len(extra) - 2)
+        if statistics.mean(extra[second : second + 3]) > limit
     ]
-    return max(late, default=start - 1) + 1 - start
+    return max(unrecovered, default=start - 1) + 1 - start
 
 
 @STUDIES.register("quotas")
 def study_quotas(
     pool: futures.Executor, names: list[str], seeds: range
 ) -> Iterator[str]:
-    """Give every member the same warm quota."""
+    """Measure stalls and refusals when every member has the same quota."""
     runs = list(itertools.product(names, QUOTAS, seeds))
-    found = dict(zip(runs, pool.map(run_quota, *zip(*runs))))
+    results = dict(zip(runs, pool.map(run_quota, *zip(*runs))))
     for name in names:
         yield name
         for quota in QUOTAS:
-            figures = [found[name, quota, seed] for seed in seeds]
+            figures = [results[name, quota, seed] for seed in seeds]
             yield f"  {quota:6} a member: {_format(figures)}"
 
 
 def run_quota(name: str, quota: int, seed: int) -> dict[str, float]:
-    """Return the figures of a run with a crest under a warm quota."""
+    """Return the measurements of a run with load peaks under a warm quota."""
     workload = workloads.WORKLOADS[name]
     arrivals = workloads.make_arrivals(workload, seed)
     run = simulation.make_site(
-        workload, sites.OWN, arrivals, seed, warm_adapters=quota
+        workload, sites.OWN_POLICY, arrivals, seed, warm_adapters=quota
     )
     run.run()
     figures = measures.measure_load(run)
@@ -176,9 +184,9 @@
 
 def _format(figures: list[dict[str, float]]) -> str:
     return ", ".join(
-        f"{key} {middle:.1f} ({low:.1f}-{high:.1f})"
+        f"{key} {median:.1f} ({low:.1f}-{high:.1f})"
         for key in figures[0]
-        for middle, low, high in [
-            measures.sum_up([item[key] for item in figures])
+        for median, low, high in [
+            measures.summarize([item[key] for item in figures])
         ]
     )
--- a/bench/warmup.py
+++ b/bench/warmup.py
@@ -1,4 +1,4 @@
-"""The adapters that earlier requests left at the endpoints."""
+"""Fills the endpoints with the adapters of simulated earlier requests."""
 
 from __future__ import annotations
 
@@ -13,33 +13,36 @@
 from bronzetrack.membership import messages as membership
 from bronzetrack.routing import candidates
 
-HISTORY = 3_000
+WARMUP_REQUESTS = 3_000
 
 
 def warm_up(
     site: sites.Site, entry_role: entries.EntryRole, seed: int
 ) -> None:
-    """Fill the adapter slots by the policy of the run."""
+    """Fill the adapter slots by routing with the policy of the run.
+
+    Each endpoint keeps its most recently used adapters.
+    """
     names = workloads.list_names(site.workload, seed)
     vms = list(site.vms)
     recent = {
         name: collections.OrderedDict[str, None]() for name in site.endpoints
     }
-    for rank in workloads.draw_ranks(site.chance, HISTORY):
+    for rank in workloads.draw_ranks(site.rng, WARMUP_REQUESTS):
         adapter = names[rank]
         reports = {
             name: candidates.OwnerReport(
                 site.owners[name].name,
                 membership.EndpointSummary(
-                    site.chance.randrange(workloads.ENGINE_SLOTS),
+                    site.rng.randrange(workloads.ENGINE_SLOTS),
                     warm=tuple(loaded),
                 ),
                 0,
             )
             for name, loaded in recent.items()
         }
-        entry = site.vms[site.chance.choice(vms)]
-        chosen = entry_role.pick(entry, reports, adapter, set())
+        entry = site.vms[site.rng.choice(vms)]
+        chosen = entry_role.choose_endpoint(entry, reports, adapter, set())
         loaded = recent[chosen.endpoint]
         loaded[adapter] = None
         loaded.move_to_end(adapter)
@@ -50,8 +53,8 @@
             site.queues[name],
             residents={
                 adapter: states.Resident(
-                    states.ResidentPhase.READY, place - len(loaded)
+                    states.ResidentPhase.READY, position - len(loaded)
                 )
-                for place, adapter in enumerate(loaded)
+                for position, adapter in enumerate(loaded)
             },
         )
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Sizes, rules and arrivals of the two members."""
+"""Sizes, rules and arrivals of the two workloads."""
 
 from __future__ import annotations
 
@@ -15,13 +15,15 @@
 VMS = 7
 ZONES = ("a", "b", "c")
 ENGINE_SLOTS = 16
-# Popularity follows a power law with this exponent. Requests for adapters
-# that no engine has loaded then take about half of the store's rate; at 1.4
-# they alone exceed it, and every policy refuses work.
-SKEW = 1.5
-MOVED_ADAPTERS = 12
-TOTALS = tuple(
-    itertools.accumulate((rank + 1) ** -SKEW for rank in range(ADAPTERS))
+# Exponent of the power law of adapter popularity. At 1.5, requests for
+# adapters that no engine has loaded use about half of the rate of the weight
+# store; at 1.4 they alone exceed that rate, and every policy refuses work.
+POPULARITY_EXPONENT = 1.5
+SWAPPED_ADAPTERS = 12
+CUMULATIVE_WEIGHTS = tuple(
+    itertools.accumulate(
+        (rank + 1) ** -POPULARITY_EXPONENT for rank in range(ADAPTERS)
+    )
 )
 MEMBERS = {"north": 3.0, "south": 2.0, "west": 1.0}
 
@@ -30,30 +32,30 @@
 class Kind:
     """One kind of request.
 
-    :param rate_per_s: arrivals outside the crest
+    :param rate_per_s: rate of arrivals outside load peaks
     :param prompt: work until the first token, in tokens
-    :param output: mean number of tokens
-    :param crest: factor on the rate during a crest
-    :param limit_ms: time to the first token that still counts as good
+    :param output: mean number of output tokens
+    :param peak_factor: factor on the rate during load peaks
+    :param limit_ms: longest time to the first token that counts as good
     """
 
     work_class: str
     rate_per_s: float
     prompt: int
     output: int
-    crest: float
+    peak_factor: float
     limit_ms: int
 
 
 @attrs.frozen
 class Workload:
-    """What one member runs and asks for.
+    """The engines, the weight store and the requests of one simulated site.
 
     :param loads_per_s: rate of the weight store
-    :param burst: loads that the store starts at once
+    :param burst: loads that the weight store starts at once
     :param store_limit: loads in flight above which the store slows down
-    :param crests: start and end of each swing, in milliseconds
-    :param moved_ms: when popularity shifts
+    :param peaks: start and end of each load peak, in milliseconds
+    :param shift_ms: time at which the popularity of adapters shifts
     """
 
     name: str
@@ -64,12 +66,12 @@
     store_limit: int
     kinds: tuple[Kind, ...]
     classes: dict[str, rule_sets.ClassRule]
-    crests: tuple[tuple[int, int], ...]
+    peaks: tuple[tuple[int, int], ...]
     duration_ms: int = 24_000
-    moved_ms: int = 6_000
+    shift_ms: int = 6_000
 
     def list_endpoints(self) -> dict[str, inventories.Endpoint]:
-        """Return the model servers, spread over the zones."""
+        """Return the engines, spread over the availability zones."""
         return {
             f"engine-{index}": inventories.Endpoint(
                 "127.0.0.1",
@@ -81,9 +83,9 @@
             for index in range(self.engines)
         }
 
-    def is_crest(self, at_ms: float) -> bool:
-        """Return whether a time lies within a crest."""
-        return any(start <= at_ms < end for start, end in self.crests)
+    def is_peak(self, at_ms: float) -> bool:
+        """Return whether a time lies within a load peak."""
+        return any(start <= at_ms < end for start, end in self.peaks)
 
 
 @attrs.frozen
@@ -119,7 +121,7 @@
         "tablet": rule_sets.ClassRule(1, 1.0, 8_000),
         "review": rule_sets.ClassRule(2, 0.5, 30_000),
     },
-    crests=((10_000, 15_000),),
+    peaks=((10_000, 15_000),),
 )
 
 PAPYROS = Workload(
@@ -139,7 +141,7 @@
         "changelog": rule_sets.ClassRule(1, 0.75, 8_000),
         "triage": rule_sets.ClassRule(2, 0.5, 30_000),
     },
-    crests=((10_000, 13_000), (16_000, 19_000)),
+    peaks=((10_000, 13_000), (16_000, 19_000)),
 )
 
 WORKLOADS = {item.name: item for item in (TRUST, PAPYROS)}
@@ -150,30 +152,30 @@
 ) -> list[Arrival]:
     """Return the arrivals of one run in order of time.
 
-    :param crowded: whether every member asks for more than its share
+    :param crowded: whether every member requests more than its share
     """
-    chance = random.Random(f"{workload.name}-{seed}")
+    rng = random.Random(f"{workload.name}-{seed}")
     before = list_names(workload, seed)
     after = list(before)
-    for _ in range(MOVED_ADAPTERS):
-        here, there = chance.randrange(60), chance.randrange(300, ADAPTERS)
-        after[here], after[there] = after[there], after[here]
+    for _ in range(SWAPPED_ADAPTERS):
+        popular, unpopular = rng.randrange(60), rng.randrange(300, ADAPTERS)
+        after[popular], after[unpopular] = after[unpopular], after[popular]
     times = sorted(
         (at_ms, index)
         for index, kind in enumerate(workload.kinds)
-        for at_ms in _list_times(workload, kind, chance, crowded)
+        for at_ms in _list_times(workload, kind, rng, crowded)
     )
     members = list(MEMBERS)
     arrivals = []
     for number, (at_ms, index) in enumerate(times):
-        names = before if at_ms < workload.moved_ms else after
-        rank = draw_ranks(chance, 1)[0]
+        names = before if at_ms < workload.shift_ms else after
+        rank = draw_ranks(rng, 1)[0]
         kind = workload.kinds[index]
-        output = max(2, round(kind.output * chance.uniform(0.6, 1.4)))
-        # An adapter belongs to one member.
+        output = max(2, round(kind.output * rng.uniform(0.6, 1.4)))
+        # Each adapter belongs to one member; its rank determines which.
         member = members[rank % len(members)]
         if crowded:
-            member = chance.choice(members)
+            member = rng.choice(members)
         arrivals.append(
             Arrival(number, at_ms, kind, member, names[rank], output)
         )
@@ -181,7 +183,7 @@
 
 
 def list_names(workload: Workload, seed: int) -> list[str]:
-    """Return the adapters from the most to the least popular."""
+    """Return the adapters in order of popularity, the most popular first."""
     names = [f"adapter-{index}@1" for index in range(ADAPTERS)]
     random.Random(f"names-{workload.name}-{seed}").shuffle(names)
     return names
@@ -194,20 +196,22 @@
     )
 
 
-def draw_ranks(chance: random.Random, count: int) -> list[int]:
-    """Return random places in the order of popularity."""
-    return chance.choices(range(ADAPTERS), cum_weights=TOTALS, k=count)
+def draw_ranks(rng: random.Random, count: int) -> list[int]:
+    """Return random ranks in the order of popularity, weighted by it."""
+    return rng.choices(
+        range(ADAPTERS), cum_weights=CUMULATIVE_WEIGHTS, k=count
+    )
 
 
 def _list_times(
-    workload: Workload, kind: Kind, chance: random.Random, crowded: bool
+    workload: Workload, kind: Kind, rng: random.Random, crowded: bool
 ) -> Iterator[float]:
     at_ms = 0.0
     while True:
-        factor = kind.crest if workload.is_crest(at_ms) else 1.0
+        factor = kind.peak_factor if workload.is_peak(at_ms) else 1.0
         if crowded:
             factor = 4.0
-        at_ms += chance.expovariate(kind.rate_per_s * factor) * 1000
+        at_ms += rng.expovariate(kind.rate_per_s * factor) * 1000
         if at_ms >= workload.duration_ms:
             return
         yield at_ms
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -1,4 +1,4 @@
-"""Tests of whole runs of the load driver."""
+"""Tests of whole runs of the simulation."""
 
 from __future__ import annotations
 
@@ -16,30 +16,32 @@
         workloads.WORKLOADS[request.param], duration_ms=12_000
     )
     arrivals = workloads.make_arrivals(workload, 11)
-    made = simulation.make_site(workload, sites.OWN, arrivals, 11, True)
-    made.run()
-    return made
+    result = simulation.make_site(
+        workload, sites.OWN_POLICY, arrivals, 11, True
+    )
+    result.run()
+    return result
 
 
-def test_loads_stay_within_the_stores_limit(run):
-    """Guards against all VMs together exceeding the loads in flight."""
-    assert 0 < run.store.most <= run.workload.store_limit
+def test_loads_stay_within_the_limit_of_the_store(run):
+    """Guards against VMs that together exceed the limit on loads."""
+    assert 0 < run.store.max_in_flight <= run.workload.store_limit
 
 
 def test_every_request_is_answered_or_refused(run):
-    """Guards against work that is lost between queues."""
-    lost = [
+    """Guards against requests that get not_started between queues."""
+    not_started = [
         item
         for item in run.outcomes
         if not item.refusal and item.started_ms is None
     ]
     waiting = sum(len(queue.waiting) for queue in run.queues.values())
-    assert len(lost) == waiting
-    assert len(lost) < len(run.outcomes) / 100
+    assert len(not_started) == waiting
+    assert len(not_started) < len(run.outcomes) / 100
 
 
-def test_running_work_fits_the_engines(run):
-    """Guards against a queue and its engine that disagree."""
+def test_running_work_matches_the_engines(run):
+    """Guards against a queue that disagrees with the batch of its engine."""
     for name, queue in run.queues.items():
         assert set(queue.running) == set(run.engines[name].jobs)
         assert len(queue.running) <= run.endpoints[name].slots
