Reword the stand-ins and the shared test files

Cause: Docstrings and comments of tests/standins, tests/docs, tests/scripts and the shared fixtures were fragments or figurative. Change: Plain sentences that name modes, units and defaults. Names that only these files use were renamed: living, grown, passing, knee and given became running_vms, changed, forwarding, full_speed_loads and input_file; six tests have clearer names. Assertions and parameters are the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures that several folders share."""
+"""Fixtures and hooks that several test folders share."""
 
 from __future__ import annotations
 
@@ -37,22 +37,22 @@
 
 @pytest.fixture
 def good() -> str:
-    """Text of a correct settings file."""
+    """Return the text of a valid settings file."""
     return SETTINGS
 
 
 @pytest.fixture
 def board() -> boards.Blackboard:
-    """Blackboard of a daemon that has just started."""
+    """Return the blackboard of a daemon that has just started."""
     return boards.Blackboard(loader.load_settings(SETTINGS), "incarnation-1")
 
 
-# Tests that may fail for a fault that is listed as open. They still run.
+# Lists the tests that may fail because of an open issue. They still run.
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
 def list_known_red() -> list[str]:
-    """Return the names of the tests that the file lists."""
+    """Return the node IDs of the tests that KNOWN-RED.txt lists."""
     if not KNOWN_RED.exists():
         return []
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
@@ -60,7 +60,7 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Let the run pass over just the tests that are listed."""
+    """Mark just the listed tests as expected failures."""
     listed = set(list_known_red())
     for item in items:
         if item.nodeid in listed:
@@ -70,9 +70,9 @@
 
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Iterator[None]:
-    """Pass over failures in the teardown of the tests that are listed.
+    """Report failures in the teardown of listed tests as expected failures.
 
-    An xfail mark covers the body of a test and its set-up only.
+    An xfail mark covers the set-up and the body of a test only.
     """
     outcome = yield
     report = outcome.get_result()
@@ -88,7 +88,7 @@
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
-    """Print the tests that the run passed over, with their failures."""
+    """Print the listed tests and the output of their failures."""
     for name in list_known_red():
         terminalreporter.write_line(f"KNOWN RED: {name}")
     for report in terminalreporter.stats.get("xfailed", []):
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -1,4 +1,4 @@
-"""Tests that the pages name everything that the code registers."""
+"""Tests that the documentation covers everything that the code registers."""
 
 from __future__ import annotations
 
@@ -36,26 +36,26 @@
 
 @pytest.mark.parametrize("registry", [messages.MESSAGES, records.RECORDS])
 def test_each_message_and_record_has_a_row(protocols, registry):
-    """Guards against a message that no page describes."""
+    """Guards against messages and records without an up-to-date row."""
     for name, cls in registry.items():
-        words = [f"`{field.name}`" for field in attrs.fields(cls)]
-        words.append(f"`{cls.__module__.removeprefix('bronzetrack.')}`")
+        cells = [f"`{field.name}`" for field in attrs.fields(cls)]
+        cells.append(f"`{cls.__module__.removeprefix('bronzetrack.')}`")
         rows = re.findall(rf"^\| `{name}` \|.*$", protocols, re.MULTILINE)
         assert any(
-            all(word in row for word in words) for row in rows
-        ), f"run scripts/update_protocols.py for {name}: {words}"
+            all(cell in row for cell in cells) for row in rows
+        ), f"run scripts/update_protocols.py for {name}: {cells}"
 
 
 def test_each_reason_has_its_status(protocols):
-    """Guards against an error that a caller cannot look up."""
+    """Guards against failure reasons that the page does not document."""
     for reason in failures.Reason:
         status = statuses.get_status(failures.Failure(reason))
         row = rf"^\| `{reason.value}` \| ({status}|-) \| \w"
         assert re.search(row, protocols, re.MULTILINE), reason
 
 
-def test_each_call_has_an_example(protocols, configured_routes):
-    """Guards against a public call without a description."""
+def test_each_path_has_an_example(protocols, configured_routes):
+    """Guards against public paths without an example of a call."""
     for path in configured_routes:
         fixed = path.partition("{")[0].rstrip("/")
         assert re.search(rf"curl .*(\n +.*)*?{fixed}", protocols), path
@@ -63,7 +63,7 @@
 
 @pytest.fixture
 def configured_routes(board) -> list[str]:
-    """Paths of both HTTP listeners."""
+    """Return the paths of both HTTP listeners."""
     routes = [
         *callers.CallersApplication(board, None).list_routes(),
         *operators.OperatorsApplication(board, None).build().routes,
@@ -71,14 +71,16 @@
     return [route.path for route in routes if route.path != "/v1/completions"]
 
 
-def test_operations_page_names_what_operators_see(operations, board):
-    """Guards against a metric, section or exit code without advice."""
-    counted = [
+def test_operations_page_lists_metrics_sections_and_exit_codes(
+    operations, board
+):
+    """Guards against undocumented metrics, state sections and exit codes."""
+    metric_names = [
         metric.name + ("_total" if metric.type == "counter" else "")
         for metric in prometheus_client.REGISTRY.collect()
         if metric.name.startswith("bronzetrack_")
     ]
-    names = [*gauges.GAUGES, *counted]
+    names = [*gauges.GAUGES, *metric_names]
     missing = [name for name in names if f"`{name}" not in operations]
     sections = dump.list_sections(board)
     missing += [name for name in sections if f"| `{name}` |" not in operations]
--- a/tests/scripts/test_alter_site.py
+++ b/tests/scripts/test_alter_site.py
@@ -1,4 +1,4 @@
-"""Altered copies of a bench's site file."""
+"""Tests of altered copies of a site file."""
 
 from __future__ import annotations
 
@@ -39,19 +39,19 @@
 
 @pytest.fixture
 def site() -> dict:
-    """Site with two services, of which one has engines."""
+    """Return a site with two services, one of which has engines."""
     return copy.deepcopy(SITE)
 
 
-def test_change_holds_for_each_item_that_has_the_key(site):
-    """Guards against a variation that alters the first item alone."""
+def test_change_applies_to_each_item_that_has_the_key(site):
+    """Guards against a variation that changes only the first item."""
     change = {"path": "classes.*.aim_ms", "times": 0.5}
     alter_site.apply_change(site, change)
     assert [item["aim_ms"] for item in site["classes"]] == [50, 100]
 
 
 def test_items_without_the_key_are_left_out(site):
-    """Guards against plain services that get settings of engines."""
+    """Guards against adding engine settings to plain services."""
     change = {"path": "services.*.llm.step_ms", "value": 3.0}
     alter_site.apply_change(site, change)
     assert site["services"][0]["llm"]["step_ms"] == 3.0
@@ -59,21 +59,21 @@
 
 
 def test_whole_numbers_stay_whole(site):
-    """Guards against 4.5 slots."""
+    """Guards against scaling a number of slots to a fraction such as 4.5."""
     change = {"path": "services.*.llm.slots", "times": 0.45}
     alter_site.apply_change(site, change)
     assert site["services"][0]["llm"]["slots"] == 4
 
 
-def test_path_that_the_site_lacks_is_an_error(site):
-    """Guards against a variation that silently varies nothing."""
+def test_path_missing_from_the_site_is_an_error(site):
+    """Guards against a variation that silently changes nothing."""
     with pytest.raises(alter_site.AlterationError, match="bounds.fenced"):
         change = {"path": "bounds.fenced", "value": False}
         alter_site.apply_change(site, change)
 
 
-def test_day_of_a_kind_has_nothing_else(site):
-    """Guards against effects of the pattern day beside the kind's own."""
+def test_day_of_a_kind_has_only_faults_of_that_kind(site):
+    """Guards against effects of the template day besides those of the kind."""
     kinds = [
         {"kind": "burst", "class": "@c1", "x": 2.0},
         {"kind": "srv_grey", "service": "@s0", "how": "errors one_zone"},
@@ -86,15 +86,15 @@
     assert second["faults"][0]["service"] == "engines"
 
 
-def test_site_without_a_troubled_day_is_an_error(site):
-    """Guards against days at the traffic of a quiet one."""
+def test_site_without_a_fault_day_is_an_error(site):
+    """Guards against days with the traffic of a quiet day."""
     site["day"].pop()
     with pytest.raises(alter_site.AlterationError, match="trouble"):
         alter_site.make_days(site, [])
 
 
 def test_repeated_days_differ_in_seed_and_name(site):
-    """Guards against a comparison of the same day with itself."""
+    """Guards against repeats that compare a day with itself."""
     days = [{"name": "a", "seed": 5}, {"name": "b", "seed": 7}]
     repeated = alter_site.repeat_days(days, ["b"], 2)
     assert repeated == [
@@ -104,16 +104,16 @@
 
 
 def test_command_writes_a_copy(site, tmp_path):
-    """Guards against an alteration of the given file."""
-    given, variation, out = (tmp_path / name for name in "abc")
-    given.write_text(tomli_w.dumps(site))
+    """Guards against changes to the input file."""
+    input_file, variation, out = (tmp_path / name for name in "abc")
+    input_file.write_text(tomli_w.dumps(site))
     variation.write_text(
         'name = "fast"\n'
         'changes = [{ path = "services.*.llm.step_ms", times = 0.5 }]\n'
     )
     result = testing.CliRunner().invoke(
         alter_site.main,
-        [str(given), str(out), "--variation", str(variation)],
+        [str(input_file), str(out), "--variation", str(variation)],
     )
     assert result.exit_code == 0, result.output
     altered = tomllib.loads(out.read_text())
@@ -123,7 +123,7 @@
         "quiet-1",
         "trouble-1",
     ]
-    assert tomllib.loads(given.read_text()) == site
+    assert tomllib.loads(input_file.read_text()) == site
 
 
 @pytest.mark.parametrize(
@@ -132,7 +132,7 @@
     ids=lambda item: item.stem,
 )
 def test_variation_can_be_read(path):
-    """Guards against a mistake that only a run of the bench would show."""
+    """Guards against invalid files that only a run of the bench detects."""
     variation = tomllib.loads(path.read_text())
     assert variation["name"] == path.stem
     assert all(
@@ -142,7 +142,7 @@
 
 
 def test_list_of_kinds_can_be_read():
-    """Guards against a mistake that only a run of the bench would show."""
+    """Guards against invalid files that only a run of the bench detects."""
     kinds = tomllib.loads((DEPLOY / "kinds.toml").read_text())["kinds"]
     assert all("kind" in kind for kind in kinds)
     assert len({tuple(sorted(kind.items())) for kind in kinds}) == len(kinds)
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the outside systems."""
+"""Stand-ins for the external systems that the daemons depend on."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in for a model engine or a plain service."""
+"""Stand-in for a model engine or a plain service, run as a process."""
 
 from __future__ import annotations
 
@@ -26,36 +26,48 @@
 
 @attrs.define
 class Job:
-    """A request that runs or ran, with the events made so far."""
+    """A running or finished request with the events generated so far.
+
+    :param changed: set and replaced when an event is added or the job ends
+    :param lost: whether the engine restarted during the job
+    """
 
     model: str
     events: list[bytes] = attrs.field(factory=list)
     done: bool = False
     cancelled: bool = False
     lost: bool = False
-    grown: anyio.Event = attrs.field(factory=anyio.Event)
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
     task: asyncio.Task[None] | None = None
 
     def add(self, event: bytes) -> None:
         self.events.append(event)
-        self._wake()
+        self._notify()
 
     def finish(self) -> None:
         self.done = True
-        self._wake()
+        self._notify()
 
-    def _wake(self) -> None:
-        self.grown.set()
-        self.grown = anyio.Event()
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
 
 
 @attrs.define
 class Engine:
-    """State and handlers of the stand-in.
-
-    :param store_url: weight store that adapters are loaded from
-    :param token_s: time for each token
-    :param checks_fencing: whether an old fencing number is refused
+    """State and request handlers of the stand-in.
+
+    :param store_url: weight store that adapters are loaded from; loads take
+        no time if it is empty
+    :param token_s: time per token
+    :param checks_fencing: whether orders with a stale fencing number are
+        refused
+    :param report_lag_s: time for which a published load report is reused
+    :param boot: identifier of this start of the engine
+    :param fencing: highest fencing number seen
+    :param runs: number of runs by text of the request
+    :param faults: descriptions of invalid orders received
+    :param report: published load report
     """
 
     store_url: str = ""
@@ -121,7 +133,7 @@
         job = Job(model)
         self.jobs[request.headers.get("request-id", uuid.uuid4().hex)] = job
         if fields.get("stream"):
-            # A job runs on when its connection breaks, and can be resumed.
+            # A job continues when its connection breaks, and can be resumed.
             job.task = asyncio.create_task(self._generate(job, tokens))
             return responses.StreamingResponse(
                 self._replay(job, 0), media_type="text/event-stream"
@@ -174,11 +186,11 @@
                 number += 1
                 yield event
             if job.lost:
-                # The server then breaks the connection.
+                # The exception makes the server break the connection.
                 raise ConnectionAbortedError
             if job.done:
                 return
-            await job.grown.wait()
+            await job.changed.wait()
 
     async def load(self, request: requests.Request) -> responses.Response:
         refusal = self._check_fencing(request)
@@ -252,7 +264,11 @@
         return responses.JSONResponse({})
 
     async def restart(self, request: requests.Request) -> responses.Response:
-        """Restart empty while the published report is still the former one."""
+        """Restart empty while the report of the previous start is published.
+
+        The old report is published with a new timestamp, so that it is served
+        until it expires.
+        """
         self.report = {
             **self.report,
             "produced_ms": int(time.time() * 1000),
@@ -266,7 +282,7 @@
         return responses.JSONResponse({})
 
     async def release(self, request: requests.Request) -> responses.Response:
-        """Let the calls go on that are held, now and later."""
+        """Release all held calls and hold no further ones."""
         self.released.set()
         return responses.JSONResponse({})
 
--- a/tests/standins/forwarder.py
+++ b/tests/standins/forwarder.py
@@ -1,4 +1,4 @@
-"""Stand-in for the network between processes: forwards TCP connections."""
+"""Stand-in for the network between processes that forwards connections."""
 
 from __future__ import annotations
 
@@ -19,21 +19,22 @@
 
 @attrs.define
 class Link:
-    """An address whose connections go on to another address.
+    """A listener that forwards its TCP connections to a target address.
 
-    A link that holds takes connections and bytes and passes none of them on,
-    nor that a connection has closed; it does so once it forwards again, as
-    TCP does after a cut. A link that refuses does not listen.
+    In mode `hold`, a link accepts connections and bytes but forwards neither
+    them nor the end of a connection. It catches up once it is back in mode
+    `forward`, as TCP does after a network partition. In mode `refuse`, it
+    does not listen.
     """
 
     listen: tuple[str, int]
     target: tuple[str, int]
-    passing: asyncio.Event = attrs.field(factory=asyncio.Event)
+    forwarding: asyncio.Event = attrs.field(factory=asyncio.Event)
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def set_mode(self, mode: str) -> None:
-        self.passing.clear()
+        self.forwarding.clear()
         if mode == "refuse" and self.server is not None:
             self.server.close()
             self.server = None
@@ -44,23 +45,23 @@
                 self._accept, *self.listen
             )
         if mode == "forward":
-            self.passing.set()
+            self.forwarding.set()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with self._track(writer):
-            await self.passing.wait()
+            await self.forwarding.wait()
             try:
-                far_reader, far_writer = await asyncio.open_connection(
+                target_reader, target_writer = await asyncio.open_connection(
                     *self.target
                 )
             except OSError:
                 return
-            with self._track(far_writer):
+            with self._track(target_writer):
                 await asyncio.gather(
-                    self._pump(reader, far_writer),
-                    self._pump(far_reader, writer),
+                    self._copy(reader, target_writer),
+                    self._copy(target_reader, writer),
                 )
 
     @contextlib.contextmanager
@@ -72,23 +73,24 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def _pump(
+    async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         data = b"-"
         with contextlib.suppress(OSError):
             while data:
                 data = await reader.read(CHUNK_BYTES)
-                await self.passing.wait()
+                await self.forwarding.wait()
                 writer.write(data)
                 await writer.drain()
-        # The other direction ends too: no peer here uses half a connection.
+        # The other direction is closed as well, since no peer here uses
+        # half-closed connections.
         writer.close()
 
 
 @attrs.define
 class Forwarder:
-    """Handlers that make links and set their modes."""
+    """Request handlers that create links and set their modes."""
 
     links: dict[str, Link] = attrs.field(factory=dict)
 
--- a/tests/standins/logstore.py
+++ b/tests/standins/logstore.py
@@ -1,4 +1,4 @@
-"""A small stand-in of the platform's store, at its published protocol."""
+"""Stand-in for the store of the platform with its published protocol."""
 
 from __future__ import annotations
 
@@ -15,10 +15,12 @@
 
 @attrs.define
 class LogStore:
-    """Topics with one partition each, and faults on request.
+    """Topics with one partition each, and faults to inject.
 
-    :param failing: status that every call gets
-    :param lost: calls whose answer is withheld after they took effect
+    :param first: lowest offset that can still be read, by topic
+    :param failing: status with which every call fails, None for no fault
+    :param lost: number of calls to come whose answer is withheld after they
+        took effect
     """
 
     topics: dict[str, list[bytes]] = attrs.field(factory=dict)
@@ -28,16 +30,16 @@
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
-        """Write a keyed record, as an operator or an endpoint does."""
+        """Append a keyed record, as an operator or an endpoint does."""
         name = key.encode()
         self._append(topic, [bytes([len(name)]) + name + (value or b"")])
 
     def put_json(self, topic: str, key: str, value: object) -> None:
-        """Write a JSON document."""
+        """Append a JSON document as a keyed record."""
         self.put(topic, key, json.dumps(value).encode())
 
     def trim(self, topic: str) -> None:
-        """Drop the history of a topic."""
+        """Drop all records of a topic from its readable history."""
         self.first[topic] = len(self.topics.get(topic, []))
 
     def _append(self, topic: str, records: list[bytes]) -> int:
@@ -51,7 +53,7 @@
     async def handle(
         self, request: rawhttp.Received, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer a call."""
+        """Handle a call to the store."""
         if self.failing is not None:
             writer.write(rawhttp.make_answer(self.failing))
             return
@@ -135,5 +137,5 @@
         return rawhttp.make_answer(200, json.dumps(page).encode())
 
 
-# Small, so that tests see more than one page.
+# Small enough that tests read more than one page.
 PAGE_ITEMS = 3
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -18,17 +18,18 @@
 
 @attrs.define
 class Faults:
-    """Switches for the faults of the platform.
+    """Faults of the platform to inject.
 
-    :param log_down: every call to the log fails
-    :param log_delay_s: added to every call to the log
-    :param read_delay_s: added to every answer to a read of the log
-    :param lose_answers: appends whose answer is lost after they took effect
+    :param log_down: whether every call to the log fails
+    :param log_delay_s: delay of every call to the log
+    :param read_delay_s: delay of every answer to a read of the log
+    :param lose_answers: number of appends to come whose answer is lost after
+        they took effect
     :param refused_stream: stream whose appends are refused
     :param broken_stream: stream whose next append takes effect, loses its
         answer and takes the whole log down
-    :param list_down: the VM list fails
-    :param store_down: the weight store fails
+    :param list_down: whether the VM list fails
+    :param store_down: whether the weight store fails
     """
 
     log_down: bool = False
@@ -43,11 +44,15 @@
 
 @attrs.define
 class Stream:
-    """Records of one stream."""
+    """The records of one stream.
+
+    :param start: offset of the first record that is kept
+    :param changed: set and replaced when records are appended
+    """
 
     start: int = 0
     records: list[bytes] = attrs.field(factory=list)
-    grown: anyio.Event = attrs.field(factory=anyio.Event)
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def end(self) -> int:
@@ -56,8 +61,8 @@
     def append(self, items: list[bytes]) -> int:
         offset = self.end
         self.records.extend(items)
-        self.grown.set()
-        self.grown = anyio.Event()
+        self.changed.set()
+        self.changed = anyio.Event()
         return offset
 
     def truncate(self, start: int) -> None:
@@ -67,14 +72,16 @@
 
 @attrs.define
 class Platform:
-    """State and handlers of the stand-in.
+    """State and request handlers of the stand-in.
 
     :param load_s: time that a load takes at full speed
-    :param knee: loads in flight above which each takes longer
+    :param full_speed_loads: loads in flight above which each load takes longer
+    :param loading: loads in flight
+    :param most_loading: highest number of loads in flight so far
     """
 
     load_s: float = 0.25
-    knee: int = 16
+    full_speed_loads: int = 16
     faults: Faults = attrs.field(factory=Faults)
     streams: dict[str, Stream] = attrs.field(
         factory=lambda: collections.defaultdict(Stream)
@@ -132,7 +139,7 @@
             return responses.Response(status_code=410)
         if first >= stream.end and wait_ms:
             with anyio.move_on_after(wait_ms / 1000):
-                await stream.grown.wait()
+                await stream.changed.wait()
         await anyio.sleep(self.faults.read_delay_s)
         if self.faults.log_down:
             return responses.Response(status_code=503)
@@ -173,7 +180,7 @@
         self.loading += 1
         self.most_loading = max(self.most_loading, self.loading)
         try:
-            slowdown = max(1.0, self.loading / self.knee)
+            slowdown = max(1.0, self.loading / self.full_speed_loads)
             await anyio.sleep(self.load_s * slowdown)
         finally:
             self.loading -= 1
--- a/tests/standins/rawhttp.py
+++ b/tests/standins/rawhttp.py
@@ -1,4 +1,4 @@
-"""HTTP servers of the outside whose every byte a test decides."""
+"""HTTP servers of external systems with byte-level control for tests."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @attrs.define
 class Received:
-    """A request that arrived."""
+    """A received request; the names of its headers are in lower case."""
 
     method: str
     target: str
@@ -23,7 +23,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> Received | None:
-    """Return the next request of a connection, or nothing at its end."""
+    """Return the next request of a connection, None at its end."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -41,7 +41,7 @@
 def make_answer(
     status: int, body: bytes = b"", headers: dict[str, str] | None = None
 ) -> bytes:
-    """Return an answer with a length."""
+    """Return an encoded answer with a Content-Length header."""
     lines = [f"HTTP/1.1 {status} Reason", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
@@ -49,7 +49,11 @@
 
 @attrs.define
 class RawServer:
-    """A listening server; `received` keeps all requests."""
+    """A listening server that records the requests it receives.
+
+    :param received: all requests, in order of arrival
+    :param connections: number of connections accepted
+    """
 
     handler: Handler
     received: list[Received] = attrs.field(factory=list)
@@ -57,7 +61,7 @@
     server: asyncio.Server | None = None
 
     async def start(self) -> str:
-        """Listen and return the address."""
+        """Start listening and return the address."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -1,4 +1,4 @@
-"""Starts a small site of separate processes on loopback addresses."""
+"""Runs a small site of separate processes on loopback addresses."""
 
 from __future__ import annotations
 
@@ -27,23 +27,23 @@
 
 
 class SiteError(Exception):
-    """The site did not reach an expected state in time."""
+    """The site failed, or did not reach an expected state in time."""
 
 
 class NoAnswerError(Exception):
-    """A daemon does not answer; it may not have started yet."""
+    """A daemon does not answer, possibly because it has not started yet."""
 
 
-# Outgoing connections on loopback come from 127.0.0.1, whose ports they take
-# at any moment; listeners of the site have addresses of their own. Runs at
-# the same time are on different networks, since a port that was found free
-# could be taken by the other run before it is bound.
+# Outgoing connections on loopback take ephemeral ports of 127.0.0.1 at any
+# moment, so the listeners of a site use other addresses. Concurrent runs use
+# different networks, since a port that is found free could be taken by
+# another run before it is bound.
 NETWORK = f"127.{os.getpid() % 254 + 1}"
 PLATFORM_HOST = f"{NETWORK}.3.1"
 
 
 def find_port(host: str = PLATFORM_HOST) -> int:
-    """Return a port that the system says is free."""
+    """Return a port of a host that is free at the moment."""
     with socket.socket() as probe:
         probe.bind((host, 0))
         return probe.getsockname()[1]
@@ -53,9 +53,13 @@
 class Vm:
     """The process and the addresses of a daemon.
 
-    :param advertised: where peers connect, if not to `peers`
-    :param platform_url: the platform, if this VM does not reach it directly
-    :param vm_list_url: the VM list, if it is not that of the platform
+    :param callers: address of the listener for callers
+    :param operators: address of the listener for operators
+    :param peers: address of the listener for peers
+    :param advertised: address that peers connect to, if it is not `peers`
+    :param platform_url: URL of the platform, if the VM does not connect to it
+        directly
+    :param vm_list_url: URL of the VM list, if it is not that of the platform
     """
 
     name: str
@@ -89,13 +93,13 @@
 
 @attrs.define
 class Site:
-    """Everything that runs, and where.
+    """The processes of a site, with their addresses and options.
 
-    :param folder: for settings files and logs
+    :param folder: folder for settings files and logs
     :param profile: whether daemons write a profile when they stop
-    :param forwarded: whether links of the forwarder lie between daemons, and
-        between each daemon and the platform
-    :param own_lists: whether each daemon reads a VM list of its own
+    :param forwarded: whether connections between daemons, and from each
+        daemon to the platform, pass through links of the forwarder
+    :param own_lists: whether each daemon reads a separate VM list
     """
 
     folder: pathlib.Path
@@ -117,7 +121,7 @@
         return f"http://{PLATFORM_HOST}:{self.platform_port}"
 
     def start(self, name: str, *command: str) -> subprocess.Popen[bytes]:
-        """Start a process whose output goes into the folder."""
+        """Start a Python process that logs to a file in the folder."""
         paths = os.pathsep.join([str(TESTS), str(TESTS.parent / "src")])
         environment = {**os.environ, "PYTHONPATH": paths}
         with open(self.folder / f"{name}.log", "ab") as log:
@@ -127,9 +131,11 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
-                # Modules of a working directory would hide installed ones.
+                # Modules in the current working directory could shadow
+                # installed ones.
                 cwd=self.folder,
-                # Ctrl-C reaches the script alone, which then ends the rest.
+                # With a session of its own, the process gets no Ctrl-C. The
+                # script does and stops the processes.
                 start_new_session=True,
             )
         self.processes.append(process)
@@ -162,25 +168,25 @@
         self.forwarder_port = find_port()
         self._start_standin("forwarder", "forwarder", self.forwarder_port)
 
-        def accepts() -> bool:
+        def is_listening() -> bool:
             with socket.socket() as probe:
                 address = (PLATFORM_HOST, self.forwarder_port)
                 return probe.connect_ex(address) == 0
 
-        self.wait(accepts)
+        self.wait(is_listening)
 
     def add_link(self, name: str, target: str) -> str:
-        """Return an address whose connections go on to another one."""
+        """Add a link to a target address and return the link's address."""
         host, port = target.split(":")
         listen = (PLATFORM_HOST, find_port())
         self.set_link(name, "forward", listen=listen, target=(host, int(port)))
         return f"{listen[0]}:{listen[1]}"
 
     def set_link(self, name: str, mode: str, **fields: Any) -> None:
-        """Let a link forward, hold or refuse.
+        """Set the mode of a link: `forward`, `hold` or `refuse`.
 
-        :param name: `peers-VM` for connections to a VM from its peers,
-            `platform-VM` for those of a VM to the platform
+        :param name: `peers-VM` for connections from peers to a VM,
+            `platform-VM` for connections from a VM to the platform
         """
         url = f"http://{PLATFORM_HOST}:{self.forwarder_port}/links/{name}"
         if fetch("PUT", url, {"mode": mode, **fields}) is None:
@@ -259,7 +265,7 @@
             self.wait(lambda vm=vm: self.get_state(vm, "vm"))
 
     def get_state(self, vm: Vm, section: str) -> Any:
-        """Return the value of a section of a daemon.
+        """Return the value of a section of the state of a daemon.
 
         :raises NoAnswerError: if the daemon does not answer
         """
@@ -269,33 +275,37 @@
         return answer["value"]
 
     def count_owned(self) -> int:
-        """Return how many endpoints have an owner that lives."""
-        living = [vm for vm in self.vms.values() if is_running(vm)]
-        if not living:
+        """Return how many endpoints have an owner that is running."""
+        running_vms = [vm for vm in self.vms.values() if is_running(vm)]
+        if not running_vms:
             raise SiteError(f"no daemon runs\n{self.read_log_ends()}")
-        ownership = self.get_state(living[0], "ownership")
-        names = {vm.name for vm in living}
+        ownership = self.get_state(running_vms[0], "ownership")
+        names = {vm.name for vm in running_vms}
         return sum(
             owner["vm"] in names for owner in ownership["owners"].values()
         )
 
     def is_settled(self) -> bool:
-        """Return whether every endpoint is owned by a VM of its zone.
+        """Return whether each endpoint is owned by a running VM of its zone.
 
-        Until then endpoints still move between VMs.
+        Until then, endpoints still move between VMs.
         """
-        living = {name: vm for name, vm in self.vms.items() if is_running(vm)}
-        views = [self.get_state(vm, "ownership") for vm in living.values()]
+        running_vms = {
+            name: vm for name, vm in self.vms.items() if is_running(vm)
+        }
+        views = [
+            self.get_state(vm, "ownership") for vm in running_vms.values()
+        ]
         return all(
             name in view["owners"]
-            and view["owners"][name]["vm"] in living
-            and living[view["owners"][name]["vm"]].zone == endpoint.zone
+            and view["owners"][name]["vm"] in running_vms
+            and running_vms[view["owners"][name]["vm"]].zone == endpoint.zone
             for view in views
             for name, endpoint in self.endpoints.items()
         )
 
     def read_log_ends(self) -> str:
-        """Return the last lines that each daemon logged."""
+        """Return the last lines of the log of each daemon."""
         return "\n".join(
             f"{name}: {line}"
             for name in self.vms
@@ -309,7 +319,10 @@
     ) -> None:
         """Wait until a condition holds.
 
-        A condition that a daemon does not answer does not hold yet.
+        A condition that needs an answer from a daemon which does not answer
+        counts as not yet met.
+
+        :raises SiteError: if the condition does not hold before the timeout
         """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
@@ -366,7 +379,7 @@
         }
 
     def make_rules(self, member: str = "trust") -> dict[str, Any]:
-        """Return a rule set with three work classes."""
+        """Return rules for one member with three work classes."""
         return {
             "members": {member: {"weight": 1.0, "warm_adapters": 64}},
             "classes": {
@@ -385,7 +398,11 @@
         timeout_s: float = 30.0,
         **fields: Any,
     ) -> httpcore.Response:
-        """Send a completions call to a daemon and return the answer."""
+        """Send a completions call to a daemon and return the answer.
+
+        :param vm: VM to send to; the first one by default
+        :param fields: further fields of the body
+        """
         address = (vm or next(iter(self.vms.values()))).callers
         body = {"model": model, "prompt": "hello", **fields}
         timeouts = dict.fromkeys(TIMEOUTS, timeout_s)
@@ -398,23 +415,26 @@
         )
 
     def set_faults(self, **faults: Any) -> None:
-        """Switch the faults of the platform; what is not named is off."""
+        """Set the faults of the platform and clear those not given."""
         if fetch("PUT", f"{self.platform_url}/faults", faults) is None:
-            raise SiteError("the platform does not take faults")
+            raise SiteError("the platform did not accept the faults")
 
     def read_statistics(self) -> dict[str, Any]:
-        """Return what the platform has counted."""
+        """Return the counters of the platform."""
         return fetch("GET", f"{self.platform_url}/statistics")
 
     def wait_keys(self) -> None:
-        """Wait until every VM has read the stream of keys to its end."""
+        """Wait until every VM has read the key stream to its end."""
         for vm in self.vms.values():
             self.wait(lambda vm=vm: self.get_state(vm, "keys")["caught_up"])
 
     def is_serving(self, name: str) -> bool:
-        """Return whether a daemon serves in its own and each other's view."""
-        living = [vm for vm in self.vms.values() if is_running(vm)]
-        for vm in living:
+        """Return whether a daemon and all other running ones see it serving.
+
+        The other daemons also have to be connected to it.
+        """
+        running_vms = [vm for vm in self.vms.values() if is_running(vm)]
+        for vm in running_vms:
             section = "lifecycle" if vm.name == name else "membership"
             value = self.get_state(vm, section)
             if section == "membership":
@@ -426,7 +446,7 @@
         return True
 
     def count_runs(self, text: str) -> int:
-        """Return how often endpoints ran requests that hold a text."""
+        """Return how often endpoints ran requests that contain a text."""
         statistics = [
             fetch("GET", f"{item.url}/statistics")
             for item in self.endpoints.values()
@@ -439,7 +459,7 @@
         )
 
     def stop(self) -> None:
-        """Stop every process that was started here."""
+        """Kill every process that the site started and wait for its end."""
         running = [item for item in self.processes if item.poll() is None]
         for process in running:
             process.send_signal(signal.SIGCONT)
@@ -465,7 +485,7 @@
 
 
 def run_tool(*arguments: str) -> str:
-    """Run the command-line tool and return what it printed."""
+    """Run the command-line tool and return its standard output."""
     result = subprocess.run(
         [sys.executable, "-m", "bronzetrack.console", *arguments],
         env={**os.environ, "PYTHONPATH": str(TESTS.parent / "src")},
@@ -478,14 +498,18 @@
 
 
 def is_running(vm: Vm) -> bool:
-    """Return whether the process of a daemon runs."""
+    """Return whether the process of a daemon is running."""
     return vm.process is not None and vm.process.poll() is None
 
 
 def fetch(
     method: str, url: str, body: Any = None, timeout_s: float = 2.0
 ) -> Any:
-    """Return the JSON of an answer, None if there is none."""
+    """Send a request and return the JSON value of the answer.
+
+    :returns: {} if the answer has no body; None if there is no answer or its
+        status is not 200
+    """
     timeouts = dict.fromkeys(TIMEOUTS, timeout_s)
     content = b"" if body is None else json.dumps(body).encode()
     try:
@@ -502,13 +526,13 @@
 
 
 def exit_on_signals() -> None:
-    """Let the usual signals raise SystemExit, so that clean-up runs."""
+    """Raise SystemExit on SIGTERM and SIGHUP, so that clean-up runs."""
 
-    def leave(number: int, frame: Any) -> None:
+    def raise_exit(number: int, frame: Any) -> None:
         raise SystemExit(128 + number)
 
     for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, leave)
+        signal.signal(number, raise_exit)
 
 
 @contextlib.contextmanager
@@ -520,7 +544,12 @@
     endpoint_zones: Sequence[str] = ZONES,
     **options: Any,
 ) -> Iterator[Site]:
-    """Run a site; whatever happens, end what it started."""
+    """Run a site and stop all of its processes at the end or on failure.
+
+    :param services: number of plain services
+    :param endpoint_zones: zones that the endpoints are spread over in turn
+    :param options: further fields of the site
+    """
     site = Site(folder, find_port(), **options)
     try:
         site.start_platform()
--- a/tests/standins/wireengine.py
+++ b/tests/standins/wireengine.py
@@ -1,4 +1,4 @@
-"""A model engine and a plain service at the platform's protocol."""
+"""Stand-in for an engine or a plain service with the platform's protocol."""
 
 from __future__ import annotations
 
@@ -14,13 +14,20 @@
 
 @attrs.define
 class WireEngine:
-    """Holds adapters by order and answers requests.
+    """An engine that carries out load orders and answers requests.
 
-    :param load_s: how long an adapter takes to load
-    :param cut_after: streams end within the event after this many
+    :param load_s: time that an adapter takes to load
+    :param cut_after: number of events after which a stream breaks off, within
+        the next event
     :param status: status of answers to requests, if not 200
-    :param model_load_s: how long the base model takes to load
-    :param loaded: whether the base model is there
+    :param sequence: number of orders accepted
+    :param adapters: versions of the loaded adapters by name
+    :param pending: adapters that are loading
+    :param runs: identifiers of the requests that ran
+    :param overflows: number of loads accepted beyond `most_adapters`
+    :param model_load_s: time that the base model takes to load
+    :param loaded: whether the base model is loaded
+    :param busy: whether the base model is loading
     """
 
     identity: str
@@ -41,7 +48,10 @@
     busy: bool = False
 
     def describe(self, address: str, **fields: object) -> dict:
-        """Return the entry that the engine writes."""
+        """Return the entry that the engine writes to the store.
+
+        :param fields: fields to add or replace
+        """
         entry = {
             "service": self.service,
             "address": address,
@@ -65,7 +75,7 @@
     async def handle(
         self, request: rawhttp.Received, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer a call or run a request."""
+        """Handle a control call, or run a request."""
         expected = request.headers.get("x-expect-instance")
         if expected not in (None, self.identity):
             writer.write(
@@ -74,13 +84,13 @@
                 )
             )
         elif request.target == "/api/report":
-            writer.write(rawhttp.make_answer(200, self._report()))
+            writer.write(rawhttp.make_answer(200, self._encode_report()))
         elif request.target == "/api/order":
-            writer.write(self._order(json.loads(request.body)))
+            writer.write(self._handle_order(json.loads(request.body)))
         else:
-            await self._run(request, writer)
+            await self._run_request(request, writer)
 
-    def _report(self) -> bytes:
+    def _encode_report(self) -> bytes:
         report = {
             "models": self._list_models(),
             "busy": self.busy,
@@ -89,7 +99,7 @@
         }
         return json.dumps(report).encode()
 
-    def _order(self, order: dict) -> bytes:
+    def _handle_order(self, order: dict) -> bytes:
         self.orders.append(order)
         if order["expected"] != self.sequence:
             return rawhttp.make_answer(409)
@@ -120,7 +130,7 @@
         self.pending.discard(name)
         self.adapters[name] = version
 
-    async def _run(
+    async def _run_request(
         self, request: rawhttp.Received, writer: asyncio.StreamWriter
     ) -> None:
         identity = request.headers["x-request-id"]
@@ -136,11 +146,11 @@
         if self.status is not None:
             writer.write(rawhttp.make_answer(self.status, b"failed", echo))
         elif "x-model" in request.headers:
-            await self._stream(request, writer, echo)
+            await self._stream_events(request, writer, echo)
         else:
             writer.write(rawhttp.make_answer(200, b"whole", echo))
 
-    async def _stream(
+    async def _stream_events(
         self,
         request: rawhttp.Received,
         writer: asyncio.StreamWriter,
