--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Installs the pinned libraries and the package into target/deps.
+# Installs the pinned dependencies and the package into target/deps. The
+# dependencies are reinstalled only if requirements.txt has changed.
 set -eu
 deps=target/deps
 if ! cmp -s deploy/requirements.txt "$deps/.requirements"; then
