Clarify fields of the benchmark and units of the slopes

Change: Describe progress, tokens and stalled_ms exactly, print "per s" for append rates, say "demands" in plan_cost.py.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -63,9 +63,10 @@
     """An engine whose token rate falls as its batch grows.
 
     :param slowdown: factor on the time per token
-    :param progress: tokens that a request in the batch from the start got
+    :param progress: token steps so far, each of which advances every running
+        request by one token
     :param busy_ms: time with a running request
-    :param tokens: tokens generated for all requests
+    :param tokens: tokens generated so far for all requests
     """
 
     timeline: Timeline
--- a/bench/site.py
+++ b/bench/site.py
@@ -32,8 +32,8 @@
 class Outcome:
     """The outcome of an arrival; times in milliseconds.
 
-    :param stalled_ms: time that the request waited for its adapter to load,
-        None if it did not
+    :param stalled_ms: time that the request waited for its adapter to load, 0
+        until the load ends, None if the adapter was ready
     :param refusal: reason of a refusal or failure, empty if there was none
     :param excluded: endpoints that further attempts avoid
     """
--- a/bench/studies.py
+++ b/bench/studies.py
@@ -28,8 +28,8 @@
 QUOTAS = (simulation.NO_QUOTA, 64, 48, 32, 16)
 RESTART_MS = 11_000
 BIN_MS = 1_000
-# A restart counts as recovered from once the extra stalls per second are at
-# most this fraction of the usual ones.
+# The effect of a restart counts as over once the extra stalls per second are
+# at most this fraction of the usual ones.
 RECOVERED_FRACTION = 0.1
 
 
--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,7 +1,7 @@
 """Measures the processor time of one planning cycle of the lease holder.
 
-All adapter slots but one of each engine are in use, and the given number of
-other adapters is requested, as at a load peak.
+All adapter slots but one of each engine are in use, and VMs send the given
+number of demands for other adapters, as at a load peak.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 CYCLES = 100
 CYCLE_S = 0.004
 ENGINES = (6, 45, 400)
-REQUESTS = (0, 60)
+DEMANDS = (0, 60)
 
 
 class NoEffects:
@@ -70,7 +70,7 @@
         uses.update(dict.fromkeys(adapters[1:], 1))
 
 
-def measure(engines: int, requests: int) -> float:
+def measure(engines: int, demands: int) -> float:
     """Return the mean processor time of a planning cycle, in seconds."""
     board = make_board(engines)
     ports = roles.Ports(None, None, None)
@@ -83,7 +83,7 @@
     for _ in range(CYCLES):
         now += CYCLE_S
         board.lease.value.note_renewed(0, now, "vm-1")
-        for number in range(requests):
+        for number in range(demands):
             board.wanted.post(
                 messages.Want(
                     "vm-2", "s", "m", f"b{number}", 1, 1, "", "", 300
@@ -96,14 +96,13 @@
 
 
 def main() -> None:
-    """Print the cost for several numbers of engines and adapter requests."""
+    """Print the cost for several numbers of engines and demands."""
     process.import_controllers()
     for engines in ENGINES:
-        for requests in REQUESTS:
-            cost_ms = 1_000 * measure(engines, requests)
+        for demands in DEMANDS:
+            cost_ms = 1_000 * measure(engines, demands)
             print(
-                f"planning cycle, {engines} engines, "
-                f"{requests} adapter requests: "
+                f"planning cycle, {engines} engines, {demands} demands: "
                 f"{cost_ms:.2f} ms"
             )
 
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -321,13 +321,11 @@
     """
     renewals = vms * 1000 / leases.RENEWAL_INTERVAL_MS
     slope_reports.report(
-        f"appends: lease renewals, {vms} VMs", renewals, "a second"
+        f"appends: lease renewals, {vms} VMs", renewals, "per s"
     )
+    slope_reports.report("appends: configuration", changes / 86_400, "per s")
     slope_reports.report(
-        "appends: configuration", changes / 86_400, "a second"
-    )
-    slope_reports.report(
-        f"appends: keys, {keyed:g} requests, unbatched", 2 * keyed, "a s"
+        f"appends: keys, {keyed:g} requests, unbatched", 2 * keyed, "per s"
     )
 
 
