--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -75,7 +75,7 @@
         self, addresses: Sequence[str], call: traffic.Call
     ) -> traffic.Reply | None:
         """Send a call, print its answer and record the reply."""
-        reply = await traffic.send_until_whole(self.pool, addresses, call)
+        reply = await traffic.send_until_complete(self.pool, addresses, call)
         if reply is None:
             self.check(False, f"{call.kind}: no complete answer")
             return None
@@ -210,7 +210,7 @@
             streamed,
             f"caller {caller} call {number}",
         )
-        reply = await traffic.send_until_whole(demo.pool, ordered, call)
+        reply = await traffic.send_until_complete(demo.pool, ordered, call)
         if reply is None:
             demo.check(False, f"{call.kind}: no complete answer")
             continue
--- a/scripts/traffic.py
+++ b/scripts/traffic.py
@@ -134,7 +134,7 @@
     )
 
 
-async def send_until_whole(
+async def send_until_complete(
     pool: httpcore.AsyncConnectionPool, addresses: Sequence[str], call: Call
 ) -> Reply | None:
     """Send an idempotent call to one address after another.
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -142,11 +142,12 @@
         return process
 
     def start_platform(self) -> None:
+        """Start the platform and wait until it answers."""
         self._start_standin("platform", "platform", self.platform_port)
         self.wait(lambda: fetch("GET", f"{self.platform_url}/vms") == [])
 
     def start_vm_list(self, name: str) -> str:
-        """Start a further VM list and return its base URL."""
+        """Start an additional VM list and return its base URL."""
         port = find_port()
         self._start_standin(name, "platform", port)
         url = f"http://{PLATFORM_HOST}:{port}"
@@ -165,6 +166,7 @@
         )
 
     def start_forwarder(self) -> None:
+        """Start the forwarder and wait until it accepts connections."""
         self.forwarder_port = find_port()
         self._start_standin("forwarder", "forwarder", self.forwarder_port)
 
@@ -193,6 +195,7 @@
             raise SiteError(f"the forwarder did not set {name} to {mode}")
 
     def start_endpoint(self, endpoint: EndpointProcess) -> None:
+        """Add an endpoint to the site and start its process."""
         self.endpoints[endpoint.name] = endpoint
         command = [
             "-m",
@@ -218,6 +221,7 @@
             self.wait(lambda: fetch("GET", f"{item.url}/load") is not None)
 
     def add_vm(self, name: str, zone: str, host: str) -> Vm:
+        """Add a VM with free ports and its links, without starting it."""
         ports = [find_port(host) for _ in range(3)]
         vm = Vm(name, zone, host, *(f"{host}:{port}" for port in ports))
         if self.forwarded:
@@ -231,6 +235,7 @@
         return vm
 
     def write_settings(self, vm: Vm) -> pathlib.Path:
+        """Write the settings file of a VM and return its path."""
         join = ", ".join(
             other.advertised or other.peers
             for other in self.vms.values()
@@ -251,6 +256,7 @@
         return path
 
     def start_vm(self, vm: Vm) -> None:
+        """Write the settings file of a VM and start its daemon."""
         path = self.write_settings(vm)
         profiler = ["-m", "cProfile", "-o", f"{vm.name}.profile"]
         vm.process = self.start(
@@ -278,7 +284,7 @@
         """Return how many endpoints have an owner that is running."""
         running_vms = [vm for vm in self.vms.values() if is_running(vm)]
         if not running_vms:
-            raise SiteError(f"no daemon runs\n{self.read_log_ends()}")
+            raise SiteError(f"no daemon runs\n{self.read_log_tails()}")
         ownership = self.get_state(running_vms[0], "ownership")
         names = {vm.name for vm in running_vms}
         return sum(
@@ -304,7 +310,7 @@
             for name, endpoint in self.endpoints.items()
         )
 
-    def read_log_ends(self) -> str:
+    def read_log_tails(self) -> str:
         """Return the last lines of the log of each daemon."""
         return "\n".join(
             f"{name}: {line}"
@@ -331,7 +337,7 @@
                     return
             time.sleep(0.05)
         raise SiteError(
-            f"timeout while waiting for a condition\n{self.read_log_ends()}"
+            f"timeout while waiting for a condition\n{self.read_log_tails()}"
         )
 
     def make_inventory(
@@ -481,10 +487,12 @@
     for kind, document in documents.items():
         path = site.folder / f"{kind}.json"
         path.write_text(json.dumps(document))
-        run_tool(kind, "publish", str(path), "--log-url", site.platform_url)
+        run_command_line(
+            kind, "publish", str(path), "--log-url", site.platform_url
+        )
 
 
-def run_tool(*arguments: str) -> str:
+def run_command_line(*arguments: str) -> str:
     """Run the command-line tool and return its standard output."""
     result = subprocess.run(
         [sys.executable, "-m", "bronzetrack.console", *arguments],
--- a/tests/standins/wireengine.py
+++ b/tests/standins/wireengine.py
@@ -24,7 +24,7 @@
     :param adapters: versions of the loaded adapters by name
     :param pending: adapters that are loading
     :param runs: identifiers of the requests that ran
-    :param overflows: number of loads accepted beyond `most_adapters`
+    :param overflows: number of loads accepted beyond `max_adapters`
     :param model_load_s: time that the base model takes to load
     :param loaded: whether the base model is loaded
     :param busy: whether the base model is loading
@@ -41,7 +41,7 @@
     orders: list[dict] = attrs.field(factory=list)
     runs: list[str] = attrs.field(factory=list)
     model: str = "m"
-    most_adapters: int = 2
+    max_adapters: int = 2
     overflows: int = 0
     model_load_s: float = 0.1
     loaded: bool = True
@@ -114,7 +114,7 @@
         if order["operation"] == "unload":
             self.adapters.pop(name, None)
             return rawhttp.make_answer(200)
-        if len(self.adapters) + len(self.pending) >= self.most_adapters:
+        if len(self.adapters) + len(self.pending) >= self.max_adapters:
             self.overflows += 1
         self.pending.add(name)
         asyncio.get_running_loop().call_later(
