--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -1,4 +1,4 @@
-"""The yardstick: one queue, exact knowledge and no loads."""
+"""The reference policy: one queue, exact knowledge and no adapter loads."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
     arrivals: list[workloads.Arrival],
     seed: int,
 ) -> sites.Site:
-    """Return a run with one queue, exact knowledge and no loads.
+    """Return a run with one queue, exact knowledge and no adapter loads.
 
-    Every adapter is loaded everywhere, and the request of the lowest rank
-    starts on the engine with the smallest batch.
+    Every adapter counts as loaded on every engine. The request whose class
+    has the lowest rank starts first, on the engine with the smallest batch.
     """
-    run = simulation.make_site(workload, sites.OWN, [], seed)
+    run = simulation.make_site(workload, sites.OWN_POLICY, [], seed)
     run.outcomes = [sites.Outcome(item) for item in arrivals]
     waiting: list[sites.Outcome] = []
 
--- a/bench/permits.py
+++ b/bench/permits.py
@@ -1,4 +1,4 @@
-"""Weight-store tokens of the VMs; follows controllers.permits."""
+"""Distributes weight-store tokens among VMs; mirrors controllers.permits."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def refresh(site: sites.Site, vm: sites.Vm) -> None:
-    """Bring the tokens and the usage of a VM up to now."""
+    """Update the tokens and the usage of a VM to the current time."""
     now_ms = int(site.timeline.now_ms)
     share = site.workload.loads_per_s / EXPECTED_VMS
     bucket = vm.permits.bucket.refill(share, max(1.0, share), now_ms)
@@ -24,8 +24,8 @@
     vm.used_ms = site.timeline.now_ms
 
 
-def count_places(site: sites.Site, vm: sites.Vm) -> int:
-    """Return the loads that may start besides those in flight."""
+def count_free_loads(site: sites.Site, vm: sites.Vm) -> int:
+    """Return how many loads may start in addition to those in flight."""
     loading = sum(
         resident.phase is states.ResidentPhase.LOADING
         for name in site.list_owned(vm)
@@ -37,15 +37,15 @@
 def request_tokens(
     site: sites.Site, vm: sites.Vm, advance: Callable[[str], None]
 ) -> None:
-    """Ask a peer for tokens when some are lacking.
+    """Request tokens from a peer if the VM lacks some.
 
-    :param advance: takes each endpoint of the VM once there are more tokens
+    :param advance: called with each endpoint of the VM once a peer answered
     """
     if site.is_naive:
         return
     permit_shortfall = sum(plan.permit_shortfall for plan in vm.plans.values())
     vm.needed = (
-        min(permit_shortfall, count_places(site, vm))
+        min(permit_shortfall, count_free_loads(site, vm))
         if permit_shortfall
         else 0
     )
--- a/scripts/plan_cost.py
+++ b/scripts/plan_cost.py
@@ -1,7 +1,7 @@
-"""Processor time of the holder of the lease for one planning pass.
+"""Measures the processor time of one planning pass of the lease holder.
 
-All adapter slots but one of each engine are in use and the given number of
-adapters is asked for, as at the crest of a swing.
+All adapter slots but one of each engine are in use, and VMs send the given
+number of demands for other adapters, as at a load peak.
 """
 
 from __future__ import annotations
@@ -31,14 +31,14 @@
 
 
 class NoEffects:
-    """Takes the place of the task group; nothing is carried out."""
+    """Stand-in for the task group that discards all effects."""
 
     def start_soon(self, *arguments: object) -> None:
-        """Drop an effect."""
+        """Discard an effect."""
 
 
 def make_board(engines: int) -> boards.Blackboard:
-    """Return the state of a VM that knows a service of engines."""
+    """Return the state of a VM with one service of the given engines."""
     text = sites.make_settings()
     board = boards.Blackboard(settings.parse_settings(text), "run-1")
     model = routes.Model("m", 16_100.0, 1.3, 3_000, 50.0)
@@ -59,21 +59,21 @@
 
 
 def fill_engines(board: boards.Blackboard) -> None:
-    """Let every engine hold adapters, all but one of them in use."""
+    """Fill every engine with adapters, all but one of them in use."""
     for number, endpoint in enumerate(board.endpoints.value.list_service("s")):
-        known = board.loading.value.get_or_create_engine(endpoint)
-        known.report_due_at = None
+        state = board.loading.value.get_or_create_engine(endpoint)
+        state.report_due_at = None
         model_keys = [
             ("m", f"a{number * ADAPTER_SLOTS + i}")
             for i in range(ADAPTER_SLOTS)
         ]
-        known.held = dict.fromkeys(model_keys, 1)
+        state.held = dict.fromkeys(model_keys, 1)
         uses = board.traffic.value.get_or_create(endpoint.identity).uses
         uses.update(dict.fromkeys(model_keys[1:], 1))
 
 
 def measure(engines: int, demands: int) -> float:
-    """Return the processor time of a planning pass, in seconds."""
+    """Return the mean processor time of a planning pass, in seconds."""
     board = make_board(engines)
     ports = roles.Ports(None, None, None)
     now = 1_000.0
@@ -92,13 +92,13 @@
                 )
             )
         controller._run_planning_pass(NoEffects(), now)
-        for known in board.loading.value.engines.values():
-            known.call_pending = False
+        for state in board.loading.value.engines.values():
+            state.call_pending = False
     return (time.process_time() - started) / PASSES
 
 
 def main() -> None:
-    """Print the cost for some numbers of engines and demands."""
+    """Print the cost for several numbers of engines and demands."""
     process.import_controllers()
     for engines in ENGINES:
         for demands in DEMANDS:
