Describe the request handlers of the stand-ins

Cause: The HTTP handlers of the stand-ins had no docstrings, and EVENTS did not say what it counts. Change: One-line docstrings; EVENTS is EVENTS_PER_STREAM in wireengine.py and entry_cost.py.

--- a/scripts/entry_cost.py
+++ b/scripts/entry_cost.py
@@ -24,7 +24,7 @@
 
 SHORT_REQUESTS = 1_000
 STREAMS = 40
-EVENTS = 200
+EVENTS_PER_STREAM = 200
 IDLE_S = 10.0
 
 
@@ -52,7 +52,7 @@
     print(
         f"short request, new connection: {1e6 * used / SHORT_REQUESTS:.0f} us"
     )
-    wireengine.EVENTS = EVENTS
+    wireengine.EVENTS_PER_STREAM = EVENTS_PER_STREAM
     headers = {"X-Model": "m/a1"}
     await sites.send(vm.front, "/stream/x", "warm", headers=headers)
     before, at = processes.read_cpu_s(pid), time.monotonic()
@@ -63,7 +63,9 @@
         )
     )
     used = processes.read_cpu_s(pid) - before - idle * (time.monotonic() - at)
-    print(f"relayed event: {1e6 * used / (STREAMS * EVENTS):.0f} us")
+    print(
+        f"relayed event: {1e6 * used / (STREAMS * EVENTS_PER_STREAM):.0f} us"
+    )
     memory_mb = processes.read_memory_bytes(pid) / 1e6
     print(f"resident memory: {memory_mb:.1f} MB")
     await site.stop()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -119,6 +119,7 @@
         self.runs[text] = self.runs.get(text, 0) + 1
 
     async def run(self, request: requests.Request) -> responses.Response:
+        """Run a completions call, or crash if its text asks for it."""
         body = await request.body()
         fields = json.loads(body)
         model = fields["model"]
@@ -165,12 +166,14 @@
         job.finish()
 
     async def cancel(self, request: requests.Request) -> responses.Response:
+        """Cancel a job; unknown jobs are ignored."""
         job = self.jobs.get(request.path_params["id"])
         if job is not None:
             job.cancelled = True
         return responses.JSONResponse({})
 
     async def resume(self, request: requests.Request) -> responses.Response:
+        """Stream the events of a job from a given number on."""
         job = self.jobs.get(request.path_params["id"])
         if job is None:
             return responses.JSONResponse({}, status_code=404)
@@ -193,6 +196,7 @@
             await job.changed.wait()
 
     async def load(self, request: requests.Request) -> responses.Response:
+        """Load an adapter from the weight store."""
         refusal = self._check_fencing(request)
         if refusal is not None:
             return refusal
@@ -217,6 +221,7 @@
             return answer.status == 200
 
     async def unload(self, request: requests.Request) -> responses.Response:
+        """Unload an adapter and record a fault if it is in use."""
         refusal = self._check_fencing(request)
         if refusal is not None:
             return refusal
@@ -240,6 +245,7 @@
         return None
 
     async def get_load(self, request: requests.Request) -> responses.Response:
+        """Return the published load report, at most `report_lag_s` old."""
         now_ms = int(time.time() * 1000)
         lag_ms = self.report_lag_s * 1000
         if now_ms - self.report.get("produced_ms", 0) >= lag_ms:
@@ -260,6 +266,7 @@
         }
 
     async def leave(self, request: requests.Request) -> responses.Response:
+        """Report from now on that the endpoint is leaving."""
         self.leaving = True
         return responses.JSONResponse({})
 
@@ -289,6 +296,7 @@
     async def get_statistics(
         self, request: requests.Request
     ) -> responses.Response:
+        """Return the counted runs, the faults and the boot identifier."""
         return responses.JSONResponse(
             {"runs": self.runs, "faults": self.faults, "boot": self.boot}
         )
@@ -296,6 +304,7 @@
     async def serve_call(
         self, request: requests.Request
     ) -> responses.Response:
+        """Run a call of a plain service; crash or hold if its text says so."""
         body = await request.body()
         call = request.url.path.encode() + b" " + body
         self._count_run(call)
--- a/tests/standins/forwarder.py
+++ b/tests/standins/forwarder.py
@@ -101,6 +101,7 @@
         )
 
     async def set_link(self, request: requests.Request) -> responses.Response:
+        """Create a link if it is new, and set its mode."""
         name, fields = request.path_params["name"], await request.json()
         if fields["mode"] not in MODES:
             return responses.Response(status_code=400)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -163,11 +163,13 @@
         return responses.Response()
 
     async def list_vms(self, request: requests.Request) -> responses.Response:
+        """Return the VM list."""
         if self.faults.list_down:
             return responses.Response(status_code=503)
         return responses.JSONResponse(list(self.vms.values()))
 
     async def set_vms(self, request: requests.Request) -> responses.Response:
+        """Replace the VM list."""
         rows: list[dict[str, Any]] = await request.json()
         self.vms = {row["name"]: row for row in rows}
         return responses.Response()
@@ -175,6 +177,7 @@
     async def load_weights(
         self, request: requests.Request
     ) -> responses.Response:
+        """Return weights after the time that a load takes."""
         if self.faults.store_down:
             return responses.Response(status_code=503)
         self.loading += 1
@@ -189,12 +192,14 @@
     async def set_faults(
         self, request: requests.Request
     ) -> responses.Response:
+        """Replace the faults to inject."""
         self.faults = Faults(**await request.json())
         return responses.Response()
 
     async def get_statistics(
         self, request: requests.Request
     ) -> responses.Response:
+        """Return the counters and the ends of the streams."""
         return responses.JSONResponse(
             {
                 "most_loading": self.most_loading,
--- a/tests/standins/wireengine.py
+++ b/tests/standins/wireengine.py
@@ -9,7 +9,7 @@
 
 from standins import rawhttp
 
-EVENTS = 3
+EVENTS_PER_STREAM = 3
 
 
 @attrs.define
@@ -160,7 +160,7 @@
         lines += [f"{name}: {value}" for name, value in echo.items()]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, EVENTS + 1):
+        for number in range(first, EVENTS_PER_STREAM + 1):
             event = b"id: %d\ndata: token%d\n\n" % (number, number)
             if self.cut_after is not None and number > self.cut_after:
                 half = event[: len(event) // 2]
