Call the fencing token by its usual name in comments

Cause: comments and docstrings said both fencing number and fencing token for one thing. Change: fencing number -> fencing token in comments, docstrings and one assertion message (the field fencing, the header Fencing-Number and the answer of the test engine stay); note_first -> record_first_chunk in bench.

--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -41,7 +41,7 @@
         outcome.started_ms = run.timeline.now_ms
         arrival = outcome.arrival
 
-        def note_first() -> None:
+        def record_first_chunk() -> None:
             outcome.first_ms = run.timeline.now_ms
 
         def end() -> None:
@@ -52,7 +52,7 @@
             str(arrival.number),
             arrival.kind.prompt,
             arrival.output,
-            note_first,
+            record_first_chunk,
             end,
         )
 
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -202,7 +202,7 @@
             )
         )
 
-        def note_first() -> None:
+        def record_first_chunk() -> None:
             outcome.first_ms = site.timeline.now_ms
 
         def end() -> None:
@@ -217,7 +217,7 @@
             attempt,
             outcome.arrival.kind.prompt,
             outcome.arrival.output,
-            note_first,
+            record_first_chunk,
             end,
         )
 
--- a/src/bronzetrack/client/inspector.py
+++ b/src/bronzetrack/client/inspector.py
@@ -23,7 +23,7 @@
 
     :param vms: the status section of each VM that answered
     :param unreachable: why each other VM did not answer, by VM name
-    :param owners: owner and fencing number by endpoint, from the log as read
+    :param owners: owner and fencing token by endpoint, from the log as read
         by the first VM that answered
     """
 
@@ -183,7 +183,7 @@
     """Return the claims in the log that no answering VM confirms.
 
     A VM confirms a claim if its status lists the endpoint with the fencing
-    number of the claim.
+    token of the claim.
     """
     held = {
         (name, counts["fencing"])
--- a/src/bronzetrack/configuration/inventory.py
+++ b/src/bronzetrack/configuration/inventory.py
@@ -37,7 +37,7 @@
 
     :param slots: maximum number of concurrent requests
     :param adapter_slots: maximum number of loaded adapter versions
-    :param checks_fencing: whether the endpoint rejects old fencing numbers
+    :param checks_fencing: whether the endpoint rejects old fencing tokens
     :param leaving: whether operators want the endpoint to get no new work
     """
 
--- a/src/bronzetrack/controllers/orders.py
+++ b/src/bronzetrack/controllers/orders.py
@@ -72,7 +72,7 @@
     def fence(
         self, name: str, endpoint: inventories.Endpoint, adapter: str
     ) -> None:
-        """Send the fencing number to an engine.
+        """Send the fencing token to an engine.
 
         The order repeats the load of an adapter version that is already
         loaded.
--- a/src/bronzetrack/dispatch/events.py
+++ b/src/bronzetrack/dispatch/events.py
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class FenceEnded:
-    """A fence, an order that only transmits the fencing number, ended."""
+    """A fence, an order that only transmits the fencing token, ended."""
 
     endpoint: str
     failure: failures.Failure | None = None
--- a/src/bronzetrack/dispatch/planner.py
+++ b/src/bronzetrack/dispatch/planner.py
@@ -31,7 +31,7 @@
     :param refuse: attempts to refuse, with the failure
     :param loads: adapters to load and to evict
     :param fence: loaded adapter version to load again, which has no effect
-        except that the engine sees the fencing number
+        except that the engine sees the fencing token
     """
 
     start: tuple[str, ...] = ()
@@ -79,8 +79,8 @@
 ) -> bool:
     """Return whether a former owner could still evict loaded adapters.
 
-    An engine that checks fencing numbers rejects the orders of a former owner
-    only after it has seen the fencing number of the current owner.
+    An engine that checks fencing tokens rejects the orders of a former owner
+    only after it has seen the fencing token of the current owner.
     """
     return (
         context.endpoint.checks_fencing
--- a/src/bronzetrack/dispatch/state.py
+++ b/src/bronzetrack/dispatch/state.py
@@ -72,7 +72,7 @@
     :param ordered_ms: monotonic time at which the last order ended, by
         `name@version`; load reports reflect an order only after a lag
     :param boot: the run of the engine that the residents belong to
-    :param fenced: whether the engine has seen the fencing number of this VM
+    :param fenced: whether the engine has seen the fencing token of this VM
     :param fence_retry_ms: monotonic time before which no further fence is sent
     :param pace: observed speed of the endpoint
     :param leaving: whether the load report says that the endpoint is leaving
--- a/src/bronzetrack/ownership/leases.py
+++ b/src/bronzetrack/ownership/leases.py
@@ -51,7 +51,7 @@
 
     :param vm: name of the owning VM
     :param incarnation: incarnation of the daemon that made the claim
-    :param fencing: fencing number, which is the log offset of the claim
+    :param fencing: fencing token, which is the log offset of the claim
     :param claimed_ms: monotonic time at which this VM read the claim
     """
 
@@ -190,12 +190,12 @@
 ) -> bool:
     """Return whether this VM may send an exclusive order to an endpoint.
 
-    An owner may always send orders to an endpoint that checks fencing numbers.
+    An owner may always send orders to an endpoint that checks fencing tokens.
     For an endpoint that ignores them, an order has to end within the lease.
     Such an endpoint may still receive orders from the previous owner until
     `ORDER_LIFE_MS` after the claim, so the new owner sends none before then.
 
-    :param checks_fencing: whether the endpoint rejects old fencing numbers
+    :param checks_fencing: whether the endpoint rejects old fencing tokens
     """
     owner = state.owners.get(endpoint)
     if owner is None or owner.incarnation != incarnation:
--- a/src/bronzetrack/ownership/records.py
+++ b/src/bronzetrack/ownership/records.py
@@ -27,7 +27,7 @@
 @records.RECORDS.register("claim")
 @attrs.frozen
 class ClaimRecord:
-    """Claims endpoints. The offset of the record is the fencing number.
+    """Claims endpoints. The offset of the record is the fencing token.
 
     :param lapsed: most recent lease sequence that the claimant read, by
         incarnation of each holder whose lease the claimant declares lapsed
@@ -45,7 +45,7 @@
 
     :param sequence: most recent lease sequence of the incarnation,
         `NO_SEQUENCE` if there is none
-    :param endpoints: fencing number by endpoint
+    :param endpoints: fencing token by endpoint
     """
 
     vm: str
@@ -89,7 +89,7 @@
 class ReleaseRecord:
     """Releases endpoints.
 
-    :param endpoints: fencing number of the released claim by endpoint, so
+    :param endpoints: fencing token of the released claim by endpoint, so
         that a delayed duplicate of the record does not end a later claim
     """
 
--- a/src/bronzetrack/traces/cores.py
+++ b/src/bronzetrack/traces/cores.py
@@ -89,7 +89,7 @@
 class OwnershipCore(StreamCore):
     """Replays the ownership of endpoints.
 
-    The outcomes are the owner and the fencing number of each endpoint.
+    The outcomes are the owner and the fencing token of each endpoint.
     """
 
     state: leases.OwnershipState = attrs.field(factory=leases.OwnershipState)
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -25,7 +25,7 @@
 
 
 def list_owners(site: sites.Site, vm: sites.Vm) -> dict[str, tuple[str, int]]:
-    """Return owner and fencing number by endpoint as one VM sees them."""
+    """Return owner and fencing token by endpoint as one VM sees them."""
     owners = site.get_state(vm, "ownership")["owners"]
     return {
         name: (owner["vm"], owner["fencing"]) for name, owner in owners.items()
--- a/tests/dispatch/test_transitions.py
+++ b/tests/dispatch/test_transitions.py
@@ -59,7 +59,7 @@
 
 
 def test_engine_restart_requires_a_new_fence(taken_over):
-    """Guards against reliance on a fencing number that a restart erased."""
+    """Guards against reliance on a fencing token that a restart erased."""
     queue = transitions.end_fence(taken_over, events.FenceEnded("e"))
     assert queue.fenced
     restarted = reports.LoadReport("b2", 0, {}, ())
--- a/tests/ownership/reference.py
+++ b/tests/ownership/reference.py
@@ -11,7 +11,7 @@
 class Replay:
     """Reference model of the owners.
 
-    Owners are stored as (incarnation, fencing number) by endpoint.
+    Owners are stored as (incarnation, fencing token) by endpoint.
     """
 
     owners: dict[str, tuple[str, int]] = attrs.field(factory=dict)
--- a/tests/ownership/test_ownership_machine.py
+++ b/tests/ownership/test_ownership_machine.py
@@ -306,7 +306,7 @@
     def check_orders(self) -> None:
         """Send an exclusive order from each replica that may do so.
 
-        Check that orders of two owners don't overlap and that fencing numbers
+        Check that orders of two owners don't overlap and that fencing tokens
         don't decrease.
         """
         for name, replica in itertools.product(
@@ -324,7 +324,7 @@
             newest, until_ms = self.orders.get(name, (-1, 0))
             if fencing != newest:
                 assert until_ms <= self.now_ms, "orders of two VMs overlap"
-                assert fencing > newest, "a fencing number decreased"
+                assert fencing > newest, "a fencing token decreased"
             self.orders[name] = (fencing, self.now_ms + leases.ORDER_LIFE_MS)
 
     def check_evictions(self) -> None:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -55,7 +55,7 @@
 
     :param store_url: weight store that adapters are loaded from
     :param token_s: time for each token
-    :param checks_fencing: whether an old fencing number is refused
+    :param checks_fencing: whether an old fencing token is refused
     """
 
     store_url: str = ""
