--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -64,7 +64,7 @@
         refused
     :param report_lag_s: time for which a published load report is reused
     :param boot: identifier of this start of the engine
-    :param fencing: highest fencing number seen
+    :param fencing: highest fencing token seen
     :param runs: number of runs by text of the request
     :param faults: descriptions of invalid orders received
     :param report: published load report
