Log lost connections with the fingerprint of the request

The log could not tell the hypotheses on requests that crash endpoints apart: nothing showed whether a loss was counted, under which fingerprint, and how many losses a VM knew of. connection_lost and request_suspected show both; an empty fingerprint is a request that is never counted. Metric bronzetrack_entry_suspected_total. No behaviour changed.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -155,6 +155,33 @@
     total_s: float | None
 
 
+@register("connection_lost", "an endpoint broke off while it ran a request")
+@attrs.frozen
+class ConnectionLost(LogEvent):
+    """A loss that may show that the request crashes endpoints.
+
+    :param fingerprint: fingerprint of the request, which its copies share
+    :param losses: losses under this fingerprint that this VM knows of
+    """
+
+    request_id: str
+    endpoint: str
+    fingerprint: str
+    losses: int
+
+
+@register("request_suspected", "copies of a request are refused from now on")
+@attrs.frozen
+class RequestSuspected(LogEvent):
+    """Losses, own or reported, that refuse all copies of a request.
+
+    :param losses: losses under this fingerprint that this VM knows of
+    """
+
+    fingerprint: str
+    losses: int
+
+
 @register("request_failed", "a request could not be served", logging.ERROR)
 @attrs.frozen
 class RequestFailed(LogEvent):
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -147,7 +147,8 @@
     def _is_suspected(self, digest: str, now: float) -> bool:
         known_suspects = self.board.suspects.value
         for loss in self.board.losses.take():
-            known_suspects.record_loss(loss.fingerprint, now)
+            losses = known_suspects.record_loss(loss.fingerprint, now)
+            requestlog.log_suspected(loss.fingerprint, losses)
         return known_suspects.is_refused(digest, now)
 
     async def _await_configuration(self, request: requests.Request) -> None:
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -37,6 +37,11 @@
     ["allowed"],
     registry=REGISTRY,
 )
+SUSPECTED = prometheus_client.Counter(
+    "bronzetrack_entry_suspected",
+    "Requests whose copies this VM refuses since they may crash endpoints.",
+    registry=REGISTRY,
+)
 ORDERS = prometheus_client.Counter(
     "bronzetrack_entry_orders",
     "Orders to engines, by operation and answer.",
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -13,6 +13,7 @@
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import relays
 from bronzetrack.entry import requests
+from bronzetrack.entry import suspects
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
@@ -88,6 +89,30 @@
     logevents.log(LOG, event)
 
 
+def log_loss(
+    request: requests.Request,
+    endpoint: endpoints.Endpoint,
+    fingerprint: str,
+    losses: int,
+) -> None:
+    """Log that an endpoint broke off while it ran a request.
+
+    :param losses: losses under the fingerprint that this VM knows of
+    """
+    event = logevents.ConnectionLost(
+        request.request_id, endpoint.identity, fingerprint, losses
+    )
+    logevents.log(LOG, event)
+
+
+def log_suspected(fingerprint: str, losses: int) -> None:
+    """Count and log a request that is refused from this loss on."""
+    if losses != suspects.MAX_LOSSES:
+        return
+    meters.SUSPECTED.inc()
+    logevents.log(LOG, logevents.RequestSuspected(fingerprint, losses))
+
+
 def log_end(
     request: requests.Request,
     progress: progresses.Progress | None,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -178,7 +178,7 @@
         elif outcome is relays.Outcome.LOST:
             failing = traffic.record_failure(now)
             progress.failover_until = now + FAILOVER_WAIT_S
-            self._report_loss(request, now)
+            self._report_loss(request, endpoint, now)
         elif outcome.breaks_connection or relay.status >= 500:
             failing = traffic.record_failure(now)
         elif relay.first_byte_at is not None:
@@ -218,8 +218,15 @@
             )
         return False
 
-    def _report_loss(self, request: requests.Request, now: float) -> None:
+    def _report_loss(
+        self,
+        request: requests.Request,
+        endpoint: endpoints.Endpoint,
+        now: float,
+    ) -> None:
         digest = suspects.fingerprint_request(request.path, request.body)
-        self.board.suspects.value.record_loss(digest, now)
+        losses = self.board.suspects.value.record_loss(digest, now)
+        requestlog.log_loss(request, endpoint, digest, losses)
+        requestlog.log_suspected(digest, losses)
         if digest:
             self.board.outgoing.post(messages.ConnectionLoss(digest))
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -38,14 +38,18 @@
 
     losses: dict[str, list[float]] = attrs.field(factory=dict)
 
-    def record_loss(self, fingerprint: str, now: float) -> None:
-        """Count an endpoint that was lost while it ran a request."""
+    def record_loss(self, fingerprint: str, now: float) -> int:
+        """Count an endpoint that was lost while it ran a request.
+
+        :returns: number of recent losses of the request, this one included
+        """
         if not fingerprint:
-            return
+            return 0
         if len(self.losses) >= MAX_SUSPECTS:
             self.losses.pop(next(iter(self.losses)))
         recent = self._list_recent(fingerprint, now)
         self.losses[fingerprint] = [*recent, now]
+        return len(recent) + 1
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is refused because of its losses."""
