--- /dev/null
+++ b/tests/entry/test_request_crashes.py
@@ -0,0 +1,110 @@
+"""Tests of entry VMs before requests that crash the endpoints that run them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import pathlib
+
+from entry import crashes
+from entry import sites
+import pytest
+
+pytestmark = pytest.mark.anyio
+ENDPOINTS = 6
+DEADLY = b"deadly"
+# Crashes after which a request is refused.
+CRASHES = 3
+# Time within which each running VM has to know of the crashes.
+SPREAD_S = 3.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use the same event loop as the entry VM."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
+    """Deployment with a store and a configuration."""
+    site = sites.Site(tmp_path)
+    await site.start_store()
+    site.configure()
+    yield site
+    await site.stop()
+
+
+@pytest.fixture
+async def plain(site: sites.Site) -> crashes.CrashingEndpoints:
+    """Plain endpoints that a deadly body or path crashes."""
+    endpoints = crashes.CrashingEndpoints(
+        site,
+        lambda request: DEADLY in (request.body, request.target[-6:].encode()),
+    )
+    for number in range(ENDPOINTS):
+        await endpoints.add(f"p{number}", "plain")
+    return endpoints
+
+
+async def start_vm(site: sites.Site, name: str) -> sites.Vm:
+    """Start a VM and wait until it is ready."""
+    vm = await site.start_vm(name)
+    await vm.await_ready()
+    return vm
+
+
+async def crash_endpoints(
+    plain: crashes.CrashingEndpoints, vm: sites.Vm
+) -> None:
+    """Send a deadly request until it has crashed enough endpoints."""
+    for number in range(CRASHES):
+        await sites.send(vm.front, "/once/x", f"c{number}", body=DEADLY)
+    assert len(plain.arrivals) == CRASHES
+    await plain.await_restarts()
+
+
+async def test_vm_that_starts_late_refuses_a_request_that_crashes_endpoints(
+    site, plain
+):
+    """Guards against a restarted VM that lets a deadly request crash more."""
+    first = await start_vm(site, "vm-1")
+    await crash_endpoints(plain, first)
+    second = await start_vm(site, "vm-2")
+    await asyncio.sleep(SPREAD_S)
+    answer = await sites.send(second.front, "/once/x", "late", body=DEADLY)
+    assert answer.status == 503
+    assert len(plain.arrivals) == CRASHES
+    sound = await sites.send(second.front, "/once/x", "r1", body=b"sound")
+    assert sound.status == 200
+
+
+async def test_loss_of_all_vms_does_not_admit_a_request_that_crashes_endpoints(
+    site, plain
+):
+    """Guards against knowledge of crashes that ends with the processes."""
+    first = await start_vm(site, "vm-1")
+    await crash_endpoints(plain, first)
+    await asyncio.sleep(SPREAD_S)
+    first.process.kill()
+    await first.process.wait()
+    second = await start_vm(site, "vm-2")
+    answer = await sites.send(second.front, "/once/x", "late", body=DEADLY)
+    assert answer.status == 503
+    assert len(plain.arrivals) == CRASHES
+
+
+async def test_request_without_a_body_that_crashes_endpoints_is_refused(
+    site, plain
+):
+    """Guards against a GET that crashes one endpoint after another."""
+    vm = await start_vm(site, "vm-1")
+    for number in range(5):
+        await sites.send(vm.front, "/safe/deadly", f"c{number}", "GET")
+        await plain.await_restarts()
+    # The last request before the refusal may be sent twice.
+    assert len(plain.arrivals) <= CRASHES + 1
+    answer = await sites.send(vm.front, "/safe/deadly", "late", "GET")
+    assert answer.status == 503
+    sound = await sites.send(vm.front, "/safe/sound", "r1", "GET")
+    assert sound.status == 200
--- a/tests/standins/rawhttp.py
+++ b/tests/standins/rawhttp.py
@@ -59,13 +59,26 @@
     received: list[Received] = attrs.field(factory=list)
     connections: int = 0
     server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
-    async def start(self) -> str:
-        """Start listening and return the address."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Start listening and return the address.
+
+        :param port: port to listen on, 0 for any free one
+        """
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         host, port = self.server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def stop(self) -> None:
         """Stop listening."""
         if self.server is not None:
@@ -75,6 +88,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 self.received.append(request)
@@ -83,4 +97,5 @@
         except ConnectionError:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
