Count confirmed crashes of different endpoints against a request

Callers saw 503 `suspected` for sound requests whose connections one endpoint had reset three times, or three endpoints that had not crashed: each lost connection counted as a crash. Cause: a loss is no evidence of a crash, and losses were not told apart by endpoint. Change: a controller connects to an endpoint that broke off. Only if it refuses, its start counts as a crash, once, against the keys of all requests lost there. An answer to a request with a key, on any VM, clears the earlier crashes.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -160,26 +160,41 @@
 class ConnectionLost(LogEvent):
     """A loss that may show that the request crashes endpoints.
 
-    :param fingerprint: fingerprint of the request, which its copies share
-    :param losses: losses under this fingerprint that this VM knows of
+    :param keys: what the request has in common with its copies
+    :param crashes: crashes that this VM counts against the keys
     """
 
     request_id: str
     endpoint: str
-    fingerprint: str
-    losses: int
+    keys: list[str]
+    crashes: list[int]
+
+
+@register("crash_checked", "an endpoint that broke off was connected to")
+@attrs.frozen
+class CrashChecked(LogEvent):
+    """A connection to an endpoint that lost requests.
+
+    :param crashed: whether it refused the connection
+    :param requests: number of requests that this VM lost there
+    """
+
+    endpoint: str
+    crashed: bool
+    requests: int
 
 
 @register("request_suspected", "copies of a request are refused from now on")
 @attrs.frozen
 class RequestSuspected(LogEvent):
-    """Losses, own or reported, that refuse all copies of a request.
+    """Crashes, own or reported, that refuse all copies of a request.
 
-    :param losses: losses under this fingerprint that this VM knows of
+    :param key: what the request has in common with its copies
+    :param starts: ids of the starts of the endpoints that crashed
     """
 
-    fingerprint: str
-    losses: int
+    key: str
+    starts: list[str]
 
 
 @register("request_failed", "a request could not be served", logging.ERROR)
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -17,7 +17,7 @@
 from bronzetrack.entry import peers
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
-from bronzetrack.entry import suspects
+from bronzetrack.entry import suspects as suspect_tables
 from bronzetrack.entry import traffic
 
 MAILBOX_CAPACITY = 4_096
@@ -139,13 +139,25 @@
         factory=lambda: blackboard.Section("operator", "configuration", 0)
     )
     lease: blackboard.Section[leases.Lease] = attrs.field(init=False)
-    suspects: blackboard.Section[suspects.Suspects] = attrs.field(
+    suspects: blackboard.Section[suspect_tables.Suspects] = attrs.field(
         factory=lambda: blackboard.Section(
-            "suspects", "forwarding", suspects.Suspects()
+            "suspects", "crashes", suspect_tables.Suspects()
         )
     )
-    losses: blackboard.Mailbox[messages.ConnectionLoss] = attrs.field(
-        factory=lambda: blackboard.Mailbox("losses", MAILBOX_CAPACITY)
+    answers: blackboard.Section[suspect_tables.Answers] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "answers", "forwarding", suspect_tables.Answers()
+        )
+    )
+    lost_requests: blackboard.Mailbox[suspect_tables.LostRequest] = (
+        attrs.field(
+            factory=lambda: blackboard.Mailbox("lost", MAILBOX_CAPACITY)
+        )
+    )
+    crash_messages: blackboard.Mailbox[
+        messages.CrashReport | messages.KeysCleared
+    ] = attrs.field(
+        factory=lambda: blackboard.Mailbox("crashes", MAILBOX_CAPACITY)
     )
     refused_tokens: blackboard.Mailbox[int] = attrs.field(
         factory=lambda: blackboard.Mailbox("fenced", MAILBOX_CAPACITY)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -95,11 +95,11 @@
             self._end(exchange, request, None, route)
             return
         request.set_route(route)
-        digest = suspects.fingerprint_request(request.path, request.body)
-        if self._is_suspected(digest, now):
+        request.suspect_keys = suspects.list_keys(request)
+        if self._is_suspected(request, now):
             failure = failures.Failure(
                 failures.Reason.SUSPECTED,
-                "endpoints broke off each time that they ran this request",
+                "endpoints crashed each time that they ran this request",
             )
             self._end(exchange, request, None, failure)
             return
@@ -144,12 +144,12 @@
             exchange, request, progress, failures.Failure(reason, "timeout")
         )
 
-    def _is_suspected(self, digest: str, now: float) -> bool:
-        known_suspects = self.board.suspects.value
-        for loss in self.board.losses.take():
-            losses = known_suspects.record_loss(loss.fingerprint, now)
-            requestlog.log_suspected(loss.fingerprint, losses)
-        return known_suspects.is_refused(digest, now)
+    def _is_suspected(self, request: requests.Request, now: float) -> bool:
+        table = self.board.suspects.value
+        answers = self.board.answers.value
+        return any(
+            table.is_refused(key, answers, now) for key in request.suspect_keys
+        )
 
     async def _await_configuration(self, request: requests.Request) -> None:
         """Wait for a limited time for the first configuration."""
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -169,8 +169,8 @@
                 self._apply_uses(message)
             case messages.LoadRequest():
                 self.board.load_requests.post(message)
-            case messages.ConnectionLoss():
-                self.board.losses.post(message)
+            case messages.CrashReport() | messages.KeysCleared():
+                self.board.crash_messages.post(message)
             case messages.HoldingChange():
                 self.board.placed.post(message)
 
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -42,6 +42,11 @@
     stops_at: float | None = None
     placement_reported_at: dict[ModelKey, float] = attrs.field(factory=dict)
 
+    @property
+    def start(self) -> str:
+        """Id of this start of the endpoint, which may keep its own id."""
+        return f"{self.identity}/{self.started_ms}"
+
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the endpoint."""
         if self.leaving_since is not None:
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -26,6 +26,8 @@
 # Bytes of the frame of a bundle, and of each message in it.
 BUNDLE_BYTES = 16
 ITEM_BYTES = 3
+# Keys of suspected requests in one message, each of at most 34 bytes.
+KEYS_PER_DATAGRAM = 32
 
 # Exceptions raised by decoding invalid bytes or fields of a wrong type.
 DECODE_ERRORS = (ValueError, TypeError, msgpack.exceptions.UnpackException)
@@ -92,6 +94,17 @@
         raise TypeError(f"{field.name} is not a list of messages")
 
 
+def check_keys(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Check that a value is a list of keys.
+
+    :raises TypeError: the value has another type
+    """
+    if not isinstance(value, list) or not all(
+        isinstance(item, str) for item in value
+    ):
+        raise TypeError(f"{field.name} is not a list of keys")
+
+
 def _check_fields(received: T) -> T:
     """Return a received message after a check of the types of its fields.
 
@@ -245,15 +258,32 @@
     version: int = int_field()
 
 
-@MESSAGES.register("l")
+@MESSAGES.register("c")
+@attrs.frozen
+class CrashReport:
+    """Crash of an endpoint that was running requests.
+
+    :param vm: the VM that confirmed the crash
+    :param start: id of the endpoint's start that ended
+    :param age_ms: time since the crash
+    :param keys: keys of the requests
+    """
+
+    vm: str = text_field()
+    start: str = text_field()
+    age_ms: int = int_field()
+    keys: list[str] = attrs.field(metadata={CHECK: check_keys})
+
+
+@MESSAGES.register("a")
 @attrs.frozen
-class ConnectionLoss:
-    """Loss of the connection to an endpoint while it ran a request.
+class KeysCleared:
+    """Answers to requests with keys that are suspected.
 
-    :param fingerprint: digest of the path and body of the request
+    :param ages_ms: time since the latest answer began, by key
     """
 
-    fingerprint: str = text_field()
+    ages_ms: dict[str, int] = attrs.field(metadata={CHECK: check_counts})
 
 
 @attrs.frozen
@@ -317,6 +347,12 @@
         raise MessageError(f"invalid message: {error!r}") from error
 
 
+def split_keys(keys: list[str]) -> Iterator[list[str]]:
+    """Yield parts of a list of keys that fit into a datagram each."""
+    for start in range(0, len(keys), KEYS_PER_DATAGRAM):
+        yield keys[start : start + KEYS_PER_DATAGRAM]
+
+
 def bundle(messages: Iterable[bytes]) -> Iterator[bytes]:
     """Yield datagrams that hold the given encoded messages.
 
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -13,7 +13,6 @@
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import relays
 from bronzetrack.entry import requests
-from bronzetrack.entry import suspects
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
@@ -92,27 +91,21 @@
 def log_loss(
     request: requests.Request,
     endpoint: endpoints.Endpoint,
-    fingerprint: str,
-    losses: int,
+    crashes: list[int],
 ) -> None:
     """Log that an endpoint broke off while it ran a request.
 
-    :param losses: losses under the fingerprint that this VM knows of
+    :param crashes: crashes that this VM counts against each of its keys
     """
     event = logevents.ConnectionLost(
-        request.request_id, endpoint.identity, fingerprint, losses
+        request.request_id,
+        endpoint.identity,
+        list(request.suspect_keys),
+        crashes,
     )
     logevents.log(LOG, event)
 
 
-def log_suspected(fingerprint: str, losses: int) -> None:
-    """Count and log a request that is refused from this loss on."""
-    if losses != suspects.MAX_LOSSES:
-        return
-    meters.SUSPECTED.inc()
-    logevents.log(LOG, logevents.RequestSuspected(fingerprint, losses))
-
-
 def log_end(
     request: requests.Request,
     progress: progresses.Progress | None,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -184,6 +184,9 @@
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived_at
             traffic.record_success(now)
+            self.board.answers.value.record(
+                request.suspect_keys, relay.first_byte_at
+            )
         if failing:
             requestlog.log_failing(
                 request, endpoint, outcome.value, relay.status
@@ -224,9 +227,19 @@
         endpoint: endpoints.Endpoint,
         now: float,
     ) -> None:
-        digest = suspects.fingerprint_request(request.path, request.body)
-        losses = self.board.suspects.value.record_loss(digest, now)
-        requestlog.log_loss(request, endpoint, digest, losses)
-        requestlog.log_suspected(digest, losses)
-        if digest:
-            self.board.outgoing.post(messages.ConnectionLoss(digest))
+        """Have it checked whether the endpoint crashed."""
+        table = self.board.suspects.value
+        answers = self.board.answers.value
+        crashes = [
+            table.count(key, answers, now) for key in request.suspect_keys
+        ]
+        requestlog.log_loss(request, endpoint, crashes)
+        self.board.lost_requests.post(
+            suspects.LostRequest(
+                endpoint.identity,
+                endpoint.start,
+                endpoint.address,
+                request.suspect_keys,
+                now,
+            )
+        )
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -1,25 +1,33 @@
 """Requests that may crash the endpoints that run them.
 
-Load pattern: one request crashes each endpoint that starts to run it, and its
-caller retries it at any VM. Path and body identify a request, and each loss of
-an endpoint is reported to all VMs.
+Load pattern: one request crashes each endpoint that starts to run it, and
+copies of it arrive at any VM. A key identifies what the copies have in
+common. Each crash is reported to all VMs, with the keys of all requests that
+the endpoint was running, and an answered request clears its keys.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import hashlib
+from typing import TYPE_CHECKING
 
 import attrs
 
-# A request is refused after this many endpoints were lost while they ran it.
-MAX_LOSSES = 3
-# Losses older than this no longer count.
-LOSS_RETENTION_S = 60.0
+if TYPE_CHECKING:
+    from bronzetrack.entry import requests
+
+# A request is refused after this many endpoints crashed while they ran it.
+MAX_CRASHES = 3
+# Crashes older than this no longer count.
+RETENTION_S = 600.0
+# Largest numbers of keys with crashes and with answers that are kept.
 MAX_SUSPECTS = 10_000
+MAX_ANSWERED = 10_000
 
 
 def fingerprint_request(path: str, body: bytes) -> str:
-    """Return a fingerprint of a request that its retries share.
+    """Return a fingerprint of a request that its copies share.
 
     Requests without a body are the same for all callers, so they are never
     suspected.
@@ -32,32 +40,112 @@
     return digest.hexdigest()
 
 
+def list_keys(request: requests.Request) -> tuple[str, ...]:
+    """Return what a request has in common with its copies."""
+    fingerprint = fingerprint_request(request.path, request.body)
+    return (fingerprint,) if fingerprint else ()
+
+
+@attrs.frozen
+class LostRequest:
+    """A request whose connection to an endpoint was lost.
+
+    :param endpoint: id of the endpoint
+    :param start: id of that start of the endpoint
+    :param address: address of the endpoint
+    :param keys: keys of the request
+    :param at: time of the loss
+    """
+
+    endpoint: str
+    start: str
+    address: str
+    keys: tuple[str, ...]
+    at: float
+
+
+@attrs.define(eq=False)
+class Answers:
+    """Times at which requests with a key were last answered on this VM."""
+
+    at_by_key: dict[str, float] = attrs.field(factory=dict)
+
+    def record(self, keys: Iterable[str], at: float) -> None:
+        """Record that an endpoint answered a request and did not crash.
+
+        :param at: time at which the answer began
+        """
+        for key in keys:
+            latest = max(at, self.at_by_key.pop(key, at))
+            self.at_by_key[key] = latest
+        while len(self.at_by_key) > MAX_ANSWERED:
+            self.at_by_key.pop(next(iter(self.at_by_key)))
+
+    def get(self, key: str) -> float:
+        """Return when a key was last answered, or minus infinity."""
+        return self.at_by_key.get(key, float("-inf"))
+
+
+@attrs.define(eq=False)
+class Evidence:
+    """Crashes of endpoints that were running requests with one key.
+
+    :param crashes: time of the crash by the id of the endpoint's start
+    :param cleared_at: latest time at which such a request was answered on
+        any VM; earlier crashes had another cause
+    """
+
+    crashes: dict[str, float] = attrs.field(factory=dict)
+    cleared_at: float = float("-inf")
+
+    def is_newly_answered(self, answered_at: float) -> bool:
+        """Return whether an answer on this VM clears further crashes."""
+        return any(
+            self.cleared_at < at <= answered_at for at in self.crashes.values()
+        )
+
+    def count(self, answered_at: float, now: float) -> int:
+        """Return the number of crashes that count.
+
+        :param answered_at: when this VM last answered such a request
+        """
+        since = max(self.cleared_at, answered_at, now - RETENTION_S)
+        return sum(1 for at in self.crashes.values() if at > since)
+
+
 @attrs.define(eq=False)
 class Suspects:
-    """Times of recent losses by fingerprint of the request."""
+    """Evidence against requests by key."""
 
-    losses: dict[str, list[float]] = attrs.field(factory=dict)
+    by_key: dict[str, Evidence] = attrs.field(factory=dict)
 
-    def record_loss(self, fingerprint: str, now: float) -> int:
-        """Count an endpoint that was lost while it ran a request.
+    def record_crash(self, key: str, start: str, at: float) -> None:
+        """Count a crash of an endpoint that was running a request.
 
-        :returns: number of recent losses of the request, this one included
+        :param start: id of the endpoint's start that ended
         """
-        if not fingerprint:
-            return 0
-        if len(self.losses) >= MAX_SUSPECTS:
-            self.losses.pop(next(iter(self.losses)))
-        recent = self._list_recent(fingerprint, now)
-        self.losses[fingerprint] = [*recent, now]
-        return len(recent) + 1
-
-    def is_refused(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request is refused because of its losses."""
-        return len(self._list_recent(fingerprint, now)) >= MAX_LOSSES
-
-    def _list_recent(self, fingerprint: str, now: float) -> list[float]:
-        return [
-            at
-            for at in self.losses.get(fingerprint, ())
-            if now - at < LOSS_RETENTION_S
-        ]
+        if key not in self.by_key and len(self.by_key) >= MAX_SUSPECTS:
+            self.by_key.pop(next(iter(self.by_key)))
+        evidence = self.by_key.setdefault(key, Evidence())
+        evidence.crashes[start] = max(at, evidence.crashes.get(start, at))
+
+    def clear(self, key: str, at: float) -> None:
+        """Record that a request with a key was answered on another VM."""
+        evidence = self.by_key.get(key)
+        if evidence is not None:
+            evidence.cleared_at = max(evidence.cleared_at, at)
+
+    def count(self, key: str, answers: Answers, now: float) -> int:
+        """Return the number of crashes that count against a key."""
+        evidence = self.by_key.get(key)
+        return evidence.count(answers.get(key), now) if evidence else 0
+
+    def is_refused(self, key: str, answers: Answers, now: float) -> bool:
+        """Return whether requests with a key are refused."""
+        return self.count(key, answers, now) >= MAX_CRASHES
+
+    def prune(self, answers: Answers, now: float) -> None:
+        """Discard evidence in which no crash counts any more."""
+        for key in list(self.by_key):
+            if not self.count(key, answers, now):
+                del self.by_key[key]
