Keep and spread the knowledge of requests that crash endpoints

Cause: crashes were counted in memory and told in one datagram. A VM that starts or rejoins, or misses the datagram, counted from zero; after the loss of all VMs, every one did. The class of fault: state that many processes need, without anything that brings a late or deaf one up to date. Change: evidence is a set of endpoint starts, so that it may be told twice. Each VM tells refused keys to two others each second while there are any; the VM that confirmed a crash writes the refused key to the store (one call), and VMs read these records once at their start. Invalid records are logged. Ruled out: repeating each report to all VMs, which grows with the fleet.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -197,6 +197,27 @@
     starts: list[str]
 
 
+@register(
+    "suspect_rejected", "a suspect in the store is invalid", logging.WARNING
+)
+@attrs.frozen
+class SuspectRejected(LogEvent):
+    """A record of a request that may crash endpoints, which is ignored."""
+
+    key: str
+    detail: str
+
+
+@register(
+    "suspect_save_failed", "a suspect could not be stored", logging.WARNING
+)
+@attrs.frozen
+class SuspectSaveFailed(LogEvent):
+    """A write to the store that is repeated."""
+
+    detail: str
+
+
 @register("request_failed", "a request could not be served", logging.ERROR)
 @attrs.frozen
 class RequestFailed(LogEvent):
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -155,7 +155,7 @@
         )
     )
     crash_messages: blackboard.Mailbox[
-        messages.CrashReport | messages.KeysCleared
+        messages.CrashReport | messages.SuspectReport | messages.KeysCleared
     ] = attrs.field(
         factory=lambda: blackboard.Mailbox("crashes", MAILBOX_CAPACITY)
     )
--- a/src/bronzetrack/entry/controllers/crashes.py
+++ b/src/bronzetrack/entry/controllers/crashes.py
@@ -5,6 +5,7 @@
 import collections
 import logging
 import random
+import time
 
 import anyio
 from anyio import abc
@@ -14,13 +15,24 @@
 from bronzetrack.entry import messages
 from bronzetrack.entry import meters
 from bronzetrack.entry import roles
+from bronzetrack.entry import suspectrecords
 from bronzetrack.entry import suspects
+from bronzetrack.platform import follower
+from bronzetrack.platform import names
+from bronzetrack.platform import store as stores
 from bronzetrack.transport import probes
 
 LOG = logging.getLogger(__name__)
 # Range of pauses between two rounds of clearing. VMs that learn of a crash at
 # the same time differ, so that one of them tells the others of an answer.
 CLEARING_PAUSE_S = (0.2, 0.8)
+# Interval at which refused keys are told to a few other VMs, of which some may
+# have missed the reports or have started later.
+GOSSIP_INTERVAL_S = 1.0
+GOSSIP_PEERS = 2
+KEYS_PER_GOSSIP = 8
+# Pause before a failed write to the store is repeated.
+RETRY_S = 0.5
 
 
 @roles.CONTROLLERS.register("crashes")
@@ -29,10 +41,22 @@
 
     name = "crashes"
 
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        # Keys that have a record in the store.
+        self._stored: set[str] = set()
+        # Keys whose record in the store is out of date.
+        self._unsaved: blackboard.Mailbox[str] = blackboard.Mailbox(
+            "unsaved", suspects.MAX_SUSPECTS
+        )
+
     async def run(self) -> None:
         """Check lost requests and apply reports until cancelled."""
         async with anyio.create_task_group() as group:
+            group.start_soon(self._load)
+            group.start_soon(self._save)
             group.start_soon(self._apply_messages)
+            group.start_soon(self._gossip)
             group.start_soon(self._clear_answered)
             while True:
                 await self.board.lost_requests.wait_items()
@@ -59,7 +83,8 @@
         if not crashed or not keys:
             return
         now = self.read_clock()
-        self._record(keys, first.start, first.at)
+        for key in keys:
+            self._record(key, {first.start: first.at}, is_own=True)
         for part in messages.split_keys(keys):
             report = messages.CrashReport(
                 self.board.settings.vm,
@@ -69,20 +94,30 @@
             )
             self.board.outgoing.post(report)
 
-    def _record(self, keys: list[str], start: str, at: float) -> None:
+    def _record(
+        self, key: str, crashes: dict[str, float], is_own: bool = False
+    ) -> None:
+        """Add crashes to the evidence against a key.
+
+        :param crashes: time of each crash by the id of the endpoint's start
+        :param is_own: whether this VM confirmed the crashes
+        """
         table = self.board.suspects.value
         answers = self.board.answers.value
         now = self.read_clock()
-        for key in keys:
-            was_refused = table.is_refused(key, answers, now)
+        was_refused = table.is_refused(key, answers, now)
+        for start, at in crashes.items():
             table.record_crash(key, start, at)
-            if not was_refused and table.is_refused(key, answers, now):
-                meters.SUSPECTED.inc()
-                event = logevents.RequestSuspected(
-                    key, list(table.by_key[key].crashes)
-                )
-                logevents.log(LOG, event)
+        evidence = table.by_key[key]
+        evidence.is_own |= is_own
         self.write(self.board.suspects, table)
+        if was_refused or not table.is_refused(key, answers, now):
+            return
+        meters.SUSPECTED.inc()
+        event = logevents.RequestSuspected(key, list(evidence.crashes))
+        logevents.log(LOG, event)
+        if evidence.is_own:
+            self._unsaved.post(key)
 
     # Reports of other VMs.
 
@@ -94,30 +129,72 @@
                 self._apply(message)
 
     def _apply(
-        self, message: messages.CrashReport | messages.KeysCleared
+        self,
+        message: (
+            messages.CrashReport
+            | messages.SuspectReport
+            | messages.KeysCleared
+        ),
     ) -> None:
         now = self.read_clock()
         match message:
             case messages.CrashReport():
                 at = now - message.age_ms / 1000
-                self._record(message.keys, message.start, at)
+                for key in message.keys:
+                    self._record(key, {message.start: at})
+            case messages.SuspectReport():
+                for key, ages_ms in message.ages_ms.items():
+                    times = {
+                        start: now - age_ms / 1000
+                        for start, age_ms in ages_ms.items()
+                    }
+                    self._record(key, times)
             case messages.KeysCleared():
                 for key, age_ms in message.ages_ms.items():
-                    self.board.suspects.value.clear(key, now - age_ms / 1000)
+                    self._clear(key, now - age_ms / 1000, is_own=False)
+
+    async def _gossip(self) -> None:
+        """Tell a few other VMs which requests are refused."""
+        while True:
+            await self._await_evidence()
+            await anyio.sleep(GOSSIP_INTERVAL_S)
+            now = self.read_clock()
+            report = self._make_suspect_report(now)
+            if not report.ages_ms:
+                continue
+            peer_table = self.board.membership.value.peer_table
+            alive = peer_table.list_alive(now)
+            for peer in random.sample(alive, min(GOSSIP_PEERS, len(alive))):
+                self.board.outgoing.post(messages.Addressed(peer.vm, report))
+
+    def _make_suspect_report(self, now: float) -> messages.SuspectReport:
+        table = self.board.suspects.value
+        refused = table.list_refused(self.board.answers.value, now)
+        chosen = random.sample(refused, min(KEYS_PER_GOSSIP, len(refused)))
+        return messages.SuspectReport(
+            {
+                key: {
+                    start: int(1000 * (now - at))
+                    for start, at in table.by_key[key].list_latest()
+                }
+                for key in chosen
+            }
+        )
+
+    async def _await_evidence(self) -> None:
+        section = self.board.suspects
+        await blackboard.wait_any(
+            section.satisfies(lambda table: bool(table.by_key))
+        )
 
     async def _clear_answered(self) -> None:
         """Tell the other VMs of answers to requests that they suspect."""
-        section = self.board.suspects
         while True:
-            await blackboard.wait_any(
-                blackboard.Condition(
-                    section, lambda: bool(section.value.by_key)
-                )
-            )
+            await self._await_evidence()
             await anyio.sleep(random.uniform(*CLEARING_PAUSE_S))
             now = self.read_clock()
             self._report_answered(now)
-            section.value.prune(self.board.answers.value, now)
+            self.board.suspects.value.prune(self.board.answers.value, now)
 
     def _report_answered(self, now: float) -> None:
         answers = self.board.answers.value
@@ -127,7 +204,83 @@
             if evidence.is_newly_answered(answers.get(key))
         }
         for key, age_ms in ages_ms.items():
-            self.board.suspects.value.clear(key, now - age_ms / 1000)
+            self._clear(key, now - age_ms / 1000, is_own=True)
         for part in messages.split_keys(list(ages_ms)):
             message = messages.KeysCleared({key: ages_ms[key] for key in part})
             self.board.outgoing.post(message)
+
+    def _clear(self, key: str, at: float, is_own: bool) -> None:
+        """Record that a request with a key was answered.
+
+        :param is_own: whether this VM has to update the record in the store
+        """
+        evidence = self.board.suspects.value.by_key.get(key)
+        if evidence is None:
+            return
+        evidence.clear(at)
+        if is_own and key in self._stored:
+            self._unsaved.post(key)
+
+    # Records in the store.
+
+    async def _load(self) -> None:
+        """Apply the records of VMs that may no longer run."""
+        suspect_follower = follower.Follower(
+            self.ports.store, names.SUSPECTS_TOPIC, 0.0, self.read_clock
+        )
+        change = await suspect_follower.read()
+        for stored in change.records:
+            self._apply_record(stored)
+
+    def _apply_record(self, stored: stores.KeyedRecord) -> None:
+        if stored.value is None:
+            return
+        self._stored.add(stored.key)
+        wall_s = time.time()
+        try:
+            record = suspectrecords.decode_record(stored.value)
+        except suspectrecords.SuspectRecordError as error:
+            event = logevents.SuspectRejected(stored.key, str(error))
+            logevents.log(LOG, event)
+            return
+        if record.is_expired(wall_s):
+            self._unsaved.post(stored.key)
+            return
+        now = self.read_clock()
+        times = suspectrecords.compute_times(record, now, wall_s)
+        self._record(stored.key, times)
+
+    async def _save(self) -> None:
+        """Write the records of refused keys, and remove the others."""
+        while True:
+            await self._unsaved.wait_items()
+            for key in dict.fromkeys(self._unsaved.take()):
+                await self._save_key(key)
+
+    async def _save_key(self, key: str) -> None:
+        while True:
+            value = self._encode_record(key)
+            try:
+                await self.ports.store.put(names.SUSPECTS_TOPIC, key, value)
+                self._update_stored(key, value)
+                return
+            except stores.StoreError as error:
+                logevents.log(LOG, logevents.SuspectSaveFailed(str(error)))
+                await anyio.sleep(RETRY_S)
+
+    def _update_stored(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            self._stored.discard(key)
+        else:
+            self._stored.add(key)
+
+    def _encode_record(self, key: str) -> bytes | None:
+        """Return the value of a key, or None if it is not refused."""
+        table = self.board.suspects.value
+        now = self.read_clock()
+        if not table.is_refused(key, self.board.answers.value, now):
+            return None
+        record = suspectrecords.make_record(
+            table.by_key[key], now, time.time()
+        )
+        return suspectrecords.encode_record(record)
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -169,7 +169,11 @@
                 self._apply_uses(message)
             case messages.LoadRequest():
                 self.board.load_requests.post(message)
-            case messages.CrashReport() | messages.KeysCleared():
+            case (
+                messages.CrashReport()
+                | messages.SuspectReport()
+                | messages.KeysCleared()
+            ):
                 self.board.crash_messages.post(message)
             case messages.HoldingChange():
                 self.board.placed.post(message)
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -94,6 +94,19 @@
         raise TypeError(f"{field.name} is not a list of messages")
 
 
+def check_ages(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Check that a value maps keys to ages of crashes.
+
+    :raises TypeError: the value has another type
+    """
+    if not isinstance(value, dict):
+        raise TypeError(f"{field.name} does not map keys to ages")
+    for key, ages_ms in value.items():
+        if not isinstance(key, str):
+            raise TypeError(f"a key in {field.name} is not a text")
+        check_counts(_, field, ages_ms)
+
+
 def check_keys(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
     """Check that a value is a list of keys.
 
@@ -275,6 +288,20 @@
     keys: list[str] = attrs.field(metadata={CHECK: check_keys})
 
 
+@MESSAGES.register("s")
+@attrs.frozen
+class SuspectReport:
+    """Crashes because of which requests are refused.
+
+    :param ages_ms: time since each crash, by key and id of the endpoint's
+        start
+    """
+
+    ages_ms: dict[str, dict[str, int]] = attrs.field(
+        metadata={CHECK: check_ages}
+    )
+
+
 @MESSAGES.register("a")
 @attrs.frozen
 class KeysCleared:
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -93,10 +93,12 @@
     :param crashes: time of the crash by the id of the endpoint's start
     :param cleared_at: latest time at which such a request was answered on
         any VM; earlier crashes had another cause
+    :param is_own: whether this VM confirmed one of the crashes
     """
 
     crashes: dict[str, float] = attrs.field(factory=dict)
     cleared_at: float = float("-inf")
+    is_own: bool = False
 
     def is_newly_answered(self, answered_at: float) -> bool:
         """Return whether an answer on this VM clears further crashes."""
@@ -104,6 +106,15 @@
             self.cleared_at < at <= answered_at for at in self.crashes.values()
         )
 
+    def clear(self, at: float) -> None:
+        """Record that a request with the key was answered on any VM."""
+        self.cleared_at = max(self.cleared_at, at)
+
+    def list_latest(self) -> list[tuple[str, float]]:
+        """Return the latest crashes, as many as refuse a request."""
+        by_time = sorted(self.crashes.items(), key=lambda item: item[1])
+        return by_time[-MAX_CRASHES:]
+
     def count(self, answered_at: float, now: float) -> int:
         """Return the number of crashes that count.
 
@@ -129,12 +140,6 @@
         evidence = self.by_key.setdefault(key, Evidence())
         evidence.crashes[start] = max(at, evidence.crashes.get(start, at))
 
-    def clear(self, key: str, at: float) -> None:
-        """Record that a request with a key was answered on another VM."""
-        evidence = self.by_key.get(key)
-        if evidence is not None:
-            evidence.cleared_at = max(evidence.cleared_at, at)
-
     def count(self, key: str, answers: Answers, now: float) -> int:
         """Return the number of crashes that count against a key."""
         evidence = self.by_key.get(key)
@@ -144,6 +149,12 @@
         """Return whether requests with a key are refused."""
         return self.count(key, answers, now) >= MAX_CRASHES
 
+    def list_refused(self, answers: Answers, now: float) -> list[str]:
+        """Return the keys whose requests are refused."""
+        return [
+            key for key in self.by_key if self.is_refused(key, answers, now)
+        ]
+
     def prune(self, answers: Answers, now: float) -> None:
         """Discard evidence in which no crash counts any more."""
         for key in list(self.by_key):
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -75,6 +75,8 @@
 SERVERS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 LEASE_TOPIC = "leases"
+# Requests that are refused because they crash endpoints, by key.
+SUSPECTS_TOPIC = "keyed.suspects"
 # Record of the lease topic that releases the lease: no VM holds the lease
 # after it. No VM has this name.
 LEASE_RELEASED = b"\0released"
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -78,10 +78,10 @@
 def test_answer_on_another_vm_clears_earlier_crashes(table, is_refused, now):
     """Guards against VMs that refuse what others have answered."""
     record_crashes(table, now)
-    table.clear(KEY, now + 1)
+    table.by_key[KEY].clear(now + 1)
     assert not is_refused(now + 10)
     assert table.by_key[KEY].count(float("-inf"), now + 10) == 1
-    table.clear(KEY, now - 5)
+    table.by_key[KEY].clear(now - 5)
     assert table.by_key[KEY].cleared_at == now + 1
 
 
