Refuse GET requests that crash endpoints

Callers who repeated a GET that crashes endpoints reached ten endpoints in five sends (test_request_without_a_body_that_crashes_endpoints_is_refused). Cause: the fingerprint hashed path and body, and requests without a body had none, since all callers' requests to a path would have shared it. Change: the fingerprint covers the target with its query and the body, or the caller's IP address where there is no body.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -85,7 +85,7 @@
         """Forward a request of a caller and answer it."""
         now = exchange.arrived_at
         request = wire_requests.decode_request(
-            exchange.head, exchange.body, now
+            exchange.head, exchange.body, now, exchange.caller
         )
         if self.board.rules.value.configuration is None:
             with self._log_disconnect(request):
--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -27,6 +27,7 @@
     :param adapter: adapter of the base model, empty if none is named
     :param prompt_tokens: number of tokens of the prompt
     :param output_tokens: maximum number of tokens of the answer
+    :param caller: IP address of the caller
     :param suspect_keys: what the request has in common with its copies, by
         which it is refused if it crashes endpoints
     :param last_event_id: id of the event after which a stream is resumed
@@ -47,6 +48,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: int | None = None
+    caller: str = ""
     suspect_keys: tuple[str, ...] = ()
     route: routes.Route | None = None
     start_by: float = float("inf")
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -24,26 +24,24 @@
 # Largest numbers of keys with crashes and with answers that are kept.
 MAX_SUSPECTS = 10_000
 MAX_ANSWERED = 10_000
+FINGERPRINT_BYTES = 12
 
 
-def fingerprint_request(path: str, body: bytes) -> str:
+def fingerprint_request(request: requests.Request) -> str:
     """Return a fingerprint of a request that its copies share.
 
-    Requests without a body are the same for all callers, so they are never
-    suspected.
-
-    :returns: hash of path and body, empty for a request without a body
+    Without a body, requests of all callers to a target are alike, and one may
+    differ in a header. Copies then also share their caller.
     """
-    if not body:
-        return ""
-    digest = hashlib.blake2b(body, key=path.encode()[:64], digest_size=12)
+    digest = hashlib.blake2b(request.target, digest_size=FINGERPRINT_BYTES)
+    digest.update(b"\0")
+    digest.update(request.body or request.caller.encode())
     return digest.hexdigest()
 
 
 def list_keys(request: requests.Request) -> tuple[str, ...]:
     """Return what a request has in common with its copies."""
-    fingerprint = fingerprint_request(request.path, request.body)
-    return (fingerprint,) if fingerprint else ()
+    return (fingerprint_request(request),)
 
 
 @attrs.frozen
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -17,10 +17,11 @@
 
 
 def decode_request(
-    head: heads.Head, body: bytes, now: float
+    head: heads.Head, body: bytes, now: float, caller: str = ""
 ) -> requests.Request:
     """Decode a caller's request and drop headers not to be forwarded.
 
+    :param caller: IP address of the caller
     :param now: time at which the last byte of the request arrived
     """
     connection_headers = _list_connection_headers(head)
@@ -58,6 +59,7 @@
         adapter=adapter,
         prompt_tokens=prompt,
         output_tokens=output,
+        caller=caller,
         last_event_id=_decode_non_negative(
             first_values.get(b"last-event-id", b"")
         ),
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -101,6 +101,11 @@
         self._chunked = False
         self._connection = connection
 
+    @property
+    def caller(self) -> str:
+        """IP address of the caller, empty if it is not known."""
+        return self._connection.caller
+
     def respond(
         self, status: int, headers: heads.Headers, body: bytes
     ) -> None:
@@ -159,6 +164,7 @@
     """
 
     def __init__(self, listener: Listener) -> None:
+        self.caller = ""
         self._listener = listener
         self._transport: Any = None
         self._parser = httptools.HttpRequestParser(self)
@@ -183,6 +189,7 @@
         self._transport = transport
         self._idle_since = self._listener.read_clock()
         self._listener.connections.add(self)
+        self.caller = (transport.get_extra_info("peername") or ("",))[0]
         tcp_socket = transport.get_extra_info("socket")
         for option in (
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -11,6 +11,7 @@
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import loadstate
 from bronzetrack.entry import placement
+from bronzetrack.entry import requests
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
@@ -38,6 +39,28 @@
     return roles.Ports(None, None, None)
 
 
+@pytest.fixture
+def make_request(now: float) -> Callable[..., requests.Request]:
+    """Return a factory of requests without a route."""
+
+    def make(**fields: object) -> requests.Request:
+        values = {
+            "request_id": "r1",
+            "method": b"POST",
+            "target": b"/p",
+            "host": "h",
+            "authority": b"h",
+            "path": "/p",
+            "headers": [],
+            "body": b"",
+            "arrived_at": now,
+            "deadline": now + 5,
+        }
+        return requests.Request(**(values | fields))
+
+    return make
+
+
 @pytest.fixture
 def make_endpoint() -> Callable[..., endpoints.Endpoint]:
     """Return a factory of engines that hold the given adapters."""
