Check requests that crash endpoints again before each send

Cause: the check was made once, when a request arrived. The class of fault: a permission that is checked before a wait and used after it. Change: the check stands before each send. A request that an endpoint may have run already then ends with 502; 503 would state that it has not run. Evidence: both tests of controllers/test_forwarding.py failed (sent; timeout) and pass; tests/entry: 188 passed, 3 xpassed.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -96,11 +96,8 @@
             return
         request.set_route(route)
         request.suspect_keys = suspects.list_keys(request)
-        if self._is_suspected(request, now):
-            failure = failures.Failure(
-                failures.Reason.SUSPECTED,
-                "endpoints crashed each time that they ran this request",
-            )
+        failure = self._check_suspected(request, now)
+        if failure is not None:
             self._end(exchange, request, None, failure)
             return
         progress = progresses.Progress(self._choose_service(route))
@@ -144,11 +141,25 @@
             exchange, request, progress, failures.Failure(reason, "timeout")
         )
 
-    def _is_suspected(self, request: requests.Request, now: float) -> bool:
+    def _check_suspected(
+        self, request: requests.Request, now: float, possible_runs: int = 0
+    ) -> failures.Failure | None:
+        """Return the failure of a request that crashes endpoints.
+
+        :param possible_runs: number of sends after which an endpoint may have
+            run the request
+        """
         table = self.board.suspects.value
         answers = self.board.answers.value
-        return any(
+        if not any(
             table.is_refused(key, answers, now) for key in request.suspect_keys
+        ):
+            return None
+        reason = failures.Reason.SUSPECTED
+        if possible_runs:
+            reason = failures.Reason.LOST
+        return failures.Failure(
+            reason, "endpoints crashed each time that they ran this request"
         )
 
     async def _await_configuration(self, request: requests.Request) -> None:
@@ -218,6 +229,11 @@
             endpoint = await self._selector.await_endpoint(request, progress)
             if isinstance(endpoint, failures.Failure):
                 return endpoint
+            failure = self._check_suspected(
+                request, self.read_clock(), progress.possible_runs
+            )
+            if failure is not None:
+                return failure
             relay = await self._sender.send(
                 exchange, request, progress, endpoint
             )
--- /dev/null
+++ b/tests/entry/controllers/test_forwarding.py
@@ -0,0 +1,96 @@
+"""Tests of the controller that forwards requests."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+import pytest
+
+from bronzetrack.entry import failures
+from bronzetrack.entry import progress as progresses
+from bronzetrack.entry import roles
+from bronzetrack.entry import routes
+from bronzetrack.entry import suspects
+
+pytestmark = pytest.mark.anyio
+
+
+@attrs.define
+class Exchange:
+    """An exchange whose response has not begun."""
+
+    started: bool = False
+
+
+@pytest.fixture
+def controller(make_controller) -> roles.Controller:
+    """Forwarding controller that does not listen."""
+    return make_controller("forwarding")
+
+
+@pytest.fixture
+def request_on_route(make_request):
+    """Return a request that may be sent twice."""
+    request = make_request(body=b"bad")
+    request.suspect_keys = ("bad",)
+    service = routes.WeightedService("s", 1)
+    request.set_route(
+        routes.Route(
+            name="safe",
+            host="h",
+            prefix="/",
+            weighted_services=(service,),
+            timeout_s=5.0,
+            target_s=1.0,
+            priority=0,
+            run_policy=routes.RunPolicy.SAFE,
+            max_attempts=2,
+        )
+    )
+    return request
+
+
+def record_crashes(board, now: float) -> None:
+    """Record the crashes because of which the request is refused."""
+    for number in range(suspects.MAX_CRASHES):
+        board.suspects.value.record_crash("bad", f"e{number}/1", now)
+
+
+async def test_request_that_waited_is_not_sent_after_the_third_crash(
+    controller, board, request_on_route, make_endpoint, monkeypatch, now
+):
+    """Guards against waiting copies that crash further endpoints."""
+    sent = []
+
+    async def await_endpoint(request, progress):
+        record_crashes(board, now)
+        return make_endpoint("e9")
+
+    async def send(exchange, request, progress, endpoint):
+        sent.append(endpoint.identity)
+        raise AssertionError("the request was sent")
+
+    monkeypatch.setattr(controller._selector, "await_endpoint", await_endpoint)
+    monkeypatch.setattr(controller._sender, "send", send)
+    progress = progresses.Progress("s")
+    failure = await controller._forward(Exchange(), request_on_route, progress)
+    assert failure.reason is failures.Reason.SUSPECTED
+    assert sent == []
+
+
+async def test_retry_that_became_suspect_is_not_said_to_be_unrun(
+    controller, board, request_on_route, make_endpoint, monkeypatch, now
+):
+    """Guards against 503 for a request that an endpoint may have run."""
+
+    async def await_endpoint(request, progress):
+        record_crashes(board, now)
+        return make_endpoint("e9")
+
+    monkeypatch.setattr(controller._selector, "await_endpoint", await_endpoint)
+    progress = progresses.Progress("s", sends=1, possible_runs=1)
+    with anyio.fail_after(2):
+        failure = await controller._forward(
+            Exchange(), request_on_route, progress
+        )
+    assert failure.status == 502
