Keep refused requests when the table of suspects is full

A crash adds a key for each request that the endpoint was running, and the oldest key was dropped first, refused or not, so that many sound losses let a request crash endpoints again. Test test_full_table_keeps_the_refused_keys failed before.

--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -134,10 +134,23 @@
         :param start: id of the endpoint's start that ended
         """
         if key not in self.by_key and len(self.by_key) >= MAX_SUSPECTS:
-            self.by_key.pop(next(iter(self.by_key)))
+            self._evict()
         evidence = self.by_key.setdefault(key, Evidence())
         evidence.crashes[start] = max(at, evidence.crashes.get(start, at))
 
+    def _evict(self) -> None:
+        """Discard the oldest key with too few crashes, else the oldest."""
+        oldest = next(iter(self.by_key))
+        evicted = next(
+            (
+                key
+                for key, evidence in self.by_key.items()
+                if len(evidence.crashes) < MAX_CRASHES
+            ),
+            oldest,
+        )
+        del self.by_key[evicted]
+
     def count(self, key: str, answers: Answers, now: float) -> int:
         """Return the number of crashes that count against a key."""
         evidence = self.by_key.get(key)
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -111,6 +111,15 @@
     assert suspects.list_keys(copy) == suspects.list_keys(bad)
 
 
+def test_full_table_keeps_the_refused_keys(table, answers, is_refused, now):
+    """Guards against a refusal that ends when many sound requests are lost."""
+    record_crashes(table, now)
+    for number in range(suspects.MAX_SUSPECTS + 5):
+        table.record_crash(f"r{number}", "e/1", now)
+    assert is_refused(now + 10)
+    assert len(table.by_key) <= suspects.MAX_SUSPECTS
+
+
 def test_tables_are_bounded(table, answers, now):
     """Guards against memory use that grows with each loss or answer."""
     for number in range(suspects.MAX_SUSPECTS + 5):
