--- a/tests/entry/test_request_crashes.py
+++ b/tests/entry/test_request_crashes.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.anyio
 ENDPOINTS = 6
 DEADLY = b"deadly"
+PREFIX_HEADER = "x-prompt-prefix"
 # Crashes after which a request is refused.
 CRASHES = 3
 # Time within which each running VM has to know of the crashes.
@@ -112,6 +113,48 @@
     assert sound.status == 200
 
 
+@pytest.fixture
+async def engines(site: sites.Site) -> crashes.CrashingEndpoints:
+    """Engines that a deadly part of a prompt crashes."""
+    endpoints = crashes.CrashingEndpoints(
+        site,
+        lambda request: "dead:20" in request.headers.get(PREFIX_HEADER, ""),
+    )
+    for number in range(ENDPOINTS):
+        await endpoints.add(f"e{number}", "engines")
+    return endpoints
+
+
+async def send_prompt(vm: sites.Vm, identity: str, *parts: str) -> int:
+    """Send a stream request with a body of its own and return the status.
+
+    :param parts: parts of the prompt before the one of the request itself
+    """
+    prefix = ",".join([*parts, f"{identity}:9"])
+    headers = {"X-Model": "m", "X-Prompt-Prefix": prefix}
+    body = identity.encode()
+    answer = await sites.send(
+        vm.front, "/stream/x", identity, body=body, headers=headers
+    )
+    return answer.status
+
+
+async def test_prompts_with_a_part_that_crashes_endpoints_are_refused(
+    site, engines
+):
+    """Guards against a prompt part that crashes one endpoint after another."""
+    vms = [await start_vm(site, "vm-1"), await start_vm(site, "vm-2")]
+    for number in range(3 * CRASHES):
+        vm = vms[number % 2]
+        await send_prompt(vm, f"d{number}", "a:10", "dead:20")
+        await send_prompt(vm, f"s{number}", "a:10", "b:20")
+        await engines.await_restarts()
+    assert len(engines.arrivals) <= CRASHES + 1
+    for vm in vms:
+        assert await send_prompt(vm, "late", "a:10", "dead:20") == 503
+        assert await send_prompt(vm, "sound", "a:10", "b:20") == 200
+
+
 async def test_request_whose_connections_are_reset_is_not_refused(site):
     """Guards against refusals of a sound request after lost answers."""
     resets = []
