Refuse prompts with a part that crashes engines

Callers of sound prompts were cut off or waited while engines crashed one after the other under prompts with one part (BUDGET, LOST). Cause: crashes were counted against whole requests only. The class of fault: a circuit breaker whose key does not cover what the failures share. Change: sources of keys are registered; besides the fingerprint, each part of a prompt but the last is one. Answers without a length are no proof of a sound end: they are checked like a loss.

--- a/src/bronzetrack/entry/requests.py
+++ b/src/bronzetrack/entry/requests.py
@@ -27,6 +27,8 @@
     :param adapter: adapter of the base model, empty if none is named
     :param prompt_tokens: number of tokens of the prompt
     :param output_tokens: maximum number of tokens of the answer
+    :param shared_parts: ids of the parts of the prompt that other requests
+        may share
     :param caller: IP address of the caller
     :param suspect_keys: what the request has in common with its copies, by
         which it is refused if it crashes endpoints
@@ -49,6 +51,7 @@
     output_tokens: int = 0
     last_event_id: int | None = None
     caller: str = ""
+    shared_parts: tuple[str, ...] = ()
     suspect_keys: tuple[str, ...] = ()
     route: routes.Route | None = None
     start_by: float = float("inf")
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -178,15 +178,13 @@
         elif outcome is relays.Outcome.LOST:
             failing = traffic.record_failure(now)
             progress.failover_until = now + FAILOVER_WAIT_S
-            self._report_loss(request, endpoint, now)
+            self._report_loss(request, endpoint, relay, now)
         elif outcome.breaks_connection or relay.status >= 500:
             failing = traffic.record_failure(now)
         elif relay.first_byte_at is not None:
             progress.first_byte_s = relay.first_byte_at - request.arrived_at
             traffic.record_success(now)
-            self.board.answers.value.record(
-                request.suspect_keys, relay.first_byte_at
-            )
+            self._record_answer(request, endpoint, relay, now)
         if failing:
             requestlog.log_failing(
                 request, endpoint, outcome.value, relay.status
@@ -221,25 +219,59 @@
             )
         return False
 
+    def _record_answer(
+        self,
+        request: requests.Request,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        now: float,
+    ) -> None:
+        """Record that a request was answered, if that is certain.
+
+        Where an answer has no length, a crash may look like its end.
+        """
+        if not relay.head.framed:
+            self._check_crash(request, endpoint, relay, now)
+        elif relay.status < 300:
+            self.board.answers.value.record(
+                request.suspect_keys, relay.first_byte_at
+            )
+
     def _report_loss(
         self,
         request: requests.Request,
         endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
         now: float,
     ) -> None:
-        """Have it checked whether the endpoint crashed."""
         table = self.board.suspects.value
         answers = self.board.answers.value
         crashes = [
             table.count(key, answers, now) for key in request.suspect_keys
         ]
         requestlog.log_loss(request, endpoint, crashes)
+        self._check_crash(request, endpoint, relay, now)
+
+    def _check_crash(
+        self,
+        request: requests.Request,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        now: float,
+    ) -> None:
+        """Have it checked whether the endpoint crashed."""
+        answering_s = 0.0
+        if relay.first_byte_at is not None:
+            answering_s = now - relay.first_byte_at
+        accused = suspects.list_accused_keys(request, answering_s)
+        sound = set(request.suspect_keys) - set(accused)
+        self.board.answers.value.record(sound, now - answering_s)
         self.board.lost_requests.post(
             suspects.LostRequest(
                 endpoint.identity,
                 endpoint.start,
                 endpoint.address,
-                request.suspect_keys,
+                accused,
                 now,
             )
         )
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -16,6 +16,7 @@
 SIGNATURE = b"x-server-signature"
 MODEL = b"x-model"
 TOKEN_USAGE = b"x-token-usage"
+PROMPT_PREFIX = b"x-prompt-prefix"
 INSTANCE = b"x-instance-id"
 
 # Request headers that only the system may set; a caller's are dropped.
@@ -55,7 +56,7 @@
         REQUEST_ID,
         MODEL,
         TOKEN_USAGE,
-        b"x-prompt-prefix",
+        PROMPT_PREFIX,
         b"x-length-hint",
         b"last-event-id",
         SIGNATURE,
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -60,6 +60,9 @@
         prompt_tokens=prompt,
         output_tokens=output,
         caller=caller,
+        shared_parts=_decode_shared_parts(
+            first_values.get(names.PROMPT_PREFIX, b"")
+        ),
         last_event_id=_decode_non_negative(
             first_values.get(b"last-event-id", b"")
         ),
@@ -95,6 +98,15 @@
     )
 
 
+def _decode_shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last.
+
+    The last part belongs to the request itself or to its session.
+    """
+    parts = value.decode("latin-1").split(",")
+    return tuple(part.partition(":")[0].strip() for part in parts[:-1])
+
+
 def encode_request(
     request: requests.Request,
     endpoint: endpoints.Endpoint,
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -111,6 +111,16 @@
     assert suspects.list_keys(copy) == suspects.list_keys(bad)
 
 
+def test_part_of_an_answer_that_has_begun_well_is_not_accused(make_request):
+    """Guards against sound parts that are blamed for another's crash."""
+    request = make_request(body=b"x", shared_parts=("a", "b"))
+    fingerprint = suspects.fingerprint_request(request)
+    at_start = suspects.list_accused_keys(request, 0.0)
+    assert at_start == (fingerprint, "part:a", "part:b")
+    later = suspects.list_accused_keys(request, suspects.STARTING_S)
+    assert later == (fingerprint,)
+
+
 def test_full_table_keeps_the_refused_keys(table, answers, is_refused, now):
     """Guards against a refusal that ends when many sound requests are lost."""
     record_crashes(table, now)
