Let sound prompts pass while a rarer part explains the crashes

Cause: engines crashed before any prompt with the common first part had been answered, so that this part was refused as well, and then no answer could clear it any more. Change: a crash does not count against a part if a rarer refused part, which the request lacks, explains it. Keys and the decision are two modules now.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -22,6 +22,7 @@
 from bronzetrack.entry import routes
 from bronzetrack.entry import selection
 from bronzetrack.entry import sending
+from bronzetrack.entry import suspectkeys
 from bronzetrack.entry import suspects
 from bronzetrack.platform import names
 from bronzetrack.platform import requests as wire_requests
@@ -95,7 +96,8 @@
             self._end(exchange, request, None, route)
             return
         request.set_route(route)
-        request.suspect_keys = suspects.list_keys(request)
+        request.suspect_keys = suspectkeys.list_keys(request)
+        self.board.arrivals.value.record(request.suspect_keys)
         failure = self._check_suspected(request, now)
         if failure is not None:
             self._end(exchange, request, None, failure)
@@ -149,10 +151,12 @@
         :param possible_runs: number of sends after which an endpoint may have
             run the request
         """
-        table = self.board.suspects.value
-        answers = self.board.answers.value
-        if not any(
-            table.is_refused(key, answers, now) for key in request.suspect_keys
+        if not suspects.is_refused(
+            request,
+            self.board.suspects.value,
+            self.board.answers.value,
+            self.board.arrivals.value,
+            now,
         ):
             return None
         reason = failures.Reason.SUSPECTED
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -11,6 +11,7 @@
 from bronzetrack.entry import relays
 from bronzetrack.entry import requestlog
 from bronzetrack.entry import requests
+from bronzetrack.entry import suspectkeys
 from bronzetrack.entry import suspects
 from bronzetrack.entry import traffic as traffic_tables
 from bronzetrack.platform import names
@@ -263,7 +264,7 @@
         answering_s = 0.0
         if relay.first_byte_at is not None:
             answering_s = now - relay.first_byte_at
-        accused = suspects.list_accused_keys(request, answering_s)
+        accused = suspectkeys.list_accused_keys(request, answering_s)
         sound = set(request.suspect_keys) - set(accused)
         self.board.answers.value.record(sound, now - answering_s)
         self.board.lost_requests.post(
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -1,27 +1,24 @@
 """Requests that may crash the endpoints that run them.
 
 Load pattern: one request crashes each endpoint that starts to run it, and
-copies of it arrive at any VM. A key identifies what the copies have in
-common. Each crash is reported to all VMs, with the keys of all requests that
-the endpoint was running, and an answered request clears its keys.
+copies of it arrive at any VM. A key (`suspectkeys`) identifies what the copies
+have in common. Each crash is reported to all VMs, with the keys of all
+requests that the endpoint was running, and an answered request clears its
+keys.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterable
-import hashlib
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 import attrs
 
-from bronzetrack.core import registry
+from bronzetrack.entry import suspectkeys
 
 if TYPE_CHECKING:
     from bronzetrack.entry import requests
 
-ListKeys = TypeVar("ListKeys", bound="Callable[[requests.Request], list[str]]")
 
 # A request is refused after this many endpoints crashed while they ran it.
 MAX_CRASHES = 3
@@ -30,98 +27,8 @@
 # Largest numbers of keys with crashes and with answers that are kept.
 MAX_SUSPECTS = 10_000
 MAX_ANSWERED = 10_000
-FINGERPRINT_BYTES = 12
-# An answer that has been in progress for this time has begun well.
-STARTING_S = 0.5
-# Parts of a prompt that are looked at, and characters of their ids.
-MAX_PARTS = 8
-MAX_PART_ID_LENGTH = 24
-PART_PREFIX = "part:"
-
-
-def fingerprint_request(request: requests.Request) -> str:
-    """Return a fingerprint of a request that its copies share.
-
-    Without a body, requests of all callers to a target are alike, and one may
-    differ in a header. Copies then also share their caller.
-    """
-    digest = hashlib.blake2b(request.target, digest_size=FINGERPRINT_BYTES)
-    digest.update(b"\0")
-    digest.update(request.body or request.caller.encode())
-    return digest.hexdigest()
-
-
-@attrs.frozen
-class KeySource:
-    """A way to find out what requests that crash endpoints have in common.
-
-    :param list_keys: returns the keys of a request
-    :param crashes_at_start: whether requests that share such a key crash an
-        endpoint as it begins to answer, so that one whose answer has been in
-        progress for a while is sound
-    """
-
-    list_keys: Callable[[requests.Request], Iterable[str]]
-    crashes_at_start: bool = False
-
-
-KEY_SOURCES: registry.Registry[KeySource] = registry.Registry("key sources")
-
-
-def register_keys(
-    name: str, crashes_at_start: bool = False
-) -> Callable[[ListKeys], ListKeys]:
-    """Return a decorator that registers a function as a source of keys."""
-
-    def decorate(list_keys: ListKeys) -> ListKeys:
-        source = KeySource(list_keys, crashes_at_start)
-        KEY_SOURCES.register(name)(source)
-        return list_keys
-
-    return decorate
-
-
-@register_keys("request")
-def list_fingerprint(request: requests.Request) -> list[str]:
-    """Return the key that all copies of one request share."""
-    return [fingerprint_request(request)]
-
-
-@register_keys("prompt part", crashes_at_start=True)
-def list_part_keys(request: requests.Request) -> list[str]:
-    """Return the keys of the parts that prompts share.
-
-    Load pattern: all prompts with one part crash engines. No two are alike,
-    and sound prompts share their other parts.
-    """
-    return [
-        PART_PREFIX + part[:MAX_PART_ID_LENGTH]
-        for part in request.shared_parts[:MAX_PARTS]
-    ]
-
-
-def list_keys(request: requests.Request) -> tuple[str, ...]:
-    """Return what a request has in common with requests like it."""
-    return tuple(
-        key
-        for _, source in KEY_SOURCES.items()
-        for key in source.list_keys(request)
-    )
-
-
-def list_accused_keys(
-    request: requests.Request, answering_s: float
-) -> tuple[str, ...]:
-    """Return the keys that may explain a crash during a request.
-
-    :param answering_s: seconds since the answer began, 0 before
-    """
-    return tuple(
-        key
-        for _, source in KEY_SOURCES.items()
-        if answering_s < STARTING_S or not source.crashes_at_start
-        for key in source.list_keys(request)
-    )
+# The numbers of arrivals are halved after this many requests.
+MAX_ARRIVALS = 10_000
 
 
 @attrs.frozen
@@ -164,6 +71,32 @@
         return self.at_by_key.get(key, float("-inf"))
 
 
+@attrs.define(eq=False)
+class Arrivals:
+    """Decayed numbers of requests that arrived at this VM, by key."""
+
+    by_key: dict[str, float] = attrs.field(factory=dict)
+    total: int = 0
+
+    def record(self, keys: Iterable[str]) -> None:
+        """Count a request."""
+        for key in keys:
+            self.by_key[key] = self.by_key.get(key, 0.0) + 1.0
+        self.total += 1
+        if self.total >= MAX_ARRIVALS:
+            self._decay()
+
+    def get(self, key: str) -> float:
+        """Return the decayed number of requests with a key."""
+        return self.by_key.get(key, 0.0)
+
+    def _decay(self) -> None:
+        self.total = 0
+        self.by_key = {
+            key: count / 2 for key, count in self.by_key.items() if count >= 2
+        }
+
+
 @attrs.define(eq=False)
 class Evidence:
     """Crashes of endpoints that were running requests with one key.
@@ -193,13 +126,13 @@
         by_time = sorted(self.crashes.items(), key=lambda item: item[1])
         return by_time[-MAX_CRASHES:]
 
-    def count(self, answered_at: float, now: float) -> int:
-        """Return the number of crashes that count.
+    def list_counting(self, answered_at: float, now: float) -> set[str]:
+        """Return the ids of the endpoint starts whose crashes count.
 
         :param answered_at: when this VM last answered such a request
         """
         since = max(self.cleared_at, answered_at, now - RETENTION_S)
-        return sum(1 for at in self.crashes.values() if at > since)
+        return {start for start, at in self.crashes.items() if at > since}
 
 
 @attrs.define(eq=False)
@@ -231,10 +164,18 @@
         )
         del self.by_key[evicted]
 
+    def list_counting(
+        self, key: str, answers: Answers, now: float
+    ) -> set[str]:
+        """Return the ids of the starts whose crashes count against a key."""
+        evidence = self.by_key.get(key)
+        if evidence is None:
+            return set()
+        return evidence.list_counting(answers.get(key), now)
+
     def count(self, key: str, answers: Answers, now: float) -> int:
         """Return the number of crashes that count against a key."""
-        evidence = self.by_key.get(key)
-        return evidence.count(answers.get(key), now) if evidence else 0
+        return len(self.list_counting(key, answers, now))
 
     def is_refused(self, key: str, answers: Answers, now: float) -> bool:
         """Return whether requests with a key are refused."""
@@ -251,3 +192,50 @@
         for key in list(self.by_key):
             if not self.count(key, answers, now):
                 del self.by_key[key]
+
+
+def is_refused(
+    request: requests.Request,
+    suspects: Suspects,
+    answers: Answers,
+    arrivals: Arrivals,
+    now: float,
+) -> bool:
+    """Return whether a request is refused because it may crash endpoints.
+
+    Load pattern: engines crash under one part of prompts before prompts with
+    common parts were answered, so that these are accused as well. If all were
+    refused, no answer would ever clear them. A crash that a rarer key explains
+    does not count against a request without that key.
+    """
+    keys = request.suspect_keys
+    if not suspects.by_key or not any(
+        suspects.is_refused(key, answers, now) for key in keys
+    ):
+        return False
+    others = [
+        key for key in suspects.list_refused(answers, now) if key not in keys
+    ]
+    return any(
+        _count_unexplained(key, others, suspects, answers, arrivals, now)
+        >= MAX_CRASHES
+        for key in keys
+    )
+
+
+def _count_unexplained(
+    key: str,
+    others: list[str],
+    suspects: Suspects,
+    answers: Answers,
+    arrivals: Arrivals,
+    now: float,
+) -> int:
+    """Return the number of crashes that no rarer other key explains."""
+    unexplained = suspects.list_counting(key, answers, now)
+    if not key.startswith(suspectkeys.PART_PREFIX):
+        return len(unexplained)
+    for other in others:
+        if arrivals.get(other) < arrivals.get(key):
+            unexplained -= suspects.list_counting(other, answers, now)
+    return len(unexplained)
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bronzetrack.entry import suspectkeys
 from bronzetrack.entry import suspects
 
 KEY = "bad"
@@ -80,7 +81,8 @@
     record_crashes(table, now)
     table.by_key[KEY].clear(now + 1)
     assert not is_refused(now + 10)
-    assert table.by_key[KEY].count(float("-inf"), now + 10) == 1
+    evidence = table.by_key[KEY]
+    assert len(evidence.list_counting(float("-inf"), now + 10)) == 1
     table.by_key[KEY].clear(now - 5)
     assert table.by_key[KEY].cleared_at == now + 1
 
@@ -100,24 +102,52 @@
     """Guards against a GET that is never refused, or refused for all."""
     bad = make_request(target=b"/p?q=1", caller="10.0.0.1")
     other = make_request(target=target, body=body, caller=caller)
-    keys = suspects.list_keys(other)
-    assert (keys == suspects.list_keys(bad)) == is_same
+    keys = suspectkeys.list_keys(other)
+    assert (keys == suspectkeys.list_keys(bad)) == is_same
 
 
 def test_copies_with_a_body_need_not_share_their_caller(make_request):
     """Guards against one body that crashes endpoints from each address."""
     bad = make_request(body=b"bad", caller="10.0.0.1")
     copy = make_request(body=b"bad", caller="10.0.0.2")
-    assert suspects.list_keys(copy) == suspects.list_keys(bad)
+    assert suspectkeys.list_keys(copy) == suspectkeys.list_keys(bad)
+
+
+def test_sound_prompts_pass_while_a_rarer_part_explains_the_crashes(
+    table, answers, make_request, now
+):
+    """Guards against a refusal of all prompts, so that none is answered.
+
+    The load: a fifth of the prompts has a deadly part from the first second
+    on. Engines crash before any prompt with the common part is answered.
+    """
+    arrivals = suspects.Arrivals()
+    sound = make_request(shared_parts=("common", "usual"), body=b"s")
+    deadly = make_request(shared_parts=("common", "deadly"), body=b"d")
+    for request in [sound] * 8 + [deadly] * 2:
+        request.suspect_keys = suspectkeys.list_keys(request)
+        arrivals.record(request.suspect_keys)
+    for number in range(suspects.MAX_CRASHES):
+        for key in ("part:common", "part:usual", "part:deadly"):
+            table.record_crash(key, f"e{number}/1", now)
+
+    def is_refused(request, at):
+        return suspects.is_refused(request, table, answers, arrivals, at)
+
+    assert is_refused(deadly, now + 1)
+    assert not is_refused(sound, now + 1)
+    for number in range(suspects.MAX_CRASHES):
+        table.record_crash("part:common", f"e{number}/2", now + 2)
+    assert is_refused(sound, now + 3)
 
 
 def test_part_of_an_answer_that_has_begun_well_is_not_accused(make_request):
     """Guards against sound parts that are blamed for another's crash."""
     request = make_request(body=b"x", shared_parts=("a", "b"))
-    fingerprint = suspects.fingerprint_request(request)
-    at_start = suspects.list_accused_keys(request, 0.0)
+    fingerprint = suspectkeys.fingerprint_request(request)
+    at_start = suspectkeys.list_accused_keys(request, 0.0)
     assert at_start == (fingerprint, "part:a", "part:b")
-    later = suspects.list_accused_keys(request, suspects.STARTING_S)
+    later = suspectkeys.list_accused_keys(request, suspectkeys.STARTING_S)
     assert later == (fingerprint,)
 
 
