Log a reason when a resumed stream ends with another answer

A stream whose second endpoint answered 404 or 204 was cut, correctly, but logged like one that was answered. Two cases of test_error_after_a_broken_stream_is_not_part_of_it failed (empty reason).

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -250,6 +250,11 @@
                 exchange.finish()
                 return None
             failure = self._classify_failure(relay, outcome)
+            if failure is None and exchange.started:
+                failure = failures.Failure(
+                    failures.Reason.LOST,
+                    f"the endpoint answered {relay.status} to a resumption",
+                )
             if failure is not None and self._may_retry(
                 request, progress, outcome, exchange
             ):
--- a/tests/entry/test_endpoint_faults.py
+++ b/tests/entry/test_endpoint_faults.py
@@ -279,13 +279,18 @@
         await writer.drain()
         writer.close()
 
-    _, vm = await start("engines", handle, handle)
+    site, vm = await start("engines", handle, handle)
     answer = await sites.send(
         vm.front, "/resumable/x", "r1", body=b"x", headers={"X-Model": "m"}
     )
     assert runs[:2] == [None, "1"]
     assert answer.body == b"id: 1\ndata: token1\n\n"
     assert not answer.whole
+    await site.await_event("vm-1", "request")
+    ended = [
+        item for item in site.read_events("vm-1") if item["event"] == "request"
+    ]
+    assert ended[-1]["reason"]
 
 
 HEAD = (
