Try refused prompt parts instead of blaming the rarest

Change: an answer clears crashes up to 2 s later, since a burst of crashes ends the answers of sound parts too; and one VM, found by rendezvous hashing, sends one prompt with the refused keys as a trial 1 s after the last crash. A crash ends the trials, an answer clears the keys. Whether an answer has begun well is measured from the first byte of its body.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -170,6 +170,15 @@
     crashes: list[int]
 
 
+@register("trial_sent", "a request with refused keys was sent as a trial")
+@attrs.frozen
+class TrialSent(LogEvent):
+    """A send that shows whether a prompt part crashes endpoints."""
+
+    request_id: str
+    keys: list[str]
+
+
 @register("crash_checked", "an endpoint that broke off was connected to")
 @attrs.frozen
 class CrashChecked(LogEvent):
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -149,11 +149,6 @@
             "answers", "forwarding", suspect_tables.Answers()
         )
     )
-    arrivals: blackboard.Section[suspect_tables.Arrivals] = attrs.field(
-        factory=lambda: blackboard.Section(
-            "arrivals", "forwarding", suspect_tables.Arrivals()
-        )
-    )
     lost_requests: blackboard.Mailbox[suspect_tables.LostRequest] = (
         attrs.field(
             factory=lambda: blackboard.Mailbox("lost", MAILBOX_CAPACITY)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -10,6 +10,7 @@
 import anyio
 
 from bronzetrack.core import blackboard
+from bronzetrack.core import rendezvous
 from bronzetrack.entry import budget
 from bronzetrack.entry import events
 from bronzetrack.entry import failures
@@ -97,8 +98,7 @@
             return
         request.set_route(route)
         request.suspect_keys = suspectkeys.list_keys(request)
-        self.board.arrivals.value.record(request.suspect_keys)
-        failure = self._check_suspected(request, now)
+        failure, _ = self._check_suspected(request, now)
         if failure is not None:
             self._end(exchange, request, None, failure)
             return
@@ -145,26 +145,52 @@
 
     def _check_suspected(
         self, request: requests.Request, now: float, possible_runs: int = 0
-    ) -> failures.Failure | None:
-        """Return the failure of a request that crashes endpoints.
+    ) -> tuple[failures.Failure | None, list[str]]:
+        """Check whether a request is refused since it may crash endpoints.
 
         :param possible_runs: number of sends after which an endpoint may have
             run the request
+        :returns: the failure, if any, and the refused keys of the request; a
+            request that has such keys and no failure may be sent as a trial
         """
-        if not suspects.is_refused(
-            request,
-            self.board.suspects.value,
-            self.board.answers.value,
-            self.board.arrivals.value,
-            now,
+        table = self.board.suspects.value
+        keys = suspects.list_refused_keys(
+            request, table, self.board.answers.value, now
+        )
+        if not keys:
+            return None, []
+        if self._makes_trials(keys, now) and suspects.may_try(
+            keys, table, now
         ):
-            return None
+            return None, keys
         reason = failures.Reason.SUSPECTED
         if possible_runs:
             reason = failures.Reason.LOST
-        return failures.Failure(
+        failure = failures.Failure(
             reason, "endpoints crashed each time that they ran this request"
         )
+        return failure, keys
+
+    def _makes_trials(self, keys: list[str], now: float) -> bool:
+        """Return whether this VM, of all, makes the trials of some keys."""
+        own = self.board.settings.vm
+        alive = self.board.membership.value.peer_table.list_alive(now)
+        vms = sorted([own, *(peer.vm for peer in alive)])
+        return rendezvous.rank_nodes(min(keys), vms)[0] == own
+
+    def _admit(
+        self, request: requests.Request, progress: progresses.Progress
+    ) -> failures.Failure | None:
+        """Return the failure of a request that must not be sent now."""
+        now = self.read_clock()
+        failure, keys = self._check_suspected(
+            request, now, progress.possible_runs
+        )
+        if failure is None and keys:
+            requestlog.log_trial(request, keys)
+            for key in keys:
+                self.board.suspects.value.by_key[key].tried_at = now
+        return failure
 
     async def _await_configuration(self, request: requests.Request) -> None:
         """Wait for a limited time for the first configuration."""
@@ -233,9 +259,7 @@
             endpoint = await self._selector.await_endpoint(request, progress)
             if isinstance(endpoint, failures.Failure):
                 return endpoint
-            failure = self._check_suspected(
-                request, self.read_clock(), progress.possible_runs
-            )
+            failure = self._admit(request, progress)
             if failure is not None:
                 return failure
             relay = await self._sender.send(
--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -79,6 +79,7 @@
         )
         self.head: heads.ResponseHead | None = None
         self.first_byte_at: float | None = None
+        self.first_data_at: float | None = None
         self._exchange = exchange
         self._request = request
         self._connection = connection
@@ -131,6 +132,8 @@
         """Forward a part of a stream, or collect a part of another answer."""
         if self.done.done():
             return
+        if self.first_data_at is None:
+            self.first_data_at = self._read_clock()
         if not self._is_forwarded:
             self._collect(data)
             return
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -106,6 +106,11 @@
     logevents.log(LOG, event)
 
 
+def log_trial(request: requests.Request, keys: list[str]) -> None:
+    """Log that a request is sent to find out whether its keys are sound."""
+    logevents.log(LOG, logevents.TrialSent(request.request_id, keys))
+
+
 def log_end(
     request: requests.Request,
     progress: progresses.Progress | None,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -262,8 +262,8 @@
     ) -> None:
         """Have it checked whether the endpoint crashed."""
         answering_s = 0.0
-        if relay.first_byte_at is not None:
-            answering_s = now - relay.first_byte_at
+        if relay.first_data_at is not None:
+            answering_s = now - relay.first_data_at
         accused = suspectkeys.list_accused_keys(request, answering_s)
         sound = set(request.suspect_keys) - set(accused)
         self.board.answers.value.record(sound, now - answering_s)
--- a/src/bronzetrack/entry/suspectkeys.py
+++ b/src/bronzetrack/entry/suspectkeys.py
@@ -101,7 +101,7 @@
 ) -> tuple[str, ...]:
     """Return the keys that may explain a crash during a request.
 
-    :param answering_s: seconds since the answer began, 0 before
+    :param answering_s: seconds since the first byte of the body, 0 before
     """
     return tuple(
         key
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -27,8 +27,14 @@
 # Largest numbers of keys with crashes and with answers that are kept.
 MAX_SUSPECTS = 10_000
 MAX_ANSWERED = 10_000
-# The numbers of arrivals are halved after this many requests.
-MAX_ARRIVALS = 10_000
+# An answer also clears the crashes that follow within this time. Where a sound
+# request is refused, its answers end with the crashes of another one.
+ANSWER_GRACE_S = 2.0
+# A trial follows the last crash after this time, and a trial that ended
+# without a crash or an answer is repeated after this time.
+TRIAL_PAUSE_S = 1.0
+# No trial is made after this many crashes.
+MAX_TRIAL_CRASHES = 6
 
 
 @attrs.frozen
@@ -71,32 +77,6 @@
         return self.at_by_key.get(key, float("-inf"))
 
 
-@attrs.define(eq=False)
-class Arrivals:
-    """Decayed numbers of requests that arrived at this VM, by key."""
-
-    by_key: dict[str, float] = attrs.field(factory=dict)
-    total: int = 0
-
-    def record(self, keys: Iterable[str]) -> None:
-        """Count a request."""
-        for key in keys:
-            self.by_key[key] = self.by_key.get(key, 0.0) + 1.0
-        self.total += 1
-        if self.total >= MAX_ARRIVALS:
-            self._decay()
-
-    def get(self, key: str) -> float:
-        """Return the decayed number of requests with a key."""
-        return self.by_key.get(key, 0.0)
-
-    def _decay(self) -> None:
-        self.total = 0
-        self.by_key = {
-            key: count / 2 for key, count in self.by_key.items() if count >= 2
-        }
-
-
 @attrs.define(eq=False)
 class Evidence:
     """Crashes of endpoints that were running requests with one key.
@@ -105,16 +85,31 @@
     :param cleared_at: latest time at which such a request was answered on
         any VM; earlier crashes had another cause
     :param is_own: whether this VM confirmed one of the crashes
+    :param tried_at: when this VM last sent a request with the key as a trial
     """
 
     crashes: dict[str, float] = attrs.field(factory=dict)
     cleared_at: float = float("-inf")
     is_own: bool = False
+    tried_at: float = float("-inf")
 
     def is_newly_answered(self, answered_at: float) -> bool:
         """Return whether an answer on this VM clears further crashes."""
         return any(
-            self.cleared_at < at <= answered_at for at in self.crashes.values()
+            self.cleared_at < at - ANSWER_GRACE_S <= answered_at
+            for at in self.crashes.values()
+        )
+
+    def may_try(self, now: float) -> bool:
+        """Return whether one more request may show whether the key is sound.
+
+        A crash after a trial ends the trials.
+        """
+        latest = max(self.crashes.values())
+        return (
+            len(self.crashes) < MAX_TRIAL_CRASHES
+            and not float("-inf") < self.tried_at < latest
+            and now - max(latest, self.tried_at) >= TRIAL_PAUSE_S
         )
 
     def clear(self, at: float) -> None:
@@ -131,7 +126,8 @@
 
         :param answered_at: when this VM last answered such a request
         """
-        since = max(self.cleared_at, answered_at, now - RETENTION_S)
+        cleared_until = max(self.cleared_at, answered_at) + ANSWER_GRACE_S
+        since = max(cleared_until, now - RETENTION_S)
         return {start for start, at in self.crashes.items() if at > since}
 
 
@@ -194,48 +190,29 @@
                 del self.by_key[key]
 
 
-def is_refused(
-    request: requests.Request,
-    suspects: Suspects,
-    answers: Answers,
-    arrivals: Arrivals,
-    now: float,
-) -> bool:
-    """Return whether a request is refused because it may crash endpoints.
+def list_refused_keys(
+    request: requests.Request, table: Suspects, answers: Answers, now: float
+) -> list[str]:
+    """Return the keys of a request because of which it is refused."""
+    if not table.by_key:
+        return []
+    return [
+        key
+        for key in request.suspect_keys
+        if table.is_refused(key, answers, now)
+    ]
+
+
+def may_try(keys: list[str], table: Suspects, now: float) -> bool:
+    """Return whether one request with refused keys is sent as a trial.
+
+    Load pattern: engines crash before any prompt with a common part was
+    answered. The part is refused as well, and then no answer could clear it.
 
-    Load pattern: engines crash under one part of prompts before prompts with
-    common parts were answered, so that these are accused as well. If all were
-    refused, no answer would ever clear them. A crash that a rarer key explains
-    does not count against a request without that key.
+    :param keys: the refused keys of the request
     """
-    keys = request.suspect_keys
-    if not suspects.by_key or not any(
-        suspects.is_refused(key, answers, now) for key in keys
-    ):
-        return False
-    others = [
-        key for key in suspects.list_refused(answers, now) if key not in keys
-    ]
-    return any(
-        _count_unexplained(key, others, suspects, answers, arrivals, now)
-        >= MAX_CRASHES
+    return all(
+        key.startswith(suspectkeys.PART_PREFIX)
+        and table.by_key[key].may_try(now)
         for key in keys
     )
-
-
-def _count_unexplained(
-    key: str,
-    others: list[str],
-    suspects: Suspects,
-    answers: Answers,
-    arrivals: Arrivals,
-    now: float,
-) -> int:
-    """Return the number of crashes that no rarer other key explains."""
-    unexplained = suspects.list_counting(key, answers, now)
-    if not key.startswith(suspectkeys.PART_PREFIX):
-        return len(unexplained)
-    for other in others:
-        if arrivals.get(other) < arrivals.get(key):
-            unexplained -= suspects.list_counting(other, answers, now)
-    return len(unexplained)
