Stop using an endpoint as soon as an answer says that it leaves

New rule: an endpoint that leaves says so in all its answers, Server-Leaving. Before, only its entry in the store counted, and a later entry 'ready' reset that: 12 requests in place of 1 reached it (test_endpoint_whose_answer_says_that_it_leaves_gets_no_more, test_only_endpoint_is_not_used_once_it_says_that_it_leaves failed).

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -169,6 +169,9 @@
     placed: blackboard.Mailbox[messages.HoldingChange] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_CAPACITY)
     )
+    leaving: blackboard.Mailbox[messages.EndpointLeaves] = attrs.field(
+        factory=lambda: blackboard.Mailbox("leaving", MAILBOX_CAPACITY)
+    )
     load_requests: blackboard.Mailbox[messages.LoadRequest] = attrs.field(
         factory=lambda: blackboard.Mailbox("wanted", MAILBOX_CAPACITY)
     )
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -46,6 +46,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow_entries)
             group.start_soon(self._follow_placements)
+            group.start_soon(self._follow_leaving)
 
     async def _follow_entries(self) -> None:
         entry_follower = follower.Follower(
@@ -122,6 +123,23 @@
             for holding_change in mailbox.take():
                 self._apply_placement(holding_change)
 
+    async def _follow_leaving(self) -> None:
+        mailbox = self.board.leaving
+        while True:
+            await mailbox.wait_items()
+            for message in mailbox.take():
+                self._apply_leaving(message)
+
+    def _apply_leaving(self, message: messages.EndpointLeaves) -> None:
+        """Stop using an endpoint until another start of it is announced."""
+        endpoint = self.board.endpoints.value.by_identity.get(message.identity)
+        if endpoint is None or endpoint.start != message.start:
+            return
+        if not endpoint.has_said_leaving:
+            endpoint.has_said_leaving = True
+            _log(logevents.EndpointLeaving, endpoint)
+            self._notify()
+
     def _notify(self) -> None:
         self.write(self.board.endpoints, self.board.endpoints.value)
 
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -177,6 +177,8 @@
                 self.board.crash_messages.post(message)
             case messages.HoldingChange():
                 self.board.placed.post(message)
+            case messages.EndpointLeaves():
+                self.board.leaving.post(message)
 
     def _apply_heartbeat(
         self, heartbeat: messages.Heartbeat, addr: Any
--- a/src/bronzetrack/entry/dump.py
+++ b/src/bronzetrack/entry/dump.py
@@ -28,7 +28,8 @@
                 "id": item.identity,
                 "service": item.service,
                 "address": item.address,
-                "leaving": item.leaving_since is not None,
+                "leaving": item.leaving_since is not None
+                or item.has_said_leaving,
                 "removed": item.removed_at is not None,
                 "adapters": [
                     f"{model}/{adapter}@{version}"
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -22,6 +22,8 @@
     :param models: version of each base model held, by name
     :param adapters: version of each adapter held, by model and name
     :param leaving_since: when this VM first knew that the endpoint is leaving
+    :param has_said_leaving: whether an answer of this start of the endpoint
+        said that it leaves; its entry in the store may be older
     :param removed_at: time from which the endpoint counts as removed
     :param stops_at: when the endpoint will be stopped, if that was announced
     :param placement_reported_at: when the holder of the lease last reported
@@ -38,6 +40,7 @@
     models: dict[str, int] = attrs.field(factory=dict)
     adapters: dict[ModelKey, int] = attrs.field(factory=dict)
     leaving_since: float | None = None
+    has_said_leaving: bool = False
     removed_at: float | None = None
     stops_at: float | None = None
     placement_reported_at: dict[ModelKey, float] = attrs.field(factory=dict)
@@ -49,7 +52,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the endpoint."""
-        if self.leaving_since is not None:
+        if self.leaving_since is not None or self.has_said_leaving:
             return False
         return self.removed_at is None or now < self.removed_at
 
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -271,6 +271,18 @@
     version: int = int_field()
 
 
+@MESSAGES.register("e")
+@attrs.frozen
+class EndpointLeaves:
+    """Answer of an endpoint that says that the endpoint leaves.
+
+    :param start: id of the endpoint's start
+    """
+
+    identity: str = text_field()
+    start: str = text_field()
+
+
 @MESSAGES.register("c")
 @attrs.frozen
 class CrashReport:
--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -61,6 +61,8 @@
 
     :param buffer: splits a resumable stream into complete events, `None` for
         other answers
+    :param on_leaving: called when the head of an answer says that the
+        endpoint leaves
     :param buffered_bytes: size of the largest answer or event that is kept in
         memory
     """
@@ -72,6 +74,7 @@
         connection: connections.Connection,
         buffer: events.EventBuffer | None,
         read_clock: Callable[[], float],
+        on_leaving: Callable[[], None],
         buffered_bytes: int = limits.DEFAULT.buffered_bytes,
     ) -> None:
         self.done: asyncio.Future[Outcome] = (
@@ -85,6 +88,7 @@
         self._connection = connection
         self._buffer = buffer
         self._read_clock = read_clock
+        self._on_leaving = on_leaving
         self._collected = bytearray()
         self._buffered_bytes = buffered_bytes
         self._is_stream = False
@@ -109,6 +113,8 @@
         """Store the head and start the caller's answer if it is a stream."""
         self.head = head
         self.first_byte_at = self._read_clock()
+        if head.find(names.LEAVING) == b"1":
+            self._on_leaving()
         route = self._request.route
         self._is_stream = (
             head.status == 200 and route is not None and route.streams
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 from typing import TYPE_CHECKING
 
 from bronzetrack.entry import endpoints
@@ -110,6 +111,7 @@
             connection,
             progress.buffer,
             self.read_clock,
+            functools.partial(self._record_leaving, endpoint),
             self.board.settings.responses.buffered_bytes,
         )
         sent_at = self.read_clock()
@@ -144,6 +146,14 @@
         self._record_outcome(request, progress, endpoint, relay, outcome)
         return relay
 
+    def _record_leaving(self, endpoint: endpoints.Endpoint) -> None:
+        """Tell this VM and the others that an endpoint leaves."""
+        if endpoint.has_said_leaving:
+            return
+        message = messages.EndpointLeaves(endpoint.identity, endpoint.start)
+        self.board.leaving.post(message)
+        self.board.outgoing.post(message)
+
     def _get_version(
         self, request: requests.Request, endpoint: endpoints.Endpoint
     ) -> int | None:
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -18,6 +18,8 @@
 TOKEN_USAGE = b"x-token-usage"
 PROMPT_PREFIX = b"x-prompt-prefix"
 INSTANCE = b"x-instance-id"
+# Header in all answers of an endpoint that leaves.
+LEAVING = b"server-leaving"
 
 # Request headers that only the system may set; a caller's are dropped.
 RESERVED = frozenset(
--- /dev/null
+++ b/tests/entry/test_endpoint_wishes.py
@@ -0,0 +1,95 @@
+"""Tests of entry VMs before endpoints that want no more requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import pathlib
+
+from entry import sites
+import pytest
+
+from standins import rawhttp
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use the same event loop as the entry VM."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
+    """Deployment with a store and a configuration."""
+    site = sites.Site(tmp_path)
+    await site.start_store()
+    site.configure()
+    yield site
+    await site.stop()
+
+
+class Recorder:
+    """Endpoint that records arrivals and adds a header to each answer."""
+
+    def __init__(self, status: int, **headers: str) -> None:
+        self.arrivals: list[float] = []
+        self._status = status
+        self._headers = {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+
+    async def handle(
+        self, request: rawhttp.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a request."""
+        self.arrivals.append(asyncio.get_running_loop().time())
+        echo = {"X-Request-Id": request.headers["x-request-id"]}
+        answer = rawhttp.make_answer(
+            self._status, b"whole", echo | self._headers
+        )
+        writer.write(answer)
+
+
+async def start_vm(site: sites.Site, *recorders: Recorder) -> sites.Vm:
+    """Start endpoints and a VM that is ready."""
+    for number, recorder in enumerate(recorders, 1):
+        await site.add_endpoint(f"p{number}", "plain", recorder.handle)
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    return vm
+
+
+async def test_endpoint_whose_answer_says_that_it_leaves_gets_no_more(site):
+    """Guards against requests to a leaving endpoint whose entry is ready."""
+    leaving = Recorder(200, Server_Leaving="1", X_Server_Signature="p1")
+    staying = Recorder(200, X_Server_Signature="p2")
+    vm = await start_vm(site, leaving, staying)
+    number = 0
+    while not leaving.arrivals:
+        number += 1
+        await sites.send(vm.front, "/once/x", f"r{number}", body=b"x")
+    await asyncio.sleep(0.1)
+    site.announce("p1", sequence=9)
+    await asyncio.sleep(1.5)
+    for late in range(20):
+        answer = await sites.send(vm.front, "/once/x", f"l{late}", body=b"x")
+        assert answer.status == 200
+    assert len(leaving.arrivals) == 1
+
+
+async def test_only_endpoint_is_not_used_once_it_says_that_it_leaves(site):
+    """Guards against requests that no endpoint should get."""
+    leaving = Recorder(200, Server_Leaving="1", X_Server_Signature="p1")
+    vm = await start_vm(site, leaving)
+    first = await sites.send(vm.front, "/once/x", "r1", body=b"x")
+    assert first.status == 200
+    await asyncio.sleep(0.1)
+    second = await sites.send(vm.front, "/once/x", "r2", body=b"x")
+    assert second.status == 503
+    assert len(leaving.arrivals) == 1
+    site.announce("p1", born=1_700_000_000_001)
+    await asyncio.sleep(1.5)
+    third = await sites.send(vm.front, "/once/x", "r3", body=b"x")
+    assert third.status == 200
