Send an endpoint nothing while its Retry-After lasts

Before, 16 requests reached a refusing endpoint in 1.3 s (test_endpoint_that_wants_a_pause_gets_no_requests_meanwhile failed). Change: the pause belongs to one start of the endpoint, as this VM was told. If all endpoints of a service pause for longer than the request may wait, it is refused at once with the rest of the pause as Retry-After (reason paused). Parts of prompts without an id are no keys. New event endpoint_paused.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -227,6 +227,19 @@
     detail: str
 
 
+@register("endpoint_paused", "an endpoint wants no requests for a while")
+@attrs.frozen
+class EndpointPaused(LogEvent):
+    """A refusal with Retry-After.
+
+    :param pause_s: seconds for which this VM sends nothing there
+    """
+
+    request_id: str
+    endpoint: str
+    pause_s: float | None
+
+
 @register("request_failed", "a request could not be served", logging.ERROR)
 @attrs.frozen
 class RequestFailed(LogEvent):
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -21,6 +21,7 @@
     DEADLINE = "deadline"
     REJECTED = "rejected"
     SUSPECTED = "suspected"
+    PAUSED = "paused"
     LOST = "lost"
     MALFORMED = "malformed"
     OVERSIZED = "oversized"
@@ -41,6 +42,7 @@
     Reason.ISOLATED: 503,
     Reason.REJECTED: 503,
     Reason.SUSPECTED: 503,
+    Reason.PAUSED: 503,
     Reason.DEADLINE: 504,
     Reason.LOST: 502,
     Reason.MALFORMED: 502,
--- a/src/bronzetrack/entry/placement.py
+++ b/src/bronzetrack/entry/placement.py
@@ -72,9 +72,15 @@
             return True
         return (
             own.unreachable_until <= self.now
+            and own.get_pause_end(endpoint.start) <= self.now
             and own.active < self.max_own_requests
         )
 
+    def get_pause_end(self, endpoint: endpoints.Endpoint) -> float:
+        """Return until when an endpoint wants no requests of this VM."""
+        own = self.traffic.by_identity.get(endpoint.identity)
+        return own.get_pause_end(endpoint.start) if own else 0.0
+
     def is_failing(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether an endpoint failed recently."""
         own = self.traffic.by_identity.get(endpoint.identity)
@@ -134,6 +140,24 @@
     return min(drawn, key=balancing_input.measure_load, default=None)
 
 
+def find_pause_end(
+    candidates: list[endpoints.Endpoint], balancing_input: BalancingInput
+) -> float:
+    """Return when the first endpoint accepts requests of this VM again.
+
+    :returns: a time in the past if one accepts requests now
+    """
+    now = balancing_input.now
+    return min(
+        (
+            balancing_input.get_pause_end(item)
+            for item in candidates
+            if item.is_usable(now)
+        ),
+        default=0.0,
+    )
+
+
 def list_holders(
     candidates: list[endpoints.Endpoint],
     model_key: tuple[str, str],
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -75,6 +75,16 @@
     logevents.log(LOG, event)
 
 
+def log_pause(
+    request: requests.Request, endpoint: endpoints.Endpoint, pause_s: float
+) -> None:
+    """Log that an endpoint wants no requests of this VM for a while."""
+    event = logevents.EndpointPaused(
+        request.request_id, endpoint.identity, logevents.round_time(pause_s)
+    )
+    logevents.log(LOG, event)
+
+
 def log_failing(
     request: requests.Request,
     endpoint: endpoints.Endpoint,
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -100,9 +100,32 @@
                 "the service has no endpoint",
                 failures.RETRY_AFTER_S,
             )
-        return self._choose_endpoint(
-            request, progress, candidates, now
-        ) or self._check_wait_limit(request, now)
+        return (
+            self._check_pauses(request, progress, candidates, now)
+            or self._choose_endpoint(request, progress, candidates, now)
+            or self._check_wait_limit(request, now)
+        )
+
+    def _check_pauses(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        candidates: list[endpoints.Endpoint],
+        now: float,
+    ) -> failures.Failure | None:
+        """Return a failure if all endpoints want a pause for too long."""
+        balancing_input = self._make_balancing_input(progress, now)
+        pause_end = placement.find_pause_end(candidates, balancing_input)
+        waits_until = request.arrived_at + ENGINE_WAIT_SHARE * (
+            request.start_by - request.arrived_at
+        )
+        if pause_end <= max(now, waits_until):
+            return None
+        return failures.Failure(
+            failures.Reason.PAUSED,
+            "all endpoints want no requests for a while",
+            pause_end - now,
+        )
 
     def _check_wait_limit(
         self, request: requests.Request, now: float
@@ -138,15 +161,7 @@
         candidates: list[endpoints.Endpoint],
         now: float,
     ) -> endpoints.Endpoint | None:
-        vms = self.board.membership.value.peer_table.count_vms(now)
-        balancing_input = placement.BalancingInput(
-            self.board.traffic.value,
-            self.board.membership.value.active,
-            self.board.settings.zone,
-            now,
-            self._limit_own_requests(progress.service, vms),
-            vms,
-        )
+        balancing_input = self._make_balancing_input(progress, now)
         model_key = request.model_key
         if model_key is None or not self._has_engine(progress.service):
             return placement.choose_endpoint(
@@ -171,6 +186,19 @@
             holders, frozenset(progress.tried), balancing_input
         )
 
+    def _make_balancing_input(
+        self, progress: progresses.Progress, now: float
+    ) -> placement.BalancingInput:
+        vms = self.board.membership.value.peer_table.count_vms(now)
+        return placement.BalancingInput(
+            self.board.traffic.value,
+            self.board.membership.value.active,
+            self.board.settings.zone,
+            now,
+            self._limit_own_requests(progress.service, vms),
+            vms,
+        )
+
     def _limit_own_requests(self, service: str, vms: int) -> float:
         """Return this VM's share of the connections that an endpoint accepts.
 
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -26,6 +26,8 @@
 # Time that a request waits for another engine after the connection to an
 # engine was lost.
 FAILOVER_WAIT_S = 0.6
+# Longest pause that an endpoint gets. A longer one is a fault of the endpoint.
+MAX_PAUSE_S = 3_600.0
 # Logged outcome of a send for which no connection could be opened.
 UNREACHABLE = "unreachable"
 
@@ -181,6 +183,7 @@
         progress.tried.add(endpoint.identity)
         progress.status = relay.status
         failing = False
+        self._record_pause(request, progress, endpoint, relay, now)
         if outcome is relays.Outcome.REJECTED:
             progress.possible_runs -= 1
             failing = self._record_rejection(
@@ -201,6 +204,26 @@
                 request, endpoint, outcome.value, relay.status
             )
 
+    def _record_pause(
+        self,
+        request: requests.Request,
+        progress: progresses.Progress,
+        endpoint: endpoints.Endpoint,
+        relay: relays.Relay,
+        now: float,
+    ) -> None:
+        """Record for how long an endpoint wants no requests of this VM."""
+        retry_after_s = wire_requests.decode_retry_after(
+            relay.find_header(names.RETRY_AFTER)
+        )
+        if relay.status != 503 or retry_after_s is None:
+            return
+        pause_s = min(retry_after_s, MAX_PAUSE_S)
+        traffic = self.board.traffic.value.get_or_create(endpoint.identity)
+        traffic.record_pause(endpoint.start, now + pause_s)
+        progress.unreachable = endpoint.identity
+        requestlog.log_pause(request, endpoint, pause_s)
+
     def _record_rejection(
         self,
         request: requests.Request,
--- a/src/bronzetrack/entry/traffic.py
+++ b/src/bronzetrack/entry/traffic.py
@@ -22,6 +22,8 @@
     :param uses: number of requests in progress by model and adapter
     :param failures: decayed number of recent failures at the time `failed_at`
     :param unreachable_until: until when the endpoint gets no new connection
+    :param paused_until: until when the endpoint wants no request of this VM
+    :param paused_start: id of the endpoint's start that said so
     """
 
     active: int = 0
@@ -29,6 +31,8 @@
     failures: float = 0.0
     failed_at: float = 0.0
     unreachable_until: float = 0.0
+    paused_until: float = 0.0
+    paused_start: str = ""
 
     def start(self, model_key: tuple[str, str] | None) -> None:
         """Count a request that is being sent."""
@@ -73,6 +77,17 @@
         self.unreachable_until = now + UNREACHABLE_BACKOFF_S
         return self.record_failure(now)
 
+    def record_pause(self, start: str, until: float) -> None:
+        """Record that a start of the endpoint wants no requests."""
+        if start != self.paused_start:
+            self.paused_until = 0.0
+        self.paused_start = start
+        self.paused_until = max(until, self.paused_until)
+
+    def get_pause_end(self, start: str) -> float:
+        """Return until when a start of the endpoint wants no requests."""
+        return self.paused_until if start == self.paused_start else 0.0
+
     def record_success(self, now: float) -> None:
         """Reduce the effect of earlier failures after a good answer."""
         self.failures = self.measure_failures(now) * SUCCESS_DECAY_FACTOR
--- a/src/bronzetrack/platform/names.py
+++ b/src/bronzetrack/platform/names.py
@@ -20,6 +20,7 @@
 INSTANCE = b"x-instance-id"
 # Header in all answers of an endpoint that leaves.
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 # Request headers that only the system may set; a caller's are dropped.
 RESERVED = frozenset(
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -98,13 +98,23 @@
     )
 
 
+def decode_retry_after(value: bytes | None) -> float | None:
+    """Return the seconds of a Retry-After header, None for anything else."""
+    try:
+        seconds = float(value or b"")
+    except ValueError:
+        return None
+    return seconds if seconds > 0 else None
+
+
 def _decode_shared_parts(value: bytes) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last.
 
     The last part belongs to the request itself or to its session.
     """
     parts = value.decode("latin-1").split(",")
-    return tuple(part.partition(":")[0].strip() for part in parts[:-1])
+    ids = (part.partition(":")[0].strip() for part in parts[:-1])
+    return tuple(filter(None, ids))
 
 
 def encode_request(
--- a/tests/entry/test_endpoint_wishes.py
+++ b/tests/entry/test_endpoint_wishes.py
@@ -12,6 +12,10 @@
 from standins import rawhttp
 
 pytestmark = pytest.mark.anyio
+RETRY_AFTER_S = 2
+# Requests that may still arrive after the time for the answer to be read.
+MAX_LATE = 2
+ANSWER_TIME_S = 0.5
 
 
 @pytest.fixture
@@ -93,3 +97,35 @@
     await asyncio.sleep(1.5)
     third = await sites.send(vm.front, "/once/x", "r3", body=b"x")
     assert third.status == 200
+
+
+async def test_endpoint_that_wants_a_pause_gets_no_requests_meanwhile(site):
+    """Guards against requests within the Retry-After of an endpoint."""
+    busy = [
+        Recorder(503, X_Not_Executed="1", Retry_After=str(RETRY_AFTER_S))
+        for _ in range(2)
+    ]
+    vm = await start_vm(site, *busy)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    number = 0
+    while loop.time() < started + RETRY_AFTER_S - 0.2:
+        number += 1
+        answer = await sites.send(vm.front, "/once/x", f"r{number}", body=b"x")
+        assert answer.status == 503
+        await asyncio.sleep(0.02)
+    for recorder in busy:
+        first = recorder.arrivals[0]
+        late = [
+            at
+            for at in recorder.arrivals
+            if first + ANSWER_TIME_S < at < first + RETRY_AFTER_S
+        ]
+        assert len(late) <= MAX_LATE
+    assert 0 < float(answer.headers["retry-after"]) <= RETRY_AFTER_S
+    # A request that may wait for the end of the pauses is not refused.
+    await sites.send(vm.front, "/once/x", "after", body=b"x")
+    assert any(
+        recorder.arrivals[-1] >= recorder.arrivals[0] + RETRY_AFTER_S
+        for recorder in busy
+    )
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -110,3 +110,35 @@
     """Guards against a malformed header that raises an exception."""
     request, _ = reencode_request([(b"X-Deadline-Ms", value)], endpoint)
     assert request.deadline >= 100.0
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        (b"2", 2.0),
+        (b"0.5", 0.5),
+        (b"0", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"Fri, 31 Dec 1999 23:59:59 GMT", None),
+        (None, None),
+    ],
+)
+def test_retry_after_of_an_endpoint_is_a_number_of_seconds(value, seconds):
+    """Guards against an odd header that ends a request."""
+    assert wire_requests.decode_retry_after(value) == seconds
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"a:10,b:20,own:9", ("a", "b")),
+        (b"own:9", ()),
+        (b"", ()),
+        (b",:3,x", ()),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(endpoint, value, parts):
+    """Guards against refusals of all requests of a session."""
+    request, _ = reencode_request([(b"X-Prompt-Prefix", value)], endpoint)
+    assert request.shared_parts == parts
