Take a stream without a length and without an event for broken off

A stream that ended with its connection before its first event reached callers as a complete, empty 200 (two cases of test_stream_without_a_length_is_whole_only_after_an_event failed). Streams that end within an event or by a reset were cut before, too (the other eight).

--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -211,10 +211,13 @@
         """Return whether a stream that ended may be complete.
 
         An answer without a length ends with its connection, so that a
-        connection lost within an event looks like a normal end.
+        connection lost before the first event or within one looks like a
+        normal end.
         """
         if self.head is None or self.head.framed:
             return True
+        if self.first_data_at is None:
+            return False
         if self._buffer is not None:
             return not self._buffer.rest
-        return self._tail in (b"", events.BOUNDARY)
+        return self._tail == events.BOUNDARY
--- a/tests/entry/test_endpoint_faults.py
+++ b/tests/entry/test_endpoint_faults.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import pathlib
+import socket
+import struct
 
 from entry import sites
 import pytest
@@ -317,3 +319,42 @@
     _, vm = await start(service, handle)
     answer = await sites.send(vm.front, path, "r1", body=b"x", headers=headers)
     assert answer.status in (0, 502) and len(HEAD) > length
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/resumable/x"])
+@pytest.mark.parametrize(
+    ("body", "is_reset", "is_whole"),
+    [
+        (b"id: 1\ndata: token1\n\n", False, True),
+        (b"id: 1\ndata: token1\n\n", True, False),
+        (b"id: 1\ndata: token1\n\nid: 2\nda", False, False),
+        (b"id: 1\ndata: token1\n", False, False),
+        (b"", False, False),
+    ],
+    ids=["whole", "reset", "half an event", "no empty line", "nothing"],
+)
+async def test_stream_without_a_length_is_whole_only_after_an_event(
+    start, path, body, is_reset, is_whole
+):
+    """Guards against a stream that broke off and looks complete."""
+
+    async def handle(request, writer):
+        if request.target == "/api/report":
+            writer.write(rawhttp.make_answer(200, REPORT))
+            return
+        identity = request.headers["x-request-id"].encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Server-Signature: e1\r\n")
+        writer.write(b"X-Request-Id: %s\r\n\r\n%s" % (identity, body))
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.1)
+            linger = struct.pack("ii", 1, 0)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    _, vm = await start("engines", handle)
+    answer = await sites.send(
+        vm.front, path, "r1", body=b"x", headers={"X-Model": "m"}
+    )
+    assert (answer.status == 200 and answer.whole) == is_whole
