--- a/src/bronzetrack/entry/controllers/crashes.py
+++ b/src/bronzetrack/entry/controllers/crashes.py
@@ -5,7 +5,6 @@
 import collections
 import logging
 import random
-import time
 
 import anyio
 from anyio import abc
@@ -15,11 +14,8 @@
 from bronzetrack.entry import messages
 from bronzetrack.entry import meters
 from bronzetrack.entry import roles
-from bronzetrack.entry import suspectrecords
 from bronzetrack.entry import suspects
-from bronzetrack.platform import follower
-from bronzetrack.platform import names
-from bronzetrack.platform import store as stores
+from bronzetrack.entry import suspectstore
 from bronzetrack.transport import probes
 
 LOG = logging.getLogger(__name__)
@@ -31,8 +27,6 @@
 GOSSIP_INTERVAL_S = 1.0
 GOSSIP_PEERS = 2
 KEYS_PER_GOSSIP = 8
-# Pause before a failed write to the store is repeated.
-RETRY_S = 0.5
 
 
 @roles.CONTROLLERS.register("crashes")
@@ -43,18 +37,15 @@
 
     def __init__(self, *args: object) -> None:
         super().__init__(*args)
-        # Keys that have a record in the store.
-        self._stored: set[str] = set()
-        # Keys whose record in the store is out of date.
-        self._unsaved: blackboard.Mailbox[str] = blackboard.Mailbox(
-            "unsaved", suspects.MAX_SUSPECTS
+        self._store = suspectstore.SuspectStore(
+            self.board, self.ports.store, self.read_clock
         )
 
     async def run(self) -> None:
         """Check lost requests and apply reports until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._load)
-            group.start_soon(self._save)
+            group.start_soon(self._store.save_changes)
             group.start_soon(self._apply_messages)
             group.start_soon(self._gossip)
             group.start_soon(self._clear_answered)
@@ -117,7 +108,12 @@
         event = logevents.RequestSuspected(key, list(evidence.crashes))
         logevents.log(LOG, event)
         if evidence.is_own:
-            self._unsaved.post(key)
+            self._store.mark_changed(key)
+
+    async def _load(self) -> None:
+        """Apply the records of VMs that may no longer run."""
+        for key, crashes in await self._store.load():
+            self._record(key, crashes)
 
     # Reports of other VMs.
 
@@ -218,69 +214,5 @@
         if evidence is None:
             return
         evidence.clear(at)
-        if is_own and key in self._stored:
-            self._unsaved.post(key)
-
-    # Records in the store.
-
-    async def _load(self) -> None:
-        """Apply the records of VMs that may no longer run."""
-        suspect_follower = follower.Follower(
-            self.ports.store, names.SUSPECTS_TOPIC, 0.0, self.read_clock
-        )
-        change = await suspect_follower.read()
-        for stored in change.records:
-            self._apply_record(stored)
-
-    def _apply_record(self, stored: stores.KeyedRecord) -> None:
-        if stored.value is None:
-            return
-        self._stored.add(stored.key)
-        wall_s = time.time()
-        try:
-            record = suspectrecords.decode_record(stored.value)
-        except suspectrecords.SuspectRecordError as error:
-            event = logevents.SuspectRejected(stored.key, str(error))
-            logevents.log(LOG, event)
-            return
-        if record.is_expired(wall_s):
-            self._unsaved.post(stored.key)
-            return
-        now = self.read_clock()
-        times = suspectrecords.compute_times(record, now, wall_s)
-        self._record(stored.key, times)
-
-    async def _save(self) -> None:
-        """Write the records of refused keys, and remove the others."""
-        while True:
-            await self._unsaved.wait_items()
-            for key in dict.fromkeys(self._unsaved.take()):
-                await self._save_key(key)
-
-    async def _save_key(self, key: str) -> None:
-        while True:
-            value = self._encode_record(key)
-            try:
-                await self.ports.store.put(names.SUSPECTS_TOPIC, key, value)
-                self._update_stored(key, value)
-                return
-            except stores.StoreError as error:
-                logevents.log(LOG, logevents.SuspectSaveFailed(str(error)))
-                await anyio.sleep(RETRY_S)
-
-    def _update_stored(self, key: str, value: bytes | None) -> None:
-        if value is None:
-            self._stored.discard(key)
-        else:
-            self._stored.add(key)
-
-    def _encode_record(self, key: str) -> bytes | None:
-        """Return the value of a key, or None if it is not refused."""
-        table = self.board.suspects.value
-        now = self.read_clock()
-        if not table.is_refused(key, self.board.answers.value, now):
-            return None
-        record = suspectrecords.make_record(
-            table.by_key[key], now, time.time()
-        )
-        return suspectrecords.encode_record(record)
+        if is_own:
+            self._store.mark_cleared(key)
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import pathlib
 
 from entry import sites
 import pytest
@@ -20,6 +22,24 @@
 MODEL = "m"
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use the same event loop as the entry VM."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def configured_site(
+    tmp_path: pathlib.Path,
+) -> AsyncIterator[sites.Site]:
+    """Deployment with a store and a configuration, but no endpoint or VM."""
+    site = sites.Site(tmp_path)
+    await site.start_store()
+    site.configure()
+    yield site
+    await site.stop()
+
+
 @pytest.fixture
 def now() -> float:
     """Return the present time of a decision, in seconds."""
--- a/tests/entry/controllers/conftest.py
+++ b/tests/entry/controllers/conftest.py
@@ -10,12 +10,6 @@
 from bronzetrack.entry import roles
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    """Use the same event loop as the entry VM."""
-    return "asyncio"
-
-
 @pytest.fixture
 def make_controller(board, ports, now) -> Callable[[str], roles.Controller]:
     """Factory for the controller with a given name."""
--- a/tests/entry/test_endpoint_faults.py
+++ b/tests/entry/test_endpoint_faults.py
@@ -24,12 +24,6 @@
 ADDED_MEMORY_MIB = 60
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    """Use the same event loop as the entry VM."""
-    return "asyncio"
-
-
 @pytest.fixture
 async def start(
     tmp_path: pathlib.Path,
--- a/tests/entry/test_endpoint_wishes.py
+++ b/tests/entry/test_endpoint_wishes.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-import pathlib
 
 from entry import sites
 import pytest
@@ -19,19 +17,9 @@
 
 
 @pytest.fixture
-def anyio_backend() -> str:
-    """Use the same event loop as the entry VM."""
-    return "asyncio"
-
-
-@pytest.fixture
-async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
+def site(configured_site: sites.Site) -> sites.Site:
     """Deployment with a store and a configuration."""
-    site = sites.Site(tmp_path)
-    await site.start_store()
-    site.configure()
-    yield site
-    await site.stop()
+    return configured_site
 
 
 class Recorder:
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -17,12 +17,6 @@
 STREAM = b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in (1, 2, 3))
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    """Use the same event loop as the entry VM."""
-    return "asyncio"
-
-
 @pytest.fixture
 async def site(tmp_path: pathlib.Path) -> AsyncIterator[sites.Site]:
     """Deployment with a store, two engines and two plain endpoints."""
