Keep the time of a crash when it is reported again

Found reading the change: each report's age is rounded and the datagram takes a moment, and the latest time won, so that gossip moved crashes later by milliseconds a second until answers no longer cleared them. Test test_reports_of_one_crash_do_not_make_it_later failed before.

--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -24,6 +24,8 @@
 MAX_CRASHES = 3
 # Crashes older than this no longer count.
 RETENTION_S = 600.0
+# Reports of crashes of one start within this time are about the same crash.
+SAME_CRASH_S = 5.0
 # Largest numbers of keys with crashes and with answers that are kept.
 MAX_SUSPECTS = 10_000
 MAX_ANSWERED = 10_000
@@ -145,7 +147,11 @@
         if key not in self.by_key and len(self.by_key) >= MAX_SUSPECTS:
             self._evict()
         evidence = self.by_key.setdefault(key, Evidence())
-        evidence.crashes[start] = max(at, evidence.crashes.get(start, at))
+        known_at = evidence.crashes.get(start, at)
+        # A later report of the same crash seems to be a little later.
+        if at < known_at or at > known_at + SAME_CRASH_S:
+            known_at = at
+        evidence.crashes[start] = known_at
 
     def _evict(self) -> None:
         """Discard the oldest key with too few crashes, else the oldest."""
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -124,6 +124,22 @@
     assert is_refused(now + 5)
 
 
+def test_reports_of_one_crash_do_not_make_it_later(table, is_refused, now):
+    """Guards against cleared crashes that count again after many reports.
+
+    Each report arrives a moment after its age was computed.
+    """
+    record_crashes(table, now)
+    crashes = table.by_key[KEY].crashes
+    table.by_key[KEY].clear(now + 1)
+    for _ in range(5_000):
+        for start, at in list(crashes.items()):
+            table.record_crash(KEY, start, at + 0.002)
+    assert not is_refused(now + 10)
+    record_crashes(table, now + 30)
+    assert is_refused(now + 40)
+
+
 def test_refused_part_is_tried_until_a_trial_crashes(table, now):
     """Guards against a sound part that no answer can clear."""
     key = suspectkeys.PART_PREFIX + "a"
