--- a/src/bronzetrack/entry/controllers/crashes.py
+++ b/src/bronzetrack/entry/controllers/crashes.py
@@ -29,6 +29,14 @@
 KEYS_PER_GOSSIP = 8
 
 
+def compute_time(age_ms: int, now: float) -> float:
+    """Return the time of an event that another VM reports.
+
+    :param age_ms: reported age; a negative one counts as none
+    """
+    return now - max(0, age_ms) / 1000
+
+
 @roles.CONTROLLERS.register("crashes")
 class CrashController(roles.Controller):
     """Confirms crashes of endpoints and shares them with the other VMs."""
@@ -135,19 +143,19 @@
         now = self.read_clock()
         match message:
             case messages.CrashReport():
-                at = now - message.age_ms / 1000
+                at = compute_time(message.age_ms, now)
                 for key in message.keys:
                     self._record(key, {message.start: at})
             case messages.SuspectReport():
                 for key, ages_ms in message.ages_ms.items():
                     times = {
-                        start: now - age_ms / 1000
+                        start: compute_time(age_ms, now)
                         for start, age_ms in ages_ms.items()
                     }
                     self._record(key, times)
             case messages.KeysCleared():
                 for key, age_ms in message.ages_ms.items():
-                    self._clear(key, now - age_ms / 1000, is_own=False)
+                    self._clear(key, compute_time(age_ms, now), is_own=False)
 
     async def _gossip(self) -> None:
         """Tell a few other VMs which requests are refused."""
@@ -200,7 +208,7 @@
             if evidence.is_newly_answered(answers.get(key))
         }
         for key, age_ms in ages_ms.items():
-            self._clear(key, now - age_ms / 1000, is_own=True)
+            self._clear(key, compute_time(age_ms, now), is_own=True)
         for part in messages.split_keys(list(ages_ms)):
             message = messages.KeysCleared({key: ages_ms[key] for key in part})
             self.board.outgoing.post(message)
--- a/src/bronzetrack/entry/suspectkeys.py
+++ b/src/bronzetrack/entry/suspectkeys.py
@@ -21,7 +21,7 @@
 # An answer that has been in progress for this time has begun well.
 STARTING_S = 0.5
 # Parts of a prompt that are looked at, and characters of their ids.
-MAX_PARTS = 8
+MAX_PARTS = 64
 MAX_PART_ID_LENGTH = 24
 PART_PREFIX = "part:"
 
