Decide on the admission of suspect requests in one pure function

The forwarding controller wrote the time of a trial into the evidence, which is the section of another controller, and passed a tuple. Trials stand in its own section now, and decide_admission returns a typed result; a test shows that one VM of three makes the trials.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -10,7 +10,6 @@
 import anyio
 
 from bronzetrack.core import blackboard
-from bronzetrack.core import rendezvous
 from bronzetrack.entry import budget
 from bronzetrack.entry import events
 from bronzetrack.entry import failures
@@ -98,9 +97,8 @@
             return
         request.set_route(route)
         request.suspect_keys = suspectkeys.list_keys(request)
-        failure, _ = self._check_suspected(request, now)
-        if failure is not None:
-            self._end(exchange, request, None, failure)
+        if self._check_admission(request, now).is_refused:
+            self._end(exchange, request, None, _make_suspected_failure())
             return
         progress = progresses.Progress(self._choose_service(route))
         if route.resumable:
@@ -143,54 +141,36 @@
             exchange, request, progress, failures.Failure(reason, "timeout")
         )
 
-    def _check_suspected(
-        self, request: requests.Request, now: float, possible_runs: int = 0
-    ) -> tuple[failures.Failure | None, list[str]]:
-        """Check whether a request is refused since it may crash endpoints.
-
-        :param possible_runs: number of sends after which an endpoint may have
-            run the request
-        :returns: the failure, if any, and the refused keys of the request; a
-            request that has such keys and no failure may be sent as a trial
-        """
+    def _check_admission(
+        self, request: requests.Request, now: float
+    ) -> suspects.Admission:
+        """Return whether a request is refused since it may crash endpoints."""
         table = self.board.suspects.value
-        keys = suspects.list_refused_keys(
-            request, table, self.board.answers.value, now
-        )
-        if not keys:
-            return None, []
-        if self._makes_trials(keys, now) and suspects.may_try(
-            keys, table, now
-        ):
-            return None, keys
-        reason = failures.Reason.SUSPECTED
-        if possible_runs:
-            reason = failures.Reason.LOST
-        failure = failures.Failure(
-            reason, "endpoints crashed each time that they ran this request"
+        if not table.by_key:
+            return suspects.ADMITTED
+        peers = self.board.membership.value.peer_table.list_alive(now)
+        return suspects.decide_admission(
+            request,
+            table,
+            self.board.answers.value,
+            suspects.Electorate(
+                self.board.settings.vm, [peer.vm for peer in peers]
+            ),
+            now,
         )
-        return failure, keys
-
-    def _makes_trials(self, keys: list[str], now: float) -> bool:
-        """Return whether this VM, of all, makes the trials of some keys."""
-        own = self.board.settings.vm
-        alive = self.board.membership.value.peer_table.list_alive(now)
-        vms = sorted([own, *(peer.vm for peer in alive)])
-        return rendezvous.rank_nodes(min(keys), vms)[0] == own
 
     def _admit(
         self, request: requests.Request, progress: progresses.Progress
     ) -> failures.Failure | None:
         """Return the failure of a request that must not be sent now."""
         now = self.read_clock()
-        failure, keys = self._check_suspected(
-            request, now, progress.possible_runs
-        )
-        if failure is None and keys:
-            requestlog.log_trial(request, keys)
-            for key in keys:
-                self.board.suspects.value.by_key[key].tried_at = now
-        return failure
+        admission = self._check_admission(request, now)
+        if admission.is_refused:
+            return _make_suspected_failure(progress.possible_runs)
+        if admission.is_trial:
+            requestlog.log_trial(request, admission.keys)
+            self.board.answers.value.record_trial(admission.keys, now)
+        return None
 
     async def _await_configuration(self, request: requests.Request) -> None:
         """Wait for a limited time for the first configuration."""
@@ -388,3 +368,17 @@
             headers.append((b"Retry-After", b"%g" % failure.retry_after_s))
         body = f"{failure.reason.value}: {failure.detail}\n".encode()
         exchange.respond(failure.status, headers, body)
+
+
+def _make_suspected_failure(possible_runs: int = 0) -> failures.Failure:
+    """Return the failure of a request that may crash endpoints.
+
+    :param possible_runs: number of sends after which an endpoint may have run
+        the request
+    """
+    reason = failures.Reason.SUSPECTED
+    if possible_runs:
+        reason = failures.Reason.LOST
+    return failures.Failure(
+        reason, "endpoints crashed each time that they ran this request"
+    )
--- a/src/bronzetrack/entry/suspects.py
+++ b/src/bronzetrack/entry/suspects.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from bronzetrack.core import rendezvous
 from bronzetrack.entry import suspectkeys
 
 if TYPE_CHECKING:
@@ -59,9 +60,13 @@
 
 @attrs.define(eq=False)
 class Answers:
-    """Times at which requests with a key were last answered on this VM."""
+    """Times at which requests with a key were last answered on this VM.
+
+    :param tried_by_key: time of the last trial with a key
+    """
 
     at_by_key: dict[str, float] = attrs.field(factory=dict)
+    tried_by_key: dict[str, float] = attrs.field(factory=dict)
 
     def record(self, keys: Iterable[str], at: float) -> None:
         """Record that an endpoint answered a request and did not crash.
@@ -78,6 +83,16 @@
         """Return when a key was last answered, or minus infinity."""
         return self.at_by_key.get(key, float("-inf"))
 
+    def record_trial(self, keys: Iterable[str], now: float) -> None:
+        """Record that a request with refused keys is sent."""
+        self.tried_by_key |= dict.fromkeys(keys, now)
+        while len(self.tried_by_key) > MAX_ANSWERED:
+            self.tried_by_key.pop(next(iter(self.tried_by_key)))
+
+    def get_trial(self, key: str) -> float:
+        """Return when a key was last tried, or minus infinity."""
+        return self.tried_by_key.get(key, float("-inf"))
+
 
 @attrs.define(eq=False)
 class Evidence:
@@ -87,13 +102,11 @@
     :param cleared_at: latest time at which such a request was answered on
         any VM; earlier crashes had another cause
     :param is_own: whether this VM confirmed one of the crashes
-    :param tried_at: when this VM last sent a request with the key as a trial
     """
 
     crashes: dict[str, float] = attrs.field(factory=dict)
     cleared_at: float = float("-inf")
     is_own: bool = False
-    tried_at: float = float("-inf")
 
     def is_newly_answered(self, answered_at: float) -> bool:
         """Return whether an answer on this VM clears further crashes."""
@@ -102,16 +115,18 @@
             for at in self.crashes.values()
         )
 
-    def may_try(self, now: float) -> bool:
+    def may_try(self, tried_at: float, now: float) -> bool:
         """Return whether one more request may show whether the key is sound.
 
         A crash after a trial ends the trials.
+
+        :param tried_at: when this VM last tried the key, or minus infinity
         """
         latest = max(self.crashes.values())
         return (
             len(self.crashes) < MAX_TRIAL_CRASHES
-            and not float("-inf") < self.tried_at < latest
-            and now - max(latest, self.tried_at) >= TRIAL_PAUSE_S
+            and not float("-inf") < tried_at < latest
+            and now - max(latest, tried_at) >= TRIAL_PAUSE_S
         )
 
     def clear(self, at: float) -> None:
@@ -196,29 +211,67 @@
                 del self.by_key[key]
 
 
-def list_refused_keys(
-    request: requests.Request, table: Suspects, answers: Answers, now: float
-) -> list[str]:
-    """Return the keys of a request because of which it is refused."""
-    if not table.by_key:
-        return []
-    return [
-        key
-        for key in request.suspect_keys
-        if table.is_refused(key, answers, now)
-    ]
+@attrs.frozen
+class Electorate:
+    """The VMs of which one makes the trials of a key.
+
+    :param own: this VM
+    :param others: the other VMs that are alive
+    """
+
+    own: str
+    others: list[str]
+
+    def makes_trials(self, key: str) -> bool:
+        """Return whether this VM makes the trials of a key."""
+        vms = sorted([self.own, *self.others])
+        return rendezvous.rank_nodes(key, vms)[0] == self.own
 
 
-def may_try(keys: list[str], table: Suspects, now: float) -> bool:
-    """Return whether one request with refused keys is sent as a trial.
+@attrs.frozen
+class Admission:
+    """Whether a request that may crash endpoints is sent.
+
+    :param keys: refused keys of the request
+    :param is_trial: whether the request is sent in spite of them, to find out
+        whether they are sound
+    """
+
+    keys: list[str] = attrs.field(factory=list)
+    is_trial: bool = False
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request must not be sent."""
+        return bool(self.keys) and not self.is_trial
+
+
+ADMITTED = Admission()
+
+
+def decide_admission(
+    request: requests.Request,
+    table: Suspects,
+    answers: Answers,
+    electorate: Electorate,
+    now: float,
+) -> Admission:
+    """Return whether a request is sent, refused, or sent as a trial.
 
     Load pattern: engines crash before any prompt with a common part was
     answered. The part is refused as well, and then no answer could clear it.
-
-    :param keys: the refused keys of the request
+    So one VM sends a prompt with the part from time to time.
     """
-    return all(
+    keys = [
+        key
+        for key in request.suspect_keys
+        if table.is_refused(key, answers, now)
+    ]
+    if not keys:
+        return ADMITTED
+    is_trial = electorate.makes_trials(min(keys)) and all(
         key.startswith(suspectkeys.PART_PREFIX)
-        and table.by_key[key].may_try(now)
+        and table.by_key[key].may_try(answers.get_trial(key), now)
         for key in keys
     )
+    return Admission(keys, is_trial)
--- a/tests/entry/test_suspects.py
+++ b/tests/entry/test_suspects.py
@@ -140,25 +140,54 @@
     assert is_refused(now + 40)
 
 
-def test_refused_part_is_tried_until_a_trial_crashes(table, now):
+@pytest.fixture
+def decide(table, answers, make_request) -> Callable[..., suspects.Admission]:
+    """Return a function that decides on a request on one of two VMs."""
+
+    def decide_admission(keys, at, own="vm-1", others=()):
+        request = make_request(suspect_keys=tuple(keys))
+        electorate = suspects.Electorate(own, list(others))
+        return suspects.decide_admission(
+            request, table, answers, electorate, at
+        )
+
+    return decide_admission
+
+
+def test_refused_part_is_tried_until_a_trial_crashes(
+    table, answers, decide, now
+):
     """Guards against a sound part that no answer can clear."""
     key = suspectkeys.PART_PREFIX + "a"
     for number in range(suspects.MAX_CRASHES):
         table.record_crash(key, f"e{number}/1", now)
     tried = now + suspects.TRIAL_PAUSE_S
-    assert not suspects.may_try([key], table, now)
-    assert suspects.may_try([key], table, tried)
-    table.by_key[key].tried_at = tried
-    assert not suspects.may_try([key], table, tried + 0.1)
-    assert suspects.may_try([key], table, tried + suspects.TRIAL_PAUSE_S)
+    assert decide([key], now).is_refused
+    assert decide([key], tried).is_trial
+    answers.record_trial([key], tried)
+    assert decide([key], tried + 0.1).is_refused
+    assert decide([key], tried + suspects.TRIAL_PAUSE_S).is_trial
     table.record_crash(key, "e9/1", tried + 0.2)
-    assert not suspects.may_try([key], table, tried + 100)
+    assert decide([key], tried + 100).is_refused
+
+
+def test_one_vm_makes_the_trials_of_a_part(table, decide, now):
+    """Guards against as many trials as there are VMs."""
+    key = suspectkeys.PART_PREFIX + "a"
+    for number in range(suspects.MAX_CRASHES):
+        table.record_crash(key, f"e{number}/1", now)
+    names = {"vm-1", "vm-2", "vm-3"}
+    trials = [
+        decide([key], now + 10, own, names - {own}).is_trial for own in names
+    ]
+    assert sum(trials) == 1
 
 
-def test_copies_of_a_request_are_not_tried(table, now):
+def test_copies_of_a_request_are_not_tried(table, decide, now):
     """Guards against trials with one request that crashes endpoints."""
     record_crashes(table, now)
-    assert not suspects.may_try([KEY], table, now + 100)
+    assert decide([KEY], now + 100).is_refused
+    assert decide(["other"], now + 100) == suspects.ADMITTED
 
 
 def test_part_of_an_answer_that_has_begun_well_is_not_accused(make_request):
