--- a/tests/entry/test_endpoint_wishes.py
+++ b/tests/entry/test_endpoint_wishes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 from entry import sites
 import pytest
 
@@ -14,6 +15,8 @@
 # Requests that may still arrive after the time for the answer to be read.
 MAX_LATE = 2
 ANSWER_TIME_S = 0.5
+LEAVING = {"Server-Leaving": "1", "X-Server-Signature": "p1"}
+BUSY = {"X-Not-Executed": "1", "Retry-After": str(RETRY_AFTER_S)}
 
 
 @pytest.fixture
@@ -22,15 +25,16 @@
     return configured_site
 
 
+@attrs.define
 class Recorder:
-    """Endpoint that records arrivals and adds a header to each answer."""
+    """Endpoint that records arrivals and adds headers to each answer.
 
-    def __init__(self, status: int, **headers: str) -> None:
-        self.arrivals: list[float] = []
-        self._status = status
-        self._headers = {
-            name.replace("_", "-"): value for name, value in headers.items()
-        }
+    :param arrivals: time of each arrival
+    """
+
+    status: int
+    headers: dict[str, str]
+    arrivals: list[float] = attrs.field(factory=list)
 
     async def handle(
         self, request: rawhttp.Received, writer: asyncio.StreamWriter
@@ -39,7 +43,7 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         echo = {"X-Request-Id": request.headers["x-request-id"]}
         answer = rawhttp.make_answer(
-            self._status, b"whole", echo | self._headers
+            self.status, b"whole", echo | self.headers
         )
         writer.write(answer)
 
@@ -55,8 +59,8 @@
 
 async def test_endpoint_whose_answer_says_that_it_leaves_gets_no_more(site):
     """Guards against requests to a leaving endpoint whose entry is ready."""
-    leaving = Recorder(200, Server_Leaving="1", X_Server_Signature="p1")
-    staying = Recorder(200, X_Server_Signature="p2")
+    leaving = Recorder(200, LEAVING)
+    staying = Recorder(200, {"X-Server-Signature": "p2"})
     vm = await start_vm(site, leaving, staying)
     number = 0
     while not leaving.arrivals:
@@ -73,7 +77,7 @@
 
 async def test_only_endpoint_is_not_used_once_it_says_that_it_leaves(site):
     """Guards against requests that no endpoint should get."""
-    leaving = Recorder(200, Server_Leaving="1", X_Server_Signature="p1")
+    leaving = Recorder(200, LEAVING)
     vm = await start_vm(site, leaving)
     first = await sites.send(vm.front, "/once/x", "r1", body=b"x")
     assert first.status == 200
@@ -89,10 +93,7 @@
 
 async def test_endpoint_that_wants_a_pause_gets_no_requests_meanwhile(site):
     """Guards against requests within the Retry-After of an endpoint."""
-    busy = [
-        Recorder(503, X_Not_Executed="1", Retry_After=str(RETRY_AFTER_S))
-        for _ in range(2)
-    ]
+    busy = [Recorder(503, BUSY) for _ in range(2)]
     vm = await start_vm(site, *busy)
     loop = asyncio.get_running_loop()
     started = loop.time()
