Prepare the choice of an endpoint once, and parse Retry-After of 503 only

Found reading the change: each look for an endpoint counted the VMs and built the balancing input twice, the limit of the wait stood twice, and every answer was searched for Retry-After before its status was looked at.

--- a/src/bronzetrack/entry/outcomes.py
+++ b/src/bronzetrack/entry/outcomes.py
@@ -82,10 +82,12 @@
         now: float,
     ) -> None:
         """Record for how long an endpoint wants no requests of this VM."""
+        if relay.status != 503:
+            return
         retry_after_s = wire_requests.decode_retry_after(
             relay.find_header(names.RETRY_AFTER)
         )
-        if relay.status != 503 or retry_after_s is None:
+        if retry_after_s is None:
             return
         pause_s = min(retry_after_s, MAX_PAUSE_S)
         traffic = self.board.traffic.value.get_or_create(endpoint.identity)
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -50,6 +50,11 @@
     return min(STARTUP_WAIT_S, STARTUP_WAIT_SHARE * time_s)
 
 
+def limit_wait(request: requests.Request) -> float:
+    """Return how long a request may wait for an endpoint, in seconds."""
+    return ENGINE_WAIT_SHARE * (request.start_by - request.arrived_at)
+
+
 class EndpointSelector:
     """Waits for an endpoint that can take a request."""
 
@@ -100,25 +105,25 @@
                 "the service has no endpoint",
                 failures.RETRY_AFTER_S,
             )
+        balancing_input = self._make_balancing_input(progress, now)
         return (
-            self._check_pauses(request, progress, candidates, now)
-            or self._choose_endpoint(request, progress, candidates, now)
+            self._check_pauses(request, candidates, balancing_input)
+            or self._choose_endpoint(
+                request, progress, candidates, balancing_input
+            )
             or self._check_wait_limit(request, now)
         )
 
     def _check_pauses(
         self,
         request: requests.Request,
-        progress: progresses.Progress,
         candidates: list[endpoints.Endpoint],
-        now: float,
+        balancing_input: placement.BalancingInput,
     ) -> failures.Failure | None:
         """Return a failure if all endpoints want a pause for too long."""
-        balancing_input = self._make_balancing_input(progress, now)
+        now = balancing_input.now
         pause_end = placement.find_pause_end(candidates, balancing_input)
-        waits_until = request.arrived_at + ENGINE_WAIT_SHARE * (
-            request.start_by - request.arrived_at
-        )
+        waits_until = request.arrived_at + limit_wait(request)
         if pause_end <= max(now, waits_until):
             return None
         return failures.Failure(
@@ -132,9 +137,7 @@
     ) -> failures.Failure | None:
         """Return a failure if the request must not wait any longer."""
         waited = now - request.arrived_at
-        if waited > ENGINE_WAIT_SHARE * (
-            request.start_by - request.arrived_at
-        ):
+        if waited > limit_wait(request):
             return failures.Failure(
                 failures.Reason.NOT_LOADED,
                 "no engine could load the adapter in time",
@@ -159,9 +162,9 @@
         request: requests.Request,
         progress: progresses.Progress,
         candidates: list[endpoints.Endpoint],
-        now: float,
+        balancing_input: placement.BalancingInput,
     ) -> endpoints.Endpoint | None:
-        balancing_input = self._make_balancing_input(progress, now)
+        now = balancing_input.now
         model_key = request.model_key
         if model_key is None or not self._has_engine(progress.service):
             return placement.choose_endpoint(
