Refuse an address with a scope, and survive a host without an encoding

What callers saw: one entry of another writer ended the holder of the lease, and 8 to 16 requests in progress got no answer (LOST); it ended again after each restart. Cause: the decoder of entries accepted an IPv6 address with a scope, which may be any text. The event loop encodes such a host as a name, which raises UnicodeError. Pool.connect caught OSError only, so that the error ended the controller that gives orders, and with it the process. Change: such an address is refused as malformed. A host that cannot be encoded is unreachable, as Pool.connect documents.

--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -280,14 +280,19 @@
 def _check_address(address: str) -> None:
     """Check that an address is an IP address and a port.
 
+    An IPv6 address with a scope is refused: a scope is any text, which has a
+    meaning on one machine only.
+
     :raises DocumentError: it is not
     """
     host, _, port = address.rpartition(":")
     try:
-        ipaddress.ip_address(host)
+        ip_address = ipaddress.ip_address(host)
         is_port = 0 < int(port) <= MAX_PORT
     except ValueError as error:
         raise DocumentError(f"malformed address {address!r}") from error
+    if isinstance(ip_address, ipaddress.IPv6Address) and ip_address.scope_id:
+        raise DocumentError(f"the address {address!r} has a scope")
     if not is_port:
         raise DocumentError(f"the port of {address!r} is out of range")
 
--- a/src/bronzetrack/transport/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -370,6 +370,7 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(self.response_limits), host, int(port)
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, UnicodeError):
+            # UnicodeError: the host cannot be encoded as a host name.
             return None
         return connection
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -135,3 +135,11 @@
 async def test_refused_connection_raises_no_exception():
     """Guards against an unreachable endpoint that ends a request's task."""
     assert await connections.Pool("127.0.0.1:1").connect() is None
+
+
+@pytest.mark.parametrize(
+    "host", ["fe80::1%\ud800", "fe80::1%" + "z" * 70, "fe80::1%a..b"]
+)
+async def test_host_that_cannot_be_encoded_is_unreachable(host):
+    """Guards against an address that ends the task that connects to it."""
+    assert await connections.Pool(f"{host}:80").connect() is None
