Refuse documents whose text cannot be encoded again

Cause: json.loads accepts lone surrogates, as escapes and in bytes. Such text fails far from the decoder: the name of a model in the datagram that tells the other VMs what an engine holds, a key in the call for the next page of the store. Change: documents are strict UTF-8, and a document with the escape of a surrogate is refused unless its text can be encoded. A key of the store is passed back as it came.

--- a/src/bronzetrack/platform/documents.py
+++ b/src/bronzetrack/platform/documents.py
@@ -25,6 +25,8 @@
 MAX_PORT = 65_535
 # Largest integer that every JSON implementation keeps exactly.
 MAX_INTEGER = 2**53
+# The escape of a surrogate, which may belong to a pair.
+SURROGATE_ESCAPE = re.compile(rb"\\u[dD][89a-fA-F]")
 IDENTITY = re.compile(r"[\x21-\x7e]{1,255}")
 READY = "ready"
 DRAINING = "draining"
@@ -104,8 +106,18 @@
 
 
 def _parse_object(data: bytes) -> dict[str, Any]:
+    """Parse a JSON object in UTF-8.
+
+    Other writers may escape a lone surrogate. No text with one can be encoded
+    again, for instance into a message to another VM.
+
+    :raises DocumentError: it is malformed, or has text that is not Unicode
+    """
     try:
-        document = json.loads(data)
+        # json.loads accepts the bytes of a lone surrogate, str does not.
+        document = json.loads(str(data, "utf-8"))
+        if SURROGATE_ESCAPE.search(data):
+            json.dumps(document, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise DocumentError(
             f"the document is not valid JSON: {error}"
--- a/src/bronzetrack/platform/store.py
+++ b/src/bronzetrack/platform/store.py
@@ -189,7 +189,9 @@
         body: bytes,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> calls.Response:
-        target = f"{path}?{parse.urlencode(query)}"
+        # A key that another writer chose may be no valid Unicode.
+        encoded_query = parse.urlencode(query, errors="surrogatepass")
+        target = f"{path}?{encoded_query}"
         response = await self._http_client.request(
             self._address, method, target, body, timeout_s
         )
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -65,3 +65,28 @@
     assert loaded.status == 200
     plain = await sites.send(vm.front, "/once/x", "r2", body=b"data")
     assert plain.status == 200
+
+
+@pytest.mark.parametrize("name", ["models", "adapters"])
+async def test_name_that_no_message_can_hold_does_not_end_the_lease_holder(
+    configured_site, name
+):
+    """Guards against a name that ends the holder when it is announced.
+
+    The holder tells the other VMs what an engine no longer holds.
+    """
+    site = configured_site
+    await site.add_endpoint("e1", "engines")
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    await site.await_event("vm-1", "lease_taken")
+    models = {
+        "models": [{"name": "\ud800", "version": 1, "adapters": ["a1"]}],
+        "adapters": [{"name": "m", "version": 1, "adapters": ["\ud800@1"]}],
+    }
+    site.announce("e1", sequence=2, models=models[name])
+    answer = await sites.send(vm.front, "/stream/x", "r1", headers=ADAPTER)
+    await asyncio.sleep(REPORT_TIME_S)
+    assert vm.process.returncode is None
+    assert answer.status == 200
+    await site.await_event("vm-1", "entry_rejected")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -230,6 +230,10 @@
         {"sequence": 10**400},
         {"born": 10**400},
         {"models": [{"name": 5}]},
+        {"models": [{"name": "\ud800"}]},
+        {"models": [{"name": "m", "adapters": ["\udfff@1"]}]},
+        {"zone": "\ud800"},
+        {"unknown": ["\udc00\ud800"]},
         {"models": [{"name": "m", "version": 10**400}]},
         {"models": 7},
     ],
@@ -261,3 +265,19 @@
     """Guards against an id that adds headers to requests."""
     with pytest.raises(documents.DocumentError):
         documents.decode_announcement(identity, encode_document(ENTRY))
+
+
+def test_pair_of_surrogates_is_one_character():
+    """Guards against a refusal of text that JSON escapes by two surrogates."""
+    data = encode_document(ENTRY | {"zone": "\U0001f6e9"})
+    assert b"\\ud83d" in data
+    decoded = documents.decode_announcement("e", data)
+    assert decoded.zone == "\U0001f6e9"
+
+
+@pytest.mark.parametrize("data", [b"\xed\xa0\x80", b"\xff", b"\xc3"])
+def test_bytes_that_are_no_utf8_raise_a_typed_error(data):
+    """Guards against an entry whose text cannot be encoded again."""
+    entry = encode_document(ENTRY | {"zone": "ZONE"})
+    with pytest.raises(documents.DocumentError):
+        documents.decode_announcement("e", entry.replace(b"ZONE", data))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import struct
 import time
 
@@ -45,6 +46,33 @@
     assert end == 8
 
 
+async def test_key_that_is_no_unicode_does_not_end_the_reading():
+    """Guards against a key of another writer that ends its reader.
+
+    The key is the last of a page and is part of the call for the next page.
+    """
+    pages = [
+        {
+            "items": [{"key": "\ud800", "value": "dg==", "offset": 0}],
+            "has_more": True,
+            "end": 2,
+        },
+        {"items": [{"key": "k", "value": "dg==", "offset": 1}], "end": 2},
+    ]
+
+    async def handle(request, writer):
+        page = json.dumps(pages.pop(0)).encode()
+        writer.write(rawhttp.make_answer(200, page))
+
+    server = rawhttp.RawServer(handle)
+    store = stores.Store(
+        calls.HttpClient(time.monotonic), await server.start()
+    )
+    records, _ = await store.read_newest(TOPIC)
+    await server.stop()
+    assert [item.key for item in records] == ["\ud800", "k"]
+
+
 async def test_lost_response_leaves_the_outcome_uncertain(
     store, log, monkeypatch
 ):
