Keep an order pending until its answer, whatever VMs report

What callers saw: the holder of the lease ended, and eight requests in progress, which may not be repeated, got no answer (LOST). Cause: two tasks wrote the entry of an adapter in EngineState.pending. A late report that the adapter is missing replaced the mark of an order without an answer by a time 0.06 s ahead; the next pass removed the entry, and the task of the order failed with KeyError when it removed it again. Change: an order without an answer is a named state that only the answer ends.

--- a/src/bronzetrack/entry/controllers/loading.py
+++ b/src/bronzetrack/entry/controllers/loading.py
@@ -191,6 +191,17 @@
         if endpoint is None:
             return
         state = self._state.get_or_create_engine(endpoint)
+        if not state.is_order_unanswered(model_key):
+            self._check_missing(state, model_key, now)
+        self._order_executor.publish(endpoint, model_key, 0)
+
+    def _check_missing(
+        self,
+        state: loadstate.EngineState,
+        model_key: endpoints.ModelKey,
+        now: float,
+    ) -> None:
+        """Wait longer for a load announced too early, or request a report."""
         loaded_at = state.loaded_at.get(model_key)
         if (
             loaded_at is not None
@@ -202,7 +213,6 @@
             state.pending[model_key] = now + LOAD_RECHECK_S
         elif model_key in state.held and state.report_due_at is None:
             state.report_due_at = now + ordering.REPORT_LAG_S
-        self._order_executor.publish(endpoint, model_key, 0)
 
     def _record_uses(self, now: float) -> None:
         uses: collections.Counter[tuple[str, endpoints.ModelKey]] = (
--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
 import attrs
 
@@ -22,6 +23,9 @@
 # Loads in progress are grouped in steps of this many, because concurrent loads
 # slow each other down.
 IN_FLIGHT_STEP = 8
+# When an adapter is expected to be ready whose load was ordered, but whose
+# order has not been answered.
+UNANSWERED = math.inf
 
 
 @attrs.define(eq=False)
@@ -35,7 +39,7 @@
     :param cached: adapters that the engine holds or held before, the most
         recent last; their weights are probably still in its memory
     :param pending: when each adapter that is being loaded is expected to be
-        ready
+        ready; only the answer to an order replaces UNANSWERED
     :param unloading: adapters that the engine unloads once their requests end
     :param loaded_at: when each adapter was announced as loaded
     :param kinds: kind of the last load of each adapter
@@ -73,6 +77,18 @@
         """Return whether the engine probably has an adapter's weights."""
         return model_key in self.cached
 
+    def begin_load(self, model_key: endpoints.ModelKey, version: int) -> None:
+        """Record that the engine is ordered to load an adapter.
+
+        Its slot counts as occupied before the answer, which may be lost.
+        """
+        self.held[model_key] = version
+        self.pending[model_key] = UNANSWERED
+
+    def is_order_unanswered(self, model_key: endpoints.ModelKey) -> bool:
+        """Return whether an order to load an adapter awaits its answer."""
+        return self.pending.get(model_key) == UNANSWERED
+
     def prune(self) -> None:
         """Discard when and how adapters that occupy no slot were loaded."""
         for times in (self.loaded_at, self.kinds):
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 import logging
-import math
 from typing import TYPE_CHECKING
 
 from bronzetrack.core import logevents
@@ -109,9 +108,7 @@
         plan: loading.Plan,
     ) -> None:
         version = plan.version if plan.version > 1 else None
-        # The slot counts as occupied before the answer, which may be lost.
-        state.held[plan.model_key] = max(1, plan.version)
-        state.pending[plan.model_key] = math.inf
+        state.begin_load(plan.model_key, max(1, plan.version))
         try:
             result = await self._send_order(
                 endpoint, state, True, plan.model_key, version
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
+import anyio
+import attrs
+import pytest
+
+from bronzetrack.entry import loading
 from bronzetrack.entry import messages
+from bronzetrack.entry import roles
+from bronzetrack.platform import orders
 
 MODEL_KEY = ("m", "a1")
 
@@ -81,3 +88,78 @@
     board.lease.value.relinquish()
     known.report_due_at = now
     assert controller._compute_pause_ms(now) > 200
+
+
+@attrs.define
+class SlowEngine:
+    """Client of an engine whose answers to loads the test releases.
+
+    :param answered: set once the answer to a load may arrive
+    """
+
+    answered: anyio.Event
+    load_result: orders.OrderResult = orders.OrderResult.UNKNOWN
+
+    async def send_order(
+        self, address: str, identity: str, order: orders.Order, token: int
+    ) -> orders.OrderResult:
+        """Answer an unload at once, and a load when the test allows it."""
+        if not order.load:
+            return orders.OrderResult.DONE
+        await self.answered.wait()
+        return self.load_result
+
+
+@pytest.fixture
+def engine() -> SlowEngine:
+    """Engine that leaves loads without an answer."""
+    return SlowEngine(anyio.Event())
+
+
+@pytest.fixture
+def ports(engine) -> roles.Ports:
+    """Ports of a controller that gives its orders to that engine."""
+    return roles.Ports(None, engine, None)
+
+
+@pytest.fixture
+def endpoint(board, controller, make_endpoint, now):
+    """Engine that has just loaded its adapter, as the holder knows it."""
+    endpoint = make_endpoint("e", "a1")
+    board.endpoints.value.add(endpoint)
+    controller._run_planning_pass(None, now)
+    known = board.loading.value.get_or_create_engine(endpoint)
+    known.report_due_at = None
+    known.held = {MODEL_KEY: 1}
+    known.loaded_at[MODEL_KEY] = now
+    return endpoint
+
+
+MISSING = messages.LoadRequest("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "result", [orders.OrderResult.UNKNOWN, orders.OrderResult.STARTED]
+)
+async def test_late_report_of_a_missing_adapter_leaves_its_order_pending(
+    controller, board, engine, endpoint, now, result
+):
+    """Guards against a holder that ends while an order has no answer.
+
+    A VM that stood still reports that the adapter is missing. It was unloaded
+    meanwhile, and the order to load it again has not been answered.
+    """
+    engine.load_result = result
+    executor = controller._order_executor
+    async with anyio.create_task_group() as group:
+        plan = loading.Plan(endpoint, MODEL_KEY, 1, MODEL_KEY)
+        group.start_soon(executor.execute, plan)
+        await anyio.wait_all_tasks_blocked()
+        board.placed.take()
+        board.load_requests.post(MISSING)
+        controller._run_planning_pass(group, now + 0.1)
+        controller._run_planning_pass(group, now + 0.5)
+        announced = [item.version for item in board.placed.take()]
+        engine.answered.set()
+    assert not any(announced)
