Forget the time of a load with the load

What callers would see: requests sent to an engine that lacks their adapter, rejected and sent again. Cause: a rejection soon after a load is taken for a load announced too early, and the adapter is announced again. The time of the load outlived the load, so that an adapter unloaded meanwhile was announced too. Change: each order for an adapter, and a report without it, ends that time.

--- a/src/bronzetrack/entry/loadstate.py
+++ b/src/bronzetrack/entry/loadstate.py
@@ -41,7 +41,8 @@
     :param pending: when each adapter that is being loaded is expected to be
         ready; only the answer to an order replaces UNANSWERED
     :param unloading: adapters that the engine unloads once their requests end
-    :param loaded_at: when each adapter was announced as loaded
+    :param loaded_at: when each adapter was announced as loaded, until the
+        next order for it
     :param kinds: kind of the last load of each adapter
     :param call_pending: whether an order or a request for a report has
         not been answered yet
@@ -83,8 +84,16 @@
         Its slot counts as occupied before the answer, which may be lost.
         """
         self.held[model_key] = version
+        self.loaded_at.pop(model_key, None)
         self.pending[model_key] = UNANSWERED
 
+    def begin_unload(self, model_key: endpoints.ModelKey) -> None:
+        """Record that the engine is ordered to unload an adapter.
+
+        Late reports that the engine lacks it say nothing about its load.
+        """
+        self.loaded_at.pop(model_key, None)
+
     def is_order_unanswered(self, model_key: endpoints.ModelKey) -> bool:
         """Return whether an order to load an adapter awaits its answer."""
         return self.pending.get(model_key) == UNANSWERED
--- a/src/bronzetrack/entry/ordering.py
+++ b/src/bronzetrack/entry/ordering.py
@@ -91,6 +91,7 @@
         # The other VMs are informed first, so that no request for the adapter
         # is in flight to the engine when the engine no longer holds it.
         self.publish(endpoint, victim, 0)
+        state.begin_unload(victim)
         result = await self._send_order(endpoint, state, False, victim)
         if result is orders.OrderResult.DONE:
             state.held.pop(victim, None)
@@ -222,6 +223,7 @@
         state.sequence = report.sequence
         state.held = dict.fromkeys(report.pending, 1) | report.adapters
         state.unloading &= set(state.held)
+        state.prune()
         state.pending = {
             model_key: state.pending.get(model_key, now + REPORT_LAG_S)
             for model_key in report.pending
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -163,3 +163,25 @@
         announced = [item.version for item in board.placed.take()]
         engine.answered.set()
     assert not any(announced)
+
+
+@pytest.mark.anyio
+async def test_late_report_of_an_unloaded_adapter_announces_no_load(
+    controller, board, engine, endpoint, now
+):
+    """Guards against requests sent to an engine without their adapter.
+
+    The adapter was unloaded within a second of its load. A VM that stood
+    still then reports that it is missing.
+    """
+    plan = loading.Plan(endpoint, ("m", "a2"), 1, MODEL_KEY)
+    async with anyio.create_task_group() as group:
+        group.start_soon(controller._order_executor.execute, plan)
+        await anyio.wait_all_tasks_blocked()
+        board.placed.take()
+        board.load_requests.post(MISSING)
+        controller._run_planning_pass(group, now + 0.1)
+        controller._run_planning_pass(group, now + 0.5)
+        announced = [item.version for item in board.placed.take()]
+        engine.answered.set()
+    assert not any(announced)
--- a/tests/entry/test_ordering.py
+++ b/tests/entry/test_ordering.py
@@ -7,6 +7,7 @@
 
 from bronzetrack.entry import loading
 from bronzetrack.entry import ordering
+from bronzetrack.platform import documents
 from bronzetrack.platform import orders
 
 pytestmark = pytest.mark.anyio
@@ -43,3 +44,31 @@
     plan = loading.Plan(make_endpoint("e1"), ("m", "a1"), 1, None)
     await executor.execute(plan)
     assert board.refused_tokens.take() == [7]
+
+
+@attrs.define
+class EmptyEngine:
+    """Client of an engine that holds no adapter."""
+
+    async def fetch_report(self, *args: object) -> documents.Report:
+        """Return a report without adapters."""
+        return documents.Report(3, 0, {"m": 1}, {}, False, frozenset())
+
+
+async def test_report_without_an_adapter_ends_its_load(
+    board, make_endpoint, now
+):
+    """Guards against an adapter that is announced although nobody holds it.
+
+    A request rejected soon after a load counts as a sign that the load takes
+    longer, also if a report has shown that the engine dropped the adapter.
+    """
+    executor = ordering.OrderExecutor(
+        board, EmptyEngine(), lambda: now, lambda: None
+    )
+    endpoint = make_endpoint("e1", "a1")
+    known = board.loading.value.get_or_create_engine(endpoint)
+    known.held = {("m", "a1"): 1}
+    known.loaded_at = {("m", "a1"): now}
+    await executor.refresh_state(endpoint, known)
+    assert not known.loaded_at
