Resume a stream without Last-Event-Id until an event was received

What callers saw: streams that ended as complete without their first event (ORDER), after an endpoint crashed within it. Cause: where no event had been received, Last-Event-Id: 0 was sent to the next endpoint. One whose ids count from 0 goes on after its first event. Change: no id is sent where there is none. The response of the caller has begun but holds no byte of a body, so that the new run is the only one.

--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -99,7 +99,7 @@
         resume_after = None
         if progress.buffer is not None and exchange.started:
             progress.buffer.discard_rest()
-            resume_after = progress.buffer.last_id or 0
+            resume_after = progress.buffer.last_id
         relay = relays.Relay(
             exchange,
             request,
--- /dev/null
+++ b/tests/entry/test_resumed_streams.py
@@ -0,0 +1,92 @@
+"""Tests of entry VMs that resume streams at another endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from entry import sites
+import pytest
+
+from standins import rawhttp
+
+pytestmark = pytest.mark.anyio
+EVENTS = [b"id: %d\ndata: piece%d\n\n" % (n, n) for n in range(4)]
+WITHOUT_ID = b"data: piece without an id\n\n"
+LAST_EVENT_ID = "last-event-id"
+
+
+@attrs.define
+class Script:
+    """Endpoints that share one list of streams, one for each run.
+
+    :param streams: events that each run sends; a run whose stream is not the
+        last breaks off within its next event
+    :param received: value of Last-Event-Id of each run, None without one
+    """
+
+    streams: list[list[bytes]]
+    received: list[str | None] = attrs.field(factory=list)
+
+    async def handle(
+        self, request: rawhttp.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request."""
+        self.received.append(request.headers.get(LAST_EVENT_ID))
+        events = self.streams[len(self.received) - 1]
+        head = [
+            "HTTP/1.1 200 OK",
+            "Transfer-Encoding: chunked",
+            f"X-Request-Id: {request.headers['x-request-id']}",
+        ]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        for event in events:
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        if len(self.received) < len(self.streams):
+            writer.write(b"3\r\nid:\r\n")
+            await writer.drain()
+            writer.close()
+        else:
+            writer.write(b"0\r\n\r\n")
+
+
+@pytest.fixture
+async def run_script(configured_site):
+    """Function that sends a request to endpoints with a script.
+
+    It returns the answer and the values of Last-Event-Id that arrived.
+    """
+
+    async def run(
+        streams: list[list[bytes]], headers: dict[str, str] | None = None
+    ) -> tuple[sites.Answer, list[str | None]]:
+        site = configured_site
+        script = Script(streams)
+        for identity in ("e1", "e2", "e3"):
+            await site.add_endpoint(identity, "engines", script.handle)
+        vm = await site.start_vm("vm-1")
+        await vm.await_ready()
+        answer = await sites.send(
+            vm.front, "/resumable/x", "r1", headers=headers
+        )
+        return answer, script.received
+
+    return run
+
+
+async def test_stream_lost_within_its_first_event_begins_anew(run_script):
+    """Guards against a resumed stream that lacks its first event.
+
+    Ids count from 0, so that a resumption after 0 leaves the first event out.
+    """
+    answer, received = await run_script([[], EVENTS])
+    assert (answer.whole, answer.body) == (True, b"".join(EVENTS))
+    assert received == [None, None]
+
+
+async def test_stream_goes_on_after_an_event_with_the_id_0(run_script):
+    """Guards against a first event that the caller gets twice."""
+    answer, received = await run_script([EVENTS[:1], EVENTS[1:]])
+    assert (answer.whole, answer.body) == (True, b"".join(EVENTS))
+    assert received == [None, "0"]
