Resume a stream only after an event whose id is known

What callers would see: events that come twice after an endpoint broke off. Cause: the last numeric id was kept where later events had none, so that another endpoint repeated these events. Change: the buffer takes the id of the last event that it passed on. Without one, and with events passed on, the stream is cut and does not look complete. Comments do not count. Measured: six new cases failed before and pass now.

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -331,7 +331,7 @@
                 or progress.possible_runs >= route.max_attempts
             ):
                 return False
-            if exchange.started and progress.buffer is None:
+            if exchange.started and not progress.may_resume:
                 return False
         now = self.read_clock()
         if request.deadline - now < 0.02:
--- a/src/bronzetrack/entry/events.py
+++ b/src/bronzetrack/entry/events.py
@@ -6,18 +6,29 @@
 
 BOUNDARY = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
+# Longer ids are no position that an endpoint can be asked to go on after.
+MAX_ID_DIGITS = 18
 
 
 @attrs.define
 class EventBuffer:
     """Buffers an event until it has arrived completely.
 
-    :param last_id: numeric id of the last complete event that had one
+    :param last_id: numeric id of the last complete event, or the id after
+        which the caller asked for events; `None` without one
     :param rest: received bytes of the event that is still incomplete
+    :param passed: whether an event was complete
     """
 
     last_id: int | None = None
     rest: bytes = b""
+    passed: bool = False
+
+    @property
+    def is_position_known(self) -> bool:
+        """Whether another endpoint can go on after the last event."""
+        return self.last_id is not None or not self.passed
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the bytes of all events now complete."""
@@ -37,12 +48,29 @@
         self.rest = b""
 
     def _update_last_id(self, complete: bytes) -> None:
-        start = complete.rfind(b"\n" + ID_FIELD)
-        if start < 0:
-            if not complete.startswith(ID_FIELD):
-                return
-            start = -1
-        line_end = complete.find(b"\n", start + 1)
-        value = complete[start + 1 + len(ID_FIELD) : line_end].strip()
-        if value.isdigit():
-            self.last_id = int(value)
+        """Take the id of the last of several events; skip comments."""
+        events = filter(_is_event, reversed(complete.split(BOUNDARY)))
+        event = next(events, None)
+        if event is not None:
+            self.passed = True
+            self.last_id = find_id(event)
+
+
+def _is_event(block: bytes) -> bool:
+    """Return whether lines between two boundaries are not only comments."""
+    return any(
+        line and not line.startswith(COMMENT) for line in block.split(b"\n")
+    )
+
+
+def find_id(event: bytes) -> int | None:
+    """Return the numeric id of an event, `None` if it has none."""
+    values = (
+        line[len(ID_FIELD) :].strip()
+        for line in event.split(b"\n")
+        if line.startswith(ID_FIELD)
+    )
+    value = next(values, b"")
+    if not value.isdigit() or len(value) > MAX_ID_DIGITS:
+        return None
+    return int(value)
--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -49,3 +49,8 @@
     used_connections: list[connections.Connection] = attrs.field(factory=list)
     missing: str = ""
     unreachable: str = ""
+
+    @property
+    def may_resume(self) -> bool:
+        """Whether another endpoint can go on with an answer that began."""
+        return self.buffer is not None and self.buffer.is_position_known
--- a/tests/entry/test_resumed_streams.py
+++ b/tests/entry/test_resumed_streams.py
@@ -31,7 +31,10 @@
     async def handle(
         self, request: rawhttp.Received, writer: asyncio.StreamWriter
     ) -> None:
-        """Run a request."""
+        """Run a request; reports are refused."""
+        if request.target.startswith("/api/"):
+            writer.write(rawhttp.make_answer(404))
+            return
         self.received.append(request.headers.get(LAST_EVENT_ID))
         events = self.streams[len(self.received) - 1]
         head = [
@@ -90,3 +93,47 @@
     answer, received = await run_script([EVENTS[:1], EVENTS[1:]])
     assert (answer.whole, answer.body) == (True, b"".join(EVENTS))
     assert received == [None, "0"]
+
+
+@pytest.mark.parametrize(
+    "begun",
+    [
+        [WITHOUT_ID],
+        [*EVENTS[:2], WITHOUT_ID],
+        [EVENTS[0], b"id: last\ndata: piece1\n\n"],
+        [EVENTS[0], b"id\ndata: piece1\n\n"],
+        [EVENTS[0] + WITHOUT_ID],
+        [EVENTS[0], b": comment\n\n" + WITHOUT_ID + b": comment\n\n"],
+    ],
+    ids=["first", "later", "no number", "empty", "one part", "comments"],
+)
+async def test_stream_is_cut_after_an_event_without_an_id(run_script, begun):
+    """Guards against events that a resumed stream repeats.
+
+    No endpoint can be told after which event to go on.
+    """
+    answer, received = await run_script([begun, EVENTS])
+    assert not answer.whole
+    assert answer.body == b"".join(begun)
+    assert received == [None]
+
+
+@pytest.mark.parametrize(
+    ("begun", "last_id"),
+    [
+        ([WITHOUT_ID, EVENTS[0]], "0"),
+        ([WITHOUT_ID + EVENTS[0]], "0"),
+        ([EVENTS[0], b": comment\n\n"], "0"),
+        ([b": comment\n\n"], None),
+        ([b"x-weight-versions: 2\nid: 0\ndata: piece0\n\n"], "0"),
+    ],
+)
+async def test_stream_goes_on_after_the_last_event_if_it_has_an_id(
+    run_script, begun, last_id
+):
+    """Guards against streams that are cut although they could go on."""
+    rest = EVENTS if last_id is None else EVENTS[1:]
+    answer, received = await run_script([begun, rest])
+    assert answer.whole
+    assert answer.body == b"".join([*begun, *rest])
+    assert received == [None, last_id]
