Do not interpret a caller's Last-Event-Id that is no number

What callers would see: a stream that is resumed after another event than they named. Cause: a negative id was decoded as 0 and 1_0 as 10; the id was written anew for the next endpoint. Change: ids of events and of callers are parsed by one function, which accepts digits only; without a number the caller's header is sent again.

--- a/src/bronzetrack/entry/events.py
+++ b/src/bronzetrack/entry/events.py
@@ -70,7 +70,11 @@
         for line in event.split(b"\n")
         if line.startswith(ID_FIELD)
     )
-    value = next(values, b"")
+    return parse_id(next(values, b""))
+
+
+def parse_id(value: bytes) -> int | None:
+    """Return an id as a number, `None` if it is anything else."""
     if not value.isdigit() or len(value) > MAX_ID_DIGITS:
         return None
     return int(value)
--- a/src/bronzetrack/platform/requests.py
+++ b/src/bronzetrack/platform/requests.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bronzetrack.entry import events
 from bronzetrack.entry import requests
 from bronzetrack.platform import names
 
@@ -63,9 +64,7 @@
         shared_parts=_decode_shared_parts(
             first_values.get(names.PROMPT_PREFIX, b"")
         ),
-        last_event_id=_decode_non_negative(
-            first_values.get(b"last-event-id", b"")
-        ),
+        last_event_id=events.parse_id(first_values.get(b"last-event-id", b"")),
     )
 
 
--- a/tests/entry/test_resumed_streams.py
+++ b/tests/entry/test_resumed_streams.py
@@ -137,3 +137,17 @@
     assert answer.whole
     assert answer.body == b"".join([*begun, *rest])
     assert received == [None, last_id]
+
+
+@pytest.mark.parametrize("last_id", ["-5", "1_0", "last"])
+async def test_id_of_the_caller_that_is_no_number_is_passed_on_as_it_is(
+    run_script, last_id
+):
+    """Guards against a stream that is resumed after another id.
+
+    The caller resumes it, and its next endpoint breaks off at once.
+    """
+    headers = {"Last-Event-Id": last_id}
+    answer, received = await run_script([[], EVENTS], headers)
+    assert answer.whole
+    assert received == [last_id, last_id]
