End requests, not connections, at the end of a graceful shutdown

What callers saw, by the report of other operators: requests that came late in the grace period of a planned stop were passed on and cut with no answer, among them some that may not be repeated (LOST). Cause: nothing looked at the shutdown between the arrival of a request and its send, and the shutdown closed the connections that were busy at its end. Change: a schedule of the shutdown. After half of the grace period, waiting requests are refused with 503 unless their deadline is before the end; at the end, each unfinished request is answered with 503 if no endpoint can have run it, else with 504. In a long grace period requests are accepted no longer than callers keep the address.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -17,6 +17,7 @@
 from bronzetrack.entry import peers
 from bronzetrack.entry import routes
 from bronzetrack.entry import settings as entry_settings
+from bronzetrack.entry import shutdown
 from bronzetrack.entry import suspects as suspect_tables
 from bronzetrack.entry import traffic
 
@@ -29,10 +30,14 @@
 
     :param ready: whether this VM accepts requests
     :param stopping_since: time of the signal to stop, `None` before it
+    :param schedule: schedule of the shutdown, `None` before the signal
+    :param ended: whether unfinished requests are to be ended now
     """
 
     ready: bool = False
     stopping_since: float | None = None
+    schedule: shutdown.Schedule | None = None
+    ended: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -53,6 +53,8 @@
             self.board, self.read_clock
         )
         self._sender = sending.Sender(self.board, self.read_clock)
+        # Scopes of the requests that are being forwarded.
+        self._scopes: set[anyio.CancelScope] = set()
 
     async def run(self) -> None:
         """Listen for callers and run the housekeeping until cancelled."""
@@ -60,10 +62,18 @@
         while True:
             await blackboard.wait_any(
                 self.board.rules.is_newer(self.board.rules.revision),
+                self.board.lifecycle.is_newer(self.board.lifecycle.revision),
                 timeout_ms=int(1000 * HOUSEKEEPING_INTERVAL_S),
             )
+            if self.board.lifecycle.value.ended:
+                self._end_requests()
             self._run_housekeeping(self.read_clock())
 
+    def _end_requests(self) -> None:
+        """End the requests that are still being forwarded."""
+        for scope in self._scopes:
+            scope.cancel()
+
     def _run_housekeeping(self, now: float) -> None:
         configuration = self.board.rules.value.configuration
         if configuration is not None:
@@ -127,19 +137,20 @@
         request: requests.Request,
         progress: progresses.Progress,
     ) -> None:
-        """Forward a request and end it at its deadline at the latest."""
+        """Forward a request until its deadline or the end of a shutdown."""
         remaining = request.deadline - self.read_clock()
-        with anyio.move_on_after(max(0.0, remaining)):
-            failure = await self._forward(exchange, request, progress)
+        with anyio.move_on_after(max(0.0, remaining)) as scope:
+            self._scopes.add(scope)
+            try:
+                failure = await self._forward(exchange, request, progress)
+            finally:
+                self._scopes.discard(scope)
             self._end(exchange, request, progress, failure)
             return
-        reason = failures.Reason.DEADLINE
-        if not progress.possible_runs:
-            # The status of OVERLOADED states that no endpoint ran the request.
-            reason = failures.Reason.OVERLOADED
-        self._end(
-            exchange, request, progress, failures.Failure(reason, "timeout")
+        failure = failures.classify_interruption(
+            progress.possible_runs, self.board.lifecycle.value.ended
         )
+        self._end(exchange, request, progress, failure)
 
     def _check_admission(
         self, request: requests.Request, now: float
@@ -193,9 +204,7 @@
                 NO_CONFIGURATION_RETRY_S,
             )
         if self.listener.stopped:
-            return failures.Failure(
-                failures.Reason.STOPPING, "this VM stops", 0.0
-            )
+            return failures.STOPPING
         if not request.request_id:
             return failures.Failure(
                 failures.Reason.NO_IDENTITY, "the request has no id"
--- a/src/bronzetrack/entry/controllers/lifecycle.py
+++ b/src/bronzetrack/entry/controllers/lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import json
 import logging
 import signal
@@ -17,22 +18,17 @@
 from bronzetrack.entry import peers
 from bronzetrack.entry import roles
 from bronzetrack.entry import settings as entry_settings
+from bronzetrack.entry import shutdown
 from bronzetrack.platform import names
 from bronzetrack.transport import server
 
 LOG = logging.getLogger(__name__)
 # Time between two checks during the graceful shutdown.
-DRAIN_POLL_S = 0.1
+DRAIN_POLL_S = 0.05
 # Time between two checks for idle and slow connections.
 EXPIRY_INTERVAL_S = 1.0
 # A timer that is late by more than this shows that the process stood still.
 PAUSE_S = 0.5
-# New requests are accepted for this share of the grace period, because callers
-# keep an address for a while. The rest of it lets these requests finish.
-ACCEPTING_SHARE = 0.3
-# The process exits this long before the end of the grace period, when it
-# would be killed.
-KILL_MARGIN_S = 0.3
 # TTL of an answer of the directory, as a share of the longest time for which
 # callers may keep it.
 ENTRY_TTL_SHARE = 0.4
@@ -131,7 +127,11 @@
 
     def _begin_stop(self) -> None:
         lifecycle = self.board.lifecycle.value
-        lifecycle.stopping_since = self.read_clock()
+        now = self.read_clock()
+        lifecycle.stopping_since = now
+        lifecycle.schedule = shutdown.plan_shutdown(
+            now, self.board.settings.grace_s, self._address_ttl_s
+        )
         lifecycle.ready = False
         self.write(self.board.lifecycle, lifecycle)
         logevents.log(LOG, logevents.Stopping())
@@ -139,26 +139,36 @@
     async def drain(self, front: server.Listener) -> None:
         """Wait for the signal to stop, then for the requests in progress.
 
-        The wait ends shortly before the end of the grace period.
+        Requests that are unfinished shortly before the end of the grace
+        period are ended, each with an answer unless it has begun.
 
         :param front: listener for callers
         """
         section = self.board.lifecycle
-        while section.value.stopping_since is None:
+        while (schedule := section.value.schedule) is None:
             await section.wait_change(section.revision)
-        since = section.value.stopping_since
-        grace_s = self.board.settings.grace_s
         front.closing = True
-        await self._accept_last_requests(since + ACCEPTING_SHARE * grace_s)
+        await self._wait(schedule.accepts_until, lambda: True)
         front.stop_listening()
-        end = since + grace_s - KILL_MARGIN_S
-        while front.count_busy() and self.read_clock() < end:
+        await self._wait(schedule.ends_at, front.count_busy)
+        unfinished = front.count_busy()
+        if unfinished:
+            section.value.ended = True
+            self.write(section, section.value)
+            await self._wait(schedule.exits_at, front.count_busy)
+        logevents.log(LOG, logevents.Stopped(unfinished))
+
+    async def _wait(
+        self, until: float, is_needed: Callable[[], object]
+    ) -> None:
+        """Wait until a time, or until the wait is no longer needed."""
+        while is_needed() and self.read_clock() < until:
             await anyio.sleep(DRAIN_POLL_S)
-        logevents.log(LOG, logevents.Stopped(front.count_busy()))
 
-    async def _accept_last_requests(self, until: float) -> None:
-        while self.read_clock() < until:
-            await anyio.sleep(DRAIN_POLL_S)
+    @property
+    def _address_ttl_s(self) -> float:
+        """Time for which callers may keep an address, in seconds."""
+        return self.board.settings.entry_ttl_s * ENTRY_TTL_SHARE
 
     # Requests to the internal addresses.
 
@@ -204,6 +214,6 @@
             logevents.log(LOG, logevents.ResolveEmpty(zone))
             exchange.respond(503, [], b"")
             return
-        ttl_s = self.board.settings.entry_ttl_s * ENTRY_TTL_SHARE
-        body = json.dumps({"addresses": addresses, "ttl_s": ttl_s}).encode()
+        document = {"addresses": addresses, "ttl_s": self._address_ttl_s}
+        body = json.dumps(document).encode()
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
--- a/src/bronzetrack/entry/failures.py
+++ b/src/bronzetrack/entry/failures.py
@@ -19,6 +19,7 @@
     OVERLOADED = "overloaded"
     ISOLATED = "isolated"
     DEADLINE = "deadline"
+    CUT_OFF = "cut_off"
     REJECTED = "rejected"
     SUSPECTED = "suspected"
     PAUSED = "paused"
@@ -44,6 +45,7 @@
     Reason.SUSPECTED: 503,
     Reason.PAUSED: 503,
     Reason.DEADLINE: 504,
+    Reason.CUT_OFF: 504,
     Reason.LOST: 502,
     Reason.MALFORMED: 502,
     Reason.OVERSIZED: 502,
@@ -72,3 +74,26 @@
     def status(self) -> int:
         """HTTP status of the answer to the caller."""
         return STATUSES[self.reason]
+
+
+# Another VM can take the request at once.
+STOPPING = Failure(Reason.STOPPING, "this VM stops", 0.0)
+
+
+def classify_interruption(possible_runs: int, stopping: bool) -> Failure:
+    """Return the failure of a request that was ended while it was forwarded.
+
+    :param possible_runs: number of sends after which an endpoint may have run
+        the request
+    :param stopping: whether this VM stopped, and not the request's deadline
+    """
+    if stopping and possible_runs:
+        return Failure(
+            Reason.CUT_OFF, "this VM stopped before an endpoint answered"
+        )
+    if stopping:
+        return STOPPING
+    if possible_runs:
+        return Failure(Reason.DEADLINE, "timeout")
+    # The status of OVERLOADED states that no endpoint ran the request.
+    return Failure(Reason.OVERLOADED, "timeout")
--- a/src/bronzetrack/entry/selection.py
+++ b/src/bronzetrack/entry/selection.py
@@ -15,6 +15,7 @@
 from bronzetrack.entry import placement
 from bronzetrack.entry import progress as progresses
 from bronzetrack.entry import requests
+from bronzetrack.entry import shutdown
 
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
@@ -91,6 +92,11 @@
     ) -> endpoints.Endpoint | failures.Failure | None:
         """Return an endpoint, a failure, or None if the request must wait."""
         now = self.read_clock()
+        schedule = self.board.lifecycle.value.schedule
+        if not progress.possible_runs and not shutdown.may_send(
+            schedule, request.deadline, now
+        ):
+            return failures.STOPPING
         table = self.board.endpoints.value
         candidates = table.list_service(progress.service)
         if not candidates and now - request.arrived_at < limit_startup_wait(
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import copy
 import json
 import os
@@ -175,17 +176,19 @@
 
     :param port: port for callers of an entry VM
     :param identity: request id
+    :param headers: headers to add or replace
     """
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        "Host: h",
-        "Connection: close",
-        f"X-Request-Id: {identity}",
-        "X-Deadline-Ms: 4000",
-        f"Content-Length: {len(body)}",
-    ]
-    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    fields = {
+        "Host": "h",
+        "Connection": "close",
+        "X-Request-Id": identity,
+        "X-Deadline-Ms": "4000",
+        "Content-Length": str(len(body)),
+    }
+    fields |= headers or {}
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
     data = b""
     try:
@@ -317,14 +320,22 @@
         )
         self.log.put_json("keyed.servers", identity, entry)
 
-    def configure(self, version: int = 3, model_load_s: float = 0.1) -> None:
+    def configure(
+        self,
+        version: int = 3,
+        model_load_s: float = 0.1,
+        alter: Callable[[dict], None] | None = None,
+    ) -> None:
         """Publish the configuration.
 
         :param model_load_s: stated load time of the base model
+        :param alter: changes the document before it is published
         """
         document = copy.deepcopy(CONFIGURATION) | {"version": version}
         runtime = document["services"][1]["runtime"]
         runtime["models"][0]["load_time_s"] = model_load_s
+        if alter is not None:
+            alter(document)
         self.log.put_json("keyed.op", "config", document)
 
     async def start_vm(self, name: str) -> Vm:
