Let a pause of the reading end with its response

What callers saw: requests that hang although the endpoint has answered, and whose connections a planned stop closes (LOST). Cause: a slow caller pauses the reading from the endpoint. The pause outlived its response, or came after it, and held back the answer to the next request on that connection. Evidence: two unit tests of the relay, one for each order of events. Change: only the receiver of the response in progress pauses and resumes, and the end of the response resumes. A paused connection is not reusable. Measured: both tests failed before and pass now.

--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -130,9 +130,9 @@
 
     def _control_flow(self, writable: bool) -> None:
         if writable:
-            self._connection.resume()
+            self._connection.resume(self)
         else:
-            self._connection.pause()
+            self._connection.pause(self)
 
     def on_data(self, data: bytes) -> None:
         """Forward a part of a stream, or collect a part of another answer."""
--- a/src/bronzetrack/transport/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -88,6 +88,7 @@
         self._is_stale = False
         self._in_response = False
         self._peer_closed = False
+        self._is_paused = False
 
     # Callbacks of the transport.
 
@@ -190,19 +191,34 @@
             self.reusable
             and not self.closed
             and not self._peer_closed
+            and not self._is_paused
+            and self.receiver is None
             and not self.transport.is_closing()
             and now - self.idle_since < self.max_idle_s
         )
 
-    def pause(self) -> None:
-        """Stop reading from the connection until `resume` is called."""
-        if not self.closed:
+    def pause(self, receiver: Receiver) -> None:
+        """Stop reading until `resume` is called or the response ends.
+
+        :param receiver: receiver that wants the pause; it is ignored unless
+            the response in progress is its own
+        """
+        if self.receiver is receiver and not self._is_ending():
+            self._is_paused = True
             self.transport.pause_reading()
 
-    def resume(self) -> None:
-        """Continue reading from the connection after `pause`."""
-        if not self.closed and not self.transport.is_closing():
+    def resume(self, receiver: Receiver) -> None:
+        """Continue reading after a `pause` of the same receiver."""
+        if self.receiver is receiver:
+            self._read_again()
+
+    def _read_again(self) -> None:
+        if self._is_paused and not self._is_ending():
             self.transport.resume_reading()
+        self._is_paused = False
+
+    def _is_ending(self) -> bool:
+        return self.closed or self.transport.is_closing()
 
     # Callbacks of the parser.
 
@@ -297,6 +313,7 @@
     def _finish(self, end: ResponseEnd) -> None:
         receiver, self.receiver = self.receiver, None
         self._in_response = False
+        self._read_again()
         if end is not ResponseEnd.COMPLETE:
             self.abort()
         if receiver is not None:
@@ -341,7 +358,7 @@
         The connection is closed if it cannot be reused.
         """
         connection.idle_since = now
-        if connection.is_reusable(now) and connection.receiver is None:
+        if connection.is_reusable(now):
             self.idle.append(connection)
         else:
             connection.abort()
