Pause an answer that begins behind one that its caller has not read

What callers would see: nothing; the memory of a VM grows with what a caller does not read. Cause: a transport tells once that its buffer is full. An answer that begins while it still is full was never told, and was read from its endpoint without a limit. Change: an exchange is told at once when it begins to watch. Measured: the new test fails without the check and passes with it.

--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -124,7 +124,7 @@
 
     def _start_forwarding(self, head: heads.ResponseHead) -> None:
         self._is_forwarded = True
-        self._exchange.on_writable_change = self._control_flow
+        self._exchange.watch_writable(self._control_flow)
         if not self._exchange.started:
             self._exchange.start(head.status, select_headers(head.headers))
 
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -85,11 +85,7 @@
 
 
 class Exchange:
-    """One request of a caller and the methods that send its response.
-
-    `on_writable_change` is called with whether more of the response may be
-    written.
-    """
+    """One request of a caller and the methods that send its response."""
 
     def __init__(self, connection: CallerConnection, head: heads.Head) -> None:
         self.head = head
@@ -97,7 +93,7 @@
         self.arrived_at = 0.0
         self.started = False
         self.finished = False
-        self.on_writable_change: Callable[[bool], None] | None = None
+        self._on_writable_change: Callable[[bool], None] | None = None
         self._chunked = False
         self._connection = connection
 
@@ -106,6 +102,21 @@
         """IP address of the caller, empty if it is not known."""
         return self._connection.caller
 
+    def watch_writable(self, on_change: Callable[[bool], None]) -> None:
+        """Be told whether more of the response may be written now.
+
+        :param on_change: called at each change, and at once if an earlier
+            response still fills the buffer of the connection
+        """
+        self._on_writable_change = on_change
+        if not self._connection.is_writable:
+            on_change(False)
+
+    def change_writable(self, writable: bool) -> None:
+        """Tell the sender of the response whether it may write more."""
+        if self._on_writable_change is not None:
+            self._on_writable_change(writable)
+
     def respond(
         self, status: int, headers: heads.Headers, body: bytes
     ) -> None:
@@ -165,6 +176,7 @@
 
     def __init__(self, listener: Listener) -> None:
         self.caller = ""
+        self.is_writable = True
         self._listener = listener
         self._transport: Any = None
         self._parser = httptools.HttpRequestParser(self)
@@ -241,19 +253,16 @@
 
     def pause_writing(self) -> None:
         """Make the sender of the current response pause."""
-        if (
-            self._current is not None
-            and self._current.on_writable_change is not None
-        ):
-            self._current.on_writable_change(False)
+        self._change_writable(False)
 
     def resume_writing(self) -> None:
         """Make the sender of the current response continue."""
-        if (
-            self._current is not None
-            and self._current.on_writable_change is not None
-        ):
-            self._current.on_writable_change(True)
+        self._change_writable(True)
+
+    def _change_writable(self, writable: bool) -> None:
+        self.is_writable = writable
+        if self._current is not None:
+            self._current.change_writable(writable)
 
     # Callbacks of the parser.
 
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -28,6 +28,10 @@
     started: bool = False
     on_writable_change: object = None
 
+    def watch_writable(self, on_change: object) -> None:
+        """Keep the function to tell it to."""
+        self.on_writable_change = on_change
+
     def start(self, status: int, headers: object) -> None:
         """Begin the answer."""
         self.started = True
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -8,6 +8,8 @@
 import pytest
 
 pytestmark = pytest.mark.anyio
+# More than the buffers of both ends of a connection hold.
+LONG_BYTES = 50_000_000
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -304,3 +306,28 @@
             while await reader.read(65_536):
                 pass
     writer.close()
+
+
+async def test_answer_behind_an_unread_one_is_paused_at_once(listen):
+    """Guards against an answer that is kept in memory without a limit.
+
+    The caller does not read. An answer that begins while the buffer of its
+    connection is full is never told so by the transport.
+    """
+    changes = []
+
+    async def serve(exchange):
+        if exchange.head.target == b"/x":
+            exchange.respond(200, [], b"a" * LONG_BYTES)
+        else:
+            exchange.watch_writable(changes.append)
+            exchange.start(200, [])
+            exchange.write(b"b")
+            exchange.finish()
+
+    _, port = await listen(serve)
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(GET + GET.replace(b"/x", b"/y"))
+    await asyncio.sleep(0.3)
+    writer.close()
+    assert changes == [False]
