Rely on hubs only while one of them reads the store

What callers saw: requests sent to endpoints that leave, for seconds (DRAIN), while the three hubs were cut off from the store. Cause: a VM that hears a hub reads the entries of endpoints and the operator topic rarely. A hub without the store goes on sending digests, with old offsets, and nothing said how old its view was. Change: a digest states for each topic how long ago its hub read it. A VM reads by itself at once when no hub has read a topic within 1.75 s; its waits end then. Tests that mean an informed VM set the time of the hub's view too.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -62,6 +62,8 @@
         its datagrams
     :param is_hub: whether other VMs send their heartbeats to this VM
     :param hub_heard_at: when the last digest of a hub arrived
+    :param operator_view_at: when a hub last read the operator topic
+    :param endpoint_view_at: when a hub last read the entries of endpoints
     :param operator_offset: offset up to which hubs have read the operator
         topic
     :param endpoint_offset: offset after the last record by which an endpoint
@@ -74,16 +76,34 @@
     holder_address: tuple[str, tuple[str, int]] = ("", ("", 0))
     is_hub: bool = False
     hub_heard_at: float = float("-inf")
+    operator_view_at: float = float("-inf")
+    endpoint_view_at: float = float("-inf")
     operator_offset: int = 0
     endpoint_offset: int = 0
 
-    def is_informed(self, now: float) -> bool:
-        """Return whether hubs tell this VM when the store has news for it.
+    @property
+    def operator_news_until(self) -> float:
+        """Until when hubs tell this VM of changes of the operator topic."""
+        return self._limit_news(self.operator_view_at)
 
-        Hubs read the store at short intervals, and the other VMs need not.
+    @property
+    def endpoint_news_until(self) -> float:
+        """Until when hubs tell this VM of changes of endpoints' entries."""
+        return self._limit_news(self.endpoint_view_at)
+
+    def _limit_news(self, view_at: float) -> float:
+        """Return until when this VM need not read a topic by itself.
+
+        Hubs read the store at short intervals, and the other VMs need not,
+        as long as a hub is heard and reaches the store.
+
+        :param view_at: when a hub last read the topic
         """
-        silent_s = now - self.hub_heard_at
-        return not self.is_hub and silent_s < hubs.HUB_SILENCE_S
+        if self.is_hub:
+            return float("-inf")
+        return min(
+            self.hub_heard_at + hubs.HUB_SILENCE_S, view_at + hubs.VIEW_TTL_S
+        )
 
 
 @attrs.define(eq=False)
@@ -99,6 +119,8 @@
 
     :param incarnation: random identifier of this run of the process
     :param store_read_at: time of the last successful read of the store
+    :param operator_read_at: time of the last successful read of the operator
+        topic
     :param operator_offset: offset of the next record of the operator topic
     :param uses_notifier: source of changes to the adapters in use at this VM
     :param refused_tokens: fencing tokens that an engine refused as too old
@@ -140,6 +162,11 @@
     store_read_at: blackboard.Section[float] = attrs.field(
         factory=lambda: blackboard.Section("contact", "discovery", 0.0)
     )
+    operator_read_at: blackboard.Section[float] = attrs.field(
+        factory=lambda: blackboard.Section(
+            "operator_contact", "configuration", float("-inf")
+        )
+    )
     operator_offset: blackboard.Section[int] = attrs.field(
         factory=lambda: blackboard.Section("operator", "configuration", 0)
     )
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import anyio
 
@@ -20,8 +21,6 @@
 READ_WAIT_S = 1.0
 # Longest wait of one read while hubs tell this VM of changes.
 INFORMED_READ_WAIT_S = 20.0
-# Longest time between two checks whether hubs are still heard.
-HUB_CHECK_S = 1.0
 # A read that has not returned a change for this time after a hub has read it
 # is on a connection that no longer delivers data.
 HUB_LEAD_S = 0.3
@@ -43,6 +42,7 @@
         )
         while True:
             change = await self._read(operator_follower)
+            self.write(self.board.operator_read_at, self.read_clock())
             self.write(
                 self.board.operator_offset, operator_follower.next_offset
             )
@@ -56,7 +56,7 @@
         """Return the next records, or none after the wait of one call."""
         while True:
             now = self.read_clock()
-            if not self.board.membership.value.is_informed(now):
+            if now >= self.board.membership.value.operator_news_until:
                 return await operator_follower.read()
             async with anyio.create_task_group() as group:
                 group.start_soon(
@@ -71,16 +71,18 @@
     async def _cancel_when_late(
         self, operator_follower: follower.Follower, scope: anyio.CancelScope
     ) -> None:
-        """Cancel a long read that misses a change, or if no hub is heard."""
+        """Cancel a long read that misses a change, or without news of hubs."""
         section = self.board.membership
-        while section.value.is_informed(self.read_clock()):
+        while (
+            left_s := section.value.operator_news_until - self.read_clock()
+        ) > 0:
             revision = section.revision
             if section.value.operator_offset > operator_follower.next_offset:
                 await anyio.sleep(HUB_LEAD_S)
                 break
             await blackboard.wait_any(
                 section.is_newer(revision),
-                timeout_ms=int(1000 * HUB_CHECK_S),
+                timeout_ms=math.ceil(1000 * left_s),
             )
         scope.cancel()
 
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -85,9 +85,13 @@
         while True:
             now = self.read_clock()
             due = read_at + self._choose_interval(started_at, now)
+            news_until = section.value.endpoint_news_until
+            is_informed = now < news_until
             is_behind = section.value.endpoint_offset > next_offset
-            if now >= due or is_behind and section.value.is_informed(now):
+            if now >= due or is_behind and is_informed:
                 return
+            if is_informed:
+                due = min(due, news_until)
             await blackboard.wait_any(
                 section.is_newer(section.revision),
                 rules.is_newer(rules.revision),
@@ -104,7 +108,7 @@
         starting = now - started_at < RECOVERY_S and self._lacks_entries()
         if returning or starting:
             return RECOVERY_INTERVAL_S
-        if self.board.membership.value.is_informed(now):
+        if now < self.board.membership.value.endpoint_news_until:
             return INFORMED_READ_INTERVAL_S
         return READ_INTERVAL_S
 
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -234,6 +234,12 @@
             raise messages.MessageError(f"invalid totals: {error}") from error
         self._update_peer(digest, addr)
         membership.hub_heard_at = now
+        membership.operator_view_at = max(
+            membership.operator_view_at, now - digest.operator_age_ms / 1000
+        )
+        membership.endpoint_view_at = max(
+            membership.endpoint_view_at, now - digest.endpoint_age_ms / 1000
+        )
         if digest.holder and digest.holder_host:
             membership.holder_address = (
                 digest.holder,
--- a/src/bronzetrack/entry/hubs.py
+++ b/src/bronzetrack/entry/hubs.py
@@ -25,6 +25,9 @@
 HUB_SILENCE_S = 1.0
 # Number of VMs that it asks each time.
 PROBES = 3
+# A VM relies on hubs for news of the store while one of them has read it
+# within this time. An endpoint that leaves may get requests for two seconds.
+VIEW_TTL_S = 1.75
 
 
 def choose_hubs(
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -180,6 +180,8 @@
         that the hub has read
     :param endpoint_offset: offset after the last record by which an endpoint
         came, left or changed its state
+    :param operator_age_ms: time since the hub read the operator topic
+    :param endpoint_age_ms: time since the hub read the entries of endpoints
     :param totals: requests in progress of all VMs by endpoint, encoded
     """
 
@@ -187,6 +189,8 @@
     holder_port: int = int_field()
     operator_offset: int = int_field()
     endpoint_offset: int = int_field()
+    operator_age_ms: int = int_field()
+    endpoint_age_ms: int = int_field()
     totals: bytes = bytes_field()
 
 
--- a/src/bronzetrack/entry/reporting.py
+++ b/src/bronzetrack/entry/reporting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 from typing import TYPE_CHECKING
@@ -15,6 +16,9 @@
 if TYPE_CHECKING:
     from bronzetrack.entry import board as boards
 
+# Age of a view that is stated at the most, and where there is none.
+MAX_AGE_S = 3_600.0
+
 
 class Reporter:
     """Sends heartbeats to the hubs, and digests while this VM is a hub.
@@ -57,14 +61,15 @@
         totals = digests.sum_active(subscribers, own)
         self.totals.record(self._board.settings.vm, totals, now)
         membership.active = self.totals.merge(own, now)
-        self.sender.broadcast([self._make_load_digest(totals)], subscribers)
+        digest = self._make_load_digest(totals, now)
+        self.sender.broadcast([digest], subscribers)
 
     def send_member_digests(self, now: float) -> None:
         """Send the VMs that are alive to those that send heartbeats."""
         table = self._board.membership.value.peer_table
         silent = hubs.list_silent_subscribers(table, now)
         if silent:
-            digest = self._make_load_digest({})
+            digest = self._make_load_digest({}, now)
             self.sender.broadcast([digest], silent)
         self._broadcast_members(table.list_alive(now), now)
         lost = hubs.choose_silent(table, now, self._generator)
@@ -114,7 +119,9 @@
             **self._describe_vm(), active=self.count_active()
         )
 
-    def _make_load_digest(self, totals: dict[str, int]) -> messages.LoadDigest:
+    def _make_load_digest(
+        self, totals: dict[str, int], now: float
+    ) -> messages.LoadDigest:
         board = self._board
         host, port = self._find_holder_address(board.lease.value.holder)
         return messages.LoadDigest(
@@ -123,6 +130,8 @@
             holder_port=port,
             operator_offset=board.operator_offset.value,
             endpoint_offset=board.endpoints.value.changed_offset,
+            operator_age_ms=_measure_age(board.operator_read_at.value, now),
+            endpoint_age_ms=_measure_age(board.store_read_at.value, now),
             totals=digests.encode_counts(totals),
         )
 
@@ -154,6 +163,11 @@
         return address if known == holder else ("", 0)
 
 
+def _measure_age(read_at: float, now: float) -> int:
+    """Return the time since a read in milliseconds, up to a limit."""
+    return math.ceil(1000 * min(MAX_AGE_S, max(0.0, now - read_at)))
+
+
 def _split(
     items: list[peer_tables.Peer], size: int
 ) -> list[list[peer_tables.Peer]]:
--- a/tests/entry/controllers/test_configuration.py
+++ b/tests/entry/controllers/test_configuration.py
@@ -35,6 +35,7 @@
 def configuration(make_controller, board, now) -> roles.Controller:
     """Configuration controller of a VM that has just heard a hub."""
     board.membership.value.hub_heard_at = now
+    board.membership.value.operator_view_at = now
     return make_controller("configuration")
 
 
@@ -65,6 +66,25 @@
     assert silent.waits[1] is None
 
 
+async def test_long_read_ends_when_the_view_of_the_hubs_is_old(
+    configuration, board, now
+):
+    """Guards against an old configuration while hubs miss the store."""
+    silent = SilentFollower()
+
+    async def grow_old():
+        await anyio.sleep(0.05)
+        membership = board.membership.value
+        membership.operator_view_at = now - 2
+        board.membership.write("membership", membership)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(grow_old)
+        with anyio.fail_after(1):
+            assert await configuration._read(silent) == CHANGE
+    assert silent.waits[1] is None
+
+
 async def test_hub_reads_with_short_waits(configuration, board):
     """Guards against hubs that all wait for each other."""
     board.membership.value.is_hub = True
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import anyio
 import pytest
@@ -69,6 +70,7 @@
     """Membership of a VM that has just heard a hub."""
     membership = board.membership.value
     membership.hub_heard_at = now
+    membership.endpoint_view_at = now
     return membership
 
 
@@ -87,6 +89,28 @@
     assert discovery._choose_interval(now - 60, now) == NORMAL_INTERVAL_S
 
 
+def test_vm_whose_hubs_have_an_old_view_reads_at_the_normal_interval(
+    discovery, informed, now
+):
+    """Guards against a drained endpoint that hubs without the store miss."""
+    informed.endpoint_view_at = now - 2.0
+    assert discovery._choose_interval(now - 60, now) == NORMAL_INTERVAL_S
+
+
+@pytest.mark.anyio
+async def test_read_is_due_once_the_view_of_the_hubs_is_old(
+    make_controller, informed, now
+):
+    """Guards against a VM that notices only at its next own read."""
+    start = time.monotonic()
+    discovery = make_controller("discovery")
+    discovery.read_clock = lambda: now + time.monotonic() - start
+    informed.hub_heard_at = now + 60
+    informed.endpoint_view_at = now - 1.5
+    with anyio.fail_after(1.0):
+        await discovery._await_next_read(8, now - 60, now - 5)
+
+
 @pytest.mark.anyio
 async def test_leaving_endpoint_that_a_hub_read_is_read_at_once(
     discovery, informed, now
--- a/tests/entry/controllers/test_fleet.py
+++ b/tests/entry/controllers/test_fleet.py
@@ -273,3 +273,78 @@
     for number, controller in enumerate(fleet.vms.values()):
         active = controller.board.membership.value.active
         assert active == {"e": sum(range(30)) - number}
+
+
+# An endpoint gets no requests this long after the store has confirmed that it
+# leaves, so that a VM has to read by itself before that.
+LEAVING_BOUND_S = 2.0
+READ_S = 0.2
+
+
+def read_store(fleet: Fleet, cut: set[str]) -> None:
+    """Let all VMs read both topics now, but those that are cut off."""
+    for name, controller in fleet.vms.items():
+        if name not in cut:
+            board = controller.board
+            board.store_read_at.write("discovery", fleet.now)
+            board.operator_read_at.write("configuration", fleet.now)
+
+
+def run_reading(fleet: Fleet, seconds: float, cut: set[str]) -> None:
+    """Let time pass while VMs read the store once a second."""
+    ticks = round(1 / TICK_S)
+    for tick in range(round(seconds / TICK_S)):
+        if tick % ticks == 0:
+            read_store(fleet, cut)
+        fleet.run(TICK_S)
+
+
+def list_informed(fleet: Fleet) -> set[str]:
+    """Return the VMs that rely on hubs for news of both topics."""
+    return {
+        name
+        for name, item in fleet.vms.items()
+        if fleet.now < item.board.membership.value.endpoint_news_until
+        and fleet.now < item.board.membership.value.operator_news_until
+    }
+
+
+def test_vms_rely_on_hubs_that_read_the_store(make_fleet):
+    """Guards against calls of the store that grow with the fleet."""
+    fleet = make_fleet(30)
+    run_reading(fleet, 4, set())
+    others = set(fleet.vms) - fleet.list_hubs()
+    for _ in range(10):
+        run_reading(fleet, 2, set())
+        assert list_informed(fleet) == others
+
+
+@pytest.mark.parametrize("spared", [0, 1])
+def test_vms_rely_on_no_hub_that_does_not_reach_the_store(make_fleet, spared):
+    """Guards against requests to endpoints whose leaving hubs do not see.
+
+    Hubs that are cut off from the store go on sending digests. One that still
+    reads it is enough.
+    """
+    fleet = make_fleet(30)
+    run_reading(fleet, 4, set())
+    chosen = fleet.list_hubs()
+    others = set(fleet.vms) - chosen
+    cut = set(sorted(chosen)[spared:])
+    run_reading(fleet, LEAVING_BOUND_S - READ_S, cut)
+    assert list_informed(fleet) == (others if spared else set())
+    run_reading(fleet, 10, cut)
+    assert list_informed(fleet) == (others if spared else set())
+    run_reading(fleet, SPREAD_S, set())
+    assert list_informed(fleet) == others
+
+
+def test_vms_rely_on_no_hub_that_wakes_with_an_old_view(make_fleet):
+    """Guards against the digest of a hub that stood still."""
+    fleet = make_fleet(30)
+    run_reading(fleet, 4, set())
+    frozen = {name: fleet.vms.pop(name) for name in fleet.list_hubs()}
+    fleet.now += 5
+    fleet.vms |= frozen
+    fleet.run(2 * TICK_S)
+    assert list_informed(fleet) == set()
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -11,7 +11,8 @@
 SAMPLES = [
     messages.Heartbeat("v", "f:1", "z", True, False, 3, "v", False, {"e": 1}),
     messages.LoadDigest(
-        *("v", "f:1", "z", True, False, 3, "v", False, "h", 1, 4, 5, b"12")
+        *("v", "f:1", "z", True, False, 3, "v", False),
+        *("h", 1, 4, 5, 900, 40, b"12"),
     ),
     messages.MemberDigest("v", b"12"),
     messages.Bundle([b"1", b"2"]),
