Cancel a request whose caller leaves by one scope

What callers saw: nothing; endpoints worked on requests of callers that had left (GONE). Cause: Task.cancel is delivered once. If the deadline of a scope within the request passes in the same pass of the event loop, that scope of anyio 4.9, which is deployed, takes the cancellation for its own, and the request goes on. Change: the request runs in a scope that the loss of the connection cancels and that stays cancelled.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 
 environment: $(VENV)/.installed
 
-$(VENV)/.installed: pyproject.toml
+# The tests run with the versions that are deployed.
+$(VENV)/.installed: pyproject.toml deploy/requirements.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -e '.[dev]'
+	$(BIN)/pip install --quiet -c deploy/requirements.txt -e '.[dev]'
 	touch $@
 
 demo: environment
--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -16,6 +16,7 @@
 import struct
 from typing import Any
 
+import anyio
 import attrs
 import httptools
 
@@ -191,6 +192,7 @@
         self._head_started_at: float | None = None
         self._idle_since = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._scope: anyio.CancelScope | None = None
         self._input_closed = False
         self._closed = False
 
@@ -247,8 +249,8 @@
         """Cancel the request in progress."""
         self._closed = True
         self._listener.connections.discard(self)
-        if self._task is not None:
-            self._task.cancel()
+        if self._scope is not None:
+            self._scope.cancel()
         self._queued.clear()
 
     def pause_writing(self) -> None:
@@ -335,13 +337,23 @@
         if self._current is not None or not self._queued or self._closed:
             return
         self._current = self._queued.pop(0)
+        self._scope = anyio.CancelScope()
         self._task = asyncio.get_running_loop().create_task(
-            self._serve(self._current)
+            self._serve(self._current, self._scope)
         )
 
-    async def _serve(self, exchange: Exchange) -> None:
+    async def _serve(
+        self, exchange: Exchange, scope: anyio.CancelScope
+    ) -> None:
+        """Run the handler of a request.
+
+        :param scope: scope that ends the request when its caller leaves. It
+            stays cancelled; a cancellation of the task alone is lost if the
+            deadline of a scope within the request passes at that moment.
+        """
         try:
-            await self._listener.serve(exchange)
+            with scope:
+                await self._listener.serve(exchange)
         except Exception as error:
             # The connection is closed, which does not state whether the
             # request was executed.
@@ -356,6 +368,7 @@
         """
         self._current = None
         self._task = None
+        self._scope = None
         self._idle_since = self._listener.read_clock()
         if not keep_open:
             self._input_closed = True
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+import anyio
 import pytest
 
 pytestmark = pytest.mark.anyio
@@ -331,3 +332,40 @@
     await asyncio.sleep(0.3)
     writer.close()
     assert changes == [False]
+
+
+@pytest.mark.parametrize("first", ["deadline", "disconnect"])
+async def test_request_ends_with_its_caller_whatever_ends_at_that_moment(
+    listen, first
+):
+    """Guards against work for a caller that has left.
+
+    The deadline of a wait within the request and the loss of the connection
+    are handled in one pass of the event loop.
+    """
+    went_on = []
+    ended = asyncio.Event()
+
+    async def serve(exchange):
+        loop = asyncio.get_running_loop()
+        lose = exchange._connection.connection_lost
+        try:
+            if first == "disconnect":
+                loop.call_later(0.01, lose, None)
+            with anyio.move_on_after(0.01):
+                if first == "deadline":
+                    loop.call_later(0.01, lose, None)
+                time.sleep(0.05)
+                await anyio.sleep_forever()
+            await anyio.sleep(0.05)
+            went_on.append(exchange)
+        finally:
+            ended.set()
+
+    _, port = await listen(serve)
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(GET)
+    async with asyncio.timeout(2):
+        await ended.wait()
+    writer.close()
+    assert not went_on
