Do not give up a second read of a change that hubs have read

Cause: a read of the operator topic that has not returned 0.3 s after a hub has read a change is given up, as its connection may be silent. The next read was given up in the same way, so that a VM whose reads take longer, for instance of a large configuration over a slow link, never applied it. Change: the read that follows one that was given up is an ordinary one. Measured: the new test, with reads of 0.5 s, did not end within 2 s before and passes now.

--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -53,11 +53,13 @@
     async def _read(
         self, operator_follower: follower.Follower
     ) -> follower.Change:
-        """Return the next records, or none after the wait of one call."""
-        while True:
-            now = self.read_clock()
-            if now >= self.board.membership.value.operator_news_until:
-                return await operator_follower.read()
+        """Return the next records, or none after the wait of one call.
+
+        A read that is given up is repeated once with a short wait and on
+        another connection. It is not given up, as a large configuration may
+        take longer to arrive than the lead of a hub.
+        """
+        if self.read_clock() < self.board.membership.value.operator_news_until:
             async with anyio.create_task_group() as group:
                 group.start_soon(
                     self._cancel_when_late,
@@ -67,6 +69,7 @@
                 change = await operator_follower.read(INFORMED_READ_WAIT_S)
                 group.cancel_scope.cancel()
                 return change
+        return await operator_follower.read()
 
     async def _cancel_when_late(
         self, operator_follower: follower.Follower, scope: anyio.CancelScope
--- a/tests/entry/controllers/test_configuration.py
+++ b/tests/entry/controllers/test_configuration.py
@@ -48,6 +48,38 @@
     assert len(silent.waits) == 2
 
 
+@attrs.define
+class SlowFollower:
+    """Follower whose reads take longer than a hub's lead.
+
+    :param reads: number of reads that began
+    """
+
+    reads: int = 0
+    next_offset: int = 7
+
+    async def read(self, wait_s: float | None = None) -> follower.Change:
+        """Return no change after a while, as a large record does."""
+        self.reads += 1
+        await anyio.sleep(0.5)
+        return CHANGE
+
+
+async def test_slow_read_of_a_change_is_not_given_up_again(
+    configuration, board
+):
+    """Guards against an old configuration if a new one takes long to read.
+
+    A large configuration over a slow link takes longer than the time after
+    which a connection counts as silent.
+    """
+    slow = SlowFollower()
+    board.membership.value.operator_offset = 8
+    with anyio.fail_after(2):
+        assert await configuration._read(slow) == CHANGE
+    assert slow.reads == 2
+
+
 async def test_long_read_ends_when_no_hub_is_heard(configuration, board, now):
     """Guards against an old configuration at a VM that is cut off."""
     silent = SilentFollower()
