Answer requests that wait behind another when a listener closes

Cause: the first answer after SIGTERM closed the connection, and what was queued on it was dropped. Change: a connection stays open while requests are queued on it; the last answer says that it closes. An answer whose head said so ends its connection. Measured: the new test of a stop failed before and passes now.

--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -96,6 +96,7 @@
         self.finished = False
         self._on_writable_change: Callable[[bool], None] | None = None
         self._chunked = False
+        self._keep_open = False
         self._connection = connection
 
     @property
@@ -140,7 +141,10 @@
         headers = list(headers)
         if self._chunked:
             headers.append((b"Transfer-Encoding", b"chunked"))
-        if not self._connection.can_keep_open(self) or not self._chunked:
+        self._keep_open = self._chunked and self._connection.can_keep_open(
+            self
+        )
+        if not self._keep_open:
             headers.append((b"Connection", b"close"))
         self._connection.write(heads.encode_head(status, headers))
 
@@ -154,7 +158,7 @@
         """End a response that was sent in parts."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
-        self._finish(self._chunked and self._connection.can_keep_open(self))
+        self._finish(self._keep_open and self._connection.can_keep_open(self))
 
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete.
@@ -378,11 +382,15 @@
             self._serve_next()
 
     def can_keep_open(self, exchange: Exchange) -> bool:
-        """Return whether the connection may stay open after a response."""
+        """Return whether the connection may stay open after a response.
+
+        It does while requests wait behind another, also if the listener
+        closes its connections.
+        """
         return (
             exchange.head.keep_alive
-            and not self._listener.closing
             and not self._input_closed
+            and (not self._listener.closing or bool(self._queued))
         )
 
     def is_busy(self) -> bool:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -369,3 +369,47 @@
         await ended.wait()
     writer.close()
     assert not went_on
+
+
+async def test_requests_in_a_row_are_answered_although_the_listener_closes(
+    listen,
+):
+    """Guards against requests that were read and get no answer.
+
+    They wait behind another on their connection when a planned stop begins.
+    """
+    released = asyncio.Event()
+
+    async def serve(exchange):
+        await released.wait()
+        await echo(exchange)
+
+    listener, port = await listen(serve)
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.1, listener.stop_listening)
+    loop.call_later(0.2, released.set)
+    received = await send_parts(port, GET + GET.replace(b"/x", b"/y"))
+    assert received.index(b"/x ") < received.index(b"/y ")
+    assert received.count(b"Connection: close") == 1
+    assert received.index(b"/x ") < received.index(b"Connection: close")
+
+
+async def test_connection_ends_with_an_answer_that_said_so(listen):
+    """Guards against an answer on a connection that its caller gave up.
+
+    The second request arrives after the head of the first answer.
+    """
+
+    async def serve(exchange):
+        exchange.start(200, [])
+        await asyncio.sleep(0.3)
+        exchange.write(exchange.head.target)
+        exchange.finish()
+
+    listener, port = await listen(serve)
+    listener.closing = True
+    received = await send_parts(
+        port, GET, GET.replace(b"/x", b"/y"), pause_s=0.1
+    )
+    assert received.count(b"Connection: close") == 1
+    assert b"/y" not in received
