Wait in a shutdown for answers that are not flushed

Cause: an answer that is complete but still in the buffer of its connection did not count as in progress, and the process exited. Change: it does. Measured: the new test failed before (0 in place of 1 in progress) and passes now.

--- a/src/bronzetrack/transport/server.py
+++ b/src/bronzetrack/transport/server.py
@@ -76,8 +76,15 @@
             connection.close_if_idle()
 
     def count_busy(self) -> int:
-        """Return the number of connections with a request in progress."""
-        return sum(1 for item in self.connections if item.is_busy())
+        """Return the number of connections with a request in progress.
+
+        A response that is not completely sent counts as in progress.
+        """
+        return sum(
+            1
+            for item in self.connections
+            if item.is_busy() or item.has_unsent()
+        )
 
     def close_expired(self, now: float) -> None:
         """Close connections that exceed the idle or the header timeout."""
@@ -397,6 +404,10 @@
         """Return whether a request is in progress."""
         return self._current is not None or self._reading is not None
 
+    def has_unsent(self) -> bool:
+        """Return whether bytes of a response still wait to be sent."""
+        return self._transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if not self.is_busy() and self._head_started_at is None:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -413,3 +413,23 @@
     )
     assert received.count(b"Connection: close") == 1
     assert b"/y" not in received
+
+
+async def test_answer_that_is_not_flushed_counts_as_in_progress(listen):
+    """Guards against an answer whose end is lost when the process exits."""
+
+    async def serve(exchange):
+        exchange.respond(200, [], b"a" * LONG_BYTES)
+
+    listener, port = await listen(serve)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(GET)
+    await asyncio.sleep(0.3)
+    listener.stop_listening()
+    assert listener.count_busy() == 1
+    async with asyncio.timeout(10):
+        received = await reader.read()
+    assert len(received) > LONG_BYTES
+    await asyncio.sleep(0.1)
+    assert listener.count_busy() == 0
+    writer.close()
