Pass on events whose lines end with CRLF as they arrive

What callers would see: streams on resumable routes that arrive at their end, in one piece, or are given up as too large. Cause: the end of an event was looked for as two line feeds only. Change: an empty line ends an event, whether lines end with LF or CRLF; the same holds for the end of a stream without a length.

--- a/src/bronzetrack/entry/events.py
+++ b/src/bronzetrack/entry/events.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-BOUNDARY = b"\n\n"
+# An event ends with an empty line; lines end with LF or CRLF.
+LINE_END = b"\n"
+BOUNDARIES = (b"\n\n", b"\n\r\n")
 ID_FIELD = b"id:"
 COMMENT = b":"
 # Longer ids are no position that an endpoint can be asked to go on after.
@@ -33,11 +35,11 @@
     def feed(self, data: bytes) -> bytes:
         """Add data and return the bytes of all events now complete."""
         data = self.rest + data
-        end = data.rfind(BOUNDARY)
+        end = max(map(data.rfind, BOUNDARIES))
         if end < 0:
             self.rest = data
             return b""
-        end += len(BOUNDARY)
+        end = data.index(LINE_END, end + 1) + 1
         self.rest = data[end:]
         complete = data[:end]
         self._update_last_id(complete)
@@ -49,13 +51,19 @@
 
     def _update_last_id(self, complete: bytes) -> None:
         """Take the id of the last of several events; skip comments."""
-        events = filter(_is_event, reversed(complete.split(BOUNDARY)))
+        blocks = complete.replace(b"\r\n", b"\n").split(b"\n\n")
+        events = filter(_is_event, reversed(blocks))
         event = next(events, None)
         if event is not None:
             self.passed = True
             self.last_id = find_id(event)
 
 
+def ends_event(data: bytes) -> bool:
+    """Return whether data ends with the empty line that ends an event."""
+    return data.endswith(BOUNDARIES)
+
+
 def _is_event(block: bytes) -> bool:
     """Return whether lines between two boundaries are not only comments."""
     return any(
--- a/src/bronzetrack/entry/relays.py
+++ b/src/bronzetrack/entry/relays.py
@@ -14,6 +14,9 @@
 from bronzetrack.transport import limits
 from bronzetrack.transport import server
 
+# The longest boundary between two events.
+TAIL_BYTES = max(map(len, events.BOUNDARIES))
+
 
 class Outcome(enum.Enum):
     """Result of sending a request to one endpoint.
@@ -148,7 +151,7 @@
             if len(self._buffer.rest) > self._buffered_bytes:
                 self._give_up()
         else:
-            self._tail = (self._tail + data)[-2:]
+            self._tail = (self._tail + data)[-TAIL_BYTES:]
         if data:
             self._exchange.write(data)
 
@@ -220,4 +223,4 @@
             return False
         if self._buffer is not None:
             return not self._buffer.rest
-        return self._tail == events.BOUNDARY
+        return events.ends_event(self._tail)
--- a/tests/entry/test_events.py
+++ b/tests/entry/test_events.py
@@ -4,19 +4,24 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from bronzetrack.entry import events
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 6))
 
 
-@hypothesis.given(strategies.sets(strategies.integers(1, len(STREAM) - 1)))
-def test_any_split_yields_the_same_complete_events(splits):
+@hypothesis.given(
+    strategies.sampled_from([b"\n", b"\r\n"]),
+    strategies.sets(strategies.integers(1, len(STREAM) - 1)),
+)
+def test_any_split_yields_the_same_complete_events(line_end, splits):
     """Guards against events that are merged or lost at packet boundaries."""
     buffer = events.EventBuffer()
-    edges = [0, *sorted(splits), len(STREAM)]
-    parts = [STREAM[a:b] for a, b in zip(edges, edges[1:], strict=False)]
-    assert b"".join(buffer.feed(part) for part in parts) == STREAM
+    stream = STREAM.replace(b"\n", line_end)
+    edges = [0, *sorted(splits), len(stream)]
+    parts = [stream[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    assert b"".join(buffer.feed(part) for part in parts) == stream
     assert buffer.last_id == 5
     assert not buffer.rest
 
@@ -28,3 +33,27 @@
     buffer.discard_rest()
     assert buffer.last_id == 1
     assert buffer.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+def test_event_whose_lines_end_with_crlf_is_passed_on_at_once():
+    """Guards against events that are held back until the stream ends."""
+    buffer = events.EventBuffer()
+    event = b"id: 1\r\ndata: a\r\n\r\n"
+    assert buffer.feed(event + b"id: 2\r\nda") == event
+    assert buffer.last_id == 1
+
+
+@pytest.mark.parametrize(
+    ("tail", "expected"),
+    [
+        (b"data: a\n\n", True),
+        (b"data: a\r\n\r\n", True),
+        (b"data: a\r\n", False),
+        (b"data: a\n", False),
+        (b"\n", False),
+        (b"", False),
+    ],
+)
+def test_end_of_an_event_is_an_empty_line(tail, expected):
+    """Guards against a stream without a length that is cut though complete."""
+    assert events.ends_event(tail) is expected
