Let the slack of the retry budget grow with the age of the process

Cause: each process started with its whole part of the slack, whatever an earlier one on the same VM had spent. Change: a process starts with a quarter of its part, which grows to the whole within a window. With nothing at the start, the first retry after a restart was refused: 18 tests of processes failed (a trial, not committed).

--- a/src/bronzetrack/entry/controllers/forwarding.py
+++ b/src/bronzetrack/entry/controllers/forwarding.py
@@ -53,6 +53,7 @@
             self.board, self.read_clock
         )
         self._sender = sending.Sender(self.board, self.read_clock)
+        self._started_at = self.read_clock()
         # Scopes of the requests that are being forwarded.
         self._scopes: set[anyio.CancelScope] = set()
 
@@ -231,6 +232,7 @@
                 settings.retry_ratio,
                 settings.retry_slack,
                 settings.retry_window_s,
+                self._started_at,
             )
         return retry_budget
 
--- a/tests/entry/test_budget.py
+++ b/tests/entry/test_budget.py
@@ -10,9 +10,9 @@
 RATIO, SLACK, WINDOW_S = 0.2, 54.0, 10.0
 
 
-def make_budget():
-    """Return the budget of one VM."""
-    return budget.RetryBudget(RATIO, SLACK, WINDOW_S)
+def make_budget(started_at=-WINDOW_S):
+    """Return the budget of one VM, which has run for long by default."""
+    return budget.RetryBudget(RATIO, SLACK, WINDOW_S, started_at)
 
 
 @hypothesis.given(
@@ -53,6 +53,47 @@
     assert retry_budget.take_retry(now + 1.1 * WINDOW_S, 7)
 
 
+def test_vms_that_restart_again_and_again_stay_within_the_budget():
+    """Guards against a retry budget that starts anew with each process.
+
+    Load pattern: endpoints shed most requests, so that each one is retried as
+    long as the budget allows it, while single VMs are killed 28 times within
+    11 s. A VM is back after a second.
+    """
+    vms, kills, period_s, requests_per_s = 7, 28, 11.0, 50
+    budgets = [make_budget() for _ in range(vms)]
+    started_at = [0.0] * vms
+    requests: list[float] = []
+    retries: list[float] = []
+    for step in range(int(requests_per_s * period_s)):
+        now = step / requests_per_s
+        if step % (requests_per_s * int(period_s) // kills) == 0:
+            killed = len(retries) % vms
+            started_at[killed] = now + 1.0
+            budgets[killed] = make_budget(started_at[killed])
+        vm = step % vms
+        if now < started_at[vm]:
+            continue
+        requests.append(now)
+        budgets[vm].record_request(now)
+        while budgets[vm].take_retry(now, vms):
+            retries.append(now)
+    recent = [at for at in retries if at >= period_s - WINDOW_S]
+    counted = [at for at in requests if at >= period_s - WINDOW_S]
+    assert len(recent) <= RATIO * len(counted) + SLACK
+
+
+def test_slack_grows_with_the_age_of_the_process(now):
+    """Guards against a process that spends what an earlier one has spent."""
+    ages = (0, WINDOW_S / 2, WINDOW_S, 2 * WINDOW_S)
+    new, half, full, old = (
+        make_budget(now - age).measure_limit(1, now) for age in ages
+    )
+    assert 1 < new < half < full
+    assert new < full / 3
+    assert full == old
+
+
 def test_restarted_vm_stays_within_the_slack(now):
     """Guards against a restart that grants the whole slack again."""
     spent = 0
