Hold the ports of test processes, and keep the files of failed tests

Cause: tests looked up free ports and let them go until a process bound them. They came from the range of outgoing connections, and a VM whose port was taken never got ready. Files of processes were gone when a failure was looked at. The logs and settings in a failed test's folder are kept under target/failures, with the load average; their path is printed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterator
 import os
 import pathlib
+import re
+import shutil
+import time
 
 import hypothesis
 import pytest
@@ -50,6 +53,11 @@
     return boards.Blackboard(loader.load_settings(SETTINGS), "incarnation-1")
 
 
+FOLDER_KEY = pytest.StashKey[pathlib.Path]()
+# Folder of the files of failed tests, which pytest would remove.
+KEPT = pathlib.Path(__file__).parents[1] / "target" / "failures"
+KEPT_FILES = ("*.log", "*.ini", "*.toml")
+
 # Lists the tests that may fail because of an open issue. They still run.
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 
@@ -71,14 +79,42 @@
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
+@pytest.fixture(autouse=True)
+def note_folder(request: pytest.FixtureRequest) -> None:
+    """Note the folder of a test, whose files are kept if the test fails."""
+    if "tmp_path" in request.fixturenames:
+        folder = request.getfixturevalue("tmp_path")
+        request.node.stash[FOLDER_KEY] = folder
+
+
+def keep_files(item: pytest.Item) -> str:
+    """Copy the logs and settings of a test's processes.
+
+    :returns: where they are kept, and the load of the machine
+    """
+    name = re.sub(r"[^\w.-]+", "_", item.nodeid)
+    kept = KEPT / f"{name}-{os.getpid()}-{time.time_ns()}"
+    kept.mkdir(parents=True)
+    for pattern in KEPT_FILES:
+        for file in item.stash[FOLDER_KEY].rglob(pattern):
+            shutil.copy(file, kept)
+    load = "load average: %.1f %.1f %.1f" % os.getloadavg()
+    (kept / "load.txt").write_text(f"{load}\n")
+    return f"{kept}\n{load}"
+
+
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Iterator[None]:
-    """Report failures in the teardown of listed tests as expected failures.
+    """Keep files of failed tests, and report failures in a teardown.
 
-    An xfail mark covers the set-up and the body of a test only.
+    Such a failure of a listed test is an expected one. An xfail mark covers
+    the set-up and the body of a test only.
     """
     outcome = yield
     report = outcome.get_result()
+    failed = report.failed or hasattr(report, "wasxfail")
+    if failed and not report.passed and FOLDER_KEY in item.stash:
+        report.sections.append(("Kept files", keep_files(item)))
     if (
         report.when == "teardown"
         and report.failed
--- a/tests/daemon/test_exits.py
+++ b/tests/daemon/test_exits.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzetrack.daemon import exits
+from standins import ports
 from standins import site as sites
 
 FAILING_CONTROLLER = """
@@ -32,7 +33,7 @@
     """Return a settings file with free ports and an unreachable platform."""
     text = good
     for port in ("8000", "8001", "8002", "9000"):
-        text = text.replace(f":{port}", f":{sites.find_port('127.0.0.1')}")
+        text = text.replace(f":{port}", f":{ports.hold_port('127.0.0.1')}")
     path = tmp_path / "vm.ini"
     path.write_text(text)
     return path
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -14,8 +14,8 @@
 import attrs
 
 from standins import logstore
+from standins import ports
 from standins import rawhttp
-from standins import site as daemons
 from standins import wireengine
 
 HOST = "127.0.0.1"
@@ -340,7 +340,7 @@
 
     async def start_vm(self, name: str) -> Vm:
         """Start an entry VM as a separate process."""
-        front, control, peers = (daemons.find_port(HOST) for _ in range(3))
+        front, control, peers = (ports.hold_port(HOST) for _ in range(3))
         file = self.folder / f"{name}.ini"
         file.write_text(make_settings(name, front, control, peers, self.store))
         environment = os.environ | {
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -19,6 +19,8 @@
 import attrs
 import httpcore
 
+from standins import ports
+
 TESTS = pathlib.Path(__file__).parent.parent
 STOP_TIMEOUT_S = 20.0
 LOG_LINES = 5
@@ -34,21 +36,12 @@
     """A daemon does not answer, possibly because it has not started yet."""
 
 
-# Outgoing connections on loopback take ephemeral ports of 127.0.0.1 at any
-# moment, so the listeners of a site use other addresses. Concurrent runs use
-# different networks, since a port that is found free could be taken by
-# another run before it is bound.
+# Outgoing connections on loopback come from 127.0.0.1, so the listeners of a
+# site use other addresses. Concurrent runs use different networks.
 NETWORK = f"127.{os.getpid() % 254 + 1}"
 PLATFORM_HOST = f"{NETWORK}.3.1"
 
 
-def find_port(host: str = PLATFORM_HOST) -> int:
-    """Return a port of a host that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 @attrs.define
 class Vm:
     """The process and the addresses of a daemon.
@@ -148,7 +141,7 @@
 
     def start_vm_list(self, name: str) -> str:
         """Start an additional VM list and return its base URL."""
-        port = find_port()
+        port = ports.hold_port(PLATFORM_HOST)
         self._start_standin(name, "platform", port)
         url = f"http://{PLATFORM_HOST}:{port}"
         self.wait(lambda: fetch("GET", f"{url}/vms") == [])
@@ -167,7 +160,7 @@
 
     def start_forwarder(self) -> None:
         """Start the forwarder and wait until it accepts connections."""
-        self.forwarder_port = find_port()
+        self.forwarder_port = ports.hold_port(PLATFORM_HOST)
         self._start_standin("forwarder", "forwarder", self.forwarder_port)
 
         def is_listening() -> bool:
@@ -180,7 +173,7 @@
     def add_link(self, name: str, target: str) -> str:
         """Add a link to a target address and return the link's address."""
         host, port = target.split(":")
-        listen = (PLATFORM_HOST, find_port())
+        listen = (PLATFORM_HOST, ports.hold_port(PLATFORM_HOST))
         self.set_link(name, "forward", listen=listen, target=(host, int(port)))
         return f"{listen[0]}:{listen[1]}"
 
@@ -222,8 +215,8 @@
 
     def add_vm(self, name: str, zone: str, host: str) -> Vm:
         """Add a VM with free ports and its links, without starting it."""
-        ports = [find_port(host) for _ in range(3)]
-        vm = Vm(name, zone, host, *(f"{host}:{port}" for port in ports))
+        addresses = (f"{host}:{ports.hold_port(host)}" for _ in range(3))
+        vm = Vm(name, zone, host, *addresses)
         if self.forwarded:
             vm.advertised = self.add_link(f"peers-{name}", vm.peers)
             platform = f"{PLATFORM_HOST}:{self.platform_port}"
@@ -558,7 +551,7 @@
     :param endpoint_zones: zones that the endpoints are spread over in turn
     :param options: further fields of the site
     """
-    site = Site(folder, find_port(), **options)
+    site = Site(folder, ports.hold_port(PLATFORM_HOST), **options)
     try:
         site.start_platform()
         if site.forwarded:
@@ -571,7 +564,7 @@
                     f"{kind}-{index}",
                     endpoint_zones[index % len(endpoint_zones)],
                     host,
-                    find_port(host),
+                    ports.hold_port(host),
                     kind,
                     checks_fencing=index % 2 == 0,
                 )
--- a/tests/transport/conftest.py
+++ b/tests/transport/conftest.py
@@ -11,7 +11,7 @@
 
 from bronzetrack.entry import routes
 from bronzetrack.transport import server
-from standins import site as sites
+from standins import ports
 
 HOST = "127.0.0.1"
 
@@ -33,7 +33,7 @@
     async def start(serve, **limits):
         listener = server.Listener(serve, time.monotonic)
         listener.limits = routes.Limits(**limits)
-        port = sites.find_port(HOST)
+        port = ports.hold_port(HOST)
         await listener.open(f"{HOST}:{port}")
         listeners.append(listener)
         return listener, port
