--- a/tests/entry/controllers/test_configuration.py
+++ b/tests/entry/controllers/test_configuration.py
@@ -80,40 +80,29 @@
     assert slow.reads == 2
 
 
-async def test_long_read_ends_when_no_hub_is_heard(configuration, board, now):
-    """Guards against an old configuration at a VM that is cut off."""
-    silent = SilentFollower()
-
-    async def fall_silent():
-        await anyio.sleep(0.05)
-        membership = board.membership.value
-        membership.hub_heard_at = now - 5
-        board.membership.write("membership", membership)
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(fall_silent)
-        with anyio.fail_after(1):
-            assert await configuration._read(silent) == CHANGE
-    assert silent.waits[0] > 1
-    assert silent.waits[1] is None
-
-
-async def test_long_read_ends_when_the_view_of_the_hubs_is_old(
-    configuration, board, now
+@pytest.mark.parametrize(
+    ("name", "age_s"), [("hub_heard_at", 5), ("operator_view_at", 2)]
+)
+async def test_long_read_ends_without_news_of_hubs(
+    configuration, board, now, name, age_s
 ):
-    """Guards against an old configuration while hubs miss the store."""
+    """Guards against an old configuration at a VM without news.
+
+    It hears no hub any more, or only hubs that do not reach the store.
+    """
     silent = SilentFollower()
 
-    async def grow_old():
+    async def lose_news():
         await anyio.sleep(0.05)
         membership = board.membership.value
-        membership.operator_view_at = now - 2
+        setattr(membership, name, now - age_s)
         board.membership.write("membership", membership)
 
     async with anyio.create_task_group() as group:
-        group.start_soon(grow_old)
+        group.start_soon(lose_news)
         with anyio.fail_after(1):
             assert await configuration._read(silent) == CHANGE
+    assert silent.waits[0] > 1
     assert silent.waits[1] is None
 
 
--- a/tests/entry/controllers/test_loading.py
+++ b/tests/entry/controllers/test_loading.py
@@ -135,7 +135,22 @@
     return endpoint
 
 
-MISSING = messages.LoadRequest("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
+async def report_missing(controller, board, engine, plan, now) -> list[int]:
+    """Report that an adapter is missing while a plan is carried out.
+
+    :returns: the versions of the adapter that were announced after that
+    """
+    missing = messages.LoadRequest("v", "s", *MODEL_KEY, 1, 1, "e", "", 100)
+    async with anyio.create_task_group() as group:
+        group.start_soon(controller._order_executor.execute, plan)
+        await anyio.wait_all_tasks_blocked()
+        board.placed.take()
+        board.load_requests.post(missing)
+        controller._run_planning_pass(group, now + 0.1)
+        controller._run_planning_pass(group, now + 0.5)
+        announced = [item.version for item in board.placed.take()]
+        engine.answered.set()
+    return announced
 
 
 @pytest.mark.anyio
@@ -151,17 +166,8 @@
     meanwhile, and the order to load it again has not been answered.
     """
     engine.load_result = result
-    executor = controller._order_executor
-    async with anyio.create_task_group() as group:
-        plan = loading.Plan(endpoint, MODEL_KEY, 1, MODEL_KEY)
-        group.start_soon(executor.execute, plan)
-        await anyio.wait_all_tasks_blocked()
-        board.placed.take()
-        board.load_requests.post(MISSING)
-        controller._run_planning_pass(group, now + 0.1)
-        controller._run_planning_pass(group, now + 0.5)
-        announced = [item.version for item in board.placed.take()]
-        engine.answered.set()
+    plan = loading.Plan(endpoint, MODEL_KEY, 1, MODEL_KEY)
+    announced = await report_missing(controller, board, engine, plan, now)
     assert not any(announced)
 
 
@@ -175,13 +181,5 @@
     still then reports that it is missing.
     """
     plan = loading.Plan(endpoint, ("m", "a2"), 1, MODEL_KEY)
-    async with anyio.create_task_group() as group:
-        group.start_soon(controller._order_executor.execute, plan)
-        await anyio.wait_all_tasks_blocked()
-        board.placed.take()
-        board.load_requests.post(MISSING)
-        controller._run_planning_pass(group, now + 0.1)
-        controller._run_planning_pass(group, now + 0.5)
-        announced = [item.version for item in board.placed.take()]
-        engine.answered.set()
+    announced = await report_missing(controller, board, engine, plan, now)
     assert not any(announced)
