Block the signals to stop once a shutdown is complete

What operators saw, in the soak: a planned stop that counts as a failure of the process (status -15). Cause: the signal handlers are removed before the process exits. A repeated SIGTERM met the default action. Change: the signals stay blocked from the end of the shutdown on.

--- a/src/bronzetrack/entry/process.py
+++ b/src/bronzetrack/entry/process.py
@@ -6,6 +6,7 @@
 import logging
 import pathlib
 import pkgutil
+import signal
 import time
 from typing import Any
 import uuid
@@ -24,6 +25,7 @@
 from bronzetrack.transport import calls
 
 LOG = logging.getLogger(__name__)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class ControllerEndedError(errors.BronzetrackError):
@@ -66,6 +68,9 @@
         for name, controller in running.items():
             group.start_soon(_run_controller, name, controller)
         await running["lifecycle"].drain(running["forwarding"].listener)
+        # The signal handlers are removed before the process exits. A repeated
+        # signal would end it with a failure then.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         group.cancel_scope.cancel()
 
 
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 
 import attrs
 from entry import sites
@@ -141,6 +143,18 @@
     assert await stopping == 0
 
 
+async def test_signals_in_a_row_end_in_one_planned_stop(vm):
+    """Guards against a stop that counts as a failure of the process.
+
+    The last of the signals come after their handlers have been removed.
+    """
+    while vm.process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            vm.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.001)
+    assert vm.process.returncode == 0
+
+
 @pytest.mark.parametrize(
     ("grace_s", "address_ttl_s", "accepting_s"),
     [(8, 2, 2.4), (30, 2, 2.5), (1, 2, 0.3)],
