--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 
 from entry import sites
 import pytest
@@ -90,3 +91,89 @@
     assert vm.process.returncode is None
     assert answer.status == 200
     await site.await_event("vm-1", "entry_rejected")
+
+
+ODD_VALUES = [
+    None,
+    True,
+    0,
+    -1,
+    2**53,
+    2**63,
+    1.5,
+    1e308,
+    "",
+    "\ud800",
+    "\x00",
+    "z" * 2_000,
+    "127.0.0.1:1",
+    "[::1]:80",
+    "::1:80",
+    "0.0.0.0:80",
+    "255.255.255.255:80",
+    "::ffff:127.0.0.1:80",
+    "224.0.0.1:1",
+    "127.0.0.1:65535",
+    "ready",
+    "draining",
+    "engines",
+    "plain",
+    [],
+    {},
+    [[]],
+    [{}],
+    [{"name": "m"}],
+    [{"name": "m", "version": 0, "adapters": ["a1", "a1@0", "a2@-3"]}],
+    [{"name": "m" * 3_000, "adapters": ["a" * 3_000]}],
+    [{"name": "other", "adapters": [f"a{n}" for n in range(3_000)]}],
+]
+FIELDS = [*ENGINE, "models", "remaining_ms", "cold_left_ms", "unknown"]
+ENTRIES = 400
+KEYS = 40
+
+
+def make_odd_entry(generator: random.Random) -> bytes:
+    """Return an entry in which some fields have odd values."""
+    model = {"name": "m", "version": 1, "adapters": ["a1"]}
+    entry = ENGINE | {"models": [model]}
+    for _ in range(generator.randint(1, 3)):
+        entry[generator.choice(FIELDS)] = generator.choice(ODD_VALUES)
+    data = json.dumps(entry).encode()
+    if generator.random() < 0.1:
+        at = generator.randrange(len(data))
+        data = data[:at] + bytes([generator.randrange(256)]) + data[at + 1 :]
+    return data
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_odd_entries_in_a_row_end_no_vm(configured_site, seed):
+    """Guards against a value that is accepted and fails where it is used.
+
+    The VM gives orders and sends requests while entries of another writer
+    come, change and go.
+    """
+    site = configured_site
+    await site.add_endpoint("e1", "engines")
+    await site.add_endpoint("p1", "plain")
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    await site.await_event("vm-1", "lease_taken")
+    generator = random.Random(seed)
+    for number in range(ENTRIES):
+        key = f"other-{generator.randrange(KEYS)}"
+        gone = generator.random() < 0.1
+        entry = None if gone else make_odd_entry(generator)
+        site.log.put("keyed.servers", key, entry)
+        if number % 40 == 0:
+            await sites.send(
+                vm.front, "/stream/x", f"s{number}", headers=ADAPTER
+            )
+            await sites.send(vm.front, "/safe/x", f"p{number}", "GET")
+    for number in range(KEYS):
+        site.log.put("keyed.servers", f"other-{number}", None)
+    await asyncio.sleep(REPORT_TIME_S)
+    assert vm.process.returncode is None
+    events = {item["event"] for item in site.read_events("vm-1")}
+    assert not events & {"controller_failed", "request_failed"}
+    plain = await sites.send(vm.front, "/once/x", "last", body=b"data")
+    assert plain.status == 200
