Send signals in tests without reaping the process

Cause, traced: Popen.send_signal polls the process first, which reaps it if it has just ended. The event loop then does not find it and reports 255 (its warning "Unknown child process pid 2224, will report returncode 255" is in the kept output). The check is unchanged; the signal is sent by os.kill.

--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -263,10 +263,18 @@
                     pass
                 await asyncio.sleep(0.05)
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process unless it has ended.
+
+        The method of the process itself would reap a process that ends at
+        that moment, and the event loop would report status 255 for it.
+        """
+        if self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
     async def stop(self) -> int:
         """Stop the process gracefully and return its exit code."""
-        if self.process.returncode is None:
-            self.process.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         return await asyncio.wait_for(self.process.wait(), 10)
 
 
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -219,10 +219,10 @@
         if name is None:
             return
         vm = soak.vms[name]
-        vm.process.send_signal(signal.SIGTERM)
+        vm.send_signal(signal.SIGTERM)
         if soak.generator.random() < 0.3:
             await asyncio.sleep(soak.generator.uniform(0, 1))
-            vm.process.send_signal(signal.SIGTERM)
+            vm.send_signal(signal.SIGTERM)
         soak.stops.append(await asyncio.wait_for(vm.process.wait(), 10))
         await soak.start(name)
         await soak.vms[name].await_ready()
@@ -249,9 +249,9 @@
         if name is None:
             return
         soak.note(name)
-        soak.vms[name].process.send_signal(signal.SIGSTOP)
+        soak.vms[name].send_signal(signal.SIGSTOP)
         await asyncio.sleep(soak.generator.uniform(0.1, 1.5))
-        soak.vms[name].process.send_signal(signal.SIGCONT)
+        soak.vms[name].send_signal(signal.SIGCONT)
         soak.note(name)
 
 
@@ -260,7 +260,7 @@
     """Let a VM read its settings again."""
     async with use_vm(soak) as name:
         if name is not None:
-            soak.vms[name].process.send_signal(signal.SIGHUP)
+            soak.vms[name].send_signal(signal.SIGHUP)
 
 
 @DISTURBANCES.register("configure")
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -150,7 +150,7 @@
     """
     while vm.process.returncode is None:
         with contextlib.suppress(ProcessLookupError):
-            vm.process.send_signal(signal.SIGTERM)
+            vm.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.001)
     assert vm.process.returncode == 0
 
