--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -130,6 +130,22 @@
 """
 
 
+def make_full(timeout_ms: int) -> Callable[[dict], None]:
+    """Return a change of the configuration that lets requests wait long.
+
+    Endpoints of the plain service accept one connection.
+
+    :param timeout_ms: timeout of all routes
+    """
+
+    def alter(document: dict) -> None:
+        document["services"][0]["max_conns"] = 1
+        for route in document["routes"]:
+            route["timeout_ms"] = timeout_ms
+
+    return alter
+
+
 def make_settings(
     name: str = "vm-1",
     front: int = 1,
@@ -321,6 +337,16 @@
         self.announce(identity)
         return engine
 
+    async def add_endpoints(self) -> None:
+        """Start two engines and two endpoints of the plain service."""
+        for identity, service in (
+            ("e1", "engines"),
+            ("e2", "engines"),
+            ("p1", "plain"),
+            ("p2", "plain"),
+        ):
+            await self.add_endpoint(identity, service)
+
     def announce(self, identity: str, **fields: object) -> None:
         """Write the entry of an endpoint to the store."""
         entry = self.engines[identity].describe(
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -34,6 +34,15 @@
     return json.dumps(ENGINE | changes).encode()
 
 
+async def start_holder(site: sites.Site) -> sites.Vm:
+    """Start an engine and a VM that gives the orders."""
+    await site.add_endpoint("e1", "engines")
+    vm = await site.start_vm("vm-1")
+    await vm.await_ready()
+    await site.await_event("vm-1", "lease_taken")
+    return vm
+
+
 UNREADABLE = encode_entry(address="fe80::1%ZONE:8080")
 
 
@@ -53,11 +62,8 @@
 ):
     """Guards against an address that ends the holder in each of its terms."""
     site = configured_site
-    await site.add_endpoint("e1", "engines")
     await site.add_endpoint("p1", "plain")
-    vm = await site.start_vm("vm-1")
-    await vm.await_ready()
-    await site.await_event("vm-1", "lease_taken")
+    vm = await start_holder(site)
     site.log.put("keyed.servers", "other", entry)
     await asyncio.sleep(REPORT_TIME_S)
     assert vm.process.returncode is None
@@ -77,10 +83,7 @@
     The holder tells the other VMs what an engine no longer holds.
     """
     site = configured_site
-    await site.add_endpoint("e1", "engines")
-    vm = await site.start_vm("vm-1")
-    await vm.await_ready()
-    await site.await_event("vm-1", "lease_taken")
+    vm = await start_holder(site)
     models = {
         "models": [{"name": "\ud800", "version": 1, "adapters": ["a1"]}],
         "adapters": [{"name": "m", "version": 1, "adapters": ["\ud800@1"]}],
@@ -153,11 +156,8 @@
     come, change and go.
     """
     site = configured_site
-    await site.add_endpoint("e1", "engines")
     await site.add_endpoint("p1", "plain")
-    vm = await site.start_vm("vm-1")
-    await vm.await_ready()
-    await site.await_event("vm-1", "lease_taken")
+    vm = await start_holder(site)
     generator = random.Random(seed)
     for number in range(ENTRIES):
         key = f"other-{generator.randrange(KEYS)}"
--- a/tests/entry/test_leaving_callers.py
+++ b/tests/entry/test_leaving_callers.py
@@ -46,13 +46,6 @@
             writer.write(rawhttp.make_answer(200, b"whole", echo))
 
 
-def make_small(document: dict) -> None:
-    """Let endpoints accept one connection, and requests wait for it."""
-    document["services"][0]["max_conns"] = 1
-    for route in document["routes"]:
-        route["timeout_ms"] = DEADLINE_MS
-
-
 async def send_and_leave(
     vm: sites.Vm, identity: str, leave_after_s: float | None
 ) -> float | None:
@@ -78,7 +71,7 @@
     was forgotten, and its request was sent later.
     """
     site = configured_site
-    site.configure(version=4, alter=make_small)
+    site.configure(version=4, alter=sites.make_full(DEADLINE_MS))
     arrivals = Arrivals()
     for number in range(ENDPOINTS):
         await site.add_endpoint(f"p{number}", "plain", arrivals.handle)
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -22,13 +22,7 @@
     """Deployment with a store, two engines and two plain endpoints."""
     site = sites.Site(tmp_path)
     await site.start_store()
-    for identity, service in (
-        ("e1", "engines"),
-        ("e2", "engines"),
-        ("p1", "plain"),
-        ("p2", "plain"),
-    ):
-        await site.add_endpoint(identity, service)
+    await site.add_endpoints()
     yield site
     await site.stop()
 
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -45,18 +45,13 @@
         writer.write(rawhttp.make_answer(200, b"whole", echo))
 
 
-def make_small(document: dict) -> None:
-    """Let endpoints accept one connection, and routes take long."""
-    document["services"][0]["max_conns"] = 1
-    for route in document["routes"]:
-        route["timeout_ms"] = 1000 * TIMEOUT_S
-
-
 @pytest.fixture
 async def endpoint(configured_site) -> Endpoint:
     """Only endpoint of its service, which takes one request at a time."""
     endpoint = Endpoint()
-    configured_site.configure(version=4, alter=make_small)
+    configured_site.configure(
+        version=4, alter=sites.make_full(1000 * TIMEOUT_S)
+    )
     await configured_site.add_endpoint("p1", "plain", endpoint.handle)
     return endpoint
 
--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -45,13 +45,7 @@
     site = sites.Site(tmp_path)
     await site.start_store()
     site.configure()
-    for identity, service in (
-        ("e1", "engines"),
-        ("e2", "engines"),
-        ("p1", "plain"),
-        ("p2", "plain"),
-    ):
-        await site.add_endpoint(identity, service)
+    await site.add_endpoints()
     soak = soaks.Soak(site, random.Random(SEED))
     for name in VMS:
         await soak.start(name)
