Log where knowledge of endpoints comes from and how old it is

The logs could not tell the hypotheses of the incident apart: not how a VM learnt that an endpoint leaves (own read, listing, answer, other VM), not whose read a send rested on and how old it was, not when a VM ceases to rely on hubs, lists a topic anew or ignores an older entry, and not of how many VMs the directory tells.

Change: these are fields of the events of endpoints, sends and requests, new events (entry_ignored, view_changed, fleet_changed, topic_listed), and gauges (view_age, members_age, directory_addresses). No decision changes.

--- a/src/bronzetrack/core/logevents.py
+++ b/src/bronzetrack/core/logevents.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 from typing import ClassVar
 from typing import TypeVar
 
@@ -79,8 +80,13 @@
 
 
 def round_time(seconds: float | None) -> float | None:
-    """Return a time in seconds, rounded to four decimals."""
-    return None if seconds is None else round(seconds, 4)
+    """Return a time in seconds, rounded to four decimals.
+
+    :returns: `None` for an infinite time, which JSON cannot express
+    """
+    if seconds is None or math.isinf(seconds):
+        return None
+    return round(seconds, 4)
 
 
 # Requests.
@@ -98,6 +104,8 @@
     :param placed_age_s: seconds since the lease holder reported the adapter
         as loaded there
     :param store_age_s: seconds since the last read of the store
+    :param view_age_s: age of this VM's knowledge of the endpoints
+    :param view_source: whether it rests on an own read or on a hub's
     :param send: number of the send, from 1
     :param waited_s: seconds from the arrival to this send
     :param holder: VM that is last known to hold the lease and give orders
@@ -109,6 +117,8 @@
     version: int | None
     placed_age_s: float | None
     store_age_s: float | None
+    view_age_s: float | None
+    view_source: str
     send: int
     waited_s: float | None
     holder: str
@@ -139,6 +149,9 @@
     :param waited_s: seconds from the arrival to the last send
     :param first_byte_s: seconds from the arrival to the first byte of the
         answer
+    :param view_age_s: age of this VM's knowledge of the endpoints at that
+        send
+    :param view_source: whether it rested on an own read or on a hub's
     """
 
     request_id: str
@@ -153,6 +166,8 @@
     waited_s: float | None
     first_byte_s: float | None
     total_s: float | None
+    view_age_s: float | None
+    view_source: str
 
 
 @register("connection_lost", "an endpoint broke off while it ran a request")
@@ -251,11 +266,21 @@
 
 @attrs.frozen
 class EndpointEvent(LogEvent):
-    """A change in the list of endpoints."""
+    """A change in the list of endpoints.
+
+    :param start_ms: Unix time of the endpoint's start, in milliseconds
+    :param announcement: number of its latest announcement that is known
+    :param source: how this VM learnt of the change
+    :param offset: offset of the entry that shows the change
+    """
 
     endpoint: str
     service: str
     address: str
+    start_ms: int
+    announcement: int
+    source: str
+    offset: int | None
 
 
 @register("endpoint_seen", "an endpoint is new or has restarted")
@@ -276,6 +301,41 @@
     """An endpoint that has stopped or whose entry has expired."""
 
 
+@register("entry_ignored", "an entry is older than what is known")
+@attrs.frozen
+class EntryIgnored(LogEvent):
+    """An entry of an endpoint that a later one precedes in the log.
+
+    :param start_ms: start of the endpoint that the entry is of
+    :param announcement: number of the announcement
+    :param known_start_ms: start that is known
+    :param known_announcement: number of the latest announcement of it
+    """
+
+    endpoint: str
+    start_ms: int
+    announcement: int
+    known_start_ms: int
+    known_announcement: int
+    source: str
+    offset: int | None
+
+
+@register("view_changed", "the entries of endpoints are followed another way")
+@attrs.frozen
+class ViewChanged(LogEvent):
+    """This VM begins or ceases to rely on hubs for news of endpoints.
+
+    :param source: whether it now relies on hubs or on own reads
+    :param hub_silence_s: seconds since a hub was heard
+    :param hub_view_age_s: seconds since a hub read the entries
+    """
+
+    source: str
+    hub_silence_s: float | None
+    hub_view_age_s: float | None
+
+
 @register("endpoint_failing", "an endpoint is failing; others are preferred")
 @attrs.frozen
 class EndpointFailing(LogEvent):
@@ -441,6 +501,22 @@
     away_s: float
 
 
+@register("topic_listed", "the newest record of each key was read")
+@attrs.frozen
+class TopicListed(LogEvent):
+    """A read of a whole topic, at the start or as records had expired.
+
+    :param records: number of keys
+    :param previous_offset: offset of the record that was expected next
+    :param next_offset: offset of the record that is read next
+    """
+
+    topic: str
+    records: int
+    previous_offset: int | None
+    next_offset: int
+
+
 @register("announce_failed", "this VM could not be announced", logging.WARNING)
 @attrs.frozen
 class AnnounceFailed(LogEvent):
@@ -462,6 +538,23 @@
     detail: str
 
 
+@register("fleet_changed", "other VMs fell silent or were heard again")
+@attrs.frozen
+class FleetChanged(LogEvent):
+    """A change of the VMs whose heartbeats or digests arrive.
+
+    :param alive: number of VMs that are heard
+    :param known: number of VMs that may be running
+    :param lost: number of VMs that fell silent
+    :param members_age_s: seconds since a hub told of the VMs it hears
+    """
+
+    alive: int
+    known: int
+    lost: int
+    members_age_s: float | None
+
+
 @register("datagram_rejected", "a datagram cannot be read", logging.WARNING)
 @attrs.frozen
 class DatagramRejected(LogEvent):
--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -8,7 +8,7 @@
 
 from bronzetrack.core import blackboard
 from bronzetrack.entry import budget
-from bronzetrack.entry import endpoints
+from bronzetrack.entry import endpoints as endpoint_tables
 from bronzetrack.entry import hubs
 from bronzetrack.entry import leases
 from bronzetrack.entry import loadstate
@@ -62,6 +62,7 @@
         its datagrams
     :param is_hub: whether other VMs send their heartbeats to this VM
     :param hub_heard_at: when the last digest of a hub arrived
+    :param members_heard_at: when a hub last told which VMs it hears
     :param operator_view_at: when a hub last read the operator topic
     :param endpoint_view_at: when a hub last read the entries of endpoints
     :param operator_offset: offset up to which hubs have read the operator
@@ -76,6 +77,7 @@
     holder_address: tuple[str, tuple[str, int]] = ("", ("", 0))
     is_hub: bool = False
     hub_heard_at: float = float("-inf")
+    members_heard_at: float = float("-inf")
     operator_view_at: float = float("-inf")
     endpoint_view_at: float = float("-inf")
     operator_offset: int = 0
@@ -136,9 +138,9 @@
     rules: blackboard.Section[Rules] = attrs.field(
         factory=lambda: blackboard.Section("rules", "configuration", Rules())
     )
-    endpoints: blackboard.Section[endpoints.EndpointTable] = attrs.field(
+    endpoints: blackboard.Section[endpoint_tables.EndpointTable] = attrs.field(
         factory=lambda: blackboard.Section(
-            "endpoints", "discovery", endpoints.EndpointTable()
+            "endpoints", "discovery", endpoint_tables.EndpointTable()
         )
     )
     traffic: blackboard.Section[traffic.TrafficTable] = attrs.field(
@@ -201,7 +203,7 @@
     placed: blackboard.Mailbox[messages.HoldingChange] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_CAPACITY)
     )
-    leaving: blackboard.Mailbox[messages.EndpointLeaves] = attrs.field(
+    leaving: blackboard.Mailbox[endpoint_tables.LeavingNotice] = attrs.field(
         factory=lambda: blackboard.Mailbox("leaving", MAILBOX_CAPACITY)
     )
     load_requests: blackboard.Mailbox[messages.LoadRequest] = attrs.field(
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -11,7 +11,9 @@
 from bronzetrack.core import logevents
 from bronzetrack.entry import endpoints
 from bronzetrack.entry import messages
+from bronzetrack.entry import meters
 from bronzetrack.entry import roles
+from bronzetrack.entry import views
 from bronzetrack.platform import documents
 from bronzetrack.platform import follower
 from bronzetrack.platform import names
@@ -40,6 +42,7 @@
 
     name = "discovery"
     _recovered_at = float("-inf")
+    _view_source = views.ViewSource.OWN
 
     async def run(self) -> None:
         """Apply entries and placements until cancelled."""
@@ -59,23 +62,30 @@
             self.write(self.board.store_read_at, now)
             if change.recovered:
                 self._recovered_at = now
-            if change.snapshot:
-                self._mark_missing_removed(
-                    {item.key for item in change.records}, now
-                )
-            changed = [
-                record.offset + 1
-                for record in change.records
-                if self._apply(record, now)
-            ]
-            table = self.board.endpoints.value
-            table.changed_offset = max([table.changed_offset, *changed])
+            self.board.endpoints.value.read_offset = entry_follower.next_offset
+            self._apply_change(change, now)
             self._expire(now)
             self._notify()
             await self._await_next_read(
                 entry_follower.next_offset, started_at, now
             )
 
+    def _apply_change(self, change: follower.Change, now: float) -> None:
+        """Apply the entries of one read."""
+        source = endpoints.Source.ENTRY
+        if change.snapshot:
+            source = endpoints.Source.LISTING
+            self._mark_missing_removed(
+                {item.key for item in change.records}, now
+            )
+        changed = [
+            record.offset + 1
+            for record in change.records
+            if self._apply(record, now, source)
+        ]
+        table = self.board.endpoints.value
+        table.changed_offset = max([table.changed_offset, *changed])
+
     async def _await_next_read(
         self, next_offset: int, started_at: float, read_at: float
     ) -> None:
@@ -87,6 +97,7 @@
             due = read_at + self._choose_interval(started_at, now)
             news_until = section.value.endpoint_news_until
             is_informed = now < news_until
+            self._log_view(is_informed, now)
             is_behind = section.value.endpoint_offset > next_offset
             if now >= due or is_behind and is_informed:
                 return
@@ -98,6 +109,20 @@
                 timeout_ms=math.ceil(1000 * (due - now)),
             )
 
+    def _log_view(self, is_informed: bool, now: float) -> None:
+        """Log whether this VM relies on hubs if that has changed."""
+        source = views.ViewSource.HUB if is_informed else views.ViewSource.OWN
+        if source is self._view_source:
+            return
+        self._view_source = source
+        membership = self.board.membership.value
+        event = logevents.ViewChanged(
+            source.value,
+            logevents.round_time(now - membership.hub_heard_at),
+            logevents.round_time(now - membership.endpoint_view_at),
+        )
+        logevents.log(LOG, event)
+
     def _choose_interval(self, started_at: float, now: float) -> float:
         """Return the time until the next read.
 
@@ -131,29 +156,36 @@
         mailbox = self.board.leaving
         while True:
             await mailbox.wait_items()
-            for message in mailbox.take():
-                self._apply_leaving(message)
+            for notice in mailbox.take():
+                self._apply_leaving(notice)
 
-    def _apply_leaving(self, message: messages.EndpointLeaves) -> None:
+    def _apply_leaving(self, notice: endpoints.LeavingNotice) -> None:
         """Stop using an endpoint until another start of it is announced."""
-        endpoint = self.board.endpoints.value.by_identity.get(message.identity)
-        if endpoint is None or endpoint.start != message.start:
+        endpoint = self.board.endpoints.value.by_identity.get(notice.identity)
+        if endpoint is None or endpoint.start != notice.start:
             return
         if not endpoint.has_said_leaving:
             endpoint.has_said_leaving = True
-            _log(logevents.EndpointLeaving, endpoint)
+            evidence = endpoints.Evidence(notice.source)
+            _log(logevents.EndpointLeaving, endpoint, evidence)
             self._notify()
 
     def _notify(self) -> None:
         self.write(self.board.endpoints, self.board.endpoints.value)
 
-    def _apply(self, record: stores.KeyedRecord, now: float) -> bool:
+    def _apply(
+        self,
+        record: stores.KeyedRecord,
+        now: float,
+        source: endpoints.Source = endpoints.Source.ENTRY,
+    ) -> bool:
         """Apply an entry.
 
         :returns: whether the endpoint came, left or changed its state
         """
+        evidence = endpoints.Evidence(source, record.offset)
         if record.value is None:
-            self._mark_removed(record.key, now)
+            self._mark_removed(record.key, now, evidence)
             return True
         try:
             announcement = documents.decode_announcement(
@@ -163,10 +195,13 @@
             event = logevents.EntryRejected(record.key, str(error))
             logevents.log(LOG, event)
             return False
-        return self._apply_announcement(announcement, now)
+        return self._apply_announcement(announcement, now, evidence)
 
     def _apply_announcement(
-        self, announcement: documents.Announcement, now: float
+        self,
+        announcement: documents.Announcement,
+        now: float,
+        evidence: endpoints.Evidence,
     ) -> bool:
         table = self.board.endpoints.value
         endpoint = table.by_identity.get(announcement.identity)
@@ -176,11 +211,13 @@
                 endpoint is not None
                 and announcement.started_ms < endpoint.started_ms
             ):
+                _log_ignored(endpoint, announcement, evidence)
                 return False
             endpoint = announcement.make_endpoint()
             table.add(endpoint)
-            _log(logevents.EndpointSeen, endpoint)
+            _log(logevents.EndpointSeen, endpoint, evidence)
         if announcement.announcement_count < endpoint.announcement_count:
+            _log_ignored(endpoint, announcement, evidence)
             return False
         state = _summarize(endpoint)
         endpoint.announcement_count = announcement.announcement_count
@@ -189,7 +226,7 @@
         endpoint.capacity = announcement.capacity
         if announcement.draining and endpoint.leaving_since is None:
             endpoint.leaving_since = now
-            _log(logevents.EndpointLeaving, endpoint)
+            _log(logevents.EndpointLeaving, endpoint, evidence)
         elif not announcement.draining:
             endpoint.leaving_since = None
         if announcement.stops_in_s is not None:
@@ -210,7 +247,9 @@
             )
             self.board.holder_notifiers.change(model_key)
 
-    def _mark_removed(self, identity: str, now: float) -> None:
+    def _mark_removed(
+        self, identity: str, now: float, evidence: endpoints.Evidence
+    ) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is None or endpoint.removed_at is not None:
             return
@@ -218,11 +257,12 @@
         endpoint.removed_at = (
             self._recovered_at + RECOVERY_S if returning else now
         )
-        _log(logevents.EndpointRemoved, endpoint)
+        _log(logevents.EndpointRemoved, endpoint, evidence)
 
     def _mark_missing_removed(self, present: set[str], now: float) -> None:
+        evidence = endpoints.Evidence(endpoints.Source.LISTING)
         for identity in set(self.board.endpoints.value.by_identity) - present:
-            self._mark_removed(identity, now)
+            self._mark_removed(identity, now, evidence)
 
     def _expire(self, now: float) -> None:
         table = self.board.endpoints.value
@@ -237,9 +277,39 @@
 
 
 def _log(
-    kind: type[logevents.EndpointEvent], endpoint: endpoints.Endpoint
+    kind: type[logevents.EndpointEvent],
+    endpoint: endpoints.Endpoint,
+    evidence: endpoints.Evidence,
 ) -> None:
-    event = kind(endpoint.identity, endpoint.service, endpoint.address)
+    """Log and count a change of an endpoint and how this VM learnt of it."""
+    source = evidence.source.value
+    meters.ENDPOINT_NEWS.labels(kind.event, source).inc()
+    event = kind(
+        endpoint=endpoint.identity,
+        service=endpoint.service,
+        address=endpoint.address,
+        start_ms=endpoint.started_ms,
+        announcement=endpoint.announcement_count,
+        source=source,
+        offset=evidence.offset,
+    )
+    logevents.log(LOG, event)
+
+
+def _log_ignored(
+    endpoint: endpoints.Endpoint,
+    announcement: documents.Announcement,
+    evidence: endpoints.Evidence,
+) -> None:
+    event = logevents.EntryIgnored(
+        endpoint=endpoint.identity,
+        start_ms=announcement.started_ms,
+        announcement=announcement.announcement_count,
+        known_start_ms=endpoint.started_ms,
+        known_announcement=endpoint.announcement_count,
+        source=evidence.source.value,
+        offset=evidence.offset,
+    )
     logevents.log(LOG, event)
 
 
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -13,6 +13,7 @@
 from bronzetrack.core import logevents
 from bronzetrack.entry import datagrams
 from bronzetrack.entry import digests
+from bronzetrack.entry import endpoints
 from bronzetrack.entry import hubs
 from bronzetrack.entry import leases
 from bronzetrack.entry import messages
@@ -178,7 +179,10 @@
             case messages.HoldingChange():
                 self.board.placed.post(message)
             case messages.EndpointLeaves():
-                self.board.leaving.post(message)
+                notice = endpoints.LeavingNotice(
+                    message.identity, message.start, endpoints.Source.PEER
+                )
+                self.board.leaving.post(notice)
 
     def _apply_heartbeat(
         self, heartbeat: messages.Heartbeat, addr: Any
@@ -268,7 +272,9 @@
             members = digests.decode_members(digest.members)
         except ValueError as error:
             raise messages.MessageError(f"invalid members: {error}") from error
-        table = self.board.membership.value.peer_table
+        membership = self.board.membership.value
+        membership.members_heard_at = now
+        table = membership.peer_table
         by_key = {peer.key: peer for peer in table.peers.values()}
         own_key = peer_tables.compute_key(self.board.settings.vm)
         if any(
@@ -335,11 +341,19 @@
 
     def _check_alive(self, now: float) -> None:
         """Notify others when VMs have fallen silent."""
-        table = self.board.membership.value.peer_table
-        alive = {peer.vm for peer in table.list_alive(now)}
-        if alive != self._alive:
-            self._alive = alive
-            self._notify()
+        membership = self.board.membership.value
+        alive = {peer.vm for peer in membership.peer_table.list_alive(now)}
+        if alive == self._alive:
+            return
+        event = logevents.FleetChanged(
+            len(alive),
+            membership.peer_table.count_vms(now) - 1,
+            len(self._alive - alive),
+            logevents.round_time(now - membership.members_heard_at),
+        )
+        logevents.log(LOG, event)
+        self._alive = alive
+        self._notify()
 
     async def _send_uses(self) -> None:
         """Report the adapters in use to the holder when they change."""
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 # Model and adapter that a request is for. The adapter is empty where the
@@ -12,6 +14,42 @@
 MAX_ANNOUNCEMENT_DELAY_S = 3.0
 
 
+class Source(enum.Enum):
+    """How this VM learnt something about an endpoint.
+
+    LISTING is a read of the newest entries of all endpoints, ENTRY one of the
+    entries that followed, ANSWER an answer of the endpoint to this VM.
+    """
+
+    ENTRY = "entry"
+    LISTING = "listing"
+    ANSWER = "answer"
+    PEER = "peer"
+
+
+@attrs.frozen
+class Evidence:
+    """Where a statement about an endpoint comes from.
+
+    :param offset: offset of the record in the store, `None` without one
+    """
+
+    source: Source
+    offset: int | None = None
+
+
+@attrs.frozen
+class LeavingNotice:
+    """Statement that a start of an endpoint leaves, not from its entry.
+
+    :param start: id of the endpoint's start
+    """
+
+    identity: str
+    start: str
+    source: Source
+
+
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint with its last announcement and later placements.
@@ -123,12 +161,14 @@
 class EndpointTable:
     """All known endpoints by id and by service.
 
+    :param read_offset: offset of the next entry that this VM reads
     :param changed_offset: offset after the last record by which an endpoint
         came, left or changed its state
     """
 
     by_identity: dict[str, Endpoint] = attrs.field(factory=dict)
     by_service: dict[str, list[Endpoint]] = attrs.field(factory=dict)
+    read_offset: int = 0
     changed_offset: int = 0
 
     def add(self, endpoint: Endpoint) -> None:
--- a/src/bronzetrack/entry/meters.py
+++ b/src/bronzetrack/entry/meters.py
@@ -9,6 +9,9 @@
 from prometheus_client import core as prometheus_core
 from prometheus_client import registry as prometheus_registry
 
+from bronzetrack.entry import peers
+from bronzetrack.entry import views
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -54,6 +57,12 @@
     ["call", "status"],
     registry=REGISTRY,
 )
+ENDPOINT_NEWS = prometheus_client.Counter(
+    "bronzetrack_entry_endpoint_news",
+    "Changes of endpoints, by event and by how this VM learnt of them.",
+    ["event", "source"],
+    registry=REGISTRY,
+)
 WAITED = prometheus_client.Histogram(
     "bronzetrack_entry_waited_seconds",
     "Time from the arrival of a request to its last send.",
@@ -101,6 +110,21 @@
                 "Other VMs that were heard lately.",
                 len(board.membership.value.peer_table.list_alive(now)),
             ),
+            "members_age_seconds": (
+                "Time since a hub told which VMs it hears.",
+                now - board.membership.value.members_heard_at,
+            ),
+            "directory_addresses": (
+                "VMs that callers are told of.",
+                len(
+                    peers.list_caller_addresses(
+                        board.membership.value.peer_table,
+                        now,
+                        board.settings.front,
+                        board.lifecycle.value.ready,
+                    )
+                ),
+            ),
             "endpoints_usable": (
                 "Endpoints that new work may be sent to.",
                 sum(
@@ -126,6 +150,10 @@
                 "Time since the store was last read.",
                 now - board.store_read_at.value,
             ),
+            "view_age_seconds": (
+                "Age of the knowledge of endpoints, from own reads or hubs.",
+                views.measure_view(board, now).age_s,
+            ),
             "configuration_version": (
                 "Version of the configuration in force, 0 for none.",
                 configuration.version if configuration else 0,
--- a/src/bronzetrack/entry/progress.py
+++ b/src/bronzetrack/entry/progress.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bronzetrack.entry import events
+from bronzetrack.entry import views
 
 if TYPE_CHECKING:
     from bronzetrack.transport import connections
@@ -25,6 +26,7 @@
     :param endpoint: id of the endpoint that the request was last sent to
     :param buffer: buffer of incomplete events where the stream may be resumed
     :param waited_s: seconds from the arrival to the last send
+    :param view: what was known of the endpoints at the last send
     :param first_byte_s: seconds from the arrival to the answer's first byte
     :param load_requested_at: when a load was last requested for the request
     :param failover_until: until when the request waits for an engine at which
@@ -43,6 +45,7 @@
     endpoint: str = ""
     buffer: events.EventBuffer | None = None
     waited_s: float | None = None
+    view: views.View | None = None
     first_byte_s: float | None = None
     load_requested_at: float = 0.0
     failover_until: float = 0.0
--- a/src/bronzetrack/entry/requestlog.py
+++ b/src/bronzetrack/entry/requestlog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
 from typing import TYPE_CHECKING
 
 from bronzetrack.core import logevents
@@ -51,6 +52,7 @@
             else now - placement_reported_at
         ),
         store_age_s=logevents.round_time(now - board.store_read_at.value),
+        **_describe_view(progress),
         send=progress.sends,
         waited_s=logevents.round_time(progress.waited_s),
         holder=board.lease.value.holder,
@@ -145,10 +147,20 @@
         waited_s=logevents.round_time(progress.waited_s),
         first_byte_s=logevents.round_time(progress.first_byte_s),
         total_s=logevents.round_time(total_s),
+        **_describe_view(progress),
     )
     logevents.log(LOG, event)
 
 
+def _describe_view(progress: progresses.Progress) -> dict[str, Any]:
+    """Return the fields of log events about the last send's view."""
+    view = progress.view
+    return {
+        "view_age_s": logevents.round_time(view.age_s if view else None),
+        "view_source": view.source.value if view else "",
+    }
+
+
 def _update_metrics(
     progress: progresses.Progress,
     failure: failures.Failure | None,
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -13,6 +13,7 @@
 from bronzetrack.entry import relays
 from bronzetrack.entry import requestlog
 from bronzetrack.entry import requests
+from bronzetrack.entry import views
 from bronzetrack.platform import requests as wire_requests
 from bronzetrack.transport import connections
 from bronzetrack.transport import server
@@ -121,6 +122,7 @@
         progress.sends += 1
         progress.possible_runs += 1
         progress.endpoint = endpoint.identity
+        progress.view = views.measure_view(self.board, sent_at)
         progress.used_connections.append(connection)
         requestlog.log_send(self.board, request, progress, endpoint, sent_at)
         connection.send(
@@ -145,8 +147,11 @@
         """Tell this VM and the others that an endpoint leaves."""
         if endpoint.has_said_leaving:
             return
+        notice = endpoints.LeavingNotice(
+            endpoint.identity, endpoint.start, endpoints.Source.ANSWER
+        )
+        self.board.leaving.post(notice)
         message = messages.EndpointLeaves(endpoint.identity, endpoint.start)
-        self.board.leaving.post(message)
         self.board.outgoing.post(message)
 
     def _get_version(
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -48,6 +48,7 @@
         self._wait_s = wait_s
         self._read_clock = read_clock
         self._next_offset: int | None = None
+        self._expired_offset: int | None = None
         self._failing_since: float | None = None
 
     @property
@@ -71,6 +72,7 @@
                     self._wait_s if wait_s is None else wait_s
                 )
             except stores.RecordsExpiredError:
+                self._expired_offset = self._next_offset
                 self._next_offset = None
             except stores.StoreError as error:
                 self._record_failure(error)
@@ -86,6 +88,13 @@
             newest, self._next_offset = await self._store.read_newest(
                 self._topic
             )
+            event = logevents.TopicListed(
+                self._topic,
+                len(newest),
+                self._expired_offset,
+                self._next_offset,
+            )
+            logevents.log(LOG, event)
             return Change(newest, True, recovered)
         batch = await self._store.read(
             self._topic, self._next_offset, 0.0 if recovered else wait_s
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -9,8 +9,10 @@
 import pytest
 
 from bronzetrack.entry import board as boards
+from bronzetrack.entry import endpoints
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
+from bronzetrack.platform import follower
 from bronzetrack.platform import store as stores
 from standins import wireengine
 
@@ -124,12 +126,13 @@
     assert scope.cancelled_caught
 
 
-def make_entry(offset, state):
+def make_entry(offset, state, **fields):
     """Return the record of an endpoint's entry."""
     entry = wireengine.WireEngine("e1", "s").describe(
         "127.0.0.1:1", state=state
     )
-    return stores.KeyedRecord("e1", json.dumps(entry).encode(), offset)
+    value = json.dumps(entry | fields).encode()
+    return stores.KeyedRecord("e1", value, offset)
 
 
 def test_only_changes_of_state_are_told_to_other_vms(discovery, now):
@@ -139,3 +142,46 @@
     assert discovery._apply(make_entry(3, "draining"), now)
     assert not discovery._apply(make_entry(4, "draining"), now)
     assert discovery._apply(stores.KeyedRecord("e1", None, 5), now)
+
+
+def read_events(caplog):
+    """Return the name, source and offset of each logged event."""
+    return [
+        (item.event, item.source, item.offset)
+        for item in caplog.records
+        if hasattr(item, "offset")
+    ]
+
+
+def test_log_says_how_a_change_of_an_endpoint_was_learnt(
+    discovery, now, caplog
+):
+    """Guards against logs from which a late notice cannot be explained."""
+    caplog.set_level("INFO")
+    listed = follower.Change([make_entry(5, "ready", sequence=3)], True, False)
+    discovery._apply_change(listed, now)
+    discovery._apply(make_entry(6, "ready", sequence=2), now)
+    start = discovery.board.endpoints.value.by_identity["e1"].start
+    discovery._apply_leaving(
+        endpoints.LeavingNotice("e1", start, endpoints.Source.PEER)
+    )
+    discovery._apply(stores.KeyedRecord("e1", None, 7), now)
+    assert read_events(caplog) == [
+        ("endpoint_seen", "listing", 5),
+        ("entry_ignored", "entry", 6),
+        ("endpoint_leaving", "peer", None),
+        ("endpoint_removed", "entry", 7),
+    ]
+
+
+@pytest.mark.anyio
+async def test_log_says_when_a_vm_ceases_to_rely_on_hubs(
+    discovery, informed, now, caplog
+):
+    """Guards against logs that hide from whom news was expected."""
+    caplog.set_level("INFO")
+    discovery._log_view(True, now)
+    discovery._log_view(True, now)
+    discovery._log_view(False, now)
+    events = [item for item in caplog.records if hasattr(item, "source")]
+    assert [item.source for item in events] == ["hub", "own"]
