Show that callers gather at hubs whose digests are lost in bursts

A hub sends both digests to all VMs in one burst, and a link of 5 Mbit/s loses the end of it, always for the same VMs.

--- a/tests/entry/controllers/test_fleet.py
+++ b/tests/entry/controllers/test_fleet.py
@@ -25,6 +25,11 @@
 DATAGRAMS_PER_S = 40
 # Bytes that such a VM may receive in a second.
 BYTES_PER_S = 4 * 1024
+# Bytes of the headers of a datagram on a link.
+HEADER_BYTES = 42
+# Bandwidth of the narrowest links, and the time for which they queue packets.
+LINK_BYTES_PER_S = 625_000
+LINK_QUEUE_S = 0.05
 
 
 @attrs.define
@@ -45,11 +50,38 @@
                 self.send(data, peer.address)
 
 
+@attrs.define
+class Link:
+    """Network link of a VM, which loses what its queue has no room for.
+
+    :param bytes_per_s: bandwidth
+    :param queue_bytes: size of the queue
+    :param waiting_bytes: bytes in the queue at the time `updated_at`
+    """
+
+    bytes_per_s: float
+    queue_bytes: float
+    waiting_bytes: float = 0.0
+    updated_at: float = 0.0
+
+    def accept(self, data: bytes, now: float) -> bool:
+        """Queue a datagram and return whether there is room for it."""
+        sent = (now - self.updated_at) * self.bytes_per_s
+        self.waiting_bytes = max(0.0, self.waiting_bytes - sent)
+        self.updated_at = now
+        size = len(data) + HEADER_BYTES
+        if self.waiting_bytes + size > self.queue_bytes:
+            return False
+        self.waiting_bytes += size
+        return True
+
+
 @attrs.define
 class Fleet:
     """Membership controllers of many VMs; the host of a VM is its name.
 
     :param passes: whether a datagram from one VM to another arrives
+    :param links: links of the VMs, which have no limit without one
     :param sent: datagrams and bytes that each VM has sent
     :param received: datagrams and bytes that each VM has received
     """
@@ -59,6 +91,7 @@
     vms: dict[str, roles.Controller] = attrs.field(factory=dict)
     queue: list[tuple[str, str, bytes]] = attrs.field(factory=list)
     passes: Callable[[str, str], bool] = lambda sender, recipient: True
+    links: dict[str, Link] = attrs.field(factory=dict)
     sent: dict[str, list[int]] = attrs.field(factory=dict)
     received: dict[str, list[int]] = attrs.field(factory=dict)
 
@@ -109,6 +142,9 @@
         queued, self.queue = self.queue, []
         for sender, recipient, data in queued:
             self._count(self.sent, sender, data)
+            link = self.links.get(sender)
+            if link is not None and not link.accept(data, self.now):
+                continue
             if recipient in self.vms and self.passes(sender, recipient):
                 self._count(self.received, recipient, data)
                 self.vms[recipient].receive(data, (sender, 3))
@@ -170,6 +206,40 @@
     assert max(sizes) < BYTES_PER_S * seconds
 
 
+def list_callers_choices(fleet: Fleet) -> list[int]:
+    """Return of how many VMs each VM tells callers."""
+    return [
+        len(
+            peers.list_caller_addresses(
+                item.board.membership.value.peer_table, fleet.now, name, True
+            )
+        )
+        for name, item in fleet.vms.items()
+    ]
+
+
+@pytest.mark.parametrize("count", [73, 195])
+def test_digests_lost_in_bursts_leave_callers_with_the_hubs(
+    make_fleet, make_endpoint, count
+):
+    """Guards against hubs that serve the callers of all VMs."""
+    fleet = make_fleet(count)
+    for name, controller in fleet.vms.items():
+        fleet.links[name] = Link(
+            LINK_BYTES_PER_S, LINK_BYTES_PER_S * LINK_QUEUE_S
+        )
+        for number in range(30):
+            endpoint = make_endpoint(f"i-{number:010}")
+            controller.board.endpoints.value.add(endpoint)
+            traffic = controller.board.traffic.value
+            traffic.get_or_create(endpoint.identity).start(None)
+    fleet.run(3)
+    for _ in range(20):
+        fleet.run(TICK_S)
+        choices = list_callers_choices(fleet)
+        assert min(choices) == peers.MAX_CALLER_ADDRESSES
+
+
 def test_loss_of_half_of_the_fleet_is_known_soon(make_fleet):
     """Guards against callers that are sent to VMs that are gone.
 
