Spread the digests of a hub over their interval

Cause: hubs sent the digests for all VMs in one burst. A link loses what its queue has no room for, so that the VMs at the end of the burst never got a member digest. They took all VMs but the hubs for lost and told callers of four VMs. Callers close connections to VMs that an answer lacks, and so gathered at the hubs.

Change: each VM has a time of its own within the interval of the digests, by a hash of both names, and a hub sends what is due each 50 ms.

Ruled out: late member digests (the VMs without any had heard all load digests).

--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -73,6 +73,7 @@
             group.start_soon(self._announce)
             group.start_soon(self._follow)
             group.start_soon(self._send_reports)
+            group.start_soon(self._send_digests)
             group.start_soon(self._send_outgoing)
             group.start_soon(self._send_uses)
 
@@ -298,19 +299,28 @@
     # Reports to other VMs.
 
     async def _send_reports(self) -> None:
-        # Hubs that start together send their digests at different times.
-        first_tick = peer_tables.compute_key(self.board.settings.vm)
-        for tick in itertools.count(first_tick):
+        for tick in itertools.count():
             now = self.read_clock()
             self._reporter.send_heartbeats(now)
-            if tick % hubs.LOAD_DIGEST_TICKS == 0:
-                self._reporter.send_load_digests(now)
-            if tick % hubs.MEMBER_DIGEST_TICKS == 0:
-                self._reporter.send_member_digests(now)
+            self._reporter.update_totals(now)
+            if tick % hubs.SILENT_TICKS == 0:
+                self._reporter.send_to_silent(now)
             self._reporter.send_changed_members(now)
             self._check_alive(now)
             await self._await_tick(now + hubs.HEARTBEAT_INTERVAL_S)
 
+    async def _send_digests(self) -> None:
+        """Send digests while this VM is a hub."""
+        sent_at = self.read_clock()
+        while True:
+            is_hub = self.board.membership.value.is_hub
+            await anyio.sleep(
+                hubs.DIGEST_SLOT_S if is_hub else hubs.HEARTBEAT_INTERVAL_S
+            )
+            now = self.read_clock()
+            self._reporter.send_digests(sent_at, now)
+            sent_at = now
+
     async def _await_tick(self, due: float) -> None:
         """Wait until the next tick and report changes of the lease at once.
 
@@ -337,7 +347,7 @@
             if self.board.settings.vm in (sent[0], lease.holder):
                 self._reporter.send_heartbeats(now)
             sent = (lease.holder, lease.released)
-            self._reporter.send_load_digests(now)
+            self._reporter.send_lease(now)
 
     def _check_alive(self, now: float) -> None:
         """Notify others when VMs have fallen silent."""
--- a/src/bronzetrack/entry/hubs.py
+++ b/src/bronzetrack/entry/hubs.py
@@ -7,16 +7,23 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from bronzetrack.entry import peers
 
 # Time between two heartbeats to the hubs.
 HEARTBEAT_INTERVAL_S = 0.3
-# A hub sends a load digest with each of this many heartbeats, a member digest
-# with each of that many, and digests to silent VMs with the latter.
-LOAD_DIGEST_TICKS = 2
-MEMBER_DIGEST_TICKS = 4
+# Time between two load digests, and two member digests, of a hub to one VM.
+LOAD_DIGEST_INTERVAL_S = 0.6
+MEMBER_DIGEST_INTERVAL_S = 1.2
+# A hub sends the digests that have become due at this interval. Those to all
+# VMs at once would exceed the queue of a narrow link.
+DIGEST_SLOT_S = 0.05
+# A hub looks for silent VMs with each of this many heartbeats.
+SILENT_TICKS = 4
+# Number of different times within an interval at which VMs get digests.
+DIGEST_PHASES = 1_009
 # Number of hubs that a VM sends heartbeats to.
 HUBS = 3
 # A VM that was announced, but never heard, may become a hub for this time.
@@ -102,6 +109,37 @@
     ]
 
 
+def list_due(
+    subscribers: list[peers.Peer],
+    own_vm: str,
+    interval_s: float,
+    since: float,
+    now: float,
+) -> list[peers.Peer]:
+    """Return the VMs that get a digest in a part of the interval.
+
+    Load pattern: a hub has digests for hundreds of VMs, and a link that loses
+    the end of a burst. Each VM has a time of its own in the interval, which
+    differs from hub to hub.
+
+    :param own_vm: name of this VM
+    :param interval_s: time between two digests to the same VM
+    :param since: end of the previous part, which began at most an interval
+        ago
+    """
+    own_key = peers.compute_key(own_vm)
+
+    def count_intervals(peer: peers.Peer, at: float) -> int:
+        phase = (peer.key ^ own_key) % DIGEST_PHASES / DIGEST_PHASES
+        return math.floor(at / interval_s - phase)
+
+    return [
+        peer
+        for peer in subscribers
+        if count_intervals(peer, now) > count_intervals(peer, since)
+    ]
+
+
 def list_silent_subscribers(
     peer_table: peers.PeerTable, now: float
 ) -> list[peers.Peer]:
--- a/src/bronzetrack/entry/reporting.py
+++ b/src/bronzetrack/entry/reporting.py
@@ -34,6 +34,7 @@
         self.changed: set[str] = set()
         self._board = board
         self._started_at = started_at
+        self._own_totals: dict[str, int] = {}
         self._generator = random.Random(board.incarnation)
 
     def send_heartbeats(self, now: float) -> None:
@@ -50,30 +51,58 @@
         for peer in recipients:
             self.sender.send(data, peer.address)
 
-    def send_load_digests(self, now: float) -> None:
-        """Send the lease and the load to the VMs that send heartbeats."""
+    def update_totals(self, now: float) -> None:
+        """Add up the requests in progress while other VMs report to this."""
         membership = self._board.membership.value
         subscribers = hubs.list_subscribers(membership.peer_table, now)
         membership.is_hub = bool(subscribers)
         if not subscribers:
             return
         own = self.count_active()
-        totals = digests.sum_active(subscribers, own)
-        self.totals.record(self._board.settings.vm, totals, now)
+        self._own_totals = digests.sum_active(subscribers, own)
+        self.totals.record(self._board.settings.vm, self._own_totals, now)
         membership.active = self.totals.merge(own, now)
-        digest = self._make_load_digest(totals, now)
-        self.sender.broadcast([digest], subscribers)
 
-    def send_member_digests(self, now: float) -> None:
-        """Send the VMs that are alive to those that send heartbeats."""
+    def send_digests(self, since: float, now: float) -> None:
+        """Send the digests that became due to VMs that send heartbeats.
+
+        :param since: time of the previous call
+        """
+        own_vm = self._board.settings.vm
+        table = self._board.membership.value.peer_table
+        subscribers = hubs.list_subscribers(table, now)
+        due = hubs.list_due(
+            subscribers, own_vm, hubs.LOAD_DIGEST_INTERVAL_S, since, now
+        )
+        self._send_load(due, now)
+        due = hubs.list_due(
+            subscribers, own_vm, hubs.MEMBER_DIGEST_INTERVAL_S, since, now
+        )
+        if due:
+            self._send_members(table.list_alive(now), due, now)
+
+    def send_lease(self, now: float) -> None:
+        """Send the lease to all VMs that send heartbeats."""
         table = self._board.membership.value.peer_table
+        self._send_load(hubs.list_subscribers(table, now), now)
+
+    def _send_load(
+        self, recipients: list[peer_tables.Peer], now: float
+    ) -> None:
+        if recipients:
+            digest = self._make_load_digest(self._own_totals, now)
+            self.sender.broadcast([digest], recipients)
+
+    def send_to_silent(self, now: float) -> None:
+        """Send digests to VMs that fell silent, and look for lost ones."""
+        membership = self._board.membership.value
+        table = membership.peer_table
         silent = hubs.list_silent_subscribers(table, now)
         if silent:
             digest = self._make_load_digest({}, now)
             self.sender.broadcast([digest], silent)
-        self._broadcast_members(table.list_alive(now), now)
         lost = hubs.choose_silent(table, now, self._generator)
-        if lost is not None and self._board.membership.value.is_hub:
+        if lost is not None and membership.is_hub:
             heartbeat = messages.encode(self._make_heartbeat())
             self.sender.send(heartbeat, lost.address)
 
@@ -82,20 +111,23 @@
         if not self.changed:
             return
         table = self._board.membership.value.peer_table
-        self._broadcast_members(
+        self._send_members(
             [
                 peer
                 for peer in table.list_alive(now)
                 if peer.vm in self.changed
             ],
+            hubs.list_subscribers(table, now),
             now,
         )
         self.changed.clear()
 
-    def _broadcast_members(
-        self, members: list[peer_tables.Peer], now: float
+    def _send_members(
+        self,
+        members: list[peer_tables.Peer],
+        recipients: list[peer_tables.Peer],
+        now: float,
     ) -> None:
-        table = self._board.membership.value.peer_table
         encoded = [
             messages.MemberDigest(
                 self._board.settings.vm,
@@ -103,7 +135,7 @@
             )
             for part in _split(members, digests.MEMBERS_PER_DATAGRAM)
         ]
-        self.sender.broadcast(encoded, hubs.list_subscribers(table, now))
+        self.sender.broadcast(encoded, recipients)
 
     def count_active(self) -> dict[str, int]:
         """Return the requests in progress of this VM by endpoint."""
--- a/tests/entry/controllers/test_fleet.py
+++ b/tests/entry/controllers/test_fleet.py
@@ -6,6 +6,7 @@
 import itertools
 
 import attrs
+from entry import links
 from entry import sites
 import pytest
 
@@ -19,17 +20,14 @@
 from bronzetrack.platform import store as stores
 
 TICK_S = hubs.HEARTBEAT_INTERVAL_S
+SLOT_S = hubs.DIGEST_SLOT_S
+SLOTS = round(TICK_S / SLOT_S)
 # Time within which every VM knows of a change.
 SPREAD_S = 2.0
 # Datagrams that a VM which is no hub may send or receive, in a second.
 DATAGRAMS_PER_S = 40
 # Bytes that such a VM may receive in a second.
 BYTES_PER_S = 4 * 1024
-# Bytes of the headers of a datagram on a link.
-HEADER_BYTES = 42
-# Bandwidth of the narrowest links, and the time for which they queue packets.
-LINK_BYTES_PER_S = 625_000
-LINK_QUEUE_S = 0.05
 
 
 @attrs.define
@@ -50,32 +48,6 @@
                 self.send(data, peer.address)
 
 
-@attrs.define
-class Link:
-    """Network link of a VM, which loses what its queue has no room for.
-
-    :param bytes_per_s: bandwidth
-    :param queue_bytes: size of the queue
-    :param waiting_bytes: bytes in the queue at the time `updated_at`
-    """
-
-    bytes_per_s: float
-    queue_bytes: float
-    waiting_bytes: float = 0.0
-    updated_at: float = 0.0
-
-    def accept(self, data: bytes, now: float) -> bool:
-        """Queue a datagram and return whether there is room for it."""
-        sent = (now - self.updated_at) * self.bytes_per_s
-        self.waiting_bytes = max(0.0, self.waiting_bytes - sent)
-        self.updated_at = now
-        size = len(data) + HEADER_BYTES
-        if self.waiting_bytes + size > self.queue_bytes:
-            return False
-        self.waiting_bytes += size
-        return True
-
-
 @attrs.define
 class Fleet:
     """Membership controllers of many VMs; the host of a VM is its name.
@@ -91,7 +63,7 @@
     vms: dict[str, roles.Controller] = attrs.field(factory=dict)
     queue: list[tuple[str, str, bytes]] = attrs.field(factory=list)
     passes: Callable[[str, str], bool] = lambda sender, recipient: True
-    links: dict[str, Link] = attrs.field(factory=dict)
+    links: dict[str, links.Link] = attrs.field(factory=dict)
     sent: dict[str, list[int]] = attrs.field(factory=dict)
     received: dict[str, list[int]] = attrs.field(factory=dict)
 
@@ -117,19 +89,27 @@
     def run(self, seconds: float) -> None:
         """Let time pass."""
         for _ in range(round(seconds / TICK_S)):
-            self.now += TICK_S
             self.tick += 1
-            for name, controller in self.vms.items():
-                tick = self.tick + peers.compute_key(name)
-                controller._reporter.send_heartbeats(self.now)
-                if tick % hubs.LOAD_DIGEST_TICKS == 0:
-                    controller._reporter.send_load_digests(self.now)
-                if tick % hubs.MEMBER_DIGEST_TICKS == 0:
-                    controller._reporter.send_member_digests(self.now)
-                controller._reporter.send_changed_members(self.now)
-                controller._check_alive(self.now)
-                self._apply_lease_report(controller.board)
+            for controller in self.vms.values():
+                self._run_tick(controller)
             self._deliver()
+            for _ in range(SLOTS):
+                self.now += SLOT_S
+                for controller in self.vms.values():
+                    controller._reporter.send_digests(
+                        self.now - SLOT_S, self.now
+                    )
+                self._deliver()
+
+    def _run_tick(self, controller: roles.Controller) -> None:
+        """Let a VM do what it does at each heartbeat."""
+        controller._reporter.send_heartbeats(self.now)
+        controller._reporter.update_totals(self.now)
+        if self.tick % hubs.SILENT_TICKS == 0:
+            controller._reporter.send_to_silent(self.now)
+        controller._reporter.send_changed_members(self.now)
+        controller._check_alive(self.now)
+        self._apply_lease_report(controller.board)
 
     def _apply_lease_report(self, board: boards.Blackboard) -> None:
         """Apply reports of the lease as the leadership controller does."""
@@ -225,9 +205,7 @@
     """Guards against hubs that serve the callers of all VMs."""
     fleet = make_fleet(count)
     for name, controller in fleet.vms.items():
-        fleet.links[name] = Link(
-            LINK_BYTES_PER_S, LINK_BYTES_PER_S * LINK_QUEUE_S
-        )
+        fleet.links[name] = links.Link()
         for number in range(30):
             endpoint = make_endpoint(f"i-{number:010}")
             controller.board.endpoints.value.add(endpoint)
