Send news to all VMs in parts that a narrow link can take

Messages for all VMs (an endpoint's answer says that it leaves, adapters placed, crashes) went to each VM in one burst.

Cause: 41 messages to 72 VMs exceed the queue of a link of 5 Mbit/s; 24 of 72 VMs got all that was sent, the others nothing.

Change: messages are sent in parts of 8 KiB, at 250 kB and 2,000 datagrams a second at the most; what comes meanwhile goes with the next round. The first message no longer waits.

Evidence: test_news_lost_in_a_burst_does_not_reach_all_vms failed before (24 of 72 VMs) and passes; tests/entry passes.

--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -11,6 +11,7 @@
 
 from bronzetrack.core import blackboard
 from bronzetrack.core import logevents
+from bronzetrack.entry import board as boards
 from bronzetrack.entry import datagrams
 from bronzetrack.entry import digests
 from bronzetrack.entry import endpoints
@@ -41,9 +42,6 @@
 MAX_READ_PAUSE_S = 20.0
 # Delay after a failed announcement.
 RETRY_S = 0.5
-# Messages to all VMs are gathered so that a VM sends no more than this many
-# datagrams a second for them.
-BROADCASTS_PER_S = 2_000
 
 
 @roles.CONTROLLERS.register("membership")
@@ -58,6 +56,10 @@
         self._reporter = reporting.Reporter(self.board, self.read_clock())
         self._alive: set[str] = set()
         self._strangers = notifiers.Notifier()
+        # Messages for all VMs that are still to be sent.
+        self._news: blackboard.Mailbox[Any] = blackboard.Mailbox(
+            "news", boards.MAILBOX_CAPACITY
+        )
 
     async def run(self) -> None:
         """Listen for datagrams, announce this VM and send reports."""
@@ -75,6 +77,7 @@
             group.start_soon(self._send_reports)
             group.start_soon(self._send_digests)
             group.start_soon(self._send_outgoing)
+            group.start_soon(self._send_news)
             group.start_soon(self._send_uses)
 
     # Announcements in the store.
@@ -399,22 +402,21 @@
 
     async def _send_outgoing(self) -> None:
         mailbox = self.board.outgoing
-        gathered: list[Any] = []
-        due: float | None = None
         while True:
-            now = self.read_clock()
-            if due is not None and now >= due:
-                table = self.board.membership.value.peer_table
-                self._sender.broadcast(gathered, table.list_alive(now))
-                gathered, due = [], None
-            wait_s = None if due is None else max(0.0, due - now)
-            await blackboard.wait_any(
-                mailbox.is_not_empty(),
-                timeout_ms=None if wait_s is None else int(1000 * wait_s) + 1,
+            await mailbox.wait_items()
+            for message in filter(
+                None, map(self._send_directly, mailbox.take())
+            ):
+                self._news.post(message)
+
+    async def _send_news(self) -> None:
+        """Send messages to all VMs; what comes meanwhile is gathered."""
+        while True:
+            await self._news.wait_items()
+            table = self.board.membership.value.peer_table
+            await self._sender.spread(
+                self._news.take(), table.list_alive(self.read_clock())
             )
-            gathered += filter(None, map(self._send_directly, mailbox.take()))
-            if gathered and due is None:
-                due = self.read_clock() + len(self._alive) / BROADCASTS_PER_S
 
     def _send_directly(self, message: Any) -> Any:
         """Send a message that has one recipient.
--- a/src/bronzetrack/entry/datagrams.py
+++ b/src/bronzetrack/entry/datagrams.py
@@ -15,6 +15,13 @@
     from bronzetrack.entry import peers
 
 Address = tuple[str, int]
+# Messages to all VMs are sent in parts of about this size. A narrow link has
+# no room in its queue for all of them at once.
+PART_BYTES = 8_192
+# Rates at which parts follow each other. The first leaves the narrowest links
+# more than half of their bandwidth.
+SPREAD_BYTES_PER_S = 250_000
+SPREAD_DATAGRAMS_PER_S = 2_000
 
 
 class DatagramProtocol(asyncio.DatagramProtocol):
@@ -71,6 +78,31 @@
     ) -> None:
         """Send messages to VMs in as few datagrams as possible."""
         datagrams = list(messages.bundle(map(messages.encode, items)))
+        self._send_to_each(datagrams, recipients)
+
+    async def spread(
+        self, items: Iterable[Any], recipients: list[peers.Peer]
+    ) -> None:
+        """Send messages to many VMs in parts that a narrow link can take.
+
+        Load pattern: the lease holder places adapters for all VMs while an
+        endpoint says that it leaves. The end of a burst to hundreds of VMs
+        would be lost.
+        """
+        datagrams = list(messages.bundle(map(messages.encode, items)))
+        size = sum(map(len, datagrams))
+        count = max(1, PART_BYTES // max(1, size))
+        pause_s = max(
+            size / SPREAD_BYTES_PER_S, len(datagrams) / SPREAD_DATAGRAMS_PER_S
+        )
+        for start in range(0, len(recipients), count):
+            part = recipients[start : start + count]
+            self._send_to_each(datagrams, part)
+            await asyncio.sleep(len(part) * pause_s)
+
+    def _send_to_each(
+        self, datagrams: list[bytes], recipients: Iterable[peers.Peer]
+    ) -> None:
         for peer in recipients:
             for data in datagrams:
                 self.send(data, peer.address)
--- a/tests/entry/controllers/test_membership.py
+++ b/tests/entry/controllers/test_membership.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import time
+import types
+
+import anyio
+from entry import links
 import hypothesis
 from hypothesis import strategies
 import msgpack
 import pytest
 
+from bronzetrack.entry import datagrams
 from bronzetrack.entry import digests
 from bronzetrack.entry import hubs
 from bronzetrack.entry import messages
+from bronzetrack.entry import peers
 from bronzetrack.entry import roles
 from bronzetrack.platform import store as stores
 
@@ -87,3 +94,42 @@
     membership._apply(stores.KeyedRecord("vm-2", value, 0))
     peer = membership.board.membership.value.peer_table.peers["vm-2"]
     assert (peer.caller_address, peer.address, peer.zone) == ("f:1", PEER, "z")
+
+
+@pytest.fixture
+def narrow_link(membership, board, now) -> dict[tuple[str, int], list[bytes]]:
+    """What arrives at each of 72 VMs over a narrow link, by address."""
+    link = links.Link()
+    arrived: dict[tuple[str, int], list[bytes]] = {}
+
+    def send(data, address):
+        if link.accept(data, time.monotonic()):
+            arrived.setdefault(address, []).append(data)
+
+    table = board.membership.value.peer_table
+    for number in range(72):
+        peer = peers.Peer(f"vm-{number}", "f:1", ("h", number), "z", now)
+        peer.last_heartbeat_at = now
+        table.peers[peer.vm] = peer
+    protocol = types.SimpleNamespace(
+        transport=types.SimpleNamespace(sendto=send)
+    )
+    membership._sender = datagrams.DatagramSender(board, protocol)
+    return arrived
+
+
+@pytest.mark.anyio
+async def test_news_lost_in_a_burst_does_not_reach_all_vms(
+    membership, board, narrow_link
+):
+    """Guards against VMs that miss that an endpoint leaves."""
+    for number in range(40):
+        change = messages.HoldingChange(f"i-{number:010}", "m", "a" * 8, 1)
+        board.outgoing.post(change)
+    board.outgoing.post(messages.EndpointLeaves("i-1", "i-1/1"))
+    with anyio.move_on_after(1.5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(membership._send_outgoing)
+            group.start_soon(membership._send_news)
+    assert len(narrow_link) == 72
+    assert len({len(items) for items in narrow_link.values()}) == 1
