Tell other VMs of endpoints that a listing shows to be gone

Cause: digests name the offset of the last record that changed an endpoint. A missing entry has no record, so that the offset did not move. VMs that rely on hubs learnt of the removal at their next own read, up to 10 s later; an endpoint that is removed without a word goes on serving for seconds, and may get no requests after 3.

Change: a listing that lacks an endpoint moves the offset to the end of the listing.

Evidence: test_endpoint_gone_from_a_listing_is_not_told_to_other_vms failed before (the offset stayed at 6) and passes.

--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -62,28 +62,27 @@
             self.write(self.board.store_read_at, now)
             if change.recovered:
                 self._recovered_at = now
-            self.board.endpoints.value.read_offset = entry_follower.next_offset
             self._apply_change(change, now)
             self._expire(now)
             self._notify()
-            await self._await_next_read(
-                entry_follower.next_offset, started_at, now
-            )
+            await self._await_next_read(change.next_offset, started_at, now)
 
     def _apply_change(self, change: follower.Change, now: float) -> None:
         """Apply the entries of one read."""
         source = endpoints.Source.ENTRY
+        changed = []
         if change.snapshot:
             source = endpoints.Source.LISTING
-            self._mark_missing_removed(
-                {item.key for item in change.records}, now
-            )
-        changed = [
+            present = {item.key for item in change.records}
+            if self._mark_missing_removed(present, now):
+                changed.append(change.next_offset)
+        changed += [
             record.offset + 1
             for record in change.records
             if self._apply(record, now, source)
         ]
         table = self.board.endpoints.value
+        table.read_offset = change.next_offset
         table.changed_offset = max([table.changed_offset, *changed])
 
     async def _await_next_read(
@@ -249,20 +248,28 @@
 
     def _mark_removed(
         self, identity: str, now: float, evidence: endpoints.Evidence
-    ) -> None:
+    ) -> bool:
+        """Record that an endpoint has no entry, and return whether it had."""
         endpoint = self.board.endpoints.value.by_identity.get(identity)
         if endpoint is None or endpoint.removed_at is not None:
-            return
+            return False
         returning = now - self._recovered_at < RECOVERY_S
         endpoint.removed_at = (
             self._recovered_at + RECOVERY_S if returning else now
         )
         _log(logevents.EndpointRemoved, endpoint, evidence)
+        return True
+
+    def _mark_missing_removed(self, present: set[str], now: float) -> bool:
+        """Record which endpoints a listing lacks.
 
-    def _mark_missing_removed(self, present: set[str], now: float) -> None:
+        :returns: whether there was any that had an entry before
+        """
         evidence = endpoints.Evidence(endpoints.Source.LISTING)
-        for identity in set(self.board.endpoints.value.by_identity) - present:
-            self._mark_removed(identity, now, evidence)
+        missing = set(self.board.endpoints.value.by_identity) - present
+        return any(
+            [self._mark_removed(item, now, evidence) for item in missing]
+        )
 
     def _expire(self, now: float) -> None:
         table = self.board.endpoints.value
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -23,11 +23,13 @@
     :param snapshot: whether the records are the newest of all keys, so that
         a key without a record here no longer exists
     :param recovered: whether the previous read of the store failed
+    :param next_offset: offset of the record that is read next
     """
 
     records: list[stores.KeyedRecord]
     snapshot: bool
     recovered: bool
+    next_offset: int = 0
 
 
 class Follower:
@@ -95,7 +97,7 @@
                 self._next_offset,
             )
             logevents.log(LOG, event)
-            return Change(newest, True, recovered)
+            return Change(newest, True, recovered, self._next_offset)
         batch = await self._store.read(
             self._topic, self._next_offset, 0.0 if recovered else wait_s
         )
@@ -106,7 +108,7 @@
             for index, record in enumerate(batch.records)
         )
         records = [record for record in decoded if record is not None]
-        return Change(records, False, recovered)
+        return Change(records, False, recovered, self._next_offset)
 
     def _record_failure(self, error: stores.StoreError) -> None:
         if self._failing_since is None:
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -144,6 +144,20 @@
     assert discovery._apply(stores.KeyedRecord("e1", None, 5), now)
 
 
+def test_endpoint_gone_from_a_listing_is_not_told_to_other_vms(discovery, now):
+    """Guards against VMs that use an endpoint until their next own read.
+
+    The record of its removal has expired before the hub could read it.
+    """
+    entry = make_entry(5, "ready")
+    discovery._apply_change(follower.Change([entry], False, False, 6), now)
+    told = discovery.board.endpoints.value.changed_offset
+    discovery._apply_change(follower.Change([], True, False, 9), now)
+    assert discovery.board.endpoints.value.changed_offset == 9 > told
+    discovery._apply_change(follower.Change([], True, False, 12), now)
+    assert discovery.board.endpoints.value.changed_offset == 9
+
+
 def read_events(caplog):
     """Return the name, source and offset of each logged event."""
     return [
@@ -158,7 +172,9 @@
 ):
     """Guards against logs from which a late notice cannot be explained."""
     caplog.set_level("INFO")
-    listed = follower.Change([make_entry(5, "ready", sequence=3)], True, False)
+    listed = follower.Change(
+        [make_entry(5, "ready", sequence=3)], True, False, 6
+    )
     discovery._apply_change(listed, now)
     discovery._apply(make_entry(6, "ready", sequence=2), now)
     start = discovery.board.endpoints.value.by_identity["e1"].start
