Keep what is known of an endpoint's departure, whatever its entry does

An endpoint that leaves can be used again: its entry is gone for two seconds and returns (late write of an old announcement, outage of the store, cut), or a ready entry of the same start follows the one that drains.

Cause: the knowledge that an endpoint leaves belonged to the record of its entry. It was lost with the entry, and each announcement overwrote it.

Change: a departure belongs to a start of the endpoint and holds until another start is announced. Endpoints without an entry are remembered for 300 s, so that an announcement that is not newer than the removed one does not count. Three fields (leaving_since, has_said_leaving and the state of the entry) become two with one writer.

--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -63,7 +63,7 @@
             if change.recovered:
                 self._recovered_at = now
             self._apply_change(change, now)
-            self._expire(now)
+            self.board.endpoints.value.expire(now)
             self._notify()
             await self._await_next_read(change.next_offset, started_at, now)
 
@@ -160,13 +160,12 @@
 
     def _apply_leaving(self, notice: endpoints.LeavingNotice) -> None:
         """Stop using an endpoint until another start of it is announced."""
-        endpoint = self.board.endpoints.value.by_identity.get(notice.identity)
+        endpoint = self.board.endpoints.value.find(notice.identity)
         if endpoint is None or endpoint.start != notice.start:
             return
-        if not endpoint.has_said_leaving:
-            endpoint.has_said_leaving = True
+        if endpoint.departure is None:
             evidence = endpoints.Evidence(notice.source)
-            _log(logevents.EndpointLeaving, endpoint, evidence)
+            _record_departure(endpoint, self.read_clock(), evidence)
             self._notify()
 
     def _notify(self) -> None:
@@ -203,31 +202,23 @@
         evidence: endpoints.Evidence,
     ) -> bool:
         table = self.board.endpoints.value
-        endpoint = table.by_identity.get(announcement.identity)
-        is_new = endpoint is None or is_other_start(endpoint, announcement)
-        if endpoint is None or is_new:
-            if (
-                endpoint is not None
-                and announcement.started_ms < endpoint.started_ms
-            ):
-                _log_ignored(endpoint, announcement, evidence)
-                return False
-            endpoint = announcement.make_endpoint()
+        known = table.find(announcement.identity)
+        is_new = known is None or is_other_start(known, announcement)
+        if known is not None and is_outdated(known, announcement):
+            _log_ignored(known, announcement, evidence)
+            return False
+        endpoint = announcement.make_endpoint() if is_new else known
+        if table.by_identity.get(endpoint.identity) is not endpoint:
             table.add(endpoint)
             _log(logevents.EndpointSeen, endpoint, evidence)
-        if announcement.announcement_count < endpoint.announcement_count:
-            _log_ignored(endpoint, announcement, evidence)
-            return False
         state = _summarize(endpoint)
         endpoint.announcement_count = announcement.announcement_count
         endpoint.removed_at = None
         endpoint.zone = announcement.zone
         endpoint.capacity = announcement.capacity
-        if announcement.draining and endpoint.leaving_since is None:
-            endpoint.leaving_since = now
-            _log(logevents.EndpointLeaving, endpoint, evidence)
-        elif not announcement.draining:
-            endpoint.leaving_since = None
+        endpoint.draining = announcement.draining
+        if announcement.draining and endpoint.departure is None:
+            _record_departure(endpoint, now, evidence)
         if announcement.stops_in_s is not None:
             endpoint.stops_at = now + announcement.stops_in_s
         endpoint.apply_announcement(
@@ -271,16 +262,13 @@
             [self._mark_removed(item, now, evidence) for item in missing]
         )
 
-    def _expire(self, now: float) -> None:
-        table = self.board.endpoints.value
-        gone = [
-            item.identity
-            for item in table.by_identity.values()
-            if item.removed_at is not None
-            and now > item.removed_at + RECOVERY_S
-        ]
-        for identity in gone:
-            table.remove(identity)
+
+def _record_departure(
+    endpoint: endpoints.Endpoint, now: float, evidence: endpoints.Evidence
+) -> None:
+    """Record that this start of an endpoint leaves."""
+    endpoint.departure = endpoints.Departure(now, evidence)
+    _log(logevents.EndpointLeaving, endpoint, evidence)
 
 
 def _log(
@@ -324,12 +312,21 @@
     """Return what decides whether an endpoint may be used at all."""
     return (
         endpoint.removed_at is None,
-        endpoint.leaving_since is None,
+        endpoint.draining,
         endpoint.stops_at is None,
         endpoint.capacity,
     )
 
 
+def is_outdated(
+    known: endpoints.Endpoint, announcement: documents.Announcement
+) -> bool:
+    """Return whether an announcement is older than what is known."""
+    if is_other_start(known, announcement):
+        return announcement.started_ms < known.started_ms
+    return known.is_outdated(announcement.announcement_count)
+
+
 def is_other_start(
     endpoint: endpoints.Endpoint, announcement: documents.Announcement
 ) -> bool:
--- a/src/bronzetrack/entry/dump.py
+++ b/src/bronzetrack/entry/dump.py
@@ -28,8 +28,7 @@
                 "id": item.identity,
                 "service": item.service,
                 "address": item.address,
-                "leaving": item.leaving_since is not None
-                or item.has_said_leaving,
+                "leaving": item.departure is not None,
                 "removed": item.removed_at is not None,
                 "adapters": [
                     f"{model}/{adapter}@{version}"
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -12,6 +12,12 @@
 
 # Announcements reach this VM with at most about this delay.
 MAX_ANNOUNCEMENT_DELAY_S = 3.0
+# Removed endpoints stay listed for this time, as their entries may return
+# after an outage of the store.
+LISTED_S = 2.0
+# What is known of a removed endpoint is kept for this time. Calls of the store
+# may be executed seconds later, and an endpoint may go on after its removal.
+REMEMBERED_S = 300.0
 
 
 class Source(enum.Enum):
@@ -38,6 +44,17 @@
     offset: int | None = None
 
 
+@attrs.frozen
+class Departure:
+    """Knowledge that a start of an endpoint leaves.
+
+    :param known_at: when this VM first knew it
+    """
+
+    known_at: float
+    evidence: Evidence
+
+
 @attrs.frozen
 class LeavingNotice:
     """Statement that a start of an endpoint leaves, not from its entry.
@@ -59,10 +76,11 @@
     :param announcement_count: number of the latest announcement
     :param models: version of each base model held, by name
     :param adapters: version of each adapter held, by model and name
-    :param leaving_since: when this VM first knew that the endpoint is leaving
-    :param has_said_leaving: whether an answer of this start of the endpoint
-        said that it leaves; its entry in the store may be older
-    :param removed_at: time from which the endpoint counts as removed
+    :param draining: whether its latest announcement said that it leaves
+    :param departure: since when this start of the endpoint is known to leave,
+        from whatever source. No later announcement takes that back.
+    :param removed_at: time from which the endpoint counts as removed, `None`
+        while it has an entry
     :param stops_at: when the endpoint will be stopped, if that was announced
     :param placement_reported_at: when the holder of the lease last reported
         whether the endpoint holds a model or an adapter
@@ -77,8 +95,8 @@
     announcement_count: int = 0
     models: dict[str, int] = attrs.field(factory=dict)
     adapters: dict[ModelKey, int] = attrs.field(factory=dict)
-    leaving_since: float | None = None
-    has_said_leaving: bool = False
+    draining: bool = False
+    departure: Departure | None = None
     removed_at: float | None = None
     stops_at: float | None = None
     placement_reported_at: dict[ModelKey, float] = attrs.field(factory=dict)
@@ -90,10 +108,23 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether new requests may be sent to the endpoint."""
-        if self.leaving_since is not None or self.has_said_leaving:
+        if self.departure is not None:
             return False
         return self.removed_at is None or now < self.removed_at
 
+    def is_removed_for(self, time_s: float, now: float) -> bool:
+        """Return whether the endpoint was removed longer ago than a time."""
+        return self.removed_at is not None and now > self.removed_at + time_s
+
+    def is_outdated(self, announcement_count: int) -> bool:
+        """Return whether an announcement of this start is not the latest.
+
+        One that is repeated after its removal was written late.
+        """
+        if self.removed_at is not None:
+            return announcement_count <= self.announcement_count
+        return announcement_count < self.announcement_count
+
     def holds(self, model_key: ModelKey, version: int) -> bool:
         """Return whether the endpoint holds a model or an adapter.
 
@@ -161,6 +192,8 @@
 class EndpointTable:
     """All known endpoints by id and by service.
 
+    :param unlisted: endpoints without an entry, by id. They are kept for a
+        while, so that nothing older than what is known of them counts.
     :param read_offset: offset of the next entry that this VM reads
     :param changed_offset: offset after the last record by which an endpoint
         came, left or changed its state
@@ -168,12 +201,14 @@
 
     by_identity: dict[str, Endpoint] = attrs.field(factory=dict)
     by_service: dict[str, list[Endpoint]] = attrs.field(factory=dict)
+    unlisted: dict[str, Endpoint] = attrs.field(factory=dict)
     read_offset: int = 0
     changed_offset: int = 0
 
     def add(self, endpoint: Endpoint) -> None:
         """Add an endpoint, replacing one with the same id."""
         self.remove(endpoint.identity)
+        self.unlisted.pop(endpoint.identity, None)
         self.by_identity[endpoint.identity] = endpoint
         self.by_service.setdefault(endpoint.service, []).append(endpoint)
 
@@ -184,6 +219,21 @@
             self.by_service[endpoint.service].remove(endpoint)
         return endpoint
 
+    def find(self, identity: str) -> Endpoint | None:
+        """Return an endpoint, whether it is listed or not."""
+        listed = self.by_identity.get(identity)
+        return listed or self.unlisted.get(identity)
+
+    def expire(self, now: float) -> None:
+        """Take removed endpoints off the lists, and forget them later."""
+        for identity, endpoint in list(self.by_identity.items()):
+            if endpoint.is_removed_for(LISTED_S, now):
+                self.remove(identity)
+                self.unlisted[identity] = endpoint
+        for identity, endpoint in list(self.unlisted.items()):
+            if endpoint.is_removed_for(REMEMBERED_S, now):
+                del self.unlisted[identity]
+
     def list_service(self, service: str) -> list[Endpoint]:
         """Return all endpoints of a service, including unusable ones."""
         return self.by_service.get(service, [])
--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -145,7 +145,7 @@
 
     def _record_leaving(self, endpoint: endpoints.Endpoint) -> None:
         """Tell this VM and the others that an endpoint leaves."""
-        if endpoint.has_said_leaving:
+        if endpoint.departure is not None:
             return
         notice = endpoints.LeavingNotice(
             endpoint.identity, endpoint.start, endpoints.Source.ANSWER
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import itertools
 import json
 import time
 
@@ -144,6 +146,83 @@
     assert discovery._apply(stores.KeyedRecord("e1", None, 5), now)
 
 
+# An endpoint whose entry is gone for longer than this is no longer listed.
+LISTED_S = 2 * RECOVERY_S + 1
+
+
+@pytest.fixture
+def apply_entries(discovery, now) -> Callable[..., bool]:
+    """Function that applies records and tells whether `e1` may be used.
+
+    Between two records, endpoints without an entry are taken off the list.
+    """
+    times = itertools.count(now, LISTED_S)
+
+    def apply(*records):
+        for record in records:
+            at = next(times)
+            change = follower.Change([record], False, False, record.offset + 1)
+            discovery._apply_change(change, at)
+            discovery.board.endpoints.value.expire(at + LISTED_S)
+        listed = discovery.board.endpoints.value.list_service("s")
+        return any(item.is_usable(at + LISTED_S) for item in listed)
+
+    return apply
+
+
+def make_removal(offset):
+    """Return the record that removes an endpoint's entry."""
+    return stores.KeyedRecord("e1", None, offset)
+
+
+@pytest.mark.parametrize("sequence", [3, 4])
+def test_endpoint_that_left_is_used_after_an_old_entry(
+    apply_entries, sequence
+):
+    """Guards against requests to an endpoint that goes on after its removal.
+
+    An entry may be written seconds after the endpoint sent it.
+    """
+    assert not apply_entries(
+        make_entry(1, "ready", sequence=4),
+        make_removal(2),
+        make_entry(3, "ready", sequence=sequence),
+    )
+
+
+def test_endpoint_whose_entry_lapsed_is_used_again(apply_entries):
+    """Guards against an endpoint that an outage of the store takes away."""
+    assert apply_entries(
+        make_entry(1, "ready", sequence=4),
+        make_removal(2),
+        make_entry(3, "ready", sequence=5),
+    )
+
+
+def test_endpoint_that_said_it_leaves_is_used_when_its_entry_returns(
+    apply_entries, discovery
+):
+    """Guards against requests to an endpoint whose answers say it leaves."""
+    assert apply_entries(make_entry(1, "ready", sequence=4))
+    start = discovery.board.endpoints.value.by_identity["e1"].start
+    discovery._apply_leaving(
+        endpoints.LeavingNotice("e1", start, endpoints.Source.ANSWER)
+    )
+    assert not apply_entries(
+        make_removal(2), make_entry(3, "ready", sequence=5)
+    )
+    assert apply_entries(make_entry(4, "ready", born=2_000_000_000_000))
+
+
+def test_endpoint_that_drains_is_used_after_a_ready_entry(apply_entries):
+    """Guards against an entry that undoes what a newer one has said."""
+    assert not apply_entries(
+        make_entry(1, "draining", sequence=4),
+        make_entry(2, "ready", sequence=4),
+        make_entry(3, "ready", sequence=5),
+    )
+
+
 def test_endpoint_gone_from_a_listing_is_not_told_to_other_vms(discovery, now):
     """Guards against VMs that use an endpoint until their next own read.
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from bronzetrack.entry import endpoints
 from bronzetrack.entry import placement
 from bronzetrack.entry import traffic
 
@@ -80,12 +81,17 @@
     assert placement.choose_endpoint([first], tried, balancing_input) is first
 
 
-@pytest.mark.parametrize("field", ["leaving_since", "removed_at"])
+@pytest.mark.parametrize("field", ["departure", "removed_at"])
 def test_leaving_endpoint_gets_no_requests(
     make_endpoint, balancing_input, now, field
 ):
     """Guards against new requests at an endpoint that is leaving."""
-    endpoint = make_endpoint("a", **{field: now - 0.1})
+    evidence = endpoints.Evidence(endpoints.Source.ENTRY)
+    values = {
+        "departure": endpoints.Departure(now - 0.1, evidence),
+        "removed_at": now - 0.1,
+    }
+    endpoint = make_endpoint("a", **{field: values[field]})
     assert (
         placement.choose_endpoint([endpoint], frozenset(), balancing_input)
         is None
