Count the age of a view from when the store can have sent it

What callers saw: nothing shown; the sum of the limits on the way of news (a hub's read, its digest, a VM's own read) can exceed the time for which an endpoint that leaves may get requests.

Cause: the age of a hub's view counted from the end of its read. An answer that takes 0.8 s through a full link made the view look 0.8 s younger, and with it the time for which other VMs rely on the hub.

Change: a read tells as of when its records are complete: its start, or the end of the wait of a long poll without records. Intervals count from there too. The entries of endpoints are read without a wait, so that a hub reads once a second, idle or not. A VM that misses a change which a hub has read pauses between its reads, as they no longer wait.

Evidence: test_age_of_a_view_omits_the_way_of_the_answer failed before (1000.7 for 1000.0) and passes; test_vm_that_misses_a_change_calls_the_store_without_ pause failed without the pause (28,934 calls in 0.5 s). tests/entry and tests/platform pass.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -120,9 +120,9 @@
     """Sections with one writer each, and mailboxes with one reader each.
 
     :param incarnation: random identifier of this run of the process
-    :param store_read_at: time of the last successful read of the store
-    :param operator_read_at: time of the last successful read of the operator
-        topic
+    :param store_read_at: time as of which the entries of endpoints were last
+        read from the store
+    :param operator_read_at: time as of which the operator topic was last read
     :param operator_offset: offset of the next record of the operator topic
     :param uses_notifier: source of changes to the adapters in use at this VM
     :param refused_tokens: fencing tokens that an engine refused as too old
--- a/src/bronzetrack/entry/controllers/configuration.py
+++ b/src/bronzetrack/entry/controllers/configuration.py
@@ -42,7 +42,7 @@
         )
         while True:
             change = await self._read(operator_follower)
-            self.write(self.board.operator_read_at, self.read_clock())
+            self.write(self.board.operator_read_at, change.as_of)
             self.write(
                 self.board.operator_offset, operator_follower.next_offset
             )
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -27,8 +27,6 @@
 # Time between two reads while hubs tell this VM of endpoints that come, leave
 # or change their state. What else the entries hold, messages tell it.
 INFORMED_READ_INTERVAL_S = 10.0
-# Longest wait of one read.
-READ_WAIT_S = 0.5
 # Time between two reads while entries return after an outage of the store.
 RECOVERY_INTERVAL_S = 0.1
 # Entries that expired during an outage of the store return within about this
@@ -53,19 +51,23 @@
 
     async def _follow_entries(self) -> None:
         entry_follower = follower.Follower(
-            self.ports.store, names.SERVERS_TOPIC, READ_WAIT_S, self.read_clock
+            self.ports.store, names.SERVERS_TOPIC, 0.0, self.read_clock
         )
         started_at = self.read_clock()
         while True:
             change = await entry_follower.read()
             now = self.read_clock()
-            self.write(self.board.store_read_at, now)
+            self.write(self.board.store_read_at, change.as_of)
             if change.recovered:
                 self._recovered_at = now
             self._apply_change(change, now)
             self.board.endpoints.value.expire(now)
             self._notify()
-            await self._await_next_read(change.next_offset, started_at, now)
+            if not change.records and self._is_behind(change.next_offset):
+                await anyio.sleep(RECOVERY_INTERVAL_S)
+            await self._await_next_read(
+                change.next_offset, started_at, change.as_of
+            )
 
     def _apply_change(self, change: follower.Change, now: float) -> None:
         """Apply the entries of one read."""
@@ -97,8 +99,7 @@
             news_until = section.value.endpoint_news_until
             is_informed = now < news_until
             self._log_view(is_informed, now)
-            is_behind = section.value.endpoint_offset > next_offset
-            if now >= due or is_behind and is_informed:
+            if now >= due or self._is_behind(next_offset) and is_informed:
                 return
             if is_informed:
                 due = min(due, news_until)
@@ -108,6 +109,10 @@
                 timeout_ms=math.ceil(1000 * (due - now)),
             )
 
+    def _is_behind(self, next_offset: int) -> bool:
+        """Return whether a hub has read a change that this VM has not."""
+        return self.board.membership.value.endpoint_offset > next_offset
+
     def _log_view(self, is_informed: bool, now: float) -> None:
         """Log whether this VM relies on hubs if that has changed."""
         source = views.ViewSource.HUB if is_informed else views.ViewSource.OWN
--- a/src/bronzetrack/platform/follower.py
+++ b/src/bronzetrack/platform/follower.py
@@ -24,12 +24,15 @@
         a key without a record here no longer exists
     :param recovered: whether the previous read of the store failed
     :param next_offset: offset of the record that is read next
+    :param as_of: time up to which the records are complete. The store has
+        answered later, but how long its answer took is not known.
     """
 
     records: list[stores.KeyedRecord]
     snapshot: bool
     recovered: bool
     next_offset: int = 0
+    as_of: float = float("-inf")
 
 
 class Follower:
@@ -86,6 +89,7 @@
 
     async def _read_once(self, wait_s: float) -> Change:
         recovered = self._failing_since is not None
+        started_at = self._read_clock()
         if self._next_offset is None:
             newest, self._next_offset = await self._store.read_newest(
                 self._topic
@@ -97,9 +101,12 @@
                 self._next_offset,
             )
             logevents.log(LOG, event)
-            return Change(newest, True, recovered, self._next_offset)
+            return Change(
+                newest, True, recovered, self._next_offset, started_at
+            )
+        longest_wait_s = 0.0 if recovered else wait_s
         batch = await self._store.read(
-            self._topic, self._next_offset, 0.0 if recovered else wait_s
+            self._topic, self._next_offset, longest_wait_s
         )
         first_offset = self._next_offset
         self._next_offset = first_offset + len(batch.records)
@@ -108,7 +115,13 @@
             for index, record in enumerate(batch.records)
         )
         records = [record for record in decoded if record is not None]
-        return Change(records, False, recovered, self._next_offset)
+        return Change(
+            records,
+            False,
+            recovered,
+            self._next_offset,
+            started_at if batch.records else started_at + longest_wait_s,
+        )
 
     def _record_failure(self, error: stores.StoreError) -> None:
         if self._failing_since is None:
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -8,6 +8,7 @@
 import time
 
 import anyio
+import attrs
 import pytest
 
 from bronzetrack.entry import board as boards
@@ -280,3 +281,37 @@
     discovery._log_view(False, now)
     events = [item for item in caplog.records if hasattr(item, "source")]
     assert [item.source for item in events] == ["hub", "own"]
+
+
+@attrs.define
+class EmptyStore:
+    """Store that has no record for a VM.
+
+    :param calls: number of reads
+    """
+
+    calls: int = 0
+
+    async def read_newest(self, topic):
+        """Return no key."""
+        return [], 7
+
+    async def read(self, topic, first, max_wait_s):
+        """Return no record at once."""
+        self.calls += 1
+        await anyio.sleep(0)
+        return stores.Batch([], first, first)
+
+
+@pytest.mark.anyio
+async def test_vm_that_misses_a_change_calls_the_store_without_pause(
+    make_controller, ports, informed
+):
+    """Guards against a storm of calls for a change that does not arrive."""
+    store = EmptyStore()
+    discovery = make_controller("discovery")
+    discovery.ports = attrs.evolve(ports, store=store)
+    informed.endpoint_offset = 8
+    with anyio.move_on_after(0.5):
+        await discovery._follow_entries()
+    assert 1 < store.calls < 8
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import struct
 import time
 
+import attrs
 import pytest
 
 from bronzetrack.platform import follower
@@ -165,6 +166,40 @@
     assert not (await topic_follower.read()).recovered
 
 
+@attrs.define
+class SlowStore:
+    """Store whose answers take a while on their way.
+
+    :param now: the present time, which each call moves on
+    :param way_s: time that an answer takes
+    """
+
+    records: list[bytes]
+    now: float = 1_000.0
+    way_s: float = 0.7
+
+    async def read_newest(self, topic):
+        """Return no key."""
+        self.now += self.way_s
+        return [], 5
+
+    async def read(self, topic, first, max_wait_s):
+        """Return the records, or none after the longest wait."""
+        self.now += self.way_s + (0.0 if self.records else max_wait_s)
+        return stores.Batch(self.records, first, first + len(self.records))
+
+
+@pytest.mark.parametrize(("records", "waited_s"), [([], 0.4), ([b"\1a1"], 0)])
+async def test_age_of_a_view_omits_the_way_of_the_answer(records, waited_s):
+    """Guards against trust in a view that is older than it looks."""
+    slow = SlowStore(records)
+    topic_follower = follower.Follower(slow, TOPIC, 0.4, lambda: slow.now)
+    assert (await topic_follower.read()).as_of == 1_000.0
+    sent_at = slow.now
+    change = await topic_follower.read()
+    assert change.as_of == pytest.approx(sent_at + waited_s)
+
+
 async def test_follower_skips_records_without_a_key(store, log):
     """Guards against a record without a valid key that stops the follower."""
     topic_follower = follower.Follower(store, TOPIC, 0.5, time.monotonic)
