Look again whether an endpoint leaves once a connection to it is open

A request that waits up to 0.4 s for a connection was sent though the endpoint had said meanwhile that it leaves.

Cause: the endpoint was checked when it was chosen, not when it was sent to.

Change: the check is repeated before the send; the request chooses again.

--- a/src/bronzetrack/entry/sending.py
+++ b/src/bronzetrack/entry/sending.py
@@ -54,7 +54,7 @@
         """Send a request to an endpoint.
 
         :returns: the relay of the answer, `None` if no connection could be
-            opened
+            opened or the endpoint leaves meanwhile
         """
         traffic = self.board.traffic.value.get_or_create(endpoint.identity)
         model_key = request.model_key
@@ -73,6 +73,9 @@
                 progress.unreachable = endpoint.identity
                 progress.load_requested_at = 0.0
                 return None
+            if not endpoint.is_usable(self.read_clock()):
+                pool.discard(connection)
+                return None
             return await self._send_on_connection(
                 exchange, request, progress, endpoint, pool, connection
             )
