Limit the answers of engines to orders and report calls

What callers saw, by the report of other operators: a faulty server answers without end, the VM that called it runs out of memory, and the requests of its other clients end with it.

Cause: answers to orders and reports were collected up to 8 MiB each, as the pages of the store are. The lease holder calls all engines at once; 40 faulty ones added 200 to 250 MiB, which is the memory of the smallest VMs. With chunks of one byte, requests of other clients took 1.5 s and more.

Change: each kind of call states the limits of its body; 256 KiB and 1,024 pieces for engines. Parsing ends where a limit is exceeded.

--- a/src/bronzetrack/platform/orders.py
+++ b/src/bronzetrack/platform/orders.py
@@ -11,6 +11,7 @@
 
 from bronzetrack.platform import documents
 from bronzetrack.platform import names
+from bronzetrack.transport import limits
 
 if TYPE_CHECKING:
     from bronzetrack.transport import calls
@@ -96,6 +97,7 @@
             json.dumps(document).encode(),
             ORDER_TIMEOUT_S,
             ((names.EXPECT_INSTANCE, identity.encode()), *JSON_HEADERS),
+            limits.ENGINE_BODY,
         )
         if response is None:
             return OrderResult.UNKNOWN
@@ -116,6 +118,7 @@
             b"",
             ORDER_TIMEOUT_S,
             ((names.EXPECT_INSTANCE, identity.encode()),),
+            limits.ENGINE_BODY,
         )
         if response is None or response.status != 200:
             return None
--- a/src/bronzetrack/transport/calls.py
+++ b/src/bronzetrack/transport/calls.py
@@ -11,6 +11,7 @@
 import attrs
 
 from bronzetrack.transport import connections
+from bronzetrack.transport import errors
 from bronzetrack.transport import heads
 from bronzetrack.transport import limits
 
@@ -27,26 +28,34 @@
 class ResponseCollector:
     """Receiver that collects one response.
 
-    :param done: resolves when the response ends, or exceeds the size that is
-        collected
+    :param done: resolves when the response ends, or exceeds a limit
     """
 
     done: asyncio.Future[connections.ResponseEnd]
+    body_limits: limits.BodyLimits = limits.STORE_BODY
     head: heads.ResponseHead | None = None
-    parts: list[bytes] = attrs.field(factory=list)
-    size: int = 0
+    body: bytearray = attrs.field(factory=bytearray)
+    pieces: int = 0
 
     def on_head(self, head: heads.ResponseHead) -> None:
         """Store the status line and headers."""
         self.head = head
 
     def on_data(self, data: bytes) -> None:
-        """Append a part of the body, up to the size limit."""
-        self.size += len(data)
-        if self.size > limits.CALL_BODY_BYTES:
+        """Append a part of the body.
+
+        :raises errors.OversizedError: it exceeds a limit, which ends the
+            parsing of what has arrived
+        """
+        self.pieces += 1
+        size = len(self.body) + len(data)
+        if (
+            size > self.body_limits.size
+            or self.pieces > self.body_limits.pieces
+        ):
             self.on_end(connections.ResponseEnd.OVERSIZED)
-            return
-        self.parts.append(data)
+            raise errors.OversizedError("the body of a response is too long")
+        self.body += data
 
     def on_end(self, end: connections.ResponseEnd) -> None:
         """Resolve the future with the way in which the response ended."""
@@ -69,11 +78,13 @@
         body: bytes,
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        body_limits: limits.BodyLimits = limits.STORE_BODY,
     ) -> Response | None:
         """Send a request and return the response.
 
         :param target: path and query
         :param timeout_s: longest time for the whole call, in seconds
+        :param body_limits: limits of the body that is accepted
         :returns: the response, or None if no complete one arrived in time,
             in which case the call may have been executed
         """
@@ -88,8 +99,11 @@
                     connection = await pool.connect()
                 if connection is None:
                     return None
+                collector = ResponseCollector(
+                    asyncio.get_running_loop().create_future(), body_limits
+                )
                 return await self._exchange(
-                    pool, connection, method, target, body, headers
+                    pool, connection, collector, method, target, body, headers
                 )
         except TimeoutError:
             return None
@@ -98,6 +112,7 @@
         self,
         pool: connections.Pool,
         connection: connections.Connection,
+        collector: ResponseCollector,
         method: str,
         target: str,
         body: bytes,
@@ -110,11 +125,9 @@
             b"Content-Length: %d" % len(body),
         ]
         data = b"\r\n".join(lines) + b"\r\n\r\n" + body
-        future = asyncio.get_running_loop().create_future()
-        collector = ResponseCollector(future)
         connection.send(data, collector, b"", False)
         try:
-            end = await future
+            end = await collector.done
         except BaseException:
             pool.discard(connection)
             raise
@@ -125,4 +138,4 @@
             pool.discard(connection)
             return None
         pool.put_back(connection, self._read_clock())
-        return Response(collector.head.status, b"".join(collector.parts))
+        return Response(collector.head.status, bytes(collector.body))
--- a/src/bronzetrack/transport/limits.py
+++ b/src/bronzetrack/transport/limits.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 
@@ -27,5 +29,22 @@
 
 
 DEFAULT = ResponseLimits()
+
+
+@attrs.frozen
+class BodyLimits:
+    """Limits of the body of a response that is collected.
+
+    :param size: size in bytes
+    :param pieces: number of pieces, for instance chunks. Each takes processor
+        time, however small it is.
+    """
+
+    size: int
+    pieces: float = math.inf
+
+
 # A page of the store's newest records has up to 1 MB, and more in JSON.
-CALL_BODY_BYTES = 8 * 1024 * 1024
+STORE_BODY = BodyLimits(size=8 * 1024 * 1024)
+# Answers to orders and reports. Many engines may be faulty at once.
+ENGINE_BODY = BodyLimits(size=256 * 1024, pieces=1_024)
--- a/tests/entry/test_endpoint_faults.py
+++ b/tests/entry/test_endpoint_faults.py
@@ -9,6 +9,7 @@
 import pathlib
 import socket
 import struct
+import time
 
 from entry import sites
 import pytest
@@ -176,6 +177,53 @@
     assert not any(item.status == 200 and item.whole for item in answers)
 
 
+# Timeout of the routes in the configuration.
+ROUTE_TIMEOUT_S = 1.0
+FLOODS = {
+    "length": (b"Content-Length: 999999999\r\n\r\n", b"a"),
+    "no length": (b"\r\n", b"a"),
+    "small chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\na\r\n",
+    ),
+    "head": (b"X-Filler: ", b"a"),
+}
+
+
+@pytest.mark.parametrize(("head", "part"), FLOODS.values(), ids=FLOODS)
+async def test_endless_reports_of_engines_fill_the_memory(start, head, part):
+    """Guards against faulty engines whose reports and verdicts never end.
+
+    The requests of other clients are answered meanwhile.
+    """
+
+    async def flood(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+        block = part * (64 * 1024 // len(part))
+        for _ in range(4 * 1024):
+            writer.write(block)
+            await writer.drain()
+
+    async def answer(request, writer):
+        echo = {"X-Request-Id": request.headers["x-request-id"]}
+        writer.write(rawhttp.make_answer(200, b"whole", echo))
+
+    site, vm = await start("plain", answer)
+    before = read_memory_mib(vm)
+    for number in range(40):
+        await site.add_endpoint(f"e{number}", "engines", flood)
+    most = before
+    for number in range(150):
+        sent_at = time.monotonic()
+        reply = await sites.send(vm.front, "/once/x", f"r{number}", body=b"x")
+        assert reply.status == 200
+        assert time.monotonic() - sent_at < ROUTE_TIMEOUT_S
+        most = max(most, read_memory_mib(vm))
+        await asyncio.sleep(0.02)
+    assert vm.process.returncode is None
+    assert most - before < ADDED_MEMORY_MIB
+
+
 async def test_incomplete_event_without_end_is_given_up(start):
     """Guards against a resumable stream that fills the memory of the VM."""
 
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -45,7 +45,7 @@
         end = await future
     await asyncio.sleep(0.1)
     await server.stop()
-    return end, b"".join(collector.parts), connection
+    return end, bytes(collector.body), connection
 
 
 async def test_complete_response_leaves_a_reusable_connection():
--- a/tests/transport/test_response_limits.py
+++ b/tests/transport/test_response_limits.py
@@ -177,7 +177,7 @@
     _, pool = await start_server(handle)
     found = await receive(await pool.connect())
     assert found.end is connections.ResponseEnd.COMPLETE
-    assert sum(map(len, found.collector.parts)) == chunks
+    assert len(found.collector.body) == chunks
 
 
 @pytest.mark.parametrize("status", [200, 503])
@@ -238,7 +238,7 @@
     found = await receive(await pool.connect())
     assert found.end is connections.ResponseEnd.COMPLETE
     assert found.collector.head.status == 200
-    assert b"".join(found.collector.parts) == b"ok"
+    assert bytes(found.collector.body) == b"ok"
 
 
 async def test_pool_does_not_return_a_connection_that_a_request_used(
