Let hubs say which endpoint leaves, not only that an entry changed

A hub's digest names the offset of a change, and each VM then reads the store to learn what changed; VMs that do not reach the store learn nothing though they hear the hubs.

Change: a hub that reads first that an endpoint leaves, or that its entry was removed, tells all VMs which start of it (EndpointLeaves as for answers, new EndpointGone with the number of the last announcement). A VM that knows a newer announcement ignores the removal. Digests go on naming offsets, so that a lost datagram costs what it did before.

Evidence: test_hub_does_not_tell_others_which_endpoint_leaves and test_ endpoint_that_another_vm_found_gone_is_used failed before and pass.

--- a/src/bronzetrack/entry/board.py
+++ b/src/bronzetrack/entry/board.py
@@ -203,7 +203,9 @@
     placed: blackboard.Mailbox[messages.HoldingChange] = attrs.field(
         factory=lambda: blackboard.Mailbox("placed", MAILBOX_CAPACITY)
     )
-    leaving: blackboard.Mailbox[endpoint_tables.LeavingNotice] = attrs.field(
+    leaving: blackboard.Mailbox[
+        endpoint_tables.LeavingNotice | endpoint_tables.RemovalNotice
+    ] = attrs.field(
         factory=lambda: blackboard.Mailbox("leaving", MAILBOX_CAPACITY)
     )
     load_requests: blackboard.Mailbox[messages.LoadRequest] = attrs.field(
--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -161,7 +161,10 @@
         while True:
             await mailbox.wait_items()
             for notice in mailbox.take():
-                self._apply_leaving(notice)
+                if isinstance(notice, endpoints.RemovalNotice):
+                    self._apply_removal(notice)
+                else:
+                    self._apply_leaving(notice)
 
     def _apply_leaving(self, notice: endpoints.LeavingNotice) -> None:
         """Stop using an endpoint until another start of it is announced."""
@@ -173,6 +176,24 @@
             _record_departure(endpoint, self.read_clock(), evidence)
             self._notify()
 
+    def _apply_removal(self, notice: endpoints.RemovalNotice) -> None:
+        """Stop using an endpoint unless its entry is newer than the news."""
+        table = self.board.endpoints.value
+        endpoint = table.by_identity.get(notice.identity)
+        if endpoint is None or endpoint.start != notice.start:
+            return
+        if endpoint.announcement_count <= notice.announcement:
+            evidence = endpoints.Evidence(endpoints.Source.PEER)
+            self._mark_removed(notice.identity, self.read_clock(), evidence)
+            self._notify()
+
+    def _tell(
+        self, message: messages.EndpointLeaves | messages.EndpointGone
+    ) -> None:
+        """Tell the VMs that rely on this one what it has read first."""
+        if self.board.membership.value.is_hub:
+            self.board.outgoing.post(message)
+
     def _notify(self) -> None:
         self.write(self.board.endpoints, self.board.endpoints.value)
 
@@ -224,6 +245,9 @@
         endpoint.draining = announcement.draining
         if announcement.draining and endpoint.departure is None:
             _record_departure(endpoint, now, evidence)
+            self._tell(
+                messages.EndpointLeaves(endpoint.identity, endpoint.start)
+            )
         if announcement.stops_in_s is not None:
             endpoint.stops_at = now + announcement.stops_in_s
         endpoint.apply_announcement(
@@ -254,6 +278,12 @@
             self._recovered_at + RECOVERY_S if returning else now
         )
         _log(logevents.EndpointRemoved, endpoint, evidence)
+        if not returning and evidence.source is not endpoints.Source.PEER:
+            self._tell(
+                messages.EndpointGone(
+                    identity, endpoint.start, endpoint.announcement_count
+                )
+            )
         return True
 
     def _mark_missing_removed(self, present: set[str], now: float) -> bool:
--- a/src/bronzetrack/entry/controllers/membership.py
+++ b/src/bronzetrack/entry/controllers/membership.py
@@ -187,6 +187,12 @@
                     message.identity, message.start, endpoints.Source.PEER
                 )
                 self.board.leaving.post(notice)
+            case messages.EndpointGone():
+                self.board.leaving.post(
+                    endpoints.RemovalNotice(
+                        message.identity, message.start, message.announcement
+                    )
+                )
 
     def _apply_heartbeat(
         self, heartbeat: messages.Heartbeat, addr: Any
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -67,6 +67,19 @@
     source: Source
 
 
+@attrs.frozen
+class RemovalNotice:
+    """Statement of another VM that the entry of an endpoint was removed.
+
+    :param start: id of the endpoint's start
+    :param announcement: number of its last announcement
+    """
+
+    identity: str
+    start: str
+    announcement: int
+
+
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint with its last announcement and later placements.
--- a/src/bronzetrack/entry/messages.py
+++ b/src/bronzetrack/entry/messages.py
@@ -278,7 +278,7 @@
 @MESSAGES.register("e")
 @attrs.frozen
 class EndpointLeaves:
-    """Answer of an endpoint that says that the endpoint leaves.
+    """Statement of an endpoint, in an answer or its entry, that it leaves.
 
     :param start: id of the endpoint's start
     """
@@ -287,6 +287,20 @@
     start: str = text_field()
 
 
+@MESSAGES.register("g")
+@attrs.frozen
+class EndpointGone:
+    """Removal of the entry of an endpoint from the store.
+
+    :param start: id of the endpoint's start
+    :param announcement: number of its last announcement
+    """
+
+    identity: str = text_field()
+    start: str = text_field()
+    announcement: int = int_field()
+
+
 @MESSAGES.register("c")
 @attrs.frozen
 class CrashReport:
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -13,6 +13,7 @@
 
 from bronzetrack.entry import board as boards
 from bronzetrack.entry import endpoints
+from bronzetrack.entry import messages
 from bronzetrack.entry import roles
 from bronzetrack.entry import routes
 from bronzetrack.platform import follower
@@ -238,6 +239,50 @@
     assert discovery.board.endpoints.value.changed_offset == 9
 
 
+def test_hub_does_not_tell_others_which_endpoint_leaves(
+    discovery, informed, board, now
+):
+    """Guards against news that each VM has to read the store to act on.
+
+    Only a hub tells, and only what it reads first.
+    """
+    discovery._apply(make_entry(1, "draining", sequence=1), now)
+    assert not board.outgoing.take()
+    discovery._apply(make_entry(2, "ready", born=1_800_000_000_000), now)
+    informed.is_hub = True
+    start = board.endpoints.value.by_identity["e1"].start
+    entry = make_entry(3, "draining", sequence=7, born=1_800_000_000_000)
+    discovery._apply(entry, now)
+    discovery._apply(entry, now)
+    discovery._apply(make_removal(4), now)
+    assert board.outgoing.take() == [
+        messages.EndpointLeaves("e1", start),
+        messages.EndpointGone("e1", start, 7),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("announcement", "is_usable"), [(3, True), (4, False), (5, False)]
+)
+def test_endpoint_that_another_vm_found_gone_is_used(
+    discovery, board, now, announcement, is_usable
+):
+    """Guards against requests to an endpoint that only others know is gone.
+
+    News that are older than what this VM knows do not count.
+    """
+    discovery._apply(make_entry(1, "ready", sequence=4), now)
+    endpoint = board.endpoints.value.by_identity["e1"]
+    discovery._apply_removal(
+        endpoints.RemovalNotice("e1", "e1/1", announcement)
+    )
+    assert endpoint.is_usable(now)
+    discovery._apply_removal(
+        endpoints.RemovalNotice("e1", endpoint.start, announcement)
+    )
+    assert endpoint.is_usable(now) == is_usable
+
+
 def read_events(caplog):
     """Return the name, source and offset of each logged event."""
     return [
--- a/tests/entry/test_messages.py
+++ b/tests/entry/test_messages.py
@@ -20,6 +20,7 @@
     messages.LoadRequest("v", "s", "m", "a", 1, 1, "", "", 500),
     messages.HoldingChange("e", "m", "a", 1),
     messages.EndpointLeaves("e", "e/1"),
+    messages.EndpointGone("e", "e/1", 3),
     messages.CrashReport("v", "e/1", 20, ["a", "b"]),
     messages.SuspectReport({"a": {"e/1": 20}}),
     messages.KeysCleared({"a": 20}),
