Ask a removed endpoint for a second announcement before it is used

An endpoint whose entry was removed is used again after one of its earlier announcements is written late, which the platform allows, and gets requests until the entry lapses.

Cause: whether an announcement is older than the removal shows by its number. A VM that relies on hubs reads the announcements only every 10 s, and none that have expired, so that it does not know the last number.

Change: the news of a removal brings the last number that the hub knows; and an endpoint that returns after its removal needs two announcements with different numbers, as a sound one writes about once a second. Meanwhile the VM reads at the normal interval. In the two seconds after an outage of the store one is enough, as entries that lapsed return then.

--- a/src/bronzetrack/entry/controllers/discovery.py
+++ b/src/bronzetrack/entry/controllers/discovery.py
@@ -137,6 +137,8 @@
         starting = now - started_at < RECOVERY_S and self._lacks_entries()
         if returning or starting:
             return RECOVERY_INTERVAL_S
+        if self.board.endpoints.value.has_returning(now):
+            return READ_INTERVAL_S
         if now < self.board.membership.value.endpoint_news_until:
             return INFORMED_READ_INTERVAL_S
         return READ_INTERVAL_S
@@ -183,6 +185,7 @@
         if endpoint is None or endpoint.start != notice.start:
             return
         if endpoint.announcement_count <= notice.announcement:
+            endpoint.announcement_count = notice.announcement
             evidence = endpoints.Evidence(endpoints.Source.PEER)
             self._mark_removed(notice.identity, self.read_clock(), evidence)
             self._notify()
@@ -234,12 +237,15 @@
             _log_ignored(known, announcement, evidence)
             return False
         endpoint = announcement.make_endpoint() if is_new else known
+        if not self._is_back(endpoint, announcement, now):
+            return False
         if table.by_identity.get(endpoint.identity) is not endpoint:
             table.add(endpoint)
             _log(logevents.EndpointSeen, endpoint, evidence)
         state = _summarize(endpoint)
         endpoint.announcement_count = announcement.announcement_count
         endpoint.removed_at = None
+        endpoint.returned = None
         endpoint.zone = announcement.zone
         endpoint.capacity = announcement.capacity
         endpoint.draining = announcement.draining
@@ -255,6 +261,20 @@
         )
         return is_new or state != _summarize(endpoint)
 
+    def _is_back(
+        self,
+        endpoint: endpoints.Endpoint,
+        announcement: documents.Announcement,
+        now: float,
+    ) -> bool:
+        """Return whether an announcement shows that an endpoint is there.
+
+        After an outage of the store, entries that lapsed return at once.
+        """
+        if now - self._recovered_at < RECOVERY_S:
+            return True
+        return endpoint.confirm_return(announcement.announcement_count, now)
+
     def _apply_placement(self, holding_change: messages.HoldingChange) -> None:
         endpoint = self.board.endpoints.value.by_identity.get(
             holding_change.identity
--- a/src/bronzetrack/entry/endpoints.py
+++ b/src/bronzetrack/entry/endpoints.py
@@ -18,6 +18,8 @@
 # What is known of a removed endpoint is kept for this time. Calls of the store
 # may be executed seconds later, and an endpoint may go on after its removal.
 REMEMBERED_S = 300.0
+# An endpoint that has returned announces itself again within this time.
+CONFIRMATION_S = 4.0
 
 
 class Source(enum.Enum):
@@ -55,6 +57,17 @@
     evidence: Evidence
 
 
+@attrs.frozen
+class Return:
+    """First announcement of an endpoint after its removal.
+
+    It may have been sent before the removal and written late.
+    """
+
+    announcement_count: int
+    seen_at: float
+
+
 @attrs.frozen
 class LeavingNotice:
     """Statement that a start of an endpoint leaves, not from its entry.
@@ -94,6 +107,8 @@
         from whatever source. No later announcement takes that back.
     :param removed_at: time from which the endpoint counts as removed, `None`
         while it has an entry
+    :param returned: first announcement after its removal, which a later one
+        has to confirm
     :param stops_at: when the endpoint will be stopped, if that was announced
     :param placement_reported_at: when the holder of the lease last reported
         whether the endpoint holds a model or an adapter
@@ -111,6 +126,7 @@
     draining: bool = False
     departure: Departure | None = None
     removed_at: float | None = None
+    returned: Return | None = None
     stops_at: float | None = None
     placement_reported_at: dict[ModelKey, float] = attrs.field(factory=dict)
 
@@ -129,6 +145,20 @@
         """Return whether the endpoint was removed longer ago than a time."""
         return self.removed_at is not None and now > self.removed_at + time_s
 
+    def confirm_return(self, announcement_count: int, now: float) -> bool:
+        """Return whether the endpoint has come back after its removal."""
+        if self.removed_at is None or now < self.removed_at:
+            return True
+        if self.returned is None:
+            self.returned = Return(announcement_count, now)
+        return announcement_count > self.returned.announcement_count
+
+    def is_returning(self, now: float) -> bool:
+        """Return whether a second announcement is to be expected soon."""
+        if self.returned is None:
+            return False
+        return now - self.returned.seen_at < CONFIRMATION_S
+
     def is_outdated(self, announcement_count: int) -> bool:
         """Return whether an announcement of this start is not the latest.
 
@@ -237,6 +267,11 @@
         listed = self.by_identity.get(identity)
         return listed or self.unlisted.get(identity)
 
+    def has_returning(self, now: float) -> bool:
+        """Return whether an announcement of a removed endpoint came lately."""
+        removed = (*self.by_identity.values(), *self.unlisted.values())
+        return any(item.is_returning(now) for item in removed)
+
     def expire(self, now: float) -> None:
         """Take removed endpoints off the lists, and forget them later."""
         for identity, endpoint in list(self.by_identity.items()):
--- a/tests/entry/controllers/test_discovery.py
+++ b/tests/entry/controllers/test_discovery.py
@@ -192,13 +192,28 @@
     )
 
 
-def test_endpoint_whose_entry_lapsed_is_used_again(apply_entries):
+def test_endpoint_is_used_after_one_late_entry(apply_entries, discovery, now):
+    """Guards against an entry that was sent before the removal.
+
+    This VM may not have read the last entry before it. A sound endpoint writes
+    again.
+    """
+    removed = (make_entry(1, "ready", sequence=4), make_removal(2))
+    late = make_entry(3, "ready", sequence=6)
+    assert not apply_entries(*removed, late)
+    assert discovery._choose_interval(now - 60, now) == NORMAL_INTERVAL_S
+    assert not apply_entries(make_entry(4, "ready", sequence=6))
+    assert apply_entries(make_entry(5, "ready", sequence=7))
+
+
+def test_endpoint_whose_entry_lapsed_is_used_again(
+    apply_entries, discovery, now
+):
     """Guards against an endpoint that an outage of the store takes away."""
-    assert apply_entries(
-        make_entry(1, "ready", sequence=4),
-        make_removal(2),
-        make_entry(3, "ready", sequence=5),
-    )
+    removed = (make_entry(1, "ready", sequence=4), make_removal(2))
+    assert not apply_entries(*removed)
+    discovery._recovered_at = now + 2 * LISTED_S - RECOVERY_S / 2
+    assert apply_entries(make_entry(3, "ready", sequence=5))
 
 
 def test_endpoint_that_said_it_leaves_is_used_when_its_entry_returns(
@@ -281,6 +296,7 @@
         endpoints.RemovalNotice("e1", endpoint.start, announcement)
     )
     assert endpoint.is_usable(now) == is_usable
+    assert endpoint.announcement_count == max(4, announcement)
 
 
 def read_events(caplog):
