--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -13,6 +13,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import pathlib
 import re
@@ -283,11 +284,14 @@
     lines += [f"{name}: {value}" for name, value in fields.items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
     data = bytearray()
-    with contextlib.suppress(ConnectionError, TimeoutError):
+    try:
         async with asyncio.timeout(limit_s):
             while part := await reader.read(65_536):
                 data += part
-    writer.close()
+    except (ConnectionError, TimeoutError):
+        pass
+    finally:
+        writer.close()
     return _parse_answer(bytes(data))
 
 
@@ -338,6 +342,7 @@
     :param folder: folder of the case, which gets the record
     :param play: plays the case and returns what broke the rule
     """
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(folder / "record.txt")
     record.add(f"trouble {'on' if has_trouble() else 'off'}")
     code = asyncio.run(_run(record, play))
