Read records of suspected requests again after a start

Seen: nothing reported; found by going through what VMs conclude from missing records. A VM that starts just after a restore of the store knows of no crash.

Cause: the records are read once, and a missing one was taken for a request that is not suspected.

Evidence: test_vm_reads_records_that_are_written_again_after_its_start failed before (0 of 3 crashes known) and passes.

--- a/src/bronzetrack/entry/controllers/crashes.py
+++ b/src/bronzetrack/entry/controllers/crashes.py
@@ -14,12 +14,17 @@
 from bronzetrack.entry import messages
 from bronzetrack.entry import meters
 from bronzetrack.entry import roles
+from bronzetrack.entry.eras import rewriting
+from bronzetrack.entry.peering import joining
 from bronzetrack.entry.suspects import losses
 from bronzetrack.entry.suspects import suspects
 from bronzetrack.entry.suspects import suspectstore
 from bronzetrack.transport import probes
 
 LOG = logging.getLogger(__name__)
+# Time after which records that a restore of the store had lost are there
+# again: of VMs that run, and then of those that have ended.
+SECOND_READ_S = joining.REWRITE_LIMIT_S + 2 * rewriting.REWRITE_SPREAD_S
 # Range of pauses between two rounds of clearing. VMs that learn of a crash at
 # the same time differ, so that one of them tells the others of an answer.
 CLEARING_PAUSE_S = (0.2, 0.8)
@@ -147,7 +152,17 @@
             logevents.log(LOG, event)
 
     async def _load(self) -> None:
-        """Apply the records of VMs that may no longer run."""
+        """Apply the records of VMs that may no longer run.
+
+        If the store states eras, it may have lost records which are written
+        again after the first read.
+        """
+        await self._apply_records()
+        if self.board.store_era.revision:
+            await anyio.sleep(SECOND_READ_S)
+            await self._apply_records()
+
+    async def _apply_records(self) -> None:
         for key, crashes in await self._store.load():
             self._record(key, crashes)
 
