--- a/src/bronzetrack/entry/forwarding/events.py
+++ b/src/bronzetrack/entry/forwarding/events.py
@@ -8,11 +8,13 @@
 
 import attrs
 
-# An event ends with an empty line; lines end with LF or CRLF.
-LINE_END = b"\n"
-BOUNDARIES = (b"\n\n", b"\n\r\n")
-LONGEST_BOUNDARY = max(map(len, BOUNDARIES))
-BLOCK = re.compile(rb".*?\n\r?\n", re.DOTALL)
+# An event ends with an empty line. Lines end with LF, CRLF or CR (WHATWG HTML,
+# "Parsing an event stream").
+BOUNDARIES = (b"\n\n", b"\n\r", b"\r\r")
+ENDS = (*BOUNDARIES, b"\n\r\n", b"\r\r\n")
+LONGEST_END = max(map(len, ENDS))
+BLOCK = re.compile(rb".*?(?>\r\n|\n|\r)(?>\r\n|\n|\r)", re.DOTALL)
+MEDIA_TYPE = b"text/event-stream"
 ID_FIELD = b"id:"
 COMMENT = b":"
 # Longer ids are no position that an endpoint can be asked to go on after.
@@ -38,11 +40,14 @@
         which the caller asked for events; `None` without one
     :param rest: received bytes of the event that is still incomplete
     :param passed: whether an event was complete
+    :param ends_with_cr: whether the last event ended with CR, so that a LF
+        still belongs to it
     """
 
     last_id: int | None = None
     rest: bytearray = attrs.field(factory=bytearray)
     passed: bool = False
+    ends_with_cr: bool = False
     _comments: list[bytes] = attrs.field(factory=list)
     _repeated: list[bytes] = attrs.field(factory=list)
 
@@ -53,24 +58,28 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the bytes of all events now complete."""
+        line_end = b""
+        if self.ends_with_cr and data:
+            self.ends_with_cr = False
+            if data.startswith(b"\n"):
+                line_end, data = data[:1], data[1:]
         # Only what is new is searched: an event may come byte by byte.
-        start = max(0, len(self.rest) - LONGEST_BOUNDARY + 1)
+        start = max(0, len(self.rest) - 1)
         self.rest += data
-        end = max(self.rest.rfind(item, start) for item in BOUNDARIES)
-        if end < 0:
-            return b""
-        end = self.rest.index(LINE_END, end + 1) + 1
+        end = find_last_end(self.rest, start)
         complete = bytes(self.rest[:end])
         del self.rest[:end]
-        if self._repeated:
+        if complete:
+            self.ends_with_cr = not self.rest and complete.endswith(b"\r")
             complete = self._drop_repeated(complete)
         if complete:
             self._update_last_id(complete)
-        return complete
+        return line_end + complete
 
     def discard_rest(self) -> None:
         """Discard an incomplete event whose remainder will not arrive."""
         self.rest.clear()
+        self.ends_with_cr = False
 
     def prepare_resume(self) -> None:
         """Expect the bytes that follow the last event from another endpoint.
@@ -82,6 +91,8 @@
 
     def _drop_repeated(self, complete: bytes) -> bytes:
         """Return what is left of some blocks without repeated comments."""
+        if not self._repeated:
+            return complete
         start = 0
         for match in BLOCK.finditer(complete):
             if not self._repeated:
@@ -114,14 +125,37 @@
         self._comments.extend(itertools.islice(short, room))
 
 
+def find_last_end(data: bytes | bytearray, start: int) -> int:
+    """Return where the last event ends in some data, 0 if none does.
+
+    :param start: first position that is searched
+    """
+    found = max(data.rfind(item, start) for item in BOUNDARIES)
+    if found < 0:
+        return 0
+    end = found + 2
+    is_crlf = data[end - 1 : end + 1] == b"\r\n"
+    return end + is_crlf
+
+
 def ends_event(data: bytes) -> bool:
     """Return whether data ends with the empty line that ends an event."""
-    return data.endswith(BOUNDARIES)
+    return data.endswith(ENDS)
+
+
+def is_event_stream(content_type: bytes | None) -> bool:
+    """Return whether a body consists of events.
+
+    :param content_type: value of the header, `None` without it
+    """
+    if content_type is None:
+        return True
+    return content_type.partition(b";")[0].strip().lower() == MEDIA_TYPE
 
 
 def _normalize(data: bytes) -> bytes:
     """Return data whose lines end with LF only."""
-    return data.replace(b"\r\n", b"\n")
+    return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
 def _is_event(block: bytes) -> bool:
--- a/src/bronzetrack/entry/forwarding/relays.py
+++ b/src/bronzetrack/entry/forwarding/relays.py
@@ -132,7 +132,11 @@
             self.on_begin()
         route = self._request.route
         self._is_stream = (
-            head.status == 200 and route is not None and route.streams
+            head.status == 200
+            and route is not None
+            and route.streams
+            and self._request.method != b"HEAD"
+            and events.is_event_stream(head.find(b"content-type"))
         )
         if self._is_stream:
             self._start_forwarding(head)
@@ -158,18 +162,28 @@
         if not self._is_forwarded:
             self._collect(data)
             return
-        if self._is_stream and self._buffer is not None:
-            data = self._buffer.feed(data)
-            if len(self._buffer.rest) > self._limits.buffered_bytes:
-                self._give_up()
-        else:
-            self._tail = (self._tail + data)[-events.LONGEST_BOUNDARY :]
+        if self._is_stream:
+            data = self._split(data)
         if self._is_stream and data:
             self.last_data_at = self._read_clock()
             self.event_count += events.count_events(data)
         if data:
             self._exchange.write(data)
 
+    def _split(self, data: bytes) -> bytes:
+        """Return what is forwarded of a part of a stream.
+
+        Of a stream that may be resumed, only complete events are.
+        """
+        if self._buffer is None:
+            tail = self._tail + data[-events.LONGEST_END :]
+            self._tail = tail[-events.LONGEST_END :]
+            return data
+        complete = self._buffer.feed(data)
+        if len(self._buffer.rest) > self._limits.buffered_bytes:
+            self._give_up()
+        return complete
+
     def _collect(self, data: bytes) -> None:
         self._collected += data
         self._collected_pieces += 1
@@ -210,9 +224,7 @@
         if end is connections.ResponseEnd.TRUNCATED or self.head is None:
             return Outcome.LOST
         if self._is_stream:
-            return (
-                Outcome.DELIVERED if self._may_be_complete() else Outcome.LOST
-            )
+            return Outcome.DELIVERED if self._is_whole() else Outcome.LOST
         if self._is_forwarded:
             return Outcome.DELIVERED
         if not self._is_rejection():
@@ -229,17 +241,21 @@
             or self.find_header(names.NOT_EXECUTED) == names.NOT_EXECUTED_VALUE
         )
 
-    def _may_be_complete(self) -> bool:
-        """Return whether a stream that ended may be complete.
+    def _is_whole(self) -> bool:
+        """Return whether the contents of a stream that ended are complete.
 
-        An answer without a length ends with its connection, so that a
-        connection lost before the first event or within one looks like a
-        normal end.
+        A server that fails may end a body as if it were complete. Without an
+        event, it did so before the first one, unless all events had been
+        passed on before the stream was resumed.
         """
-        if self.head is None or self.head.framed:
-            return True
         if self.first_data_at is None:
-            return False
+            return self.head.framed and self._follows_event()
         if self._buffer is not None:
             return not self._buffer.rest
         return events.ends_event(self._tail)
+
+    def _follows_event(self) -> bool:
+        """Return whether the stream goes on after an event."""
+        return self._buffer is not None and (
+            self._buffer.passed or self._buffer.last_id is not None
+        )
--- a/tests/entry/forwarding/test_events.py
+++ b/tests/entry/forwarding/test_events.py
@@ -18,7 +18,7 @@
 
 
 @hypothesis.given(
-    strategies.sampled_from([b"\n", b"\r\n"]),
+    strategies.sampled_from([b"\n", b"\r\n", b"\r"]),
     strategies.sets(strategies.integers(1, len(STREAM) - 1)),
 )
 def test_any_split_yields_the_same_complete_events(line_end, splits):
--- a/tests/entry/test_resumed_streams.py
+++ b/tests/entry/test_resumed_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import attrs
 from entry import sites
@@ -22,10 +23,14 @@
 
     :param streams: events that each run sends; a run whose stream is not the
         last breaks off within its next event
+    :param ends_body: whether it ends its body then as if it were complete
+    :param is_last_whole: whether the last run does not break off
     :param received: value of Last-Event-Id of each run, None without one
     """
 
     streams: list[list[bytes]]
+    ends_body: bool = False
+    is_last_whole: bool = True
     received: list[str | None] = attrs.field(factory=list)
 
     async def handle(
@@ -46,12 +51,16 @@
         for event in events:
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-        if len(self.received) < len(self.streams):
-            writer.write(b"3\r\nid:\r\n")
-            await writer.drain()
-            writer.close()
-        else:
+        is_last = len(self.received) == len(self.streams)
+        if is_last and self.is_last_whole:
+            writer.write(b"0\r\n\r\n")
+            return
+        writer.write(b"3\r\nid:\r\n")
+        await writer.drain()
+        if self.ends_body:
             writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
 
 
 @pytest.fixture
@@ -62,17 +71,18 @@
     """
 
     async def run(
-        streams: list[list[bytes]], headers: dict[str, str] | None = None
+        streams: list[list[bytes]],
+        headers: dict[str, str] | None = None,
+        path: str = "/resumable/x",
+        **fields: bool,
     ) -> tuple[sites.Answer, list[str | None]]:
         site = configured_site
-        script = Script(streams)
+        script = Script(streams, **fields)
         for identity in ("e1", "e2", "e3"):
             await site.add_endpoint(identity, "engines", script.handle)
         vm = await site.start_vm("vm-1")
         await vm.await_ready()
-        answer = await sites.send(
-            vm.front, "/resumable/x", "r1", headers=headers
-        )
+        answer = await sites.send(vm.front, path, "r1", headers=headers)
         return answer, script.received
 
     return run
@@ -151,3 +161,30 @@
     answer, received = await run_script([[], EVENTS], headers)
     assert answer.whole
     assert received == [last_id, last_id]
+
+
+@pytest.mark.parametrize(
+    ("path", "streams", "is_last_whole", "received"),
+    [
+        ("/resumable/x", [EVENTS[:2], EVENTS[2:]], True, [None, "1"]),
+        ("/resumable/x", [[], EVENTS], True, [None, None]),
+        ("/resumable/x", [EVENTS[:2], EVENTS[2:3]], False, [None, "1"]),
+        ("/resumable/x", [EVENTS, []], False, [None, "3"]),
+        ("/stream/x", [EVENTS[:2]], False, [None]),
+        ("/stream/x", [[]], False, [None]),
+    ],
+)
+async def test_body_that_ends_within_an_event_is_resumed_or_cut(
+    run_script, path, streams, is_last_whole, received
+):
+    """Guards against a cut stream that its caller takes for complete.
+
+    The endpoint ends its chunks in an orderly way.
+    """
+    answer, arrived = await run_script(
+        streams, path=path, ends_body=True, is_last_whole=is_last_whole
+    )
+    assert answer.whole is is_last_whole
+    assert arrived == received
+    if path == "/resumable/x":
+        assert answer.body == b"".join(itertools.chain(*streams))
