Tell peers that read slowly from peers that are gone

Cause: TCP_USER_TIMEOUT also ends a connection whose peer answers the probes of its closed window.

Change: a peer is gone if it acknowledges nothing for the same times although the kernel sent something again. Connections ask the kernel while bytes are on their way. A caller that reads nothing of what waits for it is disconnected after the idle timeout. One keepalive probe without an answer ends an idle connection, which takes 2 s as before.

Loopback shows no peer that is gone: the decision is tested on states, and the connections with a state in place of the kernel's.

--- a/src/bronzetrack/transport/callers.py
+++ b/src/bronzetrack/transport/callers.py
@@ -14,6 +14,7 @@
 from bronzetrack.transport import charges
 from bronzetrack.transport import exchanges
 from bronzetrack.transport import heads
+from bronzetrack.transport import liveness
 from bronzetrack.transport import pipeline
 from bronzetrack.transport import requestparser
 from bronzetrack.transport import sockets
@@ -29,7 +30,8 @@
 # Bytes that are parsed at a time. A head of the shortest lines takes 40 times
 # as much memory.
 PARSED_BYTES = 16 * 1024
-TCP_USER_TIMEOUT_MS = 5_000
+# A caller that acknowledges nothing for this time is gone.
+GONE_S = 5.0
 # Socket option value that makes a close reset the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -58,6 +60,11 @@
         self._is_paused = False
         self._paused_at = 0.0
         self._refused_at: float | None = None
+        # When the first of the bytes was written that the caller has not
+        # acknowledged, as far as it is known.
+        self._unconfirmed_since: float | None = None
+        self._unread_bytes = 0
+        self._unread_since = 0.0
         self._discarded_bytes = 0
 
     # Callbacks of the transport.
@@ -76,12 +83,8 @@
         self._listener.connections.add(self)
         self.caller = (transport.get_extra_info("peername") or ("",))[0]
         tcp_socket = transport.get_extra_info("socket")
-        for option in (
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-        ):
-            with contextlib.suppress(OSError):
-                tcp_socket.setsockopt(*option)
+        with contextlib.suppress(OSError):
+            tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer to read into."""
@@ -369,7 +372,11 @@
     def close_if_expired(self, now: float) -> None:
         """Close the connection if its caller left or exceeds a timeout."""
         limits = self._listener.limits
-        if self._refused_at is not None:
+        if self._is_caller_gone(now):
+            self.abort()
+        elif self._is_unread(now):
+            self.give_way(0, accounts.Reason.UNREAD)
+        elif self._refused_at is not None:
             if now - self._refused_at > MAX_DISCARD_S:
                 self._transport.close()
         elif self._is_paused and self._has_hung_up():
@@ -398,6 +405,27 @@
         ):
             self._transport.close()
 
+    def _is_caller_gone(self, now: float) -> bool:
+        """Return whether the caller acknowledges nothing any more."""
+        if self._unconfirmed_since is None or self.is_closed:
+            return False
+        tcp_socket = self._transport.get_extra_info("socket")
+        state = liveness.read_state(tcp_socket)
+        if state is None:
+            return False
+        if not state.queued_bytes and not self.has_unsent():
+            self._unconfirmed_since = None
+            return False
+        return state.is_gone(now - self._unconfirmed_since, GONE_S)
+
+    def _is_unread(self, now: float) -> bool:
+        """Return whether the caller has read nothing for too long."""
+        size = 0 if self.is_closed else self._transport.get_write_buffer_size()
+        if not size or size < self._unread_bytes or not self._unread_bytes:
+            self._unread_since = now
+        self._unread_bytes = size
+        return now - self._unread_since > self._listener.limits.idle_timeout_s
+
     def _has_hung_up(self) -> bool:
         """Return whether the caller left, which a paused transport hides."""
         tcp_socket = self._transport.get_extra_info("socket")
@@ -461,6 +489,8 @@
         """Send bytes unless the connection is closed or closing."""
         if not self.is_closed and not self._transport.is_closing():
             self._transport.write(data)
+            if self._unconfirmed_since is None:
+                self._unconfirmed_since = self._listener.read_clock()
             if not self.is_writable:
                 self._settle_answers()
 
--- a/src/bronzetrack/transport/connections.py
+++ b/src/bronzetrack/transport/connections.py
@@ -24,15 +24,19 @@
 from bronzetrack.transport import framing
 from bronzetrack.transport import heads
 from bronzetrack.transport import limits
+from bronzetrack.transport import liveness
 from bronzetrack.transport import sockets
 
 CONNECT_TIMEOUT_S = 0.4
-# A connection is closed if sent bytes stay unacknowledged for this time, for
-# instance because the peer is no longer reachable.
-TCP_USER_TIMEOUT_MS = 1_500
+# A peer that acknowledges no bytes of a request for this time is gone. It is
+# checked at the interval.
+GONE_S = 1.5
+CHECK_INTERVAL_S = 0.5
+# Without bytes on their way, a peer that does not answer a probe of the kernel
+# is gone.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_PROBES = 1
 # An idle connection is not reused within this time before the peer's stated
 # idle timeout.
 IDLE_MARGIN_S = 0.6
@@ -108,6 +112,7 @@
         self._in_response = False
         self._peer_closed = False
         self._is_paused = False
+        self._watch: liveness.PeerWatch | None = None
 
     # Callbacks of the transport.
 
@@ -117,10 +122,12 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is None:
             return
+        self._watch = liveness.PeerWatch(
+            transport, self._end_lost, GONE_S, CHECK_INTERVAL_S
+        )
         options = (
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
@@ -195,11 +202,23 @@
         self._overhead_bytes = 0
         self._requests += 1
         self.transport.write(data)
+        if self._watch is not None:
+            self._watch.begin()
+
+    def _end_lost(self) -> None:
+        """End the response, as the peer is gone."""
+        if self.receiver is not None:
+            self._finish(ResponseEnd.TRUNCATED)
+
+    def _end_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.end()
 
     def abort(self) -> None:
         """Close at once, so that the peer drops the request in progress."""
         self.receiver = None
         self.reusable = False
+        self._end_watch()
         if not self.closed and self.transport is not None:
             self.closed = True
             self.transport.abort()
@@ -367,6 +386,7 @@
     def _finish(self, end: ResponseEnd) -> None:
         receiver, self.receiver = self.receiver, None
         self._in_response = False
+        self._end_watch()
         self._read_again()
         if end is not ResponseEnd.COMPLETE:
             self.abort()
