Break the circle of imports among the connections of callers

Cause: callers, exchanges, server, pipeline and requestparser imported one another, for types.

Change: exchanges, the parser and the pipeline name what they need of a connection and of a listener in narrow protocols of their own; callers names its listener. Only server imports callers, which imports the others.

Measured: mypy checks that the classes have what the protocols name; the tests of transport pass.

--- a/src/bronzetrack/transport/callers.py
+++ b/src/bronzetrack/transport/callers.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import select
 import socket
 import struct
 from typing import Any
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from bronzetrack.transport import account as accounts
 from bronzetrack.transport import charges
@@ -20,9 +21,6 @@
 from bronzetrack.transport import sockets
 from bronzetrack.transport import yielding
 
-if TYPE_CHECKING:
-    from bronzetrack.transport import server
-
 # Time for a caller to read a refusal and to cease to send.
 MAX_DISCARD_S = 1.0
 # Bytes that are kept unparsed until the requests before them have ended.
@@ -37,13 +35,36 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+class Listener(requestparser.Bounds, pipeline.Service, Protocol):
+    """What a connection needs of the listener that accepted it.
+
+    :ivar closing: whether each connection is closed after its next response
+    :ivar connections: all open connections
+    :ivar resting: connections that may give way to new ones
+    :ivar by_address: number of connections by IP address of the caller
+    :ivar read_buffer: buffer into which all connections are read
+    """
+
+    closing: bool
+    connections: set[CallerConnection]
+    resting: yielding.RestingConnections[CallerConnection]
+    by_address: collections.Counter[str]
+    read_buffer: bytearray
+
+    def admit_connection(self, address: str) -> bool:
+        """Make room for a new connection, and return whether there is."""
+
+    def relieve(self, now: float) -> None:
+        """Let callers give way if others wait or the account is full."""
+
+
 class CallerConnection(asyncio.BufferedProtocol):
     """Server side of a caller's connection.
 
     Pipelined requests are served one after the other.
     """
 
-    def __init__(self, listener: server.Listener) -> None:
+    def __init__(self, listener: Listener) -> None:
         self.caller = ""
         self.is_closed = False
         self.is_writable = True
--- a/src/bronzetrack/transport/exchanges.py
+++ b/src/bronzetrack/transport/exchanges.py
@@ -3,20 +3,38 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from bronzetrack.transport import heads
 
-if TYPE_CHECKING:
-    from bronzetrack.transport import callers
+
+class ResponseChannel(Protocol):
+    """Connection that a response is sent on.
+
+    :ivar caller: IP address of the caller, empty if it is not known
+    :ivar is_writable: whether more should be written now
+    """
+
+    caller: str
+    is_writable: bool
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the connection is closed or closing."""
+
+    def can_keep_open(self, exchange: Exchange) -> bool:
+        """Return whether the connection may stay open after a response."""
+
+    def end_exchange(self, keep_open: bool) -> None:
+        """Serve the next request, or close the connection."""
+
+    def abort(self, reset: bool = False) -> None:
+        """Abort the connection without sending buffered bytes."""
 
 
 class Exchange:
     """One request of a caller and the methods that send its response."""
 
-    def __init__(
-        self, connection: callers.CallerConnection, head: heads.Head
-    ) -> None:
+    def __init__(self, connection: ResponseChannel, head: heads.Head) -> None:
         self.head = head
         self.body = b""
         self.arrived_at = 0.0
--- a/src/bronzetrack/transport/pipeline.py
+++ b/src/bronzetrack/transport/pipeline.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
 import attrs
@@ -14,10 +16,6 @@
 from bronzetrack.transport import account as accounts
 from bronzetrack.transport import exchanges
 
-if TYPE_CHECKING:
-    from bronzetrack.transport import callers
-    from bronzetrack.transport import server
-
 LOG = logging.getLogger(__name__)
 # Maximum number of requests that wait behind the one being served.
 MAX_PIPELINED_REQUESTS = 8
@@ -27,6 +25,28 @@
 MAX_ANSWERS_AHEAD = 1
 
 
+class Connection(Protocol):
+    """Connection whose requests are served."""
+
+    is_closed: bool
+    is_writable: bool
+
+
+class Service(Protocol):
+    """Handler of requests, and the account that they are charged to.
+
+    :ivar serve: handler of one request
+    :ivar read_clock: returns the time in seconds
+    """
+
+    serve: Callable[[exchanges.Exchange], Awaitable[None]]
+    read_clock: Callable[[], float]
+    account: accounts.Account
+
+    def grant_waiting(self, now: float) -> None:
+        """Continue reading the bodies for which there is memory."""
+
+
 @attrs.define(eq=False)
 class Pipeline:
     """Complete requests of a connection, in the order of their arrival.
@@ -39,8 +59,8 @@
     :param queued_cost: memory of these requests, in bytes
     """
 
-    connection: callers.CallerConnection
-    listener: server.Listener
+    connection: Connection
+    listener: Service
     current: exchanges.Exchange | None = None
     queued: list[exchanges.Exchange] = attrs.field(factory=list)
     queued_cost: int = 0
--- a/src/bronzetrack/transport/requestparser.py
+++ b/src/bronzetrack/transport/requestparser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import httptools
@@ -11,8 +13,7 @@
 from bronzetrack.transport import heads
 
 if TYPE_CHECKING:
-    from bronzetrack.transport import callers
-    from bronzetrack.transport import server
+    from bronzetrack.entry import routes
 
 # Colon and end of a header line.
 MIN_LINE_BYTES = 3
@@ -21,15 +22,45 @@
 MIN_BODY_BYTES_PER_S = 1_000
 
 
+class RequestReceiver(exchanges.ResponseChannel, Protocol):
+    """Connection whose requests are parsed."""
+
+    def reject(
+        self,
+        status: int,
+        detail: str,
+        reason: accounts.Reason = accounts.Reason.MALFORMED,
+    ) -> None:
+        """Stop reading requests; send an error and close the connection."""
+
+    def begin_body(self, now: float) -> None:
+        """Read the body of a request whose head is accepted."""
+
+    def continue_large_body(self) -> None:
+        """Ask for memory for a body that turns out to be large."""
+
+    def accept(self, exchange: exchanges.Exchange) -> None:
+        """Serve a complete request."""
+
+
+class Bounds(Protocol):
+    """What bounds the requests of a listener.
+
+    :ivar read_clock: returns the time in seconds
+    """
+
+    read_clock: Callable[[], float]
+    limits: routes.Limits
+    account: accounts.Account
+
+
 class RequestParser:
     """Turns the bytes of a caller into requests.
 
     Requests that exceed a limit are rejected through the connection.
     """
 
-    def __init__(
-        self, connection: callers.CallerConnection, listener: server.Listener
-    ) -> None:
+    def __init__(self, connection: RequestReceiver, listener: Bounds) -> None:
         # Whether what arrives is no longer parsed.
         self.is_closed = False
         # Request that is incomplete.
