Measure a slow caller's progress by what its kernel acknowledges

Progress was seen only if the bytes that wait for a caller became fewer between two checks, which a stream that is filled again hides. A VM that joins read the announcements every 0.3 s once it had waited long enough, until a hub introduced it.

Change: progress is the kernel's count of acknowledged bytes. The read that is due in order to join is due once. A set takes the place of ids of objects.

Measured: the tests of both, and those of waiting requests, pass.

--- a/src/bronzetrack/entry/admission/gate.py
+++ b/src/bronzetrack/entry/admission/gate.py
@@ -132,9 +132,8 @@
         found = [
             item for item in candidates if coming[item.identity] is waiter
         ]
-        others = {id(item): item for item in coming.values() if item}
         if not found:
-            for item in others.values():
+            for item in set(filter(None, coming.values())):
                 item.notifier.change()
         return found
 
--- a/src/bronzetrack/entry/peering/joining.py
+++ b/src/bronzetrack/entry/peering/joining.py
@@ -54,7 +54,8 @@
         """When the announcements must be read to join, in seconds."""
         if not self.is_joining or self.era is None:
             return math.inf
-        return self.contact_at + REWRITE_LIMIT_S
+        due = self.contact_at + REWRITE_LIMIT_S
+        return due if self.listed_at < due else math.inf
 
     def record_contact(self, era: int | None, now: float) -> None:
         """Record an answer of the store.
--- a/src/bronzetrack/transport/callers.py
+++ b/src/bronzetrack/transport/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 import select
 import socket
 import struct
@@ -35,6 +36,14 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+class Reading(enum.Enum):
+    """What a caller does with what was written to it."""
+
+    SOUND = "sound"
+    NOTHING = "nothing"
+    GONE = "gone"
+
+
 class Listener(requestparser.Bounds, pipeline.Service, Protocol):
     """What a connection needs of the listener that accepted it.
 
@@ -85,8 +94,8 @@
         # When the first of the bytes was written that the caller has not
         # acknowledged, as far as it is known.
         self._unconfirmed_since: float | None = None
-        self._unread_bytes = 0
-        self._unread_since = 0.0
+        self._acknowledged_bytes = 0
+        self._read_at = 0.0
         self._discarded_bytes = 0
 
     # Callbacks of the transport.
@@ -427,9 +436,10 @@
     def close_if_expired(self, now: float) -> None:
         """Close the connection if its caller left or exceeds a timeout."""
         limits = self._listener.limits
-        if self._is_caller_gone(now):
+        reading = self._find_reading(now)
+        if reading is Reading.GONE:
             self.abort()
-        elif self._is_unread(now):
+        elif reading is Reading.NOTHING:
             self.give_way(0, accounts.Reason.UNREAD)
         elif self._refused_at is not None:
             if now - self._refused_at > MAX_DISCARD_S:
@@ -460,26 +470,26 @@
         ):
             self._transport.close()
 
-    def _is_caller_gone(self, now: float) -> bool:
-        """Return whether the caller acknowledges nothing any more."""
+    def _find_reading(self, now: float) -> Reading:
+        """Return what the caller does with what was written to it."""
         if self._unconfirmed_since is None or self.is_closed:
-            return False
+            return Reading.SOUND
         tcp_socket = self._transport.get_extra_info("socket")
         state = liveness.read_state(tcp_socket)
         if state is None:
-            return False
+            return Reading.SOUND
         if not state.queued_bytes and not self.has_unsent():
             self._unconfirmed_since = None
-            return False
-        return state.is_gone(now - self._unconfirmed_since, GONE_S)
-
-    def _is_unread(self, now: float) -> bool:
-        """Return whether the caller has read nothing for too long."""
-        size = 0 if self.is_closed else self._transport.get_write_buffer_size()
-        if not size or size < self._unread_bytes or not self._unread_bytes:
-            self._unread_since = now
-        self._unread_bytes = size
-        return now - self._unread_since > self._listener.limits.idle_timeout_s
+            return Reading.SOUND
+        if state.acknowledged_bytes != self._acknowledged_bytes:
+            self._acknowledged_bytes = state.acknowledged_bytes
+            self._read_at = now
+        if state.is_gone(now - self._unconfirmed_since, GONE_S):
+            return Reading.GONE
+        read_at = max(self._read_at, self._unconfirmed_since)
+        if now - read_at > self._listener.limits.idle_timeout_s:
+            return Reading.NOTHING
+        return Reading.SOUND
 
     def _has_hung_up(self) -> bool:
         """Return whether the caller left, which a paused transport hides."""
--- a/src/bronzetrack/transport/liveness.py
+++ b/src/bronzetrack/transport/liveness.py
@@ -18,11 +18,12 @@
 
 import attrs
 
-# Head of `struct tcp_info` (linux/tcp.h) up to `tcpi_last_ack_recv`.
-TCP_INFO = struct.Struct("=8B13I")
+# Head of `struct tcp_info` (linux/tcp.h) up to `tcpi_bytes_acked`.
+TCP_INFO = struct.Struct("=8B24I3Q")
 RETRANSMITS_INDEX = 2
 PROBES_INDEX = 3
 LAST_ACK_INDEX = 20
+ACKNOWLEDGED_INDEX = 34
 QUEUED_BYTES = struct.Struct("i")
 # A probe of a closed window may be on its way. A second one is sent only if
 # the first was not acknowledged.
@@ -36,13 +37,15 @@
     :param queued_bytes: bytes that were written and not acknowledged
     :param retransmits: times that the same bytes were sent again in a row
     :param probes: probes of a closed window without an answer
-    :param ack_age_s: seconds since anything was acknowledged
+    :param ack_age_s: seconds since the last acknowledgement, also of a probe
+    :param acknowledged_bytes: bytes that were acknowledged so far
     """
 
     queued_bytes: int
     retransmits: int
     probes: int
     ack_age_s: float
+    acknowledged_bytes: int = 0
 
     def is_gone(self, waited_s: float, limit_s: float) -> bool:
         """Return whether the peer is gone.
@@ -74,6 +77,7 @@
         fields[RETRANSMITS_INDEX],
         fields[PROBES_INDEX],
         fields[LAST_ACK_INDEX] / 1000,
+        fields[ACKNOWLEDGED_INDEX],
     )
 
 
