Keep connections whose answer is still in the kernel

A connection that gives way to a new one is reset, and loses what its caller has not read from the kernel's buffers.

Change: a connection gives way only once its caller has acknowledged all that was written.

--- a/src/bronzetrack/transport/callers.py
+++ b/src/bronzetrack/transport/callers.py
@@ -310,7 +310,12 @@
 
     def may_give_way(self) -> bool:
         """Return whether no answer is lost if the connection is closed."""
-        return not self.has_unsent()
+        if self.has_unsent():
+            return False
+        if self._unconfirmed_since is None:
+            return True
+        state = liveness.read_state(self._transport.get_extra_info("socket"))
+        return state is None or not state.queued_bytes
 
     def _update_rest(self) -> None:
         """Note whether the connection may give way to a new one."""
--- a/tests/transport/test_yielding.py
+++ b/tests/transport/test_yielding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import attrs
 import pytest
@@ -16,6 +17,9 @@
 CROWD = 80
 ORDINARY = 40
 PART = b"GET /x HTTP/1.1\r\nHo"
+# More than the window of a caller, and less than the kernel takes at once.
+WINDOW_BYTES = 4 * 1024
+LONG_BYTES = 100_000
 SILENT, PARTIAL, USED = yielding.Stage
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
@@ -122,6 +126,28 @@
     assert listener.account.connections <= 2 * ROOM
 
 
+async def test_answer_in_the_buffers_of_the_kernel_is_not_lost(listen):
+    """Guards against a reset before a caller has read its answer."""
+
+    async def serve(exchange):
+        exchange.respond(200, [], LONG_BYTES * b"a")
+
+    _, port = await listen(serve, room=1)
+    loop = asyncio.get_running_loop()
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        client.setblocking(False)
+        await loop.sock_connect(client, (HOST, port))
+        await loop.sock_sendall(client, GET.replace(b"close", b"keep-alive"))
+        await asyncio.sleep(0.3)
+        assert (await ask(port)).startswith(b"HTTP/1.1 503 ")
+        size = 0
+        while size < LONG_BYTES:
+            part = await asyncio.wait_for(loop.sock_recv(client, 65_536), 2.0)
+            assert part
+            size += len(part)
+
+
 async def test_unfinished_request_that_gives_way_is_refused(listen):
     """Guards against a close that leaves open whether a request ran."""
 
