Take a kernel that tells less of a peer for one that tells nothing

Cause: found by reading the change again. A shorter answer of the kernel ended the check of a connection with an exception.

Change: it counts as no answer, like a closed socket.

Measured: the tests of transport/liveness.py and yielding.py pass.

--- a/src/bronzetrack/transport/liveness.py
+++ b/src/bronzetrack/transport/liveness.py
@@ -60,7 +60,10 @@
 
 
 def read_state(tcp_socket: socket.socket) -> PeerState | None:
-    """Return what the kernel knows, `None` if the socket is closed."""
+    """Return what the kernel knows, `None` if it does not tell.
+
+    The socket may be closed, or the kernel may know less than Linux 4.1.
+    """
     try:
         data = tcp_socket.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size
@@ -68,9 +71,9 @@
         queued = fcntl.ioctl(
             tcp_socket.fileno(), termios.TIOCOUTQ, bytes(QUEUED_BYTES.size)
         )
-    except (OSError, ValueError):
+        fields = TCP_INFO.unpack(data)
+    except (OSError, ValueError, struct.error):
         return None
-    fields = TCP_INFO.unpack(data)
     (queued_bytes,) = QUEUED_BYTES.unpack(queued)
     return PeerState(
         queued_bytes,
